--- /dev/null
+++ b/Meta/Ferry.cmake
@@ -0,0 +1,102 @@
+# Build rules of the workspace: one function per kind of part.
+
+# Defines the static library NAME from Libraries/NAME.
+function(ferry_library NAME)
+  cmake_parse_arguments(PARSE_ARGV 1 ARG "" "" "DEPENDS")
+  file(GLOB_RECURSE SOURCES CONFIGURE_DEPENDS
+    ${CMAKE_SOURCE_DIR}/Libraries/${NAME}/*.cpp)
+  if(SOURCES)
+    add_library(${NAME} STATIC ${SOURCES})
+    target_include_directories(${NAME} PUBLIC
+      $<BUILD_INTERFACE:${CMAKE_SOURCE_DIR}/Libraries>)
+    target_link_libraries(${NAME} PUBLIC ${ARG_DEPENDS})
+  else()
+    add_library(${NAME} INTERFACE)
+    target_include_directories(${NAME} INTERFACE
+      $<BUILD_INTERFACE:${CMAKE_SOURCE_DIR}/Libraries>)
+    target_link_libraries(${NAME} INTERFACE ${ARG_DEPENDS})
+  endif()
+endfunction()
+
+# Defines an installed program NAME from the sources in FOLDER.
+function(ferry_program NAME FOLDER)
+  cmake_parse_arguments(PARSE_ARGV 2 ARG "" "" "DEPENDS")
+  file(GLOB SOURCES CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/${FOLDER}/*.cpp)
+  if(NOT SOURCES)
+    return()
+  endif()
+  add_executable(${NAME} ${SOURCES})
+  target_include_directories(${NAME} PRIVATE ${CMAKE_SOURCE_DIR}/Services
+    ${CMAKE_SOURCE_DIR}/Utilities)
+  target_link_libraries(${NAME} PRIVATE ${ARG_DEPENDS})
+  target_compile_definitions(${NAME} PRIVATE FERRY_VERSION="${PROJECT_VERSION}")
+  install(TARGETS ${NAME} RUNTIME DESTINATION ${CMAKE_INSTALL_BINDIR})
+endfunction()
+
+set(FERRY_ALL_LIBRARIES LibTraffic LibControl LibRouting LibCache LibRegistry
+  LibMembership LibConsensus LibWire LibConfig LibObserve LibCore)
+
+# Every Tests/LibX/TestY.cpp is one Boost.Test program and one ctest entry;
+# Tests/Fakes holds the stand-in programs; Tests/Support the shared helpers.
+function(ferry_tests)
+  file(GLOB SUPPORT CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/Tests/Support/*.cpp)
+  if(SUPPORT)
+    add_library(TestSupport STATIC ${SUPPORT})
+    target_include_directories(TestSupport PUBLIC ${CMAKE_SOURCE_DIR}/Tests)
+    target_link_libraries(TestSupport PUBLIC ${FERRY_ALL_LIBRARIES})
+  endif()
+  file(GLOB FAKES CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/Tests/Fakes/*.cpp)
+  if(FAKES)
+    add_executable(ferryfake ${FAKES})
+    target_include_directories(ferryfake PRIVATE ${CMAKE_SOURCE_DIR}/Tests)
+    target_link_libraries(ferryfake PRIVATE LibCore LibCache Poco::Net Poco::JSON
+      Poco::Foundation)
+  endif()
+  file(GLOB TESTS CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/Tests/*/Test*.cpp)
+  foreach(TEST_SOURCE ${TESTS})
+    get_filename_component(FOLDER ${TEST_SOURCE} DIRECTORY)
+    get_filename_component(FOLDER ${FOLDER} NAME)
+    if(FOLDER STREQUAL "Support" OR FOLDER STREQUAL "Fakes")
+      continue()
+    endif()
+    get_filename_component(TEST_NAME ${TEST_SOURCE} NAME_WE)
+    add_executable(${TEST_NAME} ${TEST_SOURCE})
+    target_include_directories(${TEST_NAME} PRIVATE ${CMAKE_SOURCE_DIR}/Tests)
+    target_compile_definitions(${TEST_NAME} PRIVATE BOOST_TEST_DYN_LINK
+      BOOST_TEST_MODULE=${TEST_NAME}
+      FERRY_SOURCE_DIR="${CMAKE_SOURCE_DIR}" FERRY_BINARY_DIR="${CMAKE_BINARY_DIR}/bin")
+    target_link_libraries(${TEST_NAME} PRIVATE ${FERRY_ALL_LIBRARIES}
+      Boost::unit_test_framework)
+    if(TARGET TestSupport)
+      target_link_libraries(${TEST_NAME} PRIVATE TestSupport)
+    endif()
+    add_test(NAME ${TEST_NAME} COMMAND ${TEST_NAME})
+    set_tests_properties(${TEST_NAME} PROPERTIES TIMEOUT 240)
+  endforeach()
+endfunction()
+
+# Every Benchmarks/BenchY.cpp is one program.
+function(ferry_benchmarks)
+  file(GLOB BENCHES CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/Benchmarks/Bench*.cpp)
+  foreach(SOURCE ${BENCHES})
+    get_filename_component(BENCH_NAME ${SOURCE} NAME_WE)
+    add_executable(${BENCH_NAME} ${SOURCE})
+    target_include_directories(${BENCH_NAME} PRIVATE ${CMAKE_SOURCE_DIR}/Tests)
+    target_link_libraries(${BENCH_NAME} PRIVATE ${FERRY_ALL_LIBRARIES})
+    if(TARGET TestSupport)
+      target_link_libraries(${BENCH_NAME} PRIVATE TestSupport)
+    endif()
+  endforeach()
+endfunction()
+
+# Every Examples/Example*.cpp embeds the coordination libraries alone.
+function(ferry_examples)
+  file(GLOB EXAMPLES CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/Examples/Example*.cpp)
+  foreach(SOURCE ${EXAMPLES})
+    get_filename_component(EXAMPLE_NAME ${SOURCE} NAME_WE)
+    add_executable(${EXAMPLE_NAME} ${SOURCE})
+    target_link_libraries(${EXAMPLE_NAME} PRIVATE LibRegistry LibMembership LibConsensus
+      LibWire LibCore)
+    add_test(NAME ${EXAMPLE_NAME} COMMAND ${EXAMPLE_NAME})
+  endforeach()
+endfunction()
