--- /dev/null
+++ b/Libraries/LibCore/ControlLoop.h
@@ -0,0 +1,74 @@
+/// \file
+/// The one control thread: tasks, timers and socket readiness in one loop.
+#ifndef FERRY_LIBCORE_CONTROLLOOP_H
+#define FERRY_LIBCORE_CONTROLLOOP_H
+
+#include "LibCore/Time.h"
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <utility>
+#include <vector>
+
+namespace ferry {
+
+/// Which readiness of a descriptor is waited for.
+enum class Readiness : uint8_t { Read, ReadWrite };
+
+/// Runs posted tasks, timers and descriptor callbacks on the thread that calls
+/// run(). Only post() and stop() may be called from other threads.
+class ControlLoop {
+public:
+  using Task = std::function<void()>;
+  using TimerId = std::pair<Timestamp, uint64_t>;
+
+  ControlLoop();
+  ~ControlLoop();
+  ControlLoop(const ControlLoop &) = delete;
+  ControlLoop &operator=(const ControlLoop &) = delete;
+
+  /// Queues \p Work; safe from any thread. After stop() it is dropped.
+  void post(Task Work);
+
+  /// Runs \p Work once at \p Deadline. \returns an id for cancel().
+  TimerId at(Timestamp Deadline, Task Work);
+
+  /// Drops a timer that has not run yet.
+  void cancel(TimerId Timer);
+
+  /// Calls \p Ready whenever \p Descriptor is ready; replaces an earlier watch.
+  void watch(int Descriptor, Readiness Interest, Task Ready);
+
+  /// Ends the watch on \p Descriptor.
+  void unwatch(int Descriptor);
+
+  /// Runs until stop().
+  void run();
+
+  /// Makes run() return after the task at hand; safe from any thread.
+  void stop();
+
+private:
+  struct Watch {
+    Readiness Interest;
+    std::shared_ptr<Task> Ready;
+  };
+
+  void runPosted();
+  void runTimers();
+  void pollDescriptors();
+  int pollTimeoutMillis();
+
+  int WakeDescriptor;
+  std::mutex Mutex;
+  std::vector<Task> Posted;
+  bool Stopping = false;
+  std::map<TimerId, Task> Timers;
+  uint64_t NextTimer = 0;
+  std::map<int, Watch> Watches;
+};
+
+} // namespace ferry
+
+#endif
--- /dev/null
+++ b/Libraries/LibCore/TargetRecord.h
@@ -0,0 +1,81 @@
+/// \file
+/// What a target announces of itself, as every part of the system sees it.
+#ifndef FERRY_LIBCORE_TARGETRECORD_H
+#define FERRY_LIBCORE_TARGETRECORD_H
+
+#include "LibCore/EnumNames.h"
+#include "LibCore/Ids.h"
+#include "LibCore/Time.h"
+#include <string>
+
+namespace ferry {
+
+enum class TargetKind : uint8_t {
+  Engine,
+  CacheStore,
+  PlainService,
+  WeightStore
+};
+
+template <> struct EnumNames<TargetKind> {
+  static constexpr EnumName<TargetKind> Table[] = {
+      {TargetKind::Engine, "engine"},
+      {TargetKind::CacheStore, "cache_store"},
+      {TargetKind::PlainService, "service"},
+      {TargetKind::WeightStore, "weight_store"}};
+};
+
+enum class TargetPhase : uint8_t { Starting, Ready, Leaving };
+
+template <> struct EnumNames<TargetPhase> {
+  static constexpr EnumName<TargetPhase> Table[] = {
+      {TargetPhase::Starting, "starting"},
+      {TargetPhase::Ready, "ready"},
+      {TargetPhase::Leaving, "leaving"}};
+};
+
+/// Whether a target refuses orders with an old fencing number.
+enum class FencingCheck : uint8_t { Checked, Unchecked };
+
+template <> struct EnumNames<FencingCheck> {
+  static constexpr EnumName<FencingCheck> Table[] = {
+      {FencingCheck::Checked, "checked"},
+      {FencingCheck::Unchecked, "unchecked"}};
+};
+
+/// The load figures of an announcement; they lag behind the truth.
+struct TargetLoad {
+  uint32_t RunningRequests = 0;
+  uint32_t QueuedRequests = 0;
+  /// Prompt tokens admitted but not yet prefilled.
+  uint64_t QueuedPrefillTokens = 0;
+  /// Requests the target runs side by side; 0 if it does not say.
+  uint32_t MaxConcurrent = 0;
+  bool operator==(const TargetLoad &) const = default;
+};
+
+/// One life of one target.
+struct TargetRecord {
+  TargetId Id;
+  ferry::Incarnation Incarnation;
+  /// "IP:port" of its HTTP address.
+  std::string Address;
+  DataCentreId DataCentre;
+  TargetKind Kind = TargetKind::Engine;
+  TargetPhase Phase = TargetPhase::Starting;
+  /// The description's service that it belongs to.
+  ServiceId Service;
+  ModelId Model;
+  AdapterId Adapter;
+  WeightsVersion Weights;
+  FencingCheck Fencing = FencingCheck::Unchecked;
+  TargetLoad Load;
+  /// Rises with each announcement of one incarnation.
+  uint64_t Sequence = 0;
+  /// No new work is given after this, unless a later announcement moves it.
+  Timestamp UsableUntil;
+};
+
+} // namespace ferry
+
+#endif
