--- /dev/null
+++ b/Tests/LibWire/TestFrame.cpp
@@ -0,0 +1,70 @@
+#include "LibWire/Codec.h"
+#include "LibWire/FrameReader.h"
+#include "LibWire/Generated/Peer_types.h"
+#include <boost/test/unit_test.hpp>
+#include <random>
+
+using namespace ferry;
+using namespace ferry::wire;
+
+static Envelope sampleEnvelope() {
+  Envelope Message;
+  Message.ClusterId = "austral";
+  Message.GroupId = 1;
+  Message.SenderIncarnation = 7;
+  Message.Kind = PayloadKind::Membership;
+  Message.Payload = std::string(300, 'x');
+  return Message;
+}
+
+BOOST_AUTO_TEST_CASE(frames_survive_any_split) {
+  std::string Stream = frame("one") + frame("") + frame(std::string(9000, 'y'));
+  for (size_t Step : {1, 3, 7, 4096}) {
+    FrameReader Reader(10'000);
+    std::vector<std::string> Frames;
+    for (size_t Start = 0; Start < Stream.size(); Start += Step) {
+      Reader.append(std::string_view(Stream).substr(Start, Step));
+      while (auto Next = *Reader.tryNext())
+        Frames.push_back(*Next);
+    }
+    BOOST_TEST(Frames.size() == 3u);
+    BOOST_TEST(Frames.front() == "one");
+    BOOST_TEST(Frames.back().size() == 9000u);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(oversized_frame_is_an_error_before_its_bytes_come) {
+  FrameReader Reader(10);
+  Reader.append(frame(std::string(11, 'z')).substr(0, 4));
+  auto Next = Reader.tryNext();
+  BOOST_TEST(!Next.has_value());
+  BOOST_TEST((Next.error().Kind == WireErrorKind::TooLarge));
+}
+
+BOOST_AUTO_TEST_CASE(messages_survive_encoding) {
+  auto Decoded = tryDecode<Envelope>(encode(sampleEnvelope()));
+  BOOST_REQUIRE(Decoded.has_value());
+  BOOST_TEST((*Decoded == sampleEnvelope()));
+}
+
+BOOST_AUTO_TEST_CASE(every_cut_and_trailing_byte_is_a_typed_error) {
+  std::string Bytes = encode(sampleEnvelope());
+  for (size_t Size = 0; Size < Bytes.size(); ++Size)
+    BOOST_TEST(!tryDecode<Envelope>(Bytes.substr(0, Size)).has_value());
+  auto Trailing = tryDecode<Envelope>(Bytes + "x");
+  BOOST_REQUIRE(!Trailing.has_value());
+  BOOST_TEST((Trailing.error().Kind == WireErrorKind::TrailingBytes));
+}
+
+BOOST_AUTO_TEST_CASE(random_bytes_never_crash_the_decoder) {
+  std::mt19937_64 Random(20261203);
+  std::string Valid = encode(sampleEnvelope());
+  for (int Round = 0; Round < 20'000; ++Round) {
+    std::string Bytes = Valid;
+    for (int Flip = 0; Flip < 4; ++Flip)
+      Bytes[Random() % Bytes.size()] = static_cast<char>(Random());
+    auto Decoded = tryDecode<Envelope>(Bytes);
+    if (Decoded)
+      BOOST_TEST(Decoded->Payload.size() <= Bytes.size());
+  }
+}
