--- /dev/null
+++ b/Libraries/LibRouting/SchedulerEvents.h
@@ -0,0 +1,180 @@
+/// \file
+/// Inputs and outputs of the Scheduler, the step machine that places requests.
+#ifndef FERRY_LIBROUTING_SCHEDULEREVENTS_H
+#define FERRY_LIBROUTING_SCHEDULEREVENTS_H
+
+#include "LibCache/BlockHash.h"
+#include "LibCache/CacheEvent.h"
+#include "LibCore/EnumNames.h"
+#include "LibCore/Ids.h"
+#include "LibCore/Time.h"
+#include "LibRouting/RoutingView.h"
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace ferry::routing {
+
+enum class Priority : uint8_t { Interactive, Batch };
+
+/// Why a request is refused before any part of it ran.
+enum class RefusalKind : uint8_t {
+  NoDescription,
+  Unconfirmed,
+  Draining,
+  UnknownService,
+  UnknownWorkspace,
+  NoTarget,
+  QueueFull,
+  DeadlineTooNear,
+  ShareExceeded,
+  RetryBudgetSpent,
+  DeadlinePassed
+};
+
+/// How a try on a target ended.
+enum class TryOutcome : uint8_t {
+  Succeeded,
+  /// The target answered that it is too busy.
+  Rejected,
+  /// The connection failed before the first byte of the request was sent.
+  NotSent,
+  /// It failed after that.
+  Failed,
+  /// The caller went away or the deadline passed.
+  Cancelled
+};
+
+/// A new request for a model service.
+struct SubmitRequest {
+  RequestId Id;
+  WorkspaceId Workspace;
+  ServiceId Service;
+  routing::Priority Priority = Priority::Interactive;
+  Timestamp Deadline;
+  /// Hashes of the prompt's whole blocks, from the front.
+  std::vector<cache::BlockHash> Blocks;
+  /// Tokens of the whole prompt, as estimated without a tokenizer.
+  uint64_t PromptTokens = 0;
+  uint64_t MaxOutputTokens = 0;
+};
+
+/// A new call of a plain service, or of any other kind without a prompt.
+struct SubmitCall {
+  RequestId Id;
+  WorkspaceId Workspace;
+  ServiceId Service;
+  routing::Priority Priority = Priority::Interactive;
+  Timestamp Deadline;
+};
+
+/// The first byte of an answer has come; its header tells what was cached.
+struct FirstByte {
+  RequestId Id;
+  /// Tokens of the prompt that the engine found in its cache.
+  uint64_t CachedTokens = 0;
+};
+
+/// A try has ended. Unless it succeeded or was cancelled, the Scheduler
+/// answers with another Dispatch or with a Refusal.
+struct TryEnded {
+  RequestId Id;
+  TryOutcome Outcome = TryOutcome::Succeeded;
+  /// Whether another try could repeat work that may not be repeated.
+  enum class Repeat : uint8_t {
+    Allowed,
+    Forbidden
+  } MayRepeat = Repeat::Allowed;
+};
+
+/// A request that waits has lost its caller.
+struct Withdraw {
+  RequestId Id;
+};
+
+/// The control thread has a new snapshot.
+struct ViewChanged {
+  RoutingViewPtr View;
+};
+
+/// A batch of cache events has come from a target.
+struct CacheEventsReceived {
+  cache::CacheEventBatch Batch;
+};
+
+/// Time has passed; sent at least every 20 milliseconds while requests wait.
+struct SchedulerTick {};
+
+using SchedulerEvent =
+    std::variant<SubmitRequest, SubmitCall, FirstByte, TryEnded, Withdraw,
+                 ViewChanged, CacheEventsReceived, SchedulerTick>;
+
+/// Cached blocks to be imported from the cache store before the prefill.
+struct ImportPlan {
+  TargetId Store;
+  std::string StoreAddress;
+  /// Leading blocks of the prompt that the store holds.
+  uint32_t Blocks = 0;
+};
+
+/// The request is to be sent to this target now.
+struct Dispatch {
+  RequestId Id;
+  TargetId Target;
+  ferry::Incarnation Incarnation;
+  WeightsVersion Weights;
+  std::string Address;
+  /// Tokens that the engine is expected to find in its cache; sure ones only.
+  uint64_t ExpectedCachedTokens = 0;
+  std::vector<ImportPlan> Imports;
+};
+
+/// The request is refused; nothing of it has run on the refused try.
+struct Refusal {
+  RequestId Id;
+  RefusalKind Kind;
+  /// When another try makes sense.
+  Timestamp RetryAt;
+};
+
+using SchedulerEffect = std::variant<Dispatch, Refusal>;
+
+} // namespace ferry::routing
+
+namespace ferry {
+
+template <> struct EnumNames<routing::Priority> {
+  static constexpr EnumName<routing::Priority> Table[] = {
+      {routing::Priority::Interactive, "interactive"},
+      {routing::Priority::Batch, "batch"}};
+};
+
+template <> struct EnumNames<routing::RefusalKind> {
+  using Kind = routing::RefusalKind;
+  static constexpr EnumName<Kind> Table[] = {
+      {Kind::NoDescription, "no_description"},
+      {Kind::Unconfirmed, "unconfirmed"},
+      {Kind::Draining, "draining"},
+      {Kind::UnknownService, "unknown_service"},
+      {Kind::UnknownWorkspace, "unknown_workspace"},
+      {Kind::NoTarget, "no_target"},
+      {Kind::QueueFull, "queue_full"},
+      {Kind::DeadlineTooNear, "deadline_too_near"},
+      {Kind::ShareExceeded, "share_exceeded"},
+      {Kind::RetryBudgetSpent, "retry_budget_spent"},
+      {Kind::DeadlinePassed, "deadline_passed"}};
+};
+
+template <> struct EnumNames<routing::TryOutcome> {
+  using Outcome = routing::TryOutcome;
+  static constexpr EnumName<Outcome> Table[] = {
+      {Outcome::Succeeded, "succeeded"},
+      {Outcome::Rejected, "rejected"},
+      {Outcome::NotSent, "not_sent"},
+      {Outcome::Failed, "failed"},
+      {Outcome::Cancelled, "cancelled"}};
+};
+
+} // namespace ferry
+
+#endif
