--- /dev/null
+++ b/Libraries/LibConsensus/Errors.h
@@ -0,0 +1,106 @@
+/// \file
+/// Errors of the replicated log.
+#ifndef FERRY_LIBCONSENSUS_ERRORS_H
+#define FERRY_LIBCONSENSUS_ERRORS_H
+
+#include "LibCore/Error.h"
+#include "LibCore/Ids.h"
+#include <optional>
+
+namespace ferry::consensus {
+
+/// Why a command has no committed index.
+enum class ProposeErrorKind : uint8_t {
+  /// This replica does not lead; the command was certainly not proposed.
+  NotLeader,
+  /// Too many commands wait for a quorum; certainly not proposed.
+  Overloaded,
+  /// The command is larger than the limit; certainly not proposed.
+  TooLarge,
+  /// Leadership ended while the command was under way; it may yet commit.
+  LeadershipLost,
+  /// The log was closed while the command was under way; it may yet commit.
+  Closed
+};
+
+/// A failed proposal.
+struct ProposeError {
+  ProposeErrorKind Kind;
+  /// The leader to ask instead, where one is known.
+  std::optional<HostId> Leader;
+
+  /// \returns true if the command will never commit.
+  bool certainlyNotProposed() const {
+    return Kind == ProposeErrorKind::NotLeader ||
+           Kind == ProposeErrorKind::Overloaded ||
+           Kind == ProposeErrorKind::TooLarge;
+  }
+};
+
+/// Why a read point was not confirmed.
+enum class ReadErrorKind : uint8_t {
+  /// This replica does not lead.
+  NotLeader,
+  /// Leadership ended before a quorum confirmed the read.
+  LeadershipLost,
+  /// The log was closed.
+  Closed
+};
+
+/// A failed read confirmation.
+struct ReadError {
+  ReadErrorKind Kind;
+  /// The leader to ask instead, where one is known.
+  std::optional<HostId> Leader;
+};
+
+/// What is wrong with the files of a log.
+enum class StorageErrorKind : uint8_t {
+  /// A system call failed.
+  Io,
+  /// A record or snapshot that had been synced is damaged.
+  Damaged,
+  /// The files belong to another cluster or group.
+  Foreign,
+  /// Another process uses the folder.
+  Locked,
+  /// The options name no member, or not this host.
+  BadOptions
+};
+
+using StorageError = TypedError<StorageErrorKind>;
+
+} // namespace ferry::consensus
+
+namespace ferry {
+
+template <> struct EnumNames<consensus::ProposeErrorKind> {
+  using Kind = consensus::ProposeErrorKind;
+  static constexpr EnumName<Kind> Table[] = {
+      {Kind::NotLeader, "not_leader"},
+      {Kind::Overloaded, "overloaded"},
+      {Kind::TooLarge, "too_large"},
+      {Kind::LeadershipLost, "leadership_lost"},
+      {Kind::Closed, "closed"}};
+};
+
+template <> struct EnumNames<consensus::ReadErrorKind> {
+  using Kind = consensus::ReadErrorKind;
+  static constexpr EnumName<Kind> Table[] = {
+      {Kind::NotLeader, "not_leader"},
+      {Kind::LeadershipLost, "leadership_lost"},
+      {Kind::Closed, "closed"}};
+};
+
+template <> struct EnumNames<consensus::StorageErrorKind> {
+  using Kind = consensus::StorageErrorKind;
+  static constexpr EnumName<Kind> Table[] = {{Kind::Io, "io"},
+                                             {Kind::Damaged, "damaged"},
+                                             {Kind::Foreign, "foreign"},
+                                             {Kind::Locked, "locked"},
+                                             {Kind::BadOptions, "bad_options"}};
+};
+
+} // namespace ferry
+
+#endif
--- /dev/null
+++ b/Libraries/LibConsensus/Message.h
@@ -0,0 +1,59 @@
+/// \file
+/// Messages between replicas: a header common to all, and a typed body.
+#ifndef FERRY_LIBCONSENSUS_MESSAGE_H
+#define FERRY_LIBCONSENSUS_MESSAGE_H
+
+#include "LibConsensus/Types.h"
+#include "LibCore/Result.h"
+#include "LibWire/Generated/Consensus_types.h"
+#include "LibWire/WireError.h"
+#include <string_view>
+#include <variant>
+
+namespace ferry::consensus {
+
+using MessageBody =
+    std::variant<wire::VoteRequest, wire::VoteReply, wire::AppendRequest,
+                 wire::AppendReply, wire::SnapshotChunk, wire::SnapshotReply,
+                 wire::Probe, wire::ProbeReply, wire::JoinRequest,
+                 wire::Dismissal>;
+
+/// A message as replicas handle it.
+struct Message {
+  ReplicaId Sender;
+  /// The replica meant; 0 means whatever replica the host has.
+  ReplicaId Receiver;
+  uint64_t Term = 0;
+  MessageBody Body;
+};
+
+/// \returns the bytes of \p Sent for the log \p Group of \p Cluster.
+std::string encodeMessage(const ClusterId &Cluster, GroupId Group,
+                          const Message &Sent);
+
+/// \returns the message in \p Payload, or WireErrorKind::Untrusted if it
+/// belongs to another cluster or group, or the error of a malformed payload.
+Result<Message, wire::WireError> tryDecodeMessage(const ClusterId &Cluster,
+                                                  GroupId Group,
+                                                  std::string_view Payload);
+
+/// Conversions between the values of this library and their wire forms.
+wire::LogEntry toWire(const Entry &From);
+wire::LogConfiguration toWire(const Configuration &From);
+wire::LogIdentity toWire(const Identity &From);
+wire::LogSnapshotMark toWireMark(const Snapshot &From);
+wire::LogStanding::type toWire(Standing From);
+Entry fromWire(const wire::LogEntry &From);
+Configuration fromWire(const wire::LogConfiguration &From);
+Identity fromWire(const wire::LogIdentity &From);
+Standing fromWire(wire::LogStanding::type From);
+
+/// \returns the payload of a Configuration entry.
+std::string encodeConfiguration(const Configuration &Members);
+
+/// \returns the configuration in \p Payload, or nothing if it is malformed.
+std::optional<Configuration> decodeConfiguration(std::string_view Payload);
+
+} // namespace ferry::consensus
+
+#endif
