LibConsensus: Let blank hosts accept a formation despite each other's probes

A blank host dropped formations after any blank host's probe, so that hosts whose probes ran in phase took many rounds to form. Only a probe of the host that forms the cluster has to invalidate what was proposed before.

--- a/Libraries/LibConsensus/Replica.h
+++ b/Libraries/LibConsensus/Replica.h
@@ -193,6 +193,8 @@
 
   // ReplicaMembership.cpp
   void probe();
+  /// \returns the one host that may form the cluster, so that it forms once.
+  const HostId &formingHost() const;
   void tryForm();
   void adoptFormation(Configuration Members);
   void join(wire::JoinReason::type Reason);
--- a/Libraries/LibConsensus/ReplicaMembership.cpp
+++ b/Libraries/LibConsensus/ReplicaMembership.cpp
@@ -47,7 +47,7 @@
     Reply.__set_Formation(toWire(*Self.Formation));
   // Whoever forms a cluster on the strength of this answer must not find this
   // replica in a formation that was proposed before.
-  if (Self.Kept == Standing::Blank)
+  if (Self.Kept == Standing::Blank && From.From == formingHost())
     FormationAllowed = false;
   sendAfter(promiseToken(), From.From, message(Asker, Reply));
 }
@@ -67,10 +67,12 @@
   tryForm();
 }
 
+const HostId &Replica::formingHost() const {
+  return *std::min_element(Options.Hosts.begin(), Options.Hosts.end());
+}
+
 void Replica::tryForm() {
-  // One host only may form the cluster, so that it forms once.
-  HostId Lowest = *std::min_element(Options.Hosts.begin(), Options.Hosts.end());
-  if (Options.Self != Lowest)
+  if (Options.Self != formingHost())
     return;
   Configuration Members{{{Self.Replica, Options.Self}}};
   for (const HostId &Host : Options.Hosts) {
