--- a/Libraries/LibConsensus/LogDriver.h
+++ b/Libraries/LibConsensus/LogDriver.h
@@ -50,8 +50,8 @@
   std::filesystem::path Folder;
   /// Seeds the election jitter and replica ids; differs on each start.
   uint64_t Seed = 0;
-  ReplicaTiming Timing;
-  ReplicaLimits Limits;
+  ReplicaTiming Timing = {};
+  ReplicaLimits Limits = {};
 };
 
 /// One replica of a log. All calls are made on the control thread.
--- a/Libraries/LibConsensus/LogFiles.cpp
+++ b/Libraries/LibConsensus/LogFiles.cpp
@@ -107,8 +107,9 @@
       Newest = std::max(Newest.value_or(0), *Found);
     AnySnapshot |= numberOf(File.path(), SnapshotPrefix).has_value();
   }
-  // A log file is always there once a replica has started.
-  if (!Newest && AnySnapshot)
+  // A log file is always there once a replica has started, unless a crash came
+  // between moving a damaged one aside and beginning anew.
+  if (!Newest && (AnySnapshot || fs::exists(Folder / DamagedName)))
     return makeTypedError(StorageErrorKind::Damaged, "log file is missing");
   if (!Newest)
     return std::optional<DurableState>();
--- a/Libraries/LibConsensus/ReplicaOptions.h
+++ b/Libraries/LibConsensus/ReplicaOptions.h
@@ -47,8 +47,8 @@
   /// All listed control hosts, this one included.
   std::vector<HostId> Hosts;
   uint64_t Seed = 0;
-  ReplicaTiming Timing;
-  ReplicaLimits Limits;
+  ReplicaTiming Timing = {};
+  ReplicaLimits Limits = {};
 };
 
 } // namespace ferry::consensus
