--- a/Tests/LibConsensus/LogCluster.h
+++ b/Tests/LibConsensus/LogCluster.h
@@ -8,6 +8,7 @@
 #include "LibCore/Random.h"
 #include <filesystem>
 #include <future>
+#include <limits>
 #include <map>
 #include <set>
 #include <string>
@@ -41,6 +42,8 @@
   std::map<HostId, std::string> States;
   /// Hosts that neither send nor receive.
   std::set<HostId> Cut;
+  /// The older half of a longer state is dropped.
+  size_t MaxStateBytes = std::numeric_limits<size_t>::max();
 
   ~LogCluster() {
     onLoop([this] { Drivers.clear(); });
@@ -86,7 +89,10 @@
       });
     };
     Hooks.Apply = [this, Host](uint64_t, std::string_view Command) {
-      States[Host].append(Command).push_back(';');
+      std::string &State = States[Host];
+      State.append(Command).push_back(';');
+      if (State.size() > MaxStateBytes)
+        State.erase(0, State.size() / 2);
     };
     Hooks.TakeSnapshot = [this, Host] { return States[Host]; };
     Hooks.RestoreSnapshot = [this, Host](std::string_view State) {
--- a/Tests/LibConsensus/SimulatedCluster.h
+++ b/Tests/LibConsensus/SimulatedCluster.h
@@ -241,8 +241,12 @@
   ReplicaLimits Limits;
   /// Directed links that are cut.
   std::set<std::pair<HostId, HostId>> Cut;
-  uint64_t SentMessages = 0;
-  uint64_t SentBytes = 0;
+  struct Traffic {
+    uint64_t Messages = 0;
+    uint64_t Bytes = 0;
+  };
+  /// What each host has sent.
+  std::map<HostId, Traffic> Sent;
   /// Encodes every message, for its size.
   bool CountBytes = false;
 
@@ -339,19 +343,19 @@
         });
   }
 
-  void send(SimulatedHost &Host, const SendEffect &Sent) {
-    if (auto *Vote = std::get_if<wire::VoteReply>(&Sent.Sent.Body);
+  void send(SimulatedHost &Host, const SendEffect &Output) {
+    if (auto *Vote = std::get_if<wire::VoteReply>(&Output.Sent.Body);
         Vote && Vote->Granted)
-      Checks.promised(Sent.Sent.Sender, Host.Host);
+      Checks.promised(Output.Sent.Sender, Host.Host);
     if (CountBytes)
-      SentBytes += encodeMessage({"sim"}, {1}, Sent.Sent).size();
-    ++SentMessages;
-    if (Cut.count({Host.Host, Sent.To}) != 0 ||
+      Sent[Host.Host].Bytes += encodeMessage({"sim"}, {1}, Output.Sent).size();
+    ++Sent[Host.Host].Messages;
+    if (Cut.count({Host.Host, Output.To}) != 0 ||
         Random() % 1000 < Network.DropPerMille)
       return;
     uint64_t Copies = Random() % 1000 < Network.DoublePerMille ? 2 : 1;
     for (; Copies > 0; --Copies)
-      deliver(Host.Host, Sent);
+      deliver(Host.Host, Output);
   }
 
   void deliver(const HostId &From, const SendEffect &Sent) {
