LibConfig: Parse settings and descriptions from YAML

Every key is read through one MapReader, which notes what was asked for, so that unknown keys, missing keys, wrong types and bad values are found in one pass and reported together, each with its line and column.

Relative paths in settings start at the folder of the settings file.

--- a/Libraries/LibConfig/Parse.h
+++ b/Libraries/LibConfig/Parse.h
@@ -24,7 +24,13 @@
 Result<Settings, ConfigErrors> tryParseSettings(const std::string &Text,
                                                 const std::string &FileName);
 
-/// Reads, parses and checks a settings file.
+/// Reads a file of at most the size that is parsed, and one byte more.
+/// \returns the text, or one error of kind Unreadable.
+Result<std::string, ConfigErrors>
+tryReadText(const std::filesystem::path &Path);
+
+/// Reads, parses and checks a settings file; relative paths in it are made
+/// relative to the file's folder.
 Result<Settings, ConfigErrors>
 tryLoadSettings(const std::filesystem::path &Path);
 
--- /dev/null
+++ b/Libraries/LibConfig/ParseSettings.cpp
@@ -0,0 +1,196 @@
+#include "LibConfig/MapReader.h"
+#include "LibConfig/Parse.h"
+#include "LibConfig/YamlDocument.h"
+#include <fstream>
+#include <set>
+#include <sstream>
+
+namespace ferry::config {
+
+/// Most hosts that may hold the replicated log.
+static constexpr size_t MaxControlHosts = 7;
+static constexpr uint64_t MaxInputBytes = 1ULL << 30;
+static constexpr uint64_t LeastInputBytes = 1024;
+static constexpr uint64_t MaxConnectionsLimit = 1'000'000;
+static constexpr uint64_t LeastEntryLifetimeMillis = 100;
+static constexpr uint64_t MaxEntryLifetimeMillis = 600'000;
+static constexpr uint64_t MaxDrainLimitMillis = 3'600'000;
+
+static PeerHost readHost(MapReader &Map) {
+  PeerHost Host;
+  Host.Id = {Map.text("id", Presence::Required, TextForm::Identifier)};
+  Host.DataCentre = {
+      Map.text("data_centre", Presence::Required, TextForm::Identifier)};
+  Map.enumerator("role", Presence::Required, Host.Role);
+  Host.PeerAddress = Map.text("peers", Presence::Required, TextForm::Address);
+  Host.CallerAddress =
+      Map.text("callers", Presence::Required, TextForm::Address);
+  return Host;
+}
+
+static void readHosts(MapReader &Root, Settings &Result) {
+  std::set<HostId> Ids;
+  std::set<std::string> Addresses;
+  Root.maps("hosts", Presence::Required, [&](MapReader &Map) {
+    PeerHost Host = readHost(Map);
+    if (!Host.Id.empty() && !Ids.insert(Host.Id).second)
+      Map.fail(ConfigErrorKind::Duplicate, "id", Host.Id.Value);
+    if (!Host.PeerAddress.empty() && !Addresses.insert(Host.PeerAddress).second)
+      Map.fail(ConfigErrorKind::Duplicate, "peers", Host.PeerAddress);
+    if (!Host.CallerAddress.empty() &&
+        !Addresses.insert(Host.CallerAddress).second)
+      Map.fail(ConfigErrorKind::Duplicate, "callers", Host.CallerAddress);
+    Result.Hosts.push_back(std::move(Host));
+  });
+}
+
+static void readListen(MapReader &Map, Settings &Result) {
+  std::set<std::string> Seen;
+  auto Read = [&](std::string_view Key, std::string &Address) {
+    Address = Map.text(Key, Presence::Required, TextForm::Address);
+    if (!Address.empty() && !Seen.insert(Address).second)
+      Map.fail(ConfigErrorKind::Duplicate, Key, Address);
+  };
+  Read("callers", Result.CallerAddress);
+  Read("targets", Result.TargetAddress);
+  Read("operators", Result.OperatorAddress);
+  Read("peers", Result.PeerAddress);
+}
+
+static void readInputLimits(MapReader &Map, InputLimits &Limits) {
+  auto Bytes = [&](std::string_view Key, uint64_t &Target) {
+    Map.number(Key, Target, LeastInputBytes, MaxInputBytes);
+  };
+  Bytes("max_body_bytes", Limits.MaxBodyBytes);
+  Bytes("max_header_bytes", Limits.MaxHeaderBytes);
+  Bytes("max_prompt_bytes", Limits.MaxPromptBytes);
+  Map.number("max_description_bytes", Limits.MaxDescriptionBytes,
+             LeastInputBytes, MaxTextBytes);
+  Bytes("max_event_batch_bytes", Limits.MaxEventBatchBytes);
+  Bytes("max_peer_frame_bytes", Limits.MaxPeerFrameBytes);
+  Map.number("max_caller_connections", Limits.MaxCallerConnections, 1,
+             MaxConnectionsLimit);
+}
+
+static void readFiles(MapReader &Root, Settings &Result) {
+  Result.DataFolder =
+      Root.text("data_folder", Presence::Optional, TextForm::FilePath);
+  if (Result.Role == HostRole::Control && !Root.has("data_folder"))
+    Root.fail(ConfigErrorKind::MissingKey, "data_folder",
+              "needed by role control");
+  Result.ClusterKeyFile =
+      Root.text("cluster_key_file", Presence::Required, TextForm::FilePath);
+  Result.TokenFile =
+      Root.text("token_file", Presence::Required, TextForm::FilePath);
+}
+
+/// The list of hosts is the same file everywhere; a slip in one process's own
+/// keys must not make it claim another identity or address.
+static void checkOwnHost(MapReader &Root, const Settings &Result) {
+  if (Result.Host.empty())
+    return;
+  const PeerHost *Own = Result.findHost(Result.Host);
+  if (!Own) {
+    Root.fail(ConfigErrorKind::DanglingReference, "host",
+              Result.Host.Value + " is not in hosts");
+    return;
+  }
+  auto Compare = [&](bool Same, std::string_view Key) {
+    if (!Same)
+      Root.fail(ConfigErrorKind::BadValue, Key,
+                "differs from this host's entry in hosts");
+  };
+  Compare(Own->DataCentre == Result.DataCentre, "data_centre");
+  Compare(Own->Role == Result.Role, "role");
+  Compare(Own->PeerAddress == Result.PeerAddress, "listen");
+  Compare(Own->CallerAddress == Result.CallerAddress, "listen");
+}
+
+static void checkControlHosts(MapReader &Root, const Settings &Result) {
+  size_t Count = Result.controlHosts().size();
+  if (!Result.Hosts.empty() && (Count == 0 || Count > MaxControlHosts))
+    Root.fail(ConfigErrorKind::BadValue, "hosts",
+              "must have from 1 to 7 hosts with role control");
+}
+
+static Settings readSettings(MapReader &Root) {
+  Settings Result;
+  Result.Cluster = {
+      Root.text("cluster", Presence::Required, TextForm::Identifier)};
+  Result.Host = {Root.text("host", Presence::Required, TextForm::Identifier)};
+  Result.DataCentre = {
+      Root.text("data_centre", Presence::Required, TextForm::Identifier)};
+  Root.enumerator("role", Presence::Required, Result.Role);
+  Root.map("listen", Presence::Required,
+           [&](MapReader &Map) { readListen(Map, Result); });
+  readHosts(Root, Result);
+  readFiles(Root, Result);
+  Root.enumerator("log_level", Presence::Optional, Result.Level);
+  Root.map("limits", Presence::Optional,
+           [&](MapReader &Map) { readInputLimits(Map, Result.Limits); });
+  Root.number("entry_lifetime_ms", Result.EntryLifetimeMillis,
+              LeastEntryLifetimeMillis, MaxEntryLifetimeMillis);
+  Root.number("drain_limit_ms", Result.DrainLimitMillis, 1,
+              MaxDrainLimitMillis);
+  checkOwnHost(Root, Result);
+  checkControlHosts(Root, Result);
+  Root.finish();
+  return Result;
+}
+
+Result<Settings, ConfigErrors> tryParseSettings(const std::string &Text,
+                                                const std::string &FileName) {
+  auto Node = tryLoadYaml(Text, FileName);
+  if (!Node)
+    return makeError(std::move(Node.error()));
+  ErrorList Errors(FileName);
+  MapReader Root(Errors, *Node, "");
+  Settings Result = readSettings(Root);
+  if (!Errors.empty())
+    return makeError(Errors.takeSorted());
+  return Result;
+}
+
+Result<std::string, ConfigErrors>
+tryReadText(const std::filesystem::path &Path) {
+  auto Fail = [&](ConfigErrorKind Kind, std::string Detail) {
+    ConfigErrors Errors = {{Kind, Path.string(), 0, 0, std::move(Detail)}};
+    return makeError(std::move(Errors));
+  };
+  std::error_code Code;
+  if (std::filesystem::is_directory(Path, Code))
+    return Fail(ConfigErrorKind::Unreadable, "is a folder");
+  std::ifstream File(Path, std::ios::binary);
+  if (!File)
+    return Fail(ConfigErrorKind::Unreadable, "cannot be opened");
+  // One byte over the bound is enough to see that the file is too long.
+  std::string Text(MaxTextBytes + 1, '\0');
+  File.read(Text.data(), static_cast<std::streamsize>(Text.size()));
+  if (File.bad())
+    return Fail(ConfigErrorKind::Unreadable, "cannot be read");
+  Text.resize(static_cast<size_t>(File.gcount()));
+  return Text;
+}
+
+static void resolve(std::filesystem::path &File,
+                    const std::filesystem::path &Folder) {
+  if (!File.empty() && File.is_relative())
+    File = Folder / File;
+}
+
+Result<Settings, ConfigErrors>
+tryLoadSettings(const std::filesystem::path &Path) {
+  auto Text = tryReadText(Path);
+  if (!Text)
+    return makeError(std::move(Text.error()));
+  auto Result = tryParseSettings(*Text, Path.string());
+  if (!Result)
+    return Result;
+  std::filesystem::path Folder = Path.parent_path();
+  resolve(Result->DataFolder, Folder);
+  resolve(Result->ClusterKeyFile, Folder);
+  resolve(Result->TokenFile, Folder);
+  return Result;
+}
+
+} // namespace ferry::config
