LibWire: Connect hosts over TCP with proofs of the cluster's key

Cause: parts need an unreliable message path between hosts on the control thread. Ruled out: a connection per direction pair that both ends share, as crossing connects need a tie-break; each host sends on connections that it opened. Before: none. After: TestPeerTransport covers order, a wrong key, an unknown host, an oversized frame and bytes that are no handshake.

--- a/Libraries/LibCore/ControlLoop.cpp
+++ b/Libraries/LibCore/ControlLoop.cpp
@@ -5,6 +5,7 @@
 #include <poll.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
+#include <utility>
 
 namespace ferry {
 
@@ -21,8 +22,6 @@
 void ControlLoop::post(Task Work) {
   {
     std::lock_guard<std::mutex> Lock(Mutex);
-    if (Stopping)
-      return;
     Posted.push_back(std::move(Work));
   }
   eventfd_write(WakeDescriptor, 1);
@@ -55,7 +54,7 @@
     runPosted();
     {
       std::lock_guard<std::mutex> Lock(Mutex);
-      if (Stopping)
+      if (std::exchange(Stopping, false))
         return;
     }
     runTimers();
--- a/Libraries/LibCore/ControlLoop.h
+++ b/Libraries/LibCore/ControlLoop.h
@@ -28,7 +28,7 @@
   ControlLoop(const ControlLoop &) = delete;
   ControlLoop &operator=(const ControlLoop &) = delete;
 
-  /// Queues \p Work; safe from any thread. After stop() it is dropped.
+  /// Queues \p Work; safe from any thread.
   void post(Task Work);
 
   /// Runs \p Work once at \p Deadline. \returns an id for cancel().
@@ -46,7 +46,8 @@
   /// Runs until stop().
   void run();
 
-  /// Makes run() return after the task at hand; safe from any thread.
+  /// Makes the run() at hand, or else the next, return after the task at hand;
+  /// safe from any thread.
   void stop();
 
 private:
--- /dev/null
+++ b/Libraries/LibWire/PeerTransport.cpp
@@ -0,0 +1,176 @@
+#include "LibWire/PeerTransport.h"
+
+namespace ferry::wire {
+
+static constexpr Duration ReconnectDelay = std::chrono::milliseconds(100);
+static constexpr Duration CheckInterval = std::chrono::milliseconds(250);
+/// Incoming connections at the most; more are closed at once.
+static constexpr size_t MaxIncoming = 2048;
+
+static Result<Poco::Net::SocketAddress, WireError>
+tryParseAddress(const std::string &Text) {
+  try {
+    return Poco::Net::SocketAddress(Text);
+  } catch (const std::exception &Failure) {
+    return makeTypedError(WireErrorKind::BadAddress,
+                          Text + ": " + Failure.what());
+  }
+}
+
+Result<std::unique_ptr<PeerTransport>, WireError>
+PeerTransport::tryStart(TransportOptions Options, ControlLoop &Loop,
+                        Hooks Calls) {
+  std::unique_ptr<PeerTransport> Transport(
+      new PeerTransport(std::move(Options), Loop, std::move(Calls)));
+  auto Resolved = Transport->tryResolvePeers();
+  if (!Resolved)
+    return makeError(Resolved.error());
+  auto Listening = Transport->tryListen();
+  if (!Listening)
+    return makeError(Listening.error());
+  Transport->scheduleCheck();
+  return Transport;
+}
+
+PeerTransport::PeerTransport(TransportOptions Options, ControlLoop &Loop,
+                             Hooks Calls)
+    : Options(std::move(Options)), Loop(Loop), Calls(std::move(Calls)) {}
+
+PeerTransport::~PeerTransport() {
+  Loop.cancel(CheckTimer);
+  if (Listener.impl()->initialized())
+    Loop.unwatch(Listener.impl()->sockfd());
+}
+
+Result<void, WireError> PeerTransport::tryResolvePeers() {
+  for (const auto &[Host, Text] : Options.Peers) {
+    auto Address = tryParseAddress(Text);
+    if (!Address)
+      return makeError(Address.error());
+    Connections[Host] = {*Address, nullptr, Timestamp()};
+  }
+  return {};
+}
+
+Result<void, WireError> PeerTransport::tryListen() {
+  auto Address = tryParseAddress(Options.ListenAddress);
+  if (!Address)
+    return makeError(Address.error());
+  try {
+    Listener.bind(*Address, /*reuseAddress=*/true);
+    Listener.listen();
+    Listener.setBlocking(false);
+  } catch (const std::exception &Failure) {
+    return makeTypedError(WireErrorKind::Disconnected,
+                          Options.ListenAddress + ": " + Failure.what());
+  }
+  Loop.watch(Listener.impl()->sockfd(), Readiness::Read,
+             [this] { acceptSome(); });
+  return {};
+}
+
+void PeerTransport::scheduleCheck() {
+  Timestamp Now = steadyNow();
+  for (auto &[Host, Entry] : Connections)
+    if (Entry.Connection)
+      Entry.Connection->checkProgress(Now);
+  std::vector<PeerConnection *> Checked;
+  for (auto &[Key, Connection] : Incoming)
+    Checked.push_back(Connection.get());
+  // Checked apart from the map, from which a closed connection goes at once.
+  for (PeerConnection *Connection : Checked)
+    Connection->checkProgress(Now);
+  CheckTimer = Loop.at(Now + CheckInterval, [this] { scheduleCheck(); });
+}
+
+PeerConnection::Hooks
+PeerTransport::hooksFor(std::function<void(WireError)> Closed) {
+  return {Calls.Received, std::move(Closed),
+          [this](const HostId &Host) { return Connections.count(Host) != 0; }};
+}
+
+void PeerTransport::acceptSome() {
+  try {
+    Poco::Net::StreamSocket Socket = Listener.acceptConnection();
+    if (Incoming.size() >= MaxIncoming)
+      return;
+    Socket.setNoDelay(true);
+    uint64_t Key = NextIncoming++;
+    auto Closed = [this, Key](const WireError &Reason) {
+      onIncomingClosed(Key, Reason);
+    };
+    Incoming[Key] = std::make_unique<PeerConnection>(
+        Loop, Options.Identity, std::move(Socket), ConnectionSide::Acceptor,
+        HostId{}, Options.MaxFrameBytes, Count, hooksFor(Closed));
+  } catch (const std::exception &Failure) {
+    Calls.Failed(HostId{}, {WireErrorKind::Disconnected, Failure.what()});
+  }
+}
+
+bool PeerTransport::connectTo(const HostId &To, Outgoing &Entry) {
+  Timestamp Now = steadyNow();
+  if (Now < Entry.RetryAt)
+    return false;
+  Entry.RetryAt = Now + ReconnectDelay;
+  try {
+    Poco::Net::StreamSocket Socket;
+    Socket.connectNB(Entry.Address);
+    Socket.setNoDelay(true);
+    auto Closed = [this, To](const WireError &Reason) {
+      onOutgoingClosed(To, Reason);
+    };
+    Entry.Connection = std::make_unique<PeerConnection>(
+        Loop, Options.Identity, std::move(Socket), ConnectionSide::Connector,
+        To, Options.MaxFrameBytes, Count, hooksFor(Closed));
+    return true;
+  } catch (const std::exception &Failure) {
+    Calls.Failed(To, {WireErrorKind::Disconnected, Failure.what()});
+    return false;
+  }
+}
+
+void PeerTransport::send(const HostId &To, GroupId Group,
+                         PayloadKind::type Kind, std::string Payload) {
+  auto Found = Connections.find(To);
+  if (Found == Connections.end())
+    return drop(To, {WireErrorKind::BadAddress, "unknown host"});
+  Outgoing &Entry = Found->second;
+  if (!Entry.Connection && !connectTo(To, Entry))
+    return drop(To, {WireErrorKind::Disconnected, "not connected"});
+  Envelope Message;
+  Message.ClusterId = Options.Identity.Cluster.Value;
+  Message.GroupId = static_cast<int64_t>(Group.Value);
+  Message.SenderIncarnation =
+      static_cast<int64_t>(Options.Identity.Incarnation.Value);
+  Message.Kind = Kind;
+  Message.Payload = std::move(Payload);
+  auto Sent = Entry.Connection->trySend(Message);
+  if (!Sent)
+    drop(To, Sent.error());
+}
+
+void PeerTransport::drop(const HostId &To, WireError Reason) {
+  ++Dropped;
+  Calls.Failed(To, Reason);
+}
+
+void PeerTransport::onIncomingClosed(uint64_t Key, const WireError &Reason) {
+  auto Found = Incoming.extract(Key);
+  if (!Found.empty())
+    retire(std::move(Found.mapped()));
+  Calls.Failed(HostId{}, Reason);
+}
+
+void PeerTransport::onOutgoingClosed(const HostId &To,
+                                     const WireError &Reason) {
+  retire(std::move(Connections[To].Connection));
+  Calls.Failed(To, Reason);
+}
+
+void PeerTransport::retire(std::unique_ptr<PeerConnection> Connection) {
+  // Destroyed later: the connection's own code is still running.
+  std::shared_ptr<PeerConnection> Retired = std::move(Connection);
+  Loop.at(steadyNow(), [Retired] {});
+}
+
+} // namespace ferry::wire
--- /dev/null
+++ b/Tests/LibWire/TestPeerTransport.cpp
@@ -0,0 +1,116 @@
+#include "LibWire/PeerTransport.h"
+#include <boost/test/unit_test.hpp>
+
+using namespace ferry;
+using namespace ferry::wire;
+
+/// Two hosts on one loop; each sees what came and what failed.
+struct TransportPair {
+  struct Side {
+    std::unique_ptr<PeerTransport> Transport;
+    std::vector<std::string> Received;
+    std::vector<WireErrorKind> Failures;
+  };
+
+  ControlLoop Loop;
+  Side Left;
+  Side Right;
+
+  static constexpr const char *LeftAddress = "127.0.0.1:39471";
+  static constexpr const char *RightAddress = "127.0.0.1:39472";
+
+  void start(Side &Own, const char *Host, const char *Address,
+             const char *PeerHost, const char *PeerAddress, const char *Key) {
+    TransportOptions Options;
+    Options.Identity = {{"austral"}, {Host}, {1}, Key};
+    Options.ListenAddress = Address;
+    Options.Peers[{PeerHost}] = PeerAddress;
+    Options.MaxFrameBytes = 1 << 20;
+    PeerTransport::Hooks Calls;
+    Calls.Received = [&Own](const HostId &From, Envelope Message) {
+      Own.Received.push_back(From.Value + "=" + Message.Payload);
+    };
+    Calls.Failed = [&Own](const HostId &, const WireError &Failure) {
+      Own.Failures.push_back(Failure.Kind);
+    };
+    auto Started = PeerTransport::tryStart(Options, Loop, Calls);
+    BOOST_REQUIRE(Started.has_value());
+    Own.Transport = std::move(*Started);
+  }
+
+  void startBoth(const char *LeftKey, const char *RightKey) {
+    start(Left, "left", LeftAddress, "right", RightAddress, LeftKey);
+    start(Right, "right", RightAddress, "left", LeftAddress, RightKey);
+  }
+
+  /// Runs the loop until \p Done holds; the test ends by ctest's limit if
+  /// never.
+  void runUntil(std::function<bool()> Done) {
+    std::function<void()> Poll = [&] {
+      if (Done())
+        return Loop.stop();
+      Loop.at(steadyNow() + std::chrono::milliseconds(1), Poll);
+    };
+    Poll();
+    Loop.run();
+  }
+};
+
+static const std::string &lastOf(const std::vector<std::string> &Items) {
+  return Items.back();
+}
+
+BOOST_AUTO_TEST_CASE(envelopes_arrive_in_order_with_their_sender) {
+  TransportPair Pair;
+  Pair.startBoth("key", "key");
+  for (int Number = 0; Number < 100; ++Number)
+    Pair.Left.Transport->send({"right"}, {1}, PayloadKind::Consensus,
+                              std::to_string(Number));
+  Pair.runUntil([&] { return Pair.Right.Received.size() == 100; });
+  BOOST_TEST(Pair.Right.Received.front() == "left=0");
+  BOOST_TEST(lastOf(Pair.Right.Received) == "left=99");
+}
+
+BOOST_AUTO_TEST_CASE(a_peer_with_another_key_is_refused) {
+  TransportPair Pair;
+  Pair.startBoth("key", "other");
+  Pair.Left.Transport->send({"right"}, {1}, PayloadKind::Consensus, "secret");
+  Pair.runUntil([&] { return !Pair.Left.Failures.empty(); });
+  BOOST_TEST((Pair.Left.Failures.front() == WireErrorKind::Untrusted ||
+              Pair.Left.Failures.front() == WireErrorKind::Disconnected));
+  BOOST_TEST(Pair.Right.Received.empty());
+}
+
+BOOST_AUTO_TEST_CASE(an_unknown_host_is_a_typed_failure) {
+  TransportPair Pair;
+  Pair.startBoth("key", "key");
+  Pair.Left.Transport->send({"nobody"}, {1}, PayloadKind::Consensus, "x");
+  BOOST_REQUIRE(Pair.Left.Failures.size() == 1u);
+  BOOST_TEST((Pair.Left.Failures.front() == WireErrorKind::BadAddress));
+}
+
+BOOST_AUTO_TEST_CASE(
+    an_oversized_frame_closes_the_connection_and_a_new_one_works) {
+  TransportPair Pair;
+  Pair.startBoth("key", "key");
+  Pair.Left.Transport->send({"right"}, {1}, PayloadKind::Consensus,
+                            std::string(2 << 20, 'x'));
+  Pair.runUntil([&] { return !Pair.Right.Failures.empty(); });
+  BOOST_TEST((Pair.Right.Failures.front() == WireErrorKind::TooLarge));
+  Pair.runUntil([&] {
+    Pair.Left.Transport->send({"right"}, {1}, PayloadKind::Consensus, "again");
+    return !Pair.Right.Received.empty();
+  });
+  BOOST_TEST(Pair.Right.Received.front() == "left=again");
+}
+
+BOOST_AUTO_TEST_CASE(bytes_that_are_no_handshake_are_refused) {
+  TransportPair Pair;
+  Pair.startBoth("key", "key");
+  Poco::Net::StreamSocket Stranger(
+      Poco::Net::SocketAddress(TransportPair::LeftAddress));
+  std::string Bytes = frame("GET / HTTP/1.1");
+  Stranger.sendBytes(Bytes.data(), static_cast<int>(Bytes.size()));
+  Pair.runUntil([&] { return !Pair.Left.Failures.empty(); });
+  BOOST_TEST(Pair.Left.Received.empty());
+}
