--- a/Tests/LibWire/TestPeerTransport.cpp
+++ b/Tests/LibWire/TestPeerTransport.cpp
@@ -1,9 +1,19 @@
 #include "LibWire/PeerTransport.h"
 #include <boost/test/unit_test.hpp>
+#include <unistd.h>
 
 using namespace ferry;
 using namespace ferry::wire;
 
+/// \returns a loopback address that no other test process uses.
+static std::string addressOfProcess(int Port) {
+  int Process = getpid();
+  std::string Address = "127." + std::to_string(1 + (Process >> 16) % 200);
+  Address += "." + std::to_string((Process >> 8) & 255);
+  Address += "." + std::to_string(1 + (Process & 255) % 254);
+  return Address + ":" + std::to_string(Port);
+}
+
 /// Two hosts on one loop; each sees what came and what failed.
 struct TransportPair {
   struct Side {
@@ -16,8 +26,8 @@
   Side Left;
   Side Right;
 
-  static constexpr const char *LeftAddress = "127.0.0.1:39471";
-  static constexpr const char *RightAddress = "127.0.0.1:39472";
+  const std::string LeftAddress = addressOfProcess(39471);
+  const std::string RightAddress = addressOfProcess(39472);
 
   void start(Side &Own, const char *Host, const char *Address,
              const char *PeerHost, const char *PeerAddress, const char *Key) {
@@ -107,8 +117,8 @@
 BOOST_AUTO_TEST_CASE(bytes_that_are_no_handshake_are_refused) {
   TransportPair Pair;
   Pair.startBoth("key", "key");
-  Poco::Net::StreamSocket Stranger(
-      Poco::Net::SocketAddress(TransportPair::LeftAddress));
+  Poco::Net::SocketAddress Address(Pair.LeftAddress);
+  Poco::Net::StreamSocket Stranger(Address);
   std::string Bytes = frame("GET / HTTP/1.1");
   Stranger.sendBytes(Bytes.data(), static_cast<int>(Bytes.size()));
   Pair.runUntil([&] { return !Pair.Left.Failures.empty(); });
