--- a/Tests/LibWire/TestPeerTransport.cpp
+++ b/Tests/LibWire/TestPeerTransport.cpp
@@ -29,8 +29,9 @@
   const std::string LeftAddress = addressOfProcess(39471);
   const std::string RightAddress = addressOfProcess(39472);
 
-  void start(Side &Own, const char *Host, const char *Address,
-             const char *PeerHost, const char *PeerAddress, const char *Key) {
+  void start(Side &Own, const char *Host, const std::string &Address,
+             const char *PeerHost, const std::string &PeerAddress,
+             const char *Key) {
     TransportOptions Options;
     Options.Identity = {{"austral"}, {Host}, {1}, Key};
     Options.ListenAddress = Address;
