--- a/Libraries/LibWire/Generated/Peer_types.cpp
+++ b/Libraries/LibWire/Generated/Peer_types.cpp
@@ -18,16 +18,20 @@
   PayloadKind::Membership,
   PayloadKind::RegistryRequest,
   PayloadKind::RegistryReply,
-  PayloadKind::Confirmation
+  PayloadKind::Confirmation,
+  PayloadKind::DescriptionFetch,
+  PayloadKind::DescriptionCopy
 };
 const char* _kPayloadKindNames[] = {
   "Consensus",
   "Membership",
   "RegistryRequest",
   "RegistryReply",
-  "Confirmation"
+  "Confirmation",
+  "DescriptionFetch",
+  "DescriptionCopy"
 };
-const std::map<int, const char*> _PayloadKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(5, _kPayloadKindValues, _kPayloadKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _PayloadKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(7, _kPayloadKindValues, _kPayloadKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const PayloadKind::type& val) {
   std::map<int, const char*>::const_iterator it = _PayloadKind_VALUES_TO_NAMES.find(val);
--- a/Libraries/LibWire/Generated/Peer_types.h
+++ b/Libraries/LibWire/Generated/Peer_types.h
@@ -27,7 +27,9 @@
     Membership = 2,
     RegistryRequest = 3,
     RegistryReply = 4,
-    Confirmation = 5
+    Confirmation = 5,
+    DescriptionFetch = 6,
+    DescriptionCopy = 7
   };
 };
 
--- a/Libraries/LibWire/Idl/Peer.thrift
+++ b/Libraries/LibWire/Idl/Peer.thrift
@@ -7,7 +7,9 @@
   Membership = 2,
   RegistryRequest = 3,
   RegistryReply = 4,
-  Confirmation = 5
+  Confirmation = 5,
+  DescriptionFetch = 6,
+  DescriptionCopy = 7
 }
 
 // First frame of a connection, in both directions.
