--- /dev/null
+++ b/Libraries/LibRouting/Scheduler.cpp
@@ -0,0 +1,155 @@
+#include "LibRouting/Scheduler.h"
+#include "LibCore/Visit.h"
+#include <utility>
+
+namespace ferry::routing {
+
+Scheduler::Scheduler(Options Chosen)
+    : Chosen(std::move(Chosen)), Random(this->Chosen.Seed) {}
+
+Scheduler Scheduler::create(Options Chosen) {
+  return Scheduler(std::move(Chosen));
+}
+
+static std::unique_ptr<RequestState> makeRequest(const SubmitRequest &Event) {
+  auto Request = std::make_unique<RequestState>();
+  Request->Id = Event.Id;
+  Request->Workspace = Event.Workspace;
+  Request->Service = Event.Service;
+  Request->Kind = RequestKind::Prompt;
+  Request->Priority = Event.Priority;
+  Request->Deadline = Event.Deadline;
+  Request->Blocks = Event.Blocks;
+  Request->PromptTokens = Event.PromptTokens;
+  Request->MaxOutputTokens = Event.MaxOutputTokens;
+  return Request;
+}
+
+static std::unique_ptr<RequestState> makeCall(const SubmitCall &Event) {
+  auto Request = std::make_unique<RequestState>();
+  Request->Id = Event.Id;
+  Request->Workspace = Event.Workspace;
+  Request->Service = Event.Service;
+  Request->Kind = RequestKind::Call;
+  Request->Priority = Event.Priority;
+  Request->Deadline = Event.Deadline;
+  return Request;
+}
+
+std::vector<SchedulerEffect> Scheduler::step(const SchedulerEvent &Event,
+                                             Timestamp Now) {
+  match(
+      Event, [&](const SubmitRequest &Each) { submit(makeRequest(Each), Now); },
+      [&](const SubmitCall &Each) { submit(makeCall(Each), Now); },
+      [&](const FirstByte &Each) { noteFirstByte(Each, Now); },
+      [&](const TryEnded &Each) { endTry(Each, Now); },
+      [&](const Withdraw &Each) { withdraw(Each, Now); },
+      [&](const ViewChanged &Each) { applyView(Each.View, Now); },
+      [&](const CacheEventsReceived &) {},
+      [&](const SchedulerTick &) { pumpAll(Now); });
+  return std::exchange(Effects, {});
+}
+
+void Scheduler::applyView(RoutingViewPtr Newer, Timestamp Now) {
+  View = std::move(Newer);
+  rebuildTargets();
+  rebuildPools(Now);
+  pumpAll(Now);
+}
+
+void Scheduler::rebuildTargets() {
+  // Pools hold pointers to the states, so they are emptied first.
+  for (auto &[Id, Pool] : Pools) {
+    Pool.Targets.clear();
+    Pool.Stores.clear();
+  }
+  std::map<TargetId, std::unique_ptr<TargetState>> Kept;
+  for (const TargetRecord &Record : View->Targets) {
+    const config::Service *Service =
+        View->Description ? View->Description->findService(Record.Service)
+                          : nullptr;
+    if (!Service)
+      continue;
+    auto Old = Targets.find(Record.Id);
+    bool SameLife = Old != Targets.end() && Old->second &&
+                    Old->second->record().Incarnation == Record.Incarnation;
+    if (!SameLife) {
+      Kept[Record.Id] =
+          std::make_unique<TargetState>(TargetState::create(Record, *Service));
+      continue;
+    }
+    Old->second->announce(Record, *Service);
+    Kept[Record.Id] = std::move(Old->second);
+  }
+  Targets = std::move(Kept);
+}
+
+static bool dependsOn(const config::Service &Service, const ServiceId &Other) {
+  for (const ServiceId &Each : Service.DependsOn)
+    if (Each == Other)
+      return true;
+  return false;
+}
+
+void Scheduler::rebuildPools(Timestamp Now) {
+  if (!View->Description)
+    return;
+  for (const config::Service &Service : View->Description->Services)
+    Pools[Service.Id].Service = Service;
+  for (auto &[Id, Target] : Targets) {
+    const TargetRecord &Record = Target->record();
+    Pools[Record.Service].Targets.push_back(Target.get());
+    if (Record.Kind != TargetKind::CacheStore)
+      continue;
+    for (auto &[Name, Pool] : Pools)
+      if (dependsOn(Pool.Service, Record.Service))
+        Pool.Stores.push_back(Target.get());
+  }
+  for (auto Each = Pools.begin(); Each != Pools.end();) {
+    if (View->Description->findService(Each->first)) {
+      ++Each;
+      continue;
+    }
+    for (FairQueue::Flow *Flow : Each->second.Queue.backlogged())
+      while (!Flow->Waiting.empty())
+        refuse(*Flow->Waiting.front(), RefusalKind::UnknownService, Now);
+    Each = Pools.erase(Each);
+  }
+}
+
+TargetState *Scheduler::findTarget(const TargetId &Id,
+                                   ferry::Incarnation Life) {
+  auto Found = Targets.find(Id);
+  if (Found == Targets.end() || Found->second->record().Incarnation != Life)
+    return nullptr;
+  return Found->second.get();
+}
+
+uint32_t Scheduler::shareOf(const WorkspaceId &Workspace) const {
+  if (!View || !View->Description)
+    return 1;
+  const config::Workspace *Found = View->Description->findWorkspace(Workspace);
+  return Found ? Found->Share : 1;
+}
+
+SchedulerStatus Scheduler::status(Timestamp) const {
+  SchedulerStatus Status;
+  Status.Known = Requests.size();
+  Status.Queued = Queued;
+  Status.Counters = Counters;
+  for (const auto &[Id, Target] : Targets)
+    Status.Targets.push_back(
+        {Id, Target->record().Incarnation, Target->record().Service,
+         Target->ownRunning(), Target->occupancy(LoadCorrection::OwnTries),
+         Target->queuedPrefill(LoadCorrection::OwnTries), Target->prefillRate(),
+         Target->deviationSeconds(), Target->limit(), Target->failureRate(),
+         Target->coolUntil()});
+  for (const auto &[Id, Pool] : Pools)
+    for (const auto &[Key, Flow] : Pool.Queue.flows())
+      if (!Flow.Waiting.empty())
+        Status.Flows.push_back({Id, Key.Workspace, Key.Priority,
+                                Flow.Waiting.size(), Flow.QueuedWork});
+  return Status;
+}
+
+} // namespace ferry::routing
--- /dev/null
+++ b/Libraries/LibRouting/Scheduler.h
@@ -0,0 +1,106 @@
+/// \file
+/// The step machine that admits, queues, places and retries requests.
+#ifndef FERRY_LIBROUTING_SCHEDULER_H
+#define FERRY_LIBROUTING_SCHEDULER_H
+
+#include "LibCore/Random.h"
+#include "LibRouting/Placement.h"
+#include "LibRouting/RequestState.h"
+#include "LibRouting/RoutingView.h"
+#include "LibRouting/SchedulerEvents.h"
+#include "LibRouting/SchedulerStatus.h"
+#include "LibRouting/ServicePool.h"
+#include <map>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace ferry::routing {
+
+/// Decides for each request of this router: refuse, wait, or go to a target.
+/// Owns no thread, socket or clock; callers serialise step(). Each submitted
+/// request gets one Dispatch per try and at most one Refusal; a Refusal ends
+/// it. Request ids are unique among the requests known here.
+class Scheduler {
+public:
+  struct Options {
+    HostId Self;
+    uint64_t Seed = 1;
+    PlacementPolicy Placement = EstimatedTimePlacement{};
+  };
+
+  static Scheduler create(Options Chosen);
+
+  /// Takes one event. \returns the dispatches and refusals that follow, in
+  /// order; they may concern other requests than the event's.
+  std::vector<SchedulerEffect> step(const SchedulerEvent &Event, Timestamp Now);
+
+  /// \returns figures for the state dump and the metrics.
+  SchedulerStatus status(Timestamp Now) const;
+
+  /// \returns the requests that wait for a target.
+  size_t queuedRequests() const { return Queued; }
+
+private:
+  explicit Scheduler(Options Chosen);
+
+  using RequestMap =
+      std::unordered_map<RequestId, std::unique_ptr<RequestState>>;
+  using PoolMap = std::map<ServiceId, ServicePool>;
+
+  // Admission (SchedulerAdmission.cpp).
+  void submit(std::unique_ptr<RequestState> Request, Timestamp Now);
+  std::optional<RefusalKind> findViewObstacle(Timestamp Now) const;
+  std::optional<RefusalKind> findObstacle(const RequestState &Request,
+                                          Timestamp Now) const;
+  double estimateQueueSeconds(const ServicePool &Pool,
+                              const RequestState &Request) const;
+  bool canMeetDeadline(ServicePool &Pool, const RequestState &Request,
+                       Timestamp Now);
+  bool makeRoom(const RequestState &Newcomer, Timestamp Now);
+  Timestamp retryTime(const RequestState &Request, RefusalKind Kind,
+                      Timestamp Now);
+  void refuse(RequestState &Request, RefusalKind Kind, Timestamp Now);
+  void dropExpired(Timestamp Now);
+
+  // Tries (SchedulerTries.cpp).
+  void noteFirstByte(const FirstByte &Event, Timestamp Now);
+  void endTry(const TryEnded &Event, Timestamp Now);
+  void retry(RequestState &Request, const TryEnded &Event, Timestamp Now);
+  void withdraw(const Withdraw &Event, Timestamp Now);
+
+  // Placement of what waits (SchedulerDispatch.cpp).
+  void pumpAll(Timestamp Now);
+  void pump(ServicePool &Pool, Timestamp Now);
+  bool hasRoom(const ServicePool &Pool, Timestamp Now) const;
+  bool tryDispatch(ServicePool &Pool, RequestState &Request, Timestamp Now);
+  void collectCandidates(ServicePool &Pool, const RequestState &Request,
+                         Timestamp Now);
+  PlacementChoice choose(const ServicePool &Pool, const RequestState &Request,
+                         Timestamp Now);
+  void dispatch(ServicePool &Pool, RequestState &Request,
+                const Candidate &Chosen, double EstimateSeconds, Timestamp Now);
+
+  // The view (Scheduler.cpp).
+  void applyView(RoutingViewPtr Newer, Timestamp Now);
+  void rebuildTargets();
+  void rebuildPools(Timestamp Now);
+  TargetState *findTarget(const TargetId &Id, ferry::Incarnation Life);
+  uint32_t shareOf(const WorkspaceId &Workspace) const;
+
+  Options Chosen;
+  RandomGenerator Random;
+  RoutingViewPtr View;
+  std::map<TargetId, std::unique_ptr<TargetState>> Targets;
+  PoolMap Pools;
+  RequestMap Requests;
+  size_t Queued = 0;
+  SchedulerCounters Counters;
+  std::vector<SchedulerEffect> Effects;
+  /// Reused between decisions, to spare allocations.
+  std::vector<Candidate> Candidates;
+};
+
+} // namespace ferry::routing
+
+#endif
--- a/Libraries/LibRouting/SchedulerEvents.h
+++ b/Libraries/LibRouting/SchedulerEvents.h
@@ -29,7 +29,11 @@
   DeadlineTooNear,
   ShareExceeded,
   RetryBudgetSpent,
-  DeadlinePassed
+  DeadlinePassed,
+  /// A try failed and its work may not be repeated.
+  RepeatForbidden,
+  /// A request of the same id is still known here.
+  DuplicateRequest
 };
 
 /// How a try on a target ended.
@@ -162,7 +166,9 @@
       {Kind::DeadlineTooNear, "deadline_too_near"},
       {Kind::ShareExceeded, "share_exceeded"},
       {Kind::RetryBudgetSpent, "retry_budget_spent"},
-      {Kind::DeadlinePassed, "deadline_passed"}};
+      {Kind::DeadlinePassed, "deadline_passed"},
+      {Kind::RepeatForbidden, "repeat_forbidden"},
+      {Kind::DuplicateRequest, "duplicate_request"}};
 };
 
 template <> struct EnumNames<routing::TryOutcome> {
--- /dev/null
+++ b/Libraries/LibRouting/SchedulerTries.cpp
@@ -0,0 +1,88 @@
+#include "LibRouting/Scheduler.h"
+
+namespace ferry::routing {
+
+void Scheduler::noteFirstByte(const FirstByte &Event, Timestamp Now) {
+  auto Found = Requests.find(Event.Id);
+  if (Found == Requests.end() || !Found->second->Current)
+    return;
+  RequestState &Request = *Found->second;
+  TryState &Try = *Request.Current;
+  if (Try.FirstByteAt)
+    return;
+  Try.FirstByteAt = Now;
+  Counters.FoundCachedTokens += Event.CachedTokens;
+  Counters.PromptTokens += Request.PromptTokens;
+  uint64_t Computed = Request.PromptTokens > Event.CachedTokens
+                          ? Request.PromptTokens - Event.CachedTokens
+                          : 0;
+  if (TargetState *Target = findTarget(Try.Target, Try.Incarnation))
+    Target->noteFirstByte(Try, Computed, RateLearning::Learned, Now);
+  auto Pool = Pools.find(Request.Service);
+  if (Pool != Pools.end())
+    pump(Pool->second, Now);
+}
+
+void Scheduler::endTry(const TryEnded &Event, Timestamp Now) {
+  auto Found = Requests.find(Event.Id);
+  if (Found == Requests.end() || !Found->second->Current)
+    return;
+  RequestState &Request = *Found->second;
+  TryState Try = *Request.Current;
+  Request.Current.reset();
+  if (TargetState *Target = findTarget(Try.Target, Try.Incarnation))
+    Target->endTry(Try, Event.Outcome, Now);
+  ServiceId Service = Request.Service;
+  auto Pool = Pools.find(Service);
+  bool Finished = Event.Outcome == TryOutcome::Succeeded ||
+                  Event.Outcome == TryOutcome::Cancelled;
+  if (Event.Outcome == TryOutcome::Succeeded && Try.FirstByteAt &&
+      Pool != Pools.end())
+    Pool->second.Answers.note(secondsBetween(*Try.FirstByteAt, Now),
+                              Request.MaxOutputTokens);
+  if (Finished)
+    Requests.erase(Found);
+  else
+    retry(Request, Event, Now);
+  if (Pool != Pools.end())
+    pump(Pool->second, Now);
+}
+
+void Scheduler::retry(RequestState &Request, const TryEnded &Event,
+                      Timestamp Now) {
+  if (Event.MayRepeat == TryEnded::Repeat::Forbidden)
+    return refuse(Request, RefusalKind::RepeatForbidden, Now);
+  if (auto Kind = findViewObstacle(Now))
+    return refuse(Request, *Kind, Now);
+  auto Found = Pools.find(Request.Service);
+  if (Found == Pools.end())
+    return refuse(Request, RefusalKind::UnknownService, Now);
+  if (Now >= Request.Deadline)
+    return refuse(Request, RefusalKind::DeadlinePassed, Now);
+  ServicePool &Pool = Found->second;
+  collectCandidates(Pool, Request, Now);
+  if (Candidates.empty())
+    return refuse(Request, RefusalKind::NoTarget, Now);
+  if (!Pool.Budget.spend())
+    return refuse(Request, RefusalKind::RetryBudgetSpent, Now);
+  ++Counters.Retried;
+  Pool.Queue.pushFront(Request, shareOf(Request.Workspace));
+  ++Queued;
+}
+
+void Scheduler::withdraw(const Withdraw &Event, Timestamp Now) {
+  auto Found = Requests.find(Event.Id);
+  if (Found == Requests.end())
+    return;
+  RequestState &Request = *Found->second;
+  // A running try ends by its own TryEnded.
+  if (Request.Current)
+    return;
+  ServicePool &Pool = Pools.at(Request.Service);
+  Pool.Queue.remove(Request);
+  --Queued;
+  Requests.erase(Found);
+  pump(Pool, Now);
+}
+
+} // namespace ferry::routing
--- /dev/null
+++ b/Libraries/LibRouting/TargetState.cpp
@@ -0,0 +1,163 @@
+#include "LibRouting/TargetState.h"
+#include "LibRouting/Rendezvous.h"
+#include <algorithm>
+#include <cmath>
+
+namespace ferry::routing {
+
+/// Prefill rate of a target that has answered nothing yet.
+static constexpr double InitialPrefillTokensPerSecond = 20'000;
+/// Weight of the newest sample in the moving averages.
+static constexpr double SampleWeight = 0.1;
+/// A target takes no more requests while its prefill queue is longer: what
+/// waits in the router can still be reordered, what waits there cannot.
+static constexpr double MaxEngineQueueSeconds = 0.5;
+/// Tries shorter than this say little of the prefill rate.
+static constexpr double MinRateSampleTokens = 1000;
+static constexpr double RejectedFactor = 0.7;
+static constexpr double FailedFactor = 0.8;
+static constexpr Duration FirstCooling = std::chrono::milliseconds(100);
+static constexpr Duration MaxCooling = std::chrono::seconds(5);
+
+static void average(double &Mean, double Sample) {
+  Mean += SampleWeight * (Sample - Mean);
+}
+
+TargetState TargetState::create(const TargetRecord &Record,
+                                const config::Service &Service) {
+  TargetState State;
+  State.Record = Record;
+  State.IdHash = hashIdentifier(Record.Id.Value);
+  State.PrefillRate = InitialPrefillTokensPerSecond;
+  State.ForeignRunning =
+      Record.Load.RunningRequests + Record.Load.QueuedRequests;
+  State.ForeignPrefillTokens =
+      static_cast<double>(Record.Load.QueuedPrefillTokens);
+  State.setMaximum(Service);
+  State.Limit = State.MaxLimit;
+  return State;
+}
+
+void TargetState::setMaximum(const config::Service &Service) {
+  uint32_t Maximum = Record.Load.MaxConcurrent;
+  if (Maximum == 0)
+    Maximum = Service.MaxConcurrent;
+  MaxLimit = std::max<uint32_t>(Maximum, 1);
+  Limit = std::min(Limit, MaxLimit);
+}
+
+void TargetState::announce(const TargetRecord &Newer,
+                           const config::Service &Service) {
+  bool Moved = Newer.Sequence > Record.Sequence;
+  Record = Newer;
+  setMaximum(Service);
+  if (!Moved)
+    return;
+  // The announced load includes what this router had sent by then.
+  double Running = Newer.Load.RunningRequests + Newer.Load.QueuedRequests;
+  ForeignRunning = std::max(0.0, Running - OwnRunning);
+  ForeignPrefillTokens =
+      std::max(0.0, static_cast<double>(Newer.Load.QueuedPrefillTokens) -
+                        OwnPrefillTokens);
+}
+
+bool TargetState::isUsable(const config::Service &Service,
+                           Timestamp Now) const {
+  if (Record.Phase != TargetPhase::Ready || Now >= Record.UsableUntil)
+    return false;
+  if (Record.Service != Service.Id || Record.Kind != Service.Kind)
+    return false;
+  if (Record.Kind != TargetKind::Engine)
+    return true;
+  return Record.Weights == Service.Weights && Record.Model == Service.Model &&
+         Record.Adapter == Service.Adapter;
+}
+
+double TargetState::occupancy(LoadCorrection Correction) const {
+  if (Correction == LoadCorrection::Reported)
+    return Record.Load.RunningRequests + Record.Load.QueuedRequests;
+  return ForeignRunning + OwnRunning;
+}
+
+double TargetState::queuedPrefill(LoadCorrection Correction) const {
+  if (Correction == LoadCorrection::Reported)
+    return static_cast<double>(Record.Load.QueuedPrefillTokens);
+  return ForeignPrefillTokens + OwnPrefillTokens;
+}
+
+bool TargetState::hasRoom(Timestamp Now) const {
+  if (Now < CoolUntil)
+    return false;
+  if (occupancy(LoadCorrection::OwnTries) + 1 > std::max(1.0, Limit))
+    return false;
+  return queuedPrefill(LoadCorrection::OwnTries) <
+         MaxEngineQueueSeconds * PrefillRate;
+}
+
+double TargetState::waitSeconds(LoadCorrection Correction) const {
+  double Wait = (queuedPrefill(Correction) + HeldTokens) / PrefillRate;
+  double Over = occupancy(Correction) + 1 - Limit;
+  if (Over > 0)
+    Wait += ServiceSeconds * Over / Limit;
+  return Wait;
+}
+
+void TargetState::startTry(const TryState &Try) {
+  ++OwnRunning;
+  OwnPrefillTokens += static_cast<double>(Try.MissingTokens);
+}
+
+void TargetState::noteFirstByte(const TryState &Try, uint64_t ComputedTokens,
+                                RateLearning Learning, Timestamp Now) {
+  OwnPrefillTokens =
+      std::max(0.0, OwnPrefillTokens - static_cast<double>(Try.MissingTokens));
+  average(DeviationSeconds,
+          std::abs(secondsBetween(Try.ExpectedFirstByteAt, Now)));
+  if (Learning == RateLearning::Fixed)
+    return;
+  double Tokens = Try.WorkAhead - static_cast<double>(Try.MissingTokens) +
+                  static_cast<double>(ComputedTokens);
+  double Elapsed = secondsBetween(Try.SentAt, Now);
+  if (Tokens < MinRateSampleTokens || Elapsed <= 0)
+    return;
+  // Averages the time per token: rates would weigh the luckiest samples most.
+  double SecondsPerToken = 1 / PrefillRate;
+  average(SecondsPerToken, Elapsed / Tokens);
+  PrefillRate = 1 / SecondsPerToken;
+}
+
+void TargetState::noteFailure(Timestamp Now) {
+  ++ConsecutiveFailures;
+  Duration Cooling = FirstCooling * (1 << std::min(ConsecutiveFailures, 6U));
+  CoolUntil = Now + std::min(Cooling, MaxCooling);
+}
+
+void TargetState::endTry(const TryState &Try, TryOutcome Outcome,
+                         Timestamp Now) {
+  OwnRunning -= OwnRunning > 0 ? 1 : 0;
+  if (!Try.FirstByteAt)
+    OwnPrefillTokens = std::max(
+        0.0, OwnPrefillTokens - static_cast<double>(Try.MissingTokens));
+  switch (Outcome) {
+  case TryOutcome::Succeeded:
+    average(ServiceSeconds, secondsBetween(Try.SentAt, Now));
+    average(FailureRate, 0);
+    ConsecutiveFailures = 0;
+    Limit = std::min(MaxLimit, Limit + 1 / std::max(1.0, Limit));
+    break;
+  case TryOutcome::Rejected:
+    Limit = std::max(1.0, Limit * RejectedFactor);
+    CoolUntil = std::max(CoolUntil, Now + FirstCooling);
+    break;
+  case TryOutcome::NotSent:
+  case TryOutcome::Failed:
+    average(FailureRate, 1);
+    Limit = std::max(1.0, Limit * FailedFactor);
+    noteFailure(Now);
+    break;
+  case TryOutcome::Cancelled:
+    break;
+  }
+}
+
+} // namespace ferry::routing
