--- a/Libraries/LibRegistry/Outcomes.h
+++ b/Libraries/LibRegistry/Outcomes.h
@@ -9,6 +9,7 @@
 #include "LibCore/Time.h"
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace ferry::registry {
 
@@ -50,10 +51,15 @@
 struct ClaimExpired {};
 /// The ledger can take no further key; nothing ran.
 struct ClaimLedgerFull {};
+/// This attempt has ended without running; another attempt may claim the key.
+struct ClaimReleased {};
+/// The key's time stamp lies too far in the future; nothing ran.
+struct ClaimStampAhead {};
 
 using ClaimOutcome =
     std::variant<ClaimGranted, ClaimHeld, ClaimCompleted, ClaimUnknown,
-                 ClaimMismatch, ClaimExpired, ClaimLedgerFull>;
+                 ClaimMismatch, ClaimExpired, ClaimLedgerFull, ClaimReleased,
+                 ClaimStampAhead>;
 
 /// The change is committed by a quorum and synced.
 struct ChangeAccepted {
@@ -73,6 +79,67 @@
 using ChangeOutcome =
     std::variant<ChangeAccepted, ChangeConflict, ChangeOperationReused>;
 
+/// The lease that lets one host give orders, as the log has it.
+struct OrderLease {
+  std::string Name;
+  /// Empty once the lease was released or if it was never held.
+  HostId Host;
+  ferry::Incarnation Incarnation;
+  FencingNumber Fencing;
+  uint64_t Renewals = 0;
+  bool operator==(const OrderLease &) const = default;
+};
+
+/// The asker holds the lease.
+struct LeaseGranted {
+  OrderLease Lease;
+};
+/// It does not; this is the lease as it stands.
+struct LeaseRefused {
+  OrderLease Lease;
+};
+
+using LeaseOutcome = std::variant<LeaseGranted, LeaseRefused>;
+
+/// One load of weights that counts against the limit.
+struct LoadSlot {
+  TargetId Target;
+  ferry::Incarnation Incarnation;
+  WeightsVersion Weights;
+  /// Fencing number of the order lease under which it began.
+  FencingNumber Fencing;
+  /// Rises with each try of the giver to begin a load under that lease.
+  uint64_t Sequence = 0;
+  bool operator==(const LoadSlot &) const = default;
+};
+
+/// The load may begin.
+struct LoadGranted {};
+/// The limit is reached by these loads.
+struct LoadRefused {
+  std::vector<LoadSlot> Active;
+};
+/// The command is older than one that was applied before, or its lease ended.
+struct LoadStale {};
+/// No slot is taken by that load any more.
+struct LoadEnded {};
+
+using LoadOutcome =
+    std::variant<LoadGranted, LoadRefused, LoadStale, LoadEnded>;
+
+/// The description as the log has it; number 0 before the first one.
+struct StoredDescription {
+  DescriptionNumber Number;
+  std::string Operation;
+  std::string Text;
+  bool operator==(const StoredDescription &) const = default;
+};
+
+/// The ledger forgets stamped keys below this.
+struct LowWaterMoved {
+  UnixMillis Mark;
+};
+
 /// Why a command has no outcome.
 enum class RegistryErrorKind : uint8_t {
   /// No quorum answered before the deadline; the command may yet commit.
--- /dev/null
+++ b/Libraries/LibWire/Idl/Membership.thrift
@@ -0,0 +1,108 @@
+// Messages of the membership exchange and of the confirmation of the
+// description's number.
+namespace cpp ferry.wire
+
+struct TargetDetails {
+  1: string Address
+  2: string DataCentre
+  3: i32 Kind
+  4: string Service
+  5: string Model
+  6: string Adapter
+  7: i64 Weights
+  8: i32 Fencing
+  9: i32 Phase
+}
+
+struct LoadFields {
+  1: i32 Running
+  2: i32 Queued
+  3: i64 QueuedPrefillTokens
+  4: i32 MaxConcurrent
+}
+
+// One change in an origin's list of targets.
+struct TargetChange {
+  1: string Id
+  2: i64 Incarnation
+  // The origin's version with this change.
+  3: i64 Version
+  4: i64 Sequence
+  // Absent if the target has gone from the list, or if only its load changed.
+  5: optional TargetDetails Details
+  6: optional LoadFields Load
+  7: optional bool Gone
+}
+
+// Liveness of one origin, as the sender knows it.
+struct OriginHeartbeat {
+  // Hash of the host's id.
+  1: i32 Tag
+  2: i64 Incarnation
+  3: i32 Standing
+  // Number of the description in force there.
+  4: i64 Number
+  5: i32 AgeMillis
+  // Age of the oldest announcement among its listed targets.
+  6: i32 TargetsAgeMillis
+  7: i64 Version
+  // Version of the last change other than of load figures.
+  8: i64 Structure
+}
+
+struct OriginWant {
+  1: i32 Tag
+  2: i64 Incarnation
+  3: i64 HaveVersion
+}
+
+struct OriginDelta {
+  1: i32 Tag
+  2: i64 Incarnation
+  // 0: the changes replace the whole list.
+  3: i64 BaseVersion
+  // The list is known up to this version after the changes.
+  4: i64 Version
+  5: list<TargetChange> Changes
+}
+
+struct LeaveMark {
+  1: string Target
+  2: i64 Incarnation
+}
+
+struct MembershipAsk {
+  1: i64 AskNumber
+  2: list<OriginWant> Wants
+}
+
+struct MembershipReply {
+  1: i64 AskNumber
+  2: list<OriginHeartbeat> Heartbeats
+  3: list<OriginDelta> Deltas
+}
+
+struct MembershipMessage {
+  1: optional MembershipAsk Ask
+  2: optional MembershipReply Reply
+  3: optional list<LeaveMark> Leaves
+  // Number of the description in force at the sender.
+  4: optional i64 Number
+}
+
+struct ConfirmationQuery {
+  1: i64 QueryNumber
+}
+
+struct ConfirmationAnswer {
+  1: i64 QueryNumber
+  // Greatest number in the host's log, committed or not.
+  2: i64 GreatestNumber
+  3: bool Voter
+}
+
+// Exactly one field is set.
+struct ConfirmationMessage {
+  1: optional ConfirmationQuery Query
+  2: optional ConfirmationAnswer Answer
+}
