LibRegistry: Apply changes, claims, leases and loads from the log

The state machine reads no clock: the ledger's low-water mark moves by a command or by counts, a lease's candidate names the renewal count that it saw unchanged. Digests of 65,536 operations are kept; an older operation can't be accepted twice, as its base number is used up. RegistryClient resends until the deadline and tells Timeout (may commit) from NotProposed (never sent); RegistryServer ties requests to proposals.

--- /dev/null
+++ b/Libraries/LibRegistry/Commands.cpp
@@ -0,0 +1,219 @@
+#include "LibRegistry/Commands.h"
+#include "LibCore/Visit.h"
+#include "LibRegistry/Convert.h"
+#include "LibWire/Codec.h"
+
+namespace ferry::registry {
+
+static wire::ChangeCommand toFields(const ChangeDescription &Value) {
+  wire::ChangeCommand Fields;
+  Fields.Base = toWire(Value.Base.Value);
+  Fields.Operation = Value.Operation;
+  Fields.Text = Value.Text;
+  return Fields;
+}
+
+static wire::ClaimCommand toFields(const Claim &Value) {
+  wire::ClaimCommand Fields;
+  Fields.Key = toWire(Value.Key);
+  Fields.Attempt = toWire(Value.Attempt);
+  Fields.BodyDigest = toWire(Value.BodyDigest);
+  Fields.AskedAtMillis = Value.AskedAt.Value;
+  return Fields;
+}
+
+static wire::CompleteCommand toFields(const Complete &Value) {
+  wire::CompleteCommand Fields;
+  Fields.Key = toWire(Value.Key);
+  Fields.Attempt = toWire(Value.Attempt);
+  Fields.Answer = toWire(Value.Answer);
+  return Fields;
+}
+
+static wire::ReleaseCommand toFields(const Release &Value) {
+  wire::ReleaseCommand Fields;
+  Fields.Key = toWire(Value.Key);
+  Fields.Attempt = toWire(Value.Attempt);
+  return Fields;
+}
+
+static wire::MarkUnknownCommand toFields(const MarkUnknown &Value) {
+  wire::MarkUnknownCommand Fields;
+  Fields.Key = toWire(Value.Key);
+  Fields.Holder = toWire(Value.Holder);
+  return Fields;
+}
+
+static wire::AdvanceLowWaterCommand toFields(const AdvanceLowWater &Value) {
+  wire::AdvanceLowWaterCommand Fields;
+  Fields.MarkMillis = Value.Mark.Value;
+  return Fields;
+}
+
+static wire::AcquireLeaseCommand toFields(const AcquireOrderLease &Value) {
+  wire::AcquireLeaseCommand Fields;
+  Fields.Name = Value.Name;
+  Fields.Host = Value.Host.Value;
+  Fields.Incarnation = toWire(Value.Incarnation.Value);
+  Fields.SeenFencing = toWire(Value.SeenFencing.Value);
+  Fields.SeenRenewals = toWire(Value.SeenRenewals);
+  return Fields;
+}
+
+static wire::RenewLeaseCommand toFields(const RenewOrderLease &Value) {
+  wire::RenewLeaseCommand Fields;
+  Fields.Name = Value.Name;
+  Fields.Host = Value.Host.Value;
+  Fields.Incarnation = toWire(Value.Incarnation.Value);
+  Fields.Fencing = toWire(Value.Fencing.Value);
+  Fields.Renewals = toWire(Value.Renewals);
+  return Fields;
+}
+
+static wire::ReleaseLeaseCommand toFields(const ReleaseOrderLease &Value) {
+  wire::ReleaseLeaseCommand Fields;
+  Fields.Name = Value.Name;
+  Fields.Host = Value.Host.Value;
+  Fields.Incarnation = toWire(Value.Incarnation.Value);
+  Fields.Fencing = toWire(Value.Fencing.Value);
+  return Fields;
+}
+
+static wire::BeginLoadCommand toFields(const BeginWeightsLoad &Value) {
+  wire::BeginLoadCommand Fields;
+  Fields.Slot = toWire(Value.Slot);
+  Fields.MaxLoads = static_cast<int32_t>(Value.MaxLoads);
+  return Fields;
+}
+
+static wire::EndLoadCommand toFields(const EndWeightsLoad &Value) {
+  wire::EndLoadCommand Fields;
+  Fields.Slot = toWire(Value.Slot);
+  return Fields;
+}
+
+std::string encodeCommand(const Command &Value) {
+  wire::RegistryCommand Fields;
+  match(
+      Value,
+      [&](const ChangeDescription &C) { Fields.__set_Change(toFields(C)); },
+      [&](const Claim &C) { Fields.__set_Claim(toFields(C)); },
+      [&](const Complete &C) { Fields.__set_Complete(toFields(C)); },
+      [&](const Release &C) { Fields.__set_Release(toFields(C)); },
+      [&](const MarkUnknown &C) { Fields.__set_MarkUnknown(toFields(C)); },
+      [&](const AdvanceLowWater &C) {
+        Fields.__set_AdvanceLowWater(toFields(C));
+      },
+      [&](const AcquireOrderLease &C) {
+        Fields.__set_AcquireLease(toFields(C));
+      },
+      [&](const RenewOrderLease &C) { Fields.__set_RenewLease(toFields(C)); },
+      [&](const ReleaseOrderLease &C) {
+        Fields.__set_ReleaseLease(toFields(C));
+      },
+      [&](const BeginWeightsLoad &C) { Fields.__set_BeginLoad(toFields(C)); },
+      [&](const EndWeightsLoad &C) { Fields.__set_EndLoad(toFields(C)); });
+  return wire::encode(Fields);
+}
+
+static Command fromFields(const wire::ChangeCommand &Fields) {
+  return ChangeDescription{
+      {fromWire(Fields.Base)}, Fields.Operation, Fields.Text};
+}
+
+static Command fromFields(const wire::ClaimCommand &Fields) {
+  return Claim{fromWire(Fields.Key),
+               fromWire(Fields.Attempt),
+               fromWire(Fields.BodyDigest),
+               {Fields.AskedAtMillis}};
+}
+
+static Command fromFields(const wire::CompleteCommand &Fields) {
+  return Complete{fromWire(Fields.Key), fromWire(Fields.Attempt),
+                  fromWire(Fields.Answer)};
+}
+
+static Command fromFields(const wire::ReleaseCommand &Fields) {
+  return Release{fromWire(Fields.Key), fromWire(Fields.Attempt)};
+}
+
+static Command fromFields(const wire::MarkUnknownCommand &Fields) {
+  return MarkUnknown{fromWire(Fields.Key), fromWire(Fields.Holder)};
+}
+
+static Command fromFields(const wire::AdvanceLowWaterCommand &Fields) {
+  return AdvanceLowWater{{Fields.MarkMillis}};
+}
+
+static Command fromFields(const wire::AcquireLeaseCommand &Fields) {
+  return AcquireOrderLease{Fields.Name,
+                           {Fields.Host},
+                           {fromWire(Fields.Incarnation)},
+                           {fromWire(Fields.SeenFencing)},
+                           fromWire(Fields.SeenRenewals)};
+}
+
+static Command fromFields(const wire::RenewLeaseCommand &Fields) {
+  return RenewOrderLease{Fields.Name,
+                         {Fields.Host},
+                         {fromWire(Fields.Incarnation)},
+                         {fromWire(Fields.Fencing)},
+                         fromWire(Fields.Renewals)};
+}
+
+static Command fromFields(const wire::ReleaseLeaseCommand &Fields) {
+  return ReleaseOrderLease{Fields.Name,
+                           {Fields.Host},
+                           {fromWire(Fields.Incarnation)},
+                           {fromWire(Fields.Fencing)}};
+}
+
+static Command fromFields(const wire::BeginLoadCommand &Fields) {
+  return BeginWeightsLoad{fromWire(Fields.Slot),
+                          static_cast<uint32_t>(Fields.MaxLoads)};
+}
+
+static Command fromFields(const wire::EndLoadCommand &Fields) {
+  return EndWeightsLoad{fromWire(Fields.Slot)};
+}
+
+static tl::unexpected<RegistryError> invalid(std::string Detail) {
+  return makeTypedError(RegistryErrorKind::Invalid, std::move(Detail));
+}
+
+Result<Command, RegistryError> tryDecodeCommand(std::string_view Bytes) {
+  if (Bytes.size() > MaxCommandBytes)
+    return invalid("command too large");
+  auto Decoded = wire::tryDecode<wire::RegistryCommand>(Bytes);
+  if (!Decoded)
+    return invalid(Decoded.error().message());
+  const wire::RegistryCommand &Fields = *Decoded;
+  std::vector<Command> Found;
+  if (Fields.__isset.Change)
+    Found.push_back(fromFields(Fields.Change));
+  if (Fields.__isset.Claim)
+    Found.push_back(fromFields(Fields.Claim));
+  if (Fields.__isset.Complete)
+    Found.push_back(fromFields(Fields.Complete));
+  if (Fields.__isset.Release)
+    Found.push_back(fromFields(Fields.Release));
+  if (Fields.__isset.MarkUnknown)
+    Found.push_back(fromFields(Fields.MarkUnknown));
+  if (Fields.__isset.AdvanceLowWater)
+    Found.push_back(fromFields(Fields.AdvanceLowWater));
+  if (Fields.__isset.AcquireLease)
+    Found.push_back(fromFields(Fields.AcquireLease));
+  if (Fields.__isset.RenewLease)
+    Found.push_back(fromFields(Fields.RenewLease));
+  if (Fields.__isset.ReleaseLease)
+    Found.push_back(fromFields(Fields.ReleaseLease));
+  if (Fields.__isset.BeginLoad)
+    Found.push_back(fromFields(Fields.BeginLoad));
+  if (Fields.__isset.EndLoad)
+    Found.push_back(fromFields(Fields.EndLoad));
+  if (Found.size() != 1)
+    return invalid("not exactly one command");
+  return std::move(Found.front());
+}
+
+} // namespace ferry::registry
--- /dev/null
+++ b/Libraries/LibRegistry/Convert.h
@@ -0,0 +1,31 @@
+/// \file
+/// Conversions between the registry's types and their Thrift structs.
+#ifndef FERRY_LIBREGISTRY_CONVERT_H
+#define FERRY_LIBREGISTRY_CONVERT_H
+
+#include "LibRegistry/Outcomes.h"
+#include "LibWire/Generated/Registry_types.h"
+
+namespace ferry::registry {
+
+// Unsigned numbers travel as signed ones of the same bits.
+inline int64_t toWire(uint64_t Value) { return static_cast<int64_t>(Value); }
+inline uint64_t fromWire(int64_t Value) { return static_cast<uint64_t>(Value); }
+
+wire::ClaimKeyFields toWire(const ClaimKey &Key);
+wire::ClaimAttemptFields toWire(const ClaimAttempt &Attempt);
+wire::AnswerFields toWire(const ClaimCompleted &Answer);
+wire::LeaseFields toWire(const OrderLease &Lease);
+wire::LoadSlotFields toWire(const LoadSlot &Slot);
+wire::DescriptionFields toWire(const StoredDescription &Description);
+
+ClaimKey fromWire(const wire::ClaimKeyFields &Fields);
+ClaimAttempt fromWire(const wire::ClaimAttemptFields &Fields);
+ClaimCompleted fromWire(const wire::AnswerFields &Fields);
+OrderLease fromWire(const wire::LeaseFields &Fields);
+LoadSlot fromWire(const wire::LoadSlotFields &Fields);
+StoredDescription fromWire(const wire::DescriptionFields &Fields);
+
+} // namespace ferry::registry
+
+#endif
--- /dev/null
+++ b/Libraries/LibRegistry/DescriptionHistory.h
@@ -0,0 +1,58 @@
+/// \file
+/// The accepted description and the operations that led to it.
+#ifndef FERRY_LIBREGISTRY_DESCRIPTIONHISTORY_H
+#define FERRY_LIBREGISTRY_DESCRIPTIONHISTORY_H
+
+#include "LibRegistry/Commands.h"
+#include "LibRegistry/KeyDigest.h"
+#include <deque>
+#include <unordered_map>
+
+namespace ferry::wire {
+class RegistrySnapshot;
+}
+
+namespace ferry::registry {
+
+/// Decides changes by operators. Part of the replicated state machine.
+///
+/// Digests of the newest KeptOperations operations are kept, so that a resend
+/// gets the first answer. A resend of an older operation can't be accepted
+/// twice either: the number that it is based on was used up by its own
+/// acceptance, so it gets a ChangeConflict.
+class DescriptionHistory {
+public:
+  static constexpr size_t KeptOperations = 65'536;
+
+  /// \param MaxOperations of which digests are kept; equal on all replicas.
+  explicit DescriptionHistory(size_t MaxOperations = KeptOperations);
+
+  /// Accepts the change if it is based on the current number.
+  ChangeOutcome apply(const ChangeDescription &Change);
+
+  const StoredDescription &current() const { return Current; }
+  size_t operationCount() const { return Order.size(); }
+
+  void save(wire::RegistrySnapshot &Snapshot) const;
+  void load(const wire::RegistrySnapshot &Snapshot);
+
+private:
+  struct Operation {
+    uint64_t TextDigest = 0;
+    /// 0 for an operation that was refused.
+    DescriptionNumber Number;
+  };
+
+  ChangeConflict conflict() const;
+  void remember(const Digest &Id, Operation Entry);
+
+  size_t MaxOperations;
+  StoredDescription Current;
+  std::unordered_map<Digest, Operation, DigestHash> Operations;
+  /// Keys of Operations, the oldest first.
+  std::deque<Digest> Order;
+};
+
+} // namespace ferry::registry
+
+#endif
--- /dev/null
+++ b/Libraries/LibRegistry/Registry.cpp
@@ -0,0 +1,77 @@
+#include "LibRegistry/Registry.h"
+#include "LibCore/Visit.h"
+#include "LibRegistry/Convert.h"
+#include "LibWire/Codec.h"
+
+namespace ferry::registry {
+
+/// Raised when the snapshot's meaning changes.
+static constexpr int32_t SnapshotFormat = 1;
+
+Registry::Registry(LedgerLimits Limits) : Limits(Limits), Claims(Limits) {}
+
+Reply Registry::applyDecoded(const Command &Value) {
+  return match(
+      Value,
+      [&](const ChangeDescription &C) -> Reply {
+        return Descriptions.apply(C);
+      },
+      [&](const Claim &C) -> Reply { return Claims.apply(C); },
+      [&](const Complete &C) -> Reply { return Claims.apply(C); },
+      [&](const Release &C) -> Reply { return Claims.apply(C); },
+      [&](const MarkUnknown &C) -> Reply { return Claims.apply(C); },
+      [&](const AdvanceLowWater &C) -> Reply { return Claims.apply(C); },
+      [&](const AcquireOrderLease &C) -> Reply { return Leases.apply(C); },
+      [&](const RenewOrderLease &C) -> Reply { return Leases.apply(C); },
+      [&](const ReleaseOrderLease &C) -> Reply { return Leases.apply(C); },
+      [&](const BeginWeightsLoad &C) -> Reply { return Leases.apply(C); },
+      [&](const EndWeightsLoad &C) -> Reply { return Leases.apply(C); });
+}
+
+std::string Registry::apply(uint64_t Index, std::string_view Command) {
+  AppliedIndex = Index;
+  if (Command.size() > MaxCommandBytes)
+    return encodeReply(CommandInvalid{CommandInvalid::Reason::TooLarge});
+  auto Decoded = tryDecodeCommand(Command);
+  if (!Decoded)
+    return encodeReply(CommandInvalid{CommandInvalid::Reason::Malformed});
+  return encodeReply(applyDecoded(*Decoded));
+}
+
+std::string Registry::snapshot() const {
+  wire::RegistrySnapshot Snapshot;
+  Snapshot.FormatVersion = SnapshotFormat;
+  Snapshot.AppliedIndex = toWire(AppliedIndex);
+  Descriptions.save(Snapshot);
+  Claims.save(Snapshot);
+  Leases.save(Snapshot);
+  return wire::encode(Snapshot);
+}
+
+Result<void, RegistryError> Registry::tryRestore(std::string_view Bytes) {
+  auto Decoded = wire::tryDecode<wire::RegistrySnapshot>(Bytes);
+  if (!Decoded)
+    return makeTypedError(RegistryErrorKind::Invalid,
+                          Decoded.error().message());
+  if (Decoded->FormatVersion != SnapshotFormat)
+    return makeTypedError(RegistryErrorKind::Invalid, "snapshot format");
+  Registry Restored(Limits);
+  if (!Restored.Claims.tryLoad(*Decoded))
+    return makeTypedError(RegistryErrorKind::Invalid, "inconsistent ledger");
+  Restored.Descriptions.load(*Decoded);
+  Restored.Leases.load(*Decoded);
+  Restored.AppliedIndex = fromWire(Decoded->AppliedIndex);
+  *this = std::move(Restored);
+  return {};
+}
+
+void GreatestNumber::add(std::string_view Command) {
+  auto Decoded = tryDecodeCommand(Command);
+  if (!Decoded)
+    return;
+  const auto *Change = std::get_if<ChangeDescription>(&*Decoded);
+  if (Change != nullptr && Change->Base == Greatest)
+    Greatest.Value += 1;
+}
+
+} // namespace ferry::registry
--- /dev/null
+++ b/Libraries/LibRegistry/RegistryServer.h
@@ -0,0 +1,112 @@
+/// \file
+/// Takes requests of all hosts at a control host and answers them.
+#ifndef FERRY_LIBREGISTRY_REGISTRYSERVER_H
+#define FERRY_LIBREGISTRY_REGISTRYSERVER_H
+
+#include "LibRegistry/Registry.h"
+#include "LibWire/Generated/Registry_types.h"
+#include <deque>
+#include <map>
+
+namespace ferry::registry {
+
+/// A request came from \p From; it may be this host itself.
+struct ServerRequestReceived {
+  HostId From;
+  wire::RegistryRequest Request;
+};
+
+/// The registry applied the command at \p Index and answered \p Answer. To be
+/// given for each applied command, before its ServerProposalCommitted.
+struct ServerCommandApplied {
+  uint64_t Index = 0;
+  std::string Answer;
+};
+
+/// The proposal \p Token committed at \p Index and was applied.
+struct ServerProposalCommitted {
+  uint64_t Token = 0;
+  uint64_t Index = 0;
+};
+
+/// The log did not take the proposal, or cannot tell whether it will commit.
+struct ServerProposalFailed {
+  uint64_t Token = 0;
+  /// The leader as far as known.
+  HostId Leader;
+};
+
+/// A quorum confirmed the read \p Token, and all that was committed before it
+/// has been applied.
+struct ServerReadConfirmed {
+  uint64_t Token = 0;
+};
+
+/// The read could not be confirmed here.
+struct ServerReadFailed {
+  uint64_t Token = 0;
+  HostId Leader;
+};
+
+using ServerEvent = std::variant<ServerRequestReceived, ServerCommandApplied,
+                                 ServerProposalCommitted, ServerProposalFailed,
+                                 ServerReadConfirmed, ServerReadFailed>;
+
+/// Propose \p Command to the log; the result comes back with \p Token.
+struct ServerPropose {
+  uint64_t Token = 0;
+  std::string Command;
+};
+
+/// Confirm a read; the result comes back with \p Token.
+struct ServerConfirmRead {
+  uint64_t Token = 0;
+};
+
+/// Send \p Reply to \p To.
+struct ServerReply {
+  HostId To;
+  wire::RegistryReply Reply;
+};
+
+using ServerEffect =
+    std::variant<ServerPropose, ServerConfirmRead, ServerReply>;
+
+/// Step machine that ties requests to proposals and their answers. It needs no
+/// clock: the log ends each proposal, and clients resend.
+class RegistryServer {
+public:
+  /// Requests in the log at the same time; further ones are answered Busy.
+  static constexpr size_t MaxPending = 4096;
+
+  /// \param State read for descriptions; must outlive this server.
+  explicit RegistryServer(const Registry &State);
+
+  /// Takes one event. \returns what is to be done, in order.
+  std::vector<ServerEffect> step(ServerEvent Event);
+
+  size_t pendingCount() const { return Pending.size(); }
+
+private:
+  struct Request {
+    HostId From;
+    int64_t Number = 0;
+  };
+  using Effects = std::vector<ServerEffect>;
+
+  void receive(ServerRequestReceived Received, Effects &Out);
+  void keepAnswer(ServerCommandApplied Applied);
+  void answer(uint64_t Token, std::string Answer, Effects &Out);
+  void answerCommitted(const ServerProposalCommitted &Committed, Effects &Out);
+  void refuse(uint64_t Token, const HostId &Leader, Effects &Out);
+
+  const Registry &State;
+  uint64_t NextToken = 1;
+  std::map<uint64_t, Request> Pending;
+  /// Answers of the newest applied commands, by index.
+  std::deque<ServerCommandApplied> Answers;
+};
+
+} // namespace ferry::registry
+
+#endif
