LibMembership: Confirm the description's number with a quorum

A router asks all control hosts for the greatest number that their logs can lead to. The confirmation counts from the sending of the query, so late and duplicated answers and thawed hosts gain nothing. Any quorum of voters that is not above the router's number will do: one control host with a number that never commits does not hold up the others.

--- a/Libraries/LibWire/Generated/Membership_types.cpp
+++ b/Libraries/LibWire/Generated/Membership_types.cpp
@@ -492,6 +492,11 @@
   this->Gone = val;
 __isset.Gone = true;
 }
+
+void TargetChange::__set_Late(const bool val) {
+  this->Late = val;
+__isset.Late = true;
+}
 std::ostream& operator<<(std::ostream& out, const TargetChange& obj)
 {
   obj.printTo(out);
@@ -576,6 +581,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->Late);
+          this->__isset.Late = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -624,6 +637,11 @@
     xfer += oprot->writeBool(this->Gone);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.Late) {
+    xfer += oprot->writeFieldBegin("Late", ::apache::thrift::protocol::T_BOOL, 8);
+    xfer += oprot->writeBool(this->Late);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -638,6 +656,7 @@
   swap(a.Details, b.Details);
   swap(a.Load, b.Load);
   swap(a.Gone, b.Gone);
+  swap(a.Late, b.Late);
   swap(a.__isset, b.__isset);
 }
 
@@ -649,6 +668,7 @@
   Details = other8.Details;
   Load = other8.Load;
   Gone = other8.Gone;
+  Late = other8.Late;
   __isset = other8.__isset;
 }
 TargetChange::TargetChange(TargetChange&& other9) noexcept {
@@ -659,6 +679,7 @@
   Details = std::move(other9.Details);
   Load = std::move(other9.Load);
   Gone = other9.Gone;
+  Late = other9.Late;
   __isset = other9.__isset;
 }
 TargetChange& TargetChange::operator=(const TargetChange& other10) {
@@ -669,6 +690,7 @@
   Details = other10.Details;
   Load = other10.Load;
   Gone = other10.Gone;
+  Late = other10.Late;
   __isset = other10.__isset;
   return *this;
 }
@@ -680,6 +702,7 @@
   Details = std::move(other11.Details);
   Load = std::move(other11.Load);
   Gone = other11.Gone;
+  Late = other11.Late;
   __isset = other11.__isset;
   return *this;
 }
@@ -693,6 +716,7 @@
   out << ", " << "Details="; (__isset.Details ? (out << to_string(Details)) : (out << "<null>"));
   out << ", " << "Load="; (__isset.Load ? (out << to_string(Load)) : (out << "<null>"));
   out << ", " << "Gone="; (__isset.Gone ? (out << to_string(Gone)) : (out << "<null>"));
+  out << ", " << "Late="; (__isset.Late ? (out << to_string(Late)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Libraries/LibWire/Generated/Membership_types.h
+++ b/Libraries/LibWire/Generated/Membership_types.h
@@ -215,7 +215,7 @@
 std::ostream& operator<<(std::ostream& out, const LoadFields& obj);
 
 typedef struct _TargetChange__isset {
-  _TargetChange__isset() : Id(false), Incarnation(false), Version(false), Sequence(false), Details(false), Load(false), Gone(false) {}
+  _TargetChange__isset() : Id(false), Incarnation(false), Version(false), Sequence(false), Details(false), Load(false), Gone(false), Late(false) {}
   bool Id :1;
   bool Incarnation :1;
   bool Version :1;
@@ -223,6 +223,7 @@
   bool Details :1;
   bool Load :1;
   bool Gone :1;
+  bool Late :1;
 } _TargetChange__isset;
 
 class TargetChange : public virtual ::apache::thrift::TBase {
@@ -237,7 +238,8 @@
                  Incarnation(0),
                  Version(0),
                  Sequence(0),
-                 Gone(0) {
+                 Gone(0),
+                 Late(0) {
   }
 
   virtual ~TargetChange() noexcept;
@@ -248,6 +250,7 @@
   TargetDetails Details;
   LoadFields Load;
   bool Gone;
+  bool Late;
 
   _TargetChange__isset __isset;
 
@@ -265,6 +268,8 @@
 
   void __set_Gone(const bool val);
 
+  void __set_Late(const bool val);
+
   bool operator == (const TargetChange & rhs) const
   {
     if (!(Id == rhs.Id))
@@ -287,6 +292,10 @@
       return false;
     else if (__isset.Gone && !(Gone == rhs.Gone))
       return false;
+    if (__isset.Late != rhs.__isset.Late)
+      return false;
+    else if (__isset.Late && !(Late == rhs.Late))
+      return false;
     return true;
   }
   bool operator != (const TargetChange &rhs) const {
--- a/Libraries/LibWire/Idl/Membership.thrift
+++ b/Libraries/LibWire/Idl/Membership.thrift
@@ -28,10 +28,12 @@
   // The origin's version with this change.
   3: i64 Version
   4: i64 Sequence
-  // Absent if the target has gone from the list, or if only its load changed.
+  // Absent if the target has gone from the list.
   5: optional TargetDetails Details
   6: optional LoadFields Load
   7: optional bool Gone
+  // It misses announcements: its trust is no longer extended.
+  8: optional bool Late
 }
 
 // Liveness of one origin, as the sender knows it.
--- /dev/null
+++ b/Tests/LibMembership/TestConfirmation.cpp
@@ -0,0 +1,146 @@
+#include "LibCore/Visit.h"
+#include "LibMembership/Confirmation.h"
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <optional>
+
+using namespace ferry;
+using namespace ferry::membership;
+using namespace std::chrono_literals;
+
+static const std::vector<HostId> Controls = {{"c1"}, {"c2"}, {"c3"}};
+
+static Timestamp at(Duration Since) { return Timestamp(100s) + Since; }
+
+static Confirmation makeRouter(uint64_t Number, uint64_t Seed = 7) {
+  return Confirmation({Controls, {Number}, Seed});
+}
+
+/// Ticks and returns the query that was sent to all control hosts.
+static wire::ConfirmationQuery ask(Confirmation &Router, Timestamp Now) {
+  auto Effects = Router.step(ConfirmationTick{}, Now);
+  BOOST_REQUIRE(Effects.size() == Controls.size());
+  return std::get<ConfirmationAsk>(Effects.front()).Query;
+}
+
+static std::vector<ConfirmationEffect>
+answer(Confirmation &Router, const std::string &From,
+       const wire::ConfirmationQuery &Query, uint64_t Number, Timestamp Now,
+       bool Voter = true) {
+  return Router.step(
+      ConfirmationAnswered{{From}, answerQuery(Query, {Number}, Voter)}, Now);
+}
+
+struct AnswerCase {
+  const char *Name;
+  /// Number told by c1, c2, c3; absent: no answer. Negative: not a voter.
+  std::optional<int> Told[3];
+  bool Confirmed;
+  bool Fetches;
+};
+
+static std::ostream &operator<<(std::ostream &Out, const AnswerCase &Case) {
+  return Out << Case.Name;
+}
+
+static const AnswerCase AnswerCases[] = {
+    {"all equal", {5, 5, 5}, true, false},
+    {"a quorum", {5, 5, {}}, true, false},
+    {"one alone", {5, {}, {}}, false, false},
+    {"older logs", {3, 4, {}}, true, false},
+    {"a greater number in the quorum", {5, 6, {}}, false, true},
+    {"a greater number at one that can't commit it", {5, 5, 6}, true, true},
+    {"a greater number at a quorum", {5, 6, 6}, false, true},
+    {"a host that lost its disk", {5, -5, {}}, false, false},
+    {"a voter and two learners", {5, -5, -5}, false, false},
+    {"nobody", {{}, {}, {}}, false, false}};
+
+BOOST_DATA_TEST_CASE(answers_of_a_quorum_confirm,
+                     boost::unit_test::data::make(AnswerCases), Case) {
+  Confirmation Router = makeRouter(5);
+  auto Query = ask(Router, at(0s));
+  bool Fetched = false;
+  for (size_t Index = 0; Index < 3; ++Index) {
+    if (!Case.Told[Index])
+      continue;
+    int Told = *Case.Told[Index];
+    for (const auto &Effect : answer(Router, Controls[Index].Value, Query,
+                                     std::abs(Told), at(10ms), Told >= 0))
+      Fetched |= std::holds_alternative<FetchDescription>(Effect);
+  }
+  BOOST_TEST(Router.isConfirmed(at(20ms)) == Case.Confirmed);
+  BOOST_TEST(Fetched == Case.Fetches);
+  if (Case.Confirmed)
+    BOOST_TEST((Router.confirmedUntil() == at(2s)));
+}
+
+BOOST_AUTO_TEST_CASE(one_host_counts_once_however_often_it_answers) {
+  Confirmation Router = makeRouter(5);
+  auto Query = ask(Router, at(0s));
+  for (int Copy = 0; Copy < 3; ++Copy)
+    answer(Router, "c1", Query, 5, at(10ms));
+  answer(Router, "stranger", Query, 5, at(10ms));
+  BOOST_TEST(!Router.isConfirmed(at(20ms)));
+  // Across a restart the greater of its answers counts.
+  answer(Router, "c1", Query, 6, at(10ms));
+  answer(Router, "c1", Query, 5, at(11ms));
+  answer(Router, "c2", Query, 5, at(12ms));
+  BOOST_TEST(!Router.isConfirmed(at(20ms)));
+}
+
+BOOST_AUTO_TEST_CASE(late_answers_count_from_their_own_question) {
+  Confirmation Router = makeRouter(5);
+  auto First = ask(Router, at(0s));
+  auto Second = ask(Router, at(500ms));
+  answer(Router, "c1", First, 5, at(1900ms));
+  answer(Router, "c2", First, 5, at(1900ms));
+  BOOST_TEST((Router.confirmedUntil() == at(2s)));
+  // One answer to each of two questions is no quorum for the later.
+  answer(Router, "c3", Second, 5, at(1900ms));
+  BOOST_TEST((Router.confirmedUntil() == at(2s)));
+}
+
+BOOST_AUTO_TEST_CASE(a_thawed_host_finds_its_deadline_passed) {
+  Confirmation Router = makeRouter(5);
+  auto Query = ask(Router, at(0s));
+  answer(Router, "c1", Query, 5, at(10ms));
+  answer(Router, "c2", Query, 5, at(10ms));
+  BOOST_TEST(Router.isConfirmed(at(1999ms)));
+  BOOST_TEST(!Router.isConfirmed(at(1h)));
+  // Answers that waited in its buffers for the hour.
+  answer(Router, "c3", Query, 5, at(1h));
+  BOOST_TEST(!Router.isConfirmed(at(1h)));
+}
+
+BOOST_AUTO_TEST_CASE(answers_to_an_earlier_incarnation_count_for_nothing) {
+  Confirmation Before = makeRouter(5, 7);
+  auto Old = ask(Before, at(0s));
+  Confirmation After = makeRouter(5, 8);
+  ask(After, at(1s));
+  answer(After, "c1", Old, 5, at(1s));
+  answer(After, "c2", Old, 5, at(1s));
+  BOOST_TEST(!After.isConfirmed(at(1s)));
+}
+
+BOOST_AUTO_TEST_CASE(a_fetched_description_confirms_from_the_old_question) {
+  Confirmation Router = makeRouter(5);
+  auto Query = ask(Router, at(0s));
+  answer(Router, "c1", Query, 6, at(10ms));
+  answer(Router, "c2", Query, 6, at(10ms));
+  BOOST_TEST(!Router.isConfirmed(at(20ms)));
+  Router.step(ConfirmationApplied{{6}}, at(300ms));
+  BOOST_TEST((Router.confirmedUntil() == at(2s)));
+  // Numbers never go back.
+  Router.step(ConfirmationApplied{{4}}, at(400ms));
+  BOOST_TEST(Router.number().Value == 6u);
+}
+
+BOOST_AUTO_TEST_CASE(a_number_heard_is_fetched_but_not_in_a_storm) {
+  Confirmation Router = makeRouter(5);
+  size_t Fetches = 0;
+  for (int Step = 0; Step < 100; ++Step)
+    Fetches +=
+        Router.step(ConfirmationNumberHeard{{6}, {"r2"}}, at(Step * 10ms))
+            .size();
+  BOOST_TEST(Fetches == 4u);
+}
