LibMembership: Exchange hosts and targets by asking peers

Each host vouches for its targets with one heartbeat; peers ask for ages and count them back from the sending of the question, so that no delay on the way adds trust. Changes of a list travel as versioned deltas, and a heartbeat extends trust only for those that have all structural changes. Pushing ages was ruled out: the time in buffers can't be known by the receiver.

--- /dev/null
+++ b/Libraries/LibMembership/Events.h
@@ -0,0 +1,98 @@
+/// \file
+/// Inputs and outputs of Membership.
+#ifndef FERRY_LIBMEMBERSHIP_EVENTS_H
+#define FERRY_LIBMEMBERSHIP_EVENTS_H
+
+#include "LibCore/EnumNames.h"
+#include "LibCore/TargetRecord.h"
+#include "LibWire/Generated/Membership_types.h"
+#include <variant>
+
+namespace ferry::membership {
+
+/// Whether a host may be given to callers as an entry.
+enum class Standing : uint8_t { Serving, Draining, Unconfirmed, Silent };
+
+/// One host as this host sees it.
+struct HostState {
+  HostId Id;
+  DataCentreId DataCentre;
+  ferry::Incarnation Incarnation;
+  membership::Standing Standing = membership::Standing::Silent;
+  /// The description in force there.
+  DescriptionNumber Number;
+};
+
+/// A target announced itself to this host. UsableUntil is not read.
+struct TargetAnnounced {
+  TargetRecord Record;
+};
+
+/// \p From sent \p Message.
+struct MembershipReceived {
+  HostId From;
+  wire::MembershipMessage Message;
+};
+
+/// This host's own standing has changed.
+struct LocalStanding {
+  membership::Standing Standing = membership::Standing::Unconfirmed;
+};
+
+/// The committed description \p Number is in force on this host.
+struct DescriptionApplied {
+  DescriptionNumber Number;
+};
+
+/// Time has passed; due at least each Membership::TickInterval.
+struct MembershipTick {};
+
+using MembershipEvent =
+    std::variant<TargetAnnounced, MembershipReceived, LocalStanding,
+                 DescriptionApplied, MembershipTick>;
+
+/// Send \p Message to \p To.
+struct MembershipSend {
+  HostId To;
+  wire::MembershipMessage Message;
+};
+
+/// Membership::targets() has changed.
+struct TargetsChanged {};
+
+/// Membership::hosts() has changed.
+struct HostsChanged {};
+
+/// Host \p From has \p Number in force, which is above this host's.
+struct NewerDescriptionSeen {
+  DescriptionNumber Number;
+  HostId From;
+};
+
+/// The announcement is of a life that has ended: a greater incarnation was
+/// seen, or this one has left.
+struct AnnouncementRefused {
+  TargetId Target;
+  ferry::Incarnation Greatest;
+};
+
+using MembershipEffect =
+    std::variant<MembershipSend, TargetsChanged, HostsChanged,
+                 NewerDescriptionSeen, AnnouncementRefused>;
+
+} // namespace ferry::membership
+
+namespace ferry {
+
+template <> struct EnumNames<membership::Standing> {
+  using Standing = membership::Standing;
+  static constexpr EnumName<Standing> Table[] = {
+      {Standing::Serving, "serving"},
+      {Standing::Draining, "draining"},
+      {Standing::Unconfirmed, "unconfirmed"},
+      {Standing::Silent, "silent"}};
+};
+
+} // namespace ferry
+
+#endif
--- /dev/null
+++ b/Libraries/LibMembership/OriginList.cpp
@@ -0,0 +1,230 @@
+#include "LibMembership/OriginList.h"
+#include <algorithm>
+#include <vector>
+
+namespace ferry::membership {
+
+/// Entries that have gone are kept up to this number.
+static constexpr size_t MaxGone = 64;
+/// Bytes of a change besides its texts, and of its load alone.
+static constexpr size_t ChangeBytes = 56;
+
+static bool sameButLoad(const TargetRecord &Left, const TargetRecord &Right) {
+  return Left.Incarnation == Right.Incarnation &&
+         Left.Address == Right.Address && Left.DataCentre == Right.DataCentre &&
+         Left.Kind == Right.Kind && Left.Phase == Right.Phase &&
+         Left.Service == Right.Service && Left.Model == Right.Model &&
+         Left.Adapter == Right.Adapter && Left.Weights == Right.Weights &&
+         Left.Fencing == Right.Fencing;
+}
+
+ListedTarget &OriginList::touch(const TargetId &Id) {
+  ListedTarget &Listed = Targets[Id];
+  Listed.Version = ++Version;
+  return Listed;
+}
+
+OriginList::Change OriginList::announce(const TargetRecord &Record,
+                                        Change Publish) {
+  auto Found = Targets.find(Record.Id);
+  bool Known = Found != Targets.end() && !Found->second.Gone &&
+               !Found->second.Late && sameButLoad(Found->second.Record, Record);
+  if (!Known) {
+    ListedTarget &Listed = touch(Record.Id);
+    Listed.Record = Record;
+    Listed.Late = false;
+    Listed.Gone = false;
+    Structure = Version;
+    return Change::Structure;
+  }
+  bool LoadChanged = Found->second.Record.Load != Record.Load;
+  Found->second.Record = Record;
+  if (!LoadChanged || Publish != Change::Load)
+    return Change::None;
+  touch(Record.Id);
+  return Change::Load;
+}
+
+void OriginList::markLate(const TargetId &Id) {
+  touch(Id).Late = true;
+  Structure = Version;
+}
+
+bool OriginList::remove(const TargetId &Id) {
+  auto Found = Targets.find(Id);
+  if (Found == Targets.end() || Found->second.Gone)
+    return false;
+  touch(Id).Gone = true;
+  Structure = Version;
+  forgetOldest();
+  return true;
+}
+
+void OriginList::forgetOldest() {
+  size_t Gone = 0;
+  auto Oldest = Targets.end();
+  for (auto Entry = Targets.begin(); Entry != Targets.end(); ++Entry) {
+    if (!Entry->second.Gone)
+      continue;
+    ++Gone;
+    if (Oldest == Targets.end() ||
+        Entry->second.Version < Oldest->second.Version)
+      Oldest = Entry;
+  }
+  if (Gone <= MaxGone)
+    return;
+  Floor = std::max(Floor, Oldest->second.Version);
+  Targets.erase(Oldest);
+}
+
+static wire::TargetDetails detailsOf(const TargetRecord &Record) {
+  wire::TargetDetails Details;
+  Details.Address = Record.Address;
+  Details.DataCentre = Record.DataCentre.Value;
+  Details.Kind = static_cast<int32_t>(Record.Kind);
+  Details.Service = Record.Service.Value;
+  Details.Model = Record.Model.Value;
+  Details.Adapter = Record.Adapter.Value;
+  Details.Weights = static_cast<int64_t>(Record.Weights.Value);
+  Details.Fencing = static_cast<int32_t>(Record.Fencing);
+  Details.Phase = static_cast<int32_t>(Record.Phase);
+  return Details;
+}
+
+static wire::TargetChange changeOf(const ListedTarget &Listed) {
+  const TargetRecord &Record = Listed.Record;
+  wire::TargetChange Change;
+  Change.Id = Record.Id.Value;
+  Change.Incarnation = static_cast<int64_t>(Record.Incarnation.Value);
+  Change.Version = static_cast<int64_t>(Listed.Version);
+  Change.Sequence = static_cast<int64_t>(Record.Sequence);
+  if (Listed.Gone) {
+    Change.__set_Gone(true);
+    return Change;
+  }
+  if (Listed.Late)
+    Change.__set_Late(true);
+  Change.__set_Details(detailsOf(Record));
+  wire::LoadFields Load;
+  Load.Running = static_cast<int32_t>(Record.Load.RunningRequests);
+  Load.Queued = static_cast<int32_t>(Record.Load.QueuedRequests);
+  Load.QueuedPrefillTokens =
+      static_cast<int64_t>(Record.Load.QueuedPrefillTokens);
+  Load.MaxConcurrent = static_cast<int32_t>(Record.Load.MaxConcurrent);
+  Change.__set_Load(Load);
+  return Change;
+}
+
+static size_t bytesOf(const wire::TargetChange &Change) {
+  const wire::TargetDetails &Details = Change.Details;
+  return ChangeBytes + Change.Id.size() + Details.Address.size() +
+         Details.DataCentre.size() + Details.Service.size() +
+         Details.Model.size() + Details.Adapter.size();
+}
+
+wire::OriginDelta OriginList::deltaSince(uint64_t Have, size_t MaxBytes) const {
+  uint64_t Base = Have < Floor ? 0 : Have;
+  std::vector<const ListedTarget *> Newer;
+  for (const auto &[Id, Listed] : Targets)
+    if (Listed.Version > Base)
+      Newer.push_back(&Listed);
+  std::sort(Newer.begin(), Newer.end(),
+            [](const ListedTarget *Left, const ListedTarget *Right) {
+              return Left->Version < Right->Version;
+            });
+  wire::OriginDelta Delta;
+  Delta.BaseVersion = static_cast<int64_t>(Base);
+  Delta.Version = static_cast<int64_t>(Version);
+  // A whole list that replaces a newer copy goes uncut: the first part of it
+  // would be behind that copy, and be refused.
+  bool Cuttable = Base == Have;
+  size_t Bytes = 0;
+  for (const ListedTarget *Listed : Newer) {
+    wire::TargetChange Change = changeOf(*Listed);
+    Bytes += bytesOf(Change);
+    if (Cuttable && Bytes > MaxBytes && !Delta.Changes.empty()) {
+      Delta.Version = Delta.Changes.back().Version;
+      break;
+    }
+    Delta.Changes.push_back(std::move(Change));
+  }
+  return Delta;
+}
+
+static TargetRecord recordOf(const wire::TargetChange &Change) {
+  const wire::TargetDetails &Details = Change.Details;
+  TargetRecord Record;
+  Record.Id = {Change.Id};
+  Record.Incarnation = {static_cast<uint64_t>(Change.Incarnation)};
+  Record.Sequence = static_cast<uint64_t>(Change.Sequence);
+  Record.Address = Details.Address;
+  Record.DataCentre = {Details.DataCentre};
+  Record.Kind = static_cast<TargetKind>(Details.Kind);
+  Record.Service = {Details.Service};
+  Record.Model = {Details.Model};
+  Record.Adapter = {Details.Adapter};
+  Record.Weights = {static_cast<uint64_t>(Details.Weights)};
+  Record.Fencing = static_cast<FencingCheck>(Details.Fencing);
+  Record.Phase = static_cast<TargetPhase>(Details.Phase);
+  Record.Load.RunningRequests = static_cast<uint32_t>(Change.Load.Running);
+  Record.Load.QueuedRequests = static_cast<uint32_t>(Change.Load.Queued);
+  Record.Load.QueuedPrefillTokens =
+      static_cast<uint64_t>(Change.Load.QueuedPrefillTokens);
+  Record.Load.MaxConcurrent = static_cast<uint32_t>(Change.Load.MaxConcurrent);
+  return Record;
+}
+
+static bool inRange(const wire::TargetDetails &Details) {
+  auto Between = [](int32_t Value, auto Last) {
+    return Value >= 0 && Value <= static_cast<int32_t>(Last);
+  };
+  return Between(Details.Kind, TargetKind::WeightStore) &&
+         Between(Details.Phase, TargetPhase::Leaving) &&
+         Between(Details.Fencing, FencingCheck::Unchecked);
+}
+
+bool OriginList::apply(const wire::OriginDelta &Delta, Timestamp Trust) {
+  auto Base = static_cast<uint64_t>(Delta.BaseVersion);
+  auto Newest = static_cast<uint64_t>(Delta.Version);
+  // One that starts behind this copy would leave a hole.
+  if (Base > Version || Newest <= Version)
+    return false;
+  for (const wire::TargetChange &Change : Delta.Changes)
+    if (!Change.Gone && !inRange(Change.Details))
+      return false;
+  if (Base == 0) {
+    Targets.clear();
+    Floor = Newest;
+  }
+  for (const wire::TargetChange &Change : Delta.Changes)
+    applyChange(Change, Trust);
+  Version = Newest;
+  // Taken as structural until a heartbeat tells more.
+  Structure = Newest;
+  forgetOldest();
+  return true;
+}
+
+void OriginList::applyChange(const wire::TargetChange &Change,
+                             Timestamp Trust) {
+  ListedTarget &Listed = Targets[{Change.Id}];
+  auto Incarnation = static_cast<uint64_t>(Change.Incarnation);
+  bool SameLife = Listed.Version != 0 && !Listed.Gone &&
+                  Listed.Record.Incarnation.Value == Incarnation;
+  Timestamp Frozen;
+  if (SameLife && Change.Late)
+    Frozen = Listed.Late ? Listed.Record.UsableUntil : Trust;
+  Listed.Version = static_cast<uint64_t>(Change.Version);
+  Listed.Late = Change.Late;
+  Listed.Gone = Change.Gone;
+  Listed.Record = recordOf(Change);
+  Listed.Record.UsableUntil = Frozen;
+}
+
+void OriginList::learnStructure(uint64_t OtherVersion,
+                                uint64_t OtherStructure) {
+  if (OtherVersion >= Version && OtherStructure <= Version)
+    Structure = OtherStructure;
+}
+
+} // namespace ferry::membership
