--- a/Libraries/LibCache/CacheEvent.h
+++ b/Libraries/LibCache/CacheEvent.h
@@ -24,9 +24,11 @@
 struct CacheEventBatch {
   TargetId Target;
   ferry::Incarnation Incarnation;
-  /// Number of the first event.
+  /// Number of the first event. A listing of the whole cache takes no numbers
+  /// itself: there it is the number of the next change after the listing.
   uint64_t FirstNumber = 0;
-  /// Whether the batch lists the whole cache instead of changes.
+  /// Whether the batch lists the whole cache, as Stored events, instead of
+  /// changes.
   enum class Scope : uint8_t { Changes, WholeCache } Coverage = Scope::Changes;
   std::vector<CacheEvent> Events;
 };
