LibRouting: Place by estimated time to the first token over the cache index

Score is the wait plus the prefill or import of what is missing, weighed by the service's objective; bounded-load rendezvous where no candidate holds the first block. Imports only from sure entries of a store, and only when shorter.

--- a/Libraries/LibRouting/Placement.cpp
+++ b/Libraries/LibRouting/Placement.cpp
@@ -22,12 +22,49 @@
   return Request.PromptTokens > Cached ? Request.PromptTokens - Cached : 0;
 }
 
-static double estimateSeconds(const RequestState &Request,
+/// Time to set up an import.
+static constexpr double ImportSetupSeconds = 0.01;
+
+/// \returns the tokens that the store has and \p Each lacks.
+static double importableTokens(const PlacementQuery &Query,
+                               const Candidate &Each) {
+  if (!Query.Store || Query.StoreBlocks <= Each.CachedBlocks)
+    return 0;
+  return static_cast<double>((Query.StoreBlocks - Each.CachedBlocks) *
+                             cache::BlockTokens);
+}
+
+static double importSeconds(const PlacementQuery &Query, double Tokens) {
+  return ImportSetupSeconds + Tokens / Query.ImportTokensPerSecond;
+}
+
+bool importPays(const PlacementQuery &Query, const Candidate &Each) {
+  double Tokens = importableTokens(Query, Each);
+  if (Tokens <= 0 || Query.ImportTokensPerSecond <= 0)
+    return false;
+  return importSeconds(Query, Tokens) < Tokens / Each.Target->prefillRate();
+}
+
+uint64_t computedTokens(const PlacementQuery &Query, const Candidate &Each) {
+  if (!importPays(Query, Each))
+    return missingTokens(*Query.Request, Each);
+  Candidate Imported = Each;
+  Imported.CachedBlocks = Query.StoreBlocks;
+  return missingTokens(*Query.Request, Imported);
+}
+
+double prefillSeconds(const PlacementQuery &Query, const Candidate &Each) {
+  double Seconds = static_cast<double>(computedTokens(Query, Each)) /
+                   Each.Target->prefillRate();
+  if (importPays(Query, Each))
+    Seconds += importSeconds(Query, importableTokens(Query, Each));
+  return Seconds;
+}
+
+static double estimateSeconds(const PlacementQuery &Query,
                               const Candidate &Each,
                               LoadCorrection Correction) {
-  double Missing = static_cast<double>(missingTokens(Request, Each));
-  return Each.Target->waitSeconds(Correction) +
-         Missing / Each.Target->prefillRate();
+  return Each.Target->waitSeconds(Correction) + prefillSeconds(Query, Each);
 }
 
 /// Ranks by rendezvous weight, then takes the first below the bound on load.
@@ -60,14 +97,48 @@
                                    std::span<const Candidate> Candidates) {
   size_t Index =
       chooseBoundedHash(*Query.Request, Policy.LoadFactor, Candidates);
-  return {Index, estimateSeconds(*Query.Request, Candidates[Index],
-                                 LoadCorrection::OwnTries)};
+  return {Index,
+          estimateSeconds(Query, Candidates[Index], LoadCorrection::OwnTries)};
 }
 
-static PlacementChoice placeEstimated(const EstimatedTimePlacement &,
+/// \returns the score of one candidate, in weighed seconds; the least wins.
+static double scoreEstimate(const EstimatedTimePlacement &Policy,
+                            const PlacementQuery &Query,
+                            const Candidate &Each) {
+  double Prefill = prefillSeconds(Query, Each);
+  double Score = Each.Target->waitSeconds(Policy.Correction) + Prefill;
+  if (Query.Objective == config::Objective::HitRate)
+    Score += Policy.RecomputeWeight * Prefill;
+  else
+    Score += Policy.TailWeight * Each.Target->deviationSeconds();
+  // Among equals all routers prefer the same targets, so that a prefix that
+  // outgrows one home gets the same second one from each of them.
+  uint64_t Weight =
+      rendezvousWeight(Each.Target->idHash(), placementKey(*Query.Request));
+  double Rank = 1 - static_cast<double>(Weight >> 11) * 0x1p-53;
+  double Whole = static_cast<double>(Query.Request->PromptTokens) /
+                 Each.Target->prefillRate();
+  return Score + Policy.RankWeight * Rank * Whole;
+}
+
+static PlacementChoice placeEstimated(const EstimatedTimePlacement &Policy,
                                       const PlacementQuery &Query,
                                       std::span<const Candidate> Candidates) {
-  return placeHashed({}, Query, Candidates);
+  bool Known =
+      std::any_of(Candidates.begin(), Candidates.end(),
+                  [](const Candidate &Each) { return Each.CachedBlocks > 0; });
+  if (!Known && !Query.Request->Blocks.empty())
+    return placeHashed({}, Query, Candidates);
+  size_t Best = 0;
+  double BestScore = scoreEstimate(Policy, Query, Candidates[0]);
+  for (size_t Index = 1; Index < Candidates.size(); ++Index) {
+    double Score = scoreEstimate(Policy, Query, Candidates[Index]);
+    if (Score >= BestScore)
+      continue;
+    Best = Index;
+    BestScore = Score;
+  }
+  return {Best, estimateSeconds(Query, Candidates[Best], Policy.Correction)};
 }
 
 PlacementChoice place(const PlacementPolicy &Policy,
@@ -84,9 +155,9 @@
       },
       [&](const CustomPlacement &Chosen) {
         size_t Index = Chosen.Choose(Query, Candidates);
-        return PlacementChoice{
-            Index, estimateSeconds(*Query.Request, Candidates[Index],
-                                   LoadCorrection::OwnTries)};
+        return PlacementChoice{Index,
+                               estimateSeconds(Query, Candidates[Index],
+                                               LoadCorrection::OwnTries)};
       });
 }
 
--- a/Libraries/LibRouting/Placement.h
+++ b/Libraries/LibRouting/Placement.h
@@ -29,6 +29,11 @@
   const RequestState *Request = nullptr;
   config::Objective Objective = config::Objective::HitRate;
   Timestamp Now;
+  /// The cache store that holds the most of the prompt, or nullptr.
+  const TargetState *Store = nullptr;
+  /// Leading blocks that may be imported from it.
+  uint32_t StoreBlocks = 0;
+  double ImportTokensPerSecond = 0;
 };
 
 /// The index of the chosen candidate, and the estimate behind it.
@@ -79,9 +84,20 @@
 PlacementChoice placeCall(const PlacementQuery &Query,
                           std::span<const Candidate> Candidates);
 
-/// \returns the prompt tokens that \p Each would compute for \p Request.
+/// \returns the prompt tokens that \p Each lacks for \p Request.
 uint64_t missingTokens(const RequestState &Request, const Candidate &Each);
 
+/// \returns whether importing from the store is shorter than computing what
+/// the store has and \p Each lacks.
+bool importPays(const PlacementQuery &Query, const Candidate &Each);
+
+/// \returns the prompt tokens that \p Each would compute, imports counted.
+uint64_t computedTokens(const PlacementQuery &Query, const Candidate &Each);
+
+/// \returns the estimated seconds until \p Each would have the whole prompt
+/// computed or imported, once it begins.
+double prefillSeconds(const PlacementQuery &Query, const Candidate &Each);
+
 /// \returns the key by which the targets are ranked for \p Request.
 uint64_t placementKey(const RequestState &Request);
 
--- a/Libraries/LibRouting/Scheduler.cpp
+++ b/Libraries/LibRouting/Scheduler.cpp
@@ -5,7 +5,8 @@
 namespace ferry::routing {
 
 Scheduler::Scheduler(Options Chosen)
-    : Chosen(std::move(Chosen)), Random(this->Chosen.Seed) {}
+    : Chosen(std::move(Chosen)), Random(this->Chosen.Seed),
+      Index(cache::CacheIndex::create(this->Chosen.Cache)) {}
 
 Scheduler Scheduler::create(Options Chosen) {
   return Scheduler(std::move(Chosen));
@@ -45,7 +46,7 @@
       [&](const TryEnded &Each) { endTry(Each, Now); },
       [&](const Withdraw &Each) { withdraw(Each, Now); },
       [&](const ViewChanged &Each) { applyView(Each.View, Now); },
-      [&](const CacheEventsReceived &) {},
+      [&](const CacheEventsReceived &Each) { Index.apply(Each.Batch); },
       [&](const SchedulerTick &) { pumpAll(Now); });
   return std::exchange(Effects, {});
 }
@@ -81,7 +82,14 @@
     Old->second->announce(Record, *Service);
     Kept[Record.Id] = std::move(Old->second);
   }
+  for (const auto &[Id, Old] : Targets)
+    if (!Kept.contains(Id))
+      Index.removeHolder(Id);
   Targets = std::move(Kept);
+  for (auto &[Id, Target] : Targets)
+    if (Target->record().Kind == TargetKind::Engine ||
+        Target->record().Kind == TargetKind::CacheStore)
+      Target->Holder = Index.addHolder(Id, Target->record().Incarnation);
 }
 
 static bool dependsOn(const config::Service &Service, const ServiceId &Other) {
@@ -117,6 +125,12 @@
   }
 }
 
+RateLearning Scheduler::learning() const {
+  const auto *Estimated =
+      std::get_if<EstimatedTimePlacement>(&Chosen.Placement);
+  return Estimated ? Estimated->Learning : RateLearning::Learned;
+}
+
 TargetState *Scheduler::findTarget(const TargetId &Id,
                                    ferry::Incarnation Life) {
   auto Found = Targets.find(Id);
@@ -137,6 +151,7 @@
   Status.Known = Requests.size();
   Status.Queued = Queued;
   Status.Counters = Counters;
+  Status.Cache = Index.status();
   for (const auto &[Id, Target] : Targets)
     Status.Targets.push_back(
         {Id, Target->record().Incarnation, Target->record().Service,
--- a/Libraries/LibRouting/Scheduler.h
+++ b/Libraries/LibRouting/Scheduler.h
@@ -3,6 +3,7 @@
 #ifndef FERRY_LIBROUTING_SCHEDULER_H
 #define FERRY_LIBROUTING_SCHEDULER_H
 
+#include "LibCache/CacheIndex.h"
 #include "LibCore/Random.h"
 #include "LibRouting/Placement.h"
 #include "LibRouting/RequestState.h"
@@ -27,6 +28,9 @@
     HostId Self;
     uint64_t Seed = 1;
     PlacementPolicy Placement = EstimatedTimePlacement{};
+    cache::CacheIndex::Options Cache = {};
+    /// Prompt tokens per second that a cache store's export carries.
+    double ImportTokensPerSecond = 200'000;
   };
 
   static Scheduler create(Options Chosen);
@@ -38,6 +42,11 @@
   /// \returns figures for the state dump and the metrics.
   SchedulerStatus status(Timestamp Now) const;
 
+  /// \returns whether \p Target should send a listing of its whole cache.
+  bool wantsListing(const TargetId &Target) const {
+    return Index.wantsListing(Target);
+  }
+
   /// \returns the requests that wait for a target.
   size_t queuedRequests() const { return Queued; }
 
@@ -76,6 +85,13 @@
   bool tryDispatch(ServicePool &Pool, RequestState &Request, Timestamp Now);
   void collectCandidates(ServicePool &Pool, const RequestState &Request,
                          Timestamp Now);
+  PlacementQuery makeQuery(const ServicePool &Pool, const RequestState &Request,
+                           Timestamp Now) const;
+  const TargetState *findBestStore(const ServicePool &Pool,
+                                   Timestamp Now) const;
+  std::vector<ImportPlan> planImports(const ServicePool &Pool,
+                                      const PlacementQuery &Query,
+                                      const Candidate &Chosen) const;
   PlacementChoice choose(const ServicePool &Pool, const RequestState &Request,
                          Timestamp Now);
   void dispatch(ServicePool &Pool, RequestState &Request,
@@ -85,12 +101,14 @@
   void applyView(RoutingViewPtr Newer, Timestamp Now);
   void rebuildTargets();
   void rebuildPools(Timestamp Now);
+  RateLearning learning() const;
   TargetState *findTarget(const TargetId &Id, ferry::Incarnation Life);
   uint32_t shareOf(const WorkspaceId &Workspace) const;
 
   Options Chosen;
   RandomGenerator Random;
   RoutingViewPtr View;
+  cache::CacheIndex Index;
   std::map<TargetId, std::unique_ptr<TargetState>> Targets;
   PoolMap Pools;
   RequestMap Requests;
@@ -99,6 +117,7 @@
   std::vector<SchedulerEffect> Effects;
   /// Reused between decisions, to spare allocations.
   std::vector<Candidate> Candidates;
+  cache::CacheMatches Matches;
 };
 
 } // namespace ferry::routing
--- a/Libraries/LibRouting/SchedulerDispatch.cpp
+++ b/Libraries/LibRouting/SchedulerDispatch.cpp
@@ -46,19 +46,62 @@
 void Scheduler::collectCandidates(ServicePool &Pool,
                                   const RequestState &Request, Timestamp Now) {
   Candidates.clear();
+  Index.lookup(Request.Blocks, Matches);
   for (TargetState *Target : Pool.Targets) {
     if (!Target->isUsable(Pool.Service, Now) ||
         Request.hasTried(Target->record().Id))
       continue;
     auto Space =
         Target->hasRoom(Now) ? Candidate::Room::Free : Candidate::Room::Full;
-    Candidates.push_back({Target, Space, 0, 0});
+    cache::HolderMatch Match = Matches.of(Target->Holder);
+    Candidates.push_back({Target, Space, Match.CachedBlocks, Match.SureBlocks});
   }
 }
 
+const TargetState *Scheduler::findBestStore(const ServicePool &Pool,
+                                            Timestamp Now) const {
+  const TargetState *Best = nullptr;
+  uint32_t BestBlocks = 0;
+  for (const TargetState *Store : Pool.Stores) {
+    const TargetRecord &Record = Store->record();
+    if (Record.Phase != TargetPhase::Ready || Now >= Record.UsableUntil)
+      continue;
+    // Only sure entries may be imported.
+    uint32_t Blocks = Matches.of(Store->Holder).SureBlocks;
+    if (Blocks <= BestBlocks)
+      continue;
+    Best = Store;
+    BestBlocks = Blocks;
+  }
+  return Best;
+}
+
+PlacementQuery Scheduler::makeQuery(const ServicePool &Pool,
+                                    const RequestState &Request,
+                                    Timestamp Now) const {
+  PlacementQuery Query;
+  Query.Request = &Request;
+  Query.Objective = Pool.Service.Objective;
+  Query.Now = Now;
+  Query.Store = findBestStore(Pool, Now);
+  if (Query.Store)
+    Query.StoreBlocks = Matches.of(Query.Store->Holder).SureBlocks;
+  Query.ImportTokensPerSecond = Chosen.ImportTokensPerSecond;
+  return Query;
+}
+
+std::vector<ImportPlan> Scheduler::planImports(const ServicePool &Pool,
+                                               const PlacementQuery &Query,
+                                               const Candidate &Best) const {
+  if (Pool.Service.Kind != TargetKind::Engine || !importPays(Query, Best))
+    return {};
+  const TargetRecord &Store = Query.Store->record();
+  return {{Store.Id, Store.Address, Query.StoreBlocks}};
+}
+
 PlacementChoice Scheduler::choose(const ServicePool &Pool,
                                   const RequestState &Request, Timestamp Now) {
-  PlacementQuery Query{&Request, Pool.Service.Objective, Now};
+  PlacementQuery Query = makeQuery(Pool, Request, Now);
   if (Request.Kind == RequestKind::Call)
     return placeCall(Query, Candidates);
   return place(Chosen.Placement, Query, Candidates);
@@ -89,11 +132,12 @@
   --Queued;
   Pool.Drain.note(Request.work(), !Pool.Queue.empty(), Now);
   const TargetRecord &Record = Best.Target->record();
+  PlacementQuery Query = makeQuery(Pool, Request, Now);
   TryState Try;
   Try.Target = Record.Id;
   Try.Incarnation = Record.Incarnation;
   Try.SentAt = Now;
-  Try.MissingTokens = missingTokens(Request, Best);
+  Try.MissingTokens = computedTokens(Query, Best);
   Try.WorkAhead = Best.Target->queuedPrefill(LoadCorrection::OwnTries) +
                   static_cast<double>(Try.MissingTokens);
   Try.ExpectedFirstByteAt = Now + toDuration(EstimateSeconds);
@@ -104,13 +148,10 @@
       std::min(Best.SureBlocks * cache::BlockTokens, Request.PromptTokens);
   ++Counters.Dispatched;
   Counters.ExpectedCachedTokens += Expected;
-  Effects.push_back(Dispatch{Request.Id,
-                             Record.Id,
-                             Record.Incarnation,
-                             Record.Weights,
-                             Record.Address,
-                             Expected,
-                             {}});
+  Effects.push_back(Dispatch{Request.Id, Record.Id, Record.Incarnation,
+                             Record.Weights, Record.Address, Expected,
+                             planImports(Pool, Query, Best)});
+  Index.presume(Best.Target->Holder, Request.Blocks);
 }
 
 } // namespace ferry::routing
--- a/Libraries/LibRouting/SchedulerEvents.h
+++ b/Libraries/LibRouting/SchedulerEvents.h
@@ -4,6 +4,7 @@
 #define FERRY_LIBROUTING_SCHEDULEREVENTS_H
 
 #include "LibCache/BlockHash.h"
+#include "LibCache/BlockNames.h"
 #include "LibCache/CacheEvent.h"
 #include "LibCore/EnumNames.h"
 #include "LibCore/Ids.h"
@@ -77,6 +78,9 @@
   RequestId Id;
   /// Tokens of the prompt that the engine found in its cache.
   uint64_t CachedTokens = 0;
+  /// The engine's own names of the prompt's leading whole blocks, where it
+  /// tells them; empty if it took the router's hashes.
+  std::vector<cache::EngineBlockName> BlockNames = {};
 };
 
 /// A try has ended. Unless it succeeded or was cancelled, the Scheduler
--- a/Libraries/LibRouting/SchedulerStatus.h
+++ b/Libraries/LibRouting/SchedulerStatus.h
@@ -3,6 +3,7 @@
 #ifndef FERRY_LIBROUTING_SCHEDULERSTATUS_H
 #define FERRY_LIBROUTING_SCHEDULERSTATUS_H
 
+#include "LibCache/CacheIndex.h"
 #include "LibRouting/SchedulerEvents.h"
 #include <map>
 #include <vector>
@@ -48,6 +49,7 @@
   uint64_t Known = 0;
   uint64_t Queued = 0;
   SchedulerCounters Counters;
+  cache::CacheIndexStatus Cache;
   std::vector<TargetStatus> Targets;
   std::vector<FlowStatus> Flows;
 };
--- a/Libraries/LibRouting/SchedulerTries.cpp
+++ b/Libraries/LibRouting/SchedulerTries.cpp
@@ -16,8 +16,12 @@
   uint64_t Computed = Request.PromptTokens > Event.CachedTokens
                           ? Request.PromptTokens - Event.CachedTokens
                           : 0;
-  if (TargetState *Target = findTarget(Try.Target, Try.Incarnation))
-    Target->noteFirstByte(Try, Computed, RateLearning::Learned, Now);
+  if (TargetState *Target = findTarget(Try.Target, Try.Incarnation)) {
+    Target->noteFirstByte(Try, Computed, learning(), Now);
+    Index.learnNames(Target->Holder, Request.Blocks, Event.BlockNames);
+    Index.correct(Target->Holder, Request.Blocks,
+                  Event.CachedTokens / cache::BlockTokens);
+  }
   auto Pool = Pools.find(Request.Service);
   if (Pool != Pools.end())
     pump(Pool->second, Now);
--- a/Libraries/LibRouting/TargetState.h
+++ b/Libraries/LibRouting/TargetState.h
@@ -3,6 +3,7 @@
 #ifndef FERRY_LIBROUTING_TARGETSTATE_H
 #define FERRY_LIBROUTING_TARGETSTATE_H
 
+#include "LibCache/BlockTable.h"
 #include "LibConfig/Description.h"
 #include "LibCore/TargetRecord.h"
 #include "LibRouting/RequestState.h"
@@ -61,6 +62,8 @@
   /// Work of waiting requests that prefer this target, in prompt tokens; set
   /// anew in each round over the queue.
   double HeldTokens = 0;
+  /// Its number in the cache index.
+  cache::HolderNumber Holder = cache::NoHolder;
 
 private:
   void noteFailure(Timestamp Now);
