--- a/Tests/LibCache/TestCacheIndex.cpp
+++ b/Tests/LibCache/TestCacheIndex.cpp
@@ -282,16 +282,16 @@
     std::set<uint64_t> Blocks;
   };
   std::vector<Model> Models(4);
-  auto targetOf = [](size_t Each) {
+  auto TargetOf = [](size_t Each) {
     return TargetId{"e" + std::to_string(Each)};
   };
   std::vector<HolderNumber> Holders;
   for (size_t Each = 0; Each < Models.size(); ++Each)
-    Holders.push_back(Index.addHolder(targetOf(Each), Incarnation{1}));
+    Holders.push_back(Index.addHolder(TargetOf(Each), Incarnation{1}));
   for (int Round = 0; Round < 3000; ++Round) {
     size_t Each = randomBelow(Random, Models.size());
     Model &Engine = Models[Each];
-    CacheEventBatch Batch{targetOf(Each),
+    CacheEventBatch Batch{TargetOf(Each),
                           Incarnation{Engine.Life},
                           Engine.Next,
                           CacheEventBatch::Scope::Changes,
@@ -300,7 +300,7 @@
     uint64_t Kind = randomBelow(Random, 100);
     if (Kind < 2) {
       Engine = Model{Engine.Life + 1, 1, {}};
-      Holders[Each] = Index.addHolder(targetOf(Each), Incarnation{Engine.Life});
+      Holders[Each] = Index.addHolder(TargetOf(Each), Incarnation{Engine.Life});
       continue;
     }
     if (Kind < 6) {
