--- a/Libraries/LibRouting/RoutingView.h
+++ b/Libraries/LibRouting/RoutingView.h
@@ -23,6 +23,8 @@
   /// "IP:port" for callers.
   std::string CallerAddress;
   HostStanding Standing = HostStanding::Silent;
+  /// The greatest incarnation heard of; 0 before the first.
+  ferry::Incarnation Incarnation = {};
 };
 
 /// What this router knows at one moment. Built by the control thread; shared
