--- /dev/null
+++ b/Libraries/LibTraffic/CallerRequest.cpp
@@ -0,0 +1,149 @@
+#include "LibTraffic/CallerRequest.h"
+#include <algorithm>
+#include <charconv>
+
+namespace ferry::traffic {
+
+/// Longest value of an identifying header, in bytes.
+static constexpr size_t MaxNameBytes = 128;
+/// Longest deadline that a caller may name.
+static constexpr uint64_t MaxDeadlineMillis = 3'600'000;
+/// When a caller of a refusing host may come back.
+static constexpr std::chrono::seconds RefusingHostRetry{2};
+
+static tl::unexpected<ErrorAnswer> badHeader(const char *Name) {
+  return makeError(
+      ErrorAnswer{AnswerError::BadHeader,
+                  std::string("header ") + Name + " is missing or malformed"});
+}
+
+static bool isPrintable(const std::string &Text) {
+  return Text.size() <= MaxNameBytes &&
+         std::all_of(Text.begin(), Text.end(),
+                     [](unsigned char C) { return C > 0x20 && C < 0x7f; });
+}
+
+static std::optional<uint64_t> parseMillis(const std::string &Text) {
+  uint64_t Millis = 0;
+  auto [End, Failure] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Millis);
+  bool Whole = Failure == std::errc() && End == Text.data() + Text.size();
+  if (!Whole || Millis == 0 || Millis > MaxDeadlineMillis)
+    return std::nullopt;
+  return Millis;
+}
+
+/// Checks the workspace and its token; a host without a description cannot.
+static AnswerResult<void> tryAdmitWorkspace(const TrafficContext &Context,
+                                            const HttpExchange &Exchange,
+                                            const CallerRequest &Caller) {
+  if (!Caller.View->Description)
+    return {};
+  const config::Workspace *Workspace =
+      Caller.View->Description->findWorkspace(Caller.Workspace);
+  if (!Workspace)
+    return makeError(ErrorAnswer{AnswerError::UnknownWorkspace,
+                                 "the description has no such workspace"});
+  bool Granted = Workspace->Token == config::TokenPolicy::NotRequired ||
+                 Context.Tokens.grants(Workspace->TokenName,
+                                       Exchange.header("Authorization"));
+  if (!Granted)
+    return makeError(ErrorAnswer{AnswerError::Unauthorized,
+                                 "the workspace needs its bearer token"});
+  return {};
+}
+
+AnswerResult<CallerRequest> tryReadCaller(TrafficContext &Context,
+                                          const HttpExchange &Exchange) {
+  CallerRequest Caller;
+  Caller.View = Context.Placements.view();
+  Caller.Workspace = {Exchange.header("X-Workspace")};
+  if (Caller.Workspace.empty() || !isPrintable(Caller.Workspace.Value))
+    return badHeader("X-Workspace");
+  if (!isPrintable(Exchange.header("X-Request-Id")))
+    return badHeader("X-Request-Id");
+  Caller.IdempotencyKey = Exchange.header("Idempotency-Key");
+  if (!isPrintable(Caller.IdempotencyKey))
+    return badHeader("Idempotency-Key");
+  if (std::string Text = Exchange.header("X-Deadline-Ms"); !Text.empty()) {
+    auto Millis = parseMillis(Text);
+    if (!Millis)
+      return badHeader("X-Deadline-Ms");
+    Caller.DeadlineMillis = *Millis;
+  }
+  if (std::string Text = Exchange.header("X-Priority"); !Text.empty()) {
+    auto Priority = enumFromName<routing::Priority>(Text);
+    if (!Priority)
+      return badHeader("X-Priority");
+    Caller.Priority = *Priority;
+  }
+  if (auto Admitted = tryAdmitWorkspace(Context, Exchange, Caller); !Admitted)
+    return makeError(Admitted.error());
+  // Callers may reuse their request ids; the echo needs one that never repeats.
+  Caller.Id = {Context.Settings.Host.Value + "-" +
+               std::to_string(Context.Incarnation.Value) + "-" +
+               std::to_string(Context.NextRequest++)};
+  return Caller;
+}
+
+Timestamp requestDeadline(const CallerRequest &Caller,
+                          const config::Service &Service) {
+  uint64_t Millis = Caller.DeadlineMillis != 0 ? Caller.DeadlineMillis
+                                               : Service.DefaultDeadlineMillis;
+  return steadyNow() + std::chrono::milliseconds(Millis);
+}
+
+std::vector<std::string> otherEntries(const TrafficContext &Context,
+                                      const WorkspaceId &Workspace) {
+  std::vector<std::string> Addresses;
+  auto View = Context.Placements.view();
+  for (const auto &Host :
+       Context.RankEntries(*View, Workspace, Context.Settings.DataCentre))
+    if (Host.Id != Context.Settings.Host)
+      Addresses.push_back(Host.CallerAddress);
+  return Addresses;
+}
+
+AdmissionAnswer admissionAt(const TrafficContext &Context,
+                            const routing::RoutingView &View,
+                            const WorkspaceId &Workspace, Timestamp Now) {
+  auto Refuse = [&](routing::RefusalKind Kind, Admission Mode) {
+    AdmissionAnswer Answer{Mode,
+                           refusalAnswer({{}, Kind, Now + RefusingHostRetry})};
+    Answer.Refusal.Entries = otherEntries(Context, Workspace);
+    return Answer;
+  };
+  if (Context.RefuseFrom.load() <= Now)
+    return Refuse(routing::RefusalKind::Draining, Admission::Refused);
+  if (!View.Description)
+    return Refuse(routing::RefusalKind::NoDescription, Admission::Refused);
+  if (View.ConfirmedUntil > Now)
+    return {};
+  bool ServesReads = View.Description->WhenUnconfirmed ==
+                     config::UnconfirmedPolicy::ServeReads;
+  return Refuse(routing::RefusalKind::Unconfirmed,
+                ServesReads ? Admission::ReadsOnly : Admission::Refused);
+}
+
+std::optional<ErrorAnswer> stopBeforeSend(TrafficContext &Context,
+                                          const CallerRequest &Caller,
+                                          Timestamp Deadline, SendKind Kind) {
+  Timestamp Now = steadyNow();
+  if (Now >= Deadline) {
+    Context.Counters.add(TrafficCount::LateSendsStopped);
+    return refusalAnswer({Caller.Id, routing::RefusalKind::DeadlinePassed, {}});
+  }
+  auto View = Context.Placements.view();
+  if (Kind == SendKind::Resume || View->ConfirmedUntil > Now)
+    return std::nullopt;
+  auto Answer = admissionAt(Context, *View, Caller.Workspace, Now);
+  // Work that was taken before a shutdown began is finished.
+  bool Stops = Answer.Refusal.Type == AnswerError::Unconfirmed &&
+               (Kind == SendKind::Write || Answer.Mode == Admission::Refused);
+  if (!Stops)
+    return std::nullopt;
+  Context.Counters.add(TrafficCount::LateSendsStopped);
+  return Answer.Refusal;
+}
+
+} // namespace ferry::traffic
--- /dev/null
+++ b/Libraries/LibTraffic/ChatRelay.cpp
@@ -0,0 +1,254 @@
+#include "LibTraffic/ChatRelay.h"
+#include "LibCore/Visit.h"
+#include "LibTraffic/EngineTry.h"
+#include "LibTraffic/Json.h"
+#include <Poco/JSON/Array.h>
+
+namespace ferry::traffic {
+
+using namespace ferry::routing;
+
+/// Largest whole answer of an engine, in bytes.
+static constexpr uint64_t MaxAnswerBytes = 16ULL << 20;
+/// When a caller whose stream was lost may try again.
+static constexpr std::chrono::seconds LostStreamRetry{1};
+
+static cache::CacheScope cacheScope(const CallerRequest &Caller,
+                                    const config::Service &Service,
+                                    WeightsVersion Weights) {
+  return {Caller.Workspace, Service.Model, Service.Adapter, Weights};
+}
+
+ChatRelay::ChatRelay(TrafficContext &Context, HttpExchange &Exchange,
+                     CallerRequest Caller, ChatRequest Request,
+                     std::string Body, const config::Service &Service)
+    : Context(Context), Exchange(Exchange), Caller(std::move(Caller)),
+      Request(std::move(Request)), Body(std::move(Body)), Service(Service),
+      Deadline(requestDeadline(this->Caller, Service)) {}
+
+void ChatRelay::run() {
+  Placement Placed = submit();
+  while (Placed) {
+    TryEnd End = tryOn(*Placed);
+    if (auto *Failed = std::get_if<TryFailed>(&End)) {
+      Context.Counters.add(TrafficCount::FailedTries);
+      Placed = retry(Failed->Outcome);
+      continue;
+    }
+    bool Whole = std::holds_alternative<Answered>(End);
+    Context.Placements.finished(Caller.Id, Whole ? TryOutcome::Succeeded
+                                                 : TryOutcome::Cancelled);
+    bool Cancel = MayHaveRun && (std::holds_alternative<CallerLeft>(End) ||
+                                 std::holds_alternative<DeadlinePassed>(End));
+    if (Cancel)
+      cancelOnEngine(*Placed, TryId);
+    match(
+        End,
+        [&](Answered) { Context.Counters.add(TrafficCount::AnsweredWhole); },
+        [&](CallerLeft) { Context.Counters.add(TrafficCount::CallersLeft); },
+        [&](DeadlinePassed) {
+          refuse({Caller.Id, RefusalKind::DeadlinePassed, {}});
+        },
+        [&](NotSent &Stopped) { fail(std::move(Stopped.Why)); },
+        [&](EngineRefused Refused) {
+          fail(
+              {AnswerError::BadRequest, "the engine refused the request with " +
+                                            std::to_string(Refused.Status)});
+        },
+        [](TryFailed) {});
+    return;
+  }
+  refuse(Placed.error());
+}
+
+Placement ChatRelay::submit() {
+  SubmitRequest Submitted;
+  Submitted.Id = Caller.Id;
+  Submitted.Workspace = Caller.Workspace;
+  Submitted.Service = Service.Id;
+  Submitted.Priority = Caller.Priority;
+  Submitted.Deadline = Deadline;
+  Submitted.Blocks = cache::hashBlocks(
+      cacheScope(Caller, Service, Service.Weights), Request.Prompt);
+  Submitted.PromptTokens = cache::estimateTokens(Request.Prompt);
+  Submitted.MaxOutputTokens = Request.MaxOutputTokens;
+  return Context.Placements.submit(std::move(Submitted), callerGone());
+}
+
+Placement ChatRelay::retry(TryOutcome Outcome) {
+  if (StreamBegun && !Resumable) {
+    Context.Placements.finished(Caller.Id, Outcome);
+    return makeError(Refusal{Caller.Id, RefusalKind::NoTarget,
+                             steadyNow() + LostStreamRetry});
+  }
+  return Context.Placements.retry(Caller.Id, Outcome, Deadline, callerGone());
+}
+
+ChatRelay::TryEnd ChatRelay::tryOn(const Dispatch &Dispatch) {
+  TryId = {Caller.Id.Value + "." + std::to_string(++Tries)};
+  // Tokens of other weights would not continue what the caller has.
+  if (StreamBegun && Dispatch.Weights != StreamWeights)
+    return TryFailed{TryOutcome::NotSent};
+  auto Connection = TargetConnection::tryConnect(Dispatch.Address, Deadline);
+  if (!Connection)
+    return TryFailed{TryOutcome::NotSent};
+  return exchangeOn(**Connection, Dispatch);
+}
+
+ChatRelay::TryEnd ChatRelay::exchangeOn(TargetConnection &Connection,
+                                        const Dispatch &Dispatch) {
+  auto Blocks = cache::hashBlocks(cacheScope(Caller, Service, Dispatch.Weights),
+                                  Request.Prompt);
+  HeaderList Headers =
+      engineHeaders(Dispatch, TryId, Caller.Priority, Blocks, NextToken);
+  // A stream that has begun is finished also by a host that refuses new work.
+  auto Kind = StreamBegun ? SendKind::Resume : SendKind::Read;
+  if (auto Stop = stopBeforeSend(Context, Caller, Deadline, Kind))
+    return NotSent{std::move(*Stop)};
+  MayHaveRun = true;
+  if (auto Sent = Connection.trySend("POST", ChatPath, Headers, Body, Deadline);
+      !Sent)
+    return afterLinkError(Sent.error());
+  if (auto Head =
+          Connection.tryReceiveHead(limits(Context.Limits.FirstByteLimit));
+      !Head)
+    return afterLinkError(Head.error());
+  if (auto Echo = tryCheckEcho(Connection, Dispatch, TryId); !Echo)
+    return afterLinkError(Echo.error());
+  int Status = Connection.status();
+  if (Status == 429 || Status == 503)
+    return TryFailed{TryOutcome::Rejected};
+  if (Status >= 400 && Status < 500)
+    return EngineRefused{Status};
+  if (Status != 200)
+    return TryFailed{TryOutcome::Failed};
+  if (!StreamBegun)
+    Context.Placements.firstByte(Caller.Id, cachedTokens(Connection));
+  if (Request.Form == AnswerForm::Whole)
+    return relayWhole(Connection);
+  if (StreamBegun)
+    Context.Counters.add(TrafficCount::StreamsResumed);
+  StreamWeights = Dispatch.Weights;
+  return relayEvents(Connection);
+}
+
+ChatRelay::TryEnd ChatRelay::relayWhole(TargetConnection &Connection) {
+  auto Whole = Connection.tryReadWhole(MaxAnswerBytes,
+                                       limits(Context.Limits.StallLimit));
+  if (!Whole)
+    return afterLinkError(Whole.error());
+  if (!tryParseObject(*Whole))
+    return TryFailed{TryOutcome::Failed};
+  if (!Exchange.sendJson(200, *Whole))
+    return CallerLeft{};
+  return Answered{};
+}
+
+ChatRelay::TryEnd ChatRelay::relayEvents(TargetConnection &Connection) {
+  EventSplitter Splitter;
+  while (true) {
+    auto Piece = Connection.tryReadPiece(limits(Context.Limits.StallLimit));
+    if (!Piece)
+      return afterLinkError(Piece.error());
+    if (Piece->empty() || !Splitter.push(*Piece))
+      return TryFailed{TryOutcome::Failed};
+    std::string Out;
+    std::optional<TryEnd> End;
+    while (!End) {
+      auto Event = Splitter.next();
+      if (!Event)
+        break;
+      End = takeEvent(*Event, Out);
+    }
+    if (!Out.empty() && !StreamBegun) {
+      Exchange.beginEvents();
+      StreamBegun = true;
+    }
+    if (!Out.empty() && !Exchange.writeEvents(Out))
+      return CallerLeft{};
+    if (End)
+      return *End;
+  }
+}
+
+std::optional<ChatRelay::TryEnd> ChatRelay::takeEvent(const ServerEvent &Event,
+                                                      std::string &Out) {
+  if (Event.Data.empty())
+    return std::nullopt;
+  if (Event.Data == "[DONE]") {
+    if (!streamFinished())
+      return TryFailed{TryOutcome::Failed};
+    Out += Event.Raw;
+    return Answered{};
+  }
+  if (Event.Token && *Event.Token < NextToken)
+    return std::nullopt;
+  if (Event.Token && *Event.Token > NextToken)
+    return TryFailed{TryOutcome::Failed};
+  Resumable = Resumable && Event.Token.has_value();
+  ++NextToken;
+  LastData = Event.Data;
+  Out += Event.Raw;
+  return std::nullopt;
+}
+
+bool ChatRelay::streamFinished() const {
+  auto Object = tryParseObject(LastData);
+  if (!Object)
+    return false;
+  auto Choices = (*Object)->getArray("choices");
+  if (!Choices || Choices->size() == 0)
+    return false;
+  auto Choice = Choices->getObject(0);
+  return Choice && stringMember(*Choice, "finish_reason").has_value();
+}
+
+ChatRelay::TryEnd ChatRelay::afterLinkError(const LinkError &Error) {
+  switch (Error.Kind) {
+  case LinkErrorKind::CallerGone:
+    return CallerLeft{};
+  case LinkErrorKind::DeadlinePassed:
+    return DeadlinePassed{};
+  case LinkErrorKind::WrongEcho:
+    Context.Counters.add(TrafficCount::EchoMismatches);
+    break;
+  default:
+    break;
+  }
+  return TryFailed{TryOutcome::Failed};
+}
+
+WaitLimits ChatRelay::limits(Duration Stall) const {
+  return {Deadline, Stall, Exchange.socket().impl()->sockfd()};
+}
+
+CallerGone ChatRelay::callerGone() const {
+  return [this] { return Exchange.callerGone(); };
+}
+
+void ChatRelay::refuse(const Refusal &Refusal) {
+  ErrorAnswer Error = refusalAnswer(Refusal);
+  if (StreamBegun && Refusal.Kind != RefusalKind::DeadlinePassed) {
+    Error.Type = AnswerError::StreamLost;
+    Error.Message = "the engine was lost and no other one can go on";
+  }
+  if (!MayHaveRun)
+    Error.Entries = otherEntries(Context, Caller.Workspace);
+  fail(std::move(Error));
+}
+
+void ChatRelay::fail(ErrorAnswer Error) {
+  Error.NotRun = MayHaveRun ? NotRun::Unknown : NotRun::True;
+  if (StreamBegun)
+    Error.NotRun = NotRun::False;
+  if (!Exchange.answered()) {
+    Context.Counters.add(TrafficCount::Refused);
+    Exchange.sendError(Error);
+    return;
+  }
+  Context.Counters.add(TrafficCount::StreamsLost);
+  Exchange.writeEvents("event: error\ndata: " + errorBody(Error, steadyNow()) +
+                       "\n\n");
+}
+
+} // namespace ferry::traffic
--- /dev/null
+++ b/Libraries/LibTraffic/ChatRequest.h
@@ -0,0 +1,32 @@
+/// \file
+/// The parts of a chat completion request that a router reads.
+#ifndef FERRY_LIBTRAFFIC_CHATREQUEST_H
+#define FERRY_LIBTRAFFIC_CHATREQUEST_H
+
+#include "LibCore/Ids.h"
+#include "LibTraffic/HttpExchange.h"
+#include <string>
+
+namespace ferry::traffic {
+
+/// Whether the caller wants server-sent events or one JSON answer.
+enum class AnswerForm : uint8_t { Whole, Events };
+
+/// One chat completion request.
+struct ChatRequest {
+  ModelId Model;
+  /// Roles and texts of all messages in order; equal beginnings of two
+  /// conversations give equal beginnings here.
+  std::string Prompt;
+  AnswerForm Form = AnswerForm::Whole;
+  uint64_t MaxOutputTokens = 0;
+};
+
+/// Parses the JSON \p Body. \returns BadJson for one that is malformed or lacks
+/// a member, TooLarge for a prompt beyond \p MaxPromptBytes.
+AnswerResult<ChatRequest> tryParseChatRequest(const std::string &Body,
+                                              uint64_t MaxPromptBytes);
+
+} // namespace ferry::traffic
+
+#endif
--- /dev/null
+++ b/Libraries/LibTraffic/HttpExchange.cpp
@@ -0,0 +1,207 @@
+#include "LibTraffic/HttpExchange.h"
+#include <Poco/Exception.h>
+#include <Poco/String.h>
+#include <Poco/URI.h>
+#include <algorithm>
+#include <poll.h>
+
+namespace ferry::traffic {
+
+/// Bytes read from a body at a time, so that memory grows with what has come.
+static constexpr uint64_t BodyChunkBytes = 64ULL << 10;
+/// When a request refused for lack of body memory may come again.
+static constexpr std::chrono::seconds BodyBudgetRetry{1};
+
+bool BodyBudget::tryTake(uint64_t Bytes) {
+  auto Wanted = static_cast<int64_t>(Bytes);
+  if (Free.fetch_sub(Wanted) >= Wanted)
+    return true;
+  Free.fetch_add(Wanted);
+  return false;
+}
+
+void BodyBudget::giveBack(uint64_t Bytes) {
+  Free.fetch_add(static_cast<int64_t>(Bytes));
+}
+
+HttpExchange::HttpExchange(Poco::Net::HTTPServerRequest &Request,
+                           Poco::Net::HTTPServerResponse &Response,
+                           Poco::Net::StreamSocket Socket, BodyBudget &Budget,
+                           std::function<void()> BodyDone)
+    : Request(Request), Response(Response), Socket(std::move(Socket)),
+      Budget(Budget), BodyDone(std::move(BodyDone)) {}
+
+HttpExchange::~HttpExchange() { Budget.giveBack(TakenBytes); }
+
+/// Whether each segment of the decoded \p Path names itself only, so that a
+/// router and a target cannot read it differently.
+static bool isPlainPath(const std::string &Path) {
+  if (Path.empty() || Path.front() != '/')
+    return false;
+  bool HasControl = std::any_of(Path.begin(), Path.end(), [](unsigned char C) {
+    return C < 0x20 || C == 0x7f || C == '\\' || C == ';';
+  });
+  return !HasControl && Path.find("//") == std::string::npos &&
+         (Path + "/").find("/./") == std::string::npos &&
+         (Path + "/").find("/../") == std::string::npos;
+}
+
+AnswerResult<RequestTarget> HttpExchange::tryTarget() const {
+  try {
+    Poco::URI Uri;
+    const std::string &Raw = Request.getURI();
+    std::string RawPath = Raw.substr(0, Raw.find('?'));
+    bool HidesSlash = Poco::toLower(RawPath).find("%2f") != std::string::npos;
+    Uri.setPathEtc(Raw);
+    if (HidesSlash || !isPlainPath(Uri.getPath()))
+      return makeError(
+          ErrorAnswer{AnswerError::BadPath, "the path is not a plain one"});
+    RequestTarget Target{Uri.getPath(), {}, Uri.getRawQuery()};
+    for (auto &[Name, Value] : Uri.getQueryParameters())
+      Target.Query.emplace(Name, Value);
+    return Target;
+  } catch (const Poco::Exception &) {
+    return makeError(
+        ErrorAnswer{AnswerError::BadPath, "the request target is malformed"});
+  }
+}
+
+std::string HttpExchange::header(const std::string &Name) const {
+  return Request.get(Name, "");
+}
+
+AnswerResult<uint64_t> HttpExchange::tryContentLength(uint64_t MaxBytes) const {
+  // A body cut off in the middle must never count as whole; only a length
+  // given ahead shows that under every way in which a connection can end.
+  if (Request.has("Transfer-Encoding"))
+    return makeError(
+        ErrorAnswer{AnswerError::LengthRequired,
+                    "a body needs a Content-Length and no other encoding"});
+  if (!Request.has("Content-Length")) {
+    if (method() == "GET" || method() == "HEAD")
+      return 0;
+    return makeError(ErrorAnswer{AnswerError::LengthRequired,
+                                 "the request needs a Content-Length"});
+  }
+  std::string Text = header("Content-Length");
+  bool Plain = !Text.empty() && Text.size() <= 18 &&
+               std::all_of(Text.begin(), Text.end(),
+                           [](char C) { return C >= '0' && C <= '9'; });
+  if (!Plain)
+    return makeError(
+        ErrorAnswer{AnswerError::BadHeader, "Content-Length is not a number"});
+  uint64_t Length = std::stoull(Text);
+  if (Length > MaxBytes)
+    return makeError(ErrorAnswer{AnswerError::TooLarge,
+                                 "the body may have at most " +
+                                     std::to_string(MaxBytes) + " bytes"});
+  return Length;
+}
+
+AnswerResult<std::string> HttpExchange::tryReadBody(uint64_t MaxBytes) {
+  auto Length = tryContentLength(MaxBytes);
+  if (!Length)
+    return makeError(Length.error());
+  if (!Budget.tryTake(*Length))
+    return makeError(ErrorAnswer{AnswerError::QueueFull,
+                                 "too many request bodies are in hand",
+                                 NotRun::True, steadyNow() + BodyBudgetRetry});
+  TakenBytes += *Length;
+  std::string Body;
+  try {
+    if (*Length > 0 && Request.getExpectContinue())
+      Response.sendContinue();
+    std::istream &Stream = Request.stream();
+    while (Body.size() < *Length && Stream.good()) {
+      uint64_t Start = Body.size();
+      uint64_t Piece = std::min(BodyChunkBytes, *Length - Start);
+      Body.resize(Start + Piece);
+      Stream.read(Body.data() + Start, static_cast<std::streamsize>(Piece));
+      Body.resize(Start + static_cast<uint64_t>(Stream.gcount()));
+    }
+  } catch (const Poco::Exception &) {
+    // Reported below as a body that ended early.
+  }
+  if (Body.size() < *Length)
+    return makeError(ErrorAnswer{AnswerError::RequestTimeout,
+                                 "the body ended before its length"});
+  BodyRead = true;
+  BodyDone();
+  return Body;
+}
+
+bool HttpExchange::bodyUnread() const {
+  bool HasBody =
+      Request.has("Transfer-Encoding") ||
+      (Request.has("Content-Length") && Request.get("Content-Length") != "0");
+  return HasBody && !BodyRead;
+}
+
+void HttpExchange::setHeader(const std::string &Name,
+                             const std::string &Value) {
+  Response.set(Name, Value);
+}
+
+bool HttpExchange::send(int Status, const std::string &ContentType,
+                        const std::string &Body) {
+  try {
+    if (bodyUnread())
+      Response.setKeepAlive(false);
+    Response.setStatusAndReason(
+        static_cast<Poco::Net::HTTPResponse::HTTPStatus>(Status));
+    Response.setContentType(ContentType);
+    Response.setContentLength64(static_cast<Poco::Int64>(Body.size()));
+    std::ostream &Out = Response.send();
+    if (method() != "HEAD")
+      Out << Body;
+    Out.flush();
+    return Out.good();
+  } catch (const Poco::Exception &) {
+    return false;
+  }
+}
+
+bool HttpExchange::sendJson(int Status, const std::string &Body) {
+  return send(Status, "application/json", Body);
+}
+
+bool HttpExchange::sendError(const ErrorAnswer &Error) {
+  Timestamp Now = steadyNow();
+  if (auto Seconds = retryAfterSeconds(Error, Now))
+    setHeader("Retry-After", std::to_string(*Seconds));
+  if (Error.Type == AnswerError::Unauthorized)
+    setHeader("WWW-Authenticate", "Bearer");
+  return sendJson(httpStatus(Error.Type), errorBody(Error, Now));
+}
+
+void HttpExchange::beginEvents() {
+  try {
+    Response.setStatusAndReason(Poco::Net::HTTPResponse::HTTP_OK);
+    Response.setContentType("text/event-stream");
+    Response.set("Cache-Control", "no-store");
+    Response.setChunkedTransferEncoding(true);
+    Response.setKeepAlive(false);
+    Events = &Response.send();
+  } catch (const Poco::Exception &) {
+    Events = nullptr;
+  }
+}
+
+bool HttpExchange::writeEvents(const std::string &Text) {
+  if (!Events)
+    return false;
+  try {
+    Events->write(Text.data(), static_cast<std::streamsize>(Text.size()));
+    Events->flush();
+    return Events->good();
+  } catch (const Poco::Exception &) {
+    return false;
+  }
+}
+
+bool HttpExchange::callerGone() const {
+  pollfd Poll{Socket.impl()->sockfd(), POLLRDHUP, 0};
+  return ::poll(&Poll, 1, 0) > 0;
+}
+
+} // namespace ferry::traffic
--- /dev/null
+++ b/Libraries/LibTraffic/Json.cpp
@@ -0,0 +1,63 @@
+#include "LibTraffic/Json.h"
+#include <Poco/JSON/Parser.h>
+
+namespace ferry::traffic {
+
+/// Deepest nesting of arrays and objects that is parsed.
+static constexpr size_t MaxDepth = 32;
+
+static tl::unexpected<ErrorAnswer> badJson(const char *Message) {
+  return makeError(ErrorAnswer{AnswerError::BadJson, Message});
+}
+
+AnswerResult<Poco::JSON::Object::Ptr> tryParseObject(const std::string &Text) {
+  try {
+    Poco::JSON::Parser Parser;
+    Parser.setDepth(MaxDepth);
+    Poco::Dynamic::Var Value = Parser.parse(Text);
+    if (Value.type() != typeid(Poco::JSON::Object::Ptr))
+      return badJson("the body is not a JSON object");
+    return Value.extract<Poco::JSON::Object::Ptr>();
+  } catch (const std::exception &) {
+    return badJson("the body is not well-formed JSON");
+  }
+}
+
+std::optional<std::string> stringMember(const Poco::JSON::Object &Object,
+                                        const std::string &Name) {
+  Poco::Dynamic::Var Value = Object.get(Name);
+  if (!Value.isString())
+    return std::nullopt;
+  return Value.extract<std::string>();
+}
+
+std::optional<uint64_t> numberMember(const Poco::JSON::Object &Object,
+                                     const std::string &Name, uint64_t Max) {
+  Poco::Dynamic::Var Value = Object.get(Name);
+  if (Value.isEmpty() || Value.isBoolean() || !Value.isInteger())
+    return std::nullopt;
+  try {
+    auto Number = Value.convert<Poco::UInt64>();
+    if (Number > Max)
+      return std::nullopt;
+    return Number;
+  } catch (const Poco::Exception &) {
+    return std::nullopt;
+  }
+}
+
+std::optional<bool> flagMember(const Poco::JSON::Object &Object,
+                               const std::string &Name) {
+  Poco::Dynamic::Var Value = Object.get(Name);
+  if (!Value.isBoolean())
+    return std::nullopt;
+  return Value.extract<bool>();
+}
+
+tl::unexpected<ErrorAnswer> badMember(const std::string &Name) {
+  return makeError(
+      ErrorAnswer{AnswerError::BadJson,
+                  "member \"" + Name + "\" is missing or of a wrong type"});
+}
+
+} // namespace ferry::traffic
--- /dev/null
+++ b/Libraries/LibTraffic/TargetServer.h
@@ -0,0 +1,47 @@
+/// \file
+/// The routes for targets.
+#ifndef FERRY_LIBTRAFFIC_TARGETSERVER_H
+#define FERRY_LIBTRAFFIC_TARGETSERVER_H
+
+#include "LibTraffic/HttpListener.h"
+#include "LibTraffic/TrafficContext.h"
+#include <memory>
+#include <string>
+
+namespace ferry::traffic {
+
+/// Parses an announcement. Its UsableUntil is the end of the silence that a
+/// target may keep from \p Now on.
+AnswerResult<TargetRecord> tryParseAnnouncement(const std::string &Body,
+                                                Timestamp Now);
+
+/// Parses a batch of cache events of \p Target.
+AnswerResult<cache::CacheEventBatch>
+tryParseCacheEvents(const std::string &Body, const TargetId &Target);
+
+/// Takes announcements and cache events on one address.
+class TargetServer {
+public:
+  /// Binds the settings' target address and starts.
+  static Result<std::unique_ptr<TargetServer>, TrafficError>
+  tryStart(TrafficContext &Context);
+
+  /// The "IP:port" it listens on.
+  const std::string &address() const { return Listener->address(); }
+  /// Ends the server; requests in work have until \p Deadline.
+  void stop(Timestamp Deadline) { Listener->stop(Deadline); }
+
+private:
+  explicit TargetServer(TrafficContext &Context) : Context(Context) {}
+
+  void handle(HttpExchange &Exchange);
+  void handleAnnouncement(HttpExchange &Exchange);
+  void handleEvents(HttpExchange &Exchange, const TargetId &Target);
+
+  TrafficContext &Context;
+  std::unique_ptr<HttpListener> Listener;
+};
+
+} // namespace ferry::traffic
+
+#endif
--- /dev/null
+++ b/Libraries/LibTraffic/TokenStore.cpp
@@ -0,0 +1,71 @@
+#include "LibTraffic/TokenStore.h"
+#include <Poco/String.h>
+#include <fstream>
+#include <sstream>
+
+namespace ferry::traffic {
+
+/// Largest key file, in bytes.
+static constexpr size_t MaxTokenFileBytes = 1 << 20;
+
+bool equalInConstantTime(std::string_view Shown, std::string_view Expected) {
+  // The differing lengths are folded in, so that no early return shows one.
+  size_t Difference = Shown.size() ^ Expected.size();
+  for (size_t I = 0; I < Shown.size(); ++I) {
+    char Other = Expected.empty() ? '\0' : Expected[I % Expected.size()];
+    Difference |= static_cast<unsigned char>(Shown[I] ^ Other);
+  }
+  return Difference == 0;
+}
+
+Result<TokenStore, TrafficError>
+TokenStore::tryLoad(const std::filesystem::path &Path) {
+  if (Path.empty())
+    return TokenStore();
+  std::ifstream File(Path, std::ios::binary);
+  if (!File)
+    return makeTypedError(TrafficErrorKind::TokenFileUnreadable, Path.string());
+  std::string Text(MaxTokenFileBytes + 1, '\0');
+  File.read(Text.data(), static_cast<std::streamsize>(Text.size()));
+  Text.resize(static_cast<size_t>(File.gcount()));
+  if (Text.size() > MaxTokenFileBytes)
+    return makeTypedError(TrafficErrorKind::TokenFileMalformed,
+                          Path.string() + " is too large");
+  return tryParse(Text);
+}
+
+Result<TokenStore, TrafficError> TokenStore::tryParse(const std::string &Text) {
+  TokenStore Store;
+  std::istringstream Lines(Text);
+  std::string Line;
+  for (size_t Number = 1; std::getline(Lines, Line); ++Number) {
+    Line = Poco::trim(Line);
+    if (Line.empty() || Line.front() == '#')
+      continue;
+    size_t Colon = Line.find(':');
+    std::string Name = Poco::trim(Line.substr(0, Colon));
+    std::string Token;
+    if (Colon != std::string::npos)
+      Token = Poco::trim(Line.substr(Colon + 1));
+    bool Fresh = !Name.empty() && !Token.empty() &&
+                 Store.Tokens.emplace(Name, Token).second;
+    // The line itself may hold a token and is not repeated in the error.
+    if (!Fresh)
+      return makeTypedError(TrafficErrorKind::TokenFileMalformed,
+                            "line " + std::to_string(Number) +
+                                " is not a new \"name: token\" line");
+  }
+  return Store;
+}
+
+bool TokenStore::grants(const std::string &Name,
+                        std::string_view Authorization) const {
+  static constexpr std::string_view Scheme = "Bearer ";
+  auto Found = Tokens.find(Name);
+  if (Found == Tokens.end() || !Authorization.starts_with(Scheme))
+    return false;
+  return equalInConstantTime(Authorization.substr(Scheme.size()),
+                             Found->second);
+}
+
+} // namespace ferry::traffic
--- /dev/null
+++ b/Libraries/LibTraffic/TrafficContext.h
@@ -0,0 +1,51 @@
+/// \file
+/// What all request handlers of one process share.
+#ifndef FERRY_LIBTRAFFIC_TRAFFICCONTEXT_H
+#define FERRY_LIBTRAFFIC_TRAFFICCONTEXT_H
+
+#include "LibConfig/Settings.h"
+#include "LibTraffic/ControlPort.h"
+#include "LibTraffic/Dispatcher.h"
+#include "LibTraffic/TokenStore.h"
+#include "LibTraffic/TrafficCounters.h"
+#include <atomic>
+
+namespace ferry::traffic {
+
+/// Time limits of traffic, all relative to the start of what they limit.
+struct TrafficLimits {
+  /// Longest wait for the first byte of an engine's answer.
+  Duration FirstByteLimit = std::chrono::seconds(60);
+  /// Longest wait for the next byte of a stream.
+  Duration StallLimit = std::chrono::seconds(10);
+  /// Time between two questions for the end of a call that another try runs.
+  Duration ClaimPollPeriod = std::chrono::milliseconds(50);
+  /// Longest wait for the ledger to record the end of a call.
+  Duration SettleLimit = std::chrono::seconds(3);
+};
+
+/// \returns the hosts that callers of a workspace should use, best first.
+using EntryRanker = std::function<std::vector<routing::HostView>(
+    const routing::RoutingView &, const WorkspaceId &, const DataCentreId &)>;
+
+/// Shared by the handlers; outlives them.
+struct TrafficContext {
+  config::Settings Settings;
+  ferry::Incarnation Incarnation;
+  ControlPort Control;
+  EntryRanker RankEntries;
+  TrafficLimits Limits;
+  TokenStore Tokens;
+  Dispatcher &Placements;
+  TrafficCounters Counters;
+  /// Numbers the requests of this process.
+  std::atomic<uint64_t> NextRequest{1};
+  /// New work is refused from then on, for the graceful shutdown.
+  std::atomic<Timestamp> RefuseFrom{NeverExpires};
+  /// Requests of callers that are in hand, entry questions not counted.
+  std::atomic<int64_t> InHand{0};
+};
+
+} // namespace ferry::traffic
+
+#endif
