--- /dev/null
+++ b/Libraries/LibObserve/Histogram.cpp
@@ -0,0 +1,37 @@
+#include "LibObserve/Histogram.h"
+#include <algorithm>
+#include <cassert>
+#include <limits>
+
+namespace ferry::observe {
+
+/// The axis needs two edges or more: the lowest is minus infinity, so that the
+/// values above all bounds, negated, have a bucket of their own.
+static std::vector<double> negatedEdges(const std::vector<double> &Bounds) {
+  assert(!Bounds.empty());
+  assert(std::is_sorted(Bounds.begin(), Bounds.end()));
+  std::vector<double> Edges = {-std::numeric_limits<double>::infinity()};
+  for (auto Bound = Bounds.rbegin(); Bound != Bounds.rend(); ++Bound)
+    Edges.push_back(-*Bound);
+  return Edges;
+}
+
+Histogram::Histogram(const std::vector<double> &Bounds)
+    : Buckets(std::make_tuple(Axis(negatedEdges(Bounds)))) {}
+
+Histogram::Reading Histogram::reading() const {
+  Reading Result;
+  // With an index, axis() returns a variant, which would convert to another
+  // axis made of its bins.
+  const Axis &Edges = Buckets.axis();
+  // The overflow bucket holds the values up to the least bound.
+  for (int Bucket = Edges.size(); Bucket >= 0; --Bucket) {
+    Result.Counts.push_back(Buckets.at(Bucket).load());
+    if (Bucket > 0)
+      Result.Bounds.push_back(-Edges.value(Bucket));
+  }
+  Result.Sum = Total.load(std::memory_order_relaxed);
+  return Result;
+}
+
+} // namespace ferry::observe
