--- a/Libraries/LibConfig/ParseSettings.cpp
+++ b/Libraries/LibConfig/ParseSettings.cpp
@@ -25,6 +25,8 @@
   Host.PeerAddress = Map.text("peers", Presence::Required, TextForm::Address);
   Host.CallerAddress =
       Map.text("callers", Presence::Required, TextForm::Address);
+  Host.TargetAddress =
+      Map.text("targets", Presence::Optional, TextForm::Address);
   return Host;
 }
 
@@ -40,6 +42,9 @@
     if (!Host.CallerAddress.empty() &&
         !Addresses.insert(Host.CallerAddress).second)
       Map.fail(ConfigErrorKind::Duplicate, "callers", Host.CallerAddress);
+    if (!Host.TargetAddress.empty() &&
+        !Addresses.insert(Host.TargetAddress).second)
+      Map.fail(ConfigErrorKind::Duplicate, "targets", Host.TargetAddress);
     Result.Hosts.push_back(std::move(Host));
   });
 }
--- a/Libraries/LibConfig/Settings.h
+++ b/Libraries/LibConfig/Settings.h
@@ -24,6 +24,9 @@
   std::string PeerAddress;
   /// "IP:port" of its address for callers.
   std::string CallerAddress;
+  /// "IP:port" for targets; where it is empty, targets are not told to send
+  /// their cache events to this host.
+  std::string TargetAddress;
   DataCentreId DataCentre;
   HostRole Role = HostRole::Router;
 };
--- a/Libraries/LibConsensus/LogDriver.cpp
+++ b/Libraries/LibConsensus/LogDriver.cpp
@@ -120,6 +120,17 @@
   return Failure ? std::nullopt : Machine->leader();
 }
 
+void LogDriver::visitUnapplied(
+    const std::function<void(std::string_view)> &Visit) const {
+  if (Failure)
+    return;
+  const EntryLog &Log = Machine->log();
+  uint64_t First = Machine->status().AppliedIndex + 1;
+  for (uint64_t Index = First; Index <= Log.lastIndex(); ++Index)
+    if (Log.at(Index).Kind == EntryKind::Command)
+      Visit(Log.at(Index).Payload);
+}
+
 bool LogDriver::isLeader() const { return !Failure && Machine->isLeader(); }
 
 bool LogDriver::isVoter() const { return standing() == Standing::Voter; }
--- a/Libraries/LibConsensus/LogDriver.h
+++ b/Libraries/LibConsensus/LogDriver.h
@@ -96,6 +96,10 @@
   const std::optional<StorageError> &failure() const { return Failure; }
   /// \returns counters and positions, for dumps.
   ReplicaStatus status() const;
+  /// Calls \p Visit for each command that the log holds behind the applied
+  /// ones, committed or not, in its order.
+  void visitUnapplied(
+      const std::function<void(std::string_view Command)> &Visit) const;
   /// \returns how many payloads were malformed or foreign.
   uint64_t droppedPayloads() const { return Dropped; }
 
