--- a/Libraries/LibTraffic/CallerRequest.cpp
+++ b/Libraries/LibTraffic/CallerRequest.cpp
@@ -1,4 +1,5 @@
 #include "LibTraffic/CallerRequest.h"
+#include "LibRouting/Entries.h"
 #include <algorithm>
 #include <charconv>
 
@@ -98,7 +99,7 @@
   std::vector<std::string> Addresses;
   auto View = Context.Placements.view();
   for (const auto &Host :
-       Context.RankEntries(*View, Workspace, Context.Settings.DataCentre))
+       routing::rankEntries(*View, Workspace, Context.Settings.DataCentre))
     if (Host.Id != Context.Settings.Host)
       Addresses.push_back(Host.CallerAddress);
   return Addresses;
--- a/Libraries/LibTraffic/CallerServer.cpp
+++ b/Libraries/LibTraffic/CallerServer.cpp
@@ -1,4 +1,5 @@
 #include "LibTraffic/CallerServer.h"
+#include "LibRouting/Entries.h"
 #include "LibTraffic/CallerRequest.h"
 #include "LibTraffic/ChatRelay.h"
 #include "LibTraffic/ClaimedCall.h"
@@ -82,7 +83,7 @@
 }
 
 /// \returns the JSON object of one entry.
-static std::string entryJson(const routing::HostView &Host,
+static std::string entryJson(const routing::EntryHost &Host,
                              uint32_t LifetimeMillis) {
   return "{\"host\":" + jsonString(Host.Id.Value) +
          ",\"address\":" + jsonString(Host.CallerAddress) +
@@ -92,13 +93,12 @@
 
 /// \returns the hosts of the settings, for a router that knows none to be
 /// alive.
-static std::vector<routing::HostView>
+static std::vector<routing::EntryHost>
 listedHosts(const config::Settings &Settings, routing::HostStanding Own) {
-  std::vector<routing::HostView> Hosts;
+  std::vector<routing::EntryHost> Hosts;
   for (const config::PeerHost &Peer : Settings.Hosts)
     if (Peer.Id != Settings.Host || Own == routing::HostStanding::Serving)
-      Hosts.push_back({Peer.Id, Peer.DataCentre, Peer.CallerAddress,
-                       routing::HostStanding::Silent});
+      Hosts.push_back({Peer.Id, Peer.DataCentre, Peer.CallerAddress});
   return Hosts;
 }
 
@@ -114,12 +114,13 @@
         {AnswerError::BadRequest, "the query needs workspace=NAME"});
     return;
   }
-  DataCentreId Near = Context.Settings.DataCentre;
+  std::optional<DataCentreId> Near = Context.Settings.DataCentre;
   if (auto Found = Target.Query.find("data_centre");
       Found != Target.Query.end())
-    Near = {Found->second};
+    Near = DataCentreId{Found->second};
   auto View = Context.Placements.view();
-  auto Hosts = Context.RankEntries(*View, {Workspace->second}, Near);
+  auto Hosts = routing::rankEntries(*View, {Workspace->second}, Near,
+                                    Exchange.callerKey());
   if (Hosts.empty())
     Hosts = listedHosts(Context.Settings, View->OwnStanding);
   std::string Body =
--- a/Libraries/LibTraffic/ClaimedCall.cpp
+++ b/Libraries/LibTraffic/ClaimedCall.cpp
@@ -137,6 +137,15 @@
                             "the idempotency key is older than the ledger",
                             NotRun::Unknown});
       },
+      [&](const ClaimReleased &) {
+        Exchange.sendError({AnswerError::InProgress,
+                            "this try was given up before it ran", NotRun::True,
+                            RetryAt});
+      },
+      [&](const ClaimStampAhead &) {
+        Exchange.sendError(
+            {AnswerError::BadHeader, "the idempotency key's time lies ahead"});
+      },
       [&](const ClaimLedgerFull &) {
         Exchange.sendError({AnswerError::LedgerFull,
                             "the ledger takes no further key at present",
--- a/Libraries/LibTraffic/Dispatcher.cpp
+++ b/Libraries/LibTraffic/Dispatcher.cpp
@@ -10,8 +10,8 @@
 /// Time between two looks at whether the caller of a waiting request is there.
 static constexpr std::chrono::milliseconds CallerCheckPeriod{100};
 
-Dispatcher::Dispatcher(SchedulerStep Step)
-    : Step(std::move(Step)), View(std::make_shared<RoutingView>()),
+Dispatcher::Dispatcher(Scheduler Owned)
+    : Owned(std::move(Owned)), View(std::make_shared<RoutingView>()),
       Ticker([this] { tickUntilStopped(); }) {}
 
 Dispatcher::~Dispatcher() {
@@ -61,6 +61,11 @@
     std::lock_guard Lock(ViewMutex);
     View = NewView;
   }
+  if (NewView->OwnStanding == HostStanding::Draining) {
+    auto Shown = std::make_shared<RoutingView>(*NewView);
+    Shown->OwnStanding = HostStanding::Serving;
+    NewView = std::move(Shown);
+  }
   std::lock_guard Lock(Mutex);
   step(ViewChanged{std::move(NewView)});
 }
@@ -75,6 +80,11 @@
   return Waiters.size();
 }
 
+SchedulerStatus Dispatcher::status() const {
+  std::lock_guard Lock(Mutex);
+  return Owned.status(steadyNow());
+}
+
 Placement Dispatcher::await(SchedulerEvent Event, const RequestId &Id,
                             Timestamp Deadline, const CallerGone &Gone) {
   std::unique_lock Lock(Mutex);
@@ -100,8 +110,8 @@
 
 void Dispatcher::step(SchedulerEvent Event) {
   std::vector<RequestId> Orphans;
-  auto Apply = [&](SchedulerEvent Next) {
-    for (SchedulerEffect &Effect : Step(std::move(Next), steadyNow()))
+  auto Apply = [&](const SchedulerEvent &Next) {
+    for (SchedulerEffect &Effect : Owned.step(Next, steadyNow()))
       match(
           Effect,
           [&](Dispatch &Sent) {
@@ -113,7 +123,7 @@
             deliver(Id, makeError(std::move(Refused)), Orphans);
           });
   };
-  Apply(std::move(Event));
+  Apply(Event);
   // A dispatch without a waiter frees its place on the target again.
   while (!Orphans.empty()) {
     RequestId Id = Orphans.back();
--- a/Libraries/LibTraffic/Dispatcher.h
+++ b/Libraries/LibTraffic/Dispatcher.h
@@ -4,7 +4,7 @@
 #define FERRY_LIBTRAFFIC_DISPATCHER_H
 
 #include "LibCore/Result.h"
-#include "LibRouting/SchedulerEvents.h"
+#include "LibRouting/Scheduler.h"
 #include <atomic>
 #include <condition_variable>
 #include <functional>
@@ -26,11 +26,7 @@
 /// Owns the Scheduler behind a mutex. All functions are safe from any thread.
 class Dispatcher {
 public:
-  /// The step function of the Scheduler that this dispatcher owns.
-  using SchedulerStep = std::function<std::vector<routing::SchedulerEffect>(
-      routing::SchedulerEvent, Timestamp)>;
-
-  explicit Dispatcher(SchedulerStep Step);
+  explicit Dispatcher(routing::Scheduler Owned);
   ~Dispatcher();
   Dispatcher(const Dispatcher &) = delete;
   Dispatcher &operator=(const Dispatcher &) = delete;
@@ -53,7 +49,8 @@
   /// Passes on a batch of cache events.
   void cacheEvents(cache::CacheEventBatch Batch);
 
-  /// Takes a new snapshot from the control thread.
+  /// Takes a new snapshot from the control thread. The Scheduler is not shown a
+  /// drain: the servers refuse new work once the entries have expired.
   void setView(routing::RoutingViewPtr View);
 
   /// \returns the newest snapshot; never nullptr.
@@ -62,6 +59,9 @@
   /// \returns the number of requests that wait for a placement.
   size_t waiting() const;
 
+  /// \returns the Scheduler's figures.
+  routing::SchedulerStatus status() const;
+
 private:
   /// A request thread that waits; lives on that thread's stack.
   struct Waiter {
@@ -77,7 +77,7 @@
   void tickUntilStopped();
 
   mutable std::mutex Mutex;
-  SchedulerStep Step;
+  routing::Scheduler Owned;
   std::unordered_map<RequestId, Waiter *> Waiters;
   std::condition_variable TickWanted;
   bool Stopping = false;
--- a/Libraries/LibTraffic/ErrorAnswer.cpp
+++ b/Libraries/LibTraffic/ErrorAnswer.cpp
@@ -156,7 +156,11 @@
     {routing::RefusalKind::RetryBudgetSpent, AnswerError::RetryBudgetSpent,
      "the try failed and the budget of retries is spent"},
     {routing::RefusalKind::DeadlinePassed, AnswerError::DeadlinePassed,
-     "the deadline passed while the request was waiting"}};
+     "the deadline passed while the request was waiting"},
+    {routing::RefusalKind::RepeatForbidden, AnswerError::TargetFailed,
+     "the try failed and the call may not be repeated"},
+    {routing::RefusalKind::DuplicateRequest, AnswerError::Internal,
+     "the request is known already"}};
 
 ErrorAnswer refusalAnswer(const routing::Refusal &Refusal) {
   ErrorAnswer Answer;
--- a/Libraries/LibTraffic/HttpExchange.cpp
+++ b/Libraries/LibTraffic/HttpExchange.cpp
@@ -199,6 +199,10 @@
   }
 }
 
+uint64_t HttpExchange::callerKey() const {
+  return std::hash<std::string>()(Request.clientAddress().host().toString());
+}
+
 bool HttpExchange::callerGone() const {
   pollfd Poll{Socket.impl()->sockfd(), POLLRDHUP, 0};
   return ::poll(&Poll, 1, 0) > 0;
--- a/Libraries/LibTraffic/HttpExchange.h
+++ b/Libraries/LibTraffic/HttpExchange.h
@@ -87,6 +87,8 @@
 
   /// Whether an answer has been started.
   bool answered() const { return Response.sent(); }
+  /// \returns a number that is equal for all requests from one IP address.
+  uint64_t callerKey() const;
   /// Whether the caller has closed its side of the connection.
   bool callerGone() const;
   /// The connection's socket, to wait on.
--- a/Libraries/LibTraffic/TrafficContext.h
+++ b/Libraries/LibTraffic/TrafficContext.h
@@ -24,16 +24,11 @@
   Duration SettleLimit = std::chrono::seconds(3);
 };
 
-/// \returns the hosts that callers of a workspace should use, best first.
-using EntryRanker = std::function<std::vector<routing::HostView>(
-    const routing::RoutingView &, const WorkspaceId &, const DataCentreId &)>;
-
 /// Shared by the handlers; outlives them.
 struct TrafficContext {
   config::Settings Settings;
   ferry::Incarnation Incarnation;
   ControlPort Control;
-  EntryRanker RankEntries;
   TrafficLimits Limits;
   TokenStore Tokens;
   Dispatcher &Placements;
--- a/Libraries/LibTraffic/TrafficFront.cpp
+++ b/Libraries/LibTraffic/TrafficFront.cpp
@@ -7,18 +7,17 @@
 static constexpr std::chrono::milliseconds DrainCheckPeriod{20};
 
 TrafficFront::TrafficFront(TrafficOptions &&Options, TokenStore Tokens)
-    : Placements(std::move(Options.Step)), Context{
-                                               std::move(Options.Settings),
-                                               Options.Incarnation,
-                                               std::move(Options.Control),
-                                               std::move(Options.RankEntries),
-                                               Options.Limits,
-                                               std::move(Tokens),
-                                               Placements,
-                                               {},
-                                               {1},
-                                               {NeverExpires},
-                                               {0}} {}
+    : Placements(routing::Scheduler::create(Options.Scheduler)),
+      Context{std::move(Options.Settings),
+              Options.Incarnation,
+              std::move(Options.Control),
+              Options.Limits,
+              std::move(Tokens),
+              Placements,
+              {},
+              {1},
+              {NeverExpires},
+              {0}} {}
 
 Result<std::unique_ptr<TrafficFront>, TrafficError>
 TrafficFront::tryStart(TrafficOptions Options) {
--- a/Libraries/LibTraffic/TrafficFront.h
+++ b/Libraries/LibTraffic/TrafficFront.h
@@ -19,9 +19,7 @@
   /// This life of the host; greater than that of any earlier one.
   ferry::Incarnation Incarnation;
   ControlPort Control;
-  /// The Scheduler's step function; called under one mutex.
-  Dispatcher::SchedulerStep Step;
-  EntryRanker RankEntries;
+  routing::Scheduler::Options Scheduler;
   /// Metrics of the other parts, in the Prometheus text format.
   std::function<std::string()> MetricsText = [] { return std::string(); };
   TrafficLimits Limits;
