ferryd: Run registry, membership and traffic of a host in one process

Cause: the thin whole path needs separate processes. One control thread runs the step machines; the log syncs on a thread of its own; traffic threads reach the control thread by posted calls and read an immutable view. Ruled out: pushing accepted texts from the leader to every host, which at 400 hosts is work for one host; hosts fetch from whoever told them the number.

--- /dev/null
+++ b/Services/ferryd/ControlPlane.cpp
@@ -0,0 +1,227 @@
+#include "ferryd/ControlPlane.h"
+#include "LibCore/Random.h"
+#include "LibCore/Visit.h"
+#include "LibObserve/Log.h"
+#include "ferryd/ViewBuilder.h"
+
+namespace ferry::daemon {
+
+using namespace membership;
+using observe::Severity;
+
+/// Changes of the view within this time go out as one snapshot.
+static constexpr Duration ViewDelay = std::chrono::milliseconds(10);
+
+static Membership::Options membershipOptions(const config::Settings &Settings,
+                                             ferry::Incarnation Life) {
+  Membership::Options Options;
+  Options.Self = Settings.Host;
+  Options.DataCentre = Settings.DataCentre;
+  Options.Incarnation = Life;
+  Options.Seed = systemSeed();
+  for (const config::PeerHost &Host : Settings.Hosts)
+    Options.Peers.push_back({Host.Id, Host.DataCentre});
+  return Options;
+}
+
+Result<std::unique_ptr<ControlPlane>, StartError>
+ControlPlane::tryStart(const config::Settings &Settings, ControlLoop &Loop,
+                       Hooks Calls) {
+  auto Opened = HostStore::tryOpen(Settings.DataFolder, unixNow());
+  if (!Opened)
+    return makeTypedError(StartErrorKind::Storage, Opened.error().message());
+  std::unique_ptr<ControlPlane> Plane(
+      new ControlPlane(Settings, Loop, std::move(Calls), std::move(*Opened)));
+  auto Started = Plane->tryStartParts();
+  if (!Started)
+    return makeError(Started.error());
+  return Plane;
+}
+
+ControlPlane::ControlPlane(const config::Settings &Settings, ControlLoop &Loop,
+                           Hooks Calls, HostStore Opened)
+    : Settings(Settings), Loop(Loop), Calls(std::move(Calls)),
+      Store(std::move(Opened)), Holder(Store),
+      Members(membershipOptions(Settings, Store.incarnation())),
+      Confirmed({Settings.controlHosts(), Holder.number(), systemSeed()}) {}
+
+ControlPlane::~ControlPlane() { Loop.cancel(TickTimer); }
+
+Result<void, StartError> ControlPlane::tryStartParts() {
+  auto Started = HostLink::tryStart(
+      Settings, Store.incarnation(), Loop,
+      [this](const HostId &From, wire::PayloadKind::type Kind,
+             const std::string &Payload) { receive(From, Kind, Payload); });
+  if (!Started)
+    return makeError(Started.error());
+  Link = std::move(*Started);
+  startGateway();
+  if (Settings.Role == config::HostRole::Control) {
+    auto Opened = tryOpenRegistry();
+    if (!Opened)
+      return Opened;
+  }
+  addDumpSections();
+  stepMembership(DescriptionApplied{Holder.number()});
+  tick();
+  return {};
+}
+
+void ControlPlane::startGateway() {
+  registry::RegistryClient::Options Options;
+  Options.ControlHosts = Settings.controlHosts();
+  Options.Seed = systemSeed();
+  Gateway = std::make_unique<RegistryGateway>(
+      Options, Loop,
+      [this](const HostId &To, const wire::RegistryRequest &Request) {
+        Link->send(To, wire::PayloadKind::RegistryRequest, Request);
+      });
+}
+
+Result<void, StartError> ControlPlane::tryOpenRegistry() {
+  consensus::LogOptions Options;
+  Options.Cluster = Settings.Cluster;
+  Options.Self = Settings.Host;
+  Options.Members = Settings.controlHosts();
+  Options.Folder = Settings.DataFolder / "log";
+  Options.Seed = systemSeed();
+  RegistryNode::Hooks NodeCalls;
+  NodeCalls.SendConsensus = [this](const HostId &To, std::string Payload) {
+    Link->sendBytes(To, wire::PayloadKind::Consensus, std::move(Payload));
+  };
+  NodeCalls.SendReply = [this](const HostId &To,
+                               const wire::RegistryReply &Reply) {
+    Link->send(To, wire::PayloadKind::RegistryReply, Reply);
+  };
+  NodeCalls.DescriptionChanged = [this] { takeFromRegistry(); };
+  NodeCalls.StandingChanged = [this] {
+    if (auto Leader = Node->log().leader())
+      Gateway->hintLeader(*Leader);
+  };
+  auto Opened = RegistryNode::tryOpen(std::move(Options), Loop, NodeCalls);
+  if (!Opened)
+    return makeTypedError(StartErrorKind::Storage, Opened.error().message());
+  Node = std::move(*Opened);
+  return {};
+}
+
+void ControlPlane::addDumpSection(std::string Name,
+                                  observe::StateDump::Section Make) {
+  Dump.add(std::move(Name), std::move(Make));
+}
+
+void ControlPlane::tick() {
+  stepConfirmation(ConfirmationTick{});
+  stepMembership(MembershipTick{});
+  updateStanding();
+  if (Confirmed.confirmedUntil() != ViewConfirmedUntil)
+    markViewChanged();
+  updateFigures();
+  TickTimer =
+      Loop.at(steadyNow() + Membership::TickInterval, [this] { tick(); });
+}
+
+void ControlPlane::beginDrain() {
+  Draining = true;
+  updateStanding();
+  markViewChanged();
+}
+
+void ControlPlane::close() {
+  Loop.cancel(TickTimer);
+  if (Node)
+    Node->close();
+}
+
+void ControlPlane::updateStanding() {
+  Standing Now = Standing::Serving;
+  if (!Confirmed.isConfirmed(steadyNow()))
+    Now = Standing::Unconfirmed;
+  if (Draining)
+    Now = Standing::Draining;
+  if (Now == OwnStanding)
+    return;
+  OwnStanding = Now;
+  observe::logEvent(Severity::Info, "control", "standing_changed",
+                    {{"standing", Now}});
+  stepMembership(LocalStanding{Now});
+  markViewChanged();
+}
+
+void ControlPlane::takeFromRegistry() {
+  const registry::StoredDescription &Accepted = Node->state().description();
+  wire::DescriptionCopy Copy;
+  Copy.Number = static_cast<int64_t>(Accepted.Number.Value);
+  Copy.Operation = Accepted.Operation;
+  Copy.Text = Accepted.Text;
+  takeDescription(Copy);
+}
+
+void ControlPlane::takeDescription(const wire::DescriptionCopy &Copy) {
+  auto Taken = Holder.tryTake(Copy);
+  if (!Taken) {
+    if (Taken.error().Kind != TakeErrorKind::NotNewer)
+      observe::logEvent(
+          Severity::Error, "control", "description_not_taken",
+          {{"number", Copy.Number}, {"reason", Taken.error().message()}});
+    return;
+  }
+  observe::logEvent(Severity::Info, "control", "description_in_force",
+                    {{"number", Copy.Number}, {"operation", Copy.Operation}});
+  stepConfirmation(ConfirmationApplied{Holder.number()});
+  stepMembership(DescriptionApplied{Holder.number()});
+  markViewChanged();
+}
+
+void ControlPlane::stepMembership(const MembershipEvent &Event) {
+  for (const MembershipEffect &Effect : Members.step(Event, steadyNow()))
+    match(
+        Effect,
+        [this](const MembershipSend &Sent) {
+          Link->send(Sent.To, wire::PayloadKind::Membership, Sent.Message);
+        },
+        [this](const TargetsChanged &) { markViewChanged(); },
+        [this](const HostsChanged &) { markViewChanged(); },
+        [this](const NewerDescriptionSeen &Seen) {
+          stepConfirmation(ConfirmationNumberHeard{Seen.Number, Seen.From});
+        },
+        [this](const membership::AnnouncementRefused &) {
+          AnnouncementRefused = true;
+        });
+}
+
+void ControlPlane::stepConfirmation(const ConfirmationEvent &Event) {
+  for (const ConfirmationEffect &Effect : Confirmed.step(Event, steadyNow()))
+    match(
+        Effect,
+        [this](const ConfirmationAsk &Ask) {
+          wire::ConfirmationMessage Message;
+          Message.__set_Query(Ask.Query);
+          Link->send(Ask.To, wire::PayloadKind::Confirmation, Message);
+        },
+        [this](const FetchDescription &Fetch) {
+          wire::DescriptionFetch Message;
+          Message.HaveNumber = static_cast<int64_t>(Holder.number().Value);
+          Link->send(Fetch.From, wire::PayloadKind::DescriptionFetch, Message);
+        });
+}
+
+void ControlPlane::markViewChanged() {
+  if (std::exchange(ViewPending, true))
+    return;
+  Loop.at(steadyNow() + ViewDelay, [this] { publishView(); });
+}
+
+void ControlPlane::publishView() {
+  ViewPending = false;
+  ViewConfirmedUntil = Confirmed.confirmedUntil();
+  ViewInputs Inputs{Settings,
+                    Holder,
+                    ViewConfirmedUntil,
+                    OwnStanding,
+                    Members.targets(steadyNow()),
+                    Members.hosts(steadyNow())};
+  Calls.ViewChanged(buildView(Inputs));
+}
+
+} // namespace ferry::daemon
--- /dev/null
+++ b/Services/ferryd/ControlPlaneDump.cpp
@@ -0,0 +1,142 @@
+// The control plane in the state dump and in the metrics.
+#include "ferryd/ControlPlane.h"
+
+namespace ferry::daemon {
+
+using Poco::JSON::Object;
+
+static Object::Ptr logSection(const consensus::LogDriver &Log) {
+  consensus::ReplicaStatus Status = Log.status();
+  Object::Ptr Section = new Object;
+  Section->set("replica", Status.Replica.Value);
+  Section->set("standing", std::string(enumName(Status.Now)));
+  Section->set("leads", Status.Leads);
+  Section->set("leader", Status.Leader.value_or(HostId{}).Value);
+  Section->set("term", Status.Term);
+  Section->set("commit_index", Status.CommitIndex);
+  Section->set("first_index", Status.FirstIndex);
+  Section->set("last_index", Status.LastIndex);
+  Section->set("snapshot_index", Status.SnapshotIndex);
+  Poco::JSON::Array Voters;
+  for (const consensus::Member &Voter : Status.Members.Voters)
+    Voters.add(Voter.Host.Value);
+  Section->set("voters", Voters);
+  if (Log.damage())
+    Section->set("damage", Log.damage()->message());
+  if (Log.failure())
+    Section->set("failure", Log.failure()->message());
+  return Section;
+}
+
+static Object::Ptr registrySection(const registry::Registry &State) {
+  Object::Ptr Section = new Object;
+  Section->set("description_number", State.greatestNumber().Value);
+  Section->set("claims", State.claims().entryCount());
+  Section->set("open_claims", State.claims().openCount());
+  Section->set("tombstones", State.claims().tombstoneCount());
+  Section->set("ledger_bytes", State.claims().memoryBytes());
+  registry::OrderLease Lease = State.lease(registry::DeploymentLease);
+  Section->set("lease_holder", Lease.Host.Value);
+  Section->set("lease_fencing", Lease.Fencing.Value);
+  Section->set("weights_loads", State.loads().size());
+  return Section;
+}
+
+static Object::Ptr hostsSection(const membership::Membership &Members) {
+  Object::Ptr Section = new Object;
+  for (const membership::HostState &Host : Members.hosts(steadyNow())) {
+    Object Entry;
+    Entry.set("data_centre", Host.DataCentre.Value);
+    Entry.set("standing", std::string(enumName(Host.Standing)));
+    Entry.set("incarnation", Host.Incarnation.Value);
+    Entry.set("description_number", Host.Number.Value);
+    Section->set(Host.Id.Value, Entry);
+  }
+  return Section;
+}
+
+static Object::Ptr targetsSection(const membership::Membership &Members) {
+  Object::Ptr Section = new Object;
+  Timestamp Now = steadyNow();
+  for (const TargetRecord &Target : Members.targets(Now)) {
+    Object Entry;
+    Entry.set("service", Target.Service.Value);
+    Entry.set("address", Target.Address);
+    Entry.set("data_centre", Target.DataCentre.Value);
+    Entry.set("phase", std::string(enumName(Target.Phase)));
+    Entry.set("incarnation", Target.Incarnation.Value);
+    Entry.set("weights", Target.Weights.Value);
+    Entry.set("running", Target.Load.RunningRequests);
+    Entry.set("usable_for_ms", millisUntil(Target.UsableUntil, Now));
+    Section->set(Target.Id.Value, Entry);
+  }
+  return Section;
+}
+
+static Object::Ptr peersSection(const HostLink &Link) {
+  const wire::TrafficCount &Count = Link.transport().traffic();
+  Object::Ptr Section = new Object;
+  Section->set("bytes_sent", Count.BytesSent);
+  Section->set("bytes_received", Count.BytesReceived);
+  Section->set("frames_sent", Count.FramesSent);
+  Section->set("frames_received", Count.FramesReceived);
+  Section->set("dropped_messages", Link.transport().droppedMessages());
+  Section->set("malformed_payloads", Link.malformedPayloads());
+  return Section;
+}
+
+void ControlPlane::updateFigures() {
+  Timestamp Now = steadyNow();
+  auto Set = [this](const char *Name, const char *Help, uint64_t Value) {
+    Figures.gauge(Name, Help).set(static_cast<double>(Value));
+  };
+  const wire::TrafficCount &Count = Link->transport().traffic();
+  Set("ferry_description_number", "Number in force on this host.",
+      Holder.number().Value);
+  Set("ferry_confirmed", "1 while the number is confirmed by a quorum.",
+      Confirmed.isConfirmed(Now) ? 1 : 0);
+  Set("ferry_targets_usable", "Targets that may get new work.",
+      Members.targets(Now).size());
+  Set("ferry_peer_bytes_sent", "Bytes sent to other hosts.", Count.BytesSent);
+  Set("ferry_peer_bytes_received", "Bytes received from other hosts.",
+      Count.BytesReceived);
+  Set("ferry_peer_messages_dropped", "Messages that could not be sent.",
+      Link->transport().droppedMessages());
+  Set("ferry_peer_payloads_malformed", "Payloads that could not be decoded.",
+      Link->malformedPayloads());
+  if (!Node)
+    return;
+  consensus::ReplicaStatus Status = Node->log().status();
+  Set("ferry_log_leads", "1 while this host leads the log.",
+      Status.Leads ? 1 : 0);
+  Set("ferry_log_voter", "1 while this host votes.",
+      Node->log().isVoter() ? 1 : 0);
+  Set("ferry_log_commit_index", "Last committed index.", Status.CommitIndex);
+  Set("ferry_log_term", "Term of the log.", Status.Term);
+  Set("ferry_ledger_open_claims", "Calls under way in the ledger.",
+      Node->state().claims().openCount());
+}
+
+void ControlPlane::addDumpSections() {
+  Dump.add("host", [this] {
+    Object::Ptr Section = new Object;
+    Section->set("id", Settings.Host.Value);
+    Section->set("role", std::string(enumName(Settings.Role)));
+    Section->set("incarnation", Store.incarnation().Value);
+    Section->set("standing", std::string(enumName(OwnStanding)));
+    Section->set("description_number", Holder.number().Value);
+    Section->set("confirmed_for_ms",
+                 millisUntil(Confirmed.confirmedUntil(), steadyNow()));
+    Section->set("pending_registry_requests", Gateway->pendingCount());
+    return Section;
+  });
+  Dump.add("hosts", [this] { return hostsSection(Members); });
+  Dump.add("targets", [this] { return targetsSection(Members); });
+  Dump.add("peers", [this] { return peersSection(*Link); });
+  if (!Node)
+    return;
+  Dump.add("log", [this] { return logSection(Node->log()); });
+  Dump.add("registry", [this] { return registrySection(Node->state()); });
+}
+
+} // namespace ferry::daemon
--- /dev/null
+++ b/Services/ferryd/ControlPlaneMessages.cpp
@@ -0,0 +1,68 @@
+// Messages of other hosts to the control plane.
+#include "ferryd/ControlPlane.h"
+
+namespace ferry::daemon {
+
+using wire::PayloadKind;
+
+template <typename MessageType, typename HandlerType>
+void ControlPlane::receiveAs(const std::string &Payload, HandlerType Handle) {
+  auto Message = wire::tryDecode<MessageType>(Payload);
+  if (!Message)
+    return Link->countMalformed();
+  Handle(std::move(*Message));
+}
+
+void ControlPlane::receive(const HostId &From, PayloadKind::type Kind,
+                           const std::string &Payload) {
+  switch (Kind) {
+  case PayloadKind::Consensus:
+    if (Node)
+      Node->receiveConsensus(From, Payload);
+    return;
+  case PayloadKind::RegistryRequest:
+    return receiveAs<wire::RegistryRequest>(Payload, [&](auto Request) {
+      if (Node)
+        Node->receiveRequest(From, std::move(Request));
+    });
+  case PayloadKind::RegistryReply:
+    return receiveAs<wire::RegistryReply>(Payload, [&](auto Reply) {
+      Gateway->receiveReply(From, std::move(Reply));
+    });
+  case PayloadKind::Membership:
+    return receiveAs<wire::MembershipMessage>(Payload, [&](auto Message) {
+      stepMembership(membership::MembershipReceived{From, std::move(Message)});
+    });
+  case PayloadKind::Confirmation:
+    return receiveAs<wire::ConfirmationMessage>(
+        Payload, [&](auto Message) { receiveConfirmation(From, Message); });
+  case PayloadKind::DescriptionFetch:
+    return receiveAs<wire::DescriptionFetch>(
+        Payload, [&](auto Fetch) { receiveFetch(From, Fetch); });
+  case PayloadKind::DescriptionCopy:
+    return receiveAs<wire::DescriptionCopy>(
+        Payload, [&](auto Copy) { takeDescription(Copy); });
+  }
+  Link->countMalformed();
+}
+
+void ControlPlane::receiveConfirmation(
+    const HostId &From, const wire::ConfirmationMessage &Message) {
+  if (Message.__isset.Answer)
+    stepConfirmation(membership::ConfirmationAnswered{From, Message.Answer});
+  if (!Message.__isset.Query || !Node)
+    return;
+  wire::ConfirmationMessage Reply;
+  Reply.__set_Answer(membership::answerQuery(
+      Message.Query, Node->greatestNumber(), Node->log().isVoter()));
+  Link->send(From, PayloadKind::Confirmation, Reply);
+}
+
+void ControlPlane::receiveFetch(const HostId &From,
+                                const wire::DescriptionFetch &Fetch) {
+  // Only what is in force here is sent: that is committed.
+  if (Holder.copy().Number > Fetch.HaveNumber)
+    Link->send(From, PayloadKind::DescriptionCopy, Holder.copy());
+}
+
+} // namespace ferry::daemon
--- /dev/null
+++ b/Services/ferryd/ControlPlanePort.cpp
@@ -0,0 +1,118 @@
+// What traffic threads ask of the control plane.
+#include "LibCore/Visit.h"
+#include "ferryd/ControlPlane.h"
+#include <algorithm>
+
+namespace ferry::daemon {
+
+using namespace registry;
+using traffic::RegistryResult;
+
+using ClaimCallback = std::function<void(RegistryResult<ClaimOutcome>)>;
+
+traffic::ControlPort ControlPlane::port() {
+  traffic::ControlPort Port;
+  auto SubmitClaim = [this](Command Sent, Timestamp Deadline,
+                            ClaimCallback Done) {
+    Loop.post([this, Sent = std::move(Sent), Deadline, Done = std::move(Done)] {
+      Gateway->submitFor<ClaimOutcome>(Sent, Deadline, Done);
+    });
+  };
+  Port.Claim = [SubmitClaim](ClaimKey Key, ClaimAttempt Attempt,
+                             uint64_t Digest, Timestamp Deadline,
+                             ClaimCallback Done) {
+    SubmitClaim(Claim{Key, Attempt, Digest, unixNow()}, Deadline, Done);
+  };
+  Port.Complete = [SubmitClaim](ClaimKey Key, ClaimAttempt Attempt,
+                                ClaimCompleted Answer, Timestamp Deadline,
+                                ClaimCallback Done) {
+    SubmitClaim(Complete{Key, Attempt, std::move(Answer)}, Deadline, Done);
+  };
+  Port.Release = [SubmitClaim](ClaimKey Key, ClaimAttempt Attempt,
+                               Timestamp Deadline, ClaimCallback Done) {
+    SubmitClaim(Release{Key, Attempt}, Deadline, Done);
+  };
+  Port.MarkUnknown = [SubmitClaim](ClaimKey Key, ClaimAttempt Holder,
+                                   Timestamp Deadline, ClaimCallback Done) {
+    SubmitClaim(MarkUnknown{Key, Holder}, Deadline, Done);
+  };
+  Port.Change = [this](traffic::ChangeRequest Request, auto Done) {
+    Loop.post([this, Request = std::move(Request), Done = std::move(Done)] {
+      change(Request, Done);
+    });
+  };
+  Port.ReadDescription = [this](Timestamp Deadline, auto Done) {
+    Loop.post([this, Deadline, Done = std::move(Done)] {
+      readDescription(Deadline, Done);
+    });
+  };
+  Port.ReadSpread = [this](DescriptionNumber Number, auto Done) {
+    Loop.post(
+        [this, Number, Done = std::move(Done)] { Done(spreadOf(Number)); });
+  };
+  Port.Announce = [this](TargetRecord Record, auto Done) {
+    Loop.post([this, Record = std::move(Record), Done = std::move(Done)] {
+      announce(Record, Done);
+    });
+  };
+  Port.Dump = [this](auto Done) {
+    Loop.post([this, Done = std::move(Done)] { Done(Dump.render()); });
+  };
+  Port.Drain = [this] { Loop.post([this] { Calls.DrainRequested(); }); };
+  return Port;
+}
+
+void ControlPlane::change(
+    traffic::ChangeRequest Request,
+    std::function<void(RegistryResult<ChangeOutcome>)> Done) {
+  ChangeDescription Sent{Request.Base, std::move(Request.Operation),
+                         std::move(Request.Text)};
+  Gateway->submitFor<ChangeOutcome>(std::move(Sent), Request.Deadline,
+                                    std::move(Done));
+}
+
+void ControlPlane::readDescription(
+    Timestamp Deadline,
+    std::function<void(RegistryResult<traffic::CurrentDescription>)> Done) {
+  Gateway->submit(ReadDescription{}, Deadline,
+                  [Done = std::move(Done)](auto Reply) {
+                    if (!Reply)
+                      return Done(makeError(Reply.error()));
+                    auto Stored = tryOutcome<StoredDescription>(*Reply);
+                    if (!Stored)
+                      return Done(makeError(Stored.error()));
+                    Done(traffic::CurrentDescription{
+                        Stored->Number, Stored->Operation, Stored->Text});
+                  });
+}
+
+void ControlPlane::announce(
+    const TargetRecord &Record,
+    const std::function<void(traffic::AnnounceReply)> &Done) {
+  AnnouncementRefused = false;
+  stepMembership(membership::TargetAnnounced{Record});
+  traffic::AnnounceReply Reply;
+  if (AnnouncementRefused)
+    Reply.Answer = traffic::AnnounceReply::Verdict::StaleIncarnation;
+  for (const config::PeerHost &Host : Settings.Hosts)
+    if (!Host.TargetAddress.empty())
+      Reply.EventAddresses.push_back(Host.TargetAddress);
+  Done(std::move(Reply));
+}
+
+traffic::SpreadStatus ControlPlane::spreadOf(DescriptionNumber Number) const {
+  traffic::SpreadStatus Status;
+  Status.Number = Holder.number();
+  for (const membership::HostState &Host : Members.hosts(steadyNow())) {
+    // A silent host has the number or has lost its confirmation by itself.
+    if (Host.Standing == membership::Standing::Silent)
+      continue;
+    ++Status.HostsKnown;
+    bool Refuses = Host.Standing == membership::Standing::Unconfirmed;
+    if (Host.Number >= Number || Refuses)
+      ++Status.HostsInForce;
+  }
+  return Status;
+}
+
+} // namespace ferry::daemon
--- /dev/null
+++ b/Services/ferryd/Daemon.cpp
@@ -0,0 +1,94 @@
+#include "ferryd/Daemon.h"
+#include "LibCore/Random.h"
+#include "LibObserve/Log.h"
+
+namespace ferry::daemon {
+
+using observe::Severity;
+
+/// Requests in hand get this long when the process stops without a drain.
+static constexpr Duration StopGrace = std::chrono::milliseconds(200);
+
+Result<std::unique_ptr<Daemon>, StartError>
+Daemon::tryStart(const config::Settings &Settings,
+                 std::function<void()> DrainRequested) {
+  std::unique_ptr<Daemon> Started(new Daemon(Settings));
+  auto Control = Started->tryStartControl(std::move(DrainRequested));
+  if (!Control)
+    return makeError(Control.error());
+  auto Traffic = Started->tryStartTraffic();
+  if (!Traffic)
+    return makeError(Traffic.error());
+  Started->ControlThread =
+      std::thread([Raw = Started.get()] { Raw->Loop.run(); });
+  observe::logEvent(Severity::Info, "ferryd", "started",
+                    {{"host", Settings.Host},
+                     {"role", Settings.Role},
+                     {"incarnation", Started->Control->incarnation()}});
+  return Started;
+}
+
+Daemon::Daemon(const config::Settings &Settings) : Settings(Settings) {}
+
+Daemon::~Daemon() { stop(); }
+
+Result<void, StartError>
+Daemon::tryStartControl(std::function<void()> DrainRequested) {
+  ControlPlane::Hooks Calls;
+  Calls.ViewChanged = [this](routing::RoutingViewPtr View) {
+    if (Traffic)
+      Traffic->setView(std::move(View));
+  };
+  Calls.DrainRequested = std::move(DrainRequested);
+  auto Started = ControlPlane::tryStart(Settings, Loop, std::move(Calls));
+  if (!Started)
+    return makeError(Started.error());
+  Control = std::move(*Started);
+  return {};
+}
+
+Result<void, StartError> Daemon::tryStartTraffic() {
+  traffic::TrafficOptions Options;
+  Options.Settings = Settings;
+  Options.Incarnation = Control->incarnation();
+  Options.Control = Control->port();
+  Options.Scheduler.Self = Settings.Host;
+  Options.Scheduler.Seed = systemSeed();
+  Options.MetricsText = [this] { return metricsText(); };
+  auto Started = traffic::TrafficFront::tryStart(std::move(Options));
+  if (!Started)
+    return makeTypedError(StartErrorKind::CannotListen,
+                          Started.error().message());
+  Traffic = std::move(*Started);
+  Control->publishView();
+  return {};
+}
+
+std::string Daemon::metricsText() const { return Control->metricsText(); }
+
+void Daemon::drainAndStop() {
+  observe::logEvent(Severity::Info, "ferryd", "draining", {});
+  Loop.post([this] { Control->beginDrain(); });
+  Traffic->beginDrain();
+  Traffic->awaitDrained();
+  stop();
+}
+
+void Daemon::stop() {
+  if (Traffic)
+    Traffic->stop(steadyNow() + StopGrace);
+  stopControl();
+}
+
+void Daemon::stopControl() {
+  if (!ControlThread.joinable())
+    return;
+  Loop.post([this] {
+    Control->close();
+    Loop.stop();
+  });
+  ControlThread.join();
+  observe::logEvent(Severity::Info, "ferryd", "stopped", {});
+}
+
+} // namespace ferry::daemon
--- /dev/null
+++ b/Services/ferryd/HostLink.h
@@ -0,0 +1,55 @@
+/// \file
+/// Messages between this host and any host, itself included.
+#ifndef FERRY_FERRYD_HOSTLINK_H
+#define FERRY_FERRYD_HOSTLINK_H
+
+#include "LibConfig/Settings.h"
+#include "LibWire/Codec.h"
+#include "LibWire/PeerTransport.h"
+#include "ferryd/StartError.h"
+#include <functional>
+#include <memory>
+
+namespace ferry::daemon {
+
+/// Sends payloads to hosts by id. A message to this host itself is delivered
+/// by the loop, never within send(). All calls on the control thread.
+class HostLink {
+public:
+  using Receiver = std::function<void(
+      const HostId &From, wire::PayloadKind::type, const std::string &Payload)>;
+
+  /// Listens for peers.
+  static Result<std::unique_ptr<HostLink>, StartError>
+  tryStart(const config::Settings &Settings, ferry::Incarnation Life,
+           ControlLoop &Loop, Receiver Receive);
+
+  /// Sends \p Message; it may be lost.
+  template <typename MessageType>
+  void send(const HostId &To, wire::PayloadKind::type Kind,
+            const MessageType &Message) {
+    sendBytes(To, Kind, wire::encode(Message));
+  }
+
+  /// Sends bytes that are encoded already.
+  void sendBytes(const HostId &To, wire::PayloadKind::type Kind,
+                 std::string Payload);
+
+  const wire::PeerTransport &transport() const { return *Transport; }
+  /// \returns how many payloads could not be decoded.
+  uint64_t malformedPayloads() const { return Malformed; }
+  void countMalformed() { ++Malformed; }
+
+private:
+  HostLink(HostId Self, ControlLoop &Loop, Receiver Receive);
+
+  HostId Self;
+  ControlLoop &Loop;
+  Receiver Receive;
+  std::unique_ptr<wire::PeerTransport> Transport;
+  uint64_t Malformed = 0;
+};
+
+} // namespace ferry::daemon
+
+#endif
--- /dev/null
+++ b/Services/ferryd/RegistryGateway.h
@@ -0,0 +1,63 @@
+/// \file
+/// Submits commands to the replicated registry from any host.
+#ifndef FERRY_FERRYD_REGISTRYGATEWAY_H
+#define FERRY_FERRYD_REGISTRYGATEWAY_H
+
+#include "LibCore/ControlLoop.h"
+#include "LibRegistry/RegistryClient.h"
+#include <functional>
+#include <map>
+
+namespace ferry::daemon {
+
+/// Binds the RegistryClient to the control loop and to callbacks. All calls on
+/// the control thread.
+class RegistryGateway {
+public:
+  using Callback =
+      std::function<void(Result<std::string, registry::RegistryError>)>;
+  using Sender =
+      std::function<void(const HostId &, const wire::RegistryRequest &)>;
+
+  RegistryGateway(registry::RegistryClient::Options Options, ControlLoop &Loop,
+                  Sender Send);
+  ~RegistryGateway();
+  RegistryGateway(const RegistryGateway &) = delete;
+  RegistryGateway &operator=(const RegistryGateway &) = delete;
+
+  /// Submits \p Request. \p Done runs once, with the encoded reply or an error.
+  void submit(registry::ClientRequest Request, Timestamp Deadline,
+              Callback Done);
+
+  /// Submits a command whose outcome is an \p OutcomeType.
+  template <typename OutcomeType>
+  void submitFor(
+      registry::Command Command, Timestamp Deadline,
+      std::function<void(Result<OutcomeType, registry::RegistryError>)> Done) {
+    submit(std::move(Command), Deadline, [Done = std::move(Done)](auto Answer) {
+      if (!Answer)
+        return Done(makeError(Answer.error()));
+      Done(registry::tryOutcome<OutcomeType>(*Answer));
+    });
+  }
+
+  void receiveReply(const HostId &From, wire::RegistryReply Reply);
+  void hintLeader(const HostId &Leader);
+  size_t pendingCount() const { return Client.pendingCount(); }
+
+private:
+  void step(registry::ClientEvent Event);
+  void run(registry::ClientEffect Effect);
+  void tick();
+
+  registry::RegistryClient Client;
+  ControlLoop &Loop;
+  Sender Send;
+  std::map<uint64_t, Callback> Callbacks;
+  uint64_t NextId = 1;
+  ControlLoop::TimerId Timer;
+};
+
+} // namespace ferry::daemon
+
+#endif
--- /dev/null
+++ b/Services/ferryd/RegistryNode.cpp
@@ -0,0 +1,104 @@
+#include "ferryd/RegistryNode.h"
+#include "LibCore/Visit.h"
+
+namespace ferry::daemon {
+
+using namespace registry;
+
+Result<std::unique_ptr<RegistryNode>, consensus::StorageError>
+RegistryNode::tryOpen(consensus::LogOptions Options, ControlLoop &Loop,
+                      Hooks Calls) {
+  std::unique_ptr<RegistryNode> Node(new RegistryNode(std::move(Calls)));
+  auto Log =
+      consensus::LogDriver::tryOpen(std::move(Options), Loop, Node->logHooks());
+  if (!Log)
+    return makeError(Log.error());
+  Node->Log = std::move(*Log);
+  return Node;
+}
+
+RegistryNode::RegistryNode(Hooks Calls) : Calls(std::move(Calls)) {}
+
+consensus::LogHooks RegistryNode::logHooks() {
+  consensus::LogHooks Hooks;
+  Hooks.Send = Calls.SendConsensus;
+  Hooks.Apply = [this](uint64_t Index, std::string_view Command) {
+    apply(Index, Command);
+  };
+  Hooks.TakeSnapshot = [this] { return State.snapshot(); };
+  Hooks.RestoreSnapshot = [this](std::string_view Bytes) {
+    return tryRestore(Bytes);
+  };
+  Hooks.StandingChanged = Calls.StandingChanged;
+  return Hooks;
+}
+
+void RegistryNode::receiveConsensus(const HostId &From,
+                                    std::string_view Payload) {
+  Log->receive(From, Payload);
+}
+
+void RegistryNode::receiveRequest(const HostId &From,
+                                  wire::RegistryRequest Request) {
+  step(ServerRequestReceived{From, std::move(Request)});
+}
+
+DescriptionNumber RegistryNode::greatestNumber() const {
+  GreatestNumber Greatest(State.greatestNumber());
+  Log->visitUnapplied([&](std::string_view Command) { Greatest.add(Command); });
+  return Greatest.value();
+}
+
+void RegistryNode::close() { Log->close(); }
+
+void RegistryNode::apply(uint64_t Index, std::string_view Command) {
+  DescriptionNumber Before = State.greatestNumber();
+  step(ServerCommandApplied{Index, State.apply(Index, Command)});
+  if (State.greatestNumber() > Before)
+    Calls.DescriptionChanged();
+}
+
+Result<void, consensus::StorageError>
+RegistryNode::tryRestore(std::string_view Bytes) {
+  DescriptionNumber Before = State.greatestNumber();
+  auto Restored = State.tryRestore(Bytes);
+  if (!Restored)
+    return makeTypedError(consensus::StorageErrorKind::Damaged,
+                          Restored.error().message());
+  if (State.greatestNumber() > Before)
+    Calls.DescriptionChanged();
+  return {};
+}
+
+void RegistryNode::step(ServerEvent Event) {
+  for (ServerEffect &Effect : Server.step(std::move(Event)))
+    match(
+        std::move(Effect),
+        [this](ServerPropose &&Proposal) { propose(std::move(Proposal)); },
+        [this](ServerConfirmRead &&Read) { confirmRead(Read); },
+        [this](ServerReply &&Sent) { Calls.SendReply(Sent.To, Sent.Reply); });
+}
+
+void RegistryNode::propose(ServerPropose Proposal) {
+  uint64_t Token = Proposal.Token;
+  Log->propose(std::move(Proposal.Command), [this, Token](auto Proposed) {
+    if (Proposed)
+      return step(ServerProposalCommitted{Token, *Proposed});
+    step(ServerProposalFailed{Token, leaderOr(Proposed.error().Leader)});
+  });
+}
+
+void RegistryNode::confirmRead(ServerConfirmRead Read) {
+  uint64_t Token = Read.Token;
+  Log->confirmRead([this, Token](auto Confirmed) {
+    if (Confirmed)
+      return step(ServerReadConfirmed{Token});
+    step(ServerReadFailed{Token, leaderOr(Confirmed.error().Leader)});
+  });
+}
+
+HostId RegistryNode::leaderOr(const std::optional<HostId> &Leader) const {
+  return Leader.value_or(HostId{});
+}
+
+} // namespace ferry::daemon
--- /dev/null
+++ b/Services/ferryd/ViewBuilder.cpp
@@ -0,0 +1,48 @@
+#include "ferryd/ViewBuilder.h"
+
+namespace ferry::daemon {
+
+static routing::HostStanding standingOf(membership::Standing Standing) {
+  switch (Standing) {
+  case membership::Standing::Serving:
+    return routing::HostStanding::Serving;
+  case membership::Standing::Draining:
+    return routing::HostStanding::Draining;
+  case membership::Standing::Unconfirmed:
+    return routing::HostStanding::Unconfirmed;
+  case membership::Standing::Silent:
+    break;
+  }
+  return routing::HostStanding::Silent;
+}
+
+static routing::HostView hostView(const config::Settings &Settings,
+                                  const membership::HostState &Host) {
+  routing::HostView View;
+  View.Id = Host.Id;
+  View.DataCentre = Host.DataCentre;
+  View.Standing = standingOf(Host.Standing);
+  View.Incarnation = Host.Incarnation;
+  if (const config::PeerHost *Listed = Settings.findHost(Host.Id))
+    View.CallerAddress = Listed->CallerAddress;
+  return View;
+}
+
+routing::RoutingViewPtr buildView(const ViewInputs &Inputs) {
+  auto View = std::make_shared<routing::RoutingView>();
+  View->Self = Inputs.Settings.Host;
+  View->DataCentre = Inputs.Settings.DataCentre;
+  View->Number = Inputs.Holder.number();
+  View->Description = Inputs.Holder.description();
+  View->ConfirmedUntil = Inputs.ConfirmedUntil;
+  View->OwnStanding = standingOf(Inputs.OwnStanding);
+  // Confirmation is told by its deadline, which is checked at each use.
+  if (View->OwnStanding == routing::HostStanding::Unconfirmed)
+    View->OwnStanding = routing::HostStanding::Serving;
+  View->Targets = Inputs.Targets;
+  for (const membership::HostState &Host : Inputs.Hosts)
+    View->Hosts.push_back(hostView(Inputs.Settings, Host));
+  return View;
+}
+
+} // namespace ferry::daemon
--- /dev/null
+++ b/Services/ferryd/main.cpp
@@ -0,0 +1,97 @@
+/// \file
+/// The daemon of every entry host: arguments, settings, signals.
+#include "LibConfig/Parse.h"
+#include "LibObserve/Log.h"
+#include "ferryd/Daemon.h"
+#include "ferryd/ExitCode.h"
+#include <csignal>
+#include <iostream>
+#include <tclap/CmdLine.h>
+#include <unistd.h>
+
+using namespace ferry;
+using daemon::ExitCode;
+
+static int toInt(ExitCode Code) { return static_cast<int>(Code); }
+
+static ExitCode exitCodeOf(daemon::StartErrorKind Kind) {
+  switch (Kind) {
+  case daemon::StartErrorKind::BadSettings:
+    return ExitCode::BadSettings;
+  case daemon::StartErrorKind::CannotListen:
+    return ExitCode::CannotListen;
+  case daemon::StartErrorKind::Storage:
+    break;
+  }
+  return ExitCode::Storage;
+}
+
+/// The names of the setting log_level are those of the severities.
+static void applyLogLevel(config::LogLevel Level) {
+  auto Least = enumFromName<observe::Severity>(enumName(Level));
+  observe::setLogSeverity(Least.value_or(observe::Severity::Info));
+}
+
+/// Blocks the signals that main() waits for; threads inherit the mask.
+static sigset_t blockStopSignals() {
+  sigset_t Stops;
+  sigemptyset(&Stops);
+  sigaddset(&Stops, SIGTERM);
+  sigaddset(&Stops, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &Stops, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  return Stops;
+}
+
+/// Waits for the first signal, then drains; SIGINT ends without a drain.
+static void runUntilStopped(daemon::Daemon &Running, const sigset_t &Stops) {
+  int Signal = 0;
+  sigwait(&Stops, &Signal);
+  if (Signal == SIGTERM)
+    Running.drainAndStop();
+  else
+    Running.stop();
+}
+
+static int runDaemon(const config::Settings &Settings) {
+  sigset_t Stops = blockStopSignals();
+  auto RequestDrain = [] { kill(getpid(), SIGTERM); };
+  auto Started = daemon::Daemon::tryStart(Settings, RequestDrain);
+  if (!Started) {
+    observe::logEvent(observe::Severity::Error, "ferryd", "start_failed",
+                      {{"reason", Started.error().message()}});
+    return toInt(exitCodeOf(Started.error().Kind));
+  }
+  runUntilStopped(**Started, Stops);
+  return toInt(ExitCode::Success);
+}
+
+static int runWithSettings(const std::string &Path) {
+  auto Settings = config::tryLoadSettings(Path);
+  if (!Settings) {
+    for (const config::ConfigError &Fault : Settings.error())
+      std::cerr << Fault.message() << "\n";
+    return toInt(ExitCode::BadSettings);
+  }
+  applyLogLevel(Settings->Level);
+  return runDaemon(*Settings);
+}
+
+int main(int Count, char **Arguments) {
+  try {
+    TCLAP::CmdLine Line(
+        "ferryd: routes language-model traffic. SIGTERM drains and "
+        "stops, SIGINT stops at once.",
+        ' ', FERRY_VERSION);
+    Line.setExceptionHandling(false);
+    TCLAP::ValueArg<std::string> SettingsPath(
+        "s", "settings", "YAML settings of this host", true, "", "file", Line);
+    Line.parse(Count, Arguments);
+    return runWithSettings(SettingsPath.getValue());
+  } catch (const TCLAP::ExitException &Exit) {
+    return Exit.getExitStatus();
+  } catch (const TCLAP::ArgException &Fault) {
+    std::cerr << "ferryd: " << Fault.error() << " " << Fault.argId() << "\n";
+    return toInt(ExitCode::Usage);
+  }
+}
--- /dev/null
+++ b/Tests/ferryd/TestHostStore.cpp
@@ -0,0 +1,66 @@
+#include "ferryd/HostStore.h"
+#include <boost/test/unit_test.hpp>
+#include <unistd.h>
+
+using namespace ferry;
+using namespace ferry::daemon;
+
+/// A folder of this test process that goes with the test.
+struct TemporaryFolder {
+  std::filesystem::path Path = std::filesystem::temp_directory_path() /
+                               ("ferry-host-store-" + std::to_string(getpid()));
+  TemporaryFolder() { std::filesystem::remove_all(Path); }
+  ~TemporaryFolder() { std::filesystem::remove_all(Path); }
+};
+
+static wire::DescriptionCopy copyNumbered(int64_t Number) {
+  wire::DescriptionCopy Copy;
+  Copy.Number = Number;
+  Copy.Operation = "operation-" + std::to_string(Number);
+  Copy.Text = "text";
+  return Copy;
+}
+
+BOOST_AUTO_TEST_CASE(incarnation_rises_even_if_the_clock_goes_back) {
+  TemporaryFolder Folder;
+  auto First = HostStore::tryOpen(Folder.Path, {5000});
+  auto Second = HostStore::tryOpen(Folder.Path, {10});
+  BOOST_REQUIRE((First && Second));
+  BOOST_TEST(First->incarnation().Value == 5000u);
+  BOOST_TEST(Second->incarnation().Value == 5001u);
+}
+
+BOOST_AUTO_TEST_CASE(stored_description_never_goes_back) {
+  TemporaryFolder Folder;
+  auto Store = HostStore::tryOpen(Folder.Path, {1});
+  BOOST_REQUIRE(Store->tryStoreDescription(copyNumbered(7)));
+  BOOST_REQUIRE(Store->tryStoreDescription(copyNumbered(6)));
+  auto Reopened = HostStore::tryOpen(Folder.Path, {1});
+  BOOST_TEST(Reopened->description().Number == 7);
+  BOOST_TEST(Reopened->description().Operation == "operation-7");
+}
+
+BOOST_AUTO_TEST_CASE(damaged_file_counts_as_none) {
+  TemporaryFolder Folder;
+  {
+    auto Store = HostStore::tryOpen(Folder.Path, {1});
+    BOOST_REQUIRE(Store->tryStoreDescription(copyNumbered(7)));
+  }
+  auto Bytes = *tryReadFile(Folder.Path / "host-state");
+  for (size_t Offset = 0; Offset < Bytes->size(); ++Offset) {
+    std::string Damaged = *Bytes;
+    Damaged[Offset] = static_cast<char>(Damaged[Offset] ^ 0x40);
+    BOOST_REQUIRE(tryReplaceFile(Folder.Path / "host-state", Damaged));
+    auto Reopened = HostStore::tryOpen(Folder.Path, {1});
+    BOOST_REQUIRE(Reopened.has_value());
+    BOOST_TEST((Reopened->description().Number == 0 ||
+                Reopened->description() == copyNumbered(7)));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(host_without_a_disk_keeps_its_state_in_memory) {
+  auto Store = HostStore::tryOpen({}, {42});
+  BOOST_REQUIRE(Store->tryStoreDescription(copyNumbered(3)));
+  BOOST_TEST(Store->description().Number == 3);
+  BOOST_TEST(Store->incarnation().Value == 42u);
+}
