--- a/Libraries/LibRegistry/DescriptionHistory.h
+++ b/Libraries/LibRegistry/DescriptionHistory.h
@@ -10,7 +10,7 @@
 
 namespace ferry::wire {
 class RegistrySnapshot;
-}
+} // namespace ferry::wire
 
 namespace ferry::registry {
 
--- a/Libraries/LibRegistry/OrderLeases.h
+++ b/Libraries/LibRegistry/OrderLeases.h
@@ -8,7 +8,7 @@
 
 namespace ferry::wire {
 class RegistrySnapshot;
-}
+} // namespace ferry::wire
 
 namespace ferry::registry {
 
