--- /dev/null
+++ b/Tests/LibRegistry/TestRegistrySchedule.cpp
@@ -0,0 +1,63 @@
+#include "CallWorld.h"
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <cstdlib>
+
+using namespace ferry;
+using namespace ferry::test;
+using namespace std::chrono_literals;
+
+// FERRY_SCHEDULE_SEEDS sets the number of seeds for each row of the table.
+static uint64_t seedCount() {
+  const char *Given = std::getenv("FERRY_SCHEDULE_SEEDS");
+  return Given != nullptr ? std::strtoull(Given, nullptr, 10) : 60;
+}
+
+struct FaultCase {
+  const char *Name;
+  CallFaults Faults;
+  bool SmallLedger;
+};
+
+static std::ostream &operator<<(std::ostream &Out, const FaultCase &Case) {
+  return Out << Case.Name;
+}
+
+static const FaultCase FaultCases[] = {
+    {"calm", {0, 0, 0, 0, 0, 0, 0}, false},
+    {"lossy network", {200, 200, 200, 0, 0, 0, 10}, false},
+    {"routers freeze and restart", {20, 50, 50, 10, 10, 0, 0}, false},
+    {"control hosts restart", {20, 50, 50, 0, 0, 30, 50}, false},
+    {"everything, small ledger", {80, 150, 150, 4, 4, 10, 20}, true}};
+
+static LedgerLimits limits(bool Small) {
+  LedgerLimits Limits;
+  if (!Small)
+    return Limits;
+  Limits.Answers = 10;
+  Limits.Released = 5;
+  Limits.Unknown = 5;
+  Limits.UnstampedKeys = 40;
+  Limits.StampedTombstones = 20;
+  return Limits;
+}
+
+BOOST_DATA_TEST_CASE(calls_run_at_most_once_and_answers_are_true,
+                     boost::unit_test::data::make(FaultCases), Case) {
+  size_t Ran = 0;
+  size_t Changes = 0;
+  size_t Answers = 0;
+  for (uint64_t Seed = 1; Seed <= seedCount(); ++Seed) {
+    CallWorld World(Seed, Case.Faults, limits(Case.SmallLedger));
+    World.run(40s);
+    for (const std::string &Violation : World.Violations)
+      BOOST_ERROR("seed " << Seed << ": " << Violation);
+    Ran += World.Ran;
+    Changes += World.Changes;
+    Answers += World.ToldAnswer;
+  }
+  // The schedules do bring calls, changes and answers through.
+  BOOST_TEST(Ran > seedCount() * 10);
+  BOOST_TEST(Changes > seedCount() * 5);
+  BOOST_TEST(Answers > seedCount() * 10);
+}
