--- a/Tests/LibRegistry/CallWorld.h
+++ b/Tests/LibRegistry/CallWorld.h
@@ -8,6 +8,7 @@
 #include "LibCore/Random.h"
 #include "LibRegistry/RegistryClient.h"
 #include "LibRegistry/RegistryServer.h"
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <set>
@@ -48,6 +49,9 @@
     for (Timestamp End = Now + Span; Now < End;
          Now += std::chrono::milliseconds(10))
       stepOnce();
+    for (const std::string &Command : NotProposed)
+      if (std::find(Log.begin(), Log.end(), Command) != Log.end())
+        Violations.emplace_back("told 'not proposed' of a logged change");
   }
 
   /// Violations of the invariants, in words; empty is a pass.
@@ -457,13 +461,18 @@
       Change.Text = "text" + std::to_string(Given.size());
       Given.push_back(Change);
     }
+    ++Submissions[Change.Operation];
     Hosts[Index].Changes.emplace(submit(Index, Change), Change);
   }
 
   void checkChange(const ChangeDescription &Change,
                    const Result<std::string, RegistryError> &Answer) {
-    if (!Answer)
+    if (!Answer) {
+      if (Answer.error().Kind == RegistryErrorKind::NotProposed &&
+          Submissions[Change.Operation] == 1)
+        NotProposed.push_back(encodeCommand(Change));
       return;
+    }
     auto Outcome = tryOutcome<ChangeOutcome>(*Answer);
     if (!Outcome) {
       Violations.emplace_back("a change's answer of the wrong type");
@@ -504,6 +513,10 @@
   std::vector<ChangeDescription> Given;
   std::map<uint64_t, std::string> Winners;
   std::set<std::string> Refused;
+  /// How often each operation was given to a client.
+  std::map<std::string, size_t> Submissions;
+  /// Changes given once, and told never to have been proposed.
+  std::vector<std::string> NotProposed;
 };
 
 } // namespace ferry::test
