--- /dev/null
+++ b/Tests/LibMembership/HostWorld.h
@@ -0,0 +1,502 @@
+/// \file
+/// Hosts with Membership and Confirmation, control hosts with an abstract log,
+/// and announcing targets, on a lossy network in virtual time.
+#ifndef FERRY_TESTS_LIBMEMBERSHIP_HOSTWORLD_H
+#define FERRY_TESTS_LIBMEMBERSHIP_HOSTWORLD_H
+
+#include "LibMembership/Confirmation.h"
+#include "LibMembership/Membership.h"
+#include "LibWire/Codec.h"
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace ferry::test {
+
+using namespace ferry::membership;
+
+/// Chances of faults, in thousandths for a message or for a host's tick.
+struct HostFaults {
+  uint32_t Lost = 0;
+  uint32_t Doubled = 0;
+  uint32_t Slow = 0;
+  uint32_t Freeze = 0;
+  uint32_t Restart = 0;
+  uint32_t Cut = 0;
+  uint32_t LostDisk = 0;
+  uint32_t TargetFault = 0;
+};
+
+struct HostWorldOptions {
+  size_t Hosts = 7;
+  size_t Controls = 3;
+  size_t DataCentres = 4;
+  size_t Targets = 12;
+  uint64_t Seed = 1;
+  HostFaults Faults;
+  Duration LongestCut = std::chrono::seconds(20);
+  /// Changes are tried with this chance, in thousandths, in each step.
+  uint32_t Change = 30;
+  /// Adjusts each host's options.
+  std::function<void(Membership::Options &)> Adjust;
+  /// Whether bytes and processor time are counted.
+  bool Measure = false;
+};
+
+class HostWorld {
+public:
+  static constexpr Duration StepLength = std::chrono::milliseconds(50);
+
+  struct Host {
+    HostId Id;
+    DataCentreId DataCentre;
+    std::unique_ptr<Membership> Members;
+    std::unique_ptr<Confirmation> Confirm;
+    uint64_t Incarnation = 0;
+    Timestamp FrozenUntil;
+    Timestamp DownUntil;
+    Timestamp CutUntil;
+    std::vector<std::function<void()>> Buffered;
+    /// Greatest number that was in force and confirmed here.
+    uint64_t Used = 0;
+    // A control host's disk.
+    uint64_t Logged = 0;
+    uint64_t Applied = 0;
+    bool Voter = true;
+    // Counted if measured.
+    uint64_t Bytes = 0;
+    uint64_t Messages = 0;
+    std::chrono::nanoseconds Busy{0};
+  };
+
+  struct Target {
+    TargetRecord Record;
+    size_t Home = 0;
+    Timestamp AnnounceAt;
+    Timestamp AnnouncedAt;
+    /// Since when it leaves, and until when it is away.
+    Timestamp LeftAt = NeverExpires;
+    Timestamp AwayUntil;
+  };
+
+  explicit HostWorld(HostWorldOptions Given)
+      : Given(std::move(Given)), Random(this->Given.Seed) {
+    Hosts.resize(this->Given.Hosts);
+    for (size_t Index = 0; Index < Hosts.size(); ++Index) {
+      Hosts[Index].Id = {"host-" + std::to_string(Index)};
+      Hosts[Index].DataCentre = {
+          "dc-" + std::to_string(Index % this->Given.DataCentres)};
+    }
+    for (size_t Index = 0; Index < Hosts.size(); ++Index)
+      start(Index);
+    Targets.resize(this->Given.Targets);
+    for (size_t Index = 0; Index < Targets.size(); ++Index)
+      makeTarget(Index);
+  }
+
+  void run(Duration Span) {
+    for (Timestamp End = Now + Span; Now < End;) {
+      Timestamp Next = Now + StepLength;
+      while (!Later.empty() && Later.begin()->first < Next) {
+        auto Due = Later.extract(Later.begin());
+        Now = std::max(Now, Due.key());
+        Due.mapped()();
+      }
+      Now = Next;
+      stepOnce();
+    }
+  }
+
+  /// Ends all faults, for checks that all is well again.
+  void calm() {
+    Given.Faults = {};
+    for (Host &Each : Hosts) {
+      Each.CutUntil = Now;
+      Each.FrozenUntil = std::min(Each.FrozenUntil, Now);
+      Each.DownUntil = std::min(Each.DownUntil, Now);
+    }
+    for (Target &Each : Targets)
+      Each.AwayUntil = std::min(Each.AwayUntil, Now);
+  }
+
+  /// Accepts a change if a quorum of voters is connected.
+  /// \returns the number, or 0.
+  uint64_t change() {
+    std::vector<size_t> Quorum;
+    size_t Leader = randomBelow(Random, Given.Controls);
+    for (size_t Index = 0; Index < Given.Controls; ++Index)
+      if (reaches(Leader, Index) && Hosts[Index].Voter &&
+          Quorum.size() < quorum())
+        Quorum.push_back(Index);
+    bool Behind = std::any_of(Quorum.begin(), Quorum.end(), [&](size_t Index) {
+      return Hosts[Index].Logged < AcceptedAt.size();
+    });
+    if (Quorum.size() < quorum() || Behind)
+      return 0;
+    uint64_t Number = AcceptedAt.size() + 1;
+    if (Given.Faults.Lost != 0 && randomBelow(Random, 5) == 0) {
+      // Logged by one, and never committed.
+      Hosts[Quorum.front()].Logged = Number;
+      return 0;
+    }
+    for (size_t Index : Quorum)
+      Hosts[Index].Logged = Number;
+    AcceptedAt.push_back(Now);
+    return Number;
+  }
+
+  bool isUp(size_t Index) const {
+    return Hosts[Index].DownUntil <= Now && Hosts[Index].FrozenUntil <= Now;
+  }
+
+  /// \returns how many hosts have \p Number in force.
+  size_t inForce(uint64_t Number) const {
+    return std::count_if(Hosts.begin(), Hosts.end(), [&](const Host &Each) {
+      return Each.Confirm->number().Value >= Number;
+    });
+  }
+
+  std::vector<std::string> Violations;
+  std::vector<Host> Hosts;
+  std::vector<Target> Targets;
+  std::vector<Timestamp> AcceptedAt;
+  Timestamp Now{std::chrono::seconds(1000)};
+  size_t Uses = 0;
+
+private:
+  size_t quorum() const { return Given.Controls / 2 + 1; }
+  bool chance(uint32_t Thousandths) {
+    return Thousandths != 0 && randomBelow(Random, 1000) < Thousandths;
+  }
+
+  void start(size_t Index) {
+    Host &Each = Hosts[Index];
+    ++Each.Incarnation;
+    Each.Buffered.clear();
+    Membership::Options Options;
+    Options.Self = Each.Id;
+    Options.DataCentre = Each.DataCentre;
+    Options.Incarnation = {Each.Incarnation};
+    Options.Seed = Random();
+    for (const Host &Other : Hosts)
+      Options.Peers.push_back({Other.Id, Other.DataCentre});
+    if (Given.Adjust)
+      Given.Adjust(Options);
+    Each.Members = std::make_unique<Membership>(Options);
+    Confirmation::Options Asked;
+    for (size_t Control = 0; Control < Given.Controls; ++Control)
+      Asked.ControlHosts.push_back(Hosts[Control].Id);
+    Asked.Number = {Index < Given.Controls ? Each.Applied : 0};
+    Asked.Seed = Random();
+    Each.Confirm = std::make_unique<Confirmation>(Asked);
+    give(Index, DescriptionApplied{Asked.Number});
+    give(Index, LocalStanding{Standing::Serving});
+  }
+
+  void makeTarget(size_t Index) {
+    Target &Each = Targets[Index];
+    Each.Record.Id = {"asistente-lm-" + std::to_string(Index)};
+    Each.Record.Address = "127.0.0.50:9000";
+    Each.Record.DataCentre = {"dc-" +
+                              std::to_string(Index % Given.DataCentres)};
+    Each.Record.Incarnation = {1};
+    Each.Record.Service = {"asistente-lm"};
+    Each.Record.Model = {"asistente"};
+    Each.Record.Phase = TargetPhase::Ready;
+    Each.Home = randomHome(Each);
+    Each.AnnounceAt = Now + std::chrono::milliseconds(randomBelow(Random, 500));
+  }
+
+  size_t randomHome(const Target &Each) {
+    size_t Start = randomBelow(Random, Hosts.size());
+    for (size_t Step = 0; Step < Hosts.size(); ++Step) {
+      size_t Index = (Start + Step) % Hosts.size();
+      if (Hosts[Index].DataCentre == Each.Record.DataCentre)
+        return Index;
+    }
+    return Start;
+  }
+
+  bool reaches(size_t From, size_t To) const {
+    if (!isUp(From) || Hosts[To].DownUntil > Now)
+      return false;
+    return From == To ||
+           (Hosts[From].CutUntil <= Now && Hosts[To].CutUntil <= Now);
+  }
+
+  void post(size_t From, size_t To, const std::function<void()> &Deliver) {
+    if (chance(Given.Faults.Lost))
+      return;
+    size_t Copies = 1 + static_cast<size_t>(chance(Given.Faults.Doubled));
+    for (size_t Copy = 0; Copy < Copies; ++Copy) {
+      uint64_t Most = chance(Given.Faults.Slow) ? 6'000'000 : 3000;
+      Duration Delay(500 + static_cast<int64_t>(randomBelow(Random, Most)));
+      uint64_t Life = Hosts[To].Incarnation;
+      Later.emplace(Now + Delay, [this, From, To, Life, Deliver] {
+        // A connection ends with the life of its ends.
+        if (Hosts[To].Incarnation != Life || Hosts[To].DownUntil > Now)
+          return;
+        bool CutOff = Hosts[From].CutUntil > Now || Hosts[To].CutUntil > Now;
+        if (CutOff && From != To)
+          return;
+        if (Hosts[To].FrozenUntil > Now)
+          Hosts[To].Buffered.push_back(Deliver);
+        else
+          Deliver();
+      });
+    }
+  }
+
+  template <typename MessageType>
+  void count(size_t Index, const MessageType &Message) {
+    if (!Given.Measure)
+      return;
+    Hosts[Index].Bytes += wire::encode(Message).size();
+    ++Hosts[Index].Messages;
+  }
+
+  size_t indexOf(const HostId &Id) const {
+    return std::stoul(Id.Value.substr(5));
+  }
+
+  template <typename CallableType> auto timed(size_t Index, CallableType Call) {
+    if (!Given.Measure)
+      return Call();
+    auto Start = std::chrono::steady_clock::now();
+    auto Result = Call();
+    Hosts[Index].Busy += std::chrono::steady_clock::now() - Start;
+    return Result;
+  }
+
+  void give(size_t Index, const MembershipEvent &Event) {
+    Host &Each = Hosts[Index];
+    auto Effects = timed(Index, [&] { return Each.Members->step(Event, Now); });
+    for (auto &Effect : Effects) {
+      if (auto *Send = std::get_if<MembershipSend>(&Effect)) {
+        count(Index, Send->Message);
+        size_t To = indexOf(Send->To);
+        post(Index, To, [this, To, From = Each.Id, Message = Send->Message] {
+          give(To, MembershipReceived{From, Message});
+        });
+      }
+      if (auto *Newer = std::get_if<NewerDescriptionSeen>(&Effect))
+        give(Index, ConfirmationNumberHeard{Newer->Number, Newer->From});
+    }
+  }
+
+  void give(size_t Index, const ConfirmationEvent &Event) {
+    Host &Each = Hosts[Index];
+    auto Effects = timed(Index, [&] { return Each.Confirm->step(Event, Now); });
+    for (auto &Effect : Effects) {
+      if (auto *Ask = std::get_if<ConfirmationAsk>(&Effect))
+        sendQuery(Index, indexOf(Ask->To), Ask->Query);
+      if (auto *Fetch = std::get_if<FetchDescription>(&Effect))
+        sendFetch(Index, indexOf(Fetch->From));
+    }
+  }
+
+  void sendQuery(size_t From, size_t To, const wire::ConfirmationQuery &Query) {
+    count(From, Query);
+    post(From, To, [this, From, To, Query] {
+      auto Answer = answerQuery(Query, {Hosts[To].Logged}, Hosts[To].Voter);
+      count(To, Answer);
+      post(To, From, [this, From, To, Answer] {
+        give(From, ConfirmationAnswered{Hosts[To].Id, Answer});
+      });
+    });
+  }
+
+  void sendFetch(size_t From, size_t To) {
+    post(From, To, [this, From, To] {
+      // Only what is committed is told.
+      uint64_t Number = To < Given.Controls ? Hosts[To].Applied
+                                            : Hosts[To].Confirm->number().Value;
+      post(To, From, [this, From, Number] {
+        if (Number <= Hosts[From].Confirm->number().Value)
+          return;
+        give(From, ConfirmationApplied{{Number}});
+        give(From, DescriptionApplied{{Number}});
+      });
+    });
+  }
+
+  void stepOnce() {
+    if (chance(Given.Change))
+      change();
+    for (size_t Index = 0; Index < Given.Controls; ++Index)
+      syncLog(Index);
+    for (size_t Index = 0; Index < Hosts.size(); ++Index)
+      stepHost(Index);
+    for (Target &Each : Targets)
+      stepTarget(Each);
+    for (size_t Index = 0; Index < Hosts.size(); ++Index)
+      if (isUp(Index))
+        check(Index);
+  }
+
+  /// Brings a control host's log up to a connected quorum's.
+  void syncLog(size_t Index) {
+    Host &Each = Hosts[Index];
+    size_t Connected = 0;
+    uint64_t Greatest = 0;
+    for (size_t Other = 0; Other < Given.Controls; ++Other) {
+      if (!reaches(Index, Other) || !isUp(Other) || !Hosts[Other].Voter)
+        continue;
+      ++Connected;
+      Greatest = std::max(Greatest, Hosts[Other].Logged);
+    }
+    if (!isUp(Index) || Connected < quorum() || chance(300))
+      return;
+    // What a quorum does not have was never committed, and is cut.
+    Greatest = std::min<uint64_t>(Greatest, AcceptedAt.size());
+    Each.Logged = Greatest;
+    Each.Voter = true;
+    if (Each.Applied < Greatest) {
+      Each.Applied = Greatest;
+      give(Index, ConfirmationApplied{{Greatest}});
+      give(Index, DescriptionApplied{{Greatest}});
+    }
+  }
+
+  Duration span(Duration Longest) {
+    return Duration(static_cast<int64_t>(
+        randomBelow(Random, static_cast<uint64_t>(Longest.count()))));
+  }
+
+  void stepHost(size_t Index) {
+    Host &Each = Hosts[Index];
+    const HostFaults &Faults = Given.Faults;
+    if (chance(Faults.Cut))
+      Each.CutUntil = Now + span(Given.LongestCut);
+    if (!isUp(Index))
+      return;
+    if (chance(Faults.Freeze))
+      Each.FrozenUntil = Now + span(std::chrono::seconds(10));
+    if (chance(Faults.Restart)) {
+      Each.DownUntil = Now + span(std::chrono::seconds(3));
+      start(Index);
+    }
+    if (Index < Given.Controls && chance(Faults.LostDisk))
+      loseDisk(Index);
+    if (!isUp(Index))
+      return;
+    for (auto &Deliver : std::exchange(Each.Buffered, {}))
+      Deliver();
+    give(Index, ConfirmationTick{});
+    give(Index, MembershipTick{});
+  }
+
+  /// Only if the others still are a quorum with all that was accepted.
+  void loseDisk(size_t Index) {
+    size_t Whole = 0;
+    for (size_t Other = 0; Other < Given.Controls; ++Other)
+      Whole += Other != Index && Hosts[Other].Voter &&
+               Hosts[Other].Logged >= AcceptedAt.size();
+    if (Whole < quorum())
+      return;
+    Hosts[Index].Logged = 0;
+    Hosts[Index].Applied = 0;
+    Hosts[Index].Voter = false;
+    start(Index);
+  }
+
+  void stepTarget(Target &Each) {
+    if (Each.AwayUntil > Now || Each.AnnounceAt > Now)
+      return;
+    TargetRecord &Record = Each.Record;
+    if (Record.Phase == TargetPhase::Leaving ||
+        Each.AwayUntil > Each.AnnouncedAt)
+      restartTarget(Each);
+    Each.AnnounceAt = Now + std::chrono::milliseconds(500);
+    if (chance(Given.Faults.TargetFault))
+      disturb(Each);
+    if (Each.AwayUntil > Now && Record.Phase != TargetPhase::Leaving)
+      return;
+    ++Record.Sequence;
+    Record.Load.RunningRequests = static_cast<uint32_t>(randomBelow(Random, 8));
+    if (!isUp(Each.Home) || Hosts[Each.Home].CutUntil > Now) {
+      // It tries another of the system's addresses.
+      Each.Home = randomBelow(Random, Hosts.size());
+      Each.AnnounceAt = Now + std::chrono::milliseconds(100);
+      if (Record.Phase != TargetPhase::Leaving)
+        return;
+    }
+    Each.AnnouncedAt = Now;
+    if (isUp(Each.Home))
+      give(Each.Home, TargetAnnounced{Record});
+    else if (Hosts[Each.Home].DownUntil <= Now)
+      Hosts[Each.Home].Buffered.push_back([this, Home = Each.Home, Record] {
+        give(Home, TargetAnnounced{Record});
+      });
+  }
+
+  void restartTarget(Target &Each) {
+    Each.Record.Phase = TargetPhase::Ready;
+    Each.LeftAt = NeverExpires;
+    Each.Record.Incarnation.Value += 1;
+    Each.Record.Sequence = 0;
+  }
+
+  void disturb(Target &Each) {
+    switch (randomBelow(Random, 4)) {
+    case 0:
+      Each.Record.Phase = TargetPhase::Leaving;
+      Each.LeftAt = Now;
+      Each.AwayUntil = Now + std::chrono::seconds(5);
+      break;
+    case 1:
+      Each.AwayUntil = Now + span(std::chrono::seconds(8));
+      break;
+    case 2:
+      Each.Home = randomBelow(Random, Hosts.size());
+      break;
+    default:
+      restartTarget(Each);
+    }
+  }
+
+  void check(size_t Index) {
+    Host &Each = Hosts[Index];
+    if (Each.Confirm->isConfirmed(Now)) {
+      uint64_t Number = Each.Confirm->number().Value;
+      ++Uses;
+      bool Old = AcceptedAt.size() > Number &&
+                 AcceptedAt[Number] + std::chrono::seconds(3) <= Now;
+      if (Old)
+        Violations.push_back(Each.Id.Value + " uses an old number");
+      if (Number < Each.Used)
+        Violations.push_back(Each.Id.Value + " went back");
+      Each.Used = std::max(Each.Used, Number);
+    }
+    if (Given.Measure)
+      return;
+    for (const TargetRecord &Record : Each.Members->targets(Now))
+      checkTarget(Each, Record);
+  }
+
+  void checkTarget(const Host &Each, const TargetRecord &Record) {
+    static constexpr Duration Slack = std::chrono::milliseconds(5);
+    const Target &Truth = Targets[std::stoul(Record.Id.Value.substr(13))];
+    ++Uses;
+    auto Complain = [&](const char *What) {
+      Violations.push_back(Each.Id.Value + " uses a target that " + What);
+    };
+    Timestamp Oldest = Now - std::chrono::seconds(3) - Slack;
+    bool SameLife = Record.Incarnation == Truth.Record.Incarnation;
+    if (SameLife && Truth.AnnouncedAt < Oldest)
+      Complain("is silent");
+    if (SameLife && Truth.LeftAt < Oldest)
+      Complain("left");
+    if (!SameLife && Truth.Record.Sequence > 0 && Truth.AnnouncedAt < Oldest)
+      Complain("has died");
+  }
+
+  HostWorldOptions Given;
+  RandomGenerator Random;
+  std::multimap<Timestamp, std::function<void()>> Later;
+};
+
+} // namespace ferry::test
+
+#endif
--- /dev/null
+++ b/Tests/LibMembership/TestMembershipSchedule.cpp
@@ -0,0 +1,88 @@
+#include "HostWorld.h"
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <cstdlib>
+
+using namespace ferry;
+using namespace ferry::test;
+using namespace std::chrono_literals;
+
+// FERRY_SCHEDULE_SEEDS sets the number of seeds for each row of the table.
+static uint64_t seedCount() {
+  const char *Given = std::getenv("FERRY_SCHEDULE_SEEDS");
+  return Given != nullptr ? std::strtoull(Given, nullptr, 10) : 20;
+}
+
+struct FaultCase {
+  const char *Name;
+  HostFaults Faults;
+  Duration LongestCut;
+};
+
+static std::ostream &operator<<(std::ostream &Out, const FaultCase &Case) {
+  return Out << Case.Name;
+}
+
+static const FaultCase FaultCases[] = {
+    {"calm", {}, 0s},
+    {"lossy network", {100, 100, 100, 0, 0, 0, 0, 30}, 0s},
+    {"cuts", {10, 10, 10, 0, 0, 5, 0, 20}, 20s},
+    {"freezes", {10, 10, 10, 5, 0, 0, 0, 20}, 0s},
+    {"restarts", {10, 10, 10, 0, 5, 0, 0, 20}, 0s},
+    {"lost disks", {10, 10, 10, 0, 2, 2, 5, 0}, 5s},
+    {"everything", {50, 50, 50, 3, 3, 3, 2, 30}, 20s}};
+
+BOOST_DATA_TEST_CASE(numbers_and_targets_are_never_used_too_long,
+                     boost::unit_test::data::make(FaultCases), Case) {
+  size_t Changes = 0;
+  for (uint64_t Seed = 1; Seed <= seedCount(); ++Seed) {
+    HostWorldOptions Given;
+    Given.Seed = Seed;
+    Given.Faults = Case.Faults;
+    Given.LongestCut = Case.LongestCut;
+    HostWorld World(Given);
+    World.run(30s);
+    World.calm();
+    World.run(10s);
+    BOOST_TEST_INFO("seed " << Seed);
+    BOOST_TEST(World.Violations.empty(), World.Violations.size()
+                                             << " times, first: "
+                                             << World.Violations.front());
+    BOOST_TEST(World.Uses > 1000u);
+    Changes += World.AcceptedAt.size();
+    // After the faults all hosts are confirmed and know all targets.
+    for (size_t Index = 0; Index < World.Hosts.size(); ++Index) {
+      BOOST_TEST_INFO("seed " << Seed << " host " << Index);
+      BOOST_TEST(World.Hosts[Index].Confirm->isConfirmed(World.Now));
+      BOOST_TEST(World.Hosts[Index].Members->targets(World.Now).size() ==
+                 World.Targets.size());
+    }
+  }
+  BOOST_TEST(Changes > seedCount());
+}
+
+BOOST_AUTO_TEST_CASE(a_host_cut_off_for_an_hour_refuses_and_catches_up) {
+  for (uint64_t Seed = 1; Seed <= 2; ++Seed) {
+    HostWorldOptions Given;
+    Given.Seed = Seed;
+    Given.Change = 1;
+    HostWorld World(Given);
+    World.run(5s);
+    // One router and one control host.
+    for (size_t Index : {2, 5})
+      World.Hosts[Index].CutUntil = World.Now + 1h;
+    World.run(3s);
+    for (size_t Index : {2, 5}) {
+      BOOST_TEST(!World.Hosts[Index].Confirm->isConfirmed(World.Now));
+      BOOST_TEST(World.Hosts[Index].Members->targets(World.Now).size() <=
+                 World.Targets.size() / 2);
+    }
+    World.run(1h);
+    World.run(2s);
+    BOOST_TEST(World.Violations.empty());
+    uint64_t Newest = World.AcceptedAt.size();
+    BOOST_TEST(Newest > 10u);
+    for (size_t Index : {2, 5})
+      BOOST_TEST(World.Hosts[Index].Confirm->isConfirmed(World.Now));
+  }
+}
