LibCache: Let an index sample blocks by hash

For hosts that can afford only a part of the events. The match reaches the last sampled block; sureness reaches only as far as every block is sampled.

--- a/Libraries/LibCache/CacheIndex.cpp
+++ b/Libraries/LibCache/CacheIndex.cpp
@@ -21,6 +21,7 @@
 
 CacheIndex CacheIndex::create(Options Chosen) {
   Chosen.MaxEntries = std::max<size_t>(Chosen.MaxEntries, 1);
+  Chosen.SampleEvery = std::max<uint32_t>(Chosen.SampleEvery, 1);
   return CacheIndex(Chosen);
 }
 
@@ -182,6 +183,8 @@
 }
 
 void CacheIndex::store(HolderNumber Number, BlockHash Block, uint8_t Mark) {
+  if (!isSampled(Block))
+    return;
   if (BlockEntry *Entry = Table.find(Block, Number)) {
     Entry->Mark = Mark;
     return;
@@ -256,24 +259,29 @@
 
 void CacheIndex::lookup(std::span<const BlockHash> Blocks, CacheMatches &Out) {
   Out.reset(Holders.size());
+  // Leading blocks up to the sampled one before.
+  uint32_t Reached = 0;
   for (uint32_t Index = 0; Index < Blocks.size(); ++Index) {
+    if (!isSampled(Blocks[Index]))
+      continue;
     bool Extended = false;
     Table.forEachHolder(Blocks[Index], [&](BlockEntry &Entry) {
       if (isGone(Entry))
         return;
       HolderMatch &Match = Out.at(Entry.Holder);
-      if (Match.CachedBlocks != Index)
+      if (Match.CachedBlocks != Reached)
         return;
       Match.CachedBlocks = Index + 1;
       if (Match.SureBlocks == Index && isSure(Entry))
         Match.SureBlocks = Index + 1;
-      if (Index == 0)
+      if (Reached == 0)
         Out.Touched.push_back(Entry.Holder);
       Entry.Heat += Entry.Heat < MaxHeat;
       Extended = true;
     });
     if (!Extended)
       return;
+    Reached = Index + 1;
   }
 }
 
--- a/Libraries/LibCache/CacheIndex.h
+++ b/Libraries/LibCache/CacheIndex.h
@@ -68,6 +68,10 @@
   struct Options {
     /// Entries kept; beyond that, cold ones are dropped.
     size_t MaxEntries = 4'000'000;
+    /// Only blocks whose hash is a multiple of this are kept, so that events
+    /// of the others need not be sent. A prompt's match is then known to the
+    /// last sampled block, and is sure only as far as all blocks are sampled.
+    uint32_t SampleEvery = 1;
   };
 
   static CacheIndex create(Options Chosen);
@@ -118,6 +122,9 @@
     BlockNames Names;
   };
 
+  bool isSampled(BlockHash Block) const {
+    return Block.Value % Chosen.SampleEvery == 0;
+  }
   bool takesEntries(HolderNumber Number) const;
   bool isGone(const BlockEntry &Entry) const;
   bool isSure(const BlockEntry &Entry) const;
--- a/Tests/LibCache/TestCacheIndex.cpp
+++ b/Tests/LibCache/TestCacheIndex.cpp
@@ -33,7 +33,7 @@
 
 namespace {
 struct IndexFixture {
-  CacheIndex Index = CacheIndex::create({1000});
+  CacheIndex Index = CacheIndex::create({1000, 1});
   HolderNumber Holder = Index.addHolder(Engine, Life);
   CacheMatches Matches;
 
@@ -275,7 +275,7 @@
 BOOST_DATA_TEST_CASE(sure_entries_are_true, boost::unit_test::data::xrange(20),
                      Seed) {
   RandomGenerator Random(Seed + 100);
-  CacheIndex Index = CacheIndex::create({120});
+  CacheIndex Index = CacheIndex::create({120, 1});
   struct Model {
     uint64_t Life = 1;
     uint64_t Next = 1;
