--- /dev/null
+++ b/Benchmarks/Placement/Rows.h
@@ -0,0 +1,144 @@
+/// \file
+/// The ways of placing that are compared.
+#ifndef FERRY_BENCHMARKS_PLACEMENT_ROWS_H
+#define FERRY_BENCHMARKS_PLACEMENT_ROWS_H
+
+#include "Simulation.h"
+
+namespace ferry::bench {
+
+using Candidates = std::span<const routing::Candidate>;
+
+/// \returns the candidate for which \p Cost is least, among the free ones if
+/// there are any.
+template <typename CostType>
+size_t pickLeast(Candidates Offered, CostType Cost) {
+  size_t Best = 0;
+  bool HasBest = false;
+  double BestCost = 0;
+  for (size_t Index = 0; Index < Offered.size(); ++Index) {
+    double Each = Cost(Index);
+    if (HasBest && Each >= BestCost)
+      continue;
+    Best = Index;
+    BestCost = Each;
+    HasBest = true;
+  }
+  return Best;
+}
+
+inline constexpr double FullCost = 1e9;
+
+inline double fullCost(const routing::Candidate &Each) {
+  return Each.Space == routing::Candidate::Room::Full ? FullCost : 0;
+}
+
+inline Row makeRoundRobin() {
+  return {"round robin", [](Simulation &Run) -> routing::PlacementPolicy {
+            auto Next = std::make_shared<size_t>(Run.seed());
+            return routing::CustomPlacement{
+                [Next](const routing::PlacementQuery &, Candidates Offered) {
+                  ++*Next;
+                  return pickLeast(Offered, [&](size_t Index) {
+                    return fullCost(Offered[Index]) +
+                           static_cast<double>((Index + *Next) %
+                                               Offered.size());
+                  });
+                }};
+          }};
+}
+
+inline Row makeLeastLoad() {
+  return {"least load", [](Simulation &) -> routing::PlacementPolicy {
+            return routing::CustomPlacement{
+                [](const routing::PlacementQuery &, Candidates Offered) {
+                  return pickLeast(Offered, [&](size_t Index) {
+                    return fullCost(Offered[Index]) +
+                           Offered[Index].Target->queuedPrefill(
+                               routing::LoadCorrection::OwnTries) +
+                           Offered[Index].Target->occupancy(
+                               routing::LoadCorrection::OwnTries);
+                  });
+                }};
+          }};
+}
+
+inline Row makeConsistentHash() {
+  return {"consistent hash", [](Simulation &) -> routing::PlacementPolicy {
+            return routing::CustomPlacement{
+                [](const routing::PlacementQuery &Query, Candidates Offered) {
+                  uint64_t Key = routing::placementKey(*Query.Request);
+                  return pickLeast(Offered, [&](size_t Index) {
+                    return -static_cast<double>(routing::rendezvousWeight(
+                        Offered[Index].Target->idHash(), Key));
+                  });
+                }};
+          }};
+}
+
+inline Row makeBoundedHash() {
+  return {"bounded-load hash", [](Simulation &) -> routing::PlacementPolicy {
+            return routing::BoundedHashPlacement{};
+          }};
+}
+
+inline Row makeOurs(std::string Name, routing::EstimatedTimePlacement Policy,
+                    EventSpread Spread = EventSpread::AllRouters,
+                    uint32_t SampleEvery = 1) {
+  return {std::move(Name),
+          [Policy](Simulation &) -> routing::PlacementPolicy { return Policy; },
+          Spread, SampleEvery};
+}
+
+/// Scores like ours, but sees the engines themselves.
+inline Row makeOracle() {
+  return {
+      "oracle", [](Simulation &Run) -> routing::PlacementPolicy {
+        return routing::CustomPlacement{
+            [&Run](const routing::PlacementQuery &Query, Candidates Offered) {
+              return pickLeast(Offered, [&](size_t Index) {
+                FakeEngine &Engine =
+                    Run.engine(Offered[Index].Target->record().Id);
+                if (!Engine.isUp())
+                  return 2 * FullCost;
+                double Prefill = static_cast<double>(
+                                     Query.Request->PromptTokens -
+                                     Engine.trueMatch(Query.Request->Blocks) *
+                                         cache::BlockTokens) /
+                                 Engine.options().PrefillTokensPerSecond;
+                double Weight =
+                    Query.Objective == config::Objective::HitRate ? 2 : 1;
+                return Engine.trueWaitSeconds() + Weight * Prefill;
+              });
+            }};
+      }};
+}
+
+inline std::vector<Row> makeRows() {
+  using namespace routing;
+  EstimatedTimePlacement Plain;
+  Plain.Correction = LoadCorrection::Reported;
+  Plain.Learning = RateLearning::Fixed;
+  Plain.RankWeight = 0;
+  EstimatedTimePlacement Corrected = Plain;
+  Corrected.Correction = LoadCorrection::OwnTries;
+  EstimatedTimePlacement Learned = Corrected;
+  Learned.Learning = RateLearning::Learned;
+  EstimatedTimePlacement Ours;
+  return {makeRoundRobin(),
+          makeLeastLoad(),
+          makeConsistentHash(),
+          makeBoundedHash(),
+          makeOurs("ours: cache index", Plain),
+          makeOurs("ours: + load corrected", Corrected),
+          makeOurs("ours: + rates learned", Learned),
+          makeOurs("ours", Ours),
+          makeOurs("ours, every 4th block", Ours, EventSpread::AllRouters, 4),
+          makeOurs("ours, events to 2 routers", Ours, EventSpread::TwoHomes),
+          makeOurs("ours, no events", Ours, EventSpread::None),
+          makeOracle()};
+}
+
+} // namespace ferry::bench
+
+#endif
