LibTraffic: Relay streams whole, in order, or ended by a typed error

A read between two chunks blocked in the HTTP library, as it keeps the line end after a chunk in its buffer: the stall limit and the caller's end were not seen. Waits now count bytes beyond that line end only. Seen as: stall_after_tokens ended by the deadline instead of being resumed on the other engine.

--- a/Libraries/LibTraffic/TargetConnection.cpp
+++ b/Libraries/LibTraffic/TargetConnection.cpp
@@ -22,6 +22,13 @@
   return {Millis * 1000};
 }
 
+/// \returns when a wait that starts at \p Now has lasted too long.
+static Timestamp stallTime(const WaitLimits &Limits, Timestamp Now) {
+  if (Limits.StallLimit > Limits.Deadline - Now)
+    return Limits.Deadline;
+  return Now + Limits.StallLimit;
+}
+
 TargetConnection::TargetConnection(const Poco::Net::StreamSocket &Socket)
     : Link(Socket) {
   Link.setKeepAlive(false);
@@ -69,13 +76,18 @@
   }
 }
 
+bool TargetConnection::hasBufferedBytes() const {
+  // The library leaves the line end after a chunk in its buffer; a read would
+  // then block for the next chunk, out of sight of the caller's socket. Two
+  // bytes of a chunk's data are never the last ones to come.
+  int LineEnd = Body && Response.getChunkedTransferEncoding() ? 2 : 0;
+  return Link.buffered() > LineEnd;
+}
+
 LinkResult<void> TargetConnection::awaitBytes(const WaitLimits &Limits) {
-  if (Link.buffered() > 0)
+  if (hasBufferedBytes())
     return {};
-  Timestamp Start = steadyNow();
-  Timestamp StallAt = Limits.StallLimit > Limits.Deadline - Start
-                          ? Limits.Deadline
-                          : Start + Limits.StallLimit;
+  Timestamp StallAt = stallTime(Limits, steadyNow());
   int Descriptor = Link.socket().impl()->sockfd();
   while (true) {
     Timestamp Now = steadyNow();
@@ -98,7 +110,9 @@
   if (auto Ready = awaitBytes(Limits); !Ready)
     return Ready;
   try {
-    Link.socket().setReceiveTimeout(timespanUntil(Limits.Deadline));
+    // A peer that stops within a header or a chunk is met by this timeout.
+    Link.socket().setReceiveTimeout(
+        timespanUntil(stallTime(Limits, steadyNow())));
     Body = &Link.receiveResponse(Response);
     return {};
   } catch (const Poco::Exception &Failure) {
--- a/Libraries/LibTraffic/TargetConnection.h
+++ b/Libraries/LibTraffic/TargetConnection.h
@@ -91,6 +91,7 @@
   };
 
   explicit TargetConnection(const Poco::Net::StreamSocket &Socket);
+  bool hasBufferedBytes() const;
   LinkResult<void> awaitBytes(const WaitLimits &Limits);
 
   Session Link;
--- a/Tests/Fakes/FakeFaults.cpp
+++ b/Tests/Fakes/FakeFaults.cpp
@@ -47,4 +47,9 @@
   return Value;
 }
 
+size_t FaultTable::active() {
+  std::lock_guard Lock(Mutex);
+  return Active.size();
+}
+
 } // namespace ferry::fakes
--- a/Tests/Fakes/FakeFaults.h
+++ b/Tests/Fakes/FakeFaults.h
@@ -44,6 +44,9 @@
   /// \returns the value of an active fault and uses up one of its count.
   std::optional<int64_t> take(Fault Name);
 
+  /// \returns the number of faults that are active.
+  size_t active();
+
 private:
   struct Entry {
     int64_t Value;
