--- a/Tests/LibConfig/TestParse.cpp
+++ b/Tests/LibConfig/TestParse.cpp
@@ -1,4 +1,5 @@
 #include "LibConfig/Parse.h"
+#include "LibConfig/TokenFile.h"
 #include <algorithm>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -254,3 +255,27 @@
     BOOST_TEST((Loaded.error().at(0).Kind == Kind::Unreadable));
   }
 }
+
+BOOST_AUTO_TEST_CASE(token_files_are_checked_and_never_shown) {
+  auto Good =
+      tryParseTokens("# c\n\n a : 0123456789abcdef \nb: x:yyyyyyyyyyyyyy"
+                     "\n",
+                     "t");
+  requireValue(Good);
+  BOOST_TEST(Good->at("a") == "0123456789abcdef");
+  BOOST_TEST(Good->at("b") == "x:yyyyyyyyyyyyyy");
+  auto Bad =
+      tryParseTokens("a: 0123456789abcdef\nsecret-words\nb: shortsecret\n"
+                     "a: 0123456789abcdef\n",
+                     "t");
+  BOOST_REQUIRE(!Bad.has_value());
+  BOOST_TEST(joined(Bad.error()) ==
+             "t:2:1: bad_syntax: must be \"name: token\"\n"
+             "t:3:3: bad_value: a token must have 16 printable characters or "
+             "more\n"
+             "t:4:1: duplicate: a\n");
+  requireValue(tryLoadTokens(example("hosts/tokens")));
+  BOOST_TEST(tokensEqual("abc", "abc"));
+  BOOST_TEST(!tokensEqual("abc", "abd"));
+  BOOST_TEST(!tokensEqual("abc", "abcd"));
+}
