ferryctl: Add the operators' commands

check, apply, show, diff, history, status, hosts, drain, dump and call, with an exit code per kind of failure. apply resends one operation id to host after host until one gives the outcome; an outcome that nobody can tell has a code of its own and says how to resend. call goes to the next entry only after a refusal that says "not run" or a connection that failed before it was used.

--- /dev/null
+++ b/Tests/ferryctl/TestFerryctl.cpp
@@ -0,0 +1,317 @@
+#include "ferryctl/Commands.h"
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/StreamCopier.h>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <iostream>
+#include <memory>
+#include <mutex>
+#include <sstream>
+
+using Poco::Net::HTTPResponse;
+using Poco::Net::HTTPServerRequest;
+using Poco::Net::HTTPServerResponse;
+namespace data = boost::unit_test::data;
+
+namespace {
+
+/// What a fake host has been sent.
+struct SeenRequest {
+  std::string Method;
+  std::string Path;
+  std::string IfMatch;
+  std::string Operation;
+  std::string Authorization;
+  std::string Body;
+};
+
+/// What it answers.
+struct FakeAnswer {
+  int Status = 200;
+  std::string Body;
+  /// Cuts the connection in place of an answer.
+  bool Cut = false;
+};
+
+using Responder = std::function<FakeAnswer(const SeenRequest &)>;
+
+/// A host of the system that answers as a test says.
+class FakeHost {
+public:
+  explicit FakeHost(Responder Answer) : Answer(std::move(Answer)) {
+    Poco::Net::ServerSocket Socket(Poco::Net::SocketAddress("127.0.0.1", 0));
+    Address = Socket.address().toString();
+    Poco::Net::HTTPServerParams::Ptr Params = new Poco::Net::HTTPServerParams;
+    Params->setKeepAlive(false);
+    Server = std::make_unique<Poco::Net::HTTPServer>(new Factory(*this), Socket,
+                                                     Params);
+    Server->start();
+  }
+  ~FakeHost() { Server->stopAll(true); }
+
+  std::string Address;
+  std::vector<SeenRequest> Seen;
+
+private:
+  class Handler final : public Poco::Net::HTTPRequestHandler {
+  public:
+    explicit Handler(FakeHost &Host) : Host(Host) {}
+    void handleRequest(HTTPServerRequest &Request,
+                       HTTPServerResponse &Response) override {
+      SeenRequest Seen{Request.getMethod(),
+                       Request.getURI(),
+                       Request.get("If-Match", ""),
+                       Request.get("X-Operation-Id", ""),
+                       Request.get("Authorization", ""),
+                       ""};
+      Poco::StreamCopier::copyToString(Request.stream(), Seen.Body);
+      std::lock_guard Lock(Host.Mutex);
+      Host.Seen.push_back(Seen);
+      FakeAnswer Answer = Host.Answer(Seen);
+      if (Answer.Cut) {
+        auto &Detached =
+            static_cast<Poco::Net::HTTPServerRequestImpl &>(Request);
+        Detached.detachSocket().close();
+        return;
+      }
+      Response.setStatus(static_cast<HTTPResponse::HTTPStatus>(Answer.Status));
+      Response.sendBuffer(Answer.Body.data(), Answer.Body.size());
+    }
+
+  private:
+    FakeHost &Host;
+  };
+
+  class Factory final : public Poco::Net::HTTPRequestHandlerFactory {
+  public:
+    explicit Factory(FakeHost &Host) : Host(Host) {}
+    Poco::Net::HTTPRequestHandler *
+    createRequestHandler(const HTTPServerRequest &) override {
+      return new Handler(Host);
+    }
+
+  private:
+    FakeHost &Host;
+  };
+
+  std::mutex Mutex;
+  Responder Answer;
+  std::unique_ptr<Poco::Net::HTTPServer> Server;
+};
+
+/// How a run of ferryctl ended.
+struct RunResult {
+  int Code = -1;
+  std::string Out;
+  std::string Errors;
+};
+
+/// Takes over a stream while it lives.
+class CapturedStream {
+public:
+  explicit CapturedStream(std::ostream &Stream)
+      : Stream(Stream), Before(Stream.rdbuf(Text.rdbuf())) {}
+  ~CapturedStream() { Stream.rdbuf(Before); }
+  std::string text() const { return Text.str(); }
+
+private:
+  std::ostream &Stream;
+  std::ostringstream Text;
+  std::streambuf *Before;
+};
+
+} // namespace
+
+static RunResult run(const std::vector<std::string> &Words) {
+  CapturedStream Out(std::cout);
+  CapturedStream Errors(std::cerr);
+  auto Code = ferry::ctl::runCommand({Words, "0.0.0"});
+  return {static_cast<int>(Code), Out.text(), Errors.text()};
+}
+
+static std::string example(const std::string &Name) {
+  return std::string(FERRY_SOURCE_DIR) + "/Examples/" + Name;
+}
+
+static bool contains(const std::string &Text, const std::string &Part) {
+  return Text.find(Part) != std::string::npos;
+}
+
+/// A host that accepts changes and has them in force at once.
+static FakeAnswer acceptAll(const SeenRequest &Request) {
+  if (Request.Method == "PUT")
+    return {200, R"({"number":5,"operation":"op"})"};
+  if (Request.Path.starts_with("/v1/description/spread"))
+    return {200, R"({"number":5,"hosts_in_force":7,"hosts_known":7})"};
+  if (Request.Path == "/v1/description")
+    return {200, R"({"number":4,"operation":"o4","text":"a: 1\nb: 2\n"})"};
+  return {404, R"({"error":{"type":"not_found","message":"no"}})"};
+}
+
+BOOST_AUTO_TEST_CASE(help_version_and_usage_have_their_codes) {
+  BOOST_TEST(run({"--help"}).Code == 0);
+  BOOST_TEST(contains(run({"--version"}).Out, "ferryctl 0."));
+  BOOST_TEST(contains(run({"apply", "--help"}).Out, "--deadline-ms"));
+  BOOST_TEST(run({"apply", "--version"}).Code == 0);
+  for (const std::vector<std::string> &Words :
+       {std::vector<std::string>{},
+        {"fly"},
+        {"apply"},
+        {"check"},
+        {"apply", "--no-such"},
+        {"show", "--hosts", "localhost:1"},
+        {"show"}})
+    BOOST_TEST(run(Words).Code == 2);
+}
+
+BOOST_AUTO_TEST_CASE(check_reports_all_errors_offline) {
+  RunResult Good = run({"check", "--settings", example("hosts/host-1.yaml"),
+                        example("prestamos-austral.yaml"),
+                        example("bridge-permit-desk.yaml")});
+  BOOST_TEST(Good.Code == 0);
+  BOOST_TEST(Good.Out == "3 files checked, no errors\n");
+  RunResult Bad = run({"check", example("hosts/host-1.yaml"), "no-such-file"});
+  BOOST_TEST(Bad.Code == 3);
+  BOOST_TEST(contains(Bad.Out, "host-1.yaml:2:1: missing_key: deployment\n"));
+  BOOST_TEST(contains(Bad.Out, "no-such-file:0:0: unreadable"));
+  RunResult Json = run({"check", "--json", example("hosts/host-1.yaml")});
+  BOOST_TEST(contains(Json.Out, "\"kind\":\"missing_key\""));
+}
+
+BOOST_AUTO_TEST_CASE(apply_sends_base_operation_and_token) {
+  FakeHost Host(acceptAll);
+  RunResult Run =
+      run({"apply", "--hosts", Host.Address, "--token-file",
+           example("hosts/tokens"), example("prestamos-austral.yaml")});
+  BOOST_TEST(Run.Code == 0, Run.Errors);
+  BOOST_TEST(Run.Out == "number 5 is in force on all 7 hosts\n");
+  BOOST_REQUIRE(Host.Seen.size() >= 3u);
+  BOOST_TEST(Host.Seen[1].IfMatch == "\"4\"");
+  BOOST_TEST(Host.Seen[1].Operation.size() == 36u);
+  BOOST_TEST(Host.Seen[1].Authorization ==
+             "Bearer sample-operator-token-for-trials-only");
+  BOOST_TEST(contains(Host.Seen[1].Body, "deployment: prestamos-austral"));
+}
+
+BOOST_AUTO_TEST_CASE(apply_resends_the_same_operation_after_a_lost_answer) {
+  FakeHost Lossy([](const SeenRequest &) { return FakeAnswer{0, "", true}; });
+  FakeHost Host(acceptAll);
+  RunResult Run = run({"apply", "--json", "--base", "4", "--hosts",
+                       Lossy.Address + "," + Host.Address,
+                       example("prestamos-austral.yaml")});
+  BOOST_TEST(Run.Code == 0, Run.Out);
+  BOOST_TEST(contains(Run.Out, "\"hosts_in_force\":7"));
+  BOOST_REQUIRE(!Lossy.Seen.empty());
+  BOOST_TEST(!Lossy.Seen[0].Operation.empty());
+  BOOST_TEST(Lossy.Seen[0].Operation == Host.Seen[0].Operation);
+}
+
+namespace {
+
+/// What the host answers to the change, and what ferryctl makes of it.
+struct OutcomeCase {
+  FakeAnswer Put;
+  int Code;
+  const char *Shown;
+};
+
+std::ostream &operator<<(std::ostream &Out, const OutcomeCase &Case) {
+  return Out << Case.Shown;
+}
+
+const OutcomeCase Outcomes[] = {
+    {{409, R"({"error":{"type":"conflict","message":"m"},)"
+           R"("current":{"number":6,"operation":"o6","text":""}})"},
+     6,
+     "number 6 by operation o6"},
+    {{401, R"({"error":{"type":"unauthorized","message":"m"}})"},
+     5,
+     "unauthorized: m"},
+    {{503, R"({"error":{"type":"unconfirmed","message":"m","not_run":true}})"},
+     5,
+     "unconfirmed: m"},
+    {{503, R"({"error":{"type":"timeout","message":"m","not_run":"unknown"}})"},
+     8,
+     "timeout: m"},
+    {{500, "not JSON"}, 8, "status 500"},
+    {{0, "", true}, 8, "no_answer"}};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(apply_tells_outcomes_apart, data::make(Outcomes)) {
+  FakeHost Host([&](const SeenRequest &) { return sample.Put; });
+  RunResult Run =
+      run({"apply", "--base", "4", "--operation", "op", "--deadline-ms", "400",
+           "--hosts", Host.Address, example("prestamos-austral.yaml")});
+  BOOST_TEST(Run.Code == sample.Code, Run.Errors);
+  BOOST_TEST(contains(Run.Errors, sample.Shown), Run.Errors);
+}
+
+BOOST_AUTO_TEST_CASE(apply_waits_until_its_deadline_for_the_spread) {
+  FakeHost Host([](const SeenRequest &Request) {
+    if (Request.Method == "PUT")
+      return acceptAll(Request);
+    return FakeAnswer{200,
+                      R"({"number":5,"hosts_in_force":6,"hosts_known":7})"};
+  });
+  RunResult Run =
+      run({"apply", "--base", "4", "--deadline-ms", "400", "--hosts",
+           Host.Address, example("prestamos-austral.yaml")});
+  BOOST_TEST(Run.Code == 7);
+  BOOST_TEST(contains(Run.Errors, "in force on 6 of 7 hosts"));
+}
+
+BOOST_AUTO_TEST_CASE(unreachable_hosts_have_their_code) {
+  std::string Gone;
+  {
+    FakeHost Host(acceptAll);
+    Gone = Host.Address;
+  }
+  RunResult Run = run({"show", "--deadline-ms", "300", "--hosts", Gone});
+  BOOST_TEST(Run.Code == 4, Run.Errors);
+}
+
+BOOST_AUTO_TEST_CASE(show_diff_and_status_read_the_description) {
+  FakeHost Host(acceptAll);
+  BOOST_TEST(run({"show", "--hosts", Host.Address}).Out == "a: 1\nb: 2\n");
+  RunResult Diff =
+      run({"diff", "--hosts", Host.Address, example("prestamos-austral.yaml")});
+  BOOST_TEST(Diff.Code == 9);
+  BOOST_TEST(contains(Diff.Out, "-a: 1\n"));
+  BOOST_TEST(contains(Diff.Out, "+deployment: prestamos-austral\n"));
+  RunResult Status = run({"status", "--hosts", Host.Address});
+  BOOST_TEST(Status.Code == 0);
+  BOOST_TEST(contains(Status.Out, "answers  5       7         7\n"));
+}
+
+BOOST_AUTO_TEST_CASE(call_goes_on_only_after_a_refusal_that_did_not_run) {
+  FakeHost Good([](const SeenRequest &) { return FakeAnswer{200, "done"}; });
+  FakeHost Busy([](const SeenRequest &) {
+    return FakeAnswer{
+        503, R"({"error":{"type":"draining","message":"m","not_run":true}})"};
+  });
+  FakeHost Unsure([](const SeenRequest &) {
+    return FakeAnswer{
+        502, R"({"error":{"type":"lost","message":"m","not_run":"unknown"}})"};
+  });
+  auto CallWith = [&](const FakeHost &First) {
+    FakeHost Guide([&](const SeenRequest &) {
+      return FakeAnswer{200, R"({"entries":[{"address":")" + First.Address +
+                                 R"("},{"address":")" + Good.Address +
+                                 R"("}]})"};
+    });
+    return run({"call", "--hosts", Guide.Address, "--workspace", "w",
+                "--service", "app", "--method", "POST", "--path", "/holds",
+                "--body", "{}"});
+  };
+  BOOST_TEST(CallWith(Busy).Code == 0);
+  BOOST_TEST(Good.Seen.size() == 1u);
+  BOOST_TEST(CallWith(Unsure).Code == 5);
+  BOOST_TEST(Good.Seen.size() == 1u);
+}
--- /dev/null
+++ b/Utilities/ferryctl/Apply.cpp
@@ -0,0 +1,181 @@
+#include "LibConfig/Parse.h"
+#include "ferryctl/Commands.h"
+#include "ferryctl/Description.h"
+#include <Poco/Thread.h>
+#include <Poco/UUIDGenerator.h>
+
+namespace ferry::ctl {
+
+static constexpr long PollPauseMillis = 100;
+static constexpr int ConflictStatus = 409;
+
+namespace {
+
+/// One change on its way.
+struct Change {
+  DescriptionNumber Base;
+  std::string Operation;
+  std::string Text;
+};
+
+} // namespace
+
+static Result<std::string, CommandError>
+tryCheckedText(const std::string &Path) {
+  auto Text = tryReadInput(Path);
+  if (!Text)
+    return Text;
+  auto Parsed = config::tryParseDescription(*Text, Path);
+  if (Parsed)
+    return Text;
+  std::string Detail;
+  for (const config::ConfigError &Error : Parsed.error())
+    Detail += "\n" + Error.message();
+  return makeTypedError(ExitCode::InvalidInput, Detail);
+}
+
+static CommandError conflictError(const HttpAnswer &Answer) {
+  std::string Detail = "another change was accepted first";
+  auto Root = tryParseObject(Answer.Body);
+  if (!Root)
+    return {ExitCode::Conflict, Detail};
+  Poco::JSON::Object::Ptr Current = (*Root)->getObject("current");
+  Poco::JSON::Object::Ptr Form = (*Root)->getObject("error");
+  if (!Current && Form)
+    Current = Form->getObject("current");
+  if (!Current)
+    return {ExitCode::Conflict, hostErrorOf(Answer).Message};
+  RemoteDescription Winner = descriptionIn(*Current);
+  Detail += ": number " + std::to_string(Winner.Number.Value) +
+            " by operation " + Winner.Operation +
+            "; see it with `ferryctl diff`";
+  return {ExitCode::Conflict, Detail};
+}
+
+/// Sends the change until a host gives its outcome. A resend carries the same
+/// operation id, so that it gets the answer of the first.
+static Result<DescriptionNumber, CommandError>
+tryPropose(const HostAccess &Access, const Change &Proposed) {
+  HttpRequest Request{
+      "PUT", "/v1/description", {}, "application/yaml", Proposed.Text};
+  std::string Base = std::to_string(Proposed.Base.Value);
+  Request.Headers = {{"If-Match", "\"" + Base + "\""},
+                     {"X-Operation-Id", Proposed.Operation}};
+  auto Answer = Access.trySend(Request);
+  if (!Answer) {
+    Answer.error().Detail +=
+        "; resend with --operation " + Proposed.Operation + " --base " + Base;
+    return makeError(Answer.error());
+  }
+  if (Answer->Status == ConflictStatus)
+    return makeError(conflictError(*Answer));
+  if (!Answer->succeeded()) {
+    HostError Error = hostErrorOf(*Answer);
+    return makeTypedError(ExitCode::Refused, Error.Type + ": " + Error.Message);
+  }
+  auto Object = tryParseObject(Answer->Body);
+  if (!Object)
+    return makeTypedError(ExitCode::OutcomeUnknown, Object.error().message());
+  return DescriptionNumber{numberIn(**Object, "number")};
+}
+
+/// Waits until the number is in force on all hosts that are known.
+static Result<Spread, CommandError> tryAwaitSpread(const HostAccess &Access,
+                                                   DescriptionNumber Number,
+                                                   Output &Out) {
+  Spread Last;
+  std::string Failure;
+  while (steadyNow() < Access.Deadline) {
+    auto Read = tryReadSpread(Access, Number);
+    if (!Read) {
+      Failure = "; " + Read.error().message();
+      continue;
+    }
+    Last = *Read;
+    Out.progress("number " + std::to_string(Number.Value) + " in force on " +
+                 std::to_string(Last.HostsInForce) + " of " +
+                 std::to_string(Last.HostsKnown) + " hosts");
+    if (Last.isEverywhere())
+      return Last;
+    Poco::Thread::sleep(PollPauseMillis);
+  }
+  return makeTypedError(
+      ExitCode::NotYetInForce,
+      "number " + std::to_string(Number.Value) + " is accepted, in force on " +
+          std::to_string(Last.HostsInForce) + " of " +
+          std::to_string(Last.HostsKnown) + " hosts" + Failure);
+}
+
+static Result<Change, CommandError> tryPrepare(const HostAccess &Access,
+                                               const std::string &Path,
+                                               std::string Operation,
+                                               std::optional<uint64_t> Base) {
+  auto Text = tryCheckedText(Path);
+  if (!Text)
+    return makeError(Text.error());
+  if (Operation.empty())
+    Operation =
+        Poco::UUIDGenerator::defaultGenerator().createRandom().toString();
+  if (Base)
+    return Change{{*Base}, std::move(Operation), std::move(*Text)};
+  auto Current = tryReadDescription(Access);
+  if (!Current)
+    return makeError(Current.error());
+  return Change{Current->Number, std::move(Operation), std::move(*Text)};
+}
+
+static ExitCode apply(const HostAccess &Access, const Change &Proposed,
+                      Output &Out) {
+  auto Number = tryPropose(Access, Proposed);
+  if (!Number)
+    return Out.fail(Number.error());
+  Out.progress("accepted as number " + std::to_string(Number->Value));
+  auto Everywhere = tryAwaitSpread(Access, *Number, Out);
+  Out.endProgress();
+  if (!Everywhere)
+    return Out.fail(Everywhere.error());
+  Poco::JSON::Object Object;
+  Object.set("number", Number->Value);
+  Object.set("operation", Proposed.Operation);
+  Object.set("hosts_in_force", Everywhere->HostsInForce);
+  Object.set("hosts_known", Everywhere->HostsKnown);
+  Out.result("number " + std::to_string(Number->Value) +
+                 " is in force on all " +
+                 std::to_string(Everywhere->HostsKnown) + " hosts\n",
+             Object);
+  return ExitCode::Success;
+}
+
+ExitCode runApply(const Arguments &Given) {
+  CommandLine Parser(Given,
+                     "Proposes a description and waits until it is in force "
+                     "on every host.");
+  HostOptions Options(Parser.line());
+  TCLAP::ValueArg<uint64_t> Base(
+      "b", "base",
+      "The number that the change is based on; the current one if "
+      "not given",
+      false, 0, "number", Parser.line());
+  TCLAP::ValueArg<std::string> Operation(
+      "o", "operation", "The operation id of an earlier try, to resend it",
+      false, "", "id", Parser.line());
+  TCLAP::UnlabeledValueArg<std::string> File("description",
+                                             "The file with the description",
+                                             true, "", "file", Parser.line());
+  if (auto Code = parseOrExit(Parser))
+    return *Code;
+  Output Out = Options.output();
+  auto Access = Options.tryAccess();
+  if (!Access)
+    return Out.fail(Access.error());
+  std::optional<uint64_t> BaseNumber;
+  if (Base.isSet())
+    BaseNumber = Base.getValue();
+  auto Proposed =
+      tryPrepare(*Access, File.getValue(), Operation.getValue(), BaseNumber);
+  if (!Proposed)
+    return Out.fail(Proposed.error());
+  return apply(*Access, *Proposed, Out);
+}
+
+} // namespace ferry::ctl
--- /dev/null
+++ b/Utilities/ferryctl/Commands.cpp
@@ -0,0 +1,62 @@
+#include "ferryctl/Commands.h"
+#include <iostream>
+
+namespace ferry::ctl {
+
+namespace {
+
+/// One command: runs with its own words, the first of which is its name.
+struct CommandEntry {
+  std::string_view Name;
+  std::string_view Summary;
+  ExitCode (*Run)(const Arguments &);
+};
+
+} // namespace
+
+static constexpr CommandEntry CommandTable[] = {
+    {"check", "check settings and descriptions, without any host", runCheck},
+    {"apply", "propose a description and wait until it is in force", runApply},
+    {"show", "show the newest accepted description", runShow},
+    {"diff", "compare a file with the newest accepted description", runDiff},
+    {"history", "list the accepted changes", runHistory},
+    {"status", "show each host's number and its spread", runStatus},
+    {"hosts", "show hosts and targets as one host sees them", runHosts},
+    {"drain", "begin the graceful shutdown of one host", runDrain},
+    {"dump", "print the state of one process as JSON", runDump},
+    {"call", "send one call as a caller would", runCall}};
+
+static std::string usage() {
+  std::string Text = "Usage: ferryctl COMMAND [options]\n"
+                     "       ferryctl COMMAND --help\n"
+                     "       ferryctl --help | --version\n\nCommands:\n";
+  for (const CommandEntry &Entry : CommandTable) {
+    std::string Name(Entry.Name);
+    Name.resize(10, ' ');
+    Text += "  " + Name + std::string(Entry.Summary) + "\n";
+  }
+  return Text;
+}
+
+static ExitCode runWithoutCommand(const Arguments &Given) {
+  const std::vector<std::string> &Words = Given.Words;
+  if (!Words.empty() && (Words[0] == "--help" || Words[0] == "-h")) {
+    std::cout << usage();
+    return ExitCode::Success;
+  }
+  if (!Words.empty() && Words[0] == "--version") {
+    std::cout << "ferryctl " << Given.Version << std::endl;
+    return ExitCode::Success;
+  }
+  std::cerr << usage();
+  return ExitCode::Usage;
+}
+
+ExitCode runCommand(const Arguments &Given) {
+  for (const CommandEntry &Entry : CommandTable)
+    if (!Given.Words.empty() && Given.Words[0] == Entry.Name)
+      return Entry.Run(Given);
+  return runWithoutCommand(Given);
+}
+
+} // namespace ferry::ctl
--- /dev/null
+++ b/Utilities/ferryctl/Status.cpp
@@ -0,0 +1,193 @@
+#include "LibConfig/TextForm.h"
+#include "ferryctl/Commands.h"
+#include "ferryctl/Description.h"
+#include <Poco/JSON/Array.h>
+#include <algorithm>
+
+namespace ferry::ctl {
+
+/// How long one host may take to show its state.
+static constexpr Duration StatusTimeout = std::chrono::seconds(2);
+
+static HostAccess accessTo(const HostAccess &Access,
+                           const std::string &Address) {
+  HostAccess One = Access;
+  One.Addresses = {Address};
+  One.Deadline = std::min(Access.Deadline, steadyNow() + StatusTimeout);
+  return One;
+}
+
+namespace {
+
+/// One row of the status.
+struct HostStatus {
+  std::string Address;
+  std::string Failure;
+  Spread Known;
+};
+
+} // namespace
+
+static HostStatus readStatus(const HostAccess &Access,
+                             const std::string &Address,
+                             DescriptionNumber Number) {
+  HostStatus Status{Address, "", {}};
+  auto Read = tryReadSpread(accessTo(Access, Address), Number);
+  if (Read)
+    Status.Known = *Read;
+  else
+    Status.Failure = std::string(enumName(Read.error().Kind));
+  return Status;
+}
+
+static void showStatus(const Output &Out, DescriptionNumber Number,
+                       const std::vector<HostStatus> &Hosts) {
+  Table Rows{{"ADDRESS", "STATE", "NUMBER", "IN FORCE", "KNOWN"}, {}};
+  Poco::JSON::Array List;
+  for (const HostStatus &Host : Hosts) {
+    std::string State = Host.Failure.empty() ? "answers" : Host.Failure;
+    Rows.Rows.push_back({Host.Address, State,
+                         std::to_string(Host.Known.Number.Value),
+                         std::to_string(Host.Known.HostsInForce),
+                         std::to_string(Host.Known.HostsKnown)});
+    Poco::JSON::Object Item;
+    Item.set("address", Host.Address);
+    Item.set("state", State);
+    Item.set("number", Host.Known.Number.Value);
+    Item.set("hosts_in_force", Host.Known.HostsInForce);
+    Item.set("hosts_known", Host.Known.HostsKnown);
+    List.add(Item);
+  }
+  Poco::JSON::Object Root;
+  Root.set("number", Number.Value);
+  Root.set("hosts", List);
+  Out.result("newest accepted number: " + std::to_string(Number.Value) + "\n" +
+                 Rows.render(),
+             Root);
+}
+
+ExitCode runStatus(const Arguments &Given) {
+  CommandLine Parser(Given,
+                     "Shows the newest accepted number, and for each host of "
+                     "--hosts how far it sees that number in force.");
+  HostOptions Options(Parser.line());
+  if (auto Code = parseOrExit(Parser))
+    return *Code;
+  Output Out = Options.output();
+  auto Access = Options.tryAccess();
+  if (!Access)
+    return Out.fail(Access.error());
+  auto Current = tryReadDescription(*Access);
+  if (!Current)
+    return Out.fail(Current.error());
+  std::vector<HostStatus> Hosts;
+  for (const std::string &Address : Access->Addresses)
+    Hosts.push_back(readStatus(*Access, Address, Current->Number));
+  showStatus(Out, Current->Number, Hosts);
+  bool AllAnswer =
+      std::all_of(Hosts.begin(), Hosts.end(),
+                  [](const HostStatus &Host) { return Host.Failure.empty(); });
+  return AllAnswer ? ExitCode::Success : ExitCode::Unreachable;
+}
+
+static std::string renderObjects(const Poco::JSON::Object &Section,
+                                 const std::string &Key,
+                                 const std::vector<std::string> &Columns) {
+  Table Rows{Columns, {}};
+  Poco::JSON::Array::Ptr List = Section.getArray(Key);
+  for (size_t Index = 0; List && Index < List->size(); ++Index) {
+    auto Item = List->getObject(static_cast<unsigned>(Index));
+    if (!Item)
+      continue;
+    std::vector<std::string> Cells;
+    for (const std::string &Column : Columns)
+      Cells.push_back(textIn(*Item, Column));
+    Rows.Rows.push_back(std::move(Cells));
+  }
+  return Rows.render();
+}
+
+ExitCode runHosts(const Arguments &Given) {
+  CommandLine Parser(Given,
+                     "Shows the hosts and targets as the first host of --hosts "
+                     "that answers sees them.");
+  HostOptions Options(Parser.line());
+  if (auto Code = parseOrExit(Parser))
+    return *Code;
+  Output Out = Options.output();
+  auto Access = Options.tryAccess();
+  if (!Access)
+    return Out.fail(Access.error());
+  auto Root = Access->tryGetObject("/v1/dump");
+  if (!Root)
+    return Out.fail(Root.error());
+  Poco::JSON::Object::Ptr View = (*Root)->getObject("view");
+  if (!View)
+    return Out.fail({ExitCode::InternalError, "the dump has no view"});
+  std::string Text = renderObjects(
+      *View, "hosts", {"id", "data_centre", "address", "standing"});
+  Text += "\n" + renderObjects(*View, "targets",
+                               {"id", "service", "kind", "data_centre",
+                                "address", "phase", "weights"});
+  Out.result(Text, *View);
+  return ExitCode::Success;
+}
+
+/// Parses the words of a command on one host, named on the command line.
+static Result<HostAccess, CommandError>
+tryNamedHost(const HostOptions &Options, const std::string &Address) {
+  auto Named = tryAddresses(Address);
+  if (!Named)
+    return makeError(Named.error());
+  return Options.tryAccess(std::move(*Named));
+}
+
+ExitCode runDrain(const Arguments &Given) {
+  CommandLine Parser(Given,
+                     "Begins the graceful shutdown of one host: it leaves the "
+                     "entries, finishes its requests and exits.");
+  HostOptions Options(Parser.line());
+  TCLAP::UnlabeledValueArg<std::string> Host(
+      "host", "The host's address for operators", true, "", "IP:port",
+      Parser.line());
+  if (auto Code = parseOrExit(Parser))
+    return *Code;
+  Output Out = Options.output();
+  auto Access = tryNamedHost(Options, Host.getValue());
+  if (!Access)
+    return Out.fail(Access.error());
+  auto Answer = Access->trySend({"POST", "/v1/drain", {}, "", ""});
+  if (!Answer)
+    return Out.fail(Answer.error());
+  if (!Answer->succeeded())
+    return Out.fail({ExitCode::Refused, hostErrorOf(*Answer).Message});
+  Poco::JSON::Object Object;
+  Object.set("host", Host.getValue());
+  Object.set("draining", true);
+  Out.result(Host.getValue() + " is draining\n", Object);
+  return ExitCode::Success;
+}
+
+ExitCode runDump(const Arguments &Given) {
+  CommandLine Parser(Given, "Prints the state of one process as JSON.");
+  HostOptions Options(Parser.line());
+  TCLAP::UnlabeledValueArg<std::string> Host(
+      "host", "The host's address for operators", true, "", "IP:port",
+      Parser.line());
+  if (auto Code = parseOrExit(Parser))
+    return *Code;
+  Output Out = Options.output();
+  auto Access = tryNamedHost(Options, Host.getValue());
+  if (!Access)
+    return Out.fail(Access.error());
+  auto Text = Access->tryGetText("/v1/dump");
+  if (!Text)
+    return Out.fail(Text.error());
+  auto Object = tryParseObject(*Text);
+  if (!Object)
+    return Out.fail({ExitCode::InternalError, Object.error().message()});
+  Out.result(*Text + "\n", **Object);
+  return ExitCode::Success;
+}
+
+} // namespace ferry::ctl
