--- a/Tests/LibConsensus/SimulatedCluster.h
+++ b/Tests/LibConsensus/SimulatedCluster.h
@@ -145,8 +145,11 @@
   void step(SimulatedHost &Host, Event Input) {
     uint64_t Before = Host.Machine->commitIndex();
     uint64_t Life = Host.Life;
+    Configuration Members = Host.Machine->log().members();
     auto Effects = Host.Machine->step(std::move(Input), clock(Host));
     Checks.observe(*Host.Machine, Before);
+    if (Host.Machine->isLeader())
+      requireSyncedMembers(*Host.Machine, Members);
     for (Effect &Output : Effects) {
       run(Host, Output);
       if (Host.Life != Life)
@@ -411,6 +414,25 @@
     step(Host, PersistedEvent{Token});
   }
 
+  /// Whoever a leader adds to \p Before has synced what was committed.
+  void requireSyncedMembers(const Replica &Leader,
+                            const Configuration &Before) {
+    for (const Member &Voter : Leader.log().members().Voters) {
+      if (Before.contains(Voter.Replica))
+        continue;
+      for (SimulatedHost &Host : Hosts) {
+        auto Read = MemoryDisk(Host.Disk).tryRecover();
+        if (!Read || Read->Self.Replica != Voter.Replica)
+          continue;
+        uint64_t Last = Read->LastSnapshot ? Read->LastSnapshot->Index : 0;
+        if (!Read->Entries.empty())
+          Last = Read->Entries.back().Index;
+        Checks.require(Last >= Leader.commitIndex(),
+                       "a member was added before it had the log");
+      }
+    }
+  }
+
   std::map<std::pair<Timestamp, uint64_t>, std::function<void()>> Events;
   uint64_t NextEvent = 0;
   std::optional<SnapshotTakenEvent> Taken;
--- a/Tests/LibConsensus/TestLogFormat.cpp
+++ b/Tests/LibConsensus/TestLogFormat.cpp
@@ -69,7 +69,8 @@
     BOOST_REQUIRE(Received.has_value());
     BOOST_TEST((Received->Body == Sent.Body));
     BOOST_TEST((Received->Sender == Sent.Sender));
-    for (auto Other : {LogName{{"other"}, {3}}, LogName{{"test"}, {4}}}) {
+    for (const LogName &Other :
+         {LogName{{"other"}, {3}}, LogName{{"test"}, {4}}}) {
       auto Foreign = tryDecodeMessage(Other.Cluster, Other.Group, Bytes);
       BOOST_REQUIRE(!Foreign.has_value());
       BOOST_TEST((Foreign.error().Kind == wire::WireErrorKind::Untrusted));
