LibConsensus: Search only short records behind bad bytes

Telling damage from a torn tail tries every offset behind the bad bytes. With long records of binary data, a length that fits by chance costs a checksum over the rest of the file. The marks that follow each sync are short, so longer ones need not be tried.

--- a/Libraries/LibConsensus/LogFormat.cpp
+++ b/Libraries/LibConsensus/LogFormat.cpp
@@ -9,6 +9,9 @@
 static constexpr size_t LengthBytes = 4;
 static constexpr size_t ChecksumBytes = 8;
 static constexpr size_t HeaderBytes = LengthBytes + ChecksumBytes;
+/// The search for a record behind bad bytes tries every offset; the marks that
+/// follow each sync are small, and so it need not try long ones.
+static constexpr size_t MaxSoughtBytes = 4096;
 
 static void putNumber(std::string &To, uint64_t Value, size_t Bytes) {
   for (size_t Index = 0; Index < Bytes; ++Index)
@@ -100,6 +103,8 @@
 static bool syncedBeyond(std::string_view Bytes, size_t Offset) {
   for (size_t Start = Offset + 1; Start + HeaderBytes <= Bytes.size();
        ++Start) {
+    if (numberAt(Bytes, Start, LengthBytes) > MaxSoughtBytes)
+      continue;
     auto Body = bodyAt(Bytes, Start);
     if (!Body)
       continue;
--- a/Tests/LibConsensus/TestLogFormat.cpp
+++ b/Tests/LibConsensus/TestLogFormat.cpp
@@ -152,6 +152,24 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(damage_before_long_records_is_found) {
+  RandomGenerator Random(7);
+  std::string Log = sampleLog();
+  size_t Place = Log.size() + 100;
+  for (uint64_t Index = 4; Index < 14; ++Index) {
+    WriteBatch Batch = entryBatch(Index);
+    for (int Byte = 0; Byte < 100'000; ++Byte)
+      Batch.Entries[0].Payload.push_back(static_cast<char>(Random()));
+    Log += encodeRecord(Name, Log.size(), Batch);
+    Log += encodeRecord(Name, Log.size(), {});
+  }
+  BOOST_TEST(tryScanLog(Name, Log)->State.Entries.size() == 13u);
+  Log[Place] ^= 1;
+  auto Scanned = tryScanLog(Name, Log);
+  BOOST_REQUIRE(!Scanned.has_value());
+  BOOST_TEST((Scanned.error().Kind == StorageErrorKind::Damaged));
+}
+
 BOOST_AUTO_TEST_CASE(a_flipped_bit_in_a_snapshot_is_damage) {
   std::string File = encodeSnapshot(Name, sampleSnapshot());
   BOOST_TEST((*tryDecodeSnapshot(Name, File) == sampleSnapshot()));
