--- /dev/null
+++ b/Benchmarks/BenchMembership.cpp
@@ -0,0 +1,172 @@
+/// \file
+/// Bytes, processor time and memory of membership and confirmation by number
+/// of hosts, and the time until an accepted change is in force everywhere.
+/// Virtual time; the processor time is that of the real step machines.
+
+#include "LibMembership/HostWorld.h"
+#include <cstdio>
+#include <fstream>
+#include <unistd.h>
+
+using namespace ferry;
+using namespace ferry::test;
+using namespace std::chrono_literals;
+
+static constexpr double BudgetBytes = 4096;
+static constexpr double BudgetCorePercent = 3.9;
+
+struct Deployment {
+  const char *Name;
+  size_t Hosts;
+  size_t DataCentres;
+  size_t Targets;
+  size_t Controls;
+};
+
+static constexpr Deployment Deployments[] = {
+    {"7 hosts, 12 targets", 7, 4, 12, 3},
+    {"50 hosts, 375 targets", 50, 5, 375, 5},
+    {"400 hosts, no targets", 400, 13, 0, 7},
+    {"400 hosts, 3,000 targets", 400, 13, 3000, 7}};
+
+static double residentMegabytes() {
+  std::ifstream File("/proc/self/statm");
+  size_t Whole = 0;
+  size_t Resident = 0;
+  File >> Whole >> Resident;
+  return static_cast<double>(Resident) *
+         static_cast<double>(sysconf(_SC_PAGESIZE)) / 1e6;
+}
+
+static HostWorldOptions optionsOf(const Deployment &Of) {
+  HostWorldOptions Given;
+  Given.Hosts = Of.Hosts;
+  Given.DataCentres = Of.DataCentres;
+  Given.Targets = Of.Targets;
+  Given.Controls = Of.Controls;
+  Given.Change = 0;
+  Given.Measure = true;
+  return Given;
+}
+
+struct Load {
+  double Bytes = 0;
+  double Messages = 0;
+  double CorePercent = 0;
+};
+
+/// Averages over hosts [First, Last) and \p Seconds.
+static Load loadOf(const HostWorld &World, size_t First, size_t Last,
+                   double Seconds) {
+  Load Sum;
+  for (size_t Index = First; Index < Last; ++Index) {
+    const HostWorld::Host &Each = World.Hosts[Index];
+    Sum.Bytes += static_cast<double>(Each.Bytes);
+    Sum.Messages += static_cast<double>(Each.Messages);
+    Sum.CorePercent += static_cast<double>(Each.Busy.count()) / 1e7;
+  }
+  double Share = static_cast<double>(Last - First) * Seconds;
+  return {Sum.Bytes / Share, Sum.Messages / Share, Sum.CorePercent / Share};
+}
+
+static void printLoad(const char *Name, const char *Role, const Load &Of) {
+  std::printf("| %s | %s | %.0f | %.1f | %.0f%% | %.3f | %.0f%% |\n", Name,
+              Role, Of.Bytes, Of.Messages, Of.Bytes / BudgetBytes * 100,
+              Of.CorePercent, Of.CorePercent / BudgetCorePercent * 100);
+}
+
+static void measureLoad(const Deployment &Of) {
+  static constexpr auto Span = 30s;
+  double Before = residentMegabytes();
+  HostWorld World(optionsOf(Of));
+  World.run(10s);
+  for (HostWorld::Host &Each : World.Hosts) {
+    Each.Bytes = 0;
+    Each.Messages = 0;
+    Each.Busy = {};
+  }
+  World.run(Span);
+  double Seconds = std::chrono::duration<double>(Span).count();
+  printLoad(Of.Name, "router", loadOf(World, Of.Controls, Of.Hosts, Seconds));
+  printLoad(Of.Name, "control", loadOf(World, 0, Of.Controls, Seconds));
+  size_t Known = 0;
+  size_t Confirmed = 0;
+  for (const HostWorld::Host &Each : World.Hosts) {
+    Known += Each.Members->targets(World.Now).size();
+    Confirmed += Each.Confirm->isConfirmed(World.Now);
+  }
+  std::fprintf(
+      stderr, "%s: %.2f MB a host, %zu confirmed, %zu targets known a host\n",
+      Of.Name, (residentMegabytes() - Before) / static_cast<double>(Of.Hosts),
+      Confirmed, Known / Of.Hosts);
+}
+
+/// Each host tells every other one of itself each half second.
+static void printFullMesh(const Deployment &Of) {
+  wire::OriginHeartbeat Heartbeat;
+  Heartbeat.Tag = tagOf({"host-123"});
+  Heartbeat.Incarnation = 1'700'000'000'000;
+  Heartbeat.Number = 4000;
+  Heartbeat.Version = 12'000;
+  Heartbeat.Structure = 12'000;
+  Heartbeat.TargetsAgeMillis = 400;
+  wire::MembershipReply Reply;
+  Reply.Heartbeats.push_back(Heartbeat);
+  wire::MembershipMessage Message;
+  Message.__set_Reply(Reply);
+  wire::Envelope Envelope;
+  Envelope.ClusterId = "cluster";
+  Envelope.GroupId = 1;
+  Envelope.SenderIncarnation = 1'700'000'000'000;
+  Envelope.Payload = wire::encode(Message);
+  auto Bytes = static_cast<double>(wire::frame(wire::encode(Envelope)).size());
+  double Messages = 2.0 * static_cast<double>(Of.Hosts - 1);
+  std::printf("| %s | full mesh, computed | %.0f | %.1f | %.0f%% | | |\n",
+              Of.Name, Messages * Bytes, Messages,
+              Messages * Bytes / BudgetBytes * 100);
+}
+
+static void measureInForce(const Deployment &Of) {
+  static constexpr int Rounds = 20;
+  HostWorldOptions Given = optionsOf(Of);
+  Given.Measure = false;
+  Given.Targets = 0;
+  HostWorld World(Given);
+  World.run(10s);
+  std::vector<double> Half;
+  std::vector<double> All;
+  for (int Round = 0; Round < Rounds; ++Round) {
+    World.run(Duration(137'000));
+    uint64_t Number = World.change();
+    Timestamp Accepted = World.Now;
+    bool HalfDone = false;
+    while (World.inForce(Number) < Of.Hosts) {
+      World.run(HostWorld::StepLength);
+      std::chrono::duration<double, std::milli> Since = World.Now - Accepted;
+      if (!HalfDone && World.inForce(Number) >= Of.Hosts / 2)
+        Half.push_back(Since.count());
+      HalfDone |= World.inForce(Number) >= Of.Hosts / 2;
+      if (World.inForce(Number) == Of.Hosts)
+        All.push_back(Since.count());
+    }
+  }
+  std::sort(Half.begin(), Half.end());
+  std::sort(All.begin(), All.end());
+  std::printf("| %zu | %.0f | %.0f | %.0f |\n", Of.Hosts, Half[Rounds / 2],
+              All[Rounds / 2], All.back());
+}
+
+int main() {
+  std::printf("| deployment | role | bytes/s sent | messages/s | of 4 KB/s | "
+              "core %% | of 3.9%% |\n|---|---|---|---|---|---|---|\n");
+  for (const Deployment &Of : Deployments) {
+    measureLoad(Of);
+    printFullMesh(Of);
+  }
+  std::printf("\nAccepted change in force, ms of virtual time in steps of 50, "
+              "20 changes\n\n| hosts | half of them, median | all, median | "
+              "all, worst |\n|---|---|---|---|\n");
+  for (size_t Index : {0, 1, 2})
+    measureInForce(Deployments[Index]);
+  return 0;
+}
--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -59,7 +59,7 @@
         Own.Number = std::max(Own.Number, E.Number);
       },
       [&](const MembershipTick &) { tick(Now, Out); });
-  reportChanges(Now, Out);
+  reportChanges(Out);
   return Out;
 }
 
@@ -125,6 +125,7 @@
 
 void Membership::tick(Timestamp Now, Effects &Out) {
   ageOwnTargets(Now);
+  ageHosts(Now);
   if (AskAt <= Now)
     askPeers(Now, Out);
 }
@@ -151,15 +152,17 @@
   TargetsMoved |= !Late.empty() || !Gone.empty();
 }
 
-void Membership::reportChanges(Timestamp Now, Effects &Out) {
-  std::vector<Standing> Standings;
-  Standings.reserve(Origins.size());
-  for (const auto &[Tag, Known] : Origins)
-    Standings.push_back(silentAt(Known) <= Now ? Standing::Silent
-                                               : Known.Standing);
-  if (Standings != ReportedStandings || HostsMoved)
+void Membership::ageHosts(Timestamp Now) {
+  for (auto &[Tag, Known] : Origins) {
+    bool Silent = silentAt(Known) <= Now;
+    HostsMoved |= Silent != Known.KnownSilent;
+    Known.KnownSilent = Silent;
+  }
+}
+
+void Membership::reportChanges(Effects &Out) {
+  if (HostsMoved)
     Out.emplace_back(HostsChanged{});
-  ReportedStandings = std::move(Standings);
   if (TargetsMoved)
     Out.emplace_back(TargetsChanged{});
   HostsMoved = false;
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -83,6 +83,8 @@
     /// Version of the list in the newest heartbeat that came.
     uint64_t HeardVersion = 0;
     Timestamp HeardAt = NeverHeard;
+    /// Whether it was silent at the last tick.
+    bool KnownSilent = true;
     /// No later than the oldest announcement among the listed targets.
     Timestamp TargetsHeardAt = NeverHeard;
     /// Its changes are not asked for again before this.
@@ -103,7 +105,8 @@
   void notePassage(Timestamp Now);
   void tick(Timestamp Now, Effects &Out);
   void ageOwnTargets(Timestamp Now);
-  void reportChanges(Timestamp Now, Effects &Out);
+  void ageHosts(Timestamp Now);
+  void reportChanges(Effects &Out);
 
   void ask(const HostId &To, std::vector<wire::OriginWant> Wants, Timestamp Now,
            Effects &Out);
@@ -150,7 +153,6 @@
   Timestamp DistrustUntil;
   bool TargetsMoved = false;
   bool HostsMoved = false;
-  std::vector<membership::Standing> ReportedStandings;
 };
 
 /// \returns the tag that stands for \p Host in heartbeats.
--- a/Tests/LibMembership/HostWorld.h
+++ b/Tests/LibMembership/HostWorld.h
@@ -7,6 +7,8 @@
 #include "LibMembership/Confirmation.h"
 #include "LibMembership/Membership.h"
 #include "LibWire/Codec.h"
+#include "LibWire/FrameReader.h"
+#include "LibWire/Generated/Peer_types.h"
 #include <algorithm>
 #include <functional>
 #include <memory>
@@ -255,7 +257,13 @@
   void count(size_t Index, const MessageType &Message) {
     if (!Given.Measure)
       return;
-    Hosts[Index].Bytes += wire::encode(Message).size();
+    wire::Envelope Envelope;
+    Envelope.ClusterId = "cluster";
+    Envelope.GroupId = 1;
+    Envelope.SenderIncarnation = 1'700'000'000'000;
+    Envelope.Kind = wire::PayloadKind::Membership;
+    Envelope.Payload = wire::encode(Message);
+    Hosts[Index].Bytes += wire::frame(wire::encode(Envelope)).size();
     ++Hosts[Index].Messages;
   }
 
