--- a/Libraries/LibMembership/Exchange.cpp
+++ b/Libraries/LibMembership/Exchange.cpp
@@ -13,6 +13,9 @@
 static constexpr size_t MaxFarHeartbeats = 4;
 static constexpr size_t MaxFarReplyHeartbeats = 24;
 
+/// No further list goes into a reply that has more changes than this.
+static constexpr size_t MaxChanges = 64;
+
 static int32_t wholeMillis(Duration Age) {
   static constexpr int64_t MaxMillis = 1'000'000'000;
   // Rounded up: an age must never come out too young.
@@ -269,8 +272,11 @@
   Reply.AskNumber = Ask.AskNumber;
   if (Ask.Wants.empty())
     addHeartbeats(Received.From, Now, Reply.Heartbeats);
-  size_t Share = Settings.MaxDeltaBytes / std::max<size_t>(Ask.Wants.size(), 1);
+  size_t Changes = 0;
   for (const wire::OriginWant &Want : Ask.Wants) {
+    // The rest is asked for again.
+    if (Changes > MaxChanges)
+      break;
     auto Found = Origins.find(Want.Tag);
     if (Found == Origins.end())
       continue;
@@ -281,9 +287,10 @@
     // Of a later life than it knew the asker has none of the list.
     bool SameLife = Life == Want.Incarnation;
     uint64_t Have = SameLife ? static_cast<uint64_t>(Want.HaveVersion) : 0;
-    wire::OriginDelta Delta = Known.List.deltaSince(Have, Share);
+    wire::OriginDelta Delta = Known.List.deltaSince(Have);
     Delta.Tag = Want.Tag;
     Delta.Incarnation = Life;
+    Changes += Delta.Changes.size();
     Reply.Deltas.push_back(std::move(Delta));
     Reply.Heartbeats.push_back(heartbeatOf(Want.Tag, Known, Now));
   }
--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -20,6 +20,15 @@
   return static_cast<int32_t>(Hash);
 }
 
+Membership::Options Membership::Options::forSize(size_t Hosts) {
+  Options Suited;
+  if (Hosts <= Suited.WholeTableHosts)
+    return Suited;
+  Suited.AskInterval = std::chrono::milliseconds(400);
+  Suited.LoadInterval = std::chrono::seconds(10);
+  return Suited;
+}
+
 Membership::Membership(Options Settings)
     : Settings(std::move(Settings)), Generator(this->Settings.Seed),
       OwnTag(tagOf(this->Settings.Self)) {
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -41,6 +41,9 @@
   static constexpr Duration FarSilentAfter = std::chrono::seconds(60);
 
   struct Options {
+    /// \returns options with the intervals that suit \p Hosts hosts.
+    static Options forSize(size_t Hosts);
+
     HostId Self;
     DataCentreId DataCentre;
     ferry::Incarnation Incarnation;
@@ -53,8 +56,6 @@
     size_t WholeTableHosts = 32;
     /// Load figures alone are passed on at most this often.
     Duration LoadInterval = std::chrono::milliseconds(500);
-    /// About the longest list of changes in one message.
-    size_t MaxDeltaBytes = 4096;
   };
 
   explicit Membership(Options Settings);
--- a/Libraries/LibMembership/OriginList.cpp
+++ b/Libraries/LibMembership/OriginList.cpp
@@ -1,13 +1,10 @@
 #include "LibMembership/OriginList.h"
 #include <algorithm>
-#include <vector>
 
 namespace ferry::membership {
 
 /// Entries that have gone are kept up to this number.
 static constexpr size_t MaxGone = 64;
-/// Bytes of a change besides its texts, and of its load alone.
-static constexpr size_t ChangeBytes = 56;
 
 static bool sameButLoad(const TargetRecord &Left, const TargetRecord &Right) {
   return Left.Incarnation == Right.Incarnation &&
@@ -34,6 +31,7 @@
     Listed.Record = Record;
     Listed.Late = false;
     Listed.Gone = false;
+    Listed.Structure = Version;
     Structure = Version;
     return Change::Structure;
   }
@@ -46,7 +44,9 @@
 }
 
 void OriginList::markLate(const TargetId &Id) {
-  touch(Id).Late = true;
+  ListedTarget &Listed = touch(Id);
+  Listed.Late = true;
+  Listed.Structure = Version;
   Structure = Version;
 }
 
@@ -91,7 +91,8 @@
   return Details;
 }
 
-static wire::TargetChange changeOf(const ListedTarget &Listed) {
+/// The change for a copy that is complete up to version \p Have.
+static wire::TargetChange changeOf(const ListedTarget &Listed, uint64_t Have) {
   const TargetRecord &Record = Listed.Record;
   wire::TargetChange Change;
   Change.Id = Record.Id.Value;
@@ -104,7 +105,8 @@
   }
   if (Listed.Late)
     Change.__set_Late(true);
-  Change.__set_Details(detailsOf(Record));
+  if (Listed.Structure > Have)
+    Change.__set_Details(detailsOf(Record));
   wire::LoadFields Load;
   Load.Running = static_cast<int32_t>(Record.Load.RunningRequests);
   Load.Queued = static_cast<int32_t>(Record.Load.QueuedRequests);
@@ -115,42 +117,26 @@
   return Change;
 }
 
-static size_t bytesOf(const wire::TargetChange &Change) {
-  const wire::TargetDetails &Details = Change.Details;
-  return ChangeBytes + Change.Id.size() + Details.Address.size() +
-         Details.DataCentre.size() + Details.Service.size() +
-         Details.Model.size() + Details.Adapter.size();
-}
-
-wire::OriginDelta OriginList::deltaSince(uint64_t Have, size_t MaxBytes) const {
+wire::OriginDelta OriginList::deltaSince(uint64_t Have) const {
   uint64_t Base = Have < Floor ? 0 : Have;
-  std::vector<const ListedTarget *> Newer;
-  for (const auto &[Id, Listed] : Targets)
-    if (Listed.Version > Base)
-      Newer.push_back(&Listed);
-  std::sort(Newer.begin(), Newer.end(),
-            [](const ListedTarget *Left, const ListedTarget *Right) {
-              return Left->Version < Right->Version;
-            });
   wire::OriginDelta Delta;
   Delta.BaseVersion = static_cast<int64_t>(Base);
   Delta.Version = static_cast<int64_t>(Version);
-  // A whole list that replaces a newer copy goes uncut: the first part of it
-  // would be behind that copy, and be refused.
-  bool Cuttable = Base == Have;
-  size_t Bytes = 0;
-  for (const ListedTarget *Listed : Newer) {
-    wire::TargetChange Change = changeOf(*Listed);
-    Bytes += bytesOf(Change);
-    if (Cuttable && Bytes > MaxBytes && !Delta.Changes.empty()) {
-      Delta.Version = Delta.Changes.back().Version;
-      break;
-    }
-    Delta.Changes.push_back(std::move(Change));
-  }
+  for (const auto &[Id, Listed] : Targets)
+    if (Listed.Version > Base)
+      Delta.Changes.push_back(changeOf(Listed, Base));
   return Delta;
 }
 
+static TargetLoad loadOf(const wire::LoadFields &Fields) {
+  TargetLoad Load;
+  Load.RunningRequests = static_cast<uint32_t>(Fields.Running);
+  Load.QueuedRequests = static_cast<uint32_t>(Fields.Queued);
+  Load.QueuedPrefillTokens = static_cast<uint64_t>(Fields.QueuedPrefillTokens);
+  Load.MaxConcurrent = static_cast<uint32_t>(Fields.MaxConcurrent);
+  return Load;
+}
+
 static TargetRecord recordOf(const wire::TargetChange &Change) {
   const wire::TargetDetails &Details = Change.Details;
   TargetRecord Record;
@@ -166,11 +152,6 @@
   Record.Weights = {static_cast<uint64_t>(Details.Weights)};
   Record.Fencing = static_cast<FencingCheck>(Details.Fencing);
   Record.Phase = static_cast<TargetPhase>(Details.Phase);
-  Record.Load.RunningRequests = static_cast<uint32_t>(Change.Load.Running);
-  Record.Load.QueuedRequests = static_cast<uint32_t>(Change.Load.Queued);
-  Record.Load.QueuedPrefillTokens =
-      static_cast<uint64_t>(Change.Load.QueuedPrefillTokens);
-  Record.Load.MaxConcurrent = static_cast<uint32_t>(Change.Load.MaxConcurrent);
   return Record;
 }
 
@@ -183,15 +164,33 @@
          Between(Details.Fencing, FencingCheck::Unchecked);
 }
 
+bool OriginList::accepts(const wire::OriginDelta &Delta) const {
+  for (const wire::TargetChange &Change : Delta.Changes) {
+    if (Change.Gone)
+      continue;
+    if (!Change.__isset.Load)
+      return false;
+    if (Change.__isset.Details) {
+      if (!inRange(Change.Details))
+        return false;
+      continue;
+    }
+    // A load needs the life that it belongs to.
+    auto Known = Targets.find({Change.Id});
+    auto Life = static_cast<uint64_t>(Change.Incarnation);
+    if (Delta.BaseVersion == 0 || Known == Targets.end() ||
+        Known->second.Gone || Known->second.Record.Incarnation.Value != Life)
+      return false;
+  }
+  return true;
+}
+
 bool OriginList::apply(const wire::OriginDelta &Delta, Timestamp Trust) {
   auto Base = static_cast<uint64_t>(Delta.BaseVersion);
   auto Newest = static_cast<uint64_t>(Delta.Version);
-  // One that starts behind this copy would leave a hole.
-  if (Base > Version || Newest <= Version)
+  // One that starts ahead of this copy would leave a hole.
+  if (Base > Version || Newest <= Version || !accepts(Delta))
     return false;
-  for (const wire::TargetChange &Change : Delta.Changes)
-    if (!Change.Gone && !inRange(Change.Details))
-      return false;
   if (Base == 0) {
     Targets.clear();
     Floor = Newest;
@@ -215,10 +214,15 @@
   if (SameLife && Change.Late)
     Frozen = Listed.Late ? Listed.Record.UsableUntil : Trust;
   Listed.Version = static_cast<uint64_t>(Change.Version);
-  Listed.Late = Change.Late;
-  Listed.Gone = Change.Gone;
-  Listed.Record = recordOf(Change);
-  Listed.Record.UsableUntil = Frozen;
+  if (Change.Gone || Change.__isset.Details) {
+    Listed.Structure = Listed.Version;
+    Listed.Late = Change.Late;
+    Listed.Gone = Change.Gone;
+    Listed.Record = recordOf(Change);
+    Listed.Record.UsableUntil = Frozen;
+  }
+  Listed.Record.Sequence = static_cast<uint64_t>(Change.Sequence);
+  Listed.Record.Load = loadOf(Change.Load);
 }
 
 void OriginList::learnStructure(uint64_t OtherVersion,
--- a/Libraries/LibMembership/OriginList.h
+++ b/Libraries/LibMembership/OriginList.h
@@ -27,6 +27,8 @@
   TargetRecord Record;
   /// Version of the list with this entry's last change.
   uint64_t Version = 0;
+  /// Version with the last change other than of load figures.
+  uint64_t Structure = 0;
   /// It misses announcements: the list's trust no longer covers it.
   bool Late = false;
   /// It has left the list; kept for a while, so that others learn it.
@@ -35,7 +37,6 @@
 
 /// The list of one life of one host. The origin itself changes it; every other
 /// host holds a copy that is complete up to its version and takes deltas.
-/// Each change has a version of its own, so a delta can be cut anywhere.
 class OriginList {
 public:
   /// What changes with an announcement.
@@ -58,9 +59,9 @@
   bool remove(const TargetId &Id);
 
   /// \returns the changes behind \p Have, or the whole list if too much has
-  /// been forgotten since. Cut to about \p MaxBytes, at least one change,
-  /// unless the whole list replaces an older copy.
-  wire::OriginDelta deltaSince(uint64_t Have, size_t MaxBytes) const;
+  /// been forgotten since. It is never cut: a copy that has an entry's old
+  /// version only could not take its load without its details.
+  wire::OriginDelta deltaSince(uint64_t Have) const;
 
   /// Takes a delta at a copy. Trust of targets that become late is frozen at
   /// \p Trust. \returns whether the list has changed.
@@ -71,6 +72,7 @@
 
 private:
   ListedTarget &touch(const TargetId &Id);
+  bool accepts(const wire::OriginDelta &Delta) const;
   void applyChange(const wire::TargetChange &Change, Timestamp Trust);
   void forgetOldest();
 
--- a/Libraries/LibWire/Idl/Membership.thrift
+++ b/Libraries/LibWire/Idl/Membership.thrift
@@ -28,7 +28,7 @@
   // The origin's version with this change.
   3: i64 Version
   4: i64 Sequence
-  // Absent if the target has gone from the list.
+  // Absent if the target has gone, or if only its load has changed.
   5: optional TargetDetails Details
   6: optional LoadFields Load
   7: optional bool Gone
--- a/Tests/LibMembership/HostWorld.h
+++ b/Tests/LibMembership/HostWorld.h
@@ -179,7 +179,7 @@
     ++Each.Incarnation;
     Each.Buffered.clear();
     Each.SeenLives.clear();
-    Membership::Options Options;
+    auto Options = Membership::Options::forSize(Hosts.size());
     Options.Self = Each.Id;
     Options.DataCentre = Each.DataCentre;
     Options.Incarnation = {Each.Incarnation};
