LibMembership: Relay confirmations between routers

At 400 hosts each control host answered 823 messages/s of 400 routers that all asked it each half second. A peer's reply now tells as of which age no number above which was accepted; the asker counts it back from its question. A router asks the control hosts itself only once that is older than 1.1 s (Asking::WhenOld; Always stays the default).

--- a/Benchmarks/BenchMembership.cpp
+++ b/Benchmarks/BenchMembership.cpp
@@ -46,6 +46,8 @@
   Given.Controls = Of.Controls;
   Given.Change = 0;
   Given.Measure = true;
+  if (Of.Hosts > 32)
+    Given.Asking = membership::Asking::WhenOld;
   return Given;
 }
 
@@ -85,20 +87,30 @@
     Each.Messages = 0;
     Each.Busy = {};
   }
-  World.run(Span);
+  size_t Confirmed = 0;
+  size_t Usable = 0;
+  size_t Samples = 0;
+  size_t InScope = Of.Hosts <= 32 ? Of.Targets : Of.Targets / Of.DataCentres;
+  for (Timestamp End = World.Now + Span; World.Now < End;) {
+    World.run(1s);
+    for (const HostWorld::Host &Each : World.Hosts) {
+      Usable += Each.Members->targets(World.Now).size();
+      Confirmed += Each.Confirm->isConfirmed(World.Now);
+      ++Samples;
+    }
+  }
   double Seconds = std::chrono::duration<double>(Span).count();
   printLoad(Of.Name, "router", loadOf(World, Of.Controls, Of.Hosts, Seconds));
   printLoad(Of.Name, "control", loadOf(World, 0, Of.Controls, Seconds));
-  size_t Known = 0;
-  size_t Confirmed = 0;
-  for (const HostWorld::Host &Each : World.Hosts) {
-    Known += Each.Members->targets(World.Now).size();
-    Confirmed += Each.Confirm->isConfirmed(World.Now);
-  }
-  std::fprintf(
-      stderr, "%s: %.2f MB a host, %zu confirmed, %zu targets known a host\n",
-      Of.Name, (residentMegabytes() - Before) / static_cast<double>(Of.Hosts),
-      Confirmed, Known / Of.Hosts);
+  double Hosts = static_cast<double>(Samples);
+  std::printf(
+      "| %s | samples | %.2f%% confirmed | %.2f%% of %zu targets usable "
+      "| %.2f MB a host | | |\n",
+      Of.Name, 100 * static_cast<double>(Confirmed) / Hosts,
+      InScope == 0 ? 100.0
+                   : 100 * static_cast<double>(Usable) / Hosts /
+                         static_cast<double>(InScope),
+      InScope, (residentMegabytes() - Before) / static_cast<double>(Of.Hosts));
 }
 
 /// Each host tells every other one of itself each half second.
--- a/Libraries/LibMembership/Confirmation.cpp
+++ b/Libraries/LibMembership/Confirmation.cpp
@@ -31,12 +31,16 @@
       },
       [&](const ConfirmationNumberHeard &E) {
         hear(E.Number, E.From, Now, Out);
-      });
+      },
+      [&](const ConfirmationRelayed &E) { relay(E, Now, Out); });
   return Out;
 }
 
 void Confirmation::tick(Timestamp Now, Effects &Out) {
-  if (AskAt <= Now)
+  if (AskAt > Now)
+    return;
+  bool Fresh = Now < confirmedAsOf() + RelayPatience;
+  if (Settings.Asking == Asking::Always || !Fresh)
     ask(Now, Out);
 }
 
@@ -87,6 +91,13 @@
     ConfirmedUntil = std::max(ConfirmedUntil, Asked.AskedAt + Validity);
 }
 
+void Confirmation::relay(const ConfirmationRelayed &Relayed, Timestamp Now,
+                         Effects &Out) {
+  hear(Relayed.Number, Relayed.From, Now, Out);
+  if (Relayed.Number <= Number && Relayed.AsOf <= Now)
+    ConfirmedUntil = std::max(ConfirmedUntil, Relayed.AsOf + Validity);
+}
+
 void Confirmation::hear(DescriptionNumber Heard, const HostId &From,
                         Timestamp Now, Effects &Out) {
   if (Heard <= Number || FetchAt > Now)
--- a/Libraries/LibMembership/Confirmation.h
+++ b/Libraries/LibMembership/Confirmation.h
@@ -34,9 +34,21 @@
   HostId From;
 };
 
+/// Peer \p From knows that at \p AsOf, by this host's clock, no number above
+/// \p Number was accepted.
+struct ConfirmationRelayed {
+  DescriptionNumber Number;
+  Timestamp AsOf;
+  HostId From;
+};
+
 using ConfirmationEvent =
     std::variant<ConfirmationTick, ConfirmationAnswered, ConfirmationApplied,
-                 ConfirmationNumberHeard>;
+                 ConfirmationNumberHeard, ConfirmationRelayed>;
+
+/// Whether a host asks the control hosts in each interval, or only once what
+/// its peers relay is older than Confirmation::RelayPatience.
+enum class Asking : uint8_t { Always, WhenOld };
 
 /// Send \p Query to control host \p To; it may be this host itself.
 struct ConfirmationAsk {
@@ -68,11 +80,17 @@
   /// How long a confirmed number may be used, from the sending of the query.
   static constexpr Duration Validity = std::chrono::seconds(2);
 
+  /// A relayed confirmation younger than this needs no query of its own.
+  static constexpr Duration RelayPatience = std::chrono::milliseconds(1100);
+
   struct Options {
     /// All control hosts of the settings; a quorum is more than half of them.
     std::vector<HostId> ControlHosts;
     /// The number in force from the host's own disk, or 0.
     DescriptionNumber Number;
+    /// WhenOld suits deployments of many hosts: the control hosts then answer
+    /// a few hosts of each data centre only.
+    membership::Asking Asking = membership::Asking::Always;
     /// Random; keeps answers to earlier incarnations apart.
     uint64_t Seed = 1;
   };
@@ -90,6 +108,9 @@
   /// at each use: a host that was frozen finds its deadline passed.
   Timestamp confirmedUntil() const { return ConfirmedUntil; }
 
+  /// \returns the moment at which no number above number() was accepted.
+  Timestamp confirmedAsOf() const { return ConfirmedUntil - Validity; }
+
   bool isConfirmed(Timestamp Now) const { return Now < ConfirmedUntil; }
 
 private:
@@ -108,6 +129,7 @@
   void hear(DescriptionNumber Heard, const HostId &From, Timestamp Now,
             Effects &Out);
   void confirm(const Query &Asked);
+  void relay(const ConfirmationRelayed &Relayed, Timestamp Now, Effects &Out);
   bool isControlHost(const HostId &Host) const;
 
   Options Settings;
--- a/Libraries/LibMembership/Events.h
+++ b/Libraries/LibMembership/Events.h
@@ -44,12 +44,18 @@
   DescriptionNumber Number;
 };
 
+/// This host knows that at \p AsOf no number above \p Number was accepted.
+struct LocalConfirmed {
+  DescriptionNumber Number;
+  Timestamp AsOf;
+};
+
 /// Time has passed; due at least each Membership::TickInterval.
 struct MembershipTick {};
 
 using MembershipEvent =
     std::variant<TargetAnnounced, MembershipReceived, LocalStanding,
-                 DescriptionApplied, MembershipTick>;
+                 DescriptionApplied, LocalConfirmed, MembershipTick>;
 
 /// Send \p Message to \p To.
 struct MembershipSend {
@@ -69,6 +75,14 @@
   HostId From;
 };
 
+/// A peer knows that at \p AsOf, by this host's clock, no number above
+/// \p Number was accepted; for Confirmation.
+struct ConfirmationHeard {
+  DescriptionNumber Number;
+  Timestamp AsOf;
+  HostId From;
+};
+
 /// The announcement is of a life that has ended: a greater incarnation was
 /// seen, or this one has left.
 struct AnnouncementRefused {
@@ -78,7 +92,7 @@
 
 using MembershipEffect =
     std::variant<MembershipSend, TargetsChanged, HostsChanged,
-                 NewerDescriptionSeen, AnnouncementRefused>;
+                 NewerDescriptionSeen, ConfirmationHeard, AnnouncementRefused>;
 
 } // namespace ferry::membership
 
--- a/Libraries/LibMembership/Exchange.cpp
+++ b/Libraries/LibMembership/Exchange.cpp
@@ -113,6 +113,12 @@
       Out.emplace_back(NewerDescriptionSeen{Number, Known->second.Host.Id});
     }
   }
+  if (Reply.__isset.ConfirmedNumber && Reply.__isset.ConfirmedAgeMillis)
+    Out.emplace_back(ConfirmationHeard{
+        {static_cast<uint64_t>(Reply.ConfirmedNumber)},
+        AskedAt -
+            std::chrono::milliseconds(std::max(Reply.ConfirmedAgeMillis, 0)),
+        Received.From});
   if (!Wants.empty())
     ask(Received.From, std::move(Wants), Now, Out);
 }
@@ -272,6 +278,10 @@
   Reply.AskNumber = Ask.AskNumber;
   if (Ask.Wants.empty())
     addHeartbeats(Received.From, Now, Reply.Heartbeats);
+  if (Ask.Wants.empty() && Confirmed) {
+    Reply.__set_ConfirmedNumber(static_cast<int64_t>(Confirmed->Number.Value));
+    Reply.__set_ConfirmedAgeMillis(wholeMillis(Now - Confirmed->AsOf));
+  }
   size_t Changes = 0;
   for (const wire::OriginWant &Want : Ask.Wants) {
     // The rest is asked for again.
--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -67,6 +67,7 @@
         HostsMoved |= Own.Number < E.Number;
         Own.Number = std::max(Own.Number, E.Number);
       },
+      [&](const LocalConfirmed &E) { Confirmed = E; },
       [&](const MembershipTick &) { tick(Now, Out); });
   reportChanges(Out);
   return Out;
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -152,6 +152,7 @@
   /// count from then: they may have waited in a buffer since.
   Timestamp StalledSince;
   Timestamp DistrustUntil;
+  std::optional<LocalConfirmed> Confirmed;
   bool TargetsMoved = false;
   bool HostsMoved = false;
 };
--- a/Libraries/LibWire/Generated/Membership_types.cpp
+++ b/Libraries/LibWire/Generated/Membership_types.cpp
@@ -1611,6 +1611,16 @@
 void MembershipReply::__set_Deltas(const std::vector<OriginDelta> & val) {
   this->Deltas = val;
 }
+
+void MembershipReply::__set_ConfirmedNumber(const int64_t val) {
+  this->ConfirmedNumber = val;
+__isset.ConfirmedNumber = true;
+}
+
+void MembershipReply::__set_ConfirmedAgeMillis(const int32_t val) {
+  this->ConfirmedAgeMillis = val;
+__isset.ConfirmedAgeMillis = true;
+}
 std::ostream& operator<<(std::ostream& out, const MembershipReply& obj)
 {
   obj.printTo(out);
@@ -1687,6 +1697,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ConfirmedNumber);
+          this->__isset.ConfirmedNumber = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ConfirmedAgeMillis);
+          this->__isset.ConfirmedAgeMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1732,6 +1758,16 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.ConfirmedNumber) {
+    xfer += oprot->writeFieldBegin("ConfirmedNumber", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->ConfirmedNumber);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.ConfirmedAgeMillis) {
+    xfer += oprot->writeFieldBegin("ConfirmedAgeMillis", ::apache::thrift::protocol::T_I32, 5);
+    xfer += oprot->writeI32(this->ConfirmedAgeMillis);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1742,6 +1778,8 @@
   swap(a.AskNumber, b.AskNumber);
   swap(a.Heartbeats, b.Heartbeats);
   swap(a.Deltas, b.Deltas);
+  swap(a.ConfirmedNumber, b.ConfirmedNumber);
+  swap(a.ConfirmedAgeMillis, b.ConfirmedAgeMillis);
   swap(a.__isset, b.__isset);
 }
 
@@ -1749,18 +1787,24 @@
   AskNumber = other56.AskNumber;
   Heartbeats = other56.Heartbeats;
   Deltas = other56.Deltas;
+  ConfirmedNumber = other56.ConfirmedNumber;
+  ConfirmedAgeMillis = other56.ConfirmedAgeMillis;
   __isset = other56.__isset;
 }
 MembershipReply::MembershipReply(MembershipReply&& other57) noexcept {
   AskNumber = other57.AskNumber;
   Heartbeats = std::move(other57.Heartbeats);
   Deltas = std::move(other57.Deltas);
+  ConfirmedNumber = other57.ConfirmedNumber;
+  ConfirmedAgeMillis = other57.ConfirmedAgeMillis;
   __isset = other57.__isset;
 }
 MembershipReply& MembershipReply::operator=(const MembershipReply& other58) {
   AskNumber = other58.AskNumber;
   Heartbeats = other58.Heartbeats;
   Deltas = other58.Deltas;
+  ConfirmedNumber = other58.ConfirmedNumber;
+  ConfirmedAgeMillis = other58.ConfirmedAgeMillis;
   __isset = other58.__isset;
   return *this;
 }
@@ -1768,6 +1812,8 @@
   AskNumber = other59.AskNumber;
   Heartbeats = std::move(other59.Heartbeats);
   Deltas = std::move(other59.Deltas);
+  ConfirmedNumber = other59.ConfirmedNumber;
+  ConfirmedAgeMillis = other59.ConfirmedAgeMillis;
   __isset = other59.__isset;
   return *this;
 }
@@ -1777,6 +1823,8 @@
   out << "AskNumber=" << to_string(AskNumber);
   out << ", " << "Heartbeats=" << to_string(Heartbeats);
   out << ", " << "Deltas=" << to_string(Deltas);
+  out << ", " << "ConfirmedNumber="; (__isset.ConfirmedNumber ? (out << to_string(ConfirmedNumber)) : (out << "<null>"));
+  out << ", " << "ConfirmedAgeMillis="; (__isset.ConfirmedAgeMillis ? (out << to_string(ConfirmedAgeMillis)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Libraries/LibWire/Generated/Membership_types.h
+++ b/Libraries/LibWire/Generated/Membership_types.h
@@ -643,10 +643,12 @@
 std::ostream& operator<<(std::ostream& out, const MembershipAsk& obj);
 
 typedef struct _MembershipReply__isset {
-  _MembershipReply__isset() : AskNumber(false), Heartbeats(false), Deltas(false) {}
+  _MembershipReply__isset() : AskNumber(false), Heartbeats(false), Deltas(false), ConfirmedNumber(false), ConfirmedAgeMillis(false) {}
   bool AskNumber :1;
   bool Heartbeats :1;
   bool Deltas :1;
+  bool ConfirmedNumber :1;
+  bool ConfirmedAgeMillis :1;
 } _MembershipReply__isset;
 
 class MembershipReply : public virtual ::apache::thrift::TBase {
@@ -657,13 +659,17 @@
   MembershipReply& operator=(const MembershipReply&);
   MembershipReply& operator=(MembershipReply&&) noexcept;
   MembershipReply() noexcept
-                  : AskNumber(0) {
+                  : AskNumber(0),
+                    ConfirmedNumber(0),
+                    ConfirmedAgeMillis(0) {
   }
 
   virtual ~MembershipReply() noexcept;
   int64_t AskNumber;
   std::vector<OriginHeartbeat>  Heartbeats;
   std::vector<OriginDelta>  Deltas;
+  int64_t ConfirmedNumber;
+  int32_t ConfirmedAgeMillis;
 
   _MembershipReply__isset __isset;
 
@@ -673,6 +679,10 @@
 
   void __set_Deltas(const std::vector<OriginDelta> & val);
 
+  void __set_ConfirmedNumber(const int64_t val);
+
+  void __set_ConfirmedAgeMillis(const int32_t val);
+
   bool operator == (const MembershipReply & rhs) const
   {
     if (!(AskNumber == rhs.AskNumber))
@@ -681,6 +691,14 @@
       return false;
     if (!(Deltas == rhs.Deltas))
       return false;
+    if (__isset.ConfirmedNumber != rhs.__isset.ConfirmedNumber)
+      return false;
+    else if (__isset.ConfirmedNumber && !(ConfirmedNumber == rhs.ConfirmedNumber))
+      return false;
+    if (__isset.ConfirmedAgeMillis != rhs.__isset.ConfirmedAgeMillis)
+      return false;
+    else if (__isset.ConfirmedAgeMillis && !(ConfirmedAgeMillis == rhs.ConfirmedAgeMillis))
+      return false;
     return true;
   }
   bool operator != (const MembershipReply &rhs) const {
--- a/Libraries/LibWire/Idl/Membership.thrift
+++ b/Libraries/LibWire/Idl/Membership.thrift
@@ -82,6 +82,9 @@
   1: i64 AskNumber
   2: list<OriginHeartbeat> Heartbeats
   3: list<OriginDelta> Deltas
+  // A quorum of control hosts had no number above this one at that age.
+  4: optional i64 ConfirmedNumber
+  5: optional i32 ConfirmedAgeMillis
 }
 
 struct MembershipMessage {
--- a/Tests/LibMembership/HostWorld.h
+++ b/Tests/LibMembership/HostWorld.h
@@ -40,6 +40,7 @@
   Duration LongestCut = std::chrono::seconds(20);
   /// Changes are tried with this chance, in thousandths, in each step.
   uint32_t Change = 30;
+  membership::Asking Asking = membership::Asking::Always;
   /// Adjusts each host's options.
   std::function<void(Membership::Options &)> Adjust;
   /// Whether bytes and processor time are counted.
@@ -194,6 +195,7 @@
       Asked.ControlHosts.push_back(Hosts[Control].Id);
     Asked.Number = {Index < Given.Controls ? Each.Applied : 0};
     Asked.Seed = Random();
+    Asked.Asking = Given.Asking;
     Each.Confirm = std::make_unique<Confirmation>(Asked);
     give(Index, DescriptionApplied{Asked.Number});
     give(Index, LocalStanding{Standing::Serving});
@@ -293,6 +295,9 @@
       }
       if (auto *Newer = std::get_if<NewerDescriptionSeen>(&Effect))
         give(Index, ConfirmationNumberHeard{Newer->Number, Newer->From});
+      if (auto *Heard = std::get_if<ConfirmationHeard>(&Effect))
+        give(Index,
+             ConfirmationRelayed{Heard->Number, Heard->AsOf, Heard->From});
     }
   }
 
@@ -396,6 +401,8 @@
     for (auto &Deliver : std::exchange(Each.Buffered, {}))
       Deliver();
     give(Index, ConfirmationTick{});
+    give(Index,
+         LocalConfirmed{Each.Confirm->number(), Each.Confirm->confirmedAsOf()});
     give(Index, MembershipTick{});
   }
 
--- a/Tests/LibMembership/TestConfirmation.cpp
+++ b/Tests/LibMembership/TestConfirmation.cpp
@@ -13,7 +13,7 @@
 static Timestamp at(Duration Since) { return Timestamp(100s) + Since; }
 
 static Confirmation makeRouter(uint64_t Number, uint64_t Seed = 7) {
-  return Confirmation({Controls, {Number}, Seed});
+  return Confirmation({Controls, {Number}, Asking::Always, Seed});
 }
 
 /// Ticks and returns the query that was sent to all control hosts.
@@ -135,6 +135,25 @@
   BOOST_TEST(Router.number().Value == 6u);
 }
 
+BOOST_AUTO_TEST_CASE(a_relayed_confirmation_counts_from_its_own_time) {
+  Confirmation Router = makeRouter(5);
+  Router.step(ConfirmationRelayed{{5}, at(-500ms), {"r2"}}, at(0s));
+  BOOST_TEST((Router.confirmedUntil() == at(1500ms)));
+  // An older one, and one about a number that this host has not reached.
+  Router.step(ConfirmationRelayed{{5}, at(-900ms), {"r3"}}, at(1ms));
+  auto Effects = Router.step(ConfirmationRelayed{{6}, at(0s), {"r3"}}, at(1ms));
+  BOOST_TEST((Router.confirmedUntil() == at(1500ms)));
+  BOOST_REQUIRE(Effects.size() == 1u);
+  BOOST_TEST(std::holds_alternative<FetchDescription>(Effects.front()));
+}
+
+BOOST_AUTO_TEST_CASE(a_fresh_relay_spares_the_control_hosts_a_query) {
+  Confirmation Router({Controls, {5}, Asking::WhenOld, 7});
+  Router.step(ConfirmationRelayed{{5}, at(0s), {"r2"}}, at(0s));
+  BOOST_TEST(Router.step(ConfirmationTick{}, at(1s)).empty());
+  BOOST_TEST(Router.step(ConfirmationTick{}, at(1200ms)).size() == 3u);
+}
+
 BOOST_AUTO_TEST_CASE(a_number_heard_is_fetched_but_not_in_a_storm) {
   Confirmation Router = makeRouter(5);
   size_t Fetches = 0;
--- a/Tests/LibMembership/TestMembershipSchedule.cpp
+++ b/Tests/LibMembership/TestMembershipSchedule.cpp
@@ -40,6 +40,7 @@
     Given.Seed = Seed;
     Given.Faults = Case.Faults;
     Given.LongestCut = Case.LongestCut;
+    Given.Asking = Seed % 2 == 0 ? Asking::Always : Asking::WhenOld;
     HostWorld World(Given);
     World.run(30s);
     World.calm();
