--- a/Libraries/LibRouting/SchedulerEvents.h
+++ b/Libraries/LibRouting/SchedulerEvents.h
@@ -4,6 +4,7 @@
 #define FERRY_LIBROUTING_SCHEDULEREVENTS_H
 
 #include "LibCache/BlockHash.h"
+#include "LibCache/BlockNames.h"
 #include "LibCache/CacheEvent.h"
 #include "LibCore/EnumNames.h"
 #include "LibCore/Ids.h"
@@ -29,7 +30,11 @@
   DeadlineTooNear,
   ShareExceeded,
   RetryBudgetSpent,
-  DeadlinePassed
+  DeadlinePassed,
+  /// A try failed and its work may not be repeated.
+  RepeatForbidden,
+  /// A request of the same id is still known here.
+  DuplicateRequest
 };
 
 /// How a try on a target ended.
@@ -73,6 +78,9 @@
   RequestId Id;
   /// Tokens of the prompt that the engine found in its cache.
   uint64_t CachedTokens = 0;
+  /// The engine's own names of the prompt's leading whole blocks, where it
+  /// tells them; empty if it took the router's hashes.
+  std::vector<cache::EngineBlockName> BlockNames = {};
 };
 
 /// A try has ended. Unless it succeeded or was cancelled, the Scheduler
@@ -162,7 +170,9 @@
       {Kind::DeadlineTooNear, "deadline_too_near"},
       {Kind::ShareExceeded, "share_exceeded"},
       {Kind::RetryBudgetSpent, "retry_budget_spent"},
-      {Kind::DeadlinePassed, "deadline_passed"}};
+      {Kind::DeadlinePassed, "deadline_passed"},
+      {Kind::RepeatForbidden, "repeat_forbidden"},
+      {Kind::DuplicateRequest, "duplicate_request"}};
 };
 
 template <> struct EnumNames<routing::TryOutcome> {
