--- a/Libraries/LibMembership/Confirmation.h
+++ b/Libraries/LibMembership/Confirmation.h
@@ -88,11 +88,11 @@
     std::vector<HostId> ControlHosts;
     /// The number in force from the host's own disk, or 0.
     DescriptionNumber Number;
+    /// Random; keeps answers to earlier incarnations apart.
+    uint64_t Seed = 1;
     /// WhenOld suits deployments of many hosts: the control hosts then answer
     /// a few hosts of each data centre only.
     membership::Asking Asking = membership::Asking::Always;
-    /// Random; keeps answers to earlier incarnations apart.
-    uint64_t Seed = 1;
   };
 
   explicit Confirmation(Options Settings);
--- a/Services/ferryd/ControlPlane.cpp
+++ b/Services/ferryd/ControlPlane.cpp
@@ -112,6 +112,7 @@
 
 void ControlPlane::tick() {
   stepConfirmation(ConfirmationTick{});
+  stepMembership(LocalConfirmed{Confirmed.number(), Confirmed.confirmedAsOf()});
   stepMembership(MembershipTick{});
   updateStanding();
   if (Confirmed.confirmedUntil() != ViewConfirmedUntil)
@@ -185,6 +186,10 @@
         [this](const NewerDescriptionSeen &Seen) {
           stepConfirmation(ConfirmationNumberHeard{Seen.Number, Seen.From});
         },
+        [this](const ConfirmationHeard &Heard) {
+          stepConfirmation(
+              ConfirmationRelayed{Heard.Number, Heard.AsOf, Heard.From});
+        },
         [this](const membership::AnnouncementRefused &) {
           AnnouncementRefused = true;
         });
--- a/Tests/LibMembership/TestConfirmation.cpp
+++ b/Tests/LibMembership/TestConfirmation.cpp
@@ -13,7 +13,7 @@
 static Timestamp at(Duration Since) { return Timestamp(100s) + Since; }
 
 static Confirmation makeRouter(uint64_t Number, uint64_t Seed = 7) {
-  return Confirmation({Controls, {Number}, Asking::Always, Seed});
+  return Confirmation({Controls, {Number}, Seed});
 }
 
 /// Ticks and returns the query that was sent to all control hosts.
@@ -148,7 +148,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_fresh_relay_spares_the_control_hosts_a_query) {
-  Confirmation Router({Controls, {5}, Asking::WhenOld, 7});
+  Confirmation Router({Controls, {5}, 7, Asking::WhenOld});
   Router.step(ConfirmationRelayed{{5}, at(0s), {"r2"}}, at(0s));
   BOOST_TEST(Router.step(ConfirmationTick{}, at(1s)).empty());
   BOOST_TEST(Router.step(ConfirmationTick{}, at(1200ms)).size() == 3u);
