LibRouting: Drain announced prefill queues at the learned rate

Cause: old load was corrected by taking the router's own part out and adding it back. What the target worked off between report and arrival stayed as load of others, so queues were overestimated and requests left their cached blocks. Now: announced tokens plus those sent since, less what the rate has worked off, never under the router's own.

--- a/Benchmarks/Placement/Rows.h
+++ b/Benchmarks/Placement/Rows.h
@@ -51,11 +51,11 @@
 inline Row makeLeastLoad() {
   return {"least load", [](Simulation &) -> routing::PlacementPolicy {
             return routing::CustomPlacement{
-                [](const routing::PlacementQuery &, Candidates Offered) {
+                [](const routing::PlacementQuery &Query, Candidates Offered) {
                   return pickLeast(Offered, [&](size_t Index) {
                     return fullCost(Offered[Index]) +
                            Offered[Index].Target->queuedPrefill(
-                               routing::LoadCorrection::OwnTries) +
+                               routing::LoadCorrection::OwnTries, Query.Now) +
                            Offered[Index].Target->occupancy(
                                routing::LoadCorrection::OwnTries);
                   });
@@ -106,10 +106,10 @@
   double Rate = Sight == OracleSight::Caches
                     ? Each.Target->prefillRate()
                     : Engine.options().PrefillTokensPerSecond;
-  double Wait =
-      Sight == OracleSight::Caches
-          ? Each.Target->waitSeconds(routing::LoadCorrection::OwnTries)
-          : Engine.trueWaitSeconds();
+  double Wait = Sight == OracleSight::Caches
+                    ? Each.Target->waitSeconds(
+                          routing::LoadCorrection::OwnTries, Query.Now)
+                    : Engine.trueWaitSeconds();
   double Prefill = static_cast<double>(Query.Request->PromptTokens -
                                        Cached * cache::BlockTokens) /
                    Rate;
--- a/Libraries/LibRouting/Placement.cpp
+++ b/Libraries/LibRouting/Placement.cpp
@@ -64,7 +64,8 @@
 static double estimateSeconds(const PlacementQuery &Query,
                               const Candidate &Each,
                               LoadCorrection Correction) {
-  return Each.Target->waitSeconds(Correction) + prefillSeconds(Query, Each);
+  return Each.Target->waitSeconds(Correction, Query.Now) +
+         prefillSeconds(Query, Each);
 }
 
 /// Ranks by rendezvous weight, then takes the first below the bound on load.
@@ -106,7 +107,8 @@
                             const PlacementQuery &Query,
                             const Candidate &Each) {
   double Prefill = prefillSeconds(Query, Each);
-  double Score = Each.Target->waitSeconds(Policy.Correction) + Prefill;
+  double Score =
+      Each.Target->waitSeconds(Policy.Correction, Query.Now) + Prefill;
   if (Query.Objective == config::Objective::HitRate)
     Score += Policy.HitRateRecomputeWeight * Prefill;
   else
--- a/Libraries/LibRouting/Scheduler.cpp
+++ b/Libraries/LibRouting/Scheduler.cpp
@@ -53,12 +53,12 @@
 
 void Scheduler::applyView(RoutingViewPtr Newer, Timestamp Now) {
   View = std::move(Newer);
-  rebuildTargets();
+  rebuildTargets(Now);
   rebuildPools(Now);
   pumpAll(Now);
 }
 
-void Scheduler::rebuildTargets() {
+void Scheduler::rebuildTargets(Timestamp Now) {
   // Pools hold pointers to the states, so they are emptied first.
   for (auto &[Id, Pool] : Pools) {
     Pool.Targets.clear();
@@ -75,11 +75,11 @@
     bool SameLife = Old != Targets.end() && Old->second &&
                     Old->second->record().Incarnation == Record.Incarnation;
     if (!SameLife) {
-      Kept[Record.Id] =
-          std::make_unique<TargetState>(TargetState::create(Record, *Service));
+      Kept[Record.Id] = std::make_unique<TargetState>(
+          TargetState::create(Record, *Service, Now));
       continue;
     }
-    Old->second->announce(Record, *Service);
+    Old->second->announce(Record, *Service, Now);
     Kept[Record.Id] = std::move(Old->second);
   }
   for (const auto &[Id, Old] : Targets)
@@ -146,7 +146,7 @@
   return Found ? Found->Share : 1;
 }
 
-SchedulerStatus Scheduler::status(Timestamp) const {
+SchedulerStatus Scheduler::status(Timestamp Now) const {
   SchedulerStatus Status;
   Status.Known = Requests.size();
   Status.Queued = Queued;
@@ -156,9 +156,9 @@
     Status.Targets.push_back(
         {Id, Target->record().Incarnation, Target->record().Service,
          Target->ownRunning(), Target->occupancy(LoadCorrection::OwnTries),
-         Target->queuedPrefill(LoadCorrection::OwnTries), Target->prefillRate(),
-         Target->deviationSeconds(), Target->limit(), Target->failureRate(),
-         Target->coolUntil()});
+         Target->queuedPrefill(LoadCorrection::OwnTries, Now),
+         Target->prefillRate(), Target->deviationSeconds(), Target->limit(),
+         Target->failureRate(), Target->coolUntil()});
   for (const auto &[Id, Pool] : Pools)
     for (const auto &[Key, Flow] : Pool.Queue.flows())
       if (!Flow.Waiting.empty())
--- a/Libraries/LibRouting/Scheduler.h
+++ b/Libraries/LibRouting/Scheduler.h
@@ -99,7 +99,7 @@
 
   // The view (Scheduler.cpp).
   void applyView(RoutingViewPtr Newer, Timestamp Now);
-  void rebuildTargets();
+  void rebuildTargets(Timestamp Now);
   void rebuildPools(Timestamp Now);
   RateLearning learning() const;
   TargetState *findTarget(const TargetId &Id, ferry::Incarnation Life);
--- a/Libraries/LibRouting/SchedulerDispatch.cpp
+++ b/Libraries/LibRouting/SchedulerDispatch.cpp
@@ -138,7 +138,7 @@
   Try.Incarnation = Record.Incarnation;
   Try.SentAt = Now;
   Try.MissingTokens = computedTokens(Query, Best);
-  Try.WorkAhead = Best.Target->queuedPrefill(LoadCorrection::OwnTries) +
+  Try.WorkAhead = Best.Target->queuedPrefill(LoadCorrection::OwnTries, Now) +
                   static_cast<double>(Try.MissingTokens);
   Try.ExpectedFirstByteAt = Now + toDuration(EstimateSeconds);
   Best.Target->startTry(Try);
--- a/Libraries/LibRouting/TargetState.cpp
+++ b/Libraries/LibRouting/TargetState.cpp
@@ -24,15 +24,12 @@
 }
 
 TargetState TargetState::create(const TargetRecord &Record,
-                                const config::Service &Service) {
+                                const config::Service &Service, Timestamp Now) {
   TargetState State;
   State.Record = Record;
   State.IdHash = hashIdentifier(Record.Id.Value);
   State.PrefillRate = InitialPrefillTokensPerSecond;
-  State.ForeignRunning =
-      Record.Load.RunningRequests + Record.Load.QueuedRequests;
-  State.ForeignPrefillTokens =
-      static_cast<double>(Record.Load.QueuedPrefillTokens);
+  State.AnnouncedAt = Now;
   State.setMaximum(Service);
   State.Limit = State.MaxLimit;
   return State;
@@ -47,18 +44,16 @@
 }
 
 void TargetState::announce(const TargetRecord &Newer,
-                           const config::Service &Service) {
+                           const config::Service &Service, Timestamp Now) {
   bool Moved = Newer.Sequence > Record.Sequence;
   Record = Newer;
   setMaximum(Service);
   if (!Moved)
     return;
-  // The announced load includes what this router had sent by then.
-  double Running = Newer.Load.RunningRequests + Newer.Load.QueuedRequests;
-  ForeignRunning = std::max(0.0, Running - OwnRunning);
-  ForeignPrefillTokens =
-      std::max(0.0, static_cast<double>(Newer.Load.QueuedPrefillTokens) -
-                        OwnPrefillTokens);
+  AnnouncedAt = Now;
+  TokensSentSince = 0;
+  SentSince = 0;
+  EndedSince = 0;
 }
 
 bool TargetState::isUsable(const config::Service &Service,
@@ -76,13 +71,18 @@
 double TargetState::occupancy(LoadCorrection Correction) const {
   if (Correction == LoadCorrection::Reported)
     return Record.Load.RunningRequests + Record.Load.QueuedRequests;
-  return ForeignRunning + OwnRunning;
+  double Announced = Record.Load.RunningRequests + Record.Load.QueuedRequests;
+  return std::max<double>(OwnRunning, Announced + SentSince - EndedSince);
 }
 
-double TargetState::queuedPrefill(LoadCorrection Correction) const {
+double TargetState::queuedPrefill(LoadCorrection Correction,
+                                  Timestamp Now) const {
+  double Announced = static_cast<double>(Record.Load.QueuedPrefillTokens);
   if (Correction == LoadCorrection::Reported)
-    return static_cast<double>(Record.Load.QueuedPrefillTokens);
-  return ForeignPrefillTokens + OwnPrefillTokens;
+    return Announced;
+  // The queue announced has been worked off since at the target's rate.
+  double Drained = PrefillRate * secondsBetween(AnnouncedAt, Now);
+  return std::max(OwnPrefillTokens, Announced + TokensSentSince - Drained);
 }
 
 bool TargetState::hasRoom(Timestamp Now) const {
@@ -90,12 +90,13 @@
     return false;
   if (occupancy(LoadCorrection::OwnTries) + 1 > std::max(1.0, Limit))
     return false;
-  return queuedPrefill(LoadCorrection::OwnTries) <
+  return queuedPrefill(LoadCorrection::OwnTries, Now) <
          MaxEngineQueueSeconds * PrefillRate;
 }
 
-double TargetState::waitSeconds(LoadCorrection Correction) const {
-  double Wait = (queuedPrefill(Correction) + HeldTokens) / PrefillRate;
+double TargetState::waitSeconds(LoadCorrection Correction,
+                                Timestamp Now) const {
+  double Wait = (queuedPrefill(Correction, Now) + HeldTokens) / PrefillRate;
   double Over = occupancy(Correction) + 1 - Limit;
   if (Over > 0)
     Wait += ServiceSeconds * Over / Limit;
@@ -104,6 +105,8 @@
 
 void TargetState::startTry(const TryState &Try) {
   ++OwnRunning;
+  ++SentSince;
+  TokensSentSince += static_cast<double>(Try.MissingTokens);
   OwnPrefillTokens += static_cast<double>(Try.MissingTokens);
 }
 
@@ -135,6 +138,7 @@
 void TargetState::endTry(const TryState &Try, TryOutcome Outcome,
                          Timestamp Now) {
   OwnRunning -= OwnRunning > 0 ? 1 : 0;
+  ++EndedSince;
   if (!Try.FirstByteAt)
     OwnPrefillTokens = std::max(
         0.0, OwnPrefillTokens - static_cast<double>(Try.MissingTokens));
--- a/Libraries/LibRouting/TargetState.h
+++ b/Libraries/LibRouting/TargetState.h
@@ -21,10 +21,11 @@
 class TargetState {
 public:
   static TargetState create(const TargetRecord &Record,
-                            const config::Service &Service);
+                            const config::Service &Service, Timestamp Now);
 
   /// Takes a newer announcement of the same life.
-  void announce(const TargetRecord &Record, const config::Service &Service);
+  void announce(const TargetRecord &Record, const config::Service &Service,
+                Timestamp Now);
 
   /// \returns whether new work of \p Service may be sent at \p Now.
   bool isUsable(const config::Service &Service, Timestamp Now) const;
@@ -44,10 +45,10 @@
   /// \returns the requests thought to be at the target.
   double occupancy(LoadCorrection Correction) const;
   /// \returns the prompt tokens thought to wait there for their prefill.
-  double queuedPrefill(LoadCorrection Correction) const;
+  double queuedPrefill(LoadCorrection Correction, Timestamp Now) const;
   /// \returns the time until a request sent now would begin its prefill, in
   /// seconds.
-  double waitSeconds(LoadCorrection Correction) const;
+  double waitSeconds(LoadCorrection Correction, Timestamp Now) const;
   /// \returns learned prompt tokens per second.
   double prefillRate() const { return PrefillRate; }
   /// \returns how far first bytes come from their estimates, in seconds.
@@ -73,9 +74,12 @@
   uint64_t IdHash = 0;
   uint32_t OwnRunning = 0;
   double OwnPrefillTokens = 0;
-  /// Load that others than this router have brought, as last announced.
-  double ForeignRunning = 0;
-  double ForeignPrefillTokens = 0;
+  /// When the announced load was taken over, and what this router has sent and
+  /// ended since.
+  Timestamp AnnouncedAt;
+  double TokensSentSince = 0;
+  double SentSince = 0;
+  double EndedSince = 0;
   double PrefillRate = 0;
   double DeviationSeconds = 0;
   double ServiceSeconds = 0;
