LibRouting: Refuse at the dispatch what would end after its deadline

Cause: the stricter fairness and storm tests count answers within the deadline only. Now the answer's own time counts, at admission and again at the dispatch. So that estimates which refuse everything get corrected, an idle service takes one request a second in spite of them.

--- a/Libraries/LibRouting/RequestState.h
+++ b/Libraries/LibRouting/RequestState.h
@@ -38,6 +38,8 @@
   std::vector<cache::BlockHash> Blocks;
   uint64_t PromptTokens = 0;
   uint64_t MaxOutputTokens = 0;
+  /// Set if it is admitted to learn whether the estimates still hold.
+  bool IsProbe = false;
   /// Targets that have been tried; never tried again.
   std::vector<TargetId> Tried;
   /// Set while a try runs; the request waits otherwise.
--- a/Libraries/LibRouting/Scheduler.h
+++ b/Libraries/LibRouting/Scheduler.h
@@ -64,8 +64,11 @@
                                           Timestamp Now) const;
   double estimateQueueSeconds(const ServicePool &Pool,
                               const RequestState &Request) const;
-  bool canMeetDeadline(ServicePool &Pool, const RequestState &Request,
-                       Timestamp Now);
+  bool canMeetDeadline(ServicePool &Pool, RequestState &Request, Timestamp Now);
+  bool mayProbe(ServicePool &Pool, Timestamp Now) const;
+  double estimateAnswerSeconds(const ServicePool &Pool,
+                               const RequestState &Request,
+                               const PlacementChoice &Choice) const;
   bool makeRoom(const RequestState &Newcomer, Timestamp Now);
   Timestamp retryTime(const RequestState &Request, RefusalKind Kind,
                       Timestamp Now);
--- a/Libraries/LibRouting/SchedulerAdmission.cpp
+++ b/Libraries/LibRouting/SchedulerAdmission.cpp
@@ -11,6 +11,7 @@
 /// Refused callers come back spread over this part of their wait.
 static constexpr double RetrySpread = 0.5;
 static constexpr uint64_t SpreadSteps = 1000;
+static constexpr Duration ProbeInterval = std::chrono::seconds(1);
 
 std::optional<RefusalKind> Scheduler::findViewObstacle(Timestamp Now) const {
   if (!View || !View->Description)
@@ -76,15 +77,34 @@
   return Pool.Queue.workAhead(Key, shareOf(Request.Workspace)) / *Rate;
 }
 
-bool Scheduler::canMeetDeadline(ServicePool &Pool, const RequestState &Request,
+double Scheduler::estimateAnswerSeconds(const ServicePool &Pool,
+                                        const RequestState &Request,
+                                        const PlacementChoice &Choice) const {
+  if (Request.Kind == RequestKind::Call)
+    return Candidates[Choice.Index].Target->serviceSeconds();
+  return Choice.EstimateSeconds +
+         Pool.Answers.SecondsPerOutputToken *
+             static_cast<double>(Request.MaxOutputTokens);
+}
+
+bool Scheduler::mayProbe(ServicePool &Pool, Timestamp Now) const {
+  // Estimates that refuse everything would never be corrected.
+  if (Now < Pool.NextProbeAt || !Pool.isIdle())
+    return false;
+  bool IsFirst = Pool.NextProbeAt == Timestamp{};
+  Pool.NextProbeAt = Now + ProbeInterval;
+  return !IsFirst;
+}
+
+bool Scheduler::canMeetDeadline(ServicePool &Pool, RequestState &Request,
                                 Timestamp Now) {
-  double Seconds = estimateQueueSeconds(Pool, Request);
-  if (Request.Kind == RequestKind::Prompt) {
-    Seconds += choose(Pool, Request, Now).EstimateSeconds;
-    Seconds += Pool.Answers.SecondsPerOutputToken *
-               static_cast<double>(Request.MaxOutputTokens);
-  }
-  return Seconds <= secondsBetween(Now, Request.Deadline);
+  PlacementChoice Choice = choose(Pool, Request, Now);
+  double Seconds = estimateQueueSeconds(Pool, Request) +
+                   estimateAnswerSeconds(Pool, Request, Choice);
+  if (Seconds <= secondsBetween(Now, Request.Deadline))
+    return true;
+  Request.IsProbe = mayProbe(Pool, Now);
+  return Request.IsProbe;
 }
 
 bool Scheduler::makeRoom(const RequestState &Newcomer, Timestamp Now) {
--- a/Libraries/LibRouting/SchedulerDispatch.cpp
+++ b/Libraries/LibRouting/SchedulerDispatch.cpp
@@ -121,6 +121,12 @@
         static_cast<double>(missingTokens(Request, Best));
     return false;
   }
+  // What would end too late only delays what can still be in time.
+  if (!Request.IsProbe && estimateAnswerSeconds(Pool, Request, Choice) >
+                              secondsBetween(Now, Request.Deadline)) {
+    refuse(Request, RefusalKind::DeadlineTooNear, Now);
+    return true;
+  }
   dispatch(Pool, Request, Best, Choice.EstimateSeconds, Now);
   return true;
 }
--- a/Libraries/LibRouting/ServicePool.cpp
+++ b/Libraries/LibRouting/ServicePool.cpp
@@ -1,4 +1,5 @@
 #include "LibRouting/ServicePool.h"
+#include <algorithm>
 
 namespace ferry::routing {
 
@@ -26,6 +27,12 @@
   close(Now);
 }
 
+bool ServicePool::isIdle() const {
+  return std::all_of(
+      Targets.begin(), Targets.end(),
+      [](const TargetState *Target) { return Target->ownRunning() == 0; });
+}
+
 void AnswerTime::note(double Seconds, uint64_t OutputTokens) {
   if (OutputTokens == 0)
     return;
--- a/Libraries/LibRouting/ServicePool.h
+++ b/Libraries/LibRouting/ServicePool.h
@@ -44,6 +44,12 @@
   RetryBudget Budget;
   DrainMeter Drain;
   AnswerTime Answers;
+  /// When an idle pool next takes a request that its estimates would refuse;
+  /// zero before the first such refusal.
+  Timestamp NextProbeAt;
+
+  /// \returns whether no try of this router runs on its targets.
+  bool isIdle() const;
 };
 
 } // namespace ferry::routing
--- a/Libraries/LibRouting/TargetState.h
+++ b/Libraries/LibRouting/TargetState.h
@@ -57,6 +57,8 @@
   double failureRate() const { return FailureRate; }
   /// \returns requests that may run side by side now.
   double limit() const { return Limit; }
+  /// \returns the learned seconds from sending to the end of an answer.
+  double serviceSeconds() const { return ServiceSeconds; }
   uint32_t ownRunning() const { return OwnRunning; }
   Timestamp coolUntil() const { return CoolUntil; }
 
