LibRouting: Count what waits for a target in its wait

Cause: only the first four waiting requests of a flow were counted, and only while one round over the queue lasted. A hot prefix with a backlog stayed on its one home while others were idle: 1 home in place of at least 4 in hot_prefix_gets_more_homes_and_the_same_from_all_routers. Now each waiting request is counted at the target it prefers, from its admission.

--- a/Libraries/LibRouting/RequestState.cpp
+++ b/Libraries/LibRouting/RequestState.cpp
@@ -1,4 +1,5 @@
 #include "LibRouting/RequestState.h"
+#include "LibRouting/TargetState.h"
 #include <algorithm>
 
 namespace ferry::routing {
@@ -8,6 +9,19 @@
 /// Work of a call of a plain service, in prompt tokens.
 static constexpr double CallWork = 1000;
 
+void RequestState::holdFor(TargetState &Target, double Tokens) {
+  release();
+  HeldFor = &Target;
+  HeldTokens = Tokens;
+  Target.hold(Tokens);
+}
+
+void RequestState::release() {
+  if (HeldFor)
+    HeldFor->unhold(HeldTokens);
+  HeldFor = nullptr;
+}
+
 bool RequestState::hasTried(const TargetId &Target) const {
   return std::find(Tried.begin(), Tried.end(), Target) != Tried.end();
 }
--- a/Libraries/LibRouting/RequestState.h
+++ b/Libraries/LibRouting/RequestState.h
@@ -24,6 +24,8 @@
   Timestamp ExpectedFirstByteAt;
 };
 
+class TargetState;
+
 /// Whether a request carries a prompt for an engine.
 enum class RequestKind : uint8_t { Prompt, Call };
 
@@ -42,9 +44,17 @@
   bool IsProbe = false;
   /// Targets that have been tried; never tried again.
   std::vector<TargetId> Tried;
+  /// While it waits: the target it waits for, and the tokens it lacks there.
+  TargetState *HeldFor = nullptr;
+  double HeldTokens = 0;
   /// Set while a try runs; the request waits otherwise.
   std::optional<TryState> Current;
 
+  /// Waits for \p Target.
+  void holdFor(TargetState &Target, double Tokens);
+  /// Waits for no target in particular.
+  void release();
+
   bool hasTried(const TargetId &Target) const;
   /// \returns the work counted for fairness, in prompt tokens.
   double work() const;
--- a/Libraries/LibRouting/Scheduler.cpp
+++ b/Libraries/LibRouting/Scheduler.cpp
@@ -59,7 +59,9 @@
 }
 
 void Scheduler::rebuildTargets(Timestamp Now) {
-  // Pools hold pointers to the states, so they are emptied first.
+  // Pools and waiting requests hold pointers to the states.
+  for (auto &[Id, Request] : Requests)
+    Request->release();
   for (auto &[Id, Pool] : Pools) {
     Pool.Targets.clear();
     Pool.Stores.clear();
--- a/Libraries/LibRouting/SchedulerAdmission.cpp
+++ b/Libraries/LibRouting/SchedulerAdmission.cpp
@@ -101,6 +101,10 @@
   PlacementChoice Choice = choose(Pool, Request, Now);
   double Seconds = estimateQueueSeconds(Pool, Request) +
                    estimateAnswerSeconds(Pool, Request, Choice);
+  // Until its turn comes it counts as waiting for this target.
+  const Candidate &Best = Candidates[Choice.Index];
+  Request.holdFor(*Best.Target,
+                  static_cast<double>(missingTokens(Request, Best)));
   if (Seconds <= secondsBetween(Now, Request.Deadline))
     return true;
   Request.IsProbe = mayProbe(Pool, Now);
@@ -152,6 +156,7 @@
 
 void Scheduler::refuse(RequestState &Request, RefusalKind Kind, Timestamp Now) {
   Timestamp RetryAt = retryTime(Request, Kind, Now);
+  Request.release();
   auto Found = Pools.find(Request.Service);
   if (Found != Pools.end() && Found->second.Queue.holds(Request)) {
     Found->second.Queue.remove(Request);
--- a/Libraries/LibRouting/SchedulerDispatch.cpp
+++ b/Libraries/LibRouting/SchedulerDispatch.cpp
@@ -28,8 +28,6 @@
     return;
   if (findViewObstacle(Now))
     return dropExpired(Now);
-  for (TargetState *Target : Pool.Targets)
-    Target->HeldTokens = 0;
   size_t Scanned = 0;
   for (FairQueue::Flow *Flow : Pool.Queue.backlogged()) {
     size_t Skipped = 0;
@@ -109,6 +107,7 @@
 
 bool Scheduler::tryDispatch(ServicePool &Pool, RequestState &Request,
                             Timestamp Now) {
+  Request.release();
   collectCandidates(Pool, Request, Now);
   if (Candidates.empty()) {
     refuse(Request, RefusalKind::NoTarget, Now);
@@ -117,8 +116,8 @@
   PlacementChoice Choice = choose(Pool, Request, Now);
   const Candidate &Best = Candidates[Choice.Index];
   if (Best.Space == Candidate::Room::Full) {
-    Best.Target->HeldTokens +=
-        static_cast<double>(missingTokens(Request, Best));
+    Request.holdFor(*Best.Target,
+                    static_cast<double>(missingTokens(Request, Best)));
     return false;
   }
   // What would end too late only delays what can still be in time.
--- a/Libraries/LibRouting/SchedulerTries.cpp
+++ b/Libraries/LibRouting/SchedulerTries.cpp
@@ -83,6 +83,7 @@
   if (Request.Current)
     return;
   ServicePool &Pool = Pools.at(Request.Service);
+  Request.release();
   Pool.Queue.remove(Request);
   --Queued;
   Requests.erase(Found);
--- a/Libraries/LibRouting/TargetState.cpp
+++ b/Libraries/LibRouting/TargetState.cpp
@@ -97,12 +97,22 @@
 double TargetState::waitSeconds(LoadCorrection Correction,
                                 Timestamp Now) const {
   double Wait = (queuedPrefill(Correction, Now) + HeldTokens) / PrefillRate;
-  double Over = occupancy(Correction) + 1 - Limit;
+  double Over = occupancy(Correction) + HeldRequests + 1 - Limit;
   if (Over > 0)
     Wait += ServiceSeconds * Over / Limit;
   return Wait;
 }
 
+void TargetState::hold(double Tokens) {
+  HeldTokens += Tokens;
+  ++HeldRequests;
+}
+
+void TargetState::unhold(double Tokens) {
+  HeldTokens = std::max(0.0, HeldTokens - Tokens);
+  HeldRequests = std::max(0.0, HeldRequests - 1);
+}
+
 void TargetState::startTry(const TryState &Try) {
   ++OwnRunning;
   ++SentSince;
--- a/Libraries/LibRouting/TargetState.h
+++ b/Libraries/LibRouting/TargetState.h
@@ -62,9 +62,12 @@
   uint32_t ownRunning() const { return OwnRunning; }
   Timestamp coolUntil() const { return CoolUntil; }
 
-  /// Work of waiting requests that prefer this target, in prompt tokens; set
-  /// anew in each round over the queue.
-  double HeldTokens = 0;
+  /// Counts a waiting request that prefers this target, with the prompt tokens
+  /// it lacks here.
+  void hold(double Tokens);
+  /// Undoes hold().
+  void unhold(double Tokens);
+
   /// Its number in the cache index.
   cache::HolderNumber Holder = cache::NoHolder;
 
@@ -82,6 +85,8 @@
   double TokensSentSince = 0;
   double SentSince = 0;
   double EndedSince = 0;
+  double HeldTokens = 0;
+  double HeldRequests = 0;
   double PrefillRate = 0;
   double DeviationSeconds = 0;
   double ServiceSeconds = 0;
