--- a/Libraries/LibTraffic/CallerRequest.cpp
+++ b/Libraries/LibTraffic/CallerRequest.cpp
@@ -56,6 +56,9 @@
 
 AnswerResult<CallerRequest> tryReadCaller(TrafficContext &Context,
                                           const HttpExchange &Exchange) {
+  for (const char *Name : {"X-Workspace", "Idempotency-Key", "Authorization"})
+    if (Exchange.isRepeated(Name))
+      return badHeader(Name);
   CallerRequest Caller;
   Caller.View = Context.Placements.view();
   Caller.Workspace = {Exchange.header("X-Workspace")};
--- a/Libraries/LibTraffic/HttpExchange.cpp
+++ b/Libraries/LibTraffic/HttpExchange.cpp
@@ -70,6 +70,14 @@
   return Request.get(Name, "");
 }
 
+bool HttpExchange::isRepeated(const std::string &Name) const {
+  auto Count =
+      std::count_if(Request.begin(), Request.end(), [&](const auto &Field) {
+        return Poco::icompare(Field.first, Name) == 0;
+      });
+  return Count > 1;
+}
+
 AnswerResult<uint64_t> HttpExchange::tryContentLength(uint64_t MaxBytes) const {
   // A body cut off in the middle must never count as whole; only a length
   // given ahead shows that under every way in which a connection can end.
@@ -84,12 +92,13 @@
                                  "the request needs a Content-Length"});
   }
   std::string Text = header("Content-Length");
-  bool Plain = !Text.empty() && Text.size() <= 18 &&
+  bool Plain = !isRepeated("Content-Length") && !Text.empty() &&
+               Text.size() <= 18 &&
                std::all_of(Text.begin(), Text.end(),
                            [](char C) { return C >= '0' && C <= '9'; });
   if (!Plain)
-    return makeError(
-        ErrorAnswer{AnswerError::BadHeader, "Content-Length is not a number"});
+    return makeError(ErrorAnswer{AnswerError::BadHeader,
+                                 "Content-Length is not one number"});
   uint64_t Length = std::stoull(Text);
   if (Length > MaxBytes)
     return makeError(ErrorAnswer{AnswerError::TooLarge,
--- a/Libraries/LibTraffic/HttpExchange.h
+++ b/Libraries/LibTraffic/HttpExchange.h
@@ -63,6 +63,10 @@
   /// \returns the header \p Name, or "" if it is absent.
   std::string header(const std::string &Name) const;
 
+  /// Whether the header \p Name stands more than once, so that two readers of
+  /// the request may take different values.
+  bool isRepeated(const std::string &Name) const;
+
   /// Reads the whole body. \returns LengthRequired without a Content-Length,
   /// TooLarge beyond \p MaxBytes, RequestTimeout if the body ends early.
   AnswerResult<std::string> tryReadBody(uint64_t MaxBytes);
--- a/Libraries/LibTraffic/HttpListener.cpp
+++ b/Libraries/LibTraffic/HttpListener.cpp
@@ -15,10 +15,6 @@
 
 using namespace Poco::Net;
 
-/// Longest time from the first byte of a request to the last of its header.
-static constexpr std::chrono::seconds HeaderReadLimit{10};
-/// Longest time from the end of a header to the end of its body.
-static constexpr std::chrono::seconds BodyReadLimit{60};
 /// How long a connection may stay open between two requests, in seconds.
 static constexpr int KeepAliveSeconds = 15;
 /// How long one send may block on a slow peer, in seconds.
@@ -72,7 +68,7 @@
     Next Then = Next::KeepOpen;
     while (Then == Next::KeepOpen && Session.hasMoreRequests()) {
       Listener.Watch.enter(Watched, ConnectionPhase::Reading,
-                           steadyNow() + HeaderReadLimit);
+                           steadyNow() + Listener.Given.HeaderReadLimit);
       Then = serveOne(Session, *Params);
       Listener.Watch.enter(Watched, ConnectionPhase::Idle, NeverExpires);
     }
@@ -111,14 +107,14 @@
   Response.setVersion(Request->getVersion());
   Response.setKeepAlive(Request->getKeepAlive());
   Listener.Watch.enter(Watched, ConnectionPhase::Working,
-                       steadyNow() + BodyReadLimit);
+                       steadyNow() + Listener.Given.BodyReadLimit);
   HttpExchange Exchange(*Request, Response, socket(), Listener.Budget, [this] {
     Listener.Watch.enter(Watched, ConnectionPhase::Working, NeverExpires);
   });
-  if (headerBytes(*Request) > Listener.MaxHeaderBytes)
+  if (headerBytes(*Request) > Listener.Given.MaxHeaderBytes)
     Exchange.sendError({AnswerError::HeadersTooLarge,
                         "the header may have at most " +
-                            std::to_string(Listener.MaxHeaderBytes) +
+                            std::to_string(Listener.Given.MaxHeaderBytes) +
                             " bytes"});
   else
     Listener.Handle(Exchange);
@@ -178,7 +174,7 @@
 
 HttpListener::HttpListener(const Options &Options, Handler Handle,
                            const ServerSocket &Socket)
-    : MaxHeaderBytes(Options.MaxHeaderBytes), Handle(std::move(Handle)),
+    : Given(Options), Handle(std::move(Handle)),
       BoundAddress(Socket.address().toString()),
       Budget(Options.BodyBudgetBytes),
       Threads(MinThreads,
--- a/Libraries/LibTraffic/HttpListener.h
+++ b/Libraries/LibTraffic/HttpListener.h
@@ -30,6 +30,10 @@
     uint64_t MaxHeaderBytes = 0;
     /// Bytes of request bodies in memory at a time, over all connections.
     uint64_t BodyBudgetBytes = 0;
+    /// Longest time from the first byte of a request to its header's end.
+    Duration HeaderReadLimit = std::chrono::seconds(10);
+    /// Longest time from the end of a header to the end of its body.
+    Duration BodyReadLimit = std::chrono::seconds(60);
   };
 
   /// Binds and starts. \returns BadAddress or BindFailed.
@@ -56,7 +60,7 @@
   HttpListener(const Options &Options, Handler Handle,
                const Poco::Net::ServerSocket &Socket);
 
-  uint64_t MaxHeaderBytes;
+  Options Given;
   Handler Handle;
   std::string BoundAddress;
   BodyBudget Budget;
--- a/Tests/Fakes/FakeServer.cpp
+++ b/Tests/Fakes/FakeServer.cpp
@@ -76,8 +76,11 @@
   StopWanted.notify_all();
   if (Announcer.joinable())
     Announcer.join();
-  Server->stopAll(true);
+  if (Server)
+    Server->stopAll(true);
   Threads.joinAll();
+  // Closes the listening socket: further connections are refused.
+  Server.reset();
 }
 
 void FakeServer::leave() { announce(TargetPhase::Leaving); }
--- /dev/null
+++ b/Tests/LibTraffic/TestAtMostOnce.cpp
@@ -0,0 +1,291 @@
+#include "LibTraffic/TrafficBed.h"
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <thread>
+
+using namespace ferry;
+using namespace ferry::traffic;
+using namespace ferry::fakes;
+using namespace ferry::registry;
+
+namespace {
+
+/// One service behind one host.
+struct OneService {
+  explicit OneService(TrafficLimits Limits = shortLimits())
+      : Bed(Ledger, "host-1", 1, Limits) {
+    Bed.add(Service);
+  }
+  static TrafficLimits shortLimits() {
+    TrafficLimits Limits;
+    Limits.SettleLimit = std::chrono::milliseconds(300);
+    return Limits;
+  }
+  uint64_t writes(const std::string &Key) { return Service.counts()[Key]; }
+
+  LedgerStub Ledger;
+  FakeService Service{fakeOptions("app-1")};
+  TrafficBed Bed;
+};
+
+/// What one fault must lead to, on the first try and on a resend.
+struct CallCase {
+  const char *Name;
+  /// Fault of the service, "" for none.
+  const char *Fault;
+  std::optional<std::pair<LedgerCommand, LedgerFault>> Ledger;
+  int FirstStatus;
+  /// "not_run" of the first answer, "" if it is no error.
+  const char *NotRun;
+  uint64_t Writes;
+  int ResendStatus;
+  /// Writes after the resend.
+  uint64_t FinalWrites;
+};
+
+std::ostream &operator<<(std::ostream &Out, const CallCase &Case) {
+  return Out << Case.Name;
+}
+
+using Command = LedgerCommand;
+using Fault = LedgerFault;
+
+const CallCase CallCases[] = {
+    {"plain", "", {}, 201, "", 1, 201, 1},
+    {"answer lost after the write",
+     "close_before_answer=1*1",
+     {},
+     502,
+     "unknown",
+     1,
+     502,
+     1},
+    {"answer cut", "close_mid_answer=1*1", {}, 502, "unknown", 1, 502, 1},
+    {"answer of another call", "wrong_echo=1*1", {}, 502, "unknown", 1, 502, 1},
+    {"target says busy", "refuse=1*1", {}, 503, "", 0, 503, 0},
+    {"claim lost before the log",
+     "",
+     {{Command::Claim, Fault::LostBefore}},
+     503,
+     "unknown",
+     0,
+     201,
+     1},
+    {"claim committed, answer lost",
+     "",
+     {{Command::Claim, Fault::LostAfter}},
+     503,
+     "unknown",
+     0,
+     201,
+     1},
+    {"claim never proposed",
+     "",
+     {{Command::Claim, Fault::NotProposed}},
+     201,
+     "",
+     1,
+     201,
+     1},
+    {"completion lost before the log",
+     "",
+     {{Command::Complete, Fault::LostBefore}},
+     201,
+     "",
+     1,
+     201,
+     1},
+    {"completion committed, answer lost",
+     "",
+     {{Command::Complete, Fault::LostAfter}},
+     201,
+     "",
+     1,
+     201,
+     1},
+    {"completion without a reply",
+     "",
+     {{Command::Complete, Fault::Silent}},
+     201,
+     "",
+     1,
+     201,
+     1}};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(a_call_runs_at_most_once_whatever_fails,
+                     boost::unit_test::data::make(CallCases), Case) {
+  OneService Bed;
+  if (*Case.Fault)
+    Bed.Service.faults().set(Case.Fault);
+  if (Case.Ledger)
+    Bed.Ledger.fail(Case.Ledger->first, Case.Ledger->second);
+  CallerReply First = Bed.Bed.hold("k1");
+  BOOST_TEST(First.Status == Case.FirstStatus);
+  if (*Case.NotRun)
+    BOOST_TEST(First.error("not_run") == Case.NotRun);
+  BOOST_TEST(Bed.writes("k1") == Case.Writes);
+  CallerReply Resend = Bed.Bed.hold("k1");
+  BOOST_TEST(Resend.Status == Case.ResendStatus);
+  BOOST_TEST(Bed.writes("k1") == Case.FinalWrites);
+  if (First.Status == 201) {
+    BOOST_TEST(Resend.Body == First.Body);
+    BOOST_TEST(Resend.Headers["Idempotency-Replayed"] == "true");
+  }
+  if (Resend.Status == 502)
+    BOOST_TEST(Resend.error("not_run") == "unknown");
+}
+
+BOOST_AUTO_TEST_CASE(a_call_needs_a_key_and_keeps_it) {
+  OneService Bed;
+  CallerReply NoKey = Bed.Bed.hold("");
+  BOOST_TEST(NoKey.Status == 400);
+  BOOST_TEST(NoKey.error("type") == "key_required");
+  BOOST_TEST(NoKey.error("not_run") == "true");
+  BOOST_TEST(Bed.Bed.hold("k1").Status == 201);
+  CallerReply Other = Bed.Bed.hold("k1", {}, "{\"title\":8}");
+  BOOST_TEST(Other.Status == 422);
+  BOOST_TEST(Other.error("type") == "key_mismatch");
+  BOOST_TEST(Bed.writes("k1") == 1U);
+  BOOST_TEST(Bed.writes("") == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(disguised_paths_do_not_pass_as_other_calls) {
+  OneService Bed;
+  const std::string Address = Bed.Bed.Front->callerAddress();
+  const Headers Fields = {{"X-Workspace", "w1"}};
+  const char *Refused[] = {
+      "/v1/services/app/x/../holds/7", "/v1/services/app//holds/7",
+      "/v1/services/app/./holds/7", "/v1/services/app%2Fholds/7",
+      "/v1/services/app/x/%2e%2e/holds/7"};
+  for (const char *Path : Refused) {
+    CallerReply Answer = ask(Address, "POST", Path, Fields, "{}");
+    BOOST_TEST(Answer.error("type") == "bad_path", Path);
+  }
+  // An encoded letter is the same path, so it is the same listed call.
+  CallerReply Encoded =
+      ask(Address, "POST", "/v1/services/app/%68olds/7", Fields, "{}");
+  BOOST_TEST(Encoded.error("type") == "key_required");
+  BOOST_TEST(Bed.Service.calls() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(not_run_is_said_only_of_a_committed_release) {
+  LedgerStub Ledger;
+  TrafficBed Bed(Ledger, "host-1", 1, OneService::shortLimits());
+  CallerReply NoTarget = Bed.hold("k1");
+  BOOST_TEST(NoTarget.Status == 503);
+  BOOST_TEST(NoTarget.error("not_run") == "true");
+  BOOST_TEST(!NoTarget.Headers["Retry-After"].empty());
+  BOOST_TEST(Ledger.count(LedgerCommand::Release) == 1U);
+  Ledger.fail(LedgerCommand::Release, LedgerFault::LostBefore);
+  BOOST_TEST(Bed.hold("k2").error("not_run") == "unknown");
+  // The release goes on in the background, and the key can then run.
+  FakeService Service(fakeOptions("app-1"));
+  Bed.add(Service);
+  BOOST_TEST(Bed.hold("k2").Status == 201);
+  BOOST_TEST(Bed.hold("k1").Status == 201);
+  BOOST_TEST(Service.counts()["k1"] == 1U);
+  BOOST_TEST(Service.counts()["k2"] == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_refusing_target_is_passed_by_before_anything_is_sent) {
+  OneService Bed;
+  FakeService Dead(fakeOptions("app-2"));
+  Bed.Bed.add(Dead);
+  Dead.stop();
+  for (int I = 0; I < 12; ++I) {
+    std::string Key = "k" + std::to_string(I);
+    CallerReply Answer = Bed.Bed.hold(Key);
+    bool Ran = Answer.Status == 201;
+    bool NotRun = Answer.error("not_run") == "true";
+    BOOST_TEST((Ran || NotRun));
+    BOOST_TEST(Bed.writes(Key) == (Ran ? 1U : 0U));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_resend_through_another_host_waits_for_the_first) {
+  LedgerStub Ledger;
+  TrafficBed First(Ledger);
+  TrafficBed Second(Ledger, "host-2");
+  FakeService Service(fakeOptions("app-1"));
+  First.add(Service);
+  Second.View.Targets = First.View.Targets;
+  Second.show();
+  Service.faults().set("late_answer_ms=300*1");
+  CallerReply FirstAnswer;
+  std::thread Caller([&] { FirstAnswer = First.hold("k1"); });
+  BOOST_TEST(waitFor([&] { return Service.counts()["k1"] == 1; }));
+  // The deadline of an impatient resend passes while the first one runs.
+  CallerReply Impatient = Second.hold("k1", {{"X-Deadline-Ms", "40"}});
+  BOOST_TEST(Impatient.Status == 409);
+  BOOST_TEST(Impatient.error("not_run") == "unknown");
+  BOOST_TEST(!Impatient.Headers["Retry-After"].empty());
+  CallerReply Resend = Second.hold("k1");
+  Caller.join();
+  BOOST_TEST(Resend.Status == 201);
+  BOOST_TEST(Resend.Body == FirstAnswer.Body);
+  BOOST_TEST(Service.counts()["k1"] == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_claim_whose_holder_restarted_becomes_unknown) {
+  OneService Bed;
+  ClaimAttempt Holder{{"host-2"}, {1}, 77};
+  ClaimKey Key{{"w1"}, {"app"}, "k1"};
+  // The holder claimed with the digest of this very call and then died.
+  ServiceCall Call;
+  Call.Method = "POST";
+  Call.Path = "/holds/7";
+  Call.Body = "{\"title\":7}";
+  Bed.Ledger.apply(Claim{Key, Holder, callDigest(Call), unixNow()});
+  BOOST_TEST(Bed.Bed.hold("k1", {{"X-Deadline-Ms", "100"}}).Status == 409);
+  Bed.Bed.View.Hosts[1].Incarnation = {2};
+  Bed.Bed.show();
+  CallerReply Answer = Bed.Bed.hold("k1");
+  BOOST_TEST(Answer.error("type") == "outcome_unknown");
+  BOOST_TEST(Answer.error("not_run") == "unknown");
+  BOOST_TEST(Bed.writes("k1") == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_router_that_thaws_late_sends_nothing) {
+  // The claim's reply comes after the deadline, as it does for a process that
+  // was frozen in between.
+  LedgerStub Ledger;
+  ControlPort Port = Ledger.port();
+  TrafficBed Bed(Ledger, "host-1", 1, OneService::shortLimits());
+  FakeService Service(fakeOptions("app-1"));
+  Bed.add(Service);
+  Bed.View.ConfirmedUntil = steadyNow();
+  Bed.show();
+  CallerReply Answer = Bed.hold("k1");
+  BOOST_TEST(Answer.Status == 503);
+  BOOST_TEST(Answer.error("type") == "unconfirmed");
+  BOOST_TEST(Answer.error("not_run") == "true");
+  BOOST_TEST(Ledger.count(LedgerCommand::Release) == 1U);
+  BOOST_TEST(Service.calls() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(crossed_resends_of_many_keys_write_each_once) {
+  LedgerStub Ledger;
+  TrafficBed First(Ledger);
+  TrafficBed Second(Ledger, "host-2");
+  FakeService Service(fakeOptions("app-1"));
+  First.add(Service);
+  Second.View.Targets = First.View.Targets;
+  Second.show();
+  std::atomic<int> Good = 0;
+  std::vector<std::thread> Callers;
+  for (int Caller = 0; Caller < 8; ++Caller)
+    Callers.emplace_back([&, Caller] {
+      for (int I = 0; I < 10; ++I) {
+        TrafficBed &Host = (I + Caller) % 2 ? First : Second;
+        Good += Host.hold("key-" + std::to_string(I)).Status == 201;
+      }
+    });
+  for (std::thread &Caller : Callers)
+    Caller.join();
+  BOOST_TEST(Good == 80);
+  for (const auto &[Key, Count] : Service.counts())
+    BOOST_TEST(Count == 1U, Key);
+  BOOST_TEST(Service.counts().size() == 10U);
+}
--- a/Tests/LibTraffic/TestStreams.cpp
+++ b/Tests/LibTraffic/TestStreams.cpp
@@ -19,16 +19,21 @@
 };
 
 StreamRead readStream(const std::string &Body) {
+  // Called on several threads: no checks of the test library in here.
   EventSplitter Splitter;
-  BOOST_TEST(Splitter.push(Body));
   StreamRead Read;
+  if (!Splitter.push(Body))
+    return Read;
   while (auto Event = Splitter.next()) {
     if (Event->Data == "[DONE]") {
       Read.Done = true;
       continue;
     }
     auto Object = parseObject(Event->Data);
-    BOOST_REQUIRE(Object);
+    if (!Object) {
+      Read.ErrorType = "no JSON";
+      continue;
+    }
     if (Object->has("error")) {
       Read.ErrorType =
           Object->getObject("error")->getValue<std::string>("type");
@@ -103,7 +108,7 @@
   for (int Try = 0; Try < 100 && Pair.First.faults().active() > 0; ++Try) {
     std::string Body =
         prompt(Case.Streams, 12, "question " + std::to_string(Try));
-    Reply Answer = Pair.Bed.chat(Body);
+    CallerReply Answer = Pair.Bed.chat(Body);
     BOOST_TEST(Answer.Status == 200);
     if (!Case.Streams) {
       auto Object = parseObject(Answer.Body);
@@ -124,3 +129,139 @@
   }
   BOOST_TEST(Pair.First.faults().active() == 0);
 }
+
+/// Reads a whole stream, or what there is of it, from a bed with these engines.
+static StreamRead askStream(TwoEngines &Pair, const std::string &Body,
+                            Headers Fields = {}) {
+  return readStream(Pair.Bed.chat(Body, std::move(Fields)).Body);
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_without_another_engine_ends_with_a_typed_error) {
+  LedgerStub Ledger;
+  FakeEngine Engine(fakeOptions("e1"), EngineOptions());
+  TrafficBed Bed(Ledger);
+  Bed.add(Engine);
+  Engine.faults().set("crash_after_tokens=5*1");
+  std::string Body = prompt(true);
+  CallerReply Answer = Bed.chat(Body);
+  StreamRead Read = readStream(Answer.Body);
+  BOOST_TEST(Read.Text == fakeAnswer(Body, 5));
+  BOOST_TEST(!Read.Done);
+  BOOST_TEST(Read.ErrorType == "stream_lost");
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_never_goes_on_under_other_weights) {
+  TwoEngines Pair({}, 2);
+  Pair.First.faults().set("crash_after_tokens=5*1");
+  for (int Try = 0; Try < 100 && Pair.First.faults().active() > 0; ++Try) {
+    std::string Body = prompt(true, 12, "question " + std::to_string(Try));
+    StreamRead Read = askStream(Pair, Body);
+    bool Whole = Read.Done && Read.Text == fakeAnswer(Body, 12);
+    bool Lost = !Read.Done && Read.ErrorType == "stream_lost" &&
+                Read.Text == fakeAnswer(Body, 5);
+    BOOST_TEST((Whole || Lost));
+  }
+  BOOST_TEST(Pair.First.faults().active() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_deadline_in_mid_stream_is_a_typed_error_and_cancels) {
+  TwoEngines Pair;
+  for (FakeEngine *Engine : {&Pair.First, &Pair.Second})
+    Engine->faults().set("stall_after_tokens=3*1");
+  StreamRead Read = askStream(Pair, prompt(true), {{"X-Deadline-Ms", "400"}});
+  BOOST_TEST(!Read.Done);
+  BOOST_TEST(Read.ErrorType == "deadline_passed");
+  BOOST_TEST(waitFor([&] {
+    return Pair.First.cancelled() + Pair.Second.cancelled() == 1 &&
+           Pair.First.running() + Pair.Second.running() == 0;
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(a_caller_that_leaves_cancels_the_engine) {
+  TwoEngines Pair;
+  for (FakeEngine *Engine : {&Pair.First, &Pair.Second})
+    Engine->faults().set("stall_after_tokens=3");
+  std::string Body = prompt(true);
+  {
+    Poco::Net::StreamSocket Caller{
+        Poco::Net::SocketAddress(Pair.Bed.Front->callerAddress())};
+    std::string Text = "POST /v1/chat/completions HTTP/1.1\r\nX-Workspace: "
+                       "w1\r\nContent-Length: " +
+                       std::to_string(Body.size()) + "\r\n\r\n" + Body;
+    Caller.sendBytes(Text.data(), static_cast<int>(Text.size()));
+    char Piece[16];
+    BOOST_TEST(Caller.receiveBytes(Piece, sizeof(Piece)) > 0);
+  }
+  BOOST_TEST(waitFor([&] {
+    return Pair.First.cancelled() + Pair.Second.cancelled() == 1 &&
+           Pair.First.running() + Pair.Second.running() == 0;
+  }));
+  BOOST_TEST(Pair.Bed.Front->counters().value(TrafficCount::CallersLeft) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_slow_caller_holds_back_the_engine) {
+  EngineOptions Fast;
+  Fast.TokenMillis = 0;
+  FakeEngine Engine(fakeOptions("e1"), Fast);
+  LedgerStub Ledger;
+  TrafficBed Bed(Ledger);
+  Bed.add(Engine);
+  // Far more than the buffers of three sockets take.
+  constexpr uint64_t Tokens = 150'000;
+  std::string Body = prompt(true, Tokens);
+  Poco::Net::StreamSocket Caller;
+  Caller.connect(Poco::Net::SocketAddress(Bed.Front->callerAddress()));
+  Caller.setReceiveTimeout(Poco::Timespan(Patience.count(), 0));
+  std::string Text = "POST /v1/chat/completions HTTP/1.1\r\nX-Workspace: "
+                     "w1\r\nX-Deadline-Ms: 600000\r\nContent-Length: " +
+                     std::to_string(Body.size()) + "\r\n\r\n" + Body;
+  Caller.sendBytes(Text.data(), static_cast<int>(Text.size()));
+  // The engine has stopped once many looks in a row see no progress.
+  uint64_t Last = 0;
+  int Quiet = 0;
+  BOOST_TEST(waitFor([&] {
+    uint64_t Now = Engine.tokensSent();
+    Quiet = Now > 0 && Now == Last ? Quiet + 1 : 0;
+    Last = Now;
+    return Quiet > 100;
+  }));
+  BOOST_TEST(Engine.tokensSent() < Tokens / 2);
+  uint64_t Bytes = 0;
+  std::string Tail;
+  std::string Piece(1 << 16, ' ');
+  while (int Count = Caller.receiveBytes(Piece.data(), 1 << 16)) {
+    Bytes += static_cast<uint64_t>(Count);
+    Tail = (Tail + Piece.substr(0, static_cast<size_t>(Count)));
+    if (Tail.size() > 200)
+      Tail.erase(0, Tail.size() - 200);
+  }
+  BOOST_TEST(Tail.find("[DONE]") != std::string::npos);
+  BOOST_TEST(Engine.tokensSent() == Tokens + 1);
+}
+
+BOOST_AUTO_TEST_CASE(crossed_answers_never_reach_another_caller) {
+  TwoEngines Pair;
+  Pair.First.faults().set("swap_answers=1*6");
+  Pair.Second.faults().set("swap_answers=1*6");
+  std::atomic<int> Wrong = 0;
+  std::atomic<int> Whole = 0;
+  std::vector<std::thread> Callers;
+  for (int Caller = 0; Caller < 8; ++Caller)
+    Callers.emplace_back([&, Caller] {
+      for (int I = 0; I < 8; ++I) {
+        std::string Body = prompt(true, 8,
+                                  "caller " + std::to_string(Caller) +
+                                      " question " + std::to_string(I));
+        StreamRead Read = askStream(Pair, Body);
+        Whole += Read.Done;
+        Wrong += Read.Done ? Read.Text != fakeAnswer(Body, 8)
+                           : !fakeAnswer(Body, 8).starts_with(Read.Text);
+      }
+    });
+  for (std::thread &Caller : Callers)
+    Caller.join();
+  BOOST_TEST(Wrong == 0);
+  BOOST_TEST(Whole > 0);
+  BOOST_TEST(Pair.Bed.Front->counters().value(TrafficCount::EchoMismatches) >
+             0U);
+}
--- a/Tests/LibTraffic/TrafficBed.h
+++ b/Tests/LibTraffic/TrafficBed.h
@@ -6,6 +6,7 @@
 #include "Fakes/FakeEngine.h"
 #include "Fakes/FakeStores.h"
 #include "LibRegistry/ClaimLedger.h"
+#include "LibTraffic/ServiceCall.h"
 #include "LibTraffic/TrafficFront.h"
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPClientSession.h>
@@ -124,7 +125,7 @@
 };
 
 /// One answer as a caller sees it.
-struct Reply {
+struct CallerReply {
   int Status = 0;
   std::map<std::string, std::string> Headers;
   std::string Body;
@@ -140,11 +141,11 @@
 using Headers = std::map<std::string, std::string>;
 
 /// Sends one request. Status 0 means that the connection failed.
-inline Reply ask(const std::string &Address, const std::string &Method,
-                 const std::string &Path, const Headers &Fields = {},
-                 const std::string &Body = "") {
+inline CallerReply ask(const std::string &Address, const std::string &Method,
+                       const std::string &Path, const Headers &Fields = {},
+                       const std::string &Body = "") {
   using namespace Poco::Net;
-  Reply Answer;
+  CallerReply Answer;
   try {
     HTTPClientSession Session{SocketAddress(Address)};
     Session.setTimeout(Poco::Timespan(Patience.count(), 0));
@@ -166,6 +167,24 @@
   return Answer;
 }
 
+/// Sends raw bytes and reads until the server closes.
+inline std::string exchangeRaw(const std::string &Address,
+                               const std::string &Bytes) {
+  std::string Answer;
+  try {
+    Poco::Net::StreamSocket Socket{Poco::Net::SocketAddress(Address)};
+    Socket.setReceiveTimeout(Poco::Timespan(Patience.count(), 0));
+    Socket.sendBytes(Bytes.data(), static_cast<int>(Bytes.size()));
+    Socket.shutdownSend();
+    char Piece[4096];
+    while (int Count = Socket.receiveBytes(Piece, sizeof(Piece)))
+      Answer.append(Piece, static_cast<size_t>(Count));
+  } catch (const Poco::Exception &) {
+    // A reset ends the answer too.
+  }
+  return Answer;
+}
+
 /// The description that the tests run under.
 inline std::shared_ptr<const config::Description> testDescription() {
   auto Text = std::make_shared<config::Description>();
@@ -188,7 +207,8 @@
 class TrafficBed {
 public:
   explicit TrafficBed(LedgerStub &Ledger, const std::string &Name = "host-1",
-                      uint64_t Life = 1, TrafficLimits Limits = {}) {
+                      uint64_t Life = 1, TrafficLimits Limits = {},
+                      uint32_t EntryLifetimeMillis = 200) {
     TokenFile = std::filesystem::temp_directory_path() /
                 ("ferry-tokens-" + std::to_string(systemSeed()));
     std::ofstream(TokenFile) << "operator: op-secret\nw2-token: w2-secret\n";
@@ -201,7 +221,7 @@
     Options.Settings.TokenFile = TokenFile;
     Options.Settings.Hosts = {{{"host-1"}, "", "127.0.0.1:1", {"dc-a"}, {}},
                               {{"host-2"}, "", "127.0.0.1:2", {"dc-a"}, {}}};
-    Options.Settings.EntryLifetimeMillis = 200;
+    Options.Settings.EntryLifetimeMillis = EntryLifetimeMillis;
     Options.Settings.Limits.MaxBodyBytes = 1 << 20;
     Options.Settings.Limits.MaxPromptBytes = 512 << 10;
     Options.Settings.Limits.MaxHeaderBytes = 8 << 10;
@@ -240,13 +260,13 @@
   }
   void show() { Front->setView(std::make_shared<routing::RoutingView>(View)); }
 
-  Reply chat(const std::string &Body, Headers Fields = {}) {
+  CallerReply chat(const std::string &Body, Headers Fields = {}) {
     Fields.emplace("X-Workspace", "w1");
     return ask(Front->callerAddress(), "POST", "/v1/chat/completions", Fields,
                Body);
   }
-  Reply hold(const std::string &Key, Headers Fields = {},
-             const std::string &Body = "{\"title\":7}") {
+  CallerReply hold(const std::string &Key, Headers Fields = {},
+                   const std::string &Body = "{\"title\":7}") {
     Fields.emplace("X-Workspace", "w1");
     if (!Key.empty())
       Fields.emplace("Idempotency-Key", Key);
