--- a/Tests/LibTraffic/TestAtMostOnce.cpp
+++ b/Tests/LibTraffic/TestAtMostOnce.cpp
@@ -248,20 +248,60 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_router_that_thaws_late_sends_nothing) {
-  // The claim's reply comes after the deadline, as it does for a process that
-  // was frozen in between.
+  // Frozen while it waits for its claim: the reply is there at the thaw.
   LedgerStub Ledger;
   ControlPort Port = Ledger.port();
-  TrafficBed Bed(Ledger, "host-1", 1, OneService::shortLimits());
+  auto Claim = Port.Claim;
+  Port.Claim = [Claim](auto Key, auto Attempt, auto Digest, Timestamp Deadline,
+                       auto Done) {
+    std::this_thread::sleep_until(Deadline + std::chrono::milliseconds(1));
+    Claim(Key, Attempt, Digest, Deadline, Done);
+  };
+  TrafficBed Bed(Ledger, "host-1", 1, OneService::shortLimits(), 200, Port);
   FakeService Service(fakeOptions("app-1"));
   Bed.add(Service);
+  CallerReply Late = Bed.hold("k1", {{"X-Deadline-Ms", "50"}});
+  BOOST_TEST(Late.error("type") == "deadline_passed");
+  BOOST_TEST(Late.error("not_run") == "true");
+  BOOST_TEST(Ledger.count(LedgerCommand::Release) == 1U);
+
+  // Its description is no longer confirmed at the thaw.
   Bed.View.ConfirmedUntil = steadyNow();
   Bed.show();
-  CallerReply Answer = Bed.hold("k1");
-  BOOST_TEST(Answer.Status == 503);
+  CallerReply Answer = Bed.hold("k2", {{"X-Deadline-Ms", "50"}});
   BOOST_TEST(Answer.error("type") == "unconfirmed");
   BOOST_TEST(Answer.error("not_run") == "true");
-  BOOST_TEST(Ledger.count(LedgerCommand::Release) == 1U);
+  BOOST_TEST(Service.calls() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(the_last_look_before_a_send_stops_a_late_one) {
+  // Frozen between its placement and its send.
+  FakeService Service(fakeOptions("app-1"));
+  Service.start();
+  Dispatcher Placements(routing::Scheduler::create({}));
+  LedgerStub Ledger;
+  TrafficContext Context{{}, {1}, Ledger.port(),  {}, {}, Placements,
+                         {}, {1}, {NeverExpires}, {0}};
+  auto View = std::make_shared<routing::RoutingView>();
+  View->Description = testDescription();
+  ServiceCall Call;
+  Call.Method = "POST";
+  Call.Path = "/holds/7";
+  routing::Dispatch Dispatch;
+  Dispatch.Address = Service.address();
+  const std::pair<Timestamp, Timestamp> DeadlineAndConfirmation[] = {
+      {steadyNow(), NeverExpires}, {NeverExpires, steadyNow()}};
+  for (auto [Deadline, Confirmed] : DeadlineAndConfirmation) {
+    Call.Deadline = std::min(Deadline, steadyNow() + Patience);
+    View->ConfirmedUntil = Confirmed;
+    Placements.setView(std::make_shared<routing::RoutingView>(*View));
+    std::optional<ErrorAnswer> Stop;
+    auto Answer = tryCallTarget(Context, Call, Dispatch, {"t"}, -1, Stop);
+    BOOST_REQUIRE(!Answer.has_value());
+    BOOST_TEST((Answer.error().Kind == LinkErrorKind::NotSent));
+    BOOST_TEST(!mayHaveRun(Answer.error()));
+    BOOST_TEST(Stop.has_value());
+  }
   BOOST_TEST(Service.calls() == 0U);
 }
 
--- a/Tests/LibTraffic/TrafficBed.h
+++ b/Tests/LibTraffic/TrafficBed.h
@@ -208,7 +208,8 @@
 public:
   explicit TrafficBed(LedgerStub &Ledger, const std::string &Name = "host-1",
                       uint64_t Life = 1, TrafficLimits Limits = {},
-                      uint32_t EntryLifetimeMillis = 200) {
+                      uint32_t EntryLifetimeMillis = 200,
+                      std::optional<ControlPort> Port = std::nullopt) {
     TokenFile = std::filesystem::temp_directory_path() /
                 ("ferry-tokens-" + std::to_string(systemSeed()));
     std::ofstream(TokenFile) << "operator: op-secret\nw2-token: w2-secret\n";
@@ -226,7 +227,7 @@
     Options.Settings.Limits.MaxPromptBytes = 512 << 10;
     Options.Settings.Limits.MaxHeaderBytes = 8 << 10;
     Options.Incarnation = {Life};
-    Options.Control = Ledger.port();
+    Options.Control = Port.value_or(Ledger.port());
     Options.Limits = Limits;
     Options.Scheduler.Self = {Name};
     View.Self = {Name};
