LibControl: Send a lost order again in the same slot

It is sent again 3 s after its deadline, at most twice.

The test world now stops all faults in its second half; faults by order went on before.

--- a/Libraries/LibControl/Reconciler.cpp
+++ b/Libraries/LibControl/Reconciler.cpp
@@ -55,8 +55,12 @@
   bool Failed = Answer.Outcome == OrderOutcome::Refused ||
                 Answer.Outcome == OrderOutcome::NotSent;
   OrdersFailed += Failed;
+  if (Answer.Outcome == OrderOutcome::Lost) {
+    noteLost(Work);
+    return;
+  }
   if (!Failed) {
-    noteReceived(Work);
+    Work.Orders = std::max(Work.Orders, Task::Received::One);
     return;
   }
   // The slot goes to another target, unless it also covers an earlier order.
@@ -68,10 +72,14 @@
   Work.SendNotBefore = Now + RefusalPause;
 }
 
-void Reconciler::noteReceived(Task &Work) {
-  using Received = Task::Received;
-  Work.Orders =
-      Work.Orders == Received::None ? Received::One : Received::Several;
+/// The order may have been received or not: it is sent again, a few times.
+void Reconciler::noteLost(Task &Work) {
+  Work.Orders = std::max(Work.Orders, Task::Received::One);
+  if (Work.Resends >= MaxResends)
+    return;
+  ++Work.Resends;
+  Work.Step = Stage::Ready;
+  Work.SendNotBefore = Work.OrderDeadline + LostOrderPause;
 }
 
 void Reconciler::receive(const LoadSlotAnswered &Answer, Timestamp Now) {
@@ -146,7 +154,7 @@
     if (Now < Work.OrderDeadline)
       return Verdict::Keep;
     Work.Step = Stage::Settling;
-    noteReceived(Work);
+    noteLost(Work);
   }
   if (Now >= Work.GiveUpAt)
     return Verdict::Finish;
@@ -341,6 +349,9 @@
   Work.Incarnation = Target.Incarnation;
   Work.Order = Wanted;
   Work.Step = Stage::AskingSlot;
+  Work.Resends = 0;
+  if (Work.Orders != Task::Received::None)
+    Work.Orders = Task::Received::Several;
   Work.GiveUpAt = Now + OrderTimeout + LoadLimit;
   Work.Slot = LoadSlot{Target.Id, Target.Incarnation, Wanted.Weights, Fencing,
                        NextLoadSequence++};
--- a/Libraries/LibControl/Reconciler.h
+++ b/Libraries/LibControl/Reconciler.h
@@ -28,6 +28,10 @@
   /// How long a load may take from its order's deadline before it is taken for
   /// lost and ordered again.
   static constexpr Duration LoadLimit = std::chrono::seconds(30);
+  /// Pause after a lost order before it is sent again in the same slot, and how
+  /// often that is done.
+  static constexpr Duration LostOrderPause = std::chrono::seconds(3);
+  static constexpr uint32_t MaxResends = 2;
   /// How long after the end of several orders to one target their loads have
   /// shown themselves: only then does an announcement tell that none is left.
   static constexpr Duration SettleLimit = std::chrono::seconds(10);
@@ -84,7 +88,8 @@
     Timestamp SendNotBefore;
     /// When the task is given up and planned again.
     Timestamp GiveUpAt;
-    /// How many orders the target may have received in this task.
+    uint32_t Resends = 0;
+    /// How many different orders the target may have received in this task.
     enum class Received : uint8_t {
       None,
       One,
@@ -121,7 +126,7 @@
   Verdict judge(const TargetId &Target, Task &Work, Timestamp Now) const;
   Verdict judgeLoad(const TargetRecord &Known, const Task &Work,
                     Timestamp Now) const;
-  static void noteReceived(Task &Work);
+  static void noteLost(Task &Work);
   void finishTask(const TargetId &Target, const Task &Work, Timestamp Now,
                   Effects &Out);
   void endForeignSlots(Timestamp Now, Effects &Out);
--- a/Tests/LibControl/ControlWorld.h
+++ b/Tests/LibControl/ControlWorld.h
@@ -55,8 +55,10 @@
 
   /// Lets \p Span pass.
   void run(Duration Span, bool WithFaults) {
+    if (!WithFaults)
+      Kinds = Faults();
     for (Timestamp End = Now + Span; Now < End; Now += Step)
-      advance(WithFaults);
+      advance();
   }
 
   bool converged() const {
@@ -130,9 +132,8 @@
     Queue.push_back({Now + Delay, std::move(Work)});
   }
 
-  void advance(bool WithFaults) {
-    if (WithFaults)
-      makeFaults();
+  void advance() {
+    makeFaults();
     deliver();
     for (int Index = 0; Index < EngineCount; ++Index)
       stepEngine(Index);
