--- a/Tests/ferryctl/TestFerryctl.cpp
+++ b/Tests/ferryctl/TestFerryctl.cpp
@@ -37,6 +37,8 @@
   std::string Body;
   /// Cuts the connection in place of an answer.
   bool Cut = false;
+  std::string EntityTag = {};
+  std::string Operation = {};
 };
 
 using Responder = std::function<FakeAnswer(const SeenRequest &)>;
@@ -81,6 +83,8 @@
         return;
       }
       Response.setStatus(static_cast<HTTPResponse::HTTPStatus>(Answer.Status));
+      Response.set("ETag", Answer.EntityTag);
+      Response.set("X-Operation-Id", Answer.Operation);
       Response.sendBuffer(Answer.Body.data(), Answer.Body.size());
     }
 
@@ -150,7 +154,10 @@
   if (Request.Path.starts_with("/v1/description/spread"))
     return {200, R"({"number":5,"hosts_in_force":7,"hosts_known":7})"};
   if (Request.Path == "/v1/description")
-    return {200, R"({"number":4,"operation":"o4","text":"a: 1\nb: 2\n"})"};
+    return {200, "a: 1\nb: 2\n", false, "\"4\"", "o4"};
+  if (Request.Path == "/v1/dump")
+    return {200, R"({"control":{"hosts":{"h1":{"data_centre":"a",)"
+                 R"("standing":"serving","description_number":5}}}})"};
   return {404, R"({"error":{"type":"not_found","message":"no"}})"};
 }
 
@@ -226,8 +233,8 @@
 }
 
 const OutcomeCase Outcomes[] = {
-    {{409, R"({"error":{"type":"conflict","message":"m"},)"
-           R"("current":{"number":6,"operation":"o6","text":""}})"},
+    {{409, R"({"error":{"type":"conflict","message":"m","current_number":6,)"
+           R"("current_operation":"o6","current_text":""}})"},
      6,
      "number 6 by operation o6"},
     {{401, R"({"error":{"type":"unauthorized","message":"m"}})"},
@@ -287,6 +294,8 @@
   BOOST_TEST(contains(Diff.Out, "+deployment: prestamos-austral\n"));
   RunResult Status = run({"status", "--hosts", Host.Address});
   BOOST_TEST(Status.Code == 0);
+  RunResult Hosts = run({"hosts", "--hosts", Host.Address});
+  BOOST_TEST(contains(Hosts.Out, "h1    a            serving   5\n"));
   BOOST_TEST(contains(Status.Out, "answers  5       7         7\n"));
 }
 
--- a/Utilities/ferryctl/Apply.cpp
+++ b/Utilities/ferryctl/Apply.cpp
@@ -35,21 +35,16 @@
 }
 
 static CommandError conflictError(const HttpAnswer &Answer) {
-  std::string Detail = "another change was accepted first";
+  HostError Error = hostErrorOf(Answer);
   auto Root = tryParseObject(Answer.Body);
-  if (!Root)
-    return {ExitCode::Conflict, Detail};
-  Poco::JSON::Object::Ptr Current = (*Root)->getObject("current");
-  Poco::JSON::Object::Ptr Form = (*Root)->getObject("error");
-  if (!Current && Form)
-    Current = Form->getObject("current");
-  if (!Current)
-    return {ExitCode::Conflict, hostErrorOf(Answer).Message};
-  RemoteDescription Winner = descriptionIn(*Current);
-  Detail += ": number " + std::to_string(Winner.Number.Value) +
-            " by operation " + Winner.Operation +
-            "; see it with `ferryctl diff`";
-  return {ExitCode::Conflict, Detail};
+  Poco::JSON::Object::Ptr Form = Root ? (*Root)->getObject("error") : nullptr;
+  if (Error.Type != "conflict" || !Form)
+    return {ExitCode::Refused, Error.Type + ": " + Error.Message};
+  uint64_t Number = numberIn(*Form, "current_number");
+  return {ExitCode::Conflict, "another change was accepted first: number " +
+                                  std::to_string(Number) + " by operation " +
+                                  textIn(*Form, "current_operation") +
+                                  "; see it with `ferryctl diff`"};
 }
 
 /// Sends the change until a host gives its outcome. A resend carries the same
--- a/Utilities/ferryctl/Description.cpp
+++ b/Utilities/ferryctl/Description.cpp
@@ -1,13 +1,23 @@
 #include "ferryctl/Description.h"
+#include <charconv>
+#include <optional>
 
 namespace ferry::ctl {
 
 static constexpr int NotFound = 404;
 
-RemoteDescription descriptionIn(const Poco::JSON::Object &Object) {
-  return {{numberIn(Object, "number")},
-          textIn(Object, "operation"),
-          textIn(Object, "text")};
+/// \returns the number in an entity tag, as in "\"12\"".
+static std::optional<DescriptionNumber>
+numberInTag(const std::string &EntityTag) {
+  if (EntityTag.size() < 3)
+    return std::nullopt;
+  uint64_t Number = 0;
+  const char *First = EntityTag.data() + 1;
+  const char *Last = EntityTag.data() + EntityTag.size() - 1;
+  auto [End, Code] = std::from_chars(First, Last, Number);
+  if (Code != std::errc() || End != Last)
+    return std::nullopt;
+  return DescriptionNumber{Number};
 }
 
 Result<RemoteDescription, CommandError>
@@ -22,10 +32,11 @@
     return RemoteDescription();
   if (!Answer->succeeded())
     return makeTypedError(ExitCode::Refused, hostErrorOf(*Answer).Message);
-  auto Object = tryParseObject(Answer->Body);
-  if (!Object)
-    return makeTypedError(ExitCode::InternalError, Object.error().message());
-  return descriptionIn(**Object);
+  auto Number = numberInTag(Answer->EntityTag);
+  if (!Number)
+    return makeTypedError(ExitCode::InternalError, "no number in the answer");
+  return RemoteDescription{*Number, std::move(Answer->Operation),
+                           std::move(Answer->Body)};
 }
 
 Result<Spread, CommandError> tryReadSpread(const HostAccess &Access,
--- a/Utilities/ferryctl/Description.h
+++ b/Utilities/ferryctl/Description.h
@@ -26,9 +26,6 @@
   }
 };
 
-/// \returns the description in a JSON object of a host.
-RemoteDescription descriptionIn(const Poco::JSON::Object &Object);
-
 /// Reads the newest accepted description.
 Result<RemoteDescription, CommandError>
 tryReadDescription(const HostAccess &Access);
--- a/Utilities/ferryctl/HttpClient.cpp
+++ b/Utilities/ferryctl/HttpClient.cpp
@@ -62,6 +62,8 @@
   std::istream &Stream = Session.receiveResponse(Response);
   HttpAnswer Answer;
   Answer.Status = Response.getStatus();
+  Answer.EntityTag = Response.get("ETag", "");
+  Answer.Operation = Response.get("X-Operation-Id", "");
   BodySink Keep = [&](std::string_view Part) { Answer.Body += Part; };
   const BodySink &Sink = OnBody && Answer.succeeded() ? OnBody : Keep;
   if (!readBody(Stream, Deadline, Sink))
--- a/Utilities/ferryctl/HttpClient.h
+++ b/Utilities/ferryctl/HttpClient.h
@@ -44,6 +44,9 @@
 struct HttpAnswer {
   int Status = 0;
   std::string Body;
+  /// The headers ETag and X-Operation-Id, empty if there are none.
+  std::string EntityTag;
+  std::string Operation;
 
   bool succeeded() const { return Status >= 200 && Status < 300; }
 };
--- a/Utilities/ferryctl/Status.cpp
+++ b/Utilities/ferryctl/Status.cpp
@@ -90,18 +90,20 @@
   return AllAnswer ? ExitCode::Success : ExitCode::Unreachable;
 }
 
-static std::string renderObjects(const Poco::JSON::Object &Section,
-                                 const std::string &Key,
-                                 const std::vector<std::string> &Columns) {
-  Table Rows{Columns, {}};
-  Poco::JSON::Array::Ptr List = Section.getArray(Key);
-  for (size_t Index = 0; List && Index < List->size(); ++Index) {
-    auto Item = List->getObject(static_cast<unsigned>(Index));
-    if (!Item)
-      continue;
-    std::vector<std::string> Cells;
+/// \returns a table of the objects in \p Section, which has them by their ids.
+static std::string renderById(const Poco::JSON::Object::Ptr &Section,
+                              const std::string &IdHeading,
+                              const std::vector<std::string> &Columns) {
+  Table Rows{{IdHeading}, {}};
+  Rows.Headings.insert(Rows.Headings.end(), Columns.begin(), Columns.end());
+  std::vector<std::string> Ids;
+  if (Section)
+    Section->getNames(Ids);
+  for (const std::string &Id : Ids) {
+    Poco::JSON::Object::Ptr Item = Section->getObject(Id);
+    std::vector<std::string> Cells = {Id};
     for (const std::string &Column : Columns)
-      Cells.push_back(textIn(*Item, Column));
+      Cells.push_back(Item ? textIn(*Item, Column) : "");
     Rows.Rows.push_back(std::move(Cells));
   }
   return Rows.render();
@@ -121,15 +123,21 @@
   auto Root = Access->tryGetObject("/v1/dump");
   if (!Root)
     return Out.fail(Root.error());
-  Poco::JSON::Object::Ptr View = (*Root)->getObject("view");
-  if (!View)
-    return Out.fail({ExitCode::InternalError, "the dump has no view"});
-  std::string Text = renderObjects(
-      *View, "hosts", {"id", "data_centre", "address", "standing"});
-  Text += "\n" + renderObjects(*View, "targets",
-                               {"id", "service", "kind", "data_centre",
-                                "address", "phase", "weights"});
-  Out.result(Text, *View);
+  Poco::JSON::Object::Ptr Control = (*Root)->getObject("control");
+  if (!Control)
+    return Out.fail({ExitCode::InternalError, "the dump has no state"});
+  Poco::JSON::Object::Ptr Hosts = Control->getObject("hosts");
+  Poco::JSON::Object::Ptr Targets = Control->getObject("targets");
+  Poco::JSON::Object Shown;
+  Shown.set("hosts", Hosts);
+  Shown.set("targets", Targets);
+  Out.result(renderById(Hosts, "host",
+                        {"data_centre", "standing", "description_number"}) +
+                 "\n" +
+                 renderById(Targets, "target",
+                            {"service", "data_centre", "address", "phase",
+                             "weights", "running"}),
+             Shown);
   return ExitCode::Success;
 }
 
