--- a/Services/ferryd/ControlPlane.cpp
+++ b/Services/ferryd/ControlPlane.cpp
@@ -60,6 +60,7 @@
     auto Opened = tryOpenRegistry();
     if (!Opened)
       return Opened;
+    startOrders();
   }
   addDumpSections();
   stepMembership(DescriptionApplied{Holder.number()});
@@ -105,6 +106,14 @@
   return {};
 }
 
+void ControlPlane::startOrders() {
+  registry::LeaseHolder::Options Options;
+  Options.Name = registry::DeploymentLease;
+  Options.Host = Settings.Host;
+  Options.Incarnation = Store.incarnation();
+  Orders = std::make_unique<OrderGiver>(Options, Loop, *Gateway, Node->state());
+}
+
 void ControlPlane::addDumpSection(std::string Name,
                                   observe::StateDump::Section Make) {
   Dump.add(std::move(Name), std::move(Make));
@@ -124,12 +133,15 @@
 
 void ControlPlane::beginDrain() {
   Draining = true;
+  if (Orders)
+    Orders->beginDrain();
   updateStanding();
   markViewChanged();
 }
 
 void ControlPlane::close() {
   Loop.cancel(TickTimer);
+  Orders.reset();
   if (Node)
     Node->close();
 }
@@ -226,7 +238,10 @@
                     OwnStanding,
                     Members.targets(steadyNow()),
                     Members.hosts(steadyNow())};
-  Calls.ViewChanged(buildView(Inputs));
+  routing::RoutingViewPtr View = buildView(Inputs);
+  if (Orders)
+    Orders->viewChanged(View);
+  Calls.ViewChanged(std::move(View));
 }
 
 } // namespace ferry::daemon
--- a/Services/ferryd/ControlPlane.h
+++ b/Services/ferryd/ControlPlane.h
@@ -11,6 +11,7 @@
 #include "LibTraffic/ControlPort.h"
 #include "ferryd/DescriptionHolder.h"
 #include "ferryd/HostLink.h"
+#include "ferryd/OrderGiver.h"
 #include "ferryd/RegistryGateway.h"
 #include "ferryd/RegistryNode.h"
 
@@ -65,6 +66,7 @@
   Result<void, StartError> tryStartParts();
   Result<void, StartError> tryOpenRegistry();
   void startGateway();
+  void startOrders();
   void addDumpSections();
 
   // Messages (ControlPlaneMessages.cpp).
@@ -106,6 +108,7 @@
   std::unique_ptr<HostLink> Link;
   std::unique_ptr<RegistryNode> Node;
   std::unique_ptr<RegistryGateway> Gateway;
+  std::unique_ptr<OrderGiver> Orders;
   membership::Membership Members;
   membership::Confirmation Confirmed;
   membership::Standing OwnStanding = membership::Standing::Unconfirmed;
--- a/Services/ferryd/ControlPlaneDump.cpp
+++ b/Services/ferryd/ControlPlaneDump.cpp
@@ -42,6 +42,18 @@
   return Section;
 }
 
+static Object::Ptr ordersSection(const OrderGiver &Orders) {
+  control::Reconciler::Counts Counts = Orders.counts();
+  Object::Ptr Section = new Object;
+  Section->set("holds_lease", Orders.holdsLease());
+  Section->set("engines", Counts.Engines);
+  Section->set("engines_right", Counts.EnginesRight);
+  Section->set("orders_under_way", Counts.OrdersUnderWay);
+  Section->set("orders_sent", Counts.OrdersSent);
+  Section->set("orders_failed", Counts.OrdersFailed);
+  return Section;
+}
+
 static Object::Ptr hostsSection(const membership::Membership &Members) {
   Object::Ptr Section = new Object;
   for (const membership::HostState &Host : Members.hosts(steadyNow())) {
@@ -104,7 +116,7 @@
       Link->transport().droppedMessages());
   Set("ferry_peer_payloads_malformed", "Payloads that could not be decoded.",
       Link->malformedPayloads());
-  if (!Node)
+  if (!Node || !Orders)
     return;
   consensus::ReplicaStatus Status = Node->log().status();
   Set("ferry_log_leads", "1 while this host leads the log.",
@@ -113,6 +125,12 @@
       Node->log().isVoter() ? 1 : 0);
   Set("ferry_log_commit_index", "Last committed index.", Status.CommitIndex);
   Set("ferry_log_term", "Term of the log.", Status.Term);
+  control::Reconciler::Counts Counts = Orders->counts();
+  Set("ferry_order_lease_held", "1 while this host gives the orders.",
+      Orders->holdsLease() ? 1 : 0);
+  Set("ferry_engines", "Engines of the described services.", Counts.Engines);
+  Set("ferry_engines_right", "Engines that announce what is described.",
+      Counts.EnginesRight);
   Set("ferry_ledger_open_claims", "Calls under way in the ledger.",
       Node->state().claims().openCount());
 }
@@ -136,6 +154,7 @@
   if (!Node)
     return;
   Dump.add("log", [this] { return logSection(Node->log()); });
+  Dump.add("orders", [this] { return ordersSection(*Orders); });
   Dump.add("registry", [this] { return registrySection(Node->state()); });
 }
 
--- /dev/null
+++ b/Services/ferryd/OrderGiver.cpp
@@ -0,0 +1,111 @@
+#include "ferryd/OrderGiver.h"
+#include "LibCore/Visit.h"
+#include "LibObserve/Log.h"
+
+namespace ferry::daemon {
+
+using namespace registry;
+using observe::Severity;
+
+/// Longest wait for the log's answer about a slot.
+static constexpr Duration SlotTimeout = std::chrono::seconds(3);
+
+OrderGiver::OrderGiver(LeaseHolder::Options Options, ControlLoop &Loop,
+                       RegistryGateway &Gateway, const Registry &State)
+    : Loop(Loop), Gateway(Gateway), State(State), Lease(std::move(Options)),
+      Sender([this](control::OrderAnswered Answer) {
+        this->Loop.post([this, Answer, Guard = std::weak_ptr<char>(Alive)] {
+          if (!Guard.expired())
+            stepOrders(Answer);
+        });
+      }) {
+  stepLease(LeaseWished{LeaseWish::Hold});
+  tick();
+}
+
+OrderGiver::~OrderGiver() { Loop.cancel(Timer); }
+
+void OrderGiver::viewChanged(routing::RoutingViewPtr View) {
+  stepOrders(control::ViewChanged{std::move(View)});
+}
+
+void OrderGiver::beginDrain() {
+  Draining = true;
+  stepOrders(control::LeaseLost{});
+}
+
+control::Reconciler::Counts OrderGiver::counts() const {
+  return Orders.counts(steadyNow());
+}
+
+void OrderGiver::tick() {
+  Timestamp Now = steadyNow();
+  if (Draining && Now >= Orders.ordersEndBy())
+    stepLease(LeaseWished{LeaseWish::GiveUp});
+  stepLease(LeaseTick{});
+  if (Lease.isHeld(Now) && !Draining)
+    stepOrders(control::LeaseHeld{Lease.fencing(), Lease.heldUntil()});
+  stepOrders(control::LoadsKnown{State.loads()});
+  stepOrders(control::Tick{});
+  Timer = Loop.at(Now + LeaseHolder::TickInterval, [this] { tick(); });
+}
+
+void OrderGiver::stepLease(const LeaseEvent &Event) {
+  for (LeaseEffect &Effect : Lease.step(Event, steadyNow()))
+    match(
+        std::move(Effect),
+        [this](LeasePropose &&Proposal) { proposeLease(std::move(Proposal)); },
+        [](LeaseGained &&Gained) {
+          observe::logEvent(Severity::Info, "orders", "lease_gained",
+                            {{"fencing", Gained.Fencing}});
+        },
+        [this](registry::LeaseLost &&) {
+          observe::logEvent(Severity::Warning, "orders", "lease_lost", {});
+          stepOrders(control::LeaseLost{});
+        });
+}
+
+void OrderGiver::proposeLease(LeasePropose Proposal) {
+  uint64_t Token = Proposal.Token;
+  Gateway.submitFor<LeaseOutcome>(std::move(Proposal.Request),
+                                  Proposal.Deadline,
+                                  [this, Token](auto Answer) {
+                                    stepLease(LeaseAnswered{Token, Answer});
+                                  });
+}
+
+void OrderGiver::stepOrders(const control::ReconcilerEvent &Event) {
+  for (control::ReconcilerEffect &Effect : Orders.step(Event, steadyNow()))
+    match(
+        std::move(Effect),
+        [this](control::SendOrder &&Sent) {
+          observe::logEvent(
+              Severity::Info, "orders", "order_sent",
+              {{"target", Sent.Target}, {"order", orderBody(Sent)}});
+          Sender.send(std::move(Sent));
+        },
+        [this](control::BeginLoad &&Wanted) { beginLoad(Wanted); },
+        [this](control::EndLoad &&Wanted) { endLoad(Wanted); });
+}
+
+void OrderGiver::beginLoad(const control::BeginLoad &Wanted) {
+  using Verdict = control::LoadSlotAnswered::Verdict;
+  LoadSlot Slot = Wanted.Slot;
+  Gateway.submitFor<LoadOutcome>(
+      BeginWeightsLoad{Slot, Wanted.MaxLoads}, steadyNow() + SlotTimeout,
+      [this, Slot](auto Outcome) {
+        if (!Outcome)
+          return stepOrders(control::LoadSlotAnswered{Slot, Verdict::Unknown});
+        bool Granted = std::holds_alternative<LoadGranted>(*Outcome);
+        stepOrders(control::LoadSlotAnswered{Slot, Granted ? Verdict::Granted
+                                                           : Verdict::Refused});
+      });
+}
+
+void OrderGiver::endLoad(const control::EndLoad &Wanted) {
+  // Asked again by the Reconciler until the registry shows the end.
+  Gateway.submitFor<LoadOutcome>(EndWeightsLoad{Wanted.Slot},
+                                 steadyNow() + SlotTimeout, [](auto) {});
+}
+
+} // namespace ferry::daemon
--- /dev/null
+++ b/Services/ferryd/OrderGiver.h
@@ -0,0 +1,57 @@
+/// \file
+/// Gives orders to engines while this control host holds the order lease.
+#ifndef FERRY_FERRYD_ORDERGIVER_H
+#define FERRY_FERRYD_ORDERGIVER_H
+
+#include "LibControl/Reconciler.h"
+#include "LibCore/ControlLoop.h"
+#include "LibRegistry/LeaseHolder.h"
+#include "LibRegistry/Registry.h"
+#include "ferryd/OrderSender.h"
+#include "ferryd/RegistryGateway.h"
+
+namespace ferry::daemon {
+
+/// Binds the lease, the Reconciler and the sender. All calls on the control
+/// thread.
+class OrderGiver {
+public:
+  /// \param State this host's copy of the registry; outlives this object.
+  OrderGiver(registry::LeaseHolder::Options Options, ControlLoop &Loop,
+             RegistryGateway &Gateway, const registry::Registry &State);
+  ~OrderGiver();
+  OrderGiver(const OrderGiver &) = delete;
+  OrderGiver &operator=(const OrderGiver &) = delete;
+
+  /// Takes the newest snapshot of targets and description.
+  void viewChanged(routing::RoutingViewPtr View);
+
+  /// Gives no further order, and the lease up once none is under way.
+  void beginDrain();
+
+  bool holdsLease() const { return Lease.isHeld(steadyNow()); }
+  control::Reconciler::Counts counts() const;
+
+private:
+  void tick();
+  void stepLease(const registry::LeaseEvent &Event);
+  void stepOrders(const control::ReconcilerEvent &Event);
+  void proposeLease(registry::LeasePropose Proposal);
+  void beginLoad(const control::BeginLoad &Wanted);
+  void endLoad(const control::EndLoad &Wanted);
+
+  ControlLoop &Loop;
+  RegistryGateway &Gateway;
+  const registry::Registry &State;
+  registry::LeaseHolder Lease;
+  control::Reconciler Orders;
+  bool Draining = false;
+  ControlLoop::TimerId Timer;
+  /// Expires with this object; answers that come later are dropped.
+  std::shared_ptr<char> Alive = std::make_shared<char>();
+  OrderSender Sender;
+};
+
+} // namespace ferry::daemon
+
+#endif
