--- a/Tests/LibMembership/TestMembership.cpp
+++ b/Tests/LibMembership/TestMembership.cpp
@@ -1,5 +1,6 @@
-#include "LibCore/Visit.h"
+#include "LibCore/Random.h"
 #include "LibMembership/Membership.h"
+#include "LibWire/Codec.h"
 #include <boost/test/unit_test.hpp>
 #include <deque>
 
@@ -41,6 +42,8 @@
       if (Member == Members.end() || Cut.contains(To))
         continue;
       for (auto &Effect : Member->second.step(Next, Now)) {
+        if (auto *Send = std::get_if<MembershipSend>(&Effect))
+          Sent.push_back(Send->Message);
         if (auto *Send = std::get_if<MembershipSend>(&Effect))
           Queue.emplace_back(Send->To.Value,
                              MembershipReceived{{To}, Send->Message});
@@ -60,6 +63,7 @@
 
   std::map<std::string, Membership> Members;
   std::set<std::string> Cut;
+  std::vector<wire::MembershipMessage> Sent;
   std::vector<AnnouncementRefused> Refusals;
   DescriptionNumber Newest;
   Timestamp Now{50s};
@@ -198,3 +202,39 @@
                        [](const HostState &H) { return H.Id.Value == "r0"; });
   BOOST_TEST((First->Standing == Standing::Silent));
 }
+
+BOOST_AUTO_TEST_CASE(damaged_messages_never_crash_a_host) {
+  Hosts World(3);
+  World.give("r0", TargetAnnounced{engine(1, 1)});
+  World.run(2s);
+  World.give("r0", TargetAnnounced{leaving(1, 2)});
+  World.run(1s);
+  std::vector<std::string> Seeds;
+  for (const wire::MembershipMessage &Message : World.Sent)
+    Seeds.push_back(wire::encode(Message));
+  RandomGenerator Random(20261203);
+  size_t Taken = 0;
+  for (int Round = 0; Round < 30'000; ++Round) {
+    std::string Bytes = Seeds[randomBelow(Random, Seeds.size())];
+    for (uint64_t Flip = 0; Flip <= randomBelow(Random, 3); ++Flip)
+      Bytes[randomBelow(Random, Bytes.size())] = static_cast<char>(Random());
+    auto Decoded = wire::tryDecode<wire::MembershipMessage>(Bytes);
+    if (!Decoded)
+      continue;
+    ++Taken;
+    World.Now += 100ms;
+    HostId From{"r0"};
+    for (auto &Effect : World[1].step(MembershipTick{}, World.Now)) {
+      // The damaged reply answers the newest question.
+      auto *Send = std::get_if<MembershipSend>(&Effect);
+      if (Send == nullptr || !Send->Message.__isset.Ask)
+        continue;
+      Decoded->Reply.AskNumber = Send->Message.Ask.AskNumber;
+      From = Send->To;
+    }
+    World[1].step(MembershipReceived{From, *Decoded}, World.Now);
+    static_cast<void>(World[1].targets(World.Now));
+    static_cast<void>(World[1].hosts(World.Now));
+  }
+  BOOST_TEST(Taken > 1000u);
+}
