LibCache: Want a listing of each holder that has shown none

Cause: after a restart a router learned of an engine's cache only from what changed; an idle engine with a full cache sent nothing. silent_holder_is_asked_for_its_listing failed first without the change, as nothing asked for one before the first batch.

--- a/Benchmarks/BenchRouting.cpp
+++ b/Benchmarks/BenchRouting.cpp
@@ -9,7 +9,7 @@
   TCLAP::CmdLine Line("Compares placement in virtual time");
   TCLAP::ValueArg<std::string> Page("o", "out", "Page to write", false, "",
                                     "path", Line);
-  TCLAP::ValueArg<int> Seeds("s", "seeds", "Seeds a cell", false, 3, "number",
+  TCLAP::ValueArg<int> Seeds("s", "seeds", "Seeds a cell", false, 6, "number",
                              Line);
   TCLAP::ValueArg<int> Threads("j", "jobs", "Threads", false, 3, "number",
                                Line);
--- a/Libraries/LibCache/EventStream.h
+++ b/Libraries/LibCache/EventStream.h
@@ -62,7 +62,8 @@
   /// Number of the next event; nothing before the first batch.
   std::optional<uint64_t> Next;
   std::map<uint64_t, CacheEventBatch> Held;
-  bool ListingWanted = false;
+  /// What a life had stored before this index knew it is unknown at first.
+  bool ListingWanted = true;
 };
 
 } // namespace ferry::cache
--- a/Tests/LibCache/TestCacheIndex.cpp
+++ b/Tests/LibCache/TestCacheIndex.cpp
@@ -194,6 +194,16 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(silent_holder_is_asked_for_its_listing) {
+  // As after a restart of the router: the engine's cache is full, and an idle
+  // engine sends no events that would show it.
+  IndexFixture F;
+  BOOST_TEST(F.Index.wantsListing(Engine));
+  F.Index.apply(makeListing(50, {stored(1)}));
+  BOOST_TEST(!F.Index.wantsListing(Engine));
+  BOOST_TEST(F.find({{1}}).SureBlocks == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(new_life_starts_empty_and_the_old_number_finds_nothing) {
   IndexFixture F;
   F.Index.apply(One);
