--- a/Libraries/LibWire/Generated/Membership_types.cpp
+++ b/Libraries/LibWire/Generated/Membership_types.cpp
@@ -492,6 +492,11 @@
   this->Gone = val;
 __isset.Gone = true;
 }
+
+void TargetChange::__set_Late(const bool val) {
+  this->Late = val;
+__isset.Late = true;
+}
 std::ostream& operator<<(std::ostream& out, const TargetChange& obj)
 {
   obj.printTo(out);
@@ -576,6 +581,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->Late);
+          this->__isset.Late = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -624,6 +637,11 @@
     xfer += oprot->writeBool(this->Gone);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.Late) {
+    xfer += oprot->writeFieldBegin("Late", ::apache::thrift::protocol::T_BOOL, 8);
+    xfer += oprot->writeBool(this->Late);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -638,6 +656,7 @@
   swap(a.Details, b.Details);
   swap(a.Load, b.Load);
   swap(a.Gone, b.Gone);
+  swap(a.Late, b.Late);
   swap(a.__isset, b.__isset);
 }
 
@@ -649,6 +668,7 @@
   Details = other8.Details;
   Load = other8.Load;
   Gone = other8.Gone;
+  Late = other8.Late;
   __isset = other8.__isset;
 }
 TargetChange::TargetChange(TargetChange&& other9) noexcept {
@@ -659,6 +679,7 @@
   Details = std::move(other9.Details);
   Load = std::move(other9.Load);
   Gone = other9.Gone;
+  Late = other9.Late;
   __isset = other9.__isset;
 }
 TargetChange& TargetChange::operator=(const TargetChange& other10) {
@@ -669,6 +690,7 @@
   Details = other10.Details;
   Load = other10.Load;
   Gone = other10.Gone;
+  Late = other10.Late;
   __isset = other10.__isset;
   return *this;
 }
@@ -680,6 +702,7 @@
   Details = std::move(other11.Details);
   Load = std::move(other11.Load);
   Gone = other11.Gone;
+  Late = other11.Late;
   __isset = other11.__isset;
   return *this;
 }
@@ -693,6 +716,7 @@
   out << ", " << "Details="; (__isset.Details ? (out << to_string(Details)) : (out << "<null>"));
   out << ", " << "Load="; (__isset.Load ? (out << to_string(Load)) : (out << "<null>"));
   out << ", " << "Gone="; (__isset.Gone ? (out << to_string(Gone)) : (out << "<null>"));
+  out << ", " << "Late="; (__isset.Late ? (out << to_string(Late)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1587,6 +1611,16 @@
 void MembershipReply::__set_Deltas(const std::vector<OriginDelta> & val) {
   this->Deltas = val;
 }
+
+void MembershipReply::__set_ConfirmedNumber(const int64_t val) {
+  this->ConfirmedNumber = val;
+__isset.ConfirmedNumber = true;
+}
+
+void MembershipReply::__set_ConfirmedAgeMillis(const int32_t val) {
+  this->ConfirmedAgeMillis = val;
+__isset.ConfirmedAgeMillis = true;
+}
 std::ostream& operator<<(std::ostream& out, const MembershipReply& obj)
 {
   obj.printTo(out);
@@ -1663,6 +1697,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ConfirmedNumber);
+          this->__isset.ConfirmedNumber = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ConfirmedAgeMillis);
+          this->__isset.ConfirmedAgeMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1708,6 +1758,16 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.ConfirmedNumber) {
+    xfer += oprot->writeFieldBegin("ConfirmedNumber", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->ConfirmedNumber);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.ConfirmedAgeMillis) {
+    xfer += oprot->writeFieldBegin("ConfirmedAgeMillis", ::apache::thrift::protocol::T_I32, 5);
+    xfer += oprot->writeI32(this->ConfirmedAgeMillis);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1718,6 +1778,8 @@
   swap(a.AskNumber, b.AskNumber);
   swap(a.Heartbeats, b.Heartbeats);
   swap(a.Deltas, b.Deltas);
+  swap(a.ConfirmedNumber, b.ConfirmedNumber);
+  swap(a.ConfirmedAgeMillis, b.ConfirmedAgeMillis);
   swap(a.__isset, b.__isset);
 }
 
@@ -1725,18 +1787,24 @@
   AskNumber = other56.AskNumber;
   Heartbeats = other56.Heartbeats;
   Deltas = other56.Deltas;
+  ConfirmedNumber = other56.ConfirmedNumber;
+  ConfirmedAgeMillis = other56.ConfirmedAgeMillis;
   __isset = other56.__isset;
 }
 MembershipReply::MembershipReply(MembershipReply&& other57) noexcept {
   AskNumber = other57.AskNumber;
   Heartbeats = std::move(other57.Heartbeats);
   Deltas = std::move(other57.Deltas);
+  ConfirmedNumber = other57.ConfirmedNumber;
+  ConfirmedAgeMillis = other57.ConfirmedAgeMillis;
   __isset = other57.__isset;
 }
 MembershipReply& MembershipReply::operator=(const MembershipReply& other58) {
   AskNumber = other58.AskNumber;
   Heartbeats = other58.Heartbeats;
   Deltas = other58.Deltas;
+  ConfirmedNumber = other58.ConfirmedNumber;
+  ConfirmedAgeMillis = other58.ConfirmedAgeMillis;
   __isset = other58.__isset;
   return *this;
 }
@@ -1744,6 +1812,8 @@
   AskNumber = other59.AskNumber;
   Heartbeats = std::move(other59.Heartbeats);
   Deltas = std::move(other59.Deltas);
+  ConfirmedNumber = other59.ConfirmedNumber;
+  ConfirmedAgeMillis = other59.ConfirmedAgeMillis;
   __isset = other59.__isset;
   return *this;
 }
@@ -1753,6 +1823,8 @@
   out << "AskNumber=" << to_string(AskNumber);
   out << ", " << "Heartbeats=" << to_string(Heartbeats);
   out << ", " << "Deltas=" << to_string(Deltas);
+  out << ", " << "ConfirmedNumber="; (__isset.ConfirmedNumber ? (out << to_string(ConfirmedNumber)) : (out << "<null>"));
+  out << ", " << "ConfirmedAgeMillis="; (__isset.ConfirmedAgeMillis ? (out << to_string(ConfirmedAgeMillis)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Libraries/LibWire/Generated/Membership_types.h
+++ b/Libraries/LibWire/Generated/Membership_types.h
@@ -215,7 +215,7 @@
 std::ostream& operator<<(std::ostream& out, const LoadFields& obj);
 
 typedef struct _TargetChange__isset {
-  _TargetChange__isset() : Id(false), Incarnation(false), Version(false), Sequence(false), Details(false), Load(false), Gone(false) {}
+  _TargetChange__isset() : Id(false), Incarnation(false), Version(false), Sequence(false), Details(false), Load(false), Gone(false), Late(false) {}
   bool Id :1;
   bool Incarnation :1;
   bool Version :1;
@@ -223,6 +223,7 @@
   bool Details :1;
   bool Load :1;
   bool Gone :1;
+  bool Late :1;
 } _TargetChange__isset;
 
 class TargetChange : public virtual ::apache::thrift::TBase {
@@ -237,7 +238,8 @@
                  Incarnation(0),
                  Version(0),
                  Sequence(0),
-                 Gone(0) {
+                 Gone(0),
+                 Late(0) {
   }
 
   virtual ~TargetChange() noexcept;
@@ -248,6 +250,7 @@
   TargetDetails Details;
   LoadFields Load;
   bool Gone;
+  bool Late;
 
   _TargetChange__isset __isset;
 
@@ -265,6 +268,8 @@
 
   void __set_Gone(const bool val);
 
+  void __set_Late(const bool val);
+
   bool operator == (const TargetChange & rhs) const
   {
     if (!(Id == rhs.Id))
@@ -287,6 +292,10 @@
       return false;
     else if (__isset.Gone && !(Gone == rhs.Gone))
       return false;
+    if (__isset.Late != rhs.__isset.Late)
+      return false;
+    else if (__isset.Late && !(Late == rhs.Late))
+      return false;
     return true;
   }
   bool operator != (const TargetChange &rhs) const {
@@ -634,10 +643,12 @@
 std::ostream& operator<<(std::ostream& out, const MembershipAsk& obj);
 
 typedef struct _MembershipReply__isset {
-  _MembershipReply__isset() : AskNumber(false), Heartbeats(false), Deltas(false) {}
+  _MembershipReply__isset() : AskNumber(false), Heartbeats(false), Deltas(false), ConfirmedNumber(false), ConfirmedAgeMillis(false) {}
   bool AskNumber :1;
   bool Heartbeats :1;
   bool Deltas :1;
+  bool ConfirmedNumber :1;
+  bool ConfirmedAgeMillis :1;
 } _MembershipReply__isset;
 
 class MembershipReply : public virtual ::apache::thrift::TBase {
@@ -648,13 +659,17 @@
   MembershipReply& operator=(const MembershipReply&);
   MembershipReply& operator=(MembershipReply&&) noexcept;
   MembershipReply() noexcept
-                  : AskNumber(0) {
+                  : AskNumber(0),
+                    ConfirmedNumber(0),
+                    ConfirmedAgeMillis(0) {
   }
 
   virtual ~MembershipReply() noexcept;
   int64_t AskNumber;
   std::vector<OriginHeartbeat>  Heartbeats;
   std::vector<OriginDelta>  Deltas;
+  int64_t ConfirmedNumber;
+  int32_t ConfirmedAgeMillis;
 
   _MembershipReply__isset __isset;
 
@@ -664,6 +679,10 @@
 
   void __set_Deltas(const std::vector<OriginDelta> & val);
 
+  void __set_ConfirmedNumber(const int64_t val);
+
+  void __set_ConfirmedAgeMillis(const int32_t val);
+
   bool operator == (const MembershipReply & rhs) const
   {
     if (!(AskNumber == rhs.AskNumber))
@@ -672,6 +691,14 @@
       return false;
     if (!(Deltas == rhs.Deltas))
       return false;
+    if (__isset.ConfirmedNumber != rhs.__isset.ConfirmedNumber)
+      return false;
+    else if (__isset.ConfirmedNumber && !(ConfirmedNumber == rhs.ConfirmedNumber))
+      return false;
+    if (__isset.ConfirmedAgeMillis != rhs.__isset.ConfirmedAgeMillis)
+      return false;
+    else if (__isset.ConfirmedAgeMillis && !(ConfirmedAgeMillis == rhs.ConfirmedAgeMillis))
+      return false;
     return true;
   }
   bool operator != (const MembershipReply &rhs) const {
--- a/Libraries/LibWire/Idl/Membership.thrift
+++ b/Libraries/LibWire/Idl/Membership.thrift
@@ -28,10 +28,12 @@
   // The origin's version with this change.
   3: i64 Version
   4: i64 Sequence
-  // Absent if the target has gone from the list, or if only its load changed.
+  // Absent if the target has gone, or if only its load has changed.
   5: optional TargetDetails Details
   6: optional LoadFields Load
   7: optional bool Gone
+  // It misses announcements: its trust is no longer extended.
+  8: optional bool Late
 }
 
 // Liveness of one origin, as the sender knows it.
@@ -80,6 +82,9 @@
   1: i64 AskNumber
   2: list<OriginHeartbeat> Heartbeats
   3: list<OriginDelta> Deltas
+  // A quorum of control hosts had no number above this one at that age.
+  4: optional i64 ConfirmedNumber
+  5: optional i32 ConfirmedAgeMillis
 }
 
 struct MembershipMessage {
