--- /dev/null
+++ b/Tests/Fuzz/FuzzParse.cpp
@@ -0,0 +1,14 @@
+// libFuzzer target of the YAML parsers; CONTRIBUTING.md tells how to run it.
+#include "LibConfig/Parse.h"
+#include "LibConfig/TokenFile.h"
+#include <cstdint>
+
+// The name is libFuzzer's.
+// NOLINTNEXTLINE(readability-identifier-naming)
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t *Bytes, size_t Size) {
+  std::string Text(reinterpret_cast<const char *>(Bytes), Size);
+  (void)ferry::config::tryParseDescription(Text, "fuzz");
+  (void)ferry::config::tryParseSettings(Text, "fuzz");
+  (void)ferry::config::tryParseTokens(Text, "fuzz");
+  return 0;
+}
