--- a/Libraries/LibControl/Reconciler.cpp
+++ b/Libraries/LibControl/Reconciler.cpp
@@ -176,7 +176,9 @@
   // After several orders, an announcement can be older than the last of them
   // and tell the weights of an earlier one.
   bool Quiet = Now >= Work.OrderDeadline + SettleLimit;
-  if (isLoadDone(*Work.Slot) && (Quiet || Work.Orders != Received::Several))
+  bool Sure = Quiet || Work.Orders != Received::Several;
+  // Until its deadline, a copy of the order can reach a later life.
+  if (isLoadDone(*Work.Slot) && Sure && Now >= Work.OrderDeadline)
     return Verdict::Finish;
   if (Quiet && !Wanted)
     return Verdict::Finish;
