--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -41,6 +41,9 @@
   static constexpr Duration FarSilentAfter = std::chrono::seconds(60);
 
   struct Options {
+    /// \returns options with the intervals that suit \p Hosts hosts.
+    static Options forSize(size_t Hosts);
+
     HostId Self;
     DataCentreId DataCentre;
     ferry::Incarnation Incarnation;
@@ -53,8 +56,6 @@
     size_t WholeTableHosts = 32;
     /// Load figures alone are passed on at most this often.
     Duration LoadInterval = std::chrono::milliseconds(500);
-    /// About the longest list of changes in one message.
-    size_t MaxDeltaBytes = 4096;
   };
 
   explicit Membership(Options Settings);
@@ -83,6 +84,8 @@
     /// Version of the list in the newest heartbeat that came.
     uint64_t HeardVersion = 0;
     Timestamp HeardAt = NeverHeard;
+    /// Whether it was silent at the last tick.
+    bool KnownSilent = true;
     /// No later than the oldest announcement among the listed targets.
     Timestamp TargetsHeardAt = NeverHeard;
     /// Its changes are not asked for again before this.
@@ -103,7 +106,8 @@
   void notePassage(Timestamp Now);
   void tick(Timestamp Now, Effects &Out);
   void ageOwnTargets(Timestamp Now);
-  void reportChanges(Timestamp Now, Effects &Out);
+  void ageHosts(Timestamp Now);
+  void reportChanges(Effects &Out);
 
   void ask(const HostId &To, std::vector<wire::OriginWant> Wants, Timestamp Now,
            Effects &Out);
@@ -148,9 +152,9 @@
   /// count from then: they may have waited in a buffer since.
   Timestamp StalledSince;
   Timestamp DistrustUntil;
+  std::optional<LocalConfirmed> Confirmed;
   bool TargetsMoved = false;
   bool HostsMoved = false;
-  std::vector<membership::Standing> ReportedStandings;
 };
 
 /// \returns the tag that stands for \p Host in heartbeats.
--- a/Libraries/LibTraffic/HttpListener.cpp
+++ b/Libraries/LibTraffic/HttpListener.cpp
@@ -15,10 +15,6 @@
 
 using namespace Poco::Net;
 
-/// Longest time from the first byte of a request to the last of its header.
-static constexpr std::chrono::seconds HeaderReadLimit{10};
-/// Longest time from the end of a header to the end of its body.
-static constexpr std::chrono::seconds BodyReadLimit{60};
 /// How long a connection may stay open between two requests, in seconds.
 static constexpr int KeepAliveSeconds = 15;
 /// How long one send may block on a slow peer, in seconds.
@@ -27,6 +23,9 @@
 static constexpr int MaxQueuedConnections = 64;
 /// Threads kept when there are few connections.
 static constexpr int MinThreads = 2;
+/// Connections that the kernel holds until they are accepted; callers of a
+/// restarted host come all at once, and a lost first packet costs a second.
+static constexpr int ListenBacklog = 1024;
 /// Bytes of an answer that the kernel buffers for a slow peer.
 static constexpr int SendBufferBytes = 64 << 10;
 /// Bytes of a refused body that are read and dropped before the close, so that
@@ -72,7 +71,7 @@
     Next Then = Next::KeepOpen;
     while (Then == Next::KeepOpen && Session.hasMoreRequests()) {
       Listener.Watch.enter(Watched, ConnectionPhase::Reading,
-                           steadyNow() + HeaderReadLimit);
+                           steadyNow() + Listener.Given.HeaderReadLimit);
       Then = serveOne(Session, *Params);
       Listener.Watch.enter(Watched, ConnectionPhase::Idle, NeverExpires);
     }
@@ -111,14 +110,14 @@
   Response.setVersion(Request->getVersion());
   Response.setKeepAlive(Request->getKeepAlive());
   Listener.Watch.enter(Watched, ConnectionPhase::Working,
-                       steadyNow() + BodyReadLimit);
+                       steadyNow() + Listener.Given.BodyReadLimit);
   HttpExchange Exchange(*Request, Response, socket(), Listener.Budget, [this] {
     Listener.Watch.enter(Watched, ConnectionPhase::Working, NeverExpires);
   });
-  if (headerBytes(*Request) > Listener.MaxHeaderBytes)
+  if (headerBytes(*Request) > Listener.Given.MaxHeaderBytes)
     Exchange.sendError({AnswerError::HeadersTooLarge,
                         "the header may have at most " +
-                            std::to_string(Listener.MaxHeaderBytes) +
+                            std::to_string(Listener.Given.MaxHeaderBytes) +
                             " bytes"});
   else
     Listener.Handle(Exchange);
@@ -178,7 +177,7 @@
 
 HttpListener::HttpListener(const Options &Options, Handler Handle,
                            const ServerSocket &Socket)
-    : MaxHeaderBytes(Options.MaxHeaderBytes), Handle(std::move(Handle)),
+    : Given(Options), Handle(std::move(Handle)),
       BoundAddress(Socket.address().toString()),
       Budget(Options.BodyBudgetBytes),
       Threads(MinThreads,
@@ -202,7 +201,7 @@
   try {
     ServerSocket Socket;
     Socket.bind(Address, true, false);
-    Socket.listen(MaxQueuedConnections * 4);
+    Socket.listen(ListenBacklog);
     std::unique_ptr<HttpListener> Listener(
         new HttpListener(Options, std::move(Handle), Socket));
     Listener->Server->start();
