Tests: Wait for a leader instead of presuming one

On a busy machine a leader may be gone for a moment between two steps of a test with real time; the test then read a null pointer.

--- a/Tests/LibConsensus/TestLogDriver.cpp
+++ b/Tests/LibConsensus/TestLogDriver.cpp
@@ -69,7 +69,7 @@
   }
   BOOST_TEST(allHave(Cluster, Expected));
   Cluster.onLoop([&] {
-    ReplicaStatus Status = Cluster.leader()->status();
+    ReplicaStatus Status = Cluster.Drivers.begin()->second->status();
     BOOST_TEST(Status.SnapshotIndex >= 80u);
     BOOST_TEST(Status.LastIndex - Status.FirstIndex < 50u);
   });
@@ -169,8 +169,10 @@
   int ReadFailures = 0;
   std::vector<ProposeErrorKind> Outcomes;
   LogDriver *Old = nullptr;
-  Cluster.onLoop([&] {
+  bool Begun = Cluster.waitFor([&] {
     Old = Cluster.leader();
+    if (Old == nullptr)
+      return false;
     Cluster.Cut.insert(*Old->leader());
     Old->confirmRead([&](Result<void, ReadError> Outcome) {
       ReadFailures += Outcome ? 0 : 1;
@@ -178,7 +180,9 @@
     Old->propose("lost", [&](Result<uint64_t, ProposeError> Outcome) {
       Outcomes.push_back(Outcome.error().Kind);
     });
+    return true;
   });
+  BOOST_REQUIRE(Begun);
   BOOST_TEST(Cluster.waitFor([&] { return !Old->isLeader(); }));
   Cluster.onLoop([&] {
     BOOST_TEST(ReadFailures == 1);
