--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -8,7 +8,6 @@
 #include "LibMembership/OriginList.h"
 #include "LibMembership/TargetMemory.h"
 #include <optional>
-#include <unordered_map>
 #include <vector>
 
 namespace ferry::membership {
