LibRouting: Lower the weight of the rendezvous rank

It shall only break ties, so that all routers prefer the same second home; at a tenth of the prompt's prefill it moved requests off their blocks.

--- a/Libraries/LibRouting/Placement.h
+++ b/Libraries/LibRouting/Placement.h
@@ -55,7 +55,7 @@
   double TailWeight = 1.0;
   /// Greatest penalty of a target's rendezvous rank, as a part of the time that
   /// the prompt's prefill takes.
-  double RankWeight = 0.1;
+  double RankWeight = 0.02;
 };
 
 /// Places by rendezvous hashing on the first block among targets below a bound
