--- a/Benchmarks/Placement/FakeEngine.h
+++ b/Benchmarks/Placement/FakeEngine.h
@@ -23,6 +23,8 @@
   std::function<void(uint64_t CachedTokens)> OnFirstToken;
   std::function<void()> OnDone;
   std::function<void()> OnLost;
+  /// Order of arrival at the engine; set by it.
+  uint64_t Sequence = 0;
 };
 
 class FakeEngine {
@@ -50,6 +52,7 @@
       return;
     }
     auto Shared = std::make_shared<EngineJob>(std::move(Job));
+    Shared->Sequence = NextSequence++;
     Waiting.push_back(Shared);
     Live.insert(Shared);
     beginPrefill();
@@ -145,6 +148,12 @@
 
 private:
   using JobPtr = std::shared_ptr<EngineJob>;
+  /// By arrival and not by address, so that runs repeat.
+  struct ArrivalOrder {
+    bool operator()(const JobPtr &Left, const JobPtr &Right) const {
+      return Left->Sequence < Right->Sequence;
+    }
+  };
 
   size_t cachedPrefix(const std::vector<cache::BlockHash> &Blocks) const {
     size_t Count = 0;
@@ -236,7 +245,8 @@
   bool Up = true;
   uint64_t Life = 1;
   std::deque<JobPtr> Waiting;
-  std::set<JobPtr> Live;
+  std::set<JobPtr, ArrivalOrder> Live;
+  uint64_t NextSequence = 0;
   JobPtr Prefilling;
   Timestamp PrefillEnd;
   uint32_t Running = 0;
