--- a/Services/ferryd/ControlPlane.cpp
+++ b/Services/ferryd/ControlPlane.cpp
@@ -60,6 +60,7 @@
     auto Opened = tryOpenRegistry();
     if (!Opened)
       return Opened;
+    startOrders();
   }
   addDumpSections();
   stepMembership(DescriptionApplied{Holder.number()});
@@ -105,6 +106,14 @@
   return {};
 }
 
+void ControlPlane::startOrders() {
+  registry::LeaseHolder::Options Options;
+  Options.Name = registry::DeploymentLease;
+  Options.Host = Settings.Host;
+  Options.Incarnation = Store.incarnation();
+  Orders = std::make_unique<OrderGiver>(Options, Loop, *Gateway, Node->state());
+}
+
 void ControlPlane::addDumpSection(std::string Name,
                                   observe::StateDump::Section Make) {
   Dump.add(std::move(Name), std::move(Make));
@@ -112,6 +121,7 @@
 
 void ControlPlane::tick() {
   stepConfirmation(ConfirmationTick{});
+  stepMembership(LocalConfirmed{Confirmed.number(), Confirmed.confirmedAsOf()});
   stepMembership(MembershipTick{});
   updateStanding();
   if (Confirmed.confirmedUntil() != ViewConfirmedUntil)
@@ -123,12 +133,15 @@
 
 void ControlPlane::beginDrain() {
   Draining = true;
+  if (Orders)
+    Orders->beginDrain();
   updateStanding();
   markViewChanged();
 }
 
 void ControlPlane::close() {
   Loop.cancel(TickTimer);
+  Orders.reset();
   if (Node)
     Node->close();
 }
@@ -185,6 +198,10 @@
         [this](const NewerDescriptionSeen &Seen) {
           stepConfirmation(ConfirmationNumberHeard{Seen.Number, Seen.From});
         },
+        [this](const ConfirmationHeard &Heard) {
+          stepConfirmation(
+              ConfirmationRelayed{Heard.Number, Heard.AsOf, Heard.From});
+        },
         [this](const membership::AnnouncementRefused &) {
           AnnouncementRefused = true;
         });
@@ -221,7 +238,10 @@
                     OwnStanding,
                     Members.targets(steadyNow()),
                     Members.hosts(steadyNow())};
-  Calls.ViewChanged(buildView(Inputs));
+  routing::RoutingViewPtr View = buildView(Inputs);
+  if (Orders)
+    Orders->viewChanged(View);
+  Calls.ViewChanged(std::move(View));
 }
 
 } // namespace ferry::daemon
--- a/Tests/LibConsensus/SimulatedCluster.h
+++ b/Tests/LibConsensus/SimulatedCluster.h
@@ -145,8 +145,11 @@
   void step(SimulatedHost &Host, Event Input) {
     uint64_t Before = Host.Machine->commitIndex();
     uint64_t Life = Host.Life;
+    Configuration Members = Host.Machine->log().members();
     auto Effects = Host.Machine->step(std::move(Input), clock(Host));
     Checks.observe(*Host.Machine, Before);
+    if (Host.Machine->isLeader())
+      requireSyncedMembers(*Host.Machine, Members);
     for (Effect &Output : Effects) {
       run(Host, Output);
       if (Host.Life != Life)
@@ -241,8 +244,12 @@
   ReplicaLimits Limits;
   /// Directed links that are cut.
   std::set<std::pair<HostId, HostId>> Cut;
-  uint64_t SentMessages = 0;
-  uint64_t SentBytes = 0;
+  struct Traffic {
+    uint64_t Messages = 0;
+    uint64_t Bytes = 0;
+  };
+  /// What each host has sent.
+  std::map<HostId, Traffic> Sent;
   /// Encodes every message, for its size.
   bool CountBytes = false;
 
@@ -339,19 +346,19 @@
         });
   }
 
-  void send(SimulatedHost &Host, const SendEffect &Sent) {
-    if (auto *Vote = std::get_if<wire::VoteReply>(&Sent.Sent.Body);
+  void send(SimulatedHost &Host, const SendEffect &Output) {
+    if (auto *Vote = std::get_if<wire::VoteReply>(&Output.Sent.Body);
         Vote && Vote->Granted)
-      Checks.promised(Sent.Sent.Sender, Host.Host);
+      Checks.promised(Output.Sent.Sender, Host.Host);
     if (CountBytes)
-      SentBytes += encodeMessage({"sim"}, {1}, Sent.Sent).size();
-    ++SentMessages;
-    if (Cut.count({Host.Host, Sent.To}) != 0 ||
+      Sent[Host.Host].Bytes += encodeMessage({"sim"}, {1}, Output.Sent).size();
+    ++Sent[Host.Host].Messages;
+    if (Cut.count({Host.Host, Output.To}) != 0 ||
         Random() % 1000 < Network.DropPerMille)
       return;
     uint64_t Copies = Random() % 1000 < Network.DoublePerMille ? 2 : 1;
     for (; Copies > 0; --Copies)
-      deliver(Host.Host, Sent);
+      deliver(Host.Host, Output);
   }
 
   void deliver(const HostId &From, const SendEffect &Sent) {
@@ -407,6 +414,25 @@
     step(Host, PersistedEvent{Token});
   }
 
+  /// Whoever a leader adds to \p Before has synced what was committed.
+  void requireSyncedMembers(const Replica &Leader,
+                            const Configuration &Before) {
+    for (const Member &Voter : Leader.log().members().Voters) {
+      if (Before.contains(Voter.Replica))
+        continue;
+      for (SimulatedHost &Host : Hosts) {
+        auto Read = MemoryDisk(Host.Disk).tryRecover();
+        if (!Read || Read->Self.Replica != Voter.Replica)
+          continue;
+        uint64_t Last = Read->LastSnapshot ? Read->LastSnapshot->Index : 0;
+        if (!Read->Entries.empty())
+          Last = Read->Entries.back().Index;
+        Checks.require(Last >= Leader.commitIndex(),
+                       "a member was added before it had the log");
+      }
+    }
+  }
+
   std::map<std::pair<Timestamp, uint64_t>, std::function<void()>> Events;
   uint64_t NextEvent = 0;
   std::optional<SnapshotTakenEvent> Taken;
--- a/Tests/LibMembership/HostWorld.h
+++ b/Tests/LibMembership/HostWorld.h
@@ -7,6 +7,8 @@
 #include "LibMembership/Confirmation.h"
 #include "LibMembership/Membership.h"
 #include "LibWire/Codec.h"
+#include "LibWire/FrameReader.h"
+#include "LibWire/Generated/Peer_types.h"
 #include <algorithm>
 #include <functional>
 #include <memory>
@@ -38,6 +40,7 @@
   Duration LongestCut = std::chrono::seconds(20);
   /// Changes are tried with this chance, in thousandths, in each step.
   uint32_t Change = 30;
+  membership::Asking Asking = membership::Asking::Always;
   /// Adjusts each host's options.
   std::function<void(Membership::Options &)> Adjust;
   /// Whether bytes and processor time are counted.
@@ -148,6 +151,9 @@
     return Number;
   }
 
+  /// Restarts host \p Index at once; a control host keeps its disk.
+  void restart(size_t Index) { start(Index); }
+
   bool isUp(size_t Index) const {
     return Hosts[Index].DownUntil <= Now && Hosts[Index].FrozenUntil <= Now;
   }
@@ -177,7 +183,7 @@
     ++Each.Incarnation;
     Each.Buffered.clear();
     Each.SeenLives.clear();
-    Membership::Options Options;
+    auto Options = Membership::Options::forSize(Hosts.size());
     Options.Self = Each.Id;
     Options.DataCentre = Each.DataCentre;
     Options.Incarnation = {Each.Incarnation};
@@ -192,6 +198,7 @@
       Asked.ControlHosts.push_back(Hosts[Control].Id);
     Asked.Number = {Index < Given.Controls ? Each.Applied : 0};
     Asked.Seed = Random();
+    Asked.Asking = Given.Asking;
     Each.Confirm = std::make_unique<Confirmation>(Asked);
     give(Index, DescriptionApplied{Asked.Number});
     give(Index, LocalStanding{Standing::Serving});
@@ -255,7 +262,13 @@
   void count(size_t Index, const MessageType &Message) {
     if (!Given.Measure)
       return;
-    Hosts[Index].Bytes += wire::encode(Message).size();
+    wire::Envelope Envelope;
+    Envelope.ClusterId = "cluster";
+    Envelope.GroupId = 1;
+    Envelope.SenderIncarnation = 1'700'000'000'000;
+    Envelope.Kind = wire::PayloadKind::Membership;
+    Envelope.Payload = wire::encode(Message);
+    Hosts[Index].Bytes += wire::frame(wire::encode(Envelope)).size();
     ++Hosts[Index].Messages;
   }
 
@@ -285,6 +298,9 @@
       }
       if (auto *Newer = std::get_if<NewerDescriptionSeen>(&Effect))
         give(Index, ConfirmationNumberHeard{Newer->Number, Newer->From});
+      if (auto *Heard = std::get_if<ConfirmationHeard>(&Effect))
+        give(Index,
+             ConfirmationRelayed{Heard->Number, Heard->AsOf, Heard->From});
     }
   }
 
@@ -388,6 +404,8 @@
     for (auto &Deliver : std::exchange(Each.Buffered, {}))
       Deliver();
     give(Index, ConfirmationTick{});
+    give(Index,
+         LocalConfirmed{Each.Confirm->number(), Each.Confirm->confirmedAsOf()});
     give(Index, MembershipTick{});
   }
 
