LibControl: End a load's slot by an announcement that is new enough

An announcement now counts one second after the order's deadline; the deadline itself is one second instead of two, so that a slot is held no longer than before.

--- a/Libraries/LibControl/Reconciler.cpp
+++ b/Libraries/LibControl/Reconciler.cpp
@@ -177,8 +177,10 @@
   // and tell the weights of an earlier one.
   bool Quiet = Now >= Work.OrderDeadline + SettleLimit;
   bool Sure = Quiet || Work.Orders != Received::Several;
-  // Until its deadline, a copy of the order can reach a later life.
-  if (isLoadDone(*Work.Slot) && Sure && Now >= Work.OrderDeadline)
+  // Until its deadline, a copy of the order can reach a later life, which the
+  // announcement seen then may not show yet.
+  bool Shown = Now >= Work.OrderDeadline + AnnouncementLag;
+  if (isLoadDone(*Work.Slot) && Sure && Shown)
     return Verdict::Finish;
   if (Quiet && !Wanted)
     return Verdict::Finish;
--- a/Libraries/LibControl/Reconciler.h
+++ b/Libraries/LibControl/Reconciler.h
@@ -24,7 +24,9 @@
 public:
   static constexpr Duration TickInterval = std::chrono::milliseconds(100);
   /// How long an order may be under way.
-  static constexpr Duration OrderTimeout = std::chrono::seconds(2);
+  static constexpr Duration OrderTimeout = std::chrono::seconds(1);
+  /// How old an announcement may be when it is seen.
+  static constexpr Duration AnnouncementLag = std::chrono::seconds(1);
   /// How long a load may take from its order's deadline before it is taken for
   /// lost and ordered again.
   static constexpr Duration LoadLimit = std::chrono::seconds(30);
--- a/Tests/LibControl/ControlWorld.h
+++ b/Tests/LibControl/ControlWorld.h
@@ -95,8 +95,8 @@
       Options.Name = registry::DeploymentLease;
       Options.Host = Id;
       Options.Incarnation = Life;
-      Options.Length = std::chrono::seconds(3);
-      Options.RenewInterval = std::chrono::milliseconds(500);
+      Options.Length = std::chrono::milliseconds(1400);
+      Options.RenewInterval = std::chrono::milliseconds(200);
       Lease = std::make_unique<registry::LeaseHolder>(Options);
     }
   };
@@ -274,13 +274,13 @@
       answer(Item, Ask.Deadline - Now, Fail);
       return;
     }
-    later(millis(1, 300), [this, &Item, Ask, Token, Fail] {
+    later(millis(1, 100), [this, &Item, Ask, Token, Fail] {
       registry::LeaseOutcome Outcome = applyLease(Ask.Request);
       if (Now < Item.CutUntil) {
         answer(Item, std::max(Ask.Deadline - Now, Duration(0)), Fail);
         return;
       }
-      answer(Item, millis(1, 300), [this, &Item, Token, Outcome] {
+      answer(Item, millis(1, 100), [this, &Item, Token, Outcome] {
         leaseStep(Item, registry::LeaseAnswered{Token, Outcome});
       });
     });
