--- /dev/null
+++ b/Tests/System/TestCallsUnderFaults.cpp
@@ -0,0 +1,106 @@
+#include "Support/TestCluster.h"
+#include <boost/test/unit_test.hpp>
+#include <thread>
+
+using namespace ferry::test;
+
+static const std::vector<int> Services = {101, 102};
+
+/// A cluster with two services that count what they write.
+struct ServiceCluster : TestCluster {
+  ServiceCluster() {
+    startAll();
+    BOOST_REQUIRE(
+        eventually([&] { return apply(4, 0, "first", 100).Status == 200; }));
+    startFake("app-1", 101, {"--kind", "service", "--service", "app"});
+    startFake("app-2", 102, {"--kind", "service", "--service", "app"});
+    for (int Host = 1; Host <= HostCount; ++Host)
+      BOOST_REQUIRE(eventually([&] {
+        return record(Host, "warm-" + std::to_string(Host), "{}").Status == 201;
+      }));
+  }
+};
+
+/// Sends one key through several hosts at once, while \p Meanwhile runs.
+static std::vector<Answer>
+sendEverywhere(ServiceCluster &Cluster, const std::string &Key,
+               const std::function<void()> &Meanwhile) {
+  std::vector<int> Through = {1, 2, 4, 5};
+  std::vector<Answer> Answers(Through.size());
+  std::vector<std::thread> Callers;
+  for (size_t Index = 0; Index < Through.size(); ++Index)
+    Callers.emplace_back([&, Index] {
+      Answers[Index] =
+          Cluster.record(Through[Index], Key, "{\"title\":1}", 4000);
+    });
+  Meanwhile();
+  for (std::thread &Caller : Callers)
+    Caller.join();
+  return Answers;
+}
+
+/// Checks the answers to one key against the writes that were counted.
+static void checkTruth(ServiceCluster &Cluster, const std::string &Key,
+                       const std::vector<Answer> &Answers) {
+  int Writes = Cluster.writes(Key, Services);
+  BOOST_TEST(Writes <= 1, Key << " was written " << Writes << " times");
+  for (const Answer &Each : Answers)
+    if (Each.Status == 201)
+      BOOST_TEST(Writes == 1, Key);
+}
+
+BOOST_FIXTURE_TEST_CASE(crossed_resends_write_once_and_agree, ServiceCluster) {
+  auto Answers = sendEverywhere(*this, "crossed", [] {});
+  checkTruth(*this, "crossed", Answers);
+  for (const Answer &Each : Answers) {
+    BOOST_TEST(Each.Status == 201);
+    BOOST_TEST(Each.Body == Answers.front().Body);
+  }
+  BOOST_TEST(record(5, "crossed", "{\"title\":2}").Status >= 400);
+  BOOST_TEST(record(5, "", "{}").Status == 400);
+}
+
+BOOST_FIXTURE_TEST_CASE(kills_and_freezes_never_write_twice, ServiceCluster) {
+  struct FaultCase {
+    const char *Name;
+    int Host;
+    int Signal;
+  };
+  const FaultCase Cases[] = {{"router-killed", 4, SIGKILL},
+                             {"router-frozen", 5, SIGSTOP},
+                             {"control-killed", 1, SIGKILL},
+                             {"control-frozen", 2, SIGSTOP}};
+  for (const FaultCase &Case : Cases)
+    for (int Round = 0; Round < 3; ++Round) {
+      std::string Key = std::string(Case.Name) + "-" + std::to_string(Round);
+      auto Answers = sendEverywhere(*this, Key, [&] {
+        // The moment differs by round; the verdict does not depend on it.
+        std::this_thread::sleep_for(std::chrono::milliseconds(2 * Round));
+        host(Case.Host).signal(Case.Signal);
+      });
+      if (Case.Signal == SIGKILL)
+        startHost(Case.Host);
+      else
+        host(Case.Host).signal(SIGCONT);
+      // A resend through a host without faults ends in an answer.
+      Answer Last;
+      BOOST_REQUIRE(eventually([&] {
+        Last = record(3, Key, "{\"title\":1}", 4000);
+        return Last.Status == 201 || Last.notRun() == "unknown";
+      }));
+      Answers.push_back(Last);
+      checkTruth(*this, Key, Answers);
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(service_killed_in_the_call_is_told_as_unknown,
+                        ServiceCluster) {
+  fake("app-2").kill();
+  request(fakeAddress(101), "POST", "/faults", "{\"close_before_answer\":1}");
+  Answer Lost = record(4, "lost-answer", "{}", 4000);
+  if (Lost.Status != 201)
+    BOOST_TEST(Lost.notRun() == "unknown");
+  Answer Again = record(5, "lost-answer", "{}", 4000);
+  BOOST_TEST(writes("lost-answer", {101}) <= 1);
+  BOOST_TEST((Again.Status == 201) == (Lost.Status == 201));
+}
