ferryd: Count a control host's vote in confirmations only once a leader addressed it

Cause: the process test of lost disks did not pass each time. Its last step found host 1 as a voter while that was still the identity of its old disk; the old disk also answered confirmations, and with the lagging host beside it a router could have confirmed a number below an accepted one. Ruled out: the registry client's resends (a leader was there, no quorum was), the log's votes (they name the replica, so the old one got none). Before: with the third host away, routers stayed confirmed by the old disk (TestCoordination, lost_disks_are_repaired_one_after_the_other, failed at the wait for unconfirmed). The test now waits for a new identity in place of the old.

--- a/Services/ferryd/ControlPlaneMessages.cpp
+++ b/Services/ferryd/ControlPlaneMessages.cpp
@@ -54,7 +54,7 @@
     return;
   wire::ConfirmationMessage Reply;
   Reply.__set_Answer(membership::answerQuery(
-      Message.Query, Node->greatestNumber(), Node->log().isVoter()));
+      Message.Query, Node->greatestNumber(), Node->isCurrentVoter()));
   Link->send(From, PayloadKind::Confirmation, Reply);
 }
 
--- a/Services/ferryd/RegistryNode.cpp
+++ b/Services/ferryd/RegistryNode.cpp
@@ -29,7 +29,7 @@
   Hooks.RestoreSnapshot = [this](std::string_view Bytes) {
     return tryRestore(Bytes);
   };
-  Hooks.StandingChanged = Calls.StandingChanged;
+  Hooks.StandingChanged = [this] { onStandingChanged(); };
   return Hooks;
 }
 
@@ -70,6 +70,15 @@
   return {};
 }
 
+void RegistryNode::onStandingChanged() {
+  if (Log->isVoter() && Log->leader())
+    LeaderSeen = true;
+  // A dismissed identity is no voter; its successor must be seen anew.
+  if (!Log->isVoter())
+    LeaderSeen = false;
+  Calls.StandingChanged();
+}
+
 void RegistryNode::step(ServerEvent Event) {
   for (ServerEffect &Effect : Server.step(std::move(Event)))
     match(
--- a/Services/ferryd/RegistryNode.h
+++ b/Services/ferryd/RegistryNode.h
@@ -33,6 +33,11 @@
   /// commands that are not yet committed included.
   DescriptionNumber greatestNumber() const;
 
+  /// \returns whether this host's log counts for a quorum. A disk that was away
+  /// may hold an identity that was replaced meanwhile: it counts only once a
+  /// leader has addressed it since the process started.
+  bool isCurrentVoter() const { return LeaderSeen && Log->isVoter(); }
+
   const registry::Registry &state() const { return State; }
   const consensus::LogDriver &log() const { return *Log; }
 
@@ -49,7 +54,10 @@
   void confirmRead(registry::ServerConfirmRead Read);
   HostId leaderOr(const std::optional<HostId> &Leader) const;
 
+  void onStandingChanged();
+
   Hooks Calls;
+  bool LeaderSeen = false;
   registry::Registry State;
   registry::RegistryServer Server{State};
   std::unique_ptr<consensus::LogDriver> Log;
--- a/Tests/System/TestCoordination.cpp
+++ b/Tests/System/TestCoordination.cpp
@@ -87,11 +87,22 @@
   requireAccepted(4, 1, "after-repair", 400);
   startHost(2);
   BOOST_REQUIRE(eventually([&] { return isVoter(2); }));
-  // The first host's old disk comes back: it joins anew, and goes nowhere back.
+  // The first host's old disk comes back while the third host is away. What it
+  // holds is no vote: nobody may confirm a number with it.
   killHost(1);
   restoreDisk(1);
+  killHost(3);
   startHost(1);
   BOOST_REQUIRE(eventually([&] { return isVoter(1); }));
+  std::string OldReplica = dumpValue(1, "log", "replica");
+  BOOST_REQUIRE(eventually(
+      [&] { return dumpValue(4, "host", "standing") == "unconfirmed"; }));
+  BOOST_TEST(chat(4, "hola").notRun() == "true");
+  // With the third host it joins anew, and goes nowhere back.
+  startHost(3);
+  BOOST_REQUIRE(eventually([&] {
+    return isVoter(1) && dumpValue(1, "log", "replica") != OldReplica;
+  }));
   requireInForce(2, {1, 2, 3, 4, 5});
   killHost(3);
   requireAccepted(5, 2, "last", 401);
