LibRouting: Let retries of unsent tries pass the budget

The budget bounds the load that retries put on targets; a try that sent nothing put none, and a target already tried is never tried again for a request. Ruled out: a larger start of the budget, which only moves the count.

--- a/Libraries/LibRouting/SchedulerTries.cpp
+++ b/Libraries/LibRouting/SchedulerTries.cpp
@@ -67,7 +67,9 @@
   collectCandidates(Pool, Request, Now);
   if (Candidates.empty())
     return refuse(Request, RefusalKind::NoTarget, Now);
-  if (!Pool.Budget.spend())
+  // A try that sent nothing put no load on a target: the budget bounds load.
+  bool PutLoad = Event.Outcome != TryOutcome::NotSent;
+  if (PutLoad && !Pool.Budget.spend())
     return refuse(Request, RefusalKind::RetryBudgetSpent, Now);
   ++Counters.Retried;
   Pool.Queue.pushFront(Request, shareOf(Request.Workspace));
