--- a/Tests/LibTraffic/TestStreams.cpp
+++ b/Tests/LibTraffic/TestStreams.cpp
@@ -259,6 +259,7 @@
       Tail.erase(0, Tail.size() - 200);
   }
   BOOST_TEST(Tail.find("[DONE]") != std::string::npos);
+  BOOST_TEST(Bytes > Tokens);
   BOOST_TEST(Engine.tokensSent() == Tokens + 1);
 }
 
