--- a/Libraries/LibConfig/TokenFile.cpp
+++ b/Libraries/LibConfig/TokenFile.cpp
@@ -77,14 +77,4 @@
   return tryParseTokens(*Text, Path.string());
 }
 
-bool tokensEqual(std::string_view Shown, std::string_view Expected) {
-  if (Shown.size() != Expected.size())
-    return false;
-  unsigned Difference = 0;
-  for (size_t Index = 0; Index < Shown.size(); ++Index)
-    Difference |= static_cast<unsigned char>(Shown[Index]) ^
-                  static_cast<unsigned char>(Expected[Index]);
-  return Difference == 0;
-}
-
 } // namespace ferry::config
--- a/Libraries/LibConfig/TokenFile.h
+++ b/Libraries/LibConfig/TokenFile.h
@@ -29,10 +29,6 @@
 /// Reads and parses a token file.
 Result<Tokens, ConfigErrors> tryLoadTokens(const std::filesystem::path &Path);
 
-/// Compares in a time that depends on the lengths only.
-/// \returns whether \p Shown equals \p Expected.
-bool tokensEqual(std::string_view Shown, std::string_view Expected);
-
 } // namespace ferry::config
 
 #endif
--- a/Libraries/LibTraffic/TokenStore.cpp
+++ b/Libraries/LibTraffic/TokenStore.cpp
@@ -1,4 +1,5 @@
 #include "LibTraffic/TokenStore.h"
+#include "LibCore/ConstantTime.h"
 #include <Poco/String.h>
 #include <fstream>
 #include <sstream>
@@ -8,16 +9,6 @@
 /// Largest key file, in bytes.
 static constexpr size_t MaxTokenFileBytes = 1 << 20;
 
-bool equalInConstantTime(std::string_view Shown, std::string_view Expected) {
-  // The differing lengths are folded in, so that no early return shows one.
-  size_t Difference = Shown.size() ^ Expected.size();
-  for (size_t I = 0; I < Shown.size(); ++I) {
-    char Other = Expected.empty() ? '\0' : Expected[I % Expected.size()];
-    Difference |= static_cast<unsigned char>(Shown[I] ^ Other);
-  }
-  return Difference == 0;
-}
-
 Result<TokenStore, TrafficError>
 TokenStore::tryLoad(const std::filesystem::path &Path) {
   if (Path.empty())
--- a/Libraries/LibTraffic/TokenStore.h
+++ b/Libraries/LibTraffic/TokenStore.h
@@ -12,10 +12,6 @@
 
 namespace ferry::traffic {
 
-/// \returns whether the texts are equal, in a time that depends on the length
-/// of \p Shown only.
-bool equalInConstantTime(std::string_view Shown, std::string_view Expected);
-
 /// Tokens by name, as read from the key file. Has no way to print one.
 class TokenStore {
 public:
--- a/Libraries/LibWire/Handshake.cpp
+++ b/Libraries/LibWire/Handshake.cpp
@@ -33,13 +33,4 @@
   return std::string(Digest.begin(), Digest.end());
 }
 
-bool equalConstantTime(std::string_view Left, std::string_view Right) {
-  if (Left.size() != Right.size())
-    return false;
-  unsigned char Difference = 0;
-  for (size_t Index = 0; Index < Left.size(); ++Index)
-    Difference |= static_cast<unsigned char>(Left[Index] ^ Right[Index]);
-  return Difference == 0;
-}
-
 } // namespace ferry::wire
--- a/Libraries/LibWire/Handshake.h
+++ b/Libraries/LibWire/Handshake.h
@@ -32,10 +32,6 @@
 std::string makeProof(std::string_view ClusterKey, ConnectionSide Side,
                       std::string_view PeerNonce, const HostId &Prover);
 
-/// Compares without telling by its time where the texts differ.
-/// \returns whether both are equal.
-bool equalConstantTime(std::string_view Left, std::string_view Right);
-
 } // namespace ferry::wire
 
 #endif
--- a/Libraries/LibWire/PeerConnection.cpp
+++ b/Libraries/LibWire/PeerConnection.cpp
@@ -1,4 +1,5 @@
 #include "LibWire/PeerConnection.h"
+#include "LibCore/ConstantTime.h"
 #include "LibWire/Codec.h"
 #include <array>
 
@@ -165,7 +166,7 @@
   auto PeerSide = Side == ConnectionSide::Connector ? ConnectionSide::Acceptor
                                                     : ConnectionSide::Connector;
   std::string Wanted = makeProof(Identity.ClusterKey, PeerSide, OwnNonce, Peer);
-  if (!equalConstantTime(Shown->Proof, Wanted))
+  if (!equalInConstantTime(Shown->Proof, Wanted))
     return makeTypedError(WireErrorKind::Untrusted, Peer.Value);
   becomeProven();
   return {};
--- a/Tests/LibConfig/TestParse.cpp
+++ b/Tests/LibConfig/TestParse.cpp
@@ -1,5 +1,6 @@
 #include "LibConfig/Parse.h"
 #include "LibConfig/TokenFile.h"
+#include "LibCore/ConstantTime.h"
 #include <algorithm>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -275,7 +276,7 @@
              "more\n"
              "t:4:1: duplicate: a\n");
   requireValue(tryLoadTokens(example("hosts/tokens")));
-  BOOST_TEST(tokensEqual("abc", "abc"));
-  BOOST_TEST(!tokensEqual("abc", "abd"));
-  BOOST_TEST(!tokensEqual("abc", "abcd"));
+  BOOST_TEST(equalInConstantTime("abc", "abc"));
+  BOOST_TEST(!equalInConstantTime("abc", "abd"));
+  BOOST_TEST(!equalInConstantTime("abc", "abcd"));
 }
