--- a/Libraries/LibTraffic/ControlPort.h
+++ b/Libraries/LibTraffic/ControlPort.h
@@ -30,6 +30,12 @@
   std::string Text;
 };
 
+/// A change that came in force on this host.
+struct PastChange {
+  DescriptionNumber Number;
+  std::string Operation;
+};
+
 /// How far a number has come.
 struct SpreadStatus {
   DescriptionNumber Number;
@@ -90,6 +96,9 @@
   /// Reads how far \p Number has spread, as this host knows it.
   std::function<void(DescriptionNumber, std::function<void(SpreadStatus)>)>
       ReadSpread;
+  /// Lists the newest numbers that came in force on this host since its start,
+  /// the oldest first; numbers that it never saw are missing.
+  std::function<void(std::function<void(std::vector<PastChange>)>)> ReadHistory;
   /// Takes a target's announcement.
   std::function<void(TargetRecord, std::function<void(AnnounceReply)>)>
       Announce;
--- a/Libraries/LibTraffic/OperatorServer.cpp
+++ b/Libraries/LibTraffic/OperatorServer.cpp
@@ -60,6 +60,8 @@
     getDescription(Exchange);
   else if (Asked == "GET /v1/description/spread")
     getSpread(Exchange, Target);
+  else if (Asked == "GET /v1/description/history")
+    getHistory(Exchange);
   else if (Asked == "GET /v1/dump")
     getDump(Exchange);
   else if (Asked == "GET /metrics")
@@ -235,6 +237,23 @@
                ",\"hosts_known\":" + std::to_string(Status->HostsKnown) + "}");
 }
 
+void OperatorServer::getHistory(HttpExchange &Exchange) {
+  auto Changes = awaitReply<std::vector<PastChange>>(
+      steadyNow() + AnswerLimit,
+      [&](auto Done) { Context.Control.ReadHistory(Done); });
+  if (!Changes) {
+    Exchange.sendError(noAnswer());
+    return;
+  }
+  std::string List;
+  for (const PastChange &Change : *Changes) {
+    List += List.empty() ? "{" : ",{";
+    List += "\"number\":" + std::to_string(Change.Number.Value);
+    List += ",\"operation\":" + jsonString(Change.Operation) + "}";
+  }
+  Exchange.sendJson(200, "{\"changes\":[" + List + "]}");
+}
+
 void OperatorServer::getDump(HttpExchange &Exchange) {
   auto Control =
       awaitReply<std::string>(steadyNow() + AnswerLimit,
--- a/Libraries/LibTraffic/OperatorServer.h
+++ b/Libraries/LibTraffic/OperatorServer.h
@@ -41,6 +41,7 @@
   void putDescription(HttpExchange &Exchange);
   void getDescription(HttpExchange &Exchange);
   void getSpread(HttpExchange &Exchange, const RequestTarget &Target);
+  void getHistory(HttpExchange &Exchange);
   void getDump(HttpExchange &Exchange);
   void getMetrics(HttpExchange &Exchange);
   void postDrain(HttpExchange &Exchange);
--- a/Services/ferryd/ControlPlane.h
+++ b/Services/ferryd/ControlPlane.h
@@ -98,6 +98,7 @@
                       traffic::RegistryResult<traffic::CurrentDescription>)>);
   void announce(const TargetRecord &Record,
                 const std::function<void(traffic::AnnounceReply)> &Done);
+  std::vector<traffic::PastChange> pastChanges() const;
   traffic::SpreadStatus spreadOf(DescriptionNumber Number) const;
 
   config::Settings Settings;
--- a/Services/ferryd/ControlPlanePort.cpp
+++ b/Services/ferryd/ControlPlanePort.cpp
@@ -50,6 +50,9 @@
     Loop.post(
         [this, Number, Done = std::move(Done)] { Done(spreadOf(Number)); });
   };
+  Port.ReadHistory = [this](auto Done) {
+    Loop.post([this, Done = std::move(Done)] { Done(pastChanges()); });
+  };
   Port.Announce = [this](TargetRecord Record, auto Done) {
     Loop.post([this, Record = std::move(Record), Done = std::move(Done)] {
       announce(Record, Done);
@@ -100,6 +103,13 @@
   Done(std::move(Reply));
 }
 
+std::vector<traffic::PastChange> ControlPlane::pastChanges() const {
+  std::vector<traffic::PastChange> Changes;
+  for (const wire::DescriptionCopy &Copy : Holder.history())
+    Changes.push_back({{static_cast<uint64_t>(Copy.Number)}, Copy.Operation});
+  return Changes;
+}
+
 traffic::SpreadStatus ControlPlane::spreadOf(DescriptionNumber Number) const {
   traffic::SpreadStatus Status;
   Status.Number = Holder.number();
--- a/Services/ferryd/DescriptionHolder.cpp
+++ b/Services/ferryd/DescriptionHolder.cpp
@@ -2,6 +2,9 @@
 
 namespace ferry::daemon {
 
+/// Changes that a host remembers, for operators only.
+static constexpr size_t MaxHistory = 100;
+
 DescriptionHolder::DescriptionHolder(HostStore &Store) : Store(Store) {
   wire::DescriptionCopy Stored = Store.description();
   if (Stored.Number > 0)
@@ -31,6 +34,10 @@
                           Read.error().front().message());
   Parsed = std::make_shared<const config::Description>(std::move(*Read));
   InForce = Copy;
+  History.push_back(Copy);
+  History.back().Text.clear();
+  if (History.size() > MaxHistory)
+    History.pop_front();
   return {};
 }
 
--- a/Services/ferryd/DescriptionHolder.h
+++ b/Services/ferryd/DescriptionHolder.h
@@ -5,6 +5,7 @@
 
 #include "LibConfig/Parse.h"
 #include "ferryd/HostStore.h"
+#include <deque>
 #include <memory>
 
 namespace ferry::daemon {
@@ -39,12 +40,17 @@
     return Parsed;
   }
 
+  /// The newest copies that came in force since the start, without their
+  /// texts, the oldest first.
+  const std::deque<wire::DescriptionCopy> &history() const { return History; }
+
 private:
   Result<void, TakeError> tryParse(const wire::DescriptionCopy &Copy);
 
   HostStore &Store;
   wire::DescriptionCopy InForce;
   std::shared_ptr<const config::Description> Parsed;
+  std::deque<wire::DescriptionCopy> History;
 };
 
 } // namespace ferry::daemon
--- a/Tests/LibTraffic/TestOperatorServer.cpp
+++ b/Tests/LibTraffic/TestOperatorServer.cpp
@@ -1,3 +1,4 @@
+#include "LibCore/ConstantTime.h"
 #include "LibTraffic/TrafficBed.h"
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -23,6 +24,9 @@
     Port.ReadSpread = [](DescriptionNumber Number, auto Done) {
       Done(SpreadStatus{Number, 3, 7});
     };
+    Port.ReadHistory = [](auto Done) {
+      Done(std::vector<PastChange>{{{6}, "op-6"}, {{7}, "op-\"7"}});
+    };
     Bed = std::make_unique<TrafficBed>(Ledger, "host-1", 1, TrafficLimits{},
                                        200, Port);
   }
@@ -118,12 +122,21 @@
   BOOST_TEST(Operators.Changes.empty());
 }
 
+BOOST_AUTO_TEST_CASE(history_lists_what_the_host_remembers) {
+  OperatorBed Operators{ChangeOutcome(ChangeAccepted{{7}})};
+  CallerReply Reply = Operators.ask("GET", "/v1/description/history");
+  BOOST_TEST(Reply.Status == 200);
+  BOOST_TEST(Reply.Body == R"({"changes":[{"number":6,"operation":"op-6"},)"
+                           R"({"number":7,"operation":"op-\"7"}]})");
+}
+
 BOOST_AUTO_TEST_CASE(every_route_of_operators_needs_their_token) {
   OperatorBed Operators{ChangeOutcome(ChangeAccepted{{7}})};
   const std::pair<const char *, const char *> Routes[] = {
       {"PUT", "/v1/description"},
       {"GET", "/v1/description"},
       {"GET", "/v1/description/spread?number=7"},
+      {"GET", "/v1/description/history"},
       {"GET", "/v1/dump"},
       {"GET", "/metrics"},
       {"POST", "/v1/drain"}};
