LibConfig: Refuse texts that are not UTF-8

Cause: a description in Latin-1, sent by a program under test, was accepted and came back as bytes that its reader could not decode. Before: TestParse, description_faults_have_kind_and_place, new row: accepted. After: bad_syntax with line and column.

--- a/Libraries/LibConfig/YamlDocument.cpp
+++ b/Libraries/LibConfig/YamlDocument.cpp
@@ -1,4 +1,5 @@
 #include "LibConfig/YamlDocument.h"
+#include <Poco/UTF8Encoding.h>
 #include <optional>
 #include <sstream>
 #include <yaml-cpp/eventhandler.h>
@@ -82,6 +83,41 @@
 
 } // namespace
 
+namespace {
+
+/// A place in a text, counted from 1.
+struct TextPlace {
+  uint32_t Line = 1;
+  uint32_t Column = 1;
+};
+
+} // namespace
+
+/// \returns the bytes of the UTF-8 sequence that \p Lead begins.
+static int sequenceBytes(unsigned char Lead) {
+  if (Lead < 0x80)
+    return 1;
+  if (Lead < 0xE0)
+    return 2;
+  return Lead < 0xF0 ? 3 : 4;
+}
+
+/// \returns where \p Text stops being UTF-8, or nothing.
+static std::optional<TextPlace> findBadUtf8(const std::string &Text) {
+  TextPlace Place;
+  const auto *Bytes = reinterpret_cast<const unsigned char *>(Text.data());
+  for (size_t At = 0; At < Text.size();) {
+    int Length = sequenceBytes(Bytes[At]);
+    bool Whole = At + Length <= Text.size();
+    if (!Whole || !Poco::UTF8Encoding::isLegal(Bytes + At, Length))
+      return Place;
+    Place = Text[At] == '\n' ? TextPlace{Place.Line + 1, 1}
+                             : TextPlace{Place.Line, Place.Column + 1};
+    At += Length;
+  }
+  return std::nullopt;
+}
+
 static ConfigErrors single(ConfigError Error) { return {std::move(Error)}; }
 
 Result<YAML::Node, ConfigErrors> tryLoadYaml(const std::string &Text,
@@ -90,6 +126,9 @@
     return makeError(
         single({ConfigErrorKind::TooLarge, FileName, 0, 0,
                 "longer than " + std::to_string(MaxTextBytes) + " bytes"}));
+  if (auto Bad = findBadUtf8(Text))
+    return makeError(single({ConfigErrorKind::BadSyntax, FileName, Bad->Line,
+                             Bad->Column, "not UTF-8"}));
   BoundsChecker Checker;
   try {
     std::istringstream Stream(Text);
--- a/Tests/LibConfig/TestParse.cpp
+++ b/Tests/LibConfig/TestParse.cpp
@@ -127,6 +127,7 @@
     {"region: r", "regio: r", Kind::MissingKey, 1, 1},
     {"region: r", "region: [r]", Kind::WrongType, 2, 9},
     {"region: r", "region: ~", Kind::WrongType, 2, 9},
+    {"region: r", "region: r # Pr\xe9stamos", Kind::BadSyntax, 2, 15},
     {"region: r", "region: a b", Kind::BadValue, 2, 9},
     {"region: r", "region: r\nregion: r", Kind::Duplicate, 3, 1},
     {"region: r", "region: r\nextra: 1", Kind::UnknownKey, 3, 1},
