--- a/Libraries/LibMembership/Events.h
+++ b/Libraries/LibMembership/Events.h
@@ -3,7 +3,7 @@
 #ifndef FERRY_LIBMEMBERSHIP_EVENTS_H
 #define FERRY_LIBMEMBERSHIP_EVENTS_H
 
-#include "LibCore/EnumNames.h"
+#include "LibCore/HostStanding.h"
 #include "LibCore/TargetRecord.h"
 #include "LibWire/Generated/Membership_types.h"
 #include <variant>
@@ -11,7 +11,7 @@
 namespace ferry::membership {
 
 /// Whether a host may be given to callers as an entry.
-enum class Standing : uint8_t { Serving, Draining, Unconfirmed, Silent };
+using Standing = HostStanding;
 
 /// One host as this host sees it.
 struct HostState {
@@ -96,17 +96,4 @@
 
 } // namespace ferry::membership
 
-namespace ferry {
-
-template <> struct EnumNames<membership::Standing> {
-  using Standing = membership::Standing;
-  static constexpr EnumName<Standing> Table[] = {
-      {Standing::Serving, "serving"},
-      {Standing::Draining, "draining"},
-      {Standing::Unconfirmed, "unconfirmed"},
-      {Standing::Silent, "silent"}};
-};
-
-} // namespace ferry
-
 #endif
--- a/Libraries/LibRouting/RoutingView.h
+++ b/Libraries/LibRouting/RoutingView.h
@@ -4,6 +4,7 @@
 #define FERRY_LIBROUTING_ROUTINGVIEW_H
 
 #include "LibConfig/Description.h"
+#include "LibCore/HostStanding.h"
 #include "LibCore/Ids.h"
 #include "LibCore/TargetRecord.h"
 #include "LibCore/Time.h"
@@ -13,8 +14,7 @@
 
 namespace ferry::routing {
 
-/// Whether a host may be given to callers as an entry.
-enum class HostStanding : uint8_t { Serving, Draining, Unconfirmed, Silent };
+using ferry::HostStanding;
 
 /// One host as this router sees it.
 struct HostView {
@@ -48,17 +48,4 @@
 
 } // namespace ferry::routing
 
-namespace ferry {
-
-template <> struct EnumNames<routing::HostStanding> {
-  using Standing = routing::HostStanding;
-  static constexpr EnumName<Standing> Table[] = {
-      {Standing::Serving, "serving"},
-      {Standing::Draining, "draining"},
-      {Standing::Unconfirmed, "unconfirmed"},
-      {Standing::Silent, "silent"}};
-};
-
-} // namespace ferry
-
 #endif
--- a/Services/ferryd/ViewBuilder.cpp
+++ b/Services/ferryd/ViewBuilder.cpp
@@ -2,26 +2,12 @@
 
 namespace ferry::daemon {
 
-static routing::HostStanding standingOf(membership::Standing Standing) {
-  switch (Standing) {
-  case membership::Standing::Serving:
-    return routing::HostStanding::Serving;
-  case membership::Standing::Draining:
-    return routing::HostStanding::Draining;
-  case membership::Standing::Unconfirmed:
-    return routing::HostStanding::Unconfirmed;
-  case membership::Standing::Silent:
-    break;
-  }
-  return routing::HostStanding::Silent;
-}
-
 static routing::HostView hostView(const config::Settings &Settings,
                                   const membership::HostState &Host) {
   routing::HostView View;
   View.Id = Host.Id;
   View.DataCentre = Host.DataCentre;
-  View.Standing = standingOf(Host.Standing);
+  View.Standing = Host.Standing;
   View.Incarnation = Host.Incarnation;
   if (const config::PeerHost *Listed = Settings.findHost(Host.Id))
     View.CallerAddress = Listed->CallerAddress;
@@ -35,7 +21,7 @@
   View->Number = Inputs.Holder.number();
   View->Description = Inputs.Holder.description();
   View->ConfirmedUntil = Inputs.ConfirmedUntil;
-  View->OwnStanding = standingOf(Inputs.OwnStanding);
+  View->OwnStanding = Inputs.OwnStanding;
   // Confirmation is told by its deadline, which is checked at each use.
   if (View->OwnStanding == routing::HostStanding::Unconfirmed)
     View->OwnStanding = routing::HostStanding::Serving;
