--- a/Services/ferryd/Daemon.cpp
+++ b/Services/ferryd/Daemon.cpp
@@ -1,6 +1,7 @@
 #include "ferryd/Daemon.h"
 #include "LibCore/Random.h"
 #include "LibObserve/Log.h"
+#include "ferryd/RoutingFigures.h"
 
 namespace ferry::daemon {
 
@@ -60,11 +61,18 @@
     return makeTypedError(StartErrorKind::CannotListen,
                           Started.error().message());
   Traffic = std::move(*Started);
+  Control->addDumpSection("routing", [this] {
+    return routingSection(Traffic->placements().status());
+  });
   Control->publishView();
   return {};
 }
 
-std::string Daemon::metricsText() const { return Control->metricsText(); }
+std::string Daemon::metricsText() {
+  // Asked for only while the operators' server runs, so Traffic is there.
+  setRoutingFigures(RoutingFigures, Traffic->placements().status());
+  return Control->metricsText() + RoutingFigures.render();
+}
 
 void Daemon::drainAndStop() {
   observe::logEvent(Severity::Info, "ferryd", "draining", {});
--- a/Services/ferryd/Daemon.h
+++ b/Services/ferryd/Daemon.h
@@ -34,13 +34,14 @@
   Result<void, StartError>
   tryStartControl(std::function<void()> DrainRequested);
   Result<void, StartError> tryStartTraffic();
-  std::string metricsText() const;
+  std::string metricsText();
   void stopControl();
 
   config::Settings Settings;
   ControlLoop Loop;
   std::unique_ptr<ControlPlane> Control;
   std::unique_ptr<traffic::TrafficFront> Traffic;
+  observe::Metrics RoutingFigures;
   std::thread ControlThread;
 };
 
