--- a/Libraries/LibTraffic/ChatRelay.cpp
+++ b/Libraries/LibTraffic/ChatRelay.cpp
@@ -1,11 +1,15 @@
 #include "LibTraffic/ChatRelay.h"
 #include "LibCore/Visit.h"
+#include "LibObserve/Log.h"
 #include "LibTraffic/EngineTry.h"
 #include "LibTraffic/Json.h"
 #include <Poco/JSON/Array.h>
 
 namespace ferry::traffic {
 
+using observe::logEvent;
+using observe::Severity;
+
 using namespace ferry::routing;
 
 /// Largest whole answer of an engine, in bytes.
@@ -32,6 +36,9 @@
     TryEnd End = tryOn(*Placed);
     if (auto *Failed = std::get_if<TryFailed>(&End)) {
       Context.Counters.add(TrafficCount::FailedTries);
+      logEvent(Severity::Info, "traffic", "try_failed",
+               {{"target", Placed->Target}, {"outcome", Failed->Outcome}},
+               Caller.Id);
       Placed = retry(Failed->Outcome);
       continue;
     }
@@ -126,8 +133,11 @@
     Context.Placements.firstByte(Caller.Id, cachedTokens(Connection));
   if (Request.Form == AnswerForm::Whole)
     return relayWhole(Connection);
-  if (StreamBegun)
+  if (StreamBegun) {
     Context.Counters.add(TrafficCount::StreamsResumed);
+    logEvent(Severity::Info, "traffic", "stream_resumed",
+             {{"target", Dispatch.Target}}, Caller.Id);
+  }
   StreamWeights = Dispatch.Weights;
   return relayEvents(Connection);
 }
@@ -211,6 +221,7 @@
     return DeadlinePassed{};
   case LinkErrorKind::WrongEcho:
     Context.Counters.add(TrafficCount::EchoMismatches);
+    logEvent(Severity::Warning, "traffic", "echo_mismatch", {}, Caller.Id);
     break;
   default:
     break;
@@ -243,10 +254,14 @@
     Error.NotRun = NotRun::False;
   if (!Exchange.answered()) {
     Context.Counters.add(TrafficCount::Refused);
+    logEvent(Severity::Info, "traffic", "refused", {{"type", Error.Type}},
+             Caller.Id);
     Exchange.sendError(Error);
     return;
   }
   Context.Counters.add(TrafficCount::StreamsLost);
+  logEvent(Severity::Warning, "traffic", "stream_lost", {{"type", Error.Type}},
+           Caller.Id);
   Exchange.writeEvents("event: error\ndata: " + errorBody(Error, steadyNow()) +
                        "\n\n");
 }
--- a/Libraries/LibTraffic/ClaimedCall.cpp
+++ b/Libraries/LibTraffic/ClaimedCall.cpp
@@ -1,10 +1,14 @@
 #include "LibTraffic/ClaimedCall.h"
 #include "LibCore/Visit.h"
+#include "LibObserve/Log.h"
 #include "LibTraffic/AwaitReply.h"
 #include <thread>
 
 namespace ferry::traffic {
 
+using observe::logEvent;
+using observe::Severity;
+
 using namespace ferry::registry;
 using namespace ferry::routing;
 
@@ -218,11 +222,15 @@
       Outcome == Settled::Committed ? NotRun::True : NotRun::Unknown;
   Refusal.Entries = otherEntries(Context, Call.Caller.Workspace);
   Context.Counters.add(TrafficCount::Refused);
+  logEvent(Severity::Info, "traffic", "refused", {{"type", Refusal.Type}},
+           Call.Caller.Id);
   Exchange.sendError(Refusal);
 }
 
 void ClaimedCall::sendUnknown(const std::string &Message) {
   Context.Counters.add(TrafficCount::CallsUnknown);
+  logEvent(Severity::Warning, "traffic", "call_unknown",
+           {{"service", Call.Service}, {"reason", Message}}, Call.Caller.Id);
   Exchange.sendError({AnswerError::OutcomeUnknown, Message, NotRun::Unknown});
 }
 
--- a/Libraries/LibTraffic/ServiceCall.cpp
+++ b/Libraries/LibTraffic/ServiceCall.cpp
@@ -1,10 +1,14 @@
 #include "LibTraffic/ServiceCall.h"
+#include "LibObserve/Log.h"
 #include "LibTraffic/EngineTry.h"
 #include <Poco/URI.h>
 #include <xxhash.h>
 
 namespace ferry::traffic {
 
+using observe::logEvent;
+using observe::Severity;
+
 using namespace ferry::routing;
 
 /// Largest answer of a plain service, in bytes.
@@ -130,6 +134,9 @@
     }
     Context.Counters.add(TrafficCount::FailedTries);
     const LinkError &Error = Answer.error();
+    logEvent(Severity::Info, "traffic", "try_failed",
+             {{"target", Placed->Target}, {"reason", Error.Kind}},
+             Call.Caller.Id);
     MayHaveRun = MayHaveRun || mayHaveRun(Error);
     bool Final = Stop || Error.Kind == LinkErrorKind::CallerGone ||
                  Error.Kind == LinkErrorKind::DeadlinePassed ||
@@ -151,6 +158,8 @@
   Refused.NotRun = MayHaveRun ? NotRun::Unknown : NotRun::True;
   Refused.Entries = otherEntries(Context, Call.Caller.Workspace);
   Context.Counters.add(TrafficCount::Refused);
+  logEvent(Severity::Info, "traffic", "refused", {{"type", Refused.Type}},
+           Call.Caller.Id);
   Exchange.sendError(Refused);
 }
 
