--- a/Services/ferryd/ControlPlane.cpp
+++ b/Services/ferryd/ControlPlane.cpp
@@ -14,7 +14,7 @@
 
 static Membership::Options membershipOptions(const config::Settings &Settings,
                                              ferry::Incarnation Life) {
-  Membership::Options Options;
+  auto Options = Membership::Options::forSize(Settings.Hosts.size());
   Options.Self = Settings.Host;
   Options.DataCentre = Settings.DataCentre;
   Options.Incarnation = Life;
@@ -24,6 +24,19 @@
   return Options;
 }
 
+static Confirmation::Options
+confirmationOptions(const config::Settings &Settings,
+                    DescriptionNumber Number) {
+  Confirmation::Options Options;
+  Options.ControlHosts = Settings.controlHosts();
+  Options.Number = Number;
+  Options.Seed = systemSeed();
+  // In a large deployment most confirmations come from peers.
+  bool Large = Settings.Hosts.size() > Membership::Options().WholeTableHosts;
+  Options.Asking = Large ? Asking::WhenOld : Asking::Always;
+  return Options;
+}
+
 Result<std::unique_ptr<ControlPlane>, StartError>
 ControlPlane::tryStart(const config::Settings &Settings, ControlLoop &Loop,
                        Hooks Calls) {
@@ -43,7 +56,7 @@
     : Settings(Settings), Loop(Loop), Calls(std::move(Calls)),
       Store(std::move(Opened)), Holder(Store),
       Members(membershipOptions(Settings, Store.incarnation())),
-      Confirmed({Settings.controlHosts(), Holder.number(), systemSeed()}) {}
+      Confirmed(confirmationOptions(Settings, Holder.number())) {}
 
 ControlPlane::~ControlPlane() { Loop.cancel(TickTimer); }
 
