--- a/Libraries/LibWire/PeerConnection.cpp
+++ b/Libraries/LibWire/PeerConnection.cpp
@@ -69,30 +69,29 @@
 
 void PeerConnection::onReady() {
   try {
-    if (flushSome())
-      receiveSome();
+    flushSome();
+    receiveSome();
   } catch (const std::exception &Failure) {
     close({WireErrorKind::Disconnected, Failure.what()});
   }
 }
 
-bool PeerConnection::flushSome() {
+void PeerConnection::flushSome() {
   if (Outbound.empty())
-    return true;
+    return;
   auto Left = static_cast<int>(Outbound.size() - OutboundSent);
   int Sent =
       Socket.sendBytes(Outbound.data() + OutboundSent, Left, MSG_NOSIGNAL);
   if (Sent <= 0)
-    return true;
+    return;
   Count.BytesSent += Sent;
   OutboundSent += Sent;
   ProgressDeadline = steadyNow() + ProgressTimeout;
   if (OutboundSent < Outbound.size())
-    return true;
+    return;
   Outbound.clear();
   OutboundSent = 0;
   updateWatch();
-  return true;
 }
 
 void PeerConnection::receiveSome() {
--- a/Libraries/LibWire/PeerConnection.h
+++ b/Libraries/LibWire/PeerConnection.h
@@ -51,15 +51,13 @@
   /// Closes a connection whose handshake or sending makes no progress.
   void checkProgress(Timestamp Now);
 
-  bool isProven() const { return State == Phase::Proven; }
-
 private:
   enum class Phase : uint8_t { AwaitingHello, AwaitingProof, Proven, Closed };
 
   void start();
   void onReady();
   void receiveSome();
-  bool flushSome();
+  void flushSome();
   void updateWatch();
   void handleFrames();
   Result<void, WireError> tryHandleFrame(const std::string &Body);
--- a/Services/ferryd/HostStore.cpp
+++ b/Services/ferryd/HostStore.cpp
@@ -60,15 +60,6 @@
   return trySave();
 }
 
-Result<void, FileError>
-HostStore::tryRaiseIncarnation(ferry::Incarnation Greater) {
-  auto Value = static_cast<int64_t>(Greater.Value);
-  if (Value <= State.Incarnation)
-    return {};
-  State.Incarnation = Value;
-  return trySave();
-}
-
 Result<void, FileError> HostStore::trySave() const {
   if (Folder.empty())
     return {};
--- a/Services/ferryd/HostStore.h
+++ b/Services/ferryd/HostStore.h
@@ -28,9 +28,6 @@
   Result<void, FileError>
   tryStoreDescription(const wire::DescriptionCopy &Copy);
 
-  /// Stores a greater incarnation of this host.
-  Result<void, FileError> tryRaiseIncarnation(ferry::Incarnation Greater);
-
 private:
   explicit HostStore(std::filesystem::path Folder);
   Result<void, FileError> trySave() const;
