--- a/Libraries/LibConfig/MapReader.cpp
+++ b/Libraries/LibConfig/MapReader.cpp
@@ -148,6 +148,30 @@
              pathOf(Key) + ": must be one of " + List);
 }
 
+void MapReader::decimal(std::string_view Key, double &Target, double Most) {
+  auto Text = scalar(Key, Presence::Optional);
+  if (!Text)
+    return;
+  double Value = 0;
+  const char *End = Text->Value.data() + Text->Value.size();
+  auto [Rest, Code] = std::from_chars(Text->Value.data(), End, Value);
+  if (Code == std::errc() && Rest == End && Value >= 0 && Value <= Most)
+    Target = Value;
+  else
+    fail(ConfigErrorKind::BadValue, Key,
+         Text->Value + " is not a number from 0 to " + std::to_string(Most));
+}
+
+void MapReader::flag(std::string_view Key, bool &Target) {
+  auto Text = scalar(Key, Presence::Optional);
+  if (!Text)
+    return;
+  if (Text->Value == "true" || Text->Value == "false")
+    Target = Text->Value == "true";
+  else
+    fail(ConfigErrorKind::BadValue, Key, Text->Value + " is not true or false");
+}
+
 const YAML::Node *MapReader::sequence(std::string_view Key, Presence Need) {
   const Entry *Item = take(Key, Need);
   if (!Item)
--- a/Libraries/LibConfig/MapReader.h
+++ b/Libraries/LibConfig/MapReader.h
@@ -66,6 +66,14 @@
       Target = static_cast<NumberType>(*Value);
   }
 
+  /// Reads a number with a fraction between 0 and \p Most into \p Target, which
+  /// keeps its value if the key is missing.
+  void decimal(std::string_view Key, double &Target, double Most);
+
+  /// Reads true or false into \p Target, which keeps its value if the key is
+  /// missing.
+  void flag(std::string_view Key, bool &Target);
+
   /// Reads the name of an enumerator into \p Target, which keeps its value if
   /// the key is missing.
   template <typename EnumType>
--- a/Libraries/LibConfig/ParseSettings.cpp
+++ b/Libraries/LibConfig/ParseSettings.cpp
@@ -15,6 +15,9 @@
 static constexpr uint64_t LeastEntryLifetimeMillis = 100;
 static constexpr uint64_t MaxEntryLifetimeMillis = 600'000;
 static constexpr uint64_t MaxDrainLimitMillis = 3'600'000;
+static constexpr uint64_t MaxBoundMillis = 3'600'000;
+/// With more, the voters would be more than MaxControlHosts.
+static constexpr uint64_t MaxTolerableLosses = 3;
 
 static PeerHost readHost(MapReader &Map) {
   PeerHost Host;
@@ -118,6 +121,85 @@
               "must have from 1 to 7 hosts with role control");
 }
 
+/// \returns the host that is named by the address of \p Listener.
+static HostId hostAt(const std::string &Listener) {
+  return {Listener.substr(0, Listener.rfind(':'))};
+}
+
+static void readDiscovery(MapReader &Map, DiscoverySettings &Result) {
+  for (const PlacedText &Seed :
+       Map.texts("seeds", Presence::Required, TextForm::Address))
+    Result.Seeds.push_back(hostAt(Seed.Value));
+  Map.flag("may_form_log", Result.MayFormLog);
+  Map.number("tolerable_losses", Result.TolerableLosses, 0,
+             MaxTolerableLosses);
+}
+
+static void readRoutedListen(MapReader &Map, Settings &Result) {
+  auto Read = [&](std::string_view Key, Presence Need, std::string &Address) {
+    Address = Map.text(Key, Need, TextForm::Address);
+  };
+  bool Control = Result.Role == HostRole::Control;
+  Presence OfRouters = Control ? Presence::Optional : Presence::Required;
+  Presence OfControl = Control ? Presence::Required : Presence::Optional;
+  Read("callers", OfRouters, Result.CallerAddress);
+  Read("readiness", Presence::Optional, Result.Routed.ReadinessAddress);
+  Read("directory", Presence::Optional, Result.Routed.DirectoryAddress);
+  Read("control", OfControl, Result.Routed.ControlAddress);
+  Read("operators", Presence::Required, Result.OperatorAddress);
+  Read("peers", Presence::Required, Result.PeerAddress);
+}
+
+static void readRoutedBounds(MapReader &Map, RoutedSettings &Result) {
+  auto Millis = [&](std::string_view Key, uint32_t &Target) {
+    Map.number(Key, Target, 1, MaxBoundMillis);
+  };
+  Millis("announce_interval_ms", Result.AnnounceIntervalMillis);
+  Map.decimal("retry_ratio", Result.RetryRatio, 1);
+  Map.number("retry_slack", Result.RetrySlack, 0);
+  Millis("retry_window_ms", Result.RetryWindowMillis);
+  Millis("grace_ms", Result.GraceMillis);
+  Millis("directory_lifetime_ms", Result.DirectoryLifetimeMillis);
+  Millis("order_lease_ms", Result.OrderLeaseMillis);
+  bool Checked = false;
+  Map.flag("targets_check_fencing", Checked);
+  Result.Fencing = Checked ? FencingCheck::Checked : FencingCheck::Unchecked;
+}
+
+static void readClusterKey(MapReader &Root, Settings &Result) {
+  Result.ClusterKey =
+      Root.text("cluster_key", Presence::Optional, TextForm::Identifier);
+  if (Root.has("cluster_key") && Root.has("cluster_key_file"))
+    Root.fail(ConfigErrorKind::Duplicate, "cluster_key",
+              "cluster_key_file names the key too");
+}
+
+/// Reads the settings of a host that finds the others from seeds.
+static void readRouted(MapReader &Root, Settings &Result) {
+  Root.map("listen", Presence::Required,
+           [&](MapReader &Map) { readRoutedListen(Map, Result); });
+  Root.map("discovery", Presence::Required,
+           [&](MapReader &Map) { readDiscovery(Map, Result.Discovery); });
+  Root.map("routed", Presence::Optional,
+           [&](MapReader &Map) { readRoutedBounds(Map, Result.Routed); });
+  Result.DataFolder =
+      Root.text("data_folder", Presence::Optional, TextForm::FilePath);
+  if (Result.Role == HostRole::Control && !Root.has("data_folder"))
+    Root.fail(ConfigErrorKind::MissingKey, "data_folder",
+              "needed by role control");
+  readClusterKey(Root, Result);
+  Result.ClusterKeyFile =
+      Root.text("cluster_key_file",
+                Root.has("cluster_key") ? Presence::Optional
+                                        : Presence::Required,
+                TextForm::FilePath);
+  bool Named =
+      Result.PeerAddress.empty() || hostAt(Result.PeerAddress) == Result.Host;
+  if (!Named)
+    Root.fail(ConfigErrorKind::BadValue, "host",
+              "must be the IP address that listens for peers");
+}
+
 static Settings readSettings(MapReader &Root) {
   Settings Result;
   Result.Cluster = {
@@ -126,10 +208,15 @@
   Result.DataCentre = {
       Root.text("data_centre", Presence::Required, TextForm::Identifier)};
   Root.enumerator("role", Presence::Required, Result.Role);
-  Root.map("listen", Presence::Required,
-           [&](MapReader &Map) { readListen(Map, Result); });
-  readHosts(Root, Result);
-  readFiles(Root, Result);
+  Root.enumerator("interface", Presence::Optional, Result.Interface);
+  if (Result.Interface == Interface::Routed) {
+    readRouted(Root, Result);
+  } else {
+    Root.map("listen", Presence::Required,
+             [&](MapReader &Map) { readListen(Map, Result); });
+    readHosts(Root, Result);
+    readFiles(Root, Result);
+  }
   Root.enumerator("log_level", Presence::Optional, Result.Level);
   Root.map("limits", Presence::Optional,
            [&](MapReader &Map) { readInputLimits(Map, Result.Limits); });
@@ -137,8 +224,10 @@
               LeastEntryLifetimeMillis, MaxEntryLifetimeMillis);
   Root.number("drain_limit_ms", Result.DrainLimitMillis, 1,
               MaxDrainLimitMillis);
-  checkOwnHost(Root, Result);
-  checkControlHosts(Root, Result);
+  if (Result.Interface == Interface::Native) {
+    checkOwnHost(Root, Result);
+    checkControlHosts(Root, Result);
+  }
   Root.finish();
   return Result;
 }
--- a/Libraries/LibConfig/Settings.h
+++ b/Libraries/LibConfig/Settings.h
@@ -5,6 +5,7 @@
 
 #include "LibCore/EnumNames.h"
 #include "LibCore/Ids.h"
+#include "LibCore/TargetRecord.h"
 #include <filesystem>
 #include <string>
 #include <vector>
@@ -17,6 +18,51 @@
 /// How much a process logs.
 enum class LogLevel : uint8_t { Debug, Info, Warning, Error };
 
+/// How callers, targets and operators reach a process.
+enum class Interface : uint8_t {
+  /// The /v1 routes; hosts are listed in the settings.
+  Native,
+  /// Requests are routed by host name and path; hosts are found from seeds.
+  Routed
+};
+
+/// How hosts find each other where the settings do not list them. A host is
+/// then named by its IP address, and all listen for peers on the same port.
+struct DiscoverySettings {
+  /// Control hosts to ask first.
+  std::vector<HostId> Seeds;
+  /// Whether the seeds may form a new log out of empty disks. True only at the
+  /// first start of a deployment: a replica that lost its disk must join.
+  bool MayFormLog = false;
+  /// Control hosts whose disks may be lost at the same time.
+  uint32_t TolerableLosses = 1;
+
+  /// \returns the voters that bear the tolerable losses.
+  size_t wantedVoters() const { return 2 * size_t{TolerableLosses} + 1; }
+};
+
+/// What the routed interface needs, as the deployment bounds it.
+struct RoutedSettings {
+  /// "IP:port" each; empty where the role does not serve it.
+  std::string ReadinessAddress;
+  std::string DirectoryAddress;
+  std::string ControlAddress;
+  /// Longest time between two announcements of a target, in milliseconds.
+  uint32_t AnnounceIntervalMillis = 1'200;
+  /// Retries over all hosts, as a part of the requests in a window, plus the
+  /// slack; the window is in milliseconds.
+  double RetryRatio = 0.2;
+  uint32_t RetrySlack = 50;
+  uint32_t RetryWindowMillis = 10'000;
+  /// From the signal to stop until the process is killed, in milliseconds.
+  uint32_t GraceMillis = 8'000;
+  /// How long callers may keep a directory answer, in milliseconds.
+  uint32_t DirectoryLifetimeMillis = 2'000;
+  /// Length of the order lease, in milliseconds.
+  uint32_t OrderLeaseMillis = 3'000;
+  FencingCheck Fencing = FencingCheck::Unchecked;
+};
+
 /// Another host of the system, as the settings list it.
 struct PeerHost {
   HostId Id;
@@ -49,17 +95,24 @@
   HostId Host;
   DataCentreId DataCentre;
   HostRole Role = HostRole::Router;
+  config::Interface Interface = config::Interface::Native;
   /// "IP:port" each.
   std::string CallerAddress;
   std::string TargetAddress;
   std::string OperatorAddress;
   std::string PeerAddress;
-  /// All hosts of the system, this one included.
+  /// All hosts of the system, this one included; empty where they are found
+  /// from seeds.
   std::vector<PeerHost> Hosts;
   /// Empty on a host without a disk; required for HostRole::Control.
   std::filesystem::path DataFolder;
   /// File with the cluster's key, shown by peers to each other.
   std::filesystem::path ClusterKeyFile;
+  /// The key itself, where a deployment hands out no secret file. It then keeps
+  /// deployments apart and authenticates nobody.
+  std::string ClusterKey;
+  DiscoverySettings Discovery;
+  RoutedSettings Routed;
   /// File of "name: token" lines; operators show the token named "operator".
   std::filesystem::path TokenFile;
   LogLevel Level = LogLevel::Info;
@@ -85,6 +138,12 @@
       {config::HostRole::Control, "control"}};
 };
 
+template <> struct EnumNames<config::Interface> {
+  static constexpr EnumName<config::Interface> Table[] = {
+      {config::Interface::Native, "native"},
+      {config::Interface::Routed, "routed"}};
+};
+
 template <> struct EnumNames<config::LogLevel> {
   static constexpr EnumName<config::LogLevel> Table[] = {
       {config::LogLevel::Debug, "debug"},
--- a/Libraries/LibConsensus/LogDriver.cpp
+++ b/Libraries/LibConsensus/LogDriver.cpp
@@ -19,7 +19,9 @@
 Result<std::unique_ptr<LogDriver>, StorageError>
 LogDriver::tryOpen(LogOptions Options, ControlLoop &Loop, LogHooks Hooks) {
   const auto &Members = Options.Members;
-  if (std::find(Members.begin(), Members.end(), Options.Self) == Members.end())
+  bool Listed =
+      std::find(Members.begin(), Members.end(), Options.Self) != Members.end();
+  if (!Listed && Options.Source == MemberSource::Listed)
     return makeTypedError(StorageErrorKind::BadOptions,
                           "this host is not among the members");
   auto Files =
@@ -76,6 +78,11 @@
   Settings.Group = Options.Group;
   Settings.Self = Options.Self;
   Settings.Hosts = Options.Members;
+  Settings.Members = Options.Source;
+  bool Listed = std::find(Options.Members.begin(), Options.Members.end(),
+                          Options.Self) != Options.Members.end();
+  Settings.MayForm = Options.MayForm && Listed;
+  Settings.WantedVoters = Options.WantedVoters;
   Settings.Seed = Random();
   Settings.Timing = Options.Timing;
   Settings.Limits = Options.Limits;
@@ -100,6 +107,10 @@
   stepNow(ReceiveEvent{From, std::move(*Received)});
 }
 
+void LogDriver::hostsKnown(std::vector<HostId> Hosts) {
+  stepNow(HostsEvent{std::move(Hosts)});
+}
+
 void LogDriver::propose(std::string Command, ProposeCallback Done) {
   if (Closed || Failure)
     return Done(makeError(ProposeError{ProposeErrorKind::NotLeader, {}}));
--- a/Libraries/LibConsensus/LogDriver.h
+++ b/Libraries/LibConsensus/LogDriver.h
@@ -46,6 +46,12 @@
   HostId Self;
   /// All listed control hosts, this one included; the same on each.
   std::vector<HostId> Members;
+  /// Whether Members are all, or those that form the log.
+  MemberSource Source = MemberSource::Listed;
+  /// Whether an empty folder may form the log with the other Members.
+  bool MayForm = true;
+  /// Voters to aim at where members are discovered.
+  size_t WantedVoters = 3;
   /// Belongs to this log alone.
   std::filesystem::path Folder;
   /// Seeds the election jitter and replica ids; differs on each start.
@@ -76,6 +82,9 @@
   /// payloads are dropped and counted.
   void receive(const HostId &From, std::string_view Payload);
 
+  /// Tells of hosts that may hold a replica; for discovered members.
+  void hostsKnown(std::vector<HostId> Hosts);
+
   /// Proposes \p Command. \p Done runs exactly once: with the index after
   /// Apply ran for it, or with an error that says whether it may yet commit.
   void propose(std::string Command, ProposeCallback Done);
--- a/Libraries/LibConsensus/Replica.cpp
+++ b/Libraries/LibConsensus/Replica.cpp
@@ -182,6 +182,8 @@
     advanceCommit();
 }
 
+void Replica::handle(HostsEvent &Input) { Discovered = std::move(Input.Hosts); }
+
 void Replica::handle(SnapshotTakenEvent &Input) {
   SnapshotAsked = false;
   bool Overtaken = LastSnapshot && LastSnapshot->Index >= Input.Index;
--- a/Libraries/LibConsensus/Replica.h
+++ b/Libraries/LibConsensus/Replica.h
@@ -65,6 +65,7 @@
     uint64_t AckedRound = 0;
     /// Heard from since the last quorum check.
     bool Heard = true;
+    Timestamp HeardAt;
     /// Appends are sent ahead of their replies.
     bool Pipelined = false;
     /// A probing append waits for its reply.
@@ -133,6 +134,7 @@
   void handle(ReadEvent &Input);
   void handle(PersistedEvent &Input);
   void handle(SnapshotTakenEvent &Input);
+  void handle(HostsEvent &Input);
   bool admit(const ReceiveEvent &Input);
   void emit(Effect Output) { Effects.push_back(std::move(Output)); }
   void send(const HostId &To, ReplicaId Receiver, MessageBody Body);
@@ -201,6 +203,10 @@
   void takeLearner(const ReceiveEvent &From);
   void changeMembers();
   bool removeOldIdentity(const Progress &Learner);
+  bool mayAddVoter() const;
+  bool isReplaceable(const Progress &Voter) const;
+  bool removeSilentVoter();
+  std::vector<HostId> knownHosts() const;
   void proposeMembers(Configuration Members);
   void dismiss(const WaitingDismissal &Asked);
   void receive(const ReceiveEvent &From, const wire::Probe &Asked);
@@ -213,6 +219,8 @@
   Timestamp Now;
   std::vector<Effect> Effects;
 
+  /// Hosts that were discovered.
+  std::vector<HostId> Discovered;
   Identity Self;
   Vote LastVote;
   EntryLog Log;
--- a/Libraries/LibConsensus/ReplicaEvents.h
+++ b/Libraries/LibConsensus/ReplicaEvents.h
@@ -37,8 +37,13 @@
   std::string State;
 };
 
+/// Hosts that may hold a replica, beside the voters; for discovered members.
+struct HostsEvent {
+  std::vector<HostId> Hosts;
+};
+
 using Event = std::variant<TickEvent, ReceiveEvent, ProposeEvent, ReadEvent,
-                           PersistedEvent, SnapshotTakenEvent>;
+                           PersistedEvent, SnapshotTakenEvent, HostsEvent>;
 
 /// Send a message; it may be lost.
 struct SendEffect {
--- a/Libraries/LibConsensus/ReplicaLeader.cpp
+++ b/Libraries/LibConsensus/ReplicaLeader.cpp
@@ -32,8 +32,10 @@
       continue;
     Progress *Known = progressOf(Voter.Replica);
     Progress Kept = Known != nullptr ? std::move(*Known) : Progress{};
-    if (Known == nullptr)
+    if (Known == nullptr) {
       Kept.Next = Log.lastIndex() + 1;
+      Kept.HeardAt = Now;
+    }
     Kept.Host = Voter.Host;
     Voters.emplace(Voter.Replica, std::move(Kept));
   }
@@ -74,7 +76,9 @@
     Next = Silent ? Lead.Learners.erase(Next) : std::next(Next);
   }
   if (Heard < Log.members().quorum())
-    becomeFollower(LastVote.Term, std::nullopt);
+    return becomeFollower(LastVote.Term, std::nullopt);
+  if (Options.Members == MemberSource::Discovered)
+    changeMembers();
 }
 
 void Replica::replicateAll() {
@@ -149,6 +153,7 @@
   if (Peer == nullptr)
     return;
   Peer->Heard = true;
+  Peer->HeardAt = Now;
   Peer->AckedRound =
       std::max(Peer->AckedRound, static_cast<uint64_t>(Reply.Round));
   auto Index = static_cast<uint64_t>(Reply.Index);
@@ -188,6 +193,7 @@
   if (Peer == nullptr)
     return;
   Peer->Heard = true;
+  Peer->HeardAt = Now;
   Peer->AckedRound =
       std::max(Peer->AckedRound, static_cast<uint64_t>(Reply.Round));
   finishRounds();
--- a/Libraries/LibConsensus/ReplicaMembership.cpp
+++ b/Libraries/LibConsensus/ReplicaMembership.cpp
@@ -29,10 +29,10 @@
   if (PeersNotBlank)
     join(wire::JoinReason::NewReplica);
   Answers.clear();
-  FormationAllowed = true;
+  FormationAllowed = Options.MayForm;
   wire::Probe Asked;
   Asked.Nonce = Nonce;
-  for (const HostId &Host : Options.Hosts)
+  for (const HostId &Host : knownHosts())
     if (Host != Options.Self)
       send(Host, {}, Asked);
   tryForm();
@@ -72,7 +72,7 @@
 }
 
 void Replica::tryForm() {
-  if (Options.Self != formingHost())
+  if (!Options.MayForm || Options.Self != formingHost())
     return;
   Configuration Members{{{Self.Replica, Options.Self}}};
   for (const HostId &Host : Options.Hosts) {
@@ -101,7 +101,7 @@
   wire::JoinRequest Asked;
   Asked.Reason = Reason;
   Asked.Nonce = Nonce;
-  for (const HostId &Host : Options.Hosts)
+  for (const HostId &Host : knownHosts())
     if (Host != Options.Self)
       send(Host, {}, Asked);
 }
@@ -110,7 +110,9 @@
                       const wire::JoinRequest &Asked) {
   auto *Lead = std::get_if<Leading>(&Role);
   const auto &Hosts = Options.Hosts;
-  bool Listed = std::find(Hosts.begin(), Hosts.end(), From.From) != Hosts.end();
+  bool Listed =
+      Options.Members == MemberSource::Discovered ||
+      std::find(Hosts.begin(), Hosts.end(), From.From) != Hosts.end();
   ReplicaId Asker = From.Received.Sender;
   if (Lead == nullptr || !Listed || Log.members().contains(Asker))
     return;
@@ -132,6 +134,7 @@
     return;
   if (auto Known = Lead.Learners.find(Asker); Known != Lead.Learners.end()) {
     Known->second.Heard = true;
+    Known->second.HeardAt = Now;
     return;
   }
   std::erase_if(Lead.Learners, [&](const auto &Learner) {
@@ -140,6 +143,7 @@
   Progress Started;
   Started.Host = From.From;
   Started.Next = Log.lastIndex() + 1;
+  Started.HeardAt = Now;
   Lead.Learners.emplace(Asker, std::move(Started));
 }
 
@@ -154,12 +158,61 @@
       continue;
     if (removeOldIdentity(Learner))
       return;
-    Configuration Members = Log.members();
-    if (Members.Voters.size() >= MaxVoters)
+    if (!mayAddVoter())
       continue;
+    Configuration Members = Log.members();
     Members.Voters.push_back({Replica, Learner.Host});
     return proposeMembers(std::move(Members));
   }
+  if (Options.Members == MemberSource::Discovered)
+    removeSilentVoter();
+}
+
+bool Replica::isReplaceable(const Progress &Voter) const {
+  return Now - Voter.HeardAt >= Options.Timing.ReplaceSilentAfter;
+}
+
+bool Replica::mayAddVoter() const {
+  size_t Voters = Log.members().Voters.size();
+  if (Options.Members == MemberSource::Listed)
+    return Voters < MaxVoters;
+  const auto &Lead = std::get<Leading>(Role);
+  auto Silent = static_cast<size_t>(
+      std::count_if(Lead.Voters.begin(), Lead.Voters.end(),
+                    [this](const auto &V) { return isReplaceable(V.second); }));
+  // The successor is added before the silent one goes: at no moment does a
+  // quorum need fewer live disks than before.
+  return Voters < MaxVoters && Voters < Options.WantedVoters + Silent;
+}
+
+bool Replica::removeSilentVoter() {
+  const auto &Lead = std::get<Leading>(Role);
+  Configuration Members = Log.members();
+  if (Members.Voters.size() <= Options.WantedVoters)
+    return false;
+  for (const auto &[Replica, Voter] : Lead.Voters) {
+    if (!isReplaceable(Voter))
+      continue;
+    std::erase_if(Members.Voters, [&Id = Replica](const Member &Known) {
+      return Known.Replica == Id;
+    });
+    proposeMembers(std::move(Members));
+    return true;
+  }
+  return false;
+}
+
+std::vector<HostId> Replica::knownHosts() const {
+  std::vector<HostId> Hosts = Options.Hosts;
+  auto Add = [&Hosts](const HostId &Host) {
+    if (std::find(Hosts.begin(), Hosts.end(), Host) == Hosts.end())
+      Hosts.push_back(Host);
+  };
+  for (const HostId &Host : Discovered)
+    Add(Host);
+  for (const Member &Voter : Log.members().Voters)
+    Add(Voter.Host);
+  return Hosts;
 }
 
 bool Replica::removeOldIdentity(const Progress &Learner) {
--- a/Libraries/LibConsensus/ReplicaOptions.h
+++ b/Libraries/LibConsensus/ReplicaOptions.h
@@ -18,6 +18,9 @@
   Duration ElectionTimeout = std::chrono::milliseconds(300);
   /// Between the questions of a replica that wants to be taken in.
   Duration ProbeInterval = std::chrono::milliseconds(200);
+  /// Silence after which a voter is replaced by a learner of another host,
+  /// where members are discovered: longer than a restart takes.
+  Duration ReplaceSilentAfter = std::chrono::seconds(3);
 };
 
 /// Bounds on memory, messages and log length.
@@ -39,6 +42,14 @@
   uint64_t MaxUncommittedBytes = uint64_t{32} << 20;
 };
 
+/// Where the hosts of a log are known from.
+enum class MemberSource : uint8_t {
+  /// All of them are listed, the same on each.
+  Listed,
+  /// The hosts listed form the log; others are told by HostsEvent and join.
+  Discovered
+};
+
 /// What a replica is part of, and how it behaves.
 struct ReplicaOptions {
   ClusterId Cluster;
@@ -46,6 +57,11 @@
   HostId Self;
   /// All listed control hosts, this one included.
   std::vector<HostId> Hosts;
+  MemberSource Members = MemberSource::Listed;
+  /// Whether a replica without state may form the log with the other Hosts.
+  bool MayForm = true;
+  /// Voters to aim at where members are discovered.
+  size_t WantedVoters = 3;
   uint64_t Seed = 0;
   ReplicaTiming Timing = {};
   ReplicaLimits Limits = {};
--- a/Libraries/LibControl/Reconciler.cpp
+++ b/Libraries/LibControl/Reconciler.cpp
@@ -52,6 +52,8 @@
     return;
   Task &Work = Found->second;
   Work.Step = Stage::Settling;
+  if (Answer.Outcome == OrderOutcome::CarriedOut)
+    return noteCarriedOut(Found->first, Work, Now);
   bool Failed = Answer.Outcome == OrderOutcome::Refused ||
                 Answer.Outcome == OrderOutcome::NotSent;
   OrdersFailed += Failed;
@@ -72,6 +74,21 @@
   Work.SendNotBefore = Now + RefusalPause;
 }
 
+void Reconciler::noteCarriedOut(const TargetId &Target, Task &Work,
+                                Timestamp Now) {
+  Work.CarriedOut = true;
+  if (const auto *Load = std::get_if<LoadWeights>(&Work.Order))
+    Seen[Target] = {Work.Incarnation, Load->Weights, Now + SettleLimit};
+}
+
+WeightsVersion Reconciler::weightsOf(const TargetRecord &Target) const {
+  auto Found = Seen.find(Target.Id);
+  bool Ahead = Found != Seen.end() &&
+               Found->second.Incarnation == Target.Incarnation &&
+               Found->second.Weights > Target.Weights;
+  return Ahead ? Found->second.Weights : Target.Weights;
+}
+
 /// The order may have been received or not: it is sent again, a few times.
 void Reconciler::noteLost(Task &Work) {
   Work.Orders = std::max(Work.Orders, Task::Received::One);
@@ -141,7 +158,7 @@
       View->Description->findService(Target.Service);
   if (!Wanted || Wanted->Kind != TargetKind::Engine)
     return std::nullopt;
-  if (Target.Model != Wanted->Model || Target.Weights != Wanted->Weights)
+  if (Target.Model != Wanted->Model || weightsOf(Target) != Wanted->Weights)
     return LoadWeights{Wanted->Model, Wanted->Weights};
   if (Target.Adapter != Wanted->Adapter)
     return LoadAdapter{Wanted->Model, Wanted->Adapter};
@@ -151,12 +168,12 @@
 Reconciler::Verdict Reconciler::judge(const TargetId &Target, Task &Work,
                                       Timestamp Now) const {
   if (Work.Step == Stage::Ordered) {
-    if (Now < Work.OrderDeadline)
+    if (Now < Work.OrderDeadline + Chosen.WatchLimit)
       return Verdict::Keep;
     Work.Step = Stage::Settling;
     noteLost(Work);
   }
-  if (Now >= Work.GiveUpAt)
+  if (Now >= Work.GiveUpAt || Work.CarriedOut)
     return Verdict::Finish;
   const TargetRecord *Known = findTarget(Target);
   if (!Known)
@@ -317,6 +334,9 @@
 }
 
 void Reconciler::startTasks(Timestamp Now, Effects &Out) {
+  std::erase_if(Seen, [&](const auto &Item) {
+    return Now >= Item.second.Until;
+  });
   std::erase_if(Histories,
                 [&](const auto &Item) { return !findTarget(Item.first); });
   for (const TargetRecord *Target : wrongEngines(Now)) {
--- a/Libraries/LibControl/Reconciler.h
+++ b/Libraries/LibControl/Reconciler.h
@@ -42,6 +42,15 @@
   /// Pause before EndLoad is asked again.
   static constexpr Duration EndLoadPause = std::chrono::seconds(1);
 
+  struct Options {
+    /// How long after an order's deadline its sender watches the target for
+    /// the effect; 0 where announcements alone show it.
+    Duration WatchLimit = Duration::zero();
+  };
+
+  Reconciler() = default;
+  explicit Reconciler(Options Chosen) : Chosen(Chosen) {}
+
   /// Takes one event at \p Now. \returns what is to be done, in order.
   std::vector<ReconcilerEffect> step(const ReconcilerEvent &Event,
                                      Timestamp Now);
@@ -91,6 +100,8 @@
     /// When the task is given up and planned again.
     Timestamp GiveUpAt;
     uint32_t Resends = 0;
+    /// The target was seen to have carried the order out.
+    bool CarriedOut = false;
     /// How many different orders the target may have received in this task.
     enum class Received : uint8_t {
       None,
@@ -99,6 +110,14 @@
     } Orders = Received::None;
   };
 
+  /// Weights that a target was seen to have, ahead of its announcements.
+  struct SeenWeights {
+    ferry::Incarnation Incarnation;
+    WeightsVersion Weights;
+    /// From then on its announcements show them, or another change.
+    Timestamp Until;
+  };
+
   /// A target's failures, which put it behind others.
   struct History {
     uint32_t Failures = 0;
@@ -119,6 +138,8 @@
   void receive(const LoadSlotAnswered &Answer, Timestamp Now);
   void receive(const LoadsKnown &Known, Timestamp Now);
   void hold(const LeaseHeld &Lease);
+  void noteCarriedOut(const TargetId &Target, Task &Work, Timestamp Now);
+  WeightsVersion weightsOf(const TargetRecord &Target) const;
 
   void plan(Timestamp Now, Effects &Out);
   /// What is to become of a task.
@@ -151,6 +172,8 @@
   bool hasForeignSlot(const TargetId &Target) const;
   bool leavesOneAlone(const ServiceId &Service, Timestamp Now) const;
 
+  Options Chosen;
+  std::map<TargetId, SeenWeights> Seen;
   routing::RoutingViewPtr View;
   FencingNumber Fencing;
   /// Orders may be given before this; the epoch while the lease is not held.
--- a/Libraries/LibControl/ReconcilerEvents.h
+++ b/Libraries/LibControl/ReconcilerEvents.h
@@ -41,7 +41,9 @@
   /// Nothing of it was sent.
   NotSent,
   /// It may have been received; no answer came before its deadline.
-  Lost
+  Lost,
+  /// The target took it and was seen to have carried it out.
+  CarriedOut
 };
 
 /// The control thread has a new snapshot: targets and description.
@@ -128,7 +130,9 @@
   static constexpr EnumName<Outcome> Table[] = {{Outcome::Accepted, "accepted"},
                                                 {Outcome::Refused, "refused"},
                                                 {Outcome::NotSent, "not_sent"},
-                                                {Outcome::Lost, "lost"}};
+                                                {Outcome::Lost, "lost"},
+                                                {Outcome::CarriedOut,
+                                                 "carried_out"}};
 };
 
 } // namespace ferry
--- a/Libraries/LibMembership/Confirmation.cpp
+++ b/Libraries/LibMembership/Confirmation.cpp
@@ -32,7 +32,10 @@
       [&](const ConfirmationNumberHeard &E) {
         hear(E.Number, E.From, Now, Out);
       },
-      [&](const ConfirmationRelayed &E) { relay(E, Now, Out); });
+      [&](const ConfirmationRelayed &E) { relay(E, Now, Out); },
+      [&](const ConfirmationHosts &E) {
+        Settings.ControlHosts = E.ControlHosts;
+      });
   return Out;
 }
 
@@ -77,6 +80,9 @@
   // one counts, and the host counts once.
   DescriptionNumber &Known = Asked->Answers[Received.From];
   Known = std::max(Known, Greatest);
+  if (Answer.__isset.VoterCount && Answer.VoterCount > 0)
+    Asked->Voters =
+        std::max(Asked->Voters, static_cast<size_t>(Answer.VoterCount));
   confirm(*Asked);
 }
 
@@ -86,7 +92,10 @@
       [&](const auto &Answer) { return Answer.second <= Number; });
   // Any quorum that is not above will do: a host with a greater number that
   // never commits must not hold up the others.
-  size_t Quorum = Settings.ControlHosts.size() / 2 + 1;
+  // Configurations change by one member at a time, so that the majority of
+  // the larger one meets that of the other.
+  size_t Voters = Asked.Voters ? Asked.Voters : Settings.ControlHosts.size();
+  size_t Quorum = Voters / 2 + 1;
   if (static_cast<size_t>(Current) >= Quorum)
     ConfirmedUntil = std::max(ConfirmedUntil, Asked.AskedAt + Validity);
 }
@@ -107,11 +116,14 @@
 }
 
 wire::ConfirmationAnswer answerQuery(const wire::ConfirmationQuery &Query,
-                                     DescriptionNumber Greatest, bool Voter) {
+                                     DescriptionNumber Greatest, bool Voter,
+                                     size_t VoterCount) {
   wire::ConfirmationAnswer Answer;
   Answer.QueryNumber = Query.QueryNumber;
   Answer.GreatestNumber = static_cast<int64_t>(Greatest.Value);
   Answer.Voter = Voter;
+  if (VoterCount > 0)
+    Answer.__set_VoterCount(static_cast<int32_t>(VoterCount));
   return Answer;
 }
 
--- a/Libraries/LibMembership/Confirmation.h
+++ b/Libraries/LibMembership/Confirmation.h
@@ -42,9 +42,16 @@
   HostId From;
 };
 
+/// The control hosts are now these. Not all of them need to vote: the answers
+/// tell how many voters there are.
+struct ConfirmationHosts {
+  std::vector<HostId> ControlHosts;
+};
+
 using ConfirmationEvent =
     std::variant<ConfirmationTick, ConfirmationAnswered, ConfirmationApplied,
-                 ConfirmationNumberHeard, ConfirmationRelayed>;
+                 ConfirmationNumberHeard, ConfirmationRelayed,
+                 ConfirmationHosts>;
 
 /// Whether a host asks the control hosts in each interval, or only once what
 /// its peers relay is older than Confirmation::RelayPatience.
@@ -119,6 +126,8 @@
     Timestamp AskedAt;
     /// The greatest number of each voter that answered.
     std::map<HostId, DescriptionNumber> Answers;
+    /// The most voters that an answer told of; 0 if none did.
+    size_t Voters = 0;
   };
   using Effects = std::vector<ConfirmationEffect>;
 
@@ -144,9 +153,11 @@
 
 /// \returns a control host's answer. \p Greatest is the greatest number that
 /// its log can lead to, committed or not; \p Voter tells whether its own log
-/// counts for a quorum.
+/// counts for a quorum, \p VoterCount how many do; 0 where the settings list
+/// them all.
 wire::ConfirmationAnswer answerQuery(const wire::ConfirmationQuery &Query,
-                                     DescriptionNumber Greatest, bool Voter);
+                                     DescriptionNumber Greatest, bool Voter,
+                                     size_t VoterCount = 0);
 
 } // namespace ferry::membership
 
--- a/Libraries/LibMembership/Events.h
+++ b/Libraries/LibMembership/Events.h
@@ -13,6 +13,9 @@
 /// Whether a host may be given to callers as an entry.
 using Standing = HostStanding;
 
+/// What a host does for the others.
+enum class HostDuty : uint8_t { Router, Control };
+
 /// One host as this host sees it.
 struct HostState {
   HostId Id;
@@ -21,6 +24,10 @@
   membership::Standing Standing = membership::Standing::Silent;
   /// The description in force there.
   DescriptionNumber Number;
+  /// Of a discovered host, as it introduced itself.
+  HostDuty Duty = HostDuty::Router;
+  /// "IP:port" for callers, where the host was discovered and serves any.
+  std::string CallerAddress;
 };
 
 /// A target announced itself to this host. UsableUntil is not read.
@@ -53,9 +60,14 @@
 /// Time has passed; due at least each Membership::TickInterval.
 struct MembershipTick {};
 
+/// A host whose id is all that is known of it: one of the seeds.
+struct SeedGiven {
+  HostId Id;
+};
+
 using MembershipEvent =
     std::variant<TargetAnnounced, MembershipReceived, LocalStanding,
-                 DescriptionApplied, LocalConfirmed, MembershipTick>;
+                 DescriptionApplied, LocalConfirmed, MembershipTick, SeedGiven>;
 
 /// Send \p Message to \p To.
 struct MembershipSend {
--- a/Libraries/LibMembership/Exchange.cpp
+++ b/Libraries/LibMembership/Exchange.cpp
@@ -1,5 +1,6 @@
 #include "LibMembership/Membership.h"
 #include <algorithm>
+#include <utility>
 
 namespace ferry::membership {
 
@@ -32,6 +33,11 @@
   wire::MembershipAsk Ask;
   Ask.AskNumber = Questions.back().Number;
   Ask.Wants = std::move(Wants);
+  if (Settings.Source == HostSource::Discovered) {
+    Ask.__set_Asker(introductionOf(Origins.at(OwnTag)));
+    if (!UnknownTags.empty())
+      Ask.__set_UnknownTags(std::exchange(UnknownTags, {}));
+  }
   wire::MembershipMessage Message;
   Message.__set_Ask(std::move(Ask));
   Out.emplace_back(MembershipSend{To, std::move(Message)});
@@ -98,11 +104,17 @@
   Timestamp AskedAt = Question->At;
   // A reply is taken once; its duplicates would tell nothing new.
   Questions.erase(Question);
+  if (Reply.__isset.Introduced)
+    for (const wire::HostFields &Fields : Reply.Introduced)
+      introduce(Fields, Now);
   for (const wire::OriginDelta &Delta : Reply.Deltas)
     takeDelta(Delta);
   DescriptionNumber Before = Origins.at(OwnTag).Number;
   std::vector<wire::OriginWant> Wants;
   for (const wire::OriginHeartbeat &Heartbeat : Reply.Heartbeats) {
+    bool Unknown = Origins.count(Heartbeat.Tag) == 0;
+    if (Unknown && Settings.Source == HostSource::Discovered)
+      UnknownTags.push_back(Heartbeat.Tag);
     takeHeartbeat(Heartbeat, AskedAt);
     if (auto Want = wantOf(Heartbeat, Now))
       Wants.push_back(*Want);
@@ -119,7 +131,7 @@
         AskedAt -
             std::chrono::milliseconds(std::max(Reply.ConfirmedAgeMillis, 0)),
         Received.From});
-  if (!Wants.empty())
+  if (!Wants.empty() || !UnknownTags.empty())
     ask(Received.From, std::move(Wants), Now, Out);
 }
 
@@ -144,7 +156,7 @@
     return;
   if (Known.Incarnation < Life)
     startLife(Known, Life);
-  if (!Known.List.apply(Delta, Known.TargetsHeardAt + TargetTrust))
+  if (!Known.List.apply(Delta, Known.TargetsHeardAt + Settings.Targets.Trust))
     return;
   TargetsMoved = true;
   // More of it may follow at once.
@@ -168,6 +180,8 @@
   Timestamp HeardAt =
       AskedAt - std::chrono::milliseconds(std::max(Heartbeat.AgeMillis, 0));
   Known.HeardAt = std::max(Known.HeardAt, HeardAt);
+  if (Known.ForgetAt != NeverExpires)
+    Known.ForgetAt = std::max(Known.ForgetAt, HeardAt + ForgetAfter);
   takeStanding(Known, Heartbeat);
   if (isNear(Known.Host.DataCentre))
     takeTrust(Known, Heartbeat, AskedAt);
@@ -236,7 +250,7 @@
     for (const auto &[Id, Listed] : Known.List.targets())
       if (!Listed.Late && !Listed.Gone)
         TargetsHeardAt =
-            std::min(TargetsHeardAt, Listed.Record.UsableUntil - TargetTrust);
+            std::min(TargetsHeardAt, Listed.Record.UsableUntil - Settings.Targets.Trust);
   }
   wire::OriginHeartbeat Heartbeat;
   Heartbeat.Tag = Tag;
@@ -274,7 +288,14 @@
 void Membership::answer(const MembershipReceived &Received, Timestamp Now,
                         Effects &Out) {
   const wire::MembershipAsk &Ask = Received.Message.Ask;
+  if (Ask.__isset.Asker && Ask.Asker.Id == Received.From.Value)
+    introduce(Ask.Asker, Now);
   wire::MembershipReply Reply;
+  if (Ask.__isset.UnknownTags)
+    for (int32_t Tag : Ask.UnknownTags)
+      if (auto Met = Origins.find(Tag); Met != Origins.end())
+        Reply.Introduced.push_back(introductionOf(Met->second));
+  Reply.__isset.Introduced = !Reply.Introduced.empty();
   Reply.AskNumber = Ask.AskNumber;
   if (Ask.Wants.empty())
     addHeartbeats(Received.From, Now, Reply.Heartbeats);
--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -4,12 +4,6 @@
 
 namespace ferry::membership {
 
-/// A target that announced nothing for this long is late: two announcements
-/// are missing.
-static constexpr Duration LateAfter = std::chrono::milliseconds(1000);
-/// Targets announce themselves again within this.
-static constexpr Duration AnnounceInterval = std::chrono::milliseconds(500);
-
 int32_t tagOf(const HostId &Host) {
   // FNV-1a with 32 bits.
   uint32_t Hash = 2166136261;
@@ -34,16 +28,12 @@
       OwnTag(tagOf(this->Settings.Self)) {
   const Options &Given = this->Settings;
   Origin &Own = Origins[OwnTag];
-  Own.Host = {Given.Self, Given.DataCentre};
+  Own.Host = {Given.Self, Given.DataCentre, Given.Duty, Given.CallerAddress};
   Own.Incarnation = Given.Incarnation;
   Own.Standing = Standing::Unconfirmed;
-  for (const Peer &Other : Given.Peers) {
-    int32_t Tag = tagOf(Other.Id);
-    if (Tag == OwnTag)
-      continue;
-    Origins[Tag].Host = Other;
-    (isNear(Other.DataCentre) ? NearTags : FarTags).push_back(Tag);
-  }
+  for (const Peer &Other : Given.Peers)
+    if (tagOf(Other.Id) != OwnTag)
+      addPeer(Other, NeverHeard);
   NextQuestion =
       static_cast<int64_t>(randomBelow(Generator, uint64_t{1} << 62));
 }
@@ -68,7 +58,12 @@
         Own.Number = std::max(Own.Number, E.Number);
       },
       [&](const LocalConfirmed &E) { Confirmed = E; },
-      [&](const MembershipTick &) { tick(Now, Out); });
+      [&](const MembershipTick &) { tick(Now, Out); },
+      [&](const SeedGiven &E) {
+        if (Origins.count(tagOf(E.Id)) == 0)
+          addPeer({E.Id, {}, HostDuty::Control, {}}, Now).ForgetAt =
+              NeverExpires;
+      });
   reportChanges(Out);
   return Out;
 }
@@ -78,14 +73,16 @@
     // A stall within the time of distrust adds to the one before.
     if (DistrustUntil <= *LastStep)
       StalledSince = *LastStep;
-    DistrustUntil = Now + AnnounceInterval;
+    DistrustUntil = Now + Settings.Targets.AnnounceInterval;
   }
   LastStep = Now;
 }
 
 void Membership::announce(const TargetRecord &Record, Timestamp Now,
                           Effects &Out) {
-  if (Memory.hasEnded(Record.Id, Record.Incarnation)) {
+  bool Nameless =
+      Record.Incarnation.Value == 0 && Record.Phase == TargetPhase::Leaving;
+  if (!Nameless && Memory.hasEnded(Record.Id, Record.Incarnation)) {
     Out.emplace_back(
         AnnouncementRefused{Record.Id, Memory.greatest(Record.Id)});
     return;
@@ -104,7 +101,7 @@
     return;
   TargetRecord Heard = Record;
   Timestamp HeardAt = Now < DistrustUntil ? StalledSince : Now;
-  Heard.UsableUntil = HeardAt + TargetTrust;
+  Heard.UsableUntil = HeardAt + Settings.Targets.Trust;
   if (Known != List.targets().end() && !Known->second.Gone &&
       Known->second.Record.Incarnation == Record.Incarnation)
     Heard.UsableUntil =
@@ -121,12 +118,16 @@
 }
 
 void Membership::leave(const TargetRecord &Record, Effects &Out) {
-  Memory.noteLeft(Record.Id, Record.Incarnation);
+  ferry::Incarnation Life = Record.Incarnation;
+  // Some leave without naming their life: the newest one known is meant.
+  if (Life.Value == 0)
+    Life = Memory.greatest(Record.Id);
+  Memory.noteLeft(Record.Id, Life);
   Origins.at(OwnTag).List.remove(Record.Id);
   TargetsMoved = true;
   wire::LeaveMark Mark;
   Mark.Target = Record.Id.Value;
-  Mark.Incarnation = static_cast<int64_t>(Record.Incarnation.Value);
+  Mark.Incarnation = static_cast<int64_t>(Life.Value);
   wire::MembershipMessage Message;
   Message.__set_Leaves({Mark});
   for (int32_t Tag : NearTags)
@@ -136,6 +137,7 @@
 void Membership::tick(Timestamp Now, Effects &Out) {
   ageOwnTargets(Now);
   ageHosts(Now);
+  forgetHosts(Now);
   if (AskAt <= Now)
     askPeers(Now, Out);
 }
@@ -150,7 +152,7 @@
     Timestamp Until = Listed.Record.UsableUntil;
     if (Until <= Now)
       Gone.push_back(Id);
-    else if (!Listed.Late && Until - TargetTrust + LateAfter <= Now)
+    else if (!Listed.Late && Until - Settings.Targets.Trust + Settings.Targets.LateAfter <= Now)
       Late.push_back(Id);
   }
   for (const TargetId &Id : Late)
@@ -180,7 +182,9 @@
 }
 
 bool Membership::isNear(const DataCentreId &DataCentre) const {
-  return Settings.Peers.size() <= Settings.WholeTableHosts ||
+  size_t Hosts = Settings.Source == HostSource::Listed ? Settings.Peers.size()
+                                                      : Origins.size();
+  return Hosts <= Settings.WholeTableHosts ||
          DataCentre == Settings.DataCentre;
 }
 
@@ -196,7 +200,7 @@
   bool Own = From.Host.Id == Settings.Self;
   if (Own || Listed.Late)
     return Listed.Record.UsableUntil;
-  return From.TargetsHeardAt + TargetTrust;
+  return From.TargetsHeardAt + Settings.Targets.Trust;
 }
 
 std::vector<TargetRecord> Membership::targets(Timestamp Now) const {
@@ -226,8 +230,10 @@
   std::vector<HostState> States;
   States.reserve(Origins.size());
   for (const auto &[Tag, Known] : Origins) {
-    HostState State{Known.Host.Id, Known.Host.DataCentre, Known.Incarnation,
-                    Known.Standing, Known.Number};
+    HostState State{Known.Host.Id,     Known.Host.DataCentre,
+                    Known.Incarnation, Known.Standing,
+                    Known.Number,      Known.Host.Duty,
+                    Known.Host.CallerAddress};
     if (silentAt(Known) <= Now)
       State.Standing = Standing::Silent;
     States.push_back(std::move(State));
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -16,6 +16,17 @@
 struct Peer {
   HostId Id;
   DataCentreId DataCentre;
+  HostDuty Duty = HostDuty::Router;
+  std::string CallerAddress;
+};
+
+/// Where the other hosts are known from.
+enum class HostSource : uint8_t {
+  /// The settings list them all.
+  Listed,
+  /// From seeds: hosts introduce themselves with each question, and are passed
+  /// on to whoever meets their tags unknown.
+  Discovered
 };
 
 /// Step machine of one host.
@@ -38,6 +49,9 @@
   static constexpr Duration SilentAfter = std::chrono::seconds(3);
   /// A host of another scope is silent after this.
   static constexpr Duration FarSilentAfter = std::chrono::seconds(60);
+  /// A discovered host is forgotten after this: it has been replaced, or will
+  /// introduce itself again.
+  static constexpr Duration ForgetAfter = std::chrono::seconds(30);
 
   struct Options {
     /// \returns options with the intervals that suit \p Hosts hosts.
@@ -55,6 +69,12 @@
     size_t WholeTableHosts = 32;
     /// Load figures alone are passed on at most this often.
     Duration LoadInterval = std::chrono::milliseconds(500);
+    HostSource Source = HostSource::Listed;
+    /// How this host introduces itself, where hosts are discovered.
+    HostDuty Duty = HostDuty::Router;
+    std::string CallerAddress;
+    /// How targets are trusted between their announcements.
+    TargetTiming Targets = {};
   };
 
   explicit Membership(Options Settings);
@@ -89,6 +109,8 @@
     Timestamp TargetsHeardAt = NeverHeard;
     /// Its changes are not asked for again before this.
     Timestamp WantAt = NeverHeard;
+    /// When it is forgotten unless it is heard of; for discovered hosts.
+    Timestamp ForgetAt = NeverExpires;
     OriginList List;
   };
 
@@ -112,6 +134,10 @@
            Effects &Out);
   void askPeers(Timestamp Now, Effects &Out);
   std::optional<HostId> choosePeer();
+  Origin &addPeer(const Peer &Other, Timestamp Now);
+  void introduce(const wire::HostFields &Fields, Timestamp Now);
+  wire::HostFields introductionOf(const Origin &Known) const;
+  void forgetHosts(Timestamp Now);
   void receive(const MembershipReceived &Received, Timestamp Now, Effects &Out);
   void takeLeaves(const std::vector<wire::LeaveMark> &Leaves);
   void takeReply(const MembershipReceived &Received, Timestamp Now,
@@ -141,6 +167,8 @@
   std::map<int32_t, Origin> Origins;
   std::vector<int32_t> NearTags;
   std::vector<int32_t> FarTags;
+  /// Tags in replies that stand for hosts that this one has not met.
+  std::vector<int32_t> UnknownTags;
   TargetMemory Memory;
   std::map<TargetId, Timestamp> LoadPublishedAt;
   std::vector<Asked> Questions;
--- a/Libraries/LibMembership/OriginList.h
+++ b/Libraries/LibMembership/OriginList.h
@@ -13,6 +13,23 @@
 /// With StallAfter it makes the three seconds that are promised.
 inline constexpr Duration TargetTrust = std::chrono::milliseconds(2750);
 
+/// How targets of a deployment announce themselves and are trusted.
+struct TargetTiming {
+  /// Targets announce themselves again within this.
+  Duration AnnounceInterval = std::chrono::milliseconds(500);
+  /// A target that announced nothing for this long is late: two announcements
+  /// are missing.
+  Duration LateAfter = std::chrono::milliseconds(1000);
+  /// No new work goes to a target this long after its last announcement.
+  Duration Trust = TargetTrust;
+
+  /// \returns the timing of targets that announce themselves each \p Interval
+  /// and are kept for \p Trust.
+  static TargetTiming forInterval(Duration Interval, Duration Trust) {
+    return {Interval, 2 * Interval + Interval / 4, Trust};
+  }
+};
+
 /// A process whose steps lie farther apart has stalled: what comes next may
 /// have waited in its buffers since the last step.
 inline constexpr Duration StallAfter = std::chrono::milliseconds(250);
--- a/Libraries/LibRegistry/Commands.cpp
+++ b/Libraries/LibRegistry/Commands.cpp
@@ -92,6 +92,20 @@
   return Fields;
 }
 
+static wire::ReplaceCommand toFields(const ReplaceDescription &Value) {
+  wire::ReplaceCommand Fields;
+  Fields.Number = toWire(Value.Number.Value);
+  Fields.Text = Value.Text;
+  return Fields;
+}
+
+static wire::NameWeightsCommand toFields(const NameWeights &Value) {
+  wire::NameWeightsCommand Fields;
+  Fields.Model = Value.Model.Value;
+  Fields.Weights = toWire(Value.Weights.Value);
+  return Fields;
+}
+
 std::string encodeCommand(const Command &Value) {
   wire::RegistryCommand Fields;
   match(
@@ -112,7 +126,9 @@
         Fields.__set_ReleaseLease(toFields(C));
       },
       [&](const BeginWeightsLoad &C) { Fields.__set_BeginLoad(toFields(C)); },
-      [&](const EndWeightsLoad &C) { Fields.__set_EndLoad(toFields(C)); });
+      [&](const EndWeightsLoad &C) { Fields.__set_EndLoad(toFields(C)); },
+      [&](const ReplaceDescription &C) { Fields.__set_Replace(toFields(C)); },
+      [&](const NameWeights &C) { Fields.__set_NameWeights(toFields(C)); });
   return wire::encode(Fields);
 }
 
@@ -177,6 +193,14 @@
   return EndWeightsLoad{fromWire(Fields.Slot)};
 }
 
+static Command fromFields(const wire::ReplaceCommand &Fields) {
+  return ReplaceDescription{{fromWire(Fields.Number)}, Fields.Text};
+}
+
+static Command fromFields(const wire::NameWeightsCommand &Fields) {
+  return NameWeights{{Fields.Model}, {fromWire(Fields.Weights)}};
+}
+
 static tl::unexpected<RegistryError> invalid(std::string Detail) {
   return makeTypedError(RegistryErrorKind::Invalid, std::move(Detail));
 }
@@ -211,6 +235,10 @@
     Found.push_back(fromFields(Fields.BeginLoad));
   if (Fields.__isset.EndLoad)
     Found.push_back(fromFields(Fields.EndLoad));
+  if (Fields.__isset.Replace)
+    Found.push_back(fromFields(Fields.Replace));
+  if (Fields.__isset.NameWeights)
+    Found.push_back(fromFields(Fields.NameWeights));
   if (Found.size() != 1)
     return invalid("not exactly one command");
   return std::move(Found.front());
--- a/Libraries/LibRegistry/Commands.h
+++ b/Libraries/LibRegistry/Commands.h
@@ -17,6 +17,20 @@
   std::string Text;
 };
 
+/// Puts a description in force whose number its author chose: the greatest
+/// number wins, whatever it was based on.
+struct ReplaceDescription {
+  DescriptionNumber Number;
+  std::string Text;
+};
+
+/// Names the weights that the engines of a model are to have; lower versions
+/// than the one named before change nothing.
+struct NameWeights {
+  ModelId Model;
+  WeightsVersion Weights;
+};
+
 /// Claims a non-idempotent call for one attempt.
 struct Claim {
   ClaimKey Key;
@@ -92,7 +106,8 @@
 using Command =
     std::variant<ChangeDescription, Claim, Complete, Release, MarkUnknown,
                  AdvanceLowWater, AcquireOrderLease, RenewOrderLease,
-                 ReleaseOrderLease, BeginWeightsLoad, EndWeightsLoad>;
+                 ReleaseOrderLease, BeginWeightsLoad, EndWeightsLoad,
+                 ReplaceDescription, NameWeights>;
 
 /// The command was refused for its form; it changed nothing.
 struct CommandInvalid {
@@ -101,7 +116,8 @@
 
 using Reply =
     std::variant<ChangeOutcome, ClaimOutcome, LeaseOutcome, LoadOutcome,
-                 LowWaterMoved, StoredDescription, CommandInvalid>;
+                 LowWaterMoved, StoredDescription, CommandInvalid,
+                 WeightsNamed>;
 
 /// Longest command that the state machine takes, in bytes.
 inline constexpr size_t MaxCommandBytes = 2 * 1024 * 1024;
--- a/Libraries/LibRegistry/DescriptionHistory.cpp
+++ b/Libraries/LibRegistry/DescriptionHistory.cpp
@@ -43,6 +43,14 @@
   return ChangeAccepted{Current.Number};
 }
 
+ChangeOutcome DescriptionHistory::apply(const ReplaceDescription &Change) {
+  if (Change.Number == Current.Number && Change.Text != Current.Text)
+    return conflict();
+  if (Change.Number > Current.Number)
+    Current = {Change.Number, {}, Change.Text};
+  return ChangeAccepted{Current.Number};
+}
+
 void DescriptionHistory::save(wire::RegistrySnapshot &Snapshot) const {
   Snapshot.Description = toWire(Current);
   for (const Digest &Id : Order) {
--- a/Libraries/LibRegistry/DescriptionHistory.h
+++ b/Libraries/LibRegistry/DescriptionHistory.h
@@ -30,6 +30,11 @@
   /// Accepts the change if it is based on the current number.
   ChangeOutcome apply(const ChangeDescription &Change);
 
+  /// Puts the description in force if its number is greater. An equal number
+  /// with another text is a conflict; a lower one has been overtaken, which is
+  /// as good as accepted.
+  ChangeOutcome apply(const ReplaceDescription &Change);
+
   const StoredDescription &current() const { return Current; }
   size_t operationCount() const { return Order.size(); }
 
--- a/Libraries/LibRegistry/Outcomes.h
+++ b/Libraries/LibRegistry/Outcomes.h
@@ -135,6 +135,13 @@
   bool operator==(const StoredDescription &) const = default;
 };
 
+/// The newest weights that are named for a model.
+struct WeightsNamed {
+  ModelId Model;
+  WeightsVersion Weights;
+  bool operator==(const WeightsNamed &) const = default;
+};
+
 /// The ledger forgets stamped keys below this.
 struct LowWaterMoved {
   UnixMillis Mark;
--- a/Libraries/LibRegistry/Registry.cpp
+++ b/Libraries/LibRegistry/Registry.cpp
@@ -25,7 +25,22 @@
       [&](const RenewOrderLease &C) -> Reply { return Leases.apply(C); },
       [&](const ReleaseOrderLease &C) -> Reply { return Leases.apply(C); },
       [&](const BeginWeightsLoad &C) -> Reply { return Leases.apply(C); },
-      [&](const EndWeightsLoad &C) -> Reply { return Leases.apply(C); });
+      [&](const EndWeightsLoad &C) -> Reply { return Leases.apply(C); },
+      [&](const ReplaceDescription &C) -> Reply {
+        return Descriptions.apply(C);
+      },
+      [&](const registry::NameWeights &C) -> Reply { return apply(C); });
+}
+
+Reply Registry::apply(const registry::NameWeights &Named) {
+  WeightsVersion &Newest = NamedWeights[Named.Model];
+  Newest = std::max(Newest, Named.Weights);
+  return WeightsNamed{Named.Model, Newest};
+}
+
+WeightsVersion Registry::namedWeights(const ModelId &Model) const {
+  auto Found = NamedWeights.find(Model);
+  return Found == NamedWeights.end() ? WeightsVersion{} : Found->second;
 }
 
 std::string Registry::apply(uint64_t Index, std::string_view Command) {
@@ -45,6 +60,12 @@
   Descriptions.save(Snapshot);
   Claims.save(Snapshot);
   Leases.save(Snapshot);
+  for (const auto &[Model, Weights] : NamedWeights) {
+    wire::NamedWeightsFields Fields;
+    Fields.Model = Model.Value;
+    Fields.Weights = toWire(Weights.Value);
+    Snapshot.NamedWeights.push_back(std::move(Fields));
+  }
   return wire::encode(Snapshot);
 }
 
@@ -60,6 +81,8 @@
     return makeTypedError(RegistryErrorKind::Invalid, "inconsistent ledger");
   Restored.Descriptions.load(*Decoded);
   Restored.Leases.load(*Decoded);
+  for (const wire::NamedWeightsFields &Fields : Decoded->NamedWeights)
+    Restored.NamedWeights[{Fields.Model}] = {fromWire(Fields.Weights)};
   Restored.AppliedIndex = fromWire(Decoded->AppliedIndex);
   *this = std::move(Restored);
   return {};
@@ -69,6 +92,8 @@
   auto Decoded = tryDecodeCommand(Command);
   if (!Decoded)
     return;
+  if (const auto *Replace = std::get_if<ReplaceDescription>(&*Decoded))
+    Greatest = std::max(Greatest, Replace->Number);
   const auto *Change = std::get_if<ChangeDescription>(&*Decoded);
   if (Change != nullptr && Change->Base == Greatest)
     Greatest.Value += 1;
--- a/Libraries/LibRegistry/Registry.h
+++ b/Libraries/LibRegistry/Registry.h
@@ -6,6 +6,7 @@
 #include "LibRegistry/ClaimLedger.h"
 #include "LibRegistry/DescriptionHistory.h"
 #include "LibRegistry/OrderLeases.h"
+#include <map>
 
 namespace ferry::registry {
 
@@ -37,17 +38,21 @@
   /// \returns the greatest description number that was accepted.
   DescriptionNumber greatestNumber() const { return description().Number; }
   const ClaimLedger &claims() const { return Claims; }
+  /// \returns the newest weights named for \p Model; 0 if none were.
+  WeightsVersion namedWeights(const ModelId &Model) const;
   OrderLease lease(std::string_view Name) const { return Leases.lease(Name); }
   const std::vector<LoadSlot> &loads() const { return Leases.loads(); }
 
 private:
   Reply applyDecoded(const Command &Value);
+  Reply apply(const registry::NameWeights &Named);
 
   LedgerLimits Limits;
   uint64_t AppliedIndex = 0;
   DescriptionHistory Descriptions;
   ClaimLedger Claims;
   OrderLeases Leases;
+  std::map<ModelId, WeightsVersion> NamedWeights;
 };
 
 /// Works out what a control host tells in a confirmation: the greatest number
--- a/Libraries/LibRegistry/RegistryClient.cpp
+++ b/Libraries/LibRegistry/RegistryClient.cpp
@@ -26,7 +26,8 @@
       [&](ClientSubmit &&Submitted) { submit(std::move(Submitted), Now, Out); },
       [&](ClientReplyReceived &&Received) { receive(Received, Now, Out); },
       [&](ClientTick &&) { tick(Now, Out); },
-      [&](ClientLeaderHint &&Hint) { takeHint(Hint.Leader); });
+      [&](ClientLeaderHint &&Hint) { takeHint(Hint.Leader); },
+      [&](ClientControlHosts &&Known) { takeHosts(std::move(Known.Hosts)); });
   return Out;
 }
 
@@ -129,6 +130,20 @@
   }
 }
 
+void RegistryClient::takeHosts(std::vector<HostId> Hosts) {
+  if (Hosts.empty() || Hosts == Settings.ControlHosts)
+    return;
+  auto PlaceOf = [&](size_t Before) -> size_t {
+    auto Found =
+        std::find(Hosts.begin(), Hosts.end(), Settings.ControlHosts[Before]);
+    return Found == Hosts.end() ? 0 : Found - Hosts.begin();
+  };
+  Preferred = PlaceOf(Preferred);
+  for (auto &[Number, Entry] : Pending)
+    Entry.Host = PlaceOf(Entry.Host);
+  Settings.ControlHosts = std::move(Hosts);
+}
+
 void RegistryClient::takeHint(const HostId &Leader) {
   auto Found = std::find(Settings.ControlHosts.begin(),
                          Settings.ControlHosts.end(), Leader);
--- a/Libraries/LibRegistry/RegistryClient.h
+++ b/Libraries/LibRegistry/RegistryClient.h
@@ -38,8 +38,13 @@
   HostId Leader;
 };
 
+/// The control hosts are now these; requests under way go on to them.
+struct ClientControlHosts {
+  std::vector<HostId> Hosts;
+};
+
 using ClientEvent = std::variant<ClientSubmit, ClientReplyReceived, ClientTick,
-                                 ClientLeaderHint>;
+                                 ClientLeaderHint, ClientControlHosts>;
 
 /// Send \p Request to the control host \p To; it may be this host itself.
 struct ClientSend {
@@ -98,6 +103,7 @@
                Effects &Out);
   void tick(Timestamp Now, Effects &Out);
   void takeHint(const HostId &Leader);
+  void takeHosts(std::vector<HostId> Hosts);
   void send(Request &Entry, size_t Host, Timestamp Now, Effects &Out);
 
   Options Settings;
--- a/Libraries/LibRegistry/Replies.cpp
+++ b/Libraries/LibRegistry/Replies.cpp
@@ -96,6 +96,12 @@
         Fields.__set_Invalid(R.Why == CommandInvalid::Reason::TooLarge
                                  ? wire::InvalidReason::TooLarge
                                  : wire::InvalidReason::Malformed);
+      },
+      [&](const WeightsNamed &R) {
+        wire::NamedWeightsFields Named;
+        Named.Model = R.Model.Value;
+        Named.Weights = toWire(R.Weights.Value);
+        Fields.__set_NamedWeights(Named);
       });
   return wire::encode(Fields);
 }
@@ -192,6 +198,9 @@
     return fromWire(Fields.Description);
   if (Fields.__isset.Invalid)
     return fromFields(Fields.Invalid);
+  if (Fields.__isset.NamedWeights)
+    return WeightsNamed{{Fields.NamedWeights.Model},
+                        {fromWire(Fields.NamedWeights.Weights)}};
   return invalid("empty reply");
 }
 
--- /dev/null
+++ b/Libraries/LibRouting/PartMemory.cpp
@@ -0,0 +1,45 @@
+#include "LibRouting/PartMemory.h"
+#include "LibRouting/Rendezvous.h"
+
+namespace ferry::routing {
+
+uint64_t PartMemory::keyOf(uint64_t Scope, uint64_t Id) {
+  return Scope == 0 ? Id : rendezvousWeight(Scope, Id);
+}
+
+void PartMemory::use(uint64_t Scope, const PromptPart &Part) {
+  uint64_t Key = keyOf(Scope, Part.Id);
+  auto Known = ByKey.find(Key);
+  if (Known != ByKey.end()) {
+    Order.splice(Order.end(), Order, Known->second);
+    return;
+  }
+  Order.push_back({Key, Part.Tokens});
+  ByKey[Key] = std::prev(Order.end());
+  Held += Part.Tokens;
+  while (Held > Capacity && Order.size() > 1) {
+    Held -= Order.front().Tokens;
+    ByKey.erase(Order.front().Key);
+    Order.pop_front();
+  }
+}
+
+uint32_t
+PartMemory::cachedTokens(uint64_t Scope,
+                         const std::vector<PromptPart> &Parts) const {
+  uint32_t Cached = 0;
+  for (const PromptPart &Part : Parts) {
+    if (ByKey.count(keyOf(Scope, Part.Id)) == 0)
+      break;
+    Cached += Part.Tokens;
+  }
+  return Cached;
+}
+
+void PartMemory::clear() {
+  Order.clear();
+  ByKey.clear();
+  Held = 0;
+}
+
+} // namespace ferry::routing
--- /dev/null
+++ b/Libraries/LibRouting/PartMemory.h
@@ -0,0 +1,48 @@
+/// \file
+/// What a router believes that one engine has cached.
+#ifndef FERRY_LIBROUTING_PARTMEMORY_H
+#define FERRY_LIBROUTING_PARTMEMORY_H
+
+#include "LibRouting/PromptCall.h"
+#include <list>
+#include <unordered_map>
+
+namespace ferry::routing {
+
+/// Parts by their last use. The least recently used ones are dropped once more
+/// tokens are held than fit, as the engine does.
+class PartMemory {
+public:
+  explicit PartMemory(uint64_t Capacity = 0) : Capacity(Capacity) {}
+
+  void setCapacity(uint64_t Tokens) { Capacity = Tokens; }
+
+  /// Counts \p Part as used last.
+  void use(uint64_t Scope, const PromptPart &Part);
+
+  /// \returns the tokens of the leading parts of \p Parts that are held.
+  uint32_t cachedTokens(uint64_t Scope,
+                        const std::vector<PromptPart> &Parts) const;
+
+  /// Forgets everything, as after new weights or a restart.
+  void clear();
+
+  size_t size() const { return ByKey.size(); }
+
+private:
+  struct Entry {
+    uint64_t Key = 0;
+    uint32_t Tokens = 0;
+  };
+  static uint64_t keyOf(uint64_t Scope, uint64_t Id);
+
+  uint64_t Capacity;
+  uint64_t Held = 0;
+  /// The least recently used one first.
+  std::list<Entry> Order;
+  std::unordered_map<uint64_t, std::list<Entry>::iterator> ByKey;
+};
+
+} // namespace ferry::routing
+
+#endif
--- /dev/null
+++ b/Libraries/LibRouting/PromptCall.h
@@ -0,0 +1,110 @@
+/// \file
+/// A request as its placement sees it, and what becomes of it.
+#ifndef FERRY_LIBROUTING_PROMPTCALL_H
+#define FERRY_LIBROUTING_PROMPTCALL_H
+
+#include "LibCore/EnumNames.h"
+#include "LibCore/Ids.h"
+#include "LibCore/Time.h"
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace ferry::routing {
+
+/// One part of a prompt that requests may share.
+struct PromptPart {
+  /// Equal for equal parts, whatever comes before them.
+  uint64_t Id = 0;
+  uint32_t Tokens = 0;
+};
+
+/// A request to be placed.
+struct PromptCall {
+  ServiceId Service;
+  /// In the prompt's order; empty where the service reads no prompts.
+  std::vector<PromptPart> Parts;
+  /// Hash of what the cached parts belong to beside their ids, as an isolated
+  /// workspace.
+  uint64_t CacheScope = 0;
+  uint32_t PromptTokens = 0;
+  uint32_t OutputTokens = 0;
+  Timestamp Deadline;
+  /// Targets that must not get it again.
+  std::vector<TargetId> Tried;
+};
+
+/// Where a request goes.
+struct PlacedCall {
+  /// For the events that follow.
+  uint64_t Ticket = 0;
+  TargetId Target;
+  ferry::Incarnation Incarnation;
+  std::string Address;
+  WeightsVersion Weights;
+  /// Time to the first byte as estimated, and the tokens held to be cached.
+  Duration Estimate = {};
+  uint32_t CachedTokens = 0;
+};
+
+/// Why a request goes nowhere.
+enum class TurnAwayReason : uint8_t {
+  /// No target of the service is known.
+  NoTarget,
+  /// All that are known fail, load weights or were tried.
+  NoneUsable,
+  /// No target can begin before the deadline.
+  DeadlineTooNear,
+  /// The targets' places are taken.
+  Full
+};
+
+/// A request that is not sent anywhere, and when a place is expected.
+struct TurnedAway {
+  TurnAwayReason Reason = TurnAwayReason::NoTarget;
+  Timestamp RetryAt;
+};
+
+/// How a request ended at its target.
+enum class CallEnd : uint8_t {
+  /// A whole answer other than a failure.
+  Served,
+  /// An answer that tells a failure of the target.
+  Failed,
+  /// The target said that it did not run the request.
+  NotRun,
+  /// The target is another than expected.
+  Replaced,
+  /// No connection.
+  Unreachable,
+  /// The connection or the answer broke.
+  Broken,
+  /// The caller left, or its deadline passed.
+  Abandoned
+};
+
+} // namespace ferry::routing
+
+namespace ferry {
+
+template <> struct EnumNames<routing::TurnAwayReason> {
+  using Reason = routing::TurnAwayReason;
+  static constexpr EnumName<Reason> Table[] = {
+      {Reason::NoTarget, "no_target"},
+      {Reason::NoneUsable, "none_usable"},
+      {Reason::DeadlineTooNear, "deadline_too_near"},
+      {Reason::Full, "full"}};
+};
+
+template <> struct EnumNames<routing::CallEnd> {
+  using End = routing::CallEnd;
+  static constexpr EnumName<End> Table[] = {
+      {End::Served, "served"},       {End::Failed, "failed"},
+      {End::NotRun, "not_run"},      {End::Replaced, "replaced"},
+      {End::Unreachable, "unreachable"}, {End::Broken, "broken"},
+      {End::Abandoned, "abandoned"}};
+};
+
+} // namespace ferry
+
+#endif
--- /dev/null
+++ b/Libraries/LibRouting/PromptPlacement.h
@@ -0,0 +1,120 @@
+/// \file
+/// Chooses targets for requests whose prompts share parts.
+#ifndef FERRY_LIBROUTING_PROMPTPLACEMENT_H
+#define FERRY_LIBROUTING_PROMPTPLACEMENT_H
+
+#include "LibCore/Random.h"
+#include "LibRouting/PartMemory.h"
+#include "LibRouting/RoutingView.h"
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <variant>
+
+namespace ferry::routing {
+
+/// Decision part of one router; no clock, thread or socket of its own.
+///
+/// A request goes where its first token is expected soonest: what the target
+/// still has to read of the prompt, what this router has sent there and not yet
+/// seen begun, and what the newest answers showed of others' work. The first
+/// target by rendezvous hashing of the prompt's leading part is held to have
+/// that part cached, so that all routers send equal prompts to the same place
+/// without talking; a load that makes it wait longer than reading the part
+/// again moves requests on to the next one.
+class PromptPlacement {
+public:
+  struct Options {
+    uint64_t Seed = 1;
+    /// How long targets are kept after their last announcement, as told by
+    /// TargetRecord::UsableUntil.
+    Duration Trust = std::chrono::seconds(30);
+    /// A target that announced nothing for longer is used only if too few
+    /// others are left: two announcements are missing and had time to spread.
+    Duration FreshFor = std::chrono::milliseconds(4000);
+  };
+
+  explicit PromptPlacement(Options Chosen);
+
+  void applyView(RoutingViewPtr Newer, Timestamp Now);
+
+  /// Places \p Call or turns it away at once.
+  std::variant<PlacedCall, TurnedAway> place(const PromptCall &Call,
+                                             Timestamp Now);
+
+  /// The first byte of the answer has come.
+  void firstByte(uint64_t Ticket, Timestamp Now);
+
+  /// The request has ended at its target; \p Ticket is of no more use.
+  void ended(uint64_t Ticket, CallEnd End, Timestamp Now);
+
+  /// \returns the routers that serve, this one included.
+  size_t routers() const { return Routers; }
+
+  /// Figures for the dump and the metrics.
+  struct Status {
+    size_t Targets = 0;
+    size_t Usable = 0;
+    size_t Running = 0;
+    size_t PartsKnown = 0;
+  };
+  Status status(Timestamp Now) const;
+
+private:
+  struct Target {
+    TargetRecord Record;
+    uint32_t Running = 0;
+    /// Prompt time sent there by this router and not seen begun.
+    double BacklogSeconds = 0;
+    /// Excess of the newest first bytes over their estimates; it halves with
+    /// CongestionHalfLife.
+    double CongestionSeconds = 0;
+    Timestamp CongestionAt;
+    /// Not to be used before this, unless nothing else is left.
+    Timestamp UnusableUntil;
+    uint32_t FailuresInARow = 0;
+    /// Moving part of failed requests.
+    double FailureShare = 0;
+    PartMemory Parts;
+  };
+
+  struct Ticketed {
+    TargetId Target;
+    ferry::Incarnation Incarnation;
+    PromptCall Call;
+    Timestamp SentAt;
+    double PromptSeconds = 0;
+    double ExpectedSeconds = 0;
+    bool Begun = false;
+  };
+
+  struct Candidate {
+    Target *Where = nullptr;
+    double PromptSeconds = 0;
+    double Seconds = 0;
+    double Cost = 0;
+    uint32_t CachedTokens = 0;
+  };
+
+  std::vector<Target *> candidatesOf(const PromptCall &Call, Timestamp Now);
+  Candidate estimate(const PromptCall &Call, Target &Where, bool IsHome,
+                     Timestamp Now) const;
+  bool isFresh(const Target &Known, Timestamp Now) const;
+  double congestionOf(const Target &Known, Timestamp Now) const;
+  TurnedAway turnAway(const PromptCall &Call, TurnAwayReason Reason,
+                      Timestamp Now) const;
+  void setAside(Target &Known, Duration First, Timestamp Now);
+  Target *find(const Ticketed &Sent);
+
+  Options Chosen;
+  RandomGenerator Random;
+  RoutingViewPtr View;
+  size_t Routers = 1;
+  std::map<TargetId, Target> Targets;
+  std::unordered_map<uint64_t, Ticketed> Tickets;
+  uint64_t NextTicket = 1;
+};
+
+} // namespace ferry::routing
+
+#endif
--- a/Libraries/LibRouting/RoutingView.h
+++ b/Libraries/LibRouting/RoutingView.h
@@ -4,6 +4,7 @@
 #define FERRY_LIBROUTING_ROUTINGVIEW_H
 
 #include "LibConfig/Description.h"
+#include "LibConfig/RouteTable.h"
 #include "LibCore/HostStanding.h"
 #include "LibCore/Ids.h"
 #include "LibCore/TargetRecord.h"
@@ -36,6 +37,8 @@
   DescriptionNumber Number;
   /// nullptr before the first description.
   std::shared_ptr<const config::Description> Description;
+  /// The routes in force, on hosts with the routed interface.
+  std::shared_ptr<const config::RouteTable> Routes;
   /// New work is refused after this: the number may be out of date.
   Timestamp ConfirmedUntil;
   /// Set once this host has begun its graceful shutdown.
--- a/Libraries/LibTraffic/ControlPort.h
+++ b/Libraries/LibTraffic/ControlPort.h
@@ -89,6 +89,17 @@
       ChangeRequest,
       std::function<void(RegistryResult<registry::ChangeOutcome>)>)>
       Change;
+  /// Puts a description in force whose number its author chose; the text was
+  /// decoded and checked before.
+  std::function<void(
+      DescriptionNumber, std::string Text, Timestamp Deadline,
+      std::function<void(RegistryResult<registry::ChangeOutcome>)>)>
+      Replace;
+  /// Names the weights that the engines of a model are to have.
+  std::function<void(
+      ModelId, WeightsVersion, Timestamp Deadline,
+      std::function<void(RegistryResult<registry::WeightsNamed>)>)>
+      NameWeights;
   /// Reads the newest accepted description, confirmed by a quorum.
   std::function<void(Timestamp Deadline,
                      std::function<void(RegistryResult<CurrentDescription>)>)>
--- a/Libraries/LibTraffic/HttpExchange.cpp
+++ b/Libraries/LibTraffic/HttpExchange.cpp
@@ -1,4 +1,5 @@
 #include "LibTraffic/HttpExchange.h"
+#include "LibTraffic/RouteDialect.h"
 #include <Poco/Exception.h>
 #include <Poco/String.h>
 #include <Poco/URI.h>
@@ -139,6 +140,55 @@
   return Body;
 }
 
+AnswerResult<std::string> HttpExchange::tryReadFramedBody(uint64_t MaxBytes) {
+  if (!Request.has("Transfer-Encoding"))
+    return Request.has("Content-Length") ? tryReadBody(MaxBytes)
+                                         : AnswerResult<std::string>("");
+  bool Plain = !Request.has("Content-Length") &&
+               !isRepeated("Transfer-Encoding") &&
+               Request.getChunkedTransferEncoding();
+  if (!Plain)
+    return makeError(ErrorAnswer{AnswerError::BadHeader,
+                                 "the body's framing is ambiguous"});
+  return tryReadChunks(MaxBytes);
+}
+
+AnswerResult<std::string> HttpExchange::tryReadChunks(uint64_t MaxBytes) {
+  std::string Body;
+  try {
+    if (Request.getExpectContinue())
+      Response.sendContinue();
+    std::istream &Stream = Request.stream();
+    std::string Piece(BodyChunkBytes, '\0');
+    while (Stream.good() && Body.size() <= MaxBytes) {
+      Stream.read(Piece.data(), static_cast<std::streamsize>(Piece.size()));
+      auto Count = static_cast<uint64_t>(Stream.gcount());
+      if (!Budget.tryTake(Count))
+        return makeError(ErrorAnswer{AnswerError::QueueFull,
+                                     "too many request bodies are in hand",
+                                     NotRun::True,
+                                     steadyNow() + BodyBudgetRetry});
+      TakenBytes += Count;
+      Body.append(Piece, 0, Count);
+    }
+  } catch (const Poco::Exception &) {
+    return makeError(ErrorAnswer{AnswerError::RequestTimeout,
+                                 "the body ended before its last chunk"});
+  }
+  if (Body.size() > MaxBytes)
+    return makeError(ErrorAnswer{AnswerError::TooLarge,
+                                 "the body may have at most " +
+                                     std::to_string(MaxBytes) + " bytes"});
+  // The library's stream ends in the same way after the last chunk and with
+  // the connection; a caller that has closed awaits no answer anyway.
+  if (callerGone())
+    return makeError(ErrorAnswer{AnswerError::RequestTimeout,
+                                 "the connection ended with the body"});
+  BodyRead = true;
+  BodyDone();
+  return Body;
+}
+
 bool HttpExchange::bodyUnread() const {
   bool HasBody =
       Request.has("Transfer-Encoding") ||
@@ -183,6 +233,47 @@
   return sendJson(httpStatus(Error.Type), errorBody(Error, Now));
 }
 
+void HttpExchange::copyHead(const Poco::Net::HTTPResponse &From) {
+  Response.setStatusAndReason(From.getStatus(), From.getReason());
+  for (const auto &[Name, Value] : From)
+    if (!isConnectionHeader(Name))
+      Response.add(Name, Value);
+}
+
+bool HttpExchange::sendRelayed(const Poco::Net::HTTPResponse &From,
+                               const std::string &Body) {
+  try {
+    copyHead(From);
+    Response.setContentLength64(static_cast<Poco::Int64>(Body.size()));
+    std::ostream &Out = Response.send();
+    if (method() != "HEAD")
+      Out << Body;
+    Out.flush();
+    return Out.good();
+  } catch (const Poco::Exception &) {
+    return false;
+  }
+}
+
+void HttpExchange::beginRelayed(const Poco::Net::HTTPResponse &From) {
+  try {
+    copyHead(From);
+    Response.setChunkedTransferEncoding(true);
+    Events = &Response.send();
+  } catch (const Poco::Exception &) {
+    Events = nullptr;
+  }
+}
+
+void HttpExchange::abort() {
+  try {
+    Response.setKeepAlive(false);
+    Socket.shutdown();
+  } catch (const Poco::Exception &) {
+    // The caller has closed it already.
+  }
+}
+
 void HttpExchange::beginEvents() {
   try {
     Response.setStatusAndReason(Poco::Net::HTTPResponse::HTTP_OK);
--- a/Libraries/LibTraffic/HttpExchange.h
+++ b/Libraries/LibTraffic/HttpExchange.h
@@ -71,6 +71,10 @@
   /// TooLarge beyond \p MaxBytes, RequestTimeout if the body ends early.
   AnswerResult<std::string> tryReadBody(uint64_t MaxBytes);
 
+  /// Reads the whole body, with a length or in chunks. \returns as
+  /// tryReadBody(); BadHeader if it has both.
+  AnswerResult<std::string> tryReadFramedBody(uint64_t MaxBytes);
+
   /// Whether bytes of the body are still unread.
   bool bodyUnread() const;
 
@@ -89,6 +93,20 @@
   /// \returns whether it was written; blocks at most the send timeout.
   bool writeEvents(const std::string &Text);
 
+  /// Sends an answer that came from a target, with its status and headers but
+  /// for those that concern one connection.
+  bool sendRelayed(const Poco::Net::HTTPResponse &From,
+                   const std::string &Body);
+  /// Starts a stream that came from a target; its pieces go by writeEvents().
+  void beginRelayed(const Poco::Net::HTTPResponse &From);
+  /// Ends the connection at once: what was sent must not look complete.
+  void abort();
+  /// Closes the connection after the answer.
+  void closeAfterAnswer() { Response.setKeepAlive(false); }
+
+  /// The head of the request.
+  const Poco::Net::HTTPServerRequest &head() const { return Request; }
+
   /// Whether an answer has been started.
   bool answered() const { return Response.sent(); }
   /// \returns a number that is equal for all requests from one IP address.
@@ -100,6 +118,8 @@
 
 private:
   AnswerResult<uint64_t> tryContentLength(uint64_t MaxBytes) const;
+  AnswerResult<std::string> tryReadChunks(uint64_t MaxBytes);
+  void copyHead(const Poco::Net::HTTPResponse &From);
 
   Poco::Net::HTTPServerRequest &Request;
   Poco::Net::HTTPServerResponse &Response;
--- a/Libraries/LibTraffic/HttpListener.cpp
+++ b/Libraries/LibTraffic/HttpListener.cpp
@@ -15,8 +15,6 @@
 
 using namespace Poco::Net;
 
-/// How long a connection may stay open between two requests, in seconds.
-static constexpr int KeepAliveSeconds = 15;
 /// How long one send may block on a slow peer, in seconds.
 static constexpr int SendTimeoutSeconds = 30;
 /// Connections that may wait for a thread.
@@ -58,13 +56,14 @@
 
 void HttpConnection::run() {
   socket().setSendTimeout(Poco::Timespan(SendTimeoutSeconds, 0));
-  socket().setReceiveTimeout(Poco::Timespan(KeepAliveSeconds, 0));
+  Poco::Timespan IdleLimit(Listener.Given.IdleLimit().count());
+  socket().setReceiveTimeout(IdleLimit);
   socket().setSendBufferSize(SendBufferBytes);
   socket().setNoDelay(true);
   Watched = Listener.Watch.add(socket());
   HTTPServerParams::Ptr Params(new HTTPServerParams);
-  Params->setKeepAliveTimeout(Poco::Timespan(KeepAliveSeconds, 0));
-  Params->setTimeout(Poco::Timespan(KeepAliveSeconds, 0));
+  Params->setKeepAliveTimeout(IdleLimit);
+  Params->setTimeout(IdleLimit);
   Params->setMaxKeepAliveRequests(0);
   try {
     HTTPServerSession Session(socket(), Params);
--- a/Libraries/LibTraffic/HttpListener.h
+++ b/Libraries/LibTraffic/HttpListener.h
@@ -34,6 +34,11 @@
     Duration HeaderReadLimit = std::chrono::seconds(10);
     /// Longest time from the end of a header to the end of its body.
     Duration BodyReadLimit = std::chrono::seconds(60);
+    /// How long a connection may stay open between two requests; asked when it
+    /// opens.
+    std::function<Duration()> IdleLimit = [] {
+      return Duration(std::chrono::seconds(15));
+    };
   };
 
   /// Binds and starts. \returns BadAddress or BindFailed.
--- /dev/null
+++ b/Libraries/LibTraffic/RoutedFront.cpp
@@ -0,0 +1,60 @@
+#include "LibTraffic/RoutedFront.h"
+#include "LibTraffic/RoutedRelay.h"
+
+namespace ferry::traffic {
+
+/// Bodies of the largest size that may be in memory at a time.
+static constexpr uint64_t BodiesInMemory = 4;
+static constexpr uint64_t MaxBodyBytes = 4ULL << 20;
+
+RoutedFront::RoutedFront(const config::Settings &Settings, RouteDialect Dialect,
+                         observe::Metrics &Figures,
+                         routing::PromptPlacement::Options Options)
+    : Context{Settings,
+              std::move(Dialect),
+              {Options,
+               {Settings.Routed.RetryRatio, Settings.Routed.RetrySlack,
+                std::chrono::milliseconds(Settings.Routed.RetryWindowMillis)}},
+              RoutedFigures(Figures)} {}
+
+Result<std::unique_ptr<RoutedFront>, TrafficError>
+RoutedFront::tryStart(const config::Settings &Settings, RouteDialect Dialect,
+                      observe::Metrics &Figures,
+                      routing::PromptPlacement::Options Options) {
+  std::unique_ptr<RoutedFront> Front(
+      new RoutedFront(Settings, std::move(Dialect), Figures, Options));
+  HttpListener::Options Given;
+  Given.Address = Settings.CallerAddress;
+  Given.MaxConnections = Settings.Limits.MaxCallerConnections;
+  Given.MaxHeaderBytes = Settings.Limits.MaxHeaderBytes;
+  Given.BodyBudgetBytes = MaxBodyBytes * BodiesInMemory;
+  Given.IdleLimit = [Raw = Front.get()] {
+    auto View = Raw->Context.Placements.view();
+    config::CallerLimits Limits;
+    if (View && View->Routes)
+      Limits = View->Routes->limits();
+    return Duration(std::chrono::milliseconds(Limits.IdleMillis));
+  };
+  auto Listener = HttpListener::tryStart(
+      Given, [Raw = Front.get()](HttpExchange &Exchange) {
+        RoutedRelay(Raw->Context, Exchange).run();
+      });
+  if (!Listener)
+    return makeError(Listener.error());
+  Front->Listener = std::move(*Listener);
+  return Front;
+}
+
+RoutedFront::~RoutedFront() { stop(steadyNow()); }
+
+bool RoutedFront::isReady() const {
+  auto View = Context.Placements.view();
+  return View && View->Routes && !View->Targets.empty() && !Context.Leaving;
+}
+
+void RoutedFront::stop(Timestamp Deadline) {
+  if (Listener)
+    Listener->stop(Deadline);
+}
+
+} // namespace ferry::traffic
--- /dev/null
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -0,0 +1,322 @@
+#include "LibTraffic/RoutedRelay.h"
+#include "LibObserve/Log.h"
+#include "LibRouting/Rendezvous.h"
+
+namespace ferry::traffic {
+
+using namespace ferry::routing;
+using observe::Severity;
+
+/// Largest answer that is held whole before it is passed on.
+static constexpr uint64_t MaxWholeAnswerBytes = 8ULL << 20;
+/// Attempts at the most, those included of which nothing was sent.
+static constexpr uint32_t MaxAttempts = 4;
+/// When a request to a router that knows no routes yet may come again: one
+/// question to a control host later.
+static constexpr Duration NoRoutesPause = std::chrono::milliseconds(500);
+/// A target that was given less would hardly begin.
+static constexpr Duration LeastWait = std::chrono::milliseconds(5);
+static constexpr int FirstFailureStatus = 500;
+
+/// Whether callers take \p Status for a promise that the request has not run.
+static bool promisesNotRun(int Status) {
+  return Status == 408 || Status == 421 || Status == 429 || Status == 503;
+}
+
+RoutedRelay::RoutedRelay(RoutedContext &Context, HttpExchange &Exchange)
+    : Context(Context), Exchange(Exchange), View(Context.Placements.view()),
+      ArrivedAt(steadyNow()) {
+  ++Context.InHand;
+}
+
+RoutedRelay::~RoutedRelay() { --Context.InHand; }
+
+void RoutedRelay::run() {
+  Caller = Context.Dialect.ReadCaller(Exchange.head());
+  if (Context.Leaving)
+    Exchange.closeAfterAnswer();
+  if (auto Refusal = check())
+    return refuse(*Refusal);
+  auto Read =
+      Exchange.tryReadFramedBody(View->Routes->limits().MaxBodyBytes);
+  if (!Read)
+    return refuse(Read.error());
+  Body = std::move(*Read);
+  relay();
+}
+
+std::optional<ErrorAnswer> RoutedRelay::check() {
+  if (!View || !View->Routes)
+    return ErrorAnswer{AnswerError::NoDescription, "no routes are known yet",
+                       NotRun::True, ArrivedAt + NoRoutesPause};
+  const config::RouteTable &Routes = *View->Routes;
+  const std::string &Uri = Exchange.head().getURI();
+  std::string_view Path = std::string_view(Uri).substr(0, Uri.find('?'));
+  std::string Host = Exchange.header("Host");
+  Route = Routes.findRoute(std::string_view(Host).substr(0, Host.find(':')),
+                           Path);
+  if (Route == nullptr)
+    return ErrorAnswer{AnswerError::NotFound, "no route leads there"};
+  if (auto Refusal = checkKey())
+    return Refusal;
+  Call.Service = config::RouteTable::serviceOf(
+      *Route, hashIdentifier(Caller.Id.Value) ^ Context.NextDraw++);
+  Call.Parts = Caller.Parts;
+  Call.PromptTokens = Caller.PromptTokens;
+  Call.OutputTokens = Caller.OutputTokens;
+  uint64_t Wait = Route->TimeoutMillis;
+  if (Caller.WaitMillis)
+    Wait = std::min(Wait, *Caller.WaitMillis);
+  Call.Deadline = ArrivedAt + std::chrono::milliseconds(Wait);
+  if (Workspace && Workspace->Isolated)
+    Call.CacheScope = hashIdentifier(Workspace->Id.Value);
+  return std::nullopt;
+}
+
+std::optional<ErrorAnswer> RoutedRelay::checkKey() {
+  const config::RouteTable &Routes = *View->Routes;
+  if (!Routes.needsKeys() || Route->Public)
+    return std::nullopt;
+  Workspace = Routes.findWorkspace(Caller.Key);
+  if (Workspace == nullptr)
+    return ErrorAnswer{AnswerError::Unauthorized,
+                       "the key is that of no workspace"};
+  return std::nullopt;
+}
+
+void RoutedRelay::relay() {
+  Context.Placements.countRequest(Call.Service);
+  while (true) {
+    if (steadyNow() + LeastWait >= Call.Deadline)
+      return giveUp();
+    auto Placed = Context.Placements.place(Call);
+    if (const auto *Refusal = std::get_if<TurnedAway>(&Placed))
+      return turnAway(*Refusal);
+    ++Attempts;
+    Next Then = attempt(std::get<PlacedCall>(Placed));
+    if (Then == Next::Done)
+      return;
+    if (!mayRetry(Then))
+      return giveUp();
+    Context.Figures.Retries.add();
+  }
+}
+
+WaitLimits RoutedRelay::limits() const {
+  return {Call.Deadline, Duration::max(),
+          Exchange.socket().impl()->sockfd()};
+}
+
+TargetDetails RoutedRelay::detailsFor(const PlacedCall &Placed) const {
+  TargetDetails Details;
+  Details.Expected = Placed.Target;
+  Details.WaitMillis =
+      static_cast<uint64_t>(millisUntil(Call.Deadline, steadyNow()));
+  Details.Priority = Route->Priority;
+  if (Workspace) {
+    Details.Workspace = Workspace->Id;
+    Details.Priority = Workspace->Priority.value_or(Route->Priority);
+    if (Workspace->Isolated)
+      Details.CacheScope = Workspace->Id.Value;
+  }
+  return Details;
+}
+
+RoutedRelay::Next RoutedRelay::attempt(const PlacedCall &Placed) {
+  auto Connected = TargetExchange::tryConnect(Placed.Address, limits());
+  if (!Connected)
+    return failed(Placed, Connected.error(), /*Sent=*/false);
+  TargetExchange &Target = **Connected;
+  Poco::Net::HTTPRequest Head =
+      Context.Dialect.WriteTarget(Exchange.head(), detailsFor(Placed));
+  if (!Body.empty() || Exchange.method() != "GET")
+    Head.setContentLength64(static_cast<Poco::Int64>(Body.size()));
+  if (auto Sent = Target.trySend(Head, Body, limits()); !Sent)
+    return failed(Placed, Sent.error(), /*Sent=*/true);
+  if (auto Received = Target.tryReceiveHead(limits()); !Received)
+    return failed(Placed, Received.error(), /*Sent=*/true);
+  return relayAnswer(Placed, Target);
+}
+
+RoutedRelay::Next RoutedRelay::relayAnswer(const PlacedCall &Placed,
+                                           TargetExchange &Target) {
+  AnswerDetails Details =
+      Context.Dialect.ReadAnswer(Target.head(), Caller.Id);
+  if (Details.ForAnother)
+    return failed(Placed, {LinkErrorKind::WrongEcho, "another request's"},
+                  /*Sent=*/true);
+  if (Details.OtherTarget)
+    return end(Placed, CallEnd::Replaced, Next::RetryUnsent);
+  if (Details.NotRun)
+    return end(Placed, CallEnd::NotRun, Next::RetryUnsent);
+  bool Success = Target.head().getStatus() / 100 == 2;
+  if (Success && Route->Answers == config::AnswerForm::Stream)
+    return relayStream(Placed, Target);
+  return relayWhole(Placed, Target, Details);
+}
+
+RoutedRelay::Next RoutedRelay::relayWhole(const PlacedCall &Placed,
+                                          TargetExchange &Target,
+                                          const AnswerDetails &Details) {
+  auto Answer = Target.tryReadWhole(MaxWholeAnswerBytes, limits());
+  if (!Answer)
+    return failed(Placed, Answer.error(), /*Sent=*/true);
+  Context.Placements.firstByte(Placed.Ticket);
+  int Status = Target.head().getStatus();
+  bool Success = Status / 100 == 2;
+  // A success that its target does not vouch for is nobody's answer.
+  if (Success && !Details.Vouched)
+    return failed(Placed, {LinkErrorKind::WrongEcho, "not vouched for"},
+                  /*Sent=*/true);
+  if (Status >= FirstFailureStatus || promisesNotRun(Status)) {
+    ++Runs;
+    LastFailure = {LinkErrorKind::Broken, "status " + std::to_string(Status)};
+    // The target did not say that nothing ran, so this status must not either.
+    if (!promisesNotRun(Status))
+      Held = HeldAnswer{Target.head(), std::move(*Answer)};
+    return end(Placed, CallEnd::Failed, Next::RetryRun);
+  }
+  end(Placed, CallEnd::Served, Next::Done);
+  Exchange.sendRelayed(Target.head(), *Answer);
+  logEnd("answered", Status);
+  return Next::Done;
+}
+
+RoutedRelay::Next RoutedRelay::relayStream(const PlacedCall &Placed,
+                                           TargetExchange &Target) {
+  auto First = Target.tryReadPiece(limits());
+  if (!First)
+    return failed(Placed, First.error(), /*Sent=*/true);
+  Context.Placements.firstByte(Placed.Ticket);
+  Context.Figures.FirstByteSeconds.with({Route->Name})
+      .observe(double((steadyNow() - ArrivedAt).count()) / 1e6);
+  Exchange.beginRelayed(Target.head());
+  auto Piece = std::move(First);
+  while (Piece && !Piece->empty()) {
+    if (!Exchange.writeEvents(*Piece)) {
+      end(Placed, CallEnd::Abandoned, Next::Done);
+      Exchange.abort();
+      logEnd("caller_left", 0);
+      return Next::Done;
+    }
+    Piece = Target.tryReadPiece(limits());
+  }
+  if (!Piece) {
+    bool Own = Piece.error().Kind == LinkErrorKind::CallerGone ||
+               Piece.error().Kind == LinkErrorKind::DeadlinePassed;
+    end(Placed, Own ? CallEnd::Abandoned : CallEnd::Broken, Next::Done);
+    LastFailure = Piece.error();
+    Exchange.abort();
+    Context.Figures.StreamsCut.add();
+    logEnd("stream_cut", 0);
+    return Next::Done;
+  }
+  end(Placed, CallEnd::Served, Next::Done);
+  logEnd("answered", Target.head().getStatus());
+  return Next::Done;
+}
+
+RoutedRelay::Next RoutedRelay::failed(const PlacedCall &Placed,
+                                      const LinkError &Failure, bool Sent) {
+  LastFailure = Failure;
+  bool Gone = Failure.Kind == LinkErrorKind::CallerGone;
+  bool Late = Failure.Kind == LinkErrorKind::DeadlinePassed;
+  if (Sent)
+    ++Runs;
+  observe::logEvent(Severity::Info, "routed", "attempt_failed",
+                    {{"target", Placed.Target},
+                     {"service", Call.Service},
+                     {"reason", Failure.message()},
+                     {"may_have_run", Sent},
+                     {"attempt", Attempts}},
+                    Caller.Id);
+  if (Gone) {
+    end(Placed, CallEnd::Abandoned, Next::Done);
+    Context.Figures.CallersLeft.add();
+    Exchange.abort();
+    logEnd("caller_left", 0);
+    return Next::Done;
+  }
+  CallEnd End = Sent ? CallEnd::Broken : CallEnd::Unreachable;
+  return end(Placed, Late ? CallEnd::Abandoned : End,
+             Sent ? Next::RetryRun : Next::RetryUnsent);
+}
+
+RoutedRelay::Next RoutedRelay::end(const PlacedCall &Placed, CallEnd End,
+                                   Next Then) {
+  Context.Placements.ended(Placed.Ticket, End);
+  Context.Figures.TargetCalls.with({std::string(enumName(End))}).add();
+  if (Then != Next::Done)
+    Call.Tried.push_back(Placed.Target);
+  if (End == CallEnd::NotRun || End == CallEnd::Replaced) {
+    LastFailure = {LinkErrorKind::NotSent, "not run by the target"};
+    observe::logEvent(Severity::Info, "routed", "attempt_refused",
+                      {{"target", Placed.Target},
+                       {"service", Call.Service},
+                       {"end", End},
+                       {"attempt", Attempts}},
+                      Caller.Id);
+  }
+  return Then;
+}
+
+bool RoutedRelay::mayRetry(Next Wanted) {
+  if (Attempts >= MaxAttempts || steadyNow() >= Call.Deadline)
+    return false;
+  if (Wanted == Next::RetryRun) {
+    bool Repeats = Route->Repeats == config::RepeatPolicy::Idempotent;
+    if (!Repeats || Runs >= Route->MaxTargets)
+      return false;
+  }
+  // What never arrived at a target adds nothing to its load.
+  bool Arrived = Wanted == Next::RetryRun ||
+                 LastFailure.Kind != LinkErrorKind::ConnectFailed;
+  return !Arrived || Context.Placements.takeRetry(Call.Service);
+}
+
+void RoutedRelay::turnAway(const TurnedAway &Refusal) {
+  if (Runs > 0)
+    return giveUp();
+  Context.Figures.TurnedAway.with({std::string(enumName(Refusal.Reason))})
+      .add();
+  refuse({AnswerError::NoTarget, std::string(enumName(Refusal.Reason)),
+          NotRun::True, Refusal.RetryAt});
+}
+
+void RoutedRelay::giveUp() {
+  if (Held) {
+    Exchange.sendRelayed(Held->Head, Held->Body);
+    logEnd("answered", Held->Head.getStatus());
+    return;
+  }
+  if (Runs == 0)
+    return refuse({AnswerError::NoTarget, LastFailure.message(), NotRun::True,
+                   steadyNow() + NoRoutesPause});
+  bool Late = steadyNow() >= Call.Deadline;
+  refuse({Late ? AnswerError::DeadlinePassed : AnswerError::TargetFailed,
+          LastFailure.message(), NotRun::Unknown});
+}
+
+void RoutedRelay::refuse(const ErrorAnswer &Answer) {
+  Exchange.sendError(Answer);
+  logEnd("refused", httpStatus(Answer.Type));
+}
+
+void RoutedRelay::logEnd(std::string_view Event, int Status) {
+  std::string Name = Route ? Route->Name : "none";
+  Context.Figures.Answers.with({Name, std::to_string(Status)}).add();
+  bool Failed = Event != "answered";
+  observe::logEvent(
+      Severity::Info, "routed", Event,
+      {{"route", Name},
+       {"status", Status},
+       {"number", View ? View->Number.Value : 0},
+       {"attempts", Attempts},
+       {"runs", Runs},
+       {"targets_tried", Call.Tried.size()},
+       {"reason", Failed ? LastFailure.message() : std::string()},
+       {"millis", (steadyNow() - ArrivedAt).count() / 1000}},
+      Caller.Id);
+}
+
+} // namespace ferry::traffic
--- /dev/null
+++ b/Libraries/LibTraffic/TargetExchange.cpp
@@ -0,0 +1,213 @@
+#include "LibTraffic/TargetExchange.h"
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sstream>
+#include <sys/socket.h>
+
+namespace ferry::traffic {
+
+/// Longest wait for a connection: hosts of a deployment are a few milliseconds
+/// apart, and the kernel sends a lost first packet again only after a second,
+/// in which another target serves the request.
+static constexpr std::chrono::milliseconds ConnectLimit{300};
+/// Unacknowledged bytes end the connection after this: it has gone silent.
+static constexpr unsigned SilentMillis = 2000;
+static constexpr size_t ReceiveBytes = 16 << 10;
+static constexpr size_t MaxHeadBytes = 64 << 10;
+static constexpr int FirstFinalStatus = 200;
+
+TargetExchange::TargetExchange(Poco::Net::StreamSocket Socket)
+    : Socket(std::move(Socket)) {}
+
+TargetExchange::~TargetExchange() = default;
+
+LinkResult<std::unique_ptr<TargetExchange>>
+TargetExchange::tryConnect(const std::string &Address,
+                           const WaitLimits &Limits) {
+  try {
+    Poco::Net::StreamSocket Socket;
+    Socket.connectNB(Poco::Net::SocketAddress(Address));
+    Socket.setBlocking(false);
+    Socket.setNoDelay(true);
+    Socket.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT,
+                     static_cast<int>(SilentMillis));
+    std::unique_ptr<TargetExchange> Made(new TargetExchange(Socket));
+    WaitLimits ConnectLimits = Limits;
+    ConnectLimits.Deadline =
+        std::min(Limits.Deadline, steadyNow() + ConnectLimit);
+    auto Ready = Made->await(Wait::Writable, ConnectLimits);
+    if (!Ready && Ready.error().Kind == LinkErrorKind::CallerGone)
+      return makeError(Ready.error());
+    int Failure = Socket.impl()->socketError();
+    if (!Ready || Failure != 0)
+      return makeTypedError(LinkErrorKind::ConnectFailed,
+                            Address + ": error " + std::to_string(Failure));
+    return Made;
+  } catch (const Poco::Exception &Failure) {
+    return makeTypedError(LinkErrorKind::ConnectFailed,
+                          Address + ": " + Failure.displayText());
+  }
+}
+
+LinkResult<TargetExchange::Wait>
+TargetExchange::await(Wait For, const WaitLimits &Limits) {
+  Timestamp StallAt = Limits.Deadline;
+  Timestamp Start = steadyNow();
+  if (Limits.StallLimit < Limits.Deadline - Start)
+    StallAt = Start + Limits.StallLimit;
+  short Wanted = For == Wait::Writable ? POLLIN | POLLOUT : POLLIN;
+  while (true) {
+    Timestamp Now = steadyNow();
+    if (Now >= Limits.Deadline)
+      return makeTypedError(LinkErrorKind::DeadlinePassed);
+    if (Now >= StallAt)
+      return makeTypedError(LinkErrorKind::Stalled);
+    pollfd Polled[2] = {{Socket.impl()->sockfd(), Wanted, 0},
+                        {Limits.CallerDescriptor, POLLRDHUP, 0}};
+    ::poll(Polled, 2, static_cast<int>(millisUntil(StallAt, Now)) + 1);
+    if (Polled[1].revents != 0)
+      return makeTypedError(LinkErrorKind::CallerGone);
+    if ((Polled[0].revents & (POLLIN | POLLERR | POLLHUP)) != 0)
+      return Wait::Readable;
+    if (Polled[0].revents != 0)
+      return Wait::Writable;
+  }
+}
+
+LinkResult<void> TargetExchange::trySend(Poco::Net::HTTPRequest &Head,
+                                         const std::string &Body,
+                                         const WaitLimits &Limits) {
+  std::ostringstream Text;
+  Head.write(Text);
+  std::string Bytes = Text.str() + Body;
+  size_t Sent = 0;
+  while (Sent < Bytes.size()) {
+    ssize_t Count = ::send(Socket.impl()->sockfd(), Bytes.data() + Sent,
+                           Bytes.size() - Sent, MSG_NOSIGNAL);
+    if (Count > 0) {
+      Sent += static_cast<size_t>(Count);
+      continue;
+    }
+    bool Full = errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
+    if (!Full)
+      return makeTypedError(LinkErrorKind::SendFailed,
+                            "error " + std::to_string(errno));
+    auto Ready = await(Wait::Writable, Limits);
+    if (!Ready)
+      return makeError(Ready.error());
+    // An answer before the request is whole: the target reads no more of it.
+    if (*Ready == Wait::Readable)
+      return {};
+  }
+  return {};
+}
+
+LinkResult<std::string> TargetExchange::tryReceive(const WaitLimits &Limits) {
+  std::array<char, ReceiveBytes> Buffer;
+  while (true) {
+    ssize_t Count =
+        ::recv(Socket.impl()->sockfd(), Buffer.data(), Buffer.size(), 0);
+    if (Count >= 0)
+      return std::string(Buffer.data(), static_cast<size_t>(Count));
+    bool Empty = errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
+    if (!Empty)
+      return makeTypedError(LinkErrorKind::Broken,
+                            "error " + std::to_string(errno));
+    if (auto Ready = await(Wait::Readable, Limits); !Ready)
+      return makeError(Ready.error());
+  }
+}
+
+LinkResult<void> TargetExchange::tryReceiveHead(const WaitLimits &Limits) {
+  while (true) {
+    size_t End = Received.find("\r\n\r\n");
+    if (End != std::string::npos) {
+      if (auto Parsed = tryParseHead(End + 4); !Parsed)
+        return Parsed;
+      // Interim answers tell nothing that is passed on.
+      if (Response.getStatus() >= FirstFinalStatus)
+        return {};
+      continue;
+    }
+    if (Received.size() > MaxHeadBytes)
+      return makeTypedError(LinkErrorKind::Broken, "head too long");
+    auto Piece = tryReceive(Limits);
+    if (!Piece)
+      return makeError(Piece.error());
+    if (Piece->empty())
+      return makeTypedError(LinkErrorKind::Broken, "closed before an answer");
+    Received += *Piece;
+  }
+}
+
+/// \returns how the body of an answer is framed, or Broken.
+static LinkResult<BodyFraming> framingOf(const Poco::Net::HTTPResponse &Head) {
+  int Status = Head.getStatus();
+  if (Status == Poco::Net::HTTPResponse::HTTP_NO_CONTENT ||
+      Status == Poco::Net::HTTPResponse::HTTP_NOT_MODIFIED)
+    return BodyFraming(LengthFraming{0});
+  if (Head.getChunkedTransferEncoding())
+    return BodyFraming(ChunkFraming{});
+  if (!Head.hasContentLength())
+    return BodyFraming(CloseFraming{});
+  return BodyFraming(
+      LengthFraming{static_cast<uint64_t>(Head.getContentLength64())});
+}
+
+LinkResult<void> TargetExchange::tryParseHead(size_t HeadBytes) {
+  try {
+    std::istringstream Text(Received.substr(0, HeadBytes));
+    Response.clear();
+    Response.read(Text);
+    Received.erase(0, HeadBytes);
+    auto Found = framingOf(Response);
+    if (!Found)
+      return makeError(Found.error());
+    Framing.emplace(std::move(*Found));
+    return {};
+  } catch (const Poco::Exception &Failure) {
+    return makeTypedError(LinkErrorKind::Broken, Failure.displayText());
+  }
+}
+
+LinkResult<std::string> TargetExchange::tryReadPiece(const WaitLimits &Limits) {
+  while (true) {
+    std::string Body;
+    if (auto Taken = Framing->take(Received, Body); !Taken)
+      return makeError(Taken.error());
+    Received.clear();
+    if (!Body.empty() || Framing->isComplete())
+      return Body;
+    auto Piece = tryReceive(Limits);
+    if (!Piece)
+      return Piece;
+    if (Piece->empty()) {
+      if (Framing->mayEndHere())
+        return std::string();
+      return makeTypedError(LinkErrorKind::Incomplete);
+    }
+    Received = std::move(*Piece);
+  }
+}
+
+LinkResult<std::string> TargetExchange::tryReadWhole(uint64_t MaxBytes,
+                                                     const WaitLimits &Limits) {
+  std::string Whole;
+  while (true) {
+    auto Piece = tryReadPiece(Limits);
+    if (!Piece)
+      return Piece;
+    if (Piece->empty())
+      return Whole;
+    Whole += *Piece;
+    if (Whole.size() > MaxBytes)
+      return makeTypedError(LinkErrorKind::TooLarge);
+  }
+}
+
+} // namespace ferry::traffic
--- a/Libraries/LibWire/Generated/Membership_types.cpp
+++ b/Libraries/LibWire/Generated/Membership_types.cpp
@@ -1453,6 +1453,173 @@
 }
 
 
+HostFields::~HostFields() noexcept {
+}
+
+
+void HostFields::__set_Id(const std::string& val) {
+  this->Id = val;
+}
+
+void HostFields::__set_DataCentre(const std::string& val) {
+  this->DataCentre = val;
+}
+
+void HostFields::__set_Role(const int32_t val) {
+  this->Role = val;
+}
+
+void HostFields::__set_CallerAddress(const std::string& val) {
+  this->CallerAddress = val;
+}
+std::ostream& operator<<(std::ostream& out, const HostFields& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t HostFields::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->Id);
+          this->__isset.Id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->DataCentre);
+          this->__isset.DataCentre = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->Role);
+          this->__isset.Role = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->CallerAddress);
+          this->__isset.CallerAddress = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t HostFields::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("HostFields");
+
+  xfer += oprot->writeFieldBegin("Id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->Id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("DataCentre", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->DataCentre);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Role", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->Role);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("CallerAddress", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->CallerAddress);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(HostFields &a, HostFields &b) {
+  using ::std::swap;
+  swap(a.Id, b.Id);
+  swap(a.DataCentre, b.DataCentre);
+  swap(a.Role, b.Role);
+  swap(a.CallerAddress, b.CallerAddress);
+  swap(a.__isset, b.__isset);
+}
+
+HostFields::HostFields(const HostFields& other34) {
+  Id = other34.Id;
+  DataCentre = other34.DataCentre;
+  Role = other34.Role;
+  CallerAddress = other34.CallerAddress;
+  __isset = other34.__isset;
+}
+HostFields::HostFields(HostFields&& other35) noexcept {
+  Id = std::move(other35.Id);
+  DataCentre = std::move(other35.DataCentre);
+  Role = other35.Role;
+  CallerAddress = std::move(other35.CallerAddress);
+  __isset = other35.__isset;
+}
+HostFields& HostFields::operator=(const HostFields& other36) {
+  Id = other36.Id;
+  DataCentre = other36.DataCentre;
+  Role = other36.Role;
+  CallerAddress = other36.CallerAddress;
+  __isset = other36.__isset;
+  return *this;
+}
+HostFields& HostFields::operator=(HostFields&& other37) noexcept {
+  Id = std::move(other37.Id);
+  DataCentre = std::move(other37.DataCentre);
+  Role = other37.Role;
+  CallerAddress = std::move(other37.CallerAddress);
+  __isset = other37.__isset;
+  return *this;
+}
+void HostFields::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "HostFields(";
+  out << "Id=" << to_string(Id);
+  out << ", " << "DataCentre=" << to_string(DataCentre);
+  out << ", " << "Role=" << to_string(Role);
+  out << ", " << "CallerAddress=" << to_string(CallerAddress);
+  out << ")";
+}
+
+
 MembershipAsk::~MembershipAsk() noexcept {
 }
 
@@ -1464,6 +1631,16 @@
 void MembershipAsk::__set_Wants(const std::vector<OriginWant> & val) {
   this->Wants = val;
 }
+
+void MembershipAsk::__set_Asker(const HostFields& val) {
+  this->Asker = val;
+__isset.Asker = true;
+}
+
+void MembershipAsk::__set_UnknownTags(const std::vector<int32_t> & val) {
+  this->UnknownTags = val;
+__isset.UnknownTags = true;
+}
 std::ostream& operator<<(std::ostream& out, const MembershipAsk& obj)
 {
   obj.printTo(out);
@@ -1504,14 +1681,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Wants.clear();
-            uint32_t _size34;
-            ::apache::thrift::protocol::TType _etype37;
-            xfer += iprot->readListBegin(_etype37, _size34);
-            this->Wants.resize(_size34);
-            uint32_t _i38;
-            for (_i38 = 0; _i38 < _size34; ++_i38)
+            uint32_t _size38;
+            ::apache::thrift::protocol::TType _etype41;
+            xfer += iprot->readListBegin(_etype41, _size38);
+            this->Wants.resize(_size38);
+            uint32_t _i42;
+            for (_i42 = 0; _i42 < _size38; ++_i42)
             {
-              xfer += this->Wants[_i38].read(iprot);
+              xfer += this->Wants[_i42].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1520,6 +1697,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->Asker.read(iprot);
+          this->__isset.Asker = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->UnknownTags.clear();
+            uint32_t _size43;
+            ::apache::thrift::protocol::TType _etype46;
+            xfer += iprot->readListBegin(_etype46, _size43);
+            this->UnknownTags.resize(_size43);
+            uint32_t _i47;
+            for (_i47 = 0; _i47 < _size43; ++_i47)
+            {
+              xfer += iprot->readI32(this->UnknownTags[_i47]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.UnknownTags = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1544,15 +1749,33 @@
   xfer += oprot->writeFieldBegin("Wants", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Wants.size()));
-    std::vector<OriginWant> ::const_iterator _iter39;
-    for (_iter39 = this->Wants.begin(); _iter39 != this->Wants.end(); ++_iter39)
+    std::vector<OriginWant> ::const_iterator _iter48;
+    for (_iter48 = this->Wants.begin(); _iter48 != this->Wants.end(); ++_iter48)
     {
-      xfer += (*_iter39).write(oprot);
+      xfer += (*_iter48).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.Asker) {
+    xfer += oprot->writeFieldBegin("Asker", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->Asker.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.UnknownTags) {
+    xfer += oprot->writeFieldBegin("UnknownTags", ::apache::thrift::protocol::T_LIST, 4);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->UnknownTags.size()));
+      std::vector<int32_t> ::const_iterator _iter49;
+      for (_iter49 = this->UnknownTags.begin(); _iter49 != this->UnknownTags.end(); ++_iter49)
+      {
+        xfer += oprot->writeI32((*_iter49));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1562,29 +1785,39 @@
   using ::std::swap;
   swap(a.AskNumber, b.AskNumber);
   swap(a.Wants, b.Wants);
+  swap(a.Asker, b.Asker);
+  swap(a.UnknownTags, b.UnknownTags);
   swap(a.__isset, b.__isset);
 }
 
-MembershipAsk::MembershipAsk(const MembershipAsk& other40) {
-  AskNumber = other40.AskNumber;
-  Wants = other40.Wants;
-  __isset = other40.__isset;
-}
-MembershipAsk::MembershipAsk(MembershipAsk&& other41) noexcept {
-  AskNumber = other41.AskNumber;
-  Wants = std::move(other41.Wants);
-  __isset = other41.__isset;
-}
-MembershipAsk& MembershipAsk::operator=(const MembershipAsk& other42) {
-  AskNumber = other42.AskNumber;
-  Wants = other42.Wants;
-  __isset = other42.__isset;
+MembershipAsk::MembershipAsk(const MembershipAsk& other50) {
+  AskNumber = other50.AskNumber;
+  Wants = other50.Wants;
+  Asker = other50.Asker;
+  UnknownTags = other50.UnknownTags;
+  __isset = other50.__isset;
+}
+MembershipAsk::MembershipAsk(MembershipAsk&& other51) noexcept {
+  AskNumber = other51.AskNumber;
+  Wants = std::move(other51.Wants);
+  Asker = std::move(other51.Asker);
+  UnknownTags = std::move(other51.UnknownTags);
+  __isset = other51.__isset;
+}
+MembershipAsk& MembershipAsk::operator=(const MembershipAsk& other52) {
+  AskNumber = other52.AskNumber;
+  Wants = other52.Wants;
+  Asker = other52.Asker;
+  UnknownTags = other52.UnknownTags;
+  __isset = other52.__isset;
   return *this;
 }
-MembershipAsk& MembershipAsk::operator=(MembershipAsk&& other43) noexcept {
-  AskNumber = other43.AskNumber;
-  Wants = std::move(other43.Wants);
-  __isset = other43.__isset;
+MembershipAsk& MembershipAsk::operator=(MembershipAsk&& other53) noexcept {
+  AskNumber = other53.AskNumber;
+  Wants = std::move(other53.Wants);
+  Asker = std::move(other53.Asker);
+  UnknownTags = std::move(other53.UnknownTags);
+  __isset = other53.__isset;
   return *this;
 }
 void MembershipAsk::printTo(std::ostream& out) const {
@@ -1592,6 +1825,8 @@
   out << "MembershipAsk(";
   out << "AskNumber=" << to_string(AskNumber);
   out << ", " << "Wants=" << to_string(Wants);
+  out << ", " << "Asker="; (__isset.Asker ? (out << to_string(Asker)) : (out << "<null>"));
+  out << ", " << "UnknownTags="; (__isset.UnknownTags ? (out << to_string(UnknownTags)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1621,6 +1856,11 @@
   this->ConfirmedAgeMillis = val;
 __isset.ConfirmedAgeMillis = true;
 }
+
+void MembershipReply::__set_Introduced(const std::vector<HostFields> & val) {
+  this->Introduced = val;
+__isset.Introduced = true;
+}
 std::ostream& operator<<(std::ostream& out, const MembershipReply& obj)
 {
   obj.printTo(out);
@@ -1661,14 +1901,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Heartbeats.clear();
-            uint32_t _size44;
-            ::apache::thrift::protocol::TType _etype47;
-            xfer += iprot->readListBegin(_etype47, _size44);
-            this->Heartbeats.resize(_size44);
-            uint32_t _i48;
-            for (_i48 = 0; _i48 < _size44; ++_i48)
+            uint32_t _size54;
+            ::apache::thrift::protocol::TType _etype57;
+            xfer += iprot->readListBegin(_etype57, _size54);
+            this->Heartbeats.resize(_size54);
+            uint32_t _i58;
+            for (_i58 = 0; _i58 < _size54; ++_i58)
             {
-              xfer += this->Heartbeats[_i48].read(iprot);
+              xfer += this->Heartbeats[_i58].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1681,14 +1921,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Deltas.clear();
-            uint32_t _size49;
-            ::apache::thrift::protocol::TType _etype52;
-            xfer += iprot->readListBegin(_etype52, _size49);
-            this->Deltas.resize(_size49);
-            uint32_t _i53;
-            for (_i53 = 0; _i53 < _size49; ++_i53)
+            uint32_t _size59;
+            ::apache::thrift::protocol::TType _etype62;
+            xfer += iprot->readListBegin(_etype62, _size59);
+            this->Deltas.resize(_size59);
+            uint32_t _i63;
+            for (_i63 = 0; _i63 < _size59; ++_i63)
             {
-              xfer += this->Deltas[_i53].read(iprot);
+              xfer += this->Deltas[_i63].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1713,6 +1953,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Introduced.clear();
+            uint32_t _size64;
+            ::apache::thrift::protocol::TType _etype67;
+            xfer += iprot->readListBegin(_etype67, _size64);
+            this->Introduced.resize(_size64);
+            uint32_t _i68;
+            for (_i68 = 0; _i68 < _size64; ++_i68)
+            {
+              xfer += this->Introduced[_i68].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Introduced = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1737,10 +1997,10 @@
   xfer += oprot->writeFieldBegin("Heartbeats", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Heartbeats.size()));
-    std::vector<OriginHeartbeat> ::const_iterator _iter54;
-    for (_iter54 = this->Heartbeats.begin(); _iter54 != this->Heartbeats.end(); ++_iter54)
+    std::vector<OriginHeartbeat> ::const_iterator _iter69;
+    for (_iter69 = this->Heartbeats.begin(); _iter69 != this->Heartbeats.end(); ++_iter69)
     {
-      xfer += (*_iter54).write(oprot);
+      xfer += (*_iter69).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1749,10 +2009,10 @@
   xfer += oprot->writeFieldBegin("Deltas", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Deltas.size()));
-    std::vector<OriginDelta> ::const_iterator _iter55;
-    for (_iter55 = this->Deltas.begin(); _iter55 != this->Deltas.end(); ++_iter55)
+    std::vector<OriginDelta> ::const_iterator _iter70;
+    for (_iter70 = this->Deltas.begin(); _iter70 != this->Deltas.end(); ++_iter70)
     {
-      xfer += (*_iter55).write(oprot);
+      xfer += (*_iter70).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1768,6 +2028,19 @@
     xfer += oprot->writeI32(this->ConfirmedAgeMillis);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.Introduced) {
+    xfer += oprot->writeFieldBegin("Introduced", ::apache::thrift::protocol::T_LIST, 6);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Introduced.size()));
+      std::vector<HostFields> ::const_iterator _iter71;
+      for (_iter71 = this->Introduced.begin(); _iter71 != this->Introduced.end(); ++_iter71)
+      {
+        xfer += (*_iter71).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1780,41 +2053,46 @@
   swap(a.Deltas, b.Deltas);
   swap(a.ConfirmedNumber, b.ConfirmedNumber);
   swap(a.ConfirmedAgeMillis, b.ConfirmedAgeMillis);
+  swap(a.Introduced, b.Introduced);
   swap(a.__isset, b.__isset);
 }
 
-MembershipReply::MembershipReply(const MembershipReply& other56) {
-  AskNumber = other56.AskNumber;
-  Heartbeats = other56.Heartbeats;
-  Deltas = other56.Deltas;
-  ConfirmedNumber = other56.ConfirmedNumber;
-  ConfirmedAgeMillis = other56.ConfirmedAgeMillis;
-  __isset = other56.__isset;
-}
-MembershipReply::MembershipReply(MembershipReply&& other57) noexcept {
-  AskNumber = other57.AskNumber;
-  Heartbeats = std::move(other57.Heartbeats);
-  Deltas = std::move(other57.Deltas);
-  ConfirmedNumber = other57.ConfirmedNumber;
-  ConfirmedAgeMillis = other57.ConfirmedAgeMillis;
-  __isset = other57.__isset;
-}
-MembershipReply& MembershipReply::operator=(const MembershipReply& other58) {
-  AskNumber = other58.AskNumber;
-  Heartbeats = other58.Heartbeats;
-  Deltas = other58.Deltas;
-  ConfirmedNumber = other58.ConfirmedNumber;
-  ConfirmedAgeMillis = other58.ConfirmedAgeMillis;
-  __isset = other58.__isset;
+MembershipReply::MembershipReply(const MembershipReply& other72) {
+  AskNumber = other72.AskNumber;
+  Heartbeats = other72.Heartbeats;
+  Deltas = other72.Deltas;
+  ConfirmedNumber = other72.ConfirmedNumber;
+  ConfirmedAgeMillis = other72.ConfirmedAgeMillis;
+  Introduced = other72.Introduced;
+  __isset = other72.__isset;
+}
+MembershipReply::MembershipReply(MembershipReply&& other73) noexcept {
+  AskNumber = other73.AskNumber;
+  Heartbeats = std::move(other73.Heartbeats);
+  Deltas = std::move(other73.Deltas);
+  ConfirmedNumber = other73.ConfirmedNumber;
+  ConfirmedAgeMillis = other73.ConfirmedAgeMillis;
+  Introduced = std::move(other73.Introduced);
+  __isset = other73.__isset;
+}
+MembershipReply& MembershipReply::operator=(const MembershipReply& other74) {
+  AskNumber = other74.AskNumber;
+  Heartbeats = other74.Heartbeats;
+  Deltas = other74.Deltas;
+  ConfirmedNumber = other74.ConfirmedNumber;
+  ConfirmedAgeMillis = other74.ConfirmedAgeMillis;
+  Introduced = other74.Introduced;
+  __isset = other74.__isset;
   return *this;
 }
-MembershipReply& MembershipReply::operator=(MembershipReply&& other59) noexcept {
-  AskNumber = other59.AskNumber;
-  Heartbeats = std::move(other59.Heartbeats);
-  Deltas = std::move(other59.Deltas);
-  ConfirmedNumber = other59.ConfirmedNumber;
-  ConfirmedAgeMillis = other59.ConfirmedAgeMillis;
-  __isset = other59.__isset;
+MembershipReply& MembershipReply::operator=(MembershipReply&& other75) noexcept {
+  AskNumber = other75.AskNumber;
+  Heartbeats = std::move(other75.Heartbeats);
+  Deltas = std::move(other75.Deltas);
+  ConfirmedNumber = other75.ConfirmedNumber;
+  ConfirmedAgeMillis = other75.ConfirmedAgeMillis;
+  Introduced = std::move(other75.Introduced);
+  __isset = other75.__isset;
   return *this;
 }
 void MembershipReply::printTo(std::ostream& out) const {
@@ -1825,6 +2103,7 @@
   out << ", " << "Deltas=" << to_string(Deltas);
   out << ", " << "ConfirmedNumber="; (__isset.ConfirmedNumber ? (out << to_string(ConfirmedNumber)) : (out << "<null>"));
   out << ", " << "ConfirmedAgeMillis="; (__isset.ConfirmedAgeMillis ? (out << to_string(ConfirmedAgeMillis)) : (out << "<null>"));
+  out << ", " << "Introduced="; (__isset.Introduced ? (out << to_string(Introduced)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1900,14 +2179,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Leaves.clear();
-            uint32_t _size60;
-            ::apache::thrift::protocol::TType _etype63;
-            xfer += iprot->readListBegin(_etype63, _size60);
-            this->Leaves.resize(_size60);
-            uint32_t _i64;
-            for (_i64 = 0; _i64 < _size60; ++_i64)
+            uint32_t _size76;
+            ::apache::thrift::protocol::TType _etype79;
+            xfer += iprot->readListBegin(_etype79, _size76);
+            this->Leaves.resize(_size76);
+            uint32_t _i80;
+            for (_i80 = 0; _i80 < _size76; ++_i80)
             {
-              xfer += this->Leaves[_i64].read(iprot);
+              xfer += this->Leaves[_i80].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1955,10 +2234,10 @@
     xfer += oprot->writeFieldBegin("Leaves", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Leaves.size()));
-      std::vector<LeaveMark> ::const_iterator _iter65;
-      for (_iter65 = this->Leaves.begin(); _iter65 != this->Leaves.end(); ++_iter65)
+      std::vector<LeaveMark> ::const_iterator _iter81;
+      for (_iter81 = this->Leaves.begin(); _iter81 != this->Leaves.end(); ++_iter81)
       {
-        xfer += (*_iter65).write(oprot);
+        xfer += (*_iter81).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1983,34 +2262,34 @@
   swap(a.__isset, b.__isset);
 }
 
-MembershipMessage::MembershipMessage(const MembershipMessage& other66) {
-  Ask = other66.Ask;
-  Reply = other66.Reply;
-  Leaves = other66.Leaves;
-  Number = other66.Number;
-  __isset = other66.__isset;
-}
-MembershipMessage::MembershipMessage(MembershipMessage&& other67) noexcept {
-  Ask = std::move(other67.Ask);
-  Reply = std::move(other67.Reply);
-  Leaves = std::move(other67.Leaves);
-  Number = other67.Number;
-  __isset = other67.__isset;
-}
-MembershipMessage& MembershipMessage::operator=(const MembershipMessage& other68) {
-  Ask = other68.Ask;
-  Reply = other68.Reply;
-  Leaves = other68.Leaves;
-  Number = other68.Number;
-  __isset = other68.__isset;
+MembershipMessage::MembershipMessage(const MembershipMessage& other82) {
+  Ask = other82.Ask;
+  Reply = other82.Reply;
+  Leaves = other82.Leaves;
+  Number = other82.Number;
+  __isset = other82.__isset;
+}
+MembershipMessage::MembershipMessage(MembershipMessage&& other83) noexcept {
+  Ask = std::move(other83.Ask);
+  Reply = std::move(other83.Reply);
+  Leaves = std::move(other83.Leaves);
+  Number = other83.Number;
+  __isset = other83.__isset;
+}
+MembershipMessage& MembershipMessage::operator=(const MembershipMessage& other84) {
+  Ask = other84.Ask;
+  Reply = other84.Reply;
+  Leaves = other84.Leaves;
+  Number = other84.Number;
+  __isset = other84.__isset;
   return *this;
 }
-MembershipMessage& MembershipMessage::operator=(MembershipMessage&& other69) noexcept {
-  Ask = std::move(other69.Ask);
-  Reply = std::move(other69.Reply);
-  Leaves = std::move(other69.Leaves);
-  Number = other69.Number;
-  __isset = other69.__isset;
+MembershipMessage& MembershipMessage::operator=(MembershipMessage&& other85) noexcept {
+  Ask = std::move(other85.Ask);
+  Reply = std::move(other85.Reply);
+  Leaves = std::move(other85.Leaves);
+  Number = other85.Number;
+  __isset = other85.__isset;
   return *this;
 }
 void MembershipMessage::printTo(std::ostream& out) const {
@@ -2099,22 +2378,22 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfirmationQuery::ConfirmationQuery(const ConfirmationQuery& other70) noexcept {
-  QueryNumber = other70.QueryNumber;
-  __isset = other70.__isset;
+ConfirmationQuery::ConfirmationQuery(const ConfirmationQuery& other86) noexcept {
+  QueryNumber = other86.QueryNumber;
+  __isset = other86.__isset;
 }
-ConfirmationQuery::ConfirmationQuery(ConfirmationQuery&& other71) noexcept {
-  QueryNumber = other71.QueryNumber;
-  __isset = other71.__isset;
+ConfirmationQuery::ConfirmationQuery(ConfirmationQuery&& other87) noexcept {
+  QueryNumber = other87.QueryNumber;
+  __isset = other87.__isset;
 }
-ConfirmationQuery& ConfirmationQuery::operator=(const ConfirmationQuery& other72) noexcept {
-  QueryNumber = other72.QueryNumber;
-  __isset = other72.__isset;
+ConfirmationQuery& ConfirmationQuery::operator=(const ConfirmationQuery& other88) noexcept {
+  QueryNumber = other88.QueryNumber;
+  __isset = other88.__isset;
   return *this;
 }
-ConfirmationQuery& ConfirmationQuery::operator=(ConfirmationQuery&& other73) noexcept {
-  QueryNumber = other73.QueryNumber;
-  __isset = other73.__isset;
+ConfirmationQuery& ConfirmationQuery::operator=(ConfirmationQuery&& other89) noexcept {
+  QueryNumber = other89.QueryNumber;
+  __isset = other89.__isset;
   return *this;
 }
 void ConfirmationQuery::printTo(std::ostream& out) const {
@@ -2140,6 +2419,11 @@
 void ConfirmationAnswer::__set_Voter(const bool val) {
   this->Voter = val;
 }
+
+void ConfirmationAnswer::__set_VoterCount(const int32_t val) {
+  this->VoterCount = val;
+__isset.VoterCount = true;
+}
 std::ostream& operator<<(std::ostream& out, const ConfirmationAnswer& obj)
 {
   obj.printTo(out);
@@ -2192,6 +2476,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->VoterCount);
+          this->__isset.VoterCount = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2221,6 +2513,11 @@
   xfer += oprot->writeBool(this->Voter);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.VoterCount) {
+    xfer += oprot->writeFieldBegin("VoterCount", ::apache::thrift::protocol::T_I32, 4);
+    xfer += oprot->writeI32(this->VoterCount);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2231,33 +2528,38 @@
   swap(a.QueryNumber, b.QueryNumber);
   swap(a.GreatestNumber, b.GreatestNumber);
   swap(a.Voter, b.Voter);
+  swap(a.VoterCount, b.VoterCount);
   swap(a.__isset, b.__isset);
 }
 
-ConfirmationAnswer::ConfirmationAnswer(const ConfirmationAnswer& other74) noexcept {
-  QueryNumber = other74.QueryNumber;
-  GreatestNumber = other74.GreatestNumber;
-  Voter = other74.Voter;
-  __isset = other74.__isset;
-}
-ConfirmationAnswer::ConfirmationAnswer(ConfirmationAnswer&& other75) noexcept {
-  QueryNumber = other75.QueryNumber;
-  GreatestNumber = other75.GreatestNumber;
-  Voter = other75.Voter;
-  __isset = other75.__isset;
-}
-ConfirmationAnswer& ConfirmationAnswer::operator=(const ConfirmationAnswer& other76) noexcept {
-  QueryNumber = other76.QueryNumber;
-  GreatestNumber = other76.GreatestNumber;
-  Voter = other76.Voter;
-  __isset = other76.__isset;
+ConfirmationAnswer::ConfirmationAnswer(const ConfirmationAnswer& other90) noexcept {
+  QueryNumber = other90.QueryNumber;
+  GreatestNumber = other90.GreatestNumber;
+  Voter = other90.Voter;
+  VoterCount = other90.VoterCount;
+  __isset = other90.__isset;
+}
+ConfirmationAnswer::ConfirmationAnswer(ConfirmationAnswer&& other91) noexcept {
+  QueryNumber = other91.QueryNumber;
+  GreatestNumber = other91.GreatestNumber;
+  Voter = other91.Voter;
+  VoterCount = other91.VoterCount;
+  __isset = other91.__isset;
+}
+ConfirmationAnswer& ConfirmationAnswer::operator=(const ConfirmationAnswer& other92) noexcept {
+  QueryNumber = other92.QueryNumber;
+  GreatestNumber = other92.GreatestNumber;
+  Voter = other92.Voter;
+  VoterCount = other92.VoterCount;
+  __isset = other92.__isset;
   return *this;
 }
-ConfirmationAnswer& ConfirmationAnswer::operator=(ConfirmationAnswer&& other77) noexcept {
-  QueryNumber = other77.QueryNumber;
-  GreatestNumber = other77.GreatestNumber;
-  Voter = other77.Voter;
-  __isset = other77.__isset;
+ConfirmationAnswer& ConfirmationAnswer::operator=(ConfirmationAnswer&& other93) noexcept {
+  QueryNumber = other93.QueryNumber;
+  GreatestNumber = other93.GreatestNumber;
+  Voter = other93.Voter;
+  VoterCount = other93.VoterCount;
+  __isset = other93.__isset;
   return *this;
 }
 void ConfirmationAnswer::printTo(std::ostream& out) const {
@@ -2266,6 +2568,7 @@
   out << "QueryNumber=" << to_string(QueryNumber);
   out << ", " << "GreatestNumber=" << to_string(GreatestNumber);
   out << ", " << "Voter=" << to_string(Voter);
+  out << ", " << "VoterCount="; (__isset.VoterCount ? (out << to_string(VoterCount)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2366,26 +2669,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfirmationMessage::ConfirmationMessage(const ConfirmationMessage& other78) noexcept {
-  Query = other78.Query;
-  Answer = other78.Answer;
-  __isset = other78.__isset;
+ConfirmationMessage::ConfirmationMessage(const ConfirmationMessage& other94) noexcept {
+  Query = other94.Query;
+  Answer = other94.Answer;
+  __isset = other94.__isset;
 }
-ConfirmationMessage::ConfirmationMessage(ConfirmationMessage&& other79) noexcept {
-  Query = std::move(other79.Query);
-  Answer = std::move(other79.Answer);
-  __isset = other79.__isset;
+ConfirmationMessage::ConfirmationMessage(ConfirmationMessage&& other95) noexcept {
+  Query = std::move(other95.Query);
+  Answer = std::move(other95.Answer);
+  __isset = other95.__isset;
 }
-ConfirmationMessage& ConfirmationMessage::operator=(const ConfirmationMessage& other80) noexcept {
-  Query = other80.Query;
-  Answer = other80.Answer;
-  __isset = other80.__isset;
+ConfirmationMessage& ConfirmationMessage::operator=(const ConfirmationMessage& other96) noexcept {
+  Query = other96.Query;
+  Answer = other96.Answer;
+  __isset = other96.__isset;
   return *this;
 }
-ConfirmationMessage& ConfirmationMessage::operator=(ConfirmationMessage&& other81) noexcept {
-  Query = std::move(other81.Query);
-  Answer = std::move(other81.Answer);
-  __isset = other81.__isset;
+ConfirmationMessage& ConfirmationMessage::operator=(ConfirmationMessage&& other97) noexcept {
+  Query = std::move(other97.Query);
+  Answer = std::move(other97.Answer);
+  __isset = other97.__isset;
   return *this;
 }
 void ConfirmationMessage::printTo(std::ostream& out) const {
--- a/Libraries/LibWire/Generated/Membership_types.h
+++ b/Libraries/LibWire/Generated/Membership_types.h
@@ -35,6 +35,8 @@
 
 class LeaveMark;
 
+class HostFields;
+
 class MembershipAsk;
 
 class MembershipReply;
@@ -591,10 +593,78 @@
 
 std::ostream& operator<<(std::ostream& out, const LeaveMark& obj);
 
+typedef struct _HostFields__isset {
+  _HostFields__isset() : Id(false), DataCentre(false), Role(false), CallerAddress(false) {}
+  bool Id :1;
+  bool DataCentre :1;
+  bool Role :1;
+  bool CallerAddress :1;
+} _HostFields__isset;
+
+class HostFields : public virtual ::apache::thrift::TBase {
+ public:
+
+  HostFields(const HostFields&);
+  HostFields(HostFields&&) noexcept;
+  HostFields& operator=(const HostFields&);
+  HostFields& operator=(HostFields&&) noexcept;
+  HostFields() noexcept
+             : Id(),
+               DataCentre(),
+               Role(0),
+               CallerAddress() {
+  }
+
+  virtual ~HostFields() noexcept;
+  std::string Id;
+  std::string DataCentre;
+  int32_t Role;
+  std::string CallerAddress;
+
+  _HostFields__isset __isset;
+
+  void __set_Id(const std::string& val);
+
+  void __set_DataCentre(const std::string& val);
+
+  void __set_Role(const int32_t val);
+
+  void __set_CallerAddress(const std::string& val);
+
+  bool operator == (const HostFields & rhs) const
+  {
+    if (!(Id == rhs.Id))
+      return false;
+    if (!(DataCentre == rhs.DataCentre))
+      return false;
+    if (!(Role == rhs.Role))
+      return false;
+    if (!(CallerAddress == rhs.CallerAddress))
+      return false;
+    return true;
+  }
+  bool operator != (const HostFields &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const HostFields & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(HostFields &a, HostFields &b);
+
+std::ostream& operator<<(std::ostream& out, const HostFields& obj);
+
 typedef struct _MembershipAsk__isset {
-  _MembershipAsk__isset() : AskNumber(false), Wants(false) {}
+  _MembershipAsk__isset() : AskNumber(false), Wants(false), Asker(false), UnknownTags(false) {}
   bool AskNumber :1;
   bool Wants :1;
+  bool Asker :1;
+  bool UnknownTags :1;
 } _MembershipAsk__isset;
 
 class MembershipAsk : public virtual ::apache::thrift::TBase {
@@ -611,6 +681,8 @@
   virtual ~MembershipAsk() noexcept;
   int64_t AskNumber;
   std::vector<OriginWant>  Wants;
+  HostFields Asker;
+  std::vector<int32_t>  UnknownTags;
 
   _MembershipAsk__isset __isset;
 
@@ -618,12 +690,24 @@
 
   void __set_Wants(const std::vector<OriginWant> & val);
 
+  void __set_Asker(const HostFields& val);
+
+  void __set_UnknownTags(const std::vector<int32_t> & val);
+
   bool operator == (const MembershipAsk & rhs) const
   {
     if (!(AskNumber == rhs.AskNumber))
       return false;
     if (!(Wants == rhs.Wants))
       return false;
+    if (__isset.Asker != rhs.__isset.Asker)
+      return false;
+    else if (__isset.Asker && !(Asker == rhs.Asker))
+      return false;
+    if (__isset.UnknownTags != rhs.__isset.UnknownTags)
+      return false;
+    else if (__isset.UnknownTags && !(UnknownTags == rhs.UnknownTags))
+      return false;
     return true;
   }
   bool operator != (const MembershipAsk &rhs) const {
@@ -643,12 +727,13 @@
 std::ostream& operator<<(std::ostream& out, const MembershipAsk& obj);
 
 typedef struct _MembershipReply__isset {
-  _MembershipReply__isset() : AskNumber(false), Heartbeats(false), Deltas(false), ConfirmedNumber(false), ConfirmedAgeMillis(false) {}
+  _MembershipReply__isset() : AskNumber(false), Heartbeats(false), Deltas(false), ConfirmedNumber(false), ConfirmedAgeMillis(false), Introduced(false) {}
   bool AskNumber :1;
   bool Heartbeats :1;
   bool Deltas :1;
   bool ConfirmedNumber :1;
   bool ConfirmedAgeMillis :1;
+  bool Introduced :1;
 } _MembershipReply__isset;
 
 class MembershipReply : public virtual ::apache::thrift::TBase {
@@ -670,6 +755,7 @@
   std::vector<OriginDelta>  Deltas;
   int64_t ConfirmedNumber;
   int32_t ConfirmedAgeMillis;
+  std::vector<HostFields>  Introduced;
 
   _MembershipReply__isset __isset;
 
@@ -683,6 +769,8 @@
 
   void __set_ConfirmedAgeMillis(const int32_t val);
 
+  void __set_Introduced(const std::vector<HostFields> & val);
+
   bool operator == (const MembershipReply & rhs) const
   {
     if (!(AskNumber == rhs.AskNumber))
@@ -699,6 +787,10 @@
       return false;
     else if (__isset.ConfirmedAgeMillis && !(ConfirmedAgeMillis == rhs.ConfirmedAgeMillis))
       return false;
+    if (__isset.Introduced != rhs.__isset.Introduced)
+      return false;
+    else if (__isset.Introduced && !(Introduced == rhs.Introduced))
+      return false;
     return true;
   }
   bool operator != (const MembershipReply &rhs) const {
@@ -834,10 +926,11 @@
 std::ostream& operator<<(std::ostream& out, const ConfirmationQuery& obj);
 
 typedef struct _ConfirmationAnswer__isset {
-  _ConfirmationAnswer__isset() : QueryNumber(false), GreatestNumber(false), Voter(false) {}
+  _ConfirmationAnswer__isset() : QueryNumber(false), GreatestNumber(false), Voter(false), VoterCount(false) {}
   bool QueryNumber :1;
   bool GreatestNumber :1;
   bool Voter :1;
+  bool VoterCount :1;
 } _ConfirmationAnswer__isset;
 
 class ConfirmationAnswer : public virtual ::apache::thrift::TBase {
@@ -850,13 +943,15 @@
   ConfirmationAnswer() noexcept
                      : QueryNumber(0),
                        GreatestNumber(0),
-                       Voter(0) {
+                       Voter(0),
+                       VoterCount(0) {
   }
 
   virtual ~ConfirmationAnswer() noexcept;
   int64_t QueryNumber;
   int64_t GreatestNumber;
   bool Voter;
+  int32_t VoterCount;
 
   _ConfirmationAnswer__isset __isset;
 
@@ -866,6 +961,8 @@
 
   void __set_Voter(const bool val);
 
+  void __set_VoterCount(const int32_t val);
+
   bool operator == (const ConfirmationAnswer & rhs) const
   {
     if (!(QueryNumber == rhs.QueryNumber))
@@ -874,6 +971,10 @@
       return false;
     if (!(Voter == rhs.Voter))
       return false;
+    if (__isset.VoterCount != rhs.__isset.VoterCount)
+      return false;
+    else if (__isset.VoterCount && !(VoterCount == rhs.VoterCount))
+      return false;
     return true;
   }
   bool operator != (const ConfirmationAnswer &rhs) const {
