--- a/Libraries/LibWire/Generated/Registry_types.cpp
+++ b/Libraries/LibWire/Generated/Registry_types.cpp
@@ -790,6 +790,252 @@
 }
 
 
+ReplaceCommand::~ReplaceCommand() noexcept {
+}
+
+
+void ReplaceCommand::__set_Number(const int64_t val) {
+  this->Number = val;
+}
+
+void ReplaceCommand::__set_Text(const std::string& val) {
+  this->Text = val;
+}
+std::ostream& operator<<(std::ostream& out, const ReplaceCommand& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ReplaceCommand::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Number);
+          this->__isset.Number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->Text);
+          this->__isset.Text = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ReplaceCommand::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ReplaceCommand");
+
+  xfer += oprot->writeFieldBegin("Number", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->Number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Text", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->Text);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ReplaceCommand &a, ReplaceCommand &b) {
+  using ::std::swap;
+  swap(a.Number, b.Number);
+  swap(a.Text, b.Text);
+  swap(a.__isset, b.__isset);
+}
+
+ReplaceCommand::ReplaceCommand(const ReplaceCommand& other16) {
+  Number = other16.Number;
+  Text = other16.Text;
+  __isset = other16.__isset;
+}
+ReplaceCommand::ReplaceCommand(ReplaceCommand&& other17) noexcept {
+  Number = other17.Number;
+  Text = std::move(other17.Text);
+  __isset = other17.__isset;
+}
+ReplaceCommand& ReplaceCommand::operator=(const ReplaceCommand& other18) {
+  Number = other18.Number;
+  Text = other18.Text;
+  __isset = other18.__isset;
+  return *this;
+}
+ReplaceCommand& ReplaceCommand::operator=(ReplaceCommand&& other19) noexcept {
+  Number = other19.Number;
+  Text = std::move(other19.Text);
+  __isset = other19.__isset;
+  return *this;
+}
+void ReplaceCommand::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ReplaceCommand(";
+  out << "Number=" << to_string(Number);
+  out << ", " << "Text=" << to_string(Text);
+  out << ")";
+}
+
+
+NameWeightsCommand::~NameWeightsCommand() noexcept {
+}
+
+
+void NameWeightsCommand::__set_Model(const std::string& val) {
+  this->Model = val;
+}
+
+void NameWeightsCommand::__set_Weights(const int64_t val) {
+  this->Weights = val;
+}
+std::ostream& operator<<(std::ostream& out, const NameWeightsCommand& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t NameWeightsCommand::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->Model);
+          this->__isset.Model = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Weights);
+          this->__isset.Weights = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t NameWeightsCommand::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("NameWeightsCommand");
+
+  xfer += oprot->writeFieldBegin("Model", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->Model);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Weights", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->Weights);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(NameWeightsCommand &a, NameWeightsCommand &b) {
+  using ::std::swap;
+  swap(a.Model, b.Model);
+  swap(a.Weights, b.Weights);
+  swap(a.__isset, b.__isset);
+}
+
+NameWeightsCommand::NameWeightsCommand(const NameWeightsCommand& other20) {
+  Model = other20.Model;
+  Weights = other20.Weights;
+  __isset = other20.__isset;
+}
+NameWeightsCommand::NameWeightsCommand(NameWeightsCommand&& other21) noexcept {
+  Model = std::move(other21.Model);
+  Weights = other21.Weights;
+  __isset = other21.__isset;
+}
+NameWeightsCommand& NameWeightsCommand::operator=(const NameWeightsCommand& other22) {
+  Model = other22.Model;
+  Weights = other22.Weights;
+  __isset = other22.__isset;
+  return *this;
+}
+NameWeightsCommand& NameWeightsCommand::operator=(NameWeightsCommand&& other23) noexcept {
+  Model = std::move(other23.Model);
+  Weights = other23.Weights;
+  __isset = other23.__isset;
+  return *this;
+}
+void NameWeightsCommand::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "NameWeightsCommand(";
+  out << "Model=" << to_string(Model);
+  out << ", " << "Weights=" << to_string(Weights);
+  out << ")";
+}
+
+
 ClaimCommand::~ClaimCommand() noexcept {
 }
 
@@ -916,34 +1162,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimCommand::ClaimCommand(const ClaimCommand& other16) {
-  Key = other16.Key;
-  Attempt = other16.Attempt;
-  BodyDigest = other16.BodyDigest;
-  AskedAtMillis = other16.AskedAtMillis;
-  __isset = other16.__isset;
+ClaimCommand::ClaimCommand(const ClaimCommand& other24) {
+  Key = other24.Key;
+  Attempt = other24.Attempt;
+  BodyDigest = other24.BodyDigest;
+  AskedAtMillis = other24.AskedAtMillis;
+  __isset = other24.__isset;
 }
-ClaimCommand::ClaimCommand(ClaimCommand&& other17) noexcept {
-  Key = std::move(other17.Key);
-  Attempt = std::move(other17.Attempt);
-  BodyDigest = other17.BodyDigest;
-  AskedAtMillis = other17.AskedAtMillis;
-  __isset = other17.__isset;
+ClaimCommand::ClaimCommand(ClaimCommand&& other25) noexcept {
+  Key = std::move(other25.Key);
+  Attempt = std::move(other25.Attempt);
+  BodyDigest = other25.BodyDigest;
+  AskedAtMillis = other25.AskedAtMillis;
+  __isset = other25.__isset;
 }
-ClaimCommand& ClaimCommand::operator=(const ClaimCommand& other18) {
-  Key = other18.Key;
-  Attempt = other18.Attempt;
-  BodyDigest = other18.BodyDigest;
-  AskedAtMillis = other18.AskedAtMillis;
-  __isset = other18.__isset;
+ClaimCommand& ClaimCommand::operator=(const ClaimCommand& other26) {
+  Key = other26.Key;
+  Attempt = other26.Attempt;
+  BodyDigest = other26.BodyDigest;
+  AskedAtMillis = other26.AskedAtMillis;
+  __isset = other26.__isset;
   return *this;
 }
-ClaimCommand& ClaimCommand::operator=(ClaimCommand&& other19) noexcept {
-  Key = std::move(other19.Key);
-  Attempt = std::move(other19.Attempt);
-  BodyDigest = other19.BodyDigest;
-  AskedAtMillis = other19.AskedAtMillis;
-  __isset = other19.__isset;
+ClaimCommand& ClaimCommand::operator=(ClaimCommand&& other27) noexcept {
+  Key = std::move(other27.Key);
+  Attempt = std::move(other27.Attempt);
+  BodyDigest = other27.BodyDigest;
+  AskedAtMillis = other27.AskedAtMillis;
+  __isset = other27.__isset;
   return *this;
 }
 void ClaimCommand::printTo(std::ostream& out) const {
@@ -1066,30 +1312,30 @@
   swap(a.__isset, b.__isset);
 }
 
-CompleteCommand::CompleteCommand(const CompleteCommand& other20) {
-  Key = other20.Key;
-  Attempt = other20.Attempt;
-  Answer = other20.Answer;
-  __isset = other20.__isset;
+CompleteCommand::CompleteCommand(const CompleteCommand& other28) {
+  Key = other28.Key;
+  Attempt = other28.Attempt;
+  Answer = other28.Answer;
+  __isset = other28.__isset;
 }
-CompleteCommand::CompleteCommand(CompleteCommand&& other21) noexcept {
-  Key = std::move(other21.Key);
-  Attempt = std::move(other21.Attempt);
-  Answer = std::move(other21.Answer);
-  __isset = other21.__isset;
+CompleteCommand::CompleteCommand(CompleteCommand&& other29) noexcept {
+  Key = std::move(other29.Key);
+  Attempt = std::move(other29.Attempt);
+  Answer = std::move(other29.Answer);
+  __isset = other29.__isset;
 }
-CompleteCommand& CompleteCommand::operator=(const CompleteCommand& other22) {
-  Key = other22.Key;
-  Attempt = other22.Attempt;
-  Answer = other22.Answer;
-  __isset = other22.__isset;
+CompleteCommand& CompleteCommand::operator=(const CompleteCommand& other30) {
+  Key = other30.Key;
+  Attempt = other30.Attempt;
+  Answer = other30.Answer;
+  __isset = other30.__isset;
   return *this;
 }
-CompleteCommand& CompleteCommand::operator=(CompleteCommand&& other23) noexcept {
-  Key = std::move(other23.Key);
-  Attempt = std::move(other23.Attempt);
-  Answer = std::move(other23.Answer);
-  __isset = other23.__isset;
+CompleteCommand& CompleteCommand::operator=(CompleteCommand&& other31) noexcept {
+  Key = std::move(other31.Key);
+  Attempt = std::move(other31.Attempt);
+  Answer = std::move(other31.Answer);
+  __isset = other31.__isset;
   return *this;
 }
 void CompleteCommand::printTo(std::ostream& out) const {
@@ -1194,26 +1440,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ReleaseCommand::ReleaseCommand(const ReleaseCommand& other24) {
-  Key = other24.Key;
-  Attempt = other24.Attempt;
-  __isset = other24.__isset;
+ReleaseCommand::ReleaseCommand(const ReleaseCommand& other32) {
+  Key = other32.Key;
+  Attempt = other32.Attempt;
+  __isset = other32.__isset;
 }
-ReleaseCommand::ReleaseCommand(ReleaseCommand&& other25) noexcept {
-  Key = std::move(other25.Key);
-  Attempt = std::move(other25.Attempt);
-  __isset = other25.__isset;
+ReleaseCommand::ReleaseCommand(ReleaseCommand&& other33) noexcept {
+  Key = std::move(other33.Key);
+  Attempt = std::move(other33.Attempt);
+  __isset = other33.__isset;
 }
-ReleaseCommand& ReleaseCommand::operator=(const ReleaseCommand& other26) {
-  Key = other26.Key;
-  Attempt = other26.Attempt;
-  __isset = other26.__isset;
+ReleaseCommand& ReleaseCommand::operator=(const ReleaseCommand& other34) {
+  Key = other34.Key;
+  Attempt = other34.Attempt;
+  __isset = other34.__isset;
   return *this;
 }
-ReleaseCommand& ReleaseCommand::operator=(ReleaseCommand&& other27) noexcept {
-  Key = std::move(other27.Key);
-  Attempt = std::move(other27.Attempt);
-  __isset = other27.__isset;
+ReleaseCommand& ReleaseCommand::operator=(ReleaseCommand&& other35) noexcept {
+  Key = std::move(other35.Key);
+  Attempt = std::move(other35.Attempt);
+  __isset = other35.__isset;
   return *this;
 }
 void ReleaseCommand::printTo(std::ostream& out) const {
@@ -1317,26 +1563,26 @@
   swap(a.__isset, b.__isset);
 }
 
-MarkUnknownCommand::MarkUnknownCommand(const MarkUnknownCommand& other28) {
-  Key = other28.Key;
-  Holder = other28.Holder;
-  __isset = other28.__isset;
+MarkUnknownCommand::MarkUnknownCommand(const MarkUnknownCommand& other36) {
+  Key = other36.Key;
+  Holder = other36.Holder;
+  __isset = other36.__isset;
 }
-MarkUnknownCommand::MarkUnknownCommand(MarkUnknownCommand&& other29) noexcept {
-  Key = std::move(other29.Key);
-  Holder = std::move(other29.Holder);
-  __isset = other29.__isset;
+MarkUnknownCommand::MarkUnknownCommand(MarkUnknownCommand&& other37) noexcept {
+  Key = std::move(other37.Key);
+  Holder = std::move(other37.Holder);
+  __isset = other37.__isset;
 }
-MarkUnknownCommand& MarkUnknownCommand::operator=(const MarkUnknownCommand& other30) {
-  Key = other30.Key;
-  Holder = other30.Holder;
-  __isset = other30.__isset;
+MarkUnknownCommand& MarkUnknownCommand::operator=(const MarkUnknownCommand& other38) {
+  Key = other38.Key;
+  Holder = other38.Holder;
+  __isset = other38.__isset;
   return *this;
 }
-MarkUnknownCommand& MarkUnknownCommand::operator=(MarkUnknownCommand&& other31) noexcept {
-  Key = std::move(other31.Key);
-  Holder = std::move(other31.Holder);
-  __isset = other31.__isset;
+MarkUnknownCommand& MarkUnknownCommand::operator=(MarkUnknownCommand&& other39) noexcept {
+  Key = std::move(other39.Key);
+  Holder = std::move(other39.Holder);
+  __isset = other39.__isset;
   return *this;
 }
 void MarkUnknownCommand::printTo(std::ostream& out) const {
@@ -1423,22 +1669,22 @@
   swap(a.__isset, b.__isset);
 }
 
-AdvanceLowWaterCommand::AdvanceLowWaterCommand(const AdvanceLowWaterCommand& other32) noexcept {
-  MarkMillis = other32.MarkMillis;
-  __isset = other32.__isset;
+AdvanceLowWaterCommand::AdvanceLowWaterCommand(const AdvanceLowWaterCommand& other40) noexcept {
+  MarkMillis = other40.MarkMillis;
+  __isset = other40.__isset;
 }
-AdvanceLowWaterCommand::AdvanceLowWaterCommand(AdvanceLowWaterCommand&& other33) noexcept {
-  MarkMillis = other33.MarkMillis;
-  __isset = other33.__isset;
+AdvanceLowWaterCommand::AdvanceLowWaterCommand(AdvanceLowWaterCommand&& other41) noexcept {
+  MarkMillis = other41.MarkMillis;
+  __isset = other41.__isset;
 }
-AdvanceLowWaterCommand& AdvanceLowWaterCommand::operator=(const AdvanceLowWaterCommand& other34) noexcept {
-  MarkMillis = other34.MarkMillis;
-  __isset = other34.__isset;
+AdvanceLowWaterCommand& AdvanceLowWaterCommand::operator=(const AdvanceLowWaterCommand& other42) noexcept {
+  MarkMillis = other42.MarkMillis;
+  __isset = other42.__isset;
   return *this;
 }
-AdvanceLowWaterCommand& AdvanceLowWaterCommand::operator=(AdvanceLowWaterCommand&& other35) noexcept {
-  MarkMillis = other35.MarkMillis;
-  __isset = other35.__isset;
+AdvanceLowWaterCommand& AdvanceLowWaterCommand::operator=(AdvanceLowWaterCommand&& other43) noexcept {
+  MarkMillis = other43.MarkMillis;
+  __isset = other43.__isset;
   return *this;
 }
 void AdvanceLowWaterCommand::printTo(std::ostream& out) const {
@@ -1592,38 +1838,38 @@
   swap(a.__isset, b.__isset);
 }
 
-AcquireLeaseCommand::AcquireLeaseCommand(const AcquireLeaseCommand& other36) {
-  Name = other36.Name;
-  Host = other36.Host;
-  Incarnation = other36.Incarnation;
-  SeenFencing = other36.SeenFencing;
-  SeenRenewals = other36.SeenRenewals;
-  __isset = other36.__isset;
+AcquireLeaseCommand::AcquireLeaseCommand(const AcquireLeaseCommand& other44) {
+  Name = other44.Name;
+  Host = other44.Host;
+  Incarnation = other44.Incarnation;
+  SeenFencing = other44.SeenFencing;
+  SeenRenewals = other44.SeenRenewals;
+  __isset = other44.__isset;
 }
-AcquireLeaseCommand::AcquireLeaseCommand(AcquireLeaseCommand&& other37) noexcept {
-  Name = std::move(other37.Name);
-  Host = std::move(other37.Host);
-  Incarnation = other37.Incarnation;
-  SeenFencing = other37.SeenFencing;
-  SeenRenewals = other37.SeenRenewals;
-  __isset = other37.__isset;
+AcquireLeaseCommand::AcquireLeaseCommand(AcquireLeaseCommand&& other45) noexcept {
+  Name = std::move(other45.Name);
+  Host = std::move(other45.Host);
+  Incarnation = other45.Incarnation;
+  SeenFencing = other45.SeenFencing;
+  SeenRenewals = other45.SeenRenewals;
+  __isset = other45.__isset;
 }
-AcquireLeaseCommand& AcquireLeaseCommand::operator=(const AcquireLeaseCommand& other38) {
-  Name = other38.Name;
-  Host = other38.Host;
-  Incarnation = other38.Incarnation;
-  SeenFencing = other38.SeenFencing;
-  SeenRenewals = other38.SeenRenewals;
-  __isset = other38.__isset;
+AcquireLeaseCommand& AcquireLeaseCommand::operator=(const AcquireLeaseCommand& other46) {
+  Name = other46.Name;
+  Host = other46.Host;
+  Incarnation = other46.Incarnation;
+  SeenFencing = other46.SeenFencing;
+  SeenRenewals = other46.SeenRenewals;
+  __isset = other46.__isset;
   return *this;
 }
-AcquireLeaseCommand& AcquireLeaseCommand::operator=(AcquireLeaseCommand&& other39) noexcept {
-  Name = std::move(other39.Name);
-  Host = std::move(other39.Host);
-  Incarnation = other39.Incarnation;
-  SeenFencing = other39.SeenFencing;
-  SeenRenewals = other39.SeenRenewals;
-  __isset = other39.__isset;
+AcquireLeaseCommand& AcquireLeaseCommand::operator=(AcquireLeaseCommand&& other47) noexcept {
+  Name = std::move(other47.Name);
+  Host = std::move(other47.Host);
+  Incarnation = other47.Incarnation;
+  SeenFencing = other47.SeenFencing;
+  SeenRenewals = other47.SeenRenewals;
+  __isset = other47.__isset;
   return *this;
 }
 void AcquireLeaseCommand::printTo(std::ostream& out) const {
@@ -1781,38 +2027,38 @@
   swap(a.__isset, b.__isset);
 }
 
-RenewLeaseCommand::RenewLeaseCommand(const RenewLeaseCommand& other40) {
-  Name = other40.Name;
-  Host = other40.Host;
-  Incarnation = other40.Incarnation;
-  Fencing = other40.Fencing;
-  Renewals = other40.Renewals;
-  __isset = other40.__isset;
+RenewLeaseCommand::RenewLeaseCommand(const RenewLeaseCommand& other48) {
+  Name = other48.Name;
+  Host = other48.Host;
+  Incarnation = other48.Incarnation;
+  Fencing = other48.Fencing;
+  Renewals = other48.Renewals;
+  __isset = other48.__isset;
 }
-RenewLeaseCommand::RenewLeaseCommand(RenewLeaseCommand&& other41) noexcept {
-  Name = std::move(other41.Name);
-  Host = std::move(other41.Host);
-  Incarnation = other41.Incarnation;
-  Fencing = other41.Fencing;
-  Renewals = other41.Renewals;
-  __isset = other41.__isset;
+RenewLeaseCommand::RenewLeaseCommand(RenewLeaseCommand&& other49) noexcept {
+  Name = std::move(other49.Name);
+  Host = std::move(other49.Host);
+  Incarnation = other49.Incarnation;
+  Fencing = other49.Fencing;
+  Renewals = other49.Renewals;
+  __isset = other49.__isset;
 }
-RenewLeaseCommand& RenewLeaseCommand::operator=(const RenewLeaseCommand& other42) {
-  Name = other42.Name;
-  Host = other42.Host;
-  Incarnation = other42.Incarnation;
-  Fencing = other42.Fencing;
-  Renewals = other42.Renewals;
-  __isset = other42.__isset;
+RenewLeaseCommand& RenewLeaseCommand::operator=(const RenewLeaseCommand& other50) {
+  Name = other50.Name;
+  Host = other50.Host;
+  Incarnation = other50.Incarnation;
+  Fencing = other50.Fencing;
+  Renewals = other50.Renewals;
+  __isset = other50.__isset;
   return *this;
 }
-RenewLeaseCommand& RenewLeaseCommand::operator=(RenewLeaseCommand&& other43) noexcept {
-  Name = std::move(other43.Name);
-  Host = std::move(other43.Host);
-  Incarnation = other43.Incarnation;
-  Fencing = other43.Fencing;
-  Renewals = other43.Renewals;
-  __isset = other43.__isset;
+RenewLeaseCommand& RenewLeaseCommand::operator=(RenewLeaseCommand&& other51) noexcept {
+  Name = std::move(other51.Name);
+  Host = std::move(other51.Host);
+  Incarnation = other51.Incarnation;
+  Fencing = other51.Fencing;
+  Renewals = other51.Renewals;
+  __isset = other51.__isset;
   return *this;
 }
 void RenewLeaseCommand::printTo(std::ostream& out) const {
@@ -1953,34 +2199,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ReleaseLeaseCommand::ReleaseLeaseCommand(const ReleaseLeaseCommand& other44) {
-  Name = other44.Name;
-  Host = other44.Host;
-  Incarnation = other44.Incarnation;
-  Fencing = other44.Fencing;
-  __isset = other44.__isset;
+ReleaseLeaseCommand::ReleaseLeaseCommand(const ReleaseLeaseCommand& other52) {
+  Name = other52.Name;
+  Host = other52.Host;
+  Incarnation = other52.Incarnation;
+  Fencing = other52.Fencing;
+  __isset = other52.__isset;
 }
-ReleaseLeaseCommand::ReleaseLeaseCommand(ReleaseLeaseCommand&& other45) noexcept {
-  Name = std::move(other45.Name);
-  Host = std::move(other45.Host);
-  Incarnation = other45.Incarnation;
-  Fencing = other45.Fencing;
-  __isset = other45.__isset;
+ReleaseLeaseCommand::ReleaseLeaseCommand(ReleaseLeaseCommand&& other53) noexcept {
+  Name = std::move(other53.Name);
+  Host = std::move(other53.Host);
+  Incarnation = other53.Incarnation;
+  Fencing = other53.Fencing;
+  __isset = other53.__isset;
 }
-ReleaseLeaseCommand& ReleaseLeaseCommand::operator=(const ReleaseLeaseCommand& other46) {
-  Name = other46.Name;
-  Host = other46.Host;
-  Incarnation = other46.Incarnation;
-  Fencing = other46.Fencing;
-  __isset = other46.__isset;
+ReleaseLeaseCommand& ReleaseLeaseCommand::operator=(const ReleaseLeaseCommand& other54) {
+  Name = other54.Name;
+  Host = other54.Host;
+  Incarnation = other54.Incarnation;
+  Fencing = other54.Fencing;
+  __isset = other54.__isset;
   return *this;
 }
-ReleaseLeaseCommand& ReleaseLeaseCommand::operator=(ReleaseLeaseCommand&& other47) noexcept {
-  Name = std::move(other47.Name);
-  Host = std::move(other47.Host);
-  Incarnation = other47.Incarnation;
-  Fencing = other47.Fencing;
-  __isset = other47.__isset;
+ReleaseLeaseCommand& ReleaseLeaseCommand::operator=(ReleaseLeaseCommand&& other55) noexcept {
+  Name = std::move(other55.Name);
+  Host = std::move(other55.Host);
+  Incarnation = other55.Incarnation;
+  Fencing = other55.Fencing;
+  __isset = other55.__isset;
   return *this;
 }
 void ReleaseLeaseCommand::printTo(std::ostream& out) const {
@@ -2137,38 +2383,38 @@
   swap(a.__isset, b.__isset);
 }
 
-LoadSlotFields::LoadSlotFields(const LoadSlotFields& other48) {
-  Target = other48.Target;
-  Incarnation = other48.Incarnation;
-  Weights = other48.Weights;
-  Fencing = other48.Fencing;
-  Sequence = other48.Sequence;
-  __isset = other48.__isset;
+LoadSlotFields::LoadSlotFields(const LoadSlotFields& other56) {
+  Target = other56.Target;
+  Incarnation = other56.Incarnation;
+  Weights = other56.Weights;
+  Fencing = other56.Fencing;
+  Sequence = other56.Sequence;
+  __isset = other56.__isset;
 }
-LoadSlotFields::LoadSlotFields(LoadSlotFields&& other49) noexcept {
-  Target = std::move(other49.Target);
-  Incarnation = other49.Incarnation;
-  Weights = other49.Weights;
-  Fencing = other49.Fencing;
-  Sequence = other49.Sequence;
-  __isset = other49.__isset;
+LoadSlotFields::LoadSlotFields(LoadSlotFields&& other57) noexcept {
+  Target = std::move(other57.Target);
+  Incarnation = other57.Incarnation;
+  Weights = other57.Weights;
+  Fencing = other57.Fencing;
+  Sequence = other57.Sequence;
+  __isset = other57.__isset;
 }
-LoadSlotFields& LoadSlotFields::operator=(const LoadSlotFields& other50) {
-  Target = other50.Target;
-  Incarnation = other50.Incarnation;
-  Weights = other50.Weights;
-  Fencing = other50.Fencing;
-  Sequence = other50.Sequence;
-  __isset = other50.__isset;
+LoadSlotFields& LoadSlotFields::operator=(const LoadSlotFields& other58) {
+  Target = other58.Target;
+  Incarnation = other58.Incarnation;
+  Weights = other58.Weights;
+  Fencing = other58.Fencing;
+  Sequence = other58.Sequence;
+  __isset = other58.__isset;
   return *this;
 }
-LoadSlotFields& LoadSlotFields::operator=(LoadSlotFields&& other51) noexcept {
-  Target = std::move(other51.Target);
-  Incarnation = other51.Incarnation;
-  Weights = other51.Weights;
-  Fencing = other51.Fencing;
-  Sequence = other51.Sequence;
-  __isset = other51.__isset;
+LoadSlotFields& LoadSlotFields::operator=(LoadSlotFields&& other59) noexcept {
+  Target = std::move(other59.Target);
+  Incarnation = other59.Incarnation;
+  Weights = other59.Weights;
+  Fencing = other59.Fencing;
+  Sequence = other59.Sequence;
+  __isset = other59.__isset;
   return *this;
 }
 void LoadSlotFields::printTo(std::ostream& out) const {
@@ -2275,26 +2521,26 @@
   swap(a.__isset, b.__isset);
 }
 
-BeginLoadCommand::BeginLoadCommand(const BeginLoadCommand& other52) {
-  Slot = other52.Slot;
-  MaxLoads = other52.MaxLoads;
-  __isset = other52.__isset;
+BeginLoadCommand::BeginLoadCommand(const BeginLoadCommand& other60) {
+  Slot = other60.Slot;
+  MaxLoads = other60.MaxLoads;
+  __isset = other60.__isset;
 }
-BeginLoadCommand::BeginLoadCommand(BeginLoadCommand&& other53) noexcept {
-  Slot = std::move(other53.Slot);
-  MaxLoads = other53.MaxLoads;
-  __isset = other53.__isset;
+BeginLoadCommand::BeginLoadCommand(BeginLoadCommand&& other61) noexcept {
+  Slot = std::move(other61.Slot);
+  MaxLoads = other61.MaxLoads;
+  __isset = other61.__isset;
 }
-BeginLoadCommand& BeginLoadCommand::operator=(const BeginLoadCommand& other54) {
-  Slot = other54.Slot;
-  MaxLoads = other54.MaxLoads;
-  __isset = other54.__isset;
+BeginLoadCommand& BeginLoadCommand::operator=(const BeginLoadCommand& other62) {
+  Slot = other62.Slot;
+  MaxLoads = other62.MaxLoads;
+  __isset = other62.__isset;
   return *this;
 }
-BeginLoadCommand& BeginLoadCommand::operator=(BeginLoadCommand&& other55) noexcept {
-  Slot = std::move(other55.Slot);
-  MaxLoads = other55.MaxLoads;
-  __isset = other55.__isset;
+BeginLoadCommand& BeginLoadCommand::operator=(BeginLoadCommand&& other63) noexcept {
+  Slot = std::move(other63.Slot);
+  MaxLoads = other63.MaxLoads;
+  __isset = other63.__isset;
   return *this;
 }
 void BeginLoadCommand::printTo(std::ostream& out) const {
@@ -2381,22 +2627,22 @@
   swap(a.__isset, b.__isset);
 }
 
-EndLoadCommand::EndLoadCommand(const EndLoadCommand& other56) {
-  Slot = other56.Slot;
-  __isset = other56.__isset;
+EndLoadCommand::EndLoadCommand(const EndLoadCommand& other64) {
+  Slot = other64.Slot;
+  __isset = other64.__isset;
 }
-EndLoadCommand::EndLoadCommand(EndLoadCommand&& other57) noexcept {
-  Slot = std::move(other57.Slot);
-  __isset = other57.__isset;
+EndLoadCommand::EndLoadCommand(EndLoadCommand&& other65) noexcept {
+  Slot = std::move(other65.Slot);
+  __isset = other65.__isset;
 }
-EndLoadCommand& EndLoadCommand::operator=(const EndLoadCommand& other58) {
-  Slot = other58.Slot;
-  __isset = other58.__isset;
+EndLoadCommand& EndLoadCommand::operator=(const EndLoadCommand& other66) {
+  Slot = other66.Slot;
+  __isset = other66.__isset;
   return *this;
 }
-EndLoadCommand& EndLoadCommand::operator=(EndLoadCommand&& other59) noexcept {
-  Slot = std::move(other59.Slot);
-  __isset = other59.__isset;
+EndLoadCommand& EndLoadCommand::operator=(EndLoadCommand&& other67) noexcept {
+  Slot = std::move(other67.Slot);
+  __isset = other67.__isset;
   return *this;
 }
 void EndLoadCommand::printTo(std::ostream& out) const {
@@ -2465,6 +2711,16 @@
   this->EndLoad = val;
 __isset.EndLoad = true;
 }
+
+void RegistryCommand::__set_Replace(const ReplaceCommand& val) {
+  this->Replace = val;
+__isset.Replace = true;
+}
+
+void RegistryCommand::__set_NameWeights(const NameWeightsCommand& val) {
+  this->NameWeights = val;
+__isset.NameWeights = true;
+}
 std::ostream& operator<<(std::ostream& out, const RegistryCommand& obj)
 {
   obj.printTo(out);
@@ -2581,6 +2837,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->Replace.read(iprot);
+          this->__isset.Replace = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->NameWeights.read(iprot);
+          this->__isset.NameWeights = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2653,6 +2925,16 @@
     xfer += this->EndLoad.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.Replace) {
+    xfer += oprot->writeFieldBegin("Replace", ::apache::thrift::protocol::T_STRUCT, 12);
+    xfer += this->Replace.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.NameWeights) {
+    xfer += oprot->writeFieldBegin("NameWeights", ::apache::thrift::protocol::T_STRUCT, 13);
+    xfer += this->NameWeights.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2671,65 +2953,75 @@
   swap(a.ReleaseLease, b.ReleaseLease);
   swap(a.BeginLoad, b.BeginLoad);
   swap(a.EndLoad, b.EndLoad);
+  swap(a.Replace, b.Replace);
+  swap(a.NameWeights, b.NameWeights);
   swap(a.__isset, b.__isset);
 }
 
-RegistryCommand::RegistryCommand(const RegistryCommand& other60) {
-  Change = other60.Change;
-  Claim = other60.Claim;
-  Complete = other60.Complete;
-  Release = other60.Release;
-  MarkUnknown = other60.MarkUnknown;
-  AdvanceLowWater = other60.AdvanceLowWater;
-  AcquireLease = other60.AcquireLease;
-  RenewLease = other60.RenewLease;
-  ReleaseLease = other60.ReleaseLease;
-  BeginLoad = other60.BeginLoad;
-  EndLoad = other60.EndLoad;
-  __isset = other60.__isset;
+RegistryCommand::RegistryCommand(const RegistryCommand& other68) {
+  Change = other68.Change;
+  Claim = other68.Claim;
+  Complete = other68.Complete;
+  Release = other68.Release;
+  MarkUnknown = other68.MarkUnknown;
+  AdvanceLowWater = other68.AdvanceLowWater;
+  AcquireLease = other68.AcquireLease;
+  RenewLease = other68.RenewLease;
+  ReleaseLease = other68.ReleaseLease;
+  BeginLoad = other68.BeginLoad;
+  EndLoad = other68.EndLoad;
+  Replace = other68.Replace;
+  NameWeights = other68.NameWeights;
+  __isset = other68.__isset;
 }
-RegistryCommand::RegistryCommand(RegistryCommand&& other61) noexcept {
-  Change = std::move(other61.Change);
-  Claim = std::move(other61.Claim);
-  Complete = std::move(other61.Complete);
-  Release = std::move(other61.Release);
-  MarkUnknown = std::move(other61.MarkUnknown);
-  AdvanceLowWater = std::move(other61.AdvanceLowWater);
-  AcquireLease = std::move(other61.AcquireLease);
-  RenewLease = std::move(other61.RenewLease);
-  ReleaseLease = std::move(other61.ReleaseLease);
-  BeginLoad = std::move(other61.BeginLoad);
-  EndLoad = std::move(other61.EndLoad);
-  __isset = other61.__isset;
+RegistryCommand::RegistryCommand(RegistryCommand&& other69) noexcept {
+  Change = std::move(other69.Change);
+  Claim = std::move(other69.Claim);
+  Complete = std::move(other69.Complete);
+  Release = std::move(other69.Release);
+  MarkUnknown = std::move(other69.MarkUnknown);
+  AdvanceLowWater = std::move(other69.AdvanceLowWater);
+  AcquireLease = std::move(other69.AcquireLease);
+  RenewLease = std::move(other69.RenewLease);
+  ReleaseLease = std::move(other69.ReleaseLease);
+  BeginLoad = std::move(other69.BeginLoad);
+  EndLoad = std::move(other69.EndLoad);
+  Replace = std::move(other69.Replace);
+  NameWeights = std::move(other69.NameWeights);
+  __isset = other69.__isset;
 }
-RegistryCommand& RegistryCommand::operator=(const RegistryCommand& other62) {
-  Change = other62.Change;
-  Claim = other62.Claim;
-  Complete = other62.Complete;
-  Release = other62.Release;
-  MarkUnknown = other62.MarkUnknown;
-  AdvanceLowWater = other62.AdvanceLowWater;
-  AcquireLease = other62.AcquireLease;
-  RenewLease = other62.RenewLease;
-  ReleaseLease = other62.ReleaseLease;
-  BeginLoad = other62.BeginLoad;
-  EndLoad = other62.EndLoad;
-  __isset = other62.__isset;
+RegistryCommand& RegistryCommand::operator=(const RegistryCommand& other70) {
+  Change = other70.Change;
+  Claim = other70.Claim;
+  Complete = other70.Complete;
+  Release = other70.Release;
+  MarkUnknown = other70.MarkUnknown;
+  AdvanceLowWater = other70.AdvanceLowWater;
+  AcquireLease = other70.AcquireLease;
+  RenewLease = other70.RenewLease;
+  ReleaseLease = other70.ReleaseLease;
+  BeginLoad = other70.BeginLoad;
+  EndLoad = other70.EndLoad;
+  Replace = other70.Replace;
+  NameWeights = other70.NameWeights;
+  __isset = other70.__isset;
   return *this;
 }
-RegistryCommand& RegistryCommand::operator=(RegistryCommand&& other63) noexcept {
-  Change = std::move(other63.Change);
-  Claim = std::move(other63.Claim);
-  Complete = std::move(other63.Complete);
-  Release = std::move(other63.Release);
-  MarkUnknown = std::move(other63.MarkUnknown);
-  AdvanceLowWater = std::move(other63.AdvanceLowWater);
-  AcquireLease = std::move(other63.AcquireLease);
-  RenewLease = std::move(other63.RenewLease);
-  ReleaseLease = std::move(other63.ReleaseLease);
-  BeginLoad = std::move(other63.BeginLoad);
-  EndLoad = std::move(other63.EndLoad);
-  __isset = other63.__isset;
+RegistryCommand& RegistryCommand::operator=(RegistryCommand&& other71) noexcept {
+  Change = std::move(other71.Change);
+  Claim = std::move(other71.Claim);
+  Complete = std::move(other71.Complete);
+  Release = std::move(other71.Release);
+  MarkUnknown = std::move(other71.MarkUnknown);
+  AdvanceLowWater = std::move(other71.AdvanceLowWater);
+  AcquireLease = std::move(other71.AcquireLease);
+  RenewLease = std::move(other71.RenewLease);
+  ReleaseLease = std::move(other71.ReleaseLease);
+  BeginLoad = std::move(other71.BeginLoad);
+  EndLoad = std::move(other71.EndLoad);
+  Replace = std::move(other71.Replace);
+  NameWeights = std::move(other71.NameWeights);
+  __isset = other71.__isset;
   return *this;
 }
 void RegistryCommand::printTo(std::ostream& out) const {
@@ -2746,6 +3038,8 @@
   out << ", " << "ReleaseLease="; (__isset.ReleaseLease ? (out << to_string(ReleaseLease)) : (out << "<null>"));
   out << ", " << "BeginLoad="; (__isset.BeginLoad ? (out << to_string(BeginLoad)) : (out << "<null>"));
   out << ", " << "EndLoad="; (__isset.EndLoad ? (out << to_string(EndLoad)) : (out << "<null>"));
+  out << ", " << "Replace="; (__isset.Replace ? (out << to_string(Replace)) : (out << "<null>"));
+  out << ", " << "NameWeights="; (__isset.NameWeights ? (out << to_string(NameWeights)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2797,9 +3091,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast64;
-          xfer += iprot->readI32(ecast64);
-          this->Status = static_cast<ClaimStatus::type>(ecast64);
+          int32_t ecast72;
+          xfer += iprot->readI32(ecast72);
+          this->Status = static_cast<ClaimStatus::type>(ecast72);
           this->__isset.Status = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -2865,30 +3159,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimReply::ClaimReply(const ClaimReply& other65) {
-  Status = other65.Status;
-  Holder = other65.Holder;
-  Answer = other65.Answer;
-  __isset = other65.__isset;
+ClaimReply::ClaimReply(const ClaimReply& other73) {
+  Status = other73.Status;
+  Holder = other73.Holder;
+  Answer = other73.Answer;
+  __isset = other73.__isset;
 }
-ClaimReply::ClaimReply(ClaimReply&& other66) noexcept {
-  Status = other66.Status;
-  Holder = std::move(other66.Holder);
-  Answer = std::move(other66.Answer);
-  __isset = other66.__isset;
+ClaimReply::ClaimReply(ClaimReply&& other74) noexcept {
+  Status = other74.Status;
+  Holder = std::move(other74.Holder);
+  Answer = std::move(other74.Answer);
+  __isset = other74.__isset;
 }
-ClaimReply& ClaimReply::operator=(const ClaimReply& other67) {
-  Status = other67.Status;
-  Holder = other67.Holder;
-  Answer = other67.Answer;
-  __isset = other67.__isset;
+ClaimReply& ClaimReply::operator=(const ClaimReply& other75) {
+  Status = other75.Status;
+  Holder = other75.Holder;
+  Answer = other75.Answer;
+  __isset = other75.__isset;
   return *this;
 }
-ClaimReply& ClaimReply::operator=(ClaimReply&& other68) noexcept {
-  Status = other68.Status;
-  Holder = std::move(other68.Holder);
-  Answer = std::move(other68.Answer);
-  __isset = other68.__isset;
+ClaimReply& ClaimReply::operator=(ClaimReply&& other76) noexcept {
+  Status = other76.Status;
+  Holder = std::move(other76.Holder);
+  Answer = std::move(other76.Answer);
+  __isset = other76.__isset;
   return *this;
 }
 void ClaimReply::printTo(std::ostream& out) const {
@@ -3010,30 +3304,30 @@
   swap(a.__isset, b.__isset);
 }
 
-DescriptionFields::DescriptionFields(const DescriptionFields& other69) {
-  Number = other69.Number;
-  Operation = other69.Operation;
-  Text = other69.Text;
-  __isset = other69.__isset;
+DescriptionFields::DescriptionFields(const DescriptionFields& other77) {
+  Number = other77.Number;
+  Operation = other77.Operation;
+  Text = other77.Text;
+  __isset = other77.__isset;
 }
-DescriptionFields::DescriptionFields(DescriptionFields&& other70) noexcept {
-  Number = other70.Number;
-  Operation = std::move(other70.Operation);
-  Text = std::move(other70.Text);
-  __isset = other70.__isset;
+DescriptionFields::DescriptionFields(DescriptionFields&& other78) noexcept {
+  Number = other78.Number;
+  Operation = std::move(other78.Operation);
+  Text = std::move(other78.Text);
+  __isset = other78.__isset;
 }
-DescriptionFields& DescriptionFields::operator=(const DescriptionFields& other71) {
-  Number = other71.Number;
-  Operation = other71.Operation;
-  Text = other71.Text;
-  __isset = other71.__isset;
+DescriptionFields& DescriptionFields::operator=(const DescriptionFields& other79) {
+  Number = other79.Number;
+  Operation = other79.Operation;
+  Text = other79.Text;
+  __isset = other79.__isset;
   return *this;
 }
-DescriptionFields& DescriptionFields::operator=(DescriptionFields&& other72) noexcept {
-  Number = other72.Number;
-  Operation = std::move(other72.Operation);
-  Text = std::move(other72.Text);
-  __isset = other72.__isset;
+DescriptionFields& DescriptionFields::operator=(DescriptionFields&& other80) noexcept {
+  Number = other80.Number;
+  Operation = std::move(other80.Operation);
+  Text = std::move(other80.Text);
+  __isset = other80.__isset;
   return *this;
 }
 void DescriptionFields::printTo(std::ostream& out) const {
@@ -3092,9 +3386,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast73;
-          xfer += iprot->readI32(ecast73);
-          this->Status = static_cast<ChangeStatus::type>(ecast73);
+          int32_t ecast81;
+          xfer += iprot->readI32(ecast81);
+          this->Status = static_cast<ChangeStatus::type>(ecast81);
           this->__isset.Status = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -3159,30 +3453,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ChangeReply::ChangeReply(const ChangeReply& other74) {
-  Status = other74.Status;
-  Number = other74.Number;
-  Current = other74.Current;
-  __isset = other74.__isset;
+ChangeReply::ChangeReply(const ChangeReply& other82) {
+  Status = other82.Status;
+  Number = other82.Number;
+  Current = other82.Current;
+  __isset = other82.__isset;
 }
-ChangeReply::ChangeReply(ChangeReply&& other75) noexcept {
-  Status = other75.Status;
-  Number = other75.Number;
-  Current = std::move(other75.Current);
-  __isset = other75.__isset;
+ChangeReply::ChangeReply(ChangeReply&& other83) noexcept {
+  Status = other83.Status;
+  Number = other83.Number;
+  Current = std::move(other83.Current);
+  __isset = other83.__isset;
 }
-ChangeReply& ChangeReply::operator=(const ChangeReply& other76) {
-  Status = other76.Status;
-  Number = other76.Number;
-  Current = other76.Current;
-  __isset = other76.__isset;
+ChangeReply& ChangeReply::operator=(const ChangeReply& other84) {
+  Status = other84.Status;
+  Number = other84.Number;
+  Current = other84.Current;
+  __isset = other84.__isset;
   return *this;
 }
-ChangeReply& ChangeReply::operator=(ChangeReply&& other77) noexcept {
-  Status = other77.Status;
-  Number = other77.Number;
-  Current = std::move(other77.Current);
-  __isset = other77.__isset;
+ChangeReply& ChangeReply::operator=(ChangeReply&& other85) noexcept {
+  Status = other85.Status;
+  Number = other85.Number;
+  Current = std::move(other85.Current);
+  __isset = other85.__isset;
   return *this;
 }
 void ChangeReply::printTo(std::ostream& out) const {
@@ -3338,38 +3632,38 @@
   swap(a.__isset, b.__isset);
 }
 
-LeaseFields::LeaseFields(const LeaseFields& other78) {
-  Name = other78.Name;
-  Host = other78.Host;
-  Incarnation = other78.Incarnation;
-  Fencing = other78.Fencing;
-  Renewals = other78.Renewals;
-  __isset = other78.__isset;
-}
-LeaseFields::LeaseFields(LeaseFields&& other79) noexcept {
-  Name = std::move(other79.Name);
-  Host = std::move(other79.Host);
-  Incarnation = other79.Incarnation;
-  Fencing = other79.Fencing;
-  Renewals = other79.Renewals;
-  __isset = other79.__isset;
-}
-LeaseFields& LeaseFields::operator=(const LeaseFields& other80) {
-  Name = other80.Name;
-  Host = other80.Host;
-  Incarnation = other80.Incarnation;
-  Fencing = other80.Fencing;
-  Renewals = other80.Renewals;
-  __isset = other80.__isset;
+LeaseFields::LeaseFields(const LeaseFields& other86) {
+  Name = other86.Name;
+  Host = other86.Host;
+  Incarnation = other86.Incarnation;
+  Fencing = other86.Fencing;
+  Renewals = other86.Renewals;
+  __isset = other86.__isset;
+}
+LeaseFields::LeaseFields(LeaseFields&& other87) noexcept {
+  Name = std::move(other87.Name);
+  Host = std::move(other87.Host);
+  Incarnation = other87.Incarnation;
+  Fencing = other87.Fencing;
+  Renewals = other87.Renewals;
+  __isset = other87.__isset;
+}
+LeaseFields& LeaseFields::operator=(const LeaseFields& other88) {
+  Name = other88.Name;
+  Host = other88.Host;
+  Incarnation = other88.Incarnation;
+  Fencing = other88.Fencing;
+  Renewals = other88.Renewals;
+  __isset = other88.__isset;
   return *this;
 }
-LeaseFields& LeaseFields::operator=(LeaseFields&& other81) noexcept {
-  Name = std::move(other81.Name);
-  Host = std::move(other81.Host);
-  Incarnation = other81.Incarnation;
-  Fencing = other81.Fencing;
-  Renewals = other81.Renewals;
-  __isset = other81.__isset;
+LeaseFields& LeaseFields::operator=(LeaseFields&& other89) noexcept {
+  Name = std::move(other89.Name);
+  Host = std::move(other89.Host);
+  Incarnation = other89.Incarnation;
+  Fencing = other89.Fencing;
+  Renewals = other89.Renewals;
+  __isset = other89.__isset;
   return *this;
 }
 void LeaseFields::printTo(std::ostream& out) const {
@@ -3476,26 +3770,26 @@
   swap(a.__isset, b.__isset);
 }
 
-LeaseReply::LeaseReply(const LeaseReply& other82) {
-  Granted = other82.Granted;
-  Lease = other82.Lease;
-  __isset = other82.__isset;
+LeaseReply::LeaseReply(const LeaseReply& other90) {
+  Granted = other90.Granted;
+  Lease = other90.Lease;
+  __isset = other90.__isset;
 }
-LeaseReply::LeaseReply(LeaseReply&& other83) noexcept {
-  Granted = other83.Granted;
-  Lease = std::move(other83.Lease);
-  __isset = other83.__isset;
+LeaseReply::LeaseReply(LeaseReply&& other91) noexcept {
+  Granted = other91.Granted;
+  Lease = std::move(other91.Lease);
+  __isset = other91.__isset;
 }
-LeaseReply& LeaseReply::operator=(const LeaseReply& other84) {
-  Granted = other84.Granted;
-  Lease = other84.Lease;
-  __isset = other84.__isset;
+LeaseReply& LeaseReply::operator=(const LeaseReply& other92) {
+  Granted = other92.Granted;
+  Lease = other92.Lease;
+  __isset = other92.__isset;
   return *this;
 }
-LeaseReply& LeaseReply::operator=(LeaseReply&& other85) noexcept {
-  Granted = other85.Granted;
-  Lease = std::move(other85.Lease);
-  __isset = other85.__isset;
+LeaseReply& LeaseReply::operator=(LeaseReply&& other93) noexcept {
+  Granted = other93.Granted;
+  Lease = std::move(other93.Lease);
+  __isset = other93.__isset;
   return *this;
 }
 void LeaseReply::printTo(std::ostream& out) const {
@@ -3548,9 +3842,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast86;
-          xfer += iprot->readI32(ecast86);
-          this->Status = static_cast<LoadStatus::type>(ecast86);
+          int32_t ecast94;
+          xfer += iprot->readI32(ecast94);
+          this->Status = static_cast<LoadStatus::type>(ecast94);
           this->__isset.Status = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -3560,14 +3854,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Active.clear();
-            uint32_t _size87;
-            ::apache::thrift::protocol::TType _etype90;
-            xfer += iprot->readListBegin(_etype90, _size87);
-            this->Active.resize(_size87);
-            uint32_t _i91;
-            for (_i91 = 0; _i91 < _size87; ++_i91)
+            uint32_t _size95;
+            ::apache::thrift::protocol::TType _etype98;
+            xfer += iprot->readListBegin(_etype98, _size95);
+            this->Active.resize(_size95);
+            uint32_t _i99;
+            for (_i99 = 0; _i99 < _size95; ++_i99)
             {
-              xfer += this->Active[_i91].read(iprot);
+              xfer += this->Active[_i99].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3600,10 +3894,10 @@
   xfer += oprot->writeFieldBegin("Active", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Active.size()));
-    std::vector<LoadSlotFields> ::const_iterator _iter92;
-    for (_iter92 = this->Active.begin(); _iter92 != this->Active.end(); ++_iter92)
+    std::vector<LoadSlotFields> ::const_iterator _iter100;
+    for (_iter100 = this->Active.begin(); _iter100 != this->Active.end(); ++_iter100)
     {
-      xfer += (*_iter92).write(oprot);
+      xfer += (*_iter100).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3621,26 +3915,26 @@
   swap(a.__isset, b.__isset);
 }
 
-LoadReply::LoadReply(const LoadReply& other93) {
-  Status = other93.Status;
-  Active = other93.Active;
-  __isset = other93.__isset;
+LoadReply::LoadReply(const LoadReply& other101) {
+  Status = other101.Status;
+  Active = other101.Active;
+  __isset = other101.__isset;
 }
-LoadReply::LoadReply(LoadReply&& other94) noexcept {
-  Status = other94.Status;
-  Active = std::move(other94.Active);
-  __isset = other94.__isset;
+LoadReply::LoadReply(LoadReply&& other102) noexcept {
+  Status = other102.Status;
+  Active = std::move(other102.Active);
+  __isset = other102.__isset;
 }
-LoadReply& LoadReply::operator=(const LoadReply& other95) {
-  Status = other95.Status;
-  Active = other95.Active;
-  __isset = other95.__isset;
+LoadReply& LoadReply::operator=(const LoadReply& other103) {
+  Status = other103.Status;
+  Active = other103.Active;
+  __isset = other103.__isset;
   return *this;
 }
-LoadReply& LoadReply::operator=(LoadReply&& other96) noexcept {
-  Status = other96.Status;
-  Active = std::move(other96.Active);
-  __isset = other96.__isset;
+LoadReply& LoadReply::operator=(LoadReply&& other104) noexcept {
+  Status = other104.Status;
+  Active = std::move(other104.Active);
+  __isset = other104.__isset;
   return *this;
 }
 void LoadReply::printTo(std::ostream& out) const {
@@ -3727,22 +4021,22 @@
   swap(a.__isset, b.__isset);
 }
 
-LowWaterReply::LowWaterReply(const LowWaterReply& other97) noexcept {
-  MarkMillis = other97.MarkMillis;
-  __isset = other97.__isset;
+LowWaterReply::LowWaterReply(const LowWaterReply& other105) noexcept {
+  MarkMillis = other105.MarkMillis;
+  __isset = other105.__isset;
 }
-LowWaterReply::LowWaterReply(LowWaterReply&& other98) noexcept {
-  MarkMillis = other98.MarkMillis;
-  __isset = other98.__isset;
+LowWaterReply::LowWaterReply(LowWaterReply&& other106) noexcept {
+  MarkMillis = other106.MarkMillis;
+  __isset = other106.__isset;
 }
-LowWaterReply& LowWaterReply::operator=(const LowWaterReply& other99) noexcept {
-  MarkMillis = other99.MarkMillis;
-  __isset = other99.__isset;
+LowWaterReply& LowWaterReply::operator=(const LowWaterReply& other107) noexcept {
+  MarkMillis = other107.MarkMillis;
+  __isset = other107.__isset;
   return *this;
 }
-LowWaterReply& LowWaterReply::operator=(LowWaterReply&& other100) noexcept {
-  MarkMillis = other100.MarkMillis;
-  __isset = other100.__isset;
+LowWaterReply& LowWaterReply::operator=(LowWaterReply&& other108) noexcept {
+  MarkMillis = other108.MarkMillis;
+  __isset = other108.__isset;
   return *this;
 }
 void LowWaterReply::printTo(std::ostream& out) const {
@@ -3753,6 +4047,129 @@
 }
 
 
+NamedWeightsFields::~NamedWeightsFields() noexcept {
+}
+
+
+void NamedWeightsFields::__set_Model(const std::string& val) {
+  this->Model = val;
+}
+
+void NamedWeightsFields::__set_Weights(const int64_t val) {
+  this->Weights = val;
+}
+std::ostream& operator<<(std::ostream& out, const NamedWeightsFields& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t NamedWeightsFields::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->Model);
+          this->__isset.Model = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Weights);
+          this->__isset.Weights = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t NamedWeightsFields::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("NamedWeightsFields");
+
+  xfer += oprot->writeFieldBegin("Model", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->Model);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Weights", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->Weights);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(NamedWeightsFields &a, NamedWeightsFields &b) {
+  using ::std::swap;
+  swap(a.Model, b.Model);
+  swap(a.Weights, b.Weights);
+  swap(a.__isset, b.__isset);
+}
+
+NamedWeightsFields::NamedWeightsFields(const NamedWeightsFields& other109) {
+  Model = other109.Model;
+  Weights = other109.Weights;
+  __isset = other109.__isset;
+}
+NamedWeightsFields::NamedWeightsFields(NamedWeightsFields&& other110) noexcept {
+  Model = std::move(other110.Model);
+  Weights = other110.Weights;
+  __isset = other110.__isset;
+}
+NamedWeightsFields& NamedWeightsFields::operator=(const NamedWeightsFields& other111) {
+  Model = other111.Model;
+  Weights = other111.Weights;
+  __isset = other111.__isset;
+  return *this;
+}
+NamedWeightsFields& NamedWeightsFields::operator=(NamedWeightsFields&& other112) noexcept {
+  Model = std::move(other112.Model);
+  Weights = other112.Weights;
+  __isset = other112.__isset;
+  return *this;
+}
+void NamedWeightsFields::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "NamedWeightsFields(";
+  out << "Model=" << to_string(Model);
+  out << ", " << "Weights=" << to_string(Weights);
+  out << ")";
+}
+
+
 RegistryAnswer::~RegistryAnswer() noexcept {
 }
 
@@ -3791,6 +4208,11 @@
   this->Invalid = val;
 __isset.Invalid = true;
 }
+
+void RegistryAnswer::__set_NamedWeights(const NamedWeightsFields& val) {
+  this->NamedWeights = val;
+__isset.NamedWeights = true;
+}
 std::ostream& operator<<(std::ostream& out, const RegistryAnswer& obj)
 {
   obj.printTo(out);
@@ -3869,14 +4291,22 @@
         break;
       case 7:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast101;
-          xfer += iprot->readI32(ecast101);
-          this->Invalid = static_cast<InvalidReason::type>(ecast101);
+          int32_t ecast113;
+          xfer += iprot->readI32(ecast113);
+          this->Invalid = static_cast<InvalidReason::type>(ecast113);
           this->__isset.Invalid = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->NamedWeights.read(iprot);
+          this->__isset.NamedWeights = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3929,6 +4359,11 @@
     xfer += oprot->writeI32(static_cast<int32_t>(this->Invalid));
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.NamedWeights) {
+    xfer += oprot->writeFieldBegin("NamedWeights", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->NamedWeights.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3943,49 +4378,54 @@
   swap(a.LowWater, b.LowWater);
   swap(a.Description, b.Description);
   swap(a.Invalid, b.Invalid);
+  swap(a.NamedWeights, b.NamedWeights);
   swap(a.__isset, b.__isset);
 }
 
-RegistryAnswer::RegistryAnswer(const RegistryAnswer& other102) {
-  Change = other102.Change;
-  Claim = other102.Claim;
-  Lease = other102.Lease;
-  Load = other102.Load;
-  LowWater = other102.LowWater;
-  Description = other102.Description;
-  Invalid = other102.Invalid;
-  __isset = other102.__isset;
+RegistryAnswer::RegistryAnswer(const RegistryAnswer& other114) {
+  Change = other114.Change;
+  Claim = other114.Claim;
+  Lease = other114.Lease;
+  Load = other114.Load;
+  LowWater = other114.LowWater;
+  Description = other114.Description;
+  Invalid = other114.Invalid;
+  NamedWeights = other114.NamedWeights;
+  __isset = other114.__isset;
 }
-RegistryAnswer::RegistryAnswer(RegistryAnswer&& other103) noexcept {
-  Change = std::move(other103.Change);
-  Claim = std::move(other103.Claim);
-  Lease = std::move(other103.Lease);
-  Load = std::move(other103.Load);
-  LowWater = std::move(other103.LowWater);
-  Description = std::move(other103.Description);
-  Invalid = other103.Invalid;
-  __isset = other103.__isset;
+RegistryAnswer::RegistryAnswer(RegistryAnswer&& other115) noexcept {
+  Change = std::move(other115.Change);
+  Claim = std::move(other115.Claim);
+  Lease = std::move(other115.Lease);
+  Load = std::move(other115.Load);
+  LowWater = std::move(other115.LowWater);
+  Description = std::move(other115.Description);
+  Invalid = other115.Invalid;
+  NamedWeights = std::move(other115.NamedWeights);
+  __isset = other115.__isset;
 }
-RegistryAnswer& RegistryAnswer::operator=(const RegistryAnswer& other104) {
-  Change = other104.Change;
-  Claim = other104.Claim;
-  Lease = other104.Lease;
-  Load = other104.Load;
-  LowWater = other104.LowWater;
-  Description = other104.Description;
-  Invalid = other104.Invalid;
-  __isset = other104.__isset;
+RegistryAnswer& RegistryAnswer::operator=(const RegistryAnswer& other116) {
+  Change = other116.Change;
+  Claim = other116.Claim;
+  Lease = other116.Lease;
+  Load = other116.Load;
+  LowWater = other116.LowWater;
+  Description = other116.Description;
+  Invalid = other116.Invalid;
+  NamedWeights = other116.NamedWeights;
+  __isset = other116.__isset;
   return *this;
 }
-RegistryAnswer& RegistryAnswer::operator=(RegistryAnswer&& other105) noexcept {
-  Change = std::move(other105.Change);
-  Claim = std::move(other105.Claim);
-  Lease = std::move(other105.Lease);
-  Load = std::move(other105.Load);
-  LowWater = std::move(other105.LowWater);
-  Description = std::move(other105.Description);
-  Invalid = other105.Invalid;
-  __isset = other105.__isset;
+RegistryAnswer& RegistryAnswer::operator=(RegistryAnswer&& other117) noexcept {
+  Change = std::move(other117.Change);
+  Claim = std::move(other117.Claim);
+  Lease = std::move(other117.Lease);
+  Load = std::move(other117.Load);
+  LowWater = std::move(other117.LowWater);
+  Description = std::move(other117.Description);
+  Invalid = other117.Invalid;
+  NamedWeights = std::move(other117.NamedWeights);
+  __isset = other117.__isset;
   return *this;
 }
 void RegistryAnswer::printTo(std::ostream& out) const {
@@ -3998,6 +4438,7 @@
   out << ", " << "LowWater="; (__isset.LowWater ? (out << to_string(LowWater)) : (out << "<null>"));
   out << ", " << "Description="; (__isset.Description ? (out << to_string(Description)) : (out << "<null>"));
   out << ", " << "Invalid="; (__isset.Invalid ? (out << to_string(Invalid)) : (out << "<null>"));
+  out << ", " << "NamedWeights="; (__isset.NamedWeights ? (out << to_string(NamedWeights)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4055,9 +4496,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast106;
-          xfer += iprot->readI32(ecast106);
-          this->Kind = static_cast<RequestKind::type>(ecast106);
+          int32_t ecast118;
+          xfer += iprot->readI32(ecast118);
+          this->Kind = static_cast<RequestKind::type>(ecast118);
           this->__isset.Kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4113,30 +4554,30 @@
   swap(a.__isset, b.__isset);
 }
 
-RegistryRequest::RegistryRequest(const RegistryRequest& other107) {
-  RequestNumber = other107.RequestNumber;
-  Kind = other107.Kind;
-  Command = other107.Command;
-  __isset = other107.__isset;
-}
-RegistryRequest::RegistryRequest(RegistryRequest&& other108) noexcept {
-  RequestNumber = other108.RequestNumber;
-  Kind = other108.Kind;
-  Command = std::move(other108.Command);
-  __isset = other108.__isset;
+RegistryRequest::RegistryRequest(const RegistryRequest& other119) {
+  RequestNumber = other119.RequestNumber;
+  Kind = other119.Kind;
+  Command = other119.Command;
+  __isset = other119.__isset;
 }
-RegistryRequest& RegistryRequest::operator=(const RegistryRequest& other109) {
-  RequestNumber = other109.RequestNumber;
-  Kind = other109.Kind;
-  Command = other109.Command;
-  __isset = other109.__isset;
+RegistryRequest::RegistryRequest(RegistryRequest&& other120) noexcept {
+  RequestNumber = other120.RequestNumber;
+  Kind = other120.Kind;
+  Command = std::move(other120.Command);
+  __isset = other120.__isset;
+}
+RegistryRequest& RegistryRequest::operator=(const RegistryRequest& other121) {
+  RequestNumber = other121.RequestNumber;
+  Kind = other121.Kind;
+  Command = other121.Command;
+  __isset = other121.__isset;
   return *this;
 }
-RegistryRequest& RegistryRequest::operator=(RegistryRequest&& other110) noexcept {
-  RequestNumber = other110.RequestNumber;
-  Kind = other110.Kind;
-  Command = std::move(other110.Command);
-  __isset = other110.__isset;
+RegistryRequest& RegistryRequest::operator=(RegistryRequest&& other122) noexcept {
+  RequestNumber = other122.RequestNumber;
+  Kind = other122.Kind;
+  Command = std::move(other122.Command);
+  __isset = other122.__isset;
   return *this;
 }
 void RegistryRequest::printTo(std::ostream& out) const {
@@ -4206,9 +4647,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast111;
-          xfer += iprot->readI32(ecast111);
-          this->Status = static_cast<ReplyStatus::type>(ecast111);
+          int32_t ecast123;
+          xfer += iprot->readI32(ecast123);
+          this->Status = static_cast<ReplyStatus::type>(ecast123);
           this->__isset.Status = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4277,34 +4718,34 @@
   swap(a.__isset, b.__isset);
 }
 
-RegistryReply::RegistryReply(const RegistryReply& other112) {
-  RequestNumber = other112.RequestNumber;
-  Status = other112.Status;
-  LeaderHint = other112.LeaderHint;
-  Answer = other112.Answer;
-  __isset = other112.__isset;
-}
-RegistryReply::RegistryReply(RegistryReply&& other113) noexcept {
-  RequestNumber = other113.RequestNumber;
-  Status = other113.Status;
-  LeaderHint = std::move(other113.LeaderHint);
-  Answer = std::move(other113.Answer);
-  __isset = other113.__isset;
-}
-RegistryReply& RegistryReply::operator=(const RegistryReply& other114) {
-  RequestNumber = other114.RequestNumber;
-  Status = other114.Status;
-  LeaderHint = other114.LeaderHint;
-  Answer = other114.Answer;
-  __isset = other114.__isset;
+RegistryReply::RegistryReply(const RegistryReply& other124) {
+  RequestNumber = other124.RequestNumber;
+  Status = other124.Status;
+  LeaderHint = other124.LeaderHint;
+  Answer = other124.Answer;
+  __isset = other124.__isset;
+}
+RegistryReply::RegistryReply(RegistryReply&& other125) noexcept {
+  RequestNumber = other125.RequestNumber;
+  Status = other125.Status;
+  LeaderHint = std::move(other125.LeaderHint);
+  Answer = std::move(other125.Answer);
+  __isset = other125.__isset;
+}
+RegistryReply& RegistryReply::operator=(const RegistryReply& other126) {
+  RequestNumber = other126.RequestNumber;
+  Status = other126.Status;
+  LeaderHint = other126.LeaderHint;
+  Answer = other126.Answer;
+  __isset = other126.__isset;
   return *this;
 }
-RegistryReply& RegistryReply::operator=(RegistryReply&& other115) noexcept {
-  RequestNumber = other115.RequestNumber;
-  Status = other115.Status;
-  LeaderHint = std::move(other115.LeaderHint);
-  Answer = std::move(other115.Answer);
-  __isset = other115.__isset;
+RegistryReply& RegistryReply::operator=(RegistryReply&& other127) noexcept {
+  RequestNumber = other127.RequestNumber;
+  Status = other127.Status;
+  LeaderHint = std::move(other127.LeaderHint);
+  Answer = std::move(other127.Answer);
+  __isset = other127.__isset;
   return *this;
 }
 void RegistryReply::printTo(std::ostream& out) const {
@@ -4444,34 +4885,34 @@
   swap(a.__isset, b.__isset);
 }
 
-OperationFields::OperationFields(const OperationFields& other116) noexcept {
-  DigestHigh = other116.DigestHigh;
-  DigestLow = other116.DigestLow;
-  TextDigest = other116.TextDigest;
-  Number = other116.Number;
-  __isset = other116.__isset;
+OperationFields::OperationFields(const OperationFields& other128) noexcept {
+  DigestHigh = other128.DigestHigh;
+  DigestLow = other128.DigestLow;
+  TextDigest = other128.TextDigest;
+  Number = other128.Number;
+  __isset = other128.__isset;
 }
-OperationFields::OperationFields(OperationFields&& other117) noexcept {
-  DigestHigh = other117.DigestHigh;
-  DigestLow = other117.DigestLow;
-  TextDigest = other117.TextDigest;
-  Number = other117.Number;
-  __isset = other117.__isset;
+OperationFields::OperationFields(OperationFields&& other129) noexcept {
+  DigestHigh = other129.DigestHigh;
+  DigestLow = other129.DigestLow;
+  TextDigest = other129.TextDigest;
+  Number = other129.Number;
+  __isset = other129.__isset;
 }
-OperationFields& OperationFields::operator=(const OperationFields& other118) noexcept {
-  DigestHigh = other118.DigestHigh;
-  DigestLow = other118.DigestLow;
-  TextDigest = other118.TextDigest;
-  Number = other118.Number;
-  __isset = other118.__isset;
+OperationFields& OperationFields::operator=(const OperationFields& other130) noexcept {
+  DigestHigh = other130.DigestHigh;
+  DigestLow = other130.DigestLow;
+  TextDigest = other130.TextDigest;
+  Number = other130.Number;
+  __isset = other130.__isset;
   return *this;
 }
-OperationFields& OperationFields::operator=(OperationFields&& other119) noexcept {
-  DigestHigh = other119.DigestHigh;
-  DigestLow = other119.DigestLow;
-  TextDigest = other119.TextDigest;
-  Number = other119.Number;
-  __isset = other119.__isset;
+OperationFields& OperationFields::operator=(OperationFields&& other131) noexcept {
+  DigestHigh = other131.DigestHigh;
+  DigestLow = other131.DigestLow;
+  TextDigest = other131.TextDigest;
+  Number = other131.Number;
+  __isset = other131.__isset;
   return *this;
 }
 void OperationFields::printTo(std::ostream& out) const {
@@ -4596,14 +5037,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Ended.clear();
-            uint32_t _size120;
-            ::apache::thrift::protocol::TType _etype123;
-            xfer += iprot->readListBegin(_etype123, _size120);
-            this->Ended.resize(_size120);
-            uint32_t _i124;
-            for (_i124 = 0; _i124 < _size120; ++_i124)
+            uint32_t _size132;
+            ::apache::thrift::protocol::TType _etype135;
+            xfer += iprot->readListBegin(_etype135, _size132);
+            this->Ended.resize(_size132);
+            uint32_t _i136;
+            for (_i136 = 0; _i136 < _size132; ++_i136)
             {
-              xfer += this->Ended[_i124].read(iprot);
+              xfer += this->Ended[_i136].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4676,10 +5117,10 @@
   xfer += oprot->writeFieldBegin("Ended", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Ended.size()));
-    std::vector<ClaimAttemptFields> ::const_iterator _iter125;
-    for (_iter125 = this->Ended.begin(); _iter125 != this->Ended.end(); ++_iter125)
+    std::vector<ClaimAttemptFields> ::const_iterator _iter137;
+    for (_iter137 = this->Ended.begin(); _iter137 != this->Ended.end(); ++_iter137)
     {
-      xfer += (*_iter125).write(oprot);
+      xfer += (*_iter137).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4716,54 +5157,54 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimEntryFields::ClaimEntryFields(const ClaimEntryFields& other126) {
-  DigestHigh = other126.DigestHigh;
-  DigestLow = other126.DigestLow;
-  State = other126.State;
-  BodyDigest = other126.BodyDigest;
-  Holder = other126.Holder;
-  Ended = other126.Ended;
-  Answer = other126.Answer;
-  StampMillis = other126.StampMillis;
-  Order = other126.Order;
-  __isset = other126.__isset;
-}
-ClaimEntryFields::ClaimEntryFields(ClaimEntryFields&& other127) noexcept {
-  DigestHigh = other127.DigestHigh;
-  DigestLow = other127.DigestLow;
-  State = other127.State;
-  BodyDigest = other127.BodyDigest;
-  Holder = std::move(other127.Holder);
-  Ended = std::move(other127.Ended);
-  Answer = std::move(other127.Answer);
-  StampMillis = other127.StampMillis;
-  Order = other127.Order;
-  __isset = other127.__isset;
-}
-ClaimEntryFields& ClaimEntryFields::operator=(const ClaimEntryFields& other128) {
-  DigestHigh = other128.DigestHigh;
-  DigestLow = other128.DigestLow;
-  State = other128.State;
-  BodyDigest = other128.BodyDigest;
-  Holder = other128.Holder;
-  Ended = other128.Ended;
-  Answer = other128.Answer;
-  StampMillis = other128.StampMillis;
-  Order = other128.Order;
-  __isset = other128.__isset;
+ClaimEntryFields::ClaimEntryFields(const ClaimEntryFields& other138) {
+  DigestHigh = other138.DigestHigh;
+  DigestLow = other138.DigestLow;
+  State = other138.State;
+  BodyDigest = other138.BodyDigest;
+  Holder = other138.Holder;
+  Ended = other138.Ended;
+  Answer = other138.Answer;
+  StampMillis = other138.StampMillis;
+  Order = other138.Order;
+  __isset = other138.__isset;
+}
+ClaimEntryFields::ClaimEntryFields(ClaimEntryFields&& other139) noexcept {
+  DigestHigh = other139.DigestHigh;
+  DigestLow = other139.DigestLow;
+  State = other139.State;
+  BodyDigest = other139.BodyDigest;
+  Holder = std::move(other139.Holder);
+  Ended = std::move(other139.Ended);
+  Answer = std::move(other139.Answer);
+  StampMillis = other139.StampMillis;
+  Order = other139.Order;
+  __isset = other139.__isset;
+}
+ClaimEntryFields& ClaimEntryFields::operator=(const ClaimEntryFields& other140) {
+  DigestHigh = other140.DigestHigh;
+  DigestLow = other140.DigestLow;
+  State = other140.State;
+  BodyDigest = other140.BodyDigest;
+  Holder = other140.Holder;
+  Ended = other140.Ended;
+  Answer = other140.Answer;
+  StampMillis = other140.StampMillis;
+  Order = other140.Order;
+  __isset = other140.__isset;
   return *this;
 }
-ClaimEntryFields& ClaimEntryFields::operator=(ClaimEntryFields&& other129) noexcept {
-  DigestHigh = other129.DigestHigh;
-  DigestLow = other129.DigestLow;
-  State = other129.State;
-  BodyDigest = other129.BodyDigest;
-  Holder = std::move(other129.Holder);
-  Ended = std::move(other129.Ended);
-  Answer = std::move(other129.Answer);
-  StampMillis = other129.StampMillis;
-  Order = other129.Order;
-  __isset = other129.__isset;
+ClaimEntryFields& ClaimEntryFields::operator=(ClaimEntryFields&& other141) noexcept {
+  DigestHigh = other141.DigestHigh;
+  DigestLow = other141.DigestLow;
+  State = other141.State;
+  BodyDigest = other141.BodyDigest;
+  Holder = std::move(other141.Holder);
+  Ended = std::move(other141.Ended);
+  Answer = std::move(other141.Answer);
+  StampMillis = other141.StampMillis;
+  Order = other141.Order;
+  __isset = other141.__isset;
   return *this;
 }
 void ClaimEntryFields::printTo(std::ostream& out) const {
@@ -4874,26 +5315,26 @@
   swap(a.__isset, b.__isset);
 }
 
-TombstoneBucketFields::TombstoneBucketFields(const TombstoneBucketFields& other130) {
-  Bucket = other130.Bucket;
-  Digests = other130.Digests;
-  __isset = other130.__isset;
+TombstoneBucketFields::TombstoneBucketFields(const TombstoneBucketFields& other142) {
+  Bucket = other142.Bucket;
+  Digests = other142.Digests;
+  __isset = other142.__isset;
 }
-TombstoneBucketFields::TombstoneBucketFields(TombstoneBucketFields&& other131) noexcept {
-  Bucket = other131.Bucket;
-  Digests = std::move(other131.Digests);
-  __isset = other131.__isset;
+TombstoneBucketFields::TombstoneBucketFields(TombstoneBucketFields&& other143) noexcept {
+  Bucket = other143.Bucket;
+  Digests = std::move(other143.Digests);
+  __isset = other143.__isset;
 }
-TombstoneBucketFields& TombstoneBucketFields::operator=(const TombstoneBucketFields& other132) {
-  Bucket = other132.Bucket;
-  Digests = other132.Digests;
-  __isset = other132.__isset;
+TombstoneBucketFields& TombstoneBucketFields::operator=(const TombstoneBucketFields& other144) {
+  Bucket = other144.Bucket;
+  Digests = other144.Digests;
+  __isset = other144.__isset;
   return *this;
 }
-TombstoneBucketFields& TombstoneBucketFields::operator=(TombstoneBucketFields&& other133) noexcept {
-  Bucket = other133.Bucket;
-  Digests = std::move(other133.Digests);
-  __isset = other133.__isset;
+TombstoneBucketFields& TombstoneBucketFields::operator=(TombstoneBucketFields&& other145) noexcept {
+  Bucket = other145.Bucket;
+  Digests = std::move(other145.Digests);
+  __isset = other145.__isset;
   return *this;
 }
 void TombstoneBucketFields::printTo(std::ostream& out) const {
@@ -4997,26 +5438,26 @@
   swap(a.__isset, b.__isset);
 }
 
-HostIncarnationFields::HostIncarnationFields(const HostIncarnationFields& other134) {
-  Host = other134.Host;
-  Incarnation = other134.Incarnation;
-  __isset = other134.__isset;
+HostIncarnationFields::HostIncarnationFields(const HostIncarnationFields& other146) {
+  Host = other146.Host;
+  Incarnation = other146.Incarnation;
+  __isset = other146.__isset;
 }
-HostIncarnationFields::HostIncarnationFields(HostIncarnationFields&& other135) noexcept {
-  Host = std::move(other135.Host);
-  Incarnation = other135.Incarnation;
-  __isset = other135.__isset;
+HostIncarnationFields::HostIncarnationFields(HostIncarnationFields&& other147) noexcept {
+  Host = std::move(other147.Host);
+  Incarnation = other147.Incarnation;
+  __isset = other147.__isset;
 }
-HostIncarnationFields& HostIncarnationFields::operator=(const HostIncarnationFields& other136) {
-  Host = other136.Host;
-  Incarnation = other136.Incarnation;
-  __isset = other136.__isset;
+HostIncarnationFields& HostIncarnationFields::operator=(const HostIncarnationFields& other148) {
+  Host = other148.Host;
+  Incarnation = other148.Incarnation;
+  __isset = other148.__isset;
   return *this;
 }
-HostIncarnationFields& HostIncarnationFields::operator=(HostIncarnationFields&& other137) noexcept {
-  Host = std::move(other137.Host);
-  Incarnation = other137.Incarnation;
-  __isset = other137.__isset;
+HostIncarnationFields& HostIncarnationFields::operator=(HostIncarnationFields&& other149) noexcept {
+  Host = std::move(other149.Host);
+  Incarnation = other149.Incarnation;
+  __isset = other149.__isset;
   return *this;
 }
 void HostIncarnationFields::printTo(std::ostream& out) const {
@@ -5083,6 +5524,10 @@
 void RegistrySnapshot::__set_LoadSequence(const int64_t val) {
   this->LoadSequence = val;
 }
+
+void RegistrySnapshot::__set_NamedWeights(const std::vector<NamedWeightsFields> & val) {
+  this->NamedWeights = val;
+}
 std::ostream& operator<<(std::ostream& out, const RegistrySnapshot& obj)
 {
   obj.printTo(out);
@@ -5139,14 +5584,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Operations.clear();
-            uint32_t _size138;
-            ::apache::thrift::protocol::TType _etype141;
-            xfer += iprot->readListBegin(_etype141, _size138);
-            this->Operations.resize(_size138);
-            uint32_t _i142;
-            for (_i142 = 0; _i142 < _size138; ++_i142)
+            uint32_t _size150;
+            ::apache::thrift::protocol::TType _etype153;
+            xfer += iprot->readListBegin(_etype153, _size150);
+            this->Operations.resize(_size150);
+            uint32_t _i154;
+            for (_i154 = 0; _i154 < _size150; ++_i154)
             {
-              xfer += this->Operations[_i142].read(iprot);
+              xfer += this->Operations[_i154].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5159,14 +5604,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Claims.clear();
-            uint32_t _size143;
-            ::apache::thrift::protocol::TType _etype146;
-            xfer += iprot->readListBegin(_etype146, _size143);
-            this->Claims.resize(_size143);
-            uint32_t _i147;
-            for (_i147 = 0; _i147 < _size143; ++_i147)
+            uint32_t _size155;
+            ::apache::thrift::protocol::TType _etype158;
+            xfer += iprot->readListBegin(_etype158, _size155);
+            this->Claims.resize(_size155);
+            uint32_t _i159;
+            for (_i159 = 0; _i159 < _size155; ++_i159)
             {
-              xfer += this->Claims[_i147].read(iprot);
+              xfer += this->Claims[_i159].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5179,14 +5624,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Tombstones.clear();
-            uint32_t _size148;
-            ::apache::thrift::protocol::TType _etype151;
-            xfer += iprot->readListBegin(_etype151, _size148);
-            this->Tombstones.resize(_size148);
-            uint32_t _i152;
-            for (_i152 = 0; _i152 < _size148; ++_i152)
+            uint32_t _size160;
+            ::apache::thrift::protocol::TType _etype163;
+            xfer += iprot->readListBegin(_etype163, _size160);
+            this->Tombstones.resize(_size160);
+            uint32_t _i164;
+            for (_i164 = 0; _i164 < _size160; ++_i164)
             {
-              xfer += this->Tombstones[_i152].read(iprot);
+              xfer += this->Tombstones[_i164].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5215,14 +5660,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ClaimingHosts.clear();
-            uint32_t _size153;
-            ::apache::thrift::protocol::TType _etype156;
-            xfer += iprot->readListBegin(_etype156, _size153);
-            this->ClaimingHosts.resize(_size153);
-            uint32_t _i157;
-            for (_i157 = 0; _i157 < _size153; ++_i157)
+            uint32_t _size165;
+            ::apache::thrift::protocol::TType _etype168;
+            xfer += iprot->readListBegin(_etype168, _size165);
+            this->ClaimingHosts.resize(_size165);
+            uint32_t _i169;
+            for (_i169 = 0; _i169 < _size165; ++_i169)
             {
-              xfer += this->ClaimingHosts[_i157].read(iprot);
+              xfer += this->ClaimingHosts[_i169].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5235,14 +5680,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Leases.clear();
-            uint32_t _size158;
-            ::apache::thrift::protocol::TType _etype161;
-            xfer += iprot->readListBegin(_etype161, _size158);
-            this->Leases.resize(_size158);
-            uint32_t _i162;
-            for (_i162 = 0; _i162 < _size158; ++_i162)
+            uint32_t _size170;
+            ::apache::thrift::protocol::TType _etype173;
+            xfer += iprot->readListBegin(_etype173, _size170);
+            this->Leases.resize(_size170);
+            uint32_t _i174;
+            for (_i174 = 0; _i174 < _size170; ++_i174)
             {
-              xfer += this->Leases[_i162].read(iprot);
+              xfer += this->Leases[_i174].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5255,14 +5700,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Loads.clear();
-            uint32_t _size163;
-            ::apache::thrift::protocol::TType _etype166;
-            xfer += iprot->readListBegin(_etype166, _size163);
-            this->Loads.resize(_size163);
-            uint32_t _i167;
-            for (_i167 = 0; _i167 < _size163; ++_i167)
+            uint32_t _size175;
+            ::apache::thrift::protocol::TType _etype178;
+            xfer += iprot->readListBegin(_etype178, _size175);
+            this->Loads.resize(_size175);
+            uint32_t _i179;
+            for (_i179 = 0; _i179 < _size175; ++_i179)
             {
-              xfer += this->Loads[_i167].read(iprot);
+              xfer += this->Loads[_i179].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5287,6 +5732,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->NamedWeights.clear();
+            uint32_t _size180;
+            ::apache::thrift::protocol::TType _etype183;
+            xfer += iprot->readListBegin(_etype183, _size180);
+            this->NamedWeights.resize(_size180);
+            uint32_t _i184;
+            for (_i184 = 0; _i184 < _size180; ++_i184)
+            {
+              xfer += this->NamedWeights[_i184].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.NamedWeights = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5319,10 +5784,10 @@
   xfer += oprot->writeFieldBegin("Operations", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Operations.size()));
-    std::vector<OperationFields> ::const_iterator _iter168;
-    for (_iter168 = this->Operations.begin(); _iter168 != this->Operations.end(); ++_iter168)
+    std::vector<OperationFields> ::const_iterator _iter185;
+    for (_iter185 = this->Operations.begin(); _iter185 != this->Operations.end(); ++_iter185)
     {
-      xfer += (*_iter168).write(oprot);
+      xfer += (*_iter185).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5331,10 +5796,10 @@
   xfer += oprot->writeFieldBegin("Claims", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Claims.size()));
-    std::vector<ClaimEntryFields> ::const_iterator _iter169;
-    for (_iter169 = this->Claims.begin(); _iter169 != this->Claims.end(); ++_iter169)
+    std::vector<ClaimEntryFields> ::const_iterator _iter186;
+    for (_iter186 = this->Claims.begin(); _iter186 != this->Claims.end(); ++_iter186)
     {
-      xfer += (*_iter169).write(oprot);
+      xfer += (*_iter186).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5343,10 +5808,10 @@
   xfer += oprot->writeFieldBegin("Tombstones", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Tombstones.size()));
-    std::vector<TombstoneBucketFields> ::const_iterator _iter170;
-    for (_iter170 = this->Tombstones.begin(); _iter170 != this->Tombstones.end(); ++_iter170)
+    std::vector<TombstoneBucketFields> ::const_iterator _iter187;
+    for (_iter187 = this->Tombstones.begin(); _iter187 != this->Tombstones.end(); ++_iter187)
     {
-      xfer += (*_iter170).write(oprot);
+      xfer += (*_iter187).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5363,10 +5828,10 @@
   xfer += oprot->writeFieldBegin("ClaimingHosts", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ClaimingHosts.size()));
-    std::vector<HostIncarnationFields> ::const_iterator _iter171;
-    for (_iter171 = this->ClaimingHosts.begin(); _iter171 != this->ClaimingHosts.end(); ++_iter171)
+    std::vector<HostIncarnationFields> ::const_iterator _iter188;
+    for (_iter188 = this->ClaimingHosts.begin(); _iter188 != this->ClaimingHosts.end(); ++_iter188)
     {
-      xfer += (*_iter171).write(oprot);
+      xfer += (*_iter188).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5375,10 +5840,10 @@
   xfer += oprot->writeFieldBegin("Leases", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Leases.size()));
-    std::vector<LeaseFields> ::const_iterator _iter172;
-    for (_iter172 = this->Leases.begin(); _iter172 != this->Leases.end(); ++_iter172)
+    std::vector<LeaseFields> ::const_iterator _iter189;
+    for (_iter189 = this->Leases.begin(); _iter189 != this->Leases.end(); ++_iter189)
     {
-      xfer += (*_iter172).write(oprot);
+      xfer += (*_iter189).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5387,10 +5852,10 @@
   xfer += oprot->writeFieldBegin("Loads", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Loads.size()));
-    std::vector<LoadSlotFields> ::const_iterator _iter173;
-    for (_iter173 = this->Loads.begin(); _iter173 != this->Loads.end(); ++_iter173)
+    std::vector<LoadSlotFields> ::const_iterator _iter190;
+    for (_iter190 = this->Loads.begin(); _iter190 != this->Loads.end(); ++_iter190)
     {
-      xfer += (*_iter173).write(oprot);
+      xfer += (*_iter190).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5404,6 +5869,18 @@
   xfer += oprot->writeI64(this->LoadSequence);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("NamedWeights", ::apache::thrift::protocol::T_LIST, 14);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->NamedWeights.size()));
+    std::vector<NamedWeightsFields> ::const_iterator _iter191;
+    for (_iter191 = this->NamedWeights.begin(); _iter191 != this->NamedWeights.end(); ++_iter191)
+    {
+      xfer += (*_iter191).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5424,73 +5901,78 @@
   swap(a.Loads, b.Loads);
   swap(a.LoadFencing, b.LoadFencing);
   swap(a.LoadSequence, b.LoadSequence);
+  swap(a.NamedWeights, b.NamedWeights);
   swap(a.__isset, b.__isset);
 }
 
-RegistrySnapshot::RegistrySnapshot(const RegistrySnapshot& other174) {
-  FormatVersion = other174.FormatVersion;
-  AppliedIndex = other174.AppliedIndex;
-  Description = other174.Description;
-  Operations = other174.Operations;
-  Claims = other174.Claims;
-  Tombstones = other174.Tombstones;
-  LowWaterMillis = other174.LowWaterMillis;
-  NextOrder = other174.NextOrder;
-  ClaimingHosts = other174.ClaimingHosts;
-  Leases = other174.Leases;
-  Loads = other174.Loads;
-  LoadFencing = other174.LoadFencing;
-  LoadSequence = other174.LoadSequence;
-  __isset = other174.__isset;
-}
-RegistrySnapshot::RegistrySnapshot(RegistrySnapshot&& other175) noexcept {
-  FormatVersion = other175.FormatVersion;
-  AppliedIndex = other175.AppliedIndex;
-  Description = std::move(other175.Description);
-  Operations = std::move(other175.Operations);
-  Claims = std::move(other175.Claims);
-  Tombstones = std::move(other175.Tombstones);
-  LowWaterMillis = other175.LowWaterMillis;
-  NextOrder = other175.NextOrder;
-  ClaimingHosts = std::move(other175.ClaimingHosts);
-  Leases = std::move(other175.Leases);
-  Loads = std::move(other175.Loads);
-  LoadFencing = other175.LoadFencing;
-  LoadSequence = other175.LoadSequence;
-  __isset = other175.__isset;
-}
-RegistrySnapshot& RegistrySnapshot::operator=(const RegistrySnapshot& other176) {
-  FormatVersion = other176.FormatVersion;
-  AppliedIndex = other176.AppliedIndex;
-  Description = other176.Description;
-  Operations = other176.Operations;
-  Claims = other176.Claims;
-  Tombstones = other176.Tombstones;
-  LowWaterMillis = other176.LowWaterMillis;
-  NextOrder = other176.NextOrder;
-  ClaimingHosts = other176.ClaimingHosts;
-  Leases = other176.Leases;
-  Loads = other176.Loads;
-  LoadFencing = other176.LoadFencing;
-  LoadSequence = other176.LoadSequence;
-  __isset = other176.__isset;
+RegistrySnapshot::RegistrySnapshot(const RegistrySnapshot& other192) {
+  FormatVersion = other192.FormatVersion;
+  AppliedIndex = other192.AppliedIndex;
+  Description = other192.Description;
+  Operations = other192.Operations;
+  Claims = other192.Claims;
+  Tombstones = other192.Tombstones;
+  LowWaterMillis = other192.LowWaterMillis;
+  NextOrder = other192.NextOrder;
+  ClaimingHosts = other192.ClaimingHosts;
+  Leases = other192.Leases;
+  Loads = other192.Loads;
+  LoadFencing = other192.LoadFencing;
+  LoadSequence = other192.LoadSequence;
+  NamedWeights = other192.NamedWeights;
+  __isset = other192.__isset;
+}
+RegistrySnapshot::RegistrySnapshot(RegistrySnapshot&& other193) noexcept {
+  FormatVersion = other193.FormatVersion;
+  AppliedIndex = other193.AppliedIndex;
+  Description = std::move(other193.Description);
+  Operations = std::move(other193.Operations);
+  Claims = std::move(other193.Claims);
+  Tombstones = std::move(other193.Tombstones);
+  LowWaterMillis = other193.LowWaterMillis;
+  NextOrder = other193.NextOrder;
+  ClaimingHosts = std::move(other193.ClaimingHosts);
+  Leases = std::move(other193.Leases);
+  Loads = std::move(other193.Loads);
+  LoadFencing = other193.LoadFencing;
+  LoadSequence = other193.LoadSequence;
+  NamedWeights = std::move(other193.NamedWeights);
+  __isset = other193.__isset;
+}
+RegistrySnapshot& RegistrySnapshot::operator=(const RegistrySnapshot& other194) {
+  FormatVersion = other194.FormatVersion;
+  AppliedIndex = other194.AppliedIndex;
+  Description = other194.Description;
+  Operations = other194.Operations;
+  Claims = other194.Claims;
+  Tombstones = other194.Tombstones;
+  LowWaterMillis = other194.LowWaterMillis;
+  NextOrder = other194.NextOrder;
+  ClaimingHosts = other194.ClaimingHosts;
+  Leases = other194.Leases;
+  Loads = other194.Loads;
+  LoadFencing = other194.LoadFencing;
+  LoadSequence = other194.LoadSequence;
+  NamedWeights = other194.NamedWeights;
+  __isset = other194.__isset;
   return *this;
 }
-RegistrySnapshot& RegistrySnapshot::operator=(RegistrySnapshot&& other177) noexcept {
-  FormatVersion = other177.FormatVersion;
-  AppliedIndex = other177.AppliedIndex;
-  Description = std::move(other177.Description);
-  Operations = std::move(other177.Operations);
-  Claims = std::move(other177.Claims);
-  Tombstones = std::move(other177.Tombstones);
-  LowWaterMillis = other177.LowWaterMillis;
-  NextOrder = other177.NextOrder;
-  ClaimingHosts = std::move(other177.ClaimingHosts);
-  Leases = std::move(other177.Leases);
-  Loads = std::move(other177.Loads);
-  LoadFencing = other177.LoadFencing;
-  LoadSequence = other177.LoadSequence;
-  __isset = other177.__isset;
+RegistrySnapshot& RegistrySnapshot::operator=(RegistrySnapshot&& other195) noexcept {
+  FormatVersion = other195.FormatVersion;
+  AppliedIndex = other195.AppliedIndex;
+  Description = std::move(other195.Description);
+  Operations = std::move(other195.Operations);
+  Claims = std::move(other195.Claims);
+  Tombstones = std::move(other195.Tombstones);
+  LowWaterMillis = other195.LowWaterMillis;
+  NextOrder = other195.NextOrder;
+  ClaimingHosts = std::move(other195.ClaimingHosts);
+  Leases = std::move(other195.Leases);
+  Loads = std::move(other195.Loads);
+  LoadFencing = other195.LoadFencing;
+  LoadSequence = other195.LoadSequence;
+  NamedWeights = std::move(other195.NamedWeights);
+  __isset = other195.__isset;
   return *this;
 }
 void RegistrySnapshot::printTo(std::ostream& out) const {
@@ -5509,6 +5991,7 @@
   out << ", " << "Loads=" << to_string(Loads);
   out << ", " << "LoadFencing=" << to_string(LoadFencing);
   out << ", " << "LoadSequence=" << to_string(LoadSequence);
+  out << ", " << "NamedWeights=" << to_string(NamedWeights);
   out << ")";
 }
 
--- a/Libraries/LibWire/Generated/Registry_types.h
+++ b/Libraries/LibWire/Generated/Registry_types.h
@@ -118,6 +118,10 @@
 
 class ChangeCommand;
 
+class ReplaceCommand;
+
+class NameWeightsCommand;
+
 class ClaimCommand;
 
 class CompleteCommand;
@@ -156,6 +160,8 @@
 
 class LowWaterReply;
 
+class NamedWeightsFields;
+
 class RegistryAnswer;
 
 class RegistryRequest;
@@ -408,6 +414,110 @@
 
 std::ostream& operator<<(std::ostream& out, const ChangeCommand& obj);
 
+typedef struct _ReplaceCommand__isset {
+  _ReplaceCommand__isset() : Number(false), Text(false) {}
+  bool Number :1;
+  bool Text :1;
+} _ReplaceCommand__isset;
+
+class ReplaceCommand : public virtual ::apache::thrift::TBase {
+ public:
+
+  ReplaceCommand(const ReplaceCommand&);
+  ReplaceCommand(ReplaceCommand&&) noexcept;
+  ReplaceCommand& operator=(const ReplaceCommand&);
+  ReplaceCommand& operator=(ReplaceCommand&&) noexcept;
+  ReplaceCommand() noexcept
+                 : Number(0),
+                   Text() {
+  }
+
+  virtual ~ReplaceCommand() noexcept;
+  int64_t Number;
+  std::string Text;
+
+  _ReplaceCommand__isset __isset;
+
+  void __set_Number(const int64_t val);
+
+  void __set_Text(const std::string& val);
+
+  bool operator == (const ReplaceCommand & rhs) const
+  {
+    if (!(Number == rhs.Number))
+      return false;
+    if (!(Text == rhs.Text))
+      return false;
+    return true;
+  }
+  bool operator != (const ReplaceCommand &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ReplaceCommand & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ReplaceCommand &a, ReplaceCommand &b);
+
+std::ostream& operator<<(std::ostream& out, const ReplaceCommand& obj);
+
+typedef struct _NameWeightsCommand__isset {
+  _NameWeightsCommand__isset() : Model(false), Weights(false) {}
+  bool Model :1;
+  bool Weights :1;
+} _NameWeightsCommand__isset;
+
+class NameWeightsCommand : public virtual ::apache::thrift::TBase {
+ public:
+
+  NameWeightsCommand(const NameWeightsCommand&);
+  NameWeightsCommand(NameWeightsCommand&&) noexcept;
+  NameWeightsCommand& operator=(const NameWeightsCommand&);
+  NameWeightsCommand& operator=(NameWeightsCommand&&) noexcept;
+  NameWeightsCommand() noexcept
+                     : Model(),
+                       Weights(0) {
+  }
+
+  virtual ~NameWeightsCommand() noexcept;
+  std::string Model;
+  int64_t Weights;
+
+  _NameWeightsCommand__isset __isset;
+
+  void __set_Model(const std::string& val);
+
+  void __set_Weights(const int64_t val);
+
+  bool operator == (const NameWeightsCommand & rhs) const
+  {
+    if (!(Model == rhs.Model))
+      return false;
+    if (!(Weights == rhs.Weights))
+      return false;
+    return true;
+  }
+  bool operator != (const NameWeightsCommand &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const NameWeightsCommand & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(NameWeightsCommand &a, NameWeightsCommand &b);
+
+std::ostream& operator<<(std::ostream& out, const NameWeightsCommand& obj);
+
 typedef struct _ClaimCommand__isset {
   _ClaimCommand__isset() : Key(false), Attempt(false), BodyDigest(false), AskedAtMillis(false) {}
   bool Key :1;
@@ -1054,7 +1164,7 @@
 std::ostream& operator<<(std::ostream& out, const EndLoadCommand& obj);
 
 typedef struct _RegistryCommand__isset {
-  _RegistryCommand__isset() : Change(false), Claim(false), Complete(false), Release(false), MarkUnknown(false), AdvanceLowWater(false), AcquireLease(false), RenewLease(false), ReleaseLease(false), BeginLoad(false), EndLoad(false) {}
+  _RegistryCommand__isset() : Change(false), Claim(false), Complete(false), Release(false), MarkUnknown(false), AdvanceLowWater(false), AcquireLease(false), RenewLease(false), ReleaseLease(false), BeginLoad(false), EndLoad(false), Replace(false), NameWeights(false) {}
   bool Change :1;
   bool Claim :1;
   bool Complete :1;
@@ -1066,6 +1176,8 @@
   bool ReleaseLease :1;
   bool BeginLoad :1;
   bool EndLoad :1;
+  bool Replace :1;
+  bool NameWeights :1;
 } _RegistryCommand__isset;
 
 class RegistryCommand : public virtual ::apache::thrift::TBase {
@@ -1090,6 +1202,8 @@
   ReleaseLeaseCommand ReleaseLease;
   BeginLoadCommand BeginLoad;
   EndLoadCommand EndLoad;
+  ReplaceCommand Replace;
+  NameWeightsCommand NameWeights;
 
   _RegistryCommand__isset __isset;
 
@@ -1115,6 +1229,10 @@
 
   void __set_EndLoad(const EndLoadCommand& val);
 
+  void __set_Replace(const ReplaceCommand& val);
+
+  void __set_NameWeights(const NameWeightsCommand& val);
+
   bool operator == (const RegistryCommand & rhs) const
   {
     if (__isset.Change != rhs.__isset.Change)
@@ -1161,6 +1279,14 @@
       return false;
     else if (__isset.EndLoad && !(EndLoad == rhs.EndLoad))
       return false;
+    if (__isset.Replace != rhs.__isset.Replace)
+      return false;
+    else if (__isset.Replace && !(Replace == rhs.Replace))
+      return false;
+    if (__isset.NameWeights != rhs.__isset.NameWeights)
+      return false;
+    else if (__isset.NameWeights && !(NameWeights == rhs.NameWeights))
+      return false;
     return true;
   }
   bool operator != (const RegistryCommand &rhs) const {
@@ -1591,8 +1717,60 @@
 
 std::ostream& operator<<(std::ostream& out, const LowWaterReply& obj);
 
+typedef struct _NamedWeightsFields__isset {
+  _NamedWeightsFields__isset() : Model(false), Weights(false) {}
+  bool Model :1;
+  bool Weights :1;
+} _NamedWeightsFields__isset;
+
+class NamedWeightsFields : public virtual ::apache::thrift::TBase {
+ public:
+
+  NamedWeightsFields(const NamedWeightsFields&);
+  NamedWeightsFields(NamedWeightsFields&&) noexcept;
+  NamedWeightsFields& operator=(const NamedWeightsFields&);
+  NamedWeightsFields& operator=(NamedWeightsFields&&) noexcept;
+  NamedWeightsFields() noexcept
+                     : Model(),
+                       Weights(0) {
+  }
+
+  virtual ~NamedWeightsFields() noexcept;
+  std::string Model;
+  int64_t Weights;
+
+  _NamedWeightsFields__isset __isset;
+
+  void __set_Model(const std::string& val);
+
+  void __set_Weights(const int64_t val);
+
+  bool operator == (const NamedWeightsFields & rhs) const
+  {
+    if (!(Model == rhs.Model))
+      return false;
+    if (!(Weights == rhs.Weights))
+      return false;
+    return true;
+  }
+  bool operator != (const NamedWeightsFields &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const NamedWeightsFields & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(NamedWeightsFields &a, NamedWeightsFields &b);
+
+std::ostream& operator<<(std::ostream& out, const NamedWeightsFields& obj);
+
 typedef struct _RegistryAnswer__isset {
-  _RegistryAnswer__isset() : Change(false), Claim(false), Lease(false), Load(false), LowWater(false), Description(false), Invalid(false) {}
+  _RegistryAnswer__isset() : Change(false), Claim(false), Lease(false), Load(false), LowWater(false), Description(false), Invalid(false), NamedWeights(false) {}
   bool Change :1;
   bool Claim :1;
   bool Lease :1;
@@ -1600,6 +1778,7 @@
   bool LowWater :1;
   bool Description :1;
   bool Invalid :1;
+  bool NamedWeights :1;
 } _RegistryAnswer__isset;
 
 class RegistryAnswer : public virtual ::apache::thrift::TBase {
@@ -1625,6 +1804,7 @@
    * @see InvalidReason
    */
   InvalidReason::type Invalid;
+  NamedWeightsFields NamedWeights;
 
   _RegistryAnswer__isset __isset;
 
@@ -1642,6 +1822,8 @@
 
   void __set_Invalid(const InvalidReason::type val);
 
+  void __set_NamedWeights(const NamedWeightsFields& val);
+
   bool operator == (const RegistryAnswer & rhs) const
   {
     if (__isset.Change != rhs.__isset.Change)
@@ -1672,6 +1854,10 @@
       return false;
     else if (__isset.Invalid && !(Invalid == rhs.Invalid))
       return false;
+    if (__isset.NamedWeights != rhs.__isset.NamedWeights)
+      return false;
+    else if (__isset.NamedWeights && !(NamedWeights == rhs.NamedWeights))
+      return false;
     return true;
   }
   bool operator != (const RegistryAnswer &rhs) const {
@@ -2092,7 +2278,7 @@
 std::ostream& operator<<(std::ostream& out, const HostIncarnationFields& obj);
 
 typedef struct _RegistrySnapshot__isset {
-  _RegistrySnapshot__isset() : FormatVersion(false), AppliedIndex(false), Description(false), Operations(false), Claims(false), Tombstones(false), LowWaterMillis(false), NextOrder(false), ClaimingHosts(false), Leases(false), Loads(false), LoadFencing(false), LoadSequence(false) {}
+  _RegistrySnapshot__isset() : FormatVersion(false), AppliedIndex(false), Description(false), Operations(false), Claims(false), Tombstones(false), LowWaterMillis(false), NextOrder(false), ClaimingHosts(false), Leases(false), Loads(false), LoadFencing(false), LoadSequence(false), NamedWeights(false) {}
   bool FormatVersion :1;
   bool AppliedIndex :1;
   bool Description :1;
@@ -2106,6 +2292,7 @@
   bool Loads :1;
   bool LoadFencing :1;
   bool LoadSequence :1;
+  bool NamedWeights :1;
 } _RegistrySnapshot__isset;
 
 class RegistrySnapshot : public virtual ::apache::thrift::TBase {
@@ -2138,6 +2325,7 @@
   std::vector<LoadSlotFields>  Loads;
   int64_t LoadFencing;
   int64_t LoadSequence;
+  std::vector<NamedWeightsFields>  NamedWeights;
 
   _RegistrySnapshot__isset __isset;
 
@@ -2167,6 +2355,8 @@
 
   void __set_LoadSequence(const int64_t val);
 
+  void __set_NamedWeights(const std::vector<NamedWeightsFields> & val);
+
   bool operator == (const RegistrySnapshot & rhs) const
   {
     if (!(FormatVersion == rhs.FormatVersion))
@@ -2195,6 +2385,8 @@
       return false;
     if (!(LoadSequence == rhs.LoadSequence))
       return false;
+    if (!(NamedWeights == rhs.NamedWeights))
+      return false;
     return true;
   }
   bool operator != (const RegistrySnapshot &rhs) const {
--- a/Libraries/LibWire/Idl/Membership.thrift
+++ b/Libraries/LibWire/Idl/Membership.thrift
@@ -73,9 +73,22 @@
   2: i64 Incarnation
 }
 
+// A host as it introduces itself, or as others pass that on.
+struct HostFields {
+  1: string Id
+  2: string DataCentre
+  3: i32 Role
+  // "IP:port" for callers; empty on a host that serves none.
+  4: string CallerAddress
+}
+
 struct MembershipAsk {
   1: i64 AskNumber
   2: list<OriginWant> Wants
+  // The asker, where hosts find each other by seeds.
+  3: optional HostFields Asker
+  // Tags in earlier replies that stand for hosts unknown to the asker.
+  4: optional list<i32> UnknownTags
 }
 
 struct MembershipReply {
@@ -85,6 +98,8 @@
   // A quorum of control hosts had no number above this one at that age.
   4: optional i64 ConfirmedNumber
   5: optional i32 ConfirmedAgeMillis
+  // The hosts behind the unknown tags of the question.
+  6: optional list<HostFields> Introduced
 }
 
 struct MembershipMessage {
@@ -104,6 +119,8 @@
   // Greatest number in the host's log, committed or not.
   2: i64 GreatestNumber
   3: bool Voter
+  // Voters of the log's newest configuration; absent from older hosts.
+  4: optional i32 VoterCount
 }
 
 // Exactly one field is set.
--- a/Libraries/LibWire/Idl/Registry.thrift
+++ b/Libraries/LibWire/Idl/Registry.thrift
@@ -26,6 +26,18 @@
   3: binary Text
 }
 
+// Puts a description in force whose number its author chose.
+struct ReplaceCommand {
+  1: i64 Number
+  2: binary Text
+}
+
+// Names the weights that the engines of a model are to have.
+struct NameWeightsCommand {
+  1: string Model
+  2: i64 Weights
+}
+
 struct ClaimCommand {
   1: ClaimKeyFields Key
   2: ClaimAttemptFields Attempt
@@ -110,6 +122,8 @@
   9: optional ReleaseLeaseCommand ReleaseLease
   10: optional BeginLoadCommand BeginLoad
   11: optional EndLoadCommand EndLoad
+  12: optional ReplaceCommand Replace
+  13: optional NameWeightsCommand NameWeights
 }
 
 enum ClaimStatus {
@@ -183,6 +197,11 @@
   TooLarge = 2
 }
 
+struct NamedWeightsFields {
+  1: string Model
+  2: i64 Weights
+}
+
 // Exactly one field is set.
 struct RegistryAnswer {
   1: optional ChangeReply Change
@@ -192,6 +211,7 @@
   5: optional LowWaterReply LowWater
   6: optional DescriptionFields Description
   7: optional InvalidReason Invalid
+  8: optional NamedWeightsFields NamedWeights
 }
 
 enum RequestKind {
@@ -268,4 +288,5 @@
   11: list<LoadSlotFields> Loads
   12: i64 LoadFencing
   13: i64 LoadSequence
+  14: list<NamedWeightsFields> NamedWeights
 }
--- a/Libraries/LibWire/PeerTransport.cpp
+++ b/Libraries/LibWire/PeerTransport.cpp
@@ -86,7 +86,9 @@
 PeerConnection::Hooks
 PeerTransport::hooksFor(std::function<void(WireError)> Closed) {
   return {Calls.Received, std::move(Closed),
-          [this](const HostId &Host) { return Connections.count(Host) != 0; }};
+          [this](const HostId &Host) {
+            return Options.AddressOf || Connections.count(Host) != 0;
+          }};
 }
 
 void PeerTransport::acceptSome() {
@@ -129,12 +131,26 @@
   }
 }
 
+PeerTransport::Outgoing *PeerTransport::findPeer(const HostId &Host) {
+  auto Found = Connections.find(Host);
+  if (Found != Connections.end())
+    return &Found->second;
+  if (!Options.AddressOf)
+    return nullptr;
+  auto Address = tryParseAddress(Options.AddressOf(Host));
+  if (!Address) {
+    Calls.Failed(Host, Address.error());
+    return nullptr;
+  }
+  return &(Connections[Host] = {*Address, nullptr, Timestamp()});
+}
+
 void PeerTransport::send(const HostId &To, GroupId Group,
                          PayloadKind::type Kind, std::string Payload) {
-  auto Found = Connections.find(To);
-  if (Found == Connections.end())
+  Outgoing *Found = findPeer(To);
+  if (Found == nullptr)
     return drop(To, {WireErrorKind::BadAddress, "unknown host"});
-  Outgoing &Entry = Found->second;
+  Outgoing &Entry = *Found;
   if (!Entry.Connection && !connectTo(To, Entry))
     return drop(To, {WireErrorKind::Disconnected, "not connected"});
   Envelope Message;
--- a/Libraries/LibWire/PeerTransport.h
+++ b/Libraries/LibWire/PeerTransport.h
@@ -17,6 +17,9 @@
   std::string ListenAddress;
   /// "IP:port" of each other host.
   std::map<HostId, std::string> Peers;
+  /// Where hosts that Peers does not list listen, if they are discovered; then
+  /// every host that shows the cluster's key is accepted.
+  std::function<std::string(const HostId &)> AddressOf;
   uint64_t MaxFrameBytes = 64ULL << 20;
 };
 
@@ -55,6 +58,7 @@
   PeerTransport(TransportOptions Options, ControlLoop &Loop, Hooks Calls);
   Result<void, WireError> tryListen();
   Result<void, WireError> tryResolvePeers();
+  Outgoing *findPeer(const HostId &Host);
   void acceptSome();
   bool connectTo(const HostId &To, Outgoing &Entry);
   void drop(const HostId &To, WireError Reason);
--- a/Meta/Ferry.cmake
+++ b/Meta/Ferry.cmake
@@ -37,6 +37,20 @@
   install(TARGETS ${NAME} RUNTIME DESTINATION ${CMAKE_INSTALL_BINDIR})
 endfunction()
 
+# Defines LibPlatform from platform/ and links it into ferryd. It is built on the
+# types of ferryd and the libraries; both are static, so that they may name each
+# other.
+function(ferry_platform)
+  file(GLOB SOURCES CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/platform/*.cpp)
+  add_library(LibPlatform STATIC ${SOURCES})
+  target_include_directories(LibPlatform PUBLIC ${CMAKE_SOURCE_DIR}
+    ${CMAKE_SOURCE_DIR}/Services)
+  target_link_libraries(LibPlatform PUBLIC LibTraffic LibControl LibRouting LibConfig
+    LibObserve LibCore)
+  target_include_directories(ferrydParts PUBLIC ${CMAKE_SOURCE_DIR})
+  target_link_libraries(ferrydParts PUBLIC LibPlatform)
+endfunction()
+
 set(FERRY_ALL_LIBRARIES LibTraffic LibControl LibRouting LibCache LibRegistry
   LibMembership LibConsensus LibWire LibConfig LibObserve LibCore)
 
--- a/Services/ferryd/ControlPlane.cpp
+++ b/Services/ferryd/ControlPlane.cpp
@@ -11,6 +11,29 @@
 
 /// Changes of the view within this time go out as one snapshot.
 static constexpr Duration ViewDelay = std::chrono::milliseconds(10);
+/// Engines of which one may load weights at a time: the others carry the load.
+static constexpr uint32_t EnginesPerWeightsLoad = 5;
+static constexpr uint32_t LeastWeightsLoads = 2;
+
+/// How long a routed host keeps a target whose announcements stop. Long, since
+/// the announcements end with the control hosts: routers judge targets by their
+/// answers meanwhile, and pass over those whose announcements alone stopped.
+static constexpr Duration RoutedTargetTrust = std::chrono::seconds(30);
+/// Hosts up to which everything is exchanged, where hosts are discovered.
+static constexpr size_t DiscoveredWholeTableHosts = 128;
+
+static Membership::Options routedMembership(const config::Settings &Settings,
+                                            Membership::Options Options) {
+  Options.Source = HostSource::Discovered;
+  Options.WholeTableHosts = DiscoveredWholeTableHosts;
+  Options.Duty = Settings.Role == config::HostRole::Control ? HostDuty::Control
+                                                            : HostDuty::Router;
+  Options.CallerAddress = Settings.CallerAddress;
+  Options.Targets = TargetTiming::forInterval(
+      std::chrono::milliseconds(Settings.Routed.AnnounceIntervalMillis),
+      RoutedTargetTrust);
+  return Options;
+}
 
 static Membership::Options membershipOptions(const config::Settings &Settings,
                                              ferry::Incarnation Life) {
@@ -20,15 +43,24 @@
   Options.Incarnation = Life;
   Options.Seed = systemSeed();
   for (const config::PeerHost &Host : Settings.Hosts)
-    Options.Peers.push_back({Host.Id, Host.DataCentre});
+    Options.Peers.push_back({Host.Id, Host.DataCentre, HostDuty::Router, {}});
+  if (Settings.Interface == config::Interface::Routed)
+    return routedMembership(Settings, std::move(Options));
   return Options;
 }
 
+/// \returns the control hosts that are known at the start.
+static std::vector<HostId> firstControlHosts(const config::Settings &Settings) {
+  return Settings.Interface == config::Interface::Routed
+             ? Settings.Discovery.Seeds
+             : Settings.controlHosts();
+}
+
 static Confirmation::Options
 confirmationOptions(const config::Settings &Settings,
                     DescriptionNumber Number) {
   Confirmation::Options Options;
-  Options.ControlHosts = Settings.controlHosts();
+  Options.ControlHosts = firstControlHosts(Settings);
   Options.Number = Number;
   Options.Seed = systemSeed();
   // In a large deployment most confirmations come from peers.
@@ -54,7 +86,7 @@
 ControlPlane::ControlPlane(const config::Settings &Settings, ControlLoop &Loop,
                            Hooks Calls, HostStore Opened)
     : Settings(Settings), Loop(Loop), Calls(std::move(Calls)),
-      Store(std::move(Opened)), Holder(Store),
+      Store(std::move(Opened)), Holder(Store, this->Calls.Routed.ReadRoutes),
       Members(membershipOptions(Settings, Store.incarnation())),
       Confirmed(confirmationOptions(Settings, Holder.number())) {}
 
@@ -76,6 +108,7 @@
     startOrders();
   }
   addDumpSections();
+  giveSeeds();
   stepMembership(DescriptionApplied{Holder.number()});
   tick();
   return {};
@@ -83,7 +116,7 @@
 
 void ControlPlane::startGateway() {
   registry::RegistryClient::Options Options;
-  Options.ControlHosts = Settings.controlHosts();
+  Options.ControlHosts = firstControlHosts(Settings);
   Options.Seed = systemSeed();
   Gateway = std::make_unique<RegistryGateway>(
       Options, Loop,
@@ -96,7 +129,12 @@
   consensus::LogOptions Options;
   Options.Cluster = Settings.Cluster;
   Options.Self = Settings.Host;
-  Options.Members = Settings.controlHosts();
+  Options.Members = firstControlHosts(Settings);
+  if (isRouted()) {
+    Options.Source = consensus::MemberSource::Discovered;
+    Options.MayForm = Settings.Discovery.MayFormLog;
+    Options.WantedVoters = Settings.Discovery.wantedVoters();
+  }
   Options.Folder = Settings.DataFolder / "log";
   Options.Seed = systemSeed();
   RegistryNode::Hooks NodeCalls;
@@ -108,6 +146,10 @@
     Link->send(To, wire::PayloadKind::RegistryReply, Reply);
   };
   NodeCalls.DescriptionChanged = [this] { takeFromRegistry(); };
+  NodeCalls.WeightsNamed = [this] {
+    if (isRouted())
+      markViewChanged();
+  };
   NodeCalls.StandingChanged = [this] {
     if (auto Leader = Node->log().leader())
       Gateway->hintLeader(*Leader);
@@ -124,7 +166,11 @@
   Options.Name = registry::DeploymentLease;
   Options.Host = Settings.Host;
   Options.Incarnation = Store.incarnation();
-  Orders = std::make_unique<OrderGiver>(Options, Loop, *Gateway, Node->state());
+  if (isRouted())
+    Options.Length =
+        std::chrono::milliseconds(Settings.Routed.OrderLeaseMillis);
+  Orders = std::make_unique<OrderGiver>(Options, Loop, *Gateway, Node->state(),
+                                        Calls.Routed.Orders);
 }
 
 void ControlPlane::addDumpSection(std::string Name,
@@ -160,11 +206,7 @@
 }
 
 void ControlPlane::updateStanding() {
-  Standing Now = Standing::Serving;
-  if (!Confirmed.isConfirmed(steadyNow()))
-    Now = Standing::Unconfirmed;
-  if (Draining)
-    Now = Standing::Draining;
+  Standing Now = chooseStanding();
   if (Now == OwnStanding)
     return;
   OwnStanding = Now;
@@ -174,6 +216,82 @@
   markViewChanged();
 }
 
+membership::Standing ControlPlane::chooseStanding() const {
+  if (Draining)
+    return Standing::Draining;
+  Timestamp Now = steadyNow();
+  // Routes are worth serving while they may be out of date: those that they
+  // lead to refuse what is not theirs. Without any there is nothing to serve.
+  if (isRouted())
+    return Holder.routes() && !Members.targets(Now).empty()
+               ? Standing::Serving
+               : Standing::Unconfirmed;
+  return Confirmed.isConfirmed(Now) ? Standing::Serving : Standing::Unconfirmed;
+}
+
+void ControlPlane::giveSeeds() {
+  for (const HostId &Seed : Settings.Discovery.Seeds)
+    if (Seed != Settings.Host)
+      stepMembership(SeedGiven{Seed});
+}
+
+void ControlPlane::updateControlHosts() {
+  if (!isRouted())
+    return;
+  std::vector<HostId> Known;
+  std::vector<HostId> Alive;
+  for (const HostState &Host : Members.hosts(steadyNow())) {
+    if (Host.Duty != HostDuty::Control)
+      continue;
+    Known.push_back(Host.Id);
+    if (Host.Standing != Standing::Silent || Host.Id == Settings.Host)
+      Alive.push_back(Host.Id);
+  }
+  std::vector<HostId> &Usable = Alive.empty() ? Known : Alive;
+  if (Usable == ControlHosts)
+    return;
+  ControlHosts = Usable;
+  observe::logEvent(
+      Severity::Info, "control", "control_hosts_changed",
+      {{"alive", Alive.size()}, {"known", Known.size()}});
+  Gateway->controlHostsKnown(ControlHosts);
+  stepConfirmation(ConfirmationHosts{ControlHosts});
+  if (Node)
+    Node->hostsKnown(Known);
+}
+
+void ControlPlane::spreadDescription() {
+  // The leader tells all hosts at once; the others' heartbeats mend losses.
+  if (!isRouted() || !Node || !Node->log().isLeader())
+    return;
+  for (const HostState &Host : Members.hosts(steadyNow()))
+    if (Host.Id != Settings.Host && Host.Standing != Standing::Silent)
+      Link->send(Host.Id, wire::PayloadKind::DescriptionCopy, Holder.copy());
+}
+
+config::Description ControlPlane::wantedWeights() const {
+  config::Description Wanted;
+  uint32_t Engines = 0;
+  for (const TargetRecord &Target : Members.targets(steadyNow()))
+    Engines += Target.Kind == TargetKind::Engine;
+  Wanted.Limits.MaxWeightsLoads =
+      std::max(LeastWeightsLoads, Engines / EnginesPerWeightsLoad);
+  if (!Node || !Holder.routes())
+    return Wanted;
+  for (const config::RoutedService &Known : Holder.routes()->services()) {
+    if (!Known.Engine || Known.Engine->Models.empty())
+      continue;
+    config::Service Service;
+    Service.Id = Known.Id;
+    Service.Model = Known.Engine->Models.front();
+    Service.Weights = Node->state().namedWeights(Service.Model);
+    // Until weights are named, engines keep those that they started with.
+    if (Service.Weights.Value > 0)
+      Wanted.Services.push_back(std::move(Service));
+  }
+  return Wanted;
+}
+
 void ControlPlane::takeFromRegistry() {
   const registry::StoredDescription &Accepted = Node->state().description();
   wire::DescriptionCopy Copy;
@@ -197,6 +315,7 @@
   stepConfirmation(ConfirmationApplied{Holder.number()});
   stepMembership(DescriptionApplied{Holder.number()});
   markViewChanged();
+  spreadDescription();
 }
 
 void ControlPlane::stepMembership(const MembershipEvent &Event) {
@@ -207,7 +326,10 @@
           Link->send(Sent.To, wire::PayloadKind::Membership, Sent.Message);
         },
         [this](const TargetsChanged &) { markViewChanged(); },
-        [this](const HostsChanged &) { markViewChanged(); },
+        [this](const HostsChanged &) {
+          updateControlHosts();
+          markViewChanged();
+        },
         [this](const NewerDescriptionSeen &Seen) {
           stepConfirmation(ConfirmationNumberHeard{Seen.Number, Seen.From});
         },
@@ -251,6 +373,9 @@
                     OwnStanding,
                     Members.targets(steadyNow()),
                     Members.hosts(steadyNow())};
+  if (isRouted())
+    Inputs.WantedWeights =
+        std::make_shared<const config::Description>(wantedWeights());
   routing::RoutingViewPtr View = buildView(Inputs);
   if (Orders)
     Orders->viewChanged(View);
--- a/Services/ferryd/ControlPlane.h
+++ b/Services/ferryd/ControlPlane.h
@@ -14,6 +14,7 @@
 #include "ferryd/OrderGiver.h"
 #include "ferryd/RegistryGateway.h"
 #include "ferryd/RegistryNode.h"
+#include "ferryd/RoutedParts.h"
 
 namespace ferry::daemon {
 
@@ -26,6 +27,8 @@
     std::function<void(routing::RoutingViewPtr)> ViewChanged;
     /// An operator asked for the graceful shutdown.
     std::function<void()> DrainRequested;
+    /// What the routed interface needs; left empty by the native one.
+    RoutedParts Routed;
   };
 
   /// Opens the stored state and listens for peers; nothing runs before the
@@ -85,6 +88,14 @@
   void stepMembership(const membership::MembershipEvent &Event);
   void stepConfirmation(const membership::ConfirmationEvent &Event);
   void updateStanding();
+  membership::Standing chooseStanding() const;
+  bool isRouted() const {
+    return Settings.Interface == config::Interface::Routed;
+  }
+  void updateControlHosts();
+  void spreadDescription();
+  void giveSeeds();
+  config::Description wantedWeights() const;
   void markViewChanged();
   void updateFigures();
 
@@ -110,6 +121,7 @@
   std::unique_ptr<RegistryNode> Node;
   std::unique_ptr<RegistryGateway> Gateway;
   std::unique_ptr<OrderGiver> Orders;
+  std::vector<HostId> ControlHosts;
   membership::Membership Members;
   membership::Confirmation Confirmed;
   membership::Standing OwnStanding = membership::Standing::Unconfirmed;
--- a/Services/ferryd/ControlPlaneMessages.cpp
+++ b/Services/ferryd/ControlPlaneMessages.cpp
@@ -54,7 +54,9 @@
     return;
   wire::ConfirmationMessage Reply;
   Reply.__set_Answer(membership::answerQuery(
-      Message.Query, Node->greatestNumber(), Node->isCurrentVoter()));
+      Message.Query, Node->greatestNumber(), Node->isCurrentVoter(),
+      Settings.Interface == config::Interface::Routed ? Node->voterCount()
+                                                      : 0));
   Link->send(From, PayloadKind::Confirmation, Reply);
 }
 
--- a/Services/ferryd/ControlPlanePort.cpp
+++ b/Services/ferryd/ControlPlanePort.cpp
@@ -41,6 +41,22 @@
       change(Request, Done);
     });
   };
+  Port.Replace = [this](DescriptionNumber Number, std::string Text,
+                        Timestamp Deadline, auto Done) {
+    Loop.post([this, Number, Text = std::move(Text), Deadline,
+               Done = std::move(Done)] {
+      Gateway->submitFor<ChangeOutcome>(ReplaceDescription{Number, Text},
+                                        Deadline, Done);
+    });
+  };
+  Port.NameWeights = [this](ModelId Model, WeightsVersion Weights,
+                            Timestamp Deadline, auto Done) {
+    Loop.post([this, Model = std::move(Model), Weights, Deadline,
+               Done = std::move(Done)] {
+      Gateway->submitFor<WeightsNamed>(registry::NameWeights{Model, Weights},
+                                       Deadline, Done);
+    });
+  };
   Port.ReadDescription = [this](Timestamp Deadline, auto Done) {
     Loop.post([this, Deadline, Done = std::move(Done)] {
       readDescription(Deadline, Done);
--- a/Services/ferryd/Daemon.cpp
+++ b/Services/ferryd/Daemon.cpp
@@ -37,10 +37,14 @@
 Daemon::tryStartControl(std::function<void()> DrainRequested) {
   ControlPlane::Hooks Calls;
   Calls.ViewChanged = [this](routing::RoutingViewPtr View) {
+    if (Routed)
+      Routed->setView(View);
     if (Traffic)
       Traffic->setView(std::move(View));
   };
   Calls.DrainRequested = std::move(DrainRequested);
+  if (Settings.Interface == config::Interface::Routed)
+    Calls.Routed = platformParts(Settings.Host);
   auto Started = ControlPlane::tryStart(Settings, Loop, std::move(Calls));
   if (!Started)
     return makeError(Started.error());
@@ -49,6 +53,23 @@
 }
 
 Result<void, StartError> Daemon::tryStartTraffic() {
+  auto Started = Settings.Interface == config::Interface::Routed
+                     ? tryStartRouted()
+                     : tryStartNative();
+  if (Started)
+    Control->publishView();
+  return Started;
+}
+
+Result<void, StartError> Daemon::tryStartRouted() {
+  auto Started = RoutedServers::tryStart(Settings, *Control);
+  if (!Started)
+    return makeError(Started.error());
+  Routed = std::move(*Started);
+  return {};
+}
+
+Result<void, StartError> Daemon::tryStartNative() {
   traffic::TrafficOptions Options;
   Options.Settings = Settings;
   Options.Incarnation = Control->incarnation();
@@ -64,7 +85,6 @@
   Control->addDumpSection("routing", [this] {
     return routingSection(Traffic->placements().status());
   });
-  Control->publishView();
   return {};
 }
 
@@ -77,12 +97,20 @@
 void Daemon::drainAndStop() {
   observe::logEvent(Severity::Info, "ferryd", "draining", {});
   Loop.post([this] { Control->beginDrain(); });
-  Traffic->beginDrain();
-  Traffic->awaitDrained();
+  if (Routed) {
+    Routed->beginDrain();
+    Routed->awaitDrained();
+  }
+  if (Traffic) {
+    Traffic->beginDrain();
+    Traffic->awaitDrained();
+  }
   stop();
 }
 
 void Daemon::stop() {
+  if (Routed)
+    Routed->stop(steadyNow() + StopGrace);
   if (Traffic)
     Traffic->stop(steadyNow() + StopGrace);
   stopControl();
--- a/Services/ferryd/Daemon.h
+++ b/Services/ferryd/Daemon.h
@@ -5,6 +5,7 @@
 
 #include "LibTraffic/TrafficFront.h"
 #include "ferryd/ControlPlane.h"
+#include "ferryd/RoutedServers.h"
 #include <thread>
 
 namespace ferry::daemon {
@@ -34,13 +35,17 @@
   Result<void, StartError>
   tryStartControl(std::function<void()> DrainRequested);
   Result<void, StartError> tryStartTraffic();
+  Result<void, StartError> tryStartNative();
+  Result<void, StartError> tryStartRouted();
   std::string metricsText();
   void stopControl();
 
   config::Settings Settings;
   ControlLoop Loop;
   std::unique_ptr<ControlPlane> Control;
+  /// One of the two, by the settings' interface.
   std::unique_ptr<traffic::TrafficFront> Traffic;
+  std::unique_ptr<RoutedServers> Routed;
   observe::Metrics RoutingFigures;
   std::thread ControlThread;
 };
--- a/Services/ferryd/DescriptionHolder.cpp
+++ b/Services/ferryd/DescriptionHolder.cpp
@@ -5,7 +5,19 @@
 /// Changes that a host remembers, for operators only.
 static constexpr size_t MaxHistory = 100;
 
-DescriptionHolder::DescriptionHolder(HostStore &Store) : Store(Store) {
+Result<DescriptionContent, TakeError> readNative(const std::string &Text) {
+  auto Parsed = config::tryParseDescription(Text, "description");
+  if (!Parsed)
+    return makeTypedError(TakeErrorKind::Unreadable,
+                          Parsed.error().front().message());
+  DescriptionContent Result;
+  Result.Description =
+      std::make_shared<const config::Description>(std::move(*Parsed));
+  return Result;
+}
+
+DescriptionHolder::DescriptionHolder(HostStore &Store, DescriptionReader Read)
+    : Store(Store), Read(std::move(Read)) {
   wire::DescriptionCopy Stored = Store.description();
   if (Stored.Number > 0)
     (void)tryParse(Stored);
@@ -28,11 +40,10 @@
 
 Result<void, TakeError>
 DescriptionHolder::tryParse(const wire::DescriptionCopy &Copy) {
-  auto Read = config::tryParseDescription(Copy.Text, "description");
-  if (!Read)
-    return makeTypedError(TakeErrorKind::Unreadable,
-                          Read.error().front().message());
-  Parsed = std::make_shared<const config::Description>(std::move(*Read));
+  auto Parsed = Read(Copy.Text);
+  if (!Parsed)
+    return makeError(Parsed.error());
+  Content = std::move(*Parsed);
   InForce = Copy;
   History.push_back(Copy);
   History.back().Text.clear();
--- a/Services/ferryd/DescriptionHolder.h
+++ b/Services/ferryd/DescriptionHolder.h
@@ -4,8 +4,10 @@
 #define FERRY_FERRYD_DESCRIPTIONHOLDER_H
 
 #include "LibConfig/Parse.h"
+#include "LibConfig/RouteTable.h"
 #include "ferryd/HostStore.h"
 #include <deque>
+#include <functional>
 #include <memory>
 
 namespace ferry::daemon {
@@ -21,12 +23,28 @@
 
 using TakeError = TypedError<TakeErrorKind>;
 
+/// What a description's text says.
+struct DescriptionContent {
+  /// nullptr for a text that describes routes.
+  std::shared_ptr<const config::Description> Description;
+  /// nullptr for a text of the native interface.
+  std::shared_ptr<const config::RouteTable> Routes;
+};
+
+/// Reads the text of an accepted description; fails with the first fault.
+using DescriptionReader =
+    std::function<Result<DescriptionContent, TakeError>(const std::string &)>;
+
+/// \returns the description in the YAML \p Text.
+Result<DescriptionContent, TakeError> readNative(const std::string &Text);
+
 /// Takes accepted descriptions with rising numbers and stores each before it
 /// is in force.
 class DescriptionHolder {
 public:
   /// Puts the stored description in force, if there is one.
-  explicit DescriptionHolder(HostStore &Store);
+  explicit DescriptionHolder(HostStore &Store,
+                             DescriptionReader Read = readNative);
 
   /// Puts \p Copy in force. The text was accepted, so a failure to read it
   /// means that another version of the daemon wrote it.
@@ -37,7 +55,11 @@
   const wire::DescriptionCopy &copy() const { return InForce; }
   /// nullptr before the first description.
   std::shared_ptr<const config::Description> description() const {
-    return Parsed;
+    return Content.Description;
+  }
+  /// nullptr before the first description, and for the native interface.
+  std::shared_ptr<const config::RouteTable> routes() const {
+    return Content.Routes;
   }
 
   /// The newest copies that came in force since the start, without their
@@ -49,7 +71,8 @@
 
   HostStore &Store;
   wire::DescriptionCopy InForce;
-  std::shared_ptr<const config::Description> Parsed;
+  DescriptionReader Read;
+  DescriptionContent Content;
   std::deque<wire::DescriptionCopy> History;
 };
 
--- a/Services/ferryd/HostLink.cpp
+++ b/Services/ferryd/HostLink.cpp
@@ -24,7 +24,9 @@
 Result<std::unique_ptr<HostLink>, StartError>
 HostLink::tryStart(const config::Settings &Settings, ferry::Incarnation Life,
                    ControlLoop &Loop, Receiver Receive) {
-  auto Key = tryReadClusterKey(Settings.ClusterKeyFile);
+  Result<std::string, StartError> Key = Settings.ClusterKey;
+  if (Key->empty())
+    Key = tryReadClusterKey(Settings.ClusterKeyFile);
   if (!Key)
     return makeError(Key.error());
   std::unique_ptr<HostLink> Link(
@@ -36,6 +38,13 @@
   for (const config::PeerHost &Host : Settings.Hosts)
     if (Host.Id != Settings.Host)
       Options.Peers[Host.Id] = Host.PeerAddress;
+  if (Settings.Interface == config::Interface::Routed) {
+    std::string Own = Settings.PeerAddress;
+    // Hosts are named by their IP addresses and share one port for peers.
+    Options.AddressOf = [Port = Own.substr(Own.rfind(':'))](const HostId &To) {
+      return To.Value + Port;
+    };
+  }
   wire::PeerTransport::Hooks Hooks;
   Hooks.Received = [Raw = Link.get()](const HostId &From,
                                       wire::Envelope Message) {
--- a/Services/ferryd/OrderGiver.cpp
+++ b/Services/ferryd/OrderGiver.cpp
@@ -11,14 +11,20 @@
 static constexpr Duration SlotTimeout = std::chrono::seconds(3);
 
 OrderGiver::OrderGiver(LeaseHolder::Options Options, ControlLoop &Loop,
-                       RegistryGateway &Gateway, const Registry &State)
-    : Loop(Loop), Gateway(Gateway), State(State), Lease(std::move(Options)),
-      Sender([this](control::OrderAnswered Answer) {
-        this->Loop.post([this, Answer, Guard = std::weak_ptr<char>(Alive)] {
-          if (!Guard.expired())
-            stepOrders(Answer);
-        });
-      }) {
+                       RegistryGateway &Gateway, const Registry &State,
+                       std::optional<OrderDialect> Dialect)
+    : Loop(Loop), Gateway(Gateway), State(State), Lease(Options),
+      Orders(control::Reconciler::Options{Dialect ? OrderWatchLimit
+                                                  : Duration::zero()}),
+      LeaseLength(Options.Length),
+      Sender(
+          [this](control::OrderAnswered Answer) {
+            this->Loop.post([this, Answer, Guard = std::weak_ptr<char>(Alive)] {
+              if (!Guard.expired())
+                stepOrders(Answer);
+            });
+          },
+          std::move(Dialect)) {
   stepLease(LeaseWished{LeaseWish::Hold});
   tick();
 }
@@ -43,7 +49,7 @@
   if (Draining && Now >= Orders.ordersEndBy())
     stepLease(LeaseWished{LeaseWish::GiveUp});
   stepLease(LeaseTick{});
-  if (Lease.isHeld(Now) && !Draining)
+  if (Lease.isHeld(Now) && !Draining && Now >= OrdersFrom)
     stepOrders(control::LeaseHeld{Lease.fencing(), Lease.heldUntil()});
   stepOrders(control::LoadsKnown{State.loads()});
   stepOrders(control::Tick{});
@@ -55,7 +61,11 @@
     match(
         std::move(Effect),
         [this](LeasePropose &&Proposal) { proposeLease(std::move(Proposal)); },
-        [](LeaseGained &&Gained) {
+        [this](LeaseGained &&Gained) {
+          // Targets that check no numbers must not see two holders take turns
+          // within the length of a lease; the first holder follows nobody.
+          if (Gained.Fencing.Value > 1)
+            OrdersFrom = steadyNow() + LeaseLength;
           observe::logEvent(Severity::Info, "orders", "lease_gained",
                             {{"fencing", Gained.Fencing}});
         },
--- a/Services/ferryd/OrderGiver.h
+++ b/Services/ferryd/OrderGiver.h
@@ -17,8 +17,10 @@
 class OrderGiver {
 public:
   /// \param State this host's copy of the registry; outlives this object.
+  /// \param Dialect of engines with another interface.
   OrderGiver(registry::LeaseHolder::Options Options, ControlLoop &Loop,
-             RegistryGateway &Gateway, const registry::Registry &State);
+             RegistryGateway &Gateway, const registry::Registry &State,
+             std::optional<OrderDialect> Dialect = std::nullopt);
   ~OrderGiver();
   OrderGiver(const OrderGiver &) = delete;
   OrderGiver &operator=(const OrderGiver &) = delete;
@@ -46,6 +48,9 @@
   registry::LeaseHolder Lease;
   control::Reconciler Orders;
   bool Draining = false;
+  /// Orders of an earlier holder are over then.
+  Timestamp OrdersFrom;
+  Duration LeaseLength;
   ControlLoop::TimerId Timer;
   /// Expires with this object; answers that come later are dropped.
   std::shared_ptr<char> Alive = std::make_shared<char>();
--- a/Services/ferryd/OrderSender.cpp
+++ b/Services/ferryd/OrderSender.cpp
@@ -12,6 +12,17 @@
 static constexpr size_t SendingThreads = 4;
 static constexpr int FirstSuccessStatus = 200;
 static constexpr int FirstRedirectStatus = 300;
+static constexpr int StatusAccepted = 202;
+static constexpr int StatusUnknown = 400;
+static constexpr int StatusBusy = 409;
+static constexpr int StatusFenced = 412;
+static constexpr uint64_t MaxStateBytes = 1 << 20;
+/// Longest wait for the answer to one sending.
+static constexpr std::chrono::milliseconds SendLimit{400};
+/// Before this no load of weights has ended.
+static constexpr std::chrono::milliseconds ShortestLoad{1000};
+/// Between two looks at an engine: its own account is as old as that.
+static constexpr std::chrono::milliseconds WatchPeriod{200};
 
 std::string orderBody(const control::SendOrder &Sent) {
   Poco::JSON::Object Body;
@@ -35,7 +46,8 @@
   return Text.str();
 }
 
-OrderSender::OrderSender(Callback Done) : Done(std::move(Done)) {
+OrderSender::OrderSender(Callback Done, std::optional<OrderDialect> Dialect)
+    : Done(std::move(Done)), Dialect(std::move(Dialect)) {
   for (size_t Index = 0; Index < SendingThreads; ++Index)
     Threads.emplace_back([this] { work(); });
 }
@@ -67,7 +79,7 @@
     control::SendOrder Sent = std::move(Queue.front());
     Queue.pop_front();
     Lock.unlock();
-    Done({Sent.OrderId, carryOut(Sent)});
+    Done({Sent.OrderId, Dialect ? carryOutWatched(Sent) : carryOut(Sent)});
   }
 }
 
@@ -89,4 +101,76 @@
   return Taken ? OrderOutcome::Accepted : OrderOutcome::Refused;
 }
 
+std::optional<EngineState>
+OrderSender::askState(const control::SendOrder &Sent,
+                      Timestamp Deadline) const {
+  auto Connected = traffic::TargetConnection::tryConnect(Sent.Address, Deadline);
+  if (!Connected)
+    return std::nullopt;
+  traffic::TargetConnection &Link = **Connected;
+  bool Asked =
+      Link.trySend("GET", Dialect->StatePath, Dialect->Headers(Sent.Target), "",
+                   Deadline) &&
+      Link.tryReceiveHead({Deadline}) && Link.status() == FirstSuccessStatus;
+  if (!Asked)
+    return std::nullopt;
+  auto Body = Link.tryReadWhole(MaxStateBytes, {Deadline});
+  return Body ? Dialect->ReadState(*Body) : std::nullopt;
+}
+
+int OrderSender::sendOnce(const control::SendOrder &Sent,
+                          uint64_t OrdersBefore) const {
+  Timestamp Deadline = std::min(Sent.Deadline, steadyNow() + SendLimit);
+  auto Connected = traffic::TargetConnection::tryConnect(Sent.Address, Deadline);
+  if (!Connected)
+    return 0;
+  traffic::TargetConnection &Link = **Connected;
+  bool Answered = Link.trySend("POST", Dialect->OrderPath,
+                               Dialect->Headers(Sent.Target),
+                               Dialect->Body(Sent, OrdersBefore), Deadline) &&
+                  Link.tryReceiveHead({Deadline});
+  return Answered ? Link.status() : 0;
+}
+
+static bool hasWeights(const EngineState &State,
+                       const control::SendOrder &Sent) {
+  const auto *Load = std::get_if<control::LoadWeights>(&Sent.Order);
+  return Load && State.Model == Load->Model && State.Weights == Load->Weights &&
+         !State.Busy;
+}
+
+bool OrderSender::watch(const control::SendOrder &Sent) const {
+  Timestamp Until = steadyNow() + OrderWatchLimit;
+  std::this_thread::sleep_for(ShortestLoad);
+  while (steadyNow() < Until) {
+    auto State = askState(Sent, Until);
+    if (State && hasWeights(*State, Sent))
+      return true;
+    std::this_thread::sleep_for(WatchPeriod);
+  }
+  return false;
+}
+
+OrderOutcome
+OrderSender::carryOutWatched(const control::SendOrder &Sent) const {
+  bool MayHaveArrived = false;
+  while (steadyNow() < Sent.Deadline) {
+    auto State = askState(Sent, Sent.Deadline);
+    if (!State)
+      break;
+    if (hasWeights(*State, Sent))
+      return OrderOutcome::CarriedOut;
+    // A copy that is under way is refused once a later one was accepted: it
+    // names the same count of orders.
+    int Status = State->Busy ? StatusBusy : sendOnce(Sent, State->Orders);
+    if (Status == StatusAccepted || Status == FirstSuccessStatus)
+      return watch(Sent) ? OrderOutcome::CarriedOut : OrderOutcome::Accepted;
+    if (Status == StatusFenced || Status == StatusUnknown)
+      return OrderOutcome::Refused;
+    MayHaveArrived |= Status == 0;
+    std::this_thread::sleep_for(WatchPeriod);
+  }
+  return MayHaveArrived ? OrderOutcome::Lost : OrderOutcome::NotSent;
+}
+
 } // namespace ferry::daemon
--- a/Services/ferryd/OrderSender.h
+++ b/Services/ferryd/OrderSender.h
@@ -4,6 +4,7 @@
 #define FERRY_FERRYD_ORDERSENDER_H
 
 #include "LibControl/ReconcilerEvents.h"
+#include "ferryd/OrderDialect.h"
 #include <condition_variable>
 #include <deque>
 #include <functional>
@@ -13,6 +14,9 @@
 
 namespace ferry::daemon {
 
+/// How long a sender watches an engine for the effect of an order.
+inline constexpr Duration OrderWatchLimit = std::chrono::seconds(4);
+
 /// \returns the JSON body of \p Sent.
 std::string orderBody(const control::SendOrder &Sent);
 
@@ -22,7 +26,10 @@
   /// Called on a sending thread with the order's end.
   using Callback = std::function<void(control::OrderAnswered)>;
 
-  explicit OrderSender(Callback Done);
+  /// \param Dialect of engines that are watched until an order shows its
+  /// effect; nothing for the native interface.
+  explicit OrderSender(Callback Done,
+                       std::optional<OrderDialect> Dialect = std::nullopt);
   ~OrderSender();
   OrderSender(const OrderSender &) = delete;
   OrderSender &operator=(const OrderSender &) = delete;
@@ -33,8 +40,15 @@
 private:
   void work();
   static control::OrderOutcome carryOut(const control::SendOrder &Sent);
+  control::OrderOutcome carryOutWatched(const control::SendOrder &Sent) const;
+  std::optional<EngineState> askState(const control::SendOrder &Sent,
+                                      Timestamp Deadline) const;
+  /// \returns the status of the answer to one sending, 0 for none.
+  int sendOnce(const control::SendOrder &Sent, uint64_t OrdersBefore) const;
+  bool watch(const control::SendOrder &Sent) const;
 
   Callback Done;
+  std::optional<OrderDialect> Dialect;
   std::mutex Mutex;
   std::condition_variable Wanted;
   std::deque<control::SendOrder> Queue;
--- a/Services/ferryd/RegistryGateway.cpp
+++ b/Services/ferryd/RegistryGateway.cpp
@@ -29,6 +29,10 @@
   step(ClientLeaderHint{Leader});
 }
 
+void RegistryGateway::controlHostsKnown(std::vector<HostId> Hosts) {
+  step(ClientControlHosts{std::move(Hosts)});
+}
+
 void RegistryGateway::tick() {
   step(ClientTick{});
   Timer =
--- a/Services/ferryd/RegistryGateway.h
+++ b/Services/ferryd/RegistryGateway.h
@@ -43,6 +43,7 @@
 
   void receiveReply(const HostId &From, wire::RegistryReply Reply);
   void hintLeader(const HostId &Leader);
+  void controlHostsKnown(std::vector<HostId> Hosts);
   size_t pendingCount() const { return Client.pendingCount(); }
 
 private:
--- a/Services/ferryd/RegistryNode.cpp
+++ b/Services/ferryd/RegistryNode.cpp
@@ -56,6 +56,7 @@
   step(ServerCommandApplied{Index, State.apply(Index, Command)});
   if (State.greatestNumber() > Before)
     Calls.DescriptionChanged();
+  Calls.WeightsNamed();
 }
 
 Result<void, consensus::StorageError>
--- a/Services/ferryd/RegistryNode.h
+++ b/Services/ferryd/RegistryNode.h
@@ -20,6 +20,8 @@
     std::function<void()> DescriptionChanged;
     /// The log's standing or leader has changed.
     std::function<void()> StandingChanged;
+    /// Newer weights were named for a model.
+    std::function<void()> WeightsNamed = [] {};
   };
 
   /// Opens the log in \p Options.Folder and replays it.
@@ -38,6 +40,12 @@
   /// leader has addressed it since the process started.
   bool isCurrentVoter() const { return LeaderSeen && Log->isVoter(); }
 
+  /// \returns how many hosts vote in the newest configuration.
+  size_t voterCount() const { return Log->status().Members.Voters.size(); }
+  void hostsKnown(std::vector<HostId> Hosts) {
+    Log->hostsKnown(std::move(Hosts));
+  }
+
   const registry::Registry &state() const { return State; }
   const consensus::LogDriver &log() const { return *Log; }
 
--- a/Services/ferryd/ViewBuilder.cpp
+++ b/Services/ferryd/ViewBuilder.cpp
@@ -11,6 +11,8 @@
   View.Incarnation = Host.Incarnation;
   if (const config::PeerHost *Listed = Settings.findHost(Host.Id))
     View.CallerAddress = Listed->CallerAddress;
+  else
+    View.CallerAddress = Host.CallerAddress;
   return View;
 }
 
@@ -19,7 +21,9 @@
   View->Self = Inputs.Settings.Host;
   View->DataCentre = Inputs.Settings.DataCentre;
   View->Number = Inputs.Holder.number();
-  View->Description = Inputs.Holder.description();
+  View->Description = Inputs.WantedWeights ? Inputs.WantedWeights
+                                           : Inputs.Holder.description();
+  View->Routes = Inputs.Holder.routes();
   View->ConfirmedUntil = Inputs.ConfirmedUntil;
   View->OwnStanding = Inputs.OwnStanding;
   // Confirmation is told by its deadline, which is checked at each use.
--- a/Services/ferryd/ViewBuilder.h
+++ b/Services/ferryd/ViewBuilder.h
@@ -18,6 +18,8 @@
   membership::Standing OwnStanding;
   std::vector<TargetRecord> Targets;
   std::vector<membership::HostState> Hosts;
+  /// What engines are to have, where the description says routes only.
+  std::shared_ptr<const config::Description> WantedWeights = nullptr;
 };
 
 /// \returns the snapshot of \p Inputs.
--- a/Services/ferryd/main.cpp
+++ b/Services/ferryd/main.cpp
@@ -5,6 +5,7 @@
 #include "ferryd/Daemon.h"
 #include "ferryd/ExitCode.h"
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 #include <tclap/CmdLine.h>
 #include <unistd.h>
@@ -85,9 +86,22 @@
         ' ', FERRY_VERSION);
     Line.setExceptionHandling(false);
     TCLAP::ValueArg<std::string> SettingsPath(
-        "s", "settings", "YAML settings of this host", true, "", "file", Line);
+        "s", "settings", "YAML settings of this host", true, "", "file");
+    TCLAP::ValueArg<std::string> SettingsVariable(
+        "", "settings-variable",
+        "environment variable that holds the path of the settings", true, "",
+        "name");
+    Line.xorAdd(SettingsPath, SettingsVariable);
     Line.parse(Count, Arguments);
-    return runWithSettings(SettingsPath.getValue());
+    if (SettingsPath.isSet())
+      return runWithSettings(SettingsPath.getValue());
+    const char *Path = std::getenv(SettingsVariable.getValue().c_str());
+    if (Path == nullptr) {
+      std::cerr << "ferryd: the environment has no "
+                << SettingsVariable.getValue() << "\n";
+      return toInt(ExitCode::Usage);
+    }
+    return runWithSettings(Path);
   } catch (const TCLAP::ExitException &Exit) {
     return Exit.getExitStatus();
   } catch (const TCLAP::ArgException &Fault) {
