LibControl: Order the engines with the oldest weights first

Cause: engines were ranked by load and id, so weights named every few seconds reached the same engines again and again and the last ones never.

--- a/Libraries/LibControl/Reconciler.cpp
+++ b/Libraries/LibControl/Reconciler.cpp
@@ -321,10 +321,12 @@
   auto Rank = [&](const TargetRecord *Target) {
     auto Past = Histories.find(Target->Id);
     uint32_t Failures = Past == Histories.end() ? 0 : Past->second.Failures;
-    // The idle ones first: what runs on the others has time to end.
+    // The oldest weights first: where weights are named faster than all engines
+    // can load them, each engine gets its turn and skips what was overtaken.
+    // Then the idle ones: what runs on the others has time to end.
     uint64_t Busy =
         uint64_t(Target->Load.RunningRequests) + Target->Load.QueuedRequests;
-    return std::make_tuple(Failures, Busy, Target->Id);
+    return std::make_tuple(Failures, weightsOf(*Target), Busy, Target->Id);
   };
   std::sort(Wrong.begin(), Wrong.end(),
             [&](const TargetRecord *Left, const TargetRecord *Right) {
--- a/Libraries/LibMembership/Events.h
+++ b/Libraries/LibMembership/Events.h
@@ -27,7 +27,7 @@
   /// Of a discovered host, as it introduced itself.
   HostDuty Duty = HostDuty::Router;
   /// "IP:port" for callers, where the host was discovered and serves any.
-  std::string CallerAddress;
+  std::string CallerAddress = {};
 };
 
 /// A target announced itself to this host. UsableUntil is not read.
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -17,7 +17,7 @@
   HostId Id;
   DataCentreId DataCentre;
   HostDuty Duty = HostDuty::Router;
-  std::string CallerAddress;
+  std::string CallerAddress = {};
 };
 
 /// Where the other hosts are known from.
