LibRouting: Share the work under way among routers

Routers now tell each other what they have under way, and the giver of orders tells them which engines load weights. Parts are fetched from engines that have them, under a scope that names the weights.

--- a/Libraries/LibRouting/PartMemory.cpp
+++ b/Libraries/LibRouting/PartMemory.cpp
@@ -7,16 +7,15 @@
   return Scope == 0 ? Id : rendezvousWeight(Scope, Id);
 }
 
-void PartMemory::use(uint64_t Scope, const PromptPart &Part) {
-  uint64_t Key = keyOf(Scope, Part.Id);
+void PartMemory::use(uint64_t Key, uint32_t Tokens) {
   auto Known = ByKey.find(Key);
   if (Known != ByKey.end()) {
     Order.splice(Order.end(), Order, Known->second);
     return;
   }
-  Order.push_back({Key, Part.Tokens});
+  Order.push_back({Key, Tokens});
   ByKey[Key] = std::prev(Order.end());
-  Held += Part.Tokens;
+  Held += Tokens;
   while (Held > Capacity && Order.size() > 1) {
     Held -= Order.front().Tokens;
     ByKey.erase(Order.front().Key);
--- a/Libraries/LibRouting/PartMemory.h
+++ b/Libraries/LibRouting/PartMemory.h
@@ -17,8 +17,11 @@
 
   void setCapacity(uint64_t Tokens) { Capacity = Tokens; }
 
-  /// Counts \p Part as used last.
-  void use(uint64_t Scope, const PromptPart &Part);
+  /// \returns what stands for the part \p Id within \p Scope.
+  static uint64_t keyOf(uint64_t Scope, uint64_t Id);
+
+  /// Counts the part of \p Key as used last.
+  void use(uint64_t Key, uint32_t Tokens);
 
   /// \returns the tokens of the leading parts of \p Parts that are held.
   uint32_t cachedTokens(uint64_t Scope,
@@ -34,8 +37,6 @@
     uint64_t Key = 0;
     uint32_t Tokens = 0;
   };
-  static uint64_t keyOf(uint64_t Scope, uint64_t Id);
-
   uint64_t Capacity;
   uint64_t Held = 0;
   /// The least recently used one first.
--- a/Libraries/LibRouting/PromptCall.h
+++ b/Libraries/LibRouting/PromptCall.h
@@ -42,6 +42,9 @@
   ferry::Incarnation Incarnation;
   std::string Address;
   WeightsVersion Weights;
+  /// Another target to fetch cached parts from before the prompt is read; empty
+  /// if none has more of them.
+  std::string FetchFrom;
   /// Time to the first byte as estimated, and the tokens held to be cached.
   Duration Estimate = {};
   uint32_t CachedTokens = 0;
@@ -65,6 +68,36 @@
   Timestamp RetryAt;
 };
 
+/// What one router has under way at a target.
+struct TargetWork {
+  TargetId Target;
+  /// Prompt time not yet seen begun.
+  Duration Prompt = {};
+  uint32_t Running = 0;
+  bool operator==(const TargetWork &) const = default;
+};
+
+/// A part that a target was seen to have; Key stands for its scope too.
+struct PartPlace {
+  TargetId Target;
+  uint64_t Key = 0;
+  uint32_t Tokens = 0;
+};
+
+/// What one router tells the others.
+struct WorkDigest {
+  std::vector<TargetWork> Work;
+  std::vector<PartPlace> Parts;
+};
+
+/// What the giver of orders tells the routers about an engine.
+struct EngineChange {
+  TargetId Target;
+  ferry::Incarnation Incarnation;
+  WeightsVersion Weights;
+  bool Loading = false;
+};
+
 /// How a request ended at its target.
 enum class CallEnd : uint8_t {
   /// A whole answer other than a failure.
@@ -73,7 +106,7 @@
   Failed,
   /// The target said that it did not run the request.
   NotRun,
-  /// The target is another than expected.
+  /// The target is another than expected, or has other weights.
   Replaced,
   /// No connection.
   Unreachable,
--- a/Libraries/LibRouting/PromptPlacement.cpp
+++ b/Libraries/LibRouting/PromptPlacement.cpp
@@ -2,6 +2,7 @@
 #include "LibRouting/Rendezvous.h"
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace ferry::routing {
 
@@ -19,6 +20,22 @@
 static constexpr double FailureSeconds = 0.5;
 /// Older weights are used only if the others are this far behind.
 static constexpr double OldWeightsSeconds = 0.25;
+/// A digest of another router holds this long without the next one.
+static constexpr Duration DigestHolds = std::chrono::milliseconds(1000);
+/// What the giver of orders told of an engine's weights holds until its
+/// announcements had the time to show them, or a later change.
+static constexpr Duration ToldHolds = std::chrono::seconds(5);
+/// A load that was not told to have ended is over then.
+static constexpr Duration LoadingHolds = std::chrono::seconds(4);
+/// Parts of this size are worth telling and fetching: reading them again takes
+/// longer than a fetch and the message about it.
+static constexpr uint32_t LeastSharedTokens = 512;
+/// Parts in one digest at the most.
+static constexpr size_t MaxDigestParts = 64;
+/// A fetch takes this beside the transfer, and twice the transfer where it
+/// crosses data centres.
+static constexpr double FetchSetupSeconds = 0.002;
+static constexpr double FarFetchFactor = 2;
 /// Candidates whose costs lie this close are equal: ties are drawn.
 static constexpr double TieSeconds = 0.002;
 /// First pause after a refusal: other places are free sooner than that.
@@ -60,16 +77,96 @@
       Entry = std::move(Known->second);
     else
       Entry.CongestionAt = Now;
+    WeightsVersion Before = weightsOf(Entry, Now);
+    Entry.Record = Record;
     // New weights come with an empty cache.
-    if (Entry.Record.Weights != Record.Weights)
+    if (weightsOf(Entry, Now) != Before)
       Entry.Parts.clear();
-    Entry.Record = Record;
     const config::RoutedService *Service =
         View->Routes ? View->Routes->findService(Record.Service) : nullptr;
     if (Service && Service->Engine)
       Entry.Parts.setCapacity(Service->Engine->CacheTokens);
   }
   Targets = std::move(Kept);
+  for (auto &[Id, Entry] : Targets) {
+    Entry.OthersSeconds = 0;
+    Entry.OthersRunning = 0;
+  }
+  for (const auto &[Host, Known] : Others)
+    addOthers(Known.Work, 1);
+}
+
+WeightsVersion PromptPlacement::weightsOf(const Target &Known,
+                                          Timestamp Now) const {
+  if (Now < Known.ToldUntil)
+    return std::max(Known.ToldWeights, Known.Record.Weights);
+  return Known.Record.Weights;
+}
+
+bool PromptPlacement::isUsable(const Target &Known, Timestamp Now) const {
+  return isFresh(Known, Now) && Known.UnusableUntil <= Now &&
+         Known.LoadingUntil <= Now;
+}
+
+void PromptPlacement::addOthers(const std::vector<TargetWork> &Work,
+                                double Sign) {
+  for (const TargetWork &Told : Work) {
+    auto Found = Targets.find(Told.Target);
+    if (Found == Targets.end())
+      continue;
+    Target &Known = Found->second;
+    Known.OthersSeconds =
+        std::max(0.0, Known.OthersSeconds + Sign * secondsOf(Told.Prompt));
+    Known.OthersRunning =
+        std::max(0.0, Known.OthersRunning + Sign * Told.Running);
+  }
+}
+
+void PromptPlacement::dropSilent(Timestamp Now) {
+  for (auto Next = Others.begin(); Next != Others.end();) {
+    if (Next->second.Until > Now) {
+      ++Next;
+      continue;
+    }
+    addOthers(Next->second.Work, -1);
+    Next = Others.erase(Next);
+  }
+}
+
+void PromptPlacement::takeDigest(const HostId &From, const WorkDigest &Digest,
+                                 Timestamp Now) {
+  Told &Known = Others[From];
+  addOthers(Known.Work, -1);
+  Known = {Digest.Work, Now + DigestHolds};
+  addOthers(Known.Work, 1);
+  dropSilent(Now);
+  for (const PartPlace &Part : Digest.Parts)
+    if (auto Found = Targets.find(Part.Target); Found != Targets.end())
+      Found->second.Parts.use(Part.Key, Part.Tokens);
+}
+
+WorkDigest PromptPlacement::makeDigest() {
+  WorkDigest Digest;
+  for (const auto &[Id, Known] : Targets)
+    if (Known.Running > 0)
+      Digest.Work.push_back(
+          {Id, durationOf(Known.BacklogSeconds), Known.Running});
+  Digest.Parts = std::exchange(NewParts, {});
+  return Digest;
+}
+
+void PromptPlacement::engineChanged(const EngineChange &Change, Timestamp Now) {
+  auto Found = Targets.find(Change.Target);
+  if (Found == Targets.end() ||
+      Found->second.Record.Incarnation != Change.Incarnation)
+    return;
+  Target &Known = Found->second;
+  Known.LoadingUntil = Change.Loading ? Now + LoadingHolds : Now;
+  if (Change.Loading || Change.Weights <= weightsOf(Known, Now))
+    return;
+  Known.ToldWeights = Change.Weights;
+  Known.ToldUntil = Now + ToldHolds;
+  Known.Parts.clear();
 }
 
 bool PromptPlacement::isFresh(const Target &Known, Timestamp Now) const {
@@ -93,7 +190,7 @@
     if (!Offered)
       continue;
     Known.push_back(&Entry);
-    if (isFresh(Entry, Now) && Entry.UnusableUntil <= Now)
+    if (isUsable(Entry, Now))
       Usable.push_back(&Entry);
   }
   // Where most targets seem lost at once, the fault is likelier this side of
@@ -111,19 +208,65 @@
   return std::move(Chosen);
 }
 
+std::vector<const PromptPlacement::Target *>
+PromptPlacement::holdersOf(const PromptCall &Call, Timestamp Now) const {
+  std::vector<const Target *> Holders;
+  if (Call.Parts.empty())
+    return Holders;
+  for (const auto &[Id, Known] : Targets)
+    if (Known.Record.Service == Call.Service && isUsable(Known, Now) &&
+        Known.Parts.cachedTokens(Call.CacheScope, Call.Parts) >=
+            LeastSharedTokens)
+      Holders.push_back(&Known);
+  return Holders;
+}
+
+double PromptPlacement::fetchSeconds(const Target &From, const Target &To,
+                                     uint32_t Tokens) const {
+  const config::RoutedService *Service =
+      View->Routes ? View->Routes->findService(To.Record.Service) : nullptr;
+  if (!Service || !Service->Engine ||
+      Service->Engine->LinkMegabitsPerSecond == 0)
+    return double(Tokens) / PromptTokensPerSecond;
+  static constexpr double BitsPerByte = 8;
+  static constexpr double Mega = 1e6;
+  double Transfer = double(Tokens) * double(Service->Engine->BytesPerToken) *
+                    BitsPerByte /
+                    (Mega * double(Service->Engine->LinkMegabitsPerSecond));
+  bool Far = From.Record.DataCentre != To.Record.DataCentre;
+  return FetchSetupSeconds + Transfer * (Far ? FarFetchFactor : 1);
+}
+
 PromptPlacement::Candidate
-PromptPlacement::estimate(const PromptCall &Call, Target &Where, bool IsHome,
+PromptPlacement::estimate(const PromptCall &Call, Target &Where,
+                          const std::vector<const Target *> &Holders,
                           Timestamp Now) const {
   Candidate Result;
   Result.Where = &Where;
-  Result.CachedTokens = Where.Parts.cachedTokens(Call.CacheScope, Call.Parts);
-  if (IsHome && Result.CachedTokens == 0 && !Call.Parts.empty())
-    Result.CachedTokens = Call.Parts.front().Tokens;
-  double Missing =
-      std::max(0.0, double(Call.PromptTokens) - Result.CachedTokens);
-  Result.PromptSeconds = Missing / PromptTokensPerSecond;
+  uint32_t Own = Where.Parts.cachedTokens(Call.CacheScope, Call.Parts);
+  auto ReadSeconds = [&](uint32_t Cached) {
+    return std::max(0.0, double(Call.PromptTokens) - Cached) /
+           PromptTokensPerSecond;
+  };
+  Result.CachedTokens = Own;
+  Result.PromptSeconds = ReadSeconds(Own);
+  for (const Target *Holder : Holders) {
+    if (Holder == &Where || weightsOf(*Holder, Now) != weightsOf(Where, Now))
+      continue;
+    uint32_t Held = Holder->Parts.cachedTokens(Call.CacheScope, Call.Parts);
+    if (Held < Own + LeastSharedTokens)
+      continue;
+    double Seconds =
+        ReadSeconds(Held) + fetchSeconds(*Holder, Where, Held - Own);
+    if (Seconds >= Result.PromptSeconds)
+      continue;
+    Result.PromptSeconds = Seconds;
+    Result.CachedTokens = Held;
+    Result.Source = Holder;
+  }
   Result.Seconds = Result.PromptSeconds + Where.BacklogSeconds +
-                   congestionOf(Where, Now) + RunningSeconds * Where.Running;
+                   Where.OthersSeconds + congestionOf(Where, Now) +
+                   RunningSeconds * (Where.Running + Where.OthersRunning);
   Result.Cost = Result.Seconds + FailureSeconds * Where.FailureShare;
   if (Where.UnusableUntil > Now)
     Result.Cost += secondsOf(Where.UnusableUntil - Now);
@@ -139,20 +282,18 @@
     return turnAway(Call, TurnAwayReason::NoTarget, Now);
   uint64_t Key = Call.Parts.empty()
                      ? Random()
-                     : rendezvousWeight(Call.CacheScope, Call.Parts[0].Id);
+                     : PartMemory::keyOf(Call.CacheScope, Call.Parts[0].Id);
   auto Rank = [Key](const Target *Entry) {
     return rendezvousWeight(hashIdentifier(Entry->Record.Id.Value), Key);
   };
-  Target *Home = *std::max_element(
-      Offered.begin(), Offered.end(),
-      [&](Target *Left, Target *Right) { return Rank(Left) < Rank(Right); });
+  std::vector<const Target *> Holders = holdersOf(Call, Now);
   WeightsVersion Newest;
   for (Target *Entry : Offered)
-    Newest = std::max(Newest, Entry->Record.Weights);
+    Newest = std::max(Newest, weightsOf(*Entry, Now));
   std::vector<Candidate> Candidates;
   for (Target *Entry : Offered) {
-    Candidates.push_back(estimate(Call, *Entry, Entry == Home, Now));
-    if (Entry->Record.Weights < Newest)
+    Candidates.push_back(estimate(Call, *Entry, Holders, Now));
+    if (weightsOf(*Entry, Now) < Newest)
       Candidates.back().Cost += OldWeightsSeconds;
   }
   double Least = std::min_element(Candidates.begin(), Candidates.end(),
@@ -179,7 +320,9 @@
   Placed.Target = Where.Record.Id;
   Placed.Incarnation = Where.Record.Incarnation;
   Placed.Address = Where.Record.Address;
-  Placed.Weights = Where.Record.Weights;
+  Placed.Weights = weightsOf(Where, Now);
+  if (Best.Source != nullptr)
+    Placed.FetchFrom = Best.Source->Record.Address;
   Placed.Estimate = durationOf(Best.Seconds);
   Placed.CachedTokens = Best.CachedTokens;
   Tickets[Placed.Ticket] = {Placed.Target, Placed.Incarnation, Call,  Now,
@@ -197,8 +340,9 @@
       continue;
     Any = true;
     Timestamp FreeAt = std::max(
-        Entry.UnusableUntil, Now + durationOf(Entry.BacklogSeconds +
-                                              congestionOf(Entry, Now)));
+        std::max(Entry.UnusableUntil, Entry.LoadingUntil),
+        Now + durationOf(Entry.BacklogSeconds + Entry.OthersSeconds +
+                         congestionOf(Entry, Now)));
     RetryAt = std::min(RetryAt, FreeAt);
   }
   if (Any && Reason == TurnAwayReason::NoTarget)
@@ -225,8 +369,12 @@
     return;
   Where->BacklogSeconds =
       std::max(0.0, Where->BacklogSeconds - Sent.PromptSeconds);
-  for (const PromptPart &Part : Sent.Call.Parts)
-    Where->Parts.use(Sent.Call.CacheScope, Part);
+  for (const PromptPart &Part : Sent.Call.Parts) {
+    uint64_t PartKey = PartMemory::keyOf(Sent.Call.CacheScope, Part.Id);
+    Where->Parts.use(PartKey, Part.Tokens);
+    if (Part.Tokens >= LeastSharedTokens && NewParts.size() < MaxDigestParts)
+      NewParts.push_back({Sent.Target, PartKey, Part.Tokens});
+  }
   double Excess = secondsOf(Now - Sent.SentAt) - Sent.ExpectedSeconds;
   double Newest = std::max(0.0, Excess);
   Where->CongestionSeconds = (congestionOf(*Where, Now) + Newest) / 2;
@@ -262,11 +410,10 @@
     Where->FailuresInARow = 0;
     break;
   case CallEnd::NotRun:
-    Where->UnusableUntil = std::max(Where->UnusableUntil, Now + RefusalPause);
-    break;
   case CallEnd::Replaced:
-    // Its announcement, if it has a successor, will show another life.
-    Where->UnusableUntil = std::max(Where->UnusableUntil, Now + MaxPause);
+    // A refusal may last as long as a load of weights, or for ever where the
+    // target's successor is not known yet.
+    setAside(*Where, RefusalPause, Now);
     break;
   case CallEnd::Broken:
     // One lost answer is no reason; a second in a row is.
@@ -287,7 +434,7 @@
   Status Result;
   Result.Targets = Targets.size();
   for (const auto &[Id, Entry] : Targets) {
-    Result.Usable += isFresh(Entry, Now) && Entry.UnusableUntil <= Now;
+    Result.Usable += isUsable(Entry, Now);
     Result.Running += Entry.Running;
     Result.PartsKnown += Entry.Parts.size();
   }
--- a/Libraries/LibRouting/PromptPlacement.h
+++ b/Libraries/LibRouting/PromptPlacement.h
@@ -17,11 +17,11 @@
 ///
 /// A request goes where its first token is expected soonest: what the target
 /// still has to read of the prompt, what this router has sent there and not yet
-/// seen begun, and what the newest answers showed of others' work. The first
-/// target by rendezvous hashing of the prompt's leading part is held to have
-/// that part cached, so that all routers send equal prompts to the same place
-/// without talking; a load that makes it wait longer than reading the part
-/// again moves requests on to the next one.
+/// seen begun, and what the other routers told of theirs. A target that lacks
+/// parts which another one has fetches them from there, which takes a
+/// hundredth of the time to read them. Where nobody is known to have the
+/// leading part, equal costs go to the first target by rendezvous hashing, the
+/// same at all routers.
 class PromptPlacement {
 public:
   struct Options {
@@ -42,6 +42,16 @@
   std::variant<PlacedCall, TurnedAway> place(const PromptCall &Call,
                                              Timestamp Now);
 
+  /// Takes what router \p From has under way; it replaces what it told before.
+  void takeDigest(const HostId &From, const WorkDigest &Digest, Timestamp Now);
+
+  /// \returns what to tell the other routers: all that is under way, and the
+  /// large parts that were used since the last call.
+  WorkDigest makeDigest();
+
+  /// Takes what the giver of orders told.
+  void engineChanged(const EngineChange &Change, Timestamp Now);
+
   /// The first byte of the answer has come.
   void firstByte(uint64_t Ticket, Timestamp Now);
 
@@ -66,6 +76,14 @@
     uint32_t Running = 0;
     /// Prompt time sent there by this router and not seen begun.
     double BacklogSeconds = 0;
+    /// The same and the running requests of the other routers.
+    double OthersSeconds = 0;
+    double OthersRunning = 0;
+    /// Weights and life as the giver of orders told them.
+    WeightsVersion ToldWeights;
+    Timestamp ToldUntil;
+    /// Loads weights and refuses requests until then.
+    Timestamp LoadingUntil;
     /// Excess of the newest first bytes over their estimates; it halves with
     /// CongestionHalfLife.
     double CongestionSeconds = 0;
@@ -94,11 +112,21 @@
     double Seconds = 0;
     double Cost = 0;
     uint32_t CachedTokens = 0;
+    const Target *Source = nullptr;
   };
 
   std::vector<Target *> candidatesOf(const PromptCall &Call, Timestamp Now);
-  Candidate estimate(const PromptCall &Call, Target &Where, bool IsHome,
+  Candidate estimate(const PromptCall &Call, Target &Where,
+                     const std::vector<const Target *> &Holders,
                      Timestamp Now) const;
+  std::vector<const Target *> holdersOf(const PromptCall &Call,
+                                        Timestamp Now) const;
+  double fetchSeconds(const Target &From, const Target &To,
+                      uint32_t Tokens) const;
+  WeightsVersion weightsOf(const Target &Known, Timestamp Now) const;
+  bool isUsable(const Target &Known, Timestamp Now) const;
+  void addOthers(const std::vector<TargetWork> &Work, double Sign);
+  void dropSilent(Timestamp Now);
   bool isFresh(const Target &Known, Timestamp Now) const;
   double congestionOf(const Target &Known, Timestamp Now) const;
   TurnedAway turnAway(const PromptCall &Call, TurnAwayReason Reason,
@@ -111,6 +139,13 @@
   RoutingViewPtr View;
   size_t Routers = 1;
   std::map<TargetId, Target> Targets;
+  /// What each other router told last, and until when it holds.
+  struct Told {
+    std::vector<TargetWork> Work;
+    Timestamp Until;
+  };
+  std::map<HostId, Told> Others;
+  std::vector<PartPlace> NewParts;
   std::unordered_map<uint64_t, Ticketed> Tickets;
   uint64_t NextTicket = 1;
 };
--- a/Libraries/LibTraffic/RouteDialect.h
+++ b/Libraries/LibTraffic/RouteDialect.h
@@ -36,6 +36,10 @@
   /// Cached parts are found under the same text only; empty is shared by all.
   std::string CacheScope;
   uint32_t Priority = 0;
+  /// Any other weights must refuse the request; 0 for targets without weights.
+  WeightsVersion Weights;
+  /// Where the target fetches cached parts from; empty for nowhere.
+  std::string FetchFrom;
   /// The last event that the caller has, where a stream goes on.
   std::optional<std::string> AfterEvent;
 };
--- a/Libraries/LibTraffic/RoutedContext.cpp
+++ b/Libraries/LibTraffic/RoutedContext.cpp
@@ -45,6 +45,21 @@
   return shareOf(Service).spend(Decisions.routers(), steadyNow());
 }
 
+void SharedPlacement::takeDigest(const HostId &From, const WorkDigest &Digest) {
+  std::lock_guard Lock(Mutex);
+  Decisions.takeDigest(From, Digest, steadyNow());
+}
+
+WorkDigest SharedPlacement::makeDigest() {
+  std::lock_guard Lock(Mutex);
+  return Decisions.makeDigest();
+}
+
+void SharedPlacement::engineChanged(const EngineChange &Change) {
+  std::lock_guard Lock(Mutex);
+  Decisions.engineChanged(Change, steadyNow());
+}
+
 PromptPlacement::Status SharedPlacement::status() const {
   std::lock_guard Lock(Mutex);
   return Decisions.status(steadyNow());
--- a/Libraries/LibTraffic/RoutedContext.h
+++ b/Libraries/LibTraffic/RoutedContext.h
@@ -34,6 +34,10 @@
   /// Takes a retry to \p Service. \returns whether there was one.
   bool takeRetry(const ServiceId &Service);
 
+  void takeDigest(const HostId &From, const routing::WorkDigest &Digest);
+  routing::WorkDigest makeDigest();
+  void engineChanged(const routing::EngineChange &Change);
+
   routing::PromptPlacement::Status status() const;
 
 private:
--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -116,9 +116,16 @@
   if (Workspace) {
     Details.Workspace = Workspace->Id;
     Details.Priority = Workspace->Priority.value_or(Route->Priority);
-    if (Workspace->Isolated)
-      Details.CacheScope = Workspace->Id.Value;
   }
+  if (Placed.Weights.Value == 0)
+    return Details;
+  // A part is found only under the weights that it was read with, also by
+  // another engine that fetches it later.
+  Details.Weights = Placed.Weights;
+  Details.FetchFrom = Placed.FetchFrom;
+  Details.CacheScope = "w" + std::to_string(Placed.Weights.Value);
+  if (Workspace && Workspace->Isolated)
+    Details.CacheScope += "." + Workspace->Id.Value;
   return Details;
 }
 
--- a/Libraries/LibWire/Generated/Peer_types.cpp
+++ b/Libraries/LibWire/Generated/Peer_types.cpp
@@ -20,7 +20,9 @@
   PayloadKind::RegistryReply,
   PayloadKind::Confirmation,
   PayloadKind::DescriptionFetch,
-  PayloadKind::DescriptionCopy
+  PayloadKind::DescriptionCopy,
+  PayloadKind::WorkDigest,
+  PayloadKind::EngineChanges
 };
 const char* _kPayloadKindNames[] = {
   "Consensus",
@@ -29,9 +31,11 @@
   "RegistryReply",
   "Confirmation",
   "DescriptionFetch",
-  "DescriptionCopy"
+  "DescriptionCopy",
+  "WorkDigest",
+  "EngineChanges"
 };
-const std::map<int, const char*> _PayloadKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(7, _kPayloadKindValues, _kPayloadKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _PayloadKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(9, _kPayloadKindValues, _kPayloadKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const PayloadKind::type& val) {
   std::map<int, const char*>::const_iterator it = _PayloadKind_VALUES_TO_NAMES.find(val);
--- a/Libraries/LibWire/Generated/Peer_types.h
+++ b/Libraries/LibWire/Generated/Peer_types.h
@@ -29,7 +29,9 @@
     RegistryReply = 4,
     Confirmation = 5,
     DescriptionFetch = 6,
-    DescriptionCopy = 7
+    DescriptionCopy = 7,
+    WorkDigest = 8,
+    EngineChanges = 9
   };
 };
 
--- a/Libraries/LibWire/Idl/Peer.thrift
+++ b/Libraries/LibWire/Idl/Peer.thrift
@@ -9,7 +9,9 @@
   RegistryReply = 4,
   Confirmation = 5,
   DescriptionFetch = 6,
-  DescriptionCopy = 7
+  DescriptionCopy = 7,
+  WorkDigest = 8,
+  EngineChanges = 9
 }
 
 // First frame of a connection, in both directions.
--- a/Services/ferryd/ControlPlane.cpp
+++ b/Services/ferryd/ControlPlane.cpp
@@ -90,7 +90,10 @@
       Members(membershipOptions(Settings, Store.incarnation())),
       Confirmed(confirmationOptions(Settings, Holder.number())) {}
 
-ControlPlane::~ControlPlane() { Loop.cancel(TickTimer); }
+ControlPlane::~ControlPlane() {
+  Loop.cancel(TickTimer);
+  Loop.cancel(DigestTimer);
+}
 
 Result<void, StartError> ControlPlane::tryStartParts() {
   auto Started = HostLink::tryStart(
@@ -111,6 +114,8 @@
   giveSeeds();
   stepMembership(DescriptionApplied{Holder.number()});
   tick();
+  if (isRouted() && Settings.Role == config::HostRole::Router)
+    spreadDigest();
   return {};
 }
 
@@ -170,7 +175,10 @@
     Options.Length =
         std::chrono::milliseconds(Settings.Routed.OrderLeaseMillis);
   Orders = std::make_unique<OrderGiver>(Options, Loop, *Gateway, Node->state(),
-                                        Calls.Routed.Orders);
+                                        Calls.Routed.Orders,
+                                        [this](const auto &Change) {
+                                          spreadEngineChange(Change);
+                                        });
 }
 
 void ControlPlane::addDumpSection(std::string Name,
@@ -200,6 +208,7 @@
 
 void ControlPlane::close() {
   Loop.cancel(TickTimer);
+  Loop.cancel(DigestTimer);
   Orders.reset();
   if (Node)
     Node->close();
--- a/Services/ferryd/ControlPlane.h
+++ b/Services/ferryd/ControlPlane.h
@@ -7,8 +7,10 @@
 #include "LibMembership/Membership.h"
 #include "LibObserve/Metrics.h"
 #include "LibObserve/StateDump.h"
+#include "LibRouting/PromptCall.h"
 #include "LibRouting/RoutingView.h"
 #include "LibTraffic/ControlPort.h"
+#include "LibWire/Generated/Routing_types.h"
 #include "ferryd/DescriptionHolder.h"
 #include "ferryd/HostLink.h"
 #include "ferryd/OrderGiver.h"
@@ -27,6 +29,12 @@
     std::function<void(routing::RoutingViewPtr)> ViewChanged;
     /// An operator asked for the graceful shutdown.
     std::function<void()> DrainRequested;
+    /// Asks for what this router has under way, for the other routers.
+    std::function<routing::WorkDigest()> MakeDigest;
+    /// Another router told what it has under way.
+    std::function<void(const HostId &, const routing::WorkDigest &)> TakeDigest;
+    /// The giver of orders told of an engine.
+    std::function<void(const routing::EngineChange &)> EngineChanged;
     /// What the routed interface needs; left empty by the native one.
     RoutedParts Routed;
   };
@@ -95,6 +103,11 @@
   void updateControlHosts();
   void spreadDescription();
   void giveSeeds();
+  void spreadDigest();
+  void receiveDigest(const HostId &From, const wire::WorkDigest &Digest);
+  void spreadEngineChange(const routing::EngineChange &Change);
+  void receiveEngineChanges(const wire::EngineChanges &Changes);
+  std::vector<HostId> routers() const;
   config::Description wantedWeights() const;
   void markViewChanged();
   void updateFigures();
@@ -133,6 +146,9 @@
   observe::StateDump Dump;
   observe::Metrics Figures;
   ControlLoop::TimerId TickTimer;
+  ControlLoop::TimerId DigestTimer;
+  std::vector<routing::TargetWork> ToldWork;
+  Timestamp TellWorkBy;
 };
 
 } // namespace ferry::daemon
--- a/Services/ferryd/ControlPlaneMessages.cpp
+++ b/Services/ferryd/ControlPlaneMessages.cpp
@@ -42,6 +42,12 @@
   case PayloadKind::DescriptionCopy:
     return receiveAs<wire::DescriptionCopy>(
         Payload, [&](auto Copy) { takeDescription(Copy); });
+  case PayloadKind::WorkDigest:
+    return receiveAs<wire::WorkDigest>(
+        Payload, [&](auto Digest) { receiveDigest(From, Digest); });
+  case PayloadKind::EngineChanges:
+    return receiveAs<wire::EngineChanges>(
+        Payload, [&](auto Changes) { receiveEngineChanges(Changes); });
   }
   Link->countMalformed();
 }
--- a/Services/ferryd/Daemon.cpp
+++ b/Services/ferryd/Daemon.cpp
@@ -43,6 +43,19 @@
       Traffic->setView(std::move(View));
   };
   Calls.DrainRequested = std::move(DrainRequested);
+  // Asked for only once the loop runs, when the servers are there.
+  Calls.MakeDigest = [this] {
+    auto *Front = Routed ? Routed->front() : nullptr;
+    return Front ? Front->placements().makeDigest() : routing::WorkDigest();
+  };
+  Calls.TakeDigest = [this](const HostId &From, const auto &Digest) {
+    if (auto *Front = Routed ? Routed->front() : nullptr)
+      Front->placements().takeDigest(From, Digest);
+  };
+  Calls.EngineChanged = [this](const routing::EngineChange &Change) {
+    if (auto *Front = Routed ? Routed->front() : nullptr)
+      Front->placements().engineChanged(Change);
+  };
   if (Settings.Interface == config::Interface::Routed)
     Calls.Routed = platformParts(Settings.Host);
   auto Started = ControlPlane::tryStart(Settings, Loop, std::move(Calls));
--- a/Services/ferryd/OrderGiver.cpp
+++ b/Services/ferryd/OrderGiver.cpp
@@ -12,16 +12,17 @@
 
 OrderGiver::OrderGiver(LeaseHolder::Options Options, ControlLoop &Loop,
                        RegistryGateway &Gateway, const Registry &State,
-                       std::optional<OrderDialect> Dialect)
+                       std::optional<OrderDialect> Dialect,
+                       ChangeTeller TellChange)
     : Loop(Loop), Gateway(Gateway), State(State), Lease(Options),
       Orders(control::Reconciler::Options{Dialect ? OrderWatchLimit
                                                   : Duration::zero()}),
-      LeaseLength(Options.Length),
+      LeaseLength(Options.Length), TellChange(std::move(TellChange)),
       Sender(
           [this](control::OrderAnswered Answer) {
             this->Loop.post([this, Answer, Guard = std::weak_ptr<char>(Alive)] {
               if (!Guard.expired())
-                stepOrders(Answer);
+                orderEnded(Answer);
             });
           },
           std::move(Dialect)) {
@@ -92,12 +93,39 @@
           observe::logEvent(
               Severity::Info, "orders", "order_sent",
               {{"target", Sent.Target}, {"order", orderBody(Sent)}});
+          noteLoading(Sent);
           Sender.send(std::move(Sent));
         },
         [this](control::BeginLoad &&Wanted) { beginLoad(Wanted); },
         [this](control::EndLoad &&Wanted) { endLoad(Wanted); });
 }
 
+void OrderGiver::noteLoading(const control::SendOrder &Sent) {
+  const auto *Load = std::get_if<control::LoadWeights>(&Sent.Order);
+  if (Load == nullptr)
+    return;
+  routing::EngineChange Change{Sent.Target, Sent.Incarnation, Load->Weights,
+                               /*Loading=*/true};
+  TellChange(Change);
+  Loading[Sent.OrderId] = std::move(Change);
+}
+
+void OrderGiver::orderEnded(const control::OrderAnswered &Answer) {
+  auto Found = Loading.extract(Answer.OrderId);
+  if (!Found.empty()) {
+    routing::EngineChange &Change = Found.mapped();
+    observe::logEvent(Severity::Info, "orders", "order_ended",
+                      {{"target", Change.Target},
+                       {"weights", Change.Weights},
+                       {"outcome", Answer.Outcome}});
+    Change.Loading = false;
+    if (Answer.Outcome != control::OrderOutcome::CarriedOut)
+      Change.Weights = {};
+    TellChange(Change);
+  }
+  stepOrders(Answer);
+}
+
 void OrderGiver::beginLoad(const control::BeginLoad &Wanted) {
   using Verdict = control::LoadSlotAnswered::Verdict;
   LoadSlot Slot = Wanted.Slot;
--- a/Services/ferryd/OrderGiver.h
+++ b/Services/ferryd/OrderGiver.h
@@ -7,6 +7,7 @@
 #include "LibCore/ControlLoop.h"
 #include "LibRegistry/LeaseHolder.h"
 #include "LibRegistry/Registry.h"
+#include "LibRouting/PromptCall.h"
 #include "ferryd/OrderSender.h"
 #include "ferryd/RegistryGateway.h"
 
@@ -17,10 +18,14 @@
 class OrderGiver {
 public:
   /// \param State this host's copy of the registry; outlives this object.
+  /// Told when an order to load weights goes out and when it has ended.
+  using ChangeTeller = std::function<void(const routing::EngineChange &)>;
+
   /// \param Dialect of engines with another interface.
   OrderGiver(registry::LeaseHolder::Options Options, ControlLoop &Loop,
              RegistryGateway &Gateway, const registry::Registry &State,
-             std::optional<OrderDialect> Dialect = std::nullopt);
+             std::optional<OrderDialect> Dialect = std::nullopt,
+             ChangeTeller TellChange = [](const routing::EngineChange &) {});
   ~OrderGiver();
   OrderGiver(const OrderGiver &) = delete;
   OrderGiver &operator=(const OrderGiver &) = delete;
@@ -38,6 +43,8 @@
   void tick();
   void stepLease(const registry::LeaseEvent &Event);
   void stepOrders(const control::ReconcilerEvent &Event);
+  void orderEnded(const control::OrderAnswered &Answer);
+  void noteLoading(const control::SendOrder &Sent);
   void proposeLease(registry::LeasePropose Proposal);
   void beginLoad(const control::BeginLoad &Wanted);
   void endLoad(const control::EndLoad &Wanted);
@@ -51,6 +58,9 @@
   /// Orders of an earlier holder are over then.
   Timestamp OrdersFrom;
   Duration LeaseLength;
+  ChangeTeller TellChange;
+  /// Loads whose orders are under way, by order.
+  std::map<uint64_t, routing::EngineChange> Loading;
   ControlLoop::TimerId Timer;
   /// Expires with this object; answers that come later are dropped.
   std::shared_ptr<char> Alive = std::make_shared<char>();
--- a/Services/ferryd/RoutedServers.h
+++ b/Services/ferryd/RoutedServers.h
@@ -22,6 +22,8 @@
   tryStart(const config::Settings &Settings, ControlPlane &Control);
 
   void setView(const routing::RoutingViewPtr &View);
+  /// nullptr on a host that routes nothing.
+  traffic::RoutedFront *front() { return Front.get(); }
   void beginDrain();
   /// Blocks until callers have had the time to go elsewhere and nothing is in
   /// hand, or until the grace is nearly over.
