LibControl: Free a load's slot when its engine was seen to have loaded

Cause: an ended load kept its slot until the log showed its end, so only the same engine could be ordered at once, and it was, to the next weights, while the oldest engines waited. Ruled out: slow loads (1.4 s of 1.1 s and a drain).

--- a/Libraries/LibControl/Reconciler.cpp
+++ b/Libraries/LibControl/Reconciler.cpp
@@ -127,7 +127,7 @@
       Updated.push_back(*Before);
     else
       Updated.push_back({Slot, Now + OrderTimeout + SettleLimit,
-                         Now + OrderTimeout + LoadLimit, Now});
+                         Now + OrderTimeout + LoadLimit, Now, false});
   }
   ForeignSlots = std::move(Updated);
 }
@@ -240,8 +240,10 @@
     ++Past.Failures;
     Past.NotBefore = Now + RefusalPause;
   }
-  if (Work.Slot)
-    end(*Work.Slot, Now, Out);
+  if (!Work.Slot)
+    return;
+  end(*Work.Slot, Now, Out);
+  ForeignSlots.back().Free = Work.CarriedOut;
 }
 
 /// Asks for the end of a slot, and remembers it until the log shows the end.
@@ -249,7 +251,7 @@
   Out.push_back(EndLoad{Slot});
   std::erase_if(ForeignSlots,
                 [&](const ForeignSlot &Item) { return Item.Slot == Slot; });
-  ForeignSlots.push_back({Slot, Now, Now, Now + EndLoadPause});
+  ForeignSlots.push_back({Slot, Now, Now, Now + EndLoadPause, false});
 }
 
 bool Reconciler::isLoadDone(const LoadSlot &Slot) const {
@@ -290,7 +292,8 @@
   for (const auto &[Id, Work] : Tasks)
     Others += Work.Slot && Id != Target;
   for (const ForeignSlot &Item : ForeignSlots)
-    Others += Item.Slot.Target != Target && !Tasks.contains(Item.Slot.Target);
+    Others += !Item.Free && Item.Slot.Target != Target &&
+              !Tasks.contains(Item.Slot.Target);
   return Others < View->Description->Limits.MaxWeightsLoads;
 }
 
--- a/Libraries/LibControl/Reconciler.h
+++ b/Libraries/LibControl/Reconciler.h
@@ -132,6 +132,9 @@
     /// When it ends without one.
     Timestamp ExpiresAt;
     Timestamp AskEndAt;
+    /// Its target was seen to have carried the order out, and the log was asked
+    /// to end it: it is free before any later slot is asked for.
+    bool Free = false;
   };
 
   void receive(const OrderAnswered &Answer, Timestamp Now);
--- a/Services/ferryd/ControlPlane.cpp
+++ b/Services/ferryd/ControlPlane.cpp
@@ -11,8 +11,10 @@
 
 /// Changes of the view within this time go out as one snapshot.
 static constexpr Duration ViewDelay = std::chrono::milliseconds(10);
-/// Engines of which one may load weights at a time: the others carry the load.
-static constexpr uint32_t EnginesPerWeightsLoad = 5;
+/// Engines of which one may load weights at a time: the others carry the load,
+/// and a load waits for the runs on its engine first, so that fewer load than
+/// are set aside for it.
+static constexpr uint32_t EnginesPerWeightsLoad = 4;
 static constexpr uint32_t LeastWeightsLoads = 2;
 
 /// How long a routed host keeps a target whose announcements stop. Long, since
--- a/Services/ferryd/OrderSender.cpp
+++ b/Services/ferryd/OrderSender.cpp
@@ -21,8 +21,8 @@
 static constexpr std::chrono::milliseconds SendLimit{400};
 /// Before this no load of weights has ended.
 static constexpr std::chrono::milliseconds ShortestLoad{1000};
-/// Between two looks at an engine: its own account is as old as that.
-static constexpr std::chrono::milliseconds WatchPeriod{200};
+/// Between two looks at an engine: about half the age of its own account.
+static constexpr std::chrono::milliseconds WatchPeriod{100};
 
 std::string orderBody(const control::SendOrder &Sent) {
   Poco::JSON::Object Body;
