--- a/Libraries/LibConfig/ParseSettings.cpp
+++ b/Libraries/LibConfig/ParseSettings.cpp
@@ -161,6 +161,7 @@
   Millis("grace_ms", Result.GraceMillis);
   Millis("directory_lifetime_ms", Result.DirectoryLifetimeMillis);
   Millis("order_lease_ms", Result.OrderLeaseMillis);
+  Millis("weights_deadline_ms", Result.WeightsDeadlineMillis);
   bool Checked = false;
   Map.flag("targets_check_fencing", Checked);
   Result.Fencing = Checked ? FencingCheck::Checked : FencingCheck::Unchecked;
--- a/Libraries/LibConfig/Settings.h
+++ b/Libraries/LibConfig/Settings.h
@@ -57,10 +57,13 @@
   /// From the signal to stop until the process is killed, in milliseconds.
   uint32_t GraceMillis = 8'000;
   /// How long callers may keep a directory answer, in milliseconds.
-  uint32_t DirectoryLifetimeMillis = 2'000;
+  uint32_t DirectoryLifetimeMillis = 1'000;
   /// Length of the order lease, in milliseconds.
   uint32_t OrderLeaseMillis = 3'000;
   FencingCheck Fencing = FencingCheck::Unchecked;
+  /// Requests begin on overtaken weights no longer than this after newer ones
+  /// were named, in milliseconds.
+  uint32_t WeightsDeadlineMillis = 12'000;
 };
 
 /// Another host of the system, as the settings list it.
--- a/Libraries/LibControl/Reconciler.cpp
+++ b/Libraries/LibControl/Reconciler.cpp
@@ -149,7 +149,8 @@
 bool Reconciler::isUsableEngine(const TargetRecord &Target,
                                 Timestamp Now) const {
   return Target.Kind == TargetKind::Engine &&
-         Target.Phase != TargetPhase::Leaving && Now < Target.UsableUntil &&
+         Target.Phase != TargetPhase::Leaving &&
+         Now + Chosen.LeastTrust < Target.UsableUntil &&
          View->Description->findService(Target.Service);
 }
 
@@ -237,8 +238,9 @@
     Histories.erase(Target);
   } else if (Now >= Work.GiveUpAt) {
     History &Past = Histories[Target];
-    ++Past.Failures;
-    Past.NotBefore = Now + RefusalPause;
+    uint32_t Doublings = std::min(Past.Failures++, uint32_t{8});
+    Past.NotBefore =
+        Now + std::min(RefusalPause * (1 << Doublings), MaxRefusalPause);
   }
   if (!Work.Slot)
     return;
--- a/Libraries/LibControl/Reconciler.h
+++ b/Libraries/LibControl/Reconciler.h
@@ -39,6 +39,8 @@
   static constexpr Duration SettleLimit = std::chrono::seconds(10);
   /// Pause after a refusal of the log or the target.
   static constexpr Duration RefusalPause = std::chrono::milliseconds(500);
+  /// The pause doubles with each failure up to this.
+  static constexpr Duration MaxRefusalPause = std::chrono::seconds(4);
   /// Pause before EndLoad is asked again.
   static constexpr Duration EndLoadPause = std::chrono::seconds(1);
 
@@ -46,6 +48,9 @@
     /// How long after an order's deadline its sender watches the target for
     /// the effect; 0 where announcements alone show it.
     Duration WatchLimit = Duration::zero();
+    /// Orders go to engines only while they may be used for longer than this:
+    /// those with less have missed announcements.
+    Duration LeastTrust = Duration::zero();
   };
 
   Reconciler() = default;
--- a/Libraries/LibRegistry/LeaseHolder.cpp
+++ b/Libraries/LibRegistry/LeaseHolder.cpp
@@ -86,8 +86,11 @@
   LeaseSeen = true;
   // A quarter more than the lease, for clocks of different rates.
   TakeoverAt = Now + Settings.Length * 5 / 4;
+  // The process that held it on this host has ended.
+  if (Lease.Host == Settings.Host)
+    TakeoverAt = Now;
   // A free lease needs no wait.
-  if (Lease.Host.empty())
+  if (Lease.Host.empty() || Lease.Host == Settings.Host)
     ProposeAt = Now;
 }
 
--- a/Libraries/LibRouting/PromptCall.h
+++ b/Libraries/LibRouting/PromptCall.h
@@ -98,6 +98,13 @@
   bool Loading = false;
 };
 
+/// Weights that an operator has named.
+struct NamedWeights {
+  ModelId Model;
+  WeightsVersion Weights;
+  Timestamp Since;
+};
+
 /// How a request ended at its target.
 enum class CallEnd : uint8_t {
   /// A whole answer other than a failure.
--- a/Libraries/LibRouting/PromptPlacement.cpp
+++ b/Libraries/LibRouting/PromptPlacement.cpp
@@ -18,6 +18,13 @@
 static constexpr double FailureWeight = 0.1;
 /// A failed request costs about a second try.
 static constexpr double FailureSeconds = 0.5;
+/// Named weights that are remembered for one model: one load of all engines
+/// takes less time than as many changes.
+static constexpr size_t MaxNamed = 16;
+/// Overtaken weights cost nothing for as long as one load takes.
+static constexpr Duration OvertakenGrace = std::chrono::milliseconds(1500);
+/// Kept from the deadline for the wait before a request begins.
+static constexpr Duration BeginMargin = std::chrono::milliseconds(1000);
 /// Older weights are used only if the others are this far behind.
 static constexpr double OldWeightsSeconds = 0.25;
 /// A digest of another router holds this long without the next one.
@@ -103,6 +110,27 @@
   return Known.Record.Weights;
 }
 
+void PromptPlacement::weightsNamed(const NamedWeights &Told) {
+  std::vector<NamedWeights> &Known = Named[Told.Model];
+  if (!Known.empty() && Told.Weights <= Known.back().Weights)
+    return;
+  Known.push_back(Told);
+  if (Known.size() > MaxNamed)
+    Known.erase(Known.begin());
+}
+
+Timestamp PromptPlacement::overtakenSince(const Target &Known,
+                                          Timestamp Now) const {
+  auto Found = Named.find(Known.Record.Model);
+  if (Found == Named.end())
+    return NeverExpires;
+  WeightsVersion Weights = weightsOf(Known, Now);
+  for (const NamedWeights &Told : Found->second)
+    if (Told.Weights > Weights)
+      return Told.Since;
+  return NeverExpires;
+}
+
 bool PromptPlacement::isUsable(const Target &Known, Timestamp Now) const {
   return isFresh(Known, Now) && Known.UnusableUntil <= Now &&
          Known.LoadingUntil <= Now;
@@ -201,7 +229,11 @@
     std::stable_partition(Known.begin(), Known.end(), [Now](Target *Entry) {
       return Entry->UnusableUntil <= Now;
     });
+  Duration Allowed = this->Chosen.WeightsDeadline - BeginMargin;
   std::erase_if(Chosen, [&](Target *Entry) {
+    Timestamp Since = overtakenSince(*Entry, Now);
+    if (Since != NeverExpires && Now >= Since + Allowed)
+      return true;
     return std::find(Call.Tried.begin(), Call.Tried.end(), Entry->Record.Id) !=
            Call.Tried.end();
   });
@@ -287,13 +319,11 @@
     return rendezvousWeight(hashIdentifier(Entry->Record.Id.Value), Key);
   };
   std::vector<const Target *> Holders = holdersOf(Call, Now);
-  WeightsVersion Newest;
-  for (Target *Entry : Offered)
-    Newest = std::max(Newest, weightsOf(*Entry, Now));
   std::vector<Candidate> Candidates;
   for (Target *Entry : Offered) {
     Candidates.push_back(estimate(Call, *Entry, Holders, Now));
-    if (weightsOf(*Entry, Now) < Newest)
+    Timestamp Since = overtakenSince(*Entry, Now);
+    if (Since != NeverExpires && Now >= Since + OvertakenGrace)
       Candidates.back().Cost += OldWeightsSeconds;
   }
   double Least = std::min_element(Candidates.begin(), Candidates.end(),
--- a/Libraries/LibRouting/PromptPlacement.h
+++ b/Libraries/LibRouting/PromptPlacement.h
@@ -32,6 +32,8 @@
     /// A target that announced nothing for longer is used only if too few
     /// others are left: two announcements are missing and had time to spread.
     Duration FreshFor = std::chrono::milliseconds(4000);
+    /// No request may begin on overtaken weights after this.
+    Duration WeightsDeadline = std::chrono::seconds(12);
   };
 
   explicit PromptPlacement(Options Chosen);
@@ -49,6 +51,9 @@
   /// large parts that were used since the last call.
   WorkDigest makeDigest();
 
+  /// Takes what an operator has named.
+  void weightsNamed(const NamedWeights &Named);
+
   /// Takes what the giver of orders told.
   void engineChanged(const EngineChange &Change, Timestamp Now);
 
@@ -125,6 +130,7 @@
                       uint32_t Tokens) const;
   WeightsVersion weightsOf(const Target &Known, Timestamp Now) const;
   bool isUsable(const Target &Known, Timestamp Now) const;
+  Timestamp overtakenSince(const Target &Known, Timestamp Now) const;
   void addOthers(const std::vector<TargetWork> &Work, double Sign);
   void dropSilent(Timestamp Now);
   bool isFresh(const Target &Known, Timestamp Now) const;
@@ -146,6 +152,8 @@
   };
   std::map<HostId, Told> Others;
   std::vector<PartPlace> NewParts;
+  /// The newest named weights of each model, the oldest first.
+  std::map<ModelId, std::vector<NamedWeights>> Named;
   std::unordered_map<uint64_t, Ticketed> Tickets;
   uint64_t NextTicket = 1;
 };
--- a/Libraries/LibTraffic/RoutedContext.cpp
+++ b/Libraries/LibTraffic/RoutedContext.cpp
@@ -55,6 +55,11 @@
   return Decisions.makeDigest();
 }
 
+void SharedPlacement::weightsNamed(const NamedWeights &Named) {
+  std::lock_guard Lock(Mutex);
+  Decisions.weightsNamed(Named);
+}
+
 void SharedPlacement::engineChanged(const EngineChange &Change) {
   std::lock_guard Lock(Mutex);
   Decisions.engineChanged(Change, steadyNow());
--- a/Libraries/LibTraffic/RoutedContext.h
+++ b/Libraries/LibTraffic/RoutedContext.h
@@ -37,6 +37,7 @@
   void takeDigest(const HostId &From, const routing::WorkDigest &Digest);
   routing::WorkDigest makeDigest();
   void engineChanged(const routing::EngineChange &Change);
+  void weightsNamed(const routing::NamedWeights &Named);
 
   routing::PromptPlacement::Status status() const;
 
@@ -71,6 +72,8 @@
   RoutedFigures Figures;
   /// Answers tell callers to close their connections.
   std::atomic<bool> Leaving{false};
+  /// From then on requests are refused: they could not end before the process.
+  std::atomic<Timestamp> RefuseFrom{NeverExpires};
   std::atomic<int64_t> InHand{0};
   /// Draws services of split routes.
   std::atomic<uint64_t> NextDraw{0};
--- a/Libraries/LibTraffic/RoutedFront.h
+++ b/Libraries/LibTraffic/RoutedFront.h
@@ -32,7 +32,11 @@
 
   /// Callers keep what a directory told them: requests are still served, and
   /// their connections closed.
-  void beginDrain() { Context.Leaving = true; }
+  /// From \p RefuseFrom on the requests that still come are refused.
+  void beginDrain(Timestamp RefuseFrom) {
+    Context.Leaving = true;
+    Context.RefuseFrom = RefuseFrom;
+  }
 
   int64_t inHand() const { return Context.InHand; }
 
--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -14,6 +14,8 @@
 /// When a request to a router that knows no routes yet may come again: one
 /// question to a control host later.
 static constexpr Duration NoRoutesPause = std::chrono::milliseconds(500);
+/// When a request may come again that another router takes at once.
+static constexpr Duration ElsewherePause = std::chrono::milliseconds(50);
 /// A target that was given less would hardly begin.
 static constexpr Duration LeastWait = std::chrono::milliseconds(5);
 static constexpr int FirstFailureStatus = 500;
@@ -46,6 +48,9 @@
 }
 
 std::optional<ErrorAnswer> RoutedRelay::check() {
+  if (ArrivedAt >= Context.RefuseFrom.load())
+    return ErrorAnswer{AnswerError::Draining, "this host is stopping",
+                       NotRun::True, ArrivedAt + ElsewherePause};
   if (!View || !View->Routes)
     return ErrorAnswer{AnswerError::NoDescription, "no routes are known yet",
                        NotRun::True, ArrivedAt + NoRoutesPause};
--- a/Libraries/LibWire/Generated/Routing_types.cpp
+++ b/Libraries/LibWire/Generated/Routing_types.cpp
@@ -634,6 +634,151 @@
 }
 
 
+NamedWeights::~NamedWeights() noexcept {
+}
+
+
+void NamedWeights::__set_Model(const std::string& val) {
+  this->Model = val;
+}
+
+void NamedWeights::__set_Weights(const int64_t val) {
+  this->Weights = val;
+}
+
+void NamedWeights::__set_AgeMillis(const int32_t val) {
+  this->AgeMillis = val;
+}
+std::ostream& operator<<(std::ostream& out, const NamedWeights& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t NamedWeights::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->Model);
+          this->__isset.Model = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Weights);
+          this->__isset.Weights = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->AgeMillis);
+          this->__isset.AgeMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t NamedWeights::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("NamedWeights");
+
+  xfer += oprot->writeFieldBegin("Model", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->Model);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Weights", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->Weights);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("AgeMillis", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->AgeMillis);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(NamedWeights &a, NamedWeights &b) {
+  using ::std::swap;
+  swap(a.Model, b.Model);
+  swap(a.Weights, b.Weights);
+  swap(a.AgeMillis, b.AgeMillis);
+  swap(a.__isset, b.__isset);
+}
+
+NamedWeights::NamedWeights(const NamedWeights& other28) {
+  Model = other28.Model;
+  Weights = other28.Weights;
+  AgeMillis = other28.AgeMillis;
+  __isset = other28.__isset;
+}
+NamedWeights::NamedWeights(NamedWeights&& other29) noexcept {
+  Model = std::move(other29.Model);
+  Weights = other29.Weights;
+  AgeMillis = other29.AgeMillis;
+  __isset = other29.__isset;
+}
+NamedWeights& NamedWeights::operator=(const NamedWeights& other30) {
+  Model = other30.Model;
+  Weights = other30.Weights;
+  AgeMillis = other30.AgeMillis;
+  __isset = other30.__isset;
+  return *this;
+}
+NamedWeights& NamedWeights::operator=(NamedWeights&& other31) noexcept {
+  Model = std::move(other31.Model);
+  Weights = other31.Weights;
+  AgeMillis = other31.AgeMillis;
+  __isset = other31.__isset;
+  return *this;
+}
+void NamedWeights::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "NamedWeights(";
+  out << "Model=" << to_string(Model);
+  out << ", " << "Weights=" << to_string(Weights);
+  out << ", " << "AgeMillis=" << to_string(AgeMillis);
+  out << ")";
+}
+
+
 EngineChanges::~EngineChanges() noexcept {
 }
 
@@ -641,6 +786,10 @@
 void EngineChanges::__set_Changes(const std::vector<EngineChange> & val) {
   this->Changes = val;
 }
+
+void EngineChanges::__set_Named(const std::vector<NamedWeights> & val) {
+  this->Named = val;
+}
 std::ostream& operator<<(std::ostream& out, const EngineChanges& obj)
 {
   obj.printTo(out);
@@ -673,14 +822,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Changes.clear();
-            uint32_t _size28;
-            ::apache::thrift::protocol::TType _etype31;
-            xfer += iprot->readListBegin(_etype31, _size28);
-            this->Changes.resize(_size28);
-            uint32_t _i32;
-            for (_i32 = 0; _i32 < _size28; ++_i32)
+            uint32_t _size32;
+            ::apache::thrift::protocol::TType _etype35;
+            xfer += iprot->readListBegin(_etype35, _size32);
+            this->Changes.resize(_size32);
+            uint32_t _i36;
+            for (_i36 = 0; _i36 < _size32; ++_i36)
             {
-              xfer += this->Changes[_i32].read(iprot);
+              xfer += this->Changes[_i36].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -689,6 +838,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Named.clear();
+            uint32_t _size37;
+            ::apache::thrift::protocol::TType _etype40;
+            xfer += iprot->readListBegin(_etype40, _size37);
+            this->Named.resize(_size37);
+            uint32_t _i41;
+            for (_i41 = 0; _i41 < _size37; ++_i41)
+            {
+              xfer += this->Named[_i41].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Named = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -709,10 +878,22 @@
   xfer += oprot->writeFieldBegin("Changes", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Changes.size()));
-    std::vector<EngineChange> ::const_iterator _iter33;
-    for (_iter33 = this->Changes.begin(); _iter33 != this->Changes.end(); ++_iter33)
+    std::vector<EngineChange> ::const_iterator _iter42;
+    for (_iter42 = this->Changes.begin(); _iter42 != this->Changes.end(); ++_iter42)
+    {
+      xfer += (*_iter42).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Named", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Named.size()));
+    std::vector<NamedWeights> ::const_iterator _iter43;
+    for (_iter43 = this->Named.begin(); _iter43 != this->Named.end(); ++_iter43)
     {
-      xfer += (*_iter33).write(oprot);
+      xfer += (*_iter43).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -726,31 +907,37 @@
 void swap(EngineChanges &a, EngineChanges &b) {
   using ::std::swap;
   swap(a.Changes, b.Changes);
+  swap(a.Named, b.Named);
   swap(a.__isset, b.__isset);
 }
 
-EngineChanges::EngineChanges(const EngineChanges& other34) {
-  Changes = other34.Changes;
-  __isset = other34.__isset;
+EngineChanges::EngineChanges(const EngineChanges& other44) {
+  Changes = other44.Changes;
+  Named = other44.Named;
+  __isset = other44.__isset;
 }
-EngineChanges::EngineChanges(EngineChanges&& other35) noexcept {
-  Changes = std::move(other35.Changes);
-  __isset = other35.__isset;
+EngineChanges::EngineChanges(EngineChanges&& other45) noexcept {
+  Changes = std::move(other45.Changes);
+  Named = std::move(other45.Named);
+  __isset = other45.__isset;
 }
-EngineChanges& EngineChanges::operator=(const EngineChanges& other36) {
-  Changes = other36.Changes;
-  __isset = other36.__isset;
+EngineChanges& EngineChanges::operator=(const EngineChanges& other46) {
+  Changes = other46.Changes;
+  Named = other46.Named;
+  __isset = other46.__isset;
   return *this;
 }
-EngineChanges& EngineChanges::operator=(EngineChanges&& other37) noexcept {
-  Changes = std::move(other37.Changes);
-  __isset = other37.__isset;
+EngineChanges& EngineChanges::operator=(EngineChanges&& other47) noexcept {
+  Changes = std::move(other47.Changes);
+  Named = std::move(other47.Named);
+  __isset = other47.__isset;
   return *this;
 }
 void EngineChanges::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "EngineChanges(";
   out << "Changes=" << to_string(Changes);
+  out << ", " << "Named=" << to_string(Named);
   out << ")";
 }
 
--- a/Libraries/LibWire/Generated/Routing_types.h
+++ b/Libraries/LibWire/Generated/Routing_types.h
@@ -29,6 +29,8 @@
 
 class EngineChange;
 
+class NamedWeights;
+
 class EngineChanges;
 
 typedef struct _TargetWork__isset {
@@ -265,9 +267,69 @@
 
 std::ostream& operator<<(std::ostream& out, const EngineChange& obj);
 
+typedef struct _NamedWeights__isset {
+  _NamedWeights__isset() : Model(false), Weights(false), AgeMillis(false) {}
+  bool Model :1;
+  bool Weights :1;
+  bool AgeMillis :1;
+} _NamedWeights__isset;
+
+class NamedWeights : public virtual ::apache::thrift::TBase {
+ public:
+
+  NamedWeights(const NamedWeights&);
+  NamedWeights(NamedWeights&&) noexcept;
+  NamedWeights& operator=(const NamedWeights&);
+  NamedWeights& operator=(NamedWeights&&) noexcept;
+  NamedWeights() noexcept
+               : Model(),
+                 Weights(0),
+                 AgeMillis(0) {
+  }
+
+  virtual ~NamedWeights() noexcept;
+  std::string Model;
+  int64_t Weights;
+  int32_t AgeMillis;
+
+  _NamedWeights__isset __isset;
+
+  void __set_Model(const std::string& val);
+
+  void __set_Weights(const int64_t val);
+
+  void __set_AgeMillis(const int32_t val);
+
+  bool operator == (const NamedWeights & rhs) const
+  {
+    if (!(Model == rhs.Model))
+      return false;
+    if (!(Weights == rhs.Weights))
+      return false;
+    if (!(AgeMillis == rhs.AgeMillis))
+      return false;
+    return true;
+  }
+  bool operator != (const NamedWeights &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const NamedWeights & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(NamedWeights &a, NamedWeights &b);
+
+std::ostream& operator<<(std::ostream& out, const NamedWeights& obj);
+
 typedef struct _EngineChanges__isset {
-  _EngineChanges__isset() : Changes(false) {}
+  _EngineChanges__isset() : Changes(false), Named(false) {}
   bool Changes :1;
+  bool Named :1;
 } _EngineChanges__isset;
 
 class EngineChanges : public virtual ::apache::thrift::TBase {
@@ -282,15 +344,20 @@
 
   virtual ~EngineChanges() noexcept;
   std::vector<EngineChange>  Changes;
+  std::vector<NamedWeights>  Named;
 
   _EngineChanges__isset __isset;
 
   void __set_Changes(const std::vector<EngineChange> & val);
 
+  void __set_Named(const std::vector<NamedWeights> & val);
+
   bool operator == (const EngineChanges & rhs) const
   {
     if (!(Changes == rhs.Changes))
       return false;
+    if (!(Named == rhs.Named))
+      return false;
     return true;
   }
   bool operator != (const EngineChanges &rhs) const {
--- a/Libraries/LibWire/Idl/Routing.thrift
+++ b/Libraries/LibWire/Idl/Routing.thrift
@@ -33,6 +33,15 @@
   4: bool Loading
 }
 
+// Weights that an operator has named.
+struct NamedWeights {
+  1: string Model
+  2: i64 Weights
+  // Since the sender learnt of them.
+  3: i32 AgeMillis
+}
+
 struct EngineChanges {
   1: list<EngineChange> Changes
+  2: list<NamedWeights> Named
 }
--- a/Services/ferryd/ControlPlane.cpp
+++ b/Services/ferryd/ControlPlane.cpp
@@ -16,11 +16,12 @@
 /// are set aside for it.
 static constexpr uint32_t EnginesPerWeightsLoad = 4;
 static constexpr uint32_t LeastWeightsLoads = 2;
+/// Each load is watched by a thread of its own.
+static constexpr size_t RoutedSendingThreads = 32;
 
-/// How long a routed host keeps a target whose announcements stop. Long, since
-/// the announcements end with the control hosts: routers judge targets by their
-/// answers meanwhile, and pass over those whose announcements alone stopped.
-static constexpr Duration RoutedTargetTrust = std::chrono::seconds(30);
+/// Between proposals about the order lease: a lease that is lost with its
+/// holder is seen unchanged that much sooner.
+static constexpr Duration RoutedLeaseRenewal = std::chrono::milliseconds(400);
 /// Hosts up to which everything is exchanged, where hosts are discovered.
 static constexpr size_t DiscoveredWholeTableHosts = 128;
 
@@ -154,8 +155,11 @@
   };
   NodeCalls.DescriptionChanged = [this] { takeFromRegistry(); };
   NodeCalls.WeightsNamed = [this] {
-    if (isRouted())
-      markViewChanged();
+    if (!isRouted())
+      return;
+    noteNamedWeights();
+    spreadNamedWeights();
+    markViewChanged();
   };
   NodeCalls.StandingChanged = [this] {
     if (auto Leader = Node->log().leader())
@@ -168,19 +172,29 @@
   return {};
 }
 
+OrderGiverOptions ControlPlane::orderOptions() {
+  OrderGiverOptions Options;
+  Options.Lease.Name = registry::DeploymentLease;
+  Options.Lease.Host = Settings.Host;
+  Options.Lease.Incarnation = Store.incarnation();
+  if (!isRouted())
+    return Options;
+  Options.Lease.Length =
+      std::chrono::milliseconds(Settings.Routed.OrderLeaseMillis);
+  Options.Lease.RenewInterval = RoutedLeaseRenewal;
+  Options.Dialect = Calls.Routed.Orders;
+  Options.TellChange = [this](const routing::EngineChange &Change) {
+    spreadEngineChange(Change);
+  };
+  Options.LeastTrust = RoutedTargetTrust - freshTime(Settings.Routed);
+  Options.SendingThreads = RoutedSendingThreads;
+  Options.Fencing = Settings.Routed.Fencing;
+  return Options;
+}
+
 void ControlPlane::startOrders() {
-  registry::LeaseHolder::Options Options;
-  Options.Name = registry::DeploymentLease;
-  Options.Host = Settings.Host;
-  Options.Incarnation = Store.incarnation();
-  if (isRouted())
-    Options.Length =
-        std::chrono::milliseconds(Settings.Routed.OrderLeaseMillis);
-  Orders = std::make_unique<OrderGiver>(Options, Loop, *Gateway, Node->state(),
-                                        Calls.Routed.Orders,
-                                        [this](const auto &Change) {
-                                          spreadEngineChange(Change);
-                                        });
+  Orders = std::make_unique<OrderGiver>(orderOptions(), Loop, *Gateway,
+                                        Node->state());
 }
 
 void ControlPlane::addDumpSection(std::string Name,
@@ -195,6 +209,10 @@
   updateStanding();
   if (Confirmed.confirmedUntil() != ViewConfirmedUntil)
     markViewChanged();
+  if (isRouted() && Node && steadyNow() >= TellNamedBy) {
+    noteNamedWeights();
+    spreadNamedWeights();
+  }
   updateFigures();
   TickTimer =
       Loop.at(steadyNow() + Membership::TickInterval, [this] { tick(); });
@@ -303,6 +321,21 @@
   return Wanted;
 }
 
+void ControlPlane::noteNamedWeights() {
+  if (!Holder.routes())
+    return;
+  for (const config::RoutedService &Known : Holder.routes()->services()) {
+    if (!Known.Engine)
+      continue;
+    for (const ModelId &Model : Known.Engine->Models) {
+      WeightsVersion Weights = Node->state().namedWeights(Model);
+      auto &Seen = NamedSeen[Model];
+      if (Weights > Seen.Weights)
+        Seen = {Model, Weights, steadyNow()};
+    }
+  }
+}
+
 void ControlPlane::takeFromRegistry() {
   const registry::StoredDescription &Accepted = Node->state().description();
   wire::DescriptionCopy Copy;
--- a/Services/ferryd/ControlPlane.h
+++ b/Services/ferryd/ControlPlane.h
@@ -20,6 +20,18 @@
 
 namespace ferry::daemon {
 
+/// How long a routed host keeps a target whose announcements stop. Long, since
+/// the announcements end with the control hosts: routers judge targets by their
+/// answers meanwhile, and pass over those whose announcements alone stopped.
+inline constexpr Duration RoutedTargetTrust = std::chrono::seconds(30);
+
+/// \returns how old the newest announcement of a sound target may be: two may
+/// be missing, and the third spreads within a second.
+inline Duration freshTime(const config::RoutedSettings &Routed) {
+  return 2 * std::chrono::milliseconds(Routed.AnnounceIntervalMillis) +
+         std::chrono::milliseconds(1600);
+}
+
 /// Wires registry, membership and confirmation of one host. Everything runs on
 /// the control thread, but for port(), whose functions any thread may call.
 class ControlPlane {
@@ -35,6 +47,8 @@
     std::function<void(const HostId &, const routing::WorkDigest &)> TakeDigest;
     /// The giver of orders told of an engine.
     std::function<void(const routing::EngineChange &)> EngineChanged;
+    /// Weights were named for a model.
+    std::function<void(const routing::NamedWeights &)> WeightsNamed;
     /// What the routed interface needs; left empty by the native one.
     RoutedParts Routed;
   };
@@ -109,6 +123,9 @@
   void receiveEngineChanges(const wire::EngineChanges &Changes);
   std::vector<HostId> routers() const;
   config::Description wantedWeights() const;
+  OrderGiverOptions orderOptions();
+  void noteNamedWeights();
+  void spreadNamedWeights();
   void markViewChanged();
   void updateFigures();
 
@@ -149,6 +166,9 @@
   ControlLoop::TimerId DigestTimer;
   std::vector<routing::TargetWork> ToldWork;
   Timestamp TellWorkBy;
+  /// Named weights, and when this host learnt of them.
+  std::map<ModelId, routing::NamedWeights> NamedSeen;
+  Timestamp TellNamedBy;
 };
 
 } // namespace ferry::daemon
--- a/Services/ferryd/ControlPlaneRouting.cpp
+++ b/Services/ferryd/ControlPlaneRouting.cpp
@@ -11,6 +11,8 @@
 /// Digests that one router takes in a second at the most; with more routers,
 /// each tells the others less often.
 static constexpr int64_t MaxDigestsPerSecond = 200;
+/// Named weights are told again after this.
+static constexpr Duration NamedRepeat = std::chrono::milliseconds(500);
 /// A digest without news is told again after this, in case one was lost.
 static constexpr Duration DigestRepeat = std::chrono::milliseconds(400);
 
@@ -93,9 +95,36 @@
     Link->send(Router, wire::PayloadKind::EngineChanges, Message);
 }
 
+void ControlPlane::spreadNamedWeights() {
+  Timestamp Now = steadyNow();
+  TellNamedBy = Now + NamedRepeat;
+  if (!Node->log().isLeader() || NamedSeen.empty())
+    return;
+  wire::EngineChanges Message;
+  for (const auto &[Model, Named] : NamedSeen) {
+    if (Named.Weights.Value == 0)
+      continue;
+    wire::NamedWeights Fields;
+    Fields.Model = Model.Value;
+    Fields.Weights = static_cast<int64_t>(Named.Weights.Value);
+    Fields.AgeMillis =
+        static_cast<int32_t>((Now - Named.Since).count() / 1000);
+    Message.Named.push_back(std::move(Fields));
+  }
+  if (Message.Named.empty())
+    return;
+  for (const HostId &Router : routers())
+    Link->send(Router, wire::PayloadKind::EngineChanges, Message);
+}
+
 void ControlPlane::receiveEngineChanges(const wire::EngineChanges &Message) {
   if (!Calls.EngineChanged)
     return;
+  for (const wire::NamedWeights &Fields : Message.Named)
+    Calls.WeightsNamed(
+        {{Fields.Model},
+         {static_cast<uint64_t>(Fields.Weights)},
+         steadyNow() - std::chrono::milliseconds(Fields.AgeMillis)});
   for (const wire::EngineChange &Fields : Message.Changes)
     Calls.EngineChanged({{Fields.Target},
                          {static_cast<uint64_t>(Fields.Incarnation)},
--- a/Services/ferryd/Daemon.cpp
+++ b/Services/ferryd/Daemon.cpp
@@ -52,6 +52,10 @@
     if (auto *Front = Routed ? Routed->front() : nullptr)
       Front->placements().takeDigest(From, Digest);
   };
+  Calls.WeightsNamed = [this](const routing::NamedWeights &Named) {
+    if (auto *Front = Routed ? Routed->front() : nullptr)
+      Front->placements().weightsNamed(Named);
+  };
   Calls.EngineChanged = [this](const routing::EngineChange &Change) {
     if (auto *Front = Routed ? Routed->front() : nullptr)
       Front->placements().engineChanged(Change);
--- a/Services/ferryd/OrderGiver.cpp
+++ b/Services/ferryd/OrderGiver.cpp
@@ -10,14 +10,14 @@
 /// Longest wait for the log's answer about a slot.
 static constexpr Duration SlotTimeout = std::chrono::seconds(3);
 
-OrderGiver::OrderGiver(LeaseHolder::Options Options, ControlLoop &Loop,
-                       RegistryGateway &Gateway, const Registry &State,
-                       std::optional<OrderDialect> Dialect,
-                       ChangeTeller TellChange)
-    : Loop(Loop), Gateway(Gateway), State(State), Lease(Options),
-      Orders(control::Reconciler::Options{Dialect ? OrderWatchLimit
-                                                  : Duration::zero()}),
-      LeaseLength(Options.Length), TellChange(std::move(TellChange)),
+OrderGiver::OrderGiver(OrderGiverOptions Options, ControlLoop &Loop,
+                       RegistryGateway &Gateway, const Registry &State)
+    : Loop(Loop), Gateway(Gateway), State(State), Lease(Options.Lease),
+      Orders(control::Reconciler::Options{
+          Options.Dialect ? OrderWatchLimit : Duration::zero(),
+          Options.LeastTrust}),
+      LeaseLength(Options.Lease.Length), Fencing(Options.Fencing),
+      TellChange(std::move(Options.TellChange)),
       Sender(
           [this](control::OrderAnswered Answer) {
             this->Loop.post([this, Answer, Guard = std::weak_ptr<char>(Alive)] {
@@ -25,7 +25,7 @@
                 orderEnded(Answer);
             });
           },
-          std::move(Dialect)) {
+          std::move(Options.Dialect), Options.SendingThreads) {
   stepLease(LeaseWished{LeaseWish::Hold});
   tick();
 }
@@ -65,7 +65,7 @@
         [this](LeaseGained &&Gained) {
           // Targets that check no numbers must not see two holders take turns
           // within the length of a lease; the first holder follows nobody.
-          if (Gained.Fencing.Value > 1)
+          if (Gained.Fencing.Value > 1 && Fencing == FencingCheck::Unchecked)
             OrdersFrom = steadyNow() + LeaseLength;
           observe::logEvent(Severity::Info, "orders", "lease_gained",
                             {{"fencing", Gained.Fencing}});
--- a/Services/ferryd/OrderGiver.h
+++ b/Services/ferryd/OrderGiver.h
@@ -13,19 +13,30 @@
 
 namespace ferry::daemon {
 
+/// Told when an order to load weights goes out and when it has ended.
+using ChangeTeller = std::function<void(const routing::EngineChange &)>;
+
+/// How orders are given.
+struct OrderGiverOptions {
+  registry::LeaseHolder::Options Lease;
+  /// Of engines with another interface.
+  std::optional<OrderDialect> Dialect = std::nullopt;
+  ChangeTeller TellChange = [](const routing::EngineChange &) {};
+  /// As of control::Reconciler::Options.
+  Duration LeastTrust = Duration::zero();
+  size_t SendingThreads = 4;
+  /// Whether all targets refuse orders under old fencing numbers; if not, a new
+  /// holder waits a lease's length before its first order.
+  FencingCheck Fencing = FencingCheck::Checked;
+};
+
 /// Binds the lease, the Reconciler and the sender. All calls on the control
 /// thread.
 class OrderGiver {
 public:
   /// \param State this host's copy of the registry; outlives this object.
-  /// Told when an order to load weights goes out and when it has ended.
-  using ChangeTeller = std::function<void(const routing::EngineChange &)>;
-
-  /// \param Dialect of engines with another interface.
-  OrderGiver(registry::LeaseHolder::Options Options, ControlLoop &Loop,
-             RegistryGateway &Gateway, const registry::Registry &State,
-             std::optional<OrderDialect> Dialect = std::nullopt,
-             ChangeTeller TellChange = [](const routing::EngineChange &) {});
+  OrderGiver(OrderGiverOptions Options, ControlLoop &Loop,
+             RegistryGateway &Gateway, const registry::Registry &State);
   ~OrderGiver();
   OrderGiver(const OrderGiver &) = delete;
   OrderGiver &operator=(const OrderGiver &) = delete;
@@ -58,6 +69,7 @@
   /// Orders of an earlier holder are over then.
   Timestamp OrdersFrom;
   Duration LeaseLength;
+  FencingCheck Fencing;
   ChangeTeller TellChange;
   /// Loads whose orders are under way, by order.
   std::map<uint64_t, routing::EngineChange> Loading;
--- a/Services/ferryd/OrderSender.cpp
+++ b/Services/ferryd/OrderSender.cpp
@@ -9,7 +9,6 @@
 using control::OrderOutcome;
 using traffic::LinkErrorKind;
 
-static constexpr size_t SendingThreads = 4;
 static constexpr int FirstSuccessStatus = 200;
 static constexpr int FirstRedirectStatus = 300;
 static constexpr int StatusAccepted = 202;
@@ -46,7 +45,8 @@
   return Text.str();
 }
 
-OrderSender::OrderSender(Callback Done, std::optional<OrderDialect> Dialect)
+OrderSender::OrderSender(Callback Done, std::optional<OrderDialect> Dialect,
+                         size_t SendingThreads)
     : Done(std::move(Done)), Dialect(std::move(Dialect)) {
   for (size_t Index = 0; Index < SendingThreads; ++Index)
     Threads.emplace_back([this] { work(); });
@@ -104,7 +104,8 @@
 std::optional<EngineState>
 OrderSender::askState(const control::SendOrder &Sent,
                       Timestamp Deadline) const {
-  auto Connected = traffic::TargetConnection::tryConnect(Sent.Address, Deadline);
+  auto Connected = traffic::TargetConnection::tryConnect(
+      Sent.Address, std::min(Deadline, steadyNow() + SendLimit));
   if (!Connected)
     return std::nullopt;
   traffic::TargetConnection &Link = **Connected;
--- a/Services/ferryd/OrderSender.h
+++ b/Services/ferryd/OrderSender.h
@@ -29,7 +29,8 @@
   /// \param Dialect of engines that are watched until an order shows its
   /// effect; nothing for the native interface.
   explicit OrderSender(Callback Done,
-                       std::optional<OrderDialect> Dialect = std::nullopt);
+                       std::optional<OrderDialect> Dialect = std::nullopt,
+                       size_t SendingThreads = 4);
   ~OrderSender();
   OrderSender(const OrderSender &) = delete;
   OrderSender &operator=(const OrderSender &) = delete;
--- a/Services/ferryd/RoutedServers.cpp
+++ b/Services/ferryd/RoutedServers.cpp
@@ -14,7 +14,7 @@
 /// with this, the time until no caller comes any more.
 static constexpr uint32_t LifetimesUntilForgotten = 3;
 /// Kept from the grace for the exit itself.
-static constexpr Duration ExitTime = std::chrono::milliseconds(1000);
+static constexpr Duration ExitTime = std::chrono::milliseconds(500);
 static constexpr Duration DrainCheckPeriod = std::chrono::milliseconds(20);
 /// Longest wait for the control thread's dump.
 static constexpr Duration DumpLimit = std::chrono::seconds(2);
@@ -45,6 +45,10 @@
   if (!Settings.CallerAddress.empty()) {
     routing::PromptPlacement::Options Options;
     Options.Seed = systemSeed();
+    Options.WeightsDeadline =
+        std::chrono::milliseconds(Settings.Routed.WeightsDeadlineMillis);
+    Options.Trust = RoutedTargetTrust;
+    Options.FreshFor = freshTime(Settings.Routed);
     auto Started = traffic::RoutedFront::tryStart(
         Settings, platform::routeDialect(), Figures, Options);
     if (!Started)
@@ -116,7 +120,7 @@
       LifetimesUntilForgotten *
       std::chrono::milliseconds(Settings.Routed.DirectoryLifetimeMillis);
   DrainedFrom = std::min(DrainLimit, Now + Forgotten);
-  Front->beginDrain();
+  Front->beginDrain(DrainedFrom);
 }
 
 void RoutedServers::awaitDrained() {
