--- a/Libraries/LibConfig/RouteTable.h
+++ b/Libraries/LibConfig/RouteTable.h
@@ -71,6 +71,8 @@
 struct CacheStorePlace {
   std::string Address;
   DataCentreId DataCentre;
+  uint64_t CapacityTokens = 0;
+  uint64_t LinkMegabitsPerSecond = 0;
 };
 
 /// A service that routes lead to.
--- a/Libraries/LibRouting/PartMemory.h
+++ b/Libraries/LibRouting/PartMemory.h
@@ -20,12 +20,16 @@
   /// \returns what stands for the part \p Id within \p Scope.
   static uint64_t keyOf(uint64_t Scope, uint64_t Id);
 
-  /// Counts the part of \p Key as used last.
-  void use(uint64_t Key, uint32_t Tokens);
+  /// Counts the part of \p Key as used last. A part that was read stays so.
+  void use(uint64_t Key, uint32_t Tokens, PartState State);
 
-  /// \returns the tokens of the leading parts of \p Parts that are held.
-  uint32_t cachedTokens(uint64_t Scope,
-                        const std::vector<PromptPart> &Parts) const;
+  /// Forgets a part whose request ended before it was read.
+  void forgetAwaited(uint64_t Key);
+
+  /// \returns the tokens of the leading parts of \p Parts that are held in at
+  /// least the state \p Least.
+  uint32_t cachedTokens(uint64_t Scope, const std::vector<PromptPart> &Parts,
+                        PartState Least) const;
 
   /// Forgets everything, as after new weights or a restart.
   void clear();
@@ -36,6 +40,7 @@
   struct Entry {
     uint64_t Key = 0;
     uint32_t Tokens = 0;
+    PartState State = PartState::Awaited;
   };
   uint64_t Capacity;
   uint64_t Held = 0;
--- a/Libraries/LibRouting/PromptCall.h
+++ b/Libraries/LibRouting/PromptCall.h
@@ -45,6 +45,8 @@
   /// Another target to fetch cached parts from before the prompt is read; empty
   /// if none has more of them.
   std::string FetchFrom;
+  /// A cache store to save the parts to once they are read; empty for none.
+  std::string SaveTo;
   /// Time to the first byte as estimated, and the tokens held to be cached.
   Duration Estimate = {};
   uint32_t CachedTokens = 0;
@@ -77,11 +79,15 @@
   bool operator==(const TargetWork &) const = default;
 };
 
-/// A part that a target was seen to have; Key stands for its scope too.
+/// Whether a part was read, or a request is under way that reads it.
+enum class PartState : uint8_t { Awaited, Read };
+
+/// A part that a target has or will have; Key stands for its scope too.
 struct PartPlace {
   TargetId Target;
   uint64_t Key = 0;
   uint32_t Tokens = 0;
+  PartState State = PartState::Read;
 };
 
 /// What one router tells the others.
--- a/Libraries/LibRouting/PromptPlacement.cpp
+++ b/Libraries/LibRouting/PromptPlacement.cpp
@@ -43,6 +43,16 @@
 /// crosses data centres.
 static constexpr double FetchSetupSeconds = 0.002;
 static constexpr double FarFetchFactor = 2;
+/// A copy of a part takes the place of another one, which may have to be read
+/// again: a target that has the part is preferred by as much.
+static constexpr double CopySeconds = 0.05;
+/// Stands for the cache store in digests; no target has this id.
+static const TargetId StoreId{"#store"};
+/// Tokens of parts that are remembered as used, where a store has no capacity
+/// of its own to tell.
+static constexpr uint64_t UsedTokens = 4'000'000;
+/// A store whose fetches do not save time is left alone for so long.
+static constexpr Duration StorePause = std::chrono::seconds(2);
 /// Candidates whose costs lie this close are equal: ties are drawn.
 static constexpr double TieSeconds = 0.002;
 /// First pause after a refusal: other places are free sooner than that.
@@ -56,6 +66,8 @@
 static constexpr Duration NoTargetPause = std::chrono::seconds(1);
 static constexpr Duration LeastPause = std::chrono::milliseconds(100);
 
+static constexpr double Mega = 1e6;
+
 static double secondsOf(Duration Span) { return double(Span.count()) / 1e6; }
 
 static Duration durationOf(double Seconds) {
@@ -63,7 +75,7 @@
 }
 
 PromptPlacement::PromptPlacement(Options Chosen)
-    : Chosen(Chosen), Random(Chosen.Seed) {}
+    : Chosen(Chosen), Random(Chosen.Seed), Used(UsedTokens) {}
 
 void PromptPlacement::applyView(RoutingViewPtr Newer, Timestamp Now) {
   View = std::move(Newer);
@@ -91,8 +103,11 @@
       Entry.Parts.clear();
     const config::RoutedService *Service =
         View->Routes ? View->Routes->findService(Record.Service) : nullptr;
-    if (Service && Service->Engine)
+    if (Service && Service->Engine) {
       Entry.Parts.setCapacity(Service->Engine->CacheTokens);
+      BytesPerToken = Service->Engine->BytesPerToken;
+      EngineLinkBits = Mega * double(Service->Engine->LinkMegabitsPerSecond);
+    }
   }
   Targets = std::move(Kept);
   for (auto &[Id, Entry] : Targets) {
@@ -101,6 +116,25 @@
   }
   for (const auto &[Host, Known] : Others)
     addOthers(Known.Work, 1);
+  takeStore();
+}
+
+void PromptPlacement::takeStore() {
+  const config::CacheStorePlace *Place = nullptr;
+  if (View->Routes)
+    for (const config::RoutedService &Service : View->Routes->services())
+      if (Service.Store)
+        Place = &*Service.Store;
+  if (Place == nullptr) {
+    CacheStore.reset();
+    return;
+  }
+  if (!CacheStore || CacheStore->Address != Place->Address)
+    CacheStore.emplace();
+  CacheStore->Address = Place->Address;
+  CacheStore->DataCentre = Place->DataCentre;
+  CacheStore->BitsPerSecond = Mega * double(Place->LinkMegabitsPerSecond);
+  CacheStore->Parts.setCapacity(Place->CapacityTokens);
 }
 
 WeightsVersion PromptPlacement::weightsOf(const Target &Known,
@@ -168,9 +202,13 @@
   Known = {Digest.Work, Now + DigestHolds};
   addOthers(Known.Work, 1);
   dropSilent(Now);
-  for (const PartPlace &Part : Digest.Parts)
-    if (auto Found = Targets.find(Part.Target); Found != Targets.end())
-      Found->second.Parts.use(Part.Key, Part.Tokens);
+  for (const PartPlace &Part : Digest.Parts) {
+    Used.use(Part.Key, Part.Tokens, Part.State);
+    if (Part.Target == StoreId && CacheStore)
+      CacheStore->Parts.use(Part.Key, Part.Tokens, Part.State);
+    else if (auto Found = Targets.find(Part.Target); Found != Targets.end())
+      Found->second.Parts.use(Part.Key, Part.Tokens, Part.State);
+  }
 }
 
 WorkDigest PromptPlacement::makeDigest() {
@@ -247,26 +285,19 @@
     return Holders;
   for (const auto &[Id, Known] : Targets)
     if (Known.Record.Service == Call.Service && isUsable(Known, Now) &&
-        Known.Parts.cachedTokens(Call.CacheScope, Call.Parts) >=
-            LeastSharedTokens)
+        Known.Parts.cachedTokens(Call.CacheScope, Call.Parts,
+                                 PartState::Read) >= LeastSharedTokens)
       Holders.push_back(&Known);
   return Holders;
 }
 
-double PromptPlacement::fetchSeconds(const Target &From, const Target &To,
-                                     uint32_t Tokens) const {
-  const config::RoutedService *Service =
-      View->Routes ? View->Routes->findService(To.Record.Service) : nullptr;
-  if (!Service || !Service->Engine ||
-      Service->Engine->LinkMegabitsPerSecond == 0)
-    return double(Tokens) / PromptTokensPerSecond;
+double PromptPlacement::transferSeconds(uint32_t Tokens, double BitsPerSecond,
+                                        bool Far) const {
   static constexpr double BitsPerByte = 8;
-  static constexpr double Mega = 1e6;
-  double Transfer = double(Tokens) * double(Service->Engine->BytesPerToken) *
-                    BitsPerByte /
-                    (Mega * double(Service->Engine->LinkMegabitsPerSecond));
-  bool Far = From.Record.DataCentre != To.Record.DataCentre;
-  return FetchSetupSeconds + Transfer * (Far ? FarFetchFactor : 1);
+  double Bits = double(Tokens) * double(BytesPerToken) * BitsPerByte;
+  if (BitsPerSecond <= 0)
+    return double(Tokens) / PromptTokensPerSecond;
+  return FetchSetupSeconds + Bits / BitsPerSecond * (Far ? FarFetchFactor : 1);
 }
 
 PromptPlacement::Candidate
@@ -275,7 +306,8 @@
                           Timestamp Now) const {
   Candidate Result;
   Result.Where = &Where;
-  uint32_t Own = Where.Parts.cachedTokens(Call.CacheScope, Call.Parts);
+  uint32_t Own = Where.Parts.cachedTokens(Call.CacheScope, Call.Parts,
+                                          PartState::Awaited);
   auto ReadSeconds = [&](uint32_t Cached) {
     return std::max(0.0, double(Call.PromptTokens) - Cached) /
            PromptTokensPerSecond;
@@ -285,21 +317,41 @@
   for (const Target *Holder : Holders) {
     if (Holder == &Where || weightsOf(*Holder, Now) != weightsOf(Where, Now))
       continue;
-    uint32_t Held = Holder->Parts.cachedTokens(Call.CacheScope, Call.Parts);
+    uint32_t Held = Holder->Parts.cachedTokens(Call.CacheScope, Call.Parts,
+                                               PartState::Read);
     if (Held < Own + LeastSharedTokens)
       continue;
+    bool Far = Holder->Record.DataCentre != Where.Record.DataCentre;
     double Seconds =
-        ReadSeconds(Held) + fetchSeconds(*Holder, Where, Held - Own);
+        ReadSeconds(Held) + transferSeconds(Held - Own, EngineLinkBits, Far);
     if (Seconds >= Result.PromptSeconds)
       continue;
     Result.PromptSeconds = Seconds;
     Result.CachedTokens = Held;
     Result.Source = Holder;
   }
+  if (CacheStore && CacheStore->UnusableUntil <= Now) {
+    uint32_t Stored = CacheStore->Parts.cachedTokens(storeScope(Call, Where, Now),
+                                                     Call.Parts,
+                                                     PartState::Read);
+    bool Far = CacheStore->DataCentre != Where.Record.DataCentre;
+    double Seconds =
+        ReadSeconds(Stored) +
+        transferSeconds(Stored - std::min(Stored, Own),
+                        CacheStore->BitsPerSecond, Far);
+    if (Stored >= Own + LeastSharedTokens && Seconds < Result.PromptSeconds) {
+      Result.PromptSeconds = Seconds;
+      Result.CachedTokens = Stored;
+      Result.Source = nullptr;
+      Result.FromStore = true;
+    }
+  }
   Result.Seconds = Result.PromptSeconds + Where.BacklogSeconds +
                    Where.OthersSeconds + congestionOf(Where, Now) +
                    RunningSeconds * (Where.Running + Where.OthersRunning);
   Result.Cost = Result.Seconds + FailureSeconds * Where.FailureShare;
+  if (Result.Source != nullptr || Result.FromStore)
+    Result.Cost += CopySeconds;
   if (Where.UnusableUntil > Now)
     Result.Cost += secondsOf(Where.UnusableUntil - Now);
   if (!isFresh(Where, Now))
@@ -345,6 +397,7 @@
   Target &Where = *Best.Where;
   ++Where.Running;
   Where.BacklogSeconds += Best.PromptSeconds;
+  noteParts(Call, Where, PartState::Awaited);
   PlacedCall Placed;
   Placed.Ticket = NextTicket++;
   Placed.Target = Where.Record.Id;
@@ -353,10 +406,21 @@
   Placed.Weights = weightsOf(Where, Now);
   if (Best.Source != nullptr)
     Placed.FetchFrom = Best.Source->Record.Address;
+  if (Best.FromStore)
+    Placed.FetchFrom = CacheStore->Address;
+  bool Save = wantsSave(Call, Best, Now);
+  if (Save) {
+    Placed.SaveTo = CacheStore->Address;
+    noteStored(Call, storeScope(Call, Where, Now), PartState::Awaited);
+  }
   Placed.Estimate = durationOf(Best.Seconds);
   Placed.CachedTokens = Best.CachedTokens;
   Tickets[Placed.Ticket] = {Placed.Target, Placed.Incarnation, Call,  Now,
-                            Best.PromptSeconds, Best.Seconds,  false};
+                            Best.PromptSeconds, Best.Seconds,  false,
+                            0,                  Save};
+  if (Best.FromStore)
+    Tickets[Placed.Ticket].SparedSeconds =
+        double(Best.CachedTokens) / PromptTokensPerSecond;
   return Placed;
 }
 
@@ -388,6 +452,61 @@
   return &Found->second;
 }
 
+void PromptPlacement::noteParts(const PromptCall &Call, Target &Where,
+                                PartState State) {
+  for (const PromptPart &Part : Call.Parts) {
+    uint64_t Key = PartMemory::keyOf(Call.CacheScope, Part.Id);
+    Where.Parts.use(Key, Part.Tokens, State);
+    if (Part.Tokens >= LeastSharedTokens)
+      Used.use(Key, Part.Tokens, State);
+    if (Part.Tokens >= LeastSharedTokens && NewParts.size() < MaxDigestParts)
+      NewParts.push_back({Where.Record.Id, Key, Part.Tokens, State});
+  }
+}
+
+uint64_t PromptPlacement::storeScope(const PromptCall &Call,
+                                     const Target &Where,
+                                     Timestamp Now) const {
+  // Parts of all weights lie in the store side by side.
+  return rendezvousWeight(Call.CacheScope, weightsOf(Where, Now).Value + 1);
+}
+
+bool PromptPlacement::wantsSave(const PromptCall &Call, const Candidate &Best,
+                                Timestamp Now) const {
+  // A part that is read for the second time is likely to be asked for again;
+  // saving each one would fill the store's link.
+  if (!CacheStore || Best.CachedTokens > 0 || Call.Parts.empty() ||
+      CacheStore->UnusableUntil > Now ||
+      Call.Parts.front().Tokens < LeastSharedTokens)
+    return false;
+  uint64_t Scope = storeScope(Call, *Best.Where, Now);
+  bool Known = CacheStore->Parts.cachedTokens(Scope, Call.Parts,
+                                              PartState::Awaited) > 0;
+  return !Known && Used.cachedTokens(Call.CacheScope, Call.Parts,
+                                     PartState::Awaited) > 0;
+}
+
+void PromptPlacement::noteStored(const PromptCall &Call, uint64_t Scope,
+                                 PartState State) {
+  // The last part is the request's own.
+  for (size_t Place = 0; Place + 1 < Call.Parts.size(); ++Place) {
+    const PromptPart &Part = Call.Parts[Place];
+    uint64_t Key = PartMemory::keyOf(Scope, Part.Id);
+    CacheStore->Parts.use(Key, Part.Tokens, State);
+    if (Part.Tokens >= LeastSharedTokens && NewParts.size() < MaxDigestParts)
+      NewParts.push_back({StoreId, Key, Part.Tokens, State});
+  }
+}
+
+void PromptPlacement::judgeFetch(const Ticketed &Sent, double Excess,
+                                 Timestamp Now) {
+  // The time that a fetch was to spare was spent all the same: the store had
+  // nothing, or did not answer.
+  if (!CacheStore || Sent.SparedSeconds == 0 || Excess < Sent.SparedSeconds / 2)
+    return;
+  CacheStore->UnusableUntil = Now + StorePause;
+}
+
 void PromptPlacement::firstByte(uint64_t Ticket, Timestamp Now) {
   auto Found = Tickets.find(Ticket);
   if (Found == Tickets.end() || Found->second.Begun)
@@ -399,13 +518,11 @@
     return;
   Where->BacklogSeconds =
       std::max(0.0, Where->BacklogSeconds - Sent.PromptSeconds);
-  for (const PromptPart &Part : Sent.Call.Parts) {
-    uint64_t PartKey = PartMemory::keyOf(Sent.Call.CacheScope, Part.Id);
-    Where->Parts.use(PartKey, Part.Tokens);
-    if (Part.Tokens >= LeastSharedTokens && NewParts.size() < MaxDigestParts)
-      NewParts.push_back({Sent.Target, PartKey, Part.Tokens});
-  }
+  noteParts(Sent.Call, *Where, PartState::Read);
   double Excess = secondsOf(Now - Sent.SentAt) - Sent.ExpectedSeconds;
+  judgeFetch(Sent, Excess, Now);
+  if (Sent.Saved && CacheStore)
+    noteStored(Sent.Call, storeScope(Sent.Call, *Where, Now), PartState::Read);
   double Newest = std::max(0.0, Excess);
   Where->CongestionSeconds = (congestionOf(*Where, Now) + Newest) / 2;
   Where->CongestionAt = Now;
@@ -428,9 +545,13 @@
   if (Where == nullptr)
     return;
   Where->Running -= std::min(Where->Running, 1U);
-  if (!Sent.Begun)
+  if (!Sent.Begun) {
     Where->BacklogSeconds =
         std::max(0.0, Where->BacklogSeconds - Sent.PromptSeconds);
+    for (const PromptPart &Part : Sent.Call.Parts)
+      Where->Parts.forgetAwaited(
+          PartMemory::keyOf(Sent.Call.CacheScope, Part.Id));
+  }
   bool Judged = End != CallEnd::NotRun && End != CallEnd::Abandoned;
   double Failed = End == CallEnd::Served ? 0 : 1;
   if (Judged)
--- a/Libraries/LibRouting/PromptPlacement.h
+++ b/Libraries/LibRouting/PromptPlacement.h
@@ -109,6 +109,9 @@
     double PromptSeconds = 0;
     double ExpectedSeconds = 0;
     bool Begun = false;
+    /// Time that a fetch from the store was to spare; 0 without one.
+    double SparedSeconds = 0;
+    bool Saved = false;
   };
 
   struct Candidate {
@@ -118,6 +121,7 @@
     double Cost = 0;
     uint32_t CachedTokens = 0;
     const Target *Source = nullptr;
+    bool FromStore = false;
   };
 
   std::vector<Target *> candidatesOf(const PromptCall &Call, Timestamp Now);
@@ -126,13 +130,21 @@
                      Timestamp Now) const;
   std::vector<const Target *> holdersOf(const PromptCall &Call,
                                         Timestamp Now) const;
-  double fetchSeconds(const Target &From, const Target &To,
-                      uint32_t Tokens) const;
   WeightsVersion weightsOf(const Target &Known, Timestamp Now) const;
   bool isUsable(const Target &Known, Timestamp Now) const;
   Timestamp overtakenSince(const Target &Known, Timestamp Now) const;
   void addOthers(const std::vector<TargetWork> &Work, double Sign);
   void dropSilent(Timestamp Now);
+  void noteParts(const PromptCall &Call, Target &Where, PartState State);
+  void noteStored(const PromptCall &Call, uint64_t Scope, PartState State);
+  uint64_t storeScope(const PromptCall &Call, const Target &Where,
+                      Timestamp Now) const;
+  void judgeFetch(const Ticketed &Sent, double Excess, Timestamp Now);
+  bool wantsSave(const PromptCall &Call, const Candidate &Best,
+                 Timestamp Now) const;
+  void takeStore();
+  double transferSeconds(uint32_t Tokens, double BitsPerSecond,
+                         bool Far) const;
   bool isFresh(const Target &Known, Timestamp Now) const;
   double congestionOf(const Target &Known, Timestamp Now) const;
   TurnedAway turnAway(const PromptCall &Call, TurnAwayReason Reason,
@@ -152,6 +164,22 @@
   };
   std::map<HostId, Told> Others;
   std::vector<PartPlace> NewParts;
+  /// The cache store, as the description names it, and what it is held to have.
+  /// Its parts are told in digests under StoreId.
+  struct Store {
+    std::string Address;
+    DataCentreId DataCentre;
+    double BitsPerSecond = 0;
+    PartMemory Parts;
+    /// Not asked before this: it seems to be down or empty.
+    Timestamp UnusableUntil;
+  };
+  std::optional<Store> CacheStore;
+  /// Of the engines; 0 before the first description.
+  uint64_t BytesPerToken = 0;
+  double EngineLinkBits = 0;
+  /// Large parts that were used lately, wherever.
+  PartMemory Used;
   /// The newest named weights of each model, the oldest first.
   std::map<ModelId, std::vector<NamedWeights>> Named;
   std::unordered_map<uint64_t, Ticketed> Tickets;
--- a/Libraries/LibTraffic/RouteDialect.h
+++ b/Libraries/LibTraffic/RouteDialect.h
@@ -40,6 +40,8 @@
   WeightsVersion Weights;
   /// Where the target fetches cached parts from; empty for nowhere.
   std::string FetchFrom;
+  /// Where it saves them once they are read; empty for nowhere.
+  std::string SaveTo;
   /// The last event that the caller has, where a stream goes on.
   std::optional<std::string> AfterEvent;
 };
--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -14,6 +14,8 @@
 /// When a request to a router that knows no routes yet may come again: one
 /// question to a control host later.
 static constexpr Duration NoRoutesPause = std::chrono::milliseconds(500);
+/// Prompts of this size take as long to read as a short one may wait.
+static constexpr uint32_t LongPromptTokens = 4096;
 /// When a request may come again that another router takes at once.
 static constexpr Duration ElsewherePause = std::chrono::milliseconds(50);
 /// A target that was given less would hardly begin.
@@ -98,6 +100,7 @@
     if (const auto *Refusal = std::get_if<TurnedAway>(&Placed))
       return turnAway(*Refusal);
     ++Attempts;
+    logPlaced(std::get<PlacedCall>(Placed));
     Next Then = attempt(std::get<PlacedCall>(Placed));
     if (Then == Next::Done)
       return;
@@ -117,17 +120,21 @@
   Details.Expected = Placed.Target;
   Details.WaitMillis =
       static_cast<uint64_t>(millisUntil(Call.Deadline, steadyNow()));
-  Details.Priority = Route->Priority;
+  uint32_t Rank = Route->Priority;
   if (Workspace) {
     Details.Workspace = Workspace->Id;
-    Details.Priority = Workspace->Priority.value_or(Route->Priority);
+    Rank = Workspace->Priority.value_or(Rank);
   }
+  // Of equal rank, a short prompt first: it delays a long one by little.
+  bool Long = Call.PromptTokens >= LongPromptTokens;
+  Details.Priority = 2 * Rank + (Long ? 1 : 0);
   if (Placed.Weights.Value == 0)
     return Details;
   // A part is found only under the weights that it was read with, also by
   // another engine that fetches it later.
   Details.Weights = Placed.Weights;
   Details.FetchFrom = Placed.FetchFrom;
+  Details.SaveTo = Placed.SaveTo;
   Details.CacheScope = "w" + std::to_string(Placed.Weights.Value);
   if (Workspace && Workspace->Isolated)
     Details.CacheScope += "." + Workspace->Id.Value;
@@ -314,6 +321,22 @@
   logEnd("refused", httpStatus(Answer.Type));
 }
 
+void RoutedRelay::logPlaced(const PlacedCall &Placed) {
+  observe::logEvent(Severity::Info, "routed", "placed",
+                    {{"target", Placed.Target},
+                     {"service", Call.Service},
+                     {"number", View->Number},
+                     {"weights", Placed.Weights},
+                     {"leading_part", Call.Parts.empty() ? 0 : Call.Parts[0].Id},
+                     {"prompt_tokens", Call.PromptTokens},
+                     {"cached_tokens", Placed.CachedTokens},
+                     {"fetch_from", Placed.FetchFrom},
+                     {"estimate_ms", Placed.Estimate.count() / 1000},
+                     {"deadline_ms", millisUntil(Call.Deadline, steadyNow())},
+                     {"attempt", Attempts}},
+                    Caller.Id);
+}
+
 void RoutedRelay::logEnd(std::string_view Event, int Status) {
   std::string Name = Route ? Route->Name : "none";
   Context.Figures.Answers.with({Name, std::to_string(Status)}).add();
--- a/Libraries/LibTraffic/RoutedRelay.h
+++ b/Libraries/LibTraffic/RoutedRelay.h
@@ -44,6 +44,7 @@
   void turnAway(const routing::TurnedAway &Refusal);
   void giveUp();
   void refuse(const ErrorAnswer &Answer);
+  void logPlaced(const routing::PlacedCall &Placed);
   void logEnd(std::string_view Event, int Status);
   WaitLimits limits() const;
   TargetDetails detailsFor(const routing::PlacedCall &Placed) const;
--- a/Libraries/LibWire/Generated/Routing_types.cpp
+++ b/Libraries/LibWire/Generated/Routing_types.cpp
@@ -174,6 +174,10 @@
 void PartPlace::__set_Tokens(const int32_t val) {
   this->Tokens = val;
 }
+
+void PartPlace::__set_Read(const bool val) {
+  this->Read = val;
+}
 std::ostream& operator<<(std::ostream& out, const PartPlace& obj)
 {
   obj.printTo(out);
@@ -226,6 +230,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->Read);
+          this->__isset.Read = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -255,6 +267,10 @@
   xfer += oprot->writeI32(this->Tokens);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("Read", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->Read);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -265,6 +281,7 @@
   swap(a.Target, b.Target);
   swap(a.Part, b.Part);
   swap(a.Tokens, b.Tokens);
+  swap(a.Read, b.Read);
   swap(a.__isset, b.__isset);
 }
 
@@ -272,18 +289,21 @@
   Target = other4.Target;
   Part = other4.Part;
   Tokens = other4.Tokens;
+  Read = other4.Read;
   __isset = other4.__isset;
 }
 PartPlace::PartPlace(PartPlace&& other5) noexcept {
   Target = std::move(other5.Target);
   Part = other5.Part;
   Tokens = other5.Tokens;
+  Read = other5.Read;
   __isset = other5.__isset;
 }
 PartPlace& PartPlace::operator=(const PartPlace& other6) {
   Target = other6.Target;
   Part = other6.Part;
   Tokens = other6.Tokens;
+  Read = other6.Read;
   __isset = other6.__isset;
   return *this;
 }
@@ -291,6 +311,7 @@
   Target = std::move(other7.Target);
   Part = other7.Part;
   Tokens = other7.Tokens;
+  Read = other7.Read;
   __isset = other7.__isset;
   return *this;
 }
@@ -300,6 +321,7 @@
   out << "Target=" << to_string(Target);
   out << ", " << "Part=" << to_string(Part);
   out << ", " << "Tokens=" << to_string(Tokens);
+  out << ", " << "Read=" << to_string(Read);
   out << ")";
 }
 
--- a/Libraries/LibWire/Generated/Routing_types.h
+++ b/Libraries/LibWire/Generated/Routing_types.h
@@ -93,10 +93,11 @@
 std::ostream& operator<<(std::ostream& out, const TargetWork& obj);
 
 typedef struct _PartPlace__isset {
-  _PartPlace__isset() : Target(false), Part(false), Tokens(false) {}
+  _PartPlace__isset() : Target(false), Part(false), Tokens(false), Read(false) {}
   bool Target :1;
   bool Part :1;
   bool Tokens :1;
+  bool Read :1;
 } _PartPlace__isset;
 
 class PartPlace : public virtual ::apache::thrift::TBase {
@@ -109,13 +110,15 @@
   PartPlace() noexcept
             : Target(),
               Part(0),
-              Tokens(0) {
+              Tokens(0),
+              Read(0) {
   }
 
   virtual ~PartPlace() noexcept;
   std::string Target;
   int64_t Part;
   int32_t Tokens;
+  bool Read;
 
   _PartPlace__isset __isset;
 
@@ -125,6 +128,8 @@
 
   void __set_Tokens(const int32_t val);
 
+  void __set_Read(const bool val);
+
   bool operator == (const PartPlace & rhs) const
   {
     if (!(Target == rhs.Target))
@@ -133,6 +138,8 @@
       return false;
     if (!(Tokens == rhs.Tokens))
       return false;
+    if (!(Read == rhs.Read))
+      return false;
     return true;
   }
   bool operator != (const PartPlace &rhs) const {
--- a/Libraries/LibWire/Idl/Routing.thrift
+++ b/Libraries/LibWire/Idl/Routing.thrift
@@ -15,6 +15,8 @@
   1: string Target
   2: i64 Part
   3: i32 Tokens
+  // Whether it was read, or a request is under way that reads it.
+  4: bool Read
 }
 
 // Replaces the sender's earlier work; the parts are those of its newest
--- a/Services/ferryd/ControlPlaneRouting.cpp
+++ b/Services/ferryd/ControlPlaneRouting.cpp
@@ -40,6 +40,7 @@
     Fields.Target = Part.Target.Value;
     Fields.Part = static_cast<int64_t>(Part.Key);
     Fields.Tokens = static_cast<int32_t>(Part.Tokens);
+    Fields.Read = Part.State == routing::PartState::Read;
     Message.Parts.push_back(std::move(Fields));
   }
   return Message;
@@ -79,7 +80,9 @@
   for (const wire::PartPlace &Part : Message.Parts)
     Digest.Parts.push_back({{Part.Target},
                             static_cast<uint64_t>(Part.Part),
-                            static_cast<uint32_t>(std::max(Part.Tokens, 0))});
+                            static_cast<uint32_t>(std::max(Part.Tokens, 0)),
+                            Part.Read ? routing::PartState::Read
+                                      : routing::PartState::Awaited});
   Calls.TakeDigest(From, Digest);
 }
 
