--- a/Services/ferryd/ControlPlane.cpp
+++ b/Services/ferryd/ControlPlane.cpp
@@ -264,6 +264,13 @@
       stepMembership(SeedGiven{Seed});
 }
 
+void ControlPlane::seedsChanged(std::vector<HostId> Seeds) {
+  if (!isRouted())
+    return;
+  Settings.Discovery.Seeds = std::move(Seeds);
+  giveSeeds();
+}
+
 void ControlPlane::updateControlHosts() {
   if (!isRouted())
     return;
--- a/Services/ferryd/ControlPlane.h
+++ b/Services/ferryd/ControlPlane.h
@@ -77,6 +77,9 @@
   /// from any thread.
   std::string metricsText() const { return Figures.render(); }
 
+  /// Takes the seeds of newer settings; hosts known by others stay known.
+  void seedsChanged(std::vector<HostId> Seeds);
+
   /// Stops the log after the writes under way.
   void close();
 
--- a/Services/ferryd/Daemon.cpp
+++ b/Services/ferryd/Daemon.cpp
@@ -125,6 +125,14 @@
   stop();
 }
 
+void Daemon::reload(const config::Settings &Newer) {
+  observe::logEvent(Severity::Info, "ferryd", "reloaded",
+                    {{"seeds", Newer.Discovery.Seeds.size()}});
+  Loop.post([this, Seeds = Newer.Discovery.Seeds] {
+    Control->seedsChanged(Seeds);
+  });
+}
+
 void Daemon::stop() {
   if (Routed)
     Routed->stop(steadyNow() + StopGrace);
--- a/Services/ferryd/Daemon.h
+++ b/Services/ferryd/Daemon.h
@@ -27,6 +27,10 @@
   /// finishes what runs, and stops.
   void drainAndStop();
 
+  /// Takes what may change while the daemon runs: the seeds. The rest needs a
+  /// restart.
+  void reload(const config::Settings &Newer);
+
   /// Stops without waiting for requests in hand.
   void stop();
 
--- a/Services/ferryd/main.cpp
+++ b/Services/ferryd/main.cpp
@@ -39,23 +39,41 @@
   sigemptyset(&Stops);
   sigaddset(&Stops, SIGTERM);
   sigaddset(&Stops, SIGINT);
+  sigaddset(&Stops, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &Stops, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
   return Stops;
 }
 
-/// Waits for the first signal, then drains; SIGINT ends without a drain.
-static void runUntilStopped(daemon::Daemon &Running, const sigset_t &Stops) {
+/// Reads the settings again; a running daemon takes new seeds from them. With
+/// faults in the file it goes on as it is.
+static void reload(daemon::Daemon &Running, const std::string &Path) {
+  auto Settings = config::tryLoadSettings(Path);
+  if (!Settings) {
+    for (const config::ConfigError &Fault : Settings.error())
+      observe::logEvent(observe::Severity::Error, "ferryd", "reload_failed",
+                        {{"reason", Fault.message()}});
+    return;
+  }
+  applyLogLevel(Settings->Level);
+  Running.reload(*Settings);
+}
+
+/// Waits for the first signal to stop, then drains; SIGINT ends without a
+/// drain, SIGHUP reads the settings again.
+static void runUntilStopped(daemon::Daemon &Running, const sigset_t &Stops,
+                            const std::string &Path) {
   int Signal = 0;
-  sigwait(&Stops, &Signal);
+  while (sigwait(&Stops, &Signal) == 0 && Signal == SIGHUP)
+    reload(Running, Path);
   if (Signal == SIGTERM)
     Running.drainAndStop();
   else
     Running.stop();
 }
 
-static int runDaemon(const config::Settings &Settings) {
-  sigset_t Stops = blockStopSignals();
+static int runDaemon(const config::Settings &Settings, const std::string &Path,
+                     const sigset_t &Stops) {
   auto RequestDrain = [] { kill(getpid(), SIGTERM); };
   auto Started = daemon::Daemon::tryStart(Settings, RequestDrain);
   if (!Started) {
@@ -63,11 +81,13 @@
                       {{"reason", Started.error().message()}});
     return toInt(exitCodeOf(Started.error().Kind));
   }
-  runUntilStopped(**Started, Stops);
+  runUntilStopped(**Started, Stops, Path);
   return toInt(ExitCode::Success);
 }
 
 static int runWithSettings(const std::string &Path) {
+  // Before the settings are read: a signal then must not end the process.
+  sigset_t Stops = blockStopSignals();
   auto Settings = config::tryLoadSettings(Path);
   if (!Settings) {
     for (const config::ConfigError &Fault : Settings.error())
@@ -75,7 +95,7 @@
     return toInt(ExitCode::BadSettings);
   }
   applyLogLevel(Settings->Level);
-  return runDaemon(*Settings);
+  return runDaemon(*Settings, Path, Stops);
 }
 
 int main(int Count, char **Arguments) {
