Tests: Cover discovery, framing, placement by prompt parts and the adapter

TestPromptPlacement found that a part counted as used before the choice to save it was made, so that every first read was saved.

--- a/Libraries/LibRouting/PromptPlacement.cpp
+++ b/Libraries/LibRouting/PromptPlacement.cpp
@@ -397,7 +397,6 @@
   Target &Where = *Best.Where;
   ++Where.Running;
   Where.BacklogSeconds += Best.PromptSeconds;
-  noteParts(Call, Where, PartState::Awaited);
   PlacedCall Placed;
   Placed.Ticket = NextTicket++;
   Placed.Target = Where.Record.Id;
@@ -413,6 +412,7 @@
     Placed.SaveTo = CacheStore->Address;
     noteStored(Call, storeScope(Call, Where, Now), PartState::Awaited);
   }
+  noteParts(Call, Where, PartState::Awaited);
   Placed.Estimate = durationOf(Best.Seconds);
   Placed.CachedTokens = Best.CachedTokens;
   Tickets[Placed.Ticket] = {Placed.Target, Placed.Incarnation, Call,  Now,
--- a/Tests/LibConsensus/SimulatedCluster.h
+++ b/Tests/LibConsensus/SimulatedCluster.h
@@ -242,6 +242,11 @@
   Duration MaxSyncTime = 3ms;
   ReplicaTiming Timing;
   ReplicaLimits Limits;
+  /// With discovered members, the first Seeds hosts form the log.
+  MemberSource Source = MemberSource::Listed;
+  size_t Seeds = 3;
+  bool MayForm = true;
+  size_t WantedVoters = 3;
   /// Directed links that are cut.
   std::set<std::pair<HostId, HostId>> Cut;
   struct Traffic {
@@ -281,14 +286,27 @@
     ReplicaOptions Options;
     Options.Cluster = {"sim"};
     Options.Self = Host.Host;
+    Options.Members = Source;
     for (const SimulatedHost &Other : Hosts)
-      Options.Hosts.push_back(Other.Host);
+      if (Source == MemberSource::Listed || Options.Hosts.size() < Seeds)
+        Options.Hosts.push_back(Other.Host);
+    Options.MayForm = MayForm;
+    Options.WantedVoters = WantedVoters;
     Options.Seed = Random();
     Options.Timing = Timing;
     Options.Limits = Limits;
     Host.Machine = std::make_unique<Replica>(std::move(Options),
                                              std::move(Recovered), clock(Host));
     step(Host, TickEvent{});
+    if (Source == MemberSource::Discovered)
+      step(Host, HostsEvent{hostIds()});
+  }
+
+  std::vector<HostId> hostIds() const {
+    std::vector<HostId> Ids;
+    for (const SimulatedHost &Each : Hosts)
+      Ids.push_back(Each.Host);
+    return Ids;
   }
 
   DurableState cutAtDamage(SimulatedHost &Host) {
--- /dev/null
+++ b/Tests/LibConsensus/TestDiscoveredMembers.cpp
@@ -0,0 +1,113 @@
+// Logs whose members are discovered: formation, replacement, lost disks.
+#include "LibConsensus/SimulatedCluster.h"
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace ferry;
+using namespace ferry::consensus;
+namespace data = boost::unit_test::data;
+
+/// Hosts a, b and c are seeds; further ones are discovered.
+static SimulatedCluster makeCluster(size_t Hosts, uint64_t Seed) {
+  SimulatedCluster Cluster(Hosts, Seed);
+  Cluster.Source = MemberSource::Discovered;
+  return Cluster;
+}
+
+static std::set<std::string> votersOf(SimulatedCluster &Cluster) {
+  std::set<std::string> Names;
+  if (SimulatedHost *Leader = Cluster.leader())
+    for (const Member &Voter : Leader->Machine->status().Members.Voters)
+      Names.insert(Voter.Host.Value);
+  return Names;
+}
+
+/// Proposes until the command is committed at the leader.
+static bool commitOne(SimulatedCluster &Cluster, const std::string &Command) {
+  return Cluster.runUntil([&] { return Cluster.leader() != nullptr; }, 5s) &&
+         [&] {
+           SimulatedHost *Leader = Cluster.leader();
+           Cluster.propose(*Leader, Command);
+           uint64_t Index = Leader->Machine->log().lastIndex();
+           return Cluster.runUntil(
+               [&] {
+                 return Leader->Machine &&
+                        Leader->Machine->commitIndex() >= Index;
+               },
+               2s);
+         }();
+}
+
+BOOST_DATA_TEST_CASE(a_silent_voter_is_replaced_by_a_discovered_host,
+                     data::xrange(10), Seed) {
+  SimulatedCluster Cluster = makeCluster(4, Seed);
+  Cluster.startAll();
+  BOOST_REQUIRE(commitOne(Cluster, "one"));
+  Cluster.runFor(5s);
+  const std::set<std::string> Seeds{"a", "b", "c"};
+  BOOST_TEST((votersOf(Cluster) == Seeds));
+  SimulatedHost &Lost =
+      Cluster.leader() == &Cluster.Hosts[0] ? Cluster.Hosts[1]
+                                            : Cluster.Hosts[0];
+  std::string Name = Lost.Host.Value;
+  Cluster.crash(Lost);
+  // The fourth host is taken in before the silent one goes.
+  BOOST_REQUIRE(Cluster.runUntil(
+      [&] {
+        auto Voters = votersOf(Cluster);
+        return Voters.count("d") == 1 && Voters.count(Name) == 0;
+      },
+      10s));
+  BOOST_TEST(votersOf(Cluster).size() == 3U);
+  BOOST_TEST(commitOne(Cluster, "two"));
+  // The second loss comes right after the repair.
+  for (SimulatedHost &Host : Cluster.Hosts)
+    if (Host.Machine && &Host != Cluster.leader() && Host.Host.Value != "d") {
+      Cluster.crash(Host);
+      break;
+    }
+  BOOST_TEST(commitOne(Cluster, "three"));
+  BOOST_TEST(Cluster.Checks.violation() == "");
+}
+
+BOOST_DATA_TEST_CASE(empty_disks_never_form_a_second_log, data::xrange(5),
+                     Seed) {
+  SimulatedCluster Cluster = makeCluster(4, Seed);
+  Cluster.MayForm = false;
+  Cluster.startAll();
+  Cluster.runFor(10s);
+  BOOST_TEST(Cluster.leader() == nullptr);
+}
+
+BOOST_DATA_TEST_CASE(stale_and_blank_hosts_elect_nobody, data::xrange(10),
+                     Seed) {
+  SimulatedCluster Cluster = makeCluster(3, Seed);
+  Cluster.startAll();
+  BOOST_REQUIRE(commitOne(Cluster, "one"));
+  Cluster.runFor(1s);
+  SimulatedHost *Leader = Cluster.leader();
+  BOOST_REQUIRE(Leader != nullptr);
+  std::vector<SimulatedHost *> Others;
+  for (SimulatedHost &Host : Cluster.Hosts)
+    if (&Host != Leader)
+      Others.push_back(&Host);
+  SimulatedHost &Behind = *Others[0];
+  SimulatedHost &Wiped = *Others[1];
+  for (SimulatedHost &Host : Cluster.Hosts)
+    if (&Host != &Behind) {
+      Cluster.Cut.insert({Host.Host, Behind.Host});
+      Cluster.Cut.insert({Behind.Host, Host.Host});
+    }
+  BOOST_REQUIRE(commitOne(Cluster, "missed"));
+  Cluster.MayForm = false;
+  Cluster.swapDisk(Wiped, {});
+  Cluster.crash(*Leader);
+  Cluster.start(Wiped);
+  Cluster.Cut.clear();
+  Cluster.runFor(10s);
+  BOOST_TEST(Cluster.leader() == nullptr);
+  // With the host that knows it, the entry is there and the log goes on.
+  Cluster.start(*Leader);
+  BOOST_TEST(commitOne(Cluster, "after"));
+  BOOST_TEST(Cluster.Checks.violation() == "");
+}
--- /dev/null
+++ b/Tests/platform/TestCallHeaders.cpp
@@ -0,0 +1,125 @@
+// Heads of requests and answers on the platform.
+#include "platform/CallHeaders.h"
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace ferry;
+using namespace ferry::platform;
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
+namespace data = boost::unit_test::data;
+
+static HTTPRequest callerHead() {
+  HTTPRequest Head("POST", "/p/2f?x=1", "HTTP/1.1");
+  Head.setHost("a.example");
+  Head.set("X-Request-Id", "9c41");
+  Head.set("X-Model", "m0");
+  Head.set("X-Token-Counts", "1460,80");
+  Head.set("X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250");
+  Head.set("X-Deadline-Ms", "12000");
+  Head.set("Authorization", "Bearer ctnf");
+  return Head;
+}
+
+BOOST_AUTO_TEST_CASE(a_callers_head_is_read) {
+  auto Caller = readCaller(callerHead());
+  BOOST_TEST(Caller.Id.Value == "9c41");
+  BOOST_TEST(Caller.WaitMillis.value_or(0) == 12000U);
+  BOOST_TEST(Caller.Key == "ctnf");
+  BOOST_TEST(Caller.PromptTokens == 1460U);
+  BOOST_TEST(Caller.OutputTokens == 80U);
+  BOOST_REQUIRE(Caller.Parts.size() == 3U);
+  BOOST_TEST(Caller.Parts[0].Id == 0x5c1e07a2U);
+  BOOST_TEST(Caller.Parts[1].Tokens == 410U);
+}
+
+static const std::vector<std::string> BadParts = {
+    "zz:1", "5c", "5c:", ":4", "5c:1,,", "5c:-1", "5c:1;6d:2",
+    "11111111111111111:1"};
+
+BOOST_DATA_TEST_CASE(a_chain_with_a_bad_part_counts_as_none,
+                     data::make(BadParts), Text) {
+  HTTPRequest Head = callerHead();
+  Head.set("X-Prompt-Prefix", Text);
+  BOOST_TEST(readCaller(Head).Parts.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_wait_that_is_no_number_counts_as_none) {
+  HTTPRequest Head = callerHead();
+  Head.set("X-Deadline-Ms", "soon");
+  BOOST_TEST(!readCaller(Head).WaitMillis);
+}
+
+static traffic::TargetDetails details() {
+  traffic::TargetDetails Details;
+  Details.Expected = {"i-1"};
+  Details.WaitMillis = 900;
+  Details.Workspace = {"t1"};
+  Details.Priority = 12;
+  Details.Weights = {3};
+  Details.CacheScope = "w3.t1";
+  return Details;
+}
+
+BOOST_AUTO_TEST_CASE(a_target_gets_the_callers_head_less_the_key) {
+  HTTPRequest Head = writeTarget(callerHead(), details());
+  BOOST_TEST(Head.getURI() == "/p/2f?x=1");
+  BOOST_TEST(Head.getMethod() == "POST");
+  BOOST_TEST(Head.getHost() == "a.example");
+  BOOST_TEST(Head.get("X-Model") == "m0");
+  BOOST_TEST(Head.get("X-Token-Counts") == "1460,80");
+  BOOST_TEST(Head.get("X-Deadline-Ms") == "900");
+  BOOST_TEST(Head.get("X-Expect-Instance") == "i-1");
+  BOOST_TEST(Head.get("X-Expect-Version") == "3");
+  BOOST_TEST(Head.get("X-Tenant") == "t1");
+  BOOST_TEST(Head.get("X-Cache-Salt") == "w3.t1");
+  BOOST_TEST(Head.get("X-Request-Priority") == "9");
+  BOOST_TEST(!Head.has("Authorization"));
+  BOOST_TEST(!Head.has("X-Cache-Fetch"));
+}
+
+/// Headers that callers may send, and that must not reach a target.
+static const std::vector<std::string> Spoofed = {
+    "X-Tenant",        "x-cache-salt", "X-CACHE-FETCH",    "X-Cache-Save",
+    "X-Cache-Backup",  "X-Hold",       "X-Pin-Ms",         "Kv-From",
+    "X-Request-Priority", "X-Expect-Instance", "X-Expect-Version",
+    "Connection",      "Keep-Alive",   "Transfer-Encoding", "Content-Length",
+    "TE",              "Upgrade",      "X-Not-Run",         "X-Server-Seal"};
+
+BOOST_DATA_TEST_CASE(what_is_the_systems_to_set_is_dropped,
+                     data::make(Spoofed), Name) {
+  HTTPRequest From = callerHead();
+  From.add(Name, "spoofed");
+  From.add(Name, "spoofed twice");
+  traffic::TargetDetails Bare;
+  Bare.Expected = {"i-1"};
+  HTTPRequest Head = writeTarget(From, Bare);
+  for (const auto &[Key, Value] : Head)
+    BOOST_TEST(Value.find("spoofed") == std::string::npos, Key);
+}
+
+BOOST_AUTO_TEST_CASE(a_resumed_stream_names_the_last_event_once) {
+  HTTPRequest From = callerHead();
+  From.set("Last-Event-Id", "2");
+  traffic::TargetDetails Details = details();
+  BOOST_TEST(writeTarget(From, Details).get("Last-Event-Id") == "2");
+  Details.AfterEvent = "5";
+  BOOST_TEST(writeTarget(From, Details).get("Last-Event-Id") == "5");
+}
+
+BOOST_AUTO_TEST_CASE(an_answers_head_is_read) {
+  HTTPResponse Head(HTTPResponse::HTTP_OK);
+  Head.set("X-Request-Id", "9c41");
+  Head.set("X-Server-Seal", "3e1b");
+  auto Details = readAnswer(Head, {"9c41"});
+  BOOST_TEST(Details.Vouched);
+  BOOST_TEST(!Details.ForAnother);
+  BOOST_TEST(!Details.NotRun);
+  BOOST_TEST(readAnswer(Head, {"other"}).ForAnother);
+  HTTPResponse Refused(HTTPResponse::HTTP_SERVICE_UNAVAILABLE);
+  BOOST_TEST(!readAnswer(Refused, {"9c41"}).NotRun);
+  Refused.set("X-Not-Run", "1");
+  BOOST_TEST(readAnswer(Refused, {"9c41"}).NotRun);
+  HTTPResponse Other(static_cast<HTTPResponse::HTTPStatus>(421));
+  BOOST_TEST(readAnswer(Other, {"9c41"}).OtherTarget);
+}
--- /dev/null
+++ b/Tests/platform/TestRouteTableCodec.cpp
@@ -0,0 +1,117 @@
+// The platform's descriptions, whole and faulty.
+#include "platform/RouteTableCodec.h"
+#include <Poco/String.h>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace ferry;
+using namespace ferry::platform;
+namespace data = boost::unit_test::data;
+
+static const std::string Whole = R"({"version":7,"routes":[
+{"name":"r-1","host":"a.example","path_prefix":"/p/","route_kind":"stream",
+ "timeout_ms":12000,"target_latency_ms":800,"priority":1,
+ "traffic_split":[{"service":"lm","weight":90},{"service":"lm2","weight":10}],
+ "max_attempts":1,"public":false,"sticky":true,"resumable":false,
+ "gap_target_ms":400},
+{"name":"r-2","host":"a.example","path_prefix":"/p/q/","route_kind":"stream",
+ "timeout_ms":5000,"priority":0,"service":"lm","max_attempts":2,
+ "resumable":true},
+{"name":"r-3","host":"a.example","path_prefix":"/w/",
+ "route_kind":"non_idempotent","timeout_ms":2000,"service":"lm2"},
+{"name":"r-4","host":"a.example","path_prefix":"/r/",
+ "route_kind":"idempotent","timeout_ms":2000,"service":"lm2","public":true}],
+"services":[{"name":"lm","health_path":"/health","max_conns":360,
+ "engine":{"slots":64,"kv_capacity":163847,"kv_token_bytes":18432,
+ "link_mbps":370000.0,"models":[{"name":"m0"}]}},
+ {"name":"lm2","health_path":"/health","max_conns":100},
+ {"name":"store","kv_store_addr":"172.20.0.2:8781","zone":"z-b",
+ "kv_capacity":1331668,"link_mbps":31000.0}],
+"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,
+ "header_timeout_ms":3000,"idle_timeout_ms":9000},
+"tenants":[{"name":"t1","api_keys":["k1","k2"],"priority":1,"isolated":true},
+ {"name":"t2","api_keys":["k3"]}]})";
+
+BOOST_AUTO_TEST_CASE(a_whole_description_is_read) {
+  auto Read = tryDecodeRoutes(Whole);
+  BOOST_REQUIRE(Read);
+  const config::RouteTable &Table = **Read;
+  BOOST_TEST(Table.number().Value == 7U);
+  // The longest prefix wins.
+  const config::Route *Long = Table.findRoute("a.example", "/p/q/x");
+  BOOST_REQUIRE(Long);
+  BOOST_TEST(Long->Name == "r-2");
+  BOOST_TEST((Long->Repeats == config::RepeatPolicy::Idempotent));
+  const config::Route *Split = Table.findRoute("a.example", "/p/x");
+  BOOST_REQUIRE(Split);
+  // A stream that cannot be resumed may run once.
+  BOOST_TEST((Split->Repeats == config::RepeatPolicy::AtMostOnce));
+  BOOST_TEST((Split->Answers == config::AnswerForm::Stream));
+  BOOST_TEST(Table.findRoute("a.example", "/p") == nullptr);
+  BOOST_TEST(Table.findRoute("b.example", "/p/x") == nullptr);
+  BOOST_TEST(Table.findWorkspace("k2")->Id.Value == "t1");
+  BOOST_TEST(Table.findWorkspace("k2")->Isolated);
+  BOOST_TEST(Table.findWorkspace("k4") == nullptr);
+  BOOST_TEST(Table.limits().IdleMillis == 9000U);
+  const config::RoutedService *Store = Table.findService({"store"});
+  BOOST_REQUIRE(Store && Store->Store);
+  BOOST_TEST(Store->Store->CapacityTokens == 1331668U);
+  BOOST_TEST(Table.findService({"lm"})->Engine->LinkMegabitsPerSecond ==
+             370000U);
+}
+
+BOOST_AUTO_TEST_CASE(shares_follow_their_weights) {
+  auto Read = tryDecodeRoutes(Whole);
+  BOOST_REQUIRE(Read);
+  const config::Route *Split = (*Read)->findRoute("a.example", "/p/x");
+  int Second = 0;
+  for (uint64_t Draw = 0; Draw < 1000; ++Draw)
+    Second += config::RouteTable::serviceOf(*Split, Draw).Value == "lm2";
+  BOOST_TEST(Second == 100);
+}
+
+namespace {
+
+/// A change of the whole text that makes it invalid.
+struct FaultCase {
+  std::string From;
+  std::string To;
+  DecodeErrorKind Kind;
+};
+
+std::ostream &operator<<(std::ostream &Out, const FaultCase &Case) {
+  return Out << Case.From << " -> " << Case.To;
+}
+
+} // namespace
+
+static const std::vector<FaultCase> Faults = {
+    {R"("service":"lm","max)", R"("service":"gone","max)",
+     DecodeErrorKind::UnknownService},
+    {R"("/p/q/")", R"("/p/")", DecodeErrorKind::SameRoute},
+    {R"("weight":90},{"service":"lm2","weight":10)",
+     R"("weight":0},{"service":"lm2","weight":0)", DecodeErrorKind::NoWeight},
+    {R"("timeout_ms":12000)", R"("timeout_ms":0)", DecodeErrorKind::NoTimeout},
+    {R"("k3")", R"("k1")", DecodeErrorKind::SharedKey},
+    {R"("version":7)", R"("version":"7")", DecodeErrorKind::Malformed},
+    {R"("version":7)", R"("version":0)", DecodeErrorKind::Malformed},
+    {R"("timeout_ms":12000)", R"("timeout_ms":-1)", DecodeErrorKind::Malformed},
+    {R"("route_kind":"idempotent")", R"("route_kind":"odd")",
+     DecodeErrorKind::Malformed},
+    {R"("api_keys":["k3"])", R"("api_keys":[3])", DecodeErrorKind::Malformed},
+    {R"("host":"a.example","path_prefix":"/w/")", R"("path_prefix":"/w/")",
+     DecodeErrorKind::Malformed},
+    {R"("routes":[)", R"("paths":[)", DecodeErrorKind::Malformed}};
+
+BOOST_DATA_TEST_CASE(a_fault_is_named, data::make(Faults), Case) {
+  std::string Text = Poco::replace(Whole, Case.From, Case.To);
+  BOOST_REQUIRE(Text != Whole);
+  auto Read = tryDecodeRoutes(Text);
+  BOOST_REQUIRE(!Read);
+  BOOST_TEST((Read.error().Kind == Case.Kind));
+}
+
+BOOST_AUTO_TEST_CASE(a_text_cut_short_is_malformed) {
+  for (size_t Size = 0; Size < Whole.size(); Size += 7)
+    BOOST_TEST(!tryDecodeRoutes(Whole.substr(0, Size)), Size);
+}
--- /dev/null
+++ b/Tests/platform/TestTargetCodec.cpp
@@ -0,0 +1,94 @@
+// Heartbeats, reports and orders of the platform's targets.
+#include "platform/TargetCodec.h"
+#include <Poco/String.h>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace ferry;
+using namespace ferry::platform;
+namespace data = boost::unit_test::data;
+
+static const std::string Heartbeat =
+    R"({"service":"lm","addr":"10.128.0.9:8080","zone":"z-b","version":"v1",)"
+    R"("slots":64,"state":"ready","cold_left_ms":0,"phase":"colocated",)"
+    R"("models":[{"name":"m0","version":3,"adapters":[]}],"seq":4,)"
+    R"("born":1777919335160})";
+
+static std::optional<TargetRecord> decode(const std::string &Body) {
+  return decodeTarget("i-1", Body, FencingCheck::Checked);
+}
+
+BOOST_AUTO_TEST_CASE(a_heartbeat_is_read) {
+  auto Record = decode(Heartbeat);
+  BOOST_REQUIRE(Record);
+  BOOST_TEST(Record->Id.Value == "i-1");
+  BOOST_TEST(Record->Incarnation.Value == 1777919335160U);
+  BOOST_TEST(Record->Sequence == 4U);
+  BOOST_TEST(Record->Weights.Value == 3U);
+  BOOST_TEST(Record->Load.MaxConcurrent == 64U);
+  BOOST_TEST((Record->Kind == TargetKind::Engine));
+  BOOST_TEST((Record->Phase == TargetPhase::Ready));
+}
+
+BOOST_AUTO_TEST_CASE(a_target_that_drains_gets_no_new_work) {
+  auto Record = decode(Poco::replace(Heartbeat, std::string("ready"),
+                                     std::string("draining")));
+  BOOST_REQUIRE(Record);
+  BOOST_TEST((Record->Phase == TargetPhase::Leaving));
+}
+
+BOOST_AUTO_TEST_CASE(a_target_without_models_is_a_plain_service) {
+  auto Record = decode(R"({"service":"app","addr":"10.1.0.9:80","zone":"z",)"
+                       R"("slots":6,"state":"ready","seq":1,"born":5})");
+  BOOST_REQUIRE(Record);
+  BOOST_TEST((Record->Kind == TargetKind::PlainService));
+}
+
+/// Each replaces a part of the heartbeat.
+static const std::vector<std::pair<std::string, std::string>> Foreign = {
+    {R"("service":"lm",)", ""},
+    {R"("lm")", "7"},
+    {R"("10.128.0.9:8080")", R"("10.128.0.9")"},
+    {R"("10.128.0.9:8080")", R"("host:80")"},
+    {R"("ready")", R"("odd")"},
+    {R"("seq":4)", R"("seq":"4")"},
+    {R"("seq":4)", R"("seq":-4)"},
+    {R"("born":1777919335160)", R"("born":null)"},
+    {R"(,"born":1777919335160)", ""},
+    {R"("slots":64)", R"("slots":true)"},
+    {R"("version":3)", R"("version":"3")"},
+    {R"([{"name":"m0","version":3,"adapters":[]}])", R"("m0")"},
+    {"}]", "}"}};
+
+BOOST_DATA_TEST_CASE(another_writers_heartbeat_names_no_target,
+                     data::xrange(Foreign.size()), Index) {
+  const auto &[From, To] = Foreign[Index];
+  std::string Body = Poco::replace(Heartbeat, From, To);
+  BOOST_REQUIRE(Body != Heartbeat);
+  BOOST_TEST(!decode(Body), Body);
+}
+
+BOOST_AUTO_TEST_CASE(a_target_may_leave_without_naming_its_life) {
+  BOOST_TEST(decodeLeave("i-1", "").Incarnation.Value == 0U);
+  BOOST_TEST(decodeLeave("i-1", "{\"born\":5}").Incarnation.Value == 5U);
+}
+
+BOOST_AUTO_TEST_CASE(a_report_shows_weights_and_orders) {
+  auto Report = decodeReport(
+      R"({"phase":"colocated","models":[{"name":"m0","version":1,)"
+      R"("adapters":[]}],"busy":true,"seq":2,"queued":1,"active":12})");
+  BOOST_REQUIRE(Report);
+  BOOST_TEST(Report->Busy);
+  BOOST_TEST(Report->Orders == 2U);
+  BOOST_TEST(!decodeReport(R"({"models":[],"busy":true,"seq":2})"));
+  BOOST_TEST(!decodeReport("busy"));
+}
+
+BOOST_AUTO_TEST_CASE(an_order_names_holder_fence_and_precondition) {
+  std::string Body = encodeOrder({{"m0"}, {2}, {"10.0.0.1"}, {41}, 6});
+  for (const char *Part :
+       {R"("op":"version")", R"("model":"m0")", R"("version":2)",
+        R"("mode":"block")", R"("holder":"10.0.0.1")", R"("fence":41)",
+        R"("precondition":6)"})
+    BOOST_TEST(Body.find(Part) != std::string::npos, Part);
+}
