LibRouting: Learn the rate of reading and bound the wait at overload

Cause: estimates were a third short and counted long prompts before short ones, which engines read first (measured: 85 ms where 1.2 s were estimated); at overload every prompt was taken and all came late. Ruled out: priorities unknown to the engines. Refusals go by the wait, with a floor so that long prompts do not starve.

--- a/Libraries/LibRouting/PromptCall.h
+++ b/Libraries/LibRouting/PromptCall.h
@@ -19,6 +19,10 @@
   uint32_t Tokens = 0;
 };
 
+/// Prompts of this size are long: reading them takes as long as a short one may
+/// wait. Engines read short ones first.
+inline constexpr uint32_t LongPromptTokens = 4096;
+
 /// A request to be placed.
 struct PromptCall {
   ServiceId Service;
@@ -30,6 +34,9 @@
   uint32_t PromptTokens = 0;
   uint32_t OutputTokens = 0;
   Timestamp Deadline;
+  /// An answer that begins later is worth less; NeverExpires where no target
+  /// latency is named.
+  Timestamp TargetBy = NeverExpires;
   /// Targets that must not get it again.
   std::vector<TargetId> Tried;
 };
@@ -73,8 +80,9 @@
 /// What one router has under way at a target.
 struct TargetWork {
   TargetId Target;
-  /// Prompt time not yet seen begun.
-  Duration Prompt = {};
+  /// Time of long and of short prompts not yet seen begun.
+  Duration LongPrompts = {};
+  Duration ShortPrompts = {};
   uint32_t Running = 0;
   bool operator==(const TargetWork &) const = default;
 };
--- a/Libraries/LibRouting/PromptPlacement.cpp
+++ b/Libraries/LibRouting/PromptPlacement.cpp
@@ -2,12 +2,21 @@
 #include "LibRouting/Rendezvous.h"
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <utility>
 
 namespace ferry::routing {
 
-/// Prompt tokens that an engine reads in a second, where nothing is measured.
-static constexpr double PromptTokensPerSecond = 54'600;
+/// An engine with less than this to read counts as idle.
+static constexpr double IdleSeconds = 0.01;
+/// A request that would begin later than this part of its target latency is
+/// turned away while it is young: it would be worth little, and would make
+/// those behind it late too.
+static constexpr double LatestShare = 1.25;
+/// Whatever its own length, it may wait for the first part and not for more
+/// than the second: a long prompt cannot begin in time, but must not starve.
+static constexpr double LeastWaitShare = 0.25;
+static constexpr double MostWaitShare = 0.75;
 /// What one more request that runs adds to the first token of the next: a
 /// larger batch step, a few of which pass before the first token.
 static constexpr double RunningSeconds = 0.0005;
@@ -111,7 +120,7 @@
   }
   Targets = std::move(Kept);
   for (auto &[Id, Entry] : Targets) {
-    Entry.OthersSeconds = 0;
+    Entry.Others = {};
     Entry.OthersRunning = 0;
   }
   for (const auto &[Host, Known] : Others)
@@ -177,8 +186,10 @@
     if (Found == Targets.end())
       continue;
     Target &Known = Found->second;
-    Known.OthersSeconds =
-        std::max(0.0, Known.OthersSeconds + Sign * secondsOf(Told.Prompt));
+    Known.Others.Long = std::max(
+        0.0, Known.Others.Long + Sign * secondsOf(Told.LongPrompts));
+    Known.Others.Short = std::max(
+        0.0, Known.Others.Short + Sign * secondsOf(Told.ShortPrompts));
     Known.OthersRunning =
         std::max(0.0, Known.OthersRunning + Sign * Told.Running);
   }
@@ -215,8 +226,8 @@
   WorkDigest Digest;
   for (const auto &[Id, Known] : Targets)
     if (Known.Running > 0)
-      Digest.Work.push_back(
-          {Id, durationOf(Known.BacklogSeconds), Known.Running});
+      Digest.Work.push_back({Id, durationOf(Known.Own.Long),
+                             durationOf(Known.Own.Short), Known.Running});
   Digest.Parts = std::exchange(NewParts, {});
   return Digest;
 }
@@ -239,6 +250,28 @@
   return Known.Record.UsableUntil - Chosen.Trust + Chosen.FreshFor > Now;
 }
 
+const PromptRate &PromptPlacement::rateOf(const ServiceId &Service) const {
+  static const PromptRate Unmeasured;
+  auto Found = Rates.find(Service);
+  return Found == Rates.end() ? Unmeasured : Found->second;
+}
+
+bool PromptPlacement::isIdle(const Target &Known, Timestamp Now) const {
+  return Known.Own.all() + Known.Others.all() + congestionOf(Known, Now) <
+         IdleSeconds;
+}
+
+double PromptPlacement::waitSeconds(const PromptCall &Call,
+                                    const Target &Where) const {
+  double Long = Where.Own.Long + Where.Others.Long;
+  double Short = Where.Own.Short + Where.Others.Short;
+  if (Call.PromptTokens >= LongPromptTokens)
+    return Long + Short;
+  // A short prompt is read before the long ones that wait, but not within the
+  // one that is being read: on average half of it is left.
+  return Short + std::min(Long, rateOf(Call.Service).longSeconds()) / 2;
+}
+
 double PromptPlacement::congestionOf(const Target &Known, Timestamp Now) const {
   double Age = secondsOf(Now - Known.CongestionAt);
   return Known.CongestionSeconds *
@@ -295,8 +328,9 @@
                                         bool Far) const {
   static constexpr double BitsPerByte = 8;
   double Bits = double(Tokens) * double(BytesPerToken) * BitsPerByte;
+  // An unknown link is held to be as slow as reading the tokens.
   if (BitsPerSecond <= 0)
-    return double(Tokens) / PromptTokensPerSecond;
+    return PromptRate().readSeconds(Tokens);
   return FetchSetupSeconds + Bits / BitsPerSecond * (Far ? FarFetchFactor : 1);
 }
 
@@ -308,9 +342,9 @@
   Result.Where = &Where;
   uint32_t Own = Where.Parts.cachedTokens(Call.CacheScope, Call.Parts,
                                           PartState::Awaited);
+  const PromptRate &Rate = rateOf(Call.Service);
   auto ReadSeconds = [&](uint32_t Cached) {
-    return std::max(0.0, double(Call.PromptTokens) - Cached) /
-           PromptTokensPerSecond;
+    return Rate.readSeconds(std::max(0.0, double(Call.PromptTokens) - Cached));
   };
   Result.CachedTokens = Own;
   Result.PromptSeconds = ReadSeconds(Own);
@@ -346,9 +380,11 @@
       Result.FromStore = true;
     }
   }
-  Result.Seconds = Result.PromptSeconds + Where.BacklogSeconds +
-                   Where.OthersSeconds + congestionOf(Where, Now) +
-                   RunningSeconds * (Where.Running + Where.OthersRunning);
+  Result.WaitSeconds = waitSeconds(Call, Where) + congestionOf(Where, Now) +
+                       RunningSeconds * (Where.Running + Where.OthersRunning);
+  Result.Seconds = Result.PromptSeconds + Result.WaitSeconds;
+  if (!Call.Parts.empty())
+    Result.Seconds += Rate.baseSeconds();
   Result.Cost = Result.Seconds + FailureSeconds * Where.FailureShare;
   if (Result.Source != nullptr || Result.FromStore)
     Result.Cost += CopySeconds;
@@ -392,11 +428,15 @@
       [&](const Candidate &Left, const Candidate &Right) {
         return Rank(Left.Where) < Rank(Right.Where);
       });
-  if (Now + durationOf(Best.Seconds) >= Call.Deadline)
+  Timestamp BeginsAt = Now + durationOf(Best.Seconds);
+  if (BeginsAt >= Call.Deadline)
     return turnAway(Call, TurnAwayReason::DeadlineTooNear, Now);
+  if (Best.WaitSeconds > allowedWait(Call, Best, Now))
+    return turnAway(Call, TurnAwayReason::Full, Now);
   Target &Where = *Best.Where;
   ++Where.Running;
-  Where.BacklogSeconds += Best.PromptSeconds;
+  bool Idle = isIdle(Where, Now) && !Best.FromStore && Best.Source == nullptr;
+  Where.Own.of(Call) += Best.PromptSeconds;
   PlacedCall Placed;
   Placed.Ticket = NextTicket++;
   Placed.Target = Where.Record.Id;
@@ -416,14 +456,27 @@
   Placed.Estimate = durationOf(Best.Seconds);
   Placed.CachedTokens = Best.CachedTokens;
   Tickets[Placed.Ticket] = {Placed.Target, Placed.Incarnation, Call,  Now,
-                            Best.PromptSeconds, Best.Seconds,  false,
-                            0,                  Save};
+                            Best.PromptSeconds, Best.Seconds};
+  Tickets[Placed.Ticket].Saved = Save;
+  if (Idle)
+    Tickets[Placed.Ticket].IdleTokens =
+        std::max(1.0, double(Call.PromptTokens) - Best.CachedTokens);
   if (Best.FromStore)
     Tickets[Placed.Ticket].SparedSeconds =
-        double(Best.CachedTokens) / PromptTokensPerSecond;
+        rateOf(Call.Service).readSeconds(Best.CachedTokens);
   return Placed;
 }
 
+double PromptPlacement::allowedWait(const PromptCall &Call,
+                                    const Candidate &Best, Timestamp Now) {
+  if (Call.TargetBy == NeverExpires)
+    return std::numeric_limits<double>::infinity();
+  double Target = std::max(0.0, secondsOf(Call.TargetBy - Now));
+  double Own = Best.Seconds - Best.WaitSeconds;
+  return std::clamp(LatestShare * Target - Own, LeastWaitShare * Target,
+                    MostWaitShare * Target);
+}
+
 TurnedAway PromptPlacement::turnAway(const PromptCall &Call,
                                      TurnAwayReason Reason,
                                      Timestamp Now) const {
@@ -435,7 +488,7 @@
     Any = true;
     Timestamp FreeAt = std::max(
         std::max(Entry.UnusableUntil, Entry.LoadingUntil),
-        Now + durationOf(Entry.BacklogSeconds + Entry.OthersSeconds +
+        Now + durationOf(Entry.Own.all() + Entry.Others.all() +
                          congestionOf(Entry, Now)));
     RetryAt = std::min(RetryAt, FreeAt);
   }
@@ -516,8 +569,11 @@
   Target *Where = find(Sent);
   if (Where == nullptr)
     return;
-  Where->BacklogSeconds =
-      std::max(0.0, Where->BacklogSeconds - Sent.PromptSeconds);
+  double &Backlog = Where->Own.of(Sent.Call);
+  Backlog = std::max(0.0, Backlog - Sent.PromptSeconds);
+  if (Sent.IdleTokens > 0 && !Sent.Call.Parts.empty())
+    Rates[Sent.Call.Service].observe(Sent.IdleTokens,
+                                     secondsOf(Now - Sent.SentAt));
   noteParts(Sent.Call, *Where, PartState::Read);
   double Excess = secondsOf(Now - Sent.SentAt) - Sent.ExpectedSeconds;
   judgeFetch(Sent, Excess, Now);
@@ -546,8 +602,8 @@
     return;
   Where->Running -= std::min(Where->Running, 1U);
   if (!Sent.Begun) {
-    Where->BacklogSeconds =
-        std::max(0.0, Where->BacklogSeconds - Sent.PromptSeconds);
+    double &Backlog = Where->Own.of(Sent.Call);
+    Backlog = std::max(0.0, Backlog - Sent.PromptSeconds);
     for (const PromptPart &Part : Sent.Call.Parts)
       Where->Parts.forgetAwaited(
           PartMemory::keyOf(Sent.Call.CacheScope, Part.Id));
--- a/Libraries/LibRouting/PromptPlacement.h
+++ b/Libraries/LibRouting/PromptPlacement.h
@@ -5,6 +5,7 @@
 
 #include "LibCore/Random.h"
 #include "LibRouting/PartMemory.h"
+#include "LibRouting/PromptRate.h"
 #include "LibRouting/RoutingView.h"
 #include <map>
 #include <optional>
@@ -79,10 +80,18 @@
   struct Target {
     TargetRecord Record;
     uint32_t Running = 0;
-    /// Prompt time sent there by this router and not seen begun.
-    double BacklogSeconds = 0;
-    /// The same and the running requests of the other routers.
-    double OthersSeconds = 0;
+    /// Prompt time that was sent there and not seen begun.
+    struct Backlog {
+      double Long = 0;
+      double Short = 0;
+      double all() const { return Long + Short; }
+      double &of(const PromptCall &Call) {
+        return Call.PromptTokens >= LongPromptTokens ? Long : Short;
+      }
+    };
+    /// By this router, and by the others with what they have running.
+    Backlog Own;
+    Backlog Others;
     double OthersRunning = 0;
     /// Weights and life as the giver of orders told them.
     WeightsVersion ToldWeights;
@@ -108,6 +117,8 @@
     Timestamp SentAt;
     double PromptSeconds = 0;
     double ExpectedSeconds = 0;
+    /// Tokens to read at an engine that was held to be idle; else 0.
+    double IdleTokens = 0;
     bool Begun = false;
     /// Time that a fetch from the store was to spare; 0 without one.
     double SparedSeconds = 0;
@@ -117,6 +128,7 @@
   struct Candidate {
     Target *Where = nullptr;
     double PromptSeconds = 0;
+    double WaitSeconds = 0;
     double Seconds = 0;
     double Cost = 0;
     uint32_t CachedTokens = 0;
@@ -146,7 +158,12 @@
   double transferSeconds(uint32_t Tokens, double BitsPerSecond,
                          bool Far) const;
   bool isFresh(const Target &Known, Timestamp Now) const;
+  double waitSeconds(const PromptCall &Call, const Target &Where) const;
+  bool isIdle(const Target &Known, Timestamp Now) const;
+  const PromptRate &rateOf(const ServiceId &Service) const;
   double congestionOf(const Target &Known, Timestamp Now) const;
+  static double allowedWait(const PromptCall &Call, const Candidate &Best,
+                            Timestamp Now);
   TurnedAway turnAway(const PromptCall &Call, TurnAwayReason Reason,
                       Timestamp Now) const;
   void setAside(Target &Known, Duration First, Timestamp Now);
@@ -157,6 +174,7 @@
   RoutingViewPtr View;
   size_t Routers = 1;
   std::map<TargetId, Target> Targets;
+  std::map<ServiceId, PromptRate> Rates;
   /// What each other router told last, and until when it holds.
   struct Told {
     std::vector<TargetWork> Work;
--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -14,8 +14,6 @@
 /// When a request to a router that knows no routes yet may come again: one
 /// question to a control host later.
 static constexpr Duration NoRoutesPause = std::chrono::milliseconds(500);
-/// Prompts of this size take as long to read as a short one may wait.
-static constexpr uint32_t LongPromptTokens = 4096;
 /// When a request may come again that another router takes at once.
 static constexpr Duration ElsewherePause = std::chrono::milliseconds(50);
 /// A target that was given less would hardly begin.
@@ -75,6 +73,9 @@
   if (Caller.WaitMillis)
     Wait = std::min(Wait, *Caller.WaitMillis);
   Call.Deadline = ArrivedAt + std::chrono::milliseconds(Wait);
+  if (Route->LatencyTargetMillis > 0 && !Call.Parts.empty())
+    Call.TargetBy =
+        ArrivedAt + std::chrono::milliseconds(Route->LatencyTargetMillis);
   if (Workspace && Workspace->Isolated)
     Call.CacheScope = hashIdentifier(Workspace->Id.Value);
   return std::nullopt;
@@ -207,8 +208,9 @@
   if (!First)
     return failed(Placed, First.error(), /*Sent=*/true);
   Context.Placements.firstByte(Placed.Ticket);
+  FirstByteAt = steadyNow();
   Context.Figures.FirstByteSeconds.with({Route->Name})
-      .observe(double((steadyNow() - ArrivedAt).count()) / 1e6);
+      .observe(double((FirstByteAt - ArrivedAt).count()) / 1e6);
   Exchange.beginRelayed(Target.head());
   auto Piece = std::move(First);
   while (Piece && !Piece->empty()) {
@@ -350,6 +352,8 @@
        {"runs", Runs},
        {"targets_tried", Call.Tried.size()},
        {"reason", Failed ? LastFailure.message() : std::string()},
+       {"first_byte_ms",
+        std::max<int64_t>(0, (FirstByteAt - ArrivedAt).count() / 1000)},
        {"millis", (steadyNow() - ArrivedAt).count() / 1000}},
       Caller.Id);
 }
--- a/Libraries/LibTraffic/RoutedRelay.h
+++ b/Libraries/LibTraffic/RoutedRelay.h
@@ -58,6 +58,8 @@
   std::string Body;
   routing::PromptCall Call;
   Timestamp ArrivedAt;
+  /// When the answer began; the epoch before that.
+  Timestamp FirstByteAt;
   /// Targets that may have run the request.
   uint32_t Runs = 0;
   uint32_t Attempts = 0;
--- a/Libraries/LibWire/Generated/Routing_types.cpp
+++ b/Libraries/LibWire/Generated/Routing_types.cpp
@@ -22,13 +22,17 @@
   this->Target = val;
 }
 
-void TargetWork::__set_PromptMillis(const int32_t val) {
-  this->PromptMillis = val;
+void TargetWork::__set_LongPromptMillis(const int32_t val) {
+  this->LongPromptMillis = val;
 }
 
 void TargetWork::__set_Running(const int32_t val) {
   this->Running = val;
 }
+
+void TargetWork::__set_ShortPromptMillis(const int32_t val) {
+  this->ShortPromptMillis = val;
+}
 std::ostream& operator<<(std::ostream& out, const TargetWork& obj)
 {
   obj.printTo(out);
@@ -67,8 +71,8 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->PromptMillis);
-          this->__isset.PromptMillis = true;
+          xfer += iprot->readI32(this->LongPromptMillis);
+          this->__isset.LongPromptMillis = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -81,6 +85,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ShortPromptMillis);
+          this->__isset.ShortPromptMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -102,14 +114,18 @@
   xfer += oprot->writeString(this->Target);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("PromptMillis", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->PromptMillis);
+  xfer += oprot->writeFieldBegin("LongPromptMillis", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->LongPromptMillis);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("Running", ::apache::thrift::protocol::T_I32, 3);
   xfer += oprot->writeI32(this->Running);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("ShortPromptMillis", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->ShortPromptMillis);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -118,34 +134,39 @@
 void swap(TargetWork &a, TargetWork &b) {
   using ::std::swap;
   swap(a.Target, b.Target);
-  swap(a.PromptMillis, b.PromptMillis);
+  swap(a.LongPromptMillis, b.LongPromptMillis);
   swap(a.Running, b.Running);
+  swap(a.ShortPromptMillis, b.ShortPromptMillis);
   swap(a.__isset, b.__isset);
 }
 
 TargetWork::TargetWork(const TargetWork& other0) {
   Target = other0.Target;
-  PromptMillis = other0.PromptMillis;
+  LongPromptMillis = other0.LongPromptMillis;
   Running = other0.Running;
+  ShortPromptMillis = other0.ShortPromptMillis;
   __isset = other0.__isset;
 }
 TargetWork::TargetWork(TargetWork&& other1) noexcept {
   Target = std::move(other1.Target);
-  PromptMillis = other1.PromptMillis;
+  LongPromptMillis = other1.LongPromptMillis;
   Running = other1.Running;
+  ShortPromptMillis = other1.ShortPromptMillis;
   __isset = other1.__isset;
 }
 TargetWork& TargetWork::operator=(const TargetWork& other2) {
   Target = other2.Target;
-  PromptMillis = other2.PromptMillis;
+  LongPromptMillis = other2.LongPromptMillis;
   Running = other2.Running;
+  ShortPromptMillis = other2.ShortPromptMillis;
   __isset = other2.__isset;
   return *this;
 }
 TargetWork& TargetWork::operator=(TargetWork&& other3) noexcept {
   Target = std::move(other3.Target);
-  PromptMillis = other3.PromptMillis;
+  LongPromptMillis = other3.LongPromptMillis;
   Running = other3.Running;
+  ShortPromptMillis = other3.ShortPromptMillis;
   __isset = other3.__isset;
   return *this;
 }
@@ -153,8 +174,9 @@
   using ::apache::thrift::to_string;
   out << "TargetWork(";
   out << "Target=" << to_string(Target);
-  out << ", " << "PromptMillis=" << to_string(PromptMillis);
+  out << ", " << "LongPromptMillis=" << to_string(LongPromptMillis);
   out << ", " << "Running=" << to_string(Running);
+  out << ", " << "ShortPromptMillis=" << to_string(ShortPromptMillis);
   out << ")";
 }
 
--- a/Libraries/LibWire/Generated/Routing_types.h
+++ b/Libraries/LibWire/Generated/Routing_types.h
@@ -34,10 +34,11 @@
 class EngineChanges;
 
 typedef struct _TargetWork__isset {
-  _TargetWork__isset() : Target(false), PromptMillis(false), Running(false) {}
+  _TargetWork__isset() : Target(false), LongPromptMillis(false), Running(false), ShortPromptMillis(false) {}
   bool Target :1;
-  bool PromptMillis :1;
+  bool LongPromptMillis :1;
   bool Running :1;
+  bool ShortPromptMillis :1;
 } _TargetWork__isset;
 
 class TargetWork : public virtual ::apache::thrift::TBase {
@@ -49,31 +50,37 @@
   TargetWork& operator=(TargetWork&&) noexcept;
   TargetWork() noexcept
              : Target(),
-               PromptMillis(0),
-               Running(0) {
+               LongPromptMillis(0),
+               Running(0),
+               ShortPromptMillis(0) {
   }
 
   virtual ~TargetWork() noexcept;
   std::string Target;
-  int32_t PromptMillis;
+  int32_t LongPromptMillis;
   int32_t Running;
+  int32_t ShortPromptMillis;
 
   _TargetWork__isset __isset;
 
   void __set_Target(const std::string& val);
 
-  void __set_PromptMillis(const int32_t val);
+  void __set_LongPromptMillis(const int32_t val);
 
   void __set_Running(const int32_t val);
 
+  void __set_ShortPromptMillis(const int32_t val);
+
   bool operator == (const TargetWork & rhs) const
   {
     if (!(Target == rhs.Target))
       return false;
-    if (!(PromptMillis == rhs.PromptMillis))
+    if (!(LongPromptMillis == rhs.LongPromptMillis))
       return false;
     if (!(Running == rhs.Running))
       return false;
+    if (!(ShortPromptMillis == rhs.ShortPromptMillis))
+      return false;
     return true;
   }
   bool operator != (const TargetWork &rhs) const {
--- a/Libraries/LibWire/Idl/Routing.thrift
+++ b/Libraries/LibWire/Idl/Routing.thrift
@@ -5,9 +5,10 @@
 // Work that one router has sent to a target and not yet seen begun or ended.
 struct TargetWork {
   1: string Target
-  // Time that the target will read prompts for it.
-  2: i32 PromptMillis
+  // Time that the target will read long prompts for it, and short ones.
+  2: i32 LongPromptMillis
   3: i32 Running
+  4: i32 ShortPromptMillis
 }
 
 // A part of a prompt that a target was seen to have.
--- a/Services/ferryd/ControlPlaneRouting.cpp
+++ b/Services/ferryd/ControlPlaneRouting.cpp
@@ -31,7 +31,10 @@
   for (const routing::TargetWork &Work : Digest.Work) {
     wire::TargetWork Fields;
     Fields.Target = Work.Target.Value;
-    Fields.PromptMillis = static_cast<int32_t>(Work.Prompt.count() / 1000);
+    Fields.LongPromptMillis =
+        static_cast<int32_t>(Work.LongPrompts.count() / 1000);
+    Fields.ShortPromptMillis =
+        static_cast<int32_t>(Work.ShortPrompts.count() / 1000);
     Fields.Running = static_cast<int32_t>(Work.Running);
     Message.Work.push_back(std::move(Fields));
   }
@@ -74,8 +77,10 @@
   routing::WorkDigest Digest;
   for (const wire::TargetWork &Work : Message.Work)
     Digest.Work.push_back({{Work.Target},
-                           std::chrono::milliseconds(std::max(
-                               Work.PromptMillis, 0)),
+                           std::chrono::milliseconds(
+                               std::max(Work.LongPromptMillis, 0)),
+                           std::chrono::milliseconds(
+                               std::max(Work.ShortPromptMillis, 0)),
                            static_cast<uint32_t>(std::max(Work.Running, 0))});
   for (const wire::PartPlace &Part : Message.Parts)
     Digest.Parts.push_back({{Part.Target},
--- a/Tests/LibRouting/TestPromptPlacement.cpp
+++ b/Tests/LibRouting/TestPromptPlacement.cpp
@@ -77,10 +77,10 @@
   return std::get<PlacedCall>(Outcome);
 }
 
-/// Runs a request to its end at once.
+/// Runs a request that was sent at \p Now to its end, as it was estimated.
 void serve(PromptPlacement &Router, const PlacedCall &Placed, Timestamp Now) {
-  Router.firstByte(Placed.Ticket, Now);
-  Router.ended(Placed.Ticket, CallEnd::Served, Now);
+  Router.firstByte(Placed.Ticket, Now + Placed.Estimate);
+  Router.ended(Placed.Ticket, CallEnd::Served, Now + Placed.Estimate);
 }
 
 } // namespace
@@ -99,7 +99,7 @@
   Engines World(12);
   PromptPlacement Router = World.router();
   PlacedCall First = placed(Router.place(World.call(7), World.Now));
-  serve(Router, First, World.Now + 400ms);
+  serve(Router, First, World.Now);
   World.Now += 2s;
   PlacedCall Second = placed(Router.place(World.call(7), World.Now));
   BOOST_TEST(Second.Target == First.Target);
@@ -115,7 +115,7 @@
   PromptPlacement Left = World.router(1);
   PromptPlacement Right = World.router(2);
   PlacedCall First = placed(Left.place(World.call(7), World.Now));
-  serve(Left, First, World.Now + 300ms);
+  serve(Left, First, World.Now);
   World.Now += 400ms;
   std::vector<PlacedCall> Burst;
   for (int Count = 0; Count < 8; ++Count)
@@ -142,7 +142,7 @@
     PlacedCall Short =
         placed(Right.place(World.call(100 + Count, 50, 250), World.Now));
     BOOST_TEST(Short.Target != Long.Target);
-    serve(Right, Short, World.Now + 100ms);
+    serve(Right, Short, World.Now);
   }
   // What was told is void once its router has fallen silent.
   World.Now += 5s;
@@ -312,3 +312,61 @@
   BOOST_TEST((std::get<TurnedAway>(Outcome).Reason ==
               TurnAwayReason::DeadlineTooNear));
 }
+
+// The load pattern: more prompts than the engines can read. Those that would
+// wait too long are turned away at once, whatever their size, and short prompts
+// still get in: engines read them first.
+BOOST_AUTO_TEST_CASE(at_overload_the_wait_is_bounded_and_short_prompts_pass) {
+  Engines World(2);
+  PromptPlacement Router = World.router();
+  auto Long = [&](uint64_t Part, uint32_t Own) {
+    PromptCall Call = World.call(Part, 13'300, Own);
+    Call.TargetBy = World.Now + 800ms;
+    return Router.place(Call, World.Now);
+  };
+  int Taken = 0;
+  std::variant<PlacedCall, TurnedAway> Outcome = Long(0, 3'700);
+  for (uint64_t Part = 1; std::holds_alternative<PlacedCall>(Outcome); ++Part) {
+    ++Taken;
+    BOOST_REQUIRE(Taken < 50);
+    Outcome = Long(Part, 3'700);
+  }
+  // Two engines read some two of these prompts each in the time.
+  BOOST_TEST(Taken >= 4);
+  BOOST_TEST(Taken <= 8);
+  BOOST_TEST((std::get<TurnedAway>(Outcome).Reason == TurnAwayReason::Full));
+  BOOST_TEST((std::get<TurnedAway>(Outcome).RetryAt > World.Now));
+  // A larger one would wait no longer.
+  BOOST_TEST(std::holds_alternative<TurnedAway>(Long(98, 30'000)));
+  PromptCall Short = World.call(99, 90, 290);
+  Short.TargetBy = World.Now + 500ms;
+  BOOST_TEST(std::holds_alternative<PlacedCall>(Router.place(Short, World.Now)));
+}
+
+BOOST_AUTO_TEST_CASE(a_prompt_that_is_long_itself_is_taken_by_an_idle_engine) {
+  Engines World(2);
+  PromptPlacement Router = World.router();
+  PromptCall Call = World.call(1, 39'000, 53'000);
+  Call.TargetBy = World.Now + 800ms;
+  BOOST_TEST(std::holds_alternative<PlacedCall>(Router.place(Call, World.Now)));
+}
+
+// Engines that read at a third of the rate assumed at the start.
+BOOST_AUTO_TEST_CASE(the_rate_of_reading_is_learnt) {
+  Engines World(12);
+  PromptPlacement Router = World.router();
+  Duration Last = {};
+  for (uint64_t Part = 0; Part < 60; ++Part) {
+    World.Now += 5s;
+    for (TargetRecord &Record : World.View.Targets)
+      Record.UsableUntil = World.Now + Trust;
+    Router.applyView(std::make_shared<const RoutingView>(World.View),
+                     World.Now);
+    PlacedCall Placed = placed(Router.place(World.call(Part), World.Now));
+    Last = Placed.Estimate;
+    Router.firstByte(Placed.Ticket, World.Now + 1070ms);
+    Router.ended(Placed.Ticket, CallEnd::Served, World.Now + 1070ms);
+  }
+  BOOST_TEST(Last.count() > Duration(900ms).count());
+  BOOST_TEST(Last.count() < Duration(1250ms).count());
+}
