--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -97,6 +97,9 @@
   while (true) {
     if (steadyNow() + LeastWait >= Call.Deadline)
       return giveUp();
+    // A stream that goes on is late already.
+    if (Streaming)
+      Call.TargetBy = NeverExpires;
     auto Placed = Context.Placements.place(Call);
     if (const auto *Refusal = std::get_if<TurnedAway>(&Placed))
       return turnAway(*Refusal);
@@ -129,6 +132,8 @@
   // Of equal rank, a short prompt first: it delays a long one by little.
   bool Long = Call.PromptTokens >= LongPromptTokens;
   Details.Priority = 2 * Rank + (Long ? 1 : 0);
+  if (Streaming && LastEvent)
+    Details.AfterEvent = std::to_string(*LastEvent);
   if (Placed.Weights.Value == 0)
     return Details;
   // A part is found only under the weights that it was read with, also by
@@ -172,6 +177,9 @@
   bool Success = Target.head().getStatus() / 100 == 2;
   if (Success && Route->Answers == config::AnswerForm::Stream)
     return relayStream(Placed, Target);
+  if (Streaming)
+    return failed(Placed, {LinkErrorKind::Broken, "did not go on"},
+                  /*Sent=*/true);
   return relayWhole(Placed, Target, Details);
 }
 
@@ -204,39 +212,80 @@
 
 RoutedRelay::Next RoutedRelay::relayStream(const PlacedCall &Placed,
                                            TargetExchange &Target) {
-  auto First = Target.tryReadPiece(limits());
-  if (!First)
-    return failed(Placed, First.error(), /*Sent=*/true);
+  EventSplitter Events;
+  while (true) {
+    auto Piece = Target.tryReadPiece(limits());
+    if (!Piece)
+      return streamBroken(Placed, Piece.error());
+    if (Piece->empty())
+      break;
+    std::string Ready;
+    if (!takeEvents(Events, *Piece, Ready))
+      return streamBroken(Placed, {LinkErrorKind::TooLarge, "event"});
+    if (Ready.empty())
+      continue;
+    if (!Streaming)
+      beginStream(Placed, Target);
+    else
+      Context.Placements.firstByte(Placed.Ticket);
+    if (!Exchange.writeEvents(Ready))
+      return streamBroken(Placed, {LinkErrorKind::CallerGone, "write"});
+  }
+  if (!Streaming)
+    beginStream(Placed, Target);
+  end(Placed, CallEnd::Served, Next::Done);
+  logEnd("answered", Target.head().getStatus());
+  return Next::Done;
+}
+
+bool RoutedRelay::takeEvents(EventSplitter &Events, std::string &Piece,
+                             std::string &Ready) {
+  // Without a place to go on from, the bytes go as they come.
+  if (!Route->Resumable) {
+    Ready = std::move(Piece);
+    return true;
+  }
+  if (!Events.push(Piece))
+    return false;
+  while (auto Event = Events.next()) {
+    bool Known = Event->Token && LastEvent && *Event->Token <= *LastEvent;
+    if (Known)
+      continue;
+    if (Event->Token)
+      LastEvent = Event->Token;
+    Ready += Event->Raw;
+  }
+  return true;
+}
+
+void RoutedRelay::beginStream(const PlacedCall &Placed,
+                              TargetExchange &Target) {
+  Streaming = true;
   Context.Placements.firstByte(Placed.Ticket);
   FirstByteAt = steadyNow();
   Context.Figures.FirstByteSeconds.with({Route->Name})
       .observe(double((FirstByteAt - ArrivedAt).count()) / 1e6);
   Exchange.beginRelayed(Target.head());
-  auto Piece = std::move(First);
-  while (Piece && !Piece->empty()) {
-    if (!Exchange.writeEvents(*Piece)) {
-      end(Placed, CallEnd::Abandoned, Next::Done);
-      Exchange.abort();
-      logEnd("caller_left", 0);
-      return Next::Done;
-    }
-    Piece = Target.tryReadPiece(limits());
-  }
-  if (!Piece) {
-    bool Own = Piece.error().Kind == LinkErrorKind::CallerGone ||
-               Piece.error().Kind == LinkErrorKind::DeadlinePassed;
-    end(Placed, Own ? CallEnd::Abandoned : CallEnd::Broken, Next::Done);
-    LastFailure = Piece.error();
-    Exchange.abort();
-    Context.Figures.StreamsCut.add();
-    logEnd("stream_cut", 0);
-    return Next::Done;
-  }
-  end(Placed, CallEnd::Served, Next::Done);
-  logEnd("answered", Target.head().getStatus());
+}
+
+RoutedRelay::Next RoutedRelay::streamBroken(const PlacedCall &Placed,
+                                            const LinkError &Failure) {
+  // A stream goes on at another target after the last event that was passed
+  // on; without a number to name, only one of which nothing was.
+  Next Then = failed(Placed, Failure, /*Sent=*/true);
+  bool MayGoOn = !Streaming || (Route->Resumable && LastEvent);
+  if (Then == Next::Done || MayGoOn)
+    return Then;
+  cutStream();
   return Next::Done;
 }
 
+void RoutedRelay::cutStream() {
+  Exchange.abort();
+  Context.Figures.StreamsCut.add();
+  logEnd("stream_cut", 0);
+}
+
 RoutedRelay::Next RoutedRelay::failed(const PlacedCall &Placed,
                                       const LinkError &Failure, bool Sent) {
   LastFailure = Failure;
@@ -296,6 +345,8 @@
 }
 
 void RoutedRelay::turnAway(const TurnedAway &Refusal) {
+  if (Streaming)
+    return cutStream();
   if (Runs > 0)
     return giveUp();
   Context.Figures.TurnedAway.with({std::string(enumName(Refusal.Reason))})
@@ -305,6 +356,8 @@
 }
 
 void RoutedRelay::giveUp() {
+  if (Streaming)
+    return cutStream();
   if (Held) {
     Exchange.sendRelayed(Held->Head, Held->Body);
     logEnd("answered", Held->Head.getStatus());
--- a/Libraries/LibTraffic/RoutedRelay.h
+++ b/Libraries/LibTraffic/RoutedRelay.h
@@ -3,6 +3,7 @@
 #ifndef FERRY_LIBTRAFFIC_ROUTEDRELAY_H
 #define FERRY_LIBTRAFFIC_ROUTEDRELAY_H
 
+#include "LibTraffic/EventSplitter.h"
 #include "LibTraffic/HttpExchange.h"
 #include "LibTraffic/RoutedContext.h"
 #include "LibTraffic/TargetExchange.h"
@@ -37,6 +38,12 @@
   Next relayWhole(const routing::PlacedCall &Placed, TargetExchange &Target,
                   const AnswerDetails &Details);
   Next relayStream(const routing::PlacedCall &Placed, TargetExchange &Target);
+  bool takeEvents(EventSplitter &Events, std::string &Piece,
+                  std::string &Ready);
+  void beginStream(const routing::PlacedCall &Placed, TargetExchange &Target);
+  Next streamBroken(const routing::PlacedCall &Placed,
+                    const LinkError &Failure);
+  void cutStream();
   Next failed(const routing::PlacedCall &Placed, const LinkError &Failure,
               bool Sent);
   Next end(const routing::PlacedCall &Placed, routing::CallEnd End, Next Then);
@@ -63,6 +70,10 @@
   /// Targets that may have run the request.
   uint32_t Runs = 0;
   uint32_t Attempts = 0;
+  /// A part of the answer was passed on.
+  bool Streaming = false;
+  /// The newest event that was.
+  std::optional<uint64_t> LastEvent;
   /// A target's failure, passed on if no other target serves the request.
   struct HeldAnswer {
     Poco::Net::HTTPResponse Head;
