--- a/Libraries/LibTraffic/RoutedFront.h
+++ b/Libraries/LibTraffic/RoutedFront.h
@@ -39,6 +39,8 @@
   }
 
   int64_t inHand() const { return Context.InHand; }
+  /// The "IP:port" for callers.
+  const std::string &address() const { return Listener->address(); }
 
   /// Takes no new connections; requests in work have until \p Deadline.
   void stop(Timestamp Deadline);
--- /dev/null
+++ b/Tests/Fakes/FakeScriptedTarget.cpp
@@ -0,0 +1,86 @@
+#include "Fakes/FakeScriptedTarget.h"
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketStream.h>
+#include <Poco/StreamCopier.h>
+#include <array>
+#include <chrono>
+#include <poll.h>
+#include <sys/socket.h>
+
+namespace ferry::fakes {
+
+using Poco::Net::SocketAddress;
+using Poco::Net::StreamSocket;
+
+bool ScriptedConnection::write(const std::string &Bytes) {
+  try {
+    return Socket.sendBytes(Bytes.data(), static_cast<int>(Bytes.size()),
+                            MSG_NOSIGNAL) ==
+           static_cast<int>(Bytes.size());
+  } catch (const Poco::Exception &) {
+    return false;
+  }
+}
+
+void ScriptedConnection::reset() {
+  Socket.setLinger(true, 0);
+  Socket.close();
+}
+
+bool ScriptedConnection::awaitPeerClosed(std::chrono::milliseconds Limit) {
+  pollfd Polled{Socket.impl()->sockfd(), POLLRDHUP, 0};
+  return ::poll(&Polled, 1, static_cast<int>(Limit.count())) > 0;
+}
+
+FakeScriptedTarget::FakeScriptedTarget(Script Answer)
+    : Answer(std::move(Answer)), Listener(SocketAddress("127.0.0.1", 0)),
+      Address(Listener.address().toString()),
+      Acceptor([this] { accept(); }) {}
+
+FakeScriptedTarget::~FakeScriptedTarget() {
+  Stopping = true;
+  Acceptor.join();
+  for (std::thread &Thread : Serving)
+    Thread.join();
+}
+
+std::vector<ReadRequest> FakeScriptedTarget::requests() const {
+  std::lock_guard Lock(Mutex);
+  return Requests;
+}
+
+void FakeScriptedTarget::accept() {
+  static constexpr long PollMicros = 20'000;
+  while (!Stopping)
+    if (Listener.poll(Poco::Timespan(PollMicros),
+                      Poco::Net::Socket::SELECT_READ))
+      Serving.emplace_back(
+          [this, Socket = Listener.acceptConnection()] { serve(Socket); });
+}
+
+void FakeScriptedTarget::serve(StreamSocket Socket) {
+  static constexpr long IdleSeconds = 20;
+  try {
+    Socket.setReceiveTimeout(Poco::Timespan(IdleSeconds, 0));
+    Poco::Net::SocketStream Stream(Socket);
+    ReadRequest Read;
+    Read.Head.read(Stream);
+    std::streamsize Left =
+        Read.Head.hasContentLength()
+            ? static_cast<std::streamsize>(Read.Head.getContentLength64())
+            : 0;
+    Read.Body.resize(static_cast<size_t>(Left));
+    Stream.read(Read.Body.data(), Left);
+    Read.Body.resize(static_cast<size_t>(Stream.gcount()));
+    {
+      std::lock_guard Lock(Mutex);
+      Requests.push_back(Read);
+    }
+    ScriptedConnection Connection(Socket);
+    Answer(Read, Connection);
+  } catch (const Poco::Exception &) {
+    // The peer went away before its request was whole.
+  }
+}
+
+} // namespace ferry::fakes
--- a/Tests/platform/TestCallHeaders.cpp
+++ b/Tests/platform/TestCallHeaders.cpp
@@ -116,6 +116,8 @@
   BOOST_TEST(!Details.ForAnother);
   BOOST_TEST(!Details.NotRun);
   BOOST_TEST(readAnswer(Head, {"other"}).ForAnother);
+  // A caller that names no request gets what comes on its connection.
+  BOOST_TEST(!readAnswer(Head, {}).ForAnother);
   HTTPResponse Refused(HTTPResponse::HTTP_SERVICE_UNAVAILABLE);
   BOOST_TEST(!readAnswer(Refused, {"9c41"}).NotRun);
   Refused.set("X-Not-Run", "1");
