--- a/Libraries/LibObserve/EasyLogging.h
+++ b/Libraries/LibObserve/EasyLogging.h
@@ -9,7 +9,7 @@
 #define ELPP_NO_LOG_TO_FILE
 #define ELPP_NO_DEFAULT_LOG_FILE
 #define ELPP_DISABLE_LOG_FILE_FROM_ARG
-#define ELPP_CUSTOM_COUT std::cerr
+#define ELPP_CUSTOM_COUT std::cout
 
 #include <easylogging++.h>
 
--- a/Libraries/LibObserve/Log.cpp
+++ b/Libraries/LibObserve/Log.cpp
@@ -1,6 +1,7 @@
 #include "LibObserve/Log.h"
 #include "LibCore/Visit.h"
 #include "LibObserve/EasyLogging.h"
+#include "LibObserve/LogQueue.h"
 #include <Poco/DateTimeFormatter.h>
 #include <Poco/Timestamp.h>
 #include <algorithm>
@@ -11,6 +12,8 @@
 namespace ferry::observe {
 
 static constexpr size_t MaxValueBytes = 512;
+/// Longest wait for the writer at the end of a process.
+static constexpr Duration FlushLimit = std::chrono::milliseconds(200);
 static constexpr const char *LoggerName = "ferry";
 static constexpr const char *TimeFormat = "%Y-%m-%dT%H:%M:%S.%iZ";
 
@@ -95,6 +98,13 @@
   return Ready;
 }
 
+/// Lives until the end of the process, so that every thread may log until then.
+static LogQueue &queue() {
+  static LogQueue *const Ready = new LogQueue(
+      [](const std::string &Line) { logger()->info(Line); }, {});
+  return *Ready;
+}
+
 void logEvent(Severity Level, std::string_view Module, std::string_view Event,
               LogFields Fields, const RequestId &Request) {
   if (!isLogged(Level))
@@ -103,20 +113,13 @@
   Line += Poco::DateTimeFormatter::format(Poco::Timestamp(), TimeFormat);
   Line += ' ';
   Line += formatEvent(Level, Module, Event, Fields, Request);
-  switch (Level) {
-  case Severity::Debug:
-    logger()->debug(Line);
-    return;
-  case Severity::Info:
-    logger()->info(Line);
-    return;
-  case Severity::Warning:
-    logger()->warn(Line);
-    return;
-  case Severity::Error:
-    logger()->error(Line);
-    return;
-  }
+  LineWeight Weight = Level >= Severity::Warning ? LineWeight::Important
+                                                 : LineWeight::Ordinary;
+  queue().push(std::move(Line), Weight, steadyNow());
 }
 
+void flushLog() { queue().flush(steadyNow() + FlushLimit); }
+
+uint64_t logLinesLeftOut() { return queue().leftOut(); }
+
 } // namespace ferry::observe
--- a/Libraries/LibObserve/Log.h
+++ b/Libraries/LibObserve/Log.h
@@ -1,5 +1,5 @@
 /// \file
-/// Structured logs: one line per event on the standard error stream.
+/// Structured logs: one line per event on the standard output stream.
 #ifndef FERRY_LIBOBSERVE_LOG_H
 #define FERRY_LIBOBSERVE_LOG_H
 
@@ -66,7 +66,9 @@
 bool isLogged(Severity Level);
 
 /// Writes one line: time, level, module, request if there is one, event and
-/// fields. Safe from any thread. Values that are not plain words are quoted and
+/// fields. Safe from any thread; it does not wait for the line to be written.
+/// Under load, lines below Severity::Warning may be left out: the next line that
+/// is written counts them. Values that are not plain words are quoted and
 /// escaped, and cut after 512 bytes. Tokens and keys must not be given.
 /// \param Module the part that logs, as "traffic".
 /// \param Event what has happened, as "stream_resumed".
@@ -74,6 +76,12 @@
 void logEvent(Severity Level, std::string_view Module, std::string_view Event,
               LogFields Fields = {}, const RequestId &Request = {});
 
+/// Waits until the lines so far are written, for a moment at the most.
+void flushLog();
+
+/// \returns how many lines were left out.
+uint64_t logLinesLeftOut();
+
 /// \returns the line that logEvent() writes, without its time and its end.
 std::string formatEvent(Severity Level, std::string_view Module,
                         std::string_view Event, LogFields Fields,
--- a/Services/ferryd/main.cpp
+++ b/Services/ferryd/main.cpp
@@ -79,9 +79,12 @@
   if (!Started) {
     observe::logEvent(observe::Severity::Error, "ferryd", "start_failed",
                       {{"reason", Started.error().message()}});
+    observe::flushLog();
     return toInt(exitCodeOf(Started.error().Kind));
   }
   runUntilStopped(**Started, Stops, Path);
+  Started->reset();
+  observe::flushLog();
   return toInt(ExitCode::Success);
 }
 
--- a/Tests/LibObserve/TestObserve.cpp
+++ b/Tests/LibObserve/TestObserve.cpp
@@ -16,12 +16,18 @@
   return formatEvent(Severity::Info, "m", "e", Fields, Request);
 }
 
-/// Catches the standard error stream while it lives.
-class CapturedErrors {
+/// Catches the standard output stream while it lives.
+class CapturedOutput {
 public:
-  CapturedErrors() : Before(std::cerr.rdbuf(Text.rdbuf())) {}
-  ~CapturedErrors() { std::cerr.rdbuf(Before); }
-  std::string text() const { return Text.str(); }
+  CapturedOutput() : Before(std::cout.rdbuf(Text.rdbuf())) {}
+  ~CapturedOutput() {
+    flushLog();
+    std::cout.rdbuf(Before);
+  }
+  std::string text() const {
+    flushLog();
+    return Text.str();
+  }
 
 private:
   std::ostringstream Text;
@@ -63,20 +69,20 @@
 }
 
 BOOST_AUTO_TEST_CASE(severity_filters_and_no_file_is_written) {
-  CapturedErrors Errors;
+  CapturedOutput Output;
   setLogSeverity(Severity::Warning);
   logEvent(Severity::Info, "m", "dropped");
   logEvent(Severity::Error, "m", "kept", {{"v", "%level"}});
   setLogSeverity(Severity::Info);
-  BOOST_TEST(Errors.text().find("dropped") == std::string::npos);
-  BOOST_TEST(Errors.text().starts_with("time=20"));
-  BOOST_TEST(Errors.text().ends_with(
+  BOOST_TEST(Output.text().find("dropped") == std::string::npos);
+  BOOST_TEST(Output.text().starts_with("time=20"));
+  BOOST_TEST(Output.text().ends_with(
       "Z level=error module=m event=kept v=\"%level\"\n"));
   BOOST_TEST(!std::filesystem::exists("myeasylog.log"));
 }
 
 BOOST_AUTO_TEST_CASE(lines_of_many_threads_stay_whole) {
-  CapturedErrors Errors;
+  CapturedOutput Output;
   std::vector<std::thread> Threads;
   for (int Index = 0; Index < 4; ++Index)
     Threads.emplace_back([] {
@@ -85,7 +91,7 @@
     });
   for (std::thread &Thread : Threads)
     Thread.join();
-  std::istringstream Lines(Errors.text());
+  std::istringstream Lines(Output.text());
   std::string Line;
   int Whole = 0;
   while (std::getline(Lines, Line))
