--- a/Libraries/LibRouting/PromptPlacement.cpp
+++ b/Libraries/LibRouting/PromptPlacement.cpp
@@ -30,6 +30,9 @@
 /// Named weights that are remembered for one model: one load of all engines
 /// takes less time than as many changes.
 static constexpr size_t MaxNamed = 16;
+/// Names are told twice a second: with a longer gap, the control hosts are not
+/// at work, and nobody can order newer weights.
+static constexpr Duration NamesGap = std::chrono::seconds(2);
 /// Overtaken weights cost nothing for as long as one load takes.
 static constexpr Duration OvertakenGrace = std::chrono::milliseconds(1500);
 /// Kept from the deadline for the wait before a request begins.
@@ -153,7 +156,10 @@
   return Known.Record.Weights;
 }
 
-void PromptPlacement::weightsNamed(const NamedWeights &Told) {
+void PromptPlacement::weightsNamed(const NamedWeights &Told, Timestamp Now) {
+  if (Now > NamesHeardAt + NamesGap)
+    NamesHeardSince = Now;
+  NamesHeardAt = Now;
   std::vector<NamedWeights> &Known = Named[Told.Model];
   if (!Known.empty() && Told.Weights <= Known.back().Weights)
     return;
@@ -174,6 +180,15 @@
   return NeverExpires;
 }
 
+bool PromptPlacement::isPastDeadline(const Target &Known,
+                                     Timestamp Now) const {
+  Timestamp Since = overtakenSince(Known, Now);
+  if (Since == NeverExpires || Now > NamesHeardAt + NamesGap)
+    return false;
+  return Now >= std::max(Since, NamesHeardSince) + Chosen.WeightsDeadline -
+                    BeginMargin;
+}
+
 bool PromptPlacement::isUsable(const Target &Known, Timestamp Now) const {
   return isFresh(Known, Now) && Known.UnusableUntil <= Now &&
          Known.LoadingUntil <= Now;
@@ -300,10 +315,8 @@
     std::stable_partition(Known.begin(), Known.end(), [Now](Target *Entry) {
       return Entry->UnusableUntil <= Now;
     });
-  Duration Allowed = this->Chosen.WeightsDeadline - BeginMargin;
   std::erase_if(Chosen, [&](Target *Entry) {
-    Timestamp Since = overtakenSince(*Entry, Now);
-    if (Since != NeverExpires && Now >= Since + Allowed)
+    if (isPastDeadline(*Entry, Now))
       return true;
     return std::find(Call.Tried.begin(), Call.Tried.end(), Entry->Record.Id) !=
            Call.Tried.end();
--- a/Libraries/LibRouting/PromptPlacement.h
+++ b/Libraries/LibRouting/PromptPlacement.h
@@ -53,7 +53,9 @@
   WorkDigest makeDigest();
 
   /// Takes what an operator has named.
-  void weightsNamed(const NamedWeights &Named);
+  /// Told again and again: overtaken weights count against the deadline only
+  /// while somebody is there to order newer ones.
+  void weightsNamed(const NamedWeights &Named, Timestamp Now);
 
   /// Takes what the giver of orders told.
   void engineChanged(const EngineChange &Change, Timestamp Now);
@@ -145,6 +147,7 @@
   WeightsVersion weightsOf(const Target &Known, Timestamp Now) const;
   bool isUsable(const Target &Known, Timestamp Now) const;
   Timestamp overtakenSince(const Target &Known, Timestamp Now) const;
+  bool isPastDeadline(const Target &Known, Timestamp Now) const;
   void addOthers(const std::vector<TargetWork> &Work, double Sign);
   void dropSilent(Timestamp Now);
   void noteParts(const PromptCall &Call, Target &Where, PartState State);
@@ -200,6 +203,9 @@
   PartMemory Used;
   /// The newest named weights of each model, the oldest first.
   std::map<ModelId, std::vector<NamedWeights>> Named;
+  /// The giver of names was last heard then, and without a gap since.
+  Timestamp NamesHeardAt;
+  Timestamp NamesHeardSince;
   std::unordered_map<uint64_t, Ticketed> Tickets;
   uint64_t NextTicket = 1;
 };
--- a/Libraries/LibTraffic/RoutedContext.cpp
+++ b/Libraries/LibTraffic/RoutedContext.cpp
@@ -57,7 +57,7 @@
 
 void SharedPlacement::weightsNamed(const NamedWeights &Named) {
   std::lock_guard Lock(Mutex);
-  Decisions.weightsNamed(Named);
+  Decisions.weightsNamed(Named, steadyNow());
 }
 
 void SharedPlacement::engineChanged(const EngineChange &Change) {
--- a/Services/ferryd/ControlPlane.cpp
+++ b/Services/ferryd/ControlPlane.cpp
@@ -19,6 +19,8 @@
 /// Each load is watched by a thread of its own.
 static constexpr size_t RoutedSendingThreads = 32;
 
+/// Between tries to open a log that its disk has stopped.
+static constexpr Duration ReviveInterval = std::chrono::milliseconds(500);
 /// Between proposals about the order lease: a lease that is lost with its
 /// holder is seen unchanged that much sooner.
 static constexpr Duration RoutedLeaseRenewal = std::chrono::milliseconds(400);
@@ -192,6 +194,35 @@
   return Options;
 }
 
+void ControlPlane::reviveLog() {
+  Timestamp Now = steadyNow();
+  bool Stopped = !Node || Node->log().failure();
+  if (Settings.Role != config::HostRole::Control || !Stopped || Now < ReviveAt)
+    return;
+  ReviveAt = Now + ReviveInterval;
+  // What was not synced was promised to nobody: the log begins again with what
+  // its disk holds.
+  if (Node) {
+    observe::logEvent(Severity::Warning, "control", "log_stopped",
+                      {{"reason", Node->log().failure()->message()}});
+    Orders.reset();
+    Node->close();
+    Node.reset();
+  }
+  auto Opened = tryOpenRegistry();
+  if (!Opened) {
+    observe::logEvent(Severity::Error, "control", "log_not_opened",
+                      {{"reason", Opened.error().message()}});
+    return;
+  }
+  observe::logEvent(Severity::Info, "control", "log_opened_again", {});
+  startOrders();
+  if (Draining)
+    Orders->beginDrain();
+  std::vector<HostId> Known = ControlHosts;
+  Node->hostsKnown(std::move(Known));
+}
+
 void ControlPlane::startOrders() {
   Orders = std::make_unique<OrderGiver>(orderOptions(), Loop, *Gateway,
                                         Node->state());
@@ -206,6 +237,7 @@
   stepConfirmation(ConfirmationTick{});
   stepMembership(LocalConfirmed{Confirmed.number(), Confirmed.confirmedAsOf()});
   stepMembership(MembershipTick{});
+  reviveLog();
   updateStanding();
   if (Confirmed.confirmedUntil() != ViewConfirmedUntil)
     markViewChanged();
--- a/Services/ferryd/ControlPlane.h
+++ b/Services/ferryd/ControlPlane.h
@@ -95,6 +95,7 @@
   Result<void, StartError> tryOpenRegistry();
   void startGateway();
   void startOrders();
+  void reviveLog();
   void addDumpSections();
 
   // Messages (ControlPlaneMessages.cpp).
@@ -172,6 +173,8 @@
   /// Named weights, and when this host learnt of them.
   std::map<ModelId, routing::NamedWeights> NamedSeen;
   Timestamp TellNamedBy;
+  /// A log that its disk has stopped is opened again then.
+  Timestamp ReviveAt;
 };
 
 } // namespace ferry::daemon
--- a/Services/ferryd/ControlPlaneDump.cpp
+++ b/Services/ferryd/ControlPlaneDump.cpp
@@ -153,9 +153,14 @@
   Dump.add("peers", [this] { return peersSection(*Link); });
   if (!Node)
     return;
-  Dump.add("log", [this] { return logSection(Node->log()); });
-  Dump.add("orders", [this] { return ordersSection(*Orders); });
-  Dump.add("registry", [this] { return registrySection(Node->state()); });
+  // A log that its disk has stopped is away until it can be opened again.
+  auto OrEmpty = [this](auto Make) {
+    return [this, Make] { return Node ? Make() : Object::Ptr(new Object); };
+  };
+  Dump.add("log", OrEmpty([this] { return logSection(Node->log()); }));
+  Dump.add("orders", OrEmpty([this] { return ordersSection(*Orders); }));
+  Dump.add("registry",
+           OrEmpty([this] { return registrySection(Node->state()); }));
 }
 
 } // namespace ferry::daemon
--- a/Tests/LibRouting/TestPromptPlacement.cpp
+++ b/Tests/LibRouting/TestPromptPlacement.cpp
@@ -166,7 +166,7 @@
   // Once loaded, it has the new weights and none of its parts.
   Router.engineChanged({Home.Target, {1}, {2}, false}, World.Now);
   World.Now += 10ms;
-  Router.weightsNamed({Model, {2}, World.Now - 3s});
+  Router.weightsNamed({Model, {2}, World.Now - 3s}, World.Now);
   PlacedCall Again = placed(Router.place(World.call(7), World.Now));
   BOOST_TEST(Again.Target == Home.Target);
   BOOST_TEST(Again.Weights.Value == 2U);
@@ -188,20 +188,41 @@
   Engines World(3);
   World.View.Targets[2].Weights = {2};
   PromptPlacement Router = World.router();
-  Router.weightsNamed({Model, {2}, World.Now});
-  World.Now += 11500ms;
+  auto Pass = [&](Duration Span) {
+    for (Timestamp End = World.Now + Span; World.Now < End;
+         World.Now += 500ms)
+      Router.weightsNamed({Model, {2}, World.Now}, World.Now);
+  };
+  Pass(11500ms);
   for (int Count = 0; Count < 6; ++Count)
     BOOST_TEST(placed(Router.place(World.call(Count), World.Now)).Target.Value ==
                "e2");
-  Router.weightsNamed({Model, {3}, World.Now});
+  Router.weightsNamed({Model, {3}, World.Now}, World.Now);
   // The newest engine is overtaken too, but not for long.
   BOOST_TEST(placed(Router.place(World.call(99), World.Now)).Target.Value ==
              "e2");
-  World.Now += 11500ms;
+  Pass(11500ms);
   BOOST_TEST(std::holds_alternative<TurnedAway>(
       Router.place(World.call(99), World.Now)));
 }
 
+// The control hosts are lost after weights were named: engines serve on, and
+// the time counts from the moment when orders can be given again.
+BOOST_AUTO_TEST_CASE(overtaken_weights_serve_while_nobody_gives_orders) {
+  Engines World(3);
+  PromptPlacement Router = World.router();
+  Router.weightsNamed({Model, {2}, World.Now}, World.Now);
+  World.Now += 15s;
+  placed(Router.place(World.call(1), World.Now));
+  for (int Count = 0; Count < 10; ++Count, World.Now += 1s)
+    Router.weightsNamed({Model, {2}, World.Now - 15s}, World.Now);
+  placed(Router.place(World.call(2), World.Now));
+  for (int Count = 0; Count < 3; ++Count, World.Now += 500ms)
+    Router.weightsNamed({Model, {2}, World.Now - 25s}, World.Now);
+  BOOST_TEST(std::holds_alternative<TurnedAway>(
+      Router.place(World.call(3), World.Now)));
+}
+
 BOOST_AUTO_TEST_CASE(an_engine_out_of_reach_is_passed_over_and_tried_again) {
   Engines World(4);
   PromptPlacement Router = World.router();
