--- a/Services/ferryd/main.cpp
+++ b/Services/ferryd/main.cpp
@@ -42,6 +42,8 @@
   sigaddset(&Stops, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &Stops, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
+  // A file that may not grow is a failed write, which the log mends.
+  std::signal(SIGXFSZ, SIG_IGN);
   return Stops;
 }
 
--- a/Tests/Support/TestProcess.cpp
+++ b/Tests/Support/TestProcess.cpp
@@ -1,4 +1,6 @@
 #include "Support/TestProcess.h"
+#include <algorithm>
+#include <sys/resource.h>
 
 namespace ferry::test {
 
@@ -31,4 +33,19 @@
   return Handle && ::kill(Handle->id(), 0) == 0;
 }
 
+static void setFileLimit(int Process, rlim_t Bytes) {
+  rlimit Limit{};
+  prlimit(Process, RLIMIT_FSIZE, nullptr, &Limit);
+  Limit.rlim_cur = std::min(Bytes, Limit.rlim_max);
+  prlimit(Process, RLIMIT_FSIZE, &Limit, nullptr);
+}
+
+void TestProcess::limitFiles(uint64_t Bytes) const {
+  setFileLimit(static_cast<int>(Handle->id()), Bytes);
+}
+
+void TestProcess::liftFileLimit() const {
+  setFileLimit(static_cast<int>(Handle->id()), RLIM_INFINITY);
+}
+
 } // namespace ferry::test
--- a/Tests/Support/TestProcess.h
+++ b/Tests/Support/TestProcess.h
@@ -5,6 +5,7 @@
 
 #include <Poco/Process.h>
 #include <csignal>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <vector>
@@ -26,6 +27,9 @@
   /// Waits for the end. \returns the exit code.
   int wait();
   bool isRunning() const;
+  /// Bounds the size of the files that the process writes, as a full disk does.
+  void limitFiles(uint64_t Bytes) const;
+  void liftFileLimit() const;
 
 private:
   std::unique_ptr<Poco::ProcessHandle> Handle;
--- a/Tests/System/TestRoutedService.cpp
+++ b/Tests/System/TestRoutedService.cpp
@@ -187,6 +187,23 @@
   BOOST_TEST(eventually([&] { return serves(Cluster, 2); }));
 }
 
+// A disk that was full for a while does not cost the quorum later.
+BOOST_AUTO_TEST_CASE(a_host_whose_disk_was_full_votes_again) {
+  RoutedCluster Cluster;
+  startAll(Cluster);
+  Announcers Targets(Cluster);
+  BOOST_REQUIRE(eventually([&] { return accepts(Cluster, 1); }));
+  BOOST_REQUIRE(eventually([&] { return serves(Cluster, 1); }));
+  Cluster.host(1).limitFiles(1);
+  BOOST_REQUIRE(eventually([&] { return accepts(Cluster, 2); }));
+  BOOST_REQUIRE(eventually([&] { return serves(Cluster, 2); }));
+  Cluster.host(1).liftFileLimit();
+  Cluster.kill(2);
+  BOOST_TEST(eventually([&] { return accepts(Cluster, 3); }));
+  BOOST_TEST(eventually([&] { return serves(Cluster, 3); }));
+  BOOST_TEST(Cluster.host(1).isRunning());
+}
+
 BOOST_AUTO_TEST_CASE(signals_stop_without_a_cut_and_reload) {
   RoutedCluster Cluster;
   startAll(Cluster);
