--- a/Libraries/LibRouting/PromptPlacement.cpp
+++ b/Libraries/LibRouting/PromptPlacement.cpp
@@ -157,7 +157,9 @@
 }
 
 void PromptPlacement::weightsNamed(const NamedWeights &Told, Timestamp Now) {
-  if (Now > NamesHeardAt + NamesGap)
+  // A router that has just started takes the age as told: the time went on
+  // while it was away.
+  if (NamesHeardAt && Now > *NamesHeardAt + NamesGap)
     NamesHeardSince = Now;
   NamesHeardAt = Now;
   std::vector<NamedWeights> &Known = Named[Told.Model];
@@ -183,7 +185,7 @@
 bool PromptPlacement::isPastDeadline(const Target &Known,
                                      Timestamp Now) const {
   Timestamp Since = overtakenSince(Known, Now);
-  if (Since == NeverExpires || Now > NamesHeardAt + NamesGap)
+  if (Since == NeverExpires || !NamesHeardAt || Now > *NamesHeardAt + NamesGap)
     return false;
   return Now >= std::max(Since, NamesHeardSince) + Chosen.WeightsDeadline -
                     BeginMargin;
--- a/Libraries/LibRouting/PromptPlacement.h
+++ b/Libraries/LibRouting/PromptPlacement.h
@@ -204,7 +204,7 @@
   /// The newest named weights of each model, the oldest first.
   std::map<ModelId, std::vector<NamedWeights>> Named;
   /// The giver of names was last heard then, and without a gap since.
-  Timestamp NamesHeardAt;
+  std::optional<Timestamp> NamesHeardAt;
   Timestamp NamesHeardSince;
   std::unordered_map<uint64_t, Ticketed> Tickets;
   uint64_t NextTicket = 1;
--- a/Tests/LibRouting/TestPromptPlacement.cpp
+++ b/Tests/LibRouting/TestPromptPlacement.cpp
@@ -206,6 +206,15 @@
       Router.place(World.call(99), World.Now)));
 }
 
+// A router that is restarted between the naming and the deadline.
+BOOST_AUTO_TEST_CASE(a_restarted_router_keeps_the_deadline_of_weights) {
+  Engines World(3);
+  PromptPlacement Router = World.router();
+  Router.weightsNamed({Model, {2}, World.Now - 11500ms}, World.Now);
+  BOOST_TEST(std::holds_alternative<TurnedAway>(
+      Router.place(World.call(1), World.Now)));
+}
+
 // The control hosts are lost after weights were named: engines serve on, and
 // the time counts from the moment when orders can be given again.
 BOOST_AUTO_TEST_CASE(overtaken_weights_serve_while_nobody_gives_orders) {
