--- a/Libraries/LibRouting/PromptCall.h
+++ b/Libraries/LibRouting/PromptCall.h
@@ -112,6 +112,10 @@
   bool Loading = false;
 };
 
+/// Named weights that are remembered for one model: one load of all engines
+/// takes less time than as many changes.
+inline constexpr size_t MaxNamedWeights = 16;
+
 /// Weights that an operator has named.
 struct NamedWeights {
   ModelId Model;
--- a/Libraries/LibRouting/PromptPlacement.cpp
+++ b/Libraries/LibRouting/PromptPlacement.cpp
@@ -27,9 +27,6 @@
 static constexpr double FailureWeight = 0.1;
 /// A failed request costs about a second try.
 static constexpr double FailureSeconds = 0.5;
-/// Named weights that are remembered for one model: one load of all engines
-/// takes less time than as many changes.
-static constexpr size_t MaxNamed = 16;
 /// Names are told twice a second: with a longer gap, the control hosts are not
 /// at work, and nobody can order newer weights.
 static constexpr Duration NamesGap = std::chrono::seconds(2);
@@ -166,7 +163,7 @@
   if (!Known.empty() && Told.Weights <= Known.back().Weights)
     return;
   Known.push_back(Told);
-  if (Known.size() > MaxNamed)
+  if (Known.size() > MaxNamedWeights)
     Known.erase(Known.begin());
 }
 
--- a/Services/ferryd/ControlPlane.cpp
+++ b/Services/ferryd/ControlPlane.cpp
@@ -369,8 +369,12 @@
     for (const ModelId &Model : Known.Engine->Models) {
       WeightsVersion Weights = Node->state().namedWeights(Model);
       auto &Seen = NamedSeen[Model];
-      if (Weights > Seen.Weights)
-        Seen = {Model, Weights, steadyNow()};
+      bool Newer = Seen.empty() ? Weights.Value > 0
+                                : Weights > Seen.back().Weights;
+      if (Newer)
+        Seen.push_back({Model, Weights, steadyNow()});
+      if (Seen.size() > routing::MaxNamedWeights)
+        Seen.erase(Seen.begin());
     }
   }
 }
--- a/Services/ferryd/ControlPlane.h
+++ b/Services/ferryd/ControlPlane.h
@@ -170,8 +170,8 @@
   ControlLoop::TimerId DigestTimer;
   std::vector<routing::TargetWork> ToldWork;
   Timestamp TellWorkBy;
-  /// Named weights, and when this host learnt of them.
-  std::map<ModelId, routing::NamedWeights> NamedSeen;
+  /// Named weights, the oldest first, and when this host learnt of them.
+  std::map<ModelId, std::vector<routing::NamedWeights>> NamedSeen;
   Timestamp TellNamedBy;
   /// A log that its disk has stopped is opened again then.
   Timestamp ReviveAt;
--- a/Services/ferryd/ControlPlaneRouting.cpp
+++ b/Services/ferryd/ControlPlaneRouting.cpp
@@ -109,16 +109,17 @@
   if (!Node->log().isLeader() || NamedSeen.empty())
     return;
   wire::EngineChanges Message;
-  for (const auto &[Model, Named] : NamedSeen) {
-    if (Named.Weights.Value == 0)
-      continue;
-    wire::NamedWeights Fields;
-    Fields.Model = Model.Value;
-    Fields.Weights = static_cast<int64_t>(Named.Weights.Value);
-    Fields.AgeMillis =
-        static_cast<int32_t>((Now - Named.Since).count() / 1000);
-    Message.Named.push_back(std::move(Fields));
-  }
+  // All of them: what overtook an engine's weights first starts its deadline,
+  // also for a router that has just started.
+  for (const auto &[Model, Seen] : NamedSeen)
+    for (const routing::NamedWeights &Named : Seen) {
+      wire::NamedWeights Fields;
+      Fields.Model = Model.Value;
+      Fields.Weights = static_cast<int64_t>(Named.Weights.Value);
+      Fields.AgeMillis =
+          static_cast<int32_t>((Now - Named.Since).count() / 1000);
+      Message.Named.push_back(std::move(Fields));
+    }
   if (Message.Named.empty())
     return;
   for (const HostId &Router : routers())
--- a/Tests/LibRouting/TestPromptPlacement.cpp
+++ b/Tests/LibRouting/TestPromptPlacement.cpp
@@ -215,6 +215,17 @@
       Router.place(World.call(1), World.Now)));
 }
 
+// Such a router is told all names, the oldest first: the first that overtook an
+// engine counts, not the newest.
+BOOST_AUTO_TEST_CASE(the_first_newer_weights_start_the_deadline) {
+  Engines World(3);
+  PromptPlacement Router = World.router();
+  Router.weightsNamed({Model, {2}, World.Now - 11500ms}, World.Now);
+  Router.weightsNamed({Model, {3}, World.Now - 2s}, World.Now);
+  BOOST_TEST(std::holds_alternative<TurnedAway>(
+      Router.place(World.call(1), World.Now)));
+}
+
 // The control hosts are lost after weights were named: engines serve on, and
 // the time counts from the moment when orders can be given again.
 BOOST_AUTO_TEST_CASE(overtaken_weights_serve_while_nobody_gives_orders) {
