--- a/Libraries/LibRouting/PromptPlacement.h
+++ b/Libraries/LibRouting/PromptPlacement.h
@@ -14,6 +14,17 @@
 
 namespace ferry::routing {
 
+/// The cache store, as the description names it, and what it is held to have.
+/// Its parts are told in digests under StoreId.
+struct StoreMemory {
+  std::string Address;
+  DataCentreId DataCentre;
+  double BitsPerSecond = 0;
+  PartMemory Parts;
+  /// Not asked before this: it seems to be down or empty.
+  Timestamp UnusableUntil;
+};
+
 /// Decision part of one router; no clock, thread or socket of its own.
 ///
 /// A request goes where its first token is expected soonest: what the target
@@ -194,17 +205,7 @@
   };
   std::map<HostId, Told> Others;
   std::vector<PartPlace> NewParts;
-  /// The cache store, as the description names it, and what it is held to have.
-  /// Its parts are told in digests under StoreId.
-  struct Store {
-    std::string Address;
-    DataCentreId DataCentre;
-    double BitsPerSecond = 0;
-    PartMemory Parts;
-    /// Not asked before this: it seems to be down or empty.
-    Timestamp UnusableUntil;
-  };
-  std::optional<Store> CacheStore;
+  std::optional<StoreMemory> CacheStore;
   /// Of the engines; 0 before the first description.
   uint64_t BytesPerToken = 0;
   double EngineLinkBits = 0;
