LibTraffic: Tell callers in fractions when a place is free, and log the reason

Cause: Retry-After was rounded up to whole seconds, longer than half of what a caller waits, and the line of a refusal named the last attempt in place of the reason.

--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -20,6 +20,15 @@
 static constexpr Duration LeastWait = std::chrono::milliseconds(5);
 static constexpr int FirstFailureStatus = 500;
 
+/// \returns the time until \p Moment in seconds, with milliseconds.
+static std::string secondsText(Timestamp Moment) {
+  static constexpr int64_t MillisInSecond = 1000;
+  int64_t Millis = millisUntil(Moment, steadyNow()) + 1;
+  std::string Fraction =
+      std::to_string(MillisInSecond + Millis % MillisInSecond);
+  return std::to_string(Millis / MillisInSecond) + "." + Fraction.substr(1);
+}
+
 /// Whether callers take \p Status for a promise that the request has not run.
 static bool promisesNotRun(int Status) {
   return Status == 408 || Status == 421 || Status == 429 || Status == 503;
@@ -285,7 +294,7 @@
 
 RoutedRelay::Next RoutedRelay::failed(const PlacedCall &Placed,
                                       const LinkError &Failure, bool Sent) {
-  LastFailure = Failure;
+  LastFailure = {Failure.Kind, Failure.message()};
   bool Gone = Failure.Kind == LinkErrorKind::CallerGone;
   bool Late = Failure.Kind == LinkErrorKind::DeadlinePassed;
   if (Sent)
@@ -361,15 +370,20 @@
     return;
   }
   if (Runs == 0)
-    return refuse({AnswerError::NoTarget, LastFailure.message(), NotRun::True,
+    return refuse({AnswerError::NoTarget, LastFailure.Detail, NotRun::True,
                    steadyNow() + NoRoutesPause});
   bool Late = steadyNow() >= Call.Deadline;
   refuse({Late ? AnswerError::DeadlinePassed : AnswerError::TargetFailed,
-          LastFailure.message(), NotRun::Unknown});
+          LastFailure.Detail, NotRun::Unknown});
 }
 
 void RoutedRelay::refuse(const ErrorAnswer &Answer) {
-  Exchange.sendError(Answer);
+  // Callers of this interface read fractions of a second: a place is often free
+  // sooner than in a whole one.
+  if (Answer.RetryAt)
+    Exchange.setHeader("Retry-After", secondsText(*Answer.RetryAt));
+  Exchange.sendJson(httpStatus(Answer.Type), errorBody(Answer, steadyNow()));
+  LastFailure = {LastFailure.Kind, Answer.Message};
   logEnd("refused", httpStatus(Answer.Type));
 }
 
@@ -402,7 +416,7 @@
        {"attempts", Attempts},
        {"runs", Runs},
        {"targets_tried", Call.Tried.size()},
-       {"reason", Failed ? LastFailure.message() : std::string()},
+       {"reason", Failed ? LastFailure.Detail : std::string()},
        {"first_byte_ms",
         std::max<int64_t>(0, (FirstByteAt - ArrivedAt).count() / 1000)},
        {"millis", (steadyNow() - ArrivedAt).count() / 1000}},
--- a/Tests/LibTraffic/TestRoutedRelay.cpp
+++ b/Tests/LibTraffic/TestRoutedRelay.cpp
@@ -48,6 +48,18 @@
   BOOST_TEST(Bed.runs() == 1U);
 }
 
+// A place that is free in a tenth of a second is told so: a whole second would
+// be longer than some callers wait.
+BOOST_AUTO_TEST_CASE(when_to_come_back_is_told_in_fractions) {
+  RoutedBed Bed;
+  CallerAnswer Answer = Bed.send("/once/x");
+  BOOST_REQUIRE(Answer.Status == 503);
+  double Seconds = std::stod(Answer.Head.get("Retry-After", "9"));
+  BOOST_TEST(Seconds > 0.0);
+  BOOST_TEST(Seconds < 0.6);
+  BOOST_TEST(Answer.Body.find("\"not_run\":true") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(a_router_without_routes_says_when_to_come_back) {
   RoutedBed Bed;
   CallerAnswer Answer = Bed.send("/once/x");
