--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -181,27 +181,25 @@
   if (Details.NotRun)
     return end(Placed, CallEnd::NotRun, Next::RetryUnsent);
   bool Success = Target.head().getStatus() / 100 == 2;
+  // A success that its target does not vouch for is nobody's answer.
+  if (Success && !Details.Vouched)
+    return failed(Placed, {LinkErrorKind::WrongEcho, "not vouched for"},
+                  /*Sent=*/true);
   if (Success && Route->Answers == config::AnswerForm::Stream)
     return relayStream(Placed, Target);
   if (Streaming)
     return failed(Placed, {LinkErrorKind::Broken, "did not go on"},
                   /*Sent=*/true);
-  return relayWhole(Placed, Target, Details);
+  return relayWhole(Placed, Target);
 }
 
 RoutedRelay::Next RoutedRelay::relayWhole(const PlacedCall &Placed,
-                                          TargetExchange &Target,
-                                          const AnswerDetails &Details) {
+                                          TargetExchange &Target) {
   auto Answer = Target.tryReadWhole(MaxWholeAnswerBytes, limits());
   if (!Answer)
     return failed(Placed, Answer.error(), /*Sent=*/true);
   Context.Placements.firstByte(Placed.Ticket);
   int Status = Target.head().getStatus();
-  bool Success = Status / 100 == 2;
-  // A success that its target does not vouch for is nobody's answer.
-  if (Success && !Details.Vouched)
-    return failed(Placed, {LinkErrorKind::WrongEcho, "not vouched for"},
-                  /*Sent=*/true);
   if (Status >= FirstFailureStatus || promisesNotRun(Status)) {
     ++Runs;
     LastFailure = {LinkErrorKind::Broken, "status " + std::to_string(Status)};
--- a/Libraries/LibTraffic/RoutedRelay.h
+++ b/Libraries/LibTraffic/RoutedRelay.h
@@ -35,8 +35,7 @@
   void relay();
   Next attempt(const routing::PlacedCall &Placed);
   Next relayAnswer(const routing::PlacedCall &Placed, TargetExchange &Target);
-  Next relayWhole(const routing::PlacedCall &Placed, TargetExchange &Target,
-                  const AnswerDetails &Details);
+  Next relayWhole(const routing::PlacedCall &Placed, TargetExchange &Target);
   Next relayStream(const routing::PlacedCall &Placed, TargetExchange &Target);
   bool takeEvents(EventSplitter &Events, std::string &Piece,
                   std::string &Ready);
--- a/Tests/LibTraffic/TestRoutedRelay.cpp
+++ b/Tests/LibTraffic/TestRoutedRelay.cpp
@@ -258,6 +258,19 @@
   }
 }
 
+// A target that spoils its answers may lose the head of a stream (hunt,
+// permits, answers.toml seed 539283726989).
+BOOST_AUTO_TEST_CASE(a_stream_that_nobody_vouches_for_is_not_passed_on) {
+  for (const char *Path : {"/flow/x", "/goon/x"}) {
+    RoutedBed Bed;
+    for (int Count = 0; Count < 2; ++Count)
+      Bed.add("lm", answering("HTTP/1.1 200 OK\r\n\r\n" + event(1)));
+    CallerAnswer Answer = Bed.send(Path);
+    BOOST_TEST(Answer.Status == 502, Path);
+    BOOST_TEST(Answer.Body.find(event(1)) == std::string::npos);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_stream_that_broke_does_not_look_complete) {
   RoutedBed Bed;
   for (int Count = 0; Count < 2; ++Count)
