LibCore: Read whole numbers in one place

Eight places read a whole number by from_chars and the same checks, two of them to the letter. They call ferry::parseNumber() now.

Three more twins, each now one piece: the time at which a wait on a target has stalled (WaitLimits::stallTime), the writing of a whole answer (HttpExchange::writeWhole), and a leader's note of a reply (Replica::heardReply). Behaviour stays; no test was changed.

--- a/Libraries/LibConfig/TextForm.cpp
+++ b/Libraries/LibConfig/TextForm.cpp
@@ -1,8 +1,8 @@
 #include "LibConfig/TextForm.h"
+#include "LibCore/ParseNumber.h"
 #include <Poco/Net/IPAddress.h>
 #include <algorithm>
 #include <array>
-#include <charconv>
 
 namespace ferry::config {
 
@@ -33,10 +33,7 @@
 }
 
 static bool isPort(std::string_view Text) {
-  uint32_t Port = 0;
-  const char *End = Text.data() + Text.size();
-  auto [Rest, Code] = std::from_chars(Text.data(), End, Port);
-  return Code == std::errc() && Rest == End && Port >= 1 && Port <= 65'535;
+  return parseNumber<uint16_t>(Text).value_or(0) != 0;
 }
 
 static bool isAddress(const std::string &Text) {
--- a/Libraries/LibConsensus/LogFiles.cpp
+++ b/Libraries/LibConsensus/LogFiles.cpp
@@ -1,7 +1,7 @@
 #include "LibConsensus/LogFiles.h"
+#include "LibCore/ParseNumber.h"
 #include <algorithm>
 #include <cerrno>
-#include <charconv>
 #include <cstring>
 #include <fcntl.h>
 #include <fstream>
@@ -65,12 +65,7 @@
   std::string Name = Path.filename().string();
   if (!Name.starts_with(Prefix))
     return std::nullopt;
-  uint64_t Number = 0;
-  const char *End = Name.data() + Name.size();
-  auto Parsed = std::from_chars(Name.data() + Prefix.size(), End, Number);
-  if (Parsed.ec != std::errc() || Parsed.ptr != End)
-    return std::nullopt;
-  return Number;
+  return parseNumber<uint64_t>(std::string_view(Name).substr(Prefix.size()));
 }
 
 fs::path LogFiles::logPath(uint64_t Number) const {
--- a/Libraries/LibConsensus/Replica.h
+++ b/Libraries/LibConsensus/Replica.h
@@ -184,6 +184,9 @@
   void sendAppend(ReplicaId Peer, Progress &To, AppendContent Content);
   void sendChunk(ReplicaId Peer, Progress &To, ChunkContent Content);
   Progress *progressOf(ReplicaId Peer);
+  /// Notes a reply of this term, which acknowledges \p Round. \returns its
+  /// sender's progress, or nullptr for a reply that counts for nothing.
+  Progress *heardReply(const ReceiveEvent &From, int64_t Round);
   void receive(const ReceiveEvent &From, const wire::AppendReply &Reply);
   void receive(const ReceiveEvent &From, const wire::SnapshotReply &Reply);
   void acknowledged(Progress &From, uint64_t Index);
--- a/Libraries/LibConsensus/ReplicaLeader.cpp
+++ b/Libraries/LibConsensus/ReplicaLeader.cpp
@@ -145,17 +145,24 @@
   send(To.Host, Peer, std::move(Chunk));
 }
 
-void Replica::receive(const ReceiveEvent &From,
-                      const wire::AppendReply &Reply) {
+Replica::Progress *Replica::heardReply(const ReceiveEvent &From,
+                                       int64_t Round) {
   if (!isLeader() || From.Received.Term != LastVote.Term)
-    return;
+    return nullptr;
   Progress *Peer = progressOf(From.Received.Sender);
   if (Peer == nullptr)
-    return;
+    return nullptr;
   Peer->Heard = true;
   Peer->HeardAt = Now;
-  Peer->AckedRound =
-      std::max(Peer->AckedRound, static_cast<uint64_t>(Reply.Round));
+  Peer->AckedRound = std::max(Peer->AckedRound, static_cast<uint64_t>(Round));
+  return Peer;
+}
+
+void Replica::receive(const ReceiveEvent &From,
+                      const wire::AppendReply &Reply) {
+  Progress *Peer = heardReply(From, Reply.Round);
+  if (Peer == nullptr)
+    return;
   auto Index = static_cast<uint64_t>(Reply.Index);
   if (Reply.Matched) {
     acknowledged(*Peer, std::min(Index, Log.lastIndex()));
@@ -187,15 +194,9 @@
 
 void Replica::receive(const ReceiveEvent &From,
                       const wire::SnapshotReply &Reply) {
-  if (!isLeader() || From.Received.Term != LastVote.Term)
-    return;
-  Progress *Peer = progressOf(From.Received.Sender);
+  Progress *Peer = heardReply(From, Reply.Round);
   if (Peer == nullptr)
     return;
-  Peer->Heard = true;
-  Peer->HeardAt = Now;
-  Peer->AckedRound =
-      std::max(Peer->AckedRound, static_cast<uint64_t>(Reply.Round));
   finishRounds();
   if (!Peer->Sending ||
       Peer->Sending->Index != static_cast<uint64_t>(Reply.Index))
--- a/Libraries/LibTraffic/CallerRequest.cpp
+++ b/Libraries/LibTraffic/CallerRequest.cpp
@@ -1,7 +1,7 @@
 #include "LibTraffic/CallerRequest.h"
+#include "LibCore/ParseNumber.h"
 #include "LibRouting/Entries.h"
 #include <algorithm>
-#include <charconv>
 
 namespace ferry::traffic {
 
@@ -25,11 +25,8 @@
 }
 
 static std::optional<uint64_t> parseMillis(const std::string &Text) {
-  uint64_t Millis = 0;
-  auto [End, Failure] =
-      std::from_chars(Text.data(), Text.data() + Text.size(), Millis);
-  bool Whole = Failure == std::errc() && End == Text.data() + Text.size();
-  if (!Whole || Millis == 0 || Millis > MaxDeadlineMillis)
+  auto Millis = parseNumber<uint64_t>(Text);
+  if (!Millis || *Millis == 0 || *Millis > MaxDeadlineMillis)
     return std::nullopt;
   return Millis;
 }
--- a/Libraries/LibTraffic/EventSplitter.cpp
+++ b/Libraries/LibTraffic/EventSplitter.cpp
@@ -1,5 +1,5 @@
 #include "LibTraffic/EventSplitter.h"
-#include <charconv>
+#include "LibCore/ParseNumber.h"
 
 namespace ferry::traffic {
 
@@ -8,15 +8,6 @@
   return Pending.size() <= MaxEventBytes;
 }
 
-static std::optional<uint64_t> parseNumber(std::string_view Text) {
-  uint64_t Number = 0;
-  auto [End, Failure] =
-      std::from_chars(Text.data(), Text.data() + Text.size(), Number);
-  if (Failure != std::errc() || End != Text.data() + Text.size())
-    return std::nullopt;
-  return Number;
-}
-
 /// Takes one line into \p Event.
 static void readLine(ServerEvent &Event, std::string_view Line) {
   size_t Colon = Line.find(':');
@@ -27,7 +18,7 @@
   if (Value.starts_with(' '))
     Value.remove_prefix(1);
   if (Field == "id")
-    Event.Token = parseNumber(Value);
+    Event.Token = parseNumber<uint64_t>(Value);
   if (Field != "data")
     return;
   if (!Event.Data.empty())
--- a/Libraries/LibTraffic/HttpExchange.cpp
+++ b/Libraries/LibTraffic/HttpExchange.cpp
@@ -200,6 +200,15 @@
   Response.set(Name, Value);
 }
 
+bool HttpExchange::writeWhole(const std::string &Body) {
+  Response.setContentLength64(static_cast<Poco::Int64>(Body.size()));
+  std::ostream &Out = Response.send();
+  if (method() != "HEAD")
+    Out << Body;
+  Out.flush();
+  return Out.good();
+}
+
 bool HttpExchange::send(int Status, const std::string &ContentType,
                         const std::string &Body) {
   try {
@@ -208,12 +217,7 @@
     Response.setStatusAndReason(
         static_cast<Poco::Net::HTTPResponse::HTTPStatus>(Status));
     Response.setContentType(ContentType);
-    Response.setContentLength64(static_cast<Poco::Int64>(Body.size()));
-    std::ostream &Out = Response.send();
-    if (method() != "HEAD")
-      Out << Body;
-    Out.flush();
-    return Out.good();
+    return writeWhole(Body);
   } catch (const Poco::Exception &) {
     return false;
   }
@@ -243,12 +247,7 @@
                                const std::string &Body) {
   try {
     copyHead(From);
-    Response.setContentLength64(static_cast<Poco::Int64>(Body.size()));
-    std::ostream &Out = Response.send();
-    if (method() != "HEAD")
-      Out << Body;
-    Out.flush();
-    return Out.good();
+    return writeWhole(Body);
   } catch (const Poco::Exception &) {
     return false;
   }
--- a/Libraries/LibTraffic/HttpExchange.h
+++ b/Libraries/LibTraffic/HttpExchange.h
@@ -120,6 +120,9 @@
   AnswerResult<uint64_t> tryContentLength(uint64_t MaxBytes) const;
   AnswerResult<std::string> tryReadChunks(uint64_t MaxBytes);
   void copyHead(const Poco::Net::HTTPResponse &From);
+  /// Sends the head as it stands, with \p Body. \returns whether all of it was
+  /// written; throws the HTTP library's exceptions.
+  bool writeWhole(const std::string &Body);
 
   Poco::Net::HTTPServerRequest &Request;
   Poco::Net::HTTPServerResponse &Response;
--- a/Libraries/LibTraffic/OperatorServer.cpp
+++ b/Libraries/LibTraffic/OperatorServer.cpp
@@ -1,8 +1,8 @@
 #include "LibTraffic/OperatorServer.h"
 #include "LibConfig/Parse.h"
+#include "LibCore/ParseNumber.h"
 #include "LibCore/Visit.h"
 #include "LibTraffic/AwaitReply.h"
-#include <charconv>
 
 namespace ferry::traffic {
 
@@ -72,20 +72,11 @@
     Exchange.sendError({AnswerError::NotFound, "no such route"});
 }
 
-static std::optional<uint64_t> parseNumber(std::string_view Text) {
-  uint64_t Number = 0;
-  auto [End, Failure] =
-      std::from_chars(Text.data(), Text.data() + Text.size(), Number);
-  if (Failure != std::errc() || End != Text.data() + Text.size())
-    return std::nullopt;
-  return Number;
-}
-
 /// \returns the number in an If-Match value such as "12", quotes included.
 static std::optional<uint64_t> parseEntityTag(std::string_view Text) {
   if (Text.size() < 3 || Text.front() != '"' || Text.back() != '"')
     return std::nullopt;
-  return parseNumber(Text.substr(1, Text.size() - 2));
+  return parseNumber<uint64_t>(Text.substr(1, Text.size() - 2));
 }
 
 static std::string entityTag(DescriptionNumber Number) {
@@ -217,8 +208,9 @@
 void OperatorServer::getSpread(HttpExchange &Exchange,
                                const RequestTarget &Target) {
   auto Query = Target.Query.find("number");
-  auto Number =
-      Query == Target.Query.end() ? std::nullopt : parseNumber(Query->second);
+  auto Number = Query == Target.Query.end()
+                    ? std::nullopt
+                    : parseNumber<uint64_t>(Query->second);
   if (!Number) {
     Exchange.sendError({AnswerError::BadRequest, "the query needs number=N"});
     return;
--- a/Libraries/LibTraffic/TargetConnection.cpp
+++ b/Libraries/LibTraffic/TargetConnection.cpp
@@ -22,11 +22,10 @@
   return {Millis * 1000};
 }
 
-/// \returns when a wait that starts at \p Now has lasted too long.
-static Timestamp stallTime(const WaitLimits &Limits, Timestamp Now) {
-  if (Limits.StallLimit > Limits.Deadline - Now)
-    return Limits.Deadline;
-  return Now + Limits.StallLimit;
+Timestamp WaitLimits::stallTime(Timestamp Now) const {
+  if (StallLimit > Deadline - Now)
+    return Deadline;
+  return Now + StallLimit;
 }
 
 TargetConnection::TargetConnection(const Poco::Net::StreamSocket &Socket)
@@ -87,7 +86,7 @@
 LinkResult<void> TargetConnection::awaitBytes(const WaitLimits &Limits) {
   if (hasBufferedBytes())
     return {};
-  Timestamp StallAt = stallTime(Limits, steadyNow());
+  Timestamp StallAt = Limits.stallTime(steadyNow());
   int Descriptor = Link.socket().impl()->sockfd();
   while (true) {
     Timestamp Now = steadyNow();
@@ -112,7 +111,7 @@
   try {
     // A peer that stops within a header or a chunk is met by this timeout.
     Link.socket().setReceiveTimeout(
-        timespanUntil(stallTime(Limits, steadyNow())));
+        timespanUntil(Limits.stallTime(steadyNow())));
     Body = &Link.receiveResponse(Response);
     return {};
   } catch (const Poco::Exception &Failure) {
--- a/Libraries/LibTraffic/TargetConnection.h
+++ b/Libraries/LibTraffic/TargetConnection.h
@@ -50,6 +50,10 @@
   Duration StallLimit = Duration::max();
   /// The caller's socket descriptor, watched for its end; -1 for none.
   int CallerDescriptor = -1;
+
+  /// When a wait that begins at \p Now counts as stalled, at the latest at the
+  /// deadline.
+  Timestamp stallTime(Timestamp Now) const;
 };
 
 /// A fresh connection to a target. Its request is written once and never again,
--- a/Libraries/LibTraffic/TargetExchange.cpp
+++ b/Libraries/LibTraffic/TargetExchange.cpp
@@ -56,10 +56,7 @@
 
 LinkResult<TargetExchange::Wait>
 TargetExchange::await(Wait For, const WaitLimits &Limits) {
-  Timestamp StallAt = Limits.Deadline;
-  Timestamp Start = steadyNow();
-  if (Limits.StallLimit < Limits.Deadline - Start)
-    StallAt = Start + Limits.StallLimit;
+  Timestamp StallAt = Limits.stallTime(steadyNow());
   short Wanted = For == Wait::Writable ? POLLIN | POLLOUT : POLLIN;
   while (true) {
     Timestamp Now = steadyNow();
--- a/Libraries/LibTraffic/TargetServer.cpp
+++ b/Libraries/LibTraffic/TargetServer.cpp
@@ -1,10 +1,10 @@
 #include "LibTraffic/TargetServer.h"
+#include "LibCore/ParseNumber.h"
 #include "LibTraffic/AwaitReply.h"
 #include "LibTraffic/Json.h"
 #include <Poco/JSON/Array.h>
 #include <Poco/Net/SocketAddress.h>
 #include <algorithm>
-#include <charconv>
 
 namespace ferry::traffic {
 
@@ -86,11 +86,8 @@
       return false;
     Poco::Net::IPAddress Host =
         Poco::Net::IPAddress::parse(Text.substr(0, Colon));
-    uint16_t Port = 0;
-    auto [End, Failure] = std::from_chars(Text.data() + Colon + 1,
-                                          Text.data() + Text.size(), Port);
-    return Failure == std::errc() && End == Text.data() + Text.size() &&
-           Port != 0 && !Host.isWildcard();
+    auto Port = parseNumber<uint16_t>(std::string_view(Text).substr(Colon + 1));
+    return Port.value_or(0) != 0 && !Host.isWildcard();
   } catch (const Poco::Exception &) {
     return false;
   }
@@ -145,12 +142,10 @@
 }
 
 static std::optional<cache::BlockHash> parseBlock(const std::string &Text) {
-  cache::BlockHash Hash;
-  auto [End, Failure] =
-      std::from_chars(Text.data(), Text.data() + Text.size(), Hash.Value, 16);
-  if (Failure != std::errc() || End != Text.data() + Text.size())
+  auto Value = parseNumber<uint64_t>(Text, 16);
+  if (!Value)
     return std::nullopt;
-  return Hash;
+  return cache::BlockHash{*Value};
 }
 
 static std::optional<cache::CacheEvent>
--- a/Utilities/ferryctl/Description.cpp
+++ b/Utilities/ferryctl/Description.cpp
@@ -1,5 +1,5 @@
 #include "ferryctl/Description.h"
-#include <charconv>
+#include "LibCore/ParseNumber.h"
 #include <optional>
 
 namespace ferry::ctl {
@@ -11,13 +11,11 @@
 numberInTag(const std::string &EntityTag) {
   if (EntityTag.size() < 3)
     return std::nullopt;
-  uint64_t Number = 0;
-  const char *First = EntityTag.data() + 1;
-  const char *Last = EntityTag.data() + EntityTag.size() - 1;
-  auto [End, Code] = std::from_chars(First, Last, Number);
-  if (Code != std::errc() || End != Last)
+  auto Number = parseNumber<uint64_t>(
+      std::string_view(EntityTag).substr(1, EntityTag.size() - 2));
+  if (!Number)
     return std::nullopt;
-  return DescriptionNumber{Number};
+  return DescriptionNumber{*Number};
 }
 
 Result<RemoteDescription, CommandError>
