LibWire: Read damaged enumerators as numbers and check them

Before: TestLogFormat and TestRegistryClient fail on entries, reasons and requests of unknown kinds. After: they pass; the generated types have int32_t beneath.

--- a/Libraries/LibConsensus/LogFormat.cpp
+++ b/Libraries/LibConsensus/LogFormat.cpp
@@ -1,6 +1,7 @@
 #include "LibConsensus/LogFormat.h"
 #include "LibConsensus/Message.h"
 #include "LibWire/Codec.h"
+#include <algorithm>
 #include <optional>
 #include <xxhash.h>
 
@@ -137,6 +138,10 @@
     if (Record->ClusterId != Name.Cluster.Value ||
         static_cast<uint64_t>(Record->GroupId) != Name.Group.Value)
       return makeTypedError(StorageErrorKind::Foreign, Record->ClusterId);
+    if (std::ranges::any_of(Record->Entries, [](const wire::LogEntry &Kept) {
+          return !isKnown(Kept.Kind);
+        }))
+      return makeTypedError(StorageErrorKind::Damaged, "kind of an entry");
     Scanned.State.apply(fromRecord(*Record));
     Scanned.ValidBytes += HeaderBytes + Body->size();
   }
--- a/Libraries/LibConsensus/Message.cpp
+++ b/Libraries/LibConsensus/Message.cpp
@@ -60,12 +60,24 @@
   return makeTypedError(wire::WireErrorKind::Malformed, "unknown kind");
 }
 
-/// Numbers from the network are checked once, here.
+bool isKnown(wire::LogEntryKind::type Kind) {
+  switch (Kind) {
+  case wire::LogEntryKind::Noop:
+  case wire::LogEntryKind::Command:
+  case wire::LogEntryKind::Configuration:
+    return true;
+  }
+  return false;
+}
+
+/// Numbers from the network are checked once, here. An enumerator is one of
+/// them: the generated code takes any number for one.
 static bool valid(const wire::AppendRequest &Body, int64_t Term) {
   int64_t Next = Body.PreviousIndex;
   for (const wire::LogEntry &Sent : Body.Entries) {
-    bool Malformed = Sent.Kind == wire::LogEntryKind::Configuration &&
-                     !decodeConfiguration(Sent.Payload);
+    bool Malformed = !isKnown(Sent.Kind) ||
+                     (Sent.Kind == wire::LogEntryKind::Configuration &&
+                      !decodeConfiguration(Sent.Payload));
     if (Sent.Index != ++Next || Sent.Term < 0 || Sent.Term > Term || Malformed)
       return false;
   }
@@ -94,6 +106,10 @@
       [](const wire::SnapshotReply &Sent) {
         return Sent.NextOffset >= 0 && Sent.Round >= 0;
       },
+      [](const wire::JoinRequest &Sent) {
+        return Sent.Reason == wire::JoinReason::NewReplica ||
+               Sent.Reason == wire::JoinReason::LeaderSilent;
+      },
       [](const auto &) { return true; });
 }
 
--- a/Libraries/LibConsensus/Message.h
+++ b/Libraries/LibConsensus/Message.h
@@ -43,6 +43,8 @@
 wire::LogIdentity toWire(const Identity &From);
 wire::LogSnapshotMark toWireMark(const Snapshot &From);
 wire::LogStanding::type toWire(Standing From);
+/// \returns whether \p Kind is one of the enumerators, as a damaged one is not.
+bool isKnown(wire::LogEntryKind::type Kind);
 Entry fromWire(const wire::LogEntry &From);
 Configuration fromWire(const wire::LogConfiguration &From);
 Identity fromWire(const wire::LogIdentity &From);
--- a/Libraries/LibRegistry/RegistryClient.cpp
+++ b/Libraries/LibRegistry/RegistryClient.cpp
@@ -89,6 +89,10 @@
     Pending.erase(Found);
     return;
   }
+  // A damaged status says nothing; the request is sent again in time.
+  if (Received.Reply.Status != wire::ReplyStatus::NotLeader &&
+      Received.Reply.Status != wire::ReplyStatus::Busy)
+    return;
   // Only the host that has the request now may pass it on.
   if (Received.From != Settings.ControlHosts[Entry.Host])
     return;
--- a/Libraries/LibRegistry/RegistryServer.cpp
+++ b/Libraries/LibRegistry/RegistryServer.cpp
@@ -47,8 +47,9 @@
     Out.emplace_back(ServerConfirmRead{Token});
     return;
   }
-  // A malformed command never reaches the log.
-  if (!tryDecodeCommand(Request.Command)) {
+  // A malformed command never reaches the log, nor one of an unknown kind.
+  if (Request.Kind != wire::RequestKind::Propose ||
+      !tryDecodeCommand(Request.Command)) {
     wire::RegistryReply Reply =
         replyOf(Request.RequestNumber, wire::ReplyStatus::Answered);
     Reply.Answer = encodeReply(CommandInvalid{});
--- a/Libraries/LibRegistry/Replies.cpp
+++ b/Libraries/LibRegistry/Replies.cpp
@@ -173,10 +173,15 @@
   return invalid("unknown status of a load");
 }
 
-static CommandInvalid fromFields(wire::InvalidReason::type Reason) {
-  if (Reason == wire::InvalidReason::TooLarge)
-    return {CommandInvalid::Reason::TooLarge};
-  return {CommandInvalid::Reason::Malformed};
+static Result<Reply, RegistryError>
+fromFields(wire::InvalidReason::type Reason) {
+  switch (Reason) {
+  case wire::InvalidReason::Malformed:
+    return CommandInvalid{CommandInvalid::Reason::Malformed};
+  case wire::InvalidReason::TooLarge:
+    return CommandInvalid{CommandInvalid::Reason::TooLarge};
+  }
+  return invalid("unknown reason of a refusal");
 }
 
 Result<Reply, RegistryError> tryDecodeReply(std::string_view Bytes) {
--- a/Libraries/LibWire/Generated/Consensus_types.h
+++ b/Libraries/LibWire/Generated/Consensus_types.h
@@ -22,7 +22,7 @@
 namespace ferry { namespace wire {
 
 struct LogEntryKind {
-  enum type {
+  enum type : int32_t {
     Noop = 1,
     Command = 2,
     Configuration = 3
@@ -36,7 +36,7 @@
 std::string to_string(const LogEntryKind::type& val);
 
 struct ConsensusKind {
-  enum type {
+  enum type : int32_t {
     VoteRequest = 1,
     VoteReply = 2,
     AppendRequest = 3,
@@ -57,7 +57,7 @@
 std::string to_string(const ConsensusKind::type& val);
 
 struct LogStanding {
-  enum type {
+  enum type : int32_t {
     Blank = 1,
     Learner = 2,
     Voter = 3,
@@ -72,7 +72,7 @@
 std::string to_string(const LogStanding::type& val);
 
 struct JoinReason {
-  enum type {
+  enum type : int32_t {
     NewReplica = 1,
     LeaderSilent = 2
   };
--- a/Libraries/LibWire/Generated/Peer_types.h
+++ b/Libraries/LibWire/Generated/Peer_types.h
@@ -22,7 +22,7 @@
 namespace ferry { namespace wire {
 
 struct PayloadKind {
-  enum type {
+  enum type : int32_t {
     Consensus = 1,
     Membership = 2,
     RegistryRequest = 3,
--- a/Libraries/LibWire/Generated/Registry_types.h
+++ b/Libraries/LibWire/Generated/Registry_types.h
@@ -22,7 +22,7 @@
 namespace ferry { namespace wire {
 
 struct ClaimStatus {
-  enum type {
+  enum type : int32_t {
     Granted = 1,
     Held = 2,
     Completed = 3,
@@ -42,7 +42,7 @@
 std::string to_string(const ClaimStatus::type& val);
 
 struct ChangeStatus {
-  enum type {
+  enum type : int32_t {
     Accepted = 1,
     Conflict = 2,
     OperationReused = 3
@@ -56,7 +56,7 @@
 std::string to_string(const ChangeStatus::type& val);
 
 struct LoadStatus {
-  enum type {
+  enum type : int32_t {
     Granted = 1,
     Refused = 2,
     Stale = 3,
@@ -71,7 +71,7 @@
 std::string to_string(const LoadStatus::type& val);
 
 struct InvalidReason {
-  enum type {
+  enum type : int32_t {
     Malformed = 1,
     TooLarge = 2
   };
@@ -84,7 +84,7 @@
 std::string to_string(const InvalidReason::type& val);
 
 struct RequestKind {
-  enum type {
+  enum type : int32_t {
     Propose = 1,
     ReadDescription = 2
   };
@@ -97,7 +97,7 @@
 std::string to_string(const RequestKind::type& val);
 
 struct ReplyStatus {
-  enum type {
+  enum type : int32_t {
     Answered = 1,
     NotLeader = 2,
     Busy = 3
--- a/Tests/LibConsensus/TestLogFormat.cpp
+++ b/Tests/LibConsensus/TestLogFormat.cpp
@@ -90,7 +90,10 @@
            [](auto &Sent) { Sent.PreviousIndex = -1; },
            [](auto &Sent) { Sent.Entries[1].Index = 8; },
            [](auto &Sent) { Sent.Entries[1].Term = 4; },
-           [](auto &Sent) { Sent.Entries[1].Payload = "x"; }}) {
+           [](auto &Sent) { Sent.Entries[1].Payload = "x"; },
+           [](auto &Sent) {
+             Sent.Entries[0].Kind = static_cast<wire::LogEntryKind::type>(4);
+           }}) {
     auto Changed = Append;
     Change(Changed);
     BOOST_TEST(Refused(Changed));
@@ -98,6 +101,18 @@
   auto Chunk = std::get<wire::SnapshotChunk>(Samples[4].Body);
   Chunk.Offset = 7;
   BOOST_TEST(Refused(Chunk));
+  auto Join = std::get<wire::JoinRequest>(Samples[8].Body);
+  Join.Reason = static_cast<wire::JoinReason::type>(3);
+  BOOST_TEST(Refused(Join));
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_of_an_unknown_kind_is_damage) {
+  WriteBatch Batch;
+  Batch.Entries.push_back({4, 1, static_cast<EntryKind>(7), "x"});
+  std::string Log = sampleLog();
+  auto Scanned = tryScanLog(Name, Log + encodeRecord(Name, Log.size(), Batch));
+  BOOST_REQUIRE(!Scanned.has_value());
+  BOOST_TEST((Scanned.error().Kind == StorageErrorKind::Damaged));
 }
 
 BOOST_AUTO_TEST_CASE(random_bytes_never_crash_the_decoders) {
--- a/Tests/LibRegistry/TestRegistryClient.cpp
+++ b/Tests/LibRegistry/TestRegistryClient.cpp
@@ -188,6 +188,13 @@
   BOOST_TEST((Answer.Status == wire::ReplyStatus::Answered));
   BOOST_TEST(
       std::holds_alternative<CommandInvalid>(*tryDecodeReply(Answer.Answer)));
+  // So is a command of a kind that nobody knows.
+  auto Good = encodeCommand(ChangeDescription{{0}, "op", "text"});
+  auto Unknown = Server.step(ServerRequestReceived{
+      {"r1"}, request(2, static_cast<wire::RequestKind::type>(3), Good)});
+  const auto &Told = std::get<ServerReply>(Unknown.front()).Reply;
+  BOOST_TEST(
+      std::holds_alternative<CommandInvalid>(*tryDecodeReply(Told.Answer)));
   // More requests than the log should hold are turned away.
   auto Command = encodeCommand(ChangeDescription{{0}, "op", "text"});
   for (size_t Count = 0; Count < RegistryServer::MaxPending; ++Count)
