LibMembership: Outlive a remembered life when the clock was set back

Cause: a router keeps no disk and takes its life from the clock; restarted after a step back it was not heard until its peers forgot it, 30 s later. Ruled out: lives from a counter in the log, since routers start without control hosts. A reply tells the asker the later life that is remembered of it, and the asker takes one above. Before: TestDiscovery's new case fails at all three peers; after: heard within 2 s.

--- a/Libraries/LibMembership/Discovery.cpp
+++ b/Libraries/LibMembership/Discovery.cpp
@@ -49,6 +49,16 @@
   Known.Host = std::move(Told);
 }
 
+void Membership::outlive(Incarnation Remembered, Effects &Out) {
+  Origin &Own = Origins.at(OwnTag);
+  // Elsewhere the life is on disk and has a meaning beyond the heartbeats.
+  if (Settings.Source != HostSource::Discovered ||
+      Remembered <= Own.Incarnation)
+    return;
+  Own.Incarnation = {Remembered.Value + 1};
+  Out.emplace_back(LifeRaised{Remembered, Own.Incarnation});
+}
+
 void Membership::forgetHosts(Timestamp Now) {
   for (auto Next = Origins.begin(); Next != Origins.end();) {
     auto &[Tag, Known] = *Next;
--- a/Libraries/LibMembership/Events.h
+++ b/Libraries/LibMembership/Events.h
@@ -102,9 +102,16 @@
   ferry::Incarnation Greatest;
 };
 
+/// A peer remembered a later life of this host, which has taken one above it.
+struct LifeRaised {
+  ferry::Incarnation Remembered;
+  ferry::Incarnation Taken;
+};
+
 using MembershipEffect =
     std::variant<MembershipSend, TargetsChanged, HostsChanged,
-                 NewerDescriptionSeen, ConfirmationHeard, AnnouncementRefused>;
+                 NewerDescriptionSeen, ConfirmationHeard, AnnouncementRefused,
+                 LifeRaised>;
 
 } // namespace ferry::membership
 
--- a/Libraries/LibMembership/Exchange.cpp
+++ b/Libraries/LibMembership/Exchange.cpp
@@ -34,7 +34,9 @@
   Ask.AskNumber = Questions.back().Number;
   Ask.Wants = std::move(Wants);
   if (Settings.Source == HostSource::Discovered) {
-    Ask.__set_Asker(introductionOf(Origins.at(OwnTag)));
+    const Origin &Own = Origins.at(OwnTag);
+    Ask.__set_Asker(introductionOf(Own));
+    Ask.__set_AskerIncarnation(static_cast<int64_t>(Own.Incarnation.Value));
     if (!UnknownTags.empty())
       Ask.__set_UnknownTags(std::exchange(UnknownTags, {}));
   }
@@ -112,6 +114,8 @@
   DescriptionNumber Before = Origins.at(OwnTag).Number;
   std::vector<wire::OriginWant> Wants;
   for (const wire::OriginHeartbeat &Heartbeat : Reply.Heartbeats) {
+    if (Heartbeat.Tag == OwnTag)
+      outlive({static_cast<uint64_t>(Heartbeat.Incarnation)}, Out);
     bool Unknown = Origins.count(Heartbeat.Tag) == 0;
     if (Unknown && Settings.Source == HostSource::Discovered)
       UnknownTags.push_back(Heartbeat.Tag);
@@ -299,6 +303,12 @@
   Reply.AskNumber = Ask.AskNumber;
   if (Ask.Wants.empty())
     addHeartbeats(Received.From, Now, Reply.Heartbeats);
+  // Known by a later life, the asker would not be heard: it is told so.
+  auto Asker = Origins.find(tagOf(Received.From));
+  if (Ask.__isset.AskerIncarnation && Asker != Origins.end() &&
+      static_cast<int64_t>(Asker->second.Incarnation.Value) >
+          Ask.AskerIncarnation)
+    Reply.Heartbeats.push_back(heartbeatOf(Asker->first, Asker->second, Now));
   if (Ask.Wants.empty() && Confirmed) {
     Reply.__set_ConfirmedNumber(static_cast<int64_t>(Confirmed->Number.Value));
     Reply.__set_ConfirmedAgeMillis(wholeMillis(Now - Confirmed->AsOf));
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -137,6 +137,9 @@
   Origin &addPeer(const Peer &Other, Timestamp Now);
   void introduce(const wire::HostFields &Fields, Timestamp Now);
   wire::HostFields introductionOf(const Origin &Known) const;
+  /// Takes a later life than the one that peers remember of this host: its
+  /// clock was set back between two starts, and it keeps no disk.
+  void outlive(ferry::Incarnation Remembered, Effects &Out);
   void forgetHosts(Timestamp Now);
   void receive(const MembershipReceived &Received, Timestamp Now, Effects &Out);
   void takeLeaves(const std::vector<wire::LeaveMark> &Leaves);
--- a/Libraries/LibWire/Generated/Membership_types.cpp
+++ b/Libraries/LibWire/Generated/Membership_types.cpp
@@ -1641,6 +1641,11 @@
   this->UnknownTags = val;
 __isset.UnknownTags = true;
 }
+
+void MembershipAsk::__set_AskerIncarnation(const int64_t val) {
+  this->AskerIncarnation = val;
+__isset.AskerIncarnation = true;
+}
 std::ostream& operator<<(std::ostream& out, const MembershipAsk& obj)
 {
   obj.printTo(out);
@@ -1725,6 +1730,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->AskerIncarnation);
+          this->__isset.AskerIncarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1776,6 +1789,11 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.AskerIncarnation) {
+    xfer += oprot->writeFieldBegin("AskerIncarnation", ::apache::thrift::protocol::T_I64, 5);
+    xfer += oprot->writeI64(this->AskerIncarnation);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1787,6 +1805,7 @@
   swap(a.Wants, b.Wants);
   swap(a.Asker, b.Asker);
   swap(a.UnknownTags, b.UnknownTags);
+  swap(a.AskerIncarnation, b.AskerIncarnation);
   swap(a.__isset, b.__isset);
 }
 
@@ -1795,6 +1814,7 @@
   Wants = other50.Wants;
   Asker = other50.Asker;
   UnknownTags = other50.UnknownTags;
+  AskerIncarnation = other50.AskerIncarnation;
   __isset = other50.__isset;
 }
 MembershipAsk::MembershipAsk(MembershipAsk&& other51) noexcept {
@@ -1802,6 +1822,7 @@
   Wants = std::move(other51.Wants);
   Asker = std::move(other51.Asker);
   UnknownTags = std::move(other51.UnknownTags);
+  AskerIncarnation = other51.AskerIncarnation;
   __isset = other51.__isset;
 }
 MembershipAsk& MembershipAsk::operator=(const MembershipAsk& other52) {
@@ -1809,6 +1830,7 @@
   Wants = other52.Wants;
   Asker = other52.Asker;
   UnknownTags = other52.UnknownTags;
+  AskerIncarnation = other52.AskerIncarnation;
   __isset = other52.__isset;
   return *this;
 }
@@ -1817,6 +1839,7 @@
   Wants = std::move(other53.Wants);
   Asker = std::move(other53.Asker);
   UnknownTags = std::move(other53.UnknownTags);
+  AskerIncarnation = other53.AskerIncarnation;
   __isset = other53.__isset;
   return *this;
 }
@@ -1827,6 +1850,7 @@
   out << ", " << "Wants=" << to_string(Wants);
   out << ", " << "Asker="; (__isset.Asker ? (out << to_string(Asker)) : (out << "<null>"));
   out << ", " << "UnknownTags="; (__isset.UnknownTags ? (out << to_string(UnknownTags)) : (out << "<null>"));
+  out << ", " << "AskerIncarnation="; (__isset.AskerIncarnation ? (out << to_string(AskerIncarnation)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Libraries/LibWire/Generated/Membership_types.h
+++ b/Libraries/LibWire/Generated/Membership_types.h
@@ -660,11 +660,12 @@
 std::ostream& operator<<(std::ostream& out, const HostFields& obj);
 
 typedef struct _MembershipAsk__isset {
-  _MembershipAsk__isset() : AskNumber(false), Wants(false), Asker(false), UnknownTags(false) {}
+  _MembershipAsk__isset() : AskNumber(false), Wants(false), Asker(false), UnknownTags(false), AskerIncarnation(false) {}
   bool AskNumber :1;
   bool Wants :1;
   bool Asker :1;
   bool UnknownTags :1;
+  bool AskerIncarnation :1;
 } _MembershipAsk__isset;
 
 class MembershipAsk : public virtual ::apache::thrift::TBase {
@@ -675,7 +676,8 @@
   MembershipAsk& operator=(const MembershipAsk&);
   MembershipAsk& operator=(MembershipAsk&&) noexcept;
   MembershipAsk() noexcept
-                : AskNumber(0) {
+                : AskNumber(0),
+                  AskerIncarnation(0) {
   }
 
   virtual ~MembershipAsk() noexcept;
@@ -683,6 +685,7 @@
   std::vector<OriginWant>  Wants;
   HostFields Asker;
   std::vector<int32_t>  UnknownTags;
+  int64_t AskerIncarnation;
 
   _MembershipAsk__isset __isset;
 
@@ -694,6 +697,8 @@
 
   void __set_UnknownTags(const std::vector<int32_t> & val);
 
+  void __set_AskerIncarnation(const int64_t val);
+
   bool operator == (const MembershipAsk & rhs) const
   {
     if (!(AskNumber == rhs.AskNumber))
@@ -708,6 +713,10 @@
       return false;
     else if (__isset.UnknownTags && !(UnknownTags == rhs.UnknownTags))
       return false;
+    if (__isset.AskerIncarnation != rhs.__isset.AskerIncarnation)
+      return false;
+    else if (__isset.AskerIncarnation && !(AskerIncarnation == rhs.AskerIncarnation))
+      return false;
     return true;
   }
   bool operator != (const MembershipAsk &rhs) const {
--- a/Libraries/LibWire/Idl/Membership.thrift
+++ b/Libraries/LibWire/Idl/Membership.thrift
@@ -89,6 +89,8 @@
   3: optional HostFields Asker
   // Tags in earlier replies that stand for hosts unknown to the asker.
   4: optional list<i32> UnknownTags
+  // The asker's life, where hosts find each other by seeds.
+  5: optional i64 AskerIncarnation
 }
 
 struct MembershipReply {
--- a/Services/ferryd/ControlPlane.cpp
+++ b/Services/ferryd/ControlPlane.cpp
@@ -425,6 +425,12 @@
         },
         [this](const membership::AnnouncementRefused &) {
           AnnouncementRefused = true;
+        },
+        [](const membership::LifeRaised &Raised) {
+          observe::logEvent(Severity::Warning, "control", "life_raised",
+                            {{"remembered", Raised.Remembered},
+                             {"taken", Raised.Taken},
+                             {"reason", "clock_set_back"}});
         });
 }
 
--- a/Tests/LibMembership/TestDiscovery.cpp
+++ b/Tests/LibMembership/TestDiscovery.cpp
@@ -17,11 +17,11 @@
       start("10.0.0." + std::to_string(Index + 1), Index);
   }
 
-  void start(const std::string &Name, size_t Index) {
+  void start(const std::string &Name, size_t Index, uint64_t Life = 100) {
     Membership::Options Given;
     Given.Self = {Name};
     Given.DataCentre = {"dc-" + std::to_string(Index % 2)};
-    Given.Incarnation = {1};
+    Given.Incarnation = {Life};
     Given.Seed = Index + 1;
     Given.Source = HostSource::Discovered;
     Given.Duty = Index == 0 ? HostDuty::Control : HostDuty::Router;
@@ -110,6 +110,19 @@
   BOOST_TEST(Known);
 }
 
+// A router keeps no disk and takes its life from the clock.
+BOOST_AUTO_TEST_CASE(a_host_whose_clock_was_set_back_is_heard_at_once) {
+  SeededHosts Hosts(4);
+  Hosts.run(3s);
+  Hosts.give("10.0.0.4", LocalStanding{Standing::Draining});
+  Hosts.run(1s);
+  BOOST_REQUIRE(Hosts.entriesAt("10.0.0.2") == 2U);
+  Hosts.start("10.0.0.4", 3, 40);
+  Hosts.run(2s);
+  for (const char *Name : {"10.0.0.1", "10.0.0.2", "10.0.0.3"})
+    BOOST_TEST(Hosts.entriesAt(Name) == 3U, Name);
+}
+
 BOOST_AUTO_TEST_CASE(introductions_out_of_range_change_nothing) {
   SeededHosts Hosts(2);
   Hosts.run(1s);
