LibConsensus: Draw faults over discovered members and replaced hosts

Random schedules ran over listed members only. Hosts are now also replaced by empty ones at other addresses while seeds still name the lost ones, beside cuts, crashes, lost and damaged disks; simpler versions of the log are found out by them.

--- a/Tests/LibConsensus/SimulatedCluster.h
+++ b/Tests/LibConsensus/SimulatedCluster.h
@@ -110,6 +110,16 @@
       Checks.identityReturned(Read->Self.Replica);
   }
 
+  /// Puts an empty host at an address of its own in the place of \p Host; the
+  /// others come to know it. Seeds of old settings still name the lost one.
+  void replace(SimulatedHost &Host) {
+    swapDisk(Host, {});
+    Host.Host = {"new-" + std::to_string(++Replacements)};
+    for (SimulatedHost &Other : Hosts)
+      if (Other.Machine)
+        step(Other, HostsEvent{hostIds()});
+  }
+
   /// \returns whether the log must survive the loss of the disk of \p Host:
   /// a quorum of every configuration that may be in force keeps its disks.
   bool mayLoseDisk(const SimulatedHost &Host) {
@@ -212,14 +222,17 @@
     step(Host, ReadEvent{Request});
   }
 
-  /// \returns whether every host votes, one leads, and all states are equal.
+  /// \returns whether one leads, as many vote as should, and all states are
+  /// equal.
   bool settled() {
+    bool Listed = Source == MemberSource::Listed;
     SimulatedHost *Leader = leader();
-    if (!Leader ||
-        Leader->Machine->status().Members.Voters.size() != Hosts.size())
+    if (!Leader || Leader->Machine->status().Members.Voters.size() !=
+                       (Listed ? Hosts.size() : WantedVoters))
       return false;
     for (SimulatedHost &Host : Hosts)
-      if (!Host.Machine || Host.Machine->standing() != Standing::Voter ||
+      if (!Host.Machine ||
+          (Listed && Host.Machine->standing() != Standing::Voter) ||
           Host.Machine->commitIndex() != Leader->Machine->log().lastIndex() ||
           !(Host.State == Leader->State))
         return false;
@@ -287,9 +300,11 @@
     Options.Cluster = {"sim"};
     Options.Self = Host.Host;
     Options.Members = Source;
-    for (const SimulatedHost &Other : Hosts)
-      if (Source == MemberSource::Listed || Options.Hosts.size() < Seeds)
-        Options.Hosts.push_back(Other.Host);
+    if (FirstHosts.empty())
+      FirstHosts = hostIds();
+    Options.Hosts = FirstHosts;
+    if (Source == MemberSource::Discovered)
+      Options.Hosts.resize(std::min(Seeds, FirstHosts.size()));
     Options.MayForm = MayForm;
     Options.WantedVoters = WantedVoters;
     Options.Seed = Random();
@@ -453,6 +468,9 @@
 
   std::map<std::pair<Timestamp, uint64_t>, std::function<void()>> Events;
   uint64_t NextEvent = 0;
+  /// The hosts at the first start, as all settings name them for ever.
+  std::vector<HostId> FirstHosts;
+  uint64_t Replacements = 0;
   std::optional<SnapshotTakenEvent> Taken;
   uint64_t NextRequest = 1;
   std::map<uint64_t, std::string> Proposals;
--- a/Tests/LibConsensus/TestReplicaFaults.cpp
+++ b/Tests/LibConsensus/TestReplicaFaults.cpp
@@ -22,6 +22,7 @@
   Crash,
   PowerLoss,
   Wipe,
+  Replace,
   ReturnDisk,
   Damage,
   LossyNetwork,
@@ -55,6 +56,18 @@
      Fault::ReturnDisk, Fault::Damage, Fault::LossyNetwork, Fault::SlowNetwork,
      Fault::SlowDisk}};
 
+/// With hosts that are replaced, where members are discovered.
+static const FaultTable Replacements{
+    "replacements",
+    {Fault::Replace, Fault::Replace, Fault::Wipe, Fault::Crash, Fault::CutHost,
+     Fault::Heal, Fault::Heal, Fault::PowerLoss}};
+static const FaultTable AllAndReplacements{
+    "all and replacements",
+    {Fault::CutHost, Fault::CutSending, Fault::CutReceiving, Fault::Heal,
+     Fault::Heal, Fault::Freeze, Fault::Crash, Fault::PowerLoss, Fault::Wipe,
+     Fault::Replace, Fault::Replace, Fault::Damage, Fault::LossyNetwork,
+     Fault::SlowNetwork, Fault::SlowDisk}};
+
 struct Run {
   SimulatedCluster Cluster;
   const FaultTable &Table;
@@ -90,6 +103,8 @@
       return;
     if (Kind == Fault::ReturnDisk) {
       Cluster.swapDisk(Host, Host.OldDisk);
+    } else if (Kind == Fault::Replace) {
+      Cluster.replace(Host);
     } else if (Kind == Fault::Wipe) {
       Cluster.swapDisk(Host, {});
     } else {
@@ -133,6 +148,7 @@
       }
       return;
     case Fault::Wipe:
+    case Fault::Replace:
     case Fault::ReturnDisk:
     case Fault::Damage:
       return loseDisk(Host, Kind);
@@ -193,9 +209,19 @@
     return Text;
   }
 
+  /// Only the first start may form the log.
+  void form() {
+    Cluster.Checks.require(
+        Cluster.runUntil([&] { return Cluster.settled(); }, 20s),
+        "does not form" + describe());
+    Cluster.MayForm = false;
+  }
+
   /// \returns what was violated, or nothing.
   std::string run(Duration Span) {
     Cluster.startAll();
+    if (Cluster.Source == MemberSource::Discovered)
+      form();
     clientsWork();
     Cluster.after(Duration(randomBelow(Random, 1'000'000)),
                   [this, End = Cluster.Now + Span] { faultsHappen(End); });
@@ -248,6 +274,38 @@
   requireSafe(5, Disks, seedCount(30));
 }
 
+/// \returns what was violated in a run whose members are discovered.
+static std::string runDiscovered(size_t Count, size_t WantedVoters,
+                                 const FaultTable &Table, uint64_t Seed,
+                                 Naive Simpler) {
+  Run Discovered(Count, Table, Seed, Simpler);
+  Discovered.Cluster.Source = MemberSource::Discovered;
+  Discovered.Cluster.WantedVoters = WantedVoters;
+  return Discovered.run(FaultSpan);
+}
+
+static void requireSafeDiscovered(size_t Count, size_t WantedVoters,
+                                  const FaultTable &Table, uint64_t Seeds) {
+  for (uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    std::string Violation =
+        runDiscovered(Count, WantedVoters, Table, Seed, Naive::Nothing);
+    BOOST_TEST(Violation.empty(), Table.Name << " with " << Count
+                                             << " discovered hosts, seed "
+                                             << Seed << ": " << Violation);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(replaced_hosts_break_no_invariant) {
+  requireSafeDiscovered(4, 3, Replacements, seedCount(60));
+  requireSafeDiscovered(5, 5, Replacements, seedCount(20));
+}
+
+BOOST_AUTO_TEST_CASE(all_faults_with_discovered_members_break_no_invariant) {
+  requireSafeDiscovered(3, 3, AllAndReplacements, seedCount(40));
+  requireSafeDiscovered(4, 3, AllAndReplacements, seedCount(60));
+  requireSafeDiscovered(5, 5, AllAndReplacements, seedCount(30));
+}
+
 BOOST_AUTO_TEST_CASE(all_faults_together_break_no_invariant) {
   requireSafe(3, All, seedCount(80));
   requireSafe(5, All, seedCount(30));
@@ -277,6 +335,19 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(simpler_versions_with_discovered_members_are_found_out) {
+  for (Naive Simpler : {Naive::CountBeforeSync, Naive::ReadByClock}) {
+    std::string Violation;
+    uint64_t Seed = 0;
+    while (Violation.empty() && Seed < 200)
+      Violation = runDiscovered(4, 3, AllAndReplacements, ++Seed, Simpler);
+    BOOST_TEST(!Violation.empty());
+    BOOST_TEST_MESSAGE("simpler version " << static_cast<int>(Simpler)
+                                          << " fails at seed " << Seed << ": "
+                                          << Violation);
+  }
+}
+
 /// A settled cluster that has committed a command.
 struct SettledCluster : SimulatedCluster {
   explicit SettledCluster(uint64_t Seed, size_t Count = 3)
