LibConsensus: Remove a lost voter before its successor is added

Cause: the successor was added first. Of three voters with one lost there were then four, and a successor lost as it was added (a host replaced twice in a row) left two of four: no quorum, for ever, with one disk missing at a time. Ruled out: fresher evidence of the successor, which narrows the window only.

--- a/Libraries/LibConsensus/ReplicaMembership.cpp
+++ b/Libraries/LibConsensus/ReplicaMembership.cpp
@@ -155,7 +155,11 @@
   for (const auto &[Replica, Learner] : Lead.Learners) {
     if (!Learner.Heard || Learner.Match < Commit)
       continue;
-    if (removeOldIdentity(Learner))
+    // The lost voter goes before its successor comes, and only once that is
+    // ready: one that was lost in its turn as it was added would leave two dead
+    // among one voter more, and so no quorum. Between the two changes a quorum
+    // needs no disk that it did not need before.
+    if (removeOldIdentity(Learner) || removeSilentVoter())
       return;
     if (!mayAddVoter())
       continue;
@@ -163,8 +167,6 @@
     Members.Voters.push_back({Replica, Learner.Host});
     return proposeMembers(std::move(Members));
   }
-  if (Options.Members == MemberSource::Discovered)
-    removeSilentVoter();
 }
 
 bool Replica::isReplaceable(const Progress &Voter) const {
@@ -175,19 +177,15 @@
   size_t Voters = Log.members().Voters.size();
   if (Options.Members == MemberSource::Listed)
     return Voters < MaxVoters;
-  const auto &Lead = std::get<Leading>(Role);
-  auto Silent = static_cast<size_t>(
-      std::count_if(Lead.Voters.begin(), Lead.Voters.end(),
-                    [this](const auto &V) { return isReplaceable(V.second); }));
-  // The successor is added before the silent one goes: at no moment does a
-  // quorum need fewer live disks than before.
-  return Voters < MaxVoters && Voters < Options.WantedVoters + Silent;
+  return Voters < std::min(MaxVoters, Options.WantedVoters);
 }
 
 bool Replica::removeSilentVoter() {
   const auto &Lead = std::get<Leading>(Role);
   Configuration Members = Log.members();
-  if (Members.Voters.size() <= Options.WantedVoters)
+  bool Wanted = Options.Members == MemberSource::Discovered &&
+                Members.Voters.size() >= Options.WantedVoters;
+  if (!Wanted)
     return false;
   for (const auto &[Replica, Voter] : Lead.Voters) {
     if (!isReplaceable(Voter))
--- a/Tests/LibConsensus/TestDiscoveredMembers.cpp
+++ b/Tests/LibConsensus/TestDiscoveredMembers.cpp
@@ -70,6 +70,30 @@
   BOOST_TEST(Cluster.Checks.violation() == "");
 }
 
+// A machine is replaced twice in a row: only one disk is ever missing.
+BOOST_DATA_TEST_CASE(a_successor_that_is_lost_as_it_is_added_stops_nothing,
+                     data::xrange(10), Seed) {
+  SimulatedCluster Cluster = makeCluster(4, Seed);
+  Cluster.startAll();
+  BOOST_REQUIRE(commitOne(Cluster, "one"));
+  Cluster.runFor(1s);
+  Cluster.MayForm = false;
+  SimulatedHost &Lost = Cluster.leader() == &Cluster.Hosts[0]
+                            ? Cluster.Hosts[1]
+                            : Cluster.Hosts[0];
+  Cluster.swapDisk(Lost, {});
+  SimulatedHost &Successor = Cluster.Hosts[3];
+  BOOST_REQUIRE(Cluster.runUntil(
+      [&] { return votersOf(Cluster).count("d") == 1; }, 10s));
+  Cluster.replace(Successor);
+  Cluster.start(Successor);
+  BOOST_TEST(commitOne(Cluster, "two"));
+  BOOST_TEST(Cluster.runUntil(
+      [&] { return votersOf(Cluster).count(Successor.Host.Value) == 1; }, 20s));
+  BOOST_TEST(votersOf(Cluster).size() == 3U);
+  BOOST_TEST(Cluster.Checks.violation() == "");
+}
+
 BOOST_DATA_TEST_CASE(empty_disks_never_form_a_second_log, data::xrange(5),
                      Seed) {
   SimulatedCluster Cluster = makeCluster(4, Seed);
