ferryd: Drop the log's answers to orders that are gone

Cause: a log that a full disk stops takes the giver of orders with it; the answers to its lease and slots were still due and ran in freed memory. Ruled out: peers' connections, the log's own callbacks, which are guarded. An answer now names its owner and is dropped once that is gone; the sender's pauses end with it, which held the control thread for up to 4 s. Peers' connections end when the other side acknowledges nothing for 2 s, as after a cut, and hosts may be reached at a mapped port (discovery.peer_port).

--- a/Libraries/LibConfig/ParseSettings.cpp
+++ b/Libraries/LibConfig/ParseSettings.cpp
@@ -132,6 +132,7 @@
     Result.Seeds.push_back(hostAt(Seed.Value));
   Map.flag("may_form_log", Result.MayFormLog);
   Map.number("tolerable_losses", Result.TolerableLosses, 0, MaxTolerableLosses);
+  Map.number("peer_port", Result.PeerPort, 1);
 }
 
 static void readRoutedListen(MapReader &Map, Settings &Result) {
--- a/Libraries/LibConfig/Settings.h
+++ b/Libraries/LibConfig/Settings.h
@@ -36,6 +36,9 @@
   bool MayFormLog = false;
   /// Control hosts whose disks may be lost at the same time.
   uint32_t TolerableLosses = 1;
+  /// Port at which the other hosts are reached, where a port mapping stands
+  /// before each of them; 0 for the port that this host listens on.
+  uint16_t PeerPort = 0;
 
   /// \returns the voters that bear the tolerable losses.
   size_t wantedVoters() const { return 2 * size_t{TolerableLosses} + 1; }
--- a/Libraries/LibWire/PeerConnection.cpp
+++ b/Libraries/LibWire/PeerConnection.cpp
@@ -2,11 +2,12 @@
 #include "LibCore/ConstantTime.h"
 #include "LibWire/Codec.h"
 #include <array>
+#include <netinet/tcp.h>
 
 namespace ferry::wire {
 
 /// Longest wait for a handshake, or for a peer to take queued bytes.
-static constexpr Duration ProgressTimeout = std::chrono::milliseconds(2000);
+static constexpr std::chrono::milliseconds ProgressTimeout{2000};
 /// Bytes queued to one peer at the most.
 static constexpr size_t MaxQueuedBytes = 96ULL << 20;
 static constexpr size_t ReceiveBufferBytes = 64 * 1024;
@@ -34,6 +35,10 @@
 
 void PeerConnection::start() {
   Socket.setBlocking(false);
+  // Behind a cut the system takes bytes and waits for their acknowledgement,
+  // longer with each attempt: a new connection is faster once the cut is over.
+  Socket.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT,
+                   static_cast<int>(ProgressTimeout.count()));
   if (Side == ConnectionSide::Connector)
     sendHello();
   updateWatch();
--- a/Services/ferryd/HostLink.cpp
+++ b/Services/ferryd/HostLink.cpp
@@ -40,10 +40,11 @@
       Options.Peers[Host.Id] = Host.PeerAddress;
   if (Settings.Interface == config::Interface::Routed) {
     std::string Own = Settings.PeerAddress;
+    std::string Port = Own.substr(Own.rfind(':'));
+    if (Settings.Discovery.PeerPort != 0)
+      Port = ":" + std::to_string(Settings.Discovery.PeerPort);
     // Hosts are named by their IP addresses and share one port for peers.
-    Options.AddressOf = [Port = Own.substr(Own.rfind(':'))](const HostId &To) {
-      return To.Value + Port;
-    };
+    Options.AddressOf = [Port](const HostId &To) { return To.Value + Port; };
   }
   wire::PeerTransport::Hooks Hooks;
   Hooks.Received = [Raw = Link.get()](const HostId &From,
--- a/Services/ferryd/OrderGiver.cpp
+++ b/Services/ferryd/OrderGiver.cpp
@@ -78,7 +78,7 @@
 
 void OrderGiver::proposeLease(LeasePropose Proposal) {
   uint64_t Token = Proposal.Token;
-  Gateway.submitFor<LeaseOutcome>(std::move(Proposal.Request),
+  Gateway.submitFor<LeaseOutcome>(Alive, std::move(Proposal.Request),
                                   Proposal.Deadline,
                                   [this, Token](auto Answer) {
                                     stepLease(LeaseAnswered{Token, Answer});
@@ -130,7 +130,7 @@
   using Verdict = control::LoadSlotAnswered::Verdict;
   LoadSlot Slot = Wanted.Slot;
   Gateway.submitFor<LoadOutcome>(
-      BeginWeightsLoad{Slot, Wanted.MaxLoads}, steadyNow() + SlotTimeout,
+      Alive, BeginWeightsLoad{Slot, Wanted.MaxLoads}, steadyNow() + SlotTimeout,
       [this, Slot](auto Outcome) {
         if (!Outcome)
           return stepOrders(control::LoadSlotAnswered{Slot, Verdict::Unknown});
--- a/Services/ferryd/OrderSender.cpp
+++ b/Services/ferryd/OrderSender.cpp
@@ -67,7 +67,8 @@
     std::lock_guard<std::mutex> Lock(Mutex);
     Queue.push_back(std::move(Sent));
   }
-  Wanted.notify_one();
+  // Those that pause wait on it too.
+  Wanted.notify_all();
 }
 
 void OrderSender::work() {
@@ -140,20 +141,24 @@
          !State.Busy;
 }
 
-bool OrderSender::watch(const control::SendOrder &Sent) const {
+bool OrderSender::pause(Duration Pause) {
+  std::unique_lock<std::mutex> Lock(Mutex);
+  return !Wanted.wait_for(Lock, Pause, [this] { return Stopping; });
+}
+
+bool OrderSender::watch(const control::SendOrder &Sent) {
   Timestamp Until = steadyNow() + OrderWatchLimit;
-  std::this_thread::sleep_for(ShortestLoad);
-  while (steadyNow() < Until) {
+  bool Going = pause(ShortestLoad);
+  while (Going && steadyNow() < Until) {
     auto State = askState(Sent, Until);
     if (State && hasWeights(*State, Sent))
       return true;
-    std::this_thread::sleep_for(WatchPeriod);
+    Going = pause(WatchPeriod);
   }
   return false;
 }
 
-OrderOutcome
-OrderSender::carryOutWatched(const control::SendOrder &Sent) const {
+OrderOutcome OrderSender::carryOutWatched(const control::SendOrder &Sent) {
   bool MayHaveArrived = false;
   while (steadyNow() < Sent.Deadline) {
     auto State = askState(Sent, Sent.Deadline);
@@ -169,7 +174,8 @@
     if (Status == StatusFenced || Status == StatusUnknown)
       return OrderOutcome::Refused;
     MayHaveArrived |= Status == 0;
-    std::this_thread::sleep_for(WatchPeriod);
+    if (!pause(WatchPeriod))
+      break;
   }
   return MayHaveArrived ? OrderOutcome::Lost : OrderOutcome::NotSent;
 }
--- a/Services/ferryd/OrderSender.h
+++ b/Services/ferryd/OrderSender.h
@@ -41,12 +41,14 @@
 private:
   void work();
   static control::OrderOutcome carryOut(const control::SendOrder &Sent);
-  control::OrderOutcome carryOutWatched(const control::SendOrder &Sent) const;
+  control::OrderOutcome carryOutWatched(const control::SendOrder &Sent);
   std::optional<EngineState> askState(const control::SendOrder &Sent,
                                       Timestamp Deadline) const;
   /// \returns the status of the answer to one sending, 0 for none.
   int sendOnce(const control::SendOrder &Sent, uint64_t OrdersBefore) const;
-  bool watch(const control::SendOrder &Sent) const;
+  bool watch(const control::SendOrder &Sent);
+  /// Waits for \p Pause. \returns false if this object is to go meanwhile.
+  bool pause(Duration Pause);
 
   Callback Done;
   std::optional<OrderDialect> Dialect;
--- a/Services/ferryd/RegistryGateway.h
+++ b/Services/ferryd/RegistryGateway.h
@@ -41,6 +41,20 @@
     });
   }
 
+  /// As above; an outcome that comes once \p Owner has expired is dropped.
+  template <typename OutcomeType>
+  void submitFor(
+      std::weak_ptr<const void> Owner, registry::Command Command,
+      Timestamp Deadline,
+      std::function<void(Result<OutcomeType, registry::RegistryError>)> Done) {
+    submitFor<OutcomeType>(
+        std::move(Command), Deadline,
+        [Owner = std::move(Owner), Done = std::move(Done)](auto Outcome) {
+          if (!Owner.expired())
+            Done(std::move(Outcome));
+        });
+  }
+
   void receiveReply(const HostId &From, wire::RegistryReply Reply);
   void hintLeader(const HostId &Leader);
   void controlHostsKnown(std::vector<HostId> Hosts);
--- a/Services/ferryd/main.cpp
+++ b/Services/ferryd/main.cpp
@@ -90,9 +90,7 @@
   return toInt(ExitCode::Success);
 }
 
-static int runWithSettings(const std::string &Path) {
-  // Before the settings are read: a signal then must not end the process.
-  sigset_t Stops = blockStopSignals();
+static int runWithSettings(const std::string &Path, const sigset_t &Stops) {
   auto Settings = config::tryLoadSettings(Path);
   if (!Settings) {
     for (const config::ConfigError &Fault : Settings.error())
@@ -104,6 +102,8 @@
 }
 
 int main(int Count, char **Arguments) {
+  // Before all else: until then each of them would end the process.
+  sigset_t Stops = blockStopSignals();
   try {
     TCLAP::CmdLine Line(
         "ferryd: routes language-model traffic. SIGTERM drains and "
@@ -119,14 +119,14 @@
     Line.xorAdd(SettingsPath, SettingsVariable);
     Line.parse(Count, Arguments);
     if (SettingsPath.isSet())
-      return runWithSettings(SettingsPath.getValue());
+      return runWithSettings(SettingsPath.getValue(), Stops);
     const char *Path = std::getenv(SettingsVariable.getValue().c_str());
     if (Path == nullptr) {
       std::cerr << "ferryd: the environment has no "
                 << SettingsVariable.getValue() << "\n";
       return toInt(ExitCode::Usage);
     }
-    return runWithSettings(Path);
+    return runWithSettings(Path, Stops);
   } catch (const TCLAP::ExitException &Exit) {
     return Exit.getExitStatus();
   } catch (const TCLAP::ArgException &Fault) {
--- a/Tests/LibConsensus/TestDiscoveredMembers.cpp
+++ b/Tests/LibConsensus/TestDiscoveredMembers.cpp
@@ -83,8 +83,8 @@
                             : Cluster.Hosts[0];
   Cluster.swapDisk(Lost, {});
   SimulatedHost &Successor = Cluster.Hosts[3];
-  BOOST_REQUIRE(Cluster.runUntil(
-      [&] { return votersOf(Cluster).count("d") == 1; }, 10s));
+  BOOST_REQUIRE(
+      Cluster.runUntil([&] { return votersOf(Cluster).count("d") == 1; }, 10s));
   Cluster.replace(Successor);
   Cluster.start(Successor);
   BOOST_TEST(commitOne(Cluster, "two"));
