--- a/Meta/Ferry.cmake
+++ b/Meta/Ferry.cmake
@@ -96,7 +96,7 @@
     endforeach()
     add_test(NAME ${TEST_NAME} COMMAND ${TEST_NAME})
     set_tests_properties(${TEST_NAME} PROPERTIES TIMEOUT 240)
-    if(FOLDER STREQUAL "System")
+    if(FOLDER STREQUAL "System" OR FOLDER STREQUAL "Soak")
       # Runs the programs as processes, a whole cluster each.
       add_dependencies(${TEST_NAME} ferryd ferryfake)
       set_tests_properties(${TEST_NAME} PROPERTIES RUN_SERIAL TRUE)
--- a/Tests/Fakes/FakeCaller.cpp
+++ b/Tests/Fakes/FakeCaller.cpp
@@ -119,6 +119,8 @@
   Sent.setHost(Habits.Name);
   Sent.set("X-Request-Id", Made.Id);
   Sent.set("X-Deadline-Ms", std::to_string(Left.count()));
+  for (const auto &[Name, Value] : Habits.Fields)
+    Sent.set(Name, Value);
   if (!Body.empty())
     Sent.setContentLength(static_cast<std::streamsize>(Body.size()));
   try {
--- a/Tests/Fakes/FakeCaller.h
+++ b/Tests/Fakes/FakeCaller.h
@@ -9,6 +9,7 @@
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <chrono>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -43,6 +44,8 @@
   std::chrono::milliseconds Budget{8000};
   /// When an attempt is abandoned, if before its end.
   std::optional<std::chrono::milliseconds> LeavesAfter;
+  /// Further headers of each request.
+  std::map<std::string, std::string> Fields;
   /// Begins the ids of its attempts and draws its choices.
   std::string Prefix = "caller";
   uint64_t Seed = 1;
--- a/Tests/Support/Announcers.h
+++ b/Tests/Support/Announcers.h
@@ -67,11 +67,16 @@
       if (Announcing)
         for (int Host = 1; Host <= 4; ++Host)
           if (Cluster
-                  .announce(Host, "i-app", "app", App.address(), Sequence,
-                            "ready")
+                  .announce(Host, {.Id = "i-app",
+                                   .Service = "app",
+                                   .Address = App.address(),
+                                   .Sequence = Sequence})
                   .Status == 200) {
-            Cluster.announce(Host, "i-lm", "lm", Engine.address(), Sequence,
-                             "ready", Weights);
+            Cluster.announce(Host, {.Id = "i-lm",
+                                    .Service = "lm",
+                                    .Address = Engine.address(),
+                                    .Sequence = Sequence,
+                                    .Weights = Weights});
             break;
           }
       std::this_thread::sleep_for(std::chrono::milliseconds(300));
--- a/Tests/Support/RoutedCluster.cpp
+++ b/Tests/Support/RoutedCluster.cpp
@@ -6,7 +6,7 @@
 
 static constexpr int CallTimeoutMillis = 1500;
 
-RoutedCluster::RoutedCluster() {
+RoutedCluster::RoutedCluster(PeerLinks Links) : Links(Links) {
   int Process = getpid();
   Network = "127." + std::to_string(64 + (Process >> 8) % 64) + "." +
             std::to_string(Process & 255) + ".";
@@ -21,6 +21,14 @@
   std::filesystem::remove_all(Folder);
 }
 
+std::string RoutedCluster::peers(int Host) const {
+  return address(Host) + ":" + std::to_string(PeerPort);
+}
+
+std::string RoutedCluster::hiddenPeers(int Host) const {
+  return address(Host) + ":" + std::to_string(HiddenPeerPort);
+}
+
 std::string RoutedCluster::address(int Host) const {
   return Network + std::to_string(Host);
 }
@@ -35,10 +43,13 @@
     Text += (Seed > 1 ? ", \"" : "\"") + control(Seed) + "\"";
   Text += "]\n  may_form_log: ";
   Text += MayForm == Formation::Allowed ? "true\n" : "false\n";
+  if (Links == PeerLinks::ByProxies)
+    Text += "  peer_port: " + std::to_string(PeerPort) + "\n";
   Text += "routed:\n  announce_interval_ms: 400\n  grace_ms: 3000\n"
           "  directory_lifetime_ms: 200\n  targets_check_fencing: true\n";
   Text += "listen:\n  operators: \"" + figures(Host) + "\"\n  peers: \"" +
-          address(Host) + ":7340\"\n";
+          (Links == PeerLinks::ByProxies ? hiddenPeers(Host) : peers(Host)) +
+          "\"\n";
   return Text;
 }
 
@@ -117,20 +128,18 @@
   return std::stoi(Read.Body.substr(Place + 10));
 }
 
-Answer RoutedCluster::announce(int Host, const std::string &Id,
-                               const std::string &Service,
-                               const std::string &Address, int Sequence,
-                               const std::string &State, int Weights) {
+Answer RoutedCluster::announce(int Host, const Announcement &Said) {
   std::string Models;
-  if (Weights > 0)
-    Models = R"("models":[{"name":"m0","version":)" + std::to_string(Weights) +
-             R"(,"adapters":[]}],)";
-  return request(control(Host), "PUT", "/instances/" + Id,
-                 R"({"service":")" + Service + R"(","addr":")" + Address +
+  if (Said.Weights > 0)
+    Models = R"("models":[{"name":"m0","version":)" +
+             std::to_string(Said.Weights) + R"(,"adapters":[]}],)";
+  return request(control(Host), "PUT", "/instances/" + Said.Id,
+                 R"({"service":")" + Said.Service + R"(","addr":")" +
+                     Said.Address +
                      R"(","zone":"dc-0","version":"v1","slots":4,"state":")" +
-                     State + R"(","cold_left_ms":0,)" + Models +
-                     R"("born":1777919335160,"seq":)" +
-                     std::to_string(Sequence) + "}",
+                     Said.State + R"(","cold_left_ms":0,)" + Models +
+                     R"("born":)" + std::to_string(Said.Born) + R"(,"seq":)" +
+                     std::to_string(Said.Sequence) + "}",
                  {}, CallTimeoutMillis);
 }
 
--- a/Tests/Support/RoutedCluster.h
+++ b/Tests/Support/RoutedCluster.h
@@ -11,12 +11,32 @@
 /// Whether a control host may form a new log out of an empty disk.
 enum class Formation : uint8_t { Allowed, Forbidden };
 
+/// What a target says of itself.
+struct Announcement {
+  std::string Id;
+  std::string Service;
+  std::string Address;
+  int Sequence = 1;
+  std::string State = "ready";
+  /// 0 for a plain service.
+  int Weights = 0;
+  /// Begins its life, in milliseconds since the Unix epoch.
+  int64_t Born = 1777919335160;
+};
+
+/// How the hosts reach each other.
+enum class PeerLinks : uint8_t { Direct, ByProxies };
+
 /// Control hosts 1 to 3 are seeds; further numbers are as they are started.
 class RoutedCluster {
 public:
   static constexpr int SeedCount = 3;
 
-  RoutedCluster();
+  /// Ports at which hosts are reached and, behind proxies, listen.
+  static constexpr int PeerPort = 7340;
+  static constexpr int HiddenPeerPort = 7341;
+
+  explicit RoutedCluster(PeerLinks Links = PeerLinks::Direct);
   ~RoutedCluster();
 
   void startControl(int Host, Formation MayForm = Formation::Allowed);
@@ -27,6 +47,9 @@
   void kill(int Host);
   void wipeDisk(int Host);
 
+  /// "IP:port" for other hosts, and where the host listens if that is hidden.
+  std::string peers(int Host) const;
+  std::string hiddenPeers(int Host) const;
   std::string callers(int Host) const { return address(Host) + ":8080"; }
   std::string directory(int Host) const { return address(Host) + ":8081"; }
   std::string control(int Host) const { return address(Host) + ":8083"; }
@@ -43,9 +66,7 @@
   bool serves(int Number);
   /// \returns the number of the routes that the host reads back, 0 for none.
   int routesAt(int Host);
-  Answer announce(int Host, const std::string &Id, const std::string &Service,
-                  const std::string &Address, int Sequence,
-                  const std::string &State, int Weights = 0);
+  Answer announce(int Host, const Announcement &Said);
   Answer nameWeights(int Host, int Weights);
   /// Calls the route that came with routes \p Number.
   Answer call(int Host, int Number, const std::string &Id = "r1");
@@ -56,6 +77,7 @@
   std::string common(int Host, const std::string &Role,
                      Formation MayForm) const;
 
+  PeerLinks Links;
   std::string Network;
   std::filesystem::path Folder;
   std::map<int, std::unique_ptr<TestProcess>> Hosts;
--- a/Tests/Support/TestProcess.cpp
+++ b/Tests/Support/TestProcess.cpp
@@ -1,6 +1,7 @@
 #include "Support/TestProcess.h"
 #include <algorithm>
 #include <sys/resource.h>
+#include <sys/wait.h>
 
 namespace ferry::test {
 
@@ -29,8 +30,17 @@
   return Code;
 }
 
-bool TestProcess::isRunning() const {
-  return Handle && ::kill(Handle->id(), 0) == 0;
+bool TestProcess::isRunning() const { return Handle && ending().empty(); }
+
+std::string TestProcess::ending() const {
+  // One that has ended can be sent signals until it is waited for.
+  siginfo_t Ended{};
+  bool Known = Handle && ::waitid(P_PID, static_cast<id_t>(Handle->id()),
+                                  &Ended, WEXITED | WNOHANG | WNOWAIT) == 0;
+  if (!Known || Ended.si_pid == 0)
+    return "";
+  return (Ended.si_code == CLD_EXITED ? "code " : "signal ") +
+         std::to_string(Ended.si_status);
 }
 
 static void setFileLimit(int Process, rlim_t Bytes) {
--- a/Tests/Support/TestProcess.h
+++ b/Tests/Support/TestProcess.h
@@ -27,6 +27,9 @@
   /// Waits for the end. \returns the exit code.
   int wait();
   bool isRunning() const;
+  /// \returns how a process ended that was not waited for, as "signal 9" or
+  /// "code 1"; empty while it runs.
+  std::string ending() const;
   /// Bounds the size of the files that the process writes, as a full disk does.
   void limitFiles(uint64_t Bytes) const;
   void liftFileLimit() const;
