--- a/Tests/Soak/TestSoak.cpp
+++ b/Tests/Soak/TestSoak.cpp
@@ -178,43 +178,56 @@
   return Place->first;
 }
 
+/// What strikes next, each as likely as the others.
+enum class Strike : uint8_t {
+  Kill,
+  Stop,
+  Pause,
+  ReloadAll,
+  FillDisk,
+  HarmPeers,
+  RebornTarget,
+  HarmTarget,
+  SilentTarget
+};
+static constexpr uint64_t StrikeCount = 9;
+
 void SoakWorld::strike() {
   int Number = anyHost();
   bool Running = Hosts[Number].State == HostState::Running;
   SoakTarget &Target = *Targets[below(Targets.size())];
-  switch (below(10)) {
-  case 0:
+  switch (static_cast<Strike>(below(StrikeCount))) {
+  case Strike::Kill:
     if (Running) {
       kill(Number);
       restartLater(Number, 1000);
     }
     return;
-  case 1:
+  case Strike::Stop:
     if (takesSignals(Number))
       stop(Number);
     return;
-  case 2:
+  case Strike::Pause:
     if (Running)
       pause(Number);
     return;
-  case 3:
+  case Strike::ReloadAll:
     for (auto &[Each, Known] : Hosts)
       if (takesSignals(Each))
         Cluster.host(Each).signal(SIGHUP);
     return;
-  case 4:
+  case Strike::FillDisk:
     if (Running && !isRouter(Number))
       fillDisk(Number);
     return;
-  case 5:
-  case 6:
+  case Strike::HarmPeers:
     return harmPeers(Number);
-  case 7:
+  case Strike::RebornTarget:
     return Target.reborn();
-  case 8:
+  case Strike::HarmTarget:
     Target.proxy().set(static_cast<ProxyMode>(1 + below(5)));
     return later(1500, [&Target] { Target.proxy().set(ProxyMode::Pass); });
-  case 9:
+  case Strike::SilentTarget:
     Target.setAnnouncing(false);
     return later(2500, [&Target] { Target.setAnnouncing(true); });
   }
