--- a/Tests/LibConsensus/TestDiscoveredMembers.cpp
+++ b/Tests/LibConsensus/TestDiscoveredMembers.cpp
@@ -22,6 +22,12 @@
   return Names;
 }
 
+/// \returns a seed that does not lead.
+static SimulatedHost &followerAmongSeeds(SimulatedCluster &Cluster) {
+  return Cluster.leader() == &Cluster.Hosts[0] ? Cluster.Hosts[1]
+                                               : Cluster.Hosts[0];
+}
+
 /// Proposes until the command is committed at the leader.
 static bool commitOne(SimulatedCluster &Cluster, const std::string &Command) {
   return Cluster.runUntil([&] { return Cluster.leader() != nullptr; }, 5s) &&
@@ -46,9 +52,7 @@
   Cluster.runFor(5s);
   const std::set<std::string> Seeds{"a", "b", "c"};
   BOOST_TEST((votersOf(Cluster) == Seeds));
-  SimulatedHost &Lost = Cluster.leader() == &Cluster.Hosts[0]
-                            ? Cluster.Hosts[1]
-                            : Cluster.Hosts[0];
+  SimulatedHost &Lost = followerAmongSeeds(Cluster);
   std::string Name = Lost.Host.Value;
   Cluster.crash(Lost);
   // The fourth host is taken in before the silent one goes.
@@ -78,9 +82,7 @@
   BOOST_REQUIRE(commitOne(Cluster, "one"));
   Cluster.runFor(1s);
   Cluster.MayForm = false;
-  SimulatedHost &Lost = Cluster.leader() == &Cluster.Hosts[0]
-                            ? Cluster.Hosts[1]
-                            : Cluster.Hosts[0];
+  SimulatedHost &Lost = followerAmongSeeds(Cluster);
   Cluster.swapDisk(Lost, {});
   SimulatedHost &Successor = Cluster.Hosts[3];
   BOOST_REQUIRE(
