--- a/Tests/Soak/TestSoak.cpp
+++ b/Tests/Soak/TestSoak.cpp
@@ -3,7 +3,6 @@
 //
 //   FERRY_SOAK_FIRST=100 FERRY_SOAK_SEEDS=50 FERRY_SOAK_SECONDS=20 TestSoak
 #include "Soak/SoakWorld.h"
-#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 #include <cstdlib>
 #include <iostream>
@@ -13,7 +12,6 @@
 using ferry::test::Answer;
 using ferry::test::Formation;
 using ferry::test::TestCluster;
-namespace data = boost::unit_test::data;
 
 namespace ferry::soak {
 
