--- a/Tests/Soak/TestSoak.cpp
+++ b/Tests/Soak/TestSoak.cpp
@@ -406,11 +406,8 @@
 int SoakWorld::readOnce(int Host) {
   Answer Read = test::request(Cluster.control(Host), "GET", "/config", "", {},
                               OperatorMillis);
-  size_t Place = Read.Body.find("\"version\":");
-  if (Read.Status != 200 || Place == std::string::npos)
-    return 0;
-  int Number = std::stoi(Read.Body.substr(Place + 10));
-  if (Read.Body != routesText(Number))
+  int Number = test::RoutedCluster::routesIn(Read);
+  if (Number != 0 && Read.Body != routesText(Number))
     Record.violate("routes " + std::to_string(Number) + " read back otherwise");
   return Number;
 }
@@ -433,13 +430,8 @@
 
 bool SoakWorld::replicasVote() {
   int Voters = 0;
-  for (int Number = 1; Number <= Controls; ++Number) {
-    std::string Dump =
-        test::request(Cluster.figures(Number), "GET", "/v1/dump").Body;
-    Voters += Dump.find("\"standing\" : \"voter\"") != std::string::npos ||
-              Dump.find("\"standing\": \"voter\"") != std::string::npos ||
-              Dump.find("\"standing\":\"voter\"") != std::string::npos;
-  }
+  for (int Number = 1; Number <= Controls; ++Number)
+    Voters += Cluster.votes(Number);
   return Voters >= 3;
 }
 
--- a/Tests/Support/RoutedCluster.cpp
+++ b/Tests/Support/RoutedCluster.cpp
@@ -120,14 +120,31 @@
 }
 
 int RoutedCluster::routesAt(int Host) {
-  Answer Read =
-      request(control(Host), "GET", "/config", "", {}, CallTimeoutMillis);
+  return routesIn(
+      request(control(Host), "GET", "/config", "", {}, CallTimeoutMillis));
+}
+
+int RoutedCluster::routesIn(const Answer &Read) {
   size_t Place = Read.Body.find("\"version\":");
   if (Read.Status != 200 || Place == std::string::npos)
     return 0;
   return std::stoi(Read.Body.substr(Place + 10));
 }
 
+bool RoutedCluster::votes(int Host) {
+  std::string Dump = request(figures(Host), "GET", "/v1/dump").Body;
+  return Dump.find("\"standing\" : \"voter\"") != std::string::npos ||
+         Dump.find("\"standing\": \"voter\"") != std::string::npos;
+}
+
+bool RoutedCluster::namesRouters(int Host) {
+  std::string Body = request(directory(Host), "GET",
+                             "/resolve?name=a.example&region=r&zone=dc-1")
+                         .Body;
+  return Body.find(callers(11)) != std::string::npos &&
+         Body.find(callers(12)) != std::string::npos;
+}
+
 Answer RoutedCluster::announce(int Host, const Announcement &Said) {
   std::string Models;
   if (Said.Weights > 0)
--- a/Tests/Support/RoutedCluster.h
+++ b/Tests/Support/RoutedCluster.h
@@ -66,6 +66,12 @@
   bool serves(int Number);
   /// \returns the number of the routes that the host reads back, 0 for none.
   int routesAt(int Host);
+  /// \returns the number of the routes that were \p Read back, 0 for none.
+  static int routesIn(const Answer &Read);
+  /// \returns whether the control host votes in the log.
+  bool votes(int Host);
+  /// \returns whether the directory of a router names the routers 11 and 12.
+  bool namesRouters(int Host);
   Answer announce(int Host, const Announcement &Said);
   Answer nameWeights(int Host, int Weights);
   /// Calls the route that came with routes \p Number.
--- a/Tests/System/TestRoutedCallers.cpp
+++ b/Tests/System/TestRoutedCallers.cpp
@@ -120,16 +120,7 @@
     BOOST_REQUIRE(eventually([&] { return Cluster.accepts(1); }));
     BOOST_REQUIRE(eventually([&] { return Cluster.serves(1); }));
     for (int Host : {11, 12})
-      BOOST_REQUIRE(eventually([&] { return namesBoth(Host); }));
-  }
-
-  /// Whether the directory of a router names the routers 11 and 12.
-  bool namesBoth(int Host) {
-    std::string Body = request(Cluster.directory(Host), "GET",
-                               "/resolve?name=a.example&region=r&zone=dc-1")
-                           .Body;
-    return Body.find(Cluster.callers(11)) != std::string::npos &&
-           Body.find(Cluster.callers(12)) != std::string::npos;
+      BOOST_REQUIRE(eventually([&] { return Cluster.namesRouters(Host); }));
   }
 
   CallerHabits habits(const std::string &Prefix) {
--- a/Tests/System/TestRoutedService.cpp
+++ b/Tests/System/TestRoutedService.cpp
@@ -27,13 +27,7 @@
   BOOST_REQUIRE(eventually([&] { return Cluster.serves(1); }));
   BOOST_TEST(Cluster.call(11, 2).Status == 404);
   // The directory names both routers.
-  BOOST_TEST(eventually([&] {
-    std::string Body = request(Cluster.directory(12), "GET",
-                               "/resolve?name=a.example&region=r&zone=dc-1")
-                           .Body;
-    return Body.find(Cluster.callers(11)) != std::string::npos &&
-           Body.find(Cluster.callers(12)) != std::string::npos;
-  }));
+  BOOST_TEST(eventually([&] { return Cluster.namesRouters(12); }));
   BOOST_TEST(request(Cluster.readiness(11), "GET", "/ready").Status == 200);
   // A change reaches both; a resend and an overtaken one are acknowledged.
   BOOST_REQUIRE(Cluster.accepts(3));
@@ -83,11 +77,7 @@
   Cluster.kill(3);
   Cluster.startControl(4, Formation::Forbidden);
   // Once it is in, a second loss is borne.
-  BOOST_REQUIRE(eventually([&] {
-    std::string Dump = request(Cluster.figures(4), "GET", "/v1/dump").Body;
-    return Dump.find("\"standing\" : \"voter\"") != std::string::npos ||
-           Dump.find("\"standing\": \"voter\"") != std::string::npos;
-  }));
+  BOOST_REQUIRE(eventually([&] { return Cluster.votes(4); }));
   Cluster.kill(1);
   BOOST_TEST(eventually([&] { return Cluster.accepts(2); }));
   BOOST_TEST(eventually([&] { return Cluster.serves(2); }));
