Routing, LibMembership: Leave targets alone that leave or ask for a pause

Cause: targets now say in all answers that they leave, and may ask this router in a refusal to send nothing for a time. The router read neither: it kept sending to a leaving target until its announcement arrived, and tried one that had refused again after 200 ms. Change: TargetSignals, a state machine without I/O, remembers both by target and incarnation, apart from the records, which may be lost for a moment. A leaving target is not chosen again until it restarts; a pause is a deadline, after which the target fills in steps. The check is repeated between connecting and sending. A router tells one control host of a leave that it noticed, and that host tells the others once: two messages a host, whatever the number of routers that notice. A refusal names the earliest end of a pause, varied by up to half, so that callers do not return together. Also, a request is no longer placed on superseded weights if three times the engine's expected wait reaches past their deadline: queues of two and four seconds began after it.

--- a/Libraries/LibMembership/Events.h
+++ b/Libraries/LibMembership/Events.h
@@ -36,6 +36,12 @@
   TargetRecord Record;
 };
 
+/// This host saw in an answer of a target that the incarnation leaves.
+struct TargetLeaveNoticed {
+  TargetId Target;
+  ferry::Incarnation Incarnation;
+};
+
 /// \p From sent \p Message.
 struct MembershipReceived {
   HostId From;
@@ -68,8 +74,9 @@
 };
 
 using MembershipEvent =
-    std::variant<TargetAnnounced, MembershipReceived, LocalStanding,
-                 DescriptionApplied, LocalConfirmed, MembershipTick, SeedAdded>;
+    std::variant<TargetAnnounced, TargetLeaveNoticed, MembershipReceived,
+                 LocalStanding, DescriptionApplied, LocalConfirmed,
+                 MembershipTick, SeedAdded>;
 
 /// Send \p Message to \p To.
 struct MembershipSend {
--- a/Libraries/LibMembership/Exchange.cpp
+++ b/Libraries/LibMembership/Exchange.cpp
@@ -76,23 +76,29 @@
                                Timestamp Now, Effects &Out) {
   const wire::MembershipMessage &Message = Received.Message;
   if (Message.__isset.Leaves)
-    handleLeaveMarks(Message.Leaves);
+    handleLeaveMarks(Received.From, Message.Leaves, Out);
   if (Message.__isset.Reply)
     handleReply(Received, Now, Out);
   if (Message.__isset.Ask)
     sendReply(Received, Now, Out);
 }
 
-void Membership::handleLeaveMarks(const std::vector<wire::LeaveMark> &Leaves) {
-  OriginList &Own = Origins.at(OwnTag).List;
+void Membership::handleLeaveMarks(const HostId &From,
+                                  const std::vector<wire::LeaveMark> &Leaves,
+                                  Effects &Out) {
+  auto Sender = Origins.find(tagOf(From));
+  bool FromRouter =
+      Sender != Origins.end() && Sender->second.Host.Duty == HostDuty::Router;
   for (const wire::LeaveMark &Mark : Leaves) {
     TargetId Target{Mark.Target};
-    Incarnation LeftIncarnation{static_cast<uint64_t>(Mark.Incarnation)};
-    TargetsDirty |= Memory.recordLeft(Target, LeftIncarnation);
-    auto Listed = Own.targets().find(Target);
-    if (Listed != Own.targets().end() &&
-        Listed->second.Record.Incarnation <= LeftIncarnation)
-      Own.remove(Target);
+    Incarnation Left{static_cast<uint64_t>(Mark.Incarnation)};
+    bool IsNew = recordLeave(Target, Left);
+    // A router tells only one control host of a leave that it noticed.
+    if (!IsNew || !FromRouter || Settings.Duty != HostDuty::Control)
+      continue;
+    for (int32_t Tag : NearTags)
+      if (Origins.at(Tag).Host.Id != From)
+        sendLeaveMark(Target, Left, Origins.at(Tag).Host.Id, Out);
   }
 }
 
--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -46,6 +46,7 @@
   match(
       Event,
       [&](const TargetAnnounced &E) { handleAnnouncement(E.Record, Now, Out); },
+      [&](const TargetLeaveNoticed &E) { handleNoticedLeave(E, Out); },
       [&](const MembershipReceived &E) { handleMessage(E, Now, Out); },
       [&](const LocalStanding &E) {
         if (Own.Standing == E.Standing)
@@ -125,16 +126,48 @@
   // meant.
   if (Incarnation.Value == 0)
     Incarnation = Memory.greatest(Record.Id);
-  Memory.recordLeft(Record.Id, Incarnation);
-  Origins.at(OwnTag).List.remove(Record.Id);
+  recordLeave(Record.Id, Incarnation);
   TargetsDirty = true;
+  for (int32_t Tag : NearTags)
+    sendLeaveMark(Record.Id, Incarnation, Origins.at(Tag).Host.Id, Out);
+}
+
+void Membership::handleNoticedLeave(const TargetLeaveNoticed &Noticed,
+                                    Effects &Out) {
+  if (!recordLeave(Noticed.Target, Noticed.Incarnation))
+    return;
+  // All routers that use the target notice it at about the same time. One
+  // control host hears it from each and tells the others once.
+  std::vector<HostId> ControlHosts;
+  for (const auto &[Tag, Remote] : Origins)
+    if (Tag != OwnTag && Remote.Host.Duty == HostDuty::Control &&
+        Remote.Standing != membership::Standing::Silent)
+      ControlHosts.push_back(Remote.Host.Id);
+  if (!ControlHosts.empty())
+    sendLeaveMark(Noticed.Target, Noticed.Incarnation,
+                  ControlHosts[randomBelow(Generator, ControlHosts.size())],
+                  Out);
+}
+
+bool Membership::recordLeave(const TargetId &Target, ferry::Incarnation Left) {
+  bool IsNew = Memory.recordLeft(Target, Left);
+  TargetsDirty |= IsNew;
+  OriginList &Own = Origins.at(OwnTag).List;
+  auto Listed = Own.targets().find(Target);
+  if (Listed != Own.targets().end() &&
+      Listed->second.Record.Incarnation <= Left)
+    Own.remove(Target);
+  return IsNew;
+}
+
+void Membership::sendLeaveMark(const TargetId &Target, ferry::Incarnation Left,
+                               const HostId &To, Effects &Out) const {
   wire::LeaveMark Mark;
-  Mark.Target = Record.Id.Value;
-  Mark.Incarnation = static_cast<int64_t>(Incarnation.Value);
+  Mark.Target = Target.Value;
+  Mark.Incarnation = static_cast<int64_t>(Left.Value);
   wire::MembershipMessage Message;
   Message.__set_Leaves({Mark});
-  for (int32_t Tag : NearTags)
-    Out.emplace_back(MembershipSend{Origins.at(Tag).Host.Id, Message});
+  Out.emplace_back(MembershipSend{To, Message});
 }
 
 void Membership::tick(Timestamp Now, Effects &Out) {
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -129,6 +129,11 @@
   void handleAnnouncement(const TargetRecord &Record, Timestamp Now,
                           Effects &Out);
   void handleLeavingTarget(const TargetRecord &Record, Effects &Out);
+  void handleNoticedLeave(const TargetLeaveNoticed &Noticed, Effects &Out);
+  /// Records that the incarnation has left. \returns whether this is new.
+  bool recordLeave(const TargetId &Target, ferry::Incarnation Left);
+  void sendLeaveMark(const TargetId &Target, ferry::Incarnation Left,
+                     const HostId &To, Effects &Out) const;
   void detectStall(Timestamp Now);
   void tick(Timestamp Now, Effects &Out);
   void ageOwnTargets(Timestamp Now);
@@ -149,7 +154,9 @@
   void forgetHosts(Timestamp Now);
   void handleMessage(const MembershipReceived &Received, Timestamp Now,
                      Effects &Out);
-  void handleLeaveMarks(const std::vector<wire::LeaveMark> &Leaves);
+  void handleLeaveMarks(const HostId &From,
+                        const std::vector<wire::LeaveMark> &Leaves,
+                        Effects &Out);
   void handleReply(const MembershipReceived &Received, Timestamp Now,
                    Effects &Out);
   void applyDelta(const wire::OriginDelta &Delta);
--- a/Libraries/LibRouting/RoutedPlacement.cpp
+++ b/Libraries/LibRouting/RoutedPlacement.cpp
@@ -11,9 +11,6 @@
 /// work of other routers: a prompt of the usual size is read in about this
 /// time.
 static constexpr double CongestionHalfLifeSeconds = 0.3;
-/// A request placed this long before the weights' deadline may still wait at
-/// the target and begin in time.
-static constexpr Duration BeginMargin = std::chrono::milliseconds(1000);
 /// Capacity, in tokens, of the list of recently used parts.
 static constexpr uint64_t RecentPartsTokens = 4'000'000;
 
@@ -100,13 +97,27 @@
   return NeverExpires;
 }
 
-bool RoutedPlacement::isPastWeightsDeadline(const RoutedTarget &Target,
-                                            Timestamp Now) const {
+Timestamp RoutedPlacement::weightsDeadline(const RoutedTarget &Target,
+                                           Timestamp Now) const {
   Timestamp Since = supersededSince(Target, Now);
   if (Since == NeverExpires || !LastNamesAt || Now > *LastNamesAt + MaxNamesGap)
-    return false;
-  return Now >= std::max(Since, NamesContinuousSince) + Opts.WeightsDeadline -
-                    BeginMargin;
+    return NeverExpires;
+  return std::max(Since, NamesContinuousSince) + Opts.WeightsDeadline;
+}
+
+bool RoutedPlacement::noteLeaving(const TargetId &Target, Incarnation Leaving) {
+  return Signals.noteLeaving(Target, Leaving);
+}
+
+bool RoutedPlacement::notePause(const TargetId &Target, Incarnation Asking,
+                                Timestamp Until, Timestamp Now) {
+  return Signals.notePause(Target, Asking, Until, Now);
+}
+
+bool RoutedPlacement::mayStillSend(const PlacedCall &Placed,
+                                   Timestamp Now) const {
+  return !Signals.isLeaving(Placed.Target, Placed.Incarnation) &&
+         !Signals.isPaused(Placed.Target, Placed.Incarnation, Now);
 }
 
 bool RoutedPlacement::isUsable(const RoutedTarget &Target,
--- a/Libraries/LibRouting/RoutedPlacement.h
+++ b/Libraries/LibRouting/RoutedPlacement.h
@@ -9,6 +9,7 @@
 #include "LibRouting/CachedParts.h"
 #include "LibRouting/PromptRate.h"
 #include "LibRouting/RoutingView.h"
+#include "LibRouting/TargetSignals.h"
 #include <map>
 #include <optional>
 #include <unordered_map>
@@ -87,6 +88,20 @@
   /// afterwards.
   void endCall(uint64_t PlacementId, CallEnd End, Timestamp Now);
 
+  /// Notes that a target said in an answer that it leaves. It gets no further
+  /// request, but others may still fetch its cached parts. \returns whether
+  /// this is new.
+  bool noteLeaving(const TargetId &Target, Incarnation Leaving);
+
+  /// Notes that a target asked this router in an answer to send nothing before
+  /// \p Until. \returns whether this prolongs its pause.
+  bool notePause(const TargetId &Target, Incarnation Asking, Timestamp Until,
+                 Timestamp Now);
+
+  /// Whether a placed call may still be sent: answers to other calls may have
+  /// shown since then that the target leaves or wants a pause.
+  bool mayStillSend(const PlacedCall &Placed, Timestamp Now) const;
+
   /// \returns the number of routers that serve, this one included.
   size_t servingRouters() const { return Routers; }
 
@@ -179,7 +194,8 @@
   WeightsVersion weightsOf(const RoutedTarget &Target, Timestamp Now) const;
   bool isUsable(const RoutedTarget &Target, Timestamp Now) const;
   Timestamp supersededSince(const RoutedTarget &Target, Timestamp Now) const;
-  bool isPastWeightsDeadline(const RoutedTarget &Target, Timestamp Now) const;
+  /// When the last request may begin on the target's weights.
+  Timestamp weightsDeadline(const RoutedTarget &Target, Timestamp Now) const;
   void addPeerWork(const std::vector<TargetWork> &Work, double Sign);
   void expirePeerDigests(Timestamp Now);
   void recordParts(const RoutedCall &Call, RoutedTarget &Target,
@@ -211,7 +227,7 @@
   static double allowedWait(const RoutedCall &Call, const Candidate &Best,
                             Timestamp Now);
   RefusedCall refuse(const RoutedCall &Call, CallRefusalReason Reason,
-                     Timestamp Now) const;
+                     Timestamp Now);
   void pauseTarget(RoutedTarget &Target, Duration FirstPause, Timestamp Now);
   RoutedTarget *findTarget(const SentCall &Sent);
 
@@ -220,6 +236,7 @@
   RoutingViewPtr View;
   size_t Routers = 1;
   std::map<TargetId, RoutedTarget> Targets;
+  TargetSignals Signals;
   std::map<ServiceId, PromptRate> Rates;
   /// The work of another router's last digest; it counts until ExpiresAt.
   struct PeerDigest {
--- a/Libraries/LibRouting/RoutedPlacementChoice.cpp
+++ b/Libraries/LibRouting/RoutedPlacementChoice.cpp
@@ -41,6 +41,14 @@
 /// new target announces itself twice in this time.
 static constexpr Duration NoTargetRetryDelay = std::chrono::seconds(1);
 static constexpr Duration MinRetryDelay = std::chrono::milliseconds(100);
+/// The delay of Retry-After varies by up to this part of it, so that callers
+/// that were refused together do not return together.
+static constexpr uint64_t RetryDelaySpreadDivisor = 2;
+/// A request placed this long before the weights' deadline begins in time at an
+/// idle engine. At a busy one, the estimated wait is added, several times over:
+/// it does not include what other routers send at the same moment.
+static constexpr Duration BeginMargin = std::chrono::milliseconds(1000);
+static constexpr double BeginMarginWaits = 3;
 
 double RoutedPlacement::waitSeconds(const RoutedCall &Call,
                                     const RoutedTarget &Target) const {
@@ -58,9 +66,12 @@
   std::vector<RoutedTarget *> Offered;
   std::vector<RoutedTarget *> Usable;
   for (auto &[Id, Target] : Targets) {
-    bool IsOffered = Target.Record.Service == Call.Service &&
-                     Target.Record.Phase != TargetPhase::Leaving &&
-                     Now < Target.Record.UsableUntil;
+    bool IsOffered =
+        Target.Record.Service == Call.Service &&
+        Target.Record.Phase != TargetPhase::Leaving &&
+        Now < Target.Record.UsableUntil &&
+        !Signals.isLeaving(Id, Target.Record.Incarnation) &&
+        Signals.openFrom(Id, Target.Record.Incarnation, Now) <= Now;
     if (!IsOffered)
       continue;
     Offered.push_back(&Target);
@@ -76,7 +87,11 @@
         Offered.begin(), Offered.end(),
         [Now](RoutedTarget *Target) { return Target->UnusableUntil <= Now; });
   std::erase_if(Candidates, [&](RoutedTarget *Target) {
-    if (isPastWeightsDeadline(*Target, Now))
+    Duration Margin =
+        BeginMargin +
+        durationOf(BeginMarginWaits *
+                   (waitSeconds(Call, *Target) + congestionOf(*Target, Now)));
+    if (Now + Margin >= weightsDeadline(*Target, Now))
       return true;
     return std::find(Call.Tried.begin(), Call.Tried.end(), Target->Record.Id) !=
            Call.Tried.end();
@@ -238,6 +253,7 @@
                                      const Candidate &Best, Timestamp Now) {
   RoutedTarget &Target = *Best.Target;
   ++Target.Running;
+  Signals.noteSent(Target.Record.Id, Target.Record.Incarnation, Now);
   bool Idle = isIdle(Target, Now) && !Best.FetchFromStore &&
               Best.FetchSource == nullptr;
   Target.OwnBacklog.of(Call) += Best.PromptSeconds;
@@ -284,23 +300,33 @@
 }
 
 RefusedCall RoutedPlacement::refuse(const RoutedCall &Call,
-                                    CallRefusalReason Reason,
-                                    Timestamp Now) const {
-  Timestamp RetryAt = Now + NoTargetRetryDelay;
+                                    CallRefusalReason Reason, Timestamp Now) {
+  Timestamp LatestRetryAt = Now + NoTargetRetryDelay;
+  Timestamp RetryAt = NeverExpires;
   bool HasTargets = false;
   for (const auto &[Id, Target] : Targets) {
     if (Target.Record.Service != Call.Service)
       continue;
     HasTargets = true;
+    ferry::Incarnation Current = Target.Record.Incarnation;
+    if (Signals.isLeaving(Id, Current))
+      continue;
     Timestamp FreeAt = std::max(
         std::max(Target.UnusableUntil, Target.LoadingUntil),
         Now + durationOf(Target.OwnBacklog.all() + Target.PeerBacklog.all() +
                          congestionOf(Target, Now)));
-    RetryAt = std::min(RetryAt, FreeAt);
+    // The end of a pause is certain; the other times are estimates.
+    RetryAt = std::min(RetryAt, std::max(Signals.openFrom(Id, Current, Now),
+                                         std::min(FreeAt, LatestRetryAt)));
   }
+  if (RetryAt == NeverExpires)
+    RetryAt = LatestRetryAt;
   if (HasTargets && Reason == CallRefusalReason::NoTarget)
     Reason = CallRefusalReason::NoneUsable;
-  return {Reason, std::max(RetryAt, Now + MinRetryDelay)};
+  RetryAt = std::max(RetryAt, Now + MinRetryDelay);
+  auto Spread =
+      static_cast<uint64_t>((RetryAt - Now).count()) / RetryDelaySpreadDivisor;
+  return {Reason, RetryAt + Duration(randomBelow(Random, Spread))};
 }
 
 uint64_t RoutedPlacement::storeScope(const RoutedCall &Call,
--- a/Libraries/LibRouting/RoutedPlacementOutcome.cpp
+++ b/Libraries/LibRouting/RoutedPlacementOutcome.cpp
@@ -107,6 +107,9 @@
   if (CountsAsSample)
     Target->FailureShare +=
         FailureWeight * (FailureSample - Target->FailureShare);
+  // A target that asked for a pause is left alone for exactly that time.
+  if (Signals.isPaused(Sent.Target, Sent.Incarnation, Now))
+    return;
   switch (End) {
   case CallEnd::Served:
     Target->FailuresInARow = 0;
--- a/Libraries/LibTraffic/ControlPort.h
+++ b/Libraries/LibTraffic/ControlPort.h
@@ -114,6 +114,8 @@
   /// Processes a target's announcement.
   std::function<void(TargetRecord, std::function<void(AnnounceReply)>)>
       Announce;
+  /// Reports that an incarnation of a target said in an answer that it leaves.
+  std::function<void(TargetId, Incarnation)> NoticeLeave;
   /// Renders the state of this process as one JSON text.
   std::function<void(std::function<void(std::string)>)> Dump;
   /// Begins the graceful shutdown of this host.
--- a/Libraries/LibTraffic/RouteDialect.h
+++ b/Libraries/LibTraffic/RouteDialect.h
@@ -61,6 +61,11 @@
   bool OtherTarget = false;
   /// The answer carries an attestation that it comes from the target.
   bool Attested = false;
+  /// The target leaves and wants no further requests.
+  bool Leaving = false;
+  /// How long the target, which turned the request away, wants no request from
+  /// this router.
+  std::optional<Duration> Pause;
 };
 
 /// The functions that read and write the heads.
--- a/Libraries/LibTraffic/RoutedContext.cpp
+++ b/Libraries/LibTraffic/RoutedContext.cpp
@@ -31,6 +31,22 @@
   Placement.endCall(PlacementId, End, steadyNow());
 }
 
+bool SharedPlacement::noteLeaving(const PlacedCall &Placed) {
+  std::lock_guard Lock(Mutex);
+  return Placement.noteLeaving(Placed.Target, Placed.Incarnation);
+}
+
+bool SharedPlacement::notePause(const PlacedCall &Placed, Timestamp Until) {
+  std::lock_guard Lock(Mutex);
+  return Placement.notePause(Placed.Target, Placed.Incarnation, Until,
+                             steadyNow());
+}
+
+bool SharedPlacement::mayStillSend(const PlacedCall &Placed) const {
+  std::lock_guard Lock(Mutex);
+  return Placement.mayStillSend(Placed, steadyNow());
+}
+
 RetryShare &SharedPlacement::shareOf(const ServiceId &Service) {
   return Shares.try_emplace(Service, Bound).first->second;
 }
@@ -91,6 +107,11 @@
       StreamsCut(Metrics.counter("ferry_streams_cut_total",
                                  "Streams ended before their last event")),
       CallersLeft(Metrics.counter("ferry_callers_left_total",
-                                  "Callers that left before their answer")) {}
+                                  "Callers that left before their answer")),
+      TargetsLeaving(
+          Metrics.counter("ferry_targets_leaving_total",
+                          "Targets whose answers said that they leave")),
+      TargetPauses(Metrics.counter("ferry_target_pauses_total",
+                                   "Pauses that targets asked for")) {}
 
 } // namespace ferry::traffic
--- a/Libraries/LibTraffic/RoutedContext.h
+++ b/Libraries/LibTraffic/RoutedContext.h
@@ -29,6 +29,10 @@
   place(const routing::RoutedCall &Call);
   void firstByte(uint64_t PlacementId);
   void ended(uint64_t PlacementId, routing::CallEnd End);
+  /// See the functions of RoutedPlacement.
+  bool noteLeaving(const routing::PlacedCall &Placed);
+  bool notePause(const routing::PlacedCall &Placed, Timestamp Until);
+  bool mayStillSend(const routing::PlacedCall &Placed) const;
 
   /// Counts a caller's request to \p Service, which raises its bound of
   /// retries.
@@ -66,14 +70,20 @@
   observe::Counter &Retries;
   observe::Counter &StreamsCut;
   observe::Counter &CallersLeft;
+  observe::Counter &TargetsLeaving;
+  observe::Counter &TargetPauses;
 };
 
+/// Called once for each incarnation of a target that was seen to leave.
+using LeaveCallback = std::function<void(const TargetId &, Incarnation)>;
+
 /// The state that all requests share. Outlives them.
 struct RoutedContext {
   config::Settings Settings;
   RouteDialect Dialect;
   SharedPlacement Placements;
   RoutedMetrics Metrics;
+  LeaveCallback LeaveNoticed;
   /// Whether answers tell callers to close their connections.
   std::atomic<bool> Draining{false};
   /// Requests that arrive from then on are refused, because the process may
--- a/Libraries/LibTraffic/RoutedFront.cpp
+++ b/Libraries/LibTraffic/RoutedFront.cpp
@@ -9,20 +9,23 @@
 
 RoutedFront::RoutedFront(const config::Settings &Settings, RouteDialect Dialect,
                          observe::Metrics &Metrics,
-                         routing::RoutedPlacement::Options Options)
+                         routing::RoutedPlacement::Options Options,
+                         LeaveCallback LeaveNoticed)
     : Context{Settings,
               std::move(Dialect),
               {Options,
                {Settings.Routed.RetryRatio, Settings.Routed.RetrySlack,
                 std::chrono::milliseconds(Settings.Routed.RetryWindowMillis)}},
-              RoutedMetrics(Metrics)} {}
+              RoutedMetrics(Metrics),
+              std::move(LeaveNoticed)} {}
 
 Result<std::unique_ptr<RoutedFront>, TrafficError>
 RoutedFront::tryStart(const config::Settings &Settings, RouteDialect Dialect,
                       observe::Metrics &Metrics,
-                      routing::RoutedPlacement::Options Options) {
-  std::unique_ptr<RoutedFront> Front(
-      new RoutedFront(Settings, std::move(Dialect), Metrics, Options));
+                      routing::RoutedPlacement::Options Options,
+                      LeaveCallback LeaveNoticed) {
+  std::unique_ptr<RoutedFront> Front(new RoutedFront(
+      Settings, std::move(Dialect), Metrics, Options, std::move(LeaveNoticed)));
   HttpListener::Options ListenerOptions;
   ListenerOptions.Address = Settings.CallerAddress;
   ListenerOptions.MaxConnections = Settings.Limits.MaxCallerConnections;
--- a/Libraries/LibTraffic/RoutedFront.h
+++ b/Libraries/LibTraffic/RoutedFront.h
@@ -14,10 +14,10 @@
 public:
   /// Binds the callers' address and starts to serve. Until the first routes
   /// arrive, requests are refused with a time to retry.
-  static Result<std::unique_ptr<RoutedFront>, TrafficError>
-  tryStart(const config::Settings &Settings, RouteDialect Dialect,
-           observe::Metrics &Metrics,
-           routing::RoutedPlacement::Options Options);
+  static Result<std::unique_ptr<RoutedFront>, TrafficError> tryStart(
+      const config::Settings &Settings, RouteDialect Dialect,
+      observe::Metrics &Metrics, routing::RoutedPlacement::Options Options,
+      LeaveCallback LeaveNoticed = [](const TargetId &, Incarnation) {});
   ~RoutedFront();
   RoutedFront(const RoutedFront &) = delete;
   RoutedFront &operator=(const RoutedFront &) = delete;
@@ -52,7 +52,8 @@
 private:
   RoutedFront(const config::Settings &Settings, RouteDialect Dialect,
               observe::Metrics &Metrics,
-              routing::RoutedPlacement::Options Options);
+              routing::RoutedPlacement::Options Options,
+              LeaveCallback LeaveNoticed);
 
   RoutedContext Context;
   std::unique_ptr<HttpListener> Listener;
--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -164,6 +164,11 @@
   if (!Connected)
     return recordFailure(Destination, Connected.error(), /*Sent=*/false);
   TargetExchange &Target = **Connected;
+  if (!Context.Placements.mayStillSend(Destination))
+    return recordFailure(
+        Destination,
+        {LinkErrorKind::ConnectFailed, "the target left or asked for a pause"},
+        /*Sent=*/false);
   Poco::Net::HTTPRequest Head =
       Context.Dialect.WriteTarget(Exchange.head(), detailsFor(Destination));
   if (!Body.empty() || Exchange.method() != "GET")
@@ -178,6 +183,8 @@
 RoutedRelay::NextStep RoutedRelay::relayAnswer(const PlacedCall &Destination,
                                                TargetExchange &Target) {
   AnswerDetails Details = Context.Dialect.ReadAnswer(Target.head(), Caller.Id);
+  if (!Details.OtherTarget)
+    noteSignals(Destination, Details);
   if (Details.OtherRequest)
     return recordFailure(
         Destination,
@@ -204,6 +211,31 @@
   return relayWhole(Destination, Target);
 }
 
+void RoutedRelay::noteSignals(const PlacedCall &Destination,
+                              const AnswerDetails &Details) {
+  if (Details.Leaving && Context.Placements.noteLeaving(Destination)) {
+    Context.Metrics.TargetsLeaving.add();
+    observe::logEvent(Severity::Info, "routed", "target_leaving",
+                      {{"target", Destination.Target},
+                       {"incarnation", Destination.Incarnation},
+                       {"source", "answer"}},
+                      Caller.Id);
+    Context.LeaveNoticed(Destination.Target, Destination.Incarnation);
+  }
+  if (!Details.Pause)
+    return;
+  Timestamp Now = steadyNow();
+  if (!Context.Placements.notePause(Destination, Now + *Details.Pause))
+    return;
+  Context.Metrics.TargetPauses.add();
+  observe::logEvent(Severity::Info, "routed", "target_paused",
+                    {{"target", Destination.Target},
+                     {"incarnation", Destination.Incarnation},
+                     {"pause_ms", Details.Pause->count() / 1000},
+                     {"source", "answer"}},
+                    Caller.Id);
+}
+
 RoutedRelay::NextStep RoutedRelay::relayWhole(const PlacedCall &Destination,
                                               TargetExchange &Target) {
   auto Answer = Target.tryReadWhole(MaxWholeAnswerBytes, limits());
--- a/Libraries/LibTraffic/RoutedRelay.h
+++ b/Libraries/LibTraffic/RoutedRelay.h
@@ -40,6 +40,9 @@
   NextStep attempt(const routing::PlacedCall &Destination);
   NextStep relayAnswer(const routing::PlacedCall &Destination,
                        TargetExchange &Target);
+  /// Obeys what the target asks for itself in the head of its answer.
+  void noteSignals(const routing::PlacedCall &Destination,
+                   const AnswerDetails &Details);
   NextStep relayWhole(const routing::PlacedCall &Destination,
                       TargetExchange &Target);
   NextStep relayStream(const routing::PlacedCall &Destination,
--- a/Services/ferryd/ControlPlanePort.cpp
+++ b/Services/ferryd/ControlPlanePort.cpp
@@ -70,6 +70,11 @@
   Port.ReadHistory = [this](auto Done) {
     Loop.post([this, Done = std::move(Done)] { Done(pastChanges()); });
   };
+  Port.NoticeLeave = [this](TargetId Target, ferry::Incarnation Left) {
+    Loop.post([this, Target = std::move(Target), Left] {
+      stepMembership(membership::TargetLeaveNoticed{Target, Left});
+    });
+  };
   Port.Announce = [this](TargetRecord Record, auto Done) {
     Loop.post([this, Record = std::move(Record), Done = std::move(Done)] {
       announce(Record, Done);
--- a/Services/ferryd/RoutedServers.cpp
+++ b/Services/ferryd/RoutedServers.cpp
@@ -52,7 +52,8 @@
     Options.RecordLifetime = RoutedTrustDuration;
     Options.MaxRecordAge = maxAnnouncementAge(Settings.Routed);
     auto Started = traffic::RoutedFront::tryStart(
-        Settings, platform::routeDialect(), Metrics, Options);
+        Settings, platform::routeDialect(), Metrics, Options,
+        Control.port().NoticeLeave);
     if (!Started)
       return makeError(Started.error());
     Front = std::move(*Started);
--- a/Tests/LibMembership/TestDiscovery.cpp
+++ b/Tests/LibMembership/TestDiscovery.cpp
@@ -45,9 +45,11 @@
       if (Member == Members.end() || Down == To)
         continue;
       for (auto &Effect : Member->second.step(NextEvent, Now))
-        if (auto *Send = std::get_if<MembershipSend>(&Effect))
+        if (auto *Send = std::get_if<MembershipSend>(&Effect)) {
+          LeaveMarksSent += Send->Message.Leaves.size();
           Queue.emplace_back(Send->To.Value,
                              MembershipReceived{{To}, Send->Message});
+        }
     }
   }
 
@@ -69,6 +71,7 @@
 
   std::map<std::string, Membership> Members;
   std::string Down;
+  size_t LeaveMarksSent = 0;
   Timestamp Now{100s};
 };
 
@@ -173,3 +176,57 @@
   Hosts.run(1500ms);
   BOOST_TEST(Hosts.Members.at("10.0.0.3").targets(Hosts.Now).empty());
 }
+
+// Routers see in answers that a target leaves, long before its announcement
+// says so or without one. All that use it see it at about the same time, so
+// what each of them sends must not grow with the number of hosts.
+BOOST_AUTO_TEST_CASE(a_leave_that_a_router_notices_reaches_all_hosts) {
+  constexpr size_t HostCount = 30;
+  SeededHosts Hosts(HostCount);
+  Hosts.run(3s);
+  TargetRecord Record;
+  Record.Id = {"i-1"};
+  Record.Incarnation = {77};
+  Record.Sequence = 1;
+  Record.Address = "10.1.0.1:80";
+  Record.Service = {"lm"};
+  Record.Phase = TargetPhase::Ready;
+  Hosts.deliver("10.0.0.1", TargetAnnounced{Record});
+  Hosts.run(2s);
+  for (const auto &[Name, Member] : Hosts.Members)
+    BOOST_REQUIRE(Member.targets(Hosts.Now).size() == 1U);
+  Hosts.LeaveMarksSent = 0;
+  for (size_t Index = 2; Index <= HostCount / 2; ++Index)
+    Hosts.deliver("10.0.0." + std::to_string(Index),
+                  TargetLeaveNoticed{{"i-1"}, {77}});
+  for (const auto &[Name, Member] : Hosts.Members)
+    BOOST_TEST(Member.targets(Hosts.Now).empty(), Name);
+  // The first router tells the control host, which tells the others.
+  BOOST_TEST(Hosts.LeaveMarksSent < 2 * HostCount);
+  // An announcement of the incarnation changes nothing, a restart does.
+  Record.Sequence = 2;
+  Hosts.deliver("10.0.0.1", TargetAnnounced{Record});
+  Hosts.run(2s);
+  BOOST_TEST(Hosts.Members.at("10.0.0.3").targets(Hosts.Now).empty());
+  Record.Incarnation = {78};
+  Hosts.deliver("10.0.0.1", TargetAnnounced{Record});
+  Hosts.run(2s);
+  BOOST_TEST(Hosts.Members.at("10.0.0.3").targets(Hosts.Now).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_router_without_control_hosts_obeys_a_noticed_leave) {
+  SeededHosts Hosts(3);
+  Hosts.run(2s);
+  TargetRecord Record;
+  Record.Id = {"i-1"};
+  Record.Incarnation = {77};
+  Record.Sequence = 1;
+  Record.Address = "10.1.0.1:80";
+  Record.Phase = TargetPhase::Ready;
+  Hosts.deliver("10.0.0.1", TargetAnnounced{Record});
+  Hosts.run(2s);
+  Hosts.Down = "10.0.0.1";
+  Hosts.deliver("10.0.0.2", TargetLeaveNoticed{{"i-1"}, {77}});
+  BOOST_TEST(Hosts.Members.at("10.0.0.2").targets(Hosts.Now).empty());
+  BOOST_TEST(Hosts.Members.at("10.0.0.3").targets(Hosts.Now).size() == 1U);
+}
--- a/Tests/LibRouting/TestRoutedPlacement.cpp
+++ b/Tests/LibRouting/TestRoutedPlacement.cpp
@@ -220,6 +220,81 @@
       Router.place(Deployment.call(99), Deployment.Now)));
 }
 
+// Load pattern: a burst before engines whose weights were superseded. A request
+// that waits for seconds must not be placed where it would begin past the
+// deadline.
+BOOST_AUTO_TEST_CASE(a_queue_does_not_reach_past_the_deadline_of_weights) {
+  for (int QueueSeconds : {2, 4}) {
+    TestDeployment Deployment(1);
+    RoutedPlacement Router = Deployment.router();
+    Timestamp NamedAt = Deployment.Now;
+    uint32_t TokensInQueue = 54'600 * static_cast<uint32_t>(QueueSeconds);
+    RoutedPlacement::Options Defaults;
+    for (; Deployment.Now < NamedAt + 12s; Deployment.Now += 250ms) {
+      Router.applyNamedWeights({Model, {2}, NamedAt}, Deployment.Now);
+      RoutedCall Long = Deployment.call(7, TokensInQueue, 10);
+      Long.Deadline = Deployment.Now + 30s;
+      auto First = Router.place(Long, Deployment.Now);
+      if (!std::holds_alternative<PlacedCall>(First))
+        continue;
+      RoutedCall Next = Deployment.call(9);
+      Next.Deadline = Deployment.Now + 30s;
+      auto Second = Router.place(Next, Deployment.Now);
+      // The second prompt begins once the first has been read.
+      if (std::holds_alternative<PlacedCall>(Second))
+        BOOST_TEST((Deployment.Now + std::chrono::seconds(QueueSeconds) <
+                    NamedAt + Defaults.WeightsDeadline));
+      for (const auto &Placed : {First, Second})
+        if (auto *Call = std::get_if<PlacedCall>(&Placed))
+          Router.endCall(Call->PlacementId, CallEnd::Abandoned, Deployment.Now);
+    }
+  }
+}
+
+// Load pattern: a burst makes engines shed. Those that ask for a pause get one,
+// and the others take what they can.
+BOOST_AUTO_TEST_CASE(engines_that_ask_for_a_pause_are_left_alone) {
+  TestDeployment Deployment(3);
+  RoutedPlacement Router = Deployment.router();
+  Router.notePause({"e0"}, {1}, Deployment.Now + 3s, Deployment.Now);
+  Router.notePause({"e1"}, {1}, Deployment.Now + 2s, Deployment.Now);
+  for (int Count = 0; Count < 20; ++Count) {
+    PlacedCall Placed = expectPlaced(
+        Router.place(Deployment.call(Count, 50, 250), Deployment.Now));
+    BOOST_TEST(Placed.Target.Value == "e2");
+    serve(Router, Placed, Deployment.Now);
+  }
+  Router.notePause({"e2"}, {1}, Deployment.Now + 5s, Deployment.Now);
+  auto Outcome = Router.place(Deployment.call(1), Deployment.Now);
+  BOOST_REQUIRE(std::holds_alternative<RefusedCall>(Outcome));
+  // Callers return once the first engine is back, and not all at once.
+  Timestamp RetryAt = std::get<RefusedCall>(Outcome).RetryAt;
+  BOOST_TEST((RetryAt >= Deployment.Now + 2s));
+  BOOST_TEST((RetryAt <= Deployment.Now + 3s));
+  std::set<int64_t> RetryTimes;
+  for (int Count = 0; Count < 20; ++Count)
+    RetryTimes.insert(
+        std::get<RefusedCall>(Router.place(Deployment.call(1), Deployment.Now))
+            .RetryAt.time_since_epoch()
+            .count());
+  BOOST_TEST(RetryTimes.size() > 10U);
+}
+
+BOOST_AUTO_TEST_CASE(a_leaving_engine_is_only_a_source_of_cached_parts) {
+  TestDeployment Deployment(2);
+  RoutedPlacement Router = Deployment.router();
+  PlacedCall Home =
+      expectPlaced(Router.place(Deployment.call(7), Deployment.Now));
+  serve(Router, Home, Deployment.Now);
+  BOOST_TEST(Router.mayStillSend(Home, Deployment.Now));
+  BOOST_TEST(Router.noteLeaving(Home.Target, {1}));
+  BOOST_TEST(!Router.mayStillSend(Home, Deployment.Now));
+  PlacedCall Next =
+      expectPlaced(Router.place(Deployment.call(7), Deployment.Now + 400ms));
+  BOOST_TEST(Next.Target != Home.Target);
+  BOOST_TEST(Next.FetchFrom == Home.Address);
+}
+
 // A router that restarts between the naming and the deadline must not restart
 // the deadline.
 BOOST_AUTO_TEST_CASE(a_restarted_router_keeps_the_deadline_of_weights) {
--- a/Tests/platform/TestCallHeaders.cpp
+++ b/Tests/platform/TestCallHeaders.cpp
@@ -139,3 +139,28 @@
   HTTPResponse Other(static_cast<HTTPResponse::HTTPStatus>(421));
   BOOST_TEST(readAnswer(Other, {"9c41"}).OtherTarget);
 }
+
+BOOST_AUTO_TEST_CASE(a_leaving_target_is_recognised) {
+  HTTPResponse Head(HTTPResponse::HTTP_OK);
+  BOOST_TEST(!readAnswer(Head, {}).Leaving);
+  Head.set("Server-Leaving", "0");
+  BOOST_TEST(!readAnswer(Head, {}).Leaving);
+  Head.set("Server-Leaving", "1");
+  BOOST_TEST(readAnswer(Head, {}).Leaving);
+}
+
+BOOST_AUTO_TEST_CASE(a_pause_is_read_from_a_refusal_only) {
+  using namespace std::chrono_literals;
+  auto PauseIn = [](int Status, const std::string &Seconds) {
+    HTTPResponse Head(static_cast<HTTPResponse::HTTPStatus>(Status));
+    Head.set("Retry-After", Seconds);
+    return readAnswer(Head, {}).Pause;
+  };
+  BOOST_TEST((PauseIn(503, "2") == Duration(2s)));
+  BOOST_TEST((PauseIn(503, "0.25") == Duration(250ms)));
+  BOOST_TEST((PauseIn(503, "99999999999999999999") == Duration(24h)));
+  for (const char *Text : {"", "0", "-1", "soon", "1s", "1e3", "0x10", "nan",
+                           "1.2.3", "Fri, 04 Dec 2026 00:00:00 GMT"})
+    BOOST_TEST(!PauseIn(503, Text).has_value(), Text);
+  BOOST_TEST(!PauseIn(200, "2").has_value());
+}
