LibTraffic: Let idle connections wait without a thread

Cause: each connection of a caller kept a thread while it was idle, and each listener had two more that woke up four and ten times a second. Change: one thread of the listener waits for all idle connections, and a connection occupies a thread of the pool from the first byte of a request to the end of its answer. HttpConnection, which serves the requests of one connection, has files of its own. At its limit the listener closes the connection that was idle for longest; if none is, it accepts none until one is.

--- /dev/null
+++ b/Libraries/LibTraffic/HttpConnection.cpp
@@ -0,0 +1,134 @@
+#include "LibTraffic/HttpConnection.h"
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/HTTPServerResponseImpl.h>
+#include <Poco/Net/NetException.h>
+
+namespace ferry::traffic {
+
+using namespace Poco::Net;
+
+/// How long one send may block on a slow peer, in seconds.
+static constexpr int SendTimeoutSeconds = 30;
+/// Bytes of an answer that the kernel buffers for a slow peer.
+static constexpr int SendBufferBytes = 64 << 10;
+/// Largest number of bytes of an unread request body that are discarded before
+/// the close. A close with unread bytes would reset the connection, and the
+/// caller could lose the answer.
+static constexpr int MaxDiscardedBytes = 32 << 20;
+/// Longest time for discarding an unread request body.
+static constexpr std::chrono::seconds DiscardLimit{2};
+
+static HTTPServerParams::Ptr makeParams(Duration IdleLimit) {
+  HTTPServerParams::Ptr Params(new HTTPServerParams);
+  Poco::Timespan Timeout(IdleLimit.count());
+  Params->setKeepAliveTimeout(Timeout);
+  Params->setTimeout(Timeout);
+  return Params;
+}
+
+HttpConnection::HttpConnection(const StreamSocket &Connected,
+                               ConnectionContext &Context, Duration IdleLimit)
+    : Socket(Connected), Context(Context), IdleLimit(IdleLimit),
+      Params(makeParams(IdleLimit)), Requests(Connected, Params) {
+  Socket.setSendTimeout(Poco::Timespan(SendTimeoutSeconds, 0));
+  Socket.setReceiveTimeout(Poco::Timespan(IdleLimit.count()));
+  Socket.setSendBufferSize(SendBufferBytes);
+  Socket.setNoDelay(true);
+}
+
+bool HttpConnection::serve() {
+  WatchId = Context.Watch.add(Socket, steadyNow() + Context.HeaderReadLimit);
+  Action NextAction = Action::Close;
+  try {
+    NextAction = serveOne();
+    while (NextAction == Action::KeepOpen && Requests.hasBufferedBytes()) {
+      Context.Watch.setDeadline(WatchId, steadyNow() + Context.HeaderReadLimit);
+      NextAction = serveOne();
+    }
+    if (NextAction == Action::DiscardAndClose)
+      discardUnreadBody();
+  } catch (const std::exception &) {
+    // The peer disconnected. Its request was answered or abandoned.
+    NextAction = Action::Close;
+  }
+  Context.Watch.remove(WatchId);
+  return NextAction == Action::KeepOpen;
+}
+
+/// \returns the bytes of all header fields of \p Request.
+static uint64_t headerBytes(const HTTPServerRequest &Request) {
+  uint64_t Bytes = Request.getURI().size();
+  for (const auto &[Name, Value] : Request)
+    Bytes += Name.size() + Value.size();
+  return Bytes;
+}
+
+HttpConnection::Action HttpConnection::serveOne() {
+  HTTPServerResponseImpl Response(Requests);
+  std::unique_ptr<HTTPServerRequestImpl> Request;
+  try {
+    Request = std::make_unique<HTTPServerRequestImpl>(Response, Requests,
+                                                      Params.get());
+  } catch (const NoMessageException &) {
+    return Action::Close;
+  } catch (const MessageException &Failure) {
+    answerMalformed(Failure.message());
+    return Action::DiscardAndClose;
+  } catch (const Poco::SyntaxException &) {
+    answerMalformed("a length is not a number");
+    return Action::DiscardAndClose;
+  }
+  return answer(*Request, Response);
+}
+
+HttpConnection::Action HttpConnection::answer(HTTPServerRequest &Request,
+                                              HTTPServerResponse &Response) {
+  Response.setVersion(Request.getVersion());
+  Response.setKeepAlive(Request.getKeepAlive());
+  Context.Watch.setDeadline(WatchId, steadyNow() + Context.BodyReadLimit);
+  HttpExchange Exchange(Request, Response, Socket, Context.Budget, [this] {
+    Context.Watch.setDeadline(WatchId, NeverExpires);
+  });
+  if (headerBytes(Request) > Context.MaxHeaderBytes)
+    Exchange.sendError({AnswerError::HeadersTooLarge,
+                        "the header may have at most " +
+                            std::to_string(Context.MaxHeaderBytes) + " bytes"});
+  else
+    Context.HandleRequest(Exchange);
+  if (Exchange.bodyUnread())
+    return Action::DiscardAndClose;
+  bool KeepConnection =
+      Response.sent() && Response.getKeepAlive() && Request.getKeepAlive();
+  Requests.setKeepAlive(KeepConnection);
+  return KeepConnection ? Action::KeepOpen : Action::Close;
+}
+
+void HttpConnection::answerMalformed(const std::string &Message) {
+  HTTPServerResponseImpl Response(Requests);
+  Response.setVersion(HTTPMessage::HTTP_1_1);
+  Response.setStatusAndReason(static_cast<HTTPResponse::HTTPStatus>(
+      httpStatus(AnswerError::BadHeader)));
+  Response.setKeepAlive(false);
+  std::string Body = errorBody({AnswerError::BadHeader, Message}, steadyNow());
+  Response.setContentType("application/json");
+  Response.setContentLength64(static_cast<Poco::Int64>(Body.size()));
+  Response.send() << Body << std::flush;
+}
+
+void HttpConnection::discardUnreadBody() {
+  Timestamp Deadline = steadyNow() + DiscardLimit;
+  Context.Watch.setDeadline(WatchId, Deadline);
+  Socket.shutdownSend();
+  std::string Buffer(64 << 10, '\0');
+  int Discarded = 0;
+  while (Discarded < MaxDiscardedBytes && steadyNow() < Deadline) {
+    int Count =
+        Socket.receiveBytes(Buffer.data(), static_cast<int>(Buffer.size()));
+    if (Count <= 0)
+      return;
+    Discarded += Count;
+  }
+}
+
+} // namespace ferry::traffic
--- /dev/null
+++ b/Libraries/LibTraffic/HttpConnection.h
@@ -0,0 +1,72 @@
+/// \file
+/// One server connection: reads requests and has them answered.
+#ifndef FERRY_LIBTRAFFIC_HTTPCONNECTION_H
+#define FERRY_LIBTRAFFIC_HTTPCONNECTION_H
+
+#include "LibTraffic/ConnectionWatch.h"
+#include "LibTraffic/HttpExchange.h"
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/HTTPServerSession.h>
+#include <Poco/Net/StreamSocket.h>
+#include <functional>
+
+namespace ferry::traffic {
+
+/// What all connections of one listener share. Outlives them.
+struct ConnectionContext {
+  /// Answers one request. Called on a thread of the listener's pool.
+  std::function<void(HttpExchange &)> HandleRequest;
+  uint64_t MaxHeaderBytes = 0;
+  /// See HttpListener::Options.
+  Duration HeaderReadLimit;
+  Duration BodyReadLimit;
+  BodyBudget Budget;
+  ConnectionWatch Watch;
+};
+
+/// A connection is used by one thread at a time: by the listener's while it is
+/// idle, and by a thread of the pool while it has requests.
+class HttpConnection {
+public:
+  /// \param IdleLimit longest time that the connection may stay open between
+  /// two requests.
+  HttpConnection(const Poco::Net::StreamSocket &Socket,
+                 ConnectionContext &Context, Duration IdleLimit);
+  HttpConnection(const HttpConnection &) = delete;
+  HttpConnection &operator=(const HttpConnection &) = delete;
+
+  const Poco::Net::StreamSocket &socket() const { return Socket; }
+  /// \returns when the connection is closed if it stays idle from \p Now on.
+  Timestamp idleUntil(Timestamp Now) const { return Now + IdleLimit; }
+
+  /// Serves the request whose first bytes have come, and those that have been
+  /// received behind it. \returns whether the connection stays open.
+  bool serve();
+
+private:
+  enum class Action : uint8_t { KeepOpen, Close, DiscardAndClose };
+
+  /// Gives access to the number of bytes that were received ahead.
+  class Session : public Poco::Net::HTTPServerSession {
+  public:
+    using Poco::Net::HTTPServerSession::HTTPServerSession;
+    bool hasBufferedBytes() const { return buffered() > 0; }
+  };
+
+  Action serveOne();
+  Action answer(Poco::Net::HTTPServerRequest &Request,
+                Poco::Net::HTTPServerResponse &Response);
+  void answerMalformed(const std::string &Message);
+  void discardUnreadBody();
+
+  Poco::Net::StreamSocket Socket;
+  ConnectionContext &Context;
+  Duration IdleLimit;
+  Poco::Net::HTTPServerParams::Ptr Params;
+  Session Requests;
+  ConnectionWatch::Id WatchId = 0;
+};
+
+} // namespace ferry::traffic
+
+#endif
--- a/Libraries/LibTraffic/HttpListener.cpp
+++ b/Libraries/LibTraffic/HttpListener.cpp
@@ -1,194 +1,57 @@
 #include "LibTraffic/HttpListener.h"
+#include "LibObserve/Log.h"
 #include <Poco/Exception.h>
-#include <Poco/Net/HTTPServerParams.h>
-#include <Poco/Net/HTTPServerRequestImpl.h>
-#include <Poco/Net/HTTPServerResponseImpl.h>
-#include <Poco/Net/HTTPServerSession.h>
 #include <Poco/Net/NetException.h>
-#include <Poco/Net/ServerSocket.h>
-#include <Poco/Net/TCPServerConnection.h>
-#include <Poco/Net/TCPServerConnectionFactory.h>
 #include <algorithm>
-#include <thread>
 
 namespace ferry::traffic {
 
 using namespace Poco::Net;
 
-/// How long one send may block on a slow peer, in seconds.
-static constexpr int SendTimeoutSeconds = 30;
-/// Largest number of accepted connections that wait for a thread.
-static constexpr int MaxQueuedConnections = 64;
-/// Threads that are kept while there are few connections.
-static constexpr int MinThreads = 2;
+/// Threads of the pool that are kept while there are few requests.
+static constexpr int MinThreads = 1;
+/// A thread of the pool that had no work for this long may end, in seconds.
+static constexpr int ThreadIdleSeconds = 5;
 /// Connections that the kernel queues until they are accepted. All callers of a
 /// restarted host reconnect at once, and if the queue is full, the kernel drops
 /// the first packet of a connection, which costs the caller a second.
 static constexpr int ListenBacklog = 1024;
-/// Bytes of an answer that the kernel buffers for a slow peer.
-static constexpr int SendBufferBytes = 64 << 10;
-/// Largest number of bytes of an unread request body that are discarded before
-/// the close. A close with unread bytes would reset the connection, and the
-/// caller could lose the answer.
-static constexpr int MaxDiscardedBytes = 32 << 20;
-/// Longest time for discarding an unread request body.
-static constexpr std::chrono::seconds DiscardLimit{2};
-/// Time between two checks of the number of open connections during a stop.
+/// Longest wait for an event. Deadlines and the stop are noticed this late.
+static constexpr std::chrono::milliseconds PollLimit{250};
+/// Time between two checks of the number of active connections during a stop.
 static constexpr std::chrono::milliseconds StopCheckPeriod{5};
 
-/// One connection: reads requests and calls the listener's handler.
-class HttpConnection : public TCPServerConnection {
+class HttpListener::Worker : public Poco::Runnable {
 public:
-  HttpConnection(const StreamSocket &Socket, HttpListener &Listener)
-      : TCPServerConnection(Socket), Listener(Listener) {}
+  Worker(HttpListener &Listener, ConnectionPtr First)
+      : Listener(Listener), First(std::move(First)) {}
 
-  void run() override;
-
-private:
-  enum class Action : uint8_t { KeepOpen, Close, DiscardAndClose };
-
-  Action serveOne(HTTPServerSession &Session, HTTPServerParams &Params);
-  void answerMalformed(HTTPServerSession &Session, AnswerError Type,
-                       const std::string &Message);
-  void discardUnreadBody();
-
-  HttpListener &Listener;
-  ConnectionWatch::Id WatchId = 0;
-};
-
-void HttpConnection::run() {
-  socket().setSendTimeout(Poco::Timespan(SendTimeoutSeconds, 0));
-  Poco::Timespan IdleLimit(Listener.Opts.IdleLimit().count());
-  socket().setReceiveTimeout(IdleLimit);
-  socket().setSendBufferSize(SendBufferBytes);
-  socket().setNoDelay(true);
-  WatchId = Listener.Watch.add(socket());
-  HTTPServerParams::Ptr Params(new HTTPServerParams);
-  Params->setKeepAliveTimeout(IdleLimit);
-  Params->setTimeout(IdleLimit);
-  Params->setMaxKeepAliveRequests(0);
-  try {
-    HTTPServerSession Session(socket(), Params);
-    Action NextAction = Action::KeepOpen;
-    while (NextAction == Action::KeepOpen && Session.hasMoreRequests()) {
-      Listener.Watch.enterPhase(WatchId, ConnectionPhase::Reading,
-                                steadyNow() + Listener.Opts.HeaderReadLimit);
-      NextAction = serveOne(Session, *Params);
-      Listener.Watch.enterPhase(WatchId, ConnectionPhase::Idle, NeverExpires);
-    }
-    if (NextAction == Action::DiscardAndClose)
-      discardUnreadBody();
-  } catch (const std::exception &) {
-    // The peer disconnected. Its request was answered or abandoned.
+  void run() override {
+    std::unique_ptr<Worker> Self(this);
+    Listener.serveUntilNoneWaits(std::move(First));
   }
-  Listener.Watch.remove(WatchId);
-}
-
-/// \returns the bytes of all header fields of \p Request.
-static uint64_t headerBytes(const HTTPServerRequest &Request) {
-  uint64_t Bytes = Request.getURI().size();
-  for (const auto &[Name, Value] : Request)
-    Bytes += Name.size() + Value.size();
-  return Bytes;
-}
-
-HttpConnection::Action HttpConnection::serveOne(HTTPServerSession &Session,
-                                                HTTPServerParams &Params) {
-  HTTPServerResponseImpl Response(Session);
-  std::unique_ptr<HTTPServerRequestImpl> Request;
-  try {
-    Request =
-        std::make_unique<HTTPServerRequestImpl>(Response, Session, &Params);
-  } catch (const NoMessageException &) {
-    return Action::Close;
-  } catch (const MessageException &Failure) {
-    answerMalformed(Session, AnswerError::BadHeader, Failure.message());
-    return Action::DiscardAndClose;
-  } catch (const Poco::SyntaxException &) {
-    answerMalformed(Session, AnswerError::BadHeader,
-                    "a length is not a number");
-    return Action::DiscardAndClose;
-  }
-  Response.setVersion(Request->getVersion());
-  Response.setKeepAlive(Request->getKeepAlive());
-  Listener.Watch.enterPhase(WatchId, ConnectionPhase::Working,
-                            steadyNow() + Listener.Opts.BodyReadLimit);
-  HttpExchange Exchange(*Request, Response, socket(), Listener.Budget, [this] {
-    Listener.Watch.enterPhase(WatchId, ConnectionPhase::Working, NeverExpires);
-  });
-  if (headerBytes(*Request) > Listener.Opts.MaxHeaderBytes)
-    Exchange.sendError({AnswerError::HeadersTooLarge,
-                        "the header may have at most " +
-                            std::to_string(Listener.Opts.MaxHeaderBytes) +
-                            " bytes"});
-  else
-    Listener.HandleRequest(Exchange);
-  if (Exchange.bodyUnread())
-    return Action::DiscardAndClose;
-  bool KeepConnection = Response.sent() && Response.getKeepAlive() &&
-                        Request->getKeepAlive() && Session.canKeepAlive();
-  Session.setKeepAlive(KeepConnection);
-  return KeepConnection ? Action::KeepOpen : Action::Close;
-}
 
-void HttpConnection::answerMalformed(HTTPServerSession &Session,
-                                     AnswerError Type,
-                                     const std::string &Message) {
-  HTTPServerResponseImpl Response(Session);
-  Response.setVersion(HTTPMessage::HTTP_1_1);
-  Response.setStatusAndReason(
-      static_cast<HTTPResponse::HTTPStatus>(httpStatus(Type)));
-  Response.setKeepAlive(false);
-  std::string Body = errorBody({Type, Message}, steadyNow());
-  Response.setContentType("application/json");
-  Response.setContentLength64(static_cast<Poco::Int64>(Body.size()));
-  Response.send() << Body << std::flush;
-}
-
-void HttpConnection::discardUnreadBody() {
-  Timestamp Deadline = steadyNow() + DiscardLimit;
-  Listener.Watch.enterPhase(WatchId, ConnectionPhase::Reading, Deadline);
-  socket().shutdownSend();
-  std::string Buffer(64 << 10, '\0');
-  int Discarded = 0;
-  while (Discarded < MaxDiscardedBytes && steadyNow() < Deadline) {
-    int Count =
-        socket().receiveBytes(Buffer.data(), static_cast<int>(Buffer.size()));
-    if (Count <= 0)
-      return;
-    Discarded += Count;
-  }
-}
-
-namespace {
-
-/// Creates the connections of one listener.
-class ConnectionFactory : public TCPServerConnectionFactory {
-public:
-  explicit ConnectionFactory(HttpListener &Listener) : Listener(Listener) {}
-
-  TCPServerConnection *createConnection(const StreamSocket &Socket) override {
-    return new HttpConnection(Socket, Listener);
-  }
+  ConnectionPtr takeConnection() { return std::move(First); }
 
 private:
   HttpListener &Listener;
+  ConnectionPtr First;
 };
 
-} // namespace
-
 HttpListener::HttpListener(const Options &Options, Handler HandleRequest,
                            const ServerSocket &Socket)
-    : Opts(Options), HandleRequest(std::move(HandleRequest)),
-      BoundAddress(Socket.address().toString()),
-      Budget(Options.BodyBudgetBytes),
+    : Opts(Options), Context{std::move(HandleRequest),
+                             Options.MaxHeaderBytes,
+                             Options.HeaderReadLimit,
+                             Options.BodyReadLimit,
+                             BodyBudget(Options.BodyBudgetBytes),
+                             {}},
+      Server(Socket), BoundAddress(Socket.address().toString()),
       Threads(MinThreads,
-              std::max(MinThreads, static_cast<int>(Options.MaxConnections))) {
-  TCPServerParams::Ptr Params(new TCPServerParams);
-  Params->setMaxThreads(static_cast<int>(Options.MaxConnections));
-  Params->setMaxQueued(MaxQueuedConnections);
-  Server = std::make_unique<TCPServer>(new ConnectionFactory(*this), Threads,
-                                       Socket, Params);
+              static_cast<int>(std::max(Options.MaxActive, uint32_t{1})),
+              ThreadIdleSeconds) {
+  Polled.add(Server, PollSet::POLL_READ);
+  Poller = std::thread([this] { poll(); });
 }
 
 Result<std::unique_ptr<HttpListener>, TrafficError>
@@ -204,10 +67,8 @@
     ServerSocket Socket;
     Socket.bind(Address, true, false);
     Socket.listen(ListenBacklog);
-    std::unique_ptr<HttpListener> Listener(
+    return std::unique_ptr<HttpListener>(
         new HttpListener(Options, std::move(HandleRequest), Socket));
-    Listener->Server->start();
-    return Listener;
   } catch (const Poco::Exception &Failure) {
     return makeTypedError(TrafficErrorKind::BindFailed,
                           Options.Address + ": " + Failure.displayText());
@@ -216,15 +77,169 @@
 
 HttpListener::~HttpListener() { stop(steadyNow()); }
 
+size_t HttpListener::connections() const {
+  std::lock_guard Lock(Mutex);
+  return Idle.size() + Waiting.size() + Active;
+}
+
+void HttpListener::poll() {
+  Timestamp CheckAt = steadyNow() + PollLimit;
+  while (!Stopping) {
+    Poco::Timespan Wait(Duration(PollLimit).count());
+    for (const auto &[Ready, Mode] : Polled.poll(Wait)) {
+      if (Ready == Server)
+        accept();
+      else
+        activate(Ready);
+    }
+    Timestamp Now = steadyNow();
+    if (Now < CheckAt)
+      continue;
+    CheckAt = Now + PollLimit;
+    Context.Watch.endOverdue(Now);
+    closeExpired(Now);
+  }
+}
+
+void HttpListener::accept() {
+  if (!makeRoom())
+    return;
+  try {
+    addIdle(std::make_unique<HttpConnection>(Server.acceptConnection(), Context,
+                                             Opts.IdleLimit()));
+  } catch (const Poco::Exception &Failure) {
+    // The peer has given up its connection, or no descriptor is free.
+    observe::logEvent(
+        observe::Severity::Warning, "http", "accept_failed",
+        {{"address", BoundAddress}, {"reason", Failure.displayText()}});
+  }
+}
+
+bool HttpListener::makeRoom() {
+  IdleConnection Longest;
+  std::lock_guard Lock(Mutex);
+  if (Idle.size() + Waiting.size() + Active < Opts.MaxConnections)
+    return true;
+  auto Oldest = std::min_element(
+      Idle.begin(), Idle.end(), [](const auto &Left, const auto &Right) {
+        return Left.second.CloseAt < Right.second.CloseAt;
+      });
+  if (Oldest == Idle.end()) {
+    // The kernel keeps new connections in its queue meanwhile.
+    Polled.remove(Server);
+    return false;
+  }
+  Polled.remove(Oldest->first);
+  Longest = std::move(Oldest->second);
+  Idle.erase(Oldest);
+  return true;
+}
+
+void HttpListener::closeExpired(Timestamp Now) {
+  std::vector<IdleConnection> Expired;
+  std::lock_guard Lock(Mutex);
+  for (auto Entry = Idle.begin(); Entry != Idle.end();) {
+    if (Entry->second.CloseAt > Now) {
+      ++Entry;
+      continue;
+    }
+    Polled.remove(Entry->first);
+    Expired.push_back(std::move(Entry->second));
+    Entry = Idle.erase(Entry);
+  }
+}
+
+void HttpListener::addIdle(ConnectionPtr Connection) {
+  std::lock_guard Lock(Mutex);
+  Socket Key = Connection->socket();
+  Timestamp CloseAt = Connection->idleUntil(steadyNow());
+  Idle[Key] = {std::move(Connection), CloseAt};
+  Polled.add(Key, PollSet::POLL_READ);
+}
+
+void HttpListener::activate(const Socket &Readable) {
+  std::unique_ptr<Worker> Next;
+  {
+    std::lock_guard Lock(Mutex);
+    auto Entry = Idle.find(Readable);
+    if (Entry == Idle.end())
+      return;
+    Polled.remove(Readable);
+    Next = std::make_unique<Worker>(*this, std::move(Entry->second.Connection));
+    Idle.erase(Entry);
+    if (Active >= Opts.MaxActive) {
+      Waiting.push_back(Next->takeConnection());
+      return;
+    }
+    ++Active;
+  }
+  try {
+    Threads.start(*Next);
+    // The worker deletes itself when its thread has run it.
+    static_cast<void>(Next.release());
+  } catch (const Poco::Exception &Failure) {
+    // The machine has no room for a further thread. One that is active takes
+    // the connection over.
+    observe::logEvent(
+        observe::Severity::Warning, "http", "no_thread",
+        {{"address", BoundAddress}, {"reason", Failure.displayText()}});
+    std::lock_guard Lock(Mutex);
+    --Active;
+    if (Active > 0)
+      Waiting.push_back(Next->takeConnection());
+  }
+}
+
+void HttpListener::serveUntilNoneWaits(ConnectionPtr First) {
+  ConnectionPtr Current = std::move(First);
+  while (Current) {
+    bool KeepOpen = Current->serve();
+    Current = finish(std::move(Current), KeepOpen);
+  }
+}
+
+HttpListener::ConnectionPtr HttpListener::finish(ConnectionPtr Served,
+                                                 bool KeepOpen) {
+  if (KeepOpen && !Stopping)
+    addIdle(std::move(Served));
+  // The socket is closed outside of the lock.
+  Served.reset();
+  std::lock_guard Lock(Mutex);
+  if (!Polled.has(Server) && !Stopping)
+    Polled.add(Server, PollSet::POLL_READ);
+  if (Waiting.empty() || Stopping) {
+    --Active;
+    return nullptr;
+  }
+  ConnectionPtr Next = std::move(Waiting.front());
+  Waiting.pop_front();
+  return Next;
+}
+
 void HttpListener::stop(Timestamp Deadline) {
   if (Stopped)
     return;
   Stopped = true;
-  Server->stop();
-  Watch.endIdle();
-  while (Server->currentConnections() > 0 && steadyNow() < Deadline)
+  Stopping = true;
+  Poller.join();
+  Server.close();
+  auto ActiveCount = [this] {
+    std::lock_guard Lock(Mutex);
+    return Active;
+  };
+  while (true) {
+    std::map<Socket, IdleConnection> Closing;
+    std::deque<ConnectionPtr> Unserved;
+    {
+      std::lock_guard Lock(Mutex);
+      Closing.swap(Idle);
+      Unserved.swap(Waiting);
+    }
+    if (ActiveCount() == 0 || steadyNow() >= Deadline)
+      break;
     std::this_thread::sleep_for(StopCheckPeriod);
-  Watch.endAll();
+  }
+  Context.Watch.endAll();
   Threads.joinAll();
 }
 
--- a/Libraries/LibTraffic/HttpListener.h
+++ b/Libraries/LibTraffic/HttpListener.h
@@ -5,27 +5,36 @@
 
 #include "LibConfig/Settings.h"
 #include "LibCore/Result.h"
-#include "LibTraffic/ConnectionWatch.h"
-#include "LibTraffic/HttpExchange.h"
+#include "LibTraffic/HttpConnection.h"
 #include "LibTraffic/TrafficError.h"
-#include <Poco/Net/TCPServer.h>
+#include <Poco/Net/PollSet.h>
+#include <Poco/Net/ServerSocket.h>
 #include <Poco/ThreadPool.h>
+#include <atomic>
+#include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
+#include <thread>
 
 namespace ferry::traffic {
 
 /// Accepts connections and calls a handler for each request.
+///
+/// Callers keep many connections open and use few of them at a time. One thread
+/// waits for all idle connections; a connection occupies a thread of the pool
+/// only from the first byte of a request to the end of its answer.
 class HttpListener {
 public:
-  /// Answers one request. Called on the connection's own thread.
+  /// Answers one request. Called on a thread of the pool.
   using Handler = std::function<void(HttpExchange &)>;
 
   struct Options {
     /// "IP:port"; port 0 chooses a free port.
     std::string Address;
-    /// Largest number of open connections; each needs one thread.
+    /// Largest number of open connections. Beyond it, the connection that has
+    /// been idle for longest is closed; if none is idle, none is accepted.
     uint32_t MaxConnections = 64;
     uint64_t MaxHeaderBytes = 0;
     /// Limit of the bytes of request bodies in memory, over all connections.
@@ -39,6 +48,9 @@
     std::function<Duration()> IdleLimit = [] {
       return Duration(std::chrono::seconds(15));
     };
+    /// Largest number of connections that have a request in progress. Further
+    /// ones wait, with their requests unread.
+    uint32_t MaxActive = 512;
   };
 
   /// Binds and starts. \returns BadAddress or BindFailed.
@@ -57,21 +69,52 @@
   void stop(Timestamp Deadline);
 
   /// \returns the number of open connections.
-  int connections() const { return Server->currentConnections(); }
+  size_t connections() const;
 
 private:
-  friend class HttpConnection;
+  using ConnectionPtr = std::unique_ptr<HttpConnection>;
+
+  /// A connection without a request.
+  struct IdleConnection {
+    ConnectionPtr Connection;
+    Timestamp CloseAt;
+  };
+
+  /// Runs on one thread of the pool for as long as connections wait.
+  class Worker;
 
   HttpListener(const Options &Options, Handler HandleRequest,
                const Poco::Net::ServerSocket &Socket);
 
+  // On the listener's thread.
+  void poll();
+  void accept();
+  bool makeRoom();
+  void closeExpired(Timestamp Now);
+  /// Hands a connection with a request over to the pool.
+  void activate(const Poco::Net::Socket &Readable);
+
+  // On a thread of the pool.
+  void serveUntilNoneWaits(ConnectionPtr First);
+  /// Returns an open connection to the listener's thread. \returns the next
+  /// connection that waits for a thread, or nothing.
+  ConnectionPtr finish(ConnectionPtr Served, bool KeepOpen);
+
+  void addIdle(ConnectionPtr Connection);
+
   Options Opts;
-  Handler HandleRequest;
+  ConnectionContext Context;
+  Poco::Net::ServerSocket Server;
   std::string BoundAddress;
-  BodyBudget Budget;
-  ConnectionWatch Watch;
+  Poco::Net::PollSet Polled;
+  mutable std::mutex Mutex;
+  std::map<Poco::Net::Socket, IdleConnection> Idle;
+  /// Connections with a request for which no thread was free.
+  std::deque<ConnectionPtr> Waiting;
+  size_t Active = 0;
+  std::atomic<bool> Stopping = false;
   Poco::ThreadPool Threads;
-  std::unique_ptr<Poco::Net::TCPServer> Server;
+  std::thread Poller;
   bool Stopped = false;
 };
 
--- /dev/null
+++ b/Tests/LibTraffic/TestHttpListener.cpp
@@ -0,0 +1,237 @@
+// Load patterns of connections: callers that keep many open and use few of
+// them, and more callers than a listener may serve at a time.
+#include "LibTraffic/HttpListener.h"
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <boost/test/unit_test.hpp>
+#include <condition_variable>
+#include <filesystem>
+
+using namespace ferry;
+using namespace ferry::traffic;
+using Poco::Net::StreamSocket;
+
+static const std::string Request = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
+
+/// \returns the number of threads of this process.
+static size_t threadCount() {
+  using Iterator = std::filesystem::directory_iterator;
+  return static_cast<size_t>(
+      std::distance(Iterator("/proc/self/task"), Iterator()));
+}
+
+static HttpListener::Options options() {
+  HttpListener::Options Opts;
+  Opts.Address = "127.0.0.1:0";
+  Opts.MaxConnections = 4000;
+  Opts.MaxHeaderBytes = 1000;
+  Opts.BodyBudgetBytes = 1000;
+  return Opts;
+}
+
+static std::unique_ptr<HttpListener> start(const HttpListener::Options &Opts,
+                                           HttpListener::Handler Handle) {
+  auto Listener = HttpListener::tryStart(Opts, std::move(Handle));
+  BOOST_REQUIRE(Listener);
+  return std::move(*Listener);
+}
+
+static StreamSocket connectTo(const HttpListener &Listener) {
+  StreamSocket Socket{Poco::Net::SocketAddress(Listener.address())};
+  Socket.setReceiveTimeout(Poco::Timespan(10, 0));
+  return Socket;
+}
+
+static void sendText(StreamSocket &Socket, const std::string &Text) {
+  Socket.sendBytes(Text.data(), static_cast<int>(Text.size()));
+}
+
+/// \returns what has arrived once \p Text is among it; what arrived before the
+/// end of the connection otherwise.
+static std::string receiveUntil(StreamSocket &Socket, const std::string &Text) {
+  std::string Received;
+  char Buffer[4096];
+  try {
+    while (Received.find(Text) == std::string::npos) {
+      int Count = Socket.receiveBytes(Buffer, sizeof Buffer);
+      if (Count <= 0)
+        break;
+      Received.append(Buffer, static_cast<size_t>(Count));
+    }
+  } catch (const Poco::Exception &) {
+    // The connection was reset.
+  }
+  return Received;
+}
+
+static size_t countOf(const std::string &Text, const std::string &Part) {
+  size_t Count = 0;
+  for (size_t At = Text.find(Part); At != std::string::npos;
+       At = Text.find(Part, At + 1))
+    ++Count;
+  return Count;
+}
+
+BOOST_AUTO_TEST_CASE(idle_connections_occupy_no_threads) {
+  constexpr size_t ConnectionCount = 2000;
+  auto Listener = start(
+      options(), [](HttpExchange &Exchange) { Exchange.sendJson(200, "{}"); });
+  std::vector<StreamSocket> Sockets;
+  for (size_t Index = 0; Index < ConnectionCount; ++Index) {
+    Sockets.push_back(connectTo(*Listener));
+    sendText(Sockets.back(), Request);
+    BOOST_REQUIRE(receiveUntil(Sockets.back(), "{}").find("200 OK") !=
+                  std::string::npos);
+  }
+  BOOST_TEST(Listener->connections() == ConnectionCount);
+  BOOST_TEST(threadCount() < 16U);
+  // Each of them still serves.
+  for (StreamSocket &Socket : Sockets) {
+    sendText(Socket, Request);
+    BOOST_REQUIRE(receiveUntil(Socket, "{}").find("200 OK") !=
+                  std::string::npos);
+  }
+  BOOST_TEST(threadCount() < 16U);
+}
+
+BOOST_AUTO_TEST_CASE(requests_sent_together_are_answered_in_order) {
+  auto Listener = start(options(), [](HttpExchange &Exchange) {
+    Exchange.sendJson(200, "{\"path\":\"" + Exchange.head().getURI() + "\"}");
+  });
+  StreamSocket Socket = connectTo(*Listener);
+  sendText(Socket, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+                   "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n"
+                   "GET /3 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+  std::string Received = receiveUntil(Socket, "never");
+  BOOST_TEST(countOf(Received, "200 OK") == 3U);
+  BOOST_TEST(Received.find("/1\"") < Received.find("/2\""));
+  BOOST_TEST(Received.find("/2\"") < Received.find("/3\""));
+}
+
+namespace {
+
+/// Holds requests until it is opened.
+class Gate {
+public:
+  void pass() {
+    std::unique_lock Lock(Mutex);
+    ++Arrived;
+    Changed.notify_all();
+    Changed.wait(Lock, [this] { return Open; });
+  }
+  void open() {
+    std::lock_guard Lock(Mutex);
+    Open = true;
+    Changed.notify_all();
+  }
+  bool awaitArrivals(size_t Count) {
+    std::unique_lock Lock(Mutex);
+    return Changed.wait_for(Lock, std::chrono::seconds(10),
+                            [&] { return Arrived >= Count; });
+  }
+  size_t arrivals() {
+    std::lock_guard Lock(Mutex);
+    return Arrived;
+  }
+
+private:
+  std::mutex Mutex;
+  std::condition_variable Changed;
+  size_t Arrived = 0;
+  bool Open = false;
+};
+
+} // namespace
+
+// A burst: requests beyond the bound wait unread, and all are answered.
+BOOST_AUTO_TEST_CASE(requests_in_progress_are_bounded) {
+  HttpListener::Options Opts = options();
+  Opts.MaxActive = 4;
+  Gate Held;
+  auto Listener = start(Opts, [&](HttpExchange &Exchange) {
+    Held.pass();
+    Exchange.sendJson(200, "{}");
+  });
+  std::vector<StreamSocket> Sockets;
+  for (int Index = 0; Index < 20; ++Index) {
+    Sockets.push_back(connectTo(*Listener));
+    sendText(Sockets.back(), Request);
+  }
+  BOOST_TEST(Held.awaitArrivals(4));
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  BOOST_TEST(Held.arrivals() == 4U);
+  Held.open();
+  for (StreamSocket &Socket : Sockets)
+    BOOST_TEST(countOf(receiveUntil(Socket, "{}"), "200 OK") == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(the_longest_idle_connection_makes_room) {
+  HttpListener::Options Opts = options();
+  Opts.MaxConnections = 3;
+  auto Listener =
+      start(Opts, [](HttpExchange &Exchange) { Exchange.sendJson(200, "{}"); });
+  std::vector<StreamSocket> Sockets;
+  for (int Index = 0; Index < 4; ++Index) {
+    Sockets.push_back(connectTo(*Listener));
+    sendText(Sockets.back(), Request);
+    BOOST_TEST(countOf(receiveUntil(Sockets.back(), "{}"), "200 OK") == 1U);
+  }
+  BOOST_TEST(Listener->connections() == 3U);
+  BOOST_TEST(receiveUntil(Sockets[0], "never").empty());
+  sendText(Sockets[1], Request);
+  BOOST_TEST(countOf(receiveUntil(Sockets[1], "{}"), "200 OK") == 1U);
+}
+
+// While every connection has a request in progress, new ones wait in the
+// kernel's queue and are accepted later.
+BOOST_AUTO_TEST_CASE(a_full_listener_accepts_again_after_an_answer) {
+  HttpListener::Options Opts = options();
+  Opts.MaxConnections = 2;
+  Gate Held;
+  auto Listener = start(Opts, [&](HttpExchange &Exchange) {
+    Held.pass();
+    Exchange.sendJson(200, "{}");
+  });
+  std::vector<StreamSocket> Sockets;
+  for (int Index = 0; Index < 4; ++Index) {
+    Sockets.push_back(connectTo(*Listener));
+    sendText(Sockets.back(), Request);
+  }
+  BOOST_TEST(Held.awaitArrivals(2));
+  Held.open();
+  for (StreamSocket &Socket : Sockets)
+    BOOST_TEST(countOf(receiveUntil(Socket, "{}"), "200 OK") == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(an_idle_connection_is_closed_at_its_limit) {
+  HttpListener::Options Opts = options();
+  Opts.IdleLimit = [] { return Duration(std::chrono::milliseconds(300)); };
+  auto Listener =
+      start(Opts, [](HttpExchange &Exchange) { Exchange.sendJson(200, "{}"); });
+  StreamSocket Unused = connectTo(*Listener);
+  StreamSocket Used = connectTo(*Listener);
+  sendText(Used, Request);
+  BOOST_TEST(countOf(receiveUntil(Used, "{}"), "200 OK") == 1U);
+  BOOST_TEST(receiveUntil(Unused, "never").empty());
+  BOOST_TEST(receiveUntil(Used, "never").empty());
+  BOOST_TEST(Listener->connections() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_stop_lets_requests_in_progress_finish) {
+  Gate Held;
+  auto Listener = start(options(), [&](HttpExchange &Exchange) {
+    Held.pass();
+    Exchange.sendJson(200, "{}");
+  });
+  StreamSocket Busy = connectTo(*Listener);
+  StreamSocket Unused = connectTo(*Listener);
+  sendText(Busy, Request);
+  BOOST_TEST(Held.awaitArrivals(1));
+  std::thread Stopper(
+      [&] { Listener->stop(steadyNow() + std::chrono::seconds(10)); });
+  BOOST_TEST(receiveUntil(Unused, "never").empty());
+  Held.open();
+  BOOST_TEST(countOf(receiveUntil(Busy, "{}"), "200 OK") == 1U);
+  Stopper.join();
+  BOOST_TEST(Listener->connections() == 0U);
+}
