LibRouting: Give each shared prefix a home that all routers agree on

Cause: a router knew of cached parts from its own requests and from digests, which name parts of 512 tokens or more. Change: rendezvous hashing over the engines with the same weights gives each shared prefix a home, and its leading part one of its own. The home is preferred, as a further copy costs 50 ms elsewhere; a target that is not known to have the parts fetches them from there, which takes a millisecond if they are missing.

--- a/Libraries/LibRouting/RoutedPlacement.cpp
+++ b/Libraries/LibRouting/RoutedPlacement.cpp
@@ -1,4 +1,5 @@
 #include "LibRouting/RoutedPlacement.h"
+#include "LibRouting/Rendezvous.h"
 #include "LibRouting/RoutedPlacementConstants.h"
 #include <algorithm>
 #include <cmath>
@@ -39,6 +40,7 @@
       Target.CongestionAt = Now;
     WeightsVersion WeightsBefore = weightsOf(Target, Now);
     Target.Record = Record;
+    Target.IdHash = hashIdentifier(Record.Id.Value);
     // A load of weights empties the cache.
     if (weightsOf(Target, Now) != WeightsBefore)
       Target.Parts.clear();
@@ -120,6 +122,18 @@
          !Signals.isPaused(Placed.Target, Placed.Incarnation, Now);
 }
 
+bool RoutedPlacement::isOffered(const RoutedTarget &Target,
+                                const ServiceId &Service, Timestamp Now) const {
+  return Target.Record.Service == Service &&
+         Target.Record.Phase != TargetPhase::Leaving &&
+         Now < Target.Record.UsableUntil &&
+         !Signals.isLeaving(Target.Record.Id, Target.Record.Incarnation);
+}
+
+bool RoutedPlacement::seemsCutOff(size_t Usable, size_t Offered) {
+  return Usable * 2 < Offered;
+}
+
 bool RoutedPlacement::isUsable(const RoutedTarget &Target,
                                Timestamp Now) const {
   return isFresh(Target, Now) && Target.UnusableUntil <= Now &&
--- a/Libraries/LibRouting/RoutedPlacement.h
+++ b/Libraries/LibRouting/RoutedPlacement.h
@@ -36,9 +36,10 @@
 /// the requests of this router there that have not sent a first byte, and the
 /// work that the other routers report in their digests. A target that lacks
 /// parts which another target holds fetches them from it, which takes a
-/// hundredth of the time to read them. Targets of equal cost are ranked by
-/// rendezvous hashing of the leading part, so that all routers choose the same
-/// one.
+/// hundredth of the time to read them. Rendezvous hashing gives each shared
+/// prefix a home among the targets: routers that know of no holder send its
+/// requests there, or have the target ask there, so that they agree without
+/// messages.
 class RoutedPlacement {
 public:
   struct Options {
@@ -118,6 +119,8 @@
   /// A target with this router's estimates of its load and its cached parts.
   struct RoutedTarget {
     TargetRecord Record;
+    /// Hash of the record's id.
+    uint64_t IdHash = 0;
     uint32_t Running = 0;
     /// Seconds of prompt reading sent to the target by requests without a first
     /// byte yet, for long and for short prompts.
@@ -182,16 +185,42 @@
     uint32_t CachedTokens = 0;
     const RoutedTarget *FetchSource = nullptr;
     bool FetchFromStore = false;
+    /// The target gets a further copy of parts that it does not keep.
+    bool IsCopy = false;
   };
 
+  /// The engines at which all routers expect the shared parts of a prompt: that
+  /// of the whole shared prefix, and that of its leading part alone, which
+  /// further prefixes begin with. Rendezvous hashing chooses them among the
+  /// engines that have the same weights.
+  struct Homes {
+    const RoutedTarget *OfAll = nullptr;
+    const RoutedTarget *OfLead = nullptr;
+    uint64_t DeepRank = 0;
+    uint64_t LeadRank = 0;
+  };
+  using HomesByWeights = std::map<WeightsVersion, Homes>;
+
   std::vector<RoutedTarget *> candidatesOf(const RoutedCall &Call,
                                            Timestamp Now);
   Candidate estimate(const RoutedCall &Call, RoutedTarget &Target,
                      const std::vector<const RoutedTarget *> &Holders,
-                     Timestamp Now) const;
+                     const HomesByWeights &AllHomes, Timestamp Now) const;
+  /// \returns the tokens of all parts but the last, which belongs to the
+  /// request or its session.
+  static uint32_t sharedTokens(const RoutedCall &Call);
+  HomesByWeights homesOf(const RoutedCall &Call, Timestamp Now) const;
+  void considerHome(const RoutedCall &Call, const Homes &Found,
+                    uint32_t OwnTokens, Candidate &Result) const;
   std::vector<const RoutedTarget *> holdersOf(const RoutedCall &Call,
                                               Timestamp Now) const;
   WeightsVersion weightsOf(const RoutedTarget &Target, Timestamp Now) const;
+  /// Whether the target serves \p Service and has not said that it leaves.
+  bool isOffered(const RoutedTarget &Target, const ServiceId &Service,
+                 Timestamp Now) const;
+  /// Whether so few of the offered targets are usable that the fault is more
+  /// likely at this host or in its network. All of them are used then.
+  static bool seemsCutOff(size_t Usable, size_t Offered);
   bool isUsable(const RoutedTarget &Target, Timestamp Now) const;
   Timestamp supersededSince(const RoutedTarget &Target, Timestamp Now) const;
   /// When the last request may begin on the target's weights.
--- a/Libraries/LibRouting/RoutedPlacementChoice.cpp
+++ b/Libraries/LibRouting/RoutedPlacementChoice.cpp
@@ -27,10 +27,6 @@
 /// Cost of superseded weights: they are chosen only if the targets with newer
 /// ones are slower by more than this.
 static constexpr double SupersededCostSeconds = 0.25;
-/// Time to set up a fetch, and the factor on its transfer time if it crosses
-/// data centres.
-static constexpr double FetchSetupSeconds = 0.002;
-static constexpr double FarFetchFactor = 2;
 /// Cost of a fetched copy: it evicts another part, which may have to be read
 /// again. A target that already holds the part is preferred by this much.
 static constexpr double CopyCostSeconds = 0.05;
@@ -66,21 +62,14 @@
   std::vector<RoutedTarget *> Offered;
   std::vector<RoutedTarget *> Usable;
   for (auto &[Id, Target] : Targets) {
-    bool IsOffered =
-        Target.Record.Service == Call.Service &&
-        Target.Record.Phase != TargetPhase::Leaving &&
-        Now < Target.Record.UsableUntil &&
-        !Signals.isLeaving(Id, Target.Record.Incarnation) &&
-        Signals.openFrom(Id, Target.Record.Incarnation, Now) <= Now;
-    if (!IsOffered)
+    if (!isOffered(Target, Call.Service, Now) ||
+        Signals.openFrom(Id, Target.Record.Incarnation, Now) > Now)
       continue;
     Offered.push_back(&Target);
     if (isUsable(Target, Now))
       Usable.push_back(&Target);
   }
-  // If most targets seem to be lost at once, the fault is more likely at this
-  // host or in its network, so all targets are candidates again.
-  bool UseAll = Usable.size() * 2 < Offered.size();
+  bool UseAll = seemsCutOff(Usable.size(), Offered.size());
   std::vector<RoutedTarget *> &Candidates = UseAll ? Offered : Usable;
   if (UseAll && !Usable.empty())
     std::stable_partition(
@@ -99,74 +88,6 @@
   return std::move(Candidates);
 }
 
-std::vector<const RoutedPlacement::RoutedTarget *>
-RoutedPlacement::holdersOf(const RoutedCall &Call, Timestamp Now) const {
-  std::vector<const RoutedTarget *> Holders;
-  if (Call.Parts.empty())
-    return Holders;
-  for (const auto &[Id, Target] : Targets)
-    if (Target.Record.Service == Call.Service && isUsable(Target, Now) &&
-        Target.Parts.cachedTokens(Call.CacheScope, Call.Parts,
-                                  PartState::Read) >= MinSharedTokens)
-      Holders.push_back(&Target);
-  return Holders;
-}
-
-double RoutedPlacement::transferSeconds(uint32_t Tokens, double BitsPerSecond,
-                                        bool Far) const {
-  static constexpr double BitsPerByte = 8;
-  double Bits = double(Tokens) * double(BytesPerToken) * BitsPerByte;
-  // A link of unknown speed is taken to be as slow as reading the tokens.
-  if (BitsPerSecond <= 0)
-    return PromptRate().readSeconds(Tokens);
-  return FetchSetupSeconds + Bits / BitsPerSecond * (Far ? FarFetchFactor : 1);
-}
-
-void RoutedPlacement::considerHolders(
-    const RoutedCall &Call, const std::vector<const RoutedTarget *> &Holders,
-    Timestamp Now, Candidate &Result) const {
-  RoutedTarget &Target = *Result.Target;
-  uint32_t OwnTokens = Result.CachedTokens;
-  for (const RoutedTarget *Holder : Holders) {
-    if (Holder == &Target || weightsOf(*Holder, Now) != weightsOf(Target, Now))
-      continue;
-    uint32_t HeldTokens = Holder->Parts.cachedTokens(
-        Call.CacheScope, Call.Parts, PartState::Read);
-    if (HeldTokens < OwnTokens + MinSharedTokens)
-      continue;
-    bool Far = Holder->Record.DataCentre != Target.Record.DataCentre;
-    double Seconds =
-        readSeconds(Call, HeldTokens) +
-        transferSeconds(HeldTokens - OwnTokens, EngineLinkBits, Far);
-    if (Seconds >= Result.PromptSeconds)
-      continue;
-    Result.PromptSeconds = Seconds;
-    Result.CachedTokens = HeldTokens;
-    Result.FetchSource = Holder;
-  }
-}
-
-void RoutedPlacement::considerStore(const RoutedCall &Call, uint32_t OwnTokens,
-                                    Timestamp Now, Candidate &Result) const {
-  if (!CacheStore || CacheStore->UnusableUntil > Now)
-    return;
-  const RoutedTarget &Target = *Result.Target;
-  uint32_t StoredTokens = CacheStore->Parts.cachedTokens(
-      storeScope(Call, Target, Now), Call.Parts, PartState::Read);
-  if (StoredTokens < OwnTokens + MinSharedTokens)
-    return;
-  bool Far = CacheStore->DataCentre != Target.Record.DataCentre;
-  double Seconds =
-      readSeconds(Call, StoredTokens) +
-      transferSeconds(StoredTokens - OwnTokens, CacheStore->BitsPerSecond, Far);
-  if (Seconds >= Result.PromptSeconds)
-    return;
-  Result.PromptSeconds = Seconds;
-  Result.CachedTokens = StoredTokens;
-  Result.FetchSource = nullptr;
-  Result.FetchFromStore = true;
-}
-
 double RoutedPlacement::readSeconds(const RoutedCall &Call,
                                     uint32_t Cached) const {
   double Missing = std::max(0.0, double(Call.PromptTokens) - Cached);
@@ -176,7 +97,7 @@
 RoutedPlacement::Candidate
 RoutedPlacement::estimate(const RoutedCall &Call, RoutedTarget &Target,
                           const std::vector<const RoutedTarget *> &Holders,
-                          Timestamp Now) const {
+                          const HomesByWeights &AllHomes, Timestamp Now) const {
   Candidate Result;
   Result.Target = &Target;
   uint32_t OwnTokens = Target.Parts.cachedTokens(Call.CacheScope, Call.Parts,
@@ -185,6 +106,9 @@
   Result.PromptSeconds = readSeconds(Call, OwnTokens);
   considerHolders(Call, Holders, Now, Result);
   considerStore(Call, OwnTokens, Now, Result);
+  if (auto Found = AllHomes.find(weightsOf(Target, Now));
+      Found != AllHomes.end())
+    considerHome(Call, Found->second, OwnTokens, Result);
   Result.WaitSeconds =
       waitSeconds(Call, Target) + congestionOf(Target, Now) +
       SecondsPerRunningRequest * (Target.Running + Target.PeerRunning);
@@ -193,7 +117,7 @@
     Result.FirstByteSeconds += rateOf(Call.Service).baseSeconds();
   Result.Cost =
       Result.FirstByteSeconds + FailureCostSeconds * Target.FailureShare;
-  if (Result.FetchSource != nullptr || Result.FetchFromStore)
+  if (Result.IsCopy)
     Result.Cost += CopyCostSeconds;
   if (Target.UnusableUntil > Now)
     Result.Cost += secondsOf(Target.UnusableUntil - Now);
@@ -213,12 +137,13 @@
                      ? Random()
                      : CachedParts::keyOf(Call.CacheScope, Call.Parts[0].Id);
   auto Rank = [Key](const RoutedTarget *Target) {
-    return rendezvousWeight(hashIdentifier(Target->Record.Id.Value), Key);
+    return rendezvousWeight(Target->IdHash, Key);
   };
   std::vector<const RoutedTarget *> Holders = holdersOf(Call, Now);
+  HomesByWeights AllHomes = homesOf(Call, Now);
   std::vector<Candidate> Candidates;
   for (RoutedTarget *Target : Eligible)
-    Candidates.push_back(estimate(Call, *Target, Holders, Now));
+    Candidates.push_back(estimate(Call, *Target, Holders, AllHomes, Now));
   double LeastCost = std::min_element(Candidates.begin(), Candidates.end(),
                                       [](const auto &Left, const auto &Right) {
                                         return Left.Cost < Right.Cost;
@@ -329,26 +254,4 @@
   return {Reason, RetryAt + Duration(randomBelow(Random, Spread))};
 }
 
-uint64_t RoutedPlacement::storeScope(const RoutedCall &Call,
-                                     const RoutedTarget &Target,
-                                     Timestamp Now) const {
-  // The store keeps parts of several weights at once: they need separate keys.
-  return rendezvousWeight(Call.CacheScope, weightsOf(Target, Now).Value + 1);
-}
-
-bool RoutedPlacement::shouldSave(const RoutedCall &Call, const Candidate &Best,
-                                 Timestamp Now) const {
-  // Only a part that is read for the second time is saved: it is likely to be
-  // needed again, and saving every part would fill the store's link.
-  if (!CacheStore || Best.CachedTokens > 0 || Call.Parts.empty() ||
-      CacheStore->UnusableUntil > Now ||
-      Call.Parts.front().Tokens < MinSharedTokens)
-    return false;
-  uint64_t Scope = storeScope(Call, *Best.Target, Now);
-  bool IsStored =
-      CacheStore->Parts.cachedTokens(Scope, Call.Parts, PartState::Awaited) > 0;
-  return !IsStored && RecentParts.cachedTokens(Call.CacheScope, Call.Parts,
-                                               PartState::Awaited) > 0;
-}
-
 } // namespace ferry::routing
--- a/Libraries/LibRouting/RoutedPlacementConstants.h
+++ b/Libraries/LibRouting/RoutedPlacementConstants.h
@@ -11,9 +11,12 @@
 /// The control hosts repeat the named weights twice a second. A longer gap
 /// means that no control host is working, so none can order newer weights.
 inline constexpr Duration MaxNamesGap = std::chrono::seconds(2);
-/// Parts of at least this size are reported in digests and fetched: reading
-/// them again takes longer than a fetch and the message about it.
-inline constexpr uint32_t MinSharedTokens = 512;
+/// Parts of at least this size are fetched: reading them again takes longer
+/// than a fetch.
+inline constexpr uint32_t MinSharedTokens = 64;
+/// Parts of at least this size are reported in digests, and kept in the store:
+/// reading them again takes longer than the message about them.
+inline constexpr uint32_t MinReportedTokens = 512;
 /// Id of the cache store in digests; no target has this id.
 inline const TargetId StoreId{"#store"};
 /// First pause of a target after a failed connection or repeated broken
--- a/Libraries/LibRouting/RoutedPlacementOutcome.cpp
+++ b/Libraries/LibRouting/RoutedPlacementOutcome.cpp
@@ -22,9 +22,10 @@
   for (const PromptPart &Part : Call.Parts) {
     uint64_t Key = CachedParts::keyOf(Call.CacheScope, Part.Id);
     Target.Parts.use(Key, Part.Tokens, State);
-    if (Part.Tokens >= MinSharedTokens)
-      RecentParts.use(Key, Part.Tokens, State);
-    if (Part.Tokens >= MinSharedTokens && UnsentParts.size() < MaxDigestParts)
+    if (Part.Tokens < MinReportedTokens)
+      continue;
+    RecentParts.use(Key, Part.Tokens, State);
+    if (UnsentParts.size() < MaxDigestParts)
       UnsentParts.push_back({Target.Record.Id, Key, Part.Tokens, State});
   }
 }
@@ -36,7 +37,7 @@
     const PromptPart &Part = Call.Parts[Index];
     uint64_t Key = CachedParts::keyOf(Scope, Part.Id);
     CacheStore->Parts.use(Key, Part.Tokens, State);
-    if (Part.Tokens >= MinSharedTokens && UnsentParts.size() < MaxDigestParts)
+    if (Part.Tokens >= MinReportedTokens && UnsentParts.size() < MaxDigestParts)
       UnsentParts.push_back({StoreId, Key, Part.Tokens, State});
   }
 }
--- a/Tests/LibRouting/TestRoutedPlacement.cpp
+++ b/Tests/LibRouting/TestRoutedPlacement.cpp
@@ -1,5 +1,6 @@
 // Placement on the routed interface, tested by load patterns: hot prompts, load
 // from several routers, changes of weights, lost hosts and overload.
+#include "LibCore/Random.h"
 #include "LibRouting/RoutedPlacement.h"
 #include <boost/test/unit_test.hpp>
 #include <set>
@@ -58,6 +59,13 @@
     return Router;
   }
 
+  /// All engines announce themselves now.
+  void announceTo(RoutedPlacement &Router) {
+    for (TargetRecord &Record : View.Targets)
+      Record.UsableUntil = Now + RecordLifetime;
+    Router.applyView(std::make_shared<const RoutingView>(View), Now);
+  }
+
   RoutedCall call(uint64_t Part, uint32_t Shared = 13'300,
                   uint32_t Own = 3'700) const {
     RoutedCall Call;
@@ -138,6 +146,84 @@
   BOOST_TEST(Elsewhere.Estimate.count() < Duration(150ms).count());
 }
 
+// Load pattern: many routers send short prompts on many subjects. A part is too
+// small to be worth a message between routers, but reading it at each engine
+// would cost more than all own tokens.
+BOOST_AUTO_TEST_CASE(routers_that_exchange_nothing_read_a_shared_part_once) {
+  constexpr uint32_t LeadTokens = 340;
+  constexpr uint32_t SubjectTokens = 230;
+  constexpr uint64_t LeadCount = 5;
+  constexpr uint64_t SubjectCount = 50;
+  TestDeployment Deployment(12);
+  std::vector<RoutedPlacement> Routers;
+  for (uint64_t Seed = 1; Seed <= 9; ++Seed)
+    Routers.push_back(Deployment.router(Seed));
+  std::map<std::string, std::string> IdByAddress;
+  for (const TargetRecord &Record : Deployment.View.Targets)
+    IdByAddress[Record.Address] = Record.Id.Value;
+  std::map<std::string, std::set<uint64_t>> CachedAt;
+  std::set<uint64_t> ReadOnce;
+  uint32_t LeadTokensReadAgain = 0;
+  uint32_t SubjectTokensReadAgain = 0;
+  // Three requests for each engine are in progress.
+  std::vector<std::pair<RoutedPlacement *, PlacedCall>> Running;
+  RandomGenerator Random(5);
+  for (int Count = 0; Count < 3000; ++Count) {
+    uint64_t Subject = randomBelow(Random, SubjectCount);
+    uint64_t Lead = 1000 + Subject % LeadCount;
+    RoutedCall Call;
+    Call.Service = Lm;
+    Call.Parts = {{Lead, LeadTokens},
+                  {Subject, SubjectTokens},
+                  {100'000 + static_cast<uint64_t>(Count), 1200}};
+    Call.PromptTokens = 1770;
+    Call.Deadline = Deployment.Now + 3s;
+    RoutedPlacement &Router = Routers[randomBelow(Random, Routers.size())];
+    PlacedCall Placed = expectPlaced(Router.place(Call, Deployment.Now));
+    std::set<uint64_t> &Cached = CachedAt[Placed.Target.Value];
+    std::set<uint64_t> &Source = CachedAt[IdByAddress[Placed.FetchFrom]];
+    for (uint64_t Part : {Lead, Subject}) {
+      bool IsRead = !Cached.insert(Part).second || Source.count(Part) != 0;
+      if (!IsRead && !ReadOnce.insert(Part).second)
+        (Part == Lead ? LeadTokensReadAgain : SubjectTokensReadAgain) +=
+            Part == Lead ? LeadTokens : SubjectTokens;
+    }
+    Running.emplace_back(&Router, Placed);
+    if (Running.size() < 36)
+      continue;
+    for (auto &[Sender, Sent] : Running)
+      serve(*Sender, Sent, Deployment.Now);
+    Running.clear();
+    Deployment.Now += 200ms;
+    for (RoutedPlacement &Each : Routers)
+      Deployment.announceTo(Each);
+  }
+  // No subject is read twice. A lead may be read by the engines that are the
+  // first of their routers to get it.
+  BOOST_TEST(SubjectTokensReadAgain == 0U);
+  BOOST_TEST(LeadTokensReadAgain <= LeadTokens * LeadCount * (12 - 1));
+}
+
+// Load pattern: one prefix gets most requests. Its home is full, so other
+// engines take some, each with a copy that it fetches from the home.
+BOOST_AUTO_TEST_CASE(a_full_home_hands_its_parts_to_other_engines) {
+  TestDeployment Deployment(6);
+  RoutedPlacement Router = Deployment.router();
+  RoutedCall Call = Deployment.call(7, 570, 1200);
+  PlacedCall Home = expectPlaced(Router.place(Call, Deployment.Now));
+  BOOST_TEST(Home.FetchFrom == "");
+  std::set<std::string> Used;
+  for (int Count = 0; Count < 40; ++Count) {
+    PlacedCall Placed = expectPlaced(
+        Router.place(Deployment.call(7, 570, 1200), Deployment.Now));
+    Used.insert(Placed.Target.Value);
+    if (Placed.Target != Home.Target &&
+        Placed.CachedTokens < Call.Parts[0].Tokens)
+      BOOST_TEST(Placed.FetchFrom == Home.Address);
+  }
+  BOOST_TEST(Used.size() == 6U);
+}
+
 // Load pattern: long prompts at several routers. Routers that ignored the work
 // of the others would choose the same idle engine.
 BOOST_AUTO_TEST_CASE(work_of_other_routers_counts) {
