ferryd: Leave engines alone that ask a control host for a pause

Cause: orders and reports are calls too; after a refusal with Retry-After they were repeated every 100 ms. Change: OrderSender keeps the pauses in a TargetSignals of its own and ends an order as not sent while its engine pauses. The two HTTP calls share one function.

--- a/Libraries/LibTraffic/TargetConnection.h
+++ b/Libraries/LibTraffic/TargetConnection.h
@@ -87,6 +87,7 @@
                                        const WaitLimits &Limits);
 
   int status() const { return Response.getStatus(); }
+  const Poco::Net::HTTPResponse &head() const { return Response; }
   /// \returns the answer's header \p Name, or "" if it is absent.
   std::string header(const std::string &Name) const;
 
--- a/Services/ferryd/OrderDialect.h
+++ b/Services/ferryd/OrderDialect.h
@@ -5,6 +5,7 @@
 #define FERRY_FERRYD_ORDERDIALECT_H
 
 #include "LibControl/ReconcilerEvents.h"
+#include "LibTraffic/RouteDialect.h"
 #include "LibTraffic/TargetConnection.h"
 #include <functional>
 #include <optional>
@@ -33,6 +34,9 @@
   /// such order.
   std::function<std::string(const control::SendOrder &, uint64_t OrdersBefore)>
       Body;
+  /// \returns what the head of an answer says besides its status.
+  std::function<traffic::AnswerDetails(const Poco::Net::HTTPResponse &)>
+      ReadAnswer;
   /// \returns the state in the body of an answer; nothing if it is malformed.
   std::function<std::optional<EngineState>(const std::string &)> ReadState;
 };
--- a/Services/ferryd/OrderSender.cpp
+++ b/Services/ferryd/OrderSender.cpp
@@ -1,5 +1,6 @@
 #include "ferryd/OrderSender.h"
 #include "LibCore/Visit.h"
+#include "LibObserve/Log.h"
 #include "LibTraffic/TargetConnection.h"
 #include <Poco/JSON/Object.h>
 #include <sstream>
@@ -104,37 +105,63 @@
   return Accepted ? OrderOutcome::Accepted : OrderOutcome::Refused;
 }
 
-std::optional<EngineState>
-OrderSender::fetchState(const control::SendOrder &Request,
-                        Timestamp Deadline) const {
+std::unique_ptr<traffic::TargetConnection>
+OrderSender::call(const control::SendOrder &Request, const EngineCall &Call,
+                  Timestamp Deadline) {
+  if (isPaused(Request))
+    return nullptr;
   auto Connected = traffic::TargetConnection::tryConnect(
       Request.Address, std::min(Deadline, steadyNow() + SendTimeout));
   if (!Connected)
-    return std::nullopt;
+    return nullptr;
   traffic::TargetConnection &Link = **Connected;
-  bool Received =
-      Link.trySend("GET", Dialect->StatePath, Dialect->Headers(Request.Target),
-                   "", Deadline) &&
-      Link.tryReceiveHead({Deadline}) && Link.status() == FirstSuccessStatus;
-  if (!Received)
+  bool Answered =
+      Link.trySend(Call.Method, Call.Path, Dialect->Headers(Request.Target),
+                   Call.Body, Deadline) &&
+      Link.tryReceiveHead({Deadline});
+  if (!Answered)
+    return nullptr;
+  if (auto Pause = Dialect->ReadAnswer(Link.head()).Pause)
+    notePause(Request, steadyNow() + *Pause);
+  return std::move(*Connected);
+}
+
+bool OrderSender::isPaused(const control::SendOrder &Request) {
+  std::lock_guard<std::mutex> Lock(Mutex);
+  return Signals.isPaused(Request.Target, Request.Incarnation, steadyNow());
+}
+
+void OrderSender::notePause(const control::SendOrder &Request,
+                            Timestamp Until) {
+  {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    if (!Signals.notePause(Request.Target, Request.Incarnation, Until,
+                           steadyNow()))
+      return;
+  }
+  observe::logEvent(observe::Severity::Info, "orders", "target_paused",
+                    {{"target", Request.Target},
+                     {"incarnation", Request.Incarnation},
+                     {"pause_ms", millisUntil(Until, steadyNow())},
+                     {"source", "order"}});
+}
+
+std::optional<EngineState>
+OrderSender::fetchState(const control::SendOrder &Request, Timestamp Deadline) {
+  auto Link = call(Request, {"GET", Dialect->StatePath, ""}, Deadline);
+  if (!Link || Link->status() != FirstSuccessStatus)
     return std::nullopt;
-  auto Body = Link.tryReadWhole(MaxStateBytes, {Deadline});
+  auto Body = Link->tryReadWhole(MaxStateBytes, {Deadline});
   return Body ? Dialect->ReadState(*Body) : std::nullopt;
 }
 
 int OrderSender::sendOnce(const control::SendOrder &Request,
-                          uint64_t OrdersBefore) const {
-  Timestamp Deadline = std::min(Request.Deadline, steadyNow() + SendTimeout);
-  auto Connected =
-      traffic::TargetConnection::tryConnect(Request.Address, Deadline);
-  if (!Connected)
-    return 0;
-  traffic::TargetConnection &Link = **Connected;
-  bool Answered =
-      Link.trySend("POST", Dialect->OrderPath, Dialect->Headers(Request.Target),
-                   Dialect->Body(Request, OrdersBefore), Deadline) &&
-      Link.tryReceiveHead({Deadline});
-  return Answered ? Link.status() : 0;
+                          uint64_t OrdersBefore) {
+  auto Link =
+      call(Request,
+           {"POST", Dialect->OrderPath, Dialect->Body(Request, OrdersBefore)},
+           std::min(Request.Deadline, steadyNow() + SendTimeout));
+  return Link ? Link->status() : 0;
 }
 
 static bool hasWeights(const EngineState &State,
--- a/Services/ferryd/OrderSender.h
+++ b/Services/ferryd/OrderSender.h
@@ -4,6 +4,7 @@
 #define FERRY_FERRYD_ORDERSENDER_H
 
 #include "LibControl/ReconcilerEvents.h"
+#include "LibRouting/TargetSignals.h"
 #include "ferryd/OrderDialect.h"
 #include <condition_variable>
 #include <deque>
@@ -43,11 +44,26 @@
   void work();
   static control::OrderOutcome deliver(const control::SendOrder &Request);
   control::OrderOutcome deliverAndWatch(const control::SendOrder &Request);
+
+  /// A call of the dialect.
+  struct EngineCall {
+    std::string Method;
+    std::string Path;
+    std::string Body;
+  };
+
+  /// Calls the engine, unless it has asked this host for a pause.
+  /// \returns the connection with the head of the answer; nullptr if none came.
+  std::unique_ptr<traffic::TargetConnection>
+  call(const control::SendOrder &Request, const EngineCall &Call,
+       Timestamp Deadline);
+  bool isPaused(const control::SendOrder &Request);
+  void notePause(const control::SendOrder &Request, Timestamp Until);
   std::optional<EngineState> fetchState(const control::SendOrder &Request,
-                                        Timestamp Deadline) const;
+                                        Timestamp Deadline);
   /// Sends the order once.
   /// \returns the HTTP status of the answer, 0 if there was none.
-  int sendOnce(const control::SendOrder &Request, uint64_t OrdersBefore) const;
+  int sendOnce(const control::SendOrder &Request, uint64_t OrdersBefore);
   /// Watches the engine for up to OrderWatchLimit. \returns whether it has
   /// shown the effect of the order.
   bool watch(const control::SendOrder &Request);
@@ -57,6 +73,7 @@
   Callback Done;
   std::optional<OrderDialect> Dialect;
   std::mutex Mutex;
+  routing::TargetSignals Signals;
   std::condition_variable Wakeup;
   std::deque<control::SendOrder> Queue;
   bool Stopping = false;
