LibRouting, ferryd: Sum up work digests in groups of a large fleet

Cause: each router sent its work to all others, 200 digests a second in and out at any size. At 76 routers a digest was 380 ms old, at 291 longer than it counts, so that routers lost sight of a third of the work; and most bytes between data centres were digests. Change: WorkExchange, a state machine without I/O. Up to 16 routers send to all as before. Of more, those of a data centre form groups of at most 16; a relay adds up its group, tells the other relays, and its members what all others have. A digest says whose work it adds up, so that no sum returns into a sum. The scope is a new optional field; a digest without it is a router's own.

--- a/Libraries/LibRouting/RoutedCall.h
+++ b/Libraries/LibRouting/RoutedCall.h
@@ -105,9 +105,20 @@
   PartState State = PartState::Read;
 };
 
-/// What one router sends to the others: its running requests, and the parts
-/// they have used since its last digest.
+/// Whose work a digest adds up.
+enum class DigestScope : uint8_t {
+  /// That of the router that sends it.
+  Router,
+  /// That of the routers whose relay sends it.
+  Group,
+  /// That of all routers but the receiver.
+  Fleet
+};
+
+/// What one router sends to others: running requests, and the parts they have
+/// used since its last digest.
 struct WorkDigest {
+  DigestScope Scope = DigestScope::Router;
   std::vector<TargetWork> Work;
   std::vector<PartPlace> Parts;
 };
@@ -164,6 +175,13 @@
       {Reason::Full, "full"}};
 };
 
+template <> struct EnumNames<routing::DigestScope> {
+  using Scope = routing::DigestScope;
+  static constexpr EnumName<Scope> Table[] = {{Scope::Router, "router"},
+                                              {Scope::Group, "group"},
+                                              {Scope::Fleet, "fleet"}};
+};
+
 template <> struct EnumNames<routing::CallEnd> {
   using End = routing::CallEnd;
   static constexpr EnumName<End> Table[] = {
--- a/Libraries/LibRouting/RoutedPlacementUpdates.cpp
+++ b/Libraries/LibRouting/RoutedPlacementUpdates.cpp
@@ -2,14 +2,12 @@
 // reported by the holder of the order lease, and weights named by operators.
 #include "LibRouting/RoutedPlacement.h"
 #include "LibRouting/RoutedPlacementConstants.h"
+#include "LibRouting/WorkExchange.h"
 #include <algorithm>
 #include <utility>
 
 namespace ferry::routing {
 
-/// The work in a router's digest counts for this long, unless a newer digest
-/// replaces it.
-static constexpr Duration DigestLifetime = std::chrono::milliseconds(1000);
 /// Weights that the holder of the order lease reports for an engine are valid
 /// for this long: by then the engine's announcements show them or newer ones.
 static constexpr Duration ReportedWeightsLifetime = std::chrono::seconds(5);
@@ -48,7 +46,7 @@
                                   Timestamp Now) {
   PeerDigest &Latest = PeerDigests[From];
   addPeerWork(Latest.Work, -1);
-  Latest = {Digest.Work, Now + DigestLifetime};
+  Latest = {Digest.Work, Now + WorkExchange::DigestLifetime};
   addPeerWork(Latest.Work, 1);
   expirePeerDigests(Now);
   for (const PartPlace &Part : Digest.Parts) {
--- a/Libraries/LibWire/Generated/Routing_types.cpp
+++ b/Libraries/LibWire/Generated/Routing_types.cpp
@@ -13,6 +13,37 @@
 
 namespace ferry { namespace wire {
 
+int _kDigestScopeValues[] = {
+  DigestScope::Router,
+  DigestScope::Group,
+  DigestScope::Fleet
+};
+const char* _kDigestScopeNames[] = {
+  "Router",
+  "Group",
+  "Fleet"
+};
+const std::map<int, const char*> _DigestScope_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(3, _kDigestScopeValues, _kDigestScopeNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const DigestScope::type& val) {
+  std::map<int, const char*>::const_iterator it = _DigestScope_VALUES_TO_NAMES.find(val);
+  if (it != _DigestScope_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const DigestScope::type& val) {
+  std::map<int, const char*>::const_iterator it = _DigestScope_VALUES_TO_NAMES.find(val);
+  if (it != _DigestScope_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
 
 TargetWork::~TargetWork() noexcept {
 }
@@ -359,6 +390,10 @@
 void WorkDigest::__set_Parts(const std::vector<PartPlace> & val) {
   this->Parts = val;
 }
+
+void WorkDigest::__set_Scope(const DigestScope::type val) {
+  this->Scope = val;
+}
 std::ostream& operator<<(std::ostream& out, const WorkDigest& obj)
 {
   obj.printTo(out);
@@ -427,6 +462,16 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast18;
+          xfer += iprot->readI32(ecast18);
+          this->Scope = static_cast<DigestScope::type>(ecast18);
+          this->__isset.Scope = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -447,10 +492,10 @@
   xfer += oprot->writeFieldBegin("Work", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Work.size()));
-    std::vector<TargetWork> ::const_iterator _iter18;
-    for (_iter18 = this->Work.begin(); _iter18 != this->Work.end(); ++_iter18)
+    std::vector<TargetWork> ::const_iterator _iter19;
+    for (_iter19 = this->Work.begin(); _iter19 != this->Work.end(); ++_iter19)
     {
-      xfer += (*_iter18).write(oprot);
+      xfer += (*_iter19).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -459,15 +504,19 @@
   xfer += oprot->writeFieldBegin("Parts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Parts.size()));
-    std::vector<PartPlace> ::const_iterator _iter19;
-    for (_iter19 = this->Parts.begin(); _iter19 != this->Parts.end(); ++_iter19)
+    std::vector<PartPlace> ::const_iterator _iter20;
+    for (_iter20 = this->Parts.begin(); _iter20 != this->Parts.end(); ++_iter20)
     {
-      xfer += (*_iter19).write(oprot);
+      xfer += (*_iter20).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("Scope", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->Scope));
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -477,36 +526,42 @@
   using ::std::swap;
   swap(a.Work, b.Work);
   swap(a.Parts, b.Parts);
+  swap(a.Scope, b.Scope);
   swap(a.__isset, b.__isset);
 }
 
-WorkDigest::WorkDigest(const WorkDigest& other20) {
-  Work = other20.Work;
-  Parts = other20.Parts;
-  __isset = other20.__isset;
-}
-WorkDigest::WorkDigest(WorkDigest&& other21) noexcept {
-  Work = std::move(other21.Work);
-  Parts = std::move(other21.Parts);
+WorkDigest::WorkDigest(const WorkDigest& other21) {
+  Work = other21.Work;
+  Parts = other21.Parts;
+  Scope = other21.Scope;
   __isset = other21.__isset;
 }
-WorkDigest& WorkDigest::operator=(const WorkDigest& other22) {
-  Work = other22.Work;
-  Parts = other22.Parts;
+WorkDigest::WorkDigest(WorkDigest&& other22) noexcept {
+  Work = std::move(other22.Work);
+  Parts = std::move(other22.Parts);
+  Scope = other22.Scope;
   __isset = other22.__isset;
-  return *this;
 }
-WorkDigest& WorkDigest::operator=(WorkDigest&& other23) noexcept {
-  Work = std::move(other23.Work);
-  Parts = std::move(other23.Parts);
+WorkDigest& WorkDigest::operator=(const WorkDigest& other23) {
+  Work = other23.Work;
+  Parts = other23.Parts;
+  Scope = other23.Scope;
   __isset = other23.__isset;
   return *this;
 }
+WorkDigest& WorkDigest::operator=(WorkDigest&& other24) noexcept {
+  Work = std::move(other24.Work);
+  Parts = std::move(other24.Parts);
+  Scope = other24.Scope;
+  __isset = other24.__isset;
+  return *this;
+}
 void WorkDigest::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "WorkDigest(";
   out << "Work=" << to_string(Work);
   out << ", " << "Parts=" << to_string(Parts);
+  out << ", " << "Scope=" << to_string(Scope);
   out << ")";
 }
 
@@ -637,36 +692,36 @@
   swap(a.__isset, b.__isset);
 }
 
-EngineChange::EngineChange(const EngineChange& other24) {
-  Target = other24.Target;
-  Incarnation = other24.Incarnation;
-  Weights = other24.Weights;
-  Loading = other24.Loading;
-  __isset = other24.__isset;
-}
-EngineChange::EngineChange(EngineChange&& other25) noexcept {
-  Target = std::move(other25.Target);
+EngineChange::EngineChange(const EngineChange& other25) {
+  Target = other25.Target;
   Incarnation = other25.Incarnation;
   Weights = other25.Weights;
   Loading = other25.Loading;
   __isset = other25.__isset;
 }
-EngineChange& EngineChange::operator=(const EngineChange& other26) {
-  Target = other26.Target;
+EngineChange::EngineChange(EngineChange&& other26) noexcept {
+  Target = std::move(other26.Target);
   Incarnation = other26.Incarnation;
   Weights = other26.Weights;
   Loading = other26.Loading;
   __isset = other26.__isset;
-  return *this;
 }
-EngineChange& EngineChange::operator=(EngineChange&& other27) noexcept {
-  Target = std::move(other27.Target);
+EngineChange& EngineChange::operator=(const EngineChange& other27) {
+  Target = other27.Target;
   Incarnation = other27.Incarnation;
   Weights = other27.Weights;
   Loading = other27.Loading;
   __isset = other27.__isset;
   return *this;
 }
+EngineChange& EngineChange::operator=(EngineChange&& other28) noexcept {
+  Target = std::move(other28.Target);
+  Incarnation = other28.Incarnation;
+  Weights = other28.Weights;
+  Loading = other28.Loading;
+  __isset = other28.__isset;
+  return *this;
+}
 void EngineChange::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "EngineChange(";
@@ -787,32 +842,32 @@
   swap(a.__isset, b.__isset);
 }
 
-NamedWeights::NamedWeights(const NamedWeights& other28) {
-  Model = other28.Model;
-  Weights = other28.Weights;
-  AgeMillis = other28.AgeMillis;
-  __isset = other28.__isset;
-}
-NamedWeights::NamedWeights(NamedWeights&& other29) noexcept {
-  Model = std::move(other29.Model);
+NamedWeights::NamedWeights(const NamedWeights& other29) {
+  Model = other29.Model;
   Weights = other29.Weights;
   AgeMillis = other29.AgeMillis;
   __isset = other29.__isset;
 }
-NamedWeights& NamedWeights::operator=(const NamedWeights& other30) {
-  Model = other30.Model;
+NamedWeights::NamedWeights(NamedWeights&& other30) noexcept {
+  Model = std::move(other30.Model);
   Weights = other30.Weights;
   AgeMillis = other30.AgeMillis;
   __isset = other30.__isset;
-  return *this;
 }
-NamedWeights& NamedWeights::operator=(NamedWeights&& other31) noexcept {
-  Model = std::move(other31.Model);
+NamedWeights& NamedWeights::operator=(const NamedWeights& other31) {
+  Model = other31.Model;
   Weights = other31.Weights;
   AgeMillis = other31.AgeMillis;
   __isset = other31.__isset;
   return *this;
 }
+NamedWeights& NamedWeights::operator=(NamedWeights&& other32) noexcept {
+  Model = std::move(other32.Model);
+  Weights = other32.Weights;
+  AgeMillis = other32.AgeMillis;
+  __isset = other32.__isset;
+  return *this;
+}
 void NamedWeights::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "NamedWeights(";
@@ -866,14 +921,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Changes.clear();
-            uint32_t _size32;
-            ::apache::thrift::protocol::TType _etype35;
-            xfer += iprot->readListBegin(_etype35, _size32);
-            this->Changes.resize(_size32);
-            uint32_t _i36;
-            for (_i36 = 0; _i36 < _size32; ++_i36)
+            uint32_t _size33;
+            ::apache::thrift::protocol::TType _etype36;
+            xfer += iprot->readListBegin(_etype36, _size33);
+            this->Changes.resize(_size33);
+            uint32_t _i37;
+            for (_i37 = 0; _i37 < _size33; ++_i37)
             {
-              xfer += this->Changes[_i36].read(iprot);
+              xfer += this->Changes[_i37].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -886,14 +941,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Named.clear();
-            uint32_t _size37;
-            ::apache::thrift::protocol::TType _etype40;
-            xfer += iprot->readListBegin(_etype40, _size37);
-            this->Named.resize(_size37);
-            uint32_t _i41;
-            for (_i41 = 0; _i41 < _size37; ++_i41)
+            uint32_t _size38;
+            ::apache::thrift::protocol::TType _etype41;
+            xfer += iprot->readListBegin(_etype41, _size38);
+            this->Named.resize(_size38);
+            uint32_t _i42;
+            for (_i42 = 0; _i42 < _size38; ++_i42)
             {
-              xfer += this->Named[_i41].read(iprot);
+              xfer += this->Named[_i42].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -922,10 +977,10 @@
   xfer += oprot->writeFieldBegin("Changes", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Changes.size()));
-    std::vector<EngineChange> ::const_iterator _iter42;
-    for (_iter42 = this->Changes.begin(); _iter42 != this->Changes.end(); ++_iter42)
+    std::vector<EngineChange> ::const_iterator _iter43;
+    for (_iter43 = this->Changes.begin(); _iter43 != this->Changes.end(); ++_iter43)
     {
-      xfer += (*_iter42).write(oprot);
+      xfer += (*_iter43).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -934,10 +989,10 @@
   xfer += oprot->writeFieldBegin("Named", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Named.size()));
-    std::vector<NamedWeights> ::const_iterator _iter43;
-    for (_iter43 = this->Named.begin(); _iter43 != this->Named.end(); ++_iter43)
+    std::vector<NamedWeights> ::const_iterator _iter44;
+    for (_iter44 = this->Named.begin(); _iter44 != this->Named.end(); ++_iter44)
     {
-      xfer += (*_iter43).write(oprot);
+      xfer += (*_iter44).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -955,28 +1010,28 @@
   swap(a.__isset, b.__isset);
 }
 
-EngineChanges::EngineChanges(const EngineChanges& other44) {
-  Changes = other44.Changes;
-  Named = other44.Named;
-  __isset = other44.__isset;
-}
-EngineChanges::EngineChanges(EngineChanges&& other45) noexcept {
-  Changes = std::move(other45.Changes);
-  Named = std::move(other45.Named);
+EngineChanges::EngineChanges(const EngineChanges& other45) {
+  Changes = other45.Changes;
+  Named = other45.Named;
   __isset = other45.__isset;
 }
-EngineChanges& EngineChanges::operator=(const EngineChanges& other46) {
-  Changes = other46.Changes;
-  Named = other46.Named;
+EngineChanges::EngineChanges(EngineChanges&& other46) noexcept {
+  Changes = std::move(other46.Changes);
+  Named = std::move(other46.Named);
   __isset = other46.__isset;
-  return *this;
 }
-EngineChanges& EngineChanges::operator=(EngineChanges&& other47) noexcept {
-  Changes = std::move(other47.Changes);
-  Named = std::move(other47.Named);
+EngineChanges& EngineChanges::operator=(const EngineChanges& other47) {
+  Changes = other47.Changes;
+  Named = other47.Named;
   __isset = other47.__isset;
   return *this;
 }
+EngineChanges& EngineChanges::operator=(EngineChanges&& other48) noexcept {
+  Changes = std::move(other48.Changes);
+  Named = std::move(other48.Named);
+  __isset = other48.__isset;
+  return *this;
+}
 void EngineChanges::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "EngineChanges(";
--- a/Libraries/LibWire/Generated/Routing_types.h
+++ b/Libraries/LibWire/Generated/Routing_types.h
@@ -21,6 +21,20 @@
 
 namespace ferry { namespace wire {
 
+struct DigestScope {
+  enum type : int32_t {
+    Router = 0,
+    Group = 1,
+    Fleet = 2
+  };
+};
+
+extern const std::map<int, const char*> _DigestScope_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const DigestScope::type& val);
+
+std::string to_string(const DigestScope::type& val);
+
 class TargetWork;
 
 class PartPlace;
@@ -166,9 +180,10 @@
 std::ostream& operator<<(std::ostream& out, const PartPlace& obj);
 
 typedef struct _WorkDigest__isset {
-  _WorkDigest__isset() : Work(false), Parts(false) {}
+  _WorkDigest__isset() : Work(false), Parts(false), Scope(true) {}
   bool Work :1;
   bool Parts :1;
+  bool Scope :1;
 } _WorkDigest__isset;
 
 class WorkDigest : public virtual ::apache::thrift::TBase {
@@ -178,12 +193,18 @@
   WorkDigest(WorkDigest&&) noexcept;
   WorkDigest& operator=(const WorkDigest&);
   WorkDigest& operator=(WorkDigest&&) noexcept;
-  WorkDigest() noexcept {
+  WorkDigest() noexcept
+             : Scope(static_cast<DigestScope::type>(0)) {
   }
 
   virtual ~WorkDigest() noexcept;
   std::vector<TargetWork>  Work;
   std::vector<PartPlace>  Parts;
+  /**
+   * 
+   * @see DigestScope
+   */
+  DigestScope::type Scope;
 
   _WorkDigest__isset __isset;
 
@@ -191,12 +212,16 @@
 
   void __set_Parts(const std::vector<PartPlace> & val);
 
+  void __set_Scope(const DigestScope::type val);
+
   bool operator == (const WorkDigest & rhs) const
   {
     if (!(Work == rhs.Work))
       return false;
     if (!(Parts == rhs.Parts))
       return false;
+    if (!(Scope == rhs.Scope))
+      return false;
     return true;
   }
   bool operator != (const WorkDigest &rhs) const {
--- a/Libraries/LibWire/Idl/Routing.thrift
+++ b/Libraries/LibWire/Idl/Routing.thrift
@@ -20,11 +20,20 @@
   4: bool Read
 }
 
-// Replaces the sender's earlier work; the parts are those of its newest
+// Whose work a digest adds up: that of its sender, that of the routers whose relay
+// sends it, or that of all routers but the receiver.
+enum DigestScope {
+  Router = 0
+  Group = 1
+  Fleet = 2
+}
+
+// Replaces the sender's earlier work; the parts are those of the newest
 // requests.
 struct WorkDigest {
   1: list<TargetWork> Work
   2: list<PartPlace> Parts
+  3: DigestScope Scope = DigestScope.Router
 }
 
 // What the giver of orders knows of an engine ahead of its announcements.
--- a/Services/ferryd/ControlPlane.cpp
+++ b/Services/ferryd/ControlPlane.cpp
@@ -97,6 +97,7 @@
       Store(std::move(OpenedStore)),
       Holder(Store, this->Callbacks.Platform.ReadDescription),
       Members(membershipOptions(Settings, Store.incarnation())),
+      Work({Settings.Host, Settings.DataCentre}),
       Confirmed(confirmationOptions(Settings, Holder.number())) {}
 
 ControlPlane::~ControlPlane() {
@@ -124,7 +125,7 @@
   stepMembership(DescriptionApplied{Holder.number()});
   tick();
   if (isRouted() && Settings.Role == config::HostRole::Router)
-    broadcastDigest();
+    sendDigests();
   return {};
 }
 
--- a/Services/ferryd/ControlPlane.h
+++ b/Services/ferryd/ControlPlane.h
@@ -10,6 +10,7 @@
 #include "LibObserve/StateDump.h"
 #include "LibRouting/RoutedCall.h"
 #include "LibRouting/RoutingView.h"
+#include "LibRouting/WorkExchange.h"
 #include "LibTraffic/ControlPort.h"
 #include "LibWire/Generated/Routing_types.h"
 #include "ferryd/DescriptionHolder.h"
@@ -128,7 +129,7 @@
   void updateControlHosts();
   void broadcastDescription();
   void addSeeds();
-  void broadcastDigest();
+  void sendDigests();
   void receiveDigest(const HostId &From, const wire::WorkDigest &Digest);
   void broadcastEngineChange(const routing::EngineChange &Change);
   void receiveEngineChanges(const wire::EngineChanges &Changes);
@@ -164,6 +165,7 @@
   std::unique_ptr<OrderDispatcher> Orders;
   std::vector<HostId> ControlHosts;
   membership::Membership Members;
+  routing::WorkExchange Work;
   membership::Confirmation Confirmed;
   membership::Standing OwnStanding = membership::Standing::Unconfirmed;
   bool Draining = false;
@@ -175,9 +177,6 @@
   observe::Metrics Metrics;
   ControlLoop::TimerId TickTimer;
   ControlLoop::TimerId DigestTimer;
-  /// The work in the last digest that was sent.
-  std::vector<routing::TargetWork> LastSentWork;
-  Timestamp ResendWorkAt;
   /// The weights named for each model, the oldest first, and when this host
   /// learned of them.
   std::map<ModelId, std::vector<routing::NamedWeights>> NamedWeightsByModel;
--- a/Services/ferryd/ControlPlaneRouting.cpp
+++ b/Services/ferryd/ControlPlaneRouting.cpp
@@ -2,21 +2,13 @@
 // about engines and named weights.
 #include "ferryd/ControlPlane.h"
 #include <algorithm>
+#include <utility>
 
 namespace ferry::daemon {
 
-/// Shortest time between two digests. Prompts that are long enough for
-/// placement to matter take longer than this to read.
-static constexpr Duration DigestInterval = std::chrono::milliseconds(40);
-/// Most digests that one router receives in a second; with more routers, each
-/// sends its digest less often.
-static constexpr int64_t MaxDigestsPerSecond = 200;
 /// Named weights are sent again after this.
 static constexpr Duration NamedWeightsResendInterval =
     std::chrono::milliseconds(500);
-/// An unchanged digest is sent again after this, in case the last one was lost.
-static constexpr Duration DigestResendInterval = std::chrono::milliseconds(400);
-
 std::vector<HostId> ControlPlane::otherRouters() const {
   std::vector<HostId> Routers;
   for (const membership::HostState &Host : Members.hosts(steadyNow()))
@@ -29,14 +21,15 @@
 
 static wire::WorkDigest toWire(const routing::WorkDigest &Digest) {
   wire::WorkDigest Message;
-  for (const routing::TargetWork &Work : Digest.Work) {
+  Message.Scope = static_cast<wire::DigestScope::type>(Digest.Scope);
+  for (const routing::TargetWork &Each : Digest.Work) {
     wire::TargetWork Fields;
-    Fields.Target = Work.Target.Value;
+    Fields.Target = Each.Target.Value;
     Fields.LongPromptMillis =
-        static_cast<int32_t>(Work.LongPrompts.count() / 1000);
+        static_cast<int32_t>(Each.LongPrompts.count() / 1000);
     Fields.ShortPromptMillis =
-        static_cast<int32_t>(Work.ShortPrompts.count() / 1000);
-    Fields.Running = static_cast<int32_t>(Work.Running);
+        static_cast<int32_t>(Each.ShortPrompts.count() / 1000);
+    Fields.Running = static_cast<int32_t>(Each.Running);
     Message.Work.push_back(std::move(Fields));
   }
   for (const routing::PartPlace &Part : Digest.Parts) {
@@ -50,45 +43,43 @@
   return Message;
 }
 
-void ControlPlane::broadcastDigest() {
+void ControlPlane::sendDigests() {
   Timestamp Now = steadyNow();
-  std::vector<HostId> Peers = otherRouters();
-  Duration MinInterval = std::chrono::microseconds(
-      1'000'000 * static_cast<int64_t>(Peers.size()) / MaxDigestsPerSecond);
-  DigestTimer = Loop.at(Now + std::max(DigestInterval, MinInterval),
-                        [this] { broadcastDigest(); });
-  if (!Callbacks.BuildDigest || Peers.empty())
-    return;
-  routing::WorkDigest Digest = Callbacks.BuildDigest();
-  bool Changed = !Digest.Parts.empty() || Digest.Work != LastSentWork;
-  bool ResendDue = !Digest.Work.empty() && Now >= ResendWorkAt;
-  if (!Changed && !ResendDue)
-    return;
-  LastSentWork = Digest.Work;
-  ResendWorkAt = Now + DigestResendInterval;
-  wire::WorkDigest Message = toWire(Digest);
-  for (const HostId &Peer : Peers)
-    Link->send(Peer, wire::PayloadKind::WorkDigest, Message);
+  if (Callbacks.BuildDigest) {
+    std::vector<routing::WorkExchange::Router> Routers;
+    for (const membership::HostState &Host : Members.hosts(Now))
+      if (Host.Duty == membership::HostDuty::Router &&
+          Host.Standing != membership::Standing::Silent)
+        Routers.push_back({Host.Id, Host.DataCentre});
+    Work.setRouters(std::move(Routers));
+    for (const auto &[To, Digest] : Work.send(Callbacks.BuildDigest(), Now))
+      Link->send(To, wire::PayloadKind::WorkDigest, toWire(Digest));
+  }
+  DigestTimer = Loop.at(Now + Work.interval(), [this] { sendDigests(); });
 }
 
 void ControlPlane::receiveDigest(const HostId &From,
                                  const wire::WorkDigest &Message) {
-  if (!Callbacks.ApplyDigest)
+  auto Scope = static_cast<uint8_t>(Message.Scope);
+  if (!Callbacks.ApplyDigest || Message.Scope < 0 ||
+      Message.Scope > wire::DigestScope::Fleet)
     return;
   routing::WorkDigest Digest;
-  for (const wire::TargetWork &Work : Message.Work)
+  Digest.Scope = static_cast<routing::DigestScope>(Scope);
+  for (const wire::TargetWork &Each : Message.Work)
     Digest.Work.push_back(
-        {{Work.Target},
-         std::chrono::milliseconds(std::max(Work.LongPromptMillis, 0)),
-         std::chrono::milliseconds(std::max(Work.ShortPromptMillis, 0)),
-         static_cast<uint32_t>(std::max(Work.Running, 0))});
+        {{Each.Target},
+         std::chrono::milliseconds(std::max(Each.LongPromptMillis, 0)),
+         std::chrono::milliseconds(std::max(Each.ShortPromptMillis, 0)),
+         static_cast<uint32_t>(std::max(Each.Running, 0))});
   for (const wire::PartPlace &Part : Message.Parts)
     Digest.Parts.push_back(
         {{Part.Target},
          static_cast<uint64_t>(Part.Part),
          static_cast<uint32_t>(std::max(Part.Tokens, 0)),
          Part.Read ? routing::PartState::Read : routing::PartState::Awaited});
-  Callbacks.ApplyDigest(From, Digest);
+  if (Work.receive(From, Digest, steadyNow()))
+    Callbacks.ApplyDigest(From, Digest);
 }
 
 void ControlPlane::broadcastEngineChange(const routing::EngineChange &Change) {
