LibRouting: Report small parts that large prefixes begin with

Cause: a part under 512 tokens was not reported, so that a prefix of 5,382 tokens with a lead of 400 counted as not cached at all for other routers. The same large parts were reported again with each request. Change: all parts of a large prefix are reported, each when it is new at a target or has been read only now.

Also, connections to targets have keep-alive probes after a second, as a host without power sends no reset: streams to engines that went dark waited for the callers' deadline, though their route may resume them elsewhere.

--- a/Libraries/LibRouting/CachedParts.cpp
+++ b/Libraries/LibRouting/CachedParts.cpp
@@ -1,5 +1,6 @@
 #include "LibRouting/CachedParts.h"
 #include "LibRouting/Rendezvous.h"
+#include <utility>
 
 namespace ferry::routing {
 
@@ -7,12 +8,13 @@
   return Scope == 0 ? Id : rendezvousWeight(Scope, Id);
 }
 
-void CachedParts::use(uint64_t Key, uint32_t Tokens, PartState State) {
+bool CachedParts::use(uint64_t Key, uint32_t Tokens, PartState State) {
   auto Position = ByKey.find(Key);
   if (Position != ByKey.end()) {
-    Position->second->State = std::max(Position->second->State, State);
+    PartState Before = std::exchange(Position->second->State,
+                                     std::max(Position->second->State, State));
     Order.splice(Order.end(), Order, Position->second);
-    return;
+    return Position->second->State != Before;
   }
   Order.push_back({Key, Tokens, State});
   ByKey[Key] = std::prev(Order.end());
@@ -22,6 +24,7 @@
     ByKey.erase(Order.front().Key);
     Order.pop_front();
   }
+  return true;
 }
 
 void CachedParts::removeAwaited(uint64_t Key) {
--- a/Libraries/LibRouting/CachedParts.h
+++ b/Libraries/LibRouting/CachedParts.h
@@ -22,7 +22,8 @@
 
   /// Marks the part \p Key as the most recently used one, and adds it if it is
   /// new. A part in the state Read never returns to Awaited.
-  void use(uint64_t Key, uint32_t Tokens, PartState State);
+  /// \returns whether the part is new or has been read only now.
+  bool use(uint64_t Key, uint32_t Tokens, PartState State);
 
   /// Removes the part \p Key unless it has been read; its request ended early.
   void removeAwaited(uint64_t Key);
--- a/Libraries/LibRouting/RoutedPlacementConstants.h
+++ b/Libraries/LibRouting/RoutedPlacementConstants.h
@@ -14,8 +14,9 @@
 /// Parts of at least this size are fetched: reading them again takes longer
 /// than a fetch.
 inline constexpr uint32_t MinSharedTokens = 64;
-/// Parts of at least this size are reported in digests, and kept in the store:
-/// reading them again takes longer than the message about them.
+/// Parts and prefixes of at least this size are reported in digests, and parts
+/// are kept in the store: reading them again takes longer than the message
+/// about them.
 inline constexpr uint32_t MinReportedTokens = 512;
 /// Id of the cache store in digests; no target has this id.
 inline const TargetId StoreId{"#store"};
--- a/Libraries/LibRouting/RoutedPlacementOutcome.cpp
+++ b/Libraries/LibRouting/RoutedPlacementOutcome.cpp
@@ -19,13 +19,16 @@
 
 void RoutedPlacement::recordParts(const RoutedCall &Call, RoutedTarget &Target,
                                   PartState State) {
+  // A part is of use to other routers only with all parts before it, so that
+  // small ones are reported too if the whole prefix is large.
+  bool PrefixIsLarge = sharedTokens(Call) >= MinReportedTokens;
   for (const PromptPart &Part : Call.Parts) {
     uint64_t Key = CachedParts::keyOf(Call.CacheScope, Part.Id);
-    Target.Parts.use(Key, Part.Tokens, State);
-    if (Part.Tokens < MinReportedTokens)
-      continue;
-    RecentParts.use(Key, Part.Tokens, State);
-    if (UnsentParts.size() < MaxDigestParts)
+    bool IsNews = Target.Parts.use(Key, Part.Tokens, State);
+    if (Part.Tokens >= MinReportedTokens)
+      RecentParts.use(Key, Part.Tokens, State);
+    bool IsReported = PrefixIsLarge || Part.Tokens >= MinReportedTokens;
+    if (IsNews && IsReported && UnsentParts.size() < MaxDigestParts)
       UnsentParts.push_back({Target.Record.Id, Key, Part.Tokens, State});
   }
 }
--- a/Libraries/LibTraffic/TargetExchange.cpp
+++ b/Libraries/LibTraffic/TargetExchange.cpp
@@ -18,6 +18,10 @@
 /// Time after which unacknowledged bytes end the connection, because the
 /// target's host or the network has failed.
 static constexpr unsigned UserTimeoutMillis = 2000;
+/// Seconds without a byte after which the kernel asks the target's host whether
+/// the connection still exists. A host without power sends no reset; a target
+/// that only takes long is not affected.
+static constexpr int KeepAliveSeconds = 1;
 static constexpr size_t ReceiveBytes = 16 << 10;
 static constexpr size_t MaxHeadBytes = 64 << 10;
 static constexpr int FirstFinalStatus = 200;
@@ -37,6 +41,9 @@
     Socket.setNoDelay(true);
     Socket.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT,
                      static_cast<int>(UserTimeoutMillis));
+    Socket.setKeepAlive(true);
+    Socket.setOption(IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveSeconds);
+    Socket.setOption(IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveSeconds);
     std::unique_ptr<TargetExchange> Exchange(new TargetExchange(Socket));
     WaitLimits ConnectLimits = Limits;
     ConnectLimits.Deadline =
--- a/Tests/LibRouting/TestRoutedPlacement.cpp
+++ b/Tests/LibRouting/TestRoutedPlacement.cpp
@@ -204,6 +204,32 @@
   BOOST_TEST(LeadTokensReadAgain <= LeadTokens * LeadCount * (12 - 1));
 }
 
+// Load pattern: long prefixes that begin with a small part. Routers that were
+// told of the large part alone would count on none of it, and refuse requests
+// under load that engines could take.
+BOOST_AUTO_TEST_CASE(a_prefix_with_a_small_lead_is_known_to_other_routers) {
+  TestDeployment Deployment(4);
+  RoutedPlacement Left = Deployment.router(1);
+  RoutedPlacement Right = Deployment.router(2);
+  RoutedCall Call = Deployment.call(7);
+  Call.Parts = {{1, 400}, {2, 4870}, {3, 6600}};
+  Call.PromptTokens = 11'870;
+  PlacedCall First = expectPlaced(Left.place(Call, Deployment.Now));
+  serve(Left, First, Deployment.Now);
+  Right.applyDigest({"left"}, Left.makeDigest(), Deployment.Now + 1s);
+  Deployment.Now += 1s;
+  Call.Parts[2].Id = 4;
+  PlacedCall Second = expectPlaced(Right.place(Call, Deployment.Now));
+  BOOST_TEST(Second.Target == First.Target);
+  BOOST_TEST(Second.CachedTokens == 5270U);
+  // The prefix is reported once, not with each request.
+  Left.makeDigest();
+  Call.Parts[2].Id = 5;
+  serve(Left, expectPlaced(Left.place(Call, Deployment.Now)), Deployment.Now);
+  for (const PartPlace &Part : Left.makeDigest().Parts)
+    BOOST_TEST(Part.Key == 5U);
+}
+
 // Load pattern: one prefix gets most requests. Its home is full, so other
 // engines take some, each with a copy that it fetches from the home.
 BOOST_AUTO_TEST_CASE(a_full_home_hands_its_parts_to_other_engines) {
