LibRouting: Save each large prefix at its first read, over all stores

Cause: an engine under load evicts a prefix within seconds, between two uses, and nobody tells the routers. Only one of several stores of a description was used. Change: the engine that reads a prefix first saves it at the store that rendezvous hashing gives it. A request whose engine is believed to have the prefix names the store as well: the engine asks it only for what it has evicted. Result: a_part_that_was_evicted_comes_from_the_store now demands that a second read never happens; before, it demanded that the first read is not saved, which was the cause. each_prefix_belongs_to_one_of_several_stores is new.

--- a/Libraries/LibRouting/RoutedPlacement.cpp
+++ b/Libraries/LibRouting/RoutedPlacement.cpp
@@ -12,11 +12,8 @@
 /// work of other routers: a prompt of the usual size is read in about this
 /// time.
 static constexpr double CongestionHalfLifeSeconds = 0.3;
-/// Capacity, in tokens, of the list of recently used parts.
-static constexpr uint64_t RecentPartsTokens = 4'000'000;
-
 RoutedPlacement::RoutedPlacement(Options Opts)
-    : Opts(Opts), Random(Opts.Seed), RecentParts(RecentPartsTokens) {}
+    : Opts(Opts), Random(Opts.Seed) {}
 
 void RoutedPlacement::applyView(RoutingViewPtr Newer, Timestamp Now) {
   View = std::move(Newer);
@@ -59,25 +56,28 @@
   }
   for (const auto &[Host, Digest] : PeerDigests)
     addPeerWork(Digest.Work, 1);
-  updateStore();
+  updateStores();
 }
 
-void RoutedPlacement::updateStore() {
-  const config::CacheStoreDetails *Place = nullptr;
+void RoutedPlacement::updateStores() {
+  std::map<ServiceId, StoreState> Newer;
   if (View->Routes)
-    for (const config::RoutedService &Service : View->Routes->services())
-      if (Service.Store)
-        Place = &*Service.Store;
-  if (Place == nullptr) {
-    CacheStore.reset();
-    return;
-  }
-  if (!CacheStore || CacheStore->Address != Place->Address)
-    CacheStore.emplace();
-  CacheStore->Address = Place->Address;
-  CacheStore->DataCentre = Place->DataCentre;
-  CacheStore->BitsPerSecond = Mega * double(Place->LinkMegabitsPerSecond);
-  CacheStore->Parts.setCapacity(Place->CapacityTokens);
+    for (const config::RoutedService &Service : View->Routes->services()) {
+      if (!Service.Store)
+        continue;
+      StoreState &Store = Newer[Service.Id];
+      auto Known = Stores.find(Service.Id);
+      if (Known != Stores.end() &&
+          Known->second.Address == Service.Store->Address)
+        Store = std::move(Known->second);
+      Store.Id = {StoreIdPrefix + Service.Id.Value};
+      Store.IdHash = hashIdentifier(Store.Id.Value);
+      Store.Address = Service.Store->Address;
+      Store.DataCentre = Service.Store->DataCentre;
+      Store.BitsPerSecond = Mega * double(Service.Store->LinkMegabitsPerSecond);
+      Store.Parts.setCapacity(Service.Store->CapacityTokens);
+    }
+  Stores = std::move(Newer);
 }
 
 WeightsVersion RoutedPlacement::weightsOf(const RoutedTarget &Target,
--- a/Libraries/LibRouting/RoutedPlacement.h
+++ b/Libraries/LibRouting/RoutedPlacement.h
@@ -17,9 +17,12 @@
 
 namespace ferry::routing {
 
-/// The cache store that the description names, and the parts it is believed to
-/// hold. Digests carry its parts under StoreId.
+/// A cache store that the description names, and the parts it is believed to
+/// hold.
 struct StoreState {
+  /// Names the store in digests.
+  TargetId Id;
+  uint64_t IdHash = 0;
   std::string Address;
   DataCentreId DataCentre;
   double BitsPerSecond = 0;
@@ -184,6 +187,8 @@
     double Cost = 0;
     uint32_t CachedTokens = 0;
     const RoutedTarget *FetchSource = nullptr;
+    /// The store that the prompt's prefix belongs to, if it is usable.
+    StoreState *Store = nullptr;
     bool FetchFromStore = false;
     /// The target gets a further copy of parts that it does not keep.
     bool IsCopy = false;
@@ -205,7 +210,8 @@
                                            Timestamp Now);
   Candidate estimate(const RoutedCall &Call, RoutedTarget &Target,
                      const std::vector<const RoutedTarget *> &Holders,
-                     const HomesByWeights &AllHomes, Timestamp Now) const;
+                     const HomesByWeights &AllHomes, StoreState *Store,
+                     Timestamp Now) const;
   /// \returns the tokens of all parts but the last, which belongs to the
   /// request or its session.
   static uint32_t sharedTokens(const RoutedCall &Call);
@@ -230,13 +236,18 @@
   void recordParts(const RoutedCall &Call, RoutedTarget &Target,
                    PartState State);
   void recordStoredParts(const RoutedCall &Call, uint64_t Scope,
-                         PartState State);
+                         StoreState &Store, PartState State);
   uint64_t storeScope(const RoutedCall &Call, const RoutedTarget &Target,
                       Timestamp Now) const;
   void checkStoreFetch(const SentCall &Sent, double Excess, Timestamp Now);
   bool shouldSave(const RoutedCall &Call, const Candidate &Best,
                   Timestamp Now) const;
-  void updateStore();
+  bool isStored(const RoutedCall &Call, const Candidate &Best, PartState State,
+                Timestamp Now) const;
+  void updateStores();
+  /// \returns the store that the call's shared prefix belongs to: all routers
+  /// choose the same one; nullptr for a call without a large one.
+  StoreState *storeOf(const RoutedCall &Call);
   double transferSeconds(uint32_t Tokens, double BitsPerSecond, bool Far) const;
   bool isFresh(const RoutedTarget &Target, Timestamp Now) const;
   double waitSeconds(const RoutedCall &Call, const RoutedTarget &Target) const;
@@ -274,13 +285,11 @@
   };
   std::map<HostId, PeerDigest> PeerDigests;
   std::vector<PartPlace> UnsentParts;
-  std::optional<StoreState> CacheStore;
+  std::map<ServiceId, StoreState> Stores;
   /// Size of a cached token, and bits per second of an engine's link; 0 before
   /// the first description.
   uint64_t BytesPerToken = 0;
   double EngineLinkBits = 0;
-  /// Large parts that any target has used recently.
-  CachedParts RecentParts;
   /// The last MaxNamedWeights named weights of each model, oldest first.
   std::map<ModelId, std::vector<NamedWeights>> NamedVersions;
   /// When names of weights last arrived, and since when they have arrived
--- a/Libraries/LibRouting/RoutedPlacementChoice.cpp
+++ b/Libraries/LibRouting/RoutedPlacementChoice.cpp
@@ -97,9 +97,11 @@
 RoutedPlacement::Candidate
 RoutedPlacement::estimate(const RoutedCall &Call, RoutedTarget &Target,
                           const std::vector<const RoutedTarget *> &Holders,
-                          const HomesByWeights &AllHomes, Timestamp Now) const {
+                          const HomesByWeights &AllHomes, StoreState *Store,
+                          Timestamp Now) const {
   Candidate Result;
   Result.Target = &Target;
+  Result.Store = Store;
   uint32_t OwnTokens = Target.Parts.cachedTokens(Call.CacheScope, Call.Parts,
                                                  PartState::Awaited);
   Result.CachedTokens = OwnTokens;
@@ -141,9 +143,13 @@
   };
   std::vector<const RoutedTarget *> Holders = holdersOf(Call, Now);
   HomesByWeights AllHomes = homesOf(Call, Now);
+  StoreState *Store = storeOf(Call);
+  if (Store != nullptr && Store->UnusableUntil > Now)
+    Store = nullptr;
   std::vector<Candidate> Candidates;
   for (RoutedTarget *Target : Eligible)
-    Candidates.push_back(estimate(Call, *Target, Holders, AllHomes, Now));
+    Candidates.push_back(
+        estimate(Call, *Target, Holders, AllHomes, Store, Now));
   double LeastCost = std::min_element(Candidates.begin(), Candidates.end(),
                                       [](const auto &Left, const auto &Right) {
                                         return Left.Cost < Right.Cost;
@@ -190,12 +196,17 @@
   Placed.Weights = weightsOf(Target, Now);
   if (Best.FetchSource != nullptr)
     Placed.FetchFrom = Best.FetchSource->Record.Address;
-  if (Best.FetchFromStore)
-    Placed.FetchFrom = CacheStore->Address;
+  // An engine that has evicted the prefix, which nobody tells, asks the store;
+  // one that has it does not.
+  bool MayAskStore = Best.FetchSource == nullptr && Best.Store != nullptr &&
+                     isStored(Call, Best, PartState::Read, Now);
+  if (Best.FetchFromStore || MayAskStore)
+    Placed.FetchFrom = Best.Store->Address;
   bool Save = shouldSave(Call, Best, Now);
   if (Save) {
-    Placed.SaveTo = CacheStore->Address;
-    recordStoredParts(Call, storeScope(Call, Target, Now), PartState::Awaited);
+    Placed.SaveTo = Best.Store->Address;
+    recordStoredParts(Call, storeScope(Call, Target, Now), *Best.Store,
+                      PartState::Awaited);
   }
   recordParts(Call, Target, PartState::Awaited);
   Placed.Estimate = durationOf(Best.FirstByteSeconds);
--- a/Libraries/LibRouting/RoutedPlacementConstants.h
+++ b/Libraries/LibRouting/RoutedPlacementConstants.h
@@ -18,8 +18,8 @@
 /// are kept in the store: reading them again takes longer than the message
 /// about them.
 inline constexpr uint32_t MinReportedTokens = 512;
-/// Id of the cache store in digests; no target has this id.
-inline const TargetId StoreId{"#store"};
+/// Precedes a store's service in its id in digests; no target's id begins so.
+inline const std::string StoreIdPrefix = "#store:";
 /// First pause of a target after a failed connection or repeated broken
 /// answers. A restart of a target takes about a second.
 inline constexpr Duration FailurePause = std::chrono::milliseconds(500);
--- a/Libraries/LibRouting/RoutedPlacementOutcome.cpp
+++ b/Libraries/LibRouting/RoutedPlacementOutcome.cpp
@@ -25,8 +25,6 @@
   for (const PromptPart &Part : Call.Parts) {
     uint64_t Key = CachedParts::keyOf(Call.CacheScope, Part.Id);
     bool IsNews = Target.Parts.use(Key, Part.Tokens, State);
-    if (Part.Tokens >= MinReportedTokens)
-      RecentParts.use(Key, Part.Tokens, State);
     bool IsReported = PrefixIsLarge || Part.Tokens >= MinReportedTokens;
     if (IsNews && IsReported && UnsentParts.size() < MaxDigestParts)
       UnsentParts.push_back({Target.Record.Id, Key, Part.Tokens, State});
@@ -34,14 +32,14 @@
 }
 
 void RoutedPlacement::recordStoredParts(const RoutedCall &Call, uint64_t Scope,
-                                        PartState State) {
+                                        StoreState &Store, PartState State) {
   // The last part belongs to this request alone and is not stored.
   for (size_t Index = 0; Index + 1 < Call.Parts.size(); ++Index) {
     const PromptPart &Part = Call.Parts[Index];
     uint64_t Key = CachedParts::keyOf(Scope, Part.Id);
-    CacheStore->Parts.use(Key, Part.Tokens, State);
-    if (Part.Tokens >= MinReportedTokens && UnsentParts.size() < MaxDigestParts)
-      UnsentParts.push_back({StoreId, Key, Part.Tokens, State});
+    if (Store.Parts.use(Key, Part.Tokens, State) &&
+        UnsentParts.size() < MaxDigestParts)
+      UnsentParts.push_back({Store.Id, Key, Part.Tokens, State});
   }
 }
 
@@ -49,10 +47,11 @@
                                       Timestamp Now) {
   // The time that the fetch should have saved was spent nevertheless: the store
   // did not have the parts, or did not answer.
-  if (!CacheStore || Sent.ExpectedSavingSeconds == 0 ||
+  StoreState *Store = storeOf(Sent.Call);
+  if (Store == nullptr || Sent.ExpectedSavingSeconds == 0 ||
       Excess < Sent.ExpectedSavingSeconds / 2)
     return;
-  CacheStore->UnusableUntil = Now + StorePause;
+  Store->UnusableUntil = Now + StorePause;
 }
 
 void RoutedPlacement::noteFirstByte(uint64_t PlacementId, Timestamp Now) {
@@ -72,8 +71,9 @@
   recordParts(Sent.Call, *Target, PartState::Read);
   double Excess = secondsOf(Now - Sent.SentAt) - Sent.ExpectedSeconds;
   checkStoreFetch(Sent, Excess, Now);
-  if (Sent.SavesToStore && CacheStore)
-    recordStoredParts(Sent.Call, storeScope(Sent.Call, *Target, Now),
+  StoreState *Store = Sent.SavesToStore ? storeOf(Sent.Call) : nullptr;
+  if (Store != nullptr)
+    recordStoredParts(Sent.Call, storeScope(Sent.Call, *Target, Now), *Store,
                       PartState::Read);
   double NewSeconds = std::max(0.0, Excess);
   Target->CongestionSeconds = (congestionOf(*Target, Now) + NewSeconds) / 2;
--- a/Libraries/LibRouting/RoutedPlacementSources.cpp
+++ b/Libraries/LibRouting/RoutedPlacementSources.cpp
@@ -74,19 +74,33 @@
   }
 }
 
+StoreState *RoutedPlacement::storeOf(const RoutedCall &Call) {
+  if (sharedTokens(Call) < MinReportedTokens)
+    return nullptr;
+  uint64_t Key =
+      CachedParts::keyOf(Call.CacheScope, Call.Parts[Call.Parts.size() - 2].Id);
+  auto Best = std::max_element(
+      Stores.begin(), Stores.end(), [Key](const auto &Left, const auto &Right) {
+        return rendezvousWeight(Left.second.IdHash, Key) <
+               rendezvousWeight(Right.second.IdHash, Key);
+      });
+  return Best == Stores.end() ? nullptr : &Best->second;
+}
+
 void RoutedPlacement::considerStore(const RoutedCall &Call, uint32_t OwnTokens,
                                     Timestamp Now, Candidate &Result) const {
-  if (!CacheStore || CacheStore->UnusableUntil > Now)
+  if (Result.Store == nullptr)
     return;
+  const StoreState &Store = *Result.Store;
   const RoutedTarget &Target = *Result.Target;
-  uint32_t StoredTokens = CacheStore->Parts.cachedTokens(
+  uint32_t StoredTokens = Store.Parts.cachedTokens(
       storeScope(Call, Target, Now), Call.Parts, PartState::Read);
   if (StoredTokens < OwnTokens + MinSharedTokens)
     return;
-  bool Far = CacheStore->DataCentre != Target.Record.DataCentre;
+  bool Far = Store.DataCentre != Target.Record.DataCentre;
   double Seconds =
       readSeconds(Call, StoredTokens) +
-      transferSeconds(StoredTokens - OwnTokens, CacheStore->BitsPerSecond, Far);
+      transferSeconds(StoredTokens - OwnTokens, Store.BitsPerSecond, Far);
   if (Seconds >= Result.PromptSeconds)
     return;
   Result.PromptSeconds = Seconds;
@@ -169,19 +183,19 @@
   return rendezvousWeight(Call.CacheScope, weightsOf(Target, Now).Value + 1);
 }
 
+bool RoutedPlacement::isStored(const RoutedCall &Call, const Candidate &Best,
+                               PartState State, Timestamp Now) const {
+  return Best.Store->Parts.cachedTokens(storeScope(Call, *Best.Target, Now),
+                                        Call.Parts,
+                                        State) >= sharedTokens(Call);
+}
+
 bool RoutedPlacement::shouldSave(const RoutedCall &Call, const Candidate &Best,
                                  Timestamp Now) const {
-  // Only a part that is read for the second time is saved: it is likely to be
-  // needed again, and saving every part would fill the store's link.
-  if (!CacheStore || Best.CachedTokens > 0 || Call.Parts.empty() ||
-      CacheStore->UnusableUntil > Now ||
-      Call.Parts.front().Tokens < MinReportedTokens)
-    return false;
-  uint64_t Scope = storeScope(Call, *Best.Target, Now);
-  bool IsStored =
-      CacheStore->Parts.cachedTokens(Scope, Call.Parts, PartState::Awaited) > 0;
-  return !IsStored && RecentParts.cachedTokens(Call.CacheScope, Call.Parts,
-                                               PartState::Awaited) > 0;
+  // The engine that reads the prefix first saves it: under load it may evict
+  // the prefix before the second request.
+  return Best.Store != nullptr && Best.CachedTokens < sharedTokens(Call) &&
+         !isStored(Call, Best, PartState::Awaited, Now);
 }
 
 } // namespace ferry::routing
--- a/Libraries/LibRouting/RoutedPlacementUpdates.cpp
+++ b/Libraries/LibRouting/RoutedPlacementUpdates.cpp
@@ -50,11 +50,12 @@
   addPeerWork(Latest.Work, 1);
   expirePeerDigests(Now);
   for (const PartPlace &Part : Digest.Parts) {
-    RecentParts.use(Part.Key, Part.Tokens, Part.State);
-    if (Part.Target == StoreId && CacheStore)
-      CacheStore->Parts.use(Part.Key, Part.Tokens, Part.State);
-    else if (auto Target = Targets.find(Part.Target); Target != Targets.end())
+    if (auto Target = Targets.find(Part.Target); Target != Targets.end())
       Target->second.Parts.use(Part.Key, Part.Tokens, Part.State);
+    else
+      for (auto &[Service, Store] : Stores)
+        if (Store.Id == Part.Target)
+          Store.Parts.use(Part.Key, Part.Tokens, Part.State);
   }
 }
 
--- a/Tests/LibRouting/TestRoutedPlacement.cpp
+++ b/Tests/LibRouting/TestRoutedPlacement.cpp
@@ -508,9 +508,9 @@
   BOOST_TEST((std::get<RefusedCall>(Outcome).RetryAt > Deployment.Now));
 }
 
-// Load pattern: more parts than the engines' caches can hold. A part that is
-// read for the second time is saved; the third time it is fetched from the
-// store.
+// Load pattern: more parts than the engines' caches can hold. The first read
+// saves a prefix; later ones fetch it from the store, also at an engine that is
+// believed to have it and has evicted it.
 BOOST_AUTO_TEST_CASE(a_part_that_was_evicted_comes_from_the_store) {
   TestDeployment Deployment(2, /*WithStore=*/true);
   RoutedPlacement Router = Deployment.router();
@@ -522,24 +522,23 @@
             Deployment.Now);
     }
   };
-  PlacedCall First =
-      expectPlaced(Router.place(Deployment.call(7), Deployment.Now));
-  BOOST_TEST(First.SaveTo == "");
-  serve(Router, First, Deployment.Now);
-  Evict();
-  serve(Router, expectPlaced(Router.place(Deployment.call(8), Deployment.Now)),
-        Deployment.Now);
-  Evict();
   for (uint64_t Part : {7, 8}) {
-    PlacedCall Second =
+    PlacedCall First =
         expectPlaced(Router.place(Deployment.call(Part), Deployment.Now));
-    BOOST_TEST(Second.SaveTo == "10.9.0.1:80");
-    serve(Router, Second, Deployment.Now);
+    BOOST_TEST(First.SaveTo == "10.9.0.1:80");
+    BOOST_TEST(First.FetchFrom == "");
+    serve(Router, First, Deployment.Now);
   }
+  PlacedCall Again =
+      expectPlaced(Router.place(Deployment.call(7), Deployment.Now));
+  BOOST_TEST(Again.SaveTo == "");
+  BOOST_TEST(Again.FetchFrom == "10.9.0.1:80");
+  serve(Router, Again, Deployment.Now);
   Evict();
   PlacedCall Third =
       expectPlaced(Router.place(Deployment.call(7), Deployment.Now));
   BOOST_TEST(Third.FetchFrom == "10.9.0.1:80");
+  BOOST_TEST(Third.CachedTokens == 13'300U);
   BOOST_TEST(Third.SaveTo == "");
   // The fetch saved no time, as if the store were lost: it is not used for a
   // while.
@@ -548,6 +547,39 @@
   PlacedCall Fourth =
       expectPlaced(Router.place(Deployment.call(8), Deployment.Now + 1s));
   BOOST_TEST(Fourth.FetchFrom == "");
+  BOOST_TEST(Fourth.SaveTo == "");
+}
+
+// Several stores share the prefixes, and all routers agree on who has which.
+BOOST_AUTO_TEST_CASE(each_prefix_belongs_to_one_of_several_stores) {
+  TestDeployment Deployment(4, /*WithStore=*/true);
+  config::RouteTable::Parts Parts;
+  Parts.Number = {2};
+  Parts.Services = Deployment.View.Routes->services();
+  for (int Number = 2; Number <= 3; ++Number) {
+    config::RoutedService Store = Parts.Services.back();
+    Store.Id = {"store" + std::to_string(Number)};
+    Store.Store->Address = "10.9.0." + std::to_string(Number) + ":80";
+    Parts.Services.push_back(Store);
+  }
+  Deployment.View.Routes = config::RouteTable::create(std::move(Parts));
+  RoutedPlacement Left = Deployment.router(1);
+  RoutedPlacement Right = Deployment.router(2);
+  std::set<std::string> Used;
+  for (uint64_t Part = 1; Part <= 30; ++Part) {
+    PlacedCall Saving =
+        expectPlaced(Left.place(Deployment.call(Part), Deployment.Now));
+    BOOST_TEST(Saving.SaveTo != "");
+    Used.insert(Saving.SaveTo);
+    serve(Left, Saving, Deployment.Now);
+    Right.applyDigest({"left"}, Left.makeDigest(), Deployment.Now);
+    PlacedCall Next =
+        expectPlaced(Right.place(Deployment.call(Part), Deployment.Now));
+    BOOST_TEST(Next.SaveTo == "");
+    BOOST_TEST(Next.FetchFrom == Saving.SaveTo);
+    serve(Right, Next, Deployment.Now);
+  }
+  BOOST_TEST(Used.size() == 3U);
 }
 
 BOOST_AUTO_TEST_CASE(isolated_workspaces_share_no_cached_parts) {
