LibRouting: Do not flood the first engines with newer weights

Cause: a load of weights reaches a few engines at a time. Change: a request prefers newer weights with a probability that grows with the share of engines that have them, up to 1.5 times that share. Result: the_first_engines_with_newer_weights_are_not_flooded (76 routers that exchange nothing).

--- a/Libraries/LibRouting/RoutedPlacement.h
+++ b/Libraries/LibRouting/RoutedPlacement.h
@@ -211,7 +211,14 @@
   Candidate estimate(const RoutedCall &Call, RoutedTarget &Target,
                      const std::vector<const RoutedTarget *> &Holders,
                      const HomesByWeights &AllHomes, StoreState *Store,
-                     Timestamp Now) const;
+                     bool PrefersNewer, Timestamp Now) const;
+  /// Whether newer weights were named so long ago that the target should have
+  /// loaded them.
+  bool isSuperseded(const RoutedTarget &Target, Timestamp Now) const;
+  /// \returns whether a request prefers newer weights. The share of those that
+  /// do grows with the share of targets that have them.
+  bool drawPreference(const std::vector<RoutedTarget *> &Eligible,
+                      Timestamp Now);
   /// \returns the tokens of all parts but the last, which belongs to the
   /// request or its session.
   static uint32_t sharedTokens(const RoutedCall &Call);
--- a/Libraries/LibRouting/RoutedPlacementChoice.cpp
+++ b/Libraries/LibRouting/RoutedPlacementChoice.cpp
@@ -24,9 +24,13 @@
 /// Superseded weights add no cost for this long, which is the time that one
 /// load takes.
 static constexpr Duration SupersededGrace = std::chrono::milliseconds(1500);
-/// Cost of superseded weights: they are chosen only if the targets with newer
-/// ones are slower by more than this.
+/// Cost of superseded weights for a request that prefers newer ones: it goes to
+/// superseded ones only if they are sooner by more than this.
 static constexpr double SupersededCostSeconds = 0.25;
+/// Engines with newer weights get up to this multiple of their share of the
+/// requests. More would fill the first few of them, as routers hear of each
+/// other's requests too late.
+static constexpr double MaxNewerWeightsLoad = 1.5;
 /// Cost of a fetched copy: it evicts another part, which may have to be read
 /// again. A target that already holds the part is preferred by this much.
 static constexpr double CopyCostSeconds = 0.05;
@@ -98,7 +102,7 @@
 RoutedPlacement::estimate(const RoutedCall &Call, RoutedTarget &Target,
                           const std::vector<const RoutedTarget *> &Holders,
                           const HomesByWeights &AllHomes, StoreState *Store,
-                          Timestamp Now) const {
+                          bool PrefersNewer, Timestamp Now) const {
   Candidate Result;
   Result.Target = &Target;
   Result.Store = Store;
@@ -125,12 +129,28 @@
     Result.Cost += secondsOf(Target.UnusableUntil - Now);
   if (!isFresh(Target, Now))
     Result.Cost += secondsOf(FailurePause);
-  Timestamp Since = supersededSince(Target, Now);
-  if (Since != NeverExpires && Now >= Since + SupersededGrace)
+  if (PrefersNewer && isSuperseded(Target, Now))
     Result.Cost += SupersededCostSeconds;
   return Result;
 }
 
+bool RoutedPlacement::isSuperseded(const RoutedTarget &Target,
+                                   Timestamp Now) const {
+  Timestamp Since = supersededSince(Target, Now);
+  return Since != NeverExpires && Now >= Since + SupersededGrace;
+}
+
+bool RoutedPlacement::drawPreference(
+    const std::vector<RoutedTarget *> &Eligible, Timestamp Now) {
+  static constexpr uint64_t DrawSteps = 1 << 20;
+  auto Superseded = static_cast<double>(std::count_if(
+      Eligible.begin(), Eligible.end(),
+      [&](const RoutedTarget *Target) { return isSuperseded(*Target, Now); }));
+  double NewerShare = 1 - Superseded / double(Eligible.size());
+  return double(randomBelow(Random, DrawSteps)) <
+         MaxNewerWeightsLoad * NewerShare * DrawSteps;
+}
+
 RoutedPlacement::Candidate
 RoutedPlacement::choose(const RoutedCall &Call,
                         const std::vector<RoutedTarget *> &Eligible,
@@ -146,10 +166,11 @@
   StoreState *Store = storeOf(Call);
   if (Store != nullptr && Store->UnusableUntil > Now)
     Store = nullptr;
+  bool PrefersNewer = drawPreference(Eligible, Now);
   std::vector<Candidate> Candidates;
   for (RoutedTarget *Target : Eligible)
     Candidates.push_back(
-        estimate(Call, *Target, Holders, AllHomes, Store, Now));
+        estimate(Call, *Target, Holders, AllHomes, Store, PrefersNewer, Now));
   double LeastCost = std::min_element(Candidates.begin(), Candidates.end(),
                                       [](const auto &Left, const auto &Right) {
                                         return Left.Cost < Right.Cost;
--- a/Tests/LibRouting/TestRoutedPlacement.cpp
+++ b/Tests/LibRouting/TestRoutedPlacement.cpp
@@ -363,6 +363,37 @@
   }
 }
 
+// Load pattern: many routers while a load of weights has reached a fifth of the
+// engines. If all requests preferred those, they would get five times their
+// share before any router heard of the others' requests.
+BOOST_AUTO_TEST_CASE(the_first_engines_with_newer_weights_are_not_flooded) {
+  constexpr size_t EngineCount = 90;
+  TestDeployment Deployment(EngineCount);
+  for (size_t Index = 0; Index < EngineCount / 5; ++Index)
+    Deployment.View.Targets[Index].Weights = {2};
+  std::map<std::string, size_t> CallsAt;
+  size_t CallsOnNewer = 0;
+  constexpr size_t RouterCount = 76;
+  constexpr size_t CallsOfRouter = 12;
+  for (size_t Seed = 1; Seed <= RouterCount; ++Seed) {
+    RoutedPlacement Router = Deployment.router(Seed);
+    Router.applyNamedWeights({Model, {2}, Deployment.Now - 3s}, Deployment.Now);
+    for (size_t Count = 0; Count < CallsOfRouter; ++Count) {
+      RoutedCall Call = Deployment.call(Seed * 100 + Count, 500, 1000);
+      PlacedCall Placed = expectPlaced(Router.place(Call, Deployment.Now));
+      ++CallsAt[Placed.Target.Value];
+      CallsOnNewer += Placed.Weights.Value == 2;
+      serve(Router, Placed, Deployment.Now);
+    }
+  }
+  double Share = double(CallsOnNewer) / double(RouterCount * CallsOfRouter);
+  BOOST_TEST(Share > 0.2);
+  BOOST_TEST(Share < 0.5);
+  double Mean = double(RouterCount * CallsOfRouter) / EngineCount;
+  for (const auto &[Target, Calls] : CallsAt)
+    BOOST_TEST(double(Calls) < 4 * Mean, Target);
+}
+
 // Load pattern: a burst makes engines shed. Those that ask for a pause get one,
 // and the others take what they can.
 BOOST_AUTO_TEST_CASE(engines_that_ask_for_a_pause_are_left_alone) {
