LibRouting: Let routers of a small fleet prefer newer weights more

Change: the bound on the load of those engines is 3 in place of 1.5 times their share up to 16 routers.

--- a/Libraries/LibRouting/RoutedPlacementChoice.cpp
+++ b/Libraries/LibRouting/RoutedPlacementChoice.cpp
@@ -2,6 +2,7 @@
 #include "LibRouting/Rendezvous.h"
 #include "LibRouting/RoutedPlacement.h"
 #include "LibRouting/RoutedPlacementConstants.h"
+#include "LibRouting/WorkExchange.h"
 #include <algorithm>
 #include <limits>
 
@@ -28,9 +29,10 @@
 /// superseded ones only if they are sooner by more than this.
 static constexpr double SupersededCostSeconds = 0.25;
 /// Engines with newer weights get up to this multiple of their share of the
-/// requests. More would fill the first few of them, as routers hear of each
-/// other's requests too late.
-static constexpr double MaxNewerWeightsLoad = 1.5;
+/// requests: more would fill the first few of them. The routers of a large
+/// fleet hear of each other's requests later.
+static constexpr double MaxNewerWeightsLoad = 3;
+static constexpr double MaxNewerWeightsLoadInLargeFleet = 1.5;
 /// Cost of a fetched copy: it evicts another part, which may have to be read
 /// again. A target that already holds the part is preferred by this much.
 static constexpr double CopyCostSeconds = 0.05;
@@ -147,8 +149,11 @@
       Eligible.begin(), Eligible.end(),
       [&](const RoutedTarget *Target) { return isSuperseded(*Target, Now); }));
   double NewerShare = 1 - Superseded / double(Eligible.size());
+  double MaxLoad = Routers > WorkExchange::MaxDirectRouters
+                       ? MaxNewerWeightsLoadInLargeFleet
+                       : MaxNewerWeightsLoad;
   return double(randomBelow(Random, DrawSteps)) <
-         MaxNewerWeightsLoad * NewerShare * DrawSteps;
+         MaxLoad * NewerShare * DrawSteps;
 }
 
 RoutedPlacement::Candidate
--- a/Tests/LibRouting/TestRoutedPlacement.cpp
+++ b/Tests/LibRouting/TestRoutedPlacement.cpp
@@ -375,6 +375,13 @@
   size_t CallsOnNewer = 0;
   constexpr size_t RouterCount = 76;
   constexpr size_t CallsOfRouter = 12;
+  for (size_t Index = 0; Index < RouterCount; ++Index) {
+    HostView Host;
+    Host.Id = {"r" + std::to_string(Index)};
+    Host.Standing = HostStanding::Serving;
+    Host.CallerAddress = "10.1.0.1:80";
+    Deployment.View.Hosts.push_back(Host);
+  }
   for (size_t Seed = 1; Seed <= RouterCount; ++Seed) {
     RoutedPlacement Router = Deployment.router(Seed);
     Router.applyNamedWeights({Model, {2}, Deployment.Now - 3s}, Deployment.Now);
