LibTraffic: Log the estimate behind a refusal

Cause: a refused line named the reason, but not what decided it. Change: prompt_tokens, and the best target's estimate_ms where it was too long.

--- a/Libraries/LibRouting/RoutedCall.h
+++ b/Libraries/LibRouting/RoutedCall.h
@@ -79,6 +79,8 @@
 struct RefusedCall {
   CallRefusalReason Reason = CallRefusalReason::NoTarget;
   Timestamp RetryAt;
+  /// Estimated time to the first byte at the best target; 0 if there is none.
+  Duration Estimate = {};
 };
 
 /// The requests that one router has running at a target.
--- a/Libraries/LibRouting/RoutedPlacement.h
+++ b/Libraries/LibRouting/RoutedPlacement.h
@@ -274,7 +274,7 @@
   static double allowedWait(const RoutedCall &Call, const Candidate &Best,
                             Timestamp Now);
   RefusedCall refuse(const RoutedCall &Call, CallRefusalReason Reason,
-                     Timestamp Now);
+                     Timestamp Now, double FirstByteSeconds = 0);
   void pauseTarget(RoutedTarget &Target, Duration FirstPause, Timestamp Now);
   RoutedTarget *findTarget(const SentCall &Sent);
 
--- a/Libraries/LibRouting/RoutedPlacementChoice.cpp
+++ b/Libraries/LibRouting/RoutedPlacementChoice.cpp
@@ -200,9 +200,10 @@
   Candidate Best = choose(Call, Eligible, Now);
   Timestamp BeginsAt = Now + durationOf(Best.FirstByteSeconds);
   if (BeginsAt >= Call.Deadline)
-    return refuse(Call, CallRefusalReason::DeadlineTooNear, Now);
+    return refuse(Call, CallRefusalReason::DeadlineTooNear, Now,
+                  Best.FirstByteSeconds);
   if (Best.WaitSeconds > allowedWait(Call, Best, Now))
-    return refuse(Call, CallRefusalReason::Full, Now);
+    return refuse(Call, CallRefusalReason::Full, Now, Best.FirstByteSeconds);
   return dispatch(Call, Best, Now);
 }
 
@@ -262,7 +263,8 @@
 }
 
 RefusedCall RoutedPlacement::refuse(const RoutedCall &Call,
-                                    CallRefusalReason Reason, Timestamp Now) {
+                                    CallRefusalReason Reason, Timestamp Now,
+                                    double FirstByteSeconds) {
   Timestamp LatestRetryAt = Now + NoTargetRetryDelay;
   Timestamp RetryAt = NeverExpires;
   bool HasTargets = false;
@@ -288,7 +290,8 @@
   RetryAt = std::max(RetryAt, Now + MinRetryDelay);
   auto Spread =
       static_cast<uint64_t>((RetryAt - Now).count()) / RetryDelaySpreadDivisor;
-  return {Reason, RetryAt + Duration(randomBelow(Random, Spread))};
+  return {Reason, RetryAt + Duration(randomBelow(Random, Spread)),
+          durationOf(FirstByteSeconds)};
 }
 
 } // namespace ferry::routing
--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -404,6 +404,7 @@
   if (PossibleRuns > 0)
     return failRequest();
   Context.Metrics.Unplaced.with({std::string(enumName(Refusal.Reason))}).add();
+  RefusedEstimate = Refusal.Estimate;
   refuse({AnswerError::NoTarget, std::string(enumName(Refusal.Reason)),
           NotRun::True, Refusal.RetryAt});
 }
@@ -465,6 +466,8 @@
        {"runs", PossibleRuns},
        {"targets_tried", Call.Tried.size()},
        {"reason", Failed ? LastFailure.Detail : std::string()},
+       {"prompt_tokens", Call.PromptTokens},
+       {"estimate_ms", RefusedEstimate.count() / 1000},
        {"first_byte_ms",
         std::max<int64_t>(0, (FirstByteAt - ArrivedAt).count() / 1000)},
        {"millis", (steadyNow() - ArrivedAt).count() / 1000}},
--- a/Libraries/LibTraffic/RoutedRelay.h
+++ b/Libraries/LibTraffic/RoutedRelay.h
@@ -101,6 +101,8 @@
   };
   std::optional<TargetAnswer> LastFailureAnswer;
   LinkError LastFailure{LinkErrorKind::NotSent, ""};
+  /// The estimate with which the placement refused the request.
+  Duration RefusedEstimate = {};
 };
 
 } // namespace ferry::traffic
