--- a/Libraries/LibMembership/Discovery.cpp
+++ b/Libraries/LibMembership/Discovery.cpp
@@ -10,7 +10,7 @@
   NewOrigin.Host = Other;
   if (Settings.Source == HostSource::Discovered)
     NewOrigin.ForgetAt = Now + ForgetAfter;
-  (isNear(Other.DataCentre) ? NearTags : FarTags).push_back(Tag);
+  (isNear(Other) ? NearTags : FarTags).push_back(Tag);
   HostsDirty = true;
   return NewOrigin;
 }
--- a/Libraries/LibMembership/Exchange.cpp
+++ b/Libraries/LibMembership/Exchange.cpp
@@ -199,7 +199,7 @@
   if (Remote.ForgetAt != NeverExpires)
     Remote.ForgetAt = std::max(Remote.ForgetAt, HeartbeatAt + ForgetAfter);
   updateStanding(Remote, Heartbeat);
-  if (isNear(Remote.Host.DataCentre))
+  if (isNear(Remote.Host))
     updateTrust(Remote, Heartbeat, QuerySentAt);
 }
 
@@ -251,7 +251,7 @@
       static_cast<int64_t>(Remote.Incarnation.Value) == Heartbeat.Incarnation;
   bool Behind =
       Remote.List.version() < static_cast<uint64_t>(Heartbeat.Version);
-  if (!isNear(Remote.Host.DataCentre) || !SameIncarnation || !Behind ||
+  if (!isNear(Remote.Host) || !SameIncarnation || !Behind ||
       Remote.NextDeltaRequestAt > Now)
     return std::nullopt;
   Remote.NextDeltaRequestAt = Now + Settings.GossipInterval / 2;
@@ -304,8 +304,7 @@
     }
   };
   auto AskerOrigin = Origins.find(tagOf(Asker));
-  bool Near = AskerOrigin != Origins.end() &&
-              isNear(AskerOrigin->second.Host.DataCentre);
+  bool Near = AskerOrigin != Origins.end() && isNear(AskerOrigin->second.Host);
   AddSome(NearTags, Near ? MaxNearHeartbeats : MaxFarReplyHeartbeats);
   AddSome(FarTags, Near ? MaxFarHeartbeats : MaxFarReplyHeartbeats);
 }
--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -219,18 +219,23 @@
   TargetsDirty = false;
 }
 
-bool Membership::isNear(const DataCentreId &DataCentre) const {
+bool Membership::isNear(const Peer &Other) const {
   size_t Hosts = Settings.Source == HostSource::Listed ? Settings.Peers.size()
                                                        : Origins.size();
-  return Hosts <= Settings.MaxFullExchangeHosts ||
-         DataCentre == Settings.DataCentre;
+  if (Hosts <= Settings.MaxFullExchangeHosts ||
+      Other.DataCentre == Settings.DataCentre)
+    return true;
+  // Targets announce themselves to discovered control hosts only, in any data
+  // centre, and all hosts need their lists.
+  return Settings.Source == HostSource::Discovered &&
+         Other.Duty == HostDuty::Control;
 }
 
 Timestamp Membership::silentAt(const Origin &Subject) const {
   if (Subject.Host.Id == Settings.Self)
     return NeverExpires;
   return Subject.HeartbeatAt +
-         (isNear(Subject.Host.DataCentre) ? SilentAfter : FarSilentAfter);
+         (isNear(Subject.Host) ? SilentAfter : FarSilentAfter);
 }
 
 Timestamp Membership::trustedUntil(const Origin &From,
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -175,10 +175,10 @@
   void addHeartbeats(const HostId &Asker, Timestamp Now,
                      std::vector<wire::OriginHeartbeat> &Out);
 
-  /// \returns whether a host of \p DataCentre is near, which means that it
-  /// exchanges targets with this one: any host of a small deployment, else
-  /// those of the same data centre.
-  bool isNear(const DataCentreId &DataCentre) const;
+  /// \returns whether \p Other is near, which means that this host follows its
+  /// list of targets: any host of a small deployment; in a large one, those of
+  /// the same data centre and, if hosts are discovered, the control hosts.
+  bool isNear(const Peer &Other) const;
   Timestamp silentAt(const Origin &Subject) const;
   Timestamp trustedUntil(const Origin &From, const ListedTarget &Listed) const;
 
--- a/Tests/LibMembership/TestDiscovery.cpp
+++ b/Tests/LibMembership/TestDiscovery.cpp
@@ -230,3 +230,33 @@
   BOOST_TEST(Hosts.Members.at("10.0.0.2").targets(Hosts.Now).empty());
   BOOST_TEST(Hosts.Members.at("10.0.0.3").targets(Hosts.Now).size() == 1U);
 }
+
+// In a deployment that is too large for heartbeats of everything to everyone,
+// targets still announce themselves to any control host, and the hosts of all
+// data centres need what they announce.
+BOOST_AUTO_TEST_CASE(a_target_is_known_in_all_data_centres_of_a_large_fleet) {
+  constexpr size_t HostCount = 60;
+  SeededHosts Hosts(HostCount);
+  Hosts.run(5s);
+  TargetRecord Record;
+  Record.Id = {"i-1"};
+  Record.Incarnation = {77};
+  Record.Address = "10.1.0.1:80";
+  Record.Service = {"lm"};
+  Record.Phase = TargetPhase::Ready;
+  for (uint64_t Weights = 1; Weights <= 3; ++Weights) {
+    Record.Weights = {Weights};
+    for (int Announcement = 0; Announcement < 6; ++Announcement) {
+      ++Record.Sequence;
+      Hosts.deliver("10.0.0.1", TargetAnnounced{Record});
+      Hosts.run(500ms);
+    }
+    for (const auto &[Name, Member] : Hosts.Members) {
+      auto Targets = Member.targets(Hosts.Now);
+      BOOST_TEST_CONTEXT(Name << " weights " << Weights) {
+        BOOST_TEST(Targets.size() == 1U);
+        BOOST_TEST((!Targets.empty() && Targets[0].Weights.Value == Weights));
+      }
+    }
+  }
+}
