LibTraffic: Do not close a connection whose request was not noticed yet

Cause: at its limit the listener closed the connection that was idle for longest, which could be one that had just been accepted with its request behind it. Seen once, in a_full_listener_accepts_again_after_an_answer beside load: two callers got no answer. Change: only a connection that has been idle for a second and has nothing to read is closed; else no connection is accepted for a while.

--- a/Libraries/LibTraffic/HttpListener.cpp
+++ b/Libraries/LibTraffic/HttpListener.cpp
@@ -16,6 +16,8 @@
 /// restarted host reconnect at once, and if the queue is full, the kernel drops
 /// the first packet of a connection, which costs the caller a second.
 static constexpr int ListenBacklog = 1024;
+/// Only a connection that has been idle for this long is closed for a new one.
+static constexpr std::chrono::seconds MinIdleToClose{1};
 /// Longest wait for an event. Deadlines and the stop are noticed this late.
 static constexpr std::chrono::milliseconds PollLimit{250};
 /// Time between two checks of the number of active connections during a stop.
@@ -122,10 +124,14 @@
     return true;
   auto Oldest = std::min_element(
       Idle.begin(), Idle.end(), [](const auto &Left, const auto &Right) {
-        return Left.second.CloseAt < Right.second.CloseAt;
+        return Left.second.Since < Right.second.Since;
       });
-  if (Oldest == Idle.end()) {
-    // The kernel keeps new connections in its queue meanwhile.
+  // A connection that has just come, or has a request that was not noticed yet,
+  // is not closed. The kernel keeps new connections in its queue meanwhile.
+  bool MayClose = Oldest != Idle.end() &&
+                  Oldest->second.Since + MinIdleToClose <= steadyNow() &&
+                  !Oldest->first.poll(0, Socket::SELECT_READ);
+  if (!MayClose) {
     Polled.remove(Server);
     return false;
   }
@@ -135,6 +141,11 @@
   return true;
 }
 
+void HttpListener::resumeAccepting() {
+  if (!Polled.has(Server) && !Stopping)
+    Polled.add(Server, PollSet::POLL_READ);
+}
+
 void HttpListener::closeExpired(Timestamp Now) {
   std::vector<IdleConnection> Expired;
   std::lock_guard Lock(Mutex);
@@ -147,13 +158,15 @@
     Expired.push_back(std::move(Entry->second));
     Entry = Idle.erase(Entry);
   }
+  resumeAccepting();
 }
 
 void HttpListener::addIdle(ConnectionPtr Connection) {
   std::lock_guard Lock(Mutex);
   Socket Key = Connection->socket();
-  Timestamp CloseAt = Connection->idleUntil(steadyNow());
-  Idle[Key] = {std::move(Connection), CloseAt};
+  Timestamp Now = steadyNow();
+  Timestamp CloseAt = Connection->idleUntil(Now);
+  Idle[Key] = {std::move(Connection), Now, CloseAt};
   Polled.add(Key, PollSet::POLL_READ);
 }
 
@@ -205,8 +218,7 @@
   // The socket is closed outside of the lock.
   Served.reset();
   std::lock_guard Lock(Mutex);
-  if (!Polled.has(Server) && !Stopping)
-    Polled.add(Server, PollSet::POLL_READ);
+  resumeAccepting();
   if (Waiting.empty() || Stopping) {
     --Active;
     return nullptr;
--- a/Libraries/LibTraffic/HttpListener.h
+++ b/Libraries/LibTraffic/HttpListener.h
@@ -34,7 +34,8 @@
     /// "IP:port"; port 0 chooses a free port.
     std::string Address;
     /// Largest number of open connections. Beyond it, the connection that has
-    /// been idle for longest is closed; if none is idle, none is accepted.
+    /// been idle for longest, and for a second at least, is closed; if there is
+    /// none, no connection is accepted.
     uint32_t MaxConnections = 64;
     uint64_t MaxHeaderBytes = 0;
     /// Limit of the bytes of request bodies in memory, over all connections.
@@ -77,6 +78,7 @@
   /// A connection without a request.
   struct IdleConnection {
     ConnectionPtr Connection;
+    Timestamp Since;
     Timestamp CloseAt;
   };
 
@@ -89,7 +91,11 @@
   // On the listener's thread.
   void poll();
   void accept();
+  /// Closes an idle connection if there are too many. \returns false if none
+  /// can be closed; no connection is accepted then for a while.
   bool makeRoom();
+  /// Accepts connections again. Mutex must be locked.
+  void resumeAccepting();
   void closeExpired(Timestamp Now);
   /// Hands a connection with a request over to the pool.
   void activate(const Poco::Net::Socket &Readable);
