--- a/Libraries/LibConfig/MapReader.cpp
+++ b/Libraries/LibConfig/MapReader.cpp
@@ -164,6 +164,25 @@
          Text->Value + " is not a number from 0 to " + std::to_string(Maximum));
 }
 
+void MapReader::span(std::string_view Key, uint32_t &Millis,
+                     std::chrono::milliseconds Unit,
+                     std::chrono::milliseconds Maximum) {
+  auto Text = scalar(Key, Presence::Optional);
+  if (!Text)
+    return;
+  double Value = 0;
+  const char *End = Text->Value.data() + Text->Value.size();
+  auto [Rest, Code] = std::from_chars(Text->Value.data(), End, Value);
+  double Result = Value * double(Unit.count());
+  if (Code == std::errc() && Rest == End && Result >= 1 &&
+      Result <= double(Maximum.count()))
+    Millis = static_cast<uint32_t>(Result);
+  else
+    fail(ConfigErrorKind::BadValue, Key,
+         Text->Value + " is not a time from 1 ms to " +
+             std::to_string(Maximum.count()) + " ms");
+}
+
 void MapReader::flag(std::string_view Key, bool &Output) {
   auto Text = scalar(Key, Presence::Optional);
   if (!Text)
--- a/Libraries/LibConfig/MapReader.h
+++ b/Libraries/LibConfig/MapReader.h
@@ -6,6 +6,7 @@
 #include "LibConfig/ConfigError.h"
 #include "LibConfig/TextForm.h"
 #include "LibCore/EnumNames.h"
+#include <chrono>
 #include <functional>
 #include <limits>
 #include <optional>
@@ -74,6 +75,11 @@
   /// its value if the key is missing or its value is invalid.
   void decimal(std::string_view Key, double &Output, double Maximum);
 
+  /// Reads a time in \p Unit, which may have a fraction, into \p Millis, which
+  /// keeps its value if the key is absent. It must be from 1 ms to \p Maximum.
+  void span(std::string_view Key, uint32_t &Millis,
+            std::chrono::milliseconds Unit, std::chrono::milliseconds Maximum);
+
   /// Reads true or false into \p Output, which keeps its value if the key is
   /// missing or its value is invalid.
   void flag(std::string_view Key, bool &Output);
--- a/Libraries/LibConfig/ParseSettings.cpp
+++ b/Libraries/LibConfig/ParseSettings.cpp
@@ -11,6 +11,7 @@
 static constexpr size_t MaxControlHosts = 7;
 static constexpr uint64_t MaxInputBytes = 1ULL << 30;
 static constexpr uint64_t MinInputBytes = 1024;
+static constexpr double MaxRetrySlack = 1e9;
 static constexpr uint64_t MaxConnectionsLimit = 1'000'000;
 static constexpr uint64_t MinEntryLifetimeMillis = 100;
 static constexpr uint64_t MaxEntryLifetimeMillis = 600'000;
@@ -152,14 +153,22 @@
 }
 
 static void readRoutedBounds(MapReader &Map, RoutedSettings &Result) {
+  static constexpr std::chrono::milliseconds Maximum{MaxRoutedMillis};
   auto ReadMillis = [&](std::string_view Key, uint32_t &Output) {
-    Map.number(Key, Output, 1, MaxRoutedMillis);
+    Map.span(Key, Output, std::chrono::milliseconds(1), Maximum);
+  };
+  auto ReadSeconds = [&](std::string_view Key, uint32_t &Output) {
+    Map.span(Key, Output, std::chrono::seconds(1), Maximum);
   };
   ReadMillis("announce_interval_ms", Result.AnnounceIntervalMillis);
   Map.decimal("retry_ratio", Result.RetryRatio, 1);
-  Map.number("retry_slack", Result.RetrySlack, 0);
+  double RetrySlack = Result.RetrySlack;
+  Map.decimal("retry_slack", RetrySlack, MaxRetrySlack);
+  Result.RetrySlack = static_cast<uint32_t>(RetrySlack);
   ReadMillis("retry_window_ms", Result.RetryWindowMillis);
+  ReadSeconds("retry_window_s", Result.RetryWindowMillis);
   ReadMillis("grace_ms", Result.GraceMillis);
+  ReadSeconds("grace_s", Result.GraceMillis);
   ReadMillis("directory_lifetime_ms", Result.DirectoryLifetimeMillis);
   ReadMillis("order_lease_ms", Result.OrderLeaseMillis);
   ReadMillis("weights_deadline_ms", Result.WeightsDeadlineMillis);
--- a/Tests/LibConfig/TestParse.cpp
+++ b/Tests/LibConfig/TestParse.cpp
@@ -283,3 +283,31 @@
   BOOST_TEST(!equalInConstantTime("abc", "abd"));
   BOOST_TEST(!equalInConstantTime("abc", "abcd"));
 }
+
+// A platform that fills in the settings may write bounds with a fraction.
+BOOST_AUTO_TEST_CASE(bounds_of_the_routed_interface_may_have_fractions) {
+  auto Parse = [](const std::string &Bounds) {
+    return tryParseSettings("cluster: c\ncluster_key: k\nhost: 10.0.0.1\n"
+                            "data_centre: a\nrole: router\ninterface: routed\n"
+                            "listen:\n  callers: 10.0.0.1:80\n"
+                            "  operators: 10.0.0.1:81\n  peers: 10.0.0.1:82\n"
+                            "discovery:\n  seeds: [10.0.0.2:83]\n"
+                            "routed:\n" +
+                                Bounds,
+                            "s.yaml");
+  };
+  auto Parsed = Parse("  retry_slack: 36.23\n  retry_window_s: 7.5\n"
+                      "  grace_s: 8\n  order_lease_ms: 2999.9\n"
+                      "  weights_deadline_ms: 12000.0\n");
+  requireValue(Parsed);
+  BOOST_TEST(Parsed->Routed.RetrySlack == 36U);
+  BOOST_TEST(Parsed->Routed.RetryWindowMillis == 7500U);
+  BOOST_TEST(Parsed->Routed.GraceMillis == 8000U);
+  BOOST_TEST(Parsed->Routed.OrderLeaseMillis == 2999U);
+  BOOST_TEST(Parsed->Routed.WeightsDeadlineMillis == 12'000U);
+  for (const char *Bad :
+       {"  grace_s: 0\n", "  grace_s: -1\n", "  grace_s: 1e9\n",
+        "  grace_ms: 0.5\n", "  grace_s: soon\n", "  retry_slack: -3\n",
+        "  retry_slack: 1e99\n", "  grace_s: nan\n"})
+    BOOST_TEST(!Parse(Bad).has_value(), Bad);
+}
