LibRouting: Begin long prompts and fetches before the weights' deadline

The engine had no queue; its link to the engine that it fetched from was slowed eightfold. Change: twice the time to read the prompt counts before the deadline, and in the last three seconds engines read without a fetch.

--- a/Libraries/LibRouting/RoutedPlacementChoice.cpp
+++ b/Libraries/LibRouting/RoutedPlacementChoice.cpp
@@ -47,10 +47,15 @@
 /// that were refused together do not return together.
 static constexpr uint64_t RetryDelaySpreadDivisor = 2;
 /// A request placed this long before the weights' deadline begins in time at an
-/// idle engine. At a busy one, the estimated wait is added, several times over:
-/// it does not include what other routers send at the same moment.
+/// idle engine. The time to read its prompt is added, and at a busy engine the
+/// estimated wait, both several times over: the estimates do not include what
+/// other routers send at the same moment.
 static constexpr Duration BeginMargin = std::chrono::milliseconds(1000);
+static constexpr double BeginMarginReads = 2;
 static constexpr double BeginMarginWaits = 3;
+/// Shortly before the weights' deadline engines read prompts without a fetch: a
+/// slow link between engines would delay the begin by seconds.
+static constexpr Duration FetchMargin = std::chrono::milliseconds(3000);
 
 double RoutedPlacement::waitSeconds(const RoutedCall &Call,
                                     const RoutedTarget &Target) const {
@@ -84,8 +89,9 @@
   std::erase_if(Candidates, [&](RoutedTarget *Target) {
     Duration Margin =
         BeginMargin +
-        durationOf(BeginMarginWaits *
-                   (waitSeconds(Call, *Target) + congestionOf(*Target, Now)));
+        durationOf(BeginMarginReads * readSeconds(Call, /*Cached=*/0) +
+                   BeginMarginWaits * (waitSeconds(Call, *Target) +
+                                       congestionOf(*Target, Now)));
     if (Now + Margin >= weightsDeadline(*Target, Now))
       return true;
     return std::find(Call.Tried.begin(), Call.Tried.end(), Target->Record.Id) !=
@@ -229,6 +235,8 @@
                      isStored(Call, Best, PartState::Read, Now);
   if (Best.FetchFromStore || MayAskStore)
     Placed.FetchFrom = Best.Store->Address;
+  if (Now + FetchMargin >= weightsDeadline(Target, Now))
+    Placed.FetchFrom.clear();
   bool Save = shouldSave(Call, Best, Now);
   if (Save) {
     Placed.SaveTo = Best.Store->Address;
--- a/Tests/LibRouting/TestRoutedPlacement.cpp
+++ b/Tests/LibRouting/TestRoutedPlacement.cpp
@@ -363,6 +363,38 @@
   }
 }
 
+// Load pattern: links between engines are slow while engines wait for newer
+// weights (hunt of the workshop desk, load 962287438458: a request placed 1.7 s
+// before the deadline began 1.9 s later, at an engine without a queue).
+BOOST_AUTO_TEST_CASE(long_prompts_and_fetches_end_before_the_deadline) {
+  TestDeployment Deployment(2, /*WithStore=*/true);
+  RoutedPlacement Router = Deployment.router();
+  Timestamp NamedAt = Deployment.Now;
+  serve(Router, expectPlaced(Router.place(Deployment.call(7), Deployment.Now)),
+        Deployment.Now);
+  Timestamp Deadline = NamedAt + RoutedPlacement::Options().WeightsDeadline;
+  size_t Fetches = 0;
+  for (; Deployment.Now < Deadline; Deployment.Now += 100ms) {
+    Deployment.announceTo(Router);
+    Router.applyNamedWeights({Model, {2}, NamedAt}, Deployment.Now);
+    for (uint32_t OwnTokens : {3'700U, 36'000U}) {
+      auto Outcome =
+          Router.place(Deployment.call(7, 13'300, OwnTokens), Deployment.Now);
+      auto *Placed = std::get_if<PlacedCall>(&Outcome);
+      if (Placed == nullptr)
+        continue;
+      bool Long = OwnTokens > 30'000;
+      BOOST_TEST((Deployment.Now + (Long ? 1900ms : 1300ms) < Deadline));
+      if (!Placed->FetchFrom.empty()) {
+        ++Fetches;
+        BOOST_TEST((Deployment.Now + 2500ms < Deadline));
+      }
+      Router.endCall(Placed->PlacementId, CallEnd::Abandoned, Deployment.Now);
+    }
+  }
+  BOOST_TEST(Fetches > 50U);
+}
+
 // Load pattern: many routers while a load of weights has reached a fifth of the
 // engines. If all requests preferred those, they would get five times their
 // share before any router heard of the others' requests.
