LibRouting: Report shared parts only

Cause: the last part of a prompt belongs to one request, and was reported twice for each. Change: only the shared parts of large prefixes are reported. Result: a_prefix_with_a_small_lead_is_known_to_other_routers demands that a known prefix with a new last part reports nothing.

--- a/Libraries/LibRouting/RoutedPlacementOutcome.cpp
+++ b/Libraries/LibRouting/RoutedPlacementOutcome.cpp
@@ -20,13 +20,15 @@
 void RoutedPlacement::recordParts(const RoutedCall &Call, RoutedTarget &Target,
                                   PartState State) {
   // A part is of use to other routers only with all parts before it, so that
-  // small ones are reported too if the whole prefix is large.
-  bool PrefixIsLarge = sharedTokens(Call) >= MinReportedTokens;
-  for (const PromptPart &Part : Call.Parts) {
+  // small ones are reported too if the whole prefix is large. The last part
+  // belongs to this request: no other one could use it.
+  bool IsReported = sharedTokens(Call) >= MinReportedTokens;
+  for (size_t Index = 0; Index < Call.Parts.size(); ++Index) {
+    const PromptPart &Part = Call.Parts[Index];
     uint64_t Key = CachedParts::keyOf(Call.CacheScope, Part.Id);
     bool IsNews = Target.Parts.use(Key, Part.Tokens, State);
-    bool IsReported = PrefixIsLarge || Part.Tokens >= MinReportedTokens;
-    if (IsNews && IsReported && UnsentParts.size() < MaxDigestParts)
+    bool IsShared = Index + 1 < Call.Parts.size();
+    if (IsNews && IsShared && IsReported && UnsentParts.size() < MaxDigestParts)
       UnsentParts.push_back({Target.Record.Id, Key, Part.Tokens, State});
   }
 }
--- a/Tests/LibRouting/TestRoutedPlacement.cpp
+++ b/Tests/LibRouting/TestRoutedPlacement.cpp
@@ -222,12 +222,11 @@
   PlacedCall Second = expectPlaced(Right.place(Call, Deployment.Now));
   BOOST_TEST(Second.Target == First.Target);
   BOOST_TEST(Second.CachedTokens == 5270U);
-  // The prefix is reported once, not with each request.
-  Left.makeDigest();
+  // The prefix is reported once, not with each request, and the part that
+  // belongs to one request never: such parts would fill the digests of a fleet.
   Call.Parts[2].Id = 5;
   serve(Left, expectPlaced(Left.place(Call, Deployment.Now)), Deployment.Now);
-  for (const PartPlace &Part : Left.makeDigest().Parts)
-    BOOST_TEST(Part.Key == 5U);
+  BOOST_TEST(Left.makeDigest().Parts.empty());
 }
 
 // Load pattern: one prefix gets most requests. Its home is full, so other
