Tests: Make the last choice near the deadline fail without its margin

Cause: the case passed without the extra margin, as the engine with newer weights was idle and chosen anyway. Change: that engine is busy.

--- a/Tests/LibRouting/TestRoutedPlacement.cpp
+++ b/Tests/LibRouting/TestRoutedPlacement.cpp
@@ -408,6 +408,10 @@
   for (; Deployment.Now < Deadline; Deployment.Now += 100ms) {
     Deployment.announceTo(Router);
     Router.applyNamedWeights({Model, {2}, NamedAt}, Deployment.Now);
+    // The engine with newer weights is busy, so that the others look better.
+    WorkDigest Busy;
+    Busy.Work = {{{"e2"}, 600ms, 600ms, 8}};
+    Router.applyDigest({"peer"}, Busy, Deployment.Now);
     RoutedCall Call = Deployment.call(
         static_cast<uint64_t>((Deployment.Now - NamedAt).count()), 100, 900);
     PlacedCall Placed = expectPlaced(Router.place(Call, Deployment.Now));
@@ -417,7 +421,7 @@
       BOOST_TEST(Placed.Target.Value == "e2");
     serve(Router, Placed, Deployment.Now);
   }
-  BOOST_TEST(Used.size() == 3U);
+  BOOST_TEST(Used.count("e0") + Used.count("e1") > 0U);
 }
 
 // Load pattern: many routers while a load of weights has reached a fifth of the
