LibRouting: Report requests' own parts in small fleets

Change: the last part of a prompt is reported again up to 16 routers. Result: the test has both sizes.

--- a/Libraries/LibRouting/RoutedPlacementOutcome.cpp
+++ b/Libraries/LibRouting/RoutedPlacementOutcome.cpp
@@ -1,6 +1,7 @@
 // First bytes and ends of requests, and what the router learns from them.
 #include "LibRouting/RoutedPlacement.h"
 #include "LibRouting/RoutedPlacementConstants.h"
+#include "LibRouting/WorkExchange.h"
 #include <algorithm>
 
 namespace ferry::routing {
@@ -20,15 +21,19 @@
 void RoutedPlacement::recordParts(const RoutedCall &Call, RoutedTarget &Target,
                                   PartState State) {
   // A part is of use to other routers only with all parts before it, so that
-  // small ones are reported too if the whole prefix is large. The last part
-  // belongs to this request: no other one could use it.
-  bool IsReported = sharedTokens(Call) >= MinReportedTokens;
+  // small ones are reported too if the whole prefix is large.
+  bool PrefixIsLarge = sharedTokens(Call) >= MinReportedTokens;
+  // The last part belongs to this request. It only shows what the engine evicts
+  // for it, and in a large fleet such parts would fill the digests.
+  bool ReportsLast = Routers <= WorkExchange::MaxDirectRouters;
   for (size_t Index = 0; Index < Call.Parts.size(); ++Index) {
     const PromptPart &Part = Call.Parts[Index];
     uint64_t Key = CachedParts::keyOf(Call.CacheScope, Part.Id);
     bool IsNews = Target.Parts.use(Key, Part.Tokens, State);
-    bool IsShared = Index + 1 < Call.Parts.size();
-    if (IsNews && IsShared && IsReported && UnsentParts.size() < MaxDigestParts)
+    bool IsLast = Index + 1 == Call.Parts.size();
+    bool IsReported = IsLast ? ReportsLast && Part.Tokens >= MinReportedTokens
+                             : PrefixIsLarge;
+    if (IsNews && IsReported && UnsentParts.size() < MaxDigestParts)
       UnsentParts.push_back({Target.Record.Id, Key, Part.Tokens, State});
   }
 }
--- a/Tests/LibRouting/TestRoutedPlacement.cpp
+++ b/Tests/LibRouting/TestRoutedPlacement.cpp
@@ -59,6 +59,17 @@
     return Router;
   }
 
+  /// Adds routers to the view.
+  void addHosts(size_t Count) {
+    for (size_t Index = 0; Index < Count; ++Index) {
+      HostView Host;
+      Host.Id = {"r" + std::to_string(Index)};
+      Host.Standing = HostStanding::Serving;
+      Host.CallerAddress = "10.1.0.1:80";
+      View.Hosts.push_back(Host);
+    }
+  }
+
   /// All engines announce themselves now.
   void announceTo(RoutedPlacement &Router) {
     for (TargetRecord &Record : View.Targets)
@@ -222,10 +233,18 @@
   PlacedCall Second = expectPlaced(Right.place(Call, Deployment.Now));
   BOOST_TEST(Second.Target == First.Target);
   BOOST_TEST(Second.CachedTokens == 5270U);
-  // The prefix is reported once, not with each request, and the part that
-  // belongs to one request never: such parts would fill the digests of a fleet.
+  // The prefix is reported once, not with each request.
   Call.Parts[2].Id = 5;
   serve(Left, expectPlaced(Left.place(Call, Deployment.Now)), Deployment.Now);
+  auto Reported = Left.makeDigest().Parts;
+  BOOST_TEST(Reported.size() == 2U);
+  for (const PartPlace &Part : Reported)
+    BOOST_TEST(Part.Key == 5U);
+  // In a large fleet the parts of single requests would fill the digests.
+  Deployment.addHosts(76);
+  Deployment.announceTo(Left);
+  Call.Parts[2].Id = 6;
+  serve(Left, expectPlaced(Left.place(Call, Deployment.Now)), Deployment.Now);
   BOOST_TEST(Left.makeDigest().Parts.empty());
 }
 
@@ -436,13 +455,7 @@
   size_t CallsOnNewer = 0;
   constexpr size_t RouterCount = 76;
   constexpr size_t CallsOfRouter = 12;
-  for (size_t Index = 0; Index < RouterCount; ++Index) {
-    HostView Host;
-    Host.Id = {"r" + std::to_string(Index)};
-    Host.Standing = HostStanding::Serving;
-    Host.CallerAddress = "10.1.0.1:80";
-    Deployment.View.Hosts.push_back(Host);
-  }
+  Deployment.addHosts(RouterCount);
   for (size_t Seed = 1; Seed <= RouterCount; ++Seed) {
     RoutedPlacement Router = Deployment.router(Seed);
     Router.applyNamedWeights({Model, {2}, Deployment.Now - 3s}, Deployment.Now);
