--- a/Tests/LibRouting/TestWorkExchange.cpp
+++ b/Tests/LibRouting/TestWorkExchange.cpp
@@ -42,18 +42,18 @@
   }
 
   void deliver(const HostId &From, const HostId &To, const WorkDigest &Digest) {
-    ++Each(From).Messages;
+    ++stateOf(From).Messages;
     if (Down.count(To) != 0)
       return;
-    ++Each(To).Messages;
-    if (Each(To).Exchange.receive(From, Digest, Now))
-      Each(To).Counted[From] = {Digest, Now + WorkExchange::DigestLifetime};
+    ++stateOf(To).Messages;
+    if (stateOf(To).Exchange.receive(From, Digest, Now))
+      stateOf(To).Counted[From] = {Digest, Now + WorkExchange::DigestLifetime};
   }
 
   /// \returns the requests of all other routers that \p Id counts at a target.
   uint32_t countedAt(const HostId &Id, const TargetId &Target) {
     uint32_t Running = 0;
-    for (const auto &[From, Entry] : Each(Id).Counted)
+    for (const auto &[From, Entry] : stateOf(Id).Counted)
       if (Entry.second > Now)
         for (const TargetWork &Work : Entry.first.Work)
           Running += Work.Target == Target ? Work.Running : 0;
@@ -62,7 +62,7 @@
 
   /// \returns whether \p Id has been told of the part \p Key.
   bool knowsPart(const HostId &Id, uint64_t Key) {
-    for (const auto &[From, Entry] : Each(Id).Counted)
+    for (const auto &[From, Entry] : stateOf(Id).Counted)
       for (const PartPlace &Part : Entry.first.Parts)
         if (Part.Key == Key)
           return true;
@@ -76,7 +76,7 @@
     Timestamp SendAt;
     size_t Messages = 0;
   };
-  State &Each(const HostId &Id) { return Routers.at(Id); }
+  State &stateOf(const HostId &Id) { return Routers.at(Id); }
 
   std::vector<WorkExchange::Router> Live;
   std::map<HostId, State> Routers;
@@ -230,6 +230,6 @@
   if (static_cast<size_t>(Count) > WorkExchange::MaxDirectRouters)
     for (const auto &Group : WorkExchange::groupsOf(Hosts.Live))
       for (const HostId &Router : Group)
-        BOOST_TEST(Hosts.Each(Router).Exchange.groupPeers().size() ==
+        BOOST_TEST(Hosts.stateOf(Router).Exchange.groupPeers().size() ==
                    Group.size() - 1);
 }
