LibControl, ferryd: Log who holds the slots for loads, and why a rollout waits

Each slot is logged as it is taken, changes its owner or is left, a wait of two seconds with its reason, and the counts are metrics. No change of what is decided.

--- a/Libraries/LibControl/Reconciler.cpp
+++ b/Libraries/LibControl/Reconciler.cpp
@@ -131,7 +131,7 @@
       Updated.push_back(*KnownSlot);
     else
       Updated.push_back({Slot, Now + OrderTimeout + SettleTime,
-                         Now + OrderTimeout + LoadTimeout, Now, false});
+                         Now + OrderTimeout + LoadTimeout, Now});
   }
   ForeignSlots = std::move(Updated);
 }
@@ -259,7 +259,8 @@
   Out.push_back(EndLoad{Slot});
   std::erase_if(ForeignSlots,
                 [&](const ForeignSlot &Item) { return Item.Slot == Slot; });
-  ForeignSlots.push_back({Slot, Now, Now, Now + EndLoadResendDelay, false});
+  ForeignSlots.push_back(
+      {Slot, Now, Now, Now + EndLoadResendDelay, SlotOwner::Ending});
 }
 
 bool Reconciler::isLoadDone(const LoadSlot &Slot) const {
@@ -429,14 +430,45 @@
     Result.OrdersUnderWay += Work.CurrentStage == Stage::Ordered;
     Result.SlotsHeld += Work.Slot.has_value();
   }
-  if (!View || !View->Description)
+  // Hosts without the lease see all slots as foreign.
+  for (const ForeignSlot &Item : ForeignSlots)
+    Result.SlotsInherited +=
+        Now < HeldUntil && !Item.Free && !Tasks.contains(Item.Slot.Target);
+  if (!View || !View->Description) {
+    Result.Wait = rolloutWait(Result, Now);
     return Result;
+  }
   for (const TargetRecord &Target : View->Targets) {
     if (!isUsableEngine(Target, Now))
       continue;
     ++Result.Engines;
     Result.EnginesRight += !wantedOrder(Target);
   }
+  Result.Wait = rolloutWait(Result, Now);
+  return Result;
+}
+
+RolloutWait Reconciler::rolloutWait(const Counts &Current,
+                                    Timestamp Now) const {
+  if (Now >= HeldUntil)
+    return RolloutWait::NoLease;
+  if (!maySendOrders(Now))
+    return RolloutWait::NotConfirmed;
+  if (Current.EnginesRight == Current.Engines || Current.OrdersUnderWay > 0)
+    return RolloutWait::None;
+  uint32_t SlotsTaken = Current.SlotsHeld + Current.SlotsInherited;
+  return SlotsTaken >= View->Description->Limits.MaxWeightsLoads
+             ? RolloutWait::NoFreeSlot
+             : RolloutWait::EnginesWait;
+}
+
+std::vector<Reconciler::SlotStatus> Reconciler::slots() const {
+  std::vector<SlotStatus> Result;
+  for (const auto &[Target, Work] : Tasks)
+    if (Work.Slot)
+      Result.push_back({*Work.Slot, SlotOwner::ThisTerm, Work.GiveUpAt});
+  for (const ForeignSlot &Item : ForeignSlots)
+    Result.push_back({Item.Slot, Item.Owner, Item.ExpiresAt});
   return Result;
 }
 
--- a/Libraries/LibControl/Reconciler.h
+++ b/Libraries/LibControl/Reconciler.h
@@ -9,6 +9,32 @@
 
 namespace ferry::control {
 
+/// Whom a slot in the log belongs to, as seen by the holder of the order lease.
+enum class SlotOwner : uint8_t {
+  /// A change that this holder makes in its current term.
+  ThisTerm,
+  /// A change of an earlier term, or a request whose answer was lost.
+  EarlierTerm,
+  /// Nobody: its end was proposed, and the log has not applied that yet.
+  Ending
+};
+
+/// Why engines lack the weights that they should have although no order is
+/// under way.
+enum class RolloutWait : uint8_t {
+  /// Nothing is left to do, or an order is under way.
+  None,
+  /// This host doesn't hold the order lease.
+  NoLease,
+  /// The description is unknown or not confirmed.
+  NotConfirmed,
+  /// All slots of the log are taken.
+  NoFreeSlot,
+  /// Each engine that lacks its weights waits for an answer of the log, for the
+  /// effect of an order, or for its next try.
+  EnginesWait
+};
+
 /// State machine of one control host. It compares what engines announce with
 /// what the description wants, and sends orders while this host holds the order
 /// lease and its description number is confirmed. Only an engine's own
@@ -76,11 +102,23 @@
     uint32_t EnginesRight = 0;
     uint32_t OrdersUnderWay = 0;
     uint32_t SlotsHeld = 0;
+    /// Slots of earlier terms that still count against the limit.
+    uint32_t SlotsInherited = 0;
+    RolloutWait Wait = RolloutWait::None;
     uint64_t OrdersSent = 0;
     uint64_t OrdersFailed = 0;
   };
   Counts counts(Timestamp Now) const;
 
+  /// A slot that counts against the limit of loads.
+  struct SlotStatus {
+    registry::LoadSlot Slot;
+    SlotOwner Owner = SlotOwner::ThisTerm;
+    /// The slot is ended by then, without a sign of the engine if need be.
+    Timestamp EndsBy;
+  };
+  std::vector<SlotStatus> slots() const;
+
 private:
   using Effects = std::vector<ReconcilerEffect>;
 
@@ -142,6 +180,7 @@
     /// When the slot is ended without an announcement.
     Timestamp ExpiresAt;
     Timestamp ResendEndAt;
+    SlotOwner Owner = SlotOwner::EarlierTerm;
     /// The target has carried the order out, and EndLoad was proposed: the log
     /// frees the slot before it handles any later BeginLoad.
     bool Free = false;
@@ -177,6 +216,7 @@
   void endLoad(const registry::LoadSlot &Slot, Timestamp Now, Effects &Out);
 
   bool maySendOrders(Timestamp Now) const;
+  RolloutWait rolloutWait(const Counts &Current, Timestamp Now) const;
   const TargetRecord *findTarget(const TargetId &Id) const;
   bool isUsableEngine(const TargetRecord &Target, Timestamp Now) const;
   std::optional<Order> wantedOrder(const TargetRecord &Target) const;
@@ -205,4 +245,26 @@
 
 } // namespace ferry::control
 
+namespace ferry {
+
+template <> struct EnumNames<control::SlotOwner> {
+  using Owner = control::SlotOwner;
+  static constexpr EnumName<Owner> Table[] = {
+      {Owner::ThisTerm, "this_term"},
+      {Owner::EarlierTerm, "earlier_term"},
+      {Owner::Ending, "ending"}};
+};
+
+template <> struct EnumNames<control::RolloutWait> {
+  using Wait = control::RolloutWait;
+  static constexpr EnumName<Wait> Table[] = {
+      {Wait::None, "none"},
+      {Wait::NoLease, "no_lease"},
+      {Wait::NotConfirmed, "not_confirmed"},
+      {Wait::NoFreeSlot, "no_free_slot"},
+      {Wait::EnginesWait, "engines_wait"}};
+};
+
+} // namespace ferry
+
 #endif
--- a/Services/ferryd/ControlPlaneDump.cpp
+++ b/Services/ferryd/ControlPlaneDump.cpp
@@ -49,6 +49,9 @@
   Section->set("engines", Counts.Engines);
   Section->set("engines_right", Counts.EnginesRight);
   Section->set("orders_under_way", Counts.OrdersUnderWay);
+  Section->set("slots_held", Counts.SlotsHeld);
+  Section->set("slots_inherited", Counts.SlotsInherited);
+  Section->set("rollout_wait", std::string(enumName(Counts.Wait)));
   Section->set("orders_sent", Counts.OrdersSent);
   Section->set("orders_failed", Counts.OrdersFailed);
   return Section;
@@ -132,6 +135,14 @@
   Set("ferry_engines", "Engines of the described services.", Counts.Engines);
   Set("ferry_engines_right", "Engines that announce the described weights.",
       Counts.EnginesRight);
+  Set("ferry_orders_under_way", "Orders to engines that have not ended.",
+      Counts.OrdersUnderWay);
+  Set("ferry_load_slots_held",
+      "Slots for loads of weights that this host's changes hold.",
+      Counts.SlotsHeld);
+  Set("ferry_load_slots_inherited",
+      "Slots of earlier terms of the order lease, or that end just now.",
+      Counts.SlotsInherited);
   Set("ferry_ledger_open_claims", "Calls under way in the ledger.",
       Node->state().claims().openCount());
 }
--- a/Services/ferryd/OrderDispatcher.cpp
+++ b/Services/ferryd/OrderDispatcher.cpp
@@ -1,6 +1,7 @@
 #include "ferryd/OrderDispatcher.h"
 #include "LibCore/Visit.h"
 #include "LibObserve/Log.h"
+#include <algorithm>
 
 namespace ferry::daemon {
 
@@ -9,6 +10,8 @@
 
 /// Longest wait for the registry's answer about the slot of a load.
 static constexpr Duration SlotTimeout = std::chrono::seconds(3);
+/// A rollout that waits is logged after this, and again in each such interval.
+static constexpr Duration WaitLogInterval = std::chrono::seconds(2);
 
 OrderDispatcher::OrderDispatcher(OrderDispatcherOptions Options,
                                  ControlLoop &Loop, RegistryGateway &Gateway,
@@ -55,9 +58,59 @@
     stepOrders(control::LeaseHeld{Lease.fencing(), Lease.heldUntil()});
   stepOrders(control::ActiveLoadsUpdated{State.loads()});
   stepOrders(control::Tick{});
+  logSlots(Now);
+  logWait(Now);
   Timer = Loop.at(Now + LeaseHolder::TickInterval, [this] { tick(); });
 }
 
+void OrderDispatcher::logSlots(Timestamp Now) {
+  using SlotStatus = control::Reconciler::SlotStatus;
+  std::vector<SlotStatus> Current;
+  if (Lease.isHeld(Now))
+    Current = Orders.slots();
+  auto Contains = [](const std::vector<SlotStatus> &Slots,
+                     const SlotStatus &Item) {
+    return std::any_of(Slots.begin(), Slots.end(), [&](const SlotStatus &Each) {
+      return Each.Slot == Item.Slot && Each.Owner == Item.Owner;
+    });
+  };
+  auto Log = [Now](const char *Event, const SlotStatus &Item) {
+    observe::logEvent(Severity::Info, "orders", Event,
+                      {{"target", Item.Slot.Target},
+                       {"weights", Item.Slot.Weights},
+                       {"fencing", Item.Slot.Fencing},
+                       {"owner", Item.Owner},
+                       {"ends_in_ms", millisUntil(Item.EndsBy, Now)}});
+  };
+  for (const SlotStatus &Item : LoggedSlots)
+    if (!Contains(Current, Item))
+      Log("load_slot_left", Item);
+  for (const SlotStatus &Item : Current)
+    if (!Contains(LoggedSlots, Item))
+      Log("load_slot_held", Item);
+  LoggedSlots = std::move(Current);
+}
+
+void OrderDispatcher::logWait(Timestamp Now) {
+  using control::RolloutWait;
+  control::Reconciler::Counts Counts = Orders.counts(Now);
+  bool Waits =
+      Counts.Wait != RolloutWait::None && Counts.Wait != RolloutWait::NoLease;
+  if (!Waits) {
+    LogWaitAt = Now + WaitLogInterval;
+    return;
+  }
+  if (Now < LogWaitAt)
+    return;
+  LogWaitAt = Now + WaitLogInterval;
+  observe::logEvent(Severity::Warning, "orders", "rollout_waits",
+                    {{"reason", Counts.Wait},
+                     {"engines", Counts.Engines},
+                     {"engines_right", Counts.EnginesRight},
+                     {"slots_held", Counts.SlotsHeld},
+                     {"slots_inherited", Counts.SlotsInherited}});
+}
+
 void OrderDispatcher::stepLease(const LeaseEvent &Event) {
   for (LeaseEffect &Effect : Lease.step(Event, steadyNow()))
     match(
@@ -138,6 +191,10 @@
         if (!Outcome)
           return stepOrders(control::LoadSlotAnswered{Slot, Verdict::Unknown});
         bool Granted = std::holds_alternative<LoadGranted>(*Outcome);
+        if (!Granted)
+          observe::logEvent(
+              Severity::Info, "orders", "load_slot_refused",
+              {{"target", Slot.Target}, {"weights", Slot.Weights}});
         stepOrders(control::LoadSlotAnswered{Slot, Granted ? Verdict::Granted
                                                            : Verdict::Refused});
       });
--- a/Services/ferryd/OrderDispatcher.h
+++ b/Services/ferryd/OrderDispatcher.h
@@ -59,6 +59,12 @@
   void proposeLease(registry::LeasePropose Proposal);
   void beginLoad(const control::BeginLoad &Request);
   void endLoad(const control::EndLoad &Request);
+  /// Logs the slots that were taken, were freed or changed their owner since
+  /// the last call.
+  void logSlots(Timestamp Now);
+  /// Logs that engines lack their weights and no order has been under way for a
+  /// while.
+  void logWait(Timestamp Now);
 
   ControlLoop &Loop;
   RegistryGateway &Gateway;
@@ -74,6 +80,9 @@
   EngineChangeCallback EngineChanged;
   /// Loads of weights under way, by the id of the order.
   std::map<uint64_t, routing::EngineChange> LoadsUnderWay;
+  std::vector<control::Reconciler::SlotStatus> LoggedSlots;
+  /// When the wait of the rollout is logged next.
+  Timestamp LogWaitAt;
   ControlLoop::TimerId Timer;
   /// Expires with this object; later answers are dropped.
   std::shared_ptr<char> Alive = std::make_shared<char>();
