--- /dev/null
+++ b/Tests/LibControl/TestRollout.cpp
@@ -0,0 +1,29 @@
+/// \file
+/// Guards against rollouts of weights that stand still: slots for loads whose
+/// holder was killed, or whose engine is gone, must reach other engines in
+/// time.
+#include "LibControl/RolloutWorld.h"
+#include <boost/test/unit_test.hpp>
+
+using namespace ferry;
+using namespace ferry::control;
+using namespace std::chrono_literals;
+
+/// Time from the naming of weights from which requests may not begin on older
+/// ones.
+static constexpr Duration WeightsDeadline = 12s;
+/// Time with a working holder after which all engines must have the weights.
+static constexpr Duration RolloutDeadline = 18s;
+static constexpr Duration NamedAt = 3s;
+
+// A holder that is killed in each term shorter than the settle time never ended
+// the slots of its first term.
+BOOST_AUTO_TEST_CASE(a_rollout_goes_on_under_a_holder_that_restarts_often) {
+  RolloutWorld World(NamedAt);
+  World.killHolder(4s, 5600ms);
+  World.killHolder(13s, 14300ms);
+  World.killHolder(21700ms, 23s);
+  World.runUntil(NamedAt + WeightsDeadline);
+  BOOST_TEST(World.outdatedEngines() == 0);
+  BOOST_TEST(World.MostLoads <= 3);
+}
