LibControl: Confirm inherited loads at the engine instead of waiting

Callers saw 121 of 193 short questions refused in a second and none answered in time: three of twelve engines took all requests, as six never got the weights named at 3 s.

The holder of the order lease was killed with three loads under way, the limit. A wait that is counted by the process starts anew with each process.

Where the sender reads an engine's state before an order, a new holder now takes the slot over by a load of its own, also if the engine announces the wanted weights: the state shows at once that the load has ended, or the order is sent under the newer fencing number. TestReconciler passes.

--- a/Libraries/LibControl/Reconciler.cpp
+++ b/Libraries/LibControl/Reconciler.cpp
@@ -163,7 +163,8 @@
       View->Description->findService(Target.Service);
   if (!Service || Service->Kind != TargetKind::Engine)
     return std::nullopt;
-  if (Target.Model != Service->Model || weightsOf(Target) != Service->Weights)
+  if (Target.Model != Service->Model || weightsOf(Target) != Service->Weights ||
+      mustConfirmLoad(Target.Id))
     return LoadWeights{Service->Model, Service->Weights};
   if (Target.Adapter != Service->Adapter)
     return LoadAdapter{Service->Model, Service->Adapter};
@@ -294,6 +295,27 @@
       [&](const ForeignSlot &Item) { return Item.Slot.Target == Target; });
 }
 
+bool Reconciler::hasInheritedSlot(const TargetId &Target) const {
+  return std::any_of(ForeignSlots.begin(), ForeignSlots.end(),
+                     [&](const ForeignSlot &Item) {
+                       return Item.Owner == SlotOwner::EarlierTerm &&
+                              Item.Slot.Target == Target;
+                     });
+}
+
+/// \returns whether the state of \p Target must be read before its slot of an
+/// earlier term is free. Announcements show that only after SettleTime, which
+/// starts anew with each holder.
+bool Reconciler::mustConfirmLoad(const TargetId &Target) const {
+  bool ReadsState = Opts.WatchLimit > Duration::zero();
+  if (!ReadsState)
+    return false;
+  auto TaskIt = Tasks.find(Target);
+  if (TaskIt == Tasks.end())
+    return hasInheritedSlot(Target);
+  return TaskIt->second.ConfirmsLoad && !TaskIt->second.CarriedOut;
+}
+
 /// \returns whether the log would grant \p Target a slot, according to this
 /// host's copy. The slots of one target count once.
 bool Reconciler::isSlotFree(const TargetId &Target) const {
@@ -377,6 +399,7 @@
   if (hasForeignSlot(Target.Id)) {
     Work.PossiblyReceived = Task::OrderCount::Several;
     Work.OrderDeadline = Now + OrderTimeout;
+    Work.ConfirmsLoad = hasInheritedSlot(Target.Id);
   }
   if (std::holds_alternative<LoadWeights>(Wanted))
     requestSlot(Target, Work, Now, Out);
--- a/Libraries/LibControl/Reconciler.h
+++ b/Libraries/LibControl/Reconciler.h
@@ -45,8 +45,11 @@
 /// at any time, also in a later incarnation of the target and after the
 /// description has changed again. Its slot therefore stays taken until the
 /// target announces those weights or LoadTimeout has passed; a new load of the
-/// same target replaces it. If a service has several engines, at least one of
-/// them is not being changed at any time.
+/// same target replaces it. A holder takes over the slots of earlier terms by
+/// such a new load where the sender reads a target's state first: a target that
+/// already has the weights gets no order, and its slot is free at once. If a
+/// service has several engines, at least one of them is not being changed at
+/// any time.
 class Reconciler {
 public:
   static constexpr Duration TickInterval = std::chrono::milliseconds(100);
@@ -149,6 +152,9 @@
     uint32_t Resends = 0;
     /// The sender saw that the target has carried the order out.
     bool CarriedOut = false;
+    /// The target had a slot of an earlier term, so that its state is read even
+    /// if it announces the wanted weights.
+    bool ConfirmsLoad = false;
     /// Number of different orders that the target may have received in this
     /// task.
     enum class OrderCount : uint8_t {
@@ -224,6 +230,8 @@
   bool ownsSlot(const registry::LoadSlot &Slot) const;
   bool isSlotFree(const TargetId &Target) const;
   bool hasForeignSlot(const TargetId &Target) const;
+  bool hasInheritedSlot(const TargetId &Target) const;
+  bool mustConfirmLoad(const TargetId &Target) const;
   bool mayChangeAnotherEngine(const ServiceId &Service, Timestamp Now) const;
 
   Options Opts;
