LibControl: Free the slot of an unreachable engine after ten seconds

The time now runs from the last order that the target may have received. Where the sender reads an engine's state, only an engine that it can't reach has an unknown state, and its slot ends after SettleTime, within which orders take effect. An order that such an engine carries out still later is one load more than the limit for a second; a longer hold would pass the time in which all engines must have the weights.

--- a/Libraries/LibControl/Reconciler.cpp
+++ b/Libraries/LibControl/Reconciler.cpp
@@ -62,8 +62,7 @@
     return;
   }
   if (!Failed) {
-    Work.PossiblyReceived =
-        std::max(Work.PossiblyReceived, Task::OrderCount::One);
+    recordReceivable(Work);
     return;
   }
   // The task ends and frees its slot, unless an earlier order of it may still
@@ -91,11 +90,24 @@
   return Ahead ? ObservedIt->second.Weights : Target.Weights;
 }
 
-/// Handles an order that the target may or may not have received: it is resent
-/// up to MaxResends times.
-void Reconciler::recordLost(Task &Work) {
+Duration Reconciler::loadTimeout() const {
+  return readsState() ? SettleTime : LoadTimeout;
+}
+
+/// The slot of a load stays taken until its effect is seen or loadTimeout() has
+/// passed since the last such order. An order that was not sent doesn't prolong
+/// that.
+void Reconciler::recordReceivable(Task &Work) const {
   Work.PossiblyReceived =
       std::max(Work.PossiblyReceived, Task::OrderCount::One);
+  Work.ReceivableUntil = Work.OrderDeadline;
+  Work.GiveUpAt = Work.OrderDeadline + loadTimeout();
+}
+
+/// Handles an order that the target may or may not have received: it is resent
+/// up to MaxResends times.
+void Reconciler::recordLost(Task &Work) const {
+  recordReceivable(Work);
   if (Work.Resends >= MaxResends)
     return;
   ++Work.Resends;
@@ -131,7 +143,7 @@
       Updated.push_back(*KnownSlot);
     else
       Updated.push_back({Slot, Now + OrderTimeout + SettleTime,
-                         Now + OrderTimeout + LoadTimeout, Now});
+                         Now + OrderTimeout + loadTimeout(), Now});
   }
   ForeignSlots = std::move(Updated);
 }
@@ -199,11 +211,11 @@
   std::optional<Order> Wanted = wantedOrder(Target);
   // After several orders, an announcement can be older than the last one and
   // show the weights of an earlier one.
-  bool Settled = Now >= Work.OrderDeadline + SettleTime;
+  bool Settled = Now >= Work.ReceivableUntil + SettleTime;
   bool Unambiguous = Settled || Work.PossiblyReceived != OrderCount::Several;
   // Until its deadline, a copy of the order can reach a later incarnation of
   // the target. An announcement seen until then may not show that yet.
-  bool AnnouncementIsCurrent = Now >= Work.OrderDeadline + AnnouncementLag;
+  bool AnnouncementIsCurrent = Now >= Work.ReceivableUntil + AnnouncementLag;
   if (isLoadDone(*Work.Slot) && Unambiguous && AnnouncementIsCurrent)
     return NextAction::Finish;
   if (Settled && !Wanted)
@@ -307,8 +319,7 @@
 /// earlier term is free. Announcements show that only after SettleTime, which
 /// starts anew with each holder.
 bool Reconciler::mustConfirmLoad(const TargetId &Target) const {
-  bool ReadsState = Opts.WatchLimit > Duration::zero();
-  if (!ReadsState)
+  if (!readsState())
     return false;
   auto TaskIt = Tasks.find(Target);
   if (TaskIt == Tasks.end())
@@ -394,11 +405,11 @@
   Work.Incarnation = Target.Incarnation;
   Work.Order = Wanted;
   Work.CurrentStage = Stage::Ready;
-  Work.GiveUpAt = Now + OrderTimeout + LoadTimeout;
+  Work.GiveUpAt = Now + OrderTimeout + loadTimeout();
   // An order under the target's foreign slot may still be under way.
   if (hasForeignSlot(Target.Id)) {
     Work.PossiblyReceived = Task::OrderCount::Several;
-    Work.OrderDeadline = Now + OrderTimeout;
+    Work.ReceivableUntil = Now + OrderTimeout;
     Work.ConfirmsLoad = hasInheritedSlot(Target.Id);
   }
   if (std::holds_alternative<LoadWeights>(Wanted))
@@ -416,7 +427,7 @@
   Work.Resends = 0;
   if (Work.PossiblyReceived != Task::OrderCount::None)
     Work.PossiblyReceived = Task::OrderCount::Several;
-  Work.GiveUpAt = Now + OrderTimeout + LoadTimeout;
+  Work.GiveUpAt = Now + OrderTimeout + loadTimeout();
   Work.Slot = LoadSlot{Target.Id, Target.Incarnation, Wanted.Weights, Fencing,
                        NextLoadSequence++};
   Out.push_back(
@@ -437,7 +448,6 @@
     Work.CurrentStage = Stage::Ordered;
     Work.OrderId = NextOrderId++;
     Work.OrderDeadline = Deadline;
-    Work.GiveUpAt = Deadline + LoadTimeout;
     OrdersEndBy = std::max(OrdersEndBy, Deadline);
     ++OrdersSent;
     Out.push_back(SendOrder{Work.OrderId, Target, Work.Incarnation,
--- a/Libraries/LibControl/Reconciler.h
+++ b/Libraries/LibControl/Reconciler.h
@@ -67,7 +67,9 @@
   static constexpr uint32_t MaxResends = 2;
   /// Time after the last of several orders to one target within which their
   /// effects appear in its announcements. Only after it does an announcement
-  /// show that no load is left.
+  /// show that no load is left. Where the sender reads a target's state, only a
+  /// target that can't be reached has an unknown state for so long, and its
+  /// load counts as lost after this time instead of LoadTimeout.
   static constexpr Duration SettleTime = std::chrono::seconds(10);
   /// Delay after a refusal by the log or the target.
   static constexpr Duration RefusalBackoff = std::chrono::milliseconds(500);
@@ -145,6 +147,8 @@
     uint64_t OrderId = 0;
     /// End of the order that is under way.
     Timestamp OrderDeadline;
+    /// End of the last order that the target may have received.
+    Timestamp ReceivableUntil;
     /// The order is not resent before this.
     Timestamp SendNotBefore;
     /// When the task is abandoned and planned again.
@@ -208,7 +212,8 @@
                            Timestamp Now) const;
   NextAction nextActionForLoad(const TargetRecord &Target, const Task &Work,
                                Timestamp Now) const;
-  static void recordLost(Task &Work);
+  void recordReceivable(Task &Work) const;
+  void recordLost(Task &Work) const;
   void finishTask(const TargetId &Target, const Task &Work, Timestamp Now,
                   Effects &Out);
   void endForeignSlots(Timestamp Now, Effects &Out);
@@ -221,6 +226,8 @@
                    Effects &Out);
   void endLoad(const registry::LoadSlot &Slot, Timestamp Now, Effects &Out);
 
+  bool readsState() const { return Opts.WatchLimit > Duration::zero(); }
+  Duration loadTimeout() const;
   bool maySendOrders(Timestamp Now) const;
   RolloutWait rolloutWait(const Counts &Current, Timestamp Now) const;
   const TargetRecord *findTarget(const TargetId &Id) const;
--- a/Tests/LibControl/TestRollout.cpp
+++ b/Tests/LibControl/TestRollout.cpp
@@ -13,7 +13,7 @@
 /// ones.
 static constexpr Duration WeightsDeadline = 12s;
 /// Time with a working holder after which all engines must have the weights.
-static constexpr Duration RolloutDeadline = 18s;
+static constexpr Duration RolloutDeadline = 17s;
 static constexpr Duration NamedAt = 3s;
 
 // A holder that is killed in each term shorter than the settle time never ended
@@ -27,3 +27,16 @@
   BOOST_TEST(World.outdatedEngines() == 0);
   BOOST_TEST(World.MostLoads <= 3);
 }
+
+// Engines that are gone after a lost order held their slots for half a minute,
+// and longer by each order that could not be sent.
+BOOST_AUTO_TEST_CASE(a_rollout_goes_on_past_engines_that_are_gone) {
+  RolloutWorld World(NamedAt);
+  for (int Index = 0; Index < 3; ++Index) {
+    World.loseAnswers(Index, 20s);
+    World.removeEngine(Index, NamedAt + 900ms);
+  }
+  World.runUntil(NamedAt + RolloutDeadline);
+  BOOST_TEST(World.outdatedEngines() == 0);
+  BOOST_TEST(World.MostLoads <= 3);
+}
