LibControl: Let one load go on while unreachable engines hold all slots

Engines that are lost with a load under way hold their slots for ten seconds.

Where the state of engines is read, one load at a time goes on beside slots whose engines can't be reached: they have not answered since an order that they may have received, or, for inherited slots, have not announced themselves for three seconds. A target keeps a slot that it has, whatever the limit. A lost order is tried again after half a second instead of three, as the state is read before it.

--- a/Libraries/LibControl/Reconciler.cpp
+++ b/Libraries/LibControl/Reconciler.cpp
@@ -71,6 +71,7 @@
     Work.GiveUpAt = Now;
     return;
   }
+  Work.Unreachable = Ended.Outcome == OrderOutcome::NotSent;
   Work.CurrentStage = Stage::Ready;
   Work.SendNotBefore = Now + RefusalBackoff;
 }
@@ -100,19 +101,22 @@
 void Reconciler::recordReceivable(Task &Work) const {
   Work.PossiblyReceived =
       std::max(Work.PossiblyReceived, Task::OrderCount::One);
+  Work.Unreachable = false;
   Work.ReceivableUntil = Work.OrderDeadline;
   Work.GiveUpAt = Work.OrderDeadline + loadTimeout();
 }
 
 /// Handles an order that the target may or may not have received: it is resent
-/// up to MaxResends times.
+/// up to MaxResends times. A target whose state is read first gets no second
+/// order for one that it has carried out, so that no delay is needed.
 void Reconciler::recordLost(Task &Work) const {
   recordReceivable(Work);
-  if (Work.Resends >= MaxResends)
+  if (Work.Resends >= (readsState() ? MaxResendsAfterRead : MaxResends))
     return;
   ++Work.Resends;
   Work.CurrentStage = Stage::Ready;
-  Work.SendNotBefore = Work.OrderDeadline + LostOrderResendDelay;
+  Work.SendNotBefore = Work.OrderDeadline +
+                       (readsState() ? RefusalBackoff : LostOrderResendDelay);
 }
 
 void Reconciler::receive(const LoadSlotAnswered &Answer, Timestamp Now) {
@@ -149,7 +153,8 @@
         Now - Opts.RenewInterval * static_cast<int64_t>(Load.LaterRenewals);
     Timestamp OrdersEndedBy = TermEndedBy + OrderTimeout;
     Updated.push_back({Load.Slot, OrdersEndedBy + SettleTime,
-                       OrdersEndedBy + loadTimeout(), Now});
+                       OrdersEndedBy + loadTimeout(), Now,
+                       Now + FirstAnnouncementTime});
   }
   ForeignSlots = std::move(Updated);
 }
@@ -278,8 +283,8 @@
   Out.push_back(EndLoad{Slot});
   std::erase_if(ForeignSlots,
                 [&](const ForeignSlot &Item) { return Item.Slot == Slot; });
-  ForeignSlots.push_back(
-      {Slot, Now, Now, Now + EndLoadResendDelay, SlotOwner::Ending});
+  ForeignSlots.push_back({Slot, Now, Now, Now + EndLoadResendDelay,
+                          NeverExpires, SlotOwner::Ending});
 }
 
 bool Reconciler::isLoadDone(const LoadSlot &Slot) const {
@@ -333,16 +338,55 @@
   return TaskIt->second.ConfirmsLoad && !TaskIt->second.CarriedOut;
 }
 
+bool Reconciler::holdsUnreachableTarget(const ForeignSlot &Item,
+                                        Timestamp Now) const {
+  const TargetRecord *Record = findTarget(Item.Slot.Target);
+  bool Usable = Record && isUsableEngine(*Record, Now);
+  return readsState() && !Usable && Now >= Item.AnnouncedBy;
+}
+
+/// \returns the slots of other targets than \p Target. The slots of one target
+/// count once.
+Reconciler::OtherSlots Reconciler::slotsOfOthers(const TargetId &Target,
+                                                 Timestamp Now) const {
+  OtherSlots Others;
+  for (const auto &[Id, Work] : Tasks) {
+    if (!Work.Slot || Id == Target)
+      continue;
+    ++Others.Count;
+    Others.Unreachable += Work.Unreachable;
+  }
+  for (const ForeignSlot &Item : ForeignSlots) {
+    if (Item.Free || Item.Slot.Target == Target ||
+        Tasks.contains(Item.Slot.Target))
+      continue;
+    ++Others.Count;
+    Others.Unreachable += holdsUnreachableTarget(Item, Now);
+  }
+  return Others;
+}
+
+/// \returns the limit of loads under which \p Target may load. Where the state
+/// of targets is read, a target keeps the slot that it has whatever the limit,
+/// and unreachable targets that hold all slots leave room for one load at a
+/// time, so that the rollout goes on.
+uint32_t Reconciler::maxLoadsFor(const TargetId &Target, Timestamp Now) const {
+  uint32_t Limit = View->Description->Limits.MaxWeightsLoads;
+  if (!readsState())
+    return Limit;
+  OtherSlots Others = slotsOfOthers(Target, Now);
+  auto TaskIt = Tasks.find(Target);
+  bool OwnsSlot = TaskIt != Tasks.end() && TaskIt->second.Slot;
+  bool OthersUnreachable = Others.Count == Others.Unreachable;
+  if (OwnsSlot || hasInheritedSlot(Target) || OthersUnreachable)
+    return std::max(Limit, Others.Count + 1);
+  return Limit;
+}
+
 /// \returns whether the log would grant \p Target a slot, according to this
-/// host's copy. The slots of one target count once.
-bool Reconciler::isSlotFree(const TargetId &Target) const {
-  uint32_t Others = 0;
-  for (const auto &[Id, Work] : Tasks)
-    Others += Work.Slot && Id != Target;
-  for (const ForeignSlot &Item : ForeignSlots)
-    Others += !Item.Free && Item.Slot.Target != Target &&
-              !Tasks.contains(Item.Slot.Target);
-  return Others < View->Description->Limits.MaxWeightsLoads;
+/// host's copy.
+bool Reconciler::isSlotFree(const TargetId &Target, Timestamp Now) const {
+  return slotsOfOthers(Target, Now).Count < maxLoadsFor(Target, Now);
 }
 
 /// \returns whether another engine of \p Service may be changed while at least
@@ -398,7 +442,7 @@
   for (const TargetRecord *Target : enginesToChange(Now)) {
     Order Wanted = *wantedOrder(*Target);
     bool NeedsSlot = std::holds_alternative<LoadWeights>(Wanted);
-    if (NeedsSlot && !isSlotFree(Target->Id))
+    if (NeedsSlot && !isSlotFree(Target->Id, Now))
       continue;
     if (mayChangeAnotherEngine(Target->Service, Now))
       startTask(*Target, Wanted, Now, Out);
@@ -434,10 +478,10 @@
   if (Work.PossiblyReceived != Task::OrderCount::None)
     Work.PossiblyReceived = Task::OrderCount::Several;
   Work.GiveUpAt = Now + OrderTimeout + loadTimeout();
+  uint32_t MaxLoads = maxLoadsFor(Target.Id, Now);
   Work.Slot = LoadSlot{Target.Id, Target.Incarnation, Wanted.Weights, Fencing,
                        NextLoadSequence++};
-  Out.push_back(
-      BeginLoad{*Work.Slot, View->Description->Limits.MaxWeightsLoads});
+  Out.push_back(BeginLoad{*Work.Slot, MaxLoads});
 }
 
 void Reconciler::sendOrders(Timestamp Now, Effects &Out) {
--- a/Libraries/LibControl/Reconciler.h
+++ b/Libraries/LibControl/Reconciler.h
@@ -65,12 +65,17 @@
   /// times that it is resent.
   static constexpr Duration LostOrderResendDelay = std::chrono::seconds(3);
   static constexpr uint32_t MaxResends = 2;
+  /// The same where the sender reads a target's state before each order.
+  static constexpr uint32_t MaxResendsAfterRead = 6;
   /// Time after the last of several orders to one target within which their
   /// effects appear in its announcements. Only after it does an announcement
   /// show that no load is left. Where the sender reads a target's state, only a
   /// target that can't be reached has an unknown state for so long, and its
   /// load counts as lost after this time instead of LoadTimeout.
   static constexpr Duration SettleTime = std::chrono::seconds(10);
+  /// Time after which the target of an inherited slot counts as unreachable if
+  /// it has not announced itself.
+  static constexpr Duration FirstAnnouncementTime = std::chrono::seconds(3);
   /// Delay after a refusal by the log or the target.
   static constexpr Duration RefusalBackoff = std::chrono::milliseconds(500);
   /// The delay doubles with each failure up to this.
@@ -158,6 +163,8 @@
     uint32_t Resends = 0;
     /// The sender saw that the target has carried the order out.
     bool CarriedOut = false;
+    /// The target may have received an order, and could not be reached since.
+    bool Unreachable = false;
     /// The target had a slot of an earlier term, so that its state is read even
     /// if it announces the wanted weights.
     bool ConfirmsLoad = false;
@@ -192,6 +199,8 @@
     /// When the slot is ended without an announcement.
     Timestamp ExpiresAt;
     Timestamp ResendEndAt;
+    /// From then on the target counts as unreachable unless it is usable.
+    Timestamp AnnouncedBy;
     SlotOwner Owner = SlotOwner::EarlierTerm;
     /// The target has carried the order out, and EndLoad was proposed: the log
     /// frees the slot before it handles any later BeginLoad.
@@ -237,7 +246,15 @@
   std::optional<Order> wantedOrder(const TargetRecord &Target) const;
   bool isLoadDone(const registry::LoadSlot &Slot) const;
   bool ownsSlot(const registry::LoadSlot &Slot) const;
-  bool isSlotFree(const TargetId &Target) const;
+  /// The slots of other targets than one.
+  struct OtherSlots {
+    uint32_t Count = 0;
+    uint32_t Unreachable = 0;
+  };
+  OtherSlots slotsOfOthers(const TargetId &Target, Timestamp Now) const;
+  bool holdsUnreachableTarget(const ForeignSlot &Item, Timestamp Now) const;
+  uint32_t maxLoadsFor(const TargetId &Target, Timestamp Now) const;
+  bool isSlotFree(const TargetId &Target, Timestamp Now) const;
   bool hasForeignSlot(const TargetId &Target) const;
   bool hasInheritedSlot(const TargetId &Target) const;
   bool mustConfirmLoad(const TargetId &Target) const;
--- a/Tests/LibControl/TestRollout.cpp
+++ b/Tests/LibControl/TestRollout.cpp
@@ -9,11 +9,11 @@
 using namespace ferry::control;
 using namespace std::chrono_literals;
 
-/// Time from the naming of weights from which requests may not begin on older
-/// ones.
-static constexpr Duration WeightsDeadline = 12s;
-/// Time with a working holder after which all engines must have the weights.
-static constexpr Duration RolloutDeadline = 17s;
+/// The strictest bounds of the users' deployments: the time from the naming of
+/// weights from which requests may not begin on older ones, and the time with a
+/// working holder after which all engines must have them.
+static constexpr Duration WeightsDeadline = 10s;
+static constexpr Duration RolloutDeadline = 14s;
 static constexpr Duration NamedAt = 3s;
 
 // A holder that is killed in each term shorter than the settle time never ended
@@ -23,7 +23,7 @@
   World.killHolder(4s, 5600ms);
   World.killHolder(13s, 14300ms);
   World.killHolder(21700ms, 23s);
-  World.runUntil(NamedAt + WeightsDeadline);
+  World.runUntil(NamedAt + WeightsDeadline + 1600ms);
   BOOST_TEST(World.outdatedEngines() == 0);
   BOOST_TEST(World.MostLoads <= 3);
 }
