LibControl, ferryd: Read the states of inherited loads without an order

A new holder now asks with ConfirmWeights, which reads the engine's state and sends nothing: has the weights, busy, idle without them, or no answer. Only an idle engine gets a new load in place of the slot. Ages come from the log at each takeover, and nothing is planned before the copy of the log is as new as the lease. The two tests that expected orders at LeaseHeld alone now send the slots after it, as the dispatcher does; they check the same counts.

The engines' metric counts again what they announce; a wait of the rollout is logged if no engine got its weights for three seconds, whether or not orders fail meanwhile. TestRollout has the cases, with engines known over restarts and the limit as the control host sets it.

--- a/Libraries/LibControl/Reconciler.cpp
+++ b/Libraries/LibControl/Reconciler.cpp
@@ -10,16 +10,19 @@
 
 std::vector<ReconcilerEffect> Reconciler::step(const ReconcilerEvent &Event,
                                                Timestamp Now) {
+  Effects Out;
   match(
       Event, [&](const ViewChanged &Changed) { View = Changed.View; },
       [&](const LeaseHeld &Lease) { updateLease(Lease); },
       [&](const LeaseLost &) { HeldUntil = {}; },
-      [&](const OrderEnded &Ended) { receive(Ended, Now); },
+      [&](const OrderEnded &Ended) {
+        receive(Ended, Now);
+        receiveConfirmation(Ended, Now, Out);
+      },
       [&](const LoadSlotAnswered &Answer) { receive(Answer, Now); },
       [&](const ActiveLoadsUpdated &Update) { receive(Update, Now); },
       [](const Tick &) {});
-  Effects Out;
-  if (maySendOrders(Now))
+  if (maySendOrders(Now) && SlotsKnown)
     plan(Now, Out);
   return Out;
 }
@@ -27,8 +30,11 @@
 void Reconciler::updateLease(const LeaseHeld &Lease) {
   assert(Lease.Fencing >= Fencing);
   // Tasks of an earlier lease are dropped; their slots become foreign slots.
+  // The log says how old these and all others are.
   if (Lease.Fencing != Fencing) {
     Tasks.clear();
+    ForeignSlots.clear();
+    SlotsKnown = false;
     FailureHistories.clear();
     NextLoadSequence = 1;
   }
@@ -61,8 +67,14 @@
     recordLost(Work);
     return;
   }
+  if (Ended.Outcome == OrderOutcome::Busy)
+    return recordBusy(Work, Now);
   if (!Failed) {
-    recordReceivable(Work);
+    // Reading the state again shows what became of an accepted order.
+    if (readsState())
+      recordLost(Work);
+    else
+      recordReceivable(Work);
     return;
   }
   // The task ends and frees its slot, unless an earlier order of it may still
@@ -106,6 +118,17 @@
   Work.GiveUpAt = Work.OrderDeadline + loadTimeout();
 }
 
+/// Handles a target that carries out an order of another term or an earlier
+/// copy of this one: its slot stays taken, and its state is read again.
+void Reconciler::recordBusy(Task &Work, Timestamp Now) const {
+  Timestamp GiveUpBefore = Work.GiveUpAt;
+  recordReceivable(Work);
+  Work.GiveUpAt =
+      std::max(GiveUpBefore, std::min(Work.GiveUpAt, Work.BusyUntil));
+  Work.CurrentStage = Stage::Ready;
+  Work.SendNotBefore = Now + RefusalBackoff;
+}
+
 /// Handles an order that the target may or may not have received: it is resent
 /// up to MaxResends times. A target whose state is read first gets no second
 /// order for one that it has carried out, so that no delay is needed.
@@ -119,6 +142,36 @@
                        (readsState() ? RefusalBackoff : LostOrderResendDelay);
 }
 
+void Reconciler::receiveConfirmation(const OrderEnded &Ended, Timestamp Now,
+                                     Effects &Out) {
+  auto SlotIt = std::find_if(
+      ForeignSlots.begin(), ForeignSlots.end(),
+      [&](const ForeignSlot &Item) { return Item.ConfirmId == Ended.OrderId; });
+  if (SlotIt == ForeignSlots.end())
+    return;
+  SlotIt->ConfirmId = 0;
+  SlotIt->ConfirmAt = Now + RefusalBackoff;
+  switch (Ended.Outcome) {
+  case OrderOutcome::CarriedOut:
+    endLoad(LoadSlot(SlotIt->Slot), Now, Out);
+    ForeignSlots.back().Free = true;
+    break;
+  case OrderOutcome::Busy:
+    SlotIt->LastContact = Contact::Open;
+    SlotIt->ExpiresAt = std::max(
+        SlotIt->ExpiresAt, std::min(Now + loadTimeout(), SlotIt->BusyUntil));
+    break;
+  case OrderOutcome::Refused:
+    SlotIt->LastContact = Contact::Idle;
+    break;
+  case OrderOutcome::Accepted:
+  case OrderOutcome::NotSent:
+  case OrderOutcome::Lost:
+    SlotIt->LastContact = Contact::None;
+    break;
+  }
+}
+
 void Reconciler::receive(const LoadSlotAnswered &Answer, Timestamp Now) {
   auto TaskIt = Tasks.find(Answer.Slot.Target);
   if (TaskIt == Tasks.end() || TaskIt->second.Slot != Answer.Slot)
@@ -136,6 +189,7 @@
 }
 
 void Reconciler::receive(const ActiveLoadsUpdated &Update, Timestamp Now) {
+  SlotsKnown = Update.Fencing >= Fencing;
   std::vector<ForeignSlot> Updated;
   for (const registry::ActiveLoad &Load : Update.Active) {
     if (ownsSlot(Load.Slot))
@@ -152,9 +206,13 @@
     Timestamp TermEndedBy =
         Now - Opts.RenewInterval * static_cast<int64_t>(Load.LaterRenewals);
     Timestamp OrdersEndedBy = TermEndedBy + OrderTimeout;
-    Updated.push_back({Load.Slot, OrdersEndedBy + SettleTime,
-                       OrdersEndedBy + loadTimeout(), Now,
-                       Now + FirstAnnouncementTime});
+    ForeignSlot Inherited;
+    Inherited.Slot = Load.Slot;
+    Inherited.SettledAt = OrdersEndedBy + SettleTime;
+    Inherited.ExpiresAt = OrdersEndedBy + loadTimeout();
+    Inherited.AnnouncedBy = Now + FirstAnnouncementTime;
+    Inherited.BusyUntil = OrdersEndedBy + LoadTimeout;
+    Updated.push_back(Inherited);
   }
   ForeignSlots = std::move(Updated);
 }
@@ -162,6 +220,8 @@
 void Reconciler::plan(Timestamp Now, Effects &Out) {
   settleTasks(Now, Out);
   endForeignSlots(Now, Out);
+  if (readsState())
+    confirmInheritedSlots(Now, Out);
   startTasks(Now, Out);
   sendOrders(Now, Out);
 }
@@ -186,8 +246,7 @@
       View->Description->findService(Target.Service);
   if (!Service || Service->Kind != TargetKind::Engine)
     return std::nullopt;
-  if (Target.Model != Service->Model || weightsOf(Target) != Service->Weights ||
-      mustConfirmLoad(Target.Id))
+  if (Target.Model != Service->Model || weightsOf(Target) != Service->Weights)
     return LoadWeights{Service->Model, Service->Weights};
   if (Target.Adapter != Service->Adapter)
     return LoadAdapter{Service->Model, Service->Adapter};
@@ -283,8 +342,14 @@
   Out.push_back(EndLoad{Slot});
   std::erase_if(ForeignSlots,
                 [&](const ForeignSlot &Item) { return Item.Slot == Slot; });
-  ForeignSlots.push_back({Slot, Now, Now, Now + EndLoadResendDelay,
-                          NeverExpires, SlotOwner::Ending});
+  ForeignSlot Ending;
+  Ending.Slot = Slot;
+  Ending.SettledAt = Now;
+  Ending.ExpiresAt = Now;
+  Ending.ResendEndAt = Now + EndLoadResendDelay;
+  Ending.AnnouncedBy = NeverExpires;
+  Ending.Owner = SlotOwner::Ending;
+  ForeignSlots.push_back(Ending);
 }
 
 bool Reconciler::isLoadDone(const LoadSlot &Slot) const {
@@ -318,31 +383,50 @@
       [&](const ForeignSlot &Item) { return Item.Slot.Target == Target; });
 }
 
-bool Reconciler::hasInheritedSlot(const TargetId &Target) const {
-  return std::any_of(ForeignSlots.begin(), ForeignSlots.end(),
-                     [&](const ForeignSlot &Item) {
-                       return Item.Owner == SlotOwner::EarlierTerm &&
-                              Item.Slot.Target == Target;
-                     });
-}
-
-/// \returns whether the state of \p Target must be read before its slot of an
-/// earlier term is free. Announcements show that only after SettleTime, which
-/// starts anew with each holder.
-bool Reconciler::mustConfirmLoad(const TargetId &Target) const {
-  if (!readsState())
-    return false;
-  auto TaskIt = Tasks.find(Target);
-  if (TaskIt == Tasks.end())
-    return hasInheritedSlot(Target);
-  return TaskIt->second.ConfirmsLoad && !TaskIt->second.CarriedOut;
+const Reconciler::ForeignSlot *
+Reconciler::inheritedSlot(const TargetId &Target) const {
+  auto SlotIt = std::find_if(ForeignSlots.begin(), ForeignSlots.end(),
+                             [&](const ForeignSlot &Item) {
+                               return Item.Owner == SlotOwner::EarlierTerm &&
+                                      Item.Slot.Target == Target;
+                             });
+  return SlotIt == ForeignSlots.end() ? nullptr : &*SlotIt;
+}
+
+/// \returns whether an inherited slot of \p Target must be confirmed before the
+/// target gets an order. A new load takes the slot's place in the log and with
+/// it the slot's age, which would hold the slot of an unreachable target anew.
+bool Reconciler::awaitsConfirmation(const TargetId &Target) const {
+  const ForeignSlot *Inherited = inheritedSlot(Target);
+  return readsState() && Inherited && Inherited->LastContact != Contact::Idle;
+}
+
+/// Reads the states of the targets of inherited slots. Announcements show the
+/// end of such a load only after SettleTime.
+void Reconciler::confirmInheritedSlots(Timestamp Now, Effects &Out) {
+  for (ForeignSlot &Inherited : ForeignSlots) {
+    const TargetRecord *Record = findTarget(Inherited.Slot.Target);
+    if (Inherited.Owner != SlotOwner::EarlierTerm || !Record ||
+        Now >= Record->UsableUntil || Now < Inherited.ConfirmAt ||
+        Tasks.contains(Inherited.Slot.Target))
+      continue;
+    Inherited.ConfirmId = NextOrderId++;
+    // The sender's answer comes before that.
+    Inherited.ConfirmAt = Now + OrderTimeout + OrderTimeout;
+    Out.push_back(SendOrder{
+        Inherited.ConfirmId, Record->Id, Record->Incarnation, Record->Address,
+        ConfirmWeights{Record->Model, Inherited.Slot.Weights}, Fencing,
+        Now + OrderTimeout});
+  }
 }
 
 bool Reconciler::holdsUnreachableTarget(const ForeignSlot &Item,
                                         Timestamp Now) const {
+  if (Item.LastContact == Contact::None)
+    return true;
   const TargetRecord *Record = findTarget(Item.Slot.Target);
-  bool Usable = Record && isUsableEngine(*Record, Now);
-  return readsState() && !Usable && Now >= Item.AnnouncedBy;
+  bool Announced = Record && Now < Record->UsableUntil;
+  return readsState() && !Announced && Now >= Item.AnnouncedBy;
 }
 
 /// \returns the slots of other targets than \p Target. The slots of one target
@@ -378,7 +462,7 @@
   auto TaskIt = Tasks.find(Target);
   bool OwnsSlot = TaskIt != Tasks.end() && TaskIt->second.Slot;
   bool OthersUnreachable = Others.Count == Others.Unreachable;
-  if (OwnsSlot || hasInheritedSlot(Target) || OthersUnreachable)
+  if (OwnsSlot || inheritedSlot(Target) || OthersUnreachable)
     return std::max(Limit, Others.Count + 1);
   return Limit;
 }
@@ -409,9 +493,10 @@
   std::vector<const TargetRecord *> Engines;
   for (const TargetRecord &Target : View->Targets) {
     auto HistoryIt = FailureHistories.find(Target.Id);
-    bool MustWait =
-        Tasks.contains(Target.Id) || (HistoryIt != FailureHistories.end() &&
-                                      Now < HistoryIt->second.NotBefore);
+    bool MustWait = Tasks.contains(Target.Id) ||
+                    awaitsConfirmation(Target.Id) ||
+                    (HistoryIt != FailureHistories.end() &&
+                     Now < HistoryIt->second.NotBefore);
     if (!MustWait && isUsableEngine(Target, Now) && wantedOrder(Target))
       Engines.push_back(&Target);
   }
@@ -460,7 +545,6 @@
   if (hasForeignSlot(Target.Id)) {
     Work.PossiblyReceived = Task::OrderCount::Several;
     Work.ReceivableUntil = Now + OrderTimeout;
-    Work.ConfirmsLoad = hasInheritedSlot(Target.Id);
   }
   if (std::holds_alternative<LoadWeights>(Wanted))
     requestSlot(Target, Work, Now, Out);
@@ -479,6 +563,7 @@
     Work.PossiblyReceived = Task::OrderCount::Several;
   Work.GiveUpAt = Now + OrderTimeout + loadTimeout();
   uint32_t MaxLoads = maxLoadsFor(Target.Id, Now);
+  Work.BusyUntil = Now + OrderTimeout + LoadTimeout;
   Work.Slot = LoadSlot{Target.Id, Target.Incarnation, Wanted.Weights, Fencing,
                        NextLoadSequence++};
   Out.push_back(BeginLoad{*Work.Slot, MaxLoads});
@@ -537,7 +622,7 @@
     return RolloutWait::NoLease;
   if (!maySendOrders(Now))
     return RolloutWait::NotConfirmed;
-  if (Current.EnginesRight == Current.Engines || Current.OrdersUnderWay > 0)
+  if (Current.EnginesRight == Current.Engines)
     return RolloutWait::None;
   uint32_t SlotsTaken = Current.SlotsHeld + Current.SlotsInherited;
   return SlotsTaken >= View->Description->Limits.MaxWeightsLoads
--- a/Libraries/LibControl/Reconciler.h
+++ b/Libraries/LibControl/Reconciler.h
@@ -19,10 +19,9 @@
   Ending
 };
 
-/// Why engines lack the weights that they should have although no order is
-/// under way.
+/// What engines that lack their weights wait for.
 enum class RolloutWait : uint8_t {
-  /// Nothing is left to do, or an order is under way.
+  /// All engines have their weights.
   None,
   /// This host doesn't hold the order lease.
   NoLease,
@@ -30,8 +29,7 @@
   NotConfirmed,
   /// All slots of the log are taken.
   NoFreeSlot,
-  /// Each engine that lacks its weights waits for an answer of the log, for the
-  /// effect of an order, or for its next try.
+  /// An answer of the log, the effect of an order, or the next try.
   EnginesWait
 };
 
@@ -45,9 +43,9 @@
 /// at any time, also in a later incarnation of the target and after the
 /// description has changed again. Its slot therefore stays taken until the
 /// target announces those weights or LoadTimeout has passed; a new load of the
-/// same target replaces it. A holder takes over the slots of earlier terms by
-/// such a new load where the sender reads a target's state first: a target that
-/// already has the weights gets no order, and its slot is free at once. If a
+/// same target replaces it. Where the sender reads a target's state, a holder
+/// asks the targets of the slots of earlier terms at once: the slot of one that
+/// has the weights and is not busy is free. If a
 /// service has several engines, at least one of them is not being changed at
 /// any time.
 class Reconciler {
@@ -160,14 +158,13 @@
     Timestamp SendNotBefore;
     /// When the task is abandoned and planned again.
     Timestamp GiveUpAt;
+    /// A busy target does not keep its slot for longer than this.
+    Timestamp BusyUntil;
     uint32_t Resends = 0;
     /// The sender saw that the target has carried the order out.
     bool CarriedOut = false;
     /// The target may have received an order, and could not be reached since.
     bool Unreachable = false;
-    /// The target had a slot of an earlier term, so that its state is read even
-    /// if it announces the wanted weights.
-    bool ConfirmsLoad = false;
     /// Number of different orders that the target may have received in this
     /// task.
     enum class OrderCount : uint8_t {
@@ -191,6 +188,17 @@
     Timestamp NotBefore;
   };
 
+  /// What the target of an inherited slot answered when its state was read
+  /// last.
+  enum class Contact : uint8_t {
+    /// It was not asked yet, or carries out an order.
+    Open,
+    /// It lacks the weights and carries out no order.
+    Idle,
+    /// It gave no answer.
+    None
+  };
+
   /// A slot of the log that belongs to no task of this host.
   struct ForeignSlot {
     registry::LoadSlot Slot;
@@ -205,12 +213,21 @@
     /// The target has carried the order out, and EndLoad was proposed: the log
     /// frees the slot before it handles any later BeginLoad.
     bool Free = false;
+    /// The ConfirmWeights that is under way; 0 if there is none.
+    uint64_t ConfirmId = 0;
+    Timestamp ConfirmAt;
+    Contact LastContact = Contact::Open;
+    /// A busy target does not keep the slot for longer than this.
+    Timestamp BusyUntil;
   };
 
+  void receiveConfirmation(const OrderEnded &Ended, Timestamp Now,
+                           Effects &Out);
   void receive(const OrderEnded &Ended, Timestamp Now);
   void receive(const LoadSlotAnswered &Answer, Timestamp Now);
   void receive(const ActiveLoadsUpdated &Update, Timestamp Now);
   void updateLease(const LeaseHeld &Lease);
+  void recordBusy(Task &Work, Timestamp Now) const;
   void recordCarriedOut(const TargetId &Target, Task &Work, Timestamp Now);
   WeightsVersion weightsOf(const TargetRecord &Target) const;
 
@@ -228,6 +245,7 @@
   void finishTask(const TargetId &Target, const Task &Work, Timestamp Now,
                   Effects &Out);
   void endForeignSlots(Timestamp Now, Effects &Out);
+  void confirmInheritedSlots(Timestamp Now, Effects &Out);
   std::vector<const TargetRecord *> enginesToChange(Timestamp Now) const;
   void startTasks(Timestamp Now, Effects &Out);
   void startTask(const TargetRecord &Target, const Order &Wanted, Timestamp Now,
@@ -256,8 +274,8 @@
   uint32_t maxLoadsFor(const TargetId &Target, Timestamp Now) const;
   bool isSlotFree(const TargetId &Target, Timestamp Now) const;
   bool hasForeignSlot(const TargetId &Target) const;
-  bool hasInheritedSlot(const TargetId &Target) const;
-  bool mustConfirmLoad(const TargetId &Target) const;
+  const ForeignSlot *inheritedSlot(const TargetId &Target) const;
+  bool awaitsConfirmation(const TargetId &Target) const;
   bool mayChangeAnotherEngine(const ServiceId &Service, Timestamp Now) const;
 
   Options Opts;
@@ -267,6 +285,8 @@
   /// Orders may be sent before this time; the clock's epoch if the lease is not
   /// held.
   Timestamp HeldUntil;
+  /// The log's copy of the slots is at least as new as this host's lease.
+  bool SlotsKnown = false;
   std::map<TargetId, Task> Tasks;
   std::map<TargetId, FailureHistory> FailureHistories;
   std::vector<ForeignSlot> ForeignSlots;
--- a/Libraries/LibControl/ReconcilerEvents.h
+++ b/Libraries/LibControl/ReconcilerEvents.h
@@ -28,16 +28,27 @@
   bool operator==(const LoadAdapter &) const = default;
 };
 
+/// Order nothing, but report whether the engine has these weights or newer
+/// ones. Only for engines whose state the sender reads.
+struct ConfirmWeights {
+  ModelId Model;
+  WeightsVersion Weights;
+  bool operator==(const ConfirmWeights &) const = default;
+};
+
 /// An order to an engine.
-using Order = std::variant<LoadWeights, LoadAdapter>;
+using Order = std::variant<LoadWeights, LoadAdapter, ConfirmWeights>;
 
 /// How an order ended. Only the target's announcements show whether it took
 /// effect, except for CarriedOut.
 enum class OrderOutcome : uint8_t {
   /// The target accepted the order and carries it out.
   Accepted,
-  /// The target refused the order, for example for an old fencing number.
+  /// The target refused the order, for example for an old fencing number, or
+  /// lacks the weights of a ConfirmWeights and carries out no order.
   Refused,
+  /// The target carries out an order; no part of this one was sent.
+  Busy,
   /// No part of the order was sent.
   NotSent,
   /// No answer arrived before the deadline; the target may have received the
@@ -88,6 +99,8 @@
 /// log. Sent before each Tick.
 struct ActiveLoadsUpdated {
   std::vector<registry::ActiveLoad> Active;
+  /// Fencing number of the order lease in the same copy.
+  FencingNumber Fencing;
 };
 
 /// Time has passed. Sent once in each Reconciler::TickInterval.
@@ -131,11 +144,9 @@
 template <> struct EnumNames<control::OrderOutcome> {
   using Outcome = control::OrderOutcome;
   static constexpr EnumName<Outcome> Table[] = {
-      {Outcome::Accepted, "accepted"},
-      {Outcome::Refused, "refused"},
-      {Outcome::NotSent, "not_sent"},
-      {Outcome::Lost, "lost"},
-      {Outcome::CarriedOut, "carried_out"}};
+      {Outcome::Accepted, "accepted"}, {Outcome::Refused, "refused"},
+      {Outcome::Busy, "busy"},         {Outcome::NotSent, "not_sent"},
+      {Outcome::Lost, "lost"},         {Outcome::CarriedOut, "carried_out"}};
 };
 
 } // namespace ferry
--- a/Services/ferryd/OrderDispatcher.cpp
+++ b/Services/ferryd/OrderDispatcher.cpp
@@ -11,7 +11,7 @@
 /// Longest wait for the registry's answer about the slot of a load.
 static constexpr Duration SlotTimeout = std::chrono::seconds(3);
 /// A rollout that waits is logged after this, and again in each such interval.
-static constexpr Duration WaitLogInterval = std::chrono::seconds(2);
+static constexpr Duration WaitLogInterval = std::chrono::seconds(3);
 
 OrderDispatcher::OrderDispatcher(OrderDispatcherOptions Options,
                                  ControlLoop &Loop, RegistryGateway &Gateway,
@@ -56,7 +56,8 @@
   stepLease(LeaseTick{});
   if (Lease.isHeld(Now) && !Draining && Now >= FirstOrderAt)
     stepOrders(control::LeaseHeld{Lease.fencing(), Lease.heldUntil()});
-  stepOrders(control::ActiveLoadsUpdated{State.loads()});
+  stepOrders(control::ActiveLoadsUpdated{State.loads(),
+                                         State.lease(DeploymentLease).Fencing});
   stepOrders(control::Tick{});
   logSlots(Now);
   logWait(Now);
@@ -65,9 +66,12 @@
 
 void OrderDispatcher::logSlots(Timestamp Now) {
   using SlotStatus = control::Reconciler::SlotStatus;
-  std::vector<SlotStatus> Current;
-  if (Lease.isHeld(Now))
-    Current = Orders.slots();
+  // The end of the lease is logged by itself.
+  if (!Lease.isHeld(Now)) {
+    LoggedSlots.clear();
+    return;
+  }
+  std::vector<SlotStatus> Current = Orders.slots();
   auto Contains = [](const std::vector<SlotStatus> &Slots,
                      const SlotStatus &Item) {
     return std::any_of(Slots.begin(), Slots.end(), [&](const SlotStatus &Each) {
@@ -96,7 +100,10 @@
   control::Reconciler::Counts Counts = Orders.counts(Now);
   bool Waits =
       Counts.Wait != RolloutWait::None && Counts.Wait != RolloutWait::NoLease;
-  if (!Waits) {
+  uint32_t Outdated = Counts.Engines - Counts.EnginesRight;
+  bool Progressed = Outdated < LastOutdated;
+  LastOutdated = Outdated;
+  if (!Waits || Progressed) {
     LogWaitAt = Now + WaitLogInterval;
     return;
   }
@@ -148,6 +155,7 @@
           observe::logEvent(
               Severity::Info, "orders", "order_sent",
               {{"target", Request.Target}, {"order", orderBody(Request)}});
+          OrdersUnderWay[Request.OrderId] = Request.Target;
           recordLoadStart(Request);
           Sender.send(std::move(Request));
         },
@@ -167,13 +175,15 @@
 }
 
 void OrderDispatcher::orderEnded(const control::OrderEnded &Ended) {
+  auto Sent = OrdersUnderWay.extract(Ended.OrderId);
+  if (!Sent.empty())
+    observe::logEvent(Severity::Info, "orders", "order_ended",
+                      {{"target", Sent.mapped()},
+                       {"order_id", Ended.OrderId},
+                       {"outcome", Ended.Outcome}});
   auto Load = LoadsUnderWay.extract(Ended.OrderId);
   if (!Load.empty()) {
     routing::EngineChange &Change = Load.mapped();
-    observe::logEvent(Severity::Info, "orders", "order_ended",
-                      {{"target", Change.Target},
-                       {"weights", Change.Weights},
-                       {"outcome", Ended.Outcome}});
     Change.Loading = false;
     if (Ended.Outcome != control::OrderOutcome::CarriedOut)
       Change.Weights = {};
--- a/Services/ferryd/OrderDispatcher.h
+++ b/Services/ferryd/OrderDispatcher.h
@@ -62,8 +62,7 @@
   /// Logs the slots that were taken, were freed or changed their owner since
   /// the last call.
   void logSlots(Timestamp Now);
-  /// Logs that engines lack their weights and no order has been under way for a
-  /// while.
+  /// Logs that engines lack their weights and none has got them for a while.
   void logWait(Timestamp Now);
 
   ControlLoop &Loop;
@@ -78,9 +77,12 @@
   Duration LeaseLength;
   FencingCheck Fencing;
   EngineChangeCallback EngineChanged;
+  std::map<uint64_t, TargetId> OrdersUnderWay;
   /// Loads of weights under way, by the id of the order.
   std::map<uint64_t, routing::EngineChange> LoadsUnderWay;
   std::vector<control::Reconciler::SlotStatus> LoggedSlots;
+  /// Engines that lacked their weights at the last tick.
+  uint32_t LastOutdated = 0;
   /// When the wait of the rollout is logged next.
   Timestamp LogWaitAt;
   ControlLoop::TimerId Timer;
--- a/Services/ferryd/OrderSender.cpp
+++ b/Services/ferryd/OrderSender.cpp
@@ -41,6 +41,11 @@
         Body.set("order", "load_adapter");
         Body.set("model", Load.Model.Value);
         Body.set("adapter", Load.Adapter.Value);
+      },
+      [&](const control::ConfirmWeights &Wanted) {
+        Body.set("order", "confirm_weights");
+        Body.set("model", Wanted.Model.Value);
+        Body.set("weights", Wanted.Weights.Value);
       });
   std::ostringstream Text;
   Body.stringify(Text);
@@ -166,9 +171,17 @@
 
 static bool hasWeights(const EngineState &State,
                        const control::SendOrder &Request) {
-  const auto *Load = std::get_if<control::LoadWeights>(&Request.Order);
-  return Load && State.Model == Load->Model && State.Weights == Load->Weights &&
-         !State.Busy;
+  if (State.Busy)
+    return false;
+  return match(
+      Request.Order,
+      [&](const control::LoadWeights &Load) {
+        return State.Model == Load.Model && State.Weights == Load.Weights;
+      },
+      [&](const control::ConfirmWeights &Wanted) {
+        return State.Model == Wanted.Model && State.Weights >= Wanted.Weights;
+      },
+      [](const control::LoadAdapter &) { return false; });
 }
 
 bool OrderSender::pause(Duration Pause) {
@@ -189,13 +202,20 @@
 }
 
 OrderOutcome OrderSender::deliverAndWatch(const control::SendOrder &Request) {
+  bool OnlyReads =
+      std::holds_alternative<control::ConfirmWeights>(Request.Order);
   bool MayHaveArrived = false;
+  bool Busy = false;
   while (steadyNow() < Request.Deadline) {
     auto State = fetchState(Request, Request.Deadline);
-    if (!State)
+    if (!State) {
+      Busy = false;
       break;
+    }
     if (hasWeights(*State, Request))
       return OrderOutcome::CarriedOut;
+    if (OnlyReads)
+      return State->Busy ? OrderOutcome::Busy : OrderOutcome::Refused;
     // Each copy names the count of accepted orders, so the engine refuses a
     // delayed copy once another one was accepted.
     int Status =
@@ -204,11 +224,14 @@
       return watch(Request) ? OrderOutcome::CarriedOut : OrderOutcome::Accepted;
     if (Status == StatusPreconditionFailed || Status == StatusBadRequest)
       return OrderOutcome::Refused;
+    Busy = Status == StatusConflict;
     MayHaveArrived |= Status == 0;
     if (!pause(WatchPeriod))
       break;
   }
-  return MayHaveArrived ? OrderOutcome::Lost : OrderOutcome::NotSent;
+  if (MayHaveArrived)
+    return OrderOutcome::Lost;
+  return Busy ? OrderOutcome::Busy : OrderOutcome::NotSent;
 }
 
 } // namespace ferry::daemon
--- a/Tests/LibControl/ControlWorld.h
+++ b/Tests/LibControl/ControlWorld.h
@@ -221,7 +221,9 @@
     ControlHost.TickAt = Now + Reconciler::TickInterval;
     leaseStep(ControlHost, registry::LeaseTick{});
     decide(ControlHost, ViewChanged{viewOf(ControlHost)});
-    decide(ControlHost, ActiveLoadsUpdated{Log.loads()});
+    decide(ControlHost,
+           ActiveLoadsUpdated{Log.loads(),
+                              Log.lease(registry::DeploymentLease).Fencing});
     decide(ControlHost, Tick{});
   }
 
@@ -405,7 +407,8 @@
     match(
         Sent.Order,
         [&](const LoadWeights &Load) { startLoad(Target, Load.Weights.Value); },
-        [&](const LoadAdapter &Load) { Target.Adapter = Load.Adapter.Value; });
+        [&](const LoadAdapter &Load) { Target.Adapter = Load.Adapter.Value; },
+        [](const ConfirmWeights &) {});
     return OrderOutcome::Accepted;
   }
 
--- a/Tests/LibControl/RolloutWorld.h
+++ b/Tests/LibControl/RolloutWorld.h
@@ -43,6 +43,9 @@
     Engines[Index].AnswersFrom = Start + Until;
   }
 
+  /// Loads take this long, as engines that end their requests first do.
+  void setLoadTime(Duration Length) { LoadTime = Length; }
+
   void runUntil(Duration End) {
     for (; Now < Start + End; Now += Step)
       advance();
@@ -62,11 +65,9 @@
 private:
   static constexpr Duration AnnounceInterval = std::chrono::milliseconds(1200);
   static constexpr Duration RecordLifetime = std::chrono::seconds(5);
-  static constexpr Duration LoadTime = std::chrono::milliseconds(1100);
   static constexpr Duration CallTimeout = std::chrono::milliseconds(400);
   static constexpr Duration WatchLimit = std::chrono::seconds(4);
   static constexpr Duration RenewInterval = std::chrono::milliseconds(400);
-  static constexpr uint32_t MaxLoads = 3;
 
   struct Engine {
     uint64_t Weights = 1;
@@ -83,7 +84,6 @@
     uint64_t Renewals = 0;
     Timestamp RenewAt;
     Timestamp TickAt;
-    std::map<int, TargetRecord> Announced;
   };
 
   struct Pending {
@@ -155,7 +155,7 @@
       Target.Loading = false;
       Target.Weights = NewWeights;
     }
-    if (!Holder || (Now - Start).count() % AnnounceInterval.count() != 0)
+    if ((Now - Start).count() % AnnounceInterval.count() != 0)
       return;
     TargetRecord Record;
     Record.Id = {"engine-" + std::to_string(10 + Index)};
@@ -167,7 +167,7 @@
     Record.Weights = {Target.Weights};
     Record.Fencing = FencingCheck::Checked;
     Record.UsableUntil = Now + RecordLifetime;
-    Holder->Announced[Index] = Record;
+    Announced[Index] = Record;
   }
 
   void stepHolder() {
@@ -183,13 +183,13 @@
     }
     decide(ViewChanged{view()});
     decide(LeaseHeld{Holder->Fencing, Now + std::chrono::seconds(3)});
-    decide(ActiveLoadsUpdated{Log.loads()});
+    decide(ActiveLoadsUpdated{Log.loads(),
+                              Log.lease(registry::DeploymentLease).Fencing});
     decide(Tick{});
   }
 
   routing::RoutingViewPtr view() const {
     auto Described = std::make_shared<config::Description>();
-    Described->Limits.MaxWeightsLoads = MaxLoads;
     if (Now >= NamedAt) {
       config::Service Service;
       Service.Id = {"lm"};
@@ -200,9 +200,12 @@
     auto View = std::make_shared<routing::RoutingView>();
     View->Description = Described;
     View->ConfirmedUntil = Now + std::chrono::seconds(2);
-    for (const auto &[Index, Record] : Holder->Announced)
+    for (const auto &[Index, Record] : Announced)
       if (Now < Record.UsableUntil)
         View->Targets.push_back(Record);
+    // The limit follows the engines that are known, as the control host's does.
+    auto Engines = static_cast<uint32_t>(View->Targets.size());
+    Described->Limits.MaxWeightsLoads = std::max(2U, Engines / 4);
     return View;
   }
 
@@ -237,10 +240,13 @@
       return Report(CallTimeout, OrderOutcome::NotSent);
     if (Target.Weights == NewWeights)
       return Report(Step, OrderOutcome::CarriedOut);
-    if (!Target.Loading) {
-      Target.Loading = true;
-      Target.LoadedAt = Now + LoadTime;
-    }
+    if (std::holds_alternative<ConfirmWeights>(Sent.Order))
+      return Report(Step, Target.Loading ? OrderOutcome::Busy
+                                         : OrderOutcome::Refused);
+    if (Target.Loading)
+      return Report(Reconciler::OrderTimeout, OrderOutcome::Busy);
+    Target.Loading = true;
+    Target.LoadedAt = Now + LoadTime;
     if (Now < Target.AnswersFrom)
       return Report(Reconciler::OrderTimeout, OrderOutcome::Lost);
     bool Ends = Target.LoadedAt < Target.SilentFrom;
@@ -253,6 +259,9 @@
   Timestamp NamedAt;
   registry::OrderLeases Log;
   std::shared_ptr<HolderProcess> Holder;
+  /// The newest announcements; other hosts pass them on to a host that starts.
+  std::map<int, TargetRecord> Announced;
+  Duration LoadTime = std::chrono::milliseconds(1100);
   Incarnation HolderIncarnation;
   Engine Engines[EngineCount];
   std::vector<Pending> Queue;
--- a/Tests/LibControl/TestReconciler.cpp
+++ b/Tests/LibControl/TestReconciler.cpp
@@ -115,7 +115,8 @@
       Now + std::chrono::milliseconds(sample.ConfirmedMillis);
   HostReconciler.step(ViewChanged{Changed}, Now);
   Timestamp Until = Now + std::chrono::milliseconds(sample.LeaseMillis);
-  BOOST_TEST(ordersIn(HostReconciler.step(LeaseHeld{{1}, Until}, Now)) ==
+  HostReconciler.step(LeaseHeld{{1}, Until}, Now);
+  BOOST_TEST(ordersIn(HostReconciler.step(ActiveLoadsUpdated{{}, {1}}, Now)) ==
              sample.Orders);
 }
 
@@ -123,8 +124,8 @@
   Timestamp Now{std::chrono::seconds(100)};
   Reconciler HostReconciler;
   HostReconciler.step(viewOf(Now, FencingCheck::Checked, {1, 1, 1, 1}), Now);
-  auto Effects =
-      HostReconciler.step(LeaseHeld{{1}, Now + std::chrono::seconds(5)}, Now);
+  HostReconciler.step(LeaseHeld{{1}, Now + std::chrono::seconds(5)}, Now);
+  auto Effects = HostReconciler.step(ActiveLoadsUpdated{{}, {1}}, Now);
   BOOST_TEST(Effects.size() == 2u);
   BOOST_TEST(ordersIn(Effects) == 0);
   registry::LoadSlot Slot = std::get<BeginLoad>(Effects.at(0)).Slot;
@@ -133,6 +134,20 @@
                  LoadSlotAnswered{Slot, Verdict::Granted}, Now)) == 1);
 }
 
+// A holder whose copy of the log was older than its lease took the slots of the
+// earlier term for free.
+BOOST_AUTO_TEST_CASE(no_load_begins_before_the_slots_are_known) {
+  Timestamp Now{std::chrono::seconds(100)};
+  Reconciler HostReconciler;
+  HostReconciler.step(viewOf(Now, FencingCheck::Checked, {1, 1, 1, 1}), Now);
+  HostReconciler.step(ActiveLoadsUpdated{{}, {1}}, Now);
+  LeaseHeld Lease{{2}, Now + std::chrono::seconds(5)};
+  BOOST_TEST(HostReconciler.step(Lease, Now).empty());
+  BOOST_TEST(HostReconciler.step(ActiveLoadsUpdated{{}, {1}}, Now).empty());
+  BOOST_TEST(HostReconciler.step(ActiveLoadsUpdated{{}, {2}}, Now).size() ==
+             2u);
+}
+
 /// \returns the number of seeds; FERRY_LONG_SEEDS sets it for longer runs.
 static uint64_t seedCount() {
   const char *SeedsText = std::getenv("FERRY_LONG_SEEDS");
--- a/Tests/LibControl/TestRollout.cpp
+++ b/Tests/LibControl/TestRollout.cpp
@@ -28,6 +28,30 @@
   BOOST_TEST(World.MostLoads <= 3);
 }
 
+// With fewer engines known, the limit falls below the number of inherited
+// slots, so that none of them could be confirmed.
+BOOST_AUTO_TEST_CASE(inherited_slots_above_the_limit_are_confirmed) {
+  RolloutWorld World(NamedAt);
+  for (int Index = 9; Index < RolloutWorld::EngineCount; ++Index)
+    World.removeEngine(Index, NamedAt - 400ms);
+  World.killHolder(4s, 5600ms);
+  World.killHolder(13s, 14300ms);
+  World.runUntil(NamedAt + WeightsDeadline + 1600ms);
+  BOOST_TEST(World.outdatedEngines() == 0);
+  BOOST_TEST(World.MostLoads <= 3);
+}
+
+// Engines that were busy with an inherited load counted as unreachable, and
+// others loaded beside them.
+BOOST_AUTO_TEST_CASE(busy_engines_of_inherited_slots_count_against_the_limit) {
+  RolloutWorld World(NamedAt);
+  World.setLoadTime(3s);
+  World.killHolder(4s, 4600ms);
+  World.runUntil(NamedAt + RolloutDeadline + 600ms);
+  BOOST_TEST(World.outdatedEngines() == 0);
+  BOOST_TEST(World.MostLoads <= 3);
+}
+
 // Engines that are gone after a lost order held their slots for half a minute,
 // and longer by each order that could not be sent.
 BOOST_AUTO_TEST_CASE(a_rollout_goes_on_past_engines_that_are_gone) {
