--- a/Libraries/LibObserve/Log.cpp
+++ b/Libraries/LibObserve/Log.cpp
@@ -61,11 +61,14 @@
 }
 
 static void appendField(std::string &Line, const LogField &Field) {
+  if (std::holds_alternative<std::monostate>(Field.value()))
+    return;
   Line += ' ';
   Line += Field.key();
   Line += '=';
   match(
       Field.value(), [&](std::string_view Text) { appendText(Line, Text); },
+      [](std::monostate) {},
       [&](bool Flag) { Line += Flag ? "true" : "false"; },
       [&](auto Number) { Line += std::to_string(Number); });
 }
--- a/Libraries/LibObserve/Log.h
+++ b/Libraries/LibObserve/Log.h
@@ -8,6 +8,7 @@
 #include <concepts>
 #include <cstdint>
 #include <initializer_list>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -18,11 +19,12 @@
 /// log_level.
 enum class Severity : uint8_t { Debug, Info, Warning, Error };
 
-/// One "key=value" of a line. Texts are not copied, so a field must not outlive
-/// the call that it is passed to.
+/// One "key=value" of a line; it is left out if it has no value. Texts are not
+/// copied, so a field must not outlive the call that it is passed to.
 class LogField {
 public:
-  using Value = std::variant<std::string_view, int64_t, uint64_t, double, bool>;
+  using Value = std::variant<std::monostate, std::string_view, int64_t,
+                             uint64_t, double, bool>;
 
   LogField(std::string_view Key, std::string_view Text)
       : FieldKey(Key), FieldValue(Text) {}
@@ -49,6 +51,11 @@
   requires std::is_enum_v<EnumType> LogField(std::string_view Key,
                                              EnumType Enumerator)
       : LogField(Key, enumName(Enumerator)) {}
+  LogField(std::string_view Key, std::optional<int64_t> Number)
+      : FieldKey(Key) {
+    if (Number)
+      FieldValue = *Number;
+  }
 
   std::string_view key() const { return FieldKey; }
   const Value &value() const { return FieldValue; }
--- a/Libraries/LibRouting/RoutedCall.h
+++ b/Libraries/LibRouting/RoutedCall.h
@@ -60,6 +60,9 @@
   /// fetched.
   Duration Estimate = {};
   uint32_t CachedTokens = 0;
+  /// When the last request may begin on the target's weights; NeverExpires if
+  /// no newer ones are named.
+  Timestamp WeightsDeadline = NeverExpires;
 };
 
 /// Why a request is refused.
--- a/Libraries/LibRouting/RoutedPlacement.h
+++ b/Libraries/LibRouting/RoutedPlacement.h
@@ -79,7 +79,8 @@
   /// Applies weights that an operator has named. The control hosts repeat each
   /// name. While the repeats are missing, no control host can order engines to
   /// load newer weights, so the deadline of superseded weights does not run.
-  void applyNamedWeights(const NamedWeights &Version, Timestamp Now);
+  /// \returns whether the weights are newer than all that were known.
+  bool applyNamedWeights(const NamedWeights &Version, Timestamp Now);
 
   /// Applies a load of weights reported by the holder of the order lease.
   void applyEngineChange(const EngineChange &Change, Timestamp Now);
--- a/Libraries/LibRouting/RoutedPlacementChoice.cpp
+++ b/Libraries/LibRouting/RoutedPlacementChoice.cpp
@@ -249,7 +249,8 @@
                      isStored(Call, Best, PartState::Read, Now);
   if (Best.FetchFromStore || MayAskStore)
     Placed.FetchFrom = Best.Store->Address;
-  if (Now + FetchMargin >= weightsDeadline(Target, Now))
+  Placed.WeightsDeadline = weightsDeadline(Target, Now);
+  if (Now + FetchMargin >= Placed.WeightsDeadline)
     Placed.FetchFrom.clear();
   bool Save = shouldSave(Call, Best, Now);
   if (Save) {
--- a/Libraries/LibRouting/RoutedPlacementUpdates.cpp
+++ b/Libraries/LibRouting/RoutedPlacementUpdates.cpp
@@ -85,7 +85,7 @@
   Target.Parts.clear();
 }
 
-void RoutedPlacement::applyNamedWeights(const NamedWeights &Version,
+bool RoutedPlacement::applyNamedWeights(const NamedWeights &Version,
                                         Timestamp Now) {
   // The first names after the start set no NamesContinuousSince: the deadline
   // ran while this router was down, so the age in the message counts in full.
@@ -94,10 +94,11 @@
   LastNamesAt = Now;
   std::vector<NamedWeights> &Versions = NamedVersions[Version.Model];
   if (!Versions.empty() && Version.Weights <= Versions.back().Weights)
-    return;
+    return false;
   Versions.push_back(Version);
   if (Versions.size() > MaxNamedWeights)
     Versions.erase(Versions.begin());
+  return true;
 }
 
 } // namespace ferry::routing
--- a/Libraries/LibTraffic/RoutedContext.cpp
+++ b/Libraries/LibTraffic/RoutedContext.cpp
@@ -72,9 +72,9 @@
   return Placement.makeDigest();
 }
 
-void SharedPlacement::weightsNamed(const NamedWeights &Named) {
+bool SharedPlacement::weightsNamed(const NamedWeights &Named) {
   std::lock_guard Lock(Mutex);
-  Placement.applyNamedWeights(Named, steadyNow());
+  return Placement.applyNamedWeights(Named, steadyNow());
 }
 
 void SharedPlacement::engineChanged(const EngineChange &Change) {
--- a/Libraries/LibTraffic/RoutedContext.h
+++ b/Libraries/LibTraffic/RoutedContext.h
@@ -45,7 +45,8 @@
   /// \returns this router's digest for the other routers.
   routing::WorkDigest buildDigest();
   void engineChanged(const routing::EngineChange &Change);
-  void weightsNamed(const routing::NamedWeights &Named);
+  /// \returns whether the weights are newer than all that were known.
+  bool weightsNamed(const routing::NamedWeights &Named);
 
   routing::RoutedPlacement::Status status() const;
 
--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -437,6 +437,10 @@
 }
 
 void RoutedRelay::logPlaced(const PlacedCall &Destination) {
+  Timestamp Now = steadyNow();
+  std::optional<int64_t> WeightsDeadlineMillis;
+  if (Destination.WeightsDeadline != NeverExpires)
+    WeightsDeadlineMillis = millisUntil(Destination.WeightsDeadline, Now);
   observe::logEvent(
       Severity::Info, "routed", "placed",
       {{"target", Destination.Target},
@@ -448,7 +452,8 @@
        {"cached_tokens", Destination.CachedTokens},
        {"fetch_from", Destination.FetchFrom},
        {"estimate_ms", Destination.Estimate.count() / 1000},
-       {"deadline_ms", millisUntil(Call.Deadline, steadyNow())},
+       {"deadline_ms", millisUntil(Call.Deadline, Now)},
+       {"weights_deadline_ms", WeightsDeadlineMillis},
        {"attempt", Attempts}},
       Caller.Id);
 }
--- a/Services/ferryd/Daemon.cpp
+++ b/Services/ferryd/Daemon.cpp
@@ -54,8 +54,13 @@
       Front->placements().applyDigest(From, Digest);
   };
   Callbacks.WeightsNamed = [this](const routing::NamedWeights &Named) {
-    if (auto *Front = Routed ? Routed->front() : nullptr)
-      Front->placements().weightsNamed(Named);
+    auto *Front = Routed ? Routed->front() : nullptr;
+    if (Front && Front->placements().weightsNamed(Named))
+      observe::logEvent(
+          Severity::Info, "routed", "weights_known",
+          {{"model", Named.Model},
+           {"weights", Named.Weights},
+           {"age_ms", (steadyNow() - Named.Since).count() / 1000}});
   };
   Callbacks.EngineChanged = [this](const routing::EngineChange &Change) {
     if (auto *Front = Routed ? Routed->front() : nullptr)
--- a/Tests/LibObserve/TestObserve.cpp
+++ b/Tests/LibObserve/TestObserve.cpp
@@ -48,6 +48,15 @@
              "number=7 kind=warning");
 }
 
+BOOST_AUTO_TEST_CASE(a_field_without_a_value_is_left_out) {
+  std::optional<int64_t> Left = 3;
+  BOOST_TEST(lineOf({{"a", 1}, {"left_ms", Left}, {"b", 2}}) ==
+             "level=info module=m event=e a=1 left_ms=3 b=2");
+  Left.reset();
+  BOOST_TEST(lineOf({{"a", 1}, {"left_ms", Left}, {"b", 2}}) ==
+             "level=info module=m event=e a=1 b=2");
+}
+
 BOOST_AUTO_TEST_CASE(values_cannot_forge_fields_or_lines) {
   struct Case {
     std::string Value;
--- a/Tests/LibRouting/TestRoutedPlacement.cpp
+++ b/Tests/LibRouting/TestRoutedPlacement.cpp
@@ -543,6 +543,27 @@
       Router.place(Deployment.call(1), Deployment.Now)));
 }
 
+// The log must show how close to the deadline a request was placed, and each
+// naming once, although the control hosts repeat it.
+BOOST_AUTO_TEST_CASE(placements_tell_the_deadline_and_namings_are_new_once) {
+  TestDeployment Deployment(1);
+  RoutedPlacement Router = Deployment.router();
+  auto DeadlineOf = [&] {
+    PlacedCall Placed =
+        expectPlaced(Router.place(Deployment.call(1), Deployment.Now));
+    serve(Router, Placed, Deployment.Now);
+    return Placed.WeightsDeadline;
+  };
+  BOOST_TEST((DeadlineOf() == NeverExpires));
+  Timestamp NamedAt = Deployment.Now - 3s;
+  BOOST_TEST(Router.applyNamedWeights({Model, {2}, NamedAt}, Deployment.Now));
+  BOOST_TEST(!Router.applyNamedWeights({Model, {2}, NamedAt}, Deployment.Now));
+  BOOST_TEST(Router.applyNamedWeights({Model, {3}, NamedAt}, Deployment.Now));
+  BOOST_TEST(!Router.applyNamedWeights({Model, {2}, NamedAt}, Deployment.Now));
+  BOOST_TEST(
+      (DeadlineOf() == NamedAt + RoutedPlacement::Options().WeightsDeadline));
+}
+
 // All control hosts are lost after weights were named. The engines go on
 // serving, and the deadline counts from the time when control hosts can send
 // orders again.
