LibRegistry: Keep when weights were named, and the versions before them

NameWeights carries the wall clock of the leader that proposes it. The asking host's clock was ruled out: the leader also tells the age, and the clock of another host may be seconds ahead or behind, which would shorten the engines' time to load.

TestNamedVersions fails where the registry keeps the newest version without its time, as before (trial on this commit with a registry changed so): the versions after a restart, the kept history and the leader's time, 5 failures. It passes now, as do TestRegistrySchedule, TestClaims, TestLeases, TestChanges, TestRegistryClient and TestRegistryGateway.

--- a/Libraries/LibRegistry/Commands.cpp
+++ b/Libraries/LibRegistry/Commands.cpp
@@ -103,6 +103,7 @@
   wire::NameWeightsCommand Fields;
   Fields.Model = Value.Model.Value;
   Fields.Weights = toWire(Value.Weights.Value);
+  Fields.NamedAtMillis = Value.NamedAt.Value;
   return Fields;
 }
 
@@ -198,7 +199,8 @@
 }
 
 static Command fromFields(const wire::NameWeightsCommand &Fields) {
-  return NameWeights{{Fields.Model}, {fromWire(Fields.Weights)}};
+  return NameWeights{
+      {Fields.Model}, {fromWire(Fields.Weights)}, {Fields.NamedAtMillis}};
 }
 
 static tl::unexpected<RegistryError> invalid(std::string Detail) {
--- a/Libraries/LibRegistry/Commands.h
+++ b/Libraries/LibRegistry/Commands.h
@@ -29,6 +29,9 @@
 struct NameWeights {
   ModelId Model;
   WeightsVersion Weights;
+  /// The leader's wall clock when it proposed the command; RegistryServer sets
+  /// it. 0 if unknown.
+  UnixMillis NamedAt = {};
 };
 
 /// Claims a non-idempotent call for one attempt.
--- a/Libraries/LibRegistry/Registry.cpp
+++ b/Libraries/LibRegistry/Registry.cpp
@@ -33,14 +33,29 @@
 }
 
 Reply Registry::apply(const registry::NameWeights &Command) {
-  WeightsVersion &Newest = NamedWeights[Command.Model];
-  Newest = std::max(Newest, Command.Weights);
-  return WeightsNamed{Command.Model, Newest};
+  addNamedVersion(Command.Model, {Command.Weights, Command.NamedAt});
+  return WeightsNamed{Command.Model, namedWeights(Command.Model)};
+}
+
+void Registry::addNamedVersion(const ModelId &Model, NamedVersion Version) {
+  if (Version.Weights <= namedWeights(Model))
+    return;
+  std::vector<NamedVersion> &Versions = NamedVersions[Model];
+  Versions.push_back(Version);
+  if (Versions.size() > MaxNamedVersions)
+    Versions.erase(Versions.begin());
 }
 
 WeightsVersion Registry::namedWeights(const ModelId &Model) const {
-  auto ModelIt = NamedWeights.find(Model);
-  return ModelIt == NamedWeights.end() ? WeightsVersion{} : ModelIt->second;
+  auto ModelIt = NamedVersions.find(Model);
+  return ModelIt == NamedVersions.end() ? WeightsVersion{}
+                                        : ModelIt->second.back().Weights;
+}
+
+std::vector<NamedVersion> Registry::namedVersions(const ModelId &Model) const {
+  auto ModelIt = NamedVersions.find(Model);
+  return ModelIt == NamedVersions.end() ? std::vector<NamedVersion>()
+                                        : ModelIt->second;
 }
 
 std::string Registry::apply(uint64_t Index, std::string_view Command) {
@@ -60,12 +75,14 @@
   Descriptions.save(Snapshot);
   Claims.save(Snapshot);
   Leases.save(Snapshot);
-  for (const auto &[Model, Weights] : NamedWeights) {
-    wire::NamedWeightsFields Fields;
-    Fields.Model = Model.Value;
-    Fields.Weights = toWire(Weights.Value);
-    Snapshot.NamedWeights.push_back(std::move(Fields));
-  }
+  for (const auto &[Model, Versions] : NamedVersions)
+    for (const NamedVersion &Version : Versions) {
+      wire::NamedWeightsFields Fields;
+      Fields.Model = Model.Value;
+      Fields.Weights = toWire(Version.Weights.Value);
+      Fields.NamedAtMillis = Version.NamedAt.Value;
+      Snapshot.NamedWeights.push_back(std::move(Fields));
+    }
   return wire::encode(Snapshot);
 }
 
@@ -84,7 +101,8 @@
   Restored.Descriptions.load(*Decoded);
   Restored.Leases.load(*Decoded);
   for (const wire::NamedWeightsFields &Fields : Decoded->NamedWeights)
-    Restored.NamedWeights[{Fields.Model}] = {fromWire(Fields.Weights)};
+    Restored.addNamedVersion(
+        {Fields.Model}, {{fromWire(Fields.Weights)}, {Fields.NamedAtMillis}});
   Restored.AppliedIndex = fromWire(Decoded->AppliedIndex);
   *this = std::move(Restored);
   return {};
--- a/Libraries/LibRegistry/Registry.h
+++ b/Libraries/LibRegistry/Registry.h
@@ -10,10 +10,21 @@
 
 namespace ferry::registry {
 
+/// A version of weights that was named for a model.
+struct NamedVersion {
+  WeightsVersion Weights;
+  /// See NameWeights::NamedAt.
+  UnixMillis NamedAt;
+  bool operator==(const NamedVersion &) const = default;
+};
+
 /// Applies the committed commands of one log in order. It is deterministic and
 /// reads no clock: equal logs give equal states, replies and snapshots.
 class Registry {
 public:
+  /// Named versions that are kept for each model; equal on all replicas.
+  static constexpr size_t MaxNamedVersions = 16;
+
   /// \param Limits limits of the claim ledger; equal on all replicas of one
   /// log.
   explicit Registry(LedgerLimits Limits = {});
@@ -42,19 +53,25 @@
   const ClaimLedger &claims() const { return Claims; }
   /// \returns the newest weights named for \p Model, or version 0 if none were.
   WeightsVersion namedWeights(const ModelId &Model) const;
+  /// \returns the last MaxNamedVersions versions named for \p Model, oldest
+  /// first.
+  std::vector<NamedVersion> namedVersions(const ModelId &Model) const;
   OrderLease lease(std::string_view Name) const { return Leases.lease(Name); }
   const std::vector<LoadSlot> &loads() const { return Leases.loads(); }
 
 private:
   Reply applyDecoded(const Command &Value);
   Reply apply(const registry::NameWeights &Command);
+  /// Adds \p Version unless a version at least as great was named before.
+  void addNamedVersion(const ModelId &Model, NamedVersion Version);
 
   LedgerLimits Limits;
   uint64_t AppliedIndex = 0;
   DescriptionHistory Descriptions;
   ClaimLedger Claims;
   OrderLeases Leases;
-  std::map<ModelId, WeightsVersion> NamedWeights;
+  /// The versions of a model rise.
+  std::map<ModelId, std::vector<NamedVersion>> NamedVersions;
 };
 
 /// Computes the greatest description number that a control host's log can lead
--- a/Libraries/LibRegistry/RegistryServer.cpp
+++ b/Libraries/LibRegistry/RegistryServer.cpp
@@ -49,14 +49,20 @@
     return;
   }
   // Malformed commands and requests of unknown kinds never reach the log.
-  if (Request.Kind != wire::RequestKind::Propose ||
-      !tryDecodeCommand(Request.Command)) {
+  auto Decoded = tryDecodeCommand(Request.Command);
+  if (Request.Kind != wire::RequestKind::Propose || !Decoded) {
     wire::RegistryReply Reply =
         replyOf(Request.RequestNumber, wire::ReplyStatus::Answered);
     Reply.Answer = encodeReply(CommandInvalid{});
     Out.emplace_back(ServerReply{Received.From, std::move(Reply)});
     return;
   }
+  // The leader tells the age of a naming, so it is the leader's clock that
+  // dates it: the clock of another host may be seconds ahead or behind.
+  if (auto *Naming = std::get_if<NameWeights>(&*Decoded)) {
+    Naming->NamedAt = Received.ReceivedAt;
+    Request.Command = encodeCommand(*Naming);
+  }
   Pending[Token] = {Received.From, Request.RequestNumber};
   Out.emplace_back(ServerPropose{Token, std::move(Request.Command)});
 }
--- a/Libraries/LibRegistry/RegistryServer.h
+++ b/Libraries/LibRegistry/RegistryServer.h
@@ -14,6 +14,8 @@
 struct ServerRequestReceived {
   HostId From;
   wire::RegistryRequest Request;
+  /// This host's wall clock.
+  UnixMillis ReceivedAt = {};
 };
 
 /// The registry applied the command at \p Index with the reply \p Answer. Sent
--- a/Libraries/LibWire/Generated/Registry_types.cpp
+++ b/Libraries/LibWire/Generated/Registry_types.cpp
@@ -924,6 +924,10 @@
 void NameWeightsCommand::__set_Weights(const int64_t val) {
   this->Weights = val;
 }
+
+void NameWeightsCommand::__set_NamedAtMillis(const int64_t val) {
+  this->NamedAtMillis = val;
+}
 std::ostream& operator<<(std::ostream& out, const NameWeightsCommand& obj)
 {
   obj.printTo(out);
@@ -968,6 +972,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->NamedAtMillis);
+          this->__isset.NamedAtMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -993,6 +1005,10 @@
   xfer += oprot->writeI64(this->Weights);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("NamedAtMillis", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->NamedAtMillis);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1002,28 +1018,33 @@
   using ::std::swap;
   swap(a.Model, b.Model);
   swap(a.Weights, b.Weights);
+  swap(a.NamedAtMillis, b.NamedAtMillis);
   swap(a.__isset, b.__isset);
 }
 
 NameWeightsCommand::NameWeightsCommand(const NameWeightsCommand& other20) {
   Model = other20.Model;
   Weights = other20.Weights;
+  NamedAtMillis = other20.NamedAtMillis;
   __isset = other20.__isset;
 }
 NameWeightsCommand::NameWeightsCommand(NameWeightsCommand&& other21) noexcept {
   Model = std::move(other21.Model);
   Weights = other21.Weights;
+  NamedAtMillis = other21.NamedAtMillis;
   __isset = other21.__isset;
 }
 NameWeightsCommand& NameWeightsCommand::operator=(const NameWeightsCommand& other22) {
   Model = other22.Model;
   Weights = other22.Weights;
+  NamedAtMillis = other22.NamedAtMillis;
   __isset = other22.__isset;
   return *this;
 }
 NameWeightsCommand& NameWeightsCommand::operator=(NameWeightsCommand&& other23) noexcept {
   Model = std::move(other23.Model);
   Weights = other23.Weights;
+  NamedAtMillis = other23.NamedAtMillis;
   __isset = other23.__isset;
   return *this;
 }
@@ -1032,6 +1053,7 @@
   out << "NameWeightsCommand(";
   out << "Model=" << to_string(Model);
   out << ", " << "Weights=" << to_string(Weights);
+  out << ", " << "NamedAtMillis=" << to_string(NamedAtMillis);
   out << ")";
 }
 
@@ -4058,6 +4080,10 @@
 void NamedWeightsFields::__set_Weights(const int64_t val) {
   this->Weights = val;
 }
+
+void NamedWeightsFields::__set_NamedAtMillis(const int64_t val) {
+  this->NamedAtMillis = val;
+}
 std::ostream& operator<<(std::ostream& out, const NamedWeightsFields& obj)
 {
   obj.printTo(out);
@@ -4102,6 +4128,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->NamedAtMillis);
+          this->__isset.NamedAtMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4127,6 +4161,10 @@
   xfer += oprot->writeI64(this->Weights);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("NamedAtMillis", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->NamedAtMillis);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4136,28 +4174,33 @@
   using ::std::swap;
   swap(a.Model, b.Model);
   swap(a.Weights, b.Weights);
+  swap(a.NamedAtMillis, b.NamedAtMillis);
   swap(a.__isset, b.__isset);
 }
 
 NamedWeightsFields::NamedWeightsFields(const NamedWeightsFields& other109) {
   Model = other109.Model;
   Weights = other109.Weights;
+  NamedAtMillis = other109.NamedAtMillis;
   __isset = other109.__isset;
 }
 NamedWeightsFields::NamedWeightsFields(NamedWeightsFields&& other110) noexcept {
   Model = std::move(other110.Model);
   Weights = other110.Weights;
+  NamedAtMillis = other110.NamedAtMillis;
   __isset = other110.__isset;
 }
 NamedWeightsFields& NamedWeightsFields::operator=(const NamedWeightsFields& other111) {
   Model = other111.Model;
   Weights = other111.Weights;
+  NamedAtMillis = other111.NamedAtMillis;
   __isset = other111.__isset;
   return *this;
 }
 NamedWeightsFields& NamedWeightsFields::operator=(NamedWeightsFields&& other112) noexcept {
   Model = std::move(other112.Model);
   Weights = other112.Weights;
+  NamedAtMillis = other112.NamedAtMillis;
   __isset = other112.__isset;
   return *this;
 }
@@ -4166,6 +4209,7 @@
   out << "NamedWeightsFields(";
   out << "Model=" << to_string(Model);
   out << ", " << "Weights=" << to_string(Weights);
+  out << ", " << "NamedAtMillis=" << to_string(NamedAtMillis);
   out << ")";
 }
 
--- a/Libraries/LibWire/Generated/Registry_types.h
+++ b/Libraries/LibWire/Generated/Registry_types.h
@@ -467,9 +467,10 @@
 std::ostream& operator<<(std::ostream& out, const ReplaceCommand& obj);
 
 typedef struct _NameWeightsCommand__isset {
-  _NameWeightsCommand__isset() : Model(false), Weights(false) {}
+  _NameWeightsCommand__isset() : Model(false), Weights(false), NamedAtMillis(false) {}
   bool Model :1;
   bool Weights :1;
+  bool NamedAtMillis :1;
 } _NameWeightsCommand__isset;
 
 class NameWeightsCommand : public virtual ::apache::thrift::TBase {
@@ -481,12 +482,14 @@
   NameWeightsCommand& operator=(NameWeightsCommand&&) noexcept;
   NameWeightsCommand() noexcept
                      : Model(),
-                       Weights(0) {
+                       Weights(0),
+                       NamedAtMillis(0) {
   }
 
   virtual ~NameWeightsCommand() noexcept;
   std::string Model;
   int64_t Weights;
+  int64_t NamedAtMillis;
 
   _NameWeightsCommand__isset __isset;
 
@@ -494,12 +497,16 @@
 
   void __set_Weights(const int64_t val);
 
+  void __set_NamedAtMillis(const int64_t val);
+
   bool operator == (const NameWeightsCommand & rhs) const
   {
     if (!(Model == rhs.Model))
       return false;
     if (!(Weights == rhs.Weights))
       return false;
+    if (!(NamedAtMillis == rhs.NamedAtMillis))
+      return false;
     return true;
   }
   bool operator != (const NameWeightsCommand &rhs) const {
@@ -1718,9 +1725,10 @@
 std::ostream& operator<<(std::ostream& out, const LowWaterReply& obj);
 
 typedef struct _NamedWeightsFields__isset {
-  _NamedWeightsFields__isset() : Model(false), Weights(false) {}
+  _NamedWeightsFields__isset() : Model(false), Weights(false), NamedAtMillis(false) {}
   bool Model :1;
   bool Weights :1;
+  bool NamedAtMillis :1;
 } _NamedWeightsFields__isset;
 
 class NamedWeightsFields : public virtual ::apache::thrift::TBase {
@@ -1732,12 +1740,14 @@
   NamedWeightsFields& operator=(NamedWeightsFields&&) noexcept;
   NamedWeightsFields() noexcept
                      : Model(),
-                       Weights(0) {
+                       Weights(0),
+                       NamedAtMillis(0) {
   }
 
   virtual ~NamedWeightsFields() noexcept;
   std::string Model;
   int64_t Weights;
+  int64_t NamedAtMillis;
 
   _NamedWeightsFields__isset __isset;
 
@@ -1745,12 +1755,16 @@
 
   void __set_Weights(const int64_t val);
 
+  void __set_NamedAtMillis(const int64_t val);
+
   bool operator == (const NamedWeightsFields & rhs) const
   {
     if (!(Model == rhs.Model))
       return false;
     if (!(Weights == rhs.Weights))
       return false;
+    if (!(NamedAtMillis == rhs.NamedAtMillis))
+      return false;
     return true;
   }
   bool operator != (const NamedWeightsFields &rhs) const {
--- a/Libraries/LibWire/Idl/Registry.thrift
+++ b/Libraries/LibWire/Idl/Registry.thrift
@@ -36,6 +36,8 @@
 struct NameWeightsCommand {
   1: string Model
   2: i64 Weights
+  // The leader's wall clock in milliseconds since the Unix epoch; 0 if unknown.
+  3: i64 NamedAtMillis
 }
 
 struct ClaimCommand {
@@ -200,6 +202,8 @@
 struct NamedWeightsFields {
   1: string Model
   2: i64 Weights
+  // As in NameWeightsCommand; used in snapshots only.
+  3: i64 NamedAtMillis
 }
 
 // Exactly one field is set.
@@ -288,5 +292,6 @@
   11: list<LoadSlotFields> Loads
   12: i64 LoadFencing
   13: i64 LoadSequence
+  // The versions of a model are in rising order.
   14: list<NamedWeightsFields> NamedWeights
 }
--- a/Services/ferryd/RegistryNode.cpp
+++ b/Services/ferryd/RegistryNode.cpp
@@ -40,7 +40,7 @@
 
 void RegistryNode::receiveRequest(const HostId &From,
                                   wire::RegistryRequest Request) {
-  step(ServerRequestReceived{From, std::move(Request)});
+  step(ServerRequestReceived{From, std::move(Request), unixNow()});
 }
 
 DescriptionNumber RegistryNode::greatestNumber() const {
