LibControl, ferryd: Count a naming's age from the naming, over restarts too

The deadline of an engine starts at the first weights newer than its own, and after the restart only the newest were known.

NamingTimes takes the versions and times that the log now keeps, and converts each time once to the monotonic clock, so that a later step of the wall clock moves no deadline. An unknown time, and one ahead of the clock, count as now; a version is at least as old as the next one. The age no longer wraps in messages after 25 days, which a time from the log would reach sooner than a process did.

--- a/Libraries/LibWire/Idl/Routing.thrift
+++ b/Libraries/LibWire/Idl/Routing.thrift
@@ -49,7 +49,7 @@
 struct NamedWeights {
   1: string Model
   2: i64 Weights
-  // Since the sender learnt of them.
+  // Time since the naming.
   3: i32 AgeMillis
 }
 
--- a/Services/ferryd/ControlPlane.cpp
+++ b/Services/ferryd/ControlPlane.cpp
@@ -376,16 +376,9 @@
        Holder.routes()->services()) {
     if (!RoutedService.Engine)
       continue;
-    for (const ModelId &Model : RoutedService.Engine->Models) {
-      WeightsVersion Weights = Node->state().namedWeights(Model);
-      auto &History = NamedWeightsByModel[Model];
-      bool Newer = History.empty() ? Weights.Value > 0
-                                   : Weights > History.back().Weights;
-      if (Newer)
-        History.push_back({Model, Weights, steadyNow()});
-      if (History.size() > routing::MaxNamedWeights)
-        History.erase(History.begin());
-    }
+    for (const ModelId &Model : RoutedService.Engine->Models)
+      Namings.update(Model, Node->state().namedVersions(Model), unixNow(),
+                     steadyNow());
   }
 }
 
--- a/Services/ferryd/ControlPlane.h
+++ b/Services/ferryd/ControlPlane.h
@@ -4,6 +4,7 @@
 #ifndef FERRY_FERRYD_CONTROLPLANE_H
 #define FERRY_FERRYD_CONTROLPLANE_H
 
+#include "LibControl/NamingTimes.h"
 #include "LibMembership/Confirmation.h"
 #include "LibMembership/Membership.h"
 #include "LibObserve/Metrics.h"
@@ -180,9 +181,8 @@
   observe::Metrics Metrics;
   ControlLoop::TimerId TickTimer;
   ControlLoop::TimerId DigestTimer;
-  /// The weights named for each model, the oldest first, and when this host
-  /// learned of them.
-  std::map<ModelId, std::vector<routing::NamedWeights>> NamedWeightsByModel;
+  /// The weights named for the models of the routes, and when.
+  control::NamingTimes Namings;
   Timestamp ResendNamedWeightsAt;
   /// Earliest time to reopen a log that stopped at a failure of its disk.
   Timestamp ReopenLogAt;
--- a/Services/ferryd/ControlPlaneRouting.cpp
+++ b/Services/ferryd/ControlPlaneRouting.cpp
@@ -106,21 +106,19 @@
 void ControlPlane::broadcastNamedWeights() {
   Timestamp Now = steadyNow();
   ResendNamedWeightsAt = Now + NamedWeightsResendInterval;
-  if (!Node->log().isLeader() || NamedWeightsByModel.empty())
+  if (!Node->log().isLeader())
     return;
   wire::EngineChanges Message;
   // Sends the whole history: the deadline of an engine starts when the first
   // newer weights than its own were named, also for a router that has just
   // started.
-  for (const auto &[Model, History] : NamedWeightsByModel)
-    for (const routing::NamedWeights &Named : History) {
-      wire::NamedWeights Fields;
-      Fields.Model = Model.Value;
-      Fields.Weights = static_cast<int64_t>(Named.Weights.Value);
-      Fields.AgeMillis =
-          static_cast<int32_t>((Now - Named.Since).count() / 1000);
-      Message.Named.push_back(std::move(Fields));
-    }
+  for (const routing::NamedWeights &Named : Namings.all()) {
+    wire::NamedWeights Fields;
+    Fields.Model = Named.Model.Value;
+    Fields.Weights = static_cast<int64_t>(Named.Weights.Value);
+    Fields.AgeMillis = control::ageMillis(Named, Now);
+    Message.Named.push_back(std::move(Fields));
+  }
   if (Message.Named.empty())
     return;
   sendToRouters(std::move(Message));
