LibRouting: Suspend the deadline of weights in gaps instead of restarting it

Routers that had heard no named weights for two seconds let the deadline of superseded weights begin anew with the next message, and had none in between. Control hosts that failed again within twelve seconds kept it from ever coming, and engines past it were used again as soon as all control hosts were gone.

--- a/Libraries/LibRouting/RoutedPlacement.cpp
+++ b/Libraries/LibRouting/RoutedPlacement.cpp
@@ -102,9 +102,15 @@
 Timestamp RoutedPlacement::weightsDeadline(const RoutedTarget &Target,
                                            Timestamp Now) const {
   Timestamp Since = supersededSince(Target, Now);
-  if (Since == NeverExpires || !LastNamesAt || Now > *LastNamesAt + MaxNamesGap)
+  if (Since == NeverExpires)
     return NeverExpires;
-  return std::max(Since, NamesContinuousSince) + Opts.WeightsDeadline;
+  return Since + Opts.WeightsDeadline + namesGap(Now);
+}
+
+Duration RoutedPlacement::namesGap(Timestamp Now) const {
+  if (!LastNamesAt || Now <= *LastNamesAt + MaxNamesGap)
+    return Duration::zero();
+  return Now - *LastNamesAt;
 }
 
 bool RoutedPlacement::noteLeaving(const TargetId &Target, Incarnation Leaving) {
--- a/Libraries/LibRouting/RoutedPlacement.h
+++ b/Libraries/LibRouting/RoutedPlacement.h
@@ -239,6 +239,8 @@
   Timestamp supersededSince(const RoutedTarget &Target, Timestamp Now) const;
   /// When the last request may begin on the target's weights.
   Timestamp weightsDeadline(const RoutedTarget &Target, Timestamp Now) const;
+  /// \returns the time without names if it is longer than MaxNamesGap; else 0.
+  Duration namesGap(Timestamp Now) const;
   void addPeerWork(const std::vector<TargetWork> &Work, double Sign);
   void expirePeerDigests(Timestamp Now);
   void recordParts(const RoutedCall &Call, RoutedTarget &Target,
@@ -298,12 +300,11 @@
   /// the first description.
   uint64_t BytesPerToken = 0;
   double EngineLinkBits = 0;
-  /// The last MaxNamedWeights named weights of each model, oldest first.
+  /// The last MaxNamedWeights named weights of each model, oldest first. The
+  /// time without a working control host is added to Since.
   std::map<ModelId, std::vector<NamedWeights>> NamedVersions;
-  /// When names of weights last arrived, and since when they have arrived
-  /// without a gap longer than MaxNamesGap.
+  /// When names of weights last arrived.
   std::optional<Timestamp> LastNamesAt;
-  Timestamp NamesContinuousSince;
   std::unordered_map<uint64_t, SentCall> SentCalls;
   uint64_t NextPlacementId = 1;
 };
--- a/Libraries/LibRouting/RoutedPlacementUpdates.cpp
+++ b/Libraries/LibRouting/RoutedPlacementUpdates.cpp
@@ -87,10 +87,12 @@
 
 bool RoutedPlacement::applyNamedWeights(const NamedWeights &Version,
                                         Timestamp Now) {
-  // The first names after the start set no NamesContinuousSince: the deadline
-  // ran while this router was down, so the age in the message counts in full.
-  if (LastNamesAt && Now > *LastNamesAt + MaxNamesGap)
-    NamesContinuousSince = Now;
+  // A gap suspends the deadlines. The first names after the start end none: the
+  // deadline ran while this router was down, so their age counts in full.
+  if (Duration Gap = namesGap(Now); Gap > Duration::zero())
+    for (auto &[Model, Versions] : NamedVersions)
+      for (NamedWeights &Known : Versions)
+        Known.Since += Gap;
   LastNamesAt = Now;
   std::vector<NamedWeights> &Versions = NamedVersions[Version.Model];
   if (!Versions.empty() && Version.Weights <= Versions.back().Weights)
--- a/Tests/LibRouting/TestRoutedPlacement.cpp
+++ b/Tests/LibRouting/TestRoutedPlacement.cpp
@@ -584,6 +584,34 @@
       Router.place(Deployment.call(3), Deployment.Now)));
 }
 
+// Load pattern: the control hosts fail again and again. Each gap between their
+// messages started the deadline of superseded weights anew, so that it never
+// came.
+BOOST_AUTO_TEST_CASE(gaps_between_names_only_suspend_the_deadline_of_weights) {
+  TestDeployment Deployment(3);
+  RoutedPlacement Router = Deployment.router();
+  Timestamp NamedAt = Deployment.Now;
+  auto MayPlace = [&] {
+    Deployment.announceTo(Router);
+    auto Outcome = Router.place(Deployment.call(1), Deployment.Now);
+    if (auto *Placed = std::get_if<PlacedCall>(&Outcome))
+      serve(Router, *Placed, Deployment.Now);
+    return std::holds_alternative<PlacedCall>(Outcome);
+  };
+  for (int Round = 0; Round < 2; ++Round) {
+    for (int Count = 0; Count < 10; ++Count, Deployment.Now += 500ms)
+      Router.applyNamedWeights({Model, {2}, NamedAt}, Deployment.Now);
+    BOOST_TEST(MayPlace());
+    Deployment.Now += 3s;
+    BOOST_TEST(MayPlace());
+  }
+  for (int Count = 0; Count < 5; ++Count, Deployment.Now += 500ms)
+    Router.applyNamedWeights({Model, {2}, NamedAt}, Deployment.Now);
+  BOOST_TEST(!MayPlace());
+  Deployment.Now += 3s;
+  BOOST_TEST(!MayPlace());
+}
+
 BOOST_AUTO_TEST_CASE(an_unreachable_engine_is_avoided_and_tried_again) {
   TestDeployment Deployment(4);
   RoutedPlacement Router = Deployment.router();
