LibControl: Confirm weights that are announced after orders without an answer

Weights that were named again while loads had lost their answers left tasks with several orders: such a task trusts no announcement before the settle time, and sends nothing to an engine that announces the weights, so that its slot was held for ten seconds more although the engine can be read. Found by random schedules; with three such engines 6 of 12 lacked the weights 17 s after the second naming.

The task now asks the engine to confirm, and a confirmed inherited load is remembered, so that no order follows it for an announcement that is older.

--- a/Libraries/LibControl/Reconciler.cpp
+++ b/Libraries/LibControl/Reconciler.cpp
@@ -152,10 +152,15 @@
   SlotIt->ConfirmId = 0;
   SlotIt->ConfirmAt = Now + RefusalBackoff;
   switch (Ended.Outcome) {
-  case OrderOutcome::CarriedOut:
-    endLoad(LoadSlot(SlotIt->Slot), Now, Out);
+  case OrderOutcome::CarriedOut: {
+    LoadSlot Slot = SlotIt->Slot;
+    if (const TargetRecord *Record = findTarget(Slot.Target))
+      Observed[Slot.Target] = {Record->Incarnation, Slot.Weights,
+                               Now + SettleTime};
+    endLoad(Slot, Now, Out);
     ForeignSlots.back().Free = true;
     break;
+  }
   case OrderOutcome::Busy:
     SlotIt->LastContact = Contact::Open;
     SlotIt->ExpiresAt = std::max(
@@ -569,12 +574,32 @@
   Out.push_back(BeginLoad{*Work.Slot, MaxLoads});
 }
 
+/// \returns the order that \p Work sends now. A target that announces the
+/// wanted weights after orders without an answer is only asked to confirm them,
+/// which frees its slot before SettleTime.
+std::optional<Order> Reconciler::nextOrderFor(const TargetRecord &Target,
+                                              const Task &Work) const {
+  std::optional<Order> Wanted = wantedOrder(Target);
+  if (Wanted == Work.Order)
+    return Work.Order;
+  bool MayConfirm = readsState() && !Wanted && Work.Slot &&
+                    Work.PossiblyReceived != Task::OrderCount::None;
+  const config::Service *Service =
+      View->Description->findService(Target.Service);
+  if (!MayConfirm || !Service)
+    return std::nullopt;
+  return ConfirmWeights{Service->Model, Service->Weights};
+}
+
 void Reconciler::sendOrders(Timestamp Now, Effects &Out) {
   for (auto &[Target, Work] : Tasks) {
     const TargetRecord *Record = findTarget(Target);
     if (Work.CurrentStage != Stage::Ready || Now < Work.SendNotBefore ||
         !Record || Record->Incarnation != Work.Incarnation ||
-        Now >= Record->UsableUntil || wantedOrder(*Record) != Work.Order)
+        Now >= Record->UsableUntil)
+      continue;
+    std::optional<Order> Next = nextOrderFor(*Record, Work);
+    if (!Next)
       continue;
     Timestamp Deadline = Now + OrderTimeout;
     bool ChecksFencing = Record->Fencing == FencingCheck::Checked;
@@ -586,7 +611,7 @@
     OrdersEndBy = std::max(OrdersEndBy, Deadline);
     ++OrdersSent;
     Out.push_back(SendOrder{Work.OrderId, Target, Work.Incarnation,
-                            Record->Address, Work.Order, Fencing, Deadline});
+                            Record->Address, *Next, Fencing, Deadline});
   }
 }
 
--- a/Libraries/LibControl/Reconciler.h
+++ b/Libraries/LibControl/Reconciler.h
@@ -250,6 +250,8 @@
   void startTasks(Timestamp Now, Effects &Out);
   void startTask(const TargetRecord &Target, const Order &Wanted, Timestamp Now,
                  Effects &Out);
+  std::optional<Order> nextOrderFor(const TargetRecord &Target,
+                                    const Task &Work) const;
   void sendOrders(Timestamp Now, Effects &Out);
   void requestSlot(const TargetRecord &Target, Task &Work, Timestamp Now,
                    Effects &Out);
