Tests: Play slots that outlive their use or are ended too early, failing

Longer runs of TestRollout's random schedules showed three faults of slots for loads of weights, the first in the trace of a schedule that failed otherwise. Each case is a short schedule that shows one.

- Three engines are gone with their loads under way, and the holder is killed each 9 s.
A new holder counts an inherited slot's 11 s from its own start, and an engine that is gone can't be read: 9 of 9 engines lack the weights 30 s after their naming.
- Weights are named again while loads are under way whose answers are lost.
A task with several orders trusts no announcement before the settle time, and sends no order as the weights are announced, so that nothing reads the engine: its slot is held for 10 s more, and 6 of 12 engines lack the weights 17 s after the naming.
- A host that takes the lease over had counted a slot's time since the slot was granted, but its predecessor repeated the order 4 s later; the engine froze while it loaded, and a fourth load began 7 s after that order.

--- /dev/null
+++ b/Tests/LibControl/TestRolloutSlots.cpp
@@ -0,0 +1,57 @@
+/// \file
+/// Guards against slots for loads of weights that are held for too long or too
+/// short a time after a holder or an engine has failed.
+#include "LibControl/RolloutWorld.h"
+#include <boost/test/unit_test.hpp>
+
+using namespace ferry;
+using namespace ferry::control;
+using namespace std::chrono_literals;
+
+static constexpr Duration NamedAt = 3s;
+
+// A new holder counts the time of an inherited slot anew. If the engine is
+// gone, terms shorter than that time never end the slot.
+BOOST_AUTO_TEST_CASE(a_rollout_goes_on_past_gone_engines_with_short_terms) {
+  RolloutWorld World(NamedAt);
+  for (int Index = 0; Index < 3; ++Index) {
+    World.loseAnswers(Index, 20s);
+    World.removeEngine(Index, NamedAt + 900ms);
+  }
+  for (Duration Killed : {6s, 15s, 24s})
+    World.killHolder(Killed, Killed + 1s);
+  // 18 s in all, without the first 3 s after each start.
+  World.runUntil(33s);
+  BOOST_TEST(World.outdatedEngines() == 0);
+  BOOST_TEST(World.counts().MostLoads <= 3);
+}
+
+// After orders for two weights, of which the second had no answer, a slot
+// stayed taken until the settle time had passed, although the engine could be
+// reached and announced the weights.
+BOOST_AUTO_TEST_CASE(
+    a_second_naming_with_lost_answers_does_not_stop_a_rollout) {
+  RolloutWorld World(NamedAt);
+  for (int Index = 0; Index < 3; ++Index)
+    World.loseAnswers(Index, 20s);
+  Duration NamedAgainAt = NamedAt + 800ms;
+  World.nameNextAt(NamedAgainAt);
+  World.runUntil(NamedAgainAt + RolloutWorld::RolloutDeadline);
+  BOOST_TEST(World.outdatedEngines() == 0);
+  BOOST_TEST(World.counts().MostLoads <= 3);
+}
+
+// A host that takes the lease over counts the time of an inherited slot from
+// when the slot was granted. The earlier holder's last order under it can be
+// later, so that the slot of an engine that still loads is given to another
+// one.
+BOOST_AUTO_TEST_CASE(a_slot_outlasts_the_last_order_of_an_earlier_holder) {
+  RolloutWorld World(NamedAt);
+  World.loseOrders(0, 6600ms);
+  World.freezeEngine(0, 7500ms, 30s);
+  World.moveLease(9s);
+  World.nameNextAt(12s);
+  World.runUntil(17s);
+  // The engine is silent for 9.5 s, less than the settle time.
+  BOOST_TEST(World.counts().MostLoads <= 3);
+}
