--- a/Libraries/LibControl/Reconciler.cpp
+++ b/Libraries/LibControl/Reconciler.cpp
@@ -197,8 +197,13 @@
   SlotsKnown = Update.Fencing >= Fencing;
   std::vector<ForeignSlot> Updated;
   for (const registry::ActiveLoad &Load : Update.Active) {
-    if (ownsSlot(Load.Slot))
+    if (ownsSlot(Load.Slot)) {
+      // The answer to the request may be lost.
+      Task &Work = Tasks[Load.Slot.Target];
+      if (Work.CurrentStage == Stage::RequestingSlot)
+        Work.CurrentStage = Stage::Ready;
       continue;
+    }
     auto KnownSlot = std::find_if(
         ForeignSlots.begin(), ForeignSlots.end(),
         [&](const ForeignSlot &Item) { return Item.Slot == Load.Slot; });
--- a/Tests/LibControl/TestReconciler.cpp
+++ b/Tests/LibControl/TestReconciler.cpp
@@ -133,6 +133,19 @@
                  LoadSlotAnswered{Slot, Verdict::Granted}, Now)) == 1);
 }
 
+// A lost answer to the request for a slot left the slot unused for as long as
+// the request may take.
+BOOST_AUTO_TEST_CASE(a_load_begins_once_the_log_shows_its_slot) {
+  Timestamp Now{std::chrono::seconds(100)};
+  Reconciler HostReconciler;
+  HostReconciler.step(viewOf(Now, FencingCheck::Checked, {1, 1, 1, 1}), Now);
+  HostReconciler.step(LeaseHeld{{1}, Now + std::chrono::seconds(5)}, Now);
+  auto Effects = HostReconciler.step(ActiveLoadsUpdated{{}, {1}}, Now);
+  registry::LoadSlot Slot = std::get<BeginLoad>(Effects.at(0)).Slot;
+  BOOST_TEST(ordersIn(HostReconciler.step(ActiveLoadsUpdated{{{Slot}}, {1}},
+                                          Now)) == 1);
+}
+
 // A holder whose copy of the log was older than its lease took the slots of the
 // earlier term for free.
 BOOST_AUTO_TEST_CASE(no_load_begins_before_the_slots_are_known) {
