--- a/Services/ferryd/OrderDispatcher.cpp
+++ b/Services/ferryd/OrderDispatcher.cpp
@@ -11,7 +11,8 @@
 /// Longest wait for the registry's answer about the slot of a load.
 static constexpr Duration SlotTimeout = std::chrono::seconds(3);
 /// A rollout that waits is logged after this, and again in each such interval.
-static constexpr Duration WaitLogInterval = std::chrono::seconds(3);
+/// A load that is watched to its end takes less.
+static constexpr Duration WaitLogInterval = std::chrono::seconds(5);
 
 OrderDispatcher::OrderDispatcher(OrderDispatcherOptions Options,
                                  ControlLoop &Loop, RegistryGateway &Gateway,
