LibControl: Do not begin a slot's time anew with each naming

The end now counts from the last order that was sent. hung_engines_lose_their_slots_while_weights_are_named failed before: 12 engines with old weights, now the three hung ones. TestRollout and TestReconciler pass.

--- a/Libraries/LibControl/Reconciler.cpp
+++ b/Libraries/LibControl/Reconciler.cpp
@@ -134,6 +134,7 @@
 /// order for one that it has carried out, so that no delay is needed.
 void Reconciler::recordLost(Task &Work) const {
   recordReceivable(Work);
+  Work.BusyUntil = Work.OrderDeadline + LoadTimeout;
   if (Work.Resends >= (readsState() ? MaxResendsAfterRead : MaxResends))
     return;
   ++Work.Resends;
@@ -345,6 +346,7 @@
   Work.Order = Wanted;
   Work.CurrentStage = Stage::Ready;
   Work.GiveUpAt = Now + OrderTimeout + loadTimeout();
+  Work.BusyUntil = Now + OrderTimeout + LoadTimeout;
   // An order under the target's foreign slot may still be under way.
   if (hasForeignSlot(Target.Id)) {
     Work.PossiblyReceived = Task::OrderCount::Several;
@@ -365,9 +367,7 @@
   Work.Resends = 0;
   if (Work.PossiblyReceived != Task::OrderCount::None)
     Work.PossiblyReceived = Task::OrderCount::Several;
-  Work.GiveUpAt = Now + OrderTimeout + loadTimeout();
   uint32_t MaxLoads = maxLoadsFor(Target.Id, Now);
-  Work.BusyUntil = Now + OrderTimeout + LoadTimeout;
   Work.Slot = LoadSlot{Target.Id, Target.Incarnation, Wanted.Weights, Fencing,
                        NextLoadSequence++};
   Out.push_back(BeginLoad{*Work.Slot, MaxLoads});
--- a/Tests/LibControl/RolloutWorld.h
+++ b/Tests/LibControl/RolloutWorld.h
@@ -109,6 +109,11 @@
     AnswersFrom[Index] = Start + Until;
   }
 
+  /// Loads of the engine don't end.
+  void hangEngine(int Index) {
+    Engines[Index].setLoadTime(std::chrono::hours(1));
+  }
+
   /// Loads take this long, as those of engines that end their requests first.
   void setLoadTime(Duration Length) {
     for (WatchedEngine &Item : Engines)
--- a/Tests/LibControl/TestRolloutSlots.cpp
+++ b/Tests/LibControl/TestRolloutSlots.cpp
@@ -55,3 +55,15 @@
   // The engine is silent for 9.5 s, less than the settle time.
   BOOST_TEST(World.counts().MostLoads <= 3);
 }
+
+// Each naming of weights began the time of a busy engine's slot anew, so that
+// hung engines held all slots for as long as weights were named.
+BOOST_AUTO_TEST_CASE(hung_engines_lose_their_slots_while_weights_are_named) {
+  RolloutWorld World(NamedAt);
+  for (int Index = 0; Index < 3; ++Index)
+    World.hangEngine(Index);
+  for (Duration At = NamedAt + 8s; At < 36s; At += 8s)
+    World.nameNextAt(At);
+  World.runUntil(36s + RolloutWorld::RolloutDeadline);
+  BOOST_TEST(World.outdatedEngines() == 3);
+}
