LibControl: Let a load go on beside slots of engines that are forgotten

Found by the second review: no order goes to an engine whose announcements have ended, so that its slot was never seen as that of an engine that can't be reached, and stood for ten seconds with nothing beside it; a slot for which no order was sent stood as long. The first now counts as unreachable, the second is ended at once. a_rollout_goes_on_past_engines_that_are_forgotten failed before: 7 of 9 engines without the weights 14 s after the naming. TestRollout and TestReconciler pass.

--- a/Libraries/LibControl/Reconciler.cpp
+++ b/Libraries/LibControl/Reconciler.cpp
@@ -207,8 +207,11 @@
   if (Now >= Work.GiveUpAt || Work.CarriedOut)
     return NextAction::Finish;
   const TargetRecord *Record = findTarget(Target);
-  if (!Record)
-    return NextAction::Keep;
+  if (!Record) {
+    bool NothingSent = Work.CurrentStage == Stage::Ready &&
+                       Work.PossiblyReceived == Task::OrderCount::None;
+    return NothingSent ? NextAction::Finish : NextAction::Keep;
+  }
   if (Work.Slot)
     return nextActionForLoad(*Record, Work, Now);
   bool Outdated = Record->Incarnation > Work.Incarnation ||
--- a/Libraries/LibControl/Reconciler.h
+++ b/Libraries/LibControl/Reconciler.h
@@ -272,6 +272,7 @@
     uint32_t Unreachable = 0;
   };
   OtherSlots slotsOfOthers(const TargetId &Target, Timestamp Now) const;
+  bool isAnnounced(const TargetId &Target, Timestamp Now) const;
   bool holdsUnreachableTarget(const ForeignSlot &Item, Timestamp Now) const;
   uint32_t maxLoadsFor(const TargetId &Target, Timestamp Now) const;
   bool isSlotFree(const TargetId &Target, Timestamp Now) const;
--- a/Libraries/LibControl/ReconcilerSlots.cpp
+++ b/Libraries/LibControl/ReconcilerSlots.cpp
@@ -164,9 +164,13 @@
                                         Timestamp Now) const {
   if (Item.LastContact == Contact::None)
     return true;
-  const TargetRecord *Record = findTarget(Item.Slot.Target);
-  bool Announced = Record && Now < Record->UsableUntil;
-  return readsState() && !Announced && Now >= Item.AnnouncedBy;
+  return readsState() && Now >= Item.AnnouncedBy &&
+         !isAnnounced(Item.Slot.Target, Now);
+}
+
+bool Reconciler::isAnnounced(const TargetId &Target, Timestamp Now) const {
+  const TargetRecord *Record = findTarget(Target);
+  return Record && Now < Record->UsableUntil;
 }
 
 /// \returns the slots of other targets than \p Target. The slots of one target
@@ -178,7 +182,7 @@
     if (!Work.Slot || Id == Target)
       continue;
     ++Others.Count;
-    Others.Unreachable += Work.Unreachable;
+    Others.Unreachable += Work.Unreachable || !isAnnounced(Id, Now);
   }
   for (const ForeignSlot &Item : ForeignSlots) {
     if (Item.Free || Item.Slot.Target == Target ||
--- a/Tests/LibControl/RolloutWorld.h
+++ b/Tests/LibControl/RolloutWorld.h
@@ -109,6 +109,15 @@
     AnswersFrom[Index] = Start + Until;
   }
 
+  /// The hosts forget the engine's announcements at \p At.
+  void forgetEngine(int Index, Duration At) {
+    schedule(At, [this, Index] {
+      for (const auto &Process : Hosts)
+        if (Process)
+          Process->Announced.erase(Index);
+    });
+  }
+
   /// Loads of the engine don't end.
   void hangEngine(int Index) {
     Engines[Index].setLoadTime(std::chrono::hours(1));
--- a/Tests/LibControl/TestRolloutSlots.cpp
+++ b/Tests/LibControl/TestRolloutSlots.cpp
@@ -67,3 +67,17 @@
   World.runUntil(36s + RolloutWorld::RolloutDeadline);
   BOOST_TEST(World.outdatedEngines() == 3);
 }
+
+// Slots of engines whose announcements ended, to which no order could be sent
+// any more, were not seen as those of engines that can't be reached.
+BOOST_AUTO_TEST_CASE(a_rollout_goes_on_past_engines_that_are_forgotten) {
+  RolloutWorld World(NamedAt);
+  for (int Index = 0; Index < 3; ++Index) {
+    World.loseAnswers(Index, 20s);
+    World.removeEngine(Index, NamedAt + 900ms);
+    World.forgetEngine(Index, NamedAt + 1s);
+  }
+  World.runUntil(NamedAt + 14s);
+  BOOST_TEST(World.outdatedEngines() == 0);
+  BOOST_TEST(World.counts().MostLoads <= 3);
+}
