LibControl: Order engines with the oldest weights first, also after a failure

The rank now is weights first, failures second; a target that held a slot to its end is left alone for ten seconds instead, which leaves the slot to others. A load that was carried out ends the failures, also if newer weights were named meanwhile.

--- a/Libraries/LibControl/Reconciler.cpp
+++ b/Libraries/LibControl/Reconciler.cpp
@@ -267,13 +267,16 @@
 void Reconciler::finishTask(const TargetId &Target, const Task &Work,
                             Timestamp Now, Effects &Out) {
   const TargetRecord *Record = findTarget(Target);
-  if (Record && !wantedOrder(*Record)) {
+  if (Work.CarriedOut || (Record && !wantedOrder(*Record))) {
     FailureHistories.erase(Target);
   } else if (Now >= Work.GiveUpAt) {
     FailureHistory &TargetHistory = FailureHistories[Target];
     uint32_t Doublings = std::min(TargetHistory.Failures++, uint32_t{8});
     TargetHistory.NotBefore =
         Now + std::min(RefusalBackoff * (1 << Doublings), MaxRefusalBackoff);
+    // A target that held a slot to its end leaves time for a load of others.
+    if (Work.PossiblyReceived != Task::OrderCount::None)
+      TargetHistory.NotBefore = Now + LostLoadBackoff;
   }
   if (!Work.Slot)
     return;
@@ -309,16 +312,16 @@
       Engines.push_back(&Target);
   }
   auto Rank = [&](const TargetRecord *Target) {
-    auto HistoryIt = FailureHistories.find(Target->Id);
-    uint32_t Failures =
-        HistoryIt == FailureHistories.end() ? 0 : HistoryIt->second.Failures;
     // Engines with the oldest weights come first: if new weights are named
     // faster than all engines can load them, each engine is still updated in
-    // turn and skips superseded versions. Then idle engines come first, so that
-    // requests on busy ones have time to end.
+    // turn and skips superseded versions, also one that has failed. Then idle
+    // engines come first, so that requests on busy ones have time to end.
     uint64_t Busy =
         uint64_t(Target->Load.RunningRequests) + Target->Load.QueuedRequests;
-    return std::make_tuple(Failures, weightsOf(*Target), Busy, Target->Id);
+    auto HistoryIt = FailureHistories.find(Target->Id);
+    uint32_t Failures =
+        HistoryIt == FailureHistories.end() ? 0 : HistoryIt->second.Failures;
+    return std::make_tuple(weightsOf(*Target), Failures, Busy, Target->Id);
   };
   std::sort(Engines.begin(), Engines.end(),
             [&](const TargetRecord *Left, const TargetRecord *Right) {
--- a/Libraries/LibControl/Reconciler.h
+++ b/Libraries/LibControl/Reconciler.h
@@ -78,6 +78,8 @@
   static constexpr Duration RefusalBackoff = std::chrono::milliseconds(500);
   /// The delay doubles with each failure up to this.
   static constexpr Duration MaxRefusalBackoff = std::chrono::seconds(4);
+  /// Delay after a load whose slot ended without a sign of the target.
+  static constexpr Duration LostLoadBackoff = std::chrono::seconds(10);
   /// Delay before EndLoad is repeated.
   static constexpr Duration EndLoadResendDelay = std::chrono::seconds(1);
 
@@ -182,7 +184,7 @@
     Timestamp Until;
   };
 
-  /// Failed changes of a target. Targets with fewer failures are changed first.
+  /// Failed changes of a target since the last one that it carried out.
   struct FailureHistory {
     uint32_t Failures = 0;
     Timestamp NotBefore;
