--- a/Libraries/LibControl/NamingTimes.cpp
+++ b/Libraries/LibControl/NamingTimes.cpp
@@ -6,8 +6,8 @@
 
 /// \returns when a version was named by the monotonic clock. An unknown time,
 /// and one ahead of this host's clock, count as now: the deadline is then late
-/// by at most the true age. A leader's clock that was behind makes it early by
-/// as much.
+/// by at most the true age. It is early by as much as the leader's clock was
+/// behind at the naming or this host's clock is ahead.
 static Timestamp namedSince(UnixMillis NamedAt, UnixMillis WallNow,
                             Timestamp Now) {
   if (NamedAt.Value <= 0 || NamedAt >= WallNow)
--- a/Libraries/LibControl/Reconciler.cpp
+++ b/Libraries/LibControl/Reconciler.cpp
@@ -129,9 +129,10 @@
   Work.SendNotBefore = Now + RefusalBackoff;
 }
 
-/// Handles an order that the target may or may not have received: it is resent
-/// up to MaxResends times. A target whose state is read first gets no second
-/// order for one that it has carried out, so that no delay is needed.
+/// Handles an order that the target may have received and that was not seen to
+/// be carried out: it is sent again, a bounded number of times. A target whose
+/// state is read first gets no second order for one that it has carried out, so
+/// that no delay is needed.
 void Reconciler::recordLost(Task &Work) const {
   recordReceivable(Work);
   Work.BusyUntil = Work.OrderDeadline + LoadTimeout;
--- a/Libraries/LibControl/Reconciler.h
+++ b/Libraries/LibControl/Reconciler.h
@@ -21,7 +21,7 @@
 
 /// What engines that lack their weights wait for.
 enum class RolloutWait : uint8_t {
-  /// All engines have their weights.
+  /// All engines have what the description wants.
   None,
   /// This host doesn't hold the order lease.
   NoLease,
@@ -42,12 +42,12 @@
 /// slot in the log. An order that the target may have received can take effect
 /// at any time, also in a later incarnation of the target and after the
 /// description has changed again. Its slot therefore stays taken until the
-/// target announces those weights or LoadTimeout has passed; a new load of the
-/// same target replaces it. Where the sender reads a target's state, a holder
-/// asks the targets of the slots of earlier terms at once: the slot of one that
-/// has the weights and is not busy is free. If a
-/// service has several engines, at least one of them is not being changed at
-/// any time.
+/// target announces those weights or the load's time has passed, which is
+/// LoadTimeout, or SettleTime where the sender reads the target's state; a new
+/// load of the same target replaces it. Where the state is read, a holder asks
+/// the targets of the slots of earlier terms at once: the slot of one that has
+/// the weights and is not busy is free. If a service has several engines, at
+/// least one of them is not being changed by this term's orders at any time.
 class Reconciler {
 public:
   static constexpr Duration TickInterval = std::chrono::milliseconds(100);
@@ -114,7 +114,8 @@
     uint32_t EnginesRight = 0;
     uint32_t OrdersUnderWay = 0;
     uint32_t SlotsHeld = 0;
-    /// Slots of earlier terms that still count against the limit.
+    /// Slots that count against the limit and belong to no change of this term,
+    /// those that end just now included.
     uint32_t SlotsInherited = 0;
     RolloutWait Wait = RolloutWait::None;
     uint64_t OrdersSent = 0;
