--- a/Libraries/LibControl/Reconciler.cpp
+++ b/Libraries/LibControl/Reconciler.cpp
@@ -134,6 +134,7 @@
 /// order for one that it has carried out, so that no delay is needed.
 void Reconciler::recordLost(Task &Work) const {
   recordReceivable(Work);
+  Work.BusyUntil = Work.OrderDeadline + LoadTimeout;
   if (Work.Resends >= (readsState() ? MaxResendsAfterRead : MaxResends))
     return;
   ++Work.Resends;
@@ -206,8 +207,11 @@
   if (Now >= Work.GiveUpAt || Work.CarriedOut)
     return NextAction::Finish;
   const TargetRecord *Record = findTarget(Target);
-  if (!Record)
-    return NextAction::Keep;
+  if (!Record) {
+    bool NothingSent = Work.CurrentStage == Stage::Ready &&
+                       Work.PossiblyReceived == Task::OrderCount::None;
+    return NothingSent ? NextAction::Finish : NextAction::Keep;
+  }
   if (Work.Slot)
     return nextActionForLoad(*Record, Work, Now);
   bool Outdated = Record->Incarnation > Work.Incarnation ||
@@ -263,13 +267,16 @@
 void Reconciler::finishTask(const TargetId &Target, const Task &Work,
                             Timestamp Now, Effects &Out) {
   const TargetRecord *Record = findTarget(Target);
-  if (Record && !wantedOrder(*Record)) {
+  if (Work.CarriedOut || (Record && !wantedOrder(*Record))) {
     FailureHistories.erase(Target);
   } else if (Now >= Work.GiveUpAt) {
     FailureHistory &TargetHistory = FailureHistories[Target];
     uint32_t Doublings = std::min(TargetHistory.Failures++, uint32_t{8});
     TargetHistory.NotBefore =
         Now + std::min(RefusalBackoff * (1 << Doublings), MaxRefusalBackoff);
+    // A target that held a slot to its end leaves time for a load of others.
+    if (Work.PossiblyReceived != Task::OrderCount::None)
+      TargetHistory.NotBefore = Now + LostLoadBackoff;
   }
   if (!Work.Slot)
     return;
@@ -305,16 +312,16 @@
       Engines.push_back(&Target);
   }
   auto Rank = [&](const TargetRecord *Target) {
-    auto HistoryIt = FailureHistories.find(Target->Id);
-    uint32_t Failures =
-        HistoryIt == FailureHistories.end() ? 0 : HistoryIt->second.Failures;
     // Engines with the oldest weights come first: if new weights are named
     // faster than all engines can load them, each engine is still updated in
-    // turn and skips superseded versions. Then idle engines come first, so that
-    // requests on busy ones have time to end.
+    // turn and skips superseded versions, also one that has failed. Then idle
+    // engines come first, so that requests on busy ones have time to end.
     uint64_t Busy =
         uint64_t(Target->Load.RunningRequests) + Target->Load.QueuedRequests;
-    return std::make_tuple(Failures, weightsOf(*Target), Busy, Target->Id);
+    auto HistoryIt = FailureHistories.find(Target->Id);
+    uint32_t Failures =
+        HistoryIt == FailureHistories.end() ? 0 : HistoryIt->second.Failures;
+    return std::make_tuple(weightsOf(*Target), Failures, Busy, Target->Id);
   };
   std::sort(Engines.begin(), Engines.end(),
             [&](const TargetRecord *Left, const TargetRecord *Right) {
@@ -345,6 +352,7 @@
   Work.Order = Wanted;
   Work.CurrentStage = Stage::Ready;
   Work.GiveUpAt = Now + OrderTimeout + loadTimeout();
+  Work.BusyUntil = Now + OrderTimeout + LoadTimeout;
   // An order under the target's foreign slot may still be under way.
   if (hasForeignSlot(Target.Id)) {
     Work.PossiblyReceived = Task::OrderCount::Several;
@@ -365,9 +373,7 @@
   Work.Resends = 0;
   if (Work.PossiblyReceived != Task::OrderCount::None)
     Work.PossiblyReceived = Task::OrderCount::Several;
-  Work.GiveUpAt = Now + OrderTimeout + loadTimeout();
   uint32_t MaxLoads = maxLoadsFor(Target.Id, Now);
-  Work.BusyUntil = Now + OrderTimeout + LoadTimeout;
   Work.Slot = LoadSlot{Target.Id, Target.Incarnation, Wanted.Weights, Fencing,
                        NextLoadSequence++};
   Out.push_back(BeginLoad{*Work.Slot, MaxLoads});
