LibTraffic: Log how an answer was framed and what a stream left unfinished

'answered', 'attempt_failed' and 'stream_cut' now say with 'framing' how the answer told its end and with 'unfinished_bytes' what came behind the last whole event, also for streams that are relayed without splitting; ferry_streams_ended_inside_event_total counts the ends inside an event. EventBoundary is the one place that knows where an event ends; EventSplitter uses it. No decision changes.

--- a/Libraries/LibTraffic/BodyFraming.cpp
+++ b/Libraries/LibTraffic/BodyFraming.cpp
@@ -104,4 +104,11 @@
   return isComplete() || std::holds_alternative<CloseFraming>(Framing);
 }
 
+FramingKind BodyFraming::kind() const {
+  return match(
+      Framing, [](const LengthFraming &) { return FramingKind::Length; },
+      [](const ChunkFraming &) { return FramingKind::Chunks; },
+      [](const CloseFraming &) { return FramingKind::Connection; });
+}
+
 } // namespace ferry::traffic
--- a/Libraries/LibTraffic/BodyFraming.h
+++ b/Libraries/LibTraffic/BodyFraming.h
@@ -4,6 +4,7 @@
 #ifndef FERRY_LIBTRAFFIC_BODYFRAMING_H
 #define FERRY_LIBTRAFFIC_BODYFRAMING_H
 
+#include "LibCore/EnumNames.h"
 #include "LibCore/Result.h"
 #include "LibTraffic/TargetConnection.h"
 #include <string>
@@ -28,6 +29,9 @@
 /// The body ends with its connection.
 struct CloseFraming {};
 
+/// How the end of a body is told.
+enum class FramingKind : uint8_t { Length, Chunks, Connection };
+
 /// Decodes the raw bytes of a body piece by piece. Replaces the HTTP library's
 /// chunked stream, which ends in the same way after the last chunk and after a
 /// lost connection.
@@ -46,6 +50,7 @@
   bool isComplete() const;
   /// Whether the body is complete if its connection ends now.
   bool mayEndWithConnection() const;
+  FramingKind kind() const;
 
 private:
   LinkResult<void> decodeChunks(ChunkFraming &Chunks, std::string_view Raw,
@@ -57,4 +62,15 @@
 
 } // namespace ferry::traffic
 
+namespace ferry {
+
+template <> struct EnumNames<traffic::FramingKind> {
+  using Kind = traffic::FramingKind;
+  static constexpr EnumName<Kind> Table[] = {{Kind::Length, "length"},
+                                             {Kind::Chunks, "chunks"},
+                                             {Kind::Connection, "connection"}};
+};
+
+} // namespace ferry
+
 #endif
--- a/Libraries/LibTraffic/EventSplitter.cpp
+++ b/Libraries/LibTraffic/EventSplitter.cpp
@@ -27,27 +27,15 @@
 }
 
 std::optional<ServerEvent> EventSplitter::next() {
-  ServerEvent Event;
-  size_t LineStart = 0;
-  // No line before Scanned ends an event.
-  size_t LineEnd = Pending.find('\n', Scanned);
-  if (Scanned > 0)
-    LineStart = Scanned;
-  while (LineEnd != std::string::npos) {
-    std::string_view Line(Pending.data() + LineStart, LineEnd - LineStart);
-    if (Line.empty() || Line == "\r") {
-      Event.Raw = Pending.substr(0, LineEnd + 1);
-      Pending.erase(0, LineEnd + 1);
-      Scanned = 0;
-      break;
-    }
-    LineStart = LineEnd + 1;
-    LineEnd = Pending.find('\n', LineStart);
-  }
-  if (Event.Raw.empty()) {
-    Scanned = LineStart;
+  auto End = Boundary.readToEnd(std::string_view(Pending).substr(Scanned));
+  if (!End) {
+    Scanned = Pending.size();
     return std::nullopt;
   }
+  ServerEvent Event;
+  Event.Raw = Pending.substr(0, Scanned + *End);
+  Pending.erase(0, Scanned + *End);
+  Scanned = 0;
   std::string_view Unparsed(Event.Raw);
   while (!Unparsed.empty()) {
     size_t End = Unparsed.find('\n');
@@ -60,4 +48,9 @@
   return Event;
 }
 
+void EventSplitter::skip(std::string_view Piece) {
+  while (auto End = Boundary.readToEnd(Piece))
+    Piece.remove_prefix(*End);
+}
+
 } // namespace ferry::traffic
--- a/Libraries/LibTraffic/EventSplitter.h
+++ b/Libraries/LibTraffic/EventSplitter.h
@@ -3,6 +3,7 @@
 #ifndef FERRY_LIBTRAFFIC_EVENTSPLITTER_H
 #define FERRY_LIBTRAFFIC_EVENTSPLITTER_H
 
+#include "LibTraffic/EventBoundary.h"
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -20,8 +21,7 @@
   std::optional<uint64_t> Token;
 };
 
-/// Collects the pieces of a stream. Lines end with a line feed, with or without
-/// a carriage return before it.
+/// Collects the pieces of a stream. EventBoundary tells where its events end.
 class EventSplitter {
 public:
   /// Largest event, in bytes.
@@ -33,10 +33,17 @@
   /// \returns the next whole event, or nothing until more pieces come.
   std::optional<ServerEvent> next();
 
+  /// Reads the next piece of a stream whose events are not wanted.
+  void skip(std::string_view Piece);
+
+  /// Where the stream stands after all pieces whose events were taken.
+  const EventBoundary &boundary() const { return Boundary; }
+
 private:
   std::string Pending;
-  /// Start of the first line in Pending that has not fully arrived.
+  /// Bytes of Pending that the boundary has read.
   size_t Scanned = 0;
+  EventBoundary Boundary;
 };
 
 } // namespace ferry::traffic
--- a/Libraries/LibTraffic/RoutedContext.cpp
+++ b/Libraries/LibTraffic/RoutedContext.cpp
@@ -106,6 +106,11 @@
                               "Calls sent to a second target")),
       StreamsCut(Metrics.counter("ferry_streams_cut_total",
                                  "Streams ended before their last event")),
+      EndsInsideEvent(
+          Metrics.counters({"ferry_streams_ended_inside_event_total",
+                            "Streams that targets ended inside an event, by "
+                            "framing",
+                            {"framing"}})),
       CallersLeft(Metrics.counter("ferry_callers_left_total",
                                   "Callers that left before their answer")),
       TargetsLeaving(
--- a/Libraries/LibTraffic/RoutedContext.h
+++ b/Libraries/LibTraffic/RoutedContext.h
@@ -70,6 +70,7 @@
   observe::Family<observe::Histogram> &FirstByteSeconds;
   observe::Counter &Retries;
   observe::Counter &StreamsCut;
+  observe::Family<observe::Counter> &EndsInsideEvent;
   observe::Counter &CallersLeft;
   observe::Counter &TargetsLeaving;
   observe::Counter &TargetPauses;
--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -160,6 +160,8 @@
 }
 
 RoutedRelay::NextStep RoutedRelay::attempt(const PlacedCall &Destination) {
+  Framing.reset();
+  UnfinishedBytes = 0;
   auto Connected = TargetExchange::tryConnect(Destination.Address, limits());
   if (!Connected)
     return recordFailure(Destination, Connected.error(), /*Sent=*/false);
@@ -182,6 +184,7 @@
 
 RoutedRelay::NextStep RoutedRelay::relayAnswer(const PlacedCall &Destination,
                                                TargetExchange &Target) {
+  Framing = Target.framing();
   AnswerDetails Details = Context.Dialect.ReadAnswer(Target.head(), Caller.Id);
   if (!Details.OtherTarget)
     noteSignals(Destination, Details);
@@ -281,6 +284,10 @@
       return handleStreamFailure(Destination,
                                  {LinkErrorKind::CallerGone, "write"});
   }
+  if (Events.boundary().insideEvent())
+    Context.Metrics.EndsInsideEvent
+        .with({std::string(enumName(Target.framing()))})
+        .add();
   if (!StreamStarted)
     beginStream(Destination, Target);
   endAttempt(Destination, CallEnd::Served, NextStep::Done);
@@ -292,6 +299,8 @@
                                 std::string &Ready) {
   // A stream that cannot be resumed is relayed without splitting its events.
   if (!Route->Resumable) {
+    Events.skip(Piece);
+    UnfinishedBytes = Events.boundary().unfinishedBytes();
     Ready = std::move(Piece);
     return true;
   }
@@ -305,6 +314,7 @@
       LastEvent = Event->Token;
     Ready += Event->Raw;
   }
+  UnfinishedBytes = Events.boundary().unfinishedBytes();
   return true;
 }
 
@@ -350,6 +360,8 @@
                      {"service", Call.Service},
                      {"reason", Failure.message()},
                      {"may_have_run", Sent},
+                     {"framing", framingName()},
+                     {"unfinished_bytes", UnfinishedBytes},
                      {"attempt", Attempts}},
                     Caller.Id);
   if (CallerLeft) {
@@ -364,6 +376,10 @@
                     Sent ? NextStep::RetryRun : NextStep::RetryUnsent);
 }
 
+std::string_view RoutedRelay::framingName() const {
+  return Framing ? enumName(*Framing) : "none";
+}
+
 RoutedRelay::NextStep RoutedRelay::endAttempt(const PlacedCall &Destination,
                                               CallEnd End, NextStep Step) {
   Context.Placements.ended(Destination.PlacementId, End);
@@ -471,6 +487,8 @@
        {"runs", PossibleRuns},
        {"targets_tried", Call.Tried.size()},
        {"reason", Failed ? LastFailure.Detail : std::string()},
+       {"framing", framingName()},
+       {"unfinished_bytes", UnfinishedBytes},
        {"prompt_tokens", Call.PromptTokens},
        {"estimate_ms", RefusedEstimate.count() / 1000},
        {"first_byte_ms",
--- a/Libraries/LibTraffic/RoutedRelay.h
+++ b/Libraries/LibTraffic/RoutedRelay.h
@@ -72,6 +72,8 @@
   void refuse(const ErrorAnswer &Answer);
   void logPlaced(const routing::PlacedCall &Destination);
   void logEnd(std::string_view Event, int Status);
+  /// \returns the framing of the newest answer for log lines.
+  std::string_view framingName() const;
   WaitLimits limits() const;
   TargetDetails detailsFor(const routing::PlacedCall &Destination) const;
 
@@ -93,6 +95,10 @@
   bool StreamStarted = false;
   /// The id of the newest event that was relayed.
   std::optional<uint64_t> LastEvent;
+  /// How the newest answer of a target was framed, once its head has come.
+  std::optional<FramingKind> Framing;
+  /// Bytes that the newest stream of a target sent after its last whole event.
+  uint64_t UnfinishedBytes = 0;
   /// The answer of a target that failed, relayed if no other target serves the
   /// request.
   struct TargetAnswer {
--- a/Libraries/LibTraffic/TargetExchange.h
+++ b/Libraries/LibTraffic/TargetExchange.h
@@ -40,6 +40,8 @@
                                        const WaitLimits &Limits);
 
   const Poco::Net::HTTPResponse &head() const { return Response; }
+  /// \returns how the body is framed; only once the head was received.
+  FramingKind framing() const { return Framing->kind(); }
 
 private:
   explicit TargetExchange(Poco::Net::StreamSocket Socket);
