LibTraffic: Treat a stream that ends inside an event as broken off

Cause: the end of a stream was judged by its framing alone. A target that breaks off its work may still end its answer in order: it closes the connection of an answer that has neither a length nor chunks, or it sends the last chunk. Then relayStream() saw the end of the body, the splitter dropped the unfinished event (without it, half an event had gone to the caller), and the caller got the last chunk.

Now a stream of events is whole only if its framing is complete and its last event has ended. Otherwise it is resumed at another target, or cut, as after a reset. An answer of another content type, which has no events, ends with its framing.

--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -1,6 +1,7 @@
 #include "LibTraffic/RoutedRelay.h"
 #include "LibObserve/Log.h"
 #include "LibRouting/Rendezvous.h"
+#include <Poco/String.h>
 
 namespace ferry::traffic {
 
@@ -21,6 +22,7 @@
 /// a target could hardly start on it.
 static constexpr Duration MinTimeForTarget = std::chrono::milliseconds(5);
 static constexpr int FirstFailureStatus = 500;
+static constexpr std::string_view EventStreamType = "text/event-stream";
 
 /// \returns the time until \p Moment in seconds, with three decimal places.
 static std::string secondsText(Timestamp Moment) {
@@ -36,6 +38,14 @@
   return Status == 408 || Status == 421 || Status == 429 || Status == 503;
 }
 
+/// Whether the answer with \p Head is a stream of events. On a route that
+/// expects one, an answer without a type is.
+static bool carriesEvents(const Poco::Net::HTTPResponse &Head) {
+  return !Head.has("Content-Type") ||
+         Poco::icompare(Head.getContentType().substr(0, EventStreamType.size()),
+                        std::string(EventStreamType)) == 0;
+}
+
 RoutedRelay::RoutedRelay(RoutedContext &Context, HttpExchange &Exchange)
     : Context(Context), Exchange(Exchange), View(Context.Placements.view()),
       ArrivedAt(steadyNow()) {
@@ -284,10 +294,16 @@
       return handleStreamFailure(Destination,
                                  {LinkErrorKind::CallerGone, "write"});
   }
-  if (Events.boundary().insideEvent())
+  // No framing shows this: a target may end its answer in order where its work
+  // was broken off.
+  if (carriesEvents(Target.head()) && Events.boundary().insideEvent()) {
     Context.Metrics.EndsInsideEvent
         .with({std::string(enumName(Target.framing()))})
         .add();
+    return handleStreamFailure(
+        Destination,
+        {LinkErrorKind::Incomplete, "the stream ended inside an event"});
+  }
   if (!StreamStarted)
     beginStream(Destination, Target);
   endAttempt(Destination, CallEnd::Served, NextStep::Done);
