LibTraffic: End a target's endless answer at the deadline and for a caller that left

While a target sends without a pause, its request went on past its deadline and after its caller had left: tryReceive() received first and looked at the deadline and at the caller's connection only when no byte was there. So a target that sent interim heads, or events that the caller has, held a thread of the router for as long as it sent.

tryReceive() now waits before each receive, which costs the same number of calls for answers that come in pieces.

--- a/Libraries/LibTraffic/TargetExchange.cpp
+++ b/Libraries/LibTraffic/TargetExchange.cpp
@@ -116,6 +116,10 @@
 LinkResult<std::string> TargetExchange::tryReceive(const WaitLimits &Limits) {
   std::array<char, ReceiveBytes> Buffer;
   while (true) {
+    // Also before bytes that are there: a target that sends without a pause
+    // would otherwise hold the request past its deadline.
+    if (auto Ready = await(Wait::Readable, Limits); !Ready)
+      return makeError(Ready.error());
     ssize_t Count =
         ::recv(Socket.impl()->sockfd(), Buffer.data(), Buffer.size(), 0);
     if (Count >= 0)
@@ -125,8 +129,6 @@
     if (!NothingReceived)
       return makeTypedError(LinkErrorKind::Broken,
                             "error " + std::to_string(errno));
-    if (auto Ready = await(Wait::Readable, Limits); !Ready)
-      return makeError(Ready.error());
   }
 }
 
