LibTraffic: Fail an answer whose heads or trailers have no end at once

Interim heads and trailer lines have a limit each, but their number had none: the request of a target that sends them without end was held until its deadline, although no answer could come of it. All heads of an answer together, and all trailer lines, may now have 64 KiB.

endless_lines_beside_a_body_fail_at_once failed for interim heads and for trailer lines before (504 at the deadline in place of 502), and so did an_endless_trailer_is_rejected.

--- a/Libraries/LibTraffic/BodyFraming.cpp
+++ b/Libraries/LibTraffic/BodyFraming.cpp
@@ -7,6 +7,8 @@
 
 /// Longest chunk size line or trailer line, in bytes.
 static constexpr size_t MaxLineBytes = 4096;
+/// Most bytes of all trailer lines.
+static constexpr uint64_t MaxTrailerBytes = 64 << 10;
 static constexpr int HexBase = 16;
 
 using Expect = ChunkFraming::Expect;
@@ -80,6 +82,9 @@
     Chunks.Expected = Expect::Size;
     return {};
   case Expect::Trailer:
+    Chunks.TrailerBytes += Line.size() + 1;
+    if (Chunks.TrailerBytes > MaxTrailerBytes)
+      return makeTypedError(LinkErrorKind::Broken, "the trailer is too long");
     if (Line.empty())
       Chunks.Expected = Expect::Nothing;
     return {};
--- a/Libraries/LibTraffic/BodyFraming.h
+++ b/Libraries/LibTraffic/BodyFraming.h
@@ -25,6 +25,8 @@
   uint64_t RemainingBytes = 0;
   /// The received part of the current line.
   std::string Line;
+  /// Bytes of all trailer lines.
+  uint64_t TrailerBytes = 0;
 };
 /// The body ends with its connection.
 struct CloseFraming {};
--- a/Libraries/LibTraffic/TargetExchange.cpp
+++ b/Libraries/LibTraffic/TargetExchange.cpp
@@ -23,6 +23,7 @@
 /// that only takes long is not affected.
 static constexpr int KeepAliveSeconds = 1;
 static constexpr size_t ReceiveBytes = 16 << 10;
+/// Most bytes of all heads of an answer, interim ones included.
 static constexpr size_t MaxHeadBytes = 64 << 10;
 static constexpr int FirstFinalStatus = 200;
 
@@ -133,17 +134,20 @@
 }
 
 LinkResult<void> TargetExchange::tryReceiveHead(const WaitLimits &Limits) {
+  size_t HeadBytes = 0;
   while (true) {
     size_t End = Received.find("\r\n\r\n");
     if (End != std::string::npos) {
+      HeadBytes += End + 4;
       if (auto Parsed = tryParseHead(End + 4); !Parsed)
         return Parsed;
       // Interim answers are not relayed.
       if (Response.getStatus() >= FirstFinalStatus)
         return {};
-      continue;
+      if (HeadBytes <= MaxHeadBytes)
+        continue;
     }
-    if (Received.size() > MaxHeadBytes)
+    if (HeadBytes + Received.size() > MaxHeadBytes)
       return makeTypedError(LinkErrorKind::Broken,
                             "the head of the answer is too long");
     auto Piece = tryReceive(Limits);
--- a/Tests/LibTraffic/TestBodyFraming.cpp
+++ b/Tests/LibTraffic/TestBodyFraming.cpp
@@ -68,3 +68,13 @@
   BOOST_REQUIRE(!Decoded);
   BOOST_TEST((Decoded.error().Kind == LinkErrorKind::Broken));
 }
+
+BOOST_AUTO_TEST_CASE(an_endless_trailer_is_rejected) {
+  BodyFraming Framing{ChunkFraming{}};
+  std::string Body;
+  BOOST_REQUIRE(Framing.decode("0\r\n", Body));
+  bool Rejected = false;
+  for (int Line = 0; Line < 100'000 && !Rejected; ++Line)
+    Rejected = !Framing.decode("X-More: 1\r\n", Body);
+  BOOST_TEST(Rejected);
+}
--- a/Tests/LibTraffic/TestEndlessAnswers.cpp
+++ b/Tests/LibTraffic/TestEndlessAnswers.cpp
@@ -116,6 +116,23 @@
   BOOST_TEST((steadyNow() < LeftAt + std::chrono::milliseconds(1500)));
 }
 
+static const std::vector<EndlessAnswer> EndlessLines = {
+    EndlessAnswers[0], EndlessAnswers[1], EndlessAnswers[3], EndlessAnswers[4]};
+
+// Lines without end beside a body can never become an answer, so the request
+// fails before its deadline.
+BOOST_DATA_TEST_CASE(endless_lines_beside_a_body_fail_at_once,
+                     data::make(EndlessLines), Case) {
+  RoutedBed Bed;
+  EndlessTarget Target(Case);
+  Bed.add("app", [&](const ReceivedRequest &, ScriptedConnection &Link) {
+    Target.serve(Link);
+  });
+  BOOST_TEST(Bed.send(Case.Path).Status == 502);
+  BOOST_TEST(waitFor([&] { return Target.Ended == Target.Started; }));
+  BOOST_TEST(Target.GivenUp == 0);
+}
+
 // What one target sends without end must not hold up the requests to others.
 BOOST_AUTO_TEST_CASE(other_requests_go_on_beside_endless_answers) {
   RoutedBed Bed;
