--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -214,7 +214,8 @@
         Destination,
         {LinkErrorKind::WrongEcho, "the answer lacks the target's attestation"},
         /*Sent=*/true);
-  if (Success && Route->Answers == config::AnswerForm::Stream)
+  if (Success && Route->Answers == config::AnswerForm::Stream &&
+      carriesEvents(Target.head()))
     return relayStream(Destination, Target);
   if (StreamStarted)
     return recordFailure(
@@ -296,7 +297,7 @@
   }
   // No framing shows this: a target may end its answer in order where its work
   // was broken off.
-  if (carriesEvents(Target.head()) && Events.boundary().insideEvent()) {
+  if (Events.boundary().insideEvent()) {
     Context.Metrics.EndsInsideEvent
         .with({std::string(enumName(Target.framing()))})
         .add();
--- a/Tests/LibTraffic/TestEndsOfAnswers.cpp
+++ b/Tests/LibTraffic/TestEndsOfAnswers.cpp
@@ -132,3 +132,14 @@
     BOOST_TEST(Answer.Body == "{\"loans\"");
   }
 }
+
+// A target may answer a request for a stream with a text that has no events.
+BOOST_DATA_TEST_CASE(a_text_without_events_is_relayed_on_a_stream_route,
+                     data::make(StreamPaths), Path) {
+  RoutedBed Bed;
+  Bed.add("lm", answering(wholeAnswer(200, "{\"a\":1}",
+                                      "Content-Type: application/json\r\n")));
+  CallerAnswer Answer = Bed.send(Path);
+  BOOST_TEST(Answer.Whole);
+  BOOST_TEST(Answer.Body == "{\"a\":1}");
+}
