LibTraffic: Bound the sum of large answers in memory

Each request now holds up to 64 KiB of an answer freely, which the number of requests bounds, and reserves what is above in a budget of 16 MiB; an answer that finds none left fails as too large, so that small answers go on. the_sum_of_large_answers_is_bounded failed before: all eight answers of 5 MiB stayed in memory until their deadline.

--- a/Libraries/LibTraffic/HttpExchange.cpp
+++ b/Libraries/LibTraffic/HttpExchange.cpp
@@ -27,6 +27,15 @@
   FreeBytes.fetch_add(static_cast<int64_t>(Bytes));
 }
 
+bool BudgetShare::tryHold(uint64_t Bytes) {
+  if (Bytes > Reserved && !Budget.tryReserve(Bytes - Reserved))
+    return false;
+  if (Bytes < Reserved)
+    Budget.release(Reserved - Bytes);
+  Reserved = Bytes;
+  return true;
+}
+
 HttpExchange::HttpExchange(Poco::Net::HTTPServerRequest &Request,
                            Poco::Net::HTTPServerResponse &Response,
                            Poco::Net::StreamSocket Socket, BodyBudget &Budget,
--- a/Libraries/LibTraffic/HttpExchange.h
+++ b/Libraries/LibTraffic/HttpExchange.h
@@ -21,7 +21,7 @@
 template <typename ValueType>
 using AnswerResult = Result<ValueType, ErrorAnswer>;
 
-/// Limits the bytes of request bodies that one listener has in memory.
+/// Limits the bytes of bodies in memory, over all requests.
 class BodyBudget {
 public:
   explicit BodyBudget(uint64_t Limit)
@@ -35,6 +35,24 @@
   std::atomic<int64_t> FreeBytes;
 };
 
+/// The bytes that one request has reserved of a budget. Returns them at its
+/// end.
+class BudgetShare {
+public:
+  explicit BudgetShare(BodyBudget &Budget) : Budget(Budget) {}
+  ~BudgetShare() { Budget.release(Reserved); }
+  BudgetShare(const BudgetShare &) = delete;
+  BudgetShare &operator=(const BudgetShare &) = delete;
+
+  /// Reserves \p Bytes in place of what was reserved before. \returns false if
+  /// too few are free; nothing changes then.
+  bool tryHold(uint64_t Bytes);
+
+private:
+  BodyBudget &Budget;
+  uint64_t Reserved = 0;
+};
+
 /// The path and query of a request, decoded.
 struct RequestTarget {
   std::string Path;
--- a/Libraries/LibTraffic/RoutedContext.h
+++ b/Libraries/LibTraffic/RoutedContext.h
@@ -7,6 +7,7 @@
 #include "LibObserve/Metrics.h"
 #include "LibRouting/RetryShare.h"
 #include "LibRouting/RoutedPlacement.h"
+#include "LibTraffic/HttpExchange.h"
 #include "LibTraffic/RouteDialect.h"
 #include <atomic>
 #include <map>
@@ -81,11 +82,18 @@
 
 /// The state that all requests share. Outlives them.
 struct RoutedContext {
+  /// Largest part of an answer that is in memory without a reservation. The
+  /// number of requests bounds the sum of these parts.
+  static constexpr uint64_t FreeAnswerBytes = 64ULL << 10;
+  /// Limit of the bytes of all answers above that.
+  static constexpr uint64_t MaxLargeAnswerBytes = 16ULL << 20;
+
   config::Settings Settings;
   RouteDialect Dialect;
   SharedPlacement Placements;
   RoutedMetrics Metrics;
   LeaveCallback LeaveNoticed;
+  BodyBudget LargeAnswers{MaxLargeAnswerBytes};
   /// Whether answers tell callers to close their connections.
   std::atomic<bool> Draining{false};
   /// Requests that arrive from then on are refused, because the process may
--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -48,7 +48,7 @@
 
 RoutedRelay::RoutedRelay(RoutedContext &Context, HttpExchange &Exchange)
     : Context(Context), Exchange(Exchange), View(Context.Placements.view()),
-      ArrivedAt(steadyNow()) {
+      ArrivedAt(steadyNow()), LargeAnswer(Context.LargeAnswers) {
   ++Context.ActiveRequests;
 }
 
@@ -250,9 +250,18 @@
                     Caller.Id);
 }
 
+bool RoutedRelay::mayHold(uint64_t Bytes) {
+  if (LastFailureAnswer)
+    Bytes += LastFailureAnswer->Body.size();
+  return LargeAnswer.tryHold(Bytes -
+                             std::min(Bytes, RoutedContext::FreeAnswerBytes));
+}
+
 RoutedRelay::NextStep RoutedRelay::relayWhole(const PlacedCall &Destination,
                                               TargetExchange &Target) {
-  auto Answer = Target.tryReadWhole(MaxWholeAnswerBytes, limits());
+  auto Answer =
+      Target.tryReadWhole(MaxWholeAnswerBytes, limits(),
+                          [this](uint64_t Bytes) { return mayHold(Bytes); });
   if (!Answer)
     return recordFailure(Destination, Answer.error(), /*Sent=*/true);
   Context.Placements.firstByte(Destination.PlacementId);
@@ -332,7 +341,7 @@
     Ready += Event->Raw;
   }
   UnfinishedBytes = Events.boundary().unfinishedBytes();
-  return true;
+  return mayHold(UnfinishedBytes);
 }
 
 void RoutedRelay::beginStream(const PlacedCall &Destination,
--- a/Libraries/LibTraffic/RoutedRelay.h
+++ b/Libraries/LibTraffic/RoutedRelay.h
@@ -45,10 +45,13 @@
                    const AnswerDetails &Details);
   NextStep relayWhole(const routing::PlacedCall &Destination,
                       TargetExchange &Target);
+  /// Reserves the memory for \p Bytes of an answer. \returns whether it is
+  /// free.
+  bool mayHold(uint64_t Bytes);
   NextStep relayStream(const routing::PlacedCall &Destination,
                        TargetExchange &Target);
   /// Appends the new events in \p Piece to \p Ready.
-  /// \returns false if an event is too large.
+  /// \returns false if an event is too large, or too much is in memory.
   bool collectEvents(EventSplitter &Events, std::string &Piece,
                      std::string &Ready);
   void beginStream(const routing::PlacedCall &Destination,
@@ -95,6 +98,8 @@
   bool StreamStarted = false;
   /// The id of the newest event that was relayed.
   std::optional<uint64_t> LastEvent;
+  /// What the answer in memory has of the budget for all answers.
+  BudgetShare LargeAnswer;
   /// How the newest answer of a target was framed, once its head has come.
   std::optional<FramingKind> Framing;
   /// Bytes that the newest stream of a target sent after its last whole event.
--- a/Libraries/LibTraffic/TargetExchange.cpp
+++ b/Libraries/LibTraffic/TargetExchange.cpp
@@ -227,8 +227,9 @@
   return !ShowsEnd || isWholeJson(Body);
 }
 
-LinkResult<std::string> TargetExchange::tryReadWhole(uint64_t MaxBytes,
-                                                     const WaitLimits &Limits) {
+LinkResult<std::string>
+TargetExchange::tryReadWhole(uint64_t MaxBytes, const WaitLimits &Limits,
+                             const std::function<bool(uint64_t)> &MayHold) {
   std::string Whole;
   while (true) {
     auto Piece = tryReadPiece(Limits);
@@ -243,6 +244,9 @@
     Whole += *Piece;
     if (Whole.size() > MaxBytes)
       return makeTypedError(LinkErrorKind::TooLarge);
+    if (!MayHold(Whole.size()))
+      return makeTypedError(LinkErrorKind::TooLarge,
+                            "too many answers are in memory");
   }
 }
 
--- a/Libraries/LibTraffic/TargetExchange.h
+++ b/Libraries/LibTraffic/TargetExchange.h
@@ -8,6 +8,7 @@
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/StreamSocket.h>
+#include <functional>
 #include <memory>
 #include <optional>
 
@@ -38,8 +39,11 @@
   /// \returns the whole body; TooLarge beyond \p MaxBytes; Incomplete if its
   /// framing or, where that ends with the connection, its content shows that it
   /// was cut off.
-  LinkResult<std::string> tryReadWhole(uint64_t MaxBytes,
-                                       const WaitLimits &Limits);
+  /// \param MayHold asked with the size of the body each time it grows;
+  /// TooLarge once it denies.
+  LinkResult<std::string>
+  tryReadWhole(uint64_t MaxBytes, const WaitLimits &Limits,
+               const std::function<bool(uint64_t)> &MayHold);
 
   const Poco::Net::HTTPResponse &head() const { return Response; }
   /// \returns how the body is framed; only once the head was received.
--- a/Tests/LibTraffic/TestEndlessAnswers.cpp
+++ b/Tests/LibTraffic/TestEndlessAnswers.cpp
@@ -152,3 +152,30 @@
   for (std::thread &Caller : Callers)
     Caller.join();
 }
+
+// Each answer is below the bound for one, but together they would take the
+// memory of a small host.
+BOOST_AUTO_TEST_CASE(the_sum_of_large_answers_is_bounded) {
+  static constexpr int Requests = 8;
+  static constexpr size_t AnswerBytes = 5 << 20;
+  RoutedBed Bed;
+  Bed.add("app", [](const ReceivedRequest &Read, ScriptedConnection &Link) {
+    if (Read.Head.getURI() == "/once/small")
+      return (void)Link.write(wholeAnswer(200, "done"));
+    if (Link.write(Head + "\r\n" + std::string(AnswerBytes, 'a')))
+      Link.awaitPeerClosed(MaxWait);
+  });
+  std::atomic<int> FailedEarly = 0;
+  std::vector<std::thread> Callers;
+  for (int Count = 0; Count < Requests; ++Count)
+    Callers.emplace_back([&] {
+      if (Bed.send("/once/large").Status == 502)
+        ++FailedEarly;
+    });
+  constexpr auto Fitting =
+      static_cast<int>(RoutedContext::MaxLargeAnswerBytes / AnswerBytes);
+  BOOST_TEST(waitFor([&] { return FailedEarly >= Requests - Fitting; }));
+  BOOST_TEST(Bed.send("/once/small").Body == "done");
+  for (std::thread &Caller : Callers)
+    Caller.join();
+}
