--- a/Libraries/LibTraffic/BodyFraming.h
+++ b/Libraries/LibTraffic/BodyFraming.h
@@ -6,7 +6,7 @@
 
 #include "LibCore/EnumNames.h"
 #include "LibCore/Result.h"
-#include "LibTraffic/TargetConnection.h"
+#include "LibTraffic/TargetLink.h"
 #include <string>
 #include <string_view>
 #include <variant>
--- a/Libraries/LibTraffic/TargetExchange.cpp
+++ b/Libraries/LibTraffic/TargetExchange.cpp
@@ -29,6 +29,12 @@
 static constexpr size_t MaxHeadBytes = 64 << 10;
 static constexpr int FirstFinalStatus = 200;
 
+Timestamp WaitLimits::stallTime(Timestamp Now) const {
+  if (StallLimit > Deadline - Now)
+    return Deadline;
+  return Now + StallLimit;
+}
+
 TargetExchange::TargetExchange(Poco::Net::StreamSocket Socket)
     : Socket(std::move(Socket)) {}
 
@@ -65,6 +71,14 @@
   }
 }
 
+void TargetExchange::limitReceiveBuffer(int Bytes) {
+  try {
+    Socket.setReceiveBufferSize(Bytes);
+  } catch (const Poco::Exception &) {
+    // The connection has ended, which the next call on it reports.
+  }
+}
+
 LinkResult<TargetExchange::Wait>
 TargetExchange::await(Wait Event, const WaitLimits &Limits) {
   Timestamp StallAt = Limits.stallTime(steadyNow());
--- a/Libraries/LibTraffic/TargetExchange.h
+++ b/Libraries/LibTraffic/TargetExchange.h
@@ -4,7 +4,7 @@
 #define FERRY_LIBTRAFFIC_TARGETEXCHANGE_H
 
 #include "LibTraffic/BodyFraming.h"
-#include "LibTraffic/TargetConnection.h"
+#include "LibTraffic/TargetLink.h"
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/StreamSocket.h>
@@ -49,6 +49,9 @@
   /// \returns how the body is framed; only once the head was received.
   FramingKind framing() const { return Framing->kind(); }
 
+  /// Limits the bytes that the kernel receives ahead.
+  void limitReceiveBuffer(int Bytes);
+
 private:
   explicit TargetExchange(Poco::Net::StreamSocket Socket);
   enum class Wait : uint8_t { Readable, Writable };
