platform, LibTraffic: Decode the build of a target and log it with each placement

second1's record cannot tell a stream that a router moved to another build within one answer from one that a caller took up at another router. The announced 'version' of the software is decoded, spread and shown by 'placed' as 'build', with 'after_event' and 'resumes' of a request that goes on with a stream. No placement changes.

--- a/Libraries/LibCore/Ids.h
+++ b/Libraries/LibCore/Ids.h
@@ -41,6 +41,8 @@
 using ModelId = StringId<struct ModelTag>;
 using AdapterId = StringId<struct AdapterTag>;
 using RequestId = StringId<struct RequestTag>;
+/// Version of a target's software. What two builds write does not fit together.
+using BuildId = StringId<struct BuildTag>;
 
 /// Number of one run of a process of a host or target; greater after a restart.
 using Incarnation = NumberId<struct IncarnationTag>;
--- a/Libraries/LibCore/TargetRecord.h
+++ b/Libraries/LibCore/TargetRecord.h
@@ -68,6 +68,8 @@
   ModelId Model;
   AdapterId Adapter;
   WeightsVersion Weights;
+  /// Empty if targets do not announce it.
+  BuildId Build;
   FencingCheck Fencing = FencingCheck::Unchecked;
   TargetLoad Load;
   /// Rises with each announcement of the incarnation.
--- a/Libraries/LibMembership/OriginList.cpp
+++ b/Libraries/LibMembership/OriginList.cpp
@@ -12,7 +12,7 @@
          Left.Kind == Right.Kind && Left.Phase == Right.Phase &&
          Left.Service == Right.Service && Left.Model == Right.Model &&
          Left.Adapter == Right.Adapter && Left.Weights == Right.Weights &&
-         Left.Fencing == Right.Fencing;
+         Left.Fencing == Right.Fencing && Left.Build == Right.Build;
 }
 
 ListedTarget &OriginList::touch(const TargetId &Id) {
@@ -89,6 +89,7 @@
   Details.Weights = static_cast<int64_t>(Record.Weights.Value);
   Details.Fencing = static_cast<int32_t>(Record.Fencing);
   Details.Phase = static_cast<int32_t>(Record.Phase);
+  Details.Build = Record.Build.Value;
   return Details;
 }
 
@@ -155,6 +156,7 @@
   Record.Weights = {static_cast<uint64_t>(Details.Weights)};
   Record.Fencing = static_cast<FencingCheck>(Details.Fencing);
   Record.Phase = static_cast<TargetPhase>(Details.Phase);
+  Record.Build = {Details.Build};
   return Record;
 }
 
--- a/Libraries/LibRouting/RoutedCall.h
+++ b/Libraries/LibRouting/RoutedCall.h
@@ -50,6 +50,7 @@
   ferry::Incarnation Incarnation;
   std::string Address;
   WeightsVersion Weights;
+  BuildId Build;
   /// Address of the target or cache store that the chosen target fetches cached
   /// parts from before it reads the prompt; empty if it fetches none.
   std::string FetchFrom;
--- a/Libraries/LibRouting/RoutedPlacementChoice.cpp
+++ b/Libraries/LibRouting/RoutedPlacementChoice.cpp
@@ -241,6 +241,7 @@
   Placed.Incarnation = Target.Record.Incarnation;
   Placed.Address = Target.Record.Address;
   Placed.Weights = weightsOf(Target, Now);
+  Placed.Build = Target.Record.Build;
   if (Best.FetchSource != nullptr)
     Placed.FetchFrom = Best.FetchSource->Record.Address;
   // An engine that has evicted the prefix, which nobody tells, asks the store;
--- a/Libraries/LibTraffic/RouteDialect.h
+++ b/Libraries/LibTraffic/RouteDialect.h
@@ -24,6 +24,10 @@
   std::vector<routing::PromptPart> Parts;
   uint32_t PromptTokens = 0;
   uint32_t OutputTokens = 0;
+  /// If the caller takes up a stream: the id of the last event that it has, and
+  /// of its request that brought the first one.
+  std::optional<uint64_t> AfterEvent;
+  RequestId Resumes;
 };
 
 /// What the router adds to a caller's request for a target.
--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -483,12 +483,18 @@
   std::optional<int64_t> WeightsDeadlineMillis;
   if (Destination.WeightsDeadline != NeverExpires)
     WeightsDeadlineMillis = millisUntil(Destination.WeightsDeadline, Now);
+  std::optional<int64_t> AfterEvent;
+  if (auto Resumed = StreamStarted ? LastEvent : Caller.AfterEvent)
+    AfterEvent = static_cast<int64_t>(*Resumed);
   observe::logEvent(
       Severity::Info, "routed", "placed",
       {{"target", Destination.Target},
        {"service", Call.Service},
        {"number", View->Number},
        {"weights", Destination.Weights},
+       {"build", Destination.Build},
+       {"after_event", AfterEvent},
+       {"resumes", Caller.Resumes},
        {"leading_part", Call.Parts.empty() ? 0 : Call.Parts[0].Id},
        {"prompt_tokens", Call.PromptTokens},
        {"cached_tokens", Destination.CachedTokens},
--- a/Libraries/LibWire/Generated/Membership_types.cpp
+++ b/Libraries/LibWire/Generated/Membership_types.cpp
@@ -53,6 +53,10 @@
 void TargetDetails::__set_Phase(const int32_t val) {
   this->Phase = val;
 }
+
+void TargetDetails::__set_Build(const std::string& val) {
+  this->Build = val;
+}
 std::ostream& operator<<(std::ostream& out, const TargetDetails& obj)
 {
   obj.printTo(out);
@@ -153,6 +157,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->Build);
+          this->__isset.Build = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -206,6 +218,10 @@
   xfer += oprot->writeI32(this->Phase);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("Build", ::apache::thrift::protocol::T_STRING, 10);
+  xfer += oprot->writeString(this->Build);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -222,6 +238,7 @@
   swap(a.Weights, b.Weights);
   swap(a.Fencing, b.Fencing);
   swap(a.Phase, b.Phase);
+  swap(a.Build, b.Build);
   swap(a.__isset, b.__isset);
 }
 
@@ -235,6 +252,7 @@
   Weights = other0.Weights;
   Fencing = other0.Fencing;
   Phase = other0.Phase;
+  Build = other0.Build;
   __isset = other0.__isset;
 }
 TargetDetails::TargetDetails(TargetDetails&& other1) noexcept {
@@ -247,6 +265,7 @@
   Weights = other1.Weights;
   Fencing = other1.Fencing;
   Phase = other1.Phase;
+  Build = std::move(other1.Build);
   __isset = other1.__isset;
 }
 TargetDetails& TargetDetails::operator=(const TargetDetails& other2) {
@@ -259,6 +278,7 @@
   Weights = other2.Weights;
   Fencing = other2.Fencing;
   Phase = other2.Phase;
+  Build = other2.Build;
   __isset = other2.__isset;
   return *this;
 }
@@ -272,6 +292,7 @@
   Weights = other3.Weights;
   Fencing = other3.Fencing;
   Phase = other3.Phase;
+  Build = std::move(other3.Build);
   __isset = other3.__isset;
   return *this;
 }
@@ -287,6 +308,7 @@
   out << ", " << "Weights=" << to_string(Weights);
   out << ", " << "Fencing=" << to_string(Fencing);
   out << ", " << "Phase=" << to_string(Phase);
+  out << ", " << "Build=" << to_string(Build);
   out << ")";
 }
 
--- a/Libraries/LibWire/Generated/Membership_types.h
+++ b/Libraries/LibWire/Generated/Membership_types.h
@@ -50,7 +50,7 @@
 class ConfirmationMessage;
 
 typedef struct _TargetDetails__isset {
-  _TargetDetails__isset() : Address(false), DataCentre(false), Kind(false), Service(false), Model(false), Adapter(false), Weights(false), Fencing(false), Phase(false) {}
+  _TargetDetails__isset() : Address(false), DataCentre(false), Kind(false), Service(false), Model(false), Adapter(false), Weights(false), Fencing(false), Phase(false), Build(false) {}
   bool Address :1;
   bool DataCentre :1;
   bool Kind :1;
@@ -60,6 +60,7 @@
   bool Weights :1;
   bool Fencing :1;
   bool Phase :1;
+  bool Build :1;
 } _TargetDetails__isset;
 
 class TargetDetails : public virtual ::apache::thrift::TBase {
@@ -78,7 +79,8 @@
                   Adapter(),
                   Weights(0),
                   Fencing(0),
-                  Phase(0) {
+                  Phase(0),
+                  Build() {
   }
 
   virtual ~TargetDetails() noexcept;
@@ -91,6 +93,7 @@
   int64_t Weights;
   int32_t Fencing;
   int32_t Phase;
+  std::string Build;
 
   _TargetDetails__isset __isset;
 
@@ -112,6 +115,8 @@
 
   void __set_Phase(const int32_t val);
 
+  void __set_Build(const std::string& val);
+
   bool operator == (const TargetDetails & rhs) const
   {
     if (!(Address == rhs.Address))
@@ -132,6 +137,8 @@
       return false;
     if (!(Phase == rhs.Phase))
       return false;
+    if (!(Build == rhs.Build))
+      return false;
     return true;
   }
   bool operator != (const TargetDetails &rhs) const {
--- a/Libraries/LibWire/Idl/Membership.thrift
+++ b/Libraries/LibWire/Idl/Membership.thrift
@@ -12,6 +12,7 @@
   7: i64 Weights
   8: i32 Fencing
   9: i32 Phase
+  10: string Build
 }
 
 struct LoadFields {
--- a/Tests/platform/TestTargetCodec.cpp
+++ b/Tests/platform/TestTargetCodec.cpp
@@ -40,14 +40,19 @@
 
 BOOST_AUTO_TEST_CASE(a_target_without_models_is_a_plain_service) {
   auto Record = decode(R"({"service":"app","addr":"10.1.0.9:80","zone":"z",)"
-                       R"("slots":6,"state":"ready","seq":1,"born":5})");
+                       R"("version":"v1","slots":6,"state":"ready",)"
+                       R"("seq":1,"born":5})");
   BOOST_REQUIRE(Record);
+  BOOST_TEST(Record->Build.Value == "v1");
   BOOST_TEST((Record->Kind == TargetKind::PlainService));
 }
 
 /// Replacements in the valid heartbeat, each of which makes it invalid.
 static const std::vector<std::pair<std::string, std::string>> InvalidChanges = {
     {R"("service":"lm",)", ""},
+    {R"("version":"v1",)", ""},
+    {R"("version":"v1")", R"("version":1)"},
+    {R"("version":"v1")", R"("version":"")"},
     {R"("lm")", "7"},
     {R"("10.128.0.9:8080")", R"("10.128.0.9")"},
     {R"("10.128.0.9:8080")", R"("host:80")"},
