--- a/Tests/LibTraffic/RoutedBed.h
+++ b/Tests/LibTraffic/RoutedBed.h
@@ -82,13 +82,15 @@
 
   /// Starts a target of \p Service and publishes it to the router.
   FakeScriptedTarget &add(const std::string &Service,
-                          FakeScriptedTarget::Script Script) {
+                          FakeScriptedTarget::Script Script,
+                          const std::string &Build = "v1") {
     Targets.push_back(std::make_unique<FakeScriptedTarget>(std::move(Script)));
     TargetRecord Record;
     Record.Id = {"i-" + std::to_string(Targets.size())};
     Record.Incarnation = {1};
     Record.Address = Targets.back()->address();
     Record.Service = {Service};
+    Record.Build = {Build};
     Record.Phase = TargetPhase::Ready;
     Record.Sequence = 1;
     Record.UsableUntil = steadyNow() + std::chrono::hours(1);
