LibRouting, LibTraffic: Resume a broken stream only at the build that began it

Cause: the placement knew nothing of builds. A stream that has begun now carries its build, only targets of that build are candidates, and if none is offered any more the request is refused as build_gone, which cuts the stream at once.

--- a/Libraries/LibRouting/RoutedCall.h
+++ b/Libraries/LibRouting/RoutedCall.h
@@ -38,6 +38,9 @@
   /// When the first byte is due by the route's target latency; a later answer
   /// is worth less. NeverExpires if the route names no target latency.
   Timestamp FirstByteDueAt = NeverExpires;
+  /// The build that began the stream which the request goes on with; no other
+  /// may continue it. Empty for a new stream.
+  BuildId Build;
   /// Targets that have been tried and must not get the request again.
   std::vector<TargetId> Tried;
 };
@@ -70,6 +73,8 @@
 enum class CallRefusalReason : uint8_t {
   /// No target of the service is known.
   NoTarget,
+  /// No target of the build that began the stream is left.
+  BuildGone,
   /// The service has targets, but all of them fail, load weights, run
   /// superseded weights past the deadline, or were tried.
   NoneUsable,
@@ -176,6 +181,7 @@
   using Reason = routing::CallRefusalReason;
   static constexpr EnumName<Reason> Table[] = {
       {Reason::NoTarget, "no_target"},
+      {Reason::BuildGone, "build_gone"},
       {Reason::NoneUsable, "none_usable"},
       {Reason::DeadlineTooNear, "deadline_too_near"},
       {Reason::Full, "full"}};
--- a/Libraries/LibRouting/RoutedPlacementChoice.cpp
+++ b/Libraries/LibRouting/RoutedPlacementChoice.cpp
@@ -76,7 +76,9 @@
   std::vector<RoutedTarget *> Offered;
   std::vector<RoutedTarget *> Usable;
   for (auto &[Id, Target] : Targets) {
-    if (!isOffered(Target, Call.Service, Now) ||
+    bool IsOtherBuild =
+        !Call.Build.empty() && Target.Record.Build != Call.Build;
+    if (IsOtherBuild || !isOffered(Target, Call.Service, Now) ||
         Signals.openFrom(Id, Target.Record.Incarnation, Now) > Now)
       continue;
     Offered.push_back(&Target);
@@ -292,10 +294,14 @@
   Timestamp LatestRetryAt = Now + NoTargetRetryDelay;
   Timestamp RetryAt = NeverExpires;
   bool HasTargets = false;
+  bool HasBuild = false;
   for (const auto &[Id, Target] : Targets) {
     if (Target.Record.Service != Call.Service)
       continue;
     HasTargets = true;
+    HasBuild = HasBuild || Call.Build.empty() ||
+               (Target.Record.Build == Call.Build &&
+                isOffered(Target, Call.Service, Now));
     ferry::Incarnation Current = Target.Record.Incarnation;
     if (Signals.isLeaving(Id, Current))
       continue;
@@ -310,7 +316,8 @@
   if (RetryAt == NeverExpires)
     RetryAt = LatestRetryAt;
   if (HasTargets && Reason == CallRefusalReason::NoTarget)
-    Reason = CallRefusalReason::NoneUsable;
+    Reason =
+        HasBuild ? CallRefusalReason::NoneUsable : CallRefusalReason::BuildGone;
   RetryAt = std::max(RetryAt, Now + MinRetryDelay);
   auto Spread =
       static_cast<uint64_t>((RetryAt - Now).count()) / RetryDelaySpreadDivisor;
--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -347,6 +347,7 @@
 void RoutedRelay::beginStream(const PlacedCall &Destination,
                               TargetExchange &Target) {
   StreamStarted = true;
+  Call.Build = Destination.Build;
   Context.Placements.firstByte(Destination.PlacementId);
   FirstByteAt = steadyNow();
   Context.Metrics.FirstByteSeconds.with({Route->Name})
--- a/Tests/LibRouting/TestRoutedPlacement.cpp
+++ b/Tests/LibRouting/TestRoutedPlacement.cpp
@@ -832,3 +832,27 @@
   BOOST_TEST(Last.count() > Duration(900ms).count());
   BOOST_TEST(Last.count() < Duration(1250ms).count());
 }
+
+// Engines of two builds serve beside each other in a release. A stream may not
+// go on at the other build, even if that is idle, and is refused once its own
+// has gone.
+BOOST_AUTO_TEST_CASE(a_stream_goes_on_at_its_build_only) {
+  TestDeployment Deployment(6);
+  for (size_t Index = 0; Index < 6; ++Index)
+    Deployment.View.Targets[Index].Build = {Index < 4 ? "v2" : "v1"};
+  RoutedPlacement Router = Deployment.router();
+  RoutedCall Call = Deployment.call(7);
+  Call.Build = {"v1"};
+  for (int Count = 0; Count < 50; ++Count)
+    BOOST_TEST(expectPlaced(Router.place(Call, Deployment.Now)).Build.Value ==
+               "v1");
+  for (TargetRecord &Record : Deployment.View.Targets)
+    if (Record.Build.Value == "v1")
+      Record.Phase = TargetPhase::Leaving;
+  Deployment.announceTo(Router);
+  auto Outcome = Router.place(Call, Deployment.Now);
+  BOOST_REQUIRE(std::holds_alternative<RefusedCall>(Outcome));
+  BOOST_TEST(
+      (std::get<RefusedCall>(Outcome).Reason == CallRefusalReason::BuildGone));
+  expectPlaced(Router.place(Deployment.call(8), Deployment.Now));
+}
