LibRouting, LibTraffic, ferryd: Take up a stream only at the build that began it

Cause: only the router that had relayed the stream could know its build, and it was gone; 'Resumes' was not read. A router now tells two others, chosen by the hash of workspace and request, which build begins a stream, before it passes the first event on. A router at which a caller takes a stream up asks four routers unless it knows by itself, for 150 ms at most, and places the request at that build only. A stream that none of them knows is refused at once with 503, as not run, rather than joined by guess; where all targets announce one build or none, a caller that names no request is served as before. Weighed and left: a build chosen by hash from id and view (two views differ during a release, which is when it matters), telling all routers (grows with the fleet), only asking (the router that knows is the one that ended).

--- a/Libraries/LibRouting/RoutedPlacement.cpp
+++ b/Libraries/LibRouting/RoutedPlacement.cpp
@@ -128,6 +128,19 @@
          !Signals.isPaused(Placed.Target, Placed.Incarnation, Now);
 }
 
+std::optional<BuildId>
+RoutedPlacement::onlyBuild(const ServiceId &Service) const {
+  std::optional<BuildId> Only;
+  for (const auto &[Id, Target] : Targets) {
+    if (Target.Record.Service != Service)
+      continue;
+    if (Only && *Only != Target.Record.Build)
+      return std::nullopt;
+    Only = Target.Record.Build;
+  }
+  return Only;
+}
+
 bool RoutedPlacement::isOffered(const RoutedTarget &Target,
                                 const ServiceId &Service, Timestamp Now) const {
   return Target.Record.Service == Service &&
--- a/Libraries/LibRouting/RoutedPlacement.h
+++ b/Libraries/LibRouting/RoutedPlacement.h
@@ -107,6 +107,10 @@
   /// shown since then that the target leaves or wants a pause.
   bool mayStillSend(const PlacedCall &Placed, Timestamp Now) const;
 
+  /// \returns the build of all known targets of \p Service, also of those that
+  /// leave; nothing if there are several or no target is known.
+  std::optional<BuildId> onlyBuild(const ServiceId &Service) const;
+
   /// \returns the number of routers that serve, this one included.
   size_t servingRouters() const { return Routers; }
 
--- a/Libraries/LibTraffic/ControlPort.h
+++ b/Libraries/LibTraffic/ControlPort.h
@@ -8,6 +8,7 @@
 #include "LibCore/Time.h"
 #include "LibRegistry/Outcomes.h"
 #include "LibRouting/RoutingView.h"
+#include "LibRouting/StreamBuilds.h"
 #include <functional>
 #include <string>
 #include <vector>
@@ -116,6 +117,13 @@
       Announce;
   /// Reports that an incarnation of a target said in an answer that it leaves.
   std::function<void(TargetId, Incarnation)> NoticeLeave;
+  /// Tells other routers which build began a stream.
+  std::function<void(routing::BegunStream)> TellStream;
+  /// Asks other routers which build began a stream. The callback gets nothing
+  /// if none of them knows, at the deadline at the latest.
+  std::function<void(routing::StreamKey, Timestamp Deadline,
+                     std::function<void(std::optional<BuildId>)>)>
+      AskStream;
   /// Renders the state of this process as one JSON text.
   std::function<void(std::function<void(std::string)>)> Dump;
   /// Begins the graceful shutdown of this host.
--- a/Libraries/LibTraffic/RoutedContext.cpp
+++ b/Libraries/LibTraffic/RoutedContext.cpp
@@ -47,6 +47,12 @@
   return Placement.mayStillSend(Placed, steadyNow());
 }
 
+std::optional<BuildId>
+SharedPlacement::onlyBuild(const ServiceId &Service) const {
+  std::lock_guard Lock(Mutex);
+  return Placement.onlyBuild(Service);
+}
+
 RetryShare &SharedPlacement::shareOf(const ServiceId &Service) {
   return Shares.try_emplace(Service, Bound).first->second;
 }
@@ -87,6 +93,16 @@
   return Placement.status(steadyNow());
 }
 
+void SharedStreamBuilds::note(const BegunStream &Stream) {
+  std::lock_guard Lock(Mutex);
+  Builds.note(Stream, steadyNow());
+}
+
+std::optional<BuildId> SharedStreamBuilds::find(StreamKey Key) const {
+  std::lock_guard Lock(Mutex);
+  return Builds.find(Key, steadyNow());
+}
+
 RoutedMetrics::RoutedMetrics(observe::Metrics &Metrics)
     : Answers(Metrics.counters({"ferry_routed_answers_total",
                                 "Answers to callers by route and status",
--- a/Libraries/LibTraffic/RoutedContext.h
+++ b/Libraries/LibTraffic/RoutedContext.h
@@ -7,6 +7,7 @@
 #include "LibObserve/Metrics.h"
 #include "LibRouting/RetryShare.h"
 #include "LibRouting/RoutedPlacement.h"
+#include "LibRouting/StreamBuilds.h"
 #include "LibTraffic/HttpExchange.h"
 #include "LibTraffic/RouteDialect.h"
 #include <atomic>
@@ -34,6 +35,7 @@
   bool noteLeaving(const routing::PlacedCall &Placed);
   bool notePause(const routing::PlacedCall &Placed, Timestamp Until);
   bool mayStillSend(const routing::PlacedCall &Placed) const;
+  std::optional<BuildId> onlyBuild(const ServiceId &Service) const;
 
   /// Counts a caller's request to \p Service, which raises its bound of
   /// retries.
@@ -77,8 +79,31 @@
   observe::Counter &TargetPauses;
 };
 
-/// Called once for each incarnation of a target that was seen to leave.
-using LeaveCallback = std::function<void(const TargetId &, Incarnation)>;
+/// The builds of the streams that this router knows, guarded by a mutex.
+class SharedStreamBuilds {
+public:
+  void note(const routing::BegunStream &Stream);
+  std::optional<BuildId> find(routing::StreamKey Key) const;
+
+private:
+  mutable std::mutex Mutex;
+  routing::StreamBuilds Builds;
+};
+
+/// What requests tell and ask the control plane. Each function is thread-safe
+/// and does not block; see ControlPort.
+struct RoutedHooks {
+  /// Called once for each incarnation of a target that was seen to leave.
+  std::function<void(TargetId, Incarnation)> LeaveNoticed = [](const TargetId &,
+                                                               Incarnation) {};
+  std::function<void(routing::BegunStream)> TellStream =
+      [](const routing::BegunStream &) {};
+  std::function<void(routing::StreamKey, Timestamp Deadline,
+                     std::function<void(std::optional<BuildId>)>)>
+      AskStream = [](routing::StreamKey, Timestamp, const auto &Done) {
+        Done(std::nullopt);
+      };
+};
 
 /// The state that all requests share. Outlives them.
 struct RoutedContext {
@@ -92,7 +117,8 @@
   RouteDialect Dialect;
   SharedPlacement Placements;
   RoutedMetrics Metrics;
-  LeaveCallback LeaveNoticed;
+  RoutedHooks Hooks;
+  SharedStreamBuilds Streams = {};
   BodyBudget LargeAnswers{MaxLargeAnswerBytes};
   /// Whether answers tell callers to close their connections.
   std::atomic<bool> Draining{false};
--- a/Libraries/LibTraffic/RoutedFront.cpp
+++ b/Libraries/LibTraffic/RoutedFront.cpp
@@ -10,22 +10,22 @@
 RoutedFront::RoutedFront(const config::Settings &Settings, RouteDialect Dialect,
                          observe::Metrics &Metrics,
                          routing::RoutedPlacement::Options Options,
-                         LeaveCallback LeaveNoticed)
+                         RoutedHooks Hooks)
     : Context{Settings,
               std::move(Dialect),
               {Options,
                {Settings.Routed.RetryRatio, Settings.Routed.RetrySlack,
                 std::chrono::milliseconds(Settings.Routed.RetryWindowMillis)}},
               RoutedMetrics(Metrics),
-              std::move(LeaveNoticed)} {}
+              std::move(Hooks)} {}
 
 Result<std::unique_ptr<RoutedFront>, TrafficError>
 RoutedFront::tryStart(const config::Settings &Settings, RouteDialect Dialect,
                       observe::Metrics &Metrics,
                       routing::RoutedPlacement::Options Options,
-                      LeaveCallback LeaveNoticed) {
+                      RoutedHooks Hooks) {
   std::unique_ptr<RoutedFront> Front(new RoutedFront(
-      Settings, std::move(Dialect), Metrics, Options, std::move(LeaveNoticed)));
+      Settings, std::move(Dialect), Metrics, Options, std::move(Hooks)));
   HttpListener::Options ListenerOptions;
   ListenerOptions.Address = Settings.CallerAddress;
   ListenerOptions.MaxConnections = Settings.Limits.MaxCallerConnections;
--- a/Libraries/LibTraffic/RoutedFront.h
+++ b/Libraries/LibTraffic/RoutedFront.h
@@ -14,10 +14,10 @@
 public:
   /// Binds the callers' address and starts to serve. Until the first routes
   /// arrive, requests are refused with a time to retry.
-  static Result<std::unique_ptr<RoutedFront>, TrafficError> tryStart(
-      const config::Settings &Settings, RouteDialect Dialect,
-      observe::Metrics &Metrics, routing::RoutedPlacement::Options Options,
-      LeaveCallback LeaveNoticed = [](const TargetId &, Incarnation) {});
+  static Result<std::unique_ptr<RoutedFront>, TrafficError>
+  tryStart(const config::Settings &Settings, RouteDialect Dialect,
+           observe::Metrics &Metrics, routing::RoutedPlacement::Options Options,
+           RoutedHooks Hooks = {});
   ~RoutedFront();
   RoutedFront(const RoutedFront &) = delete;
   RoutedFront &operator=(const RoutedFront &) = delete;
@@ -48,12 +48,12 @@
   void stop(Timestamp Deadline);
 
   SharedPlacement &placements() { return Context.Placements; }
+  SharedStreamBuilds &streams() { return Context.Streams; }
 
 private:
   RoutedFront(const config::Settings &Settings, RouteDialect Dialect,
               observe::Metrics &Metrics,
-              routing::RoutedPlacement::Options Options,
-              LeaveCallback LeaveNoticed);
+              routing::RoutedPlacement::Options Options, RoutedHooks Hooks);
 
   RoutedContext Context;
   std::unique_ptr<HttpListener> Listener;
--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -1,6 +1,7 @@
 #include "LibTraffic/RoutedRelay.h"
 #include "LibObserve/Log.h"
 #include "LibRouting/Rendezvous.h"
+#include "LibTraffic/AwaitReply.h"
 #include <Poco/String.h>
 
 namespace ferry::traffic {
@@ -21,6 +22,13 @@
 /// Smallest time before the deadline at which a request is still sent: in less,
 /// a target could hardly start on it.
 static constexpr Duration MinTimeForTarget = std::chrono::milliseconds(5);
+/// Longest wait for the routers that know which build began a stream. They are
+/// a few milliseconds away, and some may have ended with the stream.
+static constexpr Duration AskLimit = std::chrono::milliseconds(150);
+/// Time for the end of that wait to reach the request's thread.
+static constexpr Duration AskMargin = std::chrono::milliseconds(50);
+/// Time after a request's deadline for which its stream may be taken up.
+static constexpr Duration TakeUpMargin = std::chrono::seconds(5);
 static constexpr int FirstFailureStatus = 500;
 static constexpr std::string_view EventStreamType = "text/event-stream";
 
@@ -65,6 +73,8 @@
   if (!ReceivedBody)
     return refuse(ReceivedBody.error());
   Body = std::move(*ReceivedBody);
+  if (auto Refusal = findBuild())
+    return refuse(*Refusal);
   relay();
 }
 
@@ -114,6 +124,55 @@
   return std::nullopt;
 }
 
+std::optional<ErrorAnswer> RoutedRelay::findBuild() {
+  bool TakesUp = Caller.AfterEvent || !Caller.Resumes.empty();
+  if (Route->Answers != config::AnswerForm::Stream || !TakesUp)
+    return std::nullopt;
+  // The stream is late already, so its due time no longer applies.
+  Call.FirstByteDueAt = NeverExpires;
+  std::optional<BuildId> OnlyBuild = Context.Placements.onlyBuild(Call.Service);
+  if (OnlyBuild && OnlyBuild->empty())
+    return std::nullopt;
+  std::optional<BuildId> Build = askBuild();
+  // A caller that names no request cannot be told apart from one whose stream
+  // the only build began.
+  if (!Build && Caller.Resumes.empty())
+    Build = OnlyBuild;
+  if (!Build)
+    return ErrorAnswer{AnswerError::NoTarget,
+                       "the build that began the stream is not known",
+                       NotRun::True};
+  Call.Build = *Build;
+  return std::nullopt;
+}
+
+std::optional<BuildId> RoutedRelay::askBuild() {
+  if (Caller.Resumes.empty())
+    return std::nullopt;
+  StreamKey Key = keyOf(Caller.Resumes);
+  if (auto Known = Context.Streams.find(Key))
+    return Known;
+  Timestamp Deadline = std::min(Call.Deadline, steadyNow() + AskLimit);
+  auto Answer =
+      awaitReply<std::optional<BuildId>>(Deadline + AskMargin, [&](auto Done) {
+        Context.Hooks.AskStream(Key, Deadline, Done);
+      });
+  return Answer.value_or(std::nullopt);
+}
+
+StreamKey RoutedRelay::keyOf(const RequestId &Request) const {
+  return streamKey(Workspace ? Workspace->Id : WorkspaceId(), Request);
+}
+
+void RoutedRelay::tellBuild() {
+  const RequestId &First = Caller.Resumes.empty() ? Caller.Id : Caller.Resumes;
+  if (!Route->Resumable || Call.Build.empty() || First.empty())
+    return;
+  BegunStream Stream{keyOf(First), Call.Build, Call.Deadline + TakeUpMargin};
+  Context.Streams.note(Stream);
+  Context.Hooks.TellStream(std::move(Stream));
+}
+
 void RoutedRelay::relay() {
   Context.Placements.countRequest(Call.Service);
   while (true) {
@@ -234,7 +293,7 @@
                        {"incarnation", Destination.Incarnation},
                        {"source", "answer"}},
                       Caller.Id);
-    Context.LeaveNoticed(Destination.Target, Destination.Incarnation);
+    Context.Hooks.LeaveNoticed(Destination.Target, Destination.Incarnation);
   }
   if (!Details.Pause)
     return;
@@ -348,6 +407,7 @@
                               TargetExchange &Target) {
   StreamStarted = true;
   Call.Build = Destination.Build;
+  tellBuild();
   Context.Placements.firstByte(Destination.PlacementId);
   FirstByteAt = steadyNow();
   Context.Metrics.FirstByteSeconds.with({Route->Name})
--- a/Libraries/LibTraffic/RoutedRelay.h
+++ b/Libraries/LibTraffic/RoutedRelay.h
@@ -35,6 +35,13 @@
   /// \returns the refusal, or nothing if the request is valid.
   std::optional<ErrorAnswer> checkRequest();
   std::optional<ErrorAnswer> checkKey();
+  /// Finds the build that began the stream which the caller takes up.
+  /// \returns the refusal if it is not known.
+  std::optional<ErrorAnswer> findBuild();
+  std::optional<BuildId> askBuild();
+  /// Lets other routers know which build began this stream.
+  void tellBuild();
+  routing::StreamKey keyOf(const RequestId &Request) const;
   void relay();
   /// Sends the request to one target and relays its answer.
   NextStep attempt(const routing::PlacedCall &Destination);
--- a/Libraries/LibWire/Generated/Peer_types.cpp
+++ b/Libraries/LibWire/Generated/Peer_types.cpp
@@ -22,7 +22,8 @@
   PayloadKind::DescriptionFetch,
   PayloadKind::DescriptionCopy,
   PayloadKind::WorkDigest,
-  PayloadKind::EngineChanges
+  PayloadKind::EngineChanges,
+  PayloadKind::Streams
 };
 const char* _kPayloadKindNames[] = {
   "Consensus",
@@ -33,9 +34,10 @@
   "DescriptionFetch",
   "DescriptionCopy",
   "WorkDigest",
-  "EngineChanges"
+  "EngineChanges",
+  "Streams"
 };
-const std::map<int, const char*> _PayloadKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(9, _kPayloadKindValues, _kPayloadKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _PayloadKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(10, _kPayloadKindValues, _kPayloadKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const PayloadKind::type& val) {
   std::map<int, const char*>::const_iterator it = _PayloadKind_VALUES_TO_NAMES.find(val);
--- a/Libraries/LibWire/Generated/Peer_types.h
+++ b/Libraries/LibWire/Generated/Peer_types.h
@@ -31,7 +31,8 @@
     DescriptionFetch = 6,
     DescriptionCopy = 7,
     WorkDigest = 8,
-    EngineChanges = 9
+    EngineChanges = 9,
+    Streams = 10
   };
 };
 
--- a/Libraries/LibWire/Generated/Routing_types.cpp
+++ b/Libraries/LibWire/Generated/Routing_types.cpp
@@ -1062,4 +1062,548 @@
   out << ")";
 }
 
+
+StreamBuild::~StreamBuild() noexcept {
+}
+
+
+void StreamBuild::__set_Key(const int64_t val) {
+  this->Key = val;
+}
+
+void StreamBuild::__set_Build(const std::string& val) {
+  this->Build = val;
+}
+
+void StreamBuild::__set_LifetimeMillis(const int32_t val) {
+  this->LifetimeMillis = val;
+}
+std::ostream& operator<<(std::ostream& out, const StreamBuild& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StreamBuild::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Key);
+          this->__isset.Key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->Build);
+          this->__isset.Build = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->LifetimeMillis);
+          this->__isset.LifetimeMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StreamBuild::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StreamBuild");
+
+  xfer += oprot->writeFieldBegin("Key", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->Key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Build", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->Build);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("LifetimeMillis", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->LifetimeMillis);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StreamBuild &a, StreamBuild &b) {
+  using ::std::swap;
+  swap(a.Key, b.Key);
+  swap(a.Build, b.Build);
+  swap(a.LifetimeMillis, b.LifetimeMillis);
+  swap(a.__isset, b.__isset);
+}
+
+StreamBuild::StreamBuild(const StreamBuild& other49) {
+  Key = other49.Key;
+  Build = other49.Build;
+  LifetimeMillis = other49.LifetimeMillis;
+  __isset = other49.__isset;
+}
+StreamBuild::StreamBuild(StreamBuild&& other50) noexcept {
+  Key = other50.Key;
+  Build = std::move(other50.Build);
+  LifetimeMillis = other50.LifetimeMillis;
+  __isset = other50.__isset;
+}
+StreamBuild& StreamBuild::operator=(const StreamBuild& other51) {
+  Key = other51.Key;
+  Build = other51.Build;
+  LifetimeMillis = other51.LifetimeMillis;
+  __isset = other51.__isset;
+  return *this;
+}
+StreamBuild& StreamBuild::operator=(StreamBuild&& other52) noexcept {
+  Key = other52.Key;
+  Build = std::move(other52.Build);
+  LifetimeMillis = other52.LifetimeMillis;
+  __isset = other52.__isset;
+  return *this;
+}
+void StreamBuild::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StreamBuild(";
+  out << "Key=" << to_string(Key);
+  out << ", " << "Build=" << to_string(Build);
+  out << ", " << "LifetimeMillis=" << to_string(LifetimeMillis);
+  out << ")";
+}
+
+
+StreamQuestion::~StreamQuestion() noexcept {
+}
+
+
+void StreamQuestion::__set_Number(const int64_t val) {
+  this->Number = val;
+}
+
+void StreamQuestion::__set_Key(const int64_t val) {
+  this->Key = val;
+}
+std::ostream& operator<<(std::ostream& out, const StreamQuestion& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StreamQuestion::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Number);
+          this->__isset.Number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Key);
+          this->__isset.Key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StreamQuestion::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StreamQuestion");
+
+  xfer += oprot->writeFieldBegin("Number", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->Number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Key", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->Key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StreamQuestion &a, StreamQuestion &b) {
+  using ::std::swap;
+  swap(a.Number, b.Number);
+  swap(a.Key, b.Key);
+  swap(a.__isset, b.__isset);
+}
+
+StreamQuestion::StreamQuestion(const StreamQuestion& other53) noexcept {
+  Number = other53.Number;
+  Key = other53.Key;
+  __isset = other53.__isset;
+}
+StreamQuestion::StreamQuestion(StreamQuestion&& other54) noexcept {
+  Number = other54.Number;
+  Key = other54.Key;
+  __isset = other54.__isset;
+}
+StreamQuestion& StreamQuestion::operator=(const StreamQuestion& other55) noexcept {
+  Number = other55.Number;
+  Key = other55.Key;
+  __isset = other55.__isset;
+  return *this;
+}
+StreamQuestion& StreamQuestion::operator=(StreamQuestion&& other56) noexcept {
+  Number = other56.Number;
+  Key = other56.Key;
+  __isset = other56.__isset;
+  return *this;
+}
+void StreamQuestion::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StreamQuestion(";
+  out << "Number=" << to_string(Number);
+  out << ", " << "Key=" << to_string(Key);
+  out << ")";
+}
+
+
+StreamReply::~StreamReply() noexcept {
+}
+
+
+void StreamReply::__set_Number(const int64_t val) {
+  this->Number = val;
+}
+
+void StreamReply::__set_Build(const std::string& val) {
+  this->Build = val;
+__isset.Build = true;
+}
+std::ostream& operator<<(std::ostream& out, const StreamReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StreamReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Number);
+          this->__isset.Number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->Build);
+          this->__isset.Build = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StreamReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StreamReply");
+
+  xfer += oprot->writeFieldBegin("Number", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->Number);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.Build) {
+    xfer += oprot->writeFieldBegin("Build", ::apache::thrift::protocol::T_STRING, 2);
+    xfer += oprot->writeString(this->Build);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StreamReply &a, StreamReply &b) {
+  using ::std::swap;
+  swap(a.Number, b.Number);
+  swap(a.Build, b.Build);
+  swap(a.__isset, b.__isset);
+}
+
+StreamReply::StreamReply(const StreamReply& other57) {
+  Number = other57.Number;
+  Build = other57.Build;
+  __isset = other57.__isset;
+}
+StreamReply::StreamReply(StreamReply&& other58) noexcept {
+  Number = other58.Number;
+  Build = std::move(other58.Build);
+  __isset = other58.__isset;
+}
+StreamReply& StreamReply::operator=(const StreamReply& other59) {
+  Number = other59.Number;
+  Build = other59.Build;
+  __isset = other59.__isset;
+  return *this;
+}
+StreamReply& StreamReply::operator=(StreamReply&& other60) noexcept {
+  Number = other60.Number;
+  Build = std::move(other60.Build);
+  __isset = other60.__isset;
+  return *this;
+}
+void StreamReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StreamReply(";
+  out << "Number=" << to_string(Number);
+  out << ", " << "Build="; (__isset.Build ? (out << to_string(Build)) : (out << "<null>"));
+  out << ")";
+}
+
+
+StreamMessage::~StreamMessage() noexcept {
+}
+
+
+void StreamMessage::__set_Begun(const StreamBuild& val) {
+  this->Begun = val;
+__isset.Begun = true;
+}
+
+void StreamMessage::__set_Question(const StreamQuestion& val) {
+  this->Question = val;
+__isset.Question = true;
+}
+
+void StreamMessage::__set_Reply(const StreamReply& val) {
+  this->Reply = val;
+__isset.Reply = true;
+}
+std::ostream& operator<<(std::ostream& out, const StreamMessage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StreamMessage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->Begun.read(iprot);
+          this->__isset.Begun = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->Question.read(iprot);
+          this->__isset.Question = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->Reply.read(iprot);
+          this->__isset.Reply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StreamMessage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StreamMessage");
+
+  if (this->__isset.Begun) {
+    xfer += oprot->writeFieldBegin("Begun", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->Begun.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.Question) {
+    xfer += oprot->writeFieldBegin("Question", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->Question.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.Reply) {
+    xfer += oprot->writeFieldBegin("Reply", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->Reply.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StreamMessage &a, StreamMessage &b) {
+  using ::std::swap;
+  swap(a.Begun, b.Begun);
+  swap(a.Question, b.Question);
+  swap(a.Reply, b.Reply);
+  swap(a.__isset, b.__isset);
+}
+
+StreamMessage::StreamMessage(const StreamMessage& other61) {
+  Begun = other61.Begun;
+  Question = other61.Question;
+  Reply = other61.Reply;
+  __isset = other61.__isset;
+}
+StreamMessage::StreamMessage(StreamMessage&& other62) noexcept {
+  Begun = std::move(other62.Begun);
+  Question = std::move(other62.Question);
+  Reply = std::move(other62.Reply);
+  __isset = other62.__isset;
+}
+StreamMessage& StreamMessage::operator=(const StreamMessage& other63) {
+  Begun = other63.Begun;
+  Question = other63.Question;
+  Reply = other63.Reply;
+  __isset = other63.__isset;
+  return *this;
+}
+StreamMessage& StreamMessage::operator=(StreamMessage&& other64) noexcept {
+  Begun = std::move(other64.Begun);
+  Question = std::move(other64.Question);
+  Reply = std::move(other64.Reply);
+  __isset = other64.__isset;
+  return *this;
+}
+void StreamMessage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StreamMessage(";
+  out << "Begun="; (__isset.Begun ? (out << to_string(Begun)) : (out << "<null>"));
+  out << ", " << "Question="; (__isset.Question ? (out << to_string(Question)) : (out << "<null>"));
+  out << ", " << "Reply="; (__isset.Reply ? (out << to_string(Reply)) : (out << "<null>"));
+  out << ")";
+}
+
 }} // namespace
--- a/Libraries/LibWire/Generated/Routing_types.h
+++ b/Libraries/LibWire/Generated/Routing_types.h
@@ -47,6 +47,14 @@
 
 class EngineChanges;
 
+class StreamBuild;
+
+class StreamQuestion;
+
+class StreamReply;
+
+class StreamMessage;
+
 typedef struct _TargetWork__isset {
   _TargetWork__isset() : Target(false), LongPromptMillis(false), Running(false), ShortPromptMillis(false) {}
   bool Target :1;
@@ -422,6 +430,233 @@
 
 std::ostream& operator<<(std::ostream& out, const EngineChanges& obj);
 
+typedef struct _StreamBuild__isset {
+  _StreamBuild__isset() : Key(false), Build(false), LifetimeMillis(false) {}
+  bool Key :1;
+  bool Build :1;
+  bool LifetimeMillis :1;
+} _StreamBuild__isset;
+
+class StreamBuild : public virtual ::apache::thrift::TBase {
+ public:
+
+  StreamBuild(const StreamBuild&);
+  StreamBuild(StreamBuild&&) noexcept;
+  StreamBuild& operator=(const StreamBuild&);
+  StreamBuild& operator=(StreamBuild&&) noexcept;
+  StreamBuild() noexcept
+              : Key(0),
+                Build(),
+                LifetimeMillis(0) {
+  }
+
+  virtual ~StreamBuild() noexcept;
+  int64_t Key;
+  std::string Build;
+  int32_t LifetimeMillis;
+
+  _StreamBuild__isset __isset;
+
+  void __set_Key(const int64_t val);
+
+  void __set_Build(const std::string& val);
+
+  void __set_LifetimeMillis(const int32_t val);
+
+  bool operator == (const StreamBuild & rhs) const
+  {
+    if (!(Key == rhs.Key))
+      return false;
+    if (!(Build == rhs.Build))
+      return false;
+    if (!(LifetimeMillis == rhs.LifetimeMillis))
+      return false;
+    return true;
+  }
+  bool operator != (const StreamBuild &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StreamBuild & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StreamBuild &a, StreamBuild &b);
+
+std::ostream& operator<<(std::ostream& out, const StreamBuild& obj);
+
+typedef struct _StreamQuestion__isset {
+  _StreamQuestion__isset() : Number(false), Key(false) {}
+  bool Number :1;
+  bool Key :1;
+} _StreamQuestion__isset;
+
+class StreamQuestion : public virtual ::apache::thrift::TBase {
+ public:
+
+  StreamQuestion(const StreamQuestion&) noexcept;
+  StreamQuestion(StreamQuestion&&) noexcept;
+  StreamQuestion& operator=(const StreamQuestion&) noexcept;
+  StreamQuestion& operator=(StreamQuestion&&) noexcept;
+  StreamQuestion() noexcept
+                 : Number(0),
+                   Key(0) {
+  }
+
+  virtual ~StreamQuestion() noexcept;
+  int64_t Number;
+  int64_t Key;
+
+  _StreamQuestion__isset __isset;
+
+  void __set_Number(const int64_t val);
+
+  void __set_Key(const int64_t val);
+
+  bool operator == (const StreamQuestion & rhs) const
+  {
+    if (!(Number == rhs.Number))
+      return false;
+    if (!(Key == rhs.Key))
+      return false;
+    return true;
+  }
+  bool operator != (const StreamQuestion &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StreamQuestion & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StreamQuestion &a, StreamQuestion &b);
+
+std::ostream& operator<<(std::ostream& out, const StreamQuestion& obj);
+
+typedef struct _StreamReply__isset {
+  _StreamReply__isset() : Number(false), Build(false) {}
+  bool Number :1;
+  bool Build :1;
+} _StreamReply__isset;
+
+class StreamReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  StreamReply(const StreamReply&);
+  StreamReply(StreamReply&&) noexcept;
+  StreamReply& operator=(const StreamReply&);
+  StreamReply& operator=(StreamReply&&) noexcept;
+  StreamReply() noexcept
+              : Number(0),
+                Build() {
+  }
+
+  virtual ~StreamReply() noexcept;
+  int64_t Number;
+  std::string Build;
+
+  _StreamReply__isset __isset;
+
+  void __set_Number(const int64_t val);
+
+  void __set_Build(const std::string& val);
+
+  bool operator == (const StreamReply & rhs) const
+  {
+    if (!(Number == rhs.Number))
+      return false;
+    if (__isset.Build != rhs.__isset.Build)
+      return false;
+    else if (__isset.Build && !(Build == rhs.Build))
+      return false;
+    return true;
+  }
+  bool operator != (const StreamReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StreamReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StreamReply &a, StreamReply &b);
+
+std::ostream& operator<<(std::ostream& out, const StreamReply& obj);
+
+typedef struct _StreamMessage__isset {
+  _StreamMessage__isset() : Begun(false), Question(false), Reply(false) {}
+  bool Begun :1;
+  bool Question :1;
+  bool Reply :1;
+} _StreamMessage__isset;
+
+class StreamMessage : public virtual ::apache::thrift::TBase {
+ public:
+
+  StreamMessage(const StreamMessage&);
+  StreamMessage(StreamMessage&&) noexcept;
+  StreamMessage& operator=(const StreamMessage&);
+  StreamMessage& operator=(StreamMessage&&) noexcept;
+  StreamMessage() noexcept {
+  }
+
+  virtual ~StreamMessage() noexcept;
+  StreamBuild Begun;
+  StreamQuestion Question;
+  StreamReply Reply;
+
+  _StreamMessage__isset __isset;
+
+  void __set_Begun(const StreamBuild& val);
+
+  void __set_Question(const StreamQuestion& val);
+
+  void __set_Reply(const StreamReply& val);
+
+  bool operator == (const StreamMessage & rhs) const
+  {
+    if (__isset.Begun != rhs.__isset.Begun)
+      return false;
+    else if (__isset.Begun && !(Begun == rhs.Begun))
+      return false;
+    if (__isset.Question != rhs.__isset.Question)
+      return false;
+    else if (__isset.Question && !(Question == rhs.Question))
+      return false;
+    if (__isset.Reply != rhs.__isset.Reply)
+      return false;
+    else if (__isset.Reply && !(Reply == rhs.Reply))
+      return false;
+    return true;
+  }
+  bool operator != (const StreamMessage &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StreamMessage & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StreamMessage &a, StreamMessage &b);
+
+std::ostream& operator<<(std::ostream& out, const StreamMessage& obj);
+
 }} // namespace
 
 #endif
--- a/Libraries/LibWire/Idl/Peer.thrift
+++ b/Libraries/LibWire/Idl/Peer.thrift
@@ -11,7 +11,8 @@
   DescriptionFetch = 6,
   DescriptionCopy = 7,
   WorkDigest = 8,
-  EngineChanges = 9
+  EngineChanges = 9,
+  Streams = 10
 }
 
 // First frame of a connection, in both directions.
--- a/Libraries/LibWire/Idl/Routing.thrift
+++ b/Libraries/LibWire/Idl/Routing.thrift
@@ -59,3 +59,31 @@
   // The receiver passes the message on to the other routers of its group.
   3: bool PassOn = false
 }
+
+// A stream that a target of that build began.
+struct StreamBuild {
+  // Hash of the workspace and the request that brought the first event.
+  1: i64 Key
+  2: string Build
+  // Time for which the stream may be taken up.
+  3: i32 LifetimeMillis
+}
+
+// Asks for the build of a stream that a caller takes up.
+struct StreamQuestion {
+  1: i64 Number
+  2: i64 Key
+}
+
+struct StreamReply {
+  1: i64 Number
+  // Absent if the stream is unknown.
+  2: optional string Build
+}
+
+// Exactly one field is set.
+struct StreamMessage {
+  1: optional StreamBuild Begun
+  2: optional StreamQuestion Question
+  3: optional StreamReply Reply
+}
--- a/Services/ferryd/ControlPlane.cpp
+++ b/Services/ferryd/ControlPlane.cpp
@@ -113,6 +113,15 @@
   if (!Started)
     return makeError(Started.error());
   Link = std::move(*Started);
+  Streams = std::make_unique<StreamExchange>(
+      *Link, Loop,
+      StreamExchange::Hooks{[this] {
+                              std::vector<HostId> Routers;
+                              for (const auto &Router : liveRouters())
+                                Routers.push_back(Router.Id);
+                              return Routers;
+                            },
+                            Callbacks.NoteStream, Callbacks.FindStream});
   startGateway();
   if (Settings.Role == config::HostRole::Control) {
     auto Opened = tryOpenRegistry();
--- a/Services/ferryd/ControlPlane.h
+++ b/Services/ferryd/ControlPlane.h
@@ -20,6 +20,7 @@
 #include "ferryd/PlatformBindings.h"
 #include "ferryd/RegistryGateway.h"
 #include "ferryd/RegistryNode.h"
+#include "ferryd/StreamExchange.h"
 
 namespace ferry::daemon {
 
@@ -55,6 +56,12 @@
     std::function<void(const routing::EngineChange &)> EngineChanged;
     /// Called for the weights that were named for a model.
     std::function<void(const routing::NamedWeights &)> WeightsNamed;
+    /// Remembers a stream that another router has begun.
+    std::function<void(const routing::BegunStream &)> NoteStream =
+        [](const routing::BegunStream &) {};
+    /// \returns the build of a stream that this router remembers.
+    std::function<std::optional<BuildId>(routing::StreamKey)> FindStream =
+        [](routing::StreamKey) { return std::nullopt; };
     /// Set for the routed interface; the defaults serve the native one.
     PlatformBindings Platform;
   };
@@ -164,6 +171,7 @@
   HostStore Store;
   DescriptionHolder Holder;
   std::unique_ptr<HostLink> Link;
+  std::unique_ptr<StreamExchange> Streams;
   std::unique_ptr<RegistryNode> Node;
   std::unique_ptr<RegistryGateway> Gateway;
   std::unique_ptr<OrderDispatcher> Orders;
--- a/Services/ferryd/ControlPlaneMessages.cpp
+++ b/Services/ferryd/ControlPlaneMessages.cpp
@@ -48,6 +48,9 @@
   case PayloadKind::EngineChanges:
     return receiveAs<wire::EngineChanges>(
         Payload, [&](auto Changes) { receiveEngineChanges(Changes); });
+  case PayloadKind::Streams:
+    return receiveAs<wire::StreamMessage>(
+        Payload, [&](auto Message) { Streams->receive(From, Message); });
   }
   Link->countMalformed();
 }
--- a/Services/ferryd/ControlPlanePort.cpp
+++ b/Services/ferryd/ControlPlanePort.cpp
@@ -75,6 +75,15 @@
       stepMembership(membership::TargetLeaveNoticed{Target, Left});
     });
   };
+  Port.TellStream = [this](routing::BegunStream Stream) {
+    Loop.post([this, Stream = std::move(Stream)] { Streams->tell(Stream); });
+  };
+  Port.AskStream = [this](routing::StreamKey Key, Timestamp Deadline,
+                          auto Done) {
+    Loop.post([this, Key, Deadline, Done = std::move(Done)] {
+      Streams->ask(Key, Deadline, Done);
+    });
+  };
   Port.Announce = [this](TargetRecord Record, auto Done) {
     Loop.post([this, Record = std::move(Record), Done = std::move(Done)] {
       announce(Record, Done);
--- a/Services/ferryd/Daemon.cpp
+++ b/Services/ferryd/Daemon.cpp
@@ -66,6 +66,15 @@
     if (auto *Front = Routed ? Routed->front() : nullptr)
       Front->placements().engineChanged(Change);
   };
+  Callbacks.NoteStream = [this](const routing::BegunStream &Stream) {
+    if (auto *Front = Routed ? Routed->front() : nullptr)
+      Front->streams().note(Stream);
+  };
+  Callbacks.FindStream =
+      [this](routing::StreamKey Key) -> std::optional<BuildId> {
+    auto *Front = Routed ? Routed->front() : nullptr;
+    return Front ? Front->streams().find(Key) : std::nullopt;
+  };
   if (Settings.Interface == config::Interface::Routed)
     Callbacks.Platform = platformBindings(Settings.Host);
   auto Started = ControlPlane::tryStart(Settings, Loop, std::move(Callbacks));
--- a/Services/ferryd/RoutedServers.cpp
+++ b/Services/ferryd/RoutedServers.cpp
@@ -53,7 +53,8 @@
     Options.MaxRecordAge = maxAnnouncementAge(Settings.Routed);
     auto Started = traffic::RoutedFront::tryStart(
         Settings, platform::routeDialect(), Metrics, Options,
-        Control.port().NoticeLeave);
+        {Control.port().NoticeLeave, Control.port().TellStream,
+         Control.port().AskStream});
     if (!Started)
       return makeError(Started.error());
     Front = std::move(*Started);
--- a/Tests/Support/RoutedCluster.cpp
+++ b/Tests/Support/RoutedCluster.cpp
@@ -95,7 +95,10 @@
   std::string Routes =
       R"({"name":"many","host":"a.example","path_prefix":"/many/",)"
       R"("route_kind":"idempotent","timeout_ms":2000,"service":"app",)"
-      R"("max_attempts":2})";
+      R"("max_attempts":2},)"
+      R"({"name":"stream","host":"a.example","path_prefix":"/stream/",)"
+      R"("route_kind":"stream","timeout_ms":4000,"service":"lm",)"
+      R"("max_attempts":2,"resumable":true})";
   for (int Each = 1; Each <= Number; ++Each)
     Routes += R"(,{"name":"r)" + std::to_string(Each) +
               R"(","host":"a.example","path_prefix":"/)" +
@@ -154,8 +157,8 @@
              std::to_string(Details.Weights) + R"(,"adapters":[]}],)";
   return request(control(Host), "PUT", "/instances/" + Details.Id,
                  R"({"service":")" + Details.Service + R"(","addr":")" +
-                     Details.Address +
-                     R"(","zone":"dc-0","version":"v1","slots":4,"state":")" +
+                     Details.Address + R"(","zone":"dc-0","version":")" +
+                     Details.Build + R"(","slots":4,"state":")" +
                      Details.State + R"(","cold_left_ms":0,)" + Models +
                      R"("born":)" + std::to_string(Details.IncarnationMillis) +
                      R"(,"seq":)" + std::to_string(Details.Sequence) + "}",
--- a/Tests/Support/RoutedCluster.h
+++ b/Tests/Support/RoutedCluster.h
@@ -18,6 +18,7 @@
   std::string Address;
   int Sequence = 1;
   std::string State = "ready";
+  std::string Build = "v1";
   /// 0 for a plain service.
   int Weights = 0;
   /// The start of its incarnation, in milliseconds since the Unix epoch.
@@ -60,7 +61,8 @@
   std::string readiness(int Host) const { return address(Host) + ":8089"; }
 
   /// Sends routes of version \p Number: for each number up to it one whose
-  /// requests may run once, and "/many/", whose requests may run twice.
+  /// requests may run once, "/many/", whose requests may run twice, and
+  /// "/stream/", whose streams may be resumed.
   Answer putRoutes(int Host, int Number);
   /// Sends routes to control hosts 1 to 4 until one accepts them.
   /// \returns whether one did.
