--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -138,10 +138,12 @@
   // the only build began.
   if (!Build && Caller.Resumes.empty())
     Build = OnlyBuild;
-  if (!Build)
+  if (!Build) {
+    Context.Metrics.Unplaced.with({"build_unknown"}).add();
     return ErrorAnswer{AnswerError::NoTarget,
                        "the build that began the stream is not known",
                        NotRun::True};
+  }
   Call.Build = *Build;
   return std::nullopt;
 }
@@ -508,8 +510,12 @@
     return failRequest();
   Context.Metrics.Unplaced.with({std::string(enumName(Refusal.Reason))}).add();
   RefusedEstimate = Refusal.Estimate;
+  // A build that is gone does not come back for its streams.
+  std::optional<Timestamp> RetryAt = Refusal.RetryAt;
+  if (Refusal.Reason == CallRefusalReason::BuildGone)
+    RetryAt.reset();
   refuse({AnswerError::NoTarget, std::string(enumName(Refusal.Reason)),
-          NotRun::True, Refusal.RetryAt});
+          NotRun::True, RetryAt});
 }
 
 void RoutedRelay::failRequest() {
--- a/Tests/LibTraffic/TestStreamBuilds.cpp
+++ b/Tests/LibTraffic/TestStreamBuilds.cpp
@@ -115,6 +115,23 @@
   }
 }
 
+// The last target of a build leaves: its callers learn at once that their
+// streams cannot go on, and are not told to come back.
+BOOST_AUTO_TEST_CASE(a_stream_whose_build_is_gone_is_refused) {
+  std::atomic<bool> Breaks = false;
+  RoutedBed Bed;
+  Bed.add("lm", streaming("v1", Breaks), "v1");
+  BOOST_REQUIRE(Bed.sendRaw(request("r1", "")).Whole);
+  Bed.add("lm", streaming("v2", Breaks), "v2");
+  Bed.Records.front().Phase = TargetPhase::Leaving;
+  Bed.publishView();
+  CallerAnswer Answer = Bed.sendRaw(request("r2", resuming("r1")));
+  BOOST_TEST(Answer.Status == 503);
+  BOOST_TEST(!Answer.Head.has("Retry-After"));
+  BOOST_TEST(Answer.Body.find("build_gone") != std::string::npos);
+  BOOST_TEST(Bed.targetRequests() == 1U);
+}
+
 // A caller of another workspace must not learn or use a stream's build.
 BOOST_AUTO_TEST_CASE(a_stream_of_another_workspace_is_unknown) {
   std::atomic<bool> Breaks = false;
