LibRouting: Decide by a function of its own which build a stream may go on at

The decision stood inside the relay, between its I/O. It is buildToContinue() now, with its table of cases tested without sockets.

--- a/Libraries/LibRouting/StreamBuilds.cpp
+++ b/Libraries/LibRouting/StreamBuilds.cpp
@@ -10,6 +10,17 @@
                          Workspace.Value + Request.Value)};
 }
 
+std::optional<BuildId> buildToContinue(const std::optional<BuildId> &Known,
+                                       const std::optional<BuildId> &Announced,
+                                       bool NamesRequest) {
+  if (Known)
+    return Known;
+  // A caller that names no request cannot be told apart from one whose stream
+  // the only build began. One that names it is known where its build is.
+  bool MayAssumeOnlyBuild = Announced && (Announced->empty() || !NamesRequest);
+  return MayAssumeOnlyBuild ? Announced : std::nullopt;
+}
+
 void StreamBuilds::note(const BegunStream &Stream, Timestamp Now) {
   auto [Found, IsNew] = Streams.try_emplace(Stream.Key);
   if (!IsNew)
--- a/Libraries/LibRouting/StreamBuilds.h
+++ b/Libraries/LibRouting/StreamBuilds.h
@@ -27,6 +27,16 @@
   Timestamp ExpiresAt;
 };
 
+/// Which build may go on with a stream that a caller takes up.
+/// \param Known the build that began it, or nothing if no router knows.
+/// \param Announced the build of all targets of the service, empty if they
+/// announce none; nothing if there are several.
+/// \param NamesRequest whether the caller names the request that began it.
+/// \returns the build, empty if any may; nothing if the stream cannot go on.
+std::optional<BuildId> buildToContinue(const std::optional<BuildId> &Known,
+                                       const std::optional<BuildId> &Announced,
+                                       bool NamesRequest);
+
 /// The builds of begun streams that one router knows: of those it relays, and
 /// of those that other routers have told it. Owns no clock; callers serialise
 /// all calls.
--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -130,14 +130,9 @@
     return std::nullopt;
   // The stream is late already, so its due time no longer applies.
   Call.FirstByteDueAt = NeverExpires;
-  std::optional<BuildId> OnlyBuild = Context.Placements.onlyBuild(Call.Service);
-  if (OnlyBuild && OnlyBuild->empty())
-    return std::nullopt;
-  std::optional<BuildId> Build = askBuild();
-  // A caller that names no request cannot be told apart from one whose stream
-  // the only build began.
-  if (!Build && Caller.Resumes.empty())
-    Build = OnlyBuild;
+  std::optional<BuildId> Build =
+      buildToContinue(askBuild(), Context.Placements.onlyBuild(Call.Service),
+                      /*NamesRequest=*/!Caller.Resumes.empty());
   if (!Build) {
     Context.Metrics.Unplaced.with({"build_unknown"}).add();
     return ErrorAnswer{AnswerError::NoTarget,
--- a/Tests/LibRouting/TestStreamLookups.cpp
+++ b/Tests/LibRouting/TestStreamLookups.cpp
@@ -35,6 +35,22 @@
   BOOST_TEST(Keys.size() == 5U);
 }
 
+BOOST_AUTO_TEST_CASE(a_stream_of_unknown_build_goes_on_only_without_a_choice) {
+  const std::optional<BuildId> None;
+  const BuildId V1{"v1"};
+  const BuildId V2{"v2"};
+  const BuildId Unannounced;
+  for (bool NamesRequest : {false, true}) {
+    BOOST_TEST((buildToContinue(V1, V2, NamesRequest) == V1));
+    BOOST_TEST((buildToContinue(V1, None, NamesRequest) == V1));
+    BOOST_TEST((buildToContinue(None, None, NamesRequest) == None));
+    BOOST_TEST((buildToContinue(None, Unannounced, NamesRequest) ==
+                std::optional(Unannounced)));
+  }
+  BOOST_TEST((buildToContinue(None, V1, /*NamesRequest=*/false) == V1));
+  BOOST_TEST((buildToContinue(None, V1, /*NamesRequest=*/true) == None));
+}
+
 BOOST_AUTO_TEST_CASE(a_stream_is_known_until_it_expires) {
   StreamBuilds Builds;
   Builds.note({{7}, {"v1"}, Start + 5s}, Start);
--- a/Tests/LibTraffic/TestStreamBuilds.cpp
+++ b/Tests/LibTraffic/TestStreamBuilds.cpp
@@ -1,12 +1,9 @@
 // A stream may go on only at the build of the target's software that began it,
 // within one answer and over a caller's tries.
 #include "LibTraffic/RoutedBed.h"
-#include <boost/test/data/monomorphic.hpp>
-#include <boost/test/data/test_case.hpp>
 
 using namespace ferry;
 using namespace ferry::traffic;
-namespace data = boost::unit_test::data;
 
 /// Events of a whole stream.
 static constexpr int LastEventId = 4;
