LibTraffic: Log the shared parts of prompts and how far broken answers had come

'placed' lists all parts but the last, 'attempt_failed' has the progress of the answer, and ferry_broken_answers_total counts by it. No decision changes.

--- a/Libraries/LibRouting/RoutedCall.h
+++ b/Libraries/LibRouting/RoutedCall.h
@@ -173,10 +173,28 @@
   Abandoned
 };
 
+/// How far a target had come with an answer when it broke it off.
+enum class AnswerProgress : uint8_t {
+  /// No head had come: the request may still have waited.
+  Waiting,
+  /// The head had come, and the first event a moment ago at most.
+  Begun,
+  /// Events had come for a while.
+  Streaming
+};
+
 } // namespace ferry::routing
 
 namespace ferry {
 
+template <> struct EnumNames<routing::AnswerProgress> {
+  using Progress = routing::AnswerProgress;
+  static constexpr EnumName<Progress> Table[] = {
+      {Progress::Waiting, "waiting"},
+      {Progress::Begun, "begun"},
+      {Progress::Streaming, "streaming"}};
+};
+
 template <> struct EnumNames<routing::CallRefusalReason> {
   using Reason = routing::CallRefusalReason;
   static constexpr EnumName<Reason> Table[] = {
--- a/Libraries/LibTraffic/RoutedContext.cpp
+++ b/Libraries/LibTraffic/RoutedContext.cpp
@@ -127,6 +127,11 @@
                             "Streams that targets ended inside an event, by "
                             "framing",
                             {"framing"}})),
+      BrokenAnswers(
+          Metrics.counters({"ferry_broken_answers_total",
+                            "Answers that targets broke off, by how far they "
+                            "had come",
+                            {"progress"}})),
       CallersLeft(Metrics.counter("ferry_callers_left_total",
                                   "Callers that left before their answer")),
       TargetsLeaving(
--- a/Libraries/LibTraffic/RoutedContext.h
+++ b/Libraries/LibTraffic/RoutedContext.h
@@ -74,6 +74,7 @@
   observe::Counter &Retries;
   observe::Counter &StreamsCut;
   observe::Family<observe::Counter> &EndsInsideEvent;
+  observe::Family<observe::Counter> &BrokenAnswers;
   observe::Counter &CallersLeft;
   observe::Counter &TargetsLeaving;
   observe::Counter &TargetPauses;
--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -3,6 +3,8 @@
 #include "LibRouting/Rendezvous.h"
 #include "LibTraffic/AwaitReply.h"
 #include <Poco/String.h>
+#include <array>
+#include <charconv>
 
 namespace ferry::traffic {
 
@@ -29,6 +31,9 @@
 static constexpr Duration AskMargin = std::chrono::milliseconds(50);
 /// Time after a request's deadline for which its stream may be taken up.
 static constexpr Duration TakeUpMargin = std::chrono::seconds(5);
+/// An answer counts as just begun for this long after its first event: a few
+/// steps of an engine.
+static constexpr Duration BegunSpan = std::chrono::milliseconds(100);
 static constexpr int FirstFailureStatus = 500;
 static constexpr std::string_view EventStreamType = "text/event-stream";
 
@@ -41,6 +46,22 @@
   return std::to_string(Millis / MillisInSecond) + "." + Fraction.substr(1);
 }
 
+/// \returns the ids of the parts that other requests may share, as the caller
+/// writes them; the last part belongs to the request.
+static std::string sharedPartsText(const std::vector<PromptPart> &Parts) {
+  static constexpr size_t MaxListed = 16;
+  static constexpr size_t MaxDigits = 16;
+  std::string Text;
+  for (size_t Index = 0; Index + 1 < Parts.size() && Index < MaxListed;
+       ++Index) {
+    std::array<char, MaxDigits> Digits;
+    auto End = std::to_chars(Digits.data(), Digits.data() + Digits.size(),
+                             Parts[Index].Id, /*base=*/16);
+    Text.append(Text.empty() ? "" : ",").append(Digits.data(), End.ptr);
+  }
+  return Text;
+}
+
 /// Whether callers conclude from \p Status that the request has not run.
 static bool meansNotRun(int Status) {
   return Status == 408 || Status == 421 || Status == 429 || Status == 503;
@@ -227,6 +248,7 @@
 
 RoutedRelay::NextStep RoutedRelay::attempt(const PlacedCall &Destination) {
   Framing.reset();
+  FirstEventAt.reset();
   UnfinishedBytes = 0;
   auto Connected = TargetExchange::tryConnect(Destination.Address, limits());
   if (!Connected)
@@ -352,6 +374,8 @@
                                  {LinkErrorKind::TooLarge, "event"});
     if (Ready.empty())
       continue;
+    if (!FirstEventAt)
+      FirstEventAt = steadyNow();
     if (!StreamStarted)
       beginStream(Destination, Target);
     else
@@ -445,9 +469,14 @@
                      {"reason", Failure.message()},
                      {"may_have_run", Sent},
                      {"framing", framingName()},
+                     {"progress", answerProgress()},
                      {"unfinished_bytes", UnfinishedBytes},
                      {"attempt", Attempts}},
                     Caller.Id);
+  if (Sent && !CallerLeft && !PastDeadline)
+    Context.Metrics.BrokenAnswers
+        .with({std::string(enumName(answerProgress()))})
+        .add();
   if (CallerLeft) {
     endAttempt(Destination, CallEnd::Abandoned, NextStep::Done);
     Context.Metrics.CallersLeft.add();
@@ -460,6 +489,13 @@
                     Sent ? NextStep::RetryRun : NextStep::RetryUnsent);
 }
 
+AnswerProgress RoutedRelay::answerProgress() const {
+  if (!Framing)
+    return AnswerProgress::Waiting;
+  bool Long = FirstEventAt && steadyNow() >= *FirstEventAt + BegunSpan;
+  return Long ? AnswerProgress::Streaming : AnswerProgress::Begun;
+}
+
 std::string_view RoutedRelay::framingName() const {
   return Framing ? enumName(*Framing) : "none";
 }
@@ -548,24 +584,23 @@
   std::optional<int64_t> AfterEvent;
   if (auto Resumed = StreamStarted ? LastEvent : Caller.AfterEvent)
     AfterEvent = static_cast<int64_t>(*Resumed);
-  observe::logEvent(
-      Severity::Info, "routed", "placed",
-      {{"target", Destination.Target},
-       {"service", Call.Service},
-       {"number", View->Number},
-       {"weights", Destination.Weights},
-       {"build", Destination.Build},
-       {"after_event", AfterEvent},
-       {"resumes", Caller.Resumes},
-       {"leading_part", Call.Parts.empty() ? 0 : Call.Parts[0].Id},
-       {"prompt_tokens", Call.PromptTokens},
-       {"cached_tokens", Destination.CachedTokens},
-       {"fetch_from", Destination.FetchFrom},
-       {"estimate_ms", Destination.Estimate.count() / 1000},
-       {"deadline_ms", millisUntil(Call.Deadline, Now)},
-       {"weights_deadline_ms", WeightsDeadlineMillis},
-       {"attempt", Attempts}},
-      Caller.Id);
+  observe::logEvent(Severity::Info, "routed", "placed",
+                    {{"target", Destination.Target},
+                     {"service", Call.Service},
+                     {"number", View->Number},
+                     {"weights", Destination.Weights},
+                     {"build", Destination.Build},
+                     {"after_event", AfterEvent},
+                     {"resumes", Caller.Resumes},
+                     {"shared_parts", sharedPartsText(Call.Parts)},
+                     {"prompt_tokens", Call.PromptTokens},
+                     {"cached_tokens", Destination.CachedTokens},
+                     {"fetch_from", Destination.FetchFrom},
+                     {"estimate_ms", Destination.Estimate.count() / 1000},
+                     {"deadline_ms", millisUntil(Call.Deadline, Now)},
+                     {"weights_deadline_ms", WeightsDeadlineMillis},
+                     {"attempt", Attempts}},
+                    Caller.Id);
 }
 
 void RoutedRelay::logEnd(std::string_view Event, int Status) {
--- a/Libraries/LibTraffic/RoutedRelay.h
+++ b/Libraries/LibTraffic/RoutedRelay.h
@@ -84,6 +84,8 @@
   void logEnd(std::string_view Event, int Status);
   /// \returns the framing of the newest answer for log lines.
   std::string_view framingName() const;
+  /// \returns how far the target has come with the newest answer.
+  routing::AnswerProgress answerProgress() const;
   WaitLimits limits() const;
   TargetDetails detailsFor(const routing::PlacedCall &Destination) const;
 
@@ -109,6 +111,8 @@
   BudgetShare LargeAnswer;
   /// How the newest answer of a target was framed, once its head has come.
   std::optional<FramingKind> Framing;
+  /// When the first event of the newest answer came; nothing before that.
+  std::optional<Timestamp> FirstEventAt;
   /// Bytes that the newest stream of a target sent after its last whole event.
   uint64_t UnfinishedBytes = 0;
   /// The answer of a target that failed, relayed if no other target serves the
