--- /dev/null
+++ b/Tests/Support/CrashingEngine.h
@@ -0,0 +1,55 @@
+/// \file
+/// Engines that end when they begin an answer on a certain part of a prompt.
+#ifndef FERRY_TESTS_SUPPORT_CRASHINGENGINE_H
+#define FERRY_TESTS_SUPPORT_CRASHINGENGINE_H
+
+#include "Fakes/FakeScriptedTarget.h"
+#include "LibCore/Time.h"
+#include "Support/RoutedCluster.h"
+
+namespace ferry::test {
+
+/// Engines that announce themselves to the control hosts of a cluster. An
+/// engine that begins an answer on the crashing part ends: all its connections
+/// are reset, new ones too, until it is back under another id a second later.
+class EngineFleet {
+public:
+  EngineFleet(RoutedCluster &Cluster, int Count, std::string CrashingPart);
+  ~EngineFleet();
+
+  /// \returns when engines ended, in order.
+  std::vector<Timestamp> crashes() const;
+  /// \returns the number of requests with the crashing part that reached
+  /// engines from \p From on.
+  size_t arrivalsAfter(Timestamp From) const;
+
+private:
+  struct Engine {
+    int Number = 0;
+    int Life = 0;
+    Timestamp DownUntil;
+    std::unique_ptr<fakes::FakeScriptedTarget> Server;
+  };
+
+  static std::string idOf(const Engine &Subject);
+  bool hasCrashingPart(const fakes::ReceivedRequest &Read) const;
+  void serve(Engine &Serving, const fakes::ReceivedRequest &Read,
+             fakes::ScriptedConnection &Link);
+  void crash(Engine &Crashing);
+  /// \returns whether the engine has ended since it was in \p Life.
+  bool hasEnded(const Engine &Subject, int Life) const;
+  void announceUntilStopped();
+
+  RoutedCluster &Cluster;
+  const std::string CrashingPart;
+  mutable std::mutex Mutex;
+  std::vector<Timestamp> Crashes;
+  std::vector<Timestamp> Arrivals;
+  std::atomic<bool> Stopping = false;
+  std::vector<std::unique_ptr<Engine>> Engines;
+  std::thread Announcer;
+};
+
+} // namespace ferry::test
+
+#endif
