--- /dev/null
+++ b/Libraries/LibRouting/BeliefSpread.h
@@ -0,0 +1,72 @@
+/// \file
+/// Which routers hear what one of them has learnt of targets and prompts.
+#ifndef FERRY_LIBROUTING_BELIEFSPREAD_H
+#define FERRY_LIBROUTING_BELIEFSPREAD_H
+
+#include "LibCore/Ids.h"
+#include "LibCore/Random.h"
+#include "LibCore/Time.h"
+#include <vector>
+
+namespace ferry::routing {
+
+/// The spread of rare news among routers, as one of them sees it. Owns no
+/// clock, thread or socket; callers serialise all calls.
+///
+/// Answers the load of a few targets that fail or are in need at a time, in
+/// fleets of any size. Of up to MaxDirectRouters, the one that has news tells
+/// all others. Of more, it tells NewsFanout others, chosen at random, and each
+/// that learns something new does the same, so that a router sends a number of
+/// messages that does not grow with the fleet. Those that were missed hear it
+/// with the summaries that routers send to others while news are fresh, and at
+/// longer intervals as long as there is something to tell. A router that has
+/// started asks until one has answered.
+class BeliefSpread {
+public:
+  static constexpr size_t MaxDirectRouters = 16;
+  static constexpr size_t NewsFanout = 5;
+  /// Time for which news wait for others, so that they leave together.
+  static constexpr Duration NewsDelay = std::chrono::milliseconds(20);
+  /// Longest time between two calls of tick().
+  static constexpr Duration TickInterval = std::chrono::milliseconds(500);
+  /// News are fresh for this long.
+  static constexpr Duration FreshSpan = std::chrono::seconds(5);
+  static constexpr size_t FreshFanout = 2;
+  static constexpr Duration SummaryInterval = std::chrono::seconds(10);
+  static constexpr size_t AskFanout = 3;
+
+  explicit BeliefSpread(uint64_t Seed) : Random(Seed) {}
+
+  /// Whether a router that learns something tells others, because its sender
+  /// does not reach all.
+  static bool passesOn(size_t OtherRouters) {
+    return OtherRouters >= MaxDirectRouters;
+  }
+
+  /// \returns whom to tell of news.
+  std::vector<HostId> receiversOfNews(std::vector<HostId> Others,
+                                      Timestamp Now);
+
+  /// What is due at a tick.
+  struct Due {
+    std::vector<HostId> Summary;
+    std::vector<HostId> Question;
+  };
+  /// \param HasBeliefs whether there is something to tell.
+  Due tick(std::vector<HostId> Others, bool HasBeliefs, Timestamp Now);
+
+  /// Notes that another router has answered the question of this one.
+  void noteAnswer() { Answered = true; }
+
+private:
+  std::vector<HostId> choose(std::vector<HostId> Others, size_t Count);
+
+  RandomGenerator Random;
+  bool Answered = false;
+  Timestamp FreshUntil;
+  Timestamp SummaryAt;
+};
+
+} // namespace ferry::routing
+
+#endif
--- /dev/null
+++ b/Libraries/LibRouting/CrashEvidence.h
@@ -0,0 +1,160 @@
+/// \file
+/// Which parts of prompts may have crashed targets.
+#ifndef FERRY_LIBROUTING_CRASHEVIDENCE_H
+#define FERRY_LIBROUTING_CRASHEVIDENCE_H
+
+#include "LibRouting/RoutedCall.h"
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace ferry::routing {
+
+/// Ids of parts of a prompt, sorted.
+using PartSet = std::vector<uint64_t>;
+
+/// \returns the parts that other requests may share: all but the last, and not
+/// more than CrashEvidence::MaxParts.
+PartSet sharedParts(const std::vector<PromptPart> &Parts);
+
+bool includesAll(const PartSet &Whole, const PartSet &Subset);
+
+/// \returns the ids for log lines: hexadecimal, with commas, the first of many.
+std::string partsText(const PartSet &Parts);
+
+/// Hash of an incarnation of a target that ended.
+using CrashId = NumberId<struct CrashTag>;
+
+CrashId crashIdOf(const TargetId &Target, Incarnation Ended);
+
+/// A request whose answer was broken off when a target ended.
+struct CrashSuspect {
+  PartSet Parts;
+  /// Waiting or Begun.
+  AnswerProgress Progress = AnswerProgress::Waiting;
+  auto operator<=>(const CrashSuspect &) const = default;
+};
+
+/// The end of one incarnation of a target, as all routers together saw it. The
+/// fields only ever grow, so that reports can be merged in any order.
+struct CrashReport {
+  /// What speaks for a part.
+  struct Defence {
+    /// An answer to a prompt with the part had been served not long before.
+    bool ServedBefore = false;
+    /// One was served afterwards.
+    bool ServedAfter = false;
+  };
+
+  CrashId Id;
+  Timestamp SeenAt;
+  std::vector<CrashSuspect> Suspects;
+  /// For each part of the suspects.
+  std::map<uint64_t, Defence> Defences;
+};
+
+/// Collects crashes and judges which part of a prompt is in all of them. Owns
+/// no clock; callers serialise all calls.
+///
+/// Answers the load of a part that crashes each target which begins an answer
+/// on it, among sound requests that share the caller, the route and all other
+/// parts, and that run at the same targets when these end. Requests whose
+/// answer had just begun are suspects; those that waited are only where no
+/// answer had. A part is guilty if it is in MinCrashes crashes at different
+/// times and nothing speaks for it. If others are in all of these crashes too,
+/// they are guilty together: requests with all of them are refused, those with
+/// some are not, and the next crash tells them apart.
+class CrashEvidence {
+public:
+  static constexpr size_t MaxCrashes = 64;
+  static constexpr size_t MaxSuspects = 8;
+  static constexpr size_t MaxParts = 32;
+  /// Number of parts in each of the two generations of served ones.
+  static constexpr size_t MaxServedParts = 2048;
+  /// How long crashes and served parts are remembered: a part that is rarely
+  /// asked for crashes targets rarely.
+  static constexpr Duration Lifetime = std::chrono::hours(1);
+  /// Crashes within this time may have a common cause outside of the prompts,
+  /// such as a lost rack, and count once.
+  static constexpr Duration Separation = std::chrono::milliseconds(100);
+  /// Crashes that show the guilt of a part which had never been served, and of
+  /// one that had or whose requests only waited.
+  static constexpr size_t MinCrashes = 3;
+  static constexpr size_t MinCrashesOfServed = 5;
+  /// Time for what speaks for a part to arrive from other routers.
+  static constexpr Duration Hearing = std::chrono::milliseconds(300);
+  static constexpr Duration HearingOfServed = std::chrono::milliseconds(1500);
+
+  /// Adds a request that was broken off when the target ended.
+  /// \returns whether this is new.
+  bool noteSuspect(CrashId Ended, const CrashSuspect &Suspect, Timestamp Now);
+
+  /// Notes a whole answer to a prompt with \p Parts.
+  /// \returns the crashes for which this speaks for a part.
+  std::vector<CrashId> noteServed(const PartSet &Parts, Timestamp Now);
+
+  /// Adds what another router reports. \returns whether this changes anything.
+  bool merge(const CrashReport &Report, Timestamp Now);
+
+  /// \returns the guilty parts of the crashes that those in \p Quarantined do
+  /// not explain, or nothing. If there are several, those that were never
+  /// served come first, then the largest set.
+  std::optional<PartSet> judge(const std::vector<PartSet> &Quarantined,
+                               Timestamp Now) const;
+
+  /// Whether a request with \p Parts that was broken off may be sent again: the
+  /// first crash under a part says little, the next ones much.
+  bool mayRepeat(const PartSet &Parts, Timestamp Now) const;
+
+  const CrashReport *find(CrashId Ended) const;
+  /// \returns the crashes that are not too old.
+  std::vector<CrashReport> reports(Timestamp Now) const;
+  bool empty() const { return Crashes.empty(); }
+
+private:
+  struct Crash {
+    CrashReport Report;
+    /// When this router learnt of it.
+    Timestamp LearntAt;
+  };
+
+  /// How many crashes a part is in, and with which others.
+  struct Charge {
+    PartSet Common;
+    std::vector<Timestamp> LearntBegun;
+    std::vector<Timestamp> LearntAll;
+    bool Served = false;
+    bool Unexplained = false;
+  };
+
+  /// Parts that a crash is put down to.
+  struct Guilt {
+    PartSet Parts;
+    /// Parts that were never served are guilty rather than others.
+    bool NeverServed = false;
+  };
+
+  Crash *touch(CrashId Ended, Timestamp SeenAt, Timestamp Now);
+  bool addSuspect(Crash &Ended, const CrashSuspect &Suspect, Timestamp Now);
+  bool wasServed(uint64_t Part, Timestamp Now) const;
+  /// \returns the crashes that are not too old, oldest first.
+  std::vector<const Crash *> recentCrashes(Timestamp Now) const;
+  Charge chargeOf(uint64_t Part, const std::vector<const Crash *> &Recent,
+                  const std::vector<PartSet> &Quarantined) const;
+  std::optional<Guilt> guiltOf(uint64_t Part,
+                               const std::vector<const Crash *> &Recent,
+                               const std::vector<PartSet> &Quarantined,
+                               Timestamp Now) const;
+
+  std::map<CrashId, Crash> Crashes;
+  /// When parts were last served; the older generation is dropped once the
+  /// newer one is full.
+  std::unordered_map<uint64_t, Timestamp> ServedAt;
+  std::unordered_map<uint64_t, Timestamp> OlderServedAt;
+};
+
+} // namespace ferry::routing
+
+#endif
--- /dev/null
+++ b/Libraries/LibRouting/PartQuarantine.h
@@ -0,0 +1,152 @@
+/// \file
+/// Parts of prompts that crash targets and are kept away from them.
+#ifndef FERRY_LIBROUTING_PARTQUARANTINE_H
+#define FERRY_LIBROUTING_PARTQUARANTINE_H
+
+#include "LibRouting/CrashEvidence.h"
+#include <set>
+
+namespace ferry::routing {
+
+/// Parts of which one crashes targets. Requests with all of them are refused.
+struct QuarantinedParts {
+  PartSet Parts;
+  /// Counts how often these parts were quarantined again after an end.
+  uint32_t Epoch = 1;
+  bool Ended = false;
+  /// Requests that were sent nevertheless, to find out whether the parts are
+  /// sound by now.
+  uint32_t Trials = 0;
+  /// When the next trial may begin.
+  Timestamp TrialFrom;
+  /// When a request with the parts last came to any router.
+  Timestamp WantedAt;
+};
+
+/// What routers tell each other about crashes.
+struct CrashNews {
+  std::vector<CrashReport> Crashes;
+  std::vector<QuarantinedParts> Quarantined;
+  bool empty() const { return Crashes.empty() && Quarantined.empty(); }
+};
+
+/// Whether a request may be sent to targets.
+enum class PartAdmission : uint8_t {
+  Admitted,
+  /// Parts of it are quarantined, and a trial of them is due at this router.
+  Trial,
+  Refused
+};
+
+/// A change of what a router believes of parts, for its log.
+struct QuarantineChange {
+  enum class Kind : uint8_t { Begun, Told, Trial, Ended };
+  Kind What = Kind::Begun;
+  PartSet Parts;
+  uint32_t Trials = 0;
+};
+
+/// The quarantine as one router sees it. Owns no clock, thread or socket;
+/// callers serialise all calls.
+///
+/// Each router judges by the crashes that all of them saw and tells the others
+/// of its verdict. A verdict holds while requests with the parts come. A wrong
+/// one ends with the first whole answer to such a request, at whichever router:
+/// of a request that was under way already, or of one of MaxTrials trials. The
+/// first router of the parts by rendezvous hashing sends these, so that the
+/// number does not grow with the routers.
+class PartQuarantine {
+public:
+  /// Number of quarantined sets; the one that was not wanted for longest is
+  /// dropped first.
+  static constexpr size_t MaxSets = 64;
+  static constexpr uint32_t MaxTrials = 2;
+  /// Time from the verdict to the first trial, and from one to the next.
+  static constexpr Duration FirstTrialPause = std::chrono::seconds(30);
+  static constexpr Duration NextTrialPause = std::chrono::minutes(10);
+  /// A verdict ends if no request wanted the parts for this long.
+  static constexpr Duration IdleLimit = std::chrono::minutes(30);
+  /// Shortest time between two judgements.
+  static constexpr Duration JudgeInterval = std::chrono::milliseconds(50);
+
+  /// Sets the routers that serve, this one included.
+  void setRouters(const HostId &Self, const std::vector<HostId> &Serving);
+
+  /// Asked for each request before it is placed, and again before it is sent.
+  PartAdmission check(const PartSet &Parts, Timestamp Now);
+  /// Counts a trial of the parts, which is about to be sent.
+  void beginTrial(const PartSet &Parts, Timestamp Now);
+
+  /// Notes that a request was broken off by its target.
+  void noteBroken(const TargetId &Target, Incarnation Ended,
+                  const CrashSuspect &Suspect, Timestamp Now);
+  /// Notes a whole answer to a prompt with \p Parts.
+  void noteServed(const PartSet &Parts, Timestamp Now);
+  /// Whether a request that was broken off may be sent to another target.
+  bool mayRepeat(const PartSet &Parts, Timestamp Now) const;
+
+  /// Applies what another router tells. \param PassOn whether changes are news
+  /// for further routers.
+  void apply(const CrashNews &News, bool PassOn, Timestamp Now);
+  bool hasNews() const {
+    return !ChangedCrashes.empty() || !ChangedSets.empty();
+  }
+  /// \returns what has changed since the last call.
+  CrashNews takeNews(Timestamp Now);
+  /// \returns all that this router knows.
+  CrashNews everything(Timestamp Now);
+  /// \returns the changes since the last call.
+  std::vector<QuarantineChange> takeChanges();
+
+  /// \returns the number of sets that are quarantined.
+  size_t quarantinedSets() const;
+
+private:
+  using Sets = std::map<PartSet, QuarantinedParts>;
+
+  void judgeSoon(Timestamp Now);
+  void judge(Timestamp Now);
+  void quarantine(const PartSet &Parts, Timestamp Now);
+  void end(QuarantinedParts &Set);
+  bool merge(const QuarantinedParts &Told, Timestamp Now);
+  void expire(Timestamp Now);
+  std::vector<PartSet> setsInForce() const;
+  bool isTrialRouter(const PartSet &Parts) const;
+  void recordChange(QuarantineChange::Kind What, const QuarantinedParts &Set);
+
+  CrashEvidence Evidence;
+  Sets Quarantined;
+  /// When the evidence is judged next, and until when it is: what has not
+  /// changed for the time of a hearing leads to no other verdict.
+  Timestamp JudgeAt = NeverExpires;
+  Timestamp JudgeUntil;
+  uint64_t SelfHash = 0;
+  std::vector<uint64_t> OtherHashes;
+  std::set<CrashId> ChangedCrashes;
+  std::set<PartSet> ChangedSets;
+  std::vector<QuarantineChange> Changes;
+};
+
+} // namespace ferry::routing
+
+namespace ferry {
+
+template <> struct EnumNames<routing::PartAdmission> {
+  using Admission = routing::PartAdmission;
+  static constexpr EnumName<Admission> Table[] = {
+      {Admission::Admitted, "admitted"},
+      {Admission::Trial, "trial"},
+      {Admission::Refused, "refused"}};
+};
+
+template <> struct EnumNames<routing::QuarantineChange::Kind> {
+  using Kind = routing::QuarantineChange::Kind;
+  static constexpr EnumName<Kind> Table[] = {{Kind::Begun, "begun"},
+                                             {Kind::Told, "told"},
+                                             {Kind::Trial, "trial"},
+                                             {Kind::Ended, "ended"}};
+};
+
+} // namespace ferry
+
+#endif
--- a/Libraries/LibRouting/RoutedCall.h
+++ b/Libraries/LibRouting/RoutedCall.h
@@ -81,7 +81,9 @@
   /// No target can begin before the deadline.
   DeadlineTooNear,
   /// The request would wait too long for its first byte.
-  Full
+  Full,
+  /// The prompt has parts that crash targets.
+  PartsQuarantined
 };
 
 /// The refusal of a request, and when a target is expected to be free.
@@ -202,7 +204,8 @@
       {Reason::BuildGone, "build_gone"},
       {Reason::NoneUsable, "none_usable"},
       {Reason::DeadlineTooNear, "deadline_too_near"},
-      {Reason::Full, "full"}};
+      {Reason::Full, "full"},
+      {Reason::PartsQuarantined, "parts_quarantined"}};
 };
 
 template <> struct EnumNames<routing::DigestScope> {
--- a/Libraries/LibTraffic/RoutedContext.h
+++ b/Libraries/LibTraffic/RoutedContext.h
@@ -10,6 +10,7 @@
 #include "LibRouting/StreamBuilds.h"
 #include "LibTraffic/HttpExchange.h"
 #include "LibTraffic/RouteDialect.h"
+#include "LibTraffic/SharedQuarantine.h"
 #include <atomic>
 #include <map>
 #include <mutex>
@@ -104,6 +105,8 @@
       AskStream = [](routing::StreamKey, Timestamp, const auto &Done) {
         Done(std::nullopt);
       };
+  /// Called when there is news of crashes for other routers.
+  std::function<void()> BeliefsChanged = [] {};
 };
 
 /// The state that all requests share. Outlives them.
@@ -120,6 +123,7 @@
   RoutedMetrics Metrics;
   RoutedHooks Hooks;
   SharedStreamBuilds Streams = {};
+  SharedQuarantine Quarantine = {};
   BodyBudget LargeAnswers{MaxLargeAnswerBytes};
   /// Whether answers tell callers to close their connections.
   std::atomic<bool> Draining{false};
--- a/Libraries/LibTraffic/RoutedFront.cpp
+++ b/Libraries/LibTraffic/RoutedFront.cpp
@@ -17,7 +17,18 @@
                {Settings.Routed.RetryRatio, Settings.Routed.RetrySlack,
                 std::chrono::milliseconds(Settings.Routed.RetryWindowMillis)}},
               RoutedMetrics(Metrics),
-              std::move(Hooks)} {}
+              std::move(Hooks)} {
+  Context.Quarantine.setNewsHook(Context.Hooks.BeliefsChanged);
+}
+
+void RoutedFront::setView(const routing::RoutingViewPtr &View) {
+  std::vector<HostId> Serving;
+  for (const routing::HostView &Host : View->Hosts)
+    if (Host.Standing == HostStanding::Serving && !Host.CallerAddress.empty())
+      Serving.push_back(Host.Id);
+  Context.Quarantine.setRouters(View->Self, Serving);
+  Context.Placements.setView(View);
+}
 
 Result<std::unique_ptr<RoutedFront>, TrafficError>
 RoutedFront::tryStart(const config::Settings &Settings, RouteDialect Dialect,
--- a/Libraries/LibTraffic/RoutedFront.h
+++ b/Libraries/LibTraffic/RoutedFront.h
@@ -23,9 +23,7 @@
   RoutedFront &operator=(const RoutedFront &) = delete;
 
   /// Sets a new snapshot from the control thread.
-  void setView(routing::RoutingViewPtr View) {
-    Context.Placements.setView(std::move(View));
-  }
+  void setView(const routing::RoutingViewPtr &View);
 
   /// Whether the host is ready for callers: it knows routes and targets and is
   /// not draining.
@@ -49,6 +47,7 @@
 
   SharedPlacement &placements() { return Context.Placements; }
   SharedStreamBuilds &streams() { return Context.Streams; }
+  SharedQuarantine &quarantine() { return Context.Quarantine; }
 
 private:
   RoutedFront(const config::Settings &Settings, RouteDialect Dialect,
--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -3,8 +3,6 @@
 #include "LibRouting/Rendezvous.h"
 #include "LibTraffic/AwaitReply.h"
 #include <Poco/String.h>
-#include <array>
-#include <charconv>
 
 namespace ferry::traffic {
 
@@ -46,22 +44,6 @@
   return std::to_string(Millis / MillisInSecond) + "." + Fraction.substr(1);
 }
 
-/// \returns the ids of the parts that other requests may share, as the caller
-/// writes them; the last part belongs to the request.
-static std::string sharedPartsText(const std::vector<PromptPart> &Parts) {
-  static constexpr size_t MaxListed = 16;
-  static constexpr size_t MaxDigits = 16;
-  std::string Text;
-  for (size_t Index = 0; Index + 1 < Parts.size() && Index < MaxListed;
-       ++Index) {
-    std::array<char, MaxDigits> Digits;
-    auto End = std::to_chars(Digits.data(), Digits.data() + Digits.size(),
-                             Parts[Index].Id, /*base=*/16);
-    Text.append(Text.empty() ? "" : ",").append(Digits.data(), End.ptr);
-  }
-  return Text;
-}
-
 /// Whether callers conclude from \p Status that the request has not run.
 static bool meansNotRun(int Status) {
   return Status == 408 || Status == 421 || Status == 429 || Status == 503;
@@ -120,6 +102,7 @@
   Call.Service = config::RouteTable::pickService(
       *Route, hashIdentifier(Caller.Id.Value) ^ Context.SplitCounter++);
   Call.Parts = Caller.Parts;
+  SharedParts = sharedParts(Call.Parts);
   Call.PromptTokens = Caller.PromptTokens;
   Call.OutputTokens = Caller.OutputTokens;
   uint64_t Wait = Route->TimeoutMillis;
@@ -199,6 +182,8 @@
     // A resumed stream is late already, so its due time no longer applies.
     if (StreamStarted)
       Call.FirstByteDueAt = NeverExpires;
+    if (Context.Quarantine.check(SharedParts) == PartAdmission::Refused)
+      return refuseUnplaced({CallRefusalReason::PartsQuarantined, {}, {}});
     auto Decision = Context.Placements.place(Call);
     if (const auto *Refusal = std::get_if<RefusedCall>(&Decision))
       return refuseUnplaced(*Refusal);
@@ -259,6 +244,9 @@
         Destination,
         {LinkErrorKind::ConnectFailed, "the target left or asked for a pause"},
         /*Sent=*/false);
+  // Other routers may have told of crashes since the placement.
+  if (!Context.Quarantine.admit(SharedParts))
+    return endAttempt(Destination, CallEnd::Abandoned, NextStep::RetryUnsent);
   Poco::Net::HTTPRequest Head =
       Context.Dialect.WriteTarget(Exchange.head(), detailsFor(Destination));
   if (!Body.empty() || Exchange.method() != "GET")
@@ -354,6 +342,8 @@
     return endAttempt(Destination, CallEnd::Failed, NextStep::RetryRun);
   }
   endAttempt(Destination, CallEnd::Served, NextStep::Done);
+  if (Status / 100 == 2)
+    Context.Quarantine.noteServed(SharedParts);
   Exchange.sendRelayed(Target.head(), *Answer);
   logEnd("answered", Status);
   return NextStep::Done;
@@ -397,6 +387,7 @@
   if (!StreamStarted)
     beginStream(Destination, Target);
   endAttempt(Destination, CallEnd::Served, NextStep::Done);
+  Context.Quarantine.noteServed(SharedParts);
   logEnd("answered", Target.head().getStatus());
   return NextStep::Done;
 }
@@ -477,6 +468,11 @@
     Context.Metrics.BrokenAnswers
         .with({std::string(enumName(answerProgress()))})
         .add();
+  bool TargetEnded = Failure.Kind == LinkErrorKind::Broken ||
+                     Failure.Kind == LinkErrorKind::Incomplete;
+  if (Sent && TargetEnded && answerProgress() != AnswerProgress::Streaming)
+    Context.Quarantine.noteBroken(Destination.Target, Destination.Incarnation,
+                                  {SharedParts, answerProgress()});
   if (CallerLeft) {
     endAttempt(Destination, CallEnd::Abandoned, NextStep::Done);
     Context.Metrics.CallersLeft.add();
@@ -524,7 +520,8 @@
     return false;
   if (Retry == NextStep::RetryRun) {
     bool MayRepeat = Route->Repeats == config::RepeatPolicy::Idempotent;
-    if (!MayRepeat || PossibleRuns >= Route->MaxTargets)
+    if (!MayRepeat || PossibleRuns >= Route->MaxTargets ||
+        !Context.Quarantine.mayRepeat(SharedParts))
       return false;
   }
   // A request that never arrived at a target added nothing to the load, so its
@@ -541,9 +538,11 @@
     return failRequest();
   Context.Metrics.Unplaced.with({std::string(enumName(Refusal.Reason))}).add();
   RefusedEstimate = Refusal.Estimate;
-  // A build that is gone does not come back for its streams.
+  // A build that is gone does not come back for its streams, and a part that
+  // crashes targets stays what it is.
   std::optional<Timestamp> RetryAt = Refusal.RetryAt;
-  if (Refusal.Reason == CallRefusalReason::BuildGone)
+  if (Refusal.Reason == CallRefusalReason::BuildGone ||
+      Refusal.Reason == CallRefusalReason::PartsQuarantined)
     RetryAt.reset();
   refuse({AnswerError::NoTarget, std::string(enumName(Refusal.Reason)),
           NotRun::True, RetryAt});
@@ -592,7 +591,7 @@
                      {"build", Destination.Build},
                      {"after_event", AfterEvent},
                      {"resumes", Caller.Resumes},
-                     {"shared_parts", sharedPartsText(Call.Parts)},
+                     {"shared_parts", partsText(SharedParts)},
                      {"prompt_tokens", Call.PromptTokens},
                      {"cached_tokens", Destination.CachedTokens},
                      {"fetch_from", Destination.FetchFrom},
--- a/Libraries/LibTraffic/RoutedRelay.h
+++ b/Libraries/LibTraffic/RoutedRelay.h
@@ -97,6 +97,7 @@
   const config::RoutedWorkspace *Workspace = nullptr;
   std::string Body;
   routing::RoutedCall Call;
+  routing::PartSet SharedParts;
   Timestamp ArrivedAt;
   /// When the answer's stream started; the epoch before that.
   Timestamp FirstByteAt;
--- /dev/null
+++ b/Libraries/LibTraffic/SharedQuarantine.h
@@ -0,0 +1,46 @@
+/// \file
+/// The quarantine of prompt parts, shared by all requests of a router.
+#ifndef FERRY_LIBTRAFFIC_SHAREDQUARANTINE_H
+#define FERRY_LIBTRAFFIC_SHAREDQUARANTINE_H
+
+#include "LibRouting/PartQuarantine.h"
+#include <functional>
+#include <mutex>
+
+namespace ferry::traffic {
+
+/// Guards a PartQuarantine by a mutex and logs its changes.
+class SharedQuarantine {
+public:
+  /// Sets what is called, on any thread, when there is news for other routers.
+  /// To be called before the first request.
+  void setNewsHook(std::function<void()> Hook) { NewsReady = std::move(Hook); }
+
+  /// See the functions of PartQuarantine.
+  void setRouters(const HostId &Self, const std::vector<HostId> &Serving);
+  routing::PartAdmission check(const routing::PartSet &Parts);
+  void noteBroken(const TargetId &Target, Incarnation Ended,
+                  const routing::CrashSuspect &Suspect);
+  void noteServed(const routing::PartSet &Parts);
+  bool mayRepeat(const routing::PartSet &Parts) const;
+  void apply(const routing::CrashNews &News, bool PassOn);
+  routing::CrashNews takeNews();
+  routing::CrashNews everything();
+  size_t quarantinedSets() const;
+
+  /// Asked right before a request is sent. A trial that is due begins.
+  /// \returns whether it may be sent.
+  bool admit(const routing::PartSet &Parts);
+
+private:
+  /// Runs \p Step on the quarantine, logs its changes and announces its news.
+  template <typename StepType> auto update(StepType Step);
+
+  std::function<void()> NewsReady = [] {};
+  mutable std::mutex Mutex;
+  routing::PartQuarantine Quarantine;
+};
+
+} // namespace ferry::traffic
+
+#endif
--- a/Libraries/LibWire/Generated/Peer_types.cpp
+++ b/Libraries/LibWire/Generated/Peer_types.cpp
@@ -23,7 +23,8 @@
   PayloadKind::DescriptionCopy,
   PayloadKind::WorkDigest,
   PayloadKind::EngineChanges,
-  PayloadKind::Streams
+  PayloadKind::Streams,
+  PayloadKind::Beliefs
 };
 const char* _kPayloadKindNames[] = {
   "Consensus",
@@ -35,9 +36,10 @@
   "DescriptionCopy",
   "WorkDigest",
   "EngineChanges",
-  "Streams"
+  "Streams",
+  "Beliefs"
 };
-const std::map<int, const char*> _PayloadKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(10, _kPayloadKindValues, _kPayloadKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _PayloadKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(11, _kPayloadKindValues, _kPayloadKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const PayloadKind::type& val) {
   std::map<int, const char*>::const_iterator it = _PayloadKind_VALUES_TO_NAMES.find(val);
--- a/Libraries/LibWire/Generated/Peer_types.h
+++ b/Libraries/LibWire/Generated/Peer_types.h
@@ -32,7 +32,8 @@
     DescriptionCopy = 7,
     WorkDigest = 8,
     EngineChanges = 9,
-    Streams = 10
+    Streams = 10,
+    Beliefs = 11
   };
 };
 
--- a/Libraries/LibWire/Generated/Routing_types.cpp
+++ b/Libraries/LibWire/Generated/Routing_types.cpp
@@ -1606,4 +1606,937 @@
   out << ")";
 }
 
+
+CrashSuspect::~CrashSuspect() noexcept {
+}
+
+
+void CrashSuspect::__set_Parts(const std::vector<int64_t> & val) {
+  this->Parts = val;
+}
+
+void CrashSuspect::__set_Begun(const bool val) {
+  this->Begun = val;
+}
+std::ostream& operator<<(std::ostream& out, const CrashSuspect& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CrashSuspect::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Parts.clear();
+            uint32_t _size65;
+            ::apache::thrift::protocol::TType _etype68;
+            xfer += iprot->readListBegin(_etype68, _size65);
+            this->Parts.resize(_size65);
+            uint32_t _i69;
+            for (_i69 = 0; _i69 < _size65; ++_i69)
+            {
+              xfer += iprot->readI64(this->Parts[_i69]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->Begun);
+          this->__isset.Begun = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CrashSuspect::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CrashSuspect");
+
+  xfer += oprot->writeFieldBegin("Parts", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->Parts.size()));
+    std::vector<int64_t> ::const_iterator _iter70;
+    for (_iter70 = this->Parts.begin(); _iter70 != this->Parts.end(); ++_iter70)
+    {
+      xfer += oprot->writeI64((*_iter70));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Begun", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->Begun);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CrashSuspect &a, CrashSuspect &b) {
+  using ::std::swap;
+  swap(a.Parts, b.Parts);
+  swap(a.Begun, b.Begun);
+  swap(a.__isset, b.__isset);
+}
+
+CrashSuspect::CrashSuspect(const CrashSuspect& other71) {
+  Parts = other71.Parts;
+  Begun = other71.Begun;
+  __isset = other71.__isset;
+}
+CrashSuspect::CrashSuspect(CrashSuspect&& other72) noexcept {
+  Parts = std::move(other72.Parts);
+  Begun = other72.Begun;
+  __isset = other72.__isset;
+}
+CrashSuspect& CrashSuspect::operator=(const CrashSuspect& other73) {
+  Parts = other73.Parts;
+  Begun = other73.Begun;
+  __isset = other73.__isset;
+  return *this;
+}
+CrashSuspect& CrashSuspect::operator=(CrashSuspect&& other74) noexcept {
+  Parts = std::move(other74.Parts);
+  Begun = other74.Begun;
+  __isset = other74.__isset;
+  return *this;
+}
+void CrashSuspect::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CrashSuspect(";
+  out << "Parts=" << to_string(Parts);
+  out << ", " << "Begun=" << to_string(Begun);
+  out << ")";
+}
+
+
+PartDefence::~PartDefence() noexcept {
+}
+
+
+void PartDefence::__set_Part(const int64_t val) {
+  this->Part = val;
+}
+
+void PartDefence::__set_ServedBefore(const bool val) {
+  this->ServedBefore = val;
+}
+
+void PartDefence::__set_ServedAfter(const bool val) {
+  this->ServedAfter = val;
+}
+std::ostream& operator<<(std::ostream& out, const PartDefence& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PartDefence::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Part);
+          this->__isset.Part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->ServedBefore);
+          this->__isset.ServedBefore = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->ServedAfter);
+          this->__isset.ServedAfter = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PartDefence::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PartDefence");
+
+  xfer += oprot->writeFieldBegin("Part", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->Part);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ServedBefore", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->ServedBefore);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ServedAfter", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->ServedAfter);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PartDefence &a, PartDefence &b) {
+  using ::std::swap;
+  swap(a.Part, b.Part);
+  swap(a.ServedBefore, b.ServedBefore);
+  swap(a.ServedAfter, b.ServedAfter);
+  swap(a.__isset, b.__isset);
+}
+
+PartDefence::PartDefence(const PartDefence& other75) noexcept {
+  Part = other75.Part;
+  ServedBefore = other75.ServedBefore;
+  ServedAfter = other75.ServedAfter;
+  __isset = other75.__isset;
+}
+PartDefence::PartDefence(PartDefence&& other76) noexcept {
+  Part = other76.Part;
+  ServedBefore = other76.ServedBefore;
+  ServedAfter = other76.ServedAfter;
+  __isset = other76.__isset;
+}
+PartDefence& PartDefence::operator=(const PartDefence& other77) noexcept {
+  Part = other77.Part;
+  ServedBefore = other77.ServedBefore;
+  ServedAfter = other77.ServedAfter;
+  __isset = other77.__isset;
+  return *this;
+}
+PartDefence& PartDefence::operator=(PartDefence&& other78) noexcept {
+  Part = other78.Part;
+  ServedBefore = other78.ServedBefore;
+  ServedAfter = other78.ServedAfter;
+  __isset = other78.__isset;
+  return *this;
+}
+void PartDefence::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PartDefence(";
+  out << "Part=" << to_string(Part);
+  out << ", " << "ServedBefore=" << to_string(ServedBefore);
+  out << ", " << "ServedAfter=" << to_string(ServedAfter);
+  out << ")";
+}
+
+
+CrashReport::~CrashReport() noexcept {
+}
+
+
+void CrashReport::__set_Crash(const int64_t val) {
+  this->Crash = val;
+}
+
+void CrashReport::__set_AgeMillis(const int32_t val) {
+  this->AgeMillis = val;
+}
+
+void CrashReport::__set_Suspects(const std::vector<CrashSuspect> & val) {
+  this->Suspects = val;
+}
+
+void CrashReport::__set_Defences(const std::vector<PartDefence> & val) {
+  this->Defences = val;
+}
+std::ostream& operator<<(std::ostream& out, const CrashReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CrashReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Crash);
+          this->__isset.Crash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->AgeMillis);
+          this->__isset.AgeMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Suspects.clear();
+            uint32_t _size79;
+            ::apache::thrift::protocol::TType _etype82;
+            xfer += iprot->readListBegin(_etype82, _size79);
+            this->Suspects.resize(_size79);
+            uint32_t _i83;
+            for (_i83 = 0; _i83 < _size79; ++_i83)
+            {
+              xfer += this->Suspects[_i83].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Suspects = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Defences.clear();
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->Defences.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
+            {
+              xfer += this->Defences[_i88].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Defences = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CrashReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CrashReport");
+
+  xfer += oprot->writeFieldBegin("Crash", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->Crash);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("AgeMillis", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->AgeMillis);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Suspects", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Suspects.size()));
+    std::vector<CrashSuspect> ::const_iterator _iter89;
+    for (_iter89 = this->Suspects.begin(); _iter89 != this->Suspects.end(); ++_iter89)
+    {
+      xfer += (*_iter89).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Defences", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Defences.size()));
+    std::vector<PartDefence> ::const_iterator _iter90;
+    for (_iter90 = this->Defences.begin(); _iter90 != this->Defences.end(); ++_iter90)
+    {
+      xfer += (*_iter90).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CrashReport &a, CrashReport &b) {
+  using ::std::swap;
+  swap(a.Crash, b.Crash);
+  swap(a.AgeMillis, b.AgeMillis);
+  swap(a.Suspects, b.Suspects);
+  swap(a.Defences, b.Defences);
+  swap(a.__isset, b.__isset);
+}
+
+CrashReport::CrashReport(const CrashReport& other91) {
+  Crash = other91.Crash;
+  AgeMillis = other91.AgeMillis;
+  Suspects = other91.Suspects;
+  Defences = other91.Defences;
+  __isset = other91.__isset;
+}
+CrashReport::CrashReport(CrashReport&& other92) noexcept {
+  Crash = other92.Crash;
+  AgeMillis = other92.AgeMillis;
+  Suspects = std::move(other92.Suspects);
+  Defences = std::move(other92.Defences);
+  __isset = other92.__isset;
+}
+CrashReport& CrashReport::operator=(const CrashReport& other93) {
+  Crash = other93.Crash;
+  AgeMillis = other93.AgeMillis;
+  Suspects = other93.Suspects;
+  Defences = other93.Defences;
+  __isset = other93.__isset;
+  return *this;
+}
+CrashReport& CrashReport::operator=(CrashReport&& other94) noexcept {
+  Crash = other94.Crash;
+  AgeMillis = other94.AgeMillis;
+  Suspects = std::move(other94.Suspects);
+  Defences = std::move(other94.Defences);
+  __isset = other94.__isset;
+  return *this;
+}
+void CrashReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CrashReport(";
+  out << "Crash=" << to_string(Crash);
+  out << ", " << "AgeMillis=" << to_string(AgeMillis);
+  out << ", " << "Suspects=" << to_string(Suspects);
+  out << ", " << "Defences=" << to_string(Defences);
+  out << ")";
+}
+
+
+QuarantinedParts::~QuarantinedParts() noexcept {
+}
+
+
+void QuarantinedParts::__set_Parts(const std::vector<int64_t> & val) {
+  this->Parts = val;
+}
+
+void QuarantinedParts::__set_Epoch(const int32_t val) {
+  this->Epoch = val;
+}
+
+void QuarantinedParts::__set_Ended(const bool val) {
+  this->Ended = val;
+}
+
+void QuarantinedParts::__set_Trials(const int32_t val) {
+  this->Trials = val;
+}
+
+void QuarantinedParts::__set_TrialInMillis(const int32_t val) {
+  this->TrialInMillis = val;
+}
+
+void QuarantinedParts::__set_WantedAgeMillis(const int32_t val) {
+  this->WantedAgeMillis = val;
+}
+std::ostream& operator<<(std::ostream& out, const QuarantinedParts& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuarantinedParts::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Parts.clear();
+            uint32_t _size95;
+            ::apache::thrift::protocol::TType _etype98;
+            xfer += iprot->readListBegin(_etype98, _size95);
+            this->Parts.resize(_size95);
+            uint32_t _i99;
+            for (_i99 = 0; _i99 < _size95; ++_i99)
+            {
+              xfer += iprot->readI64(this->Parts[_i99]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->Epoch);
+          this->__isset.Epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->Ended);
+          this->__isset.Ended = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->Trials);
+          this->__isset.Trials = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->TrialInMillis);
+          this->__isset.TrialInMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->WantedAgeMillis);
+          this->__isset.WantedAgeMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t QuarantinedParts::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuarantinedParts");
+
+  xfer += oprot->writeFieldBegin("Parts", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->Parts.size()));
+    std::vector<int64_t> ::const_iterator _iter100;
+    for (_iter100 = this->Parts.begin(); _iter100 != this->Parts.end(); ++_iter100)
+    {
+      xfer += oprot->writeI64((*_iter100));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Epoch", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->Epoch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Ended", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->Ended);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Trials", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->Trials);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("TrialInMillis", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->TrialInMillis);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("WantedAgeMillis", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->WantedAgeMillis);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuarantinedParts &a, QuarantinedParts &b) {
+  using ::std::swap;
+  swap(a.Parts, b.Parts);
+  swap(a.Epoch, b.Epoch);
+  swap(a.Ended, b.Ended);
+  swap(a.Trials, b.Trials);
+  swap(a.TrialInMillis, b.TrialInMillis);
+  swap(a.WantedAgeMillis, b.WantedAgeMillis);
+  swap(a.__isset, b.__isset);
+}
+
+QuarantinedParts::QuarantinedParts(const QuarantinedParts& other101) {
+  Parts = other101.Parts;
+  Epoch = other101.Epoch;
+  Ended = other101.Ended;
+  Trials = other101.Trials;
+  TrialInMillis = other101.TrialInMillis;
+  WantedAgeMillis = other101.WantedAgeMillis;
+  __isset = other101.__isset;
+}
+QuarantinedParts::QuarantinedParts(QuarantinedParts&& other102) noexcept {
+  Parts = std::move(other102.Parts);
+  Epoch = other102.Epoch;
+  Ended = other102.Ended;
+  Trials = other102.Trials;
+  TrialInMillis = other102.TrialInMillis;
+  WantedAgeMillis = other102.WantedAgeMillis;
+  __isset = other102.__isset;
+}
+QuarantinedParts& QuarantinedParts::operator=(const QuarantinedParts& other103) {
+  Parts = other103.Parts;
+  Epoch = other103.Epoch;
+  Ended = other103.Ended;
+  Trials = other103.Trials;
+  TrialInMillis = other103.TrialInMillis;
+  WantedAgeMillis = other103.WantedAgeMillis;
+  __isset = other103.__isset;
+  return *this;
+}
+QuarantinedParts& QuarantinedParts::operator=(QuarantinedParts&& other104) noexcept {
+  Parts = std::move(other104.Parts);
+  Epoch = other104.Epoch;
+  Ended = other104.Ended;
+  Trials = other104.Trials;
+  TrialInMillis = other104.TrialInMillis;
+  WantedAgeMillis = other104.WantedAgeMillis;
+  __isset = other104.__isset;
+  return *this;
+}
+void QuarantinedParts::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuarantinedParts(";
+  out << "Parts=" << to_string(Parts);
+  out << ", " << "Epoch=" << to_string(Epoch);
+  out << ", " << "Ended=" << to_string(Ended);
+  out << ", " << "Trials=" << to_string(Trials);
+  out << ", " << "TrialInMillis=" << to_string(TrialInMillis);
+  out << ", " << "WantedAgeMillis=" << to_string(WantedAgeMillis);
+  out << ")";
+}
+
+
+BeliefMessage::~BeliefMessage() noexcept {
+}
+
+
+void BeliefMessage::__set_Crashes(const std::vector<CrashReport> & val) {
+  this->Crashes = val;
+}
+
+void BeliefMessage::__set_Quarantined(const std::vector<QuarantinedParts> & val) {
+  this->Quarantined = val;
+}
+
+void BeliefMessage::__set_Asks(const bool val) {
+  this->Asks = val;
+}
+
+void BeliefMessage::__set_Answers(const bool val) {
+  this->Answers = val;
+}
+std::ostream& operator<<(std::ostream& out, const BeliefMessage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t BeliefMessage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Crashes.clear();
+            uint32_t _size105;
+            ::apache::thrift::protocol::TType _etype108;
+            xfer += iprot->readListBegin(_etype108, _size105);
+            this->Crashes.resize(_size105);
+            uint32_t _i109;
+            for (_i109 = 0; _i109 < _size105; ++_i109)
+            {
+              xfer += this->Crashes[_i109].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Quarantined.clear();
+            uint32_t _size110;
+            ::apache::thrift::protocol::TType _etype113;
+            xfer += iprot->readListBegin(_etype113, _size110);
+            this->Quarantined.resize(_size110);
+            uint32_t _i114;
+            for (_i114 = 0; _i114 < _size110; ++_i114)
+            {
+              xfer += this->Quarantined[_i114].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Quarantined = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->Asks);
+          this->__isset.Asks = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->Answers);
+          this->__isset.Answers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t BeliefMessage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("BeliefMessage");
+
+  xfer += oprot->writeFieldBegin("Crashes", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Crashes.size()));
+    std::vector<CrashReport> ::const_iterator _iter115;
+    for (_iter115 = this->Crashes.begin(); _iter115 != this->Crashes.end(); ++_iter115)
+    {
+      xfer += (*_iter115).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Quarantined", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Quarantined.size()));
+    std::vector<QuarantinedParts> ::const_iterator _iter116;
+    for (_iter116 = this->Quarantined.begin(); _iter116 != this->Quarantined.end(); ++_iter116)
+    {
+      xfer += (*_iter116).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Asks", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->Asks);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Answers", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->Answers);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(BeliefMessage &a, BeliefMessage &b) {
+  using ::std::swap;
+  swap(a.Crashes, b.Crashes);
+  swap(a.Quarantined, b.Quarantined);
+  swap(a.Asks, b.Asks);
+  swap(a.Answers, b.Answers);
+  swap(a.__isset, b.__isset);
+}
+
+BeliefMessage::BeliefMessage(const BeliefMessage& other117) {
+  Crashes = other117.Crashes;
+  Quarantined = other117.Quarantined;
+  Asks = other117.Asks;
+  Answers = other117.Answers;
+  __isset = other117.__isset;
+}
+BeliefMessage::BeliefMessage(BeliefMessage&& other118) noexcept {
+  Crashes = std::move(other118.Crashes);
+  Quarantined = std::move(other118.Quarantined);
+  Asks = other118.Asks;
+  Answers = other118.Answers;
+  __isset = other118.__isset;
+}
+BeliefMessage& BeliefMessage::operator=(const BeliefMessage& other119) {
+  Crashes = other119.Crashes;
+  Quarantined = other119.Quarantined;
+  Asks = other119.Asks;
+  Answers = other119.Answers;
+  __isset = other119.__isset;
+  return *this;
+}
+BeliefMessage& BeliefMessage::operator=(BeliefMessage&& other120) noexcept {
+  Crashes = std::move(other120.Crashes);
+  Quarantined = std::move(other120.Quarantined);
+  Asks = other120.Asks;
+  Answers = other120.Answers;
+  __isset = other120.__isset;
+  return *this;
+}
+void BeliefMessage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "BeliefMessage(";
+  out << "Crashes=" << to_string(Crashes);
+  out << ", " << "Quarantined=" << to_string(Quarantined);
+  out << ", " << "Asks=" << to_string(Asks);
+  out << ", " << "Answers=" << to_string(Answers);
+  out << ")";
+}
+
 }} // namespace
--- a/Libraries/LibWire/Generated/Routing_types.h
+++ b/Libraries/LibWire/Generated/Routing_types.h
@@ -55,6 +55,16 @@
 
 class StreamMessage;
 
+class CrashSuspect;
+
+class PartDefence;
+
+class CrashReport;
+
+class QuarantinedParts;
+
+class BeliefMessage;
+
 typedef struct _TargetWork__isset {
   _TargetWork__isset() : Target(false), LongPromptMillis(false), Running(false), ShortPromptMillis(false) {}
   bool Target :1;
@@ -657,6 +667,323 @@
 
 std::ostream& operator<<(std::ostream& out, const StreamMessage& obj);
 
+typedef struct _CrashSuspect__isset {
+  _CrashSuspect__isset() : Parts(false), Begun(false) {}
+  bool Parts :1;
+  bool Begun :1;
+} _CrashSuspect__isset;
+
+class CrashSuspect : public virtual ::apache::thrift::TBase {
+ public:
+
+  CrashSuspect(const CrashSuspect&);
+  CrashSuspect(CrashSuspect&&) noexcept;
+  CrashSuspect& operator=(const CrashSuspect&);
+  CrashSuspect& operator=(CrashSuspect&&) noexcept;
+  CrashSuspect() noexcept
+               : Begun(0) {
+  }
+
+  virtual ~CrashSuspect() noexcept;
+  std::vector<int64_t>  Parts;
+  bool Begun;
+
+  _CrashSuspect__isset __isset;
+
+  void __set_Parts(const std::vector<int64_t> & val);
+
+  void __set_Begun(const bool val);
+
+  bool operator == (const CrashSuspect & rhs) const
+  {
+    if (!(Parts == rhs.Parts))
+      return false;
+    if (!(Begun == rhs.Begun))
+      return false;
+    return true;
+  }
+  bool operator != (const CrashSuspect &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CrashSuspect & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CrashSuspect &a, CrashSuspect &b);
+
+std::ostream& operator<<(std::ostream& out, const CrashSuspect& obj);
+
+typedef struct _PartDefence__isset {
+  _PartDefence__isset() : Part(false), ServedBefore(false), ServedAfter(false) {}
+  bool Part :1;
+  bool ServedBefore :1;
+  bool ServedAfter :1;
+} _PartDefence__isset;
+
+class PartDefence : public virtual ::apache::thrift::TBase {
+ public:
+
+  PartDefence(const PartDefence&) noexcept;
+  PartDefence(PartDefence&&) noexcept;
+  PartDefence& operator=(const PartDefence&) noexcept;
+  PartDefence& operator=(PartDefence&&) noexcept;
+  PartDefence() noexcept
+              : Part(0),
+                ServedBefore(0),
+                ServedAfter(0) {
+  }
+
+  virtual ~PartDefence() noexcept;
+  int64_t Part;
+  bool ServedBefore;
+  bool ServedAfter;
+
+  _PartDefence__isset __isset;
+
+  void __set_Part(const int64_t val);
+
+  void __set_ServedBefore(const bool val);
+
+  void __set_ServedAfter(const bool val);
+
+  bool operator == (const PartDefence & rhs) const
+  {
+    if (!(Part == rhs.Part))
+      return false;
+    if (!(ServedBefore == rhs.ServedBefore))
+      return false;
+    if (!(ServedAfter == rhs.ServedAfter))
+      return false;
+    return true;
+  }
+  bool operator != (const PartDefence &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PartDefence & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PartDefence &a, PartDefence &b);
+
+std::ostream& operator<<(std::ostream& out, const PartDefence& obj);
+
+typedef struct _CrashReport__isset {
+  _CrashReport__isset() : Crash(false), AgeMillis(false), Suspects(false), Defences(false) {}
+  bool Crash :1;
+  bool AgeMillis :1;
+  bool Suspects :1;
+  bool Defences :1;
+} _CrashReport__isset;
+
+class CrashReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  CrashReport(const CrashReport&);
+  CrashReport(CrashReport&&) noexcept;
+  CrashReport& operator=(const CrashReport&);
+  CrashReport& operator=(CrashReport&&) noexcept;
+  CrashReport() noexcept
+              : Crash(0),
+                AgeMillis(0) {
+  }
+
+  virtual ~CrashReport() noexcept;
+  int64_t Crash;
+  int32_t AgeMillis;
+  std::vector<CrashSuspect>  Suspects;
+  std::vector<PartDefence>  Defences;
+
+  _CrashReport__isset __isset;
+
+  void __set_Crash(const int64_t val);
+
+  void __set_AgeMillis(const int32_t val);
+
+  void __set_Suspects(const std::vector<CrashSuspect> & val);
+
+  void __set_Defences(const std::vector<PartDefence> & val);
+
+  bool operator == (const CrashReport & rhs) const
+  {
+    if (!(Crash == rhs.Crash))
+      return false;
+    if (!(AgeMillis == rhs.AgeMillis))
+      return false;
+    if (!(Suspects == rhs.Suspects))
+      return false;
+    if (!(Defences == rhs.Defences))
+      return false;
+    return true;
+  }
+  bool operator != (const CrashReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CrashReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CrashReport &a, CrashReport &b);
+
+std::ostream& operator<<(std::ostream& out, const CrashReport& obj);
+
+typedef struct _QuarantinedParts__isset {
+  _QuarantinedParts__isset() : Parts(false), Epoch(false), Ended(false), Trials(false), TrialInMillis(false), WantedAgeMillis(false) {}
+  bool Parts :1;
+  bool Epoch :1;
+  bool Ended :1;
+  bool Trials :1;
+  bool TrialInMillis :1;
+  bool WantedAgeMillis :1;
+} _QuarantinedParts__isset;
+
+class QuarantinedParts : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuarantinedParts(const QuarantinedParts&);
+  QuarantinedParts(QuarantinedParts&&) noexcept;
+  QuarantinedParts& operator=(const QuarantinedParts&);
+  QuarantinedParts& operator=(QuarantinedParts&&) noexcept;
+  QuarantinedParts() noexcept
+                   : Epoch(0),
+                     Ended(0),
+                     Trials(0),
+                     TrialInMillis(0),
+                     WantedAgeMillis(0) {
+  }
+
+  virtual ~QuarantinedParts() noexcept;
+  std::vector<int64_t>  Parts;
+  int32_t Epoch;
+  bool Ended;
+  int32_t Trials;
+  int32_t TrialInMillis;
+  int32_t WantedAgeMillis;
+
+  _QuarantinedParts__isset __isset;
+
+  void __set_Parts(const std::vector<int64_t> & val);
+
+  void __set_Epoch(const int32_t val);
+
+  void __set_Ended(const bool val);
+
+  void __set_Trials(const int32_t val);
+
+  void __set_TrialInMillis(const int32_t val);
+
+  void __set_WantedAgeMillis(const int32_t val);
+
+  bool operator == (const QuarantinedParts & rhs) const
+  {
+    if (!(Parts == rhs.Parts))
+      return false;
+    if (!(Epoch == rhs.Epoch))
+      return false;
+    if (!(Ended == rhs.Ended))
+      return false;
+    if (!(Trials == rhs.Trials))
+      return false;
+    if (!(TrialInMillis == rhs.TrialInMillis))
+      return false;
+    if (!(WantedAgeMillis == rhs.WantedAgeMillis))
+      return false;
+    return true;
+  }
+  bool operator != (const QuarantinedParts &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuarantinedParts & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuarantinedParts &a, QuarantinedParts &b);
+
+std::ostream& operator<<(std::ostream& out, const QuarantinedParts& obj);
+
+typedef struct _BeliefMessage__isset {
+  _BeliefMessage__isset() : Crashes(false), Quarantined(false), Asks(true), Answers(true) {}
+  bool Crashes :1;
+  bool Quarantined :1;
+  bool Asks :1;
+  bool Answers :1;
+} _BeliefMessage__isset;
+
+class BeliefMessage : public virtual ::apache::thrift::TBase {
+ public:
+
+  BeliefMessage(const BeliefMessage&);
+  BeliefMessage(BeliefMessage&&) noexcept;
+  BeliefMessage& operator=(const BeliefMessage&);
+  BeliefMessage& operator=(BeliefMessage&&) noexcept;
+  BeliefMessage() noexcept
+                : Asks(false),
+                  Answers(false) {
+  }
+
+  virtual ~BeliefMessage() noexcept;
+  std::vector<CrashReport>  Crashes;
+  std::vector<QuarantinedParts>  Quarantined;
+  bool Asks;
+  bool Answers;
+
+  _BeliefMessage__isset __isset;
+
+  void __set_Crashes(const std::vector<CrashReport> & val);
+
+  void __set_Quarantined(const std::vector<QuarantinedParts> & val);
+
+  void __set_Asks(const bool val);
+
+  void __set_Answers(const bool val);
+
+  bool operator == (const BeliefMessage & rhs) const
+  {
+    if (!(Crashes == rhs.Crashes))
+      return false;
+    if (!(Quarantined == rhs.Quarantined))
+      return false;
+    if (!(Asks == rhs.Asks))
+      return false;
+    if (!(Answers == rhs.Answers))
+      return false;
+    return true;
+  }
+  bool operator != (const BeliefMessage &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const BeliefMessage & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(BeliefMessage &a, BeliefMessage &b);
+
+std::ostream& operator<<(std::ostream& out, const BeliefMessage& obj);
+
 }} // namespace
 
 #endif
--- a/Libraries/LibWire/Idl/Peer.thrift
+++ b/Libraries/LibWire/Idl/Peer.thrift
@@ -12,7 +12,8 @@
   DescriptionCopy = 7,
   WorkDigest = 8,
   EngineChanges = 9,
-  Streams = 10
+  Streams = 10,
+  Beliefs = 11
 }
 
 // First frame of a connection, in both directions.
--- a/Libraries/LibWire/Idl/Routing.thrift
+++ b/Libraries/LibWire/Idl/Routing.thrift
@@ -87,3 +87,47 @@
   2: optional StreamQuestion Question
   3: optional StreamReply Reply
 }
+
+// A request whose answer was broken off when a target ended.
+struct CrashSuspect {
+  1: list<i64> Parts
+  // Whether the answer had begun; else the request may have waited.
+  2: bool Begun
+}
+
+// What speaks for a part of the suspects.
+struct PartDefence {
+  1: i64 Part
+  2: bool ServedBefore
+  3: bool ServedAfter
+}
+
+// The end of an incarnation of a target.
+struct CrashReport {
+  // Hash of the target and its incarnation.
+  1: i64 Crash
+  2: i32 AgeMillis
+  3: list<CrashSuspect> Suspects
+  4: list<PartDefence> Defences
+}
+
+// Parts of which one crashes targets.
+struct QuarantinedParts {
+  1: list<i64> Parts
+  2: i32 Epoch
+  3: bool Ended
+  4: i32 Trials
+  // Time until the next trial, and since a request last had the parts.
+  5: i32 TrialInMillis
+  6: i32 WantedAgeMillis
+}
+
+// What a router has learnt that the others need.
+struct BeliefMessage {
+  1: list<CrashReport> Crashes
+  2: list<QuarantinedParts> Quarantined
+  // The sender has started and wants to know all.
+  3: bool Asks = false
+  // Answers such a question.
+  4: bool Answers = false
+}
--- /dev/null
+++ b/Services/ferryd/BeliefExchange.cpp
@@ -0,0 +1,172 @@
+#include "ferryd/BeliefExchange.h"
+#include "LibCore/Random.h"
+#include <algorithm>
+#include <limits>
+
+namespace ferry::daemon {
+
+using routing::AnswerProgress;
+using routing::BeliefSpread;
+using routing::CrashNews;
+using routing::CrashReport;
+using routing::CrashSuspect;
+using routing::PartSet;
+using routing::QuarantinedParts;
+using wire::PayloadKind;
+
+static int32_t wireMillis(Duration Span) {
+  return static_cast<int32_t>(std::clamp<int64_t>(
+      Span.count() / 1000, 0, std::numeric_limits<int32_t>::max()));
+}
+
+static Duration fromWireMillis(int32_t Millis) {
+  return std::chrono::milliseconds(std::max(Millis, 0));
+}
+
+static std::vector<int64_t> toWire(const PartSet &Parts) {
+  return {Parts.begin(), Parts.end()};
+}
+
+/// \returns the parts in the order of a set, whatever the sender's was.
+static PartSet fromWire(const std::vector<int64_t> &Fields) {
+  PartSet Parts(Fields.begin(), Fields.end());
+  std::sort(Parts.begin(), Parts.end());
+  Parts.erase(std::unique(Parts.begin(), Parts.end()), Parts.end());
+  return Parts;
+}
+
+static wire::CrashReport toWire(const CrashReport &Report, Timestamp Now) {
+  wire::CrashReport Fields;
+  Fields.Crash = static_cast<int64_t>(Report.Id.Value);
+  Fields.AgeMillis = wireMillis(Now - Report.SeenAt);
+  for (const CrashSuspect &Suspect : Report.Suspects) {
+    Fields.Suspects.emplace_back();
+    Fields.Suspects.back().Parts = toWire(Suspect.Parts);
+    Fields.Suspects.back().Begun = Suspect.Progress == AnswerProgress::Begun;
+  }
+  for (const auto &[Part, Defence] : Report.Defences) {
+    if (!Defence.ServedBefore && !Defence.ServedAfter)
+      continue;
+    wire::PartDefence Known;
+    Known.Part = static_cast<int64_t>(Part);
+    Known.ServedBefore = Defence.ServedBefore;
+    Known.ServedAfter = Defence.ServedAfter;
+    Fields.Defences.push_back(Known);
+  }
+  return Fields;
+}
+
+static CrashReport fromWire(const wire::CrashReport &Fields, Timestamp Now) {
+  CrashReport Report;
+  Report.Id = {static_cast<uint64_t>(Fields.Crash)};
+  Report.SeenAt = Now - fromWireMillis(Fields.AgeMillis);
+  for (const wire::CrashSuspect &Suspect : Fields.Suspects)
+    Report.Suspects.push_back(
+        {fromWire(Suspect.Parts),
+         Suspect.Begun ? AnswerProgress::Begun : AnswerProgress::Waiting});
+  for (const wire::PartDefence &Known : Fields.Defences)
+    Report.Defences[static_cast<uint64_t>(Known.Part)] = {Known.ServedBefore,
+                                                          Known.ServedAfter};
+  return Report;
+}
+
+static wire::QuarantinedParts toWire(const QuarantinedParts &Set,
+                                     Timestamp Now) {
+  wire::QuarantinedParts Fields;
+  Fields.Parts = toWire(Set.Parts);
+  Fields.Epoch = static_cast<int32_t>(Set.Epoch);
+  Fields.Ended = Set.Ended;
+  Fields.Trials = static_cast<int32_t>(Set.Trials);
+  Fields.TrialInMillis = wireMillis(Set.TrialFrom - Now);
+  Fields.WantedAgeMillis = wireMillis(Now - Set.WantedAt);
+  return Fields;
+}
+
+static QuarantinedParts fromWire(const wire::QuarantinedParts &Fields,
+                                 Timestamp Now) {
+  QuarantinedParts Set;
+  Set.Parts = fromWire(Fields.Parts);
+  Set.Epoch = static_cast<uint32_t>(std::max(Fields.Epoch, 0));
+  Set.Ended = Fields.Ended;
+  Set.Trials = static_cast<uint32_t>(std::max(Fields.Trials, 0));
+  Set.TrialFrom = Now + fromWireMillis(Fields.TrialInMillis);
+  Set.WantedAt = Now - fromWireMillis(Fields.WantedAgeMillis);
+  return Set;
+}
+
+static wire::BeliefMessage toWire(const CrashNews &News) {
+  Timestamp Now = steadyNow();
+  wire::BeliefMessage Message;
+  for (const CrashReport &Report : News.Crashes)
+    Message.Crashes.push_back(toWire(Report, Now));
+  for (const QuarantinedParts &Set : News.Quarantined)
+    Message.Quarantined.push_back(toWire(Set, Now));
+  return Message;
+}
+
+static CrashNews fromWire(const wire::BeliefMessage &Message) {
+  Timestamp Now = steadyNow();
+  CrashNews News;
+  for (const wire::CrashReport &Fields : Message.Crashes)
+    News.Crashes.push_back(fromWire(Fields, Now));
+  for (const wire::QuarantinedParts &Fields : Message.Quarantined)
+    News.Quarantined.push_back(fromWire(Fields, Now));
+  return News;
+}
+
+BeliefExchange::BeliefExchange(HostLink &Link, ControlLoop &Loop,
+                               OtherRouters Others, BeliefHooks Callbacks)
+    : Link(Link), Loop(Loop), Others(std::move(Others)),
+      Callbacks(std::move(Callbacks)), Spread(systemSeed()) {}
+
+void BeliefExchange::stop() {
+  Loop.cancel(NewsTimer);
+  Loop.cancel(TickTimer);
+}
+
+void BeliefExchange::newsReady() {
+  if (std::exchange(NewsPending, true))
+    return;
+  NewsTimer =
+      Loop.at(steadyNow() + BeliefSpread::NewsDelay, [this] { sendNews(); });
+}
+
+void BeliefExchange::sendNews() {
+  NewsPending = false;
+  CrashNews News = Callbacks.TakeNews();
+  if (News.empty())
+    return;
+  wire::BeliefMessage Message = toWire(News);
+  for (const HostId &To : Spread.receiversOfNews(Others(), steadyNow()))
+    Link.send(To, PayloadKind::Beliefs, Message);
+}
+
+void BeliefExchange::tick() {
+  TickTimer =
+      Loop.at(steadyNow() + BeliefSpread::TickInterval, [this] { tick(); });
+  CrashNews All = Callbacks.Everything();
+  BeliefSpread::Due Due = Spread.tick(Others(), !All.empty(), steadyNow());
+  if (!Due.Summary.empty()) {
+    wire::BeliefMessage Summary = toWire(All);
+    for (const HostId &To : Due.Summary)
+      Link.send(To, PayloadKind::Beliefs, Summary);
+  }
+  wire::BeliefMessage Question;
+  Question.Asks = true;
+  for (const HostId &To : Due.Question)
+    Link.send(To, PayloadKind::Beliefs, Question);
+}
+
+void BeliefExchange::receive(const HostId &From,
+                             const wire::BeliefMessage &Message) {
+  if (Message.Answers)
+    Spread.noteAnswer();
+  if (Message.Asks) {
+    wire::BeliefMessage Answer = toWire(Callbacks.Everything());
+    Answer.Answers = true;
+    Link.send(From, PayloadKind::Beliefs, Answer);
+  }
+  Callbacks.Apply(fromWire(Message), BeliefSpread::passesOn(Others().size()));
+}
+
+} // namespace ferry::daemon
--- /dev/null
+++ b/Services/ferryd/BeliefExchange.h
@@ -0,0 +1,62 @@
+/// \file
+/// Messages between routers about crashes and the parts that cause them.
+#ifndef FERRY_FERRYD_BELIEFEXCHANGE_H
+#define FERRY_FERRYD_BELIEFEXCHANGE_H
+
+#include "LibCore/ControlLoop.h"
+#include "LibRouting/BeliefSpread.h"
+#include "LibRouting/PartQuarantine.h"
+#include "LibWire/Generated/Routing_types.h"
+#include "ferryd/HostLink.h"
+#include <functional>
+
+namespace ferry::daemon {
+
+/// What a router believes and the others need; its functions are thread-safe.
+struct BeliefHooks {
+  std::function<routing::CrashNews()> TakeNews = [] {
+    return routing::CrashNews();
+  };
+  std::function<routing::CrashNews()> Everything = [] {
+    return routing::CrashNews();
+  };
+  std::function<void(const routing::CrashNews &, bool PassOn)> Apply =
+      [](const routing::CrashNews &, bool) {};
+};
+
+/// Sends what BeliefSpread decides. Used on the control thread.
+class BeliefExchange {
+public:
+  using OtherRouters = std::function<std::vector<HostId>()>;
+
+  BeliefExchange(HostLink &Link, ControlLoop &Loop, OtherRouters Others,
+                 BeliefHooks Callbacks);
+  ~BeliefExchange() { stop(); }
+  BeliefExchange(const BeliefExchange &) = delete;
+  BeliefExchange &operator=(const BeliefExchange &) = delete;
+
+  /// Begins to ask and to send summaries.
+  void start() { tick(); }
+  void stop();
+
+  /// Sends the news soon.
+  void newsReady();
+  void receive(const HostId &From, const wire::BeliefMessage &Message);
+
+private:
+  void tick();
+  void sendNews();
+
+  HostLink &Link;
+  ControlLoop &Loop;
+  OtherRouters Others;
+  BeliefHooks Callbacks;
+  routing::BeliefSpread Spread;
+  bool NewsPending = false;
+  ControlLoop::TimerId NewsTimer;
+  ControlLoop::TimerId TickTimer;
+};
+
+} // namespace ferry::daemon
+
+#endif
--- a/Services/ferryd/ControlPlane.cpp
+++ b/Services/ferryd/ControlPlane.cpp
@@ -115,13 +115,10 @@
   Link = std::move(*Started);
   Streams = std::make_unique<StreamExchange>(
       *Link, Loop,
-      StreamExchange::Hooks{[this] {
-                              std::vector<HostId> Routers;
-                              for (const auto &Router : liveRouters())
-                                Routers.push_back(Router.Id);
-                              return Routers;
-                            },
+      StreamExchange::Hooks{[this] { return liveRouterIds(); },
                             Callbacks.NoteStream, Callbacks.FindStream});
+  Beliefs = std::make_unique<BeliefExchange>(
+      *Link, Loop, [this] { return liveRouterIds(); }, Callbacks.Beliefs);
   startGateway();
   if (Settings.Role == config::HostRole::Control) {
     auto Opened = tryOpenRegistry();
@@ -133,8 +130,10 @@
   addSeeds();
   stepMembership(DescriptionApplied{Holder.number()});
   tick();
-  if (isRouted() && Settings.Role == config::HostRole::Router)
+  if (isRouted() && Settings.Role == config::HostRole::Router) {
     sendDigests();
+    Beliefs->start();
+  }
   return {};
 }
 
@@ -277,6 +276,7 @@
 void ControlPlane::close() {
   Loop.cancel(TickTimer);
   Loop.cancel(DigestTimer);
+  Beliefs->stop();
   Orders.reset();
   if (Node)
     Node->close();
--- a/Services/ferryd/ControlPlane.h
+++ b/Services/ferryd/ControlPlane.h
@@ -14,6 +14,7 @@
 #include "LibRouting/WorkExchange.h"
 #include "LibTraffic/ControlPort.h"
 #include "LibWire/Generated/Routing_types.h"
+#include "ferryd/BeliefExchange.h"
 #include "ferryd/DescriptionHolder.h"
 #include "ferryd/HostLink.h"
 #include "ferryd/OrderDispatcher.h"
@@ -62,6 +63,8 @@
     /// \returns the build of a stream that this router remembers.
     std::function<std::optional<BuildId>(routing::StreamKey)> FindStream =
         [](routing::StreamKey) { return std::nullopt; };
+    /// What this router believes of crashes.
+    BeliefHooks Beliefs;
     /// Set for the routed interface; the defaults serve the native one.
     PlatformBindings Platform;
   };
@@ -143,6 +146,7 @@
   void receiveEngineChanges(const wire::EngineChanges &Changes);
   /// \returns the other routers that are not silent.
   std::vector<routing::WorkExchange::Router> liveRouters() const;
+  std::vector<HostId> liveRouterIds() const;
   /// Sends to all routers, in a large fleet by way of two routers a group.
   void sendToRouters(wire::EngineChanges Message);
   config::Description wantedWeights() const;
@@ -172,6 +176,7 @@
   DescriptionHolder Holder;
   std::unique_ptr<HostLink> Link;
   std::unique_ptr<StreamExchange> Streams;
+  std::unique_ptr<BeliefExchange> Beliefs;
   std::unique_ptr<RegistryNode> Node;
   std::unique_ptr<RegistryGateway> Gateway;
   std::unique_ptr<OrderDispatcher> Orders;
--- a/Services/ferryd/ControlPlaneMessages.cpp
+++ b/Services/ferryd/ControlPlaneMessages.cpp
@@ -51,6 +51,9 @@
   case PayloadKind::Streams:
     return receiveAs<wire::StreamMessage>(
         Payload, [&](auto Message) { Streams->receive(From, Message); });
+  case PayloadKind::Beliefs:
+    return receiveAs<wire::BeliefMessage>(
+        Payload, [&](auto Message) { Beliefs->receive(From, Message); });
   }
   Link->countMalformed();
 }
--- a/Services/ferryd/ControlPlanePort.cpp
+++ b/Services/ferryd/ControlPlanePort.cpp
@@ -84,6 +84,7 @@
       Streams->ask(Key, Deadline, Done);
     });
   };
+  Port.TellBeliefs = [this] { Loop.post([this] { Beliefs->newsReady(); }); };
   Port.Announce = [this](TargetRecord Record, auto Done) {
     Loop.post([this, Record = std::move(Record), Done = std::move(Done)] {
       announce(Record, Done);
--- a/Services/ferryd/ControlPlaneRouting.cpp
+++ b/Services/ferryd/ControlPlaneRouting.cpp
@@ -19,6 +19,13 @@
   return Routers;
 }
 
+std::vector<HostId> ControlPlane::liveRouterIds() const {
+  std::vector<HostId> Ids;
+  for (auto &Router : liveRouters())
+    Ids.push_back(std::move(Router.Id));
+  return Ids;
+}
+
 void ControlPlane::sendToRouters(wire::EngineChanges Message) {
   std::vector<routing::WorkExchange::Router> Routers = liveRouters();
   Message.__set_PassOn(Routers.size() >
--- a/Services/ferryd/RoutedServers.cpp
+++ b/Services/ferryd/RoutedServers.cpp
@@ -54,7 +54,7 @@
     auto Started = traffic::RoutedFront::tryStart(
         Settings, platform::routeDialect(), Metrics, Options,
         {Control.port().NoticeLeave, Control.port().TellStream,
-         Control.port().AskStream});
+         Control.port().AskStream, Control.port().TellBeliefs});
     if (!Started)
       return makeError(Started.error());
     Front = std::move(*Started);
--- /dev/null
+++ b/Tests/LibRouting/TestPartQuarantine.cpp
@@ -0,0 +1,343 @@
+// One part of a prompt crashes each target that begins an answer on it. It must
+// be told from the parts of sound requests that ran at the same targets, and a
+// wrong verdict must end.
+#include "LibRouting/PartQuarantine.h"
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+
+using namespace ferry;
+using namespace ferry::routing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Timestamp Start{10'000s};
+constexpr uint64_t Lead = 1;
+constexpr uint64_t Crashing = 2;
+constexpr uint64_t Sound = 3;
+/// Longer than the hearing of any part.
+constexpr auto Later = 2s;
+
+PartSet sorted(PartSet Parts) {
+  std::sort(Parts.begin(), Parts.end());
+  return Parts;
+}
+
+/// A router with its quarantine, in virtual time.
+class Router {
+public:
+  /// A target ends while the requests with \p Begun and \p Waiting are there.
+  void crash(const std::vector<PartSet> &Begun,
+             const std::vector<PartSet> &Waiting = {}) {
+    TargetId Target{"i-" + std::to_string(++Targets)};
+    for (const PartSet &Parts : Begun)
+      Quarantine.noteBroken(Target, {1}, {sorted(Parts), AnswerProgress::Begun},
+                            Now);
+    for (const PartSet &Parts : Waiting)
+      Quarantine.noteBroken(Target, {1},
+                            {sorted(Parts), AnswerProgress::Waiting}, Now);
+  }
+
+  /// Crashes that are \p Pause apart.
+  void crashes(int Count, const std::vector<PartSet> &Begun,
+               Duration Pause = 300ms) {
+    for (int Crash = 0; Crash < Count; ++Crash) {
+      crash(Begun);
+      Now += Pause;
+    }
+  }
+
+  void serve(const PartSet &Parts) {
+    Quarantine.noteServed(sorted(Parts), Now);
+  }
+
+  bool admits(const PartSet &Parts) {
+    return Quarantine.check(sorted(Parts), Now) == PartAdmission::Admitted;
+  }
+
+  /// Sends what this router has learnt to \p Other.
+  void tell(Router &Other) {
+    Other.Quarantine.apply(Quarantine.takeNews(Now), /*PassOn=*/false, Now);
+  }
+
+  Timestamp Now = Start;
+  PartQuarantine Quarantine;
+
+private:
+  int Targets = 0;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(the_last_part_is_never_judged) {
+  BOOST_TEST((sharedParts({{7, 1}, {5, 1}, {9, 1}}) == PartSet{5, 7}));
+  BOOST_TEST(sharedParts({{7, 1}}).empty());
+  BOOST_TEST(sharedParts({}).empty());
+  BOOST_TEST((sharedParts({{7, 1}, {7, 1}, {9, 1}}) == PartSet{7}));
+}
+
+BOOST_AUTO_TEST_CASE(
+    a_part_in_three_crashes_is_refused_and_its_neighbours_not) {
+  Router Subject;
+  Subject.serve({Lead, Sound});
+  Subject.crashes(2, {{Lead, Crashing}});
+  Subject.Now += Later;
+  BOOST_TEST(Subject.admits({Lead, Crashing}));
+  Subject.crash({{Lead, Crashing}});
+  Subject.Now += CrashEvidence::Hearing;
+  BOOST_TEST(!Subject.admits({Lead, Crashing}));
+  // Whatever else a request has.
+  BOOST_TEST(!Subject.admits({Crashing, 77}));
+  BOOST_TEST(!Subject.admits({Crashing}));
+  BOOST_TEST(Subject.admits({Lead}));
+  BOOST_TEST(Subject.admits({Lead, Sound}));
+  BOOST_TEST(Subject.admits({}));
+}
+
+BOOST_AUTO_TEST_CASE(the_crashing_part_may_be_the_first) {
+  Router Subject;
+  Subject.serve({Lead, Sound});
+  Subject.crashes(1, {{Sound, Crashing}});
+  Subject.crashes(1, {{5, Crashing}});
+  Subject.crashes(1, {{6, Crashing}});
+  Subject.Now += Later;
+  BOOST_TEST(!Subject.admits({Crashing, 8}));
+  BOOST_TEST(Subject.admits({Sound}));
+  BOOST_TEST(Subject.admits({5}));
+}
+
+// Requests with a hot first part stand beside each crash, just begun too.
+BOOST_AUTO_TEST_CASE(sound_parts_at_the_crashed_targets_stay_served) {
+  Router Subject;
+  for (uint64_t Crash = 0; Crash < 12; ++Crash) {
+    Subject.crash({{Lead, Crashing}, {Lead, 100 + Crash}},
+                  {{Lead, 200 + Crash}, {Lead, Sound}});
+    Subject.Now += 200ms;
+    Subject.serve({Lead, Sound});
+    Subject.Now += 200ms;
+  }
+  Subject.Now += Later;
+  BOOST_TEST(!Subject.admits({Lead, Crashing}));
+  BOOST_TEST(Subject.admits({Lead, Sound}));
+  for (uint64_t Crash = 0; Crash < 12; ++Crash) {
+    BOOST_TEST(Subject.admits({Lead, 100 + Crash}));
+    BOOST_TEST(Subject.admits({Lead, 200 + Crash}));
+  }
+}
+
+// All crashes so far had both parts, and nobody has served either: only
+// requests with both are refused until a crash tells them apart.
+BOOST_AUTO_TEST_CASE(parts_that_cannot_be_told_apart_are_refused_together) {
+  Router Subject;
+  Subject.crashes(3, {{Sound, Crashing}});
+  Subject.Now += Later;
+  BOOST_TEST(!Subject.admits({Sound, Crashing}));
+  BOOST_TEST(Subject.admits({Sound, 50}));
+  BOOST_TEST(Subject.admits({Crashing, 51}));
+  Subject.crash({{Crashing, 51}});
+  Subject.Now += Later;
+  BOOST_TEST(!Subject.admits({Crashing, 52}));
+  BOOST_TEST(Subject.admits({Sound, 52}));
+  BOOST_TEST(Subject.Quarantine.quarantinedSets() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(two_parts_that_crash_targets_are_both_refused) {
+  Router Subject;
+  Subject.serve({Lead});
+  for (int Crash = 0; Crash < 3; ++Crash) {
+    Subject.crashes(1, {{Lead, Crashing}});
+    Subject.crashes(1, {{Lead, 9}});
+  }
+  Subject.Now += Later;
+  BOOST_TEST(!Subject.admits({Lead, Crashing}));
+  BOOST_TEST(!Subject.admits({9}));
+  BOOST_TEST(Subject.admits({Lead, Sound}));
+}
+
+// A part of which answers were served before turns bad.
+BOOST_AUTO_TEST_CASE(a_part_that_was_served_before_needs_five_crashes) {
+  Router Subject;
+  Subject.serve({Lead, Crashing});
+  for (int Crash = 0; Crash < 5; ++Crash) {
+    Subject.Now += Later;
+    BOOST_TEST(Subject.admits({Lead, Crashing}));
+    Subject.crash({{Lead, Crashing}});
+    Subject.serve({Lead, Sound});
+  }
+  Subject.Now += CrashEvidence::HearingOfServed;
+  BOOST_TEST(!Subject.admits({Lead, Crashing}));
+  BOOST_TEST(Subject.admits({Lead, Sound}));
+}
+
+// A rack loses power: a part that all requests share is in each crash.
+BOOST_AUTO_TEST_CASE(targets_that_end_together_count_once) {
+  Router Subject;
+  for (int Target = 0; Target < 20; ++Target)
+    Subject.crash({{Lead, Sound}}, {{Lead, 5}});
+  Subject.Now += Later;
+  BOOST_TEST(Subject.admits({Lead, Sound}));
+  BOOST_TEST(Subject.admits({Lead, 5}));
+}
+
+// Targets end one after the other for reasons of their own; what they had begun
+// is served elsewhere.
+BOOST_AUTO_TEST_CASE(a_part_that_is_served_between_crashes_stays_served) {
+  Router Subject;
+  for (int Crash = 0; Crash < 30; ++Crash) {
+    Subject.crash({{Lead, Sound}}, {{Lead, Sound}});
+    Subject.Now += 500ms;
+    Subject.serve({Lead, Sound});
+    Subject.Now += 500ms;
+    BOOST_TEST(Subject.admits({Lead, Sound}));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(without_a_begun_answer_five_crashes_are_needed) {
+  Router Subject;
+  for (int Crash = 0; Crash < 5; ++Crash) {
+    Subject.Now += Later;
+    BOOST_TEST(Subject.admits({Lead, Crashing}));
+    Subject.crash({}, {{Lead, Crashing}, {Lead, 40 + uint64_t(Crash)}});
+    Subject.serve({Lead});
+  }
+  Subject.Now += Later;
+  BOOST_TEST(!Subject.admits({Lead, Crashing}));
+  BOOST_TEST(Subject.admits({Lead, 44}));
+}
+
+// The second crash under a part speaks against a third.
+BOOST_AUTO_TEST_CASE(a_request_is_not_repeated_after_the_second_crash) {
+  Router Subject;
+  Subject.serve({Lead, Sound});
+  Subject.crash({{Lead, Crashing}});
+  BOOST_TEST(Subject.Quarantine.mayRepeat({Lead, Crashing}, Subject.Now));
+  Subject.crash({{Lead, Crashing}});
+  BOOST_TEST(!Subject.Quarantine.mayRepeat({Lead, Crashing}, Subject.Now));
+  BOOST_TEST(Subject.Quarantine.mayRepeat({Lead, Sound}, Subject.Now));
+}
+
+BOOST_AUTO_TEST_CASE(a_rare_part_is_found_over_half_an_hour) {
+  Router Subject;
+  Subject.serve({Lead});
+  Subject.crashes(3, {{Lead, Crashing}}, 15min);
+  BOOST_TEST(!Subject.admits({Lead, Crashing}));
+}
+
+// An answer that was under way when the verdict fell is served.
+BOOST_AUTO_TEST_CASE(a_wrong_verdict_ends_with_a_whole_answer) {
+  Router Subject;
+  Router Other;
+  Subject.crashes(3, {{Sound}});
+  Subject.Now += Later;
+  BOOST_TEST(!Subject.admits({Sound}));
+  Other.Now = Subject.Now;
+  Subject.tell(Other);
+  BOOST_TEST(!Other.admits({Sound}));
+  Other.serve({Sound});
+  BOOST_TEST(Other.admits({Sound}));
+  Other.tell(Subject);
+  BOOST_TEST(Subject.admits({Sound}));
+  // The old crashes are no evidence any more; new ones are.
+  Subject.Now += Later;
+  BOOST_TEST(Subject.admits({Sound}));
+  Subject.crashes(5, {{Sound}});
+  Subject.Now += Later;
+  BOOST_TEST(!Subject.admits({Sound}));
+}
+
+BOOST_AUTO_TEST_CASE(one_router_of_the_fleet_sends_the_trials) {
+  std::vector<HostId> Hosts = {{"a"}, {"b"}, {"c"}, {"d"}, {"e"}, {"f"}, {"g"}};
+  std::vector<Router> Fleet(Hosts.size());
+  for (size_t Index = 0; Index < Hosts.size(); ++Index)
+    Fleet[Index].Quarantine.setRouters(Hosts[Index], Hosts);
+  Fleet[0].crashes(3, {{Crashing}});
+  Fleet[0].Now += Later;
+  BOOST_TEST(!Fleet[0].admits({Crashing}));
+  CrashNews News = Fleet[0].Quarantine.takeNews(Fleet[0].Now);
+  for (size_t Index = 1; Index < Fleet.size(); ++Index) {
+    Fleet[Index].Now = Fleet[0].Now;
+    Fleet[Index].Quarantine.apply(News, /*PassOn=*/false, Fleet[0].Now);
+  }
+  // Requests with the part come to all routers for a day.
+  int Trials = 0;
+  for (auto Passed = 0s; Passed < 24h; Passed += 10s)
+    for (Router &Each : Fleet) {
+      Each.Now += 10s;
+      if (Each.Quarantine.check({Crashing}, Each.Now) != PartAdmission::Trial)
+        continue;
+      ++Trials;
+      Each.Quarantine.beginTrial({Crashing}, Each.Now);
+      Each.crash({{Crashing}});
+      for (Router &Other : Fleet)
+        if (&Other != &Each)
+          Other.Quarantine.apply(Each.Quarantine.everything(Each.Now),
+                                 /*PassOn=*/false, Other.Now);
+    }
+  BOOST_TEST(Trials == int(PartQuarantine::MaxTrials));
+}
+
+BOOST_AUTO_TEST_CASE(a_trial_that_is_served_ends_the_verdict) {
+  Router Subject;
+  Subject.crashes(3, {{Sound}});
+  Subject.Now += PartQuarantine::FirstTrialPause + Later;
+  BOOST_TEST((Subject.Quarantine.check({Sound}, Subject.Now) ==
+              PartAdmission::Refused));
+  Subject.Now += PartQuarantine::FirstTrialPause;
+  BOOST_REQUIRE(
+      (Subject.Quarantine.check({Sound}, Subject.Now) == PartAdmission::Trial));
+  Subject.Quarantine.beginTrial({Sound}, Subject.Now);
+  BOOST_TEST(!Subject.admits({Sound}));
+  Subject.serve({Sound});
+  BOOST_TEST(Subject.admits({Sound}));
+}
+
+BOOST_AUTO_TEST_CASE(a_verdict_ends_once_nobody_asks) {
+  Router Subject;
+  Subject.crashes(3, {{Crashing}});
+  Subject.Now += Later;
+  BOOST_TEST(!Subject.admits({Crashing}));
+  Subject.Now += PartQuarantine::IdleLimit + 1h;
+  BOOST_TEST(Subject.Quarantine.everything(Subject.Now).empty());
+  BOOST_TEST(Subject.admits({Crashing}));
+}
+
+// New parts in any number, with crashes of their own and without, do not push
+// out the one that matters.
+BOOST_AUTO_TEST_CASE(a_flood_of_parts_pushes_no_verdict_out) {
+  Router Subject;
+  Subject.serve({Lead});
+  Subject.crashes(3, {{Lead, Crashing}});
+  Subject.Now += Later;
+  for (uint64_t Part = 1000; Part < 30'000; ++Part) {
+    Subject.Now += 10ms;
+    if (Part % 10 == 0)
+      BOOST_REQUIRE(!Subject.admits({Lead, Crashing}));
+    Subject.serve({Lead, Part});
+    if (Part % 100 == 0)
+      Subject.crash({{Lead, Part}}, {{Lead, Part + 1}});
+  }
+  BOOST_TEST(!Subject.admits({Lead, Crashing}));
+  BOOST_TEST(Subject.admits({Lead}));
+  CrashNews All = Subject.Quarantine.everything(Subject.Now);
+  BOOST_TEST(All.Crashes.size() <= CrashEvidence::MaxCrashes);
+  BOOST_TEST(All.Quarantined.size() <= PartQuarantine::MaxSets);
+}
+
+// What a peer sends is bounded and cannot break a router.
+BOOST_AUTO_TEST_CASE(senseless_news_change_nothing) {
+  Router Subject;
+  CrashNews News;
+  News.Crashes.push_back({{7},
+                          Subject.Now + 24h,
+                          {{{}, AnswerProgress::Begun}},
+                          {{9, {true, true}}}});
+  News.Crashes.push_back(
+      {{8}, Subject.Now, {{PartSet(100, 5), AnswerProgress::Begun}}, {}});
+  News.Quarantined.push_back({{}, 1, false, 0, Subject.Now, Subject.Now});
+  News.Quarantined.push_back(
+      {PartSet(100, 5), 1, false, 0, Subject.Now, Subject.Now});
+  Subject.Quarantine.apply(News, /*PassOn=*/true, Subject.Now);
+  Subject.Now += Later;
+  BOOST_TEST(Subject.admits({5, 9}));
+  BOOST_TEST(Subject.Quarantine.quarantinedSets() == 0U);
+}
