platform, LibTraffic: Decode the limit that a target names and log it

A number without sign and exponent counts, the smallest of several; others are logged as unreadable. No decision changes yet.

--- a/Libraries/LibTraffic/RouteDialect.h
+++ b/Libraries/LibTraffic/RouteDialect.h
@@ -70,6 +70,11 @@
   /// How long the target, which turned the request away, wants no request from
   /// this router.
   std::optional<Duration> Pause;
+  /// The requests a second that the target takes from all hosts together;
+  /// nothing if it names no limit.
+  std::optional<double> Limit;
+  /// Whether it names a limit that cannot be read.
+  bool LimitUnreadable = false;
 };
 
 /// The functions that read and write the heads.
--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -302,6 +302,13 @@
                       Caller.Id);
     Context.Hooks.LeaveNoticed(Destination.Target, Destination.Incarnation);
   }
+  if (Details.Limit || Details.LimitUnreadable)
+    observe::logEvent(Severity::Info, "routed", "limit_named",
+                      {{"target", Destination.Target},
+                       {"incarnation", Destination.Incarnation},
+                       {"per_second", Details.Limit.value_or(-1)},
+                       {"unreadable", Details.LimitUnreadable}},
+                      Caller.Id);
   if (!Details.Pause)
     return;
   Timestamp Now = steadyNow();
--- a/Tests/platform/TestCallHeaders.cpp
+++ b/Tests/platform/TestCallHeaders.cpp
@@ -164,3 +164,27 @@
     BOOST_TEST(!PauseIn(503, Text).has_value(), Text);
   BOOST_TEST(!PauseIn(200, "2").has_value());
 }
+
+BOOST_AUTO_TEST_CASE(a_limit_is_read_from_any_answer) {
+  auto AnswerWith = [](int Status, const std::vector<std::string> &Limits) {
+    Poco::Net::HTTPResponse Head(
+        static_cast<Poco::Net::HTTPResponse::HTTPStatus>(Status));
+    for (const std::string &Limit : Limits)
+      Head.add("Server-Limit", Limit);
+    return readAnswer(Head, {});
+  };
+  for (int Status : {200, 404, 500, 503})
+    BOOST_TEST((AnswerWith(Status, {"3.4"}).Limit == 3.4));
+  BOOST_TEST((AnswerWith(200, {"0"}).Limit == 0.0));
+  BOOST_TEST(!AnswerWith(200, {}).Limit.has_value());
+  BOOST_TEST(!AnswerWith(200, {}).LimitUnreadable);
+  // The target is in need, so the smallest of several counts.
+  BOOST_TEST((AnswerWith(200, {"5", "4", "x"}).Limit == 4.0));
+  // No host reaches such a limit.
+  BOOST_TEST((AnswerWith(200, {std::string(300, '9')}).Limit == 1e6));
+  for (const char *Text :
+       {"", "x", "-1", "+1", "1e308", "inf", "nan", "3,4", "3.4.5", "3 4"}) {
+    BOOST_TEST(!AnswerWith(200, {Text}).Limit.has_value(), Text);
+    BOOST_TEST(AnswerWith(200, {Text}).LimitUnreadable, Text);
+  }
+}
