--- a/Libraries/LibRouting/RoutedCall.h
+++ b/Libraries/LibRouting/RoutedCall.h
@@ -67,6 +67,8 @@
   /// When the last request may begin on the target's weights; NeverExpires if
   /// no newer ones are named.
   Timestamp WeightsDeadline = NeverExpires;
+  /// Whether the call was counted against a limit of the target.
+  bool CountedAgainstLimit = false;
 };
 
 /// Why a request is refused.
@@ -83,7 +85,9 @@
   /// The request would wait too long for its first byte.
   Full,
   /// The prompt has parts that crash targets.
-  PartsQuarantined
+  PartsQuarantined,
+  /// The limits that all targets name forbid it.
+  Limited
 };
 
 /// The refusal of a request, and when a target is expected to be free.
@@ -205,7 +209,8 @@
       {Reason::NoneUsable, "none_usable"},
       {Reason::DeadlineTooNear, "deadline_too_near"},
       {Reason::Full, "full"},
-      {Reason::PartsQuarantined, "parts_quarantined"}};
+      {Reason::PartsQuarantined, "parts_quarantined"},
+      {Reason::Limited, "limited"}};
 };
 
 template <> struct EnumNames<routing::DigestScope> {
--- a/Libraries/LibRouting/RoutedPlacement.cpp
+++ b/Libraries/LibRouting/RoutedPlacement.cpp
@@ -17,12 +17,9 @@
 
 void RoutedPlacement::applyView(RoutingViewPtr Newer, Timestamp Now) {
   View = std::move(Newer);
-  Routers = std::max<size_t>(
-      1, std::count_if(View->Hosts.begin(), View->Hosts.end(),
-                       [](const HostView &Host) {
-                         return Host.Standing == HostStanding::Serving &&
-                                !Host.CallerAddress.empty();
-                       }));
+  std::vector<HostId> Serving = View->servingRouters();
+  Routers = std::max<size_t>(1, Serving.size());
+  Limits.setRouters(View->Self, Serving, Now);
   std::map<TargetId, RoutedTarget> NewTargets;
   for (const TargetRecord &Record : View->Targets) {
     auto Previous = Targets.find(Record.Id);
@@ -122,10 +119,25 @@
   return Signals.notePause(Target, Asking, Until, Now);
 }
 
-bool RoutedPlacement::mayStillSend(const PlacedCall &Placed,
-                                   Timestamp Now) const {
-  return !Signals.isLeaving(Placed.Target, Placed.Incarnation) &&
-         !Signals.isPaused(Placed.Target, Placed.Incarnation, Now);
+void RoutedPlacement::noteLimit(const PlacedCall &Placed,
+                                std::optional<double> PerSecond,
+                                Timestamp Now) {
+  auto Sent = SentCalls.find(Placed.PlacementId);
+  if (Sent != SentCalls.end())
+    Limits.noteAnswer(Placed.Target, Placed.Incarnation, PerSecond,
+                      Sent->second.SentAt, Now);
+}
+
+bool RoutedPlacement::maySend(const PlacedCall &Placed, Timestamp Now) {
+  if (Signals.isLeaving(Placed.Target, Placed.Incarnation) ||
+      Signals.isPaused(Placed.Target, Placed.Incarnation, Now))
+    return false;
+  if (Placed.CountedAgainstLimit)
+    return true;
+  if (Limits.openFrom(Placed.Target, Placed.Incarnation, Now) > Now)
+    return false;
+  Limits.noteSent(Placed.Target, Placed.Incarnation, Now);
+  return true;
 }
 
 std::optional<BuildId>
--- a/Libraries/LibRouting/RoutedPlacement.h
+++ b/Libraries/LibRouting/RoutedPlacement.h
@@ -9,6 +9,7 @@
 #include "LibRouting/CachedParts.h"
 #include "LibRouting/PromptRate.h"
 #include "LibRouting/RoutingView.h"
+#include "LibRouting/TargetLimits.h"
 #include "LibRouting/TargetSignals.h"
 #include <map>
 #include <optional>
@@ -103,9 +104,19 @@
   bool notePause(const TargetId &Target, Incarnation Asking, Timestamp Until,
                  Timestamp Now);
 
-  /// Whether a placed call may still be sent: answers to other calls may have
-  /// shown since then that the target leaves or wants a pause.
-  bool mayStillSend(const PlacedCall &Placed, Timestamp Now) const;
+  /// Notes what the answer to a placed call says of the target's limit.
+  /// \param PerSecond the limit that it names, if any.
+  void noteLimit(const PlacedCall &Placed, std::optional<double> PerSecond,
+                 Timestamp Now);
+
+  /// Asked right before a placed call is sent. Answers to other calls may have
+  /// shown since the placement that the target leaves or wants a pause, or that
+  /// it has a limit; the call then counts against that.
+  /// \returns whether the call may be sent.
+  bool maySend(const PlacedCall &Placed, Timestamp Now);
+
+  /// The limits that targets have named.
+  TargetLimits &limits() { return Limits; }
 
   /// \returns the build of all known targets of \p Service, also of those that
   /// leave; nothing if there are several or no target is known.
@@ -282,6 +293,10 @@
                             Timestamp Now);
   RefusedCall refuse(const RoutedCall &Call, CallRefusalReason Reason,
                      Timestamp Now, double FirstByteSeconds = 0);
+  /// \returns when a caller may come back whose request all targets' limits
+  /// forbid; nothing if they do not.
+  std::optional<Timestamp> returnUnderLimits(const RoutedCall &Call,
+                                             Timestamp Now);
   void pauseTarget(RoutedTarget &Target, Duration FirstPause, Timestamp Now);
   RoutedTarget *findTarget(const SentCall &Sent);
 
@@ -291,6 +306,9 @@
   size_t Routers = 1;
   std::map<TargetId, RoutedTarget> Targets;
   TargetSignals Signals;
+  TargetLimits Limits;
+  /// Until when returns under limits are reserved, by service.
+  std::map<ServiceId, Timestamp> ReturnsReservedUntil;
   std::map<ServiceId, PromptRate> Rates;
   /// The work of another router's last digest; it counts until ExpiresAt.
   struct PeerDigest {
--- a/Libraries/LibRouting/RoutedPlacementChoice.cpp
+++ b/Libraries/LibRouting/RoutedPlacementChoice.cpp
@@ -42,6 +42,8 @@
 /// Longest delay for Retry-After, which also applies if no target is known: a
 /// new target announces itself twice in this time.
 static constexpr Duration NoTargetRetryDelay = std::chrono::seconds(1);
+/// Longest delay for callers whose requests the targets' limits forbid.
+static constexpr Duration MaxLimitedDelay = std::chrono::seconds(10);
 static constexpr Duration MinRetryDelay = std::chrono::milliseconds(100);
 /// The delay of Retry-After varies by up to this part of it, so that callers
 /// that were refused together do not return together.
@@ -79,7 +81,8 @@
     bool IsOtherBuild =
         !Call.Build.empty() && Target.Record.Build != Call.Build;
     if (IsOtherBuild || !isOffered(Target, Call.Service, Now) ||
-        Signals.openFrom(Id, Target.Record.Incarnation, Now) > Now)
+        Signals.openFrom(Id, Target.Record.Incarnation, Now) > Now ||
+        Limits.openFrom(Id, Target.Record.Incarnation, Now) > Now)
       continue;
     Offered.push_back(&Target);
     if (isUsable(Target, Now))
@@ -238,6 +241,9 @@
               Best.FetchSource == nullptr;
   Target.OwnBacklog.of(Call) += Best.PromptSeconds;
   PlacedCall Placed;
+  Placed.CountedAgainstLimit =
+      Limits.isLimited(Target.Record.Id, Target.Record.Incarnation);
+  Limits.noteSent(Target.Record.Id, Target.Record.Incarnation, Now);
   Placed.PlacementId = NextPlacementId++;
   Placed.Target = Target.Record.Id;
   Placed.Incarnation = Target.Record.Incarnation;
@@ -288,9 +294,38 @@
                     MaxWaitShare * SecondsUntilDue);
 }
 
+std::optional<Timestamp>
+RoutedPlacement::returnUnderLimits(const RoutedCall &Call, Timestamp Now) {
+  double PerSecond = 0;
+  bool AnyLimit = false;
+  for (const auto &[Id, Target] : Targets) {
+    if (!isOffered(Target, Call.Service, Now))
+      continue;
+    auto Limit = Limits.perSecond(Id, Target.Record.Incarnation);
+    if (!Limit)
+      return std::nullopt;
+    AnyLimit = true;
+    PerSecond += *Limit;
+  }
+  if (!AnyLimit)
+    return std::nullopt;
+  // Callers come back at this router's share of the rate, in the order in which
+  // they were refused. Those beyond the longest delay have to try again.
+  double Share = PerSecond / double(Routers);
+  Duration Spacing =
+      Share > 0 ? durationOf(std::min(secondsOf(MaxLimitedDelay), 1 / Share))
+                : MaxLimitedDelay;
+  Timestamp &Reserved = ReturnsReservedUntil[Call.Service];
+  Reserved = std::min(std::max(Reserved, Now) + Spacing, Now + MaxLimitedDelay);
+  return Reserved;
+}
+
 RefusedCall RoutedPlacement::refuse(const RoutedCall &Call,
                                     CallRefusalReason Reason, Timestamp Now,
                                     double FirstByteSeconds) {
+  if (Reason == CallRefusalReason::NoTarget)
+    if (auto RetryAt = returnUnderLimits(Call, Now))
+      return {CallRefusalReason::Limited, *RetryAt, {}};
   Timestamp LatestRetryAt = Now + NoTargetRetryDelay;
   Timestamp RetryAt = NeverExpires;
   bool HasTargets = false;
@@ -309,9 +344,11 @@
         std::max(Target.UnusableUntil, Target.LoadingUntil),
         Now + durationOf(Target.OwnBacklog.all() + Target.PeerBacklog.all() +
                          congestionOf(Target, Now)));
-    // The end of a pause is certain; the other times are estimates.
-    RetryAt = std::min(RetryAt, std::max(Signals.openFrom(Id, Current, Now),
-                                         std::min(FreeAt, LatestRetryAt)));
+    // The ends of pauses and limits are certain; other times are estimates.
+    Timestamp OpenFrom = std::max(Signals.openFrom(Id, Current, Now),
+                                  Limits.openFrom(Id, Current, Now));
+    RetryAt =
+        std::min(RetryAt, std::max(OpenFrom, std::min(FreeAt, LatestRetryAt)));
   }
   if (RetryAt == NeverExpires)
     RetryAt = LatestRetryAt;
--- a/Libraries/LibRouting/RoutedPlacementSources.cpp
+++ b/Libraries/LibRouting/RoutedPlacementSources.cpp
@@ -128,7 +128,9 @@
   std::vector<const RoutedTarget *> Offered;
   size_t Usable = 0;
   for (const auto &[Id, Target] : Targets) {
-    if (!isOffered(Target, Call.Service, Now))
+    // A target that takes few requests is no home for a prompt.
+    if (!isOffered(Target, Call.Service, Now) ||
+        Limits.isLimited(Id, Target.Record.Incarnation))
       continue;
     Offered.push_back(&Target);
     Usable += isUsable(Target, Now);
--- a/Libraries/LibRouting/RoutingView.h
+++ b/Libraries/LibRouting/RoutingView.h
@@ -47,6 +47,15 @@
   HostStanding OwnStanding = HostStanding::Serving;
   std::vector<TargetRecord> Targets;
   std::vector<HostView> Hosts;
+
+  /// \returns the routers that serve callers, this one included if it does.
+  std::vector<HostId> servingRouters() const {
+    std::vector<HostId> Serving;
+    for (const HostView &Host : Hosts)
+      if (Host.Standing == HostStanding::Serving && !Host.CallerAddress.empty())
+        Serving.push_back(Host.Id);
+    return Serving;
+  }
 };
 
 using RoutingViewPtr = std::shared_ptr<const RoutingView>;
--- /dev/null
+++ b/Libraries/LibRouting/TargetLimits.h
@@ -0,0 +1,138 @@
+/// \file
+/// The limits that targets in need name for all routers together.
+#ifndef FERRY_LIBROUTING_TARGETLIMITS_H
+#define FERRY_LIBROUTING_TARGETLIMITS_H
+
+#include "LibCore/EnumNames.h"
+#include "LibCore/Ids.h"
+#include "LibCore/Time.h"
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace ferry::routing {
+
+/// What a target's answer said of its limit, as routers tell each other.
+struct TargetLimit {
+  TargetId Target;
+  ferry::Incarnation Incarnation;
+  /// Requests a second from all routers; nothing if the limit has ended.
+  std::optional<double> PerSecond;
+  /// When the answer was received.
+  Timestamp ObservedAt;
+};
+
+/// A change of what a router believes of a limit, for its log.
+struct LimitChange {
+  enum class Kind : uint8_t { Named, Told, Ended };
+  Kind What = Kind::Named;
+  TargetLimit Limit;
+};
+
+/// The limits as one router sees them. Owns no clock; callers serialise all
+/// calls.
+///
+/// Answers the load of a large fleet in front of a target that takes few
+/// requests a second: an equal share of each router would be far below one. So
+/// few routers send to the target, one for each RequestsPerSender a second; the
+/// others send none. All routers choose the same ones by rendezvous hashing.
+/// Each answer renews
+/// the limit, and one without it, to a request that was sent under it, ends it.
+/// The router that saw a change tells the others.
+class TargetLimits {
+public:
+  /// Number of targets that are remembered; those whose limits were seen least
+  /// recently are dropped first.
+  static constexpr size_t MaxTargets = 1024;
+  /// How long the end of a limit is told.
+  static constexpr Duration EndLifetime = std::chrono::seconds(60);
+  /// A limit that no answer has renewed for this long is forgotten: its target
+  /// has ended, or nobody calls the service.
+  static constexpr Duration Lifetime = std::chrono::minutes(10);
+  /// The rate of one router that sends, if there are enough routers. A router
+  /// may send one request ahead of its rate, so that in four seconds all send
+  /// five times the limit at most; views that differ may add to that.
+  static constexpr double RequestsPerSender = 2;
+  /// A limit of none or nearly none still gets a request in this time: only an
+  /// answer can tell that it has ended.
+  static constexpr Duration LongestSpacing = std::chrono::seconds(10);
+  /// A change smaller than this share is not told.
+  static constexpr double ToldChange = 0.02;
+  /// Answers that routers see within this time are not ordered by it: the
+  /// messages between routers take some of it.
+  static constexpr Duration OrderSlack = std::chrono::milliseconds(50);
+
+  /// Sets the routers that serve, this one included.
+  void setRouters(const HostId &Self, const std::vector<HostId> &Serving,
+                  Timestamp Now);
+
+  /// Notes what an answer to a request sent at \p SentAt says.
+  /// \param PerSecond the limit that it names, if any.
+  void noteAnswer(const TargetId &Target, Incarnation Current,
+                  std::optional<double> PerSecond, Timestamp SentAt,
+                  Timestamp Now);
+
+  bool isLimited(const TargetId &Target, Incarnation Current) const;
+
+  /// \returns from when this router may send the next request to the target; a
+  /// time before \p Now if no limit is known, NeverExpires if only others may.
+  Timestamp openFrom(const TargetId &Target, Incarnation Current,
+                     Timestamp Now) const;
+
+  /// Counts a request that is sent to the target.
+  void noteSent(const TargetId &Target, Incarnation Current, Timestamp Now);
+
+  /// \returns the limit; nothing if none is known.
+  std::optional<double> perSecond(const TargetId &Target,
+                                  Incarnation Current) const;
+
+  /// Applies what another router tells. \param PassOn whether a change is news
+  /// for further routers.
+  void apply(const TargetLimit &Told, bool PassOn, Timestamp Now);
+  bool hasNews() const { return !Changed.empty(); }
+  /// \returns the limits that have changed since the last call.
+  std::vector<TargetLimit> takeNews();
+  /// \returns all limits and recent ends.
+  std::vector<TargetLimit> everything(Timestamp Now);
+  std::vector<LimitChange> takeChanges();
+
+  /// \returns the number of targets with a limit.
+  size_t limitedTargets() const;
+
+private:
+  using Key = std::pair<TargetId, Incarnation>;
+  struct Entry {
+    TargetLimit Limit;
+    /// Requests a second that this router may send; 0 if only others may.
+    double Share = 0;
+    /// When the next request may be sent.
+    Timestamp NextAt;
+  };
+
+  const Entry *find(const TargetId &Target, Incarnation Current) const;
+  void set(Entry &Subject, std::optional<double> PerSecond, bool WasTold,
+           Timestamp Now);
+  void updateShare(Entry &Subject, Timestamp Now);
+  void expire(Timestamp Now);
+
+  std::map<Key, Entry> Entries;
+  uint64_t SelfHash = 0;
+  std::vector<uint64_t> OtherHashes;
+  std::set<Key> Changed;
+  std::vector<LimitChange> Changes;
+};
+
+} // namespace ferry::routing
+
+namespace ferry {
+
+template <> struct EnumNames<routing::LimitChange::Kind> {
+  using Kind = routing::LimitChange::Kind;
+  static constexpr EnumName<Kind> Table[] = {
+      {Kind::Named, "named"}, {Kind::Told, "told"}, {Kind::Ended, "ended"}};
+};
+
+} // namespace ferry
+
+#endif
--- a/Libraries/LibTraffic/RoutedContext.cpp
+++ b/Libraries/LibTraffic/RoutedContext.cpp
@@ -1,4 +1,5 @@
 #include "LibTraffic/RoutedContext.h"
+#include "LibObserve/Log.h"
 
 namespace ferry::traffic {
 
@@ -42,9 +43,51 @@
                              steadyNow());
 }
 
-bool SharedPlacement::mayStillSend(const PlacedCall &Placed) const {
+bool SharedPlacement::maySend(const PlacedCall &Placed) {
   std::lock_guard Lock(Mutex);
-  return Placement.mayStillSend(Placed, steadyNow());
+  return Placement.maySend(Placed, steadyNow());
+}
+
+template <typename StepType> bool SharedPlacement::updateLimits(StepType Step) {
+  std::vector<LimitChange> Changes;
+  bool HasNews = false;
+  {
+    std::lock_guard Lock(Mutex);
+    Step();
+    Changes = Placement.limits().takeChanges();
+    HasNews = Placement.limits().hasNews();
+  }
+  for (const LimitChange &Change : Changes)
+    observe::logEvent(observe::Severity::Info, "routed", "target_limit",
+                      {{"change", Change.What},
+                       {"target", Change.Limit.Target},
+                       {"incarnation", Change.Limit.Incarnation},
+                       {"per_second", Change.Limit.PerSecond.value_or(0)}});
+  return HasNews;
+}
+
+bool SharedPlacement::noteLimit(const PlacedCall &Placed,
+                                std::optional<double> PerSecond) {
+  return updateLimits(
+      [&] { Placement.noteLimit(Placed, PerSecond, steadyNow()); });
+}
+
+bool SharedPlacement::applyLimits(const std::vector<TargetLimit> &Told,
+                                  bool PassOn) {
+  return updateLimits([&] {
+    for (const TargetLimit &Limit : Told)
+      Placement.limits().apply(Limit, PassOn, steadyNow());
+  });
+}
+
+std::vector<TargetLimit> SharedPlacement::takeLimitNews() {
+  std::lock_guard Lock(Mutex);
+  return Placement.limits().takeNews();
+}
+
+std::vector<TargetLimit> SharedPlacement::allLimits() {
+  std::lock_guard Lock(Mutex);
+  return Placement.limits().everything(steadyNow());
 }
 
 std::optional<BuildId>
--- a/Libraries/LibTraffic/RoutedContext.h
+++ b/Libraries/LibTraffic/RoutedContext.h
@@ -5,6 +5,7 @@
 
 #include "LibConfig/Settings.h"
 #include "LibObserve/Metrics.h"
+#include "LibRouting/Beliefs.h"
 #include "LibRouting/RetryShare.h"
 #include "LibRouting/RoutedPlacement.h"
 #include "LibRouting/StreamBuilds.h"
@@ -35,7 +36,13 @@
   /// See the functions of RoutedPlacement.
   bool noteLeaving(const routing::PlacedCall &Placed);
   bool notePause(const routing::PlacedCall &Placed, Timestamp Until);
-  bool mayStillSend(const routing::PlacedCall &Placed) const;
+  bool maySend(const routing::PlacedCall &Placed);
+  /// \returns whether there is news of limits for other routers.
+  bool noteLimit(const routing::PlacedCall &Placed,
+                 std::optional<double> PerSecond);
+  bool applyLimits(const std::vector<routing::TargetLimit> &Told, bool PassOn);
+  std::vector<routing::TargetLimit> takeLimitNews();
+  std::vector<routing::TargetLimit> allLimits();
   std::optional<BuildId> onlyBuild(const ServiceId &Service) const;
 
   /// Counts a caller's request to \p Service, which raises its bound of
@@ -56,6 +63,9 @@
 
 private:
   routing::RetryShare &shareOf(const ServiceId &Service);
+  /// Runs \p Step on the limits and logs their changes.
+  /// \returns whether there is news for other routers.
+  template <typename StepType> bool updateLimits(StepType Step);
 
   mutable std::mutex Mutex;
   routing::RoutedPlacement Placement;
@@ -105,7 +115,7 @@
       AskStream = [](routing::StreamKey, Timestamp, const auto &Done) {
         Done(std::nullopt);
       };
-  /// Called when there is news of crashes for other routers.
+  /// Called when there is news of crashes or limits for other routers.
   std::function<void()> BeliefsChanged = [] {};
 };
 
--- a/Libraries/LibTraffic/RoutedFront.cpp
+++ b/Libraries/LibTraffic/RoutedFront.cpp
@@ -22,11 +22,7 @@
 }
 
 void RoutedFront::setView(const routing::RoutingViewPtr &View) {
-  std::vector<HostId> Serving;
-  for (const routing::HostView &Host : View->Hosts)
-    if (Host.Standing == HostStanding::Serving && !Host.CallerAddress.empty())
-      Serving.push_back(Host.Id);
-  Context.Quarantine.setRouters(View->Self, Serving);
+  Context.Quarantine.setRouters(View->Self, View->servingRouters());
   Context.Placements.setView(View);
 }
 
@@ -59,6 +55,20 @@
   return Front;
 }
 
+routing::Beliefs RoutedFront::takeNews() {
+  return {Context.Quarantine.takeNews(), Context.Placements.takeLimitNews()};
+}
+
+routing::Beliefs RoutedFront::beliefs() {
+  return {Context.Quarantine.everything(), Context.Placements.allLimits()};
+}
+
+void RoutedFront::applyBeliefs(const routing::Beliefs &Told, bool PassOn) {
+  Context.Quarantine.apply(Told.Crashes, PassOn);
+  if (Context.Placements.applyLimits(Told.Limits, PassOn))
+    Context.Hooks.BeliefsChanged();
+}
+
 RoutedFront::~RoutedFront() { stop(steadyNow()); }
 
 bool RoutedFront::isReady() const {
--- a/Libraries/LibTraffic/RoutedFront.h
+++ b/Libraries/LibTraffic/RoutedFront.h
@@ -47,7 +47,15 @@
 
   SharedPlacement &placements() { return Context.Placements; }
   SharedStreamBuilds &streams() { return Context.Streams; }
-  SharedQuarantine &quarantine() { return Context.Quarantine; }
+
+  /// \returns what this router has learnt since the last call and the others
+  /// need.
+  routing::Beliefs takeNews();
+  /// \returns all that this router believes.
+  routing::Beliefs beliefs();
+  /// Applies what another router tells. \param PassOn whether changes are news
+  /// for further routers.
+  void applyBeliefs(const routing::Beliefs &Told, bool PassOn);
 
 private:
   RoutedFront(const config::Settings &Settings, RouteDialect Dialect,
--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -239,14 +239,16 @@
   if (!Connected)
     return recordFailure(Destination, Connected.error(), /*Sent=*/false);
   TargetExchange &Target = **Connected;
-  if (!Context.Placements.mayStillSend(Destination))
-    return recordFailure(
-        Destination,
-        {LinkErrorKind::ConnectFailed, "the target left or asked for a pause"},
-        /*Sent=*/false);
-  // Other routers may have told of crashes since the placement.
-  if (!Context.Quarantine.admit(SharedParts))
+  // Other answers and routers may have told more since the placement.
+  if (!Context.Placements.maySend(Destination) ||
+      !Context.Quarantine.admit(SharedParts)) {
+    LastFailure = {LinkErrorKind::ConnectFailed,
+                   "news after the placement forbids it"};
+    observe::logEvent(Severity::Info, "routed", "attempt_withheld",
+                      {{"target", Destination.Target}, {"attempt", Attempts}},
+                      Caller.Id);
     return endAttempt(Destination, CallEnd::Abandoned, NextStep::RetryUnsent);
+  }
   Poco::Net::HTTPRequest Head =
       Context.Dialect.WriteTarget(Exchange.head(), detailsFor(Destination));
   if (!Body.empty() || Exchange.method() != "GET")
@@ -302,13 +304,15 @@
                       Caller.Id);
     Context.Hooks.LeaveNoticed(Destination.Target, Destination.Incarnation);
   }
-  if (Details.Limit || Details.LimitUnreadable)
-    observe::logEvent(Severity::Info, "routed", "limit_named",
+  // A limit that cannot be read changes nothing: it neither names nor ends one.
+  if (Details.LimitUnreadable)
+    observe::logEvent(Severity::Warning, "routed", "limit_unreadable",
                       {{"target", Destination.Target},
-                       {"incarnation", Destination.Incarnation},
-                       {"per_second", Details.Limit.value_or(-1)},
-                       {"unreadable", Details.LimitUnreadable}},
+                       {"incarnation", Destination.Incarnation}},
                       Caller.Id);
+  if ((Details.Limit || !Details.LimitUnreadable) &&
+      Context.Placements.noteLimit(Destination, Details.Limit))
+    Context.Hooks.BeliefsChanged();
   if (!Details.Pause)
     return;
   Timestamp Now = steadyNow();
--- a/Libraries/LibWire/Generated/Routing_types.cpp
+++ b/Libraries/LibWire/Generated/Routing_types.cpp
@@ -2333,6 +2333,175 @@
 }
 
 
+TargetLimit::~TargetLimit() noexcept {
+}
+
+
+void TargetLimit::__set_Target(const std::string& val) {
+  this->Target = val;
+}
+
+void TargetLimit::__set_Incarnation(const int64_t val) {
+  this->Incarnation = val;
+}
+
+void TargetLimit::__set_PerSecond(const double val) {
+  this->PerSecond = val;
+__isset.PerSecond = true;
+}
+
+void TargetLimit::__set_AgeMillis(const int32_t val) {
+  this->AgeMillis = val;
+}
+std::ostream& operator<<(std::ostream& out, const TargetLimit& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TargetLimit::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->Target);
+          this->__isset.Target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Incarnation);
+          this->__isset.Incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->PerSecond);
+          this->__isset.PerSecond = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->AgeMillis);
+          this->__isset.AgeMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TargetLimit::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TargetLimit");
+
+  xfer += oprot->writeFieldBegin("Target", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->Target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Incarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->Incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.PerSecond) {
+    xfer += oprot->writeFieldBegin("PerSecond", ::apache::thrift::protocol::T_DOUBLE, 3);
+    xfer += oprot->writeDouble(this->PerSecond);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("AgeMillis", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->AgeMillis);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TargetLimit &a, TargetLimit &b) {
+  using ::std::swap;
+  swap(a.Target, b.Target);
+  swap(a.Incarnation, b.Incarnation);
+  swap(a.PerSecond, b.PerSecond);
+  swap(a.AgeMillis, b.AgeMillis);
+  swap(a.__isset, b.__isset);
+}
+
+TargetLimit::TargetLimit(const TargetLimit& other105) {
+  Target = other105.Target;
+  Incarnation = other105.Incarnation;
+  PerSecond = other105.PerSecond;
+  AgeMillis = other105.AgeMillis;
+  __isset = other105.__isset;
+}
+TargetLimit::TargetLimit(TargetLimit&& other106) noexcept {
+  Target = std::move(other106.Target);
+  Incarnation = other106.Incarnation;
+  PerSecond = other106.PerSecond;
+  AgeMillis = other106.AgeMillis;
+  __isset = other106.__isset;
+}
+TargetLimit& TargetLimit::operator=(const TargetLimit& other107) {
+  Target = other107.Target;
+  Incarnation = other107.Incarnation;
+  PerSecond = other107.PerSecond;
+  AgeMillis = other107.AgeMillis;
+  __isset = other107.__isset;
+  return *this;
+}
+TargetLimit& TargetLimit::operator=(TargetLimit&& other108) noexcept {
+  Target = std::move(other108.Target);
+  Incarnation = other108.Incarnation;
+  PerSecond = other108.PerSecond;
+  AgeMillis = other108.AgeMillis;
+  __isset = other108.__isset;
+  return *this;
+}
+void TargetLimit::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TargetLimit(";
+  out << "Target=" << to_string(Target);
+  out << ", " << "Incarnation=" << to_string(Incarnation);
+  out << ", " << "PerSecond="; (__isset.PerSecond ? (out << to_string(PerSecond)) : (out << "<null>"));
+  out << ", " << "AgeMillis=" << to_string(AgeMillis);
+  out << ")";
+}
+
+
 BeliefMessage::~BeliefMessage() noexcept {
 }
 
@@ -2352,6 +2521,10 @@
 void BeliefMessage::__set_Answers(const bool val) {
   this->Answers = val;
 }
+
+void BeliefMessage::__set_Limits(const std::vector<TargetLimit> & val) {
+  this->Limits = val;
+}
 std::ostream& operator<<(std::ostream& out, const BeliefMessage& obj)
 {
   obj.printTo(out);
@@ -2384,14 +2557,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Crashes.clear();
-            uint32_t _size105;
-            ::apache::thrift::protocol::TType _etype108;
-            xfer += iprot->readListBegin(_etype108, _size105);
-            this->Crashes.resize(_size105);
-            uint32_t _i109;
-            for (_i109 = 0; _i109 < _size105; ++_i109)
+            uint32_t _size109;
+            ::apache::thrift::protocol::TType _etype112;
+            xfer += iprot->readListBegin(_etype112, _size109);
+            this->Crashes.resize(_size109);
+            uint32_t _i113;
+            for (_i113 = 0; _i113 < _size109; ++_i113)
             {
-              xfer += this->Crashes[_i109].read(iprot);
+              xfer += this->Crashes[_i113].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2404,14 +2577,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Quarantined.clear();
-            uint32_t _size110;
-            ::apache::thrift::protocol::TType _etype113;
-            xfer += iprot->readListBegin(_etype113, _size110);
-            this->Quarantined.resize(_size110);
-            uint32_t _i114;
-            for (_i114 = 0; _i114 < _size110; ++_i114)
+            uint32_t _size114;
+            ::apache::thrift::protocol::TType _etype117;
+            xfer += iprot->readListBegin(_etype117, _size114);
+            this->Quarantined.resize(_size114);
+            uint32_t _i118;
+            for (_i118 = 0; _i118 < _size114; ++_i118)
             {
-              xfer += this->Quarantined[_i114].read(iprot);
+              xfer += this->Quarantined[_i118].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2436,6 +2609,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Limits.clear();
+            uint32_t _size119;
+            ::apache::thrift::protocol::TType _etype122;
+            xfer += iprot->readListBegin(_etype122, _size119);
+            this->Limits.resize(_size119);
+            uint32_t _i123;
+            for (_i123 = 0; _i123 < _size119; ++_i123)
+            {
+              xfer += this->Limits[_i123].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Limits = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2456,10 +2649,10 @@
   xfer += oprot->writeFieldBegin("Crashes", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Crashes.size()));
-    std::vector<CrashReport> ::const_iterator _iter115;
-    for (_iter115 = this->Crashes.begin(); _iter115 != this->Crashes.end(); ++_iter115)
+    std::vector<CrashReport> ::const_iterator _iter124;
+    for (_iter124 = this->Crashes.begin(); _iter124 != this->Crashes.end(); ++_iter124)
     {
-      xfer += (*_iter115).write(oprot);
+      xfer += (*_iter124).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2468,10 +2661,10 @@
   xfer += oprot->writeFieldBegin("Quarantined", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Quarantined.size()));
-    std::vector<QuarantinedParts> ::const_iterator _iter116;
-    for (_iter116 = this->Quarantined.begin(); _iter116 != this->Quarantined.end(); ++_iter116)
+    std::vector<QuarantinedParts> ::const_iterator _iter125;
+    for (_iter125 = this->Quarantined.begin(); _iter125 != this->Quarantined.end(); ++_iter125)
     {
-      xfer += (*_iter116).write(oprot);
+      xfer += (*_iter125).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2485,6 +2678,18 @@
   xfer += oprot->writeBool(this->Answers);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("Limits", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Limits.size()));
+    std::vector<TargetLimit> ::const_iterator _iter126;
+    for (_iter126 = this->Limits.begin(); _iter126 != this->Limits.end(); ++_iter126)
+    {
+      xfer += (*_iter126).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2496,37 +2701,42 @@
   swap(a.Quarantined, b.Quarantined);
   swap(a.Asks, b.Asks);
   swap(a.Answers, b.Answers);
+  swap(a.Limits, b.Limits);
   swap(a.__isset, b.__isset);
 }
 
-BeliefMessage::BeliefMessage(const BeliefMessage& other117) {
-  Crashes = other117.Crashes;
-  Quarantined = other117.Quarantined;
-  Asks = other117.Asks;
-  Answers = other117.Answers;
-  __isset = other117.__isset;
-}
-BeliefMessage::BeliefMessage(BeliefMessage&& other118) noexcept {
-  Crashes = std::move(other118.Crashes);
-  Quarantined = std::move(other118.Quarantined);
-  Asks = other118.Asks;
-  Answers = other118.Answers;
-  __isset = other118.__isset;
-}
-BeliefMessage& BeliefMessage::operator=(const BeliefMessage& other119) {
-  Crashes = other119.Crashes;
-  Quarantined = other119.Quarantined;
-  Asks = other119.Asks;
-  Answers = other119.Answers;
-  __isset = other119.__isset;
+BeliefMessage::BeliefMessage(const BeliefMessage& other127) {
+  Crashes = other127.Crashes;
+  Quarantined = other127.Quarantined;
+  Asks = other127.Asks;
+  Answers = other127.Answers;
+  Limits = other127.Limits;
+  __isset = other127.__isset;
+}
+BeliefMessage::BeliefMessage(BeliefMessage&& other128) noexcept {
+  Crashes = std::move(other128.Crashes);
+  Quarantined = std::move(other128.Quarantined);
+  Asks = other128.Asks;
+  Answers = other128.Answers;
+  Limits = std::move(other128.Limits);
+  __isset = other128.__isset;
+}
+BeliefMessage& BeliefMessage::operator=(const BeliefMessage& other129) {
+  Crashes = other129.Crashes;
+  Quarantined = other129.Quarantined;
+  Asks = other129.Asks;
+  Answers = other129.Answers;
+  Limits = other129.Limits;
+  __isset = other129.__isset;
   return *this;
 }
-BeliefMessage& BeliefMessage::operator=(BeliefMessage&& other120) noexcept {
-  Crashes = std::move(other120.Crashes);
-  Quarantined = std::move(other120.Quarantined);
-  Asks = other120.Asks;
-  Answers = other120.Answers;
-  __isset = other120.__isset;
+BeliefMessage& BeliefMessage::operator=(BeliefMessage&& other130) noexcept {
+  Crashes = std::move(other130.Crashes);
+  Quarantined = std::move(other130.Quarantined);
+  Asks = other130.Asks;
+  Answers = other130.Answers;
+  Limits = std::move(other130.Limits);
+  __isset = other130.__isset;
   return *this;
 }
 void BeliefMessage::printTo(std::ostream& out) const {
@@ -2536,6 +2746,7 @@
   out << ", " << "Quarantined=" << to_string(Quarantined);
   out << ", " << "Asks=" << to_string(Asks);
   out << ", " << "Answers=" << to_string(Answers);
+  out << ", " << "Limits=" << to_string(Limits);
   out << ")";
 }
 
--- a/Libraries/LibWire/Generated/Routing_types.h
+++ b/Libraries/LibWire/Generated/Routing_types.h
@@ -63,6 +63,8 @@
 
 class QuarantinedParts;
 
+class TargetLimit;
+
 class BeliefMessage;
 
 typedef struct _TargetWork__isset {
@@ -920,12 +922,81 @@
 
 std::ostream& operator<<(std::ostream& out, const QuarantinedParts& obj);
 
+typedef struct _TargetLimit__isset {
+  _TargetLimit__isset() : Target(false), Incarnation(false), PerSecond(false), AgeMillis(false) {}
+  bool Target :1;
+  bool Incarnation :1;
+  bool PerSecond :1;
+  bool AgeMillis :1;
+} _TargetLimit__isset;
+
+class TargetLimit : public virtual ::apache::thrift::TBase {
+ public:
+
+  TargetLimit(const TargetLimit&);
+  TargetLimit(TargetLimit&&) noexcept;
+  TargetLimit& operator=(const TargetLimit&);
+  TargetLimit& operator=(TargetLimit&&) noexcept;
+  TargetLimit() noexcept
+              : Target(),
+                Incarnation(0),
+                PerSecond(0),
+                AgeMillis(0) {
+  }
+
+  virtual ~TargetLimit() noexcept;
+  std::string Target;
+  int64_t Incarnation;
+  double PerSecond;
+  int32_t AgeMillis;
+
+  _TargetLimit__isset __isset;
+
+  void __set_Target(const std::string& val);
+
+  void __set_Incarnation(const int64_t val);
+
+  void __set_PerSecond(const double val);
+
+  void __set_AgeMillis(const int32_t val);
+
+  bool operator == (const TargetLimit & rhs) const
+  {
+    if (!(Target == rhs.Target))
+      return false;
+    if (!(Incarnation == rhs.Incarnation))
+      return false;
+    if (__isset.PerSecond != rhs.__isset.PerSecond)
+      return false;
+    else if (__isset.PerSecond && !(PerSecond == rhs.PerSecond))
+      return false;
+    if (!(AgeMillis == rhs.AgeMillis))
+      return false;
+    return true;
+  }
+  bool operator != (const TargetLimit &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TargetLimit & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TargetLimit &a, TargetLimit &b);
+
+std::ostream& operator<<(std::ostream& out, const TargetLimit& obj);
+
 typedef struct _BeliefMessage__isset {
-  _BeliefMessage__isset() : Crashes(false), Quarantined(false), Asks(true), Answers(true) {}
+  _BeliefMessage__isset() : Crashes(false), Quarantined(false), Asks(true), Answers(true), Limits(false) {}
   bool Crashes :1;
   bool Quarantined :1;
   bool Asks :1;
   bool Answers :1;
+  bool Limits :1;
 } _BeliefMessage__isset;
 
 class BeliefMessage : public virtual ::apache::thrift::TBase {
@@ -945,6 +1016,7 @@
   std::vector<QuarantinedParts>  Quarantined;
   bool Asks;
   bool Answers;
+  std::vector<TargetLimit>  Limits;
 
   _BeliefMessage__isset __isset;
 
@@ -956,6 +1028,8 @@
 
   void __set_Answers(const bool val);
 
+  void __set_Limits(const std::vector<TargetLimit> & val);
+
   bool operator == (const BeliefMessage & rhs) const
   {
     if (!(Crashes == rhs.Crashes))
@@ -966,6 +1040,8 @@
       return false;
     if (!(Answers == rhs.Answers))
       return false;
+    if (!(Limits == rhs.Limits))
+      return false;
     return true;
   }
   bool operator != (const BeliefMessage &rhs) const {
--- a/Libraries/LibWire/Idl/Routing.thrift
+++ b/Libraries/LibWire/Idl/Routing.thrift
@@ -122,6 +122,15 @@
   6: i32 WantedAgeMillis
 }
 
+// What a target's answer said of its limit.
+struct TargetLimit {
+  1: string Target
+  2: i64 Incarnation
+  // Requests a second from all routers; absent if the limit has ended.
+  3: optional double PerSecond
+  4: i32 AgeMillis
+}
+
 // What a router has learnt that the others need.
 struct BeliefMessage {
   1: list<CrashReport> Crashes
@@ -130,4 +139,5 @@
   3: bool Asks = false
   // Answers such a question.
   4: bool Answers = false
+  5: list<TargetLimit> Limits
 }
--- a/Services/ferryd/BeliefExchange.cpp
+++ b/Services/ferryd/BeliefExchange.cpp
@@ -6,12 +6,13 @@
 namespace ferry::daemon {
 
 using routing::AnswerProgress;
+using routing::Beliefs;
 using routing::BeliefSpread;
-using routing::CrashNews;
 using routing::CrashReport;
 using routing::CrashSuspect;
 using routing::PartSet;
 using routing::QuarantinedParts;
+using routing::TargetLimit;
 using wire::PayloadKind;
 
 static int32_t wireMillis(Duration Span) {
@@ -94,24 +95,48 @@
   return Set;
 }
 
-static wire::BeliefMessage toWire(const CrashNews &News) {
+static wire::TargetLimit toWire(const TargetLimit &Limit, Timestamp Now) {
+  wire::TargetLimit Fields;
+  Fields.Target = Limit.Target.Value;
+  Fields.Incarnation = static_cast<int64_t>(Limit.Incarnation.Value);
+  if (Limit.PerSecond)
+    Fields.__set_PerSecond(*Limit.PerSecond);
+  Fields.AgeMillis = wireMillis(Now - Limit.ObservedAt);
+  return Fields;
+}
+
+static TargetLimit fromWire(const wire::TargetLimit &Fields, Timestamp Now) {
+  TargetLimit Limit;
+  Limit.Target = {Fields.Target};
+  Limit.Incarnation = {static_cast<uint64_t>(Fields.Incarnation)};
+  if (Fields.__isset.PerSecond)
+    Limit.PerSecond = Fields.PerSecond;
+  Limit.ObservedAt = Now - fromWireMillis(Fields.AgeMillis);
+  return Limit;
+}
+
+static wire::BeliefMessage toWire(const Beliefs &Known) {
   Timestamp Now = steadyNow();
   wire::BeliefMessage Message;
-  for (const CrashReport &Report : News.Crashes)
+  for (const CrashReport &Report : Known.Crashes.Crashes)
     Message.Crashes.push_back(toWire(Report, Now));
-  for (const QuarantinedParts &Set : News.Quarantined)
+  for (const QuarantinedParts &Set : Known.Crashes.Quarantined)
     Message.Quarantined.push_back(toWire(Set, Now));
+  for (const TargetLimit &Limit : Known.Limits)
+    Message.Limits.push_back(toWire(Limit, Now));
   return Message;
 }
 
-static CrashNews fromWire(const wire::BeliefMessage &Message) {
+static Beliefs fromWire(const wire::BeliefMessage &Message) {
   Timestamp Now = steadyNow();
-  CrashNews News;
+  Beliefs Told;
   for (const wire::CrashReport &Fields : Message.Crashes)
-    News.Crashes.push_back(fromWire(Fields, Now));
+    Told.Crashes.Crashes.push_back(fromWire(Fields, Now));
   for (const wire::QuarantinedParts &Fields : Message.Quarantined)
-    News.Quarantined.push_back(fromWire(Fields, Now));
-  return News;
+    Told.Crashes.Quarantined.push_back(fromWire(Fields, Now));
+  for (const wire::TargetLimit &Fields : Message.Limits)
+    Told.Limits.push_back(fromWire(Fields, Now));
+  return Told;
 }
 
 BeliefExchange::BeliefExchange(HostLink &Link, ControlLoop &Loop,
@@ -133,7 +158,7 @@
 
 void BeliefExchange::sendNews() {
   NewsPending = false;
-  CrashNews News = Callbacks.TakeNews();
+  Beliefs News = Callbacks.TakeNews();
   if (News.empty())
     return;
   wire::BeliefMessage Message = toWire(News);
@@ -144,7 +169,7 @@
 void BeliefExchange::tick() {
   TickTimer =
       Loop.at(steadyNow() + BeliefSpread::TickInterval, [this] { tick(); });
-  CrashNews All = Callbacks.Everything();
+  Beliefs All = Callbacks.Everything();
   BeliefSpread::Due Due = Spread.tick(Others(), !All.empty(), steadyNow());
   if (!Due.Summary.empty()) {
     wire::BeliefMessage Summary = toWire(All);
--- a/Services/ferryd/BeliefExchange.h
+++ b/Services/ferryd/BeliefExchange.h
@@ -1,27 +1,27 @@
 /// \file
-/// Messages between routers about crashes and the parts that cause them.
+/// Messages between routers about what they have learnt of prompts and targets.
 #ifndef FERRY_FERRYD_BELIEFEXCHANGE_H
 #define FERRY_FERRYD_BELIEFEXCHANGE_H
 
 #include "LibCore/ControlLoop.h"
 #include "LibRouting/BeliefSpread.h"
-#include "LibRouting/PartQuarantine.h"
+#include "LibRouting/Beliefs.h"
 #include "LibWire/Generated/Routing_types.h"
 #include "ferryd/HostLink.h"
 #include <functional>
 
 namespace ferry::daemon {
 
-/// What a router believes and the others need; its functions are thread-safe.
+/// What a router believes; the functions are thread-safe.
 struct BeliefHooks {
-  std::function<routing::CrashNews()> TakeNews = [] {
-    return routing::CrashNews();
+  std::function<routing::Beliefs()> TakeNews = [] {
+    return routing::Beliefs();
   };
-  std::function<routing::CrashNews()> Everything = [] {
-    return routing::CrashNews();
+  std::function<routing::Beliefs()> Everything = [] {
+    return routing::Beliefs();
   };
-  std::function<void(const routing::CrashNews &, bool PassOn)> Apply =
-      [](const routing::CrashNews &, bool) {};
+  std::function<void(const routing::Beliefs &, bool PassOn)> Apply =
+      [](const routing::Beliefs &, bool) {};
 };
 
 /// Sends what BeliefSpread decides. Used on the control thread.
--- a/Services/ferryd/Daemon.cpp
+++ b/Services/ferryd/Daemon.cpp
@@ -75,19 +75,18 @@
     auto *Front = Routed ? Routed->front() : nullptr;
     return Front ? Front->streams().find(Key) : std::nullopt;
   };
-  Callbacks.Beliefs = {
-      [this] {
-        auto *Front = Routed ? Routed->front() : nullptr;
-        return Front ? Front->quarantine().takeNews() : routing::CrashNews();
-      },
-      [this] {
-        auto *Front = Routed ? Routed->front() : nullptr;
-        return Front ? Front->quarantine().everything() : routing::CrashNews();
-      },
-      [this](const routing::CrashNews &News, bool PassOn) {
-        if (auto *Front = Routed ? Routed->front() : nullptr)
-          Front->quarantine().apply(News, PassOn);
-      }};
+  Callbacks.Beliefs.TakeNews = [this] {
+    auto *Front = Routed ? Routed->front() : nullptr;
+    return Front ? Front->takeNews() : routing::Beliefs();
+  };
+  Callbacks.Beliefs.Everything = [this] {
+    auto *Front = Routed ? Routed->front() : nullptr;
+    return Front ? Front->beliefs() : routing::Beliefs();
+  };
+  Callbacks.Beliefs.Apply = [this](const routing::Beliefs &Told, bool PassOn) {
+    if (auto *Front = Routed ? Routed->front() : nullptr)
+      Front->applyBeliefs(Told, PassOn);
+  };
   if (Settings.Interface == config::Interface::Routed)
     Callbacks.Platform = platformBindings(Settings.Host);
   auto Started = ControlPlane::tryStart(Settings, Loop, std::move(Callbacks));
--- a/Tests/LibRouting/TestBeliefSpread.cpp
+++ b/Tests/LibRouting/TestBeliefSpread.cpp
@@ -1,152 +1,21 @@
 // Crashes are seen at routers all over a fleet, and every router must refuse
 // the part that causes them in time, in fleets of any size.
-#include "LibRouting/BeliefSpread.h"
-#include "LibRouting/PartQuarantine.h"
+#include "LibRouting/BeliefFleet.h"
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
-#include <memory>
 
 using namespace ferry;
 using namespace ferry::routing;
-using namespace std::chrono_literals;
 namespace data = boost::unit_test::data;
 
 namespace {
 
-constexpr Timestamp Start{10'000s};
+using namespace std::chrono_literals;
+
+constexpr Timestamp Start = BeliefFleet::Start;
 constexpr PartSet::value_type Lead = 1;
 constexpr PartSet::value_type Crashing = 2;
 
-/// Routers that exchange what they learn, in virtual time. Messages take 1 to
-/// 10 ms, and some are lost.
-class Fleet {
-public:
-  Fleet(size_t Count, uint64_t Seed) : Random(Seed) {
-    for (size_t Index = 0; Index < Count; ++Index) {
-      Hosts.push_back({"10.0.0." + std::to_string(Index)});
-      Numbers[Hosts.back()] = Index;
-      Routers.push_back(std::make_unique<Router>(Random()));
-      at(Start + Duration(static_cast<int64_t>(
-                     randomBelow(Random, BeliefSpread::TickInterval.count()))),
-         [this, Index] { tick(Index); });
-    }
-    for (size_t Index = 0; Index < Count; ++Index)
-      Routers[Index]->Quarantine.setRouters(Hosts[Index], Hosts);
-  }
-
-  void at(Timestamp When, std::function<void()> Work) {
-    Scheduled.emplace(When, std::move(Work));
-  }
-
-  void runUntil(Timestamp End) {
-    while (!Scheduled.empty() && Scheduled.begin()->first <= End) {
-      auto Due = Scheduled.extract(Scheduled.begin());
-      Now = Due.key();
-      Due.mapped()();
-    }
-    Now = End;
-  }
-
-  size_t randomRouter() { return randomBelow(Random, Routers.size()); }
-
-  /// A request with the crashing part comes to a router.
-  /// \returns whether it is sent to a target, which it crashes.
-  bool crashAt(size_t Index) {
-    PartQuarantine &Quarantine = Routers[Index]->Quarantine;
-    if (Quarantine.check({Lead, Crashing}, Now) != PartAdmission::Admitted)
-      return false;
-    Quarantine.noteBroken({"i-" + std::to_string(++Crashes)}, {1},
-                          {{Lead, Crashing}, AnswerProgress::Begun}, Now);
-    sendNewsSoon(Index);
-    return true;
-  }
-
-  void serveAt(size_t Index, const PartSet &Parts) {
-    Routers[Index]->Quarantine.noteServed(Parts, Now);
-    sendNewsSoon(Index);
-  }
-
-  size_t refusing(const PartSet &Parts) {
-    size_t Count = 0;
-    for (auto &Each : Routers)
-      Count += Each->Quarantine.check(Parts, Now) != PartAdmission::Admitted;
-    return Count;
-  }
-
-  /// A router starts anew and knows nothing.
-  void restart(size_t Index) {
-    Routers[Index] = std::make_unique<Router>(Random());
-    Routers[Index]->Quarantine.setRouters(Hosts[Index], Hosts);
-  }
-
-  Timestamp Now = Start;
-  size_t Crashes = 0;
-  size_t Messages = 0;
-
-private:
-  struct Router {
-    explicit Router(uint64_t Seed) : Spread(Seed) {}
-    PartQuarantine Quarantine;
-    BeliefSpread Spread;
-    bool NewsPending = false;
-  };
-
-  std::vector<HostId> others(size_t Index) const {
-    std::vector<HostId> Others = Hosts;
-    Others.erase(Others.begin() + static_cast<std::ptrdiff_t>(Index));
-    return Others;
-  }
-
-  void send(const HostId &To, const CrashNews &News, bool Answers = false) {
-    ++Messages;
-    if (randomBelow(Random, 50) == 0)
-      return;
-    auto Delay = std::chrono::microseconds(1000 + randomBelow(Random, 9000));
-    at(Now + Delay, [this, Index = Numbers.at(To), News, Answers] {
-      if (Answers)
-        Routers[Index]->Spread.noteAnswer();
-      Routers[Index]->Quarantine.apply(
-          News, BeliefSpread::passesOn(Hosts.size() - 1), Now);
-      sendNewsSoon(Index);
-    });
-  }
-
-  void sendNewsSoon(size_t Index) {
-    Router &Sender = *Routers[Index];
-    if (!Sender.Quarantine.hasNews() || std::exchange(Sender.NewsPending, true))
-      return;
-    at(Now + BeliefSpread::NewsDelay, [this, Index] {
-      Router &Sending = *Routers[Index];
-      Sending.NewsPending = false;
-      CrashNews News = Sending.Quarantine.takeNews(Now);
-      if (!News.empty())
-        for (const HostId &To :
-             Sending.Spread.receiversOfNews(others(Index), Now))
-          send(To, News);
-    });
-  }
-
-  void tick(size_t Index) {
-    at(Now + BeliefSpread::TickInterval, [this, Index] { tick(Index); });
-    Router &Ticking = *Routers[Index];
-    CrashNews All = Ticking.Quarantine.everything(Now);
-    auto Due = Ticking.Spread.tick(others(Index), !All.empty(), Now);
-    for (const HostId &To : Due.Summary)
-      send(To, All);
-    for (const HostId &Asked : Due.Question)
-      at(Now + 2ms, [this, Index, Other = Numbers.at(Asked)] {
-        send(Hosts[Index], Routers[Other]->Quarantine.everything(Now),
-             /*Answers=*/true);
-      });
-  }
-
-  RandomGenerator Random;
-  std::vector<HostId> Hosts;
-  std::map<HostId, size_t> Numbers;
-  std::vector<std::unique_ptr<Router>> Routers;
-  std::multimap<Timestamp, std::function<void()>> Scheduled;
-};
-
 const std::vector<size_t> Sizes = {7, 80, 400};
 
 /// The users' bound on the spread after the fifth crash.
@@ -157,14 +26,14 @@
 BOOST_DATA_TEST_CASE(every_router_refuses_a_crashing_part_in_time,
                      data::make(Sizes), Size) {
   for (uint64_t Seed = 1; Seed <= 5; ++Seed) {
-    Fleet Subject(Size, Seed);
+    BeliefFleet Subject(Size, Seed);
     // Few routers have served the first part lately.
     Subject.serveAt(0, {Lead, 10});
     std::optional<Timestamp> FifthAt;
     size_t Late = 0;
     while (Subject.Now < Start + 20s) {
       Subject.runUntil(Subject.Now + 120ms);
-      if (!Subject.crashAt(Subject.randomRouter()))
+      if (!Subject.crashAt(Subject.randomRouter(), {Lead, Crashing}))
         continue;
       if (Subject.Crashes == 5)
         FifthAt = Subject.Now;
@@ -181,11 +50,11 @@
 
 BOOST_DATA_TEST_CASE(a_router_that_restarts_learns_what_the_others_know,
                      data::make(Sizes), Size) {
-  Fleet Subject(Size, 3);
+  BeliefFleet Subject(Size, 3);
   Subject.serveAt(0, {Lead, 10});
   while (Subject.Now < Start + 4s) {
     Subject.runUntil(Subject.Now + 200ms);
-    Subject.crashAt(Subject.randomRouter());
+    Subject.crashAt(Subject.randomRouter(), {Lead, Crashing});
   }
   Subject.runUntil(Start + 8s);
   BOOST_REQUIRE(Subject.refusing({Lead, Crashing}) == Size);
@@ -198,10 +67,10 @@
 
 BOOST_DATA_TEST_CASE(a_wrong_verdict_ends_at_every_router, data::make(Sizes),
                      Size) {
-  Fleet Subject(Size, 4);
+  BeliefFleet Subject(Size, 4);
   while (Subject.Now < Start + 4s) {
     Subject.runUntil(Subject.Now + 200ms);
-    Subject.crashAt(Subject.randomRouter());
+    Subject.crashAt(Subject.randomRouter(), {Lead, Crashing});
   }
   Subject.runUntil(Start + 8s);
   BOOST_REQUIRE(Subject.refusing({Lead, Crashing}) == Size);
@@ -220,3 +89,81 @@
   BOOST_TEST(Due.Summary.empty());
   BOOST_TEST(Spread.tick({}, true, Start + 2s).Summary.empty());
 }
+
+/// \returns the most requests that reached a target in four seconds.
+static size_t mostInWindow(const std::vector<Timestamp> &Arrivals) {
+  size_t Most = 0;
+  auto Begin = Arrivals.begin();
+  for (auto Each = Arrivals.begin(); Each != Arrivals.end(); ++Each) {
+    while (*Each - *Begin >= 4s)
+      ++Begin;
+    Most = std::max(Most, static_cast<size_t>(Each - Begin) + 1);
+  }
+  return Most;
+}
+
+// Each router has more requests than its share of the limit.
+BOOST_DATA_TEST_CASE(all_routers_together_keep_a_limit,
+                     data::make(Sizes) *
+                         data::make({0.0, 0.3, 1.0, 3.4, 4.7, 25.0, 120.0}),
+                     Size, Limit) {
+  BeliefFleet Subject(Size, 5);
+  std::vector<Timestamp> Arrivals;
+  std::optional<Timestamp> NamedAt;
+  // Four requests a second and router.
+  Duration Pause = std::chrono::microseconds(250'000 / Size);
+  while (Subject.Now < Start + 20s) {
+    Subject.runUntil(Subject.Now + Pause);
+    if (!Subject.callAt(Subject.randomRouter(), {"t"}, Limit))
+      continue;
+    NamedAt = NamedAt.value_or(Subject.Now);
+    if (Subject.Now >= *NamedAt + ContactTime)
+      Arrivals.push_back(Subject.Now);
+  }
+  BOOST_TEST(Subject.limiting({"t"}) == Size);
+  size_t Most = mostInWindow(Arrivals);
+  BOOST_TEST(double(Most) <= 1.5 * 4 * Limit + 5);
+  // What the limit allows is used, as far as the senders' load fills it, and
+  // below one request a second too.
+  double Used = std::min(Limit, 4.0 * double(Size));
+  BOOST_TEST(double(Arrivals.size()) >= std::max(0.6 * Used * 16, 1.0));
+}
+
+BOOST_DATA_TEST_CASE(a_limit_that_ends_is_lifted_at_every_router,
+                     data::make(Sizes), Size) {
+  BeliefFleet Subject(Size, 6);
+  auto CallFor = [&](Duration Span, std::optional<double> Limit) {
+    for (Timestamp End = Subject.Now + Span; Subject.Now < End;) {
+      Subject.runUntil(Subject.Now + 5ms);
+      Subject.callAt(Subject.randomRouter(), {"t"}, Limit);
+    }
+  };
+  CallFor(5s, 2.0);
+  BOOST_TEST(Subject.limiting({"t"}) == Size);
+  CallFor(4s, std::nullopt);
+  BOOST_TEST(Subject.limiting({"t"}) == 0U);
+  // A router that restarts meanwhile is not told of the old limit.
+  Subject.restart(0);
+  CallFor(2s, std::nullopt);
+  BOOST_TEST(Subject.limiting({"t"}) == 0U);
+}
+
+// A router that starts in the middle, and some whose views differ.
+BOOST_DATA_TEST_CASE(a_limit_holds_while_views_of_the_routers_differ,
+                     data::make(Sizes), Size) {
+  BeliefFleet Subject(Size, 7);
+  std::vector<Timestamp> Arrivals;
+  while (Subject.Now < Start + 20s) {
+    Subject.runUntil(Subject.Now + 2ms);
+    if (Subject.callAt(Subject.randomRouter(), {"t"}, 4.0) &&
+        Subject.Now >= Start + ContactTime)
+      Arrivals.push_back(Subject.Now);
+    if (Subject.Now - Start == 8s)
+      for (size_t Index = 1; Index < Size; Index += 2)
+        Subject.forgetRouterAt(Index, 0);
+    if (Subject.Now - Start == 12s)
+      Subject.restart(2);
+  }
+  BOOST_TEST(Subject.limiting({"t"}) == Size);
+  BOOST_TEST(double(mostInWindow(Arrivals)) <= 1.5 * 4 * 4.0 + 5);
+}
--- a/Tests/LibRouting/TestRoutedPlacement.cpp
+++ b/Tests/LibRouting/TestRoutedPlacement.cpp
@@ -1,7 +1,7 @@
 // Placement on the routed interface, tested by load patterns: hot prompts, load
 // from several routers, changes of weights, lost hosts and overload.
 #include "LibCore/Random.h"
-#include "LibRouting/RoutedPlacement.h"
+#include "LibRouting/RoutedDeployment.h"
 #include <boost/test/unit_test.hpp>
 #include <set>
 
@@ -9,103 +9,6 @@
 using namespace ferry::routing;
 using namespace std::chrono_literals;
 
-namespace {
-
-const ServiceId Lm{"lm"};
-const ModelId Model{"m0"};
-constexpr Duration RecordLifetime = 30s;
-
-/// A deployment of engines in virtual time, which any number of routers share.
-class TestDeployment {
-public:
-  explicit TestDeployment(size_t Count, bool WithStore = false) {
-    config::RouteTable::Parts Parts;
-    Parts.Number = {1};
-    config::RoutedService Service;
-    Service.Id = Lm;
-    Service.Engine =
-        config::EngineCapacity{64, 180'000, 18'432, 370'000, {Model}};
-    Parts.Services.push_back(Service);
-    if (WithStore) {
-      config::RoutedService Store;
-      Store.Id = {"store"};
-      Store.Store =
-          config::CacheStoreDetails{"10.9.0.1:80", {"dc"}, 2'900'000, 31'000};
-      Parts.Services.push_back(Store);
-    }
-    View.Routes = config::RouteTable::create(std::move(Parts));
-    for (size_t Index = 0; Index < Count; ++Index) {
-      TargetRecord Record;
-      Record.Id = {"e" + std::to_string(Index)};
-      Record.Incarnation = {1};
-      Record.Address = "10.0.0." + std::to_string(Index) + ":80";
-      Record.DataCentre = {"dc"};
-      Record.Service = Lm;
-      Record.Model = Model;
-      Record.Weights = {1};
-      Record.Phase = TargetPhase::Ready;
-      Record.Sequence = 1;
-      Record.UsableUntil = Now + RecordLifetime;
-      View.Targets.push_back(Record);
-    }
-  }
-
-  RoutedPlacement router(uint64_t Seed = 1) {
-    RoutedPlacement::Options Options;
-    Options.Seed = Seed;
-    Options.RecordLifetime = RecordLifetime;
-    RoutedPlacement Router(Options);
-    Router.applyView(std::make_shared<const RoutingView>(View), Now);
-    return Router;
-  }
-
-  /// Adds routers to the view.
-  void addHosts(size_t Count) {
-    for (size_t Index = 0; Index < Count; ++Index) {
-      HostView Host;
-      Host.Id = {"r" + std::to_string(Index)};
-      Host.Standing = HostStanding::Serving;
-      Host.CallerAddress = "10.1.0.1:80";
-      View.Hosts.push_back(Host);
-    }
-  }
-
-  /// All engines announce themselves now.
-  void announceTo(RoutedPlacement &Router) {
-    for (TargetRecord &Record : View.Targets)
-      Record.UsableUntil = Now + RecordLifetime;
-    Router.applyView(std::make_shared<const RoutingView>(View), Now);
-  }
-
-  RoutedCall call(uint64_t Part, uint32_t Shared = 13'300,
-                  uint32_t Own = 3'700) const {
-    RoutedCall Call;
-    Call.Service = Lm;
-    Call.Parts = {{Part, Shared}, {Part * 1000 + NextOwnPart++, Own}};
-    Call.PromptTokens = Shared + Own;
-    Call.OutputTokens = 30;
-    Call.Deadline = Now + 12s;
-    return Call;
-  }
-
-  RoutingView View;
-  Timestamp Now{1000s};
-  mutable uint64_t NextOwnPart = 1;
-};
-
-PlacedCall expectPlaced(std::variant<PlacedCall, RefusedCall> Outcome) {
-  BOOST_REQUIRE(std::holds_alternative<PlacedCall>(Outcome));
-  return std::get<PlacedCall>(Outcome);
-}
-
-/// Serves a request that was sent at \p Now in exactly the estimated time.
-void serve(RoutedPlacement &Router, const PlacedCall &Placed, Timestamp Now) {
-  Router.noteFirstByte(Placed.PlacementId, Now + Placed.Estimate);
-  Router.endCall(Placed.PlacementId, CallEnd::Served, Now + Placed.Estimate);
-}
-
-} // namespace
-
 BOOST_AUTO_TEST_CASE(routers_that_know_nothing_choose_the_same_home) {
   TestDeployment Deployment(12);
   std::set<std::string> Homes;
@@ -510,9 +413,9 @@
   PlacedCall Home =
       expectPlaced(Router.place(Deployment.call(7), Deployment.Now));
   serve(Router, Home, Deployment.Now);
-  BOOST_TEST(Router.mayStillSend(Home, Deployment.Now));
+  BOOST_TEST(Router.maySend(Home, Deployment.Now));
   BOOST_TEST(Router.noteLeaving(Home.Target, {1}));
-  BOOST_TEST(!Router.mayStillSend(Home, Deployment.Now));
+  BOOST_TEST(!Router.maySend(Home, Deployment.Now));
   PlacedCall Next =
       expectPlaced(Router.place(Deployment.call(7), Deployment.Now + 400ms));
   BOOST_TEST(Next.Target != Home.Target);
