ferryd, LibTraffic: Show quarantined parts and limits in metrics and the dump

Two gauges and a section of the dump; a refused request that was sent nowhere shows its shared parts, so that OPERATIONS.md leads from it to the verdict and the crashes.

--- a/Libraries/LibTraffic/ControlPort.h
+++ b/Libraries/LibTraffic/ControlPort.h
@@ -124,7 +124,7 @@
   std::function<void(routing::StreamKey, Timestamp Deadline,
                      std::function<void(std::optional<BuildId>)>)>
       AskStream;
-  /// Tells other routers soon what this one has learnt of crashes.
+  /// Tells other routers soon what this one has learnt of crashes and limits.
   std::function<void()> TellBeliefs;
   /// Renders the state of this process as one JSON text.
   std::function<void(std::function<void(std::string)>)> Dump;
--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -629,6 +629,7 @@
        {"framing", framingName()},
        {"unfinished_bytes", UnfinishedBytes},
        {"prompt_tokens", Call.PromptTokens},
+       {"shared_parts", Attempts == 0 ? partsText(SharedParts) : std::string()},
        {"estimate_ms", RefusedEstimate.count() / 1000},
        {"first_byte_ms",
         std::max<int64_t>(0, (FirstByteAt - ArrivedAt).count() / 1000)},
--- a/Services/ferryd/BeliefExchange.cpp
+++ b/Services/ferryd/BeliefExchange.cpp
@@ -139,10 +139,13 @@
   return Told;
 }
 
-BeliefExchange::BeliefExchange(HostLink &Link, ControlLoop &Loop,
-                               OtherRouters Others, BeliefHooks Callbacks)
+BeliefExchange::BeliefExchange(
+    HostLink &Link, ControlLoop &Loop, OtherRouters Others,
+    BeliefHooks Callbacks,
+    std::function<void(const routing::Beliefs &)> Observed)
     : Link(Link), Loop(Loop), Others(std::move(Others)),
-      Callbacks(std::move(Callbacks)), Spread(systemSeed()) {}
+      Callbacks(std::move(Callbacks)), Observed(std::move(Observed)),
+      Spread(systemSeed()) {}
 
 void BeliefExchange::stop() {
   Loop.cancel(NewsTimer);
@@ -170,6 +173,7 @@
   TickTimer =
       Loop.at(steadyNow() + BeliefSpread::TickInterval, [this] { tick(); });
   Beliefs All = Callbacks.Everything();
+  Observed(All);
   BeliefSpread::Due Due = Spread.tick(Others(), !All.empty(), steadyNow());
   if (!Due.Summary.empty()) {
     wire::BeliefMessage Summary = toWire(All);
--- a/Services/ferryd/BeliefExchange.h
+++ b/Services/ferryd/BeliefExchange.h
@@ -29,8 +29,10 @@
 public:
   using OtherRouters = std::function<std::vector<HostId>()>;
 
+  /// \param Observed called at each tick with all that the router believes.
   BeliefExchange(HostLink &Link, ControlLoop &Loop, OtherRouters Others,
-                 BeliefHooks Callbacks);
+                 BeliefHooks Callbacks,
+                 std::function<void(const routing::Beliefs &)> Observed);
   ~BeliefExchange() { stop(); }
   BeliefExchange(const BeliefExchange &) = delete;
   BeliefExchange &operator=(const BeliefExchange &) = delete;
@@ -51,6 +53,7 @@
   ControlLoop &Loop;
   OtherRouters Others;
   BeliefHooks Callbacks;
+  std::function<void(const routing::Beliefs &)> Observed;
   routing::BeliefSpread Spread;
   bool NewsPending = false;
   ControlLoop::TimerId NewsTimer;
--- a/Services/ferryd/ControlPlane.cpp
+++ b/Services/ferryd/ControlPlane.cpp
@@ -118,7 +118,8 @@
       StreamExchange::Hooks{[this] { return liveRouterIds(); },
                             Callbacks.NoteStream, Callbacks.FindStream});
   Beliefs = std::make_unique<BeliefExchange>(
-      *Link, Loop, [this] { return liveRouterIds(); }, Callbacks.Beliefs);
+      *Link, Loop, [this] { return liveRouterIds(); }, Callbacks.Beliefs,
+      [this](const routing::Beliefs &Known) { updateBeliefMetrics(Known); });
   startGateway();
   if (Settings.Role == config::HostRole::Control) {
     auto Opened = tryOpenRegistry();
--- a/Services/ferryd/ControlPlane.h
+++ b/Services/ferryd/ControlPlane.h
@@ -63,7 +63,7 @@
     /// \returns the build of a stream that this router remembers.
     std::function<std::optional<BuildId>(routing::StreamKey)> FindStream =
         [](routing::StreamKey) { return std::nullopt; };
-    /// What this router believes of crashes.
+    /// What this router believes of crashes and limits.
     BeliefHooks Beliefs;
     /// Set for the routed interface; the defaults serve the native one.
     PlatformBindings Platform;
@@ -155,6 +155,7 @@
   void broadcastNamedWeights();
   void markViewChanged();
   void updateMetrics();
+  void updateBeliefMetrics(const routing::Beliefs &Known);
 
   // Requests from traffic threads (ControlPlanePort.cpp).
   void
--- a/Services/ferryd/ControlPlaneDump.cpp
+++ b/Services/ferryd/ControlPlaneDump.cpp
@@ -1,5 +1,6 @@
 // The control plane's sections of the state dump, and its metrics.
 #include "ferryd/ControlPlane.h"
+#include <algorithm>
 
 namespace ferry::daemon {
 
@@ -57,6 +58,32 @@
   return Section;
 }
 
+static Object::Ptr beliefsSection(const routing::Beliefs &Known) {
+  Poco::JSON::Array Quarantined;
+  for (const routing::QuarantinedParts &Set : Known.Crashes.Quarantined) {
+    Object::Ptr Fields = new Object;
+    Fields->set("parts", routing::partsText(Set.Parts));
+    Fields->set("ended", Set.Ended);
+    Fields->set("trials", Set.Trials);
+    Quarantined.add(Fields);
+  }
+  Poco::JSON::Array Limits;
+  for (const routing::TargetLimit &Limit : Known.Limits) {
+    if (!Limit.PerSecond)
+      continue;
+    Object::Ptr Fields = new Object;
+    Fields->set("target", Limit.Target.Value);
+    Fields->set("incarnation", Limit.Incarnation.Value);
+    Fields->set("per_second", *Limit.PerSecond);
+    Limits.add(Fields);
+  }
+  Object::Ptr Section = new Object;
+  Section->set("crashes", Known.Crashes.Crashes.size());
+  Section->set("quarantined", Quarantined);
+  Section->set("limits", Limits);
+  return Section;
+}
+
 static Object::Ptr hostsSection(const membership::Membership &Members) {
   Object::Ptr Section = new Object;
   for (const membership::HostState &Host : Members.hosts(steadyNow())) {
@@ -100,6 +127,24 @@
   return Section;
 }
 
+void ControlPlane::updateBeliefMetrics(const routing::Beliefs &Known) {
+  auto InForce = std::count_if(
+      Known.Crashes.Quarantined.begin(), Known.Crashes.Quarantined.end(),
+      [](const routing::QuarantinedParts &Set) { return !Set.Ended; });
+  auto Limited = std::count_if(Known.Limits.begin(), Known.Limits.end(),
+                               [](const routing::TargetLimit &Limit) {
+                                 return Limit.PerSecond.has_value();
+                               });
+  Metrics
+      .gauge("ferry_quarantined_part_sets",
+             "Sets of prompt parts that are kept away from targets.")
+      .set(double(InForce));
+  Metrics
+      .gauge("ferry_limited_targets",
+             "Targets that name a limit of requests a second.")
+      .set(double(Limited));
+}
+
 void ControlPlane::updateMetrics() {
   Timestamp Now = steadyNow();
   auto Set = [this](const char *Name, const char *Help, uint64_t Value) {
@@ -163,6 +208,8 @@
   Dump.add("hosts", [this] { return hostsSection(Members); });
   Dump.add("targets", [this] { return targetsSection(Members); });
   Dump.add("peers", [this] { return peersSection(*Link); });
+  Dump.add("beliefs",
+           [this] { return beliefsSection(Callbacks.Beliefs.Everything()); });
   if (!Node)
     return;
   // While the log is stopped by a failure of its disk, Node is nullptr and the
