LibRouting: Count only answers that broke off together as one crash

The suspects of a report are now those of the last second, and what speaks for parts goes with them. Before: the new case of TestPartQuarantine admits the part after three crashes that follow 200 broken answers, and a report keeps nine defences in place of two.

--- a/Libraries/LibRouting/CrashEvidence.cpp
+++ b/Libraries/LibRouting/CrashEvidence.cpp
@@ -91,9 +91,30 @@
 
 bool CrashEvidence::addSuspect(Crash &Ended, const CrashSuspect &Suspect,
                                Timestamp Now) {
-  std::vector<CrashSuspect> &Suspects = Ended.Report.Suspects;
+  CrashReport &Report = Ended.Report;
+  std::vector<CrashSuspect> &Suspects = Report.Suspects;
+  Timestamp SeenAt = std::min(Suspect.SeenAt, Now);
   if (Suspect.Parts.empty() || Suspect.Parts.size() > MaxParts ||
-      std::find(Suspects.begin(), Suspects.end(), Suspect) != Suspects.end())
+      SeenAt + CrashSpan < Report.SeenAt)
+    return false;
+  bool AnyDropped = std::erase_if(Suspects, [SeenAt](const auto &Each) {
+                      return Each.SeenAt + CrashSpan < SeenAt;
+                    }) > 0;
+  if (AnyDropped) {
+    Ended.LearntAt = Now;
+    std::erase_if(Report.Defences, [&Suspects](const auto &Entry) {
+      return std::none_of(Suspects.begin(), Suspects.end(),
+                          [&Entry](const CrashSuspect &Each) {
+                            return contains(Each.Parts, Entry.first);
+                          });
+    });
+  }
+  Report.SeenAt = std::max(Report.SeenAt, SeenAt);
+  bool IsKnown = std::any_of(
+      Suspects.begin(), Suspects.end(), [&Suspect](const CrashSuspect &Each) {
+        return Each.Parts == Suspect.Parts && Each.Progress == Suspect.Progress;
+      });
+  if (IsKnown)
     return false;
   if (Suspects.size() >= MaxSuspects) {
     // Requests that only waited make room for one whose answer had begun.
@@ -106,9 +127,9 @@
       return false;
     Suspects.erase(Waiting);
   }
-  Suspects.push_back(Suspect);
+  Suspects.push_back({Suspect.Parts, Suspect.Progress, SeenAt});
   for (uint64_t Part : Suspect.Parts) {
-    CrashReport::Defence &Defence = Ended.Report.Defences[Part];
+    CrashReport::Defence &Defence = Report.Defences[Part];
     Defence.ServedBefore = Defence.ServedBefore || wasServed(Part, Now);
   }
   return true;
--- a/Libraries/LibRouting/CrashEvidence.h
+++ b/Libraries/LibRouting/CrashEvidence.h
@@ -34,11 +34,12 @@
   PartSet Parts;
   /// Waiting or Begun.
   AnswerProgress Progress = AnswerProgress::Waiting;
-  auto operator<=>(const CrashSuspect &) const = default;
+  /// When its answer was broken off.
+  Timestamp SeenAt;
 };
 
-/// The end of one incarnation of a target, as all routers together saw it. The
-/// fields only ever grow, so that reports can be merged in any order.
+/// The end of one incarnation of a target, as all routers together saw it.
+/// Reports can be merged in any order.
 struct CrashReport {
   /// What speaks for a part.
   struct Defence {
@@ -49,7 +50,10 @@
   };
 
   CrashId Id;
+  /// When the last answer was broken off.
   Timestamp SeenAt;
+  /// Those that were broken off at nearly that time: a target that breaks off
+  /// an answer now and then is alive until all are.
   std::vector<CrashSuspect> Suspects;
   /// For each part of the suspects.
   std::map<uint64_t, Defence> Defences;
@@ -70,6 +74,8 @@
 public:
   static constexpr size_t MaxCrashes = 64;
   static constexpr size_t MaxSuspects = 8;
+  /// The end of a target breaks off all its answers within this time.
+  static constexpr Duration CrashSpan = std::chrono::seconds(1);
   static constexpr size_t MaxParts = 32;
   /// Number of parts in each of the two generations of served ones.
   static constexpr size_t MaxServedParts = 2048;
--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -483,7 +483,7 @@
                      Failure.Kind == LinkErrorKind::Incomplete;
   if (Sent && TargetEnded && answerProgress() != AnswerProgress::Streaming)
     Context.Quarantine.noteBroken(Destination.Target, Destination.Incarnation,
-                                  {SharedParts, answerProgress()});
+                                  {SharedParts, answerProgress(), steadyNow()});
   if (CallerLeft) {
     endAttempt(Destination, CallEnd::Abandoned, NextStep::Done);
     Context.Metrics.CallersLeft.add();
--- a/Libraries/LibWire/Generated/Routing_types.cpp
+++ b/Libraries/LibWire/Generated/Routing_types.cpp
@@ -1618,6 +1618,10 @@
 void CrashSuspect::__set_Begun(const bool val) {
   this->Begun = val;
 }
+
+void CrashSuspect::__set_AgeMillis(const int32_t val) {
+  this->AgeMillis = val;
+}
 std::ostream& operator<<(std::ostream& out, const CrashSuspect& obj)
 {
   obj.printTo(out);
@@ -1674,6 +1678,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->AgeMillis);
+          this->__isset.AgeMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1707,6 +1719,10 @@
   xfer += oprot->writeBool(this->Begun);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("AgeMillis", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->AgeMillis);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1716,28 +1732,33 @@
   using ::std::swap;
   swap(a.Parts, b.Parts);
   swap(a.Begun, b.Begun);
+  swap(a.AgeMillis, b.AgeMillis);
   swap(a.__isset, b.__isset);
 }
 
 CrashSuspect::CrashSuspect(const CrashSuspect& other71) {
   Parts = other71.Parts;
   Begun = other71.Begun;
+  AgeMillis = other71.AgeMillis;
   __isset = other71.__isset;
 }
 CrashSuspect::CrashSuspect(CrashSuspect&& other72) noexcept {
   Parts = std::move(other72.Parts);
   Begun = other72.Begun;
+  AgeMillis = other72.AgeMillis;
   __isset = other72.__isset;
 }
 CrashSuspect& CrashSuspect::operator=(const CrashSuspect& other73) {
   Parts = other73.Parts;
   Begun = other73.Begun;
+  AgeMillis = other73.AgeMillis;
   __isset = other73.__isset;
   return *this;
 }
 CrashSuspect& CrashSuspect::operator=(CrashSuspect&& other74) noexcept {
   Parts = std::move(other74.Parts);
   Begun = other74.Begun;
+  AgeMillis = other74.AgeMillis;
   __isset = other74.__isset;
   return *this;
 }
@@ -1746,6 +1767,7 @@
   out << "CrashSuspect(";
   out << "Parts=" << to_string(Parts);
   out << ", " << "Begun=" << to_string(Begun);
+  out << ", " << "AgeMillis=" << to_string(AgeMillis);
   out << ")";
 }
 
--- a/Libraries/LibWire/Generated/Routing_types.h
+++ b/Libraries/LibWire/Generated/Routing_types.h
@@ -670,9 +670,10 @@
 std::ostream& operator<<(std::ostream& out, const StreamMessage& obj);
 
 typedef struct _CrashSuspect__isset {
-  _CrashSuspect__isset() : Parts(false), Begun(false) {}
+  _CrashSuspect__isset() : Parts(false), Begun(false), AgeMillis(false) {}
   bool Parts :1;
   bool Begun :1;
+  bool AgeMillis :1;
 } _CrashSuspect__isset;
 
 class CrashSuspect : public virtual ::apache::thrift::TBase {
@@ -683,12 +684,14 @@
   CrashSuspect& operator=(const CrashSuspect&);
   CrashSuspect& operator=(CrashSuspect&&) noexcept;
   CrashSuspect() noexcept
-               : Begun(0) {
+               : Begun(0),
+                 AgeMillis(0) {
   }
 
   virtual ~CrashSuspect() noexcept;
   std::vector<int64_t>  Parts;
   bool Begun;
+  int32_t AgeMillis;
 
   _CrashSuspect__isset __isset;
 
@@ -696,12 +699,16 @@
 
   void __set_Begun(const bool val);
 
+  void __set_AgeMillis(const int32_t val);
+
   bool operator == (const CrashSuspect & rhs) const
   {
     if (!(Parts == rhs.Parts))
       return false;
     if (!(Begun == rhs.Begun))
       return false;
+    if (!(AgeMillis == rhs.AgeMillis))
+      return false;
     return true;
   }
   bool operator != (const CrashSuspect &rhs) const {
--- a/Libraries/LibWire/Idl/Routing.thrift
+++ b/Libraries/LibWire/Idl/Routing.thrift
@@ -93,6 +93,7 @@
   1: list<i64> Parts
   // Whether the answer had begun; else the request may have waited.
   2: bool Begun
+  3: i32 AgeMillis
 }
 
 // What speaks for a part of the suspects.
@@ -106,6 +107,7 @@
 struct CrashReport {
   // Hash of the target and its incarnation.
   1: i64 Crash
+  // Since the last answer was broken off.
   2: i32 AgeMillis
   3: list<CrashSuspect> Suspects
   4: list<PartDefence> Defences
--- a/Services/ferryd/BeliefExchange.cpp
+++ b/Services/ferryd/BeliefExchange.cpp
@@ -44,6 +44,7 @@
     Fields.Suspects.emplace_back();
     Fields.Suspects.back().Parts = toWire(Suspect.Parts);
     Fields.Suspects.back().Begun = Suspect.Progress == AnswerProgress::Begun;
+    Fields.Suspects.back().AgeMillis = wireMillis(Now - Suspect.SeenAt);
   }
   for (const auto &[Part, Defence] : Report.Defences) {
     if (!Defence.ServedBefore && !Defence.ServedAfter)
@@ -64,7 +65,8 @@
   for (const wire::CrashSuspect &Suspect : Fields.Suspects)
     Report.Suspects.push_back(
         {fromWire(Suspect.Parts),
-         Suspect.Begun ? AnswerProgress::Begun : AnswerProgress::Waiting});
+         Suspect.Begun ? AnswerProgress::Begun : AnswerProgress::Waiting,
+         Now - fromWireMillis(Suspect.AgeMillis)});
   for (const wire::PartDefence &Known : Fields.Defences)
     Report.Defences[static_cast<uint64_t>(Known.Part)] = {Known.ServedBefore,
                                                           Known.ServedAfter};
--- a/Tests/LibRouting/BeliefFleet.h
+++ b/Tests/LibRouting/BeliefFleet.h
@@ -52,7 +52,7 @@
     if (Quarantine.check(Parts, Now) != PartAdmission::Admitted)
       return false;
     Quarantine.noteBroken({"i-" + std::to_string(++Crashes)}, {1},
-                          {Parts, AnswerProgress::Begun}, Now);
+                          {Parts, AnswerProgress::Begun, Now}, Now);
     sendNewsSoon(Index);
     return true;
   }
--- a/Tests/LibRouting/TestPartQuarantine.cpp
+++ b/Tests/LibRouting/TestPartQuarantine.cpp
@@ -31,11 +31,11 @@
              const std::vector<PartSet> &Waiting = {}) {
     TargetId Target{"i-" + std::to_string(++Targets)};
     for (const PartSet &Parts : Begun)
-      Quarantine.noteBroken(Target, {1}, {sorted(Parts), AnswerProgress::Begun},
-                            Now);
+      Quarantine.noteBroken(Target, {1},
+                            {sorted(Parts), AnswerProgress::Begun, Now}, Now);
     for (const PartSet &Parts : Waiting)
       Quarantine.noteBroken(Target, {1},
-                            {sorted(Parts), AnswerProgress::Waiting}, Now);
+                            {sorted(Parts), AnswerProgress::Waiting, Now}, Now);
   }
 
   /// Crashes that are \p Pause apart.
@@ -216,6 +216,34 @@
   BOOST_TEST(Subject.Quarantine.mayRepeat({Lead, Sound}, Subject.Now));
 }
 
+// Targets break off answers now and then for an hour before a part ends them.
+BOOST_AUTO_TEST_CASE(answers_broken_off_before_do_not_hide_a_crash) {
+  Router Subject;
+  Subject.serve({Lead});
+  for (uint64_t Answer = 0; Answer < 200; ++Answer) {
+    for (const char *Target : {"a", "b", "c"})
+      Subject.Quarantine.noteBroken(
+          {Target}, {1},
+          {{Lead, 1000 + Answer}, AnswerProgress::Begun, Subject.Now},
+          Subject.Now);
+    Subject.Now += 10s;
+    Subject.serve({Lead, 1000 + Answer});
+  }
+  for (const char *Target : {"a", "b", "c"}) {
+    Subject.Quarantine.noteBroken(
+        {Target}, {1}, {{Lead, Crashing}, AnswerProgress::Begun, Subject.Now},
+        Subject.Now);
+    Subject.Now += 300ms;
+  }
+  Subject.Now += Later;
+  BOOST_TEST(!Subject.admits({Lead, Crashing}));
+  BOOST_TEST(Subject.admits({Lead}));
+  BOOST_TEST(Subject.admits({Lead, 1199}));
+  for (const CrashReport &Report :
+       Subject.Quarantine.everything(Subject.Now).Crashes)
+    BOOST_TEST(Report.Defences.size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(a_rare_part_is_found_over_half_an_hour) {
   Router Subject;
   Subject.serve({Lead});
@@ -329,10 +357,13 @@
   CrashNews News;
   News.Crashes.push_back({{7},
                           Subject.Now + 24h,
-                          {{{}, AnswerProgress::Begun}},
+                          {{{}, AnswerProgress::Begun, Subject.Now}},
                           {{9, {true, true}}}});
   News.Crashes.push_back(
-      {{8}, Subject.Now, {{PartSet(100, 5), AnswerProgress::Begun}}, {}});
+      {{8},
+       Subject.Now,
+       {{PartSet(100, 5), AnswerProgress::Begun, Subject.Now}},
+       {}});
   News.Quarantined.push_back({{}, 1, false, 0, Subject.Now, Subject.Now});
   News.Quarantined.push_back(
       {PartSet(100, 5), 1, false, 0, Subject.Now, Subject.Now});
