LibRouting: Refuse a stream of a build that is gone as such, whatever the limits

If all targets had limits, a caller that took up a stream of a build without targets was told to come back. Found by reading the change; the new case of TestLimitedPlacement failed before (limited in place of build_gone).

--- a/Libraries/LibRouting/RoutedPlacementChoice.cpp
+++ b/Libraries/LibRouting/RoutedPlacementChoice.cpp
@@ -299,7 +299,9 @@
   double PerSecond = 0;
   bool AnyLimit = false;
   for (const auto &[Id, Target] : Targets) {
-    if (!isOffered(Target, Call.Service, Now))
+    bool IsOtherBuild =
+        !Call.Build.empty() && Target.Record.Build != Call.Build;
+    if (IsOtherBuild || !isOffered(Target, Call.Service, Now))
       continue;
     auto Limit = Limits.perSecond(Id, Target.Record.Incarnation);
     if (!Limit)
--- a/Tests/LibRouting/TestLimitedPlacement.cpp
+++ b/Tests/LibRouting/TestLimitedPlacement.cpp
@@ -46,6 +46,21 @@
     BOOST_TEST(Count <= 1);
 }
 
+// A stream whose build is gone is not told to come back, whatever the limits.
+BOOST_AUTO_TEST_CASE(limits_do_not_hide_that_a_build_is_gone) {
+  TestDeployment Deployment(2);
+  RoutedPlacement Router = Deployment.router();
+  for (const char *Target : {"e0", "e1"})
+    Router.limits().noteAnswer({Target}, {1}, 2.0, Deployment.Now,
+                               Deployment.Now);
+  RoutedCall Call = Deployment.call(7);
+  Call.Build = {"v0"};
+  auto Decision = Router.place(Call, Deployment.Now);
+  const auto *Refusal = std::get_if<RefusedCall>(&Decision);
+  BOOST_REQUIRE(Refusal != nullptr);
+  BOOST_TEST((Refusal->Reason == CallRefusalReason::BuildGone));
+}
+
 // Every target names a limit: callers come back one after the other, as fast
 // as the limits allow.
 BOOST_AUTO_TEST_CASE(callers_return_at_the_rate_of_the_limits) {
