LibRouting: Name crash evidence and quarantine by plain terms

Words of a court of law (judge, guilt, hearing, defence) become cause, decision and marks; a field and a struct of the IDL that has not been released follow.

Renames: CrashReport::Defences to Marks, CrashEvidence::judge to findCause, Hearing to DecisionDelay.

--- a/Libraries/LibRouting/CrashEvidence.cpp
+++ b/Libraries/LibRouting/CrashEvidence.cpp
@@ -102,7 +102,7 @@
                     }) > 0;
   if (AnyDropped) {
     Ended.LearntAt = Now;
-    std::erase_if(Report.Defences, [&Suspects](const auto &Entry) {
+    std::erase_if(Report.Marks, [&Suspects](const auto &Entry) {
       return std::none_of(Suspects.begin(), Suspects.end(),
                           [&Entry](const CrashSuspect &Each) {
                             return contains(Each.Parts, Entry.first);
@@ -129,8 +129,8 @@
   }
   Suspects.push_back({Suspect.Parts, Suspect.Progress, SeenAt});
   for (uint64_t Part : Suspect.Parts) {
-    CrashReport::Defence &Defence = Report.Defences[Part];
-    Defence.ServedBefore = Defence.ServedBefore || wasServed(Part, Now);
+    CrashReport::ServedMarks &PartMarks = Report.Marks[Part];
+    PartMarks.ServedBefore = PartMarks.ServedBefore || wasServed(Part, Now);
   }
   return true;
 }
@@ -146,12 +146,12 @@
                                                Timestamp Now) {
   std::vector<CrashId> Changed;
   for (auto &[Id, Ended] : Crashes) {
-    bool Speaks = false;
+    bool IsNew = false;
     for (uint64_t Part : Parts)
-      if (auto Found = Ended.Report.Defences.find(Part);
-          Found != Ended.Report.Defences.end())
-        Speaks = !std::exchange(Found->second.ServedAfter, true) || Speaks;
-    if (Speaks)
+      if (auto Found = Ended.Report.Marks.find(Part);
+          Found != Ended.Report.Marks.end())
+        IsNew = !std::exchange(Found->second.ServedAfter, true) || IsNew;
+    if (IsNew)
       Changed.push_back(Id);
   }
   for (uint64_t Part : Parts) {
@@ -169,11 +169,11 @@
   bool Changed = false;
   for (const CrashSuspect &Suspect : Report.Suspects)
     Changed = addSuspect(*Ended, Suspect, Now) || Changed;
-  for (const auto &[Part, Told] : Report.Defences) {
-    auto Found = Ended->Report.Defences.find(Part);
-    if (Found == Ended->Report.Defences.end())
+  for (const auto &[Part, Told] : Report.Marks) {
+    auto Found = Ended->Report.Marks.find(Part);
+    if (Found == Ended->Report.Marks.end())
       continue;
-    CrashReport::Defence &Known = Found->second;
+    CrashReport::ServedMarks &Known = Found->second;
     Changed = Changed || (Told.ServedBefore && !Known.ServedBefore) ||
               (Told.ServedAfter && !Known.ServedAfter);
     Known.ServedBefore = Known.ServedBefore || Told.ServedBefore;
@@ -207,16 +207,16 @@
   return Reports;
 }
 
-CrashEvidence::Charge
-CrashEvidence::chargeOf(uint64_t Part, const std::vector<const Crash *> &Recent,
-                        const std::vector<PartSet> &Quarantined) const {
-  Charge Result;
+CrashEvidence::Tally
+CrashEvidence::tallyOf(uint64_t Part, const std::vector<const Crash *> &Recent,
+                       const std::vector<PartSet> &Quarantined) const {
+  Tally Result;
   std::optional<Timestamp> LastCounted;
   bool IsFirst = true;
   for (const Crash *Ended : Recent) {
     const CrashReport &Report = Ended->Report;
-    auto Defence = Report.Defences.find(Part);
-    if (Defence == Report.Defences.end() || Defence->second.ServedAfter)
+    auto PartMarks = Report.Marks.find(Part);
+    if (PartMarks == Report.Marks.end() || PartMarks->second.ServedAfter)
       continue;
     bool IsSuspect = false;
     bool HadBegun = false;
@@ -241,10 +241,10 @@
     if (!IsSuspect)
       continue;
     Result.Unexplained = Result.Unexplained || !Explained;
-    Result.Served = Result.Served || Defence->second.ServedBefore;
+    Result.Served = Result.Served || PartMarks->second.ServedBefore;
     std::erase_if(Result.Common, [&](uint64_t Other) {
-      auto OfOther = Report.Defences.find(Other);
-      return OfOther != Report.Defences.end() && OfOther->second.ServedAfter;
+      auto OfOther = Report.Marks.find(Other);
+      return OfOther != Report.Marks.end() && OfOther->second.ServedAfter;
     });
     if (LastCounted && Report.SeenAt < *LastCounted + Separation)
       continue;
@@ -256,42 +256,41 @@
   return Result;
 }
 
-std::optional<CrashEvidence::Guilt>
-CrashEvidence::guiltOf(uint64_t Part, const std::vector<const Crash *> &Recent,
-                       const std::vector<PartSet> &Quarantined,
-                       Timestamp Now) const {
-  Charge Charged = chargeOf(Part, Recent, Quarantined);
-  bool IsClear = !Charged.Served && Charged.LearntBegun.size() >= MinCrashes;
+std::optional<CrashEvidence::Cause> CrashEvidence::causeWith(
+    uint64_t Part, const std::vector<const Crash *> &Recent,
+    const std::vector<PartSet> &Quarantined, Timestamp Now) const {
+  Tally Counted = tallyOf(Part, Recent, Quarantined);
+  bool IsClear = !Counted.Served && Counted.LearntBegun.size() >= MinCrashes;
   const std::vector<Timestamp> &Learnt =
-      IsClear ? Charged.LearntBegun : Charged.LearntAll;
+      IsClear ? Counted.LearntBegun : Counted.LearntAll;
   size_t Needed = IsClear ? MinCrashes : MinCrashesOfServed;
-  Duration Wait = IsClear ? Hearing : HearingOfServed;
-  if (!Charged.Unexplained || Learnt.size() < Needed ||
+  Duration Wait = IsClear ? DecisionDelay : DecisionDelayOfServed;
+  if (!Counted.Unexplained || Learnt.size() < Needed ||
       Now < Learnt[Needed - 1] + Wait)
     return std::nullopt;
   // Among parts that are always together, those that were never served are
-  // guilty.
+  // the cause.
   PartSet Unserved;
-  for (uint64_t Other : Charged.Common) {
+  for (uint64_t Other : Counted.Common) {
     bool WasServed =
         std::any_of(Recent.begin(), Recent.end(), [Other](const Crash *Ended) {
-          auto Defence = Ended->Report.Defences.find(Other);
-          return Defence != Ended->Report.Defences.end() &&
-                 Defence->second.ServedBefore;
+          auto PartMarks = Ended->Report.Marks.find(Other);
+          return PartMarks != Ended->Report.Marks.end() &&
+                 PartMarks->second.ServedBefore;
         });
     if (!WasServed)
       Unserved.push_back(Other);
   }
   if (Unserved.empty())
-    return Guilt{Charged.Common, /*NeverServed=*/false};
+    return Cause{Counted.Common, /*NeverServed=*/false};
   if (!contains(Unserved, Part))
     return std::nullopt;
-  return Guilt{Unserved, /*NeverServed=*/true};
+  return Cause{Unserved, /*NeverServed=*/true};
 }
 
 std::optional<PartSet>
-CrashEvidence::judge(const std::vector<PartSet> &Quarantined,
-                     Timestamp Now) const {
+CrashEvidence::findCause(const std::vector<PartSet> &Quarantined,
+                         Timestamp Now) const {
   std::vector<const Crash *> Recent = recentCrashes(Now);
   std::map<uint64_t, size_t> CrashesOf;
   for (const Crash *Ended : Recent) {
@@ -301,14 +300,14 @@
     for (uint64_t Part : Parts)
       ++CrashesOf[Part];
   }
-  std::optional<Guilt> First;
-  auto Rank = [](const Guilt &Each) {
+  std::optional<Cause> First;
+  auto Rank = [](const Cause &Each) {
     return std::pair(Each.NeverServed, Each.Parts.size());
   };
   for (const auto &[Part, Count] : CrashesOf) {
     if (Count < MinCrashes)
       continue;
-    auto Found = guiltOf(Part, Recent, Quarantined, Now);
+    auto Found = causeWith(Part, Recent, Quarantined, Now);
     if (Found && (!First || Rank(*Found) > Rank(*First)))
       First = std::move(Found);
   }
@@ -321,9 +320,9 @@
     size_t Count = 0;
     bool Served = false;
     for (const Crash *Ended : Recent) {
-      auto Defence = Ended->Report.Defences.find(Part);
-      if (Defence == Ended->Report.Defences.end() ||
-          Defence->second.ServedAfter)
+      auto PartMarks = Ended->Report.Marks.find(Part);
+      if (PartMarks == Ended->Report.Marks.end() ||
+          PartMarks->second.ServedAfter)
         continue;
       std::vector<const CrashSuspect *> Counted =
           countedSuspects(Ended->Report);
@@ -333,7 +332,7 @@
                        }))
         continue;
       ++Count;
-      Served = Served || Defence->second.ServedBefore;
+      Served = Served || PartMarks->second.ServedBefore;
     }
     if (Count >= (Served ? MinCrashesOfServed : MinCrashes) - 1)
       return false;
--- a/Libraries/LibRouting/CrashEvidence.h
+++ b/Libraries/LibRouting/CrashEvidence.h
@@ -41,11 +41,11 @@
 /// The end of one incarnation of a target, as all routers together saw it.
 /// Reports can be merged in any order.
 struct CrashReport {
-  /// What speaks for a part.
-  struct Defence {
-    /// An answer to a prompt with the part had been served not long before.
+  /// Whether answers to prompts with a part were served.
+  struct ServedMarks {
+    /// Within CrashEvidence::Lifetime before the crash.
     bool ServedBefore = false;
-    /// One was served afterwards.
+    /// After the crash.
     bool ServedAfter = false;
   };
 
@@ -56,20 +56,21 @@
   /// an answer now and then is alive until all are.
   std::vector<CrashSuspect> Suspects;
   /// For each part of the suspects.
-  std::map<uint64_t, Defence> Defences;
+  std::map<uint64_t, ServedMarks> Marks;
 };
 
-/// Collects crashes and judges which part of a prompt is in all of them. Owns
+/// Collects crashes and finds the part of a prompt that is in all of them. Owns
 /// no clock; callers serialise all calls.
 ///
 /// Answers the load of a part that crashes each target which begins an answer
 /// on it, among sound requests that share the caller, the route and all other
 /// parts, and that run at the same targets when these end. Requests whose
 /// answer had just begun are suspects; those that waited are only where no
-/// answer had. A part is guilty if it is in MinCrashes crashes at different
-/// times and nothing speaks for it. If others are in all of these crashes too,
-/// they are guilty together: requests with all of them are refused, those with
-/// some are not, and the next crash tells them apart.
+/// answer had. A part is the cause if it is in MinCrashes crashes at
+/// different times and no answer to a prompt with it has been served since. If
+/// others are in all of these crashes too, they are the cause together:
+/// requests with all of them are refused, those with some are not, and the next
+/// crash tells them apart.
 class CrashEvidence {
 public:
   static constexpr size_t MaxCrashes = 64;
@@ -85,30 +86,31 @@
   /// Crashes within this time may have a common cause outside of the prompts,
   /// such as a lost rack, and count once.
   static constexpr Duration Separation = std::chrono::milliseconds(100);
-  /// Crashes that show the guilt of a part which had never been served, and of
-  /// one that had or whose requests only waited.
+  /// Crashes after which a part is the cause if it had never been served, and
+  /// if it had or its requests only waited.
   static constexpr size_t MinCrashes = 3;
   static constexpr size_t MinCrashesOfServed = 5;
-  /// Time for what speaks for a part to arrive from other routers.
-  static constexpr Duration Hearing = std::chrono::milliseconds(300);
-  static constexpr Duration HearingOfServed = std::chrono::milliseconds(1500);
+  /// Time in which other routers tell whether they have served the part.
+  static constexpr Duration DecisionDelay = std::chrono::milliseconds(300);
+  static constexpr Duration DecisionDelayOfServed =
+      std::chrono::milliseconds(1500);
 
   /// Adds a request that was broken off when the target ended.
   /// \returns whether this is new.
   bool noteSuspect(CrashId Ended, const CrashSuspect &Suspect, Timestamp Now);
 
   /// Notes a whole answer to a prompt with \p Parts.
-  /// \returns the crashes for which this speaks for a part.
+  /// \returns the crashes whose suspects have one of the parts, if that is new.
   std::vector<CrashId> noteServed(const PartSet &Parts, Timestamp Now);
 
   /// Adds what another router reports. \returns whether this changes anything.
   bool merge(const CrashReport &Report, Timestamp Now);
 
-  /// \returns the guilty parts of the crashes that those in \p Quarantined do
+  /// \returns the parts that caused crashes which those in \p Quarantined do
   /// not explain, or nothing. If there are several, those that were never
   /// served come first, then the largest set.
-  std::optional<PartSet> judge(const std::vector<PartSet> &Quarantined,
-                               Timestamp Now) const;
+  std::optional<PartSet> findCause(const std::vector<PartSet> &Quarantined,
+                                   Timestamp Now) const;
 
   /// Whether a request with \p Parts that was broken off may be sent again: the
   /// first crash under a part says little, the next ones much.
@@ -127,7 +129,7 @@
   };
 
   /// How many crashes a part is in, and with which others.
-  struct Charge {
+  struct Tally {
     PartSet Common;
     std::vector<Timestamp> LearntBegun;
     std::vector<Timestamp> LearntAll;
@@ -136,9 +138,9 @@
   };
 
   /// Parts that a crash is put down to.
-  struct Guilt {
+  struct Cause {
     PartSet Parts;
-    /// Parts that were never served are guilty rather than others.
+    /// Parts that were never served come before others.
     bool NeverServed = false;
   };
 
@@ -147,12 +149,12 @@
   bool wasServed(uint64_t Part, Timestamp Now) const;
   /// \returns the crashes that are not too old, oldest first.
   std::vector<const Crash *> recentCrashes(Timestamp Now) const;
-  Charge chargeOf(uint64_t Part, const std::vector<const Crash *> &Recent,
-                  const std::vector<PartSet> &Quarantined) const;
-  std::optional<Guilt> guiltOf(uint64_t Part,
-                               const std::vector<const Crash *> &Recent,
-                               const std::vector<PartSet> &Quarantined,
-                               Timestamp Now) const;
+  Tally tallyOf(uint64_t Part, const std::vector<const Crash *> &Recent,
+                const std::vector<PartSet> &Quarantined) const;
+  std::optional<Cause> causeWith(uint64_t Part,
+                                 const std::vector<const Crash *> &Recent,
+                                 const std::vector<PartSet> &Quarantined,
+                                 Timestamp Now) const;
 
   std::map<CrashId, Crash> Crashes;
   /// When parts were last served; the older generation is dropped once the
--- a/Libraries/LibRouting/PartQuarantine.cpp
+++ b/Libraries/LibRouting/PartQuarantine.cpp
@@ -8,8 +8,8 @@
 
 /// Number of changes that wait for the log.
 static constexpr size_t MaxChanges = 64;
-/// Largest number of verdicts of one judgement.
-static constexpr int MaxVerdicts = 8;
+/// Largest number of sets that are quarantined at a time.
+static constexpr int MaxDecisions = 8;
 
 static uint64_t hashOf(const PartSet &Parts) {
   uint64_t Hash = 0;
@@ -54,8 +54,8 @@
 PartAdmission PartQuarantine::check(const PartSet &Parts, Timestamp Now) {
   if (Parts.empty())
     return PartAdmission::Admitted;
-  if (JudgeAt <= Now)
-    judge(Now);
+  if (DecideAt <= Now)
+    decide(Now);
   PartAdmission Result = PartAdmission::Admitted;
   for (auto &[Subset, Set] : Quarantined) {
     if (Set.Ended || !includesAll(Parts, Subset))
@@ -87,7 +87,7 @@
   if (!Evidence.noteSuspect(Id, Suspect, Now))
     return;
   ChangedCrashes.insert(Id);
-  judgeSoon(Now);
+  decideSoon(Now);
 }
 
 void PartQuarantine::noteServed(const PartSet &Parts, Timestamp Now) {
@@ -108,18 +108,19 @@
   return !IsQuarantined && Evidence.mayRepeat(Parts, Now);
 }
 
-void PartQuarantine::judgeSoon(Timestamp Now) {
-  JudgeAt = std::min(JudgeAt, Now + JudgeInterval);
-  JudgeUntil = Now + CrashEvidence::HearingOfServed + 2 * JudgeInterval;
+void PartQuarantine::decideSoon(Timestamp Now) {
+  DecideAt = std::min(DecideAt, Now + DecisionInterval);
+  DecideUntil =
+      Now + CrashEvidence::DecisionDelayOfServed + 2 * DecisionInterval;
 }
 
-void PartQuarantine::judge(Timestamp Now) {
-  JudgeAt = Now < JudgeUntil ? Now + JudgeInterval : NeverExpires;
-  for (int Count = 0; Count < MaxVerdicts; ++Count) {
-    auto Guilty = Evidence.judge(setsInForce(), Now);
-    if (!Guilty)
+void PartQuarantine::decide(Timestamp Now) {
+  DecideAt = Now < DecideUntil ? Now + DecisionInterval : NeverExpires;
+  for (int Count = 0; Count < MaxDecisions; ++Count) {
+    auto Found = Evidence.findCause(setsInForce(), Now);
+    if (!Found)
       return;
-    quarantine(*Guilty, Now);
+    quarantine(*Found, Now);
   }
 }
 
@@ -186,18 +187,17 @@
   for (const CrashReport &Report : News.Crashes) {
     if (!Evidence.merge(Report, Now))
       continue;
-    judgeSoon(Now);
+    decideSoon(Now);
     // What this router adds by itself, such as that it had served a part, is
     // news also where the others hear of the crash from its reporter.
     const CrashReport *Merged = Evidence.find(Report.Id);
-    bool KnewMore =
-        std::any_of(Merged->Defences.begin(), Merged->Defences.end(),
-                    [&Report](const auto &Entry) {
-                      auto Told = Report.Defences.find(Entry.first);
-                      bool WasTold = Told != Report.Defences.end() &&
-                                     Told->second.ServedBefore;
-                      return Entry.second.ServedBefore && !WasTold;
-                    });
+    bool KnewMore = std::any_of(Merged->Marks.begin(), Merged->Marks.end(),
+                                [&Report](const auto &Entry) {
+                                  auto Told = Report.Marks.find(Entry.first);
+                                  bool WasTold = Told != Report.Marks.end() &&
+                                                 Told->second.ServedBefore;
+                                  return Entry.second.ServedBefore && !WasTold;
+                                });
     if (PassOn || KnewMore)
       ChangedCrashes.insert(Report.Id);
   }
@@ -208,8 +208,8 @@
 }
 
 CrashNews PartQuarantine::takeNews(Timestamp Now) {
-  if (JudgeAt <= Now)
-    judge(Now);
+  if (DecideAt <= Now)
+    decide(Now);
   CrashNews News;
   for (CrashId Changed : std::exchange(ChangedCrashes, {}))
     if (const CrashReport *Report = Evidence.find(Changed))
--- a/Libraries/LibRouting/PartQuarantine.h
+++ b/Libraries/LibRouting/PartQuarantine.h
@@ -49,10 +49,10 @@
 /// The quarantine as one router sees it. Owns no clock, thread or socket;
 /// callers serialise all calls.
 ///
-/// Each router judges by the crashes that all of them saw and tells the others
-/// of its verdict. A verdict holds while requests with the parts come. A wrong
-/// one ends with the first whole answer to such a request, at whichever router:
-/// of a request that was under way already, or of one of MaxTrials trials. The
+/// Each router decides by the crashes that all of them saw and tells the
+/// others. A quarantine holds while requests with the parts come. A wrong one
+/// ends with the first whole answer to such a request, at whichever router: of
+/// a request that was under way already, or of one of MaxTrials trials. The
 /// first router of the parts by rendezvous hashing sends these, so that the
 /// number does not grow with the routers.
 class PartQuarantine {
@@ -61,13 +61,13 @@
   /// dropped first.
   static constexpr size_t MaxSets = 64;
   static constexpr uint32_t MaxTrials = 2;
-  /// Time from the verdict to the first trial, and from one to the next.
+  /// Time from the decision to the first trial, and from one to the next.
   static constexpr Duration FirstTrialPause = std::chrono::seconds(30);
   static constexpr Duration NextTrialPause = std::chrono::minutes(10);
-  /// A verdict ends if no request wanted the parts for this long.
+  /// A quarantine ends if no request wanted the parts for this long.
   static constexpr Duration IdleLimit = std::chrono::minutes(30);
-  /// Shortest time between two judgements.
-  static constexpr Duration JudgeInterval = std::chrono::milliseconds(50);
+  /// Shortest time between two decisions.
+  static constexpr Duration DecisionInterval = std::chrono::milliseconds(50);
 
   /// Sets the routers that serve, this one included.
   void setRouters(const HostId &Self, const std::vector<HostId> &Serving);
@@ -104,8 +104,8 @@
 private:
   using Sets = std::map<PartSet, QuarantinedParts>;
 
-  void judgeSoon(Timestamp Now);
-  void judge(Timestamp Now);
+  void decideSoon(Timestamp Now);
+  void decide(Timestamp Now);
   void quarantine(const PartSet &Parts, Timestamp Now);
   void end(QuarantinedParts &Set);
   bool merge(const QuarantinedParts &Told, Timestamp Now);
@@ -116,10 +116,10 @@
 
   CrashEvidence Evidence;
   Sets Quarantined;
-  /// When the evidence is judged next, and until when it is: what has not
-  /// changed for the time of a hearing leads to no other verdict.
-  Timestamp JudgeAt = NeverExpires;
-  Timestamp JudgeUntil;
+  /// When the evidence is looked at next, and until when: evidence that has not
+  /// changed for the longest decision delay leads to no other decision.
+  Timestamp DecideAt = NeverExpires;
+  Timestamp DecideUntil;
   uint64_t SelfHash = 0;
   std::vector<uint64_t> OtherHashes;
   std::set<CrashId> ChangedCrashes;
--- a/Libraries/LibWire/Generated/Routing_types.cpp
+++ b/Libraries/LibWire/Generated/Routing_types.cpp
@@ -1772,29 +1772,29 @@
 }
 
 
-PartDefence::~PartDefence() noexcept {
+PartServed::~PartServed() noexcept {
 }
 
 
-void PartDefence::__set_Part(const int64_t val) {
+void PartServed::__set_Part(const int64_t val) {
   this->Part = val;
 }
 
-void PartDefence::__set_ServedBefore(const bool val) {
+void PartServed::__set_ServedBefore(const bool val) {
   this->ServedBefore = val;
 }
 
-void PartDefence::__set_ServedAfter(const bool val) {
+void PartServed::__set_ServedAfter(const bool val) {
   this->ServedAfter = val;
 }
-std::ostream& operator<<(std::ostream& out, const PartDefence& obj)
+std::ostream& operator<<(std::ostream& out, const PartServed& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t PartDefence::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t PartServed::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1851,10 +1851,10 @@
   return xfer;
 }
 
-uint32_t PartDefence::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t PartServed::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("PartDefence");
+  xfer += oprot->writeStructBegin("PartServed");
 
   xfer += oprot->writeFieldBegin("Part", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->Part);
@@ -1873,7 +1873,7 @@
   return xfer;
 }
 
-void swap(PartDefence &a, PartDefence &b) {
+void swap(PartServed &a, PartServed &b) {
   using ::std::swap;
   swap(a.Part, b.Part);
   swap(a.ServedBefore, b.ServedBefore);
@@ -1881,35 +1881,35 @@
   swap(a.__isset, b.__isset);
 }
 
-PartDefence::PartDefence(const PartDefence& other75) noexcept {
+PartServed::PartServed(const PartServed& other75) noexcept {
   Part = other75.Part;
   ServedBefore = other75.ServedBefore;
   ServedAfter = other75.ServedAfter;
   __isset = other75.__isset;
 }
-PartDefence::PartDefence(PartDefence&& other76) noexcept {
+PartServed::PartServed(PartServed&& other76) noexcept {
   Part = other76.Part;
   ServedBefore = other76.ServedBefore;
   ServedAfter = other76.ServedAfter;
   __isset = other76.__isset;
 }
-PartDefence& PartDefence::operator=(const PartDefence& other77) noexcept {
+PartServed& PartServed::operator=(const PartServed& other77) noexcept {
   Part = other77.Part;
   ServedBefore = other77.ServedBefore;
   ServedAfter = other77.ServedAfter;
   __isset = other77.__isset;
   return *this;
 }
-PartDefence& PartDefence::operator=(PartDefence&& other78) noexcept {
+PartServed& PartServed::operator=(PartServed&& other78) noexcept {
   Part = other78.Part;
   ServedBefore = other78.ServedBefore;
   ServedAfter = other78.ServedAfter;
   __isset = other78.__isset;
   return *this;
 }
-void PartDefence::printTo(std::ostream& out) const {
+void PartServed::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "PartDefence(";
+  out << "PartServed(";
   out << "Part=" << to_string(Part);
   out << ", " << "ServedBefore=" << to_string(ServedBefore);
   out << ", " << "ServedAfter=" << to_string(ServedAfter);
@@ -1933,8 +1933,8 @@
   this->Suspects = val;
 }
 
-void CrashReport::__set_Defences(const std::vector<PartDefence> & val) {
-  this->Defences = val;
+void CrashReport::__set_Served(const std::vector<PartServed> & val) {
+  this->Served = val;
 }
 std::ostream& operator<<(std::ostream& out, const CrashReport& obj)
 {
@@ -2003,19 +2003,19 @@
       case 4:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->Defences.clear();
+            this->Served.clear();
             uint32_t _size84;
             ::apache::thrift::protocol::TType _etype87;
             xfer += iprot->readListBegin(_etype87, _size84);
-            this->Defences.resize(_size84);
+            this->Served.resize(_size84);
             uint32_t _i88;
             for (_i88 = 0; _i88 < _size84; ++_i88)
             {
-              xfer += this->Defences[_i88].read(iprot);
+              xfer += this->Served[_i88].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.Defences = true;
+          this->__isset.Served = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2057,11 +2057,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("Defences", ::apache::thrift::protocol::T_LIST, 4);
+  xfer += oprot->writeFieldBegin("Served", ::apache::thrift::protocol::T_LIST, 4);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Defences.size()));
-    std::vector<PartDefence> ::const_iterator _iter90;
-    for (_iter90 = this->Defences.begin(); _iter90 != this->Defences.end(); ++_iter90)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Served.size()));
+    std::vector<PartServed> ::const_iterator _iter90;
+    for (_iter90 = this->Served.begin(); _iter90 != this->Served.end(); ++_iter90)
     {
       xfer += (*_iter90).write(oprot);
     }
@@ -2079,7 +2079,7 @@
   swap(a.Crash, b.Crash);
   swap(a.AgeMillis, b.AgeMillis);
   swap(a.Suspects, b.Suspects);
-  swap(a.Defences, b.Defences);
+  swap(a.Served, b.Served);
   swap(a.__isset, b.__isset);
 }
 
@@ -2087,21 +2087,21 @@
   Crash = other91.Crash;
   AgeMillis = other91.AgeMillis;
   Suspects = other91.Suspects;
-  Defences = other91.Defences;
+  Served = other91.Served;
   __isset = other91.__isset;
 }
 CrashReport::CrashReport(CrashReport&& other92) noexcept {
   Crash = other92.Crash;
   AgeMillis = other92.AgeMillis;
   Suspects = std::move(other92.Suspects);
-  Defences = std::move(other92.Defences);
+  Served = std::move(other92.Served);
   __isset = other92.__isset;
 }
 CrashReport& CrashReport::operator=(const CrashReport& other93) {
   Crash = other93.Crash;
   AgeMillis = other93.AgeMillis;
   Suspects = other93.Suspects;
-  Defences = other93.Defences;
+  Served = other93.Served;
   __isset = other93.__isset;
   return *this;
 }
@@ -2109,7 +2109,7 @@
   Crash = other94.Crash;
   AgeMillis = other94.AgeMillis;
   Suspects = std::move(other94.Suspects);
-  Defences = std::move(other94.Defences);
+  Served = std::move(other94.Served);
   __isset = other94.__isset;
   return *this;
 }
@@ -2119,7 +2119,7 @@
   out << "Crash=" << to_string(Crash);
   out << ", " << "AgeMillis=" << to_string(AgeMillis);
   out << ", " << "Suspects=" << to_string(Suspects);
-  out << ", " << "Defences=" << to_string(Defences);
+  out << ", " << "Served=" << to_string(Served);
   out << ")";
 }
 
--- a/Libraries/LibWire/Generated/Routing_types.h
+++ b/Libraries/LibWire/Generated/Routing_types.h
@@ -57,7 +57,7 @@
 
 class CrashSuspect;
 
-class PartDefence;
+class PartServed;
 
 class CrashReport;
 
@@ -727,32 +727,32 @@
 
 std::ostream& operator<<(std::ostream& out, const CrashSuspect& obj);
 
-typedef struct _PartDefence__isset {
-  _PartDefence__isset() : Part(false), ServedBefore(false), ServedAfter(false) {}
+typedef struct _PartServed__isset {
+  _PartServed__isset() : Part(false), ServedBefore(false), ServedAfter(false) {}
   bool Part :1;
   bool ServedBefore :1;
   bool ServedAfter :1;
-} _PartDefence__isset;
+} _PartServed__isset;
 
-class PartDefence : public virtual ::apache::thrift::TBase {
+class PartServed : public virtual ::apache::thrift::TBase {
  public:
 
-  PartDefence(const PartDefence&) noexcept;
-  PartDefence(PartDefence&&) noexcept;
-  PartDefence& operator=(const PartDefence&) noexcept;
-  PartDefence& operator=(PartDefence&&) noexcept;
-  PartDefence() noexcept
-              : Part(0),
-                ServedBefore(0),
-                ServedAfter(0) {
+  PartServed(const PartServed&) noexcept;
+  PartServed(PartServed&&) noexcept;
+  PartServed& operator=(const PartServed&) noexcept;
+  PartServed& operator=(PartServed&&) noexcept;
+  PartServed() noexcept
+             : Part(0),
+               ServedBefore(0),
+               ServedAfter(0) {
   }
 
-  virtual ~PartDefence() noexcept;
+  virtual ~PartServed() noexcept;
   int64_t Part;
   bool ServedBefore;
   bool ServedAfter;
 
-  _PartDefence__isset __isset;
+  _PartServed__isset __isset;
 
   void __set_Part(const int64_t val);
 
@@ -760,7 +760,7 @@
 
   void __set_ServedAfter(const bool val);
 
-  bool operator == (const PartDefence & rhs) const
+  bool operator == (const PartServed & rhs) const
   {
     if (!(Part == rhs.Part))
       return false;
@@ -770,11 +770,11 @@
       return false;
     return true;
   }
-  bool operator != (const PartDefence &rhs) const {
+  bool operator != (const PartServed &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const PartDefence & ) const;
+  bool operator < (const PartServed & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -782,16 +782,16 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(PartDefence &a, PartDefence &b);
+void swap(PartServed &a, PartServed &b);
 
-std::ostream& operator<<(std::ostream& out, const PartDefence& obj);
+std::ostream& operator<<(std::ostream& out, const PartServed& obj);
 
 typedef struct _CrashReport__isset {
-  _CrashReport__isset() : Crash(false), AgeMillis(false), Suspects(false), Defences(false) {}
+  _CrashReport__isset() : Crash(false), AgeMillis(false), Suspects(false), Served(false) {}
   bool Crash :1;
   bool AgeMillis :1;
   bool Suspects :1;
-  bool Defences :1;
+  bool Served :1;
 } _CrashReport__isset;
 
 class CrashReport : public virtual ::apache::thrift::TBase {
@@ -810,7 +810,7 @@
   int64_t Crash;
   int32_t AgeMillis;
   std::vector<CrashSuspect>  Suspects;
-  std::vector<PartDefence>  Defences;
+  std::vector<PartServed>  Served;
 
   _CrashReport__isset __isset;
 
@@ -820,7 +820,7 @@
 
   void __set_Suspects(const std::vector<CrashSuspect> & val);
 
-  void __set_Defences(const std::vector<PartDefence> & val);
+  void __set_Served(const std::vector<PartServed> & val);
 
   bool operator == (const CrashReport & rhs) const
   {
@@ -830,7 +830,7 @@
       return false;
     if (!(Suspects == rhs.Suspects))
       return false;
-    if (!(Defences == rhs.Defences))
+    if (!(Served == rhs.Served))
       return false;
     return true;
   }
--- a/Libraries/LibWire/Idl/Routing.thrift
+++ b/Libraries/LibWire/Idl/Routing.thrift
@@ -96,8 +96,8 @@
   3: i32 AgeMillis
 }
 
-// What speaks for a part of the suspects.
-struct PartDefence {
+// Whether answers to prompts with a part of the suspects were served.
+struct PartServed {
   1: i64 Part
   2: bool ServedBefore
   3: bool ServedAfter
@@ -110,7 +110,7 @@
   // Since the last answer was broken off.
   2: i32 AgeMillis
   3: list<CrashSuspect> Suspects
-  4: list<PartDefence> Defences
+  4: list<PartServed> Served
 }
 
 // Parts of which one crashes targets.
--- a/Services/ferryd/BeliefExchange.cpp
+++ b/Services/ferryd/BeliefExchange.cpp
@@ -46,14 +46,14 @@
     Fields.Suspects.back().Begun = Suspect.Progress == AnswerProgress::Begun;
     Fields.Suspects.back().AgeMillis = wireMillis(Now - Suspect.SeenAt);
   }
-  for (const auto &[Part, Defence] : Report.Defences) {
-    if (!Defence.ServedBefore && !Defence.ServedAfter)
+  for (const auto &[Part, PartMarks] : Report.Marks) {
+    if (!PartMarks.ServedBefore && !PartMarks.ServedAfter)
       continue;
-    wire::PartDefence Known;
+    wire::PartServed Known;
     Known.Part = static_cast<int64_t>(Part);
-    Known.ServedBefore = Defence.ServedBefore;
-    Known.ServedAfter = Defence.ServedAfter;
-    Fields.Defences.push_back(Known);
+    Known.ServedBefore = PartMarks.ServedBefore;
+    Known.ServedAfter = PartMarks.ServedAfter;
+    Fields.Served.push_back(Known);
   }
   return Fields;
 }
@@ -67,9 +67,9 @@
         {fromWire(Suspect.Parts),
          Suspect.Begun ? AnswerProgress::Begun : AnswerProgress::Waiting,
          Now - fromWireMillis(Suspect.AgeMillis)});
-  for (const wire::PartDefence &Known : Fields.Defences)
-    Report.Defences[static_cast<uint64_t>(Known.Part)] = {Known.ServedBefore,
-                                                          Known.ServedAfter};
+  for (const wire::PartServed &Known : Fields.Served)
+    Report.Marks[static_cast<uint64_t>(Known.Part)] = {Known.ServedBefore,
+                                                       Known.ServedAfter};
   return Report;
 }
 
--- a/Tests/LibRouting/TestBeliefSpread.cpp
+++ b/Tests/LibRouting/TestBeliefSpread.cpp
@@ -65,7 +65,7 @@
   BOOST_TEST(Subject.refusing({Lead, Crashing}) == Size);
 }
 
-BOOST_DATA_TEST_CASE(a_wrong_verdict_ends_at_every_router, data::make(Sizes),
+BOOST_DATA_TEST_CASE(a_wrong_quarantine_ends_at_every_router, data::make(Sizes),
                      Size) {
   BeliefFleet Subject(Size, 4);
   while (Subject.Now < Start + 4s) {
--- a/Tests/LibRouting/TestPartQuarantine.cpp
+++ b/Tests/LibRouting/TestPartQuarantine.cpp
@@ -1,6 +1,6 @@
 // One part of a prompt crashes each target that begins an answer on it. It must
 // be told from the parts of sound requests that ran at the same targets, and a
-// wrong verdict must end.
+// wrong quarantine must end.
 #include "LibRouting/PartQuarantine.h"
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
@@ -15,7 +15,7 @@
 constexpr uint64_t Lead = 1;
 constexpr uint64_t Crashing = 2;
 constexpr uint64_t Sound = 3;
-/// Longer than the hearing of any part.
+/// Longer than any delay of a decision.
 constexpr auto Later = 2s;
 
 PartSet sorted(PartSet Parts) {
@@ -69,7 +69,7 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_CASE(the_last_part_is_never_judged) {
+BOOST_AUTO_TEST_CASE(the_last_part_is_never_suspect) {
   BOOST_TEST((sharedParts({{7, 1}, {5, 1}, {9, 1}}) == PartSet{5, 7}));
   BOOST_TEST(sharedParts({{7, 1}}).empty());
   BOOST_TEST(sharedParts({}).empty());
@@ -84,7 +84,7 @@
   Subject.Now += Later;
   BOOST_TEST(Subject.admits({Lead, Crashing}));
   Subject.crash({{Lead, Crashing}});
-  Subject.Now += CrashEvidence::Hearing;
+  Subject.Now += CrashEvidence::DecisionDelay;
   BOOST_TEST(!Subject.admits({Lead, Crashing}));
   // Whatever else a request has.
   BOOST_TEST(!Subject.admits({Crashing, 77}));
@@ -164,7 +164,7 @@
     Subject.crash({{Lead, Crashing}});
     Subject.serve({Lead, Sound});
   }
-  Subject.Now += CrashEvidence::HearingOfServed;
+  Subject.Now += CrashEvidence::DecisionDelayOfServed;
   BOOST_TEST(!Subject.admits({Lead, Crashing}));
   BOOST_TEST(Subject.admits({Lead, Sound}));
 }
@@ -205,7 +205,7 @@
   BOOST_TEST(Subject.admits({Lead, 44}));
 }
 
-// The second crash under a part speaks against a third.
+// The second crash under a part is no accident any more.
 BOOST_AUTO_TEST_CASE(a_request_is_not_repeated_after_the_second_crash) {
   Router Subject;
   Subject.serve({Lead, Sound});
@@ -241,7 +241,7 @@
   BOOST_TEST(Subject.admits({Lead, 1199}));
   for (const CrashReport &Report :
        Subject.Quarantine.everything(Subject.Now).Crashes)
-    BOOST_TEST(Report.Defences.size() == 2U);
+    BOOST_TEST(Report.Marks.size() == 2U);
 }
 
 BOOST_AUTO_TEST_CASE(a_rare_part_is_found_over_half_an_hour) {
@@ -251,8 +251,8 @@
   BOOST_TEST(!Subject.admits({Lead, Crashing}));
 }
 
-// An answer that was under way when the verdict fell is served.
-BOOST_AUTO_TEST_CASE(a_wrong_verdict_ends_with_a_whole_answer) {
+// An answer that was under way when the parts were quarantined is served.
+BOOST_AUTO_TEST_CASE(a_wrong_quarantine_ends_with_a_whole_answer) {
   Router Subject;
   Router Other;
   Subject.crashes(3, {{Sound}});
@@ -304,7 +304,7 @@
   BOOST_TEST(Trials == int(PartQuarantine::MaxTrials));
 }
 
-BOOST_AUTO_TEST_CASE(a_trial_that_is_served_ends_the_verdict) {
+BOOST_AUTO_TEST_CASE(a_trial_that_is_served_ends_the_quarantine) {
   Router Subject;
   Subject.crashes(3, {{Sound}});
   Subject.Now += PartQuarantine::FirstTrialPause + Later;
@@ -319,7 +319,7 @@
   BOOST_TEST(Subject.admits({Sound}));
 }
 
-BOOST_AUTO_TEST_CASE(a_verdict_ends_once_nobody_asks) {
+BOOST_AUTO_TEST_CASE(a_quarantine_ends_once_nobody_asks) {
   Router Subject;
   Subject.crashes(3, {{Crashing}});
   Subject.Now += Later;
@@ -331,7 +331,7 @@
 
 // New parts in any number, with crashes of their own and without, do not push
 // out the one that matters.
-BOOST_AUTO_TEST_CASE(a_flood_of_parts_pushes_no_verdict_out) {
+BOOST_AUTO_TEST_CASE(a_flood_of_parts_pushes_no_quarantine_out) {
   Router Subject;
   Subject.serve({Lead});
   Subject.crashes(3, {{Lead, Crashing}});
