LibTraffic: Log a digest of each request that a target broke off

Which failed attempts were the same request could not be seen: each repeat has an id of its own, and a request without a prompt shows no parts. The digest is equal at all routers for equal requests of one caller, and is taken only at a failure.

--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -473,6 +473,7 @@
                      {"framing", framingName()},
                      {"progress", answerProgress()},
                      {"unfinished_bytes", UnfinishedBytes},
+                     {"digest", Sent ? digestText() : std::string()},
                      {"attempt", Attempts}},
                     Caller.Id);
   if (Sent && !CallerLeft && !PastDeadline)
@@ -503,6 +504,15 @@
   return Long ? AnswerProgress::Streaming : AnswerProgress::Begun;
 }
 
+RequestDigest RoutedRelay::digest() const {
+  return digestOf(Exchange.head(), Workspace ? Workspace->Id.Value : Caller.Key,
+                  Call.Parts, Body);
+}
+
+std::string RoutedRelay::digestText() const {
+  return partsText({digest().Whole});
+}
+
 std::string_view RoutedRelay::framingName() const {
   return Framing ? enumName(*Framing) : "none";
 }
--- a/Libraries/LibTraffic/RoutedRelay.h
+++ b/Libraries/LibTraffic/RoutedRelay.h
@@ -6,6 +6,7 @@
 
 #include "LibTraffic/EventSplitter.h"
 #include "LibTraffic/HttpExchange.h"
+#include "LibTraffic/RequestDigest.h"
 #include "LibTraffic/RoutedContext.h"
 #include "LibTraffic/TargetExchange.h"
 
@@ -82,6 +83,9 @@
   void refuse(const ErrorAnswer &Answer);
   void logPlaced(const routing::PlacedCall &Destination);
   void logEnd(std::string_view Event, int Status);
+  RequestDigest digest() const;
+  /// \returns the digest for log lines.
+  std::string digestText() const;
   /// \returns the framing of the newest answer for log lines.
   std::string_view framingName() const;
   /// \returns how far the target has come with the newest answer.
