LibRouting, LibTraffic: Keep requests that crash targets away from them

Callers lost most of a service: one request that ends each target which runs it was sent on by its router and came again at others, and every target ended each time it was back. Evidence of crashes was kept for shared parts of prompts only; a request without any left none, and its last part is never judged.

The request as a whole is now one more id among its parts (two with a prompt), so that the collection, the decision, the trials and the messages between routers serve both. All requests that were broken off count, as such a request ends its target before its answer begins; those that only stood beside are told apart by being served, by being in fewer crashes, or by a trial after 5 s. Bodies are hashed only once something was broken off; without a body always.

--- a/Libraries/LibRouting/CrashEvidence.cpp
+++ b/Libraries/LibRouting/CrashEvidence.cpp
@@ -11,12 +11,24 @@
   PartSet Shared;
   for (size_t Index = 0;
        Index + 1 < Parts.size() && Index < CrashEvidence::MaxParts; ++Index)
-    Shared.push_back(Parts[Index].Id);
+    Shared.push_back(Parts[Index].Id & ~RequestIdBit);
   std::sort(Shared.begin(), Shared.end());
   Shared.erase(std::unique(Shared.begin(), Shared.end()), Shared.end());
   return Shared;
 }
 
+bool namesRequest(const PartSet &Parts) {
+  // The ids are sorted, and those of requests are the largest.
+  return !Parts.empty() && isRequestId(Parts.back());
+}
+
+PartSet withRequestIds(PartSet Parts, std::initializer_list<uint64_t> Ids) {
+  Parts.insert(Parts.end(), Ids);
+  std::sort(Parts.begin(), Parts.end());
+  Parts.erase(std::unique(Parts.begin(), Parts.end()), Parts.end());
+  return Parts;
+}
+
 bool includesAll(const PartSet &Whole, const PartSet &Subset) {
   return std::includes(Whole.begin(), Whole.end(), Subset.begin(),
                        Subset.end());
@@ -43,10 +55,10 @@
   return std::binary_search(Parts.begin(), Parts.end(), Part);
 }
 
-/// \returns the suspects that count: those whose answer had begun, or all if
-/// there are none.
+/// \returns the suspects with \p Id that count. For a part these are those
+/// whose answer had begun, or all if no answer had.
 static std::vector<const CrashSuspect *>
-countedSuspects(const CrashReport &Report) {
+countedSuspects(const CrashReport &Report, uint64_t Id) {
   auto HadBegun = [](const CrashSuspect &Suspect) {
     return Suspect.Progress == AnswerProgress::Begun;
   };
@@ -54,17 +66,30 @@
       std::any_of(Report.Suspects.begin(), Report.Suspects.end(), HadBegun);
   std::vector<const CrashSuspect *> Counted;
   for (const CrashSuspect &Suspect : Report.Suspects)
-    if (!AnyBegun || HadBegun(Suspect))
+    if (contains(Suspect.Parts, Id) &&
+        (isRequestId(Id) || !AnyBegun || HadBegun(Suspect)))
       Counted.push_back(&Suspect);
   return Counted;
 }
 
+void ServedHistory::note(uint64_t Id, Timestamp Now) {
+  if (Newer.size() >= MaxIds && !Newer.contains(Id))
+    Older = std::exchange(Newer, {});
+  Newer[Id] = Now;
+}
+
+std::optional<Timestamp> ServedHistory::lastServed(uint64_t Id) const {
+  for (const auto *Generation : {&Newer, &Older})
+    if (auto Found = Generation->find(Id); Found != Generation->end())
+      return Found->second;
+  return std::nullopt;
+}
+
 bool CrashEvidence::wasServed(uint64_t Part, Timestamp Now) const {
-  for (const auto *Generation : {&ServedAt, &OlderServedAt})
-    if (auto Found = Generation->find(Part);
-        Found != Generation->end() && Found->second + Lifetime > Now)
-      return true;
-  return false;
+  const ServedHistory &History =
+      isRequestId(Part) ? ServedRequests : ServedParts;
+  auto ServedAt = History.lastServed(Part);
+  return ServedAt && *ServedAt + Lifetime > Now;
 }
 
 CrashEvidence::Crash *CrashEvidence::touch(CrashId Ended, Timestamp SeenAt,
@@ -89,12 +114,40 @@
   return &Added;
 }
 
+bool CrashEvidence::isInOtherCrash(const CrashSuspect &Suspect,
+                                   CrashId Ended) const {
+  return std::any_of(Crashes.begin(), Crashes.end(), [&](const auto &Entry) {
+    const auto &Marks = Entry.second.Report.Marks;
+    return Entry.first != Ended &&
+           std::any_of(Suspect.Parts.begin(), Suspect.Parts.end(),
+                       [&Marks](uint64_t Id) {
+                         return isRequestId(Id) && Marks.contains(Id);
+                       });
+  });
+}
+
+bool CrashEvidence::makeRoom(CrashReport &Report,
+                             const CrashSuspect &Suspect) const {
+  auto Rank = [&](const CrashSuspect &Each) {
+    return std::pair(isInOtherCrash(Each, Report.Id),
+                     Each.Progress == AnswerProgress::Begun);
+  };
+  auto Least = std::min_element(Report.Suspects.begin(), Report.Suspects.end(),
+                                [&](const auto &Left, const auto &Right) {
+                                  return Rank(Left) < Rank(Right);
+                                });
+  if (Rank(*Least) >= Rank(Suspect))
+    return false;
+  Report.Suspects.erase(Least);
+  return true;
+}
+
 bool CrashEvidence::addSuspect(Crash &Ended, const CrashSuspect &Suspect,
                                Timestamp Now) {
   CrashReport &Report = Ended.Report;
   std::vector<CrashSuspect> &Suspects = Report.Suspects;
   Timestamp SeenAt = std::min(Suspect.SeenAt, Now);
-  if (Suspect.Parts.empty() || Suspect.Parts.size() > MaxParts ||
+  if (Suspect.Parts.empty() || Suspect.Parts.size() > MaxIds ||
       SeenAt + CrashSpan < Report.SeenAt)
     return false;
   bool AnyDropped = std::erase_if(Suspects, [SeenAt](const auto &Each) {
@@ -116,17 +169,8 @@
       });
   if (IsKnown)
     return false;
-  if (Suspects.size() >= MaxSuspects) {
-    // Requests that only waited make room for one whose answer had begun.
-    auto Waiting = std::find_if(
-        Suspects.begin(), Suspects.end(), [](const CrashSuspect &Each) {
-          return Each.Progress == AnswerProgress::Waiting;
-        });
-    if (Suspect.Progress == AnswerProgress::Waiting ||
-        Waiting == Suspects.end())
-      return false;
-    Suspects.erase(Waiting);
-  }
+  if (Suspects.size() >= MaxSuspects && !makeRoom(Report, Suspect))
+    return false;
   Suspects.push_back({Suspect.Parts, Suspect.Progress, SeenAt});
   for (uint64_t Part : Suspect.Parts) {
     CrashReport::ServedMarks &PartMarks = Report.Marks[Part];
@@ -154,11 +198,8 @@
     if (IsNew)
       Changed.push_back(Id);
   }
-  for (uint64_t Part : Parts) {
-    if (ServedAt.size() >= MaxServedParts && !ServedAt.contains(Part))
-      OlderServedAt = std::exchange(ServedAt, {});
-    ServedAt[Part] = Now;
-  }
+  for (uint64_t Part : Parts)
+    (isRequestId(Part) ? ServedRequests : ServedParts).note(Part, Now);
   return Changed;
 }
 
@@ -207,10 +248,47 @@
   return Reports;
 }
 
+CrashEvidence::Incidences
+CrashEvidence::incidencesIn(const std::vector<const Crash *> &Recent) {
+  Incidences Result;
+  for (const Crash *Ended : Recent)
+    for (const auto &[Id, IdMarks] : Ended->Report.Marks) {
+      if (IdMarks.ServedAfter || countedSuspects(Ended->Report, Id).empty())
+        continue;
+      Incidence &Found = Result[Id];
+      ++Found.Crashes;
+      Found.NeverServed = Found.NeverServed && !IdMarks.ServedBefore;
+    }
+  return Result;
+}
+
+/// Whether another request that was broken off in the crash is in more crashes
+/// than the one with \p Id.
+template <typename IncidenceMap>
+static bool explainedByAnother(const CrashReport &Report, uint64_t Id,
+                               const IncidenceMap &Known) {
+  auto Own = Known.find(Id);
+  return std::any_of(Report.Suspects.begin(), Report.Suspects.end(),
+                     [&](const CrashSuspect &Other) {
+                       return !contains(Other.Parts, Id) &&
+                              std::any_of(Other.Parts.begin(),
+                                          Other.Parts.end(),
+                                          [&](uint64_t OtherId) {
+                                            auto Found = Known.find(OtherId);
+                                            return isRequestId(OtherId) &&
+                                                   Found != Known.end() &&
+                                                   Own != Known.end() &&
+                                                   Found->second > Own->second;
+                                          });
+                     });
+}
+
 CrashEvidence::Tally
 CrashEvidence::tallyOf(uint64_t Part, const std::vector<const Crash *> &Recent,
+                       const Incidences &Known,
                        const std::vector<PartSet> &Quarantined) const {
   Tally Result;
+  Duration Apart = isRequestId(Part) ? RequestSeparation : Separation;
   std::optional<Timestamp> LastCounted;
   bool IsFirst = true;
   for (const Crash *Ended : Recent) {
@@ -220,12 +298,12 @@
       continue;
     bool IsSuspect = false;
     bool HadBegun = false;
-    bool Explained = false;
-    for (const CrashSuspect *Suspect : countedSuspects(Report)) {
-      if (!contains(Suspect->Parts, Part))
-        continue;
+    bool Explained =
+        isRequestId(Part) && explainedByAnother(Report, Part, Known);
+    for (const CrashSuspect *Suspect : countedSuspects(Report, Part)) {
       IsSuspect = true;
-      HadBegun = Suspect->Progress == AnswerProgress::Begun;
+      HadBegun =
+          isRequestId(Part) || Suspect->Progress == AnswerProgress::Begun;
       Explained =
           Explained || std::any_of(Quarantined.begin(), Quarantined.end(),
                                    [&](const PartSet &Each) {
@@ -246,7 +324,7 @@
       auto OfOther = Report.Marks.find(Other);
       return OfOther != Report.Marks.end() && OfOther->second.ServedAfter;
     });
-    if (LastCounted && Report.SeenAt < *LastCounted + Separation)
+    if (LastCounted && Report.SeenAt < *LastCounted + Apart)
       continue;
     LastCounted = Report.SeenAt;
     Result.LearntAll.push_back(Ended->LearntAt);
@@ -258,8 +336,9 @@
 
 std::optional<CrashEvidence::Cause> CrashEvidence::causeWith(
     uint64_t Part, const std::vector<const Crash *> &Recent,
-    const std::vector<PartSet> &Quarantined, Timestamp Now) const {
-  Tally Counted = tallyOf(Part, Recent, Quarantined);
+    const Incidences &Known, const std::vector<PartSet> &Quarantined,
+    Timestamp Now) const {
+  Tally Counted = tallyOf(Part, Recent, Known, Quarantined);
   bool IsClear = !Counted.Served && Counted.LearntBegun.size() >= MinCrashes;
   const std::vector<Timestamp> &Learnt =
       IsClear ? Counted.LearntBegun : Counted.LearntAll;
@@ -292,24 +371,17 @@
 CrashEvidence::findCause(const std::vector<PartSet> &Quarantined,
                          Timestamp Now) const {
   std::vector<const Crash *> Recent = recentCrashes(Now);
-  std::map<uint64_t, size_t> CrashesOf;
-  for (const Crash *Ended : Recent) {
-    std::set<uint64_t> Parts;
-    for (const CrashSuspect *Suspect : countedSuspects(Ended->Report))
-      Parts.insert(Suspect->Parts.begin(), Suspect->Parts.end());
-    for (uint64_t Part : Parts)
-      ++CrashesOf[Part];
-  }
+  Incidences Known = incidencesIn(Recent);
   std::optional<Cause> First;
   auto Rank = [](const Cause &Each) {
     return std::pair(Each.NeverServed, Each.Parts.size());
   };
-  for (const auto &[Part, Count] : CrashesOf) {
-    if (Count < MinCrashes)
+  for (const auto &[Part, Found] : Known) {
+    if (Found.Crashes < MinCrashes)
       continue;
-    auto Found = causeWith(Part, Recent, Quarantined, Now);
-    if (Found && (!First || Rank(*Found) > Rank(*First)))
-      First = std::move(Found);
+    auto FoundCause = causeWith(Part, Recent, Known, Quarantined, Now);
+    if (FoundCause && (!First || Rank(*FoundCause) > Rank(*First)))
+      First = std::move(FoundCause);
   }
   return First ? std::optional(First->Parts) : std::nullopt;
 }
@@ -324,12 +396,7 @@
       if (PartMarks == Ended->Report.Marks.end() ||
           PartMarks->second.ServedAfter)
         continue;
-      std::vector<const CrashSuspect *> Counted =
-          countedSuspects(Ended->Report);
-      if (std::none_of(Counted.begin(), Counted.end(),
-                       [Part](const CrashSuspect *Suspect) {
-                         return contains(Suspect->Parts, Part);
-                       }))
+      if (countedSuspects(Ended->Report, Part).empty())
         continue;
       ++Count;
       Served = Served || PartMarks->second.ServedBefore;
--- a/Libraries/LibRouting/CrashEvidence.h
+++ b/Libraries/LibRouting/CrashEvidence.h
@@ -1,9 +1,11 @@
 /// \file
-/// Which parts of prompts may have crashed targets.
+/// Which requests, and which parts of prompts, may have crashed targets.
 #ifndef FERRY_LIBROUTING_CRASHEVIDENCE_H
 #define FERRY_LIBROUTING_CRASHEVIDENCE_H
 
 #include "LibRouting/RoutedCall.h"
+#include <compare>
+#include <initializer_list>
 #include <map>
 #include <optional>
 #include <set>
@@ -12,13 +14,30 @@
 
 namespace ferry::routing {
 
-/// Ids of parts of a prompt, sorted.
+/// Ids of parts of a prompt and of the request as a whole, sorted. The two
+/// kinds of ids never meet, whatever callers send.
 using PartSet = std::vector<uint64_t>;
 
+/// Set in the ids of whole requests, never in those of parts.
+inline constexpr uint64_t RequestIdBit = 1ULL << 63;
+
+/// \returns the id that stands for all requests with the digest.
+constexpr uint64_t requestIdOf(uint64_t Digest) {
+  return Digest | RequestIdBit;
+}
+
+constexpr bool isRequestId(uint64_t Id) { return (Id & RequestIdBit) != 0; }
+
+/// \returns whether \p Parts names whole requests, not only parts of prompts.
+bool namesRequest(const PartSet &Parts);
+
 /// \returns the parts that other requests may share: all but the last, and not
 /// more than CrashEvidence::MaxParts.
 PartSet sharedParts(const std::vector<PromptPart> &Parts);
 
+/// \returns \p Parts with the ids of a request.
+PartSet withRequestIds(PartSet Parts, std::initializer_list<uint64_t> Ids);
+
 bool includesAll(const PartSet &Whole, const PartSet &Subset);
 
 /// \returns the ids for log lines: hexadecimal, with commas, the first of many.
@@ -59,8 +78,24 @@
   std::map<uint64_t, ServedMarks> Marks;
 };
 
-/// Collects crashes and finds the part of a prompt that is in all of them. Owns
-/// no clock; callers serialise all calls.
+/// When the answers to requests with a part or id were last served. Bounded: an
+/// older generation is dropped once the newer one is full.
+class ServedHistory {
+public:
+  /// Number of ids in each of the two generations.
+  static constexpr size_t MaxIds = 2048;
+
+  void note(uint64_t Id, Timestamp Now);
+  /// \returns when the id was last served, if that is known.
+  std::optional<Timestamp> lastServed(uint64_t Id) const;
+
+private:
+  std::unordered_map<uint64_t, Timestamp> Newer;
+  std::unordered_map<uint64_t, Timestamp> Older;
+};
+
+/// Collects crashes and finds the part of a prompt that is in all of them, or
+/// the request that is. Owns no clock; callers serialise all calls.
 ///
 /// Answers the load of a part that crashes each target which begins an answer
 /// on it, among sound requests that share the caller, the route and all other
@@ -71,21 +106,31 @@
 /// others are in all of these crashes too, they are the cause together:
 /// requests with all of them are refused, those with some are not, and the next
 /// crash tells them apart.
+///
+/// A request that crashes targets as a whole does so before its answer begins,
+/// while others at the target stream already. So all requests that were broken
+/// off are suspects by their ids. Those that only stood beside are sent again
+/// and meet the next crash too; they are told apart as they are served in the
+/// end, or are in fewer crashes than another suspect of the same crash.
 class CrashEvidence {
 public:
   static constexpr size_t MaxCrashes = 64;
-  static constexpr size_t MaxSuspects = 8;
+  /// All that runs and waits at a small target; suspects of one crash alone
+  /// make room for those of several.
+  static constexpr size_t MaxSuspects = 16;
   /// The end of a target breaks off all its answers within this time.
   static constexpr Duration CrashSpan = std::chrono::seconds(1);
   static constexpr size_t MaxParts = 32;
-  /// Number of parts in each of the two generations of served ones.
-  static constexpr size_t MaxServedParts = 2048;
+  /// Ids of a suspect: its parts, and two of the request.
+  static constexpr size_t MaxIds = MaxParts + 2;
   /// How long crashes and served parts are remembered: a part that is rarely
   /// asked for crashes targets rarely.
   static constexpr Duration Lifetime = std::chrono::hours(1);
   /// Crashes within this time may have a common cause outside of the prompts,
   /// such as a lost rack, and count once.
   static constexpr Duration Separation = std::chrono::milliseconds(100);
+  /// The same for whole requests, which few targets run at a time.
+  static constexpr Duration RequestSeparation = std::chrono::milliseconds(20);
   /// Crashes after which a part is the cause if it had never been served, and
   /// if it had or its requests only waited.
   static constexpr size_t MinCrashes = 3;
@@ -144,23 +189,36 @@
     bool NeverServed = false;
   };
 
+  /// How often a suspect's id is in crashes that nothing clears it of. Ids that
+  /// were never served come before others.
+  struct Incidence {
+    bool NeverServed = true;
+    size_t Crashes = 0;
+    auto operator<=>(const Incidence &) const = default;
+  };
+  using Incidences = std::map<uint64_t, Incidence>;
+
   Crash *touch(CrashId Ended, Timestamp SeenAt, Timestamp Now);
   bool addSuspect(Crash &Ended, const CrashSuspect &Suspect, Timestamp Now);
+  bool makeRoom(CrashReport &Report, const CrashSuspect &Suspect) const;
+  bool isInOtherCrash(const CrashSuspect &Suspect, CrashId Ended) const;
   bool wasServed(uint64_t Part, Timestamp Now) const;
   /// \returns the crashes that are not too old, oldest first.
   std::vector<const Crash *> recentCrashes(Timestamp Now) const;
+  static Incidences incidencesIn(const std::vector<const Crash *> &Recent);
   Tally tallyOf(uint64_t Part, const std::vector<const Crash *> &Recent,
+                const Incidences &Known,
                 const std::vector<PartSet> &Quarantined) const;
   std::optional<Cause> causeWith(uint64_t Part,
                                  const std::vector<const Crash *> &Recent,
+                                 const Incidences &Known,
                                  const std::vector<PartSet> &Quarantined,
                                  Timestamp Now) const;
 
   std::map<CrashId, Crash> Crashes;
-  /// When parts were last served; the older generation is dropped once the
-  /// newer one is full.
-  std::unordered_map<uint64_t, Timestamp> ServedAt;
-  std::unordered_map<uint64_t, Timestamp> OlderServedAt;
+  /// Apart, so that requests without number push out no part.
+  ServedHistory ServedParts;
+  ServedHistory ServedRequests;
 };
 
 } // namespace ferry::routing
--- a/Libraries/LibRouting/PartQuarantine.cpp
+++ b/Libraries/LibRouting/PartQuarantine.cpp
@@ -61,6 +61,7 @@
     if (Set.Ended || !includesAll(Parts, Subset))
       continue;
     Set.WantedAt = Now;
+    judgeRequests(Subset, IdleLimit, Now);
     bool TrialDue =
         Set.Trials < MaxTrials && Now >= Set.TrialFrom && isTrialRouter(Subset);
     if (!TrialDue)
@@ -84,6 +85,7 @@
 void PartQuarantine::noteBroken(const TargetId &Target, Incarnation Ended,
                                 const CrashSuspect &Suspect, Timestamp Now) {
   CrashId Id = crashIdOf(Target, Ended);
+  judgeRequests(Suspect.Parts, CrashEvidence::Lifetime, Now);
   if (!Evidence.noteSuspect(Id, Suspect, Now))
     return;
   ChangedCrashes.insert(Id);
@@ -108,6 +110,23 @@
   return !IsQuarantined && Evidence.mayRepeat(Parts, Now);
 }
 
+void PartQuarantine::judgeRequests(const PartSet &Parts, Duration Span,
+                                   Timestamp Now) {
+  if (namesRequest(Parts))
+    JudgedUntil = std::max(JudgedUntil, Now + Span);
+}
+
+Timestamp PartQuarantine::firstTrialOf(const PartSet &Parts,
+                                       Timestamp Now) const {
+  if (!namesRequest(Parts))
+    return Now + FirstTrialPause;
+  Timestamp From = Now + FirstRequestTrialPause;
+  for (const auto &[Other, Set] : Quarantined)
+    if (!Set.Ended && Set.Trials == 0 && Other != Parts && namesRequest(Other))
+      From = std::max(From, Set.TrialFrom + RequestTrialSpacing);
+  return From;
+}
+
 void PartQuarantine::decideSoon(Timestamp Now) {
   DecideAt = std::min(DecideAt, Now + DecisionInterval);
   DecideUntil =
@@ -129,8 +148,10 @@
   QuarantinedParts &Set = Found->second;
   if (!IsNew)
     ++Set.Epoch;
-  Set = {Parts, Set.Epoch, /*Ended=*/false, /*Trials=*/0, Now + FirstTrialPause,
-         Now};
+  Set = {
+      Parts, Set.Epoch, /*Ended=*/false, /*Trials=*/0, firstTrialOf(Parts, Now),
+      Now};
+  judgeRequests(Parts, IdleLimit, Now);
   ChangedSets.insert(Parts);
   recordChange(QuarantineChange::Kind::Begun, Set);
   // The smaller set refuses all that larger ones with the same parts did.
@@ -164,7 +185,7 @@
 }
 
 bool PartQuarantine::merge(const QuarantinedParts &Told, Timestamp Now) {
-  if (Told.Parts.empty() || Told.Parts.size() > CrashEvidence::MaxParts ||
+  if (Told.Parts.empty() || Told.Parts.size() > CrashEvidence::MaxIds ||
       Told.WantedAt + IdleLimit <= Now)
     return false;
   auto [Found, IsNew] = Quarantined.try_emplace(Told.Parts, Told);
@@ -185,6 +206,8 @@
 
 void PartQuarantine::apply(const CrashNews &News, bool PassOn, Timestamp Now) {
   for (const CrashReport &Report : News.Crashes) {
+    for (const CrashSuspect &Suspect : Report.Suspects)
+      judgeRequests(Suspect.Parts, CrashEvidence::Lifetime, Now);
     if (!Evidence.merge(Report, Now))
       continue;
     decideSoon(Now);
@@ -201,6 +224,8 @@
     if (PassOn || KnewMore)
       ChangedCrashes.insert(Report.Id);
   }
+  for (const QuarantinedParts &Told : News.Quarantined)
+    judgeRequests(Told.Parts, IdleLimit, Now);
   for (const QuarantinedParts &Told : News.Quarantined)
     if (merge(Told, Now) && PassOn)
       ChangedSets.insert(Told.Parts);
--- a/Libraries/LibRouting/PartQuarantine.h
+++ b/Libraries/LibRouting/PartQuarantine.h
@@ -1,5 +1,6 @@
 /// \file
-/// Parts of prompts that crash targets and are kept away from them.
+/// Parts of prompts, and requests, that crash targets and are kept away from
+/// them.
 #ifndef FERRY_LIBROUTING_PARTQUARANTINE_H
 #define FERRY_LIBROUTING_PARTQUARANTINE_H
 
@@ -8,7 +9,8 @@
 
 namespace ferry::routing {
 
-/// Parts of which one crashes targets. Requests with all of them are refused.
+/// Parts of which one crashes targets, or the ids of a request that does.
+/// Requests with all of them are refused.
 struct QuarantinedParts {
   PartSet Parts;
   /// Counts how often these parts were quarantined again after an end.
@@ -64,6 +66,11 @@
   /// Time from the decision to the first trial, and from one to the next.
   static constexpr Duration FirstTrialPause = std::chrono::seconds(30);
   static constexpr Duration NextTrialPause = std::chrono::minutes(10);
+  /// Time to the first trial of a request, and between the first trials of
+  /// several. One that only stood beside the crashes is quarantined where all
+  /// targets of a small service ended before any could serve it.
+  static constexpr Duration FirstRequestTrialPause = std::chrono::seconds(5);
+  static constexpr Duration RequestTrialSpacing = std::chrono::seconds(1);
   /// A quarantine ends if no request wanted the parts for this long.
   static constexpr Duration IdleLimit = std::chrono::minutes(30);
   /// Shortest time between two decisions.
@@ -98,12 +105,19 @@
   /// \returns the changes since the last call.
   std::vector<QuarantineChange> takeChanges();
 
+  /// \returns until when the ids of requests are to be judged, beside the parts
+  /// of their prompts. Before any request was broken off they need not be
+  /// known.
+  Timestamp requestsJudgedUntil() const { return JudgedUntil; }
+
   /// \returns the number of sets that are quarantined.
   size_t quarantinedSets() const;
 
 private:
   using Sets = std::map<PartSet, QuarantinedParts>;
 
+  void judgeRequests(const PartSet &Parts, Duration Span, Timestamp Now);
+  Timestamp firstTrialOf(const PartSet &Parts, Timestamp Now) const;
   void decideSoon(Timestamp Now);
   void decide(Timestamp Now);
   void quarantine(const PartSet &Parts, Timestamp Now);
@@ -120,6 +134,7 @@
   /// changed for the longest decision delay leads to no other decision.
   Timestamp DecideAt = NeverExpires;
   Timestamp DecideUntil;
+  Timestamp JudgedUntil;
   uint64_t SelfHash = 0;
   std::vector<uint64_t> OtherHashes;
   std::set<CrashId> ChangedCrashes;
--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -182,7 +182,7 @@
     // A resumed stream is late already, so its due time no longer applies.
     if (StreamStarted)
       Call.FirstByteDueAt = NeverExpires;
-    if (Context.Quarantine.check(SharedParts) == PartAdmission::Refused)
+    if (Context.Quarantine.check(judgedParts()) == PartAdmission::Refused)
       return refuseUnplaced({CallRefusalReason::PartsQuarantined, {}, {}});
     auto Decision = Context.Placements.place(Call);
     if (const auto *Refusal = std::get_if<RefusedCall>(&Decision))
@@ -241,7 +241,7 @@
   TargetExchange &Target = **Connected;
   // Other answers and routers may have told more since the placement.
   if (!Context.Placements.maySend(Destination) ||
-      !Context.Quarantine.admit(SharedParts)) {
+      !Context.Quarantine.admit(judgedParts())) {
     LastFailure = {LinkErrorKind::ConnectFailed,
                    "news after the placement forbids it"};
     observe::logEvent(Severity::Info, "routed", "attempt_withheld",
@@ -354,7 +354,7 @@
   }
   endAttempt(Destination, CallEnd::Served, NextStep::Done);
   if (Status / 100 == 2)
-    Context.Quarantine.noteServed(SharedParts);
+    Context.Quarantine.noteServed(judgedParts());
   Exchange.sendRelayed(Target.head(), *Answer);
   logEnd("answered", Status);
   return NextStep::Done;
@@ -398,7 +398,7 @@
   if (!StreamStarted)
     beginStream(Destination, Target);
   endAttempt(Destination, CallEnd::Served, NextStep::Done);
-  Context.Quarantine.noteServed(SharedParts);
+  Context.Quarantine.noteServed(judgedParts());
   logEnd("answered", Target.head().getStatus());
   return NextStep::Done;
 }
@@ -483,8 +483,9 @@
   bool TargetEnded = Failure.Kind == LinkErrorKind::Broken ||
                      Failure.Kind == LinkErrorKind::Incomplete;
   if (Sent && TargetEnded && answerProgress() != AnswerProgress::Streaming)
-    Context.Quarantine.noteBroken(Destination.Target, Destination.Incarnation,
-                                  {SharedParts, answerProgress(), steadyNow()});
+    Context.Quarantine.noteBroken(
+        Destination.Target, Destination.Incarnation,
+        {identified(), answerProgress(), steadyNow()});
   if (CallerLeft) {
     endAttempt(Destination, CallEnd::Abandoned, NextStep::Done);
     Context.Metrics.CallersLeft.add();
@@ -504,13 +505,26 @@
   return Long ? AnswerProgress::Streaming : AnswerProgress::Begun;
 }
 
-RequestDigest RoutedRelay::digest() const {
-  return digestOf(Exchange.head(), Workspace ? Workspace->Id.Value : Caller.Key,
-                  Call.Parts, Body);
+const PartSet &RoutedRelay::identified() {
+  if (!Digest) {
+    Digest =
+        digestOf(Exchange.head(), Workspace ? Workspace->Id.Value : Caller.Key,
+                 Call.Parts, Body);
+    PartsAndRequest = withRequestIds(SharedParts, {requestIdOf(Digest->Outline),
+                                                   requestIdOf(Digest->Whole)});
+  }
+  return PartsAndRequest;
+}
+
+const PartSet &RoutedRelay::judgedParts() {
+  // A request without a body is cheap to identify, and may be a popular one.
+  bool Identify = Body.empty() || Context.Quarantine.judgesRequests();
+  return Digest || Identify ? identified() : SharedParts;
 }
 
-std::string RoutedRelay::digestText() const {
-  return partsText({digest().Whole});
+std::string RoutedRelay::digestText() {
+  identified();
+  return partsText({requestIdOf(Digest->Whole)});
 }
 
 std::string_view RoutedRelay::framingName() const {
@@ -542,7 +556,7 @@
   if (Retry == NextStep::RetryRun) {
     bool MayRepeat = Route->Repeats == config::RepeatPolicy::Idempotent;
     if (!MayRepeat || PossibleRuns >= Route->MaxTargets ||
-        !Context.Quarantine.mayRepeat(SharedParts))
+        !Context.Quarantine.mayRepeat(identified()))
       return false;
   }
   // A request that never arrived at a target added nothing to the load, so its
--- a/Libraries/LibTraffic/RoutedRelay.h
+++ b/Libraries/LibTraffic/RoutedRelay.h
@@ -83,9 +83,13 @@
   void refuse(const ErrorAnswer &Answer);
   void logPlaced(const routing::PlacedCall &Destination);
   void logEnd(std::string_view Event, int Status);
-  RequestDigest digest() const;
-  /// \returns the digest for log lines.
-  std::string digestText() const;
+  /// \returns the shared parts of the prompt and the ids of the whole request.
+  const routing::PartSet &identified();
+  /// \returns what the quarantine judges the request by: the shared parts, and
+  /// the ids if any request was broken off lately.
+  const routing::PartSet &judgedParts();
+  /// \returns the request's id for log lines.
+  std::string digestText();
   /// \returns the framing of the newest answer for log lines.
   std::string_view framingName() const;
   /// \returns how far the target has come with the newest answer.
@@ -102,6 +106,9 @@
   std::string Body;
   routing::RoutedCall Call;
   routing::PartSet SharedParts;
+  /// Once they were needed: reading a large body takes time.
+  std::optional<RequestDigest> Digest;
+  routing::PartSet PartsAndRequest;
   Timestamp ArrivedAt;
   /// When the answer's stream started; the epoch before that.
   Timestamp FirstByteAt;
--- a/Libraries/LibTraffic/SharedQuarantine.cpp
+++ b/Libraries/LibTraffic/SharedQuarantine.cpp
@@ -21,6 +21,7 @@
     auto Result = Step(Quarantine);
     Changes = Quarantine.takeChanges();
     HasNews = Quarantine.hasNews();
+    JudgedUntil = Quarantine.requestsJudgedUntil();
     return Result;
   };
   auto Result = Locked();
--- a/Libraries/LibTraffic/SharedQuarantine.h
+++ b/Libraries/LibTraffic/SharedQuarantine.h
@@ -1,9 +1,11 @@
 /// \file
-/// The quarantine of prompt parts, shared by all requests of a router.
+/// The quarantine of prompt parts and requests, shared by all requests of a
+/// router.
 #ifndef FERRY_LIBTRAFFIC_SHAREDQUARANTINE_H
 #define FERRY_LIBTRAFFIC_SHAREDQUARANTINE_H
 
 #include "LibRouting/PartQuarantine.h"
+#include <atomic>
 #include <functional>
 #include <mutex>
 
@@ -28,6 +30,9 @@
   routing::CrashNews everything();
   size_t quarantinedSets() const;
 
+  /// Whether the ids of requests are to be judged beside their parts.
+  bool judgesRequests() const { return steadyNow() < JudgedUntil.load(); }
+
   /// Asked right before a request is sent. A trial that is due begins.
   /// \returns whether it may be sent.
   bool admit(const routing::PartSet &Parts);
@@ -37,6 +42,7 @@
   template <typename StepType> auto update(StepType Step);
 
   std::function<void()> NewsReady = [] {};
+  std::atomic<Timestamp> JudgedUntil = Timestamp();
   mutable std::mutex Mutex;
   routing::PartQuarantine Quarantine;
 };
--- a/Tests/LibRouting/BeliefFleet.h
+++ b/Tests/LibRouting/BeliefFleet.h
@@ -57,6 +57,21 @@
     return true;
   }
 
+  /// The same request that crashes targets comes to a router, trials included.
+  /// \returns whether it is sent to a target.
+  bool crashByRequestAt(size_t Index, const PartSet &Ids) {
+    PartQuarantine &Quarantine = Routers[Index]->Quarantine;
+    PartAdmission Admission = Quarantine.check(Ids, Now);
+    if (Admission == PartAdmission::Refused)
+      return false;
+    if (Admission == PartAdmission::Trial)
+      Quarantine.beginTrial(Ids, Now);
+    Quarantine.noteBroken({"i-" + std::to_string(++Crashes)}, {1},
+                          {Ids, AnswerProgress::Waiting, Now}, Now);
+    sendNewsSoon(Index);
+    return true;
+  }
+
   void serveAt(size_t Index, const PartSet &Parts) {
     Routers[Index]->Quarantine.noteServed(Parts, Now);
     sendNewsSoon(Index);
--- a/Tests/LibRouting/TestBeliefSpread.cpp
+++ b/Tests/LibRouting/TestBeliefSpread.cpp
@@ -48,6 +48,32 @@
   }
 }
 
+// The users allow three arrivals later than ContactTime after the third crash,
+// trials included.
+BOOST_DATA_TEST_CASE(every_router_refuses_a_crashing_request_in_time,
+                     data::make(Sizes), Size) {
+  for (uint64_t Seed = 1; Seed <= 5; ++Seed) {
+    BeliefFleet Subject(Size, Seed);
+    std::optional<Timestamp> ThirdAt;
+    size_t Late = 0;
+    while (Subject.Now < Start + 60s) {
+      Subject.runUntil(Subject.Now + 120ms);
+      if (!Subject.crashByRequestAt(Subject.randomRouter(), {requestIdOf(2)}))
+        continue;
+      if (Subject.Crashes == 3)
+        ThirdAt = Subject.Now;
+      Late += ThirdAt && Subject.Now > *ThirdAt + ContactTime;
+    }
+    BOOST_TEST(Late <= 3U);
+    BOOST_TEST(Subject.refusing({requestIdOf(2)}) == Size);
+    BOOST_TEST(Subject.refusing({requestIdOf(3)}) == 0U);
+    BOOST_TEST_MESSAGE(Size << " routers, seed " << Seed << ": "
+                            << Subject.Crashes << " crashes, " << Late
+                            << " late, " << Subject.Messages / Size
+                            << " messages a router");
+  }
+}
+
 BOOST_DATA_TEST_CASE(a_router_that_restarts_learns_what_the_others_know,
                      data::make(Sizes), Size) {
   BeliefFleet Subject(Size, 3);
