--- a/Tests/Support/TestProcess.cpp
+++ b/Tests/Support/TestProcess.cpp
@@ -6,9 +6,10 @@
 namespace ferry::test {
 
 TestProcess::TestProcess(const std::string &Program,
-                         const std::vector<std::string> &Arguments)
-    : Handle(std::make_unique<Poco::ProcessHandle>(
-          Poco::Process::launch(Program, Arguments))) {}
+                         const std::vector<std::string> &Arguments,
+                         const std::map<std::string, std::string> &Variables)
+    : Handle(std::make_unique<Poco::ProcessHandle>(Poco::Process::launch(
+          Program, Arguments, nullptr, nullptr, nullptr, Variables))) {}
 
 TestProcess::~TestProcess() { kill(); }
 
