LibRouting, LibTraffic, ferryd: Serve callers of cut-off routers through others

Callers of routers whose links to all targets were cut got 503 for as long as the cut lasted, while other routers served everything. A failed connection was booked on its target; nothing added up that all of them failed here and nowhere else, and a router could send to targets only.

A router to which half of the known targets fail (2 to 6), with no sign of any since, believes itself cut off. It asks others over the links between hosts who reaches targets, and passes requests of which nothing was sent on to one of these, in one hop: a key that callers never see marks them, and the other router never passes them on. Probes that send nothing end it. If nobody reaches targets, requests are refused at once.

--- a/Libraries/LibRouting/BeliefSpread.h
+++ b/Libraries/LibRouting/BeliefSpread.h
@@ -34,6 +34,8 @@
   static constexpr size_t FreshFanout = 2;
   static constexpr Duration SummaryInterval = std::chrono::seconds(10);
   static constexpr size_t AskFanout = 3;
+  /// Routers that one which reaches no target asks whether they do.
+  static constexpr size_t ReachFanout = 8;
 
   explicit BeliefSpread(uint64_t Seed) : Random(Seed) {}
 
@@ -47,6 +49,12 @@
   std::vector<HostId> receiversOfNews(std::vector<HostId> Others,
                                       Timestamp Now);
 
+  /// \returns whom a router that reaches no target asks for their reach, at
+  /// once and at each tick.
+  std::vector<HostId> askedForReach(std::vector<HostId> Others) {
+    return choose(std::move(Others), ReachFanout);
+  }
+
   /// What is due at a tick.
   struct Due {
     std::vector<HostId> Summary;
--- a/Libraries/LibRouting/RoutedCall.h
+++ b/Libraries/LibRouting/RoutedCall.h
@@ -87,7 +87,9 @@
   /// The prompt has parts that crash targets.
   PartsQuarantined,
   /// The limits that all targets name forbid it.
-  Limited
+  Limited,
+  /// This router reaches no target, and no other one is known to.
+  CutOff
 };
 
 /// The refusal of a request, and when a target is expected to be free.
@@ -210,7 +212,8 @@
       {Reason::DeadlineTooNear, "deadline_too_near"},
       {Reason::Full, "full"},
       {Reason::PartsQuarantined, "parts_quarantined"},
-      {Reason::Limited, "limited"}};
+      {Reason::Limited, "limited"},
+      {Reason::CutOff, "cut_off"}};
 };
 
 template <> struct EnumNames<routing::DigestScope> {
--- /dev/null
+++ b/Libraries/LibRouting/TargetReach.cpp
@@ -0,0 +1,81 @@
+#include "LibRouting/TargetReach.h"
+#include <algorithm>
+
+namespace ferry::routing {
+
+void TargetReach::setKnownTargets(size_t Count) {
+  KnownTargets = Count;
+  if (KnownTargets >= MinFailing)
+    return;
+  Failures.clear();
+  CutSince.reset();
+}
+
+void TargetReach::noteFailure(const TargetId &Target, bool Connected,
+                              Timestamp Now) {
+  if (KnownTargets < MinFailing || isCutOff())
+    return;
+  std::erase_if(Failures, [Now](const auto &Entry) {
+    return Entry.second.At + FailureLifetime <= Now;
+  });
+  Failures[Target] = {Now, Connected};
+  if (Failures.size() < std::clamp(KnownTargets / 2, MinFailing, MaxFailing))
+    return;
+  CutSince = Now;
+  ProbesReached = 0;
+  Failures.clear();
+}
+
+void TargetReach::noteUnreachable(const TargetId &Target, Timestamp Now) {
+  noteFailure(Target, /*Connected=*/false, Now);
+}
+
+void TargetReach::noteBroken(const TargetId &Target, Timestamp Now) {
+  noteFailure(Target, /*Connected=*/true, Now);
+}
+
+void TargetReach::noteConnected(Timestamp Now) {
+  std::erase_if(Failures, [Now](const auto &Entry) {
+    return !Entry.second.Connected && Entry.second.At <= Now;
+  });
+}
+
+void TargetReach::noteAnswered(Timestamp ConnectedAt) {
+  std::erase_if(Failures, [ConnectedAt](const auto &Entry) {
+    return Entry.second.At <= ConnectedAt;
+  });
+}
+
+void TargetReach::noteProbe(bool Reached) {
+  ProbesReached = Reached ? ProbesReached + 1 : 0;
+  if (ProbesReached >= ProbesToReturn)
+    CutSince.reset();
+}
+
+void TargetReach::noteHelper(const HostId &Router, const RouterReach &Reach,
+                             Timestamp Now) {
+  std::erase_if(Helpers,
+                [Now](const auto &Entry) { return Entry.second.Until <= Now; });
+  if (Reach.ReachesTargets && !Reach.PassKey.empty())
+    Helpers[Router] = {Reach.PassKey, Now + HelperLifetime};
+  else
+    Helpers.erase(Router);
+}
+
+std::optional<Helper>
+TargetReach::chooseHelper(const std::vector<HostId> &Tried, Timestamp Now) {
+  std::vector<Helper> Usable;
+  for (const auto &[Id, Known] : Helpers)
+    if (Known.Until > Now &&
+        std::find(Tried.begin(), Tried.end(), Id) == Tried.end())
+      Usable.push_back({Id, Known.PassKey});
+  if (Usable.empty())
+    return std::nullopt;
+  return Usable[randomBelow(Random, Usable.size())];
+}
+
+bool TargetReach::awaitsHelpers(Timestamp Now) const {
+  return CutSince && Now < *CutSince + FirstAnswers;
+}
+
+} // namespace ferry::routing
--- a/Libraries/LibTraffic/RouteDialect.h
+++ b/Libraries/LibTraffic/RouteDialect.h
@@ -28,6 +28,17 @@
   /// of its request that brought the first one.
   std::optional<uint64_t> AfterEvent;
   RequestId Resumes;
+  /// The key that a router which passed the request on has sent; empty if there
+  /// is none. Callers may send any text.
+  std::string PassKey;
+};
+
+/// What a router adds to a request that it passes on to another one.
+struct PassDetails {
+  /// The other router's key.
+  std::string PassKey;
+  /// Time until the request's deadline, in milliseconds.
+  uint64_t WaitMillis = 0;
 };
 
 /// What the router adds to a caller's request for a target.
@@ -86,6 +97,11 @@
   std::function<Poco::Net::HTTPRequest(const Poco::Net::HTTPRequest &,
                                        const TargetDetails &)>
       WriteTarget;
+  /// \returns the head for another router, without the framing of the body: the
+  /// caller's head without headers that concern one connection.
+  std::function<Poco::Net::HTTPRequest(const Poco::Net::HTTPRequest &,
+                                       const PassDetails &)>
+      WritePassed;
   std::function<AnswerDetails(const Poco::Net::HTTPResponse &,
                               const RequestId &)>
       ReadAnswer;
--- a/Libraries/LibTraffic/RoutedContext.cpp
+++ b/Libraries/LibTraffic/RoutedContext.cpp
@@ -181,6 +181,12 @@
           Metrics.counter("ferry_targets_leaving_total",
                           "Targets whose answers said that they leave")),
       TargetPauses(Metrics.counter("ferry_target_pauses_total",
-                                   "Pauses that targets asked for")) {}
+                                   "Pauses that targets asked for")),
+      PassedOn(Metrics.counters({"ferry_passed_on_total",
+                                 "Requests passed on to other routers while no "
+                                 "target was reached, by how that ended",
+                                 {"end"}})),
+      PassedIn(Metrics.counter("ferry_passed_in_total",
+                               "Requests that other routers passed on")) {}
 
 } // namespace ferry::traffic
--- a/Libraries/LibTraffic/RoutedContext.h
+++ b/Libraries/LibTraffic/RoutedContext.h
@@ -12,6 +12,7 @@
 #include "LibTraffic/HttpExchange.h"
 #include "LibTraffic/RouteDialect.h"
 #include "LibTraffic/SharedQuarantine.h"
+#include "LibTraffic/SharedReach.h"
 #include <atomic>
 #include <map>
 #include <mutex>
@@ -89,6 +90,8 @@
   observe::Counter &CallersLeft;
   observe::Counter &TargetsLeaving;
   observe::Counter &TargetPauses;
+  observe::Family<observe::Counter> &PassedOn;
+  observe::Counter &PassedIn;
 };
 
 /// The builds of the streams that this router knows, guarded by a mutex.
@@ -115,12 +118,18 @@
       AskStream = [](routing::StreamKey, Timestamp, const auto &Done) {
         Done(std::nullopt);
       };
-  /// Called when there is news of crashes or limits for other routers.
+  /// Called when there is news of crashes or limits for other routers, or a
+  /// question.
   std::function<void()> BeliefsChanged = [] {};
 };
 
 /// The state that all requests share. Outlives them.
 struct RoutedContext {
+  /// Largest answer that is relayed whole, in bytes.
+  static constexpr uint64_t MaxWholeAnswerBytes = 8ULL << 20;
+  /// Requests of other routers that are served at a time; this one has callers
+  /// of its own.
+  static constexpr int64_t MaxPassedIn = 128;
   /// Largest part of an answer that is in memory without a reservation. The
   /// number of requests bounds the sum of these parts.
   static constexpr uint64_t FreeAnswerBytes = 64ULL << 10;
@@ -134,6 +143,7 @@
   RoutedHooks Hooks;
   SharedStreamBuilds Streams = {};
   SharedQuarantine Quarantine = {};
+  SharedReach Reach = {};
   BodyBudget LargeAnswers{MaxLargeAnswerBytes};
   /// Whether answers tell callers to close their connections.
   std::atomic<bool> Draining{false};
@@ -141,6 +151,8 @@
   /// exit before they end.
   std::atomic<Timestamp> RefuseFrom{NeverExpires};
   std::atomic<int64_t> ActiveRequests{0};
+  /// Those of them that other routers passed on.
+  std::atomic<int64_t> PassedIn{0};
   /// Varies the draw of a service on routes that split their traffic.
   std::atomic<uint64_t> SplitCounter{0};
 };
--- a/Libraries/LibTraffic/RoutedFront.cpp
+++ b/Libraries/LibTraffic/RoutedFront.cpp
@@ -19,10 +19,12 @@
               RoutedMetrics(Metrics),
               std::move(Hooks)} {
   Context.Quarantine.setNewsHook(Context.Hooks.BeliefsChanged);
+  Context.Reach.setAskHook(Context.Hooks.BeliefsChanged);
 }
 
 void RoutedFront::setView(const routing::RoutingViewPtr &View) {
   Context.Quarantine.setRouters(View->Self, View->servingRouters());
+  Context.Reach.setView(View);
   Context.Placements.setView(View);
 }
 
@@ -63,6 +65,10 @@
   return {Context.Quarantine.everything(), Context.Placements.allLimits()};
 }
 
+routing::RouterReach RoutedFront::reach() const {
+  return Context.Reach.ownReach(/*Serves=*/isReady());
+}
+
 void RoutedFront::applyBeliefs(const routing::Beliefs &Told, bool PassOn) {
   Context.Quarantine.apply(Told.Crashes, PassOn);
   if (Context.Placements.applyLimits(Told.Limits, PassOn))
@@ -79,6 +85,7 @@
 void RoutedFront::stop(Timestamp Deadline) {
   if (Listener)
     Listener->stop(Deadline);
+  Context.Reach.stop();
 }
 
 } // namespace ferry::traffic
--- a/Libraries/LibTraffic/RoutedFront.h
+++ b/Libraries/LibTraffic/RoutedFront.h
@@ -53,6 +53,14 @@
   routing::Beliefs takeNews();
   /// \returns all that this router believes.
   routing::Beliefs beliefs();
+  /// \returns what this router says of its reach to others.
+  routing::RouterReach reach() const;
+  /// Whether other routers are to be asked for their reach.
+  bool needsHelpers() const { return Context.Reach.isCutOff(); }
+  void noteHelper(const HostId &Router, const routing::RouterReach &Reach) {
+    Context.Reach.noteHelper(Router, Reach);
+  }
+
   /// Applies what another router tells. \param PassOn whether changes are news
   /// for further routers.
   void applyBeliefs(const routing::Beliefs &Told, bool PassOn);
--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -9,8 +9,6 @@
 using namespace ferry::routing;
 using observe::Severity;
 
-/// Largest answer that is relayed whole, in bytes.
-static constexpr uint64_t MaxWholeAnswerBytes = 8ULL << 20;
 /// Largest number of attempts, including those in which nothing was sent.
 static constexpr uint32_t MaxAttempts = 4;
 /// Time after which a caller may resend a request that no target ran. A router
@@ -63,12 +61,18 @@
   ++Context.ActiveRequests;
 }
 
-RoutedRelay::~RoutedRelay() { --Context.ActiveRequests; }
+RoutedRelay::~RoutedRelay() {
+  --Context.ActiveRequests;
+  if (PassedIn)
+    --Context.PassedIn;
+}
 
 void RoutedRelay::run() {
   Caller = Context.Dialect.ReadCaller(Exchange.head());
   if (Context.Draining)
     Exchange.closeAfterAnswer();
+  if (auto Refusal = acceptPassed())
+    return refuse(*Refusal);
   if (auto Refusal = checkRequest())
     return refuse(*Refusal);
   auto ReceivedBody =
@@ -76,6 +80,8 @@
   if (!ReceivedBody)
     return refuse(ReceivedBody.error());
   Body = std::move(*ReceivedBody);
+  if (passOn())
+    return;
   if (auto Refusal = findBuild())
     return refuse(*Refusal);
   relay();
@@ -192,6 +198,9 @@
     NextStep Step = attempt(std::get<PlacedCall>(Decision));
     if (Step == NextStep::Done)
       return;
+    bool MayHaveRun = StreamStarted || PossibleRuns > 0;
+    if (!MayHaveRun && passOn())
+      return;
     if (!mayRetry(Step))
       return failRequest();
     Context.Metrics.Retries.add();
@@ -238,6 +247,8 @@
   auto Connected = TargetExchange::tryConnect(Destination.Address, limits());
   if (!Connected)
     return recordFailure(Destination, Connected.error(), /*Sent=*/false);
+  Timestamp ConnectedAt = steadyNow();
+  Context.Reach.noteConnected(ConnectedAt);
   TargetExchange &Target = **Connected;
   // Other answers and routers may have told more since the placement.
   if (!Context.Placements.maySend(Destination) ||
@@ -257,6 +268,7 @@
     return recordFailure(Destination, Sent.error(), /*Sent=*/true);
   if (auto Received = Target.tryReceiveHead(limits()); !Received)
     return recordFailure(Destination, Received.error(), /*Sent=*/true);
+  Context.Reach.noteAnswered(ConnectedAt);
   return relayAnswer(Destination, Target);
 }
 
@@ -337,7 +349,7 @@
 RoutedRelay::NextStep RoutedRelay::relayWhole(const PlacedCall &Destination,
                                               TargetExchange &Target) {
   auto Answer =
-      Target.tryReadWhole(MaxWholeAnswerBytes, limits(),
+      Target.tryReadWhole(RoutedContext::MaxWholeAnswerBytes, limits(),
                           [this](uint64_t Bytes) { return mayHold(Bytes); });
   if (!Answer)
     return recordFailure(Destination, Answer.error(), /*Sent=*/true);
@@ -482,6 +494,10 @@
         .add();
   bool TargetEnded = Failure.Kind == LinkErrorKind::Broken ||
                      Failure.Kind == LinkErrorKind::Incomplete;
+  if (Failure.Kind == LinkErrorKind::ConnectFailed)
+    Context.Reach.noteUnreachable(Destination.Target);
+  if (Sent && TargetEnded && !Framing)
+    Context.Reach.noteBroken(Destination.Target);
   if (Sent && TargetEnded && answerProgress() != AnswerProgress::Streaming)
     Context.Quarantine.noteBroken(
         Destination.Target, Destination.Incarnation,
--- a/Libraries/LibTraffic/RoutedRelay.h
+++ b/Libraries/LibTraffic/RoutedRelay.h
@@ -43,6 +43,13 @@
   /// Lets other routers know which build began this stream.
   void tellBuild();
   routing::StreamKey keyOf(const RequestId &Request) const;
+  /// Counts a request that another router passed on.
+  /// \returns the refusal if there are too many.
+  std::optional<ErrorAnswer> acceptPassed();
+  /// Ends the request at another router, or refuses it, if this one reaches no
+  /// target. \returns whether the request has ended.
+  bool passOn();
+  bool passOnTo(const SharedReach::Address &To);
   void relay();
   /// Sends the request to one target and relays its answer.
   NextStep attempt(const routing::PlacedCall &Destination);
@@ -115,6 +122,8 @@
   /// Number of attempts whose target may have run the request.
   uint32_t PossibleRuns = 0;
   uint32_t Attempts = 0;
+  /// Whether another router passed the request on. It is not passed on again.
+  bool PassedIn = false;
   /// Whether the caller has received the head of a stream.
   bool StreamStarted = false;
   /// The id of the newest event that was relayed.
--- a/Libraries/LibWire/Generated/Routing_types.cpp
+++ b/Libraries/LibWire/Generated/Routing_types.cpp
@@ -2524,6 +2524,129 @@
 }
 
 
+RouterReach::~RouterReach() noexcept {
+}
+
+
+void RouterReach::__set_ReachesTargets(const bool val) {
+  this->ReachesTargets = val;
+}
+
+void RouterReach::__set_PassKey(const std::string& val) {
+  this->PassKey = val;
+}
+std::ostream& operator<<(std::ostream& out, const RouterReach& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RouterReach::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->ReachesTargets);
+          this->__isset.ReachesTargets = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->PassKey);
+          this->__isset.PassKey = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RouterReach::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RouterReach");
+
+  xfer += oprot->writeFieldBegin("ReachesTargets", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->ReachesTargets);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("PassKey", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->PassKey);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RouterReach &a, RouterReach &b) {
+  using ::std::swap;
+  swap(a.ReachesTargets, b.ReachesTargets);
+  swap(a.PassKey, b.PassKey);
+  swap(a.__isset, b.__isset);
+}
+
+RouterReach::RouterReach(const RouterReach& other109) {
+  ReachesTargets = other109.ReachesTargets;
+  PassKey = other109.PassKey;
+  __isset = other109.__isset;
+}
+RouterReach::RouterReach(RouterReach&& other110) noexcept {
+  ReachesTargets = other110.ReachesTargets;
+  PassKey = std::move(other110.PassKey);
+  __isset = other110.__isset;
+}
+RouterReach& RouterReach::operator=(const RouterReach& other111) {
+  ReachesTargets = other111.ReachesTargets;
+  PassKey = other111.PassKey;
+  __isset = other111.__isset;
+  return *this;
+}
+RouterReach& RouterReach::operator=(RouterReach&& other112) noexcept {
+  ReachesTargets = other112.ReachesTargets;
+  PassKey = std::move(other112.PassKey);
+  __isset = other112.__isset;
+  return *this;
+}
+void RouterReach::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RouterReach(";
+  out << "ReachesTargets=" << to_string(ReachesTargets);
+  out << ", " << "PassKey=" << to_string(PassKey);
+  out << ")";
+}
+
+
 BeliefMessage::~BeliefMessage() noexcept {
 }
 
@@ -2547,6 +2670,15 @@
 void BeliefMessage::__set_Limits(const std::vector<TargetLimit> & val) {
   this->Limits = val;
 }
+
+void BeliefMessage::__set_AsksReach(const bool val) {
+  this->AsksReach = val;
+}
+
+void BeliefMessage::__set_Reach(const RouterReach& val) {
+  this->Reach = val;
+__isset.Reach = true;
+}
 std::ostream& operator<<(std::ostream& out, const BeliefMessage& obj)
 {
   obj.printTo(out);
@@ -2579,14 +2711,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Crashes.clear();
-            uint32_t _size109;
-            ::apache::thrift::protocol::TType _etype112;
-            xfer += iprot->readListBegin(_etype112, _size109);
-            this->Crashes.resize(_size109);
-            uint32_t _i113;
-            for (_i113 = 0; _i113 < _size109; ++_i113)
+            uint32_t _size113;
+            ::apache::thrift::protocol::TType _etype116;
+            xfer += iprot->readListBegin(_etype116, _size113);
+            this->Crashes.resize(_size113);
+            uint32_t _i117;
+            for (_i117 = 0; _i117 < _size113; ++_i117)
             {
-              xfer += this->Crashes[_i113].read(iprot);
+              xfer += this->Crashes[_i117].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2599,14 +2731,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Quarantined.clear();
-            uint32_t _size114;
-            ::apache::thrift::protocol::TType _etype117;
-            xfer += iprot->readListBegin(_etype117, _size114);
-            this->Quarantined.resize(_size114);
-            uint32_t _i118;
-            for (_i118 = 0; _i118 < _size114; ++_i118)
+            uint32_t _size118;
+            ::apache::thrift::protocol::TType _etype121;
+            xfer += iprot->readListBegin(_etype121, _size118);
+            this->Quarantined.resize(_size118);
+            uint32_t _i122;
+            for (_i122 = 0; _i122 < _size118; ++_i122)
             {
-              xfer += this->Quarantined[_i118].read(iprot);
+              xfer += this->Quarantined[_i122].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2635,14 +2767,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Limits.clear();
-            uint32_t _size119;
-            ::apache::thrift::protocol::TType _etype122;
-            xfer += iprot->readListBegin(_etype122, _size119);
-            this->Limits.resize(_size119);
-            uint32_t _i123;
-            for (_i123 = 0; _i123 < _size119; ++_i123)
+            uint32_t _size123;
+            ::apache::thrift::protocol::TType _etype126;
+            xfer += iprot->readListBegin(_etype126, _size123);
+            this->Limits.resize(_size123);
+            uint32_t _i127;
+            for (_i127 = 0; _i127 < _size123; ++_i127)
             {
-              xfer += this->Limits[_i123].read(iprot);
+              xfer += this->Limits[_i127].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2651,6 +2783,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->AsksReach);
+          this->__isset.AsksReach = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->Reach.read(iprot);
+          this->__isset.Reach = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2671,10 +2819,10 @@
   xfer += oprot->writeFieldBegin("Crashes", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Crashes.size()));
-    std::vector<CrashReport> ::const_iterator _iter124;
-    for (_iter124 = this->Crashes.begin(); _iter124 != this->Crashes.end(); ++_iter124)
+    std::vector<CrashReport> ::const_iterator _iter128;
+    for (_iter128 = this->Crashes.begin(); _iter128 != this->Crashes.end(); ++_iter128)
     {
-      xfer += (*_iter124).write(oprot);
+      xfer += (*_iter128).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2683,10 +2831,10 @@
   xfer += oprot->writeFieldBegin("Quarantined", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Quarantined.size()));
-    std::vector<QuarantinedParts> ::const_iterator _iter125;
-    for (_iter125 = this->Quarantined.begin(); _iter125 != this->Quarantined.end(); ++_iter125)
+    std::vector<QuarantinedParts> ::const_iterator _iter129;
+    for (_iter129 = this->Quarantined.begin(); _iter129 != this->Quarantined.end(); ++_iter129)
     {
-      xfer += (*_iter125).write(oprot);
+      xfer += (*_iter129).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2703,15 +2851,24 @@
   xfer += oprot->writeFieldBegin("Limits", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Limits.size()));
-    std::vector<TargetLimit> ::const_iterator _iter126;
-    for (_iter126 = this->Limits.begin(); _iter126 != this->Limits.end(); ++_iter126)
+    std::vector<TargetLimit> ::const_iterator _iter130;
+    for (_iter130 = this->Limits.begin(); _iter130 != this->Limits.end(); ++_iter130)
     {
-      xfer += (*_iter126).write(oprot);
+      xfer += (*_iter130).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("AsksReach", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->AsksReach);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.Reach) {
+    xfer += oprot->writeFieldBegin("Reach", ::apache::thrift::protocol::T_STRUCT, 7);
+    xfer += this->Reach.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2724,41 +2881,51 @@
   swap(a.Asks, b.Asks);
   swap(a.Answers, b.Answers);
   swap(a.Limits, b.Limits);
+  swap(a.AsksReach, b.AsksReach);
+  swap(a.Reach, b.Reach);
   swap(a.__isset, b.__isset);
 }
 
-BeliefMessage::BeliefMessage(const BeliefMessage& other127) {
-  Crashes = other127.Crashes;
-  Quarantined = other127.Quarantined;
-  Asks = other127.Asks;
-  Answers = other127.Answers;
-  Limits = other127.Limits;
-  __isset = other127.__isset;
-}
-BeliefMessage::BeliefMessage(BeliefMessage&& other128) noexcept {
-  Crashes = std::move(other128.Crashes);
-  Quarantined = std::move(other128.Quarantined);
-  Asks = other128.Asks;
-  Answers = other128.Answers;
-  Limits = std::move(other128.Limits);
-  __isset = other128.__isset;
-}
-BeliefMessage& BeliefMessage::operator=(const BeliefMessage& other129) {
-  Crashes = other129.Crashes;
-  Quarantined = other129.Quarantined;
-  Asks = other129.Asks;
-  Answers = other129.Answers;
-  Limits = other129.Limits;
-  __isset = other129.__isset;
+BeliefMessage::BeliefMessage(const BeliefMessage& other131) {
+  Crashes = other131.Crashes;
+  Quarantined = other131.Quarantined;
+  Asks = other131.Asks;
+  Answers = other131.Answers;
+  Limits = other131.Limits;
+  AsksReach = other131.AsksReach;
+  Reach = other131.Reach;
+  __isset = other131.__isset;
+}
+BeliefMessage::BeliefMessage(BeliefMessage&& other132) noexcept {
+  Crashes = std::move(other132.Crashes);
+  Quarantined = std::move(other132.Quarantined);
+  Asks = other132.Asks;
+  Answers = other132.Answers;
+  Limits = std::move(other132.Limits);
+  AsksReach = other132.AsksReach;
+  Reach = std::move(other132.Reach);
+  __isset = other132.__isset;
+}
+BeliefMessage& BeliefMessage::operator=(const BeliefMessage& other133) {
+  Crashes = other133.Crashes;
+  Quarantined = other133.Quarantined;
+  Asks = other133.Asks;
+  Answers = other133.Answers;
+  Limits = other133.Limits;
+  AsksReach = other133.AsksReach;
+  Reach = other133.Reach;
+  __isset = other133.__isset;
   return *this;
 }
-BeliefMessage& BeliefMessage::operator=(BeliefMessage&& other130) noexcept {
-  Crashes = std::move(other130.Crashes);
-  Quarantined = std::move(other130.Quarantined);
-  Asks = other130.Asks;
-  Answers = other130.Answers;
-  Limits = std::move(other130.Limits);
-  __isset = other130.__isset;
+BeliefMessage& BeliefMessage::operator=(BeliefMessage&& other134) noexcept {
+  Crashes = std::move(other134.Crashes);
+  Quarantined = std::move(other134.Quarantined);
+  Asks = other134.Asks;
+  Answers = other134.Answers;
+  Limits = std::move(other134.Limits);
+  AsksReach = other134.AsksReach;
+  Reach = std::move(other134.Reach);
+  __isset = other134.__isset;
   return *this;
 }
 void BeliefMessage::printTo(std::ostream& out) const {
@@ -2769,6 +2936,8 @@
   out << ", " << "Asks=" << to_string(Asks);
   out << ", " << "Answers=" << to_string(Answers);
   out << ", " << "Limits=" << to_string(Limits);
+  out << ", " << "AsksReach=" << to_string(AsksReach);
+  out << ", " << "Reach="; (__isset.Reach ? (out << to_string(Reach)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Libraries/LibWire/Generated/Routing_types.h
+++ b/Libraries/LibWire/Generated/Routing_types.h
@@ -65,6 +65,8 @@
 
 class TargetLimit;
 
+class RouterReach;
+
 class BeliefMessage;
 
 typedef struct _TargetWork__isset {
@@ -997,13 +999,67 @@
 
 std::ostream& operator<<(std::ostream& out, const TargetLimit& obj);
 
+typedef struct _RouterReach__isset {
+  _RouterReach__isset() : ReachesTargets(false), PassKey(false) {}
+  bool ReachesTargets :1;
+  bool PassKey :1;
+} _RouterReach__isset;
+
+class RouterReach : public virtual ::apache::thrift::TBase {
+ public:
+
+  RouterReach(const RouterReach&);
+  RouterReach(RouterReach&&) noexcept;
+  RouterReach& operator=(const RouterReach&);
+  RouterReach& operator=(RouterReach&&) noexcept;
+  RouterReach() noexcept
+              : ReachesTargets(0),
+                PassKey() {
+  }
+
+  virtual ~RouterReach() noexcept;
+  bool ReachesTargets;
+  std::string PassKey;
+
+  _RouterReach__isset __isset;
+
+  void __set_ReachesTargets(const bool val);
+
+  void __set_PassKey(const std::string& val);
+
+  bool operator == (const RouterReach & rhs) const
+  {
+    if (!(ReachesTargets == rhs.ReachesTargets))
+      return false;
+    if (!(PassKey == rhs.PassKey))
+      return false;
+    return true;
+  }
+  bool operator != (const RouterReach &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RouterReach & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RouterReach &a, RouterReach &b);
+
+std::ostream& operator<<(std::ostream& out, const RouterReach& obj);
+
 typedef struct _BeliefMessage__isset {
-  _BeliefMessage__isset() : Crashes(false), Quarantined(false), Asks(true), Answers(true), Limits(false) {}
+  _BeliefMessage__isset() : Crashes(false), Quarantined(false), Asks(true), Answers(true), Limits(false), AsksReach(true), Reach(false) {}
   bool Crashes :1;
   bool Quarantined :1;
   bool Asks :1;
   bool Answers :1;
   bool Limits :1;
+  bool AsksReach :1;
+  bool Reach :1;
 } _BeliefMessage__isset;
 
 class BeliefMessage : public virtual ::apache::thrift::TBase {
@@ -1015,7 +1071,8 @@
   BeliefMessage& operator=(BeliefMessage&&) noexcept;
   BeliefMessage() noexcept
                 : Asks(false),
-                  Answers(false) {
+                  Answers(false),
+                  AsksReach(false) {
   }
 
   virtual ~BeliefMessage() noexcept;
@@ -1024,6 +1081,8 @@
   bool Asks;
   bool Answers;
   std::vector<TargetLimit>  Limits;
+  bool AsksReach;
+  RouterReach Reach;
 
   _BeliefMessage__isset __isset;
 
@@ -1037,6 +1096,10 @@
 
   void __set_Limits(const std::vector<TargetLimit> & val);
 
+  void __set_AsksReach(const bool val);
+
+  void __set_Reach(const RouterReach& val);
+
   bool operator == (const BeliefMessage & rhs) const
   {
     if (!(Crashes == rhs.Crashes))
@@ -1049,6 +1112,12 @@
       return false;
     if (!(Limits == rhs.Limits))
       return false;
+    if (!(AsksReach == rhs.AsksReach))
+      return false;
+    if (__isset.Reach != rhs.__isset.Reach)
+      return false;
+    else if (__isset.Reach && !(Reach == rhs.Reach))
+      return false;
     return true;
   }
   bool operator != (const BeliefMessage &rhs) const {
--- a/Libraries/LibWire/Idl/Routing.thrift
+++ b/Libraries/LibWire/Idl/Routing.thrift
@@ -133,6 +133,13 @@
   4: i32 AgeMillis
 }
 
+// What a router says of itself to one that reaches no target.
+struct RouterReach {
+  1: bool ReachesTargets
+  // Shows that a request was passed on by a router.
+  2: string PassKey
+}
+
 // What a router has learnt that the others need.
 struct BeliefMessage {
   1: list<CrashReport> Crashes
@@ -142,4 +149,9 @@
   // Answers such a question.
   4: bool Answers = false
   5: list<TargetLimit> Limits
+  // The sender reaches no target and wants to know who does; it tells nothing
+  // else.
+  6: bool AsksReach = false
+  // Answers such a question, with nothing else.
+  7: optional RouterReach Reach
 }
--- a/Services/ferryd/BeliefExchange.cpp
+++ b/Services/ferryd/BeliefExchange.cpp
@@ -163,6 +163,7 @@
 
 void BeliefExchange::sendNews() {
   NewsPending = false;
+  askForReach();
   Beliefs News = Callbacks.TakeNews();
   if (News.empty())
     return;
@@ -171,9 +172,19 @@
     Link.send(To, PayloadKind::Beliefs, Message);
 }
 
+void BeliefExchange::askForReach() {
+  if (!Callbacks.NeedsHelpers())
+    return;
+  wire::BeliefMessage Question;
+  Question.AsksReach = true;
+  for (const HostId &To : Spread.askedForReach(Others()))
+    Link.send(To, PayloadKind::Beliefs, Question);
+}
+
 void BeliefExchange::tick() {
   TickTimer =
       Loop.at(steadyNow() + BeliefSpread::TickInterval, [this] { tick(); });
+  askForReach();
   Beliefs All = Callbacks.Everything();
   Observed(All);
   BeliefSpread::Due Due = Spread.tick(Others(), !All.empty(), steadyNow());
@@ -190,6 +201,17 @@
 
 void BeliefExchange::receive(const HostId &From,
                              const wire::BeliefMessage &Message) {
+  if (Message.AsksReach) {
+    routing::RouterReach Own = Callbacks.Reach();
+    wire::BeliefMessage Answer;
+    Answer.Reach.ReachesTargets = Own.ReachesTargets;
+    Answer.Reach.PassKey = Own.PassKey;
+    Answer.__isset.Reach = true;
+    return Link.send(From, PayloadKind::Beliefs, Answer);
+  }
+  if (Message.__isset.Reach)
+    return Callbacks.NoteHelper(
+        From, {Message.Reach.ReachesTargets, Message.Reach.PassKey});
   if (Message.Answers)
     Spread.noteAnswer();
   if (Message.Asks) {
--- a/Services/ferryd/BeliefExchange.h
+++ b/Services/ferryd/BeliefExchange.h
@@ -6,6 +6,7 @@
 #include "LibCore/ControlLoop.h"
 #include "LibRouting/BeliefSpread.h"
 #include "LibRouting/Beliefs.h"
+#include "LibRouting/TargetReach.h"
 #include "LibWire/Generated/Routing_types.h"
 #include "ferryd/HostLink.h"
 #include <functional>
@@ -22,6 +23,14 @@
   };
   std::function<void(const routing::Beliefs &, bool PassOn)> Apply =
       [](const routing::Beliefs &, bool) {};
+  /// What this router says of its own reach, whether it needs that of others,
+  /// and what they say.
+  std::function<routing::RouterReach()> Reach = [] {
+    return routing::RouterReach();
+  };
+  std::function<bool()> NeedsHelpers = [] { return false; };
+  std::function<void(const HostId &, const routing::RouterReach &)> NoteHelper =
+      [](const HostId &, const routing::RouterReach &) {};
 };
 
 /// Sends what BeliefSpread decides. Used on the control thread.
@@ -48,6 +57,7 @@
 private:
   void tick();
   void sendNews();
+  void askForReach();
 
   HostLink &Link;
   ControlLoop &Loop;
--- a/Services/ferryd/Daemon.cpp
+++ b/Services/ferryd/Daemon.cpp
@@ -87,6 +87,19 @@
     if (auto *Front = Routed ? Routed->front() : nullptr)
       Front->applyBeliefs(Told, PassOn);
   };
+  Callbacks.Beliefs.Reach = [this] {
+    auto *Front = Routed ? Routed->front() : nullptr;
+    return Front ? Front->reach() : routing::RouterReach();
+  };
+  Callbacks.Beliefs.NeedsHelpers = [this] {
+    auto *Front = Routed ? Routed->front() : nullptr;
+    return Front != nullptr && Front->needsHelpers();
+  };
+  Callbacks.Beliefs.NoteHelper = [this](const HostId &Router,
+                                        const routing::RouterReach &Reach) {
+    if (auto *Front = Routed ? Routed->front() : nullptr)
+      Front->noteHelper(Router, Reach);
+  };
   if (Settings.Interface == config::Interface::Routed)
     Callbacks.Platform = platformBindings(Settings.Host);
   auto Started = ControlPlane::tryStart(Settings, Loop, std::move(Callbacks));
--- a/Tests/System/TestCutRouters.cpp
+++ b/Tests/System/TestCutRouters.cpp
@@ -147,3 +147,68 @@
   BOOST_TEST(Cut.Sent - Cut.Served <= 10 + (Cut.Sent + Whole.Sent) / 50);
   BOOST_TEST(Behind.share() > 0.9);
 }
+
+namespace {
+
+/// A plain service and an engine behind three routers, of which one is cut off.
+struct CutCluster {
+  explicit CutCluster(int Cut) {
+    Cluster.startAll();
+    Cluster.startRouter(13);
+    BOOST_REQUIRE(
+        TestCluster::eventually([&] { return Cluster.putRoutesAnywhere(1); }));
+    for (int Router : Routers)
+      BOOST_REQUIRE(TestCluster::eventually([&] {
+        return Cluster.directoryListsRouters(Router) && get(Router) == 200;
+      }));
+    cut(Cut);
+  }
+
+  void cut(int Router) {
+    Cluster.cutFromTargets(Router, TargetCut::Refused);
+    Timestamp Limit = steadyNow() + ContactTime;
+    while (steadyNow() < Limit)
+      get(Router);
+  }
+
+  /// \returns the status of a call.
+  int get(int Router, const std::string &Key = "none") {
+    return request(Cluster.callers(Router), "GET", "/many/x", "",
+                   {{"Host", "a.example"},
+                    {"X-Request-Id", "r" + std::to_string(++Calls)},
+                    {"X-Ferry-Pass-Key", Key}},
+                   2000)
+        .Status;
+  }
+
+  RoutedCluster Cluster;
+  std::atomic<int> KeysSeen = 0;
+  CrashingTargets Targets{
+      Cluster, 8, [this](const fakes::ReceivedRequest &Read) {
+        KeysSeen += Read.Head.has("X-Ferry-Pass-Key") ? 1 : 0;
+        return false;
+      }};
+  int Calls = 0;
+};
+
+} // namespace
+
+// A caller cannot pretend to be a router, which would end its request here, and
+// targets never see the keys of routers.
+BOOST_AUTO_TEST_CASE(callers_cannot_forge_the_mark_of_a_passed_request) {
+  CutCluster Subject(11);
+  BOOST_TEST(Subject.get(11, "0123456789abcdef0123456789abcdef") == 200);
+  BOOST_TEST(Subject.get(11, "") == 200);
+  BOOST_TEST(Subject.KeysSeen == 0);
+}
+
+BOOST_AUTO_TEST_CASE(without_a_router_that_reaches_targets_calls_end_at_once) {
+  CutCluster Subject(11);
+  Subject.cut(12);
+  Subject.cut(13);
+  for (int Router : Routers) {
+    Timestamp SentAt = steadyNow();
+    BOOST_TEST(Subject.get(Router) == 503);
+    BOOST_TEST((steadyNow() - SentAt).count() < 200'000);
+  }
+}
