--- a/Meta/Ferry.cmake
+++ b/Meta/Ferry.cmake
@@ -60,11 +60,6 @@
   file(GLOB SUPPORT CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/Tests/Support/*.cpp)
   if(SUPPORT)
     add_library(TestSupport STATIC ${SUPPORT})
-    add_library(CutFromTargets MODULE
-      ${CMAKE_SOURCE_DIR}/Tests/Support/Preload/CutFromTargets.cpp)
-    target_link_libraries(CutFromTargets PRIVATE ${CMAKE_DL_LIBS})
-    set_target_properties(CutFromTargets PROPERTIES PREFIX ""
-      LIBRARY_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
     target_include_directories(TestSupport PUBLIC ${CMAKE_SOURCE_DIR}/Tests)
     target_compile_definitions(TestSupport PRIVATE
       FERRY_BINARY_DIR="${CMAKE_BINARY_DIR}/bin")
@@ -109,7 +104,7 @@
     set_tests_properties(${TEST_NAME} PROPERTIES TIMEOUT 240)
     if(FOLDER STREQUAL "System" OR FOLDER STREQUAL "Soak")
       # Each of these tests runs a whole cluster of processes.
-      add_dependencies(${TEST_NAME} ferryd ferryfake CutFromTargets)
+      add_dependencies(${TEST_NAME} ferryd ferryfake)
       set_tests_properties(${TEST_NAME} PROPERTIES RUN_SERIAL TRUE)
     endif()
   endforeach()
--- a/Tests/Fakes/FakeScriptedTarget.cpp
+++ b/Tests/Fakes/FakeScriptedTarget.cpp
@@ -31,8 +31,9 @@
   return ::poll(&Polled, 1, static_cast<int>(Limit.count())) > 0;
 }
 
-FakeScriptedTarget::FakeScriptedTarget(Script Answer)
-    : Answer(std::move(Answer)), Listener(SocketAddress("127.0.0.1", 0)),
+FakeScriptedTarget::FakeScriptedTarget(Script Answer, Gate IsReset)
+    : Answer(std::move(Answer)), IsReset(std::move(IsReset)),
+      Listener(SocketAddress("127.0.0.1", 0)),
       Address(Listener.address().toString()), Acceptor([this] { accept(); }) {}
 
 FakeScriptedTarget::~FakeScriptedTarget() {
@@ -59,6 +60,10 @@
 void FakeScriptedTarget::serve(StreamSocket Socket) {
   static constexpr long IdleSeconds = 20;
   try {
+    if (IsReset(Socket.peerAddress().port())) {
+      ScriptedConnection(Socket).reset();
+      return;
+    }
     Socket.setReceiveTimeout(Poco::Timespan(IdleSeconds, 0));
     Poco::Net::SocketStream Stream(Socket);
     ReceivedRequest Received;
--- a/Tests/Fakes/FakeScriptedTarget.h
+++ b/Tests/Fakes/FakeScriptedTarget.h
@@ -44,7 +44,11 @@
   using Script =
       std::function<void(const ReceivedRequest &, ScriptedConnection &)>;
 
-  explicit FakeScriptedTarget(Script Answer);
+  /// Whether a connection from a port is reset as soon as it is accepted.
+  using Gate = std::function<bool(uint16_t PeerPort)>;
+
+  explicit FakeScriptedTarget(
+      Script Answer, Gate IsReset = [](uint16_t) { return false; });
   ~FakeScriptedTarget();
   FakeScriptedTarget(const FakeScriptedTarget &) = delete;
   FakeScriptedTarget &operator=(const FakeScriptedTarget &) = delete;
@@ -58,6 +62,7 @@
   void serve(Poco::Net::StreamSocket Socket);
 
   Script Answer;
+  Gate IsReset;
   Poco::Net::ServerSocket Listener;
   std::string Address;
   std::atomic<bool> Stopping = false;
--- a/Tests/LibTraffic/RoutedBed.h
+++ b/Tests/LibTraffic/RoutedBed.h
@@ -111,10 +111,15 @@
 
   /// Writes \p Raw to the router and reads one answer.
   CallerAnswer sendRaw(const std::string &Raw) {
+    return sendRawTo(Front->address(), Raw);
+  }
+
+  /// Writes \p Raw to the router at \p Address and reads one answer.
+  static CallerAnswer sendRawTo(const std::string &Address,
+                                const std::string &Raw) {
     CallerAnswer Answer;
     try {
-      Poco::Net::StreamSocket Socket(
-          Poco::Net::SocketAddress(Front->address()));
+      Poco::Net::StreamSocket Socket{Poco::Net::SocketAddress(Address)};
       Socket.setReceiveTimeout(Poco::Timespan(MaxWait.count(), 0));
       Socket.sendBytes(Raw.data(), static_cast<int>(Raw.size()));
       Poco::Net::SocketStream Stream(Socket);
--- a/Tests/Support/CrashingTarget.cpp
+++ b/Tests/Support/CrashingTarget.cpp
@@ -23,6 +23,9 @@
     Added.Server = std::make_unique<FakeScriptedTarget>(
         [this, &Added](const ReceivedRequest &Read, ScriptedConnection &Link) {
           serve(Added, Read, Link);
+        },
+        [this, &Added](uint16_t PeerPort) {
+          return isCutOff(Added, PeerPort);
         });
   }
   Announcer = std::thread([this] { announceUntilStopped(); });
@@ -33,6 +36,24 @@
   Announcer.join();
 }
 
+void CrashingTargets::cutOff(std::set<int> Routers) {
+  std::lock_guard Lock(Mutex);
+  CutRouters = std::move(Routers);
+}
+
+bool CrashingTargets::isCutOff(const Target &Subject, uint16_t PeerPort) const {
+  std::set<int> Routers;
+  {
+    std::lock_guard Lock(Mutex);
+    Routers = CutRouters;
+  }
+  const std::string &Own = Subject.Server->address();
+  auto Port = static_cast<uint16_t>(std::stoul(Own.substr(Own.find(':') + 1)));
+  return std::any_of(Routers.begin(), Routers.end(), [&](int Router) {
+    return Cluster.host(Router).hasConnection(PeerPort, Port);
+  });
+}
+
 std::string CrashingTargets::idOf(const Target &Subject) {
   return "i-app" + std::to_string(Subject.Number) + "-" +
          std::to_string(Subject.Life);
--- a/Tests/Support/CrashingTarget.h
+++ b/Tests/Support/CrashingTarget.h
@@ -6,6 +6,7 @@
 #include "Fakes/FakeScriptedTarget.h"
 #include "LibCore/Time.h"
 #include "Support/RoutedCluster.h"
+#include <set>
 
 namespace ferry::test {
 
@@ -18,6 +19,9 @@
   using Predicate = std::function<bool(const fakes::ReceivedRequest &)>;
 
   CrashingTargets(RoutedCluster &Cluster, int Count, Predicate Crashes);
+  /// Resets all connections of these routers from now on, as soon as they are
+  /// made.
+  void cutOff(std::set<int> Routers);
   ~CrashingTargets();
 
   /// \returns when targets ended, in order.
@@ -35,6 +39,7 @@
   };
 
   static std::string idOf(const Target &Subject);
+  bool isCutOff(const Target &Subject, uint16_t PeerPort) const;
   void serve(Target &Serving, const fakes::ReceivedRequest &Read,
              fakes::ScriptedConnection &Link);
   void crash(Target &Crashing, int Life);
@@ -44,6 +49,7 @@
   RoutedCluster &Cluster;
   const Predicate IsCrashing;
   mutable std::mutex Mutex;
+  std::set<int> CutRouters;
   std::vector<Timestamp> Crashes;
   std::vector<Timestamp> Arrivals;
   std::atomic<bool> Stopping = false;
--- a/Tests/Support/RoutedCluster.cpp
+++ b/Tests/Support/RoutedCluster.cpp
@@ -59,25 +59,7 @@
   std::ofstream(File) << Settings;
   Hosts[Host] = std::make_unique<TestProcess>(
       FERRY_BINARY_DIR "/ferryd",
-      std::vector<std::string>{"--settings", File.string()},
-      std::map<std::string, std::string>{
-          {"LD_PRELOAD", FERRY_BINARY_DIR "/CutFromTargets.so"},
-          {"ASAN_OPTIONS", "verify_asan_link_order=0"},
-          {"FERRY_CUT_FILE", cutFile(Host).string()}});
-}
-
-std::filesystem::path RoutedCluster::cutFile(int Host) const {
-  return Folder / (std::to_string(Host) + ".cut");
-}
-
-void RoutedCluster::cutFromTargets(int Host, TargetCut Cut) const {
-  if (Cut == TargetCut::None) {
-    std::filesystem::remove(cutFile(Host));
-    return;
-  }
-  std::filesystem::path Unfinished = cutFile(Host).string() + ".new";
-  std::ofstream(Unfinished) << (Cut == TargetCut::Refused ? "refuse" : "hang");
-  std::filesystem::rename(Unfinished, cutFile(Host));
+      std::vector<std::string>{"--settings", File.string()});
 }
 
 void RoutedCluster::startControl(int Host, LogFormation MayForm) {
--- a/Tests/Support/RoutedCluster.h
+++ b/Tests/Support/RoutedCluster.h
@@ -28,15 +28,6 @@
 /// How the hosts reach each other.
 enum class PeerLinks : uint8_t { Direct, ThroughProxies };
 
-/// How a router is cut off from all targets.
-enum class TargetCut : uint8_t {
-  None,
-  /// Connections are refused.
-  Refused,
-  /// Connections are never established.
-  Hanging
-};
-
 /// Control hosts 1 to 3 are the seeds. Other numbers have the role with which a
 /// test starts them.
 class RoutedCluster {
@@ -57,8 +48,6 @@
   void startAll();
   TestProcess &host(int Host) { return *Hosts.at(Host); }
   void kill(int Host);
-  /// Cuts a router off from all targets at 127.0.0.1, or ends that.
-  void cutFromTargets(int Host, TargetCut Cut) const;
   void wipeDisk(int Host);
 
   /// \returns "IP:port" at which peers reach the host, and on which it listens
@@ -98,7 +87,6 @@
 private:
   std::string address(int Host) const;
   void start(int Host, const std::string &Settings);
-  std::filesystem::path cutFile(int Host) const;
   std::string commonSettings(int Host, const std::string &Role,
                              LogFormation MayForm) const;
 
--- a/Tests/Support/TestProcess.cpp
+++ b/Tests/Support/TestProcess.cpp
@@ -1,15 +1,17 @@
 #include "Support/TestProcess.h"
 #include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
 #include <sys/resource.h>
 #include <sys/wait.h>
 
 namespace ferry::test {
 
 TestProcess::TestProcess(const std::string &Program,
-                         const std::vector<std::string> &Arguments,
-                         const std::map<std::string, std::string> &Variables)
-    : Handle(std::make_unique<Poco::ProcessHandle>(Poco::Process::launch(
-          Program, Arguments, nullptr, nullptr, nullptr, Variables))) {}
+                         const std::vector<std::string> &Arguments)
+    : Handle(std::make_unique<Poco::ProcessHandle>(
+          Poco::Process::launch(Program, Arguments))) {}
 
 TestProcess::~TestProcess() { kill(); }
 
@@ -31,6 +33,46 @@
   return Code;
 }
 
+/// \returns the inode of the open TCP connection between two local ports; 0 if
+/// there is none.
+static uint64_t inodeOf(uint16_t Port, uint16_t PeerPort) {
+  static constexpr int HexBase = 16;
+  auto PortOf = [](const std::string &Address) {
+    return std::stoul(Address.substr(Address.find(':') + 1), nullptr, HexBase);
+  };
+  std::ifstream Table("/proc/net/tcp");
+  std::string Line;
+  std::getline(Table, Line);
+  while (std::getline(Table, Line)) {
+    std::istringstream Fields(Line);
+    std::string Number;
+    std::string Local;
+    std::string Remote;
+    std::string Skipped;
+    uint64_t Inode = 0;
+    Fields >> Number >> Local >> Remote;
+    for (int Field = 0; Field < 6; ++Field)
+      Fields >> Skipped;
+    Fields >> Inode;
+    if (Inode != 0 && PortOf(Local) == Port && PortOf(Remote) == PeerPort)
+      return Inode;
+  }
+  return 0;
+}
+
+bool TestProcess::hasConnection(uint16_t Port, uint16_t PeerPort) const {
+  uint64_t Inode = inodeOf(Port, PeerPort);
+  std::string Wanted = "socket:[" + std::to_string(Inode) + "]";
+  std::filesystem::path Folder = "/proc/" + std::to_string(id()) + "/fd";
+  std::error_code Ended;
+  for (const auto &Entry : std::filesystem::directory_iterator(Folder, Ended)) {
+    std::error_code Closed;
+    if (std::filesystem::read_symlink(Entry.path(), Closed) == Wanted)
+      return Inode != 0;
+  }
+  return false;
+}
+
 bool TestProcess::isRunning() const { return Handle && endStatus().empty(); }
 
 std::string TestProcess::endStatus() const {
--- a/Tests/Support/TestProcess.h
+++ b/Tests/Support/TestProcess.h
@@ -6,7 +6,6 @@
 #include <Poco/Process.h>
 #include <csignal>
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -17,14 +16,16 @@
 /// to this process only.
 class TestProcess {
 public:
-  /// \param Variables added to the environment.
   TestProcess(const std::string &Program,
-              const std::vector<std::string> &Arguments,
-              const std::map<std::string, std::string> &Variables = {});
+              const std::vector<std::string> &Arguments);
   ~TestProcess();
   TestProcess(const TestProcess &) = delete;
   TestProcess &operator=(const TestProcess &) = delete;
 
+  int id() const { return Handle->id(); }
+  /// Whether the process has the connection from \p Port of this machine to
+  /// \p PeerPort open.
+  bool hasConnection(uint16_t Port, uint16_t PeerPort) const;
   void signal(int Number) const;
   /// Sends SIGKILL and waits for the end.
   void kill();
--- a/Tests/System/TestCutRouters.cpp
+++ b/Tests/System/TestCutRouters.cpp
@@ -1,6 +1,7 @@
-// Routers that reach no target, while callers and other routers reach them. A
-// while after the cut began their callers must be served nearly as well as
-// those of the others. First tries are counted as callers see them.
+// Routers whose connections to targets are all reset, while callers and other
+// routers reach them. A while after the cut began their callers must be served
+// nearly as well as those of the others. First tries are counted as callers see
+// them. Tests/LibTraffic/TestPassedCalls.cpp plays other kinds of cuts.
 #include "LibCore/Time.h"
 #include "Support/CrashingTarget.h"
 #include <boost/test/data/test_case.hpp>
@@ -22,18 +23,13 @@
 struct Case {
   const char *Name;
   std::set<int> CutRouters;
-  TargetCut How;
 };
 
 std::ostream &operator<<(std::ostream &Out, const Case &Subject) {
   return Out << Subject.Name;
 }
 
-const std::vector<Case> Cases = {
-    {"one, connections refused", {11}, TargetCut::Refused},
-    {"two, connections refused", {11, 12}, TargetCut::Refused},
-    {"one, connections hang", {11}, TargetCut::Hanging},
-    {"two, connections hang", {11, 12}, TargetCut::Hanging}};
+const std::vector<Case> Cases = {{"one cut", {11}}, {"two cut", {11, 12}}};
 
 /// Callers that send to each router, and what their first tries got.
 class Callers {
@@ -125,12 +121,10 @@
   Callers Subject(Cluster);
   std::this_thread::sleep_for(1s);
   Timestamp CutFrom = steadyNow();
-  for (int Router : Played.CutRouters)
-    Cluster.cutFromTargets(Router, Played.How);
+  Targets.cutOff(Played.CutRouters);
   std::this_thread::sleep_for(CutTime);
   Timestamp CutUntil = steadyNow();
-  for (int Router : Played.CutRouters)
-    Cluster.cutFromTargets(Router, TargetCut::None);
+  Targets.cutOff({});
   std::this_thread::sleep_for(3s);
   Subject.stop();
 
@@ -165,7 +159,8 @@
   }
 
   void cut(int Router) {
-    Cluster.cutFromTargets(Router, TargetCut::Refused);
+    CutRouters.insert(Router);
+    Targets.cutOff(CutRouters);
     Timestamp Limit = steadyNow() + ContactTime;
     while (steadyNow() < Limit)
       get(Router);
@@ -182,6 +177,7 @@
   }
 
   RoutedCluster Cluster;
+  std::set<int> CutRouters;
   std::atomic<int> KeysSeen = 0;
   CrashingTargets Targets{
       Cluster, 8, [this](const fakes::ReceivedRequest &Read) {
