LibRouting, LibTraffic: Probe longer after a cut that relapses

A probe now waits 200 ms for a reset, and each cut that begins within 10 s of the end of the last one takes twice as many probes to end, up to 16. TestTargetReach: each_relapse_takes_more_probes_to_end.

--- a/Libraries/LibRouting/TargetReach.cpp
+++ b/Libraries/LibRouting/TargetReach.cpp
@@ -22,6 +22,9 @@
   if (Failures.size() < std::clamp(KnownTargets / 2, MinFailing, MaxFailing))
     return;
   CutSince = Now;
+  bool IsRelapse = LastCutEndedAt && Now < *LastCutEndedAt + RelapseSpan;
+  ProbesNeeded = IsRelapse ? std::min(2 * ProbesNeeded, MaxProbesToReturn)
+                           : ProbesToReturn;
   ProbesReached = 0;
   Failures.clear();
 }
@@ -46,10 +49,12 @@
   });
 }
 
-void TargetReach::noteProbe(bool Reached) {
+void TargetReach::noteProbe(bool Reached, Timestamp Now) {
   ProbesReached = Reached ? ProbesReached + 1 : 0;
-  if (ProbesReached >= ProbesToReturn)
-    CutSince.reset();
+  if (!CutSince || ProbesReached < ProbesNeeded)
+    return;
+  CutSince.reset();
+  LastCutEndedAt = Now;
 }
 
 void TargetReach::noteHelper(const HostId &Router, const RouterReach &Reach,
--- a/Libraries/LibRouting/TargetReach.h
+++ b/Libraries/LibRouting/TargetReach.h
@@ -47,7 +47,11 @@
   static constexpr Duration FailureLifetime = std::chrono::seconds(3);
   static constexpr Duration ProbeInterval = std::chrono::milliseconds(250);
   /// Probes in a row that have to succeed before the router uses targets again.
+  /// The number doubles, up to a limit, with each cut that begins within
+  /// RelapseSpan of the end of the one before: connections may look whole.
   static constexpr size_t ProbesToReturn = 2;
+  static constexpr size_t MaxProbesToReturn = 16;
+  static constexpr Duration RelapseSpan = std::chrono::seconds(10);
   /// A helper that has not said for this long that it reaches targets is not
   /// used: a few of its answers are missing.
   static constexpr Duration HelperLifetime = std::chrono::seconds(2);
@@ -71,7 +75,7 @@
 
   bool isCutOff() const { return CutSince.has_value(); }
   /// Notes whether a probe connected and was not reset.
-  void noteProbe(bool Reached);
+  void noteProbe(bool Reached, Timestamp Now);
 
   /// Notes what another router says of itself.
   void noteHelper(const HostId &Router, const RouterReach &Reach,
@@ -101,7 +105,9 @@
   /// The newest failure of each target.
   std::map<TargetId, Failure> Failures;
   std::optional<Timestamp> CutSince;
+  size_t ProbesNeeded = ProbesToReturn;
   size_t ProbesReached = 0;
+  std::optional<Timestamp> LastCutEndedAt;
   std::map<HostId, KnownHelper> Helpers;
 };
 
--- a/Libraries/LibTraffic/SharedReach.cpp
+++ b/Libraries/LibTraffic/SharedReach.cpp
@@ -11,7 +11,7 @@
 
 /// Time for the connection of a probe, and for a reset of it.
 static constexpr Duration ProbeConnectLimit = std::chrono::milliseconds(300);
-static constexpr Duration ProbeResetLimit = std::chrono::milliseconds(50);
+static constexpr Duration ProbeResetLimit = std::chrono::milliseconds(200);
 
 static std::string randomKey() {
   std::random_device Device;
@@ -139,7 +139,7 @@
     }
     std::string Target = anyTarget();
     bool Reached = !Target.empty() && probe(Target);
-    update([&] { Reach.noteProbe(Reached); });
+    update([&] { Reach.noteProbe(Reached, steadyNow()); });
   }
 }
 
--- a/Tests/LibRouting/TestTargetReach.cpp
+++ b/Tests/LibRouting/TestTargetReach.cpp
@@ -112,17 +112,37 @@
   Router Subject(8);
   Subject.fail(0, 4, 10ms);
   BOOST_REQUIRE(Subject.Reach.isCutOff());
-  Subject.Reach.noteProbe(true);
-  Subject.Reach.noteProbe(false);
-  Subject.Reach.noteProbe(true);
+  Subject.Reach.noteProbe(true, Subject.Now);
+  Subject.Reach.noteProbe(false, Subject.Now);
+  Subject.Reach.noteProbe(true, Subject.Now);
   BOOST_TEST(Subject.Reach.isCutOff());
-  Subject.Reach.noteProbe(true);
+  Subject.Reach.noteProbe(true, Subject.Now);
   BOOST_TEST(!Subject.Reach.isCutOff());
   // Old failures are no evidence any more.
   Subject.fail(0, 3, 10ms);
   BOOST_TEST(!Subject.Reach.isCutOff());
 }
 
+// Probes find connections whole that requests do not.
+BOOST_AUTO_TEST_CASE(each_relapse_takes_more_probes_to_end) {
+  Router Subject(8);
+  for (size_t Needed : {2U, 4U, 8U, 16U, 16U}) {
+    Subject.fail(0, 4, 10ms);
+    BOOST_REQUIRE(Subject.Reach.isCutOff());
+    for (size_t Probe = 0; Probe < Needed; ++Probe) {
+      BOOST_TEST(Subject.Reach.isCutOff());
+      Subject.Reach.noteProbe(true, Subject.Now);
+    }
+    BOOST_TEST(!Subject.Reach.isCutOff());
+    Subject.Now += 1s;
+  }
+  Subject.Now += TargetReach::RelapseSpan;
+  Subject.fail(0, 4, 10ms);
+  Subject.Reach.noteProbe(true, Subject.Now);
+  Subject.Reach.noteProbe(true, Subject.Now);
+  BOOST_TEST(!Subject.Reach.isCutOff());
+}
+
 BOOST_AUTO_TEST_CASE(only_routers_that_reach_targets_help) {
   Router Subject(8);
   Subject.Reach.noteHelper({"a"}, {true, "key-a"}, Subject.Now);
