--- a/Tests/Fakes/FakeScriptedTarget.cpp
+++ b/Tests/Fakes/FakeScriptedTarget.cpp
@@ -39,8 +39,16 @@
 FakeScriptedTarget::~FakeScriptedTarget() {
   Stopping = true;
   Acceptor.join();
-  for (std::thread &Thread : ConnectionThreads)
-    Thread.join();
+  for (ConnectionThread &Thread : ConnectionThreads)
+    Thread.Runner.join();
+}
+
+void FakeScriptedTarget::joinEnded() {
+  ConnectionThreads.remove_if([](ConnectionThread &Thread) {
+    if (Thread.Ended)
+      Thread.Runner.join();
+    return Thread.Ended.load();
+  });
 }
 
 std::vector<ReceivedRequest> FakeScriptedTarget::requests() const {
@@ -52,9 +60,15 @@
   static constexpr long PollMicros = 20'000;
   while (!Stopping)
     if (Listener.poll(Poco::Timespan(PollMicros),
-                      Poco::Net::Socket::SELECT_READ))
-      ConnectionThreads.emplace_back(
-          [this, Socket = Listener.acceptConnection()] { serve(Socket); });
+                      Poco::Net::Socket::SELECT_READ)) {
+      joinEnded();
+      ConnectionThread &Added = ConnectionThreads.emplace_back();
+      Added.Runner =
+          std::thread([this, &Added, Socket = Listener.acceptConnection()] {
+            serve(Socket);
+            Added.Ended = true;
+          });
+    }
 }
 
 void FakeScriptedTarget::serve(StreamSocket Socket) {
--- a/Tests/Fakes/FakeScriptedTarget.h
+++ b/Tests/Fakes/FakeScriptedTarget.h
@@ -8,6 +8,7 @@
 #include <Poco/Net/StreamSocket.h>
 #include <atomic>
 #include <functional>
+#include <list>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -59,6 +60,7 @@
 
 private:
   void accept();
+  void joinEnded();
   void serve(Poco::Net::StreamSocket Socket);
 
   Script Answer;
@@ -68,7 +70,13 @@
   std::atomic<bool> Stopping = false;
   mutable std::mutex Mutex;
   std::vector<ReceivedRequest> Requests;
-  std::vector<std::thread> ConnectionThreads;
+  /// Used by the acceptor only; those that have ended are joined now and then,
+  /// as each keeps its stack until then.
+  struct ConnectionThread {
+    std::atomic<bool> Ended = false;
+    std::thread Runner;
+  };
+  std::list<ConnectionThread> ConnectionThreads;
   std::thread Acceptor;
 };
 
