Soak: Crash targets by a request, cut routers off from targets, count first tries

During the faults one request that ends plain targets comes to all routers, and routers are cut off from targets for 1 to 5 s. Behind the faults, arrivals of a second such request and first tries at a cut router are counted against the users' bounds. A stand-in finds out which process made a connection by asking the kernel; reading its table of all connections held the proxies up.

--- a/Tests/Fakes/FakeProxy.cpp
+++ b/Tests/Fakes/FakeProxy.cpp
@@ -47,6 +47,10 @@
   while (Listener.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
     StreamSocket Caller = Listener.acceptConnection();
     try {
+      if (isReset(Caller.peerAddress().port())) {
+        Caller.setLinger(true, 0);
+        continue;
+      }
       StreamSocket Server;
       Server.connect(
           SocketAddress(Upstream),
--- a/Tests/Fakes/FakeProxy.h
+++ b/Tests/Fakes/FakeProxy.h
@@ -7,7 +7,9 @@
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
 #include <atomic>
+#include <functional>
 #include <list>
+#include <mutex>
 #include <string>
 #include <thread>
 
@@ -39,6 +41,12 @@
 
   std::string address() const { return Address; }
   void setMode(ProxyMode NewMode) { Mode = NewMode; }
+  /// Whether a new connection from a port is reset as soon as it is accepted.
+  using Gate = std::function<bool(uint16_t PeerPort)>;
+  void setGate(Gate NewGate) {
+    std::lock_guard Lock(GateMutex);
+    IsReset = std::move(NewGate);
+  }
 
 private:
   /// One direction of a connection, with the bytes that wait to be sent.
@@ -55,6 +63,10 @@
     bool Broken = false;
   };
 
+  bool isReset(uint16_t PeerPort) {
+    std::lock_guard Lock(GateMutex);
+    return IsReset(PeerPort);
+  }
   void run();
   void acceptPending();
   void resetAll();
@@ -63,6 +75,8 @@
   void forward(Connection &Link, Poco::Net::StreamSocket &From,
                Poco::Net::StreamSocket &To, Direction &Flow);
 
+  std::mutex GateMutex;
+  Gate IsReset = [](uint16_t) { return false; };
   std::string Upstream;
   Poco::Net::ServerSocket Listener;
   std::string Address;
--- a/Tests/Soak/SoakRecord.h
+++ b/Tests/Soak/SoakRecord.h
@@ -71,8 +71,8 @@
                    std::to_string(Attempt.Status));
   }
 
-  /// Crashes of engines by a part of a prompt, and requests with it that
-  /// reached engines.
+  /// Crashes of targets by a part of a prompt or by a request, and requests
+  /// with it that reached targets.
   struct PartLog {
     ArrivalLog Crashes;
     ArrivalLog Arrivals;
--- a/Tests/Soak/SoakRun.h
+++ b/Tests/Soak/SoakRun.h
@@ -53,6 +53,10 @@
   /// Ends all faults, then loses the disk of one control host, with or without
   /// a kill of all others.
   void loseDisk();
+  /// Resets all connections of a router to targets, new ones too, until
+  /// reconnectToTargets().
+  void cutFromTargets(int Router);
+  void reconnectToTargets(int Router);
   void checkProcesses();
   bool handlesSignals(int Number);
   void injectFault();
@@ -65,9 +69,12 @@
   void schedule(uint64_t MaxMillis, std::function<void()> Work);
   bool hasRecovered();
   void checkRecovery();
-  /// Checks, with no other fault, that a part which crashes engines and the
-  /// limits of targets are heeded by all routers.
+  /// Checks, with no other fault, that a part which crashes engines, a request
+  /// which crashes targets and the limits of targets are heeded by all routers,
+  /// and that callers of a cut-off router are served.
   void checkCrashingPart();
+  void checkCrashingRequest();
+  void checkCutRouter();
   void checkLimits();
   bool hasEnoughVoters();
 
@@ -78,6 +85,10 @@
   /// Sends requests whose prompts have \p Part, until the run or \p Until ends.
   void sendCrashingPart(const std::string &Group, const std::string &Part,
                         uint64_t Seed, Timestamp Until);
+  /// Sends one request whose body is \p Body again and again, until the run or
+  /// \p Until ends.
+  void sendCrashingRequest(const std::string &Group, const std::string &Body,
+                           uint64_t Seed, Timestamp Until);
   /// Has targets name limits for some seconds.
   void limitTargetsRepeatedly(uint64_t Seed);
   void checkAttempt(const fakes::CallerAttempt &Attempt, bool Streams);
@@ -98,6 +109,8 @@
   SoakRecord Record;
   std::map<int, Host> Hosts;
   std::vector<std::unique_ptr<SoakTarget>> Targets;
+  /// The process of each router while it is cut off from targets; else 0.
+  std::array<std::atomic<int>, RouterCount> CutProcesses{};
   std::multimap<Timestamp, std::function<void()>> Scheduled;
   std::atomic<bool> Stopping = false;
   /// Whether targets name limits at random.
--- a/Tests/Soak/SoakTarget.h
+++ b/Tests/Soak/SoakTarget.h
@@ -61,6 +61,8 @@
 private:
   /// A part of a prompt that begins so ends the engine.
   static constexpr std::string_view CrashingParts = "bad";
+  /// A request to a plain target whose body begins so ends it.
+  static constexpr std::string_view CrashingBodies = "crash";
 
   void startIncarnation() {
     ++Restarts;
@@ -80,9 +82,17 @@
     return Parts.substr(Begin + 1, Parts.find(':', Begin) - Begin - 1);
   }
 
+  /// \returns the body of a request that ends the target; "" of others.
+  std::string crashingBody(const ReceivedRequest &Received) const {
+    bool Crashes = Service == TargetService::Plain &&
+                   Received.Body.starts_with(CrashingBodies);
+    return Crashes ? Received.Body : "";
+  }
+
   /// All requests in progress are broken off, and new ones for a while.
-  void crash(const std::string &Part) {
-    Record.logOf(Part).Crashes.note();
+  /// \param Cause the part or the body that ends the target.
+  void crash(const std::string &Cause) {
+    Record.logOf(Cause).Crashes.note();
     std::lock_guard Lock(Mutex);
     DownUntil = steadyNow() + 400ms;
     startIncarnation();
@@ -176,6 +186,9 @@
     std::string BadPart = crashingPart(Received);
     if (!BadPart.empty())
       Record.logOf(BadPart).Arrivals.note();
+    std::string BadBody = crashingBody(Received);
+    if (!BadBody.empty())
+      Record.logOf(BadBody).Arrivals.note();
     int Life = 0;
     {
       std::lock_guard Lock(Mutex);
@@ -197,6 +210,12 @@
       return Link.reset();
     checkRequest(Received);
     Record.countRun(RequestId, Received.Head.get("X-Tenant", ""));
+    if (!BadBody.empty()) {
+      std::this_thread::sleep_for(20ms);
+      if (!hasEnded(Life))
+        crash(BadBody);
+      return Link.reset();
+    }
     if (Fault == RequestFault::Slow)
       std::this_thread::sleep_for(200ms);
     if (Fault == RequestFault::BreakAfter)
--- a/Tests/Soak/TestSoak.cpp
+++ b/Tests/Soak/TestSoak.cpp
@@ -5,6 +5,7 @@
 //
 //   FERRY_SOAK_FIRST=100 FERRY_SOAK_SEEDS=50 FERRY_SOAK_SECONDS=20 TestSoak
 #include "Soak/SoakRun.h"
+#include <Poco/Net/SocketAddress.h>
 #include <boost/test/unit_test.hpp>
 #include <cstdlib>
 #include <iostream>
@@ -26,12 +27,16 @@
 /// abandons its calls early. many: resends to an idempotent route. stale: as
 /// many, and uses the directory's answers for too long. stream, resumable: read
 /// event streams. probe: has no callers in the soak. crash, lastcrash: send a
-/// part that crashes engines, during the faults and behind them.
+/// part that crashes engines, during the faults and behind them. request,
+/// lastrequest: send a request that crashes targets, likewise. first: counts
+/// first tries at a router that is cut off from targets.
 static std::vector<CallerGroup> callerGroups() {
-  return {{"once", "t1", 1},       {"fresh", "t1", 1},  {"leaver", "t2", 1},
-          {"many", "t1", 2},       {"stale", "t2", 2},  {"stream", "t1", 1},
-          {"resumable", "t2", 64}, {"probe", "t1", 64}, {"crash", "t1", 64},
-          {"lastcrash", "t1", 64}};
+  return {
+      {"once", "t1", 1},       {"fresh", "t1", 1},    {"leaver", "t2", 1},
+      {"many", "t1", 2},       {"stale", "t2", 2},    {"stream", "t1", 1},
+      {"resumable", "t2", 64}, {"probe", "t1", 64},   {"crash", "t1", 64},
+      {"lastcrash", "t1", 64}, {"request", "t1", 64}, {"lastrequest", "t1", 64},
+      {"first", "t1", 64}};
 }
 
 SoakRun::SoakRun(uint64_t Seed)
@@ -63,6 +68,19 @@
   Threads.emplace_back([this, ThreadSeed = LaterRandom()] {
     limitTargetsRepeatedly(ThreadSeed);
   });
+  Threads.emplace_back([this, ThreadSeed = LaterRandom()] {
+    sendCrashingRequest("request", "crash1", ThreadSeed, NeverExpires);
+  });
+  for (auto &Target : Targets) {
+    auto ProxyPort = static_cast<uint16_t>(
+        Poco::Net::SocketAddress(Target->proxy().address()).port());
+    Target->proxy().setGate([this, ProxyPort](uint16_t PeerPort) {
+      return std::ranges::any_of(CutProcesses, [&](int Process) {
+        return Process != 0 &&
+               test::hasConnection(Process, PeerPort, ProxyPort);
+      });
+    });
+  }
 }
 
 SoakRun::~SoakRun() {
@@ -170,6 +188,15 @@
       scheduleRestart(Number, 1500);
 }
 
+void SoakRun::cutFromTargets(int Router) {
+  CutProcesses[static_cast<size_t>(Router - FirstRouter)] =
+      Cluster.host(Router).id();
+}
+
+void SoakRun::reconnectToTargets(int Router) {
+  CutProcesses[static_cast<size_t>(Router - FirstRouter)] = 0;
+}
+
 void SoakRun::checkProcesses() {
   for (auto &[Number, Process] : Hosts) {
     if (Process.State == HostState::Down || Cluster.host(Number).isRunning())
@@ -276,6 +303,8 @@
     Target->setAnnouncing(true);
     Target->proxy().setMode(ProxyMode::Pass);
   }
+  for (int Number = 0; Number < RouterCount; ++Number)
+    reconnectToTargets(FirstRouter + Number);
   for (auto &[Number, Process] : Hosts)
     Process.Proxy->setMode(ProxyMode::Pass);
   // Scheduled restarts and ends of faults happen now; hosts that are stopping
@@ -323,8 +352,9 @@
       {"X-Token-Counts", "900,20"},
       {"X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:100"}};
   for (const CallerGroup &Group : callerGroups()) {
-    if (Group.Name == "probe" || Group.Name == "crash" ||
-        Group.Name == "lastcrash")
+    static const std::set<std::string> SentApart = {
+        "probe", "crash", "lastcrash", "request", "lastrequest", "first"};
+    if (SentApart.contains(Group.Name))
       continue;
     bool Streams = Group.Name == "stream" || Group.Name == "resumable";
     fakes::CallerOptions Options;
@@ -388,6 +418,26 @@
   }
 }
 
+void SoakRun::sendCrashingRequest(const std::string &Group,
+                                  const std::string &Body, uint64_t Seed,
+                                  Timestamp Until) {
+  fakes::CallerOptions Options;
+  for (int Number = 0; Number < RouterCount; ++Number)
+    Options.Directories.push_back(Cluster.directory(FirstRouter + Number));
+  Options.Prefix = Group;
+  Options.Seed = Seed;
+  Options.CallTimeout = std::chrono::milliseconds(2000);
+  // Each request goes to a router drawn anew.
+  Options.Connections = fakes::CallerConnections::NewEachTime;
+  Options.Fields = {{"Authorization", "Bearer k1"}};
+  fakes::FakeCaller Caller(Options);
+  while (!Stopping && steadyNow() < Until) {
+    for (const auto &Attempt : Caller.call("POST", "/many/x", Body))
+      checkAttempt(Attempt, /*Streams=*/false);
+    std::this_thread::sleep_for(200ms);
+  }
+}
+
 void SoakRun::limitTargetsRepeatedly(uint64_t Seed) {
   RandomGenerator ThreadRandom(Seed);
   while (!Stopping) {
@@ -560,6 +610,57 @@
                         " requests with bad1 reached engines after the faults");
 }
 
+void SoakRun::checkCrashingRequest() {
+  static constexpr size_t CrashesThatCount = 3;
+  static constexpr size_t MaxLateArrivals = 3;
+  const std::string Body = "crash2";
+  Timestamp Begin = steadyNow();
+  sendCrashingRequest("lastrequest", Body, LaterRandom(),
+                      Begin + 4 * ContactTime);
+  SoakRecord::PartLog &Log = Record.logOf(Body);
+  auto Counted = Log.Crashes.timeOf(CrashesThatCount);
+  if (!Counted)
+    return Record.addViolation("the request " + Body + " was not sent");
+  if (size_t Late = Log.Arrivals.countFrom(*Counted + ContactTime);
+      Late > MaxLateArrivals)
+    Record.addViolation("the request " + Body + " reached targets " +
+                        std::to_string(Late) + " times too late after " +
+                        std::to_string(Log.Crashes.size()) + " crashes");
+  // That of the faults is known to all routers by now.
+  if (size_t Late = Record.logOf("crash1").Arrivals.countFrom(Begin);
+      Late > CrashesThatCount + MaxLateArrivals)
+    Record.addViolation("the request crash1 reached targets " +
+                        std::to_string(Late) + " times after the faults");
+}
+
+void SoakRun::checkCutRouter() {
+  int Router =
+      FirstRouter + static_cast<int>(randomBelow(LaterRandom, RouterCount));
+  cutFromTargets(Router);
+  Timestamp Begin = steadyNow();
+  size_t Sent = 0;
+  size_t ServedFirst = 0;
+  for (int Number = 0; steadyNow() < Begin + 2 * ContactTime; ++Number) {
+    bool Counts = steadyNow() >= Begin + ContactTime;
+    Answer Got =
+        test::request(Cluster.callers(Router), "POST", "/many/x", "first",
+                      {{"Host", "a.example"},
+                       {"Authorization", "Bearer k1"},
+                       {"X-Request-Id", "first-" + std::to_string(Number)}},
+                      2000);
+    Sent += Counts ? 1 : 0;
+    ServedFirst += Counts && Got.Status == 200 ? 1 : 0;
+    std::this_thread::sleep_for(20ms);
+  }
+  reconnectToTargets(Router);
+  // The users' bounds, with the others served fully.
+  if (3 * ServedFirst < 2 * Sent || Sent - ServedFirst > 10 + Sent / 50)
+    Record.addViolation("router " + std::to_string(Router) +
+                        " was cut off from targets and served " +
+                        std::to_string(ServedFirst) + " of " +
+                        std::to_string(Sent) + " first tries");
+}
+
 void SoakRun::checkLimits() {
   static constexpr Duration Window = std::chrono::seconds(4);
   Timestamp Begin = steadyNow();
@@ -600,12 +701,26 @@
         Target->setFaulty(true);
     }
     injectFault();
+    // One fault in this many cuts a router off from targets as well.
+    static constexpr uint64_t CutInterval = 8;
+    int Router =
+        FirstRouter + static_cast<int>(randomBelow(LaterRandom, RouterCount));
+    if (randomBelow(LaterRandom, CutInterval) == 0 &&
+        Hosts[Router].State == HostState::Running) {
+      cutFromTargets(Router);
+      Scheduled.emplace(
+          steadyNow() +
+              std::chrono::milliseconds(1000 + randomBelow(LaterRandom, 4000)),
+          [this, Router] { reconnectToTargets(Router); });
+    }
     runScheduled(steadyNow() + std::chrono::milliseconds(
                                    drawBelow(MeanFaultPause.count() * 2)));
   }
   Limiting = false;
   checkRecovery();
   checkCrashingPart();
+  checkCrashingRequest();
+  checkCutRouter();
   checkLimits();
   Stopping = true;
   for (std::thread &Thread : Threads)
--- a/Tests/Support/CrashingTarget.cpp
+++ b/Tests/Support/CrashingTarget.cpp
@@ -50,7 +50,7 @@
   const std::string &Own = Subject.Server->address();
   auto Port = static_cast<uint16_t>(std::stoul(Own.substr(Own.find(':') + 1)));
   return std::any_of(Routers.begin(), Routers.end(), [&](int Router) {
-    return Cluster.host(Router).hasConnection(PeerPort, Port);
+    return hasConnection(Cluster.host(Router).id(), PeerPort, Port);
   });
 }
 
--- a/Tests/Support/TestProcess.cpp
+++ b/Tests/Support/TestProcess.cpp
@@ -1,10 +1,16 @@
 #include "Support/TestProcess.h"
 #include <algorithm>
+#include <arpa/inet.h>
+#include <array>
+#include <cstring>
 #include <filesystem>
-#include <fstream>
-#include <sstream>
+#include <linux/inet_diag.h>
+#include <linux/netlink.h>
+#include <linux/sock_diag.h>
 #include <sys/resource.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 namespace ferry::test {
 
@@ -33,42 +39,54 @@
   return Code;
 }
 
-/// \returns the inode of the open TCP connection between two local ports; 0 if
-/// there is none.
+/// \returns the inode of the open TCP connection between two ports of
+/// 127.0.0.1, asked of the kernel; 0 if there is none.
 static uint64_t inodeOf(uint16_t Port, uint16_t PeerPort) {
-  static constexpr int HexBase = 16;
-  auto PortOf = [](const std::string &Address) {
-    return std::stoul(Address.substr(Address.find(':') + 1), nullptr, HexBase);
-  };
-  std::ifstream Table("/proc/net/tcp");
-  std::string Line;
-  std::getline(Table, Line);
-  while (std::getline(Table, Line)) {
-    std::istringstream Fields(Line);
-    std::string Number;
-    std::string Local;
-    std::string Remote;
-    std::string Skipped;
-    uint64_t Inode = 0;
-    Fields >> Number >> Local >> Remote;
-    for (int Field = 0; Field < 6; ++Field)
-      Fields >> Skipped;
-    Fields >> Inode;
-    if (Inode != 0 && PortOf(Local) == Port && PortOf(Remote) == PeerPort)
-      return Inode;
-  }
-  return 0;
+  struct {
+    nlmsghdr Header;
+    inet_diag_req_v2 Wanted;
+  } Question{};
+  Question.Header.nlmsg_len = sizeof(Question);
+  Question.Header.nlmsg_type = SOCK_DIAG_BY_FAMILY;
+  Question.Header.nlmsg_flags = NLM_F_REQUEST;
+  Question.Wanted.sdiag_family = AF_INET;
+  Question.Wanted.sdiag_protocol = IPPROTO_TCP;
+  Question.Wanted.idiag_states = ~0U;
+  Question.Wanted.id.idiag_sport = htons(Port);
+  Question.Wanted.id.idiag_dport = htons(PeerPort);
+  Question.Wanted.id.idiag_src[0] = htonl(INADDR_LOOPBACK);
+  Question.Wanted.id.idiag_dst[0] = htonl(INADDR_LOOPBACK);
+  Question.Wanted.id.idiag_cookie[0] = INET_DIAG_NOCOOKIE;
+  Question.Wanted.id.idiag_cookie[1] = INET_DIAG_NOCOOKIE;
+  int Socket =
+      ::socket(AF_NETLINK, SOCK_DGRAM | SOCK_CLOEXEC, NETLINK_SOCK_DIAG);
+  alignas(nlmsghdr) std::array<char, 4096> Buffer{};
+  ssize_t Received = -1;
+  if (::send(Socket, &Question, sizeof(Question), 0) == sizeof(Question))
+    Received = ::recv(Socket, Buffer.data(), Buffer.size(), 0);
+  ::close(Socket);
+  nlmsghdr Header{};
+  inet_diag_msg Found{};
+  if (Received < static_cast<ssize_t>(NLMSG_HDRLEN + sizeof(Found)))
+    return 0;
+  std::memcpy(&Header, Buffer.data(), sizeof(Header));
+  if (Header.nlmsg_type != SOCK_DIAG_BY_FAMILY)
+    return 0;
+  std::memcpy(&Found, Buffer.data() + NLMSG_HDRLEN, sizeof(Found));
+  return Found.idiag_inode;
 }
 
-bool TestProcess::hasConnection(uint16_t Port, uint16_t PeerPort) const {
+bool hasConnection(int Id, uint16_t Port, uint16_t PeerPort) {
   uint64_t Inode = inodeOf(Port, PeerPort);
+  if (Inode == 0)
+    return false;
   std::string Wanted = "socket:[" + std::to_string(Inode) + "]";
-  std::filesystem::path Folder = "/proc/" + std::to_string(id()) + "/fd";
+  std::filesystem::path Folder = "/proc/" + std::to_string(Id) + "/fd";
   std::error_code Ended;
   for (const auto &Entry : std::filesystem::directory_iterator(Folder, Ended)) {
     std::error_code Closed;
     if (std::filesystem::read_symlink(Entry.path(), Closed) == Wanted)
-      return Inode != 0;
+      return true;
   }
   return false;
 }
--- a/Tests/Support/TestProcess.h
+++ b/Tests/Support/TestProcess.h
@@ -23,9 +23,6 @@
   TestProcess &operator=(const TestProcess &) = delete;
 
   int id() const { return Handle->id(); }
-  /// Whether the process has the connection from \p Port of this machine to
-  /// \p PeerPort open.
-  bool hasConnection(uint16_t Port, uint16_t PeerPort) const;
   void signal(int Number) const;
   /// Sends SIGKILL and waits for the end.
   void kill();
@@ -44,6 +41,10 @@
   std::unique_ptr<Poco::ProcessHandle> Handle;
 };
 
+/// Whether the process \p Id has the connection from \p Port of this machine to
+/// \p PeerPort open.
+bool hasConnection(int Id, uint16_t Port, uint16_t PeerPort);
+
 } // namespace ferry::test
 
 #endif
