LibRouting: End a cut after one probe where no other router reaches targets

With all targets of a service down at once, every router takes itself for cut off. Up to 8 probes else.

TestTargetReach: one_probe_suffices_where_nobody_reached_targets.

--- a/Libraries/LibRouting/TargetReach.cpp
+++ b/Libraries/LibRouting/TargetReach.cpp
@@ -51,12 +51,19 @@
 
 void TargetReach::noteProbe(bool Reached, Timestamp Now) {
   ProbesReached = Reached ? ProbesReached + 1 : 0;
-  if (!CutSince || ProbesReached < ProbesNeeded)
+  size_t Needed = hasHelper(Now) ? ProbesNeeded : 1;
+  if (!CutSince || ProbesReached < Needed)
     return;
   CutSince.reset();
   LastCutEndedAt = Now;
 }
 
+bool TargetReach::hasHelper(Timestamp Now) const {
+  return std::any_of(Helpers.begin(), Helpers.end(), [Now](const auto &Entry) {
+    return Entry.second.Until > Now;
+  });
+}
+
 void TargetReach::noteHelper(const HostId &Router, const RouterReach &Reach,
                              Timestamp Now) {
   std::erase_if(Helpers,
--- a/Libraries/LibRouting/TargetReach.h
+++ b/Libraries/LibRouting/TargetReach.h
@@ -48,9 +48,11 @@
   static constexpr Duration ProbeInterval = std::chrono::milliseconds(250);
   /// Probes in a row that have to succeed before the router uses targets again.
   /// The number doubles, up to a limit, with each cut that begins within
-  /// RelapseSpan of the end of the one before: connections may look whole.
+  /// RelapseSpan of the end of the one before: connections may look whole. If
+  /// no other router reaches targets either, these are down, and one probe
+  /// shows that they are back.
   static constexpr size_t ProbesToReturn = 2;
-  static constexpr size_t MaxProbesToReturn = 16;
+  static constexpr size_t MaxProbesToReturn = 8;
   static constexpr Duration RelapseSpan = std::chrono::seconds(10);
   /// A helper that has not said for this long that it reaches targets is not
   /// used: a few of its answers are missing.
@@ -99,6 +101,7 @@
   };
 
   void noteFailure(const TargetId &Target, bool Connected, Timestamp Now);
+  bool hasHelper(Timestamp Now) const;
 
   RandomGenerator Random;
   size_t KnownTargets = 0;
--- a/Tests/LibRouting/TestTargetReach.cpp
+++ b/Tests/LibRouting/TestTargetReach.cpp
@@ -110,6 +110,7 @@
 
 BOOST_AUTO_TEST_CASE(two_probes_in_a_row_end_a_cut) {
   Router Subject(8);
+  Subject.Reach.noteHelper({"a"}, {true, "key-a"}, Subject.Now);
   Subject.fail(0, 4, 10ms);
   BOOST_REQUIRE(Subject.Reach.isCutOff());
   Subject.Reach.noteProbe(true, Subject.Now);
@@ -126,7 +127,8 @@
 // Probes find connections whole that requests do not.
 BOOST_AUTO_TEST_CASE(each_relapse_takes_more_probes_to_end) {
   Router Subject(8);
-  for (size_t Needed : {2U, 4U, 8U, 16U, 16U}) {
+  for (size_t Needed : {2U, 4U, 8U, 8U}) {
+    Subject.Reach.noteHelper({"a"}, {true, "key-a"}, Subject.Now);
     Subject.fail(0, 4, 10ms);
     BOOST_REQUIRE(Subject.Reach.isCutOff());
     for (size_t Probe = 0; Probe < Needed; ++Probe) {
@@ -137,12 +139,25 @@
     Subject.Now += 1s;
   }
   Subject.Now += TargetReach::RelapseSpan;
+  Subject.Reach.noteHelper({"a"}, {true, "key-a"}, Subject.Now);
   Subject.fail(0, 4, 10ms);
   Subject.Reach.noteProbe(true, Subject.Now);
   Subject.Reach.noteProbe(true, Subject.Now);
   BOOST_TEST(!Subject.Reach.isCutOff());
 }
 
+// All targets are down, as seen from every router, and come back.
+BOOST_AUTO_TEST_CASE(one_probe_suffices_where_nobody_reached_targets) {
+  Router Subject(8);
+  for (int Time = 0; Time < 4; ++Time) {
+    Subject.Reach.noteHelper({"a"}, {false, "key-a"}, Subject.Now);
+    Subject.fail(0, 4, 10ms);
+    BOOST_REQUIRE(Subject.Reach.isCutOff());
+    Subject.Reach.noteProbe(true, Subject.Now);
+    BOOST_TEST(!Subject.Reach.isCutOff());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(only_routers_that_reach_targets_help) {
   Router Subject(8);
   Subject.Reach.noteHelper({"a"}, {true, "key-a"}, Subject.Now);
