LibRouting: Let requests that only waited tell no quarantined parts apart

Both engines ended under a crashing part before any answer to a prompt with the shared first part had been whole, so that both parts were quarantined together, as they should be. Sound requests that then found the engines ended counted as a crash of the first part alone, and one was enough to quarantine it too.

TestPartQuarantine: requests_that_waited_do_not_tell_parts_apart fails without the change.

--- a/Libraries/LibRouting/CrashEvidence.cpp
+++ b/Libraries/LibRouting/CrashEvidence.cpp
@@ -318,7 +318,8 @@
     }
     if (!IsSuspect)
       continue;
-    Result.Unexplained = Result.Unexplained || !Explained;
+    Result.UnexplainedBegun =
+        Result.UnexplainedBegun || (!Explained && HadBegun);
     Result.Served = Result.Served || PartMarks->second.ServedBefore;
     std::erase_if(Result.Common, [&](uint64_t Other) {
       auto OfOther = Report.Marks.find(Other);
@@ -328,6 +329,8 @@
       continue;
     LastCounted = Report.SeenAt;
     Result.LearntAll.push_back(Ended->LearntAt);
+    if (!Explained)
+      Result.LearntUnexplained.push_back(Ended->LearntAt);
     if (HadBegun)
       Result.LearntBegun.push_back(Ended->LearntAt);
   }
@@ -339,13 +342,17 @@
     const Incidences &Known, const std::vector<PartSet> &Quarantined,
     Timestamp Now) const {
   Tally Counted = tallyOf(Part, Recent, Known, Quarantined);
-  bool IsClear = !Counted.Served && Counted.LearntBegun.size() >= MinCrashes;
-  const std::vector<Timestamp> &Learnt =
-      IsClear ? Counted.LearntBegun : Counted.LearntAll;
+  bool IsClear = !Counted.Served && Counted.UnexplainedBegun &&
+                 Counted.LearntBegun.size() >= MinCrashes;
+  // Requests that only waited do not tell parts apart that were quarantined
+  // together.
+  const std::vector<Timestamp> &Learnt = IsClear ? Counted.LearntBegun
+                                         : Counted.UnexplainedBegun
+                                             ? Counted.LearntAll
+                                             : Counted.LearntUnexplained;
   size_t Needed = IsClear ? MinCrashes : MinCrashesOfServed;
   Duration Wait = IsClear ? DecisionDelay : DecisionDelayOfServed;
-  if (!Counted.Unexplained || Learnt.size() < Needed ||
-      Now < Learnt[Needed - 1] + Wait)
+  if (Learnt.size() < Needed || Now < Learnt[Needed - 1] + Wait)
     return std::nullopt;
   // Among parts that are always together, those that were never served are
   // the cause.
--- a/Libraries/LibRouting/CrashEvidence.h
+++ b/Libraries/LibRouting/CrashEvidence.h
@@ -178,8 +178,11 @@
     PartSet Common;
     std::vector<Timestamp> LearntBegun;
     std::vector<Timestamp> LearntAll;
+    /// Those that no quarantined set explains.
+    std::vector<Timestamp> LearntUnexplained;
     bool Served = false;
-    bool Unexplained = false;
+    /// Whether an answer had begun in one of these.
+    bool UnexplainedBegun = false;
   };
 
   /// Parts that a crash is put down to.
--- a/Tests/LibRouting/TestPartQuarantine.cpp
+++ b/Tests/LibRouting/TestPartQuarantine.cpp
@@ -141,6 +141,21 @@
   BOOST_TEST(Subject.Quarantine.quarantinedSets() == 1U);
 }
 
+// Both targets of a new service end before any answer is whole, and sound
+// requests find them ended.
+BOOST_AUTO_TEST_CASE(requests_that_waited_do_not_tell_parts_apart) {
+  Router Subject;
+  Subject.crashes(4, {{Lead, Crashing}});
+  Subject.Now += CrashEvidence::DecisionDelay;
+  BOOST_TEST(!Subject.admits({Lead, Crashing}));
+  Subject.crash({}, {{Lead, Sound}});
+  Subject.Now += 300ms;
+  Subject.crash({}, {{Lead, Sound}});
+  Subject.Now += Later;
+  BOOST_TEST(Subject.admits({Lead, Sound}));
+  BOOST_TEST(!Subject.admits({Lead, Crashing}));
+}
+
 BOOST_AUTO_TEST_CASE(two_parts_that_crash_targets_are_both_refused) {
   Router Subject;
   Subject.serve({Lead});
