--- a/Tests/Fakes/FakeScriptedTarget.cpp
+++ b/Tests/Fakes/FakeScriptedTarget.cpp
@@ -45,9 +45,10 @@
 
 void FakeScriptedTarget::joinEnded() {
   ConnectionThreads.remove_if([](ConnectionThread &Thread) {
-    if (Thread.Ended)
-      Thread.Runner.join();
-    return Thread.Ended.load();
+    if (!Thread.Ended)
+      return false;
+    Thread.Runner.join();
+    return true;
   });
 }
 
