--- a/Libraries/LibRouting/CrashEvidence.h
+++ b/Libraries/LibRouting/CrashEvidence.h
@@ -219,7 +219,7 @@
                                  Timestamp Now) const;
 
   std::map<CrashId, Crash> Crashes;
-  /// Apart, so that requests without number push out no part.
+  /// Kept apart, so that a flood of requests evicts no part.
   ServedHistory ServedParts;
   ServedHistory ServedRequests;
 };
