--- a/Libraries/LibConfig/RouteTable.h
+++ b/Libraries/LibConfig/RouteTable.h
@@ -89,6 +89,20 @@
   std::optional<CacheStoreDetails> Store;
 };
 
+/// What the cap of a workspace counts.
+enum class CapUnit : uint8_t { Requests, Tokens };
+
+/// The rate that all routers together admit of a workspace.
+struct WorkspaceCap {
+  /// Units a second.
+  double PerSecond = 0;
+  double Burst = 0;
+  CapUnit Unit = CapUnit::Requests;
+  /// Tokens that count for a request which names none.
+  uint32_t DefaultTokens = 0;
+  bool operator==(const WorkspaceCap &) const = default;
+};
+
 /// A workspace and the keys that its requests carry.
 struct RoutedWorkspace {
   WorkspaceId Id;
@@ -97,6 +111,8 @@
   std::optional<uint32_t> Priority;
   /// Whether it shares no cache with other workspaces.
   bool Isolated = false;
+  /// Nothing if the workspace has no cap.
+  std::optional<WorkspaceCap> Cap = {};
 };
 
 /// Limits for requests of callers.
@@ -165,6 +181,12 @@
       {Policy::AtMostOnce, "at_most_once"}, {Policy::Idempotent, "idempotent"}};
 };
 
+template <> struct EnumNames<config::CapUnit> {
+  using Unit = config::CapUnit;
+  static constexpr EnumName<Unit> Table[] = {{Unit::Requests, "requests"},
+                                             {Unit::Tokens, "tokens"}};
+};
+
 } // namespace ferry
 
 #endif
