LibRouting: Keep brittle targets from rejecting requests

Targets that say in their answers that they are brittle crash when they have to reject more requests in a second than the number that they name.

TargetLimits now knows this second kind of limit and tells it to the other routers like the first. The slots of a brittle target are dealt among the routers by rendezvous hashing where there are at least as many as routers; else routers have turns at a rate that leaves most slots free. Requests beyond that are rejected at once.

--- a/Libraries/LibObserve/Log.h
+++ b/Libraries/LibObserve/Log.h
@@ -57,6 +57,11 @@
       FieldValue = *Number;
   }
 
+  LogField(std::string_view Key, std::optional<double> Number) : FieldKey(Key) {
+    if (Number)
+      FieldValue = *Number;
+  }
+
   std::string_view key() const { return FieldKey; }
   const Value &value() const { return FieldValue; }
 
--- a/Libraries/LibRouting/RoutedPlacement.cpp
+++ b/Libraries/LibRouting/RoutedPlacement.cpp
@@ -121,17 +121,24 @@
 
 void RoutedPlacement::noteLimit(const PlacedCall &Placed,
                                 std::optional<double> PerSecond,
+                                std::optional<double> RejectionsPerSecond,
                                 Timestamp Now) {
   auto Sent = SentCalls.find(Placed.PlacementId);
   if (Sent != SentCalls.end())
     Limits.noteAnswer(Placed.Target, Placed.Incarnation, PerSecond,
-                      Sent->second.SentAt, Now);
+                      Sent->second.SentAt, Now, RejectionsPerSecond);
 }
 
 bool RoutedPlacement::maySend(const PlacedCall &Placed, Timestamp Now) {
   if (Signals.isLeaving(Placed.Target, Placed.Incarnation) ||
       Signals.isPaused(Placed.Target, Placed.Incarnation, Now))
     return false;
+  auto Target = Targets.find(Placed.Target);
+  if (Target != Targets.end() &&
+      Target->second.Record.Incarnation == Placed.Incarnation &&
+      Limits.exceedsSlots(Placed.Target, Placed.Incarnation,
+                          roomOf(Target->second)))
+    return false;
   if (Placed.CountedAgainstLimit)
     return true;
   if (Limits.openFrom(Placed.Target, Placed.Incarnation, Now) > Now)
@@ -171,6 +178,22 @@
          Target.LoadingUntil <= Now;
 }
 
+TargetRoom RoutedPlacement::roomOf(const RoutedTarget &Target) {
+  return {Target.Running, Target.Record.Load.MaxConcurrent,
+          Target.ServiceSeconds};
+}
+
+bool RoutedPlacement::mayOverflow(const RoutedTarget &Target,
+                                  Timestamp Now) const {
+  const TargetRecord &Record = Target.Record;
+  if (!Limits.isBrittle(Record.Id, Record.Incarnation))
+    return false;
+  // A brittle target that has rejected a request is paused even if few others
+  // are left.
+  return Target.UnusableUntil > Now ||
+         !Limits.hasRoom(Record.Id, Record.Incarnation, roomOf(Target), Now);
+}
+
 bool RoutedPlacement::isFresh(const RoutedTarget &Target, Timestamp Now) const {
   return Target.Record.UsableUntil - Opts.RecordLifetime + Opts.MaxRecordAge >
          Now;
--- a/Libraries/LibRouting/RoutedPlacement.h
+++ b/Libraries/LibRouting/RoutedPlacement.h
@@ -104,10 +104,12 @@
   bool notePause(const TargetId &Target, Incarnation Asking, Timestamp Until,
                  Timestamp Now);
 
-  /// Notes what the answer to a placed call says of the target's limit.
+  /// Notes what the answer to a placed call says of the target's limits.
   /// \param PerSecond the limit that it names, if any.
+  /// \param RejectionsPerSecond the rejections that the target survives, if it
+  /// is brittle.
   void noteLimit(const PlacedCall &Placed, std::optional<double> PerSecond,
-                 Timestamp Now);
+                 std::optional<double> RejectionsPerSecond, Timestamp Now);
 
   /// Asked right before a placed call is sent. Answers to other calls may have
   /// shown since the placement that the target leaves or wants a pause, or that
@@ -170,6 +172,8 @@
     uint32_t FailuresInARow = 0;
     /// Moving average of the share of failed requests, from 0 to 1.
     double FailureShare = 0;
+    /// Moving average of the time from sending a request to its end.
+    double ServiceSeconds = 0.05;
     CachedParts Parts;
   };
 
@@ -251,6 +255,10 @@
   /// likely at this host or in its network. All of them are used then.
   static bool seemsCutOff(size_t Usable, size_t Offered);
   bool isUsable(const RoutedTarget &Target, Timestamp Now) const;
+  /// \returns what this router knows of the room at \p Target.
+  static TargetRoom roomOf(const RoutedTarget &Target);
+  /// Whether \p Target is brittle and might reject a further request.
+  bool mayOverflow(const RoutedTarget &Target, Timestamp Now) const;
   Timestamp supersededSince(const RoutedTarget &Target, Timestamp Now) const;
   /// When the last request may begin on the target's weights.
   Timestamp weightsDeadline(const RoutedTarget &Target, Timestamp Now) const;
--- a/Libraries/LibRouting/RoutedPlacementChoice.cpp
+++ b/Libraries/LibRouting/RoutedPlacementChoice.cpp
@@ -82,7 +82,8 @@
         !Call.Build.empty() && Target.Record.Build != Call.Build;
     if (IsOtherBuild || !isOffered(Target, Call.Service, Now) ||
         Signals.openFrom(Id, Target.Record.Incarnation, Now) > Now ||
-        Limits.openFrom(Id, Target.Record.Incarnation, Now) > Now)
+        Limits.openFrom(Id, Target.Record.Incarnation, Now) > Now ||
+        mayOverflow(Target, Now))
       continue;
     Offered.push_back(&Target);
     if (isUsable(Target, Now))
@@ -235,6 +236,8 @@
 PlacedCall RoutedPlacement::dispatch(const RoutedCall &Call,
                                      const Candidate &Best, Timestamp Now) {
   RoutedTarget &Target = *Best.Target;
+  Limits.noteRoomTaken(Target.Record.Id, Target.Record.Incarnation,
+                       roomOf(Target), Now);
   ++Target.Running;
   Signals.noteSent(Target.Record.Id, Target.Record.Incarnation, Now);
   bool Idle = isIdle(Target, Now) && !Best.FetchFromStore &&
--- a/Libraries/LibRouting/RoutedPlacementOutcome.cpp
+++ b/Libraries/LibRouting/RoutedPlacementOutcome.cpp
@@ -8,6 +8,8 @@
 
 /// Weight of the newest request in the moving average of failures.
 static constexpr double FailureWeight = 0.1;
+/// Weight of the newest request in the moving average of service times.
+static constexpr double ServiceTimeWeight = 0.1;
 /// Maximum number of parts in one digest.
 static constexpr size_t MaxDigestParts = 64;
 /// A store whose fetch saved no time is not used for this long.
@@ -106,6 +108,10 @@
   if (Target == nullptr)
     return;
   Target->Running -= std::min(Target->Running, 1U);
+  if (End == CallEnd::Served)
+    Target->ServiceSeconds +=
+        ServiceTimeWeight *
+        (secondsOf(Now - Sent.SentAt) - Target->ServiceSeconds);
   if (!Sent.FirstByteSeen) {
     double &Backlog = Target->OwnBacklog.of(Sent.Call);
     Backlog = std::max(0.0, Backlog - Sent.PromptSeconds);
--- a/Libraries/LibRouting/TargetLimits.cpp
+++ b/Libraries/LibRouting/TargetLimits.cpp
@@ -6,6 +6,9 @@
 
 namespace ferry::routing {
 
+/// The first turns of all routers at a target that has become brittle are
+/// spread over this time.
+static constexpr Duration FirstBrittleTurns = std::chrono::milliseconds(500);
 /// Number of changes that wait for the log.
 static constexpr size_t MaxChanges = 64;
 
@@ -40,17 +43,20 @@
       updateShare(Subject, Now);
 }
 
+size_t TargetLimits::rankFor(uint64_t Key) const {
+  uint64_t Own = rendezvousWeight(SelfHash, Key);
+  return static_cast<size_t>(std::count_if(
+      OtherHashes.begin(), OtherHashes.end(),
+      [&](uint64_t Other) { return rendezvousWeight(Other, Key) > Own; }));
+}
+
 void TargetLimits::updateShare(Entry &Subject, Timestamp Now) {
   double Limit = Subject.Limit.PerSecond.value_or(0);
   size_t Routers = OtherHashes.size() + 1;
   size_t Senders = std::clamp<size_t>(
       static_cast<size_t>(std::min(Limit / RequestsPerSender, double(Routers))),
       1, Routers);
-  uint64_t Key = hashIdentifier(Subject.Limit.Target.Value);
-  uint64_t Own = rendezvousWeight(SelfHash, Key);
-  auto Rank = static_cast<size_t>(std::count_if(
-      OtherHashes.begin(), OtherHashes.end(),
-      [&](uint64_t Other) { return rendezvousWeight(Other, Key) > Own; }));
+  size_t Rank = rankFor(hashIdentifier(Subject.Limit.Target.Value));
   bool WasSender = Subject.Share > 0;
   Duration Spacing = spacingOf(Limit / double(Senders));
   Subject.Share =
@@ -63,20 +69,28 @@
 }
 
 void TargetLimits::set(Entry &Subject, std::optional<double> PerSecond,
-                       bool WasTold, Timestamp Now) {
-  bool WasLimited = Subject.Limit.PerSecond.has_value();
+                       std::optional<double> RejectionsPerSecond, bool WasTold,
+                       Timestamp Now) {
+  bool WasNamed = Subject.Limit.named();
   Subject.Limit.PerSecond = PerSecond;
+  Subject.Limit.RejectionsPerSecond = RejectionsPerSecond;
   if (!PerSecond)
     Subject.Share = 0;
   else
     updateShare(Subject, Now);
-  if (!PerSecond && !WasLimited)
+  bool IsNamed = Subject.Limit.named();
+  // Routers that hear of it at the same moment do not send at the same moment.
+  if (!Subject.Limit.RejectionsPerSecond)
+    Subject.RoomAt = {};
+  else if (Subject.RoomAt == Timestamp{})
+    Subject.RoomAt = Now + turnOf(Subject, FirstBrittleTurns);
+  if (!IsNamed && !WasNamed)
     return;
   using Kind = LimitChange::Kind;
   if (Changes.size() < MaxChanges)
-    Changes.push_back({!PerSecond ? Kind::Ended
-                       : WasTold  ? Kind::Told
-                                  : Kind::Named,
+    Changes.push_back({!IsNamed  ? Kind::Ended
+                       : WasTold ? Kind::Told
+                                 : Kind::Named,
                        Subject.Limit});
 }
 
@@ -91,11 +105,13 @@
 
 void TargetLimits::noteAnswer(const TargetId &Target, Incarnation Current,
                               std::optional<double> PerSecond, Timestamp SentAt,
-                              Timestamp Now) {
+                              Timestamp Now,
+                              std::optional<double> RejectionsPerSecond) {
+  bool NamesAny = PerSecond || RejectionsPerSecond;
   Key Id{Target, Current};
   auto Found = Entries.find(Id);
   if (Found == Entries.end()) {
-    if (!PerSecond)
+    if (!NamesAny)
       return;
     expire(Now);
     Found = Entries.try_emplace(Id).first;
@@ -103,21 +119,25 @@
   }
   Entry &Subject = Found->second;
   // The head of an answer to an earlier request may be older than the limit.
-  bool IsOlder = !PerSecond && SentAt <= Subject.Limit.ObservedAt;
+  bool IsOlder = !NamesAny && SentAt <= Subject.Limit.ObservedAt;
   if (IsOlder)
     return;
   Subject.Limit.ObservedAt = Now;
-  if (!differ(PerSecond, Subject.Limit.PerSecond))
+  if (!differ(PerSecond, Subject.Limit.PerSecond) &&
+      !differ(RejectionsPerSecond, Subject.Limit.RejectionsPerSecond))
     return;
-  set(Subject, PerSecond, /*WasTold=*/false, Now);
+  set(Subject, PerSecond, RejectionsPerSecond, /*WasTold=*/false, Now);
   Changed.insert(Id);
 }
 
+/// Whether a rate that another router tells may be one.
+static bool isSane(const std::optional<double> &Rate) {
+  return !Rate || (std::isfinite(*Rate) && *Rate >= 0);
+}
+
 void TargetLimits::apply(const TargetLimit &Told, bool PassOn, Timestamp Now) {
-  bool IsSane = !Told.PerSecond ||
-                (std::isfinite(*Told.PerSecond) && *Told.PerSecond >= 0);
-  if (!IsSane ||
-      Told.ObservedAt + (Told.PerSecond ? Lifetime : EndLifetime) <= Now)
+  if (!isSane(Told.PerSecond) || !isSane(Told.RejectionsPerSecond) ||
+      Told.ObservedAt + (Told.named() ? Lifetime : EndLifetime) <= Now)
     return;
   Key Id{Told.Target, Told.Incarnation};
   auto [Found, IsNew] = Entries.try_emplace(Id);
@@ -128,9 +148,10 @@
   else if (Told.ObservedAt <= Subject.Limit.ObservedAt + OrderSlack)
     return;
   Subject.Limit.ObservedAt = std::min(Told.ObservedAt, Now);
-  if (!differ(Told.PerSecond, Subject.Limit.PerSecond))
+  if (!differ(Told.PerSecond, Subject.Limit.PerSecond) &&
+      !differ(Told.RejectionsPerSecond, Subject.Limit.RejectionsPerSecond))
     return;
-  set(Subject, Told.PerSecond, /*WasTold=*/true, Now);
+  set(Subject, Told.PerSecond, Told.RejectionsPerSecond, /*WasTold=*/true, Now);
   if (PassOn)
     Changed.insert(Id);
   expire(Now);
@@ -165,6 +186,65 @@
   Subject.NextAt = std::max(Subject.NextAt + Spacing, Now);
 }
 
+Duration TargetLimits::turnOf(const Entry &Subject, Duration Spacing) const {
+  size_t Rank = rankFor(hashIdentifier(Subject.Limit.Target.Value));
+  return Spacing * static_cast<int64_t>(Rank) /
+         static_cast<int64_t>(OtherHashes.size() + 1);
+}
+
+bool TargetLimits::isBrittle(const TargetId &Target,
+                             Incarnation Current) const {
+  const Entry *Found = find(Target, Current);
+  return Found != nullptr && Found->Limit.RejectionsPerSecond;
+}
+
+bool TargetLimits::dealsSlots(const TargetRoom &Room) const {
+  return Room.Slots > OtherHashes.size();
+}
+
+uint32_t TargetLimits::slotsOf(const TargetId &Target,
+                               const TargetRoom &Room) const {
+  uint64_t Key = hashIdentifier(Target.Value);
+  uint32_t Own = 0;
+  for (uint32_t Slot = 0; Slot < Room.Slots; ++Slot)
+    Own += rankFor(rendezvousWeight(Key, Slot)) == 0;
+  return Own;
+}
+
+bool TargetLimits::hasRoom(const TargetId &Target, Incarnation Current,
+                           const TargetRoom &Room, Timestamp Now) const {
+  const Entry *Found = find(Target, Current);
+  if (Found == nullptr || !Found->Limit.RejectionsPerSecond || Room.Slots == 0)
+    return true;
+  if (dealsSlots(Room))
+    return Room.Running < slotsOf(Target, Room);
+  return Found->RoomAt <= Now;
+}
+
+bool TargetLimits::exceedsSlots(const TargetId &Target, Incarnation Current,
+                                const TargetRoom &Room) const {
+  return isBrittle(Target, Current) && dealsSlots(Room) &&
+         Room.Running > slotsOf(Target, Room);
+}
+
+void TargetLimits::noteRoomTaken(const TargetId &Target, Incarnation Current,
+                                 const TargetRoom &Room, Timestamp Now) {
+  auto Found = Entries.find({Target, Current});
+  if (Found == Entries.end() || !Found->second.Limit.RejectionsPerSecond ||
+      Room.Slots == 0 || dealsSlots(Room))
+    return;
+  Entry &Subject = Found->second;
+  double Routers = double(OtherHashes.size() + 1);
+  double PerSecond =
+      BrittleLoad * Room.Slots / std::max(Room.ServiceSeconds, 1e-3) / Routers;
+  // The turns of all routers are spread evenly over the time between two turns
+  // of one router.
+  Duration Spacing = std::max(spacingOf(PerSecond), Duration(1));
+  Duration Turn = turnOf(Subject, Spacing);
+  Duration SinceTurn = (Now.time_since_epoch() - Turn) % Spacing;
+  Subject.RoomAt = Now - SinceTurn + Spacing;
+}
+
 std::vector<TargetLimit> TargetLimits::takeNews() {
   std::vector<TargetLimit> News;
   for (const Key &Id : std::exchange(Changed, {}))
@@ -188,14 +268,14 @@
 size_t TargetLimits::limitedTargets() const {
   return static_cast<size_t>(
       std::count_if(Entries.begin(), Entries.end(), [](const auto &Entry) {
-        return Entry.second.Limit.PerSecond.has_value();
+        return Entry.second.Limit.named();
       }));
 }
 
 void TargetLimits::expire(Timestamp Now) {
   std::erase_if(Entries, [Now](const auto &Entry) {
     const TargetLimit &Limit = Entry.second.Limit;
-    return Limit.ObservedAt + (Limit.PerSecond ? Lifetime : EndLifetime) <= Now;
+    return Limit.ObservedAt + (Limit.named() ? Lifetime : EndLifetime) <= Now;
   });
   while (Entries.size() >= MaxTargets)
     Entries.erase(std::min_element(Entries.begin(), Entries.end(),
--- a/Libraries/LibRouting/TargetLimits.h
+++ b/Libraries/LibRouting/TargetLimits.h
@@ -13,7 +13,7 @@
 
 namespace ferry::routing {
 
-/// What a target's answer said of its limit, as routers tell each other.
+/// What a target's answer said of its limits, as routers tell each other.
 struct TargetLimit {
   TargetId Target;
   ferry::Incarnation Incarnation;
@@ -21,6 +21,21 @@
   std::optional<double> PerSecond;
   /// When the answer was received.
   Timestamp ObservedAt;
+  /// Requests a second that the target can reject for want of room without
+  /// crashing; nothing if it is not brittle.
+  std::optional<double> RejectionsPerSecond = std::nullopt;
+
+  bool named() const { return PerSecond || RejectionsPerSecond; }
+};
+
+/// What one router knows of the room at a target.
+struct TargetRoom {
+  /// Requests of this router that run there.
+  uint32_t Running = 0;
+  /// Requests that the target runs concurrently; 0 if it is unknown.
+  uint32_t Slots = 0;
+  /// Average time that the target takes for a request.
+  double ServiceSeconds = 0;
 };
 
 /// A change of what a router believes of a limit, for its log.
@@ -33,6 +48,9 @@
 /// The limits as one router sees them. Owns no clock; callers serialise all
 /// calls.
 ///
+/// There are two kinds: a rate, and the rejections that a brittle target
+/// survives.
+///
 /// Answers the load of a large fleet in front of a target that takes few
 /// requests a second: an equal share of each router would be far below one. So
 /// few routers send to the target, one for each RequestsPerSender a second; the
@@ -40,6 +58,14 @@
 /// Each answer renews
 /// the limit, and one without it, to a request that was sent under it, ends it.
 /// The router that saw a change tells the others.
+///
+/// Answers also the load of more callers than brittle targets have room for: a
+/// target that crashes moves its load to the next one. All routers together
+/// keep no more requests at a brittle target than it runs at a time, so that
+/// it has to reject none. Rendezvous hashing deals its slots among the routers,
+/// without messages. Where there are fewer slots than routers, each router has
+/// a share of a rate that leaves most slots free instead, as requests of
+/// routers that do not know of each other arrive at the same moment.
 class TargetLimits {
 public:
   /// Number of targets that are remembered; those whose limits were seen least
@@ -62,6 +88,10 @@
   /// Answers that routers see within this time are not ordered by it: the
   /// messages between routers take some of it.
   static constexpr Duration OrderSlack = std::chrono::milliseconds(50);
+  /// Share of a brittle target's slots that are taken on average where routers
+  /// have shares of a rate. With six slots, one request in a thousand finds all
+  /// of them taken.
+  static constexpr double BrittleLoad = 0.25;
 
   /// Sets the routers that serve, this one included.
   void setRouters(const HostId &Self, const std::vector<HostId> &Serving,
@@ -69,9 +99,12 @@
 
   /// Notes what an answer to a request sent at \p SentAt says.
   /// \param PerSecond the limit that it names, if any.
+  /// \param RejectionsPerSecond the rejections that it survives, if it is
+  /// brittle.
   void noteAnswer(const TargetId &Target, Incarnation Current,
                   std::optional<double> PerSecond, Timestamp SentAt,
-                  Timestamp Now);
+                  Timestamp Now,
+                  std::optional<double> RejectionsPerSecond = std::nullopt);
 
   bool isLimited(const TargetId &Target, Incarnation Current) const;
 
@@ -83,6 +116,23 @@
   /// Counts a request that is sent to the target.
   void noteSent(const TargetId &Target, Incarnation Current, Timestamp Now);
 
+  bool isBrittle(const TargetId &Target, Incarnation Current) const;
+
+  /// \returns whether this router may send a further request to the target
+  /// without causing a rejection; true if the target is not brittle.
+  bool hasRoom(const TargetId &Target, Incarnation Current,
+               const TargetRoom &Room, Timestamp Now) const;
+
+  /// \returns whether the requests of this router at a brittle target are more
+  /// than its slots there: they were placed before the target was known to be
+  /// brittle.
+  bool exceedsSlots(const TargetId &Target, Incarnation Current,
+                    const TargetRoom &Room) const;
+
+  /// Counts a request that is sent to a target, if that is brittle.
+  void noteRoomTaken(const TargetId &Target, Incarnation Current,
+                     const TargetRoom &Room, Timestamp Now);
+
   /// \returns the limit; nothing if none is known.
   std::optional<double> perSecond(const TargetId &Target,
                                   Incarnation Current) const;
@@ -108,12 +158,22 @@
     double Share = 0;
     /// When the next request may be sent.
     Timestamp NextAt;
+    /// The same for a brittle target with fewer slots than routers.
+    Timestamp RoomAt;
   };
 
   const Entry *find(const TargetId &Target, Incarnation Current) const;
-  void set(Entry &Subject, std::optional<double> PerSecond, bool WasTold,
+  void set(Entry &Subject, std::optional<double> PerSecond,
+           std::optional<double> RejectionsPerSecond, bool WasTold,
            Timestamp Now);
   void updateShare(Entry &Subject, Timestamp Now);
+  /// \returns how many routers precede this one in the order for \p Key.
+  size_t rankFor(uint64_t Key) const;
+  /// Whether a target's slots are dealt among the routers.
+  bool dealsSlots(const TargetRoom &Room) const;
+  uint32_t slotsOf(const TargetId &Target, const TargetRoom &Room) const;
+  /// \returns this router's part of \p Spacing, the time between two turns.
+  Duration turnOf(const Entry &Subject, Duration Spacing) const;
   void expire(Timestamp Now);
 
   std::map<Key, Entry> Entries;
--- a/Libraries/LibTraffic/RouteDialect.h
+++ b/Libraries/LibTraffic/RouteDialect.h
@@ -84,7 +84,10 @@
   /// The requests a second that the target takes from all hosts together;
   /// nothing if it names no limit.
   std::optional<double> Limit;
-  /// Whether it names a limit that cannot be read.
+  /// The rejections a second, for want of room, that a brittle target survives;
+  /// nothing if it does not say that it is brittle.
+  std::optional<double> RejectionsPerSecond;
+  /// Whether it names one of these two that cannot be read.
   bool LimitUnreadable = false;
 };
 
--- a/Libraries/LibTraffic/RoutedContext.cpp
+++ b/Libraries/LibTraffic/RoutedContext.cpp
@@ -58,18 +58,22 @@
     HasNews = Placement.limits().hasNews();
   }
   for (const LimitChange &Change : Changes)
-    observe::logEvent(observe::Severity::Info, "routed", "target_limit",
-                      {{"change", Change.What},
-                       {"target", Change.Limit.Target},
-                       {"incarnation", Change.Limit.Incarnation},
-                       {"per_second", Change.Limit.PerSecond.value_or(0)}});
+    observe::logEvent(
+        observe::Severity::Info, "routed", "target_limit",
+        {{"change", Change.What},
+         {"target", Change.Limit.Target},
+         {"incarnation", Change.Limit.Incarnation},
+         {"per_second", Change.Limit.PerSecond},
+         {"rejections_per_second", Change.Limit.RejectionsPerSecond}});
   return HasNews;
 }
 
 bool SharedPlacement::noteLimit(const PlacedCall &Placed,
-                                std::optional<double> PerSecond) {
-  return updateLimits(
-      [&] { Placement.noteLimit(Placed, PerSecond, steadyNow()); });
+                                const AnswerDetails &Details) {
+  return updateLimits([&] {
+    Placement.noteLimit(Placed, Details.Limit, Details.RejectionsPerSecond,
+                        steadyNow());
+  });
 }
 
 bool SharedPlacement::applyLimits(const std::vector<TargetLimit> &Told,
--- a/Libraries/LibTraffic/RoutedContext.h
+++ b/Libraries/LibTraffic/RoutedContext.h
@@ -40,7 +40,7 @@
   bool maySend(const routing::PlacedCall &Placed);
   /// \returns whether there is news of limits for other routers.
   bool noteLimit(const routing::PlacedCall &Placed,
-                 std::optional<double> PerSecond);
+                 const AnswerDetails &Details);
   bool applyLimits(const std::vector<routing::TargetLimit> &Told, bool PassOn);
   std::vector<routing::TargetLimit> takeLimitNews();
   std::vector<routing::TargetLimit> allLimits();
--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -322,8 +322,9 @@
                       {{"target", Destination.Target},
                        {"incarnation", Destination.Incarnation}},
                       Caller.Id);
-  if ((Details.Limit || !Details.LimitUnreadable) &&
-      Context.Placements.noteLimit(Destination, Details.Limit))
+  bool NamesLimit = Details.Limit || Details.RejectionsPerSecond;
+  if ((NamesLimit || !Details.LimitUnreadable) &&
+      Context.Placements.noteLimit(Destination, Details))
     Context.Hooks.BeliefsChanged();
   if (!Details.Pause)
     return;
--- a/Libraries/LibWire/Generated/Routing_types.cpp
+++ b/Libraries/LibWire/Generated/Routing_types.cpp
@@ -2375,6 +2375,11 @@
 void TargetLimit::__set_AgeMillis(const int32_t val) {
   this->AgeMillis = val;
 }
+
+void TargetLimit::__set_RejectionsPerSecond(const double val) {
+  this->RejectionsPerSecond = val;
+__isset.RejectionsPerSecond = true;
+}
 std::ostream& operator<<(std::ostream& out, const TargetLimit& obj)
 {
   obj.printTo(out);
@@ -2435,6 +2440,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->RejectionsPerSecond);
+          this->__isset.RejectionsPerSecond = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2469,6 +2482,11 @@
   xfer += oprot->writeI32(this->AgeMillis);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.RejectionsPerSecond) {
+    xfer += oprot->writeFieldBegin("RejectionsPerSecond", ::apache::thrift::protocol::T_DOUBLE, 5);
+    xfer += oprot->writeDouble(this->RejectionsPerSecond);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2480,6 +2498,7 @@
   swap(a.Incarnation, b.Incarnation);
   swap(a.PerSecond, b.PerSecond);
   swap(a.AgeMillis, b.AgeMillis);
+  swap(a.RejectionsPerSecond, b.RejectionsPerSecond);
   swap(a.__isset, b.__isset);
 }
 
@@ -2488,6 +2507,7 @@
   Incarnation = other105.Incarnation;
   PerSecond = other105.PerSecond;
   AgeMillis = other105.AgeMillis;
+  RejectionsPerSecond = other105.RejectionsPerSecond;
   __isset = other105.__isset;
 }
 TargetLimit::TargetLimit(TargetLimit&& other106) noexcept {
@@ -2495,6 +2515,7 @@
   Incarnation = other106.Incarnation;
   PerSecond = other106.PerSecond;
   AgeMillis = other106.AgeMillis;
+  RejectionsPerSecond = other106.RejectionsPerSecond;
   __isset = other106.__isset;
 }
 TargetLimit& TargetLimit::operator=(const TargetLimit& other107) {
@@ -2502,6 +2523,7 @@
   Incarnation = other107.Incarnation;
   PerSecond = other107.PerSecond;
   AgeMillis = other107.AgeMillis;
+  RejectionsPerSecond = other107.RejectionsPerSecond;
   __isset = other107.__isset;
   return *this;
 }
@@ -2510,6 +2532,7 @@
   Incarnation = other108.Incarnation;
   PerSecond = other108.PerSecond;
   AgeMillis = other108.AgeMillis;
+  RejectionsPerSecond = other108.RejectionsPerSecond;
   __isset = other108.__isset;
   return *this;
 }
@@ -2520,6 +2543,7 @@
   out << ", " << "Incarnation=" << to_string(Incarnation);
   out << ", " << "PerSecond="; (__isset.PerSecond ? (out << to_string(PerSecond)) : (out << "<null>"));
   out << ", " << "AgeMillis=" << to_string(AgeMillis);
+  out << ", " << "RejectionsPerSecond="; (__isset.RejectionsPerSecond ? (out << to_string(RejectionsPerSecond)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Libraries/LibWire/Generated/Routing_types.h
+++ b/Libraries/LibWire/Generated/Routing_types.h
@@ -932,11 +932,12 @@
 std::ostream& operator<<(std::ostream& out, const QuarantinedParts& obj);
 
 typedef struct _TargetLimit__isset {
-  _TargetLimit__isset() : Target(false), Incarnation(false), PerSecond(false), AgeMillis(false) {}
+  _TargetLimit__isset() : Target(false), Incarnation(false), PerSecond(false), AgeMillis(false), RejectionsPerSecond(false) {}
   bool Target :1;
   bool Incarnation :1;
   bool PerSecond :1;
   bool AgeMillis :1;
+  bool RejectionsPerSecond :1;
 } _TargetLimit__isset;
 
 class TargetLimit : public virtual ::apache::thrift::TBase {
@@ -950,7 +951,8 @@
               : Target(),
                 Incarnation(0),
                 PerSecond(0),
-                AgeMillis(0) {
+                AgeMillis(0),
+                RejectionsPerSecond(0) {
   }
 
   virtual ~TargetLimit() noexcept;
@@ -958,6 +960,7 @@
   int64_t Incarnation;
   double PerSecond;
   int32_t AgeMillis;
+  double RejectionsPerSecond;
 
   _TargetLimit__isset __isset;
 
@@ -969,6 +972,8 @@
 
   void __set_AgeMillis(const int32_t val);
 
+  void __set_RejectionsPerSecond(const double val);
+
   bool operator == (const TargetLimit & rhs) const
   {
     if (!(Target == rhs.Target))
@@ -981,6 +986,10 @@
       return false;
     if (!(AgeMillis == rhs.AgeMillis))
       return false;
+    if (__isset.RejectionsPerSecond != rhs.__isset.RejectionsPerSecond)
+      return false;
+    else if (__isset.RejectionsPerSecond && !(RejectionsPerSecond == rhs.RejectionsPerSecond))
+      return false;
     return true;
   }
   bool operator != (const TargetLimit &rhs) const {
--- a/Libraries/LibWire/Idl/Routing.thrift
+++ b/Libraries/LibWire/Idl/Routing.thrift
@@ -131,6 +131,9 @@
   // Requests a second from all routers; absent if the limit has ended.
   3: optional double PerSecond
   4: i32 AgeMillis
+  // Rejections a second that a brittle target survives; absent if it is not
+  // brittle.
+  5: optional double RejectionsPerSecond
 }
 
 // What a router says of itself to one that reaches no target.
--- a/Services/ferryd/BeliefExchange.cpp
+++ b/Services/ferryd/BeliefExchange.cpp
@@ -103,6 +103,8 @@
   Fields.Incarnation = static_cast<int64_t>(Limit.Incarnation.Value);
   if (Limit.PerSecond)
     Fields.__set_PerSecond(*Limit.PerSecond);
+  if (Limit.RejectionsPerSecond)
+    Fields.__set_RejectionsPerSecond(*Limit.RejectionsPerSecond);
   Fields.AgeMillis = wireMillis(Now - Limit.ObservedAt);
   return Fields;
 }
@@ -113,6 +115,8 @@
   Limit.Incarnation = {static_cast<uint64_t>(Fields.Incarnation)};
   if (Fields.__isset.PerSecond)
     Limit.PerSecond = Fields.PerSecond;
+  if (Fields.__isset.RejectionsPerSecond)
+    Limit.RejectionsPerSecond = Fields.RejectionsPerSecond;
   Limit.ObservedAt = Now - fromWireMillis(Fields.AgeMillis);
   return Limit;
 }
--- a/Services/ferryd/ControlPlaneDump.cpp
+++ b/Services/ferryd/ControlPlaneDump.cpp
@@ -69,12 +69,15 @@
   }
   Poco::JSON::Array Limits;
   for (const routing::TargetLimit &Limit : Known.Limits) {
-    if (!Limit.PerSecond)
+    if (!Limit.named())
       continue;
     Object::Ptr Fields = new Object;
     Fields->set("target", Limit.Target.Value);
     Fields->set("incarnation", Limit.Incarnation.Value);
-    Fields->set("per_second", *Limit.PerSecond);
+    if (Limit.PerSecond)
+      Fields->set("per_second", *Limit.PerSecond);
+    if (Limit.RejectionsPerSecond)
+      Fields->set("rejections_per_second", *Limit.RejectionsPerSecond);
     Limits.add(Fields);
   }
   Object::Ptr Section = new Object;
--- a/Tests/LibRouting/TestTargetLimitEntries.cpp
+++ b/Tests/LibRouting/TestTargetLimitEntries.cpp
@@ -1,8 +1,11 @@
 // What one router makes of the limits that targets name, and of input that
 // makes no sense.
+#include "LibCore/Random.h"
 #include "LibRouting/TargetLimits.h"
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <limits>
+#include <string>
 
 using namespace ferry;
 using namespace ferry::routing;
@@ -102,3 +105,96 @@
   BOOST_TEST(Limits.limitedTargets() <= TargetLimits::MaxTargets);
   BOOST_TEST(Limits.isLimited({"4999"}, {1}));
 }
+
+static std::vector<HostId> routersNamed(int Count) {
+  std::vector<HostId> Names;
+  for (int Number = 0; Number < Count; ++Number)
+    Names.push_back({"r" + std::to_string(Number)});
+  return Names;
+}
+
+// Several routers that each believe a brittle target to be free would send more
+// requests than it runs, and the rejected ones crash it.
+BOOST_AUTO_TEST_CASE(routers_together_fill_the_slots_of_a_brittle_target) {
+  static constexpr uint32_t Slots = 24;
+  for (int Count : {1, 3, 7, 23}) {
+    std::vector<HostId> Routers = routersNamed(Count);
+    uint32_t Sent = 0;
+    for (const HostId &Self : Routers) {
+      TargetLimits Limits;
+      Limits.setRouters(Self, Routers, Start);
+      Limits.noteAnswer(Target, {1}, std::nullopt, Start, Start, 3.0);
+      TargetRoom Room{0, Slots, 0.05};
+      while (Limits.hasRoom(Target, {1}, Room, Start)) {
+        Limits.noteRoomTaken(Target, {1}, Room, Start);
+        ++Room.Running;
+      }
+      BOOST_TEST(!Limits.exceedsSlots(Target, {1}, Room));
+      ++Room.Running;
+      BOOST_TEST(Limits.exceedsSlots(Target, {1}, Room));
+      Sent += Room.Running - 1;
+    }
+    BOOST_TEST(Sent == Slots);
+  }
+}
+
+// With fewer slots than routers, each router may have a request to send at the
+// same moment.
+BOOST_AUTO_TEST_CASE(many_routers_leave_room_at_a_brittle_target) {
+  static constexpr int Routers = 71;
+  static constexpr uint32_t Slots = 6;
+  static constexpr int AllowedRejections = 3;
+  std::vector<HostId> Names = routersNamed(Routers);
+  std::vector<TargetLimits> Fleet(Routers);
+  for (size_t Index = 0; Index < Fleet.size(); ++Index) {
+    Fleet[Index].setRouters(Names[Index], Names, Start);
+    Fleet[Index].noteAnswer(Target, {1}, std::nullopt, Start, Start, 3.0);
+  }
+  TargetRoom Room{0, Slots, 0.02};
+  std::vector<Timestamp> RunningUntil;
+  std::vector<Timestamp> Rejections;
+  size_t Served = 0;
+  RandomGenerator Random(7);
+  for (Timestamp Now = Start; Now < Start + 10s; Now += 1ms) {
+    std::erase_if(RunningUntil, [&](Timestamp End) { return End <= Now; });
+    for (TargetLimits &Router : Fleet) {
+      // Callers ask each router for far more than its share, at random moments.
+      if (randomBelow(Random, 20) != 0 ||
+          !Router.hasRoom(Target, {1}, Room, Now))
+        continue;
+      Router.noteRoomTaken(Target, {1}, Room, Now);
+      if (RunningUntil.size() >= Slots) {
+        Rejections.push_back(Now);
+        continue;
+      }
+      ++Served;
+      RunningUntil.push_back(Now + 20ms);
+    }
+  }
+  for (Timestamp From : Rejections)
+    BOOST_TEST(
+        std::count_if(Rejections.begin(), Rejections.end(), [&](Timestamp At) {
+          return At >= From && At < From + 1s;
+        }) <= AllowedRejections);
+  // A fifth of the 300 requests a second that the target can serve.
+  BOOST_TEST(Served >= 600U);
+}
+
+// The end of brittleness and of a limit come with the same answer.
+BOOST_AUTO_TEST_CASE(an_answer_without_it_ends_brittleness) {
+  TargetLimits Limits;
+  Limits.noteAnswer(Target, {1}, std::nullopt, Start, Start, 3.0);
+  BOOST_TEST(Limits.isBrittle(Target, {1}));
+  BOOST_TEST(!Limits.isBrittle(Target, {2}));
+  BOOST_TEST(!Limits.isLimited(Target, {1}));
+  BOOST_TEST(Limits.takeNews().size() == 1U);
+  Limits.noteAnswer(Target, {1}, std::nullopt, Start + 1s, Start + 2s);
+  BOOST_TEST(!Limits.isBrittle(Target, {1}));
+  BOOST_TEST(Limits.takeNews().size() == 1U);
+  static constexpr double Infinite = std::numeric_limits<double>::infinity();
+  Limits.apply({Target, {1}, std::nullopt, Start + 3s, Infinite}, false,
+               Start + 3s);
+  Limits.apply({Target, {1}, std::nullopt, Start + 3s, -1.0}, false,
+               Start + 3s);
+  BOOST_TEST(!Limits.isBrittle(Target, {1}));
+}
--- a/Tests/platform/TestCallHeaders.cpp
+++ b/Tests/platform/TestCallHeaders.cpp
@@ -188,3 +188,26 @@
     BOOST_TEST(AnswerWith(200, {Text}).LimitUnreadable, Text);
   }
 }
+
+// A target that says that it is brittle with a number that cannot be read must
+// not end what is known of it.
+BOOST_AUTO_TEST_CASE(brittleness_is_read_from_any_answer) {
+  auto AnswerWith = [](int Status, const std::vector<std::string> &Numbers) {
+    Poco::Net::HTTPResponse Head(
+        static_cast<Poco::Net::HTTPResponse::HTTPStatus>(Status));
+    for (const std::string &Number : Numbers)
+      Head.add("Server-Brittle", Number);
+    return readAnswer(Head, {});
+  };
+  for (int Status : {200, 404, 500, 503})
+    BOOST_TEST((AnswerWith(Status, {"3"}).RejectionsPerSecond == 3.0));
+  BOOST_TEST((AnswerWith(200, {"0"}).RejectionsPerSecond == 0.0));
+  BOOST_TEST((AnswerWith(200, {"5", "2"}).RejectionsPerSecond == 2.0));
+  BOOST_TEST(!AnswerWith(200, {}).RejectionsPerSecond.has_value());
+  BOOST_TEST(!AnswerWith(200, {"3"}).Limit.has_value());
+  BOOST_TEST(!AnswerWith(200, {"3"}).LimitUnreadable);
+  for (const char *Text : {"", "x", "-1", "1e9", "inf", "3,4"}) {
+    BOOST_TEST(!AnswerWith(200, {Text}).RejectionsPerSecond.has_value(), Text);
+    BOOST_TEST(AnswerWith(200, {Text}).LimitUnreadable, Text);
+  }
+}
