LibRouting: Place long and short prompts at different targets

Short prompts came late where a long prompt was being read: 249 of 1,112 that came behind one, 13 of 2,136 that did not. In a large fleet routers hear of each other's long prompts later than it takes to read them.

PromptSplit lets long prompts prefer the first targets of an order that all routers agree on and short prompts the others, with a boundary that follows the work of both; StaleLoadSpread draws among them, since all routers see the same old reports. Only descriptions that leave long prompts a second or more, and want others begun much sooner, call for it.

--- a/Libraries/LibRouting/RoutedPlacement.cpp
+++ b/Libraries/LibRouting/RoutedPlacement.cpp
@@ -47,6 +47,7 @@
     }
   }
   Targets = std::move(NewTargets);
+  updateSplits();
   for (auto &[Id, Target] : Targets) {
     Target.PeerBacklog = {};
     Target.PeerRunning = 0;
@@ -56,6 +57,36 @@
   updateStores();
 }
 
+void RoutedPlacement::updateSplits() {
+  std::map<ServiceId, PromptSplit> Newer;
+  if (View->Routes)
+    for (const config::RoutedService &Service : View->Routes->services())
+      if (Service.Engine && PromptSplit::isCalledFor(*View->Routes, Service.Id))
+        Newer[Service.Id] = Splits[Service.Id];
+  Splits = std::move(Newer);
+  for (const auto &[Service, Split] : Splits) {
+    std::vector<RoutedTarget *> Ordered;
+    for (auto &[Id, Target] : Targets)
+      if (Target.Record.Service == Service)
+        Ordered.push_back(&Target);
+    std::sort(Ordered.begin(), Ordered.end(),
+              [](const RoutedTarget *Left, const RoutedTarget *Right) {
+                return Left->IdHash < Right->IdHash;
+              });
+    for (size_t Index = 0; Index < Ordered.size(); ++Index)
+      Ordered[Index]->Position = double(Index) / double(Ordered.size());
+  }
+}
+
+bool RoutedPlacement::isPreferred(const RoutedCall &Call,
+                                  const RoutedTarget &Target) const {
+  auto Split = Splits.find(Call.Service);
+  if (Split == Splits.end() || Call.Parts.empty())
+    return true;
+  bool IsLong = Call.PromptTokens >= LongPromptTokens;
+  return IsLong == (Target.Position < Split->second.longShare());
+}
+
 void RoutedPlacement::updateStores() {
   std::map<ServiceId, StoreState> Newer;
   if (View->Routes)
--- a/Libraries/LibRouting/RoutedPlacement.h
+++ b/Libraries/LibRouting/RoutedPlacement.h
@@ -8,6 +8,7 @@
 #include "LibCore/Random.h"
 #include "LibRouting/CachedParts.h"
 #include "LibRouting/PromptRate.h"
+#include "LibRouting/PromptSplit.h"
 #include "LibRouting/RoutingView.h"
 #include "LibRouting/TargetLimits.h"
 #include "LibRouting/TargetSignals.h"
@@ -142,6 +143,8 @@
     TargetRecord Record;
     /// Hash of the record's id.
     uint64_t IdHash = 0;
+    /// Position in the order of the service's targets, from 0 to 1.
+    double Position = 0;
     uint32_t Running = 0;
     /// Seconds of prompt reading sent to the target by requests without a first
     /// byte yet, for long and for short prompts.
@@ -283,7 +286,13 @@
   StoreState *storeOf(const RoutedCall &Call);
   double transferSeconds(uint32_t Tokens, double BitsPerSecond, bool Far) const;
   bool isFresh(const RoutedTarget &Target, Timestamp Now) const;
+  /// Divides the targets of the services that the description calls for it.
+  void updateSplits();
+  /// \returns whether prompts like that of \p Call prefer the target.
+  bool isPreferred(const RoutedCall &Call, const RoutedTarget &Target) const;
   double waitSeconds(const RoutedCall &Call, const RoutedTarget &Target) const;
+  /// \returns the time until a slot of the target is free for one more request.
+  static double slotWaitSeconds(const RoutedTarget &Target);
   bool isIdle(const RoutedTarget &Target, Timestamp Now) const;
   const PromptRate &rateOf(const ServiceId &Service) const;
   double congestionOf(const RoutedTarget &Target, Timestamp Now) const;
@@ -293,6 +302,10 @@
   void considerStore(const RoutedCall &Call, uint32_t OwnTokens, Timestamp Now,
                      Candidate &Result) const;
   double readSeconds(const RoutedCall &Call, uint32_t Cached) const;
+  /// Leaves the candidates that hold the call's shared parts or are their home,
+  /// and one that StaleLoadSpread draws.
+  void keepSpread(const RoutedCall &Call, std::vector<Candidate> &Candidates,
+                  Timestamp Now);
   Candidate choose(const RoutedCall &Call,
                    const std::vector<RoutedTarget *> &Eligible, Timestamp Now);
   PlacedCall dispatch(const RoutedCall &Call, const Candidate &Best,
@@ -318,6 +331,8 @@
   /// Until when returns under limits are reserved, by service.
   std::map<ServiceId, Timestamp> ReturnsReservedUntil;
   std::map<ServiceId, PromptRate> Rates;
+  /// Of the services whose targets are divided between long and short prompts.
+  std::map<ServiceId, PromptSplit> Splits;
   /// The work of another router's last digest; it counts until ExpiresAt.
   struct PeerDigest {
     std::vector<TargetWork> Work;
--- a/Libraries/LibRouting/RoutedPlacementChoice.cpp
+++ b/Libraries/LibRouting/RoutedPlacementChoice.cpp
@@ -2,8 +2,10 @@
 #include "LibRouting/Rendezvous.h"
 #include "LibRouting/RoutedPlacement.h"
 #include "LibRouting/RoutedPlacementConstants.h"
+#include "LibRouting/StaleLoadSpread.h"
 #include "LibRouting/WorkExchange.h"
 #include <algorithm>
+#include <iterator>
 #include <limits>
 
 namespace ferry::routing {
@@ -36,6 +38,10 @@
 /// Cost of a fetched copy: it evicts another part, which may have to be read
 /// again. A target that already holds the part is preferred by this much.
 static constexpr double CopyCostSeconds = 0.05;
+/// Cost of a target that prompts of the other length prefer. A long prompt
+/// delays all short ones there.
+static constexpr double LongIntrusionSeconds = 0.4;
+static constexpr double ShortIntrusionSeconds = 0.25;
 /// Candidates whose costs differ by less than this count as equal; rendezvous
 /// hashing chooses among them.
 static constexpr double TieSeconds = 0.002;
@@ -73,6 +79,14 @@
   return Short + std::min(Long, rateOf(Call.Service).longSeconds()) / 2;
 }
 
+double RoutedPlacement::slotWaitSeconds(const RoutedTarget &Target) {
+  double Slots = Target.Record.Load.MaxConcurrent;
+  double Ahead = Target.Running + Target.PeerRunning + 1 - Slots;
+  if (Slots == 0 || Ahead <= 0)
+    return 0;
+  return Ahead / Slots * Target.ServiceSeconds;
+}
+
 std::vector<RoutedPlacement::RoutedTarget *>
 RoutedPlacement::candidatesOf(const RoutedCall &Call, Timestamp Now) {
   std::vector<RoutedTarget *> Offered;
@@ -151,8 +165,14 @@
     Result.FirstByteSeconds += rateOf(Call.Service).baseSeconds();
   Result.Cost =
       Result.FirstByteSeconds + FailureCostSeconds * Target.FailureShare;
+  if (Splits.count(Call.Service) != 0)
+    Result.Cost += slotWaitSeconds(Target);
   if (Result.IsCopy)
     Result.Cost += CopyCostSeconds;
+  if (!isPreferred(Call, Target))
+    Result.Cost += Call.PromptTokens >= LongPromptTokens
+                       ? LongIntrusionSeconds
+                       : ShortIntrusionSeconds;
   if (Target.UnusableUntil > Now)
     Result.Cost += secondsOf(Target.UnusableUntil - Now);
   if (!isFresh(Target, Now))
@@ -182,6 +202,41 @@
          MaxLoad * NewerShare * DrawSteps;
 }
 
+void RoutedPlacement::keepSpread(const RoutedCall &Call,
+                                 std::vector<Candidate> &Candidates,
+                                 Timestamp Now) {
+  // No request is refused because a loaded target was drawn.
+  auto MayWait = [&](const Candidate &Each) {
+    return Each.WaitSeconds <= allowedWait(Call, Each, Now);
+  };
+  if (!std::any_of(Candidates.begin(), Candidates.end(), MayWait))
+    return;
+  std::erase_if(Candidates,
+                [&](const Candidate &Each) { return !MayWait(Each); });
+  // Targets that prompts of the other length prefer are drawn only if they are
+  // better than the others.
+  auto Best = std::min_element(Candidates.begin(), Candidates.end(),
+                               [](const auto &Left, const auto &Right) {
+                                 return Left.Cost < Right.Cost;
+                               });
+  if (isPreferred(Call, *Best->Target))
+    std::erase_if(Candidates, [&](const Candidate &Each) {
+      return !isPreferred(Call, *Each.Target);
+    });
+  std::vector<StaleLoadSpread::Option> Options;
+  Options.reserve(Candidates.size());
+  for (const Candidate &Each : Candidates)
+    Options.push_back({Each.Cost});
+  const RoutedTarget *Drawn =
+      Candidates[StaleLoadSpread::draw(Options, Random)].Target;
+  // Holders of the shared parts and their home stay, so that prompts keep
+  // meeting their cached prefixes.
+  bool IsShared = sharedTokens(Call) >= MinSharedTokens;
+  std::erase_if(Candidates, [&](const Candidate &Each) {
+    return Each.Target != Drawn && (!IsShared || Each.IsCopy);
+  });
+}
+
 RoutedPlacement::Candidate
 RoutedPlacement::choose(const RoutedCall &Call,
                         const std::vector<RoutedTarget *> &Eligible,
@@ -197,11 +252,21 @@
   StoreState *Store = storeOf(Call);
   if (Store != nullptr && Store->UnusableUntil > Now)
     Store = nullptr;
-  bool PrefersNewer = drawPreference(Eligible, Now);
+  // Most requests go to the targets that their prompts prefer, so that the
+  // share of these which have newer weights counts.
+  std::vector<RoutedTarget *> Preferred;
+  std::copy_if(
+      Eligible.begin(), Eligible.end(), std::back_inserter(Preferred),
+      [&](const RoutedTarget *Target) { return isPreferred(Call, *Target); });
+  bool PrefersNewer =
+      drawPreference(Preferred.empty() ? Eligible : Preferred, Now);
   std::vector<Candidate> Candidates;
   for (RoutedTarget *Target : Eligible)
     Candidates.push_back(
         estimate(Call, *Target, Holders, AllHomes, Store, PrefersNewer, Now));
+  if (Splits.count(Call.Service) != 0 &&
+      Routers > WorkExchange::MaxDirectRouters)
+    keepSpread(Call, Candidates, Now);
   double LeastCost = std::min_element(Candidates.begin(), Candidates.end(),
                                       [](const auto &Left, const auto &Right) {
                                         return Left.Cost < Right.Cost;
@@ -243,6 +308,10 @@
   bool Idle = isIdle(Target, Now) && !Best.FetchFromStore &&
               Best.FetchSource == nullptr;
   Target.OwnBacklog.of(Call) += Best.PromptSeconds;
+  auto Split = Splits.find(Call.Service);
+  if (Split != Splits.end() && !Call.Parts.empty())
+    Split->second.noteSent(Call.PromptTokens >= LongPromptTokens,
+                           Best.PromptSeconds, Now);
   PlacedCall Placed;
   Placed.CountedAgainstLimit =
       Limits.isLimited(Target.Record.Id, Target.Record.Incarnation);
--- a/Libraries/LibRouting/RoutedPlacementSources.cpp
+++ b/Libraries/LibRouting/RoutedPlacementSources.cpp
@@ -128,8 +128,9 @@
   std::vector<const RoutedTarget *> Offered;
   size_t Usable = 0;
   for (const auto &[Id, Target] : Targets) {
-    // A target that takes few requests is no home for a prompt.
-    if (!isOffered(Target, Call.Service, Now) ||
+    // A target that takes few requests is no home for a prompt, nor is one that
+    // prompts of another length prefer.
+    if (!isOffered(Target, Call.Service, Now) || !isPreferred(Call, Target) ||
         Limits.isLimited(Id, Target.Record.Incarnation))
       continue;
     Offered.push_back(&Target);
--- a/Libraries/LibRouting/WorkExchange.cpp
+++ b/Libraries/LibRouting/WorkExchange.cpp
@@ -187,9 +187,9 @@
   return Messages;
 }
 
-Duration WorkExchange::interval() const {
+Duration WorkExchange::interval(bool DividesTargets) const {
   if (Grouped)
-    return GroupInterval;
+    return DividesTargets ? ShortGroupInterval : GroupInterval;
   Duration Bounded = std::chrono::microseconds(
       1'000'000 * static_cast<int64_t>(Others.size()) /
       MaxDirectDigestsPerSecond);
--- a/Libraries/LibRouting/WorkExchange.h
+++ b/Libraries/LibRouting/WorkExchange.h
@@ -35,6 +35,10 @@
   /// Time between two digests in groups. A digest passes two relays, so that
   /// its age stays below half a second.
   static constexpr Duration GroupInterval = std::chrono::milliseconds(150);
+  /// The same where targets are divided between long and short prompts: long
+  /// ones meet on fewer targets, so that a router has to hear sooner of those
+  /// that others have sent. Shorter intervals fill the links of the relays.
+  static constexpr Duration ShortGroupInterval = std::chrono::milliseconds(75);
   /// An unchanged digest is sent again after this, in case the last one was
   /// lost.
   static constexpr Duration ResendInterval = std::chrono::milliseconds(400);
@@ -74,8 +78,10 @@
   /// \returns the digests that are due at \p Now.
   std::vector<Message> send(const WorkDigest &Own, Timestamp Now);
 
+  /// \param DividesTargets whether a service's targets are divided between
+  /// long and short prompts.
   /// \returns the time until send() is due again.
-  Duration interval() const;
+  Duration interval(bool DividesTargets = false) const;
 
 private:
   struct Received {
--- a/Services/ferryd/ControlPlaneRouting.cpp
+++ b/Services/ferryd/ControlPlaneRouting.cpp
@@ -1,5 +1,6 @@
 // Messages between routers about their work, and from control hosts to routers
 // about engines and named weights.
+#include "LibRouting/PromptSplit.h"
 #include "ferryd/ControlPlane.h"
 #include <algorithm>
 #include <utility>
@@ -72,7 +73,10 @@
     for (const auto &[To, Digest] : Work.send(Callbacks.BuildDigest(), Now))
       Link->send(To, wire::PayloadKind::WorkDigest, toWire(Digest));
   }
-  DigestTimer = Loop.at(Now + Work.interval(), [this] { sendDigests(); });
+  auto Routes = Holder.routes();
+  bool DividesTargets = Routes && routing::PromptSplit::isCalledForAny(*Routes);
+  DigestTimer =
+      Loop.at(Now + Work.interval(DividesTargets), [this] { sendDigests(); });
 }
 
 void ControlPlane::receiveDigest(const HostId &From,
--- a/Tests/LibRouting/RoutedDeployment.h
+++ b/Tests/LibRouting/RoutedDeployment.h
@@ -15,6 +15,25 @@
 /// A deployment of engines in virtual time, which any number of routers share.
 class TestDeployment {
 public:
+  /// Adds a route to the engines with prompts that are desired to begin within
+  /// \p DesiredLatencyMillis.
+  void addRoute(uint32_t DesiredLatencyMillis) {
+    config::RouteTable::Parts Parts;
+    Parts.Number = {View.Routes->number().Value + 1};
+    Parts.Services = View.Routes->services();
+    Parts.Routes = View.Routes->routes();
+    config::Route Route;
+    Route.Name = "r" + std::to_string(Parts.Routes.size());
+    Route.Host = "a.example";
+    Route.PathPrefix = "/" + Route.Name + "/";
+    Route.SharesPrompts = true;
+    Route.TimeoutMillis = 10'000;
+    Route.DesiredLatencyMillis = DesiredLatencyMillis;
+    Route.Shares = {{Lm, 1}};
+    Parts.Routes.push_back(Route);
+    View.Routes = config::RouteTable::create(std::move(Parts));
+  }
+
   explicit TestDeployment(size_t Count, bool WithStore = false) {
     config::RouteTable::Parts Parts;
     Parts.Number = {1};
