LibAdmission: Add the interface of workspace caps and the owner's buckets

Caps have to hold over all routers together. The owner remembers its last answer to each router, so that a lost reply can be asked for again without being counted twice.

--- /dev/null
+++ b/Libraries/LibAdmission/CapOwner.h
@@ -0,0 +1,98 @@
+/// \file
+/// The owner's side of the caps of workspaces.
+#ifndef FERRY_LIBADMISSION_CAPOWNER_H
+#define FERRY_LIBADMISSION_CAPOWNER_H
+
+#include "LibAdmission/CapMessages.h"
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace ferry::admission {
+
+/// \returns the router that owns the workspace: the one with the greatest
+/// rendezvous weight. Nothing if \p Serving is empty.
+std::optional<HostId> capOwnerOf(const WorkspaceId &Workspace,
+                                 const std::vector<HostId> &Serving);
+
+/// The token buckets of the workspaces that this router owns. Owns no clock;
+/// callers serialise all calls.
+///
+/// Answers the load of one workspace whose requests reach any number of routers,
+/// a few or all of them, and change between these within seconds: one bucket
+/// for all routers admits the rate whatever the distribution, where a share for
+/// each router admits a part of it.
+class CapOwner {
+public:
+  static constexpr Duration GrantLifetime = std::chrono::seconds(1);
+  /// What the bucket of a new owner holds, in time at the rate: the former owner
+  /// may just have granted a whole burst.
+  static constexpr Duration FirstFill = std::chrono::milliseconds(250);
+  /// Answers that are remembered, so that a repeated question gets the same one
+  /// and is not counted twice; the oldest are dropped first.
+  static constexpr size_t MaxRememberedAnswers = 4096;
+
+  explicit CapOwner(CapTolerance Tolerance) : Tolerance(Tolerance) {}
+
+  /// Sets the caps of all workspaces. A cap whose rate is not a positive number
+  /// is none. A lowered cap takes effect at once.
+  void setCaps(const CapsByWorkspace &Caps, Timestamp Now);
+
+  /// Sets the routers that serve. Questions about workspaces that another router
+  /// owns are answered as CapReply says. Without this call, this router owns all
+  /// workspaces.
+  void setRouters(const HostId &Self, const std::vector<HostId> &Serving,
+                  Timestamp Now);
+
+  /// \returns the reply to a question of any router. One that is invalid or
+  /// about a workspace without cap is answered as by a router that is not the
+  /// owner, and changes nothing.
+  CapReply answer(const CapQuestion &Question, Timestamp Now);
+
+  /// \returns the units that the workspace may still use, which may be below 0;
+  /// nothing if this router does not own it.
+  std::optional<double> level(const WorkspaceId &Workspace,
+                              Timestamp Now) const;
+  /// \returns the number of workspaces with a cap that this router owns.
+  size_t ownedWorkspaces() const { return Buckets.size(); }
+  /// \returns the number of questions answered.
+  uint64_t answered() const { return Answered; }
+  /// \returns the number of invalid questions.
+  uint64_t invalidQuestions() const { return Invalid; }
+
+private:
+  struct Answer {
+    uint32_t Count = 0;
+    CapReply Reply;
+    Timestamp At;
+  };
+  struct Bucket {
+    config::WorkspaceCap Cap;
+    double Level = 0;
+    Timestamp FilledAt;
+    /// Until when the rate is spoken for by requests that were rejected.
+    Timestamp ReservedUntil;
+    /// By the upper half of their numbers, which stands for a router.
+    std::map<uint32_t, Answer> Answers;
+  };
+
+  bool owns(const WorkspaceId &Workspace) const;
+  void updateBuckets(Timestamp Now);
+  double levelAt(const Bucket &Subject, Timestamp Now) const;
+  void fill(Bucket &Subject, Timestamp Now) const;
+  CapReply decide(Bucket &Subject, const CapQuestion &Question, Timestamp Now);
+  void remember(Bucket &Subject, const CapReply &Reply, Timestamp Now);
+
+  CapTolerance Tolerance;
+  CapsByWorkspace Caps;
+  std::optional<HostId> Self;
+  std::vector<HostId> Serving;
+  std::map<WorkspaceId, Bucket> Buckets;
+  uint64_t Answered = 0;
+  uint64_t Invalid = 0;
+};
+
+} // namespace ferry::admission
+
+#endif
--- a/Meta/Ferry.cmake
+++ b/Meta/Ferry.cmake
@@ -51,7 +51,7 @@
   target_link_libraries(ferrydParts PUBLIC LibPlatform)
 endfunction()
 
-set(FERRY_ALL_LIBRARIES LibTraffic LibControl LibRouting LibCache LibRegistry
+set(FERRY_ALL_LIBRARIES LibTraffic LibAdmission LibControl LibRouting LibCache LibRegistry
   LibMembership LibConsensus LibWire LibConfig LibObserve LibCore)
 
 # Defines a Boost.Test program and a ctest entry for each Tests/LibX/TestY.cpp.
