--- a/Libraries/LibAdmission/CapHolder.h
+++ b/Libraries/LibAdmission/CapHolder.h
@@ -5,6 +5,7 @@
 
 #include "LibAdmission/CapMessages.h"
 #include "LibAdmission/RecentSum.h"
+#include "LibAdmission/ServingRouters.h"
 #include "LibCore/EnumNames.h"
 #include <deque>
 #include <map>
@@ -26,7 +27,8 @@
   uint64_t Ticket = 0;
 };
 
-/// The cap of a workspace as this router sees it, for metrics and the state dump.
+/// The cap of a workspace as this router sees it, for metrics and the state
+/// dump.
 struct CapStatus {
   WorkspaceId Workspace;
   config::WorkspaceCap Cap;
@@ -52,15 +54,15 @@
 ///
 /// Answers the load of requests of many workspaces that may come to this router
 /// in any share: it keeps a small balance for each of them, which one question
-/// to the owner renews for many requests. Requests that arrive during a question
-/// wait for its reply and share the next one, so that the number of messages is
-/// bounded by time and not by load.
+/// to the owner renews for many requests. Requests that arrive during a
+/// question wait for its reply and share the next one, so that the number of
+/// messages is bounded by time and not by load.
 class CapHolder {
 public:
   /// How long a request may wait for the owner.
   static constexpr Duration LongestWait = std::chrono::milliseconds(150);
-  /// A question without reply is sent again after this time; messages take up to
-  /// 10 ms each way, so three are sent before a request stops waiting.
+  /// A question without reply is sent again after this time; messages take up
+  /// to 10 ms each way, so three are sent before a request stops waiting.
   static constexpr Duration RepeatInterval = std::chrono::milliseconds(45);
   /// The same after a request has stopped waiting.
   static constexpr Duration SlowRepeatInterval = std::chrono::milliseconds(500);
@@ -71,7 +73,8 @@
   /// Depth of the bucket that is used without the owner, at its rate.
   static constexpr Duration FallbackDepth = std::chrono::milliseconds(500);
   /// If no router has replied for this time, this router may be cut off while
-  /// the owner grants the whole rate to others. It then keeps to an equal share.
+  /// the owner grants the whole rate to others. It then keeps to an equal
+  /// share.
   static constexpr Duration CutOffAfter = std::chrono::seconds(1);
   /// Questions of this router per second, and how many of them at once. They
   /// take half of the 4 KB per second that a router may send.
@@ -109,8 +112,8 @@
   /// \returns the questions to be sent now.
   std::vector<Outgoing> takeQuestions(Timestamp Now);
 
-  /// Applies a reply. One that is invalid, of another router than the one asked,
-  /// or to a question that is not in flight changes nothing.
+  /// Applies a reply. One that is invalid, of another router than the one
+  /// asked, or to a question that is not in flight changes nothing.
   void apply(const HostId &From, const CapReply &Reply, Timestamp Now);
 
   struct Settled {
@@ -133,6 +136,8 @@
   struct Lease {
     double Units = 0;
     Timestamp ExpiresAt;
+    /// The owner's number in Account::OwnerCount.
+    uint32_t GrantedBy = 0;
   };
   struct Waiter {
     uint64_t Ticket = 0;
@@ -141,74 +146,80 @@
   };
   struct InFlight {
     CapQuestion Question;
-    HostId To;
     Timestamp FirstSentAt;
     Timestamp NextSendAt;
   };
   struct Account {
     config::WorkspaceCap Cap;
     std::optional<HostId> Owner;
+    /// Rises with each change of the owner.
+    uint32_t OwnerCount = 0;
     std::deque<Lease> Leases;
     double LastGrant = 0;
-    std::optional<Timestamp> GrantedAt;
     /// Unused units of expired grants, for the next question.
     double Unused = 0;
     /// Units admitted without a grant while the owner's bucket went on filling.
     double Debt = 0;
     std::deque<Waiter> Waiting;
     std::optional<InFlight> Asked;
-    /// Whether a question for expected requests is due.
+    /// Whether a question without waiting requests is due.
     bool WantsMore = false;
-    Timestamp NoAdvanceUntil;
+    /// Earliest time of such a question.
+    Timestamp WantsMoreAt;
     /// Until when requests are rejected without a question.
     Timestamp RejectUntil;
     /// The time that the next rejected request is given.
     Timestamp NextRetryAt;
     /// Set while the owner does not reply.
     std::optional<Timestamp> FallbackSince;
-    /// When the owner may be asked again after it said that it is none.
-    Timestamp AskAgainAt;
     double FallbackRate = 0;
     double FallbackLevel = 0;
     Timestamp FallbackFilledAt;
     RecentSum<10> Used{WantedSpan};
-    RecentSum<10> GrantUse{FallbackSpan};
+    RecentSum<10> UsedLong{FallbackSpan};
     CapStatus Figures;
   };
 
+  using AccountMap = std::map<WorkspaceId, Account>;
+
   bool asksLocally(const Account &Subject) const;
-  double equalShare(const Account &Subject) const;
-  void expire(Account &Subject, Timestamp Now);
-  double balance(const Account &Subject) const;
-  void spend(Account &Subject, double Units, Timestamp Now);
-  void credit(Account &Subject, double Units, Timestamp ExpiresAt);
-  CapAnswer admitted(Account &Subject, double Units, Timestamp Now);
-  CapAnswer rejected(Account &Subject, double Units, Timestamp Now);
-  CapAnswer decideByFallback(Account &Subject, double Units, Timestamp Now);
+  static double balance(const Account &Subject);
+  static void expire(Account &Subject, Timestamp Now);
+  static void spend(Account &Subject, double Units);
+  CapAnswer admitFromBalance(Account &Subject, double Units, Timestamp Now);
+  static CapAnswer reject(Account &Subject, double Units, Timestamp Now);
+  CapAnswer askLocally(const WorkspaceId &Workspace, Account &Subject,
+                       double Units, Timestamp Now);
   void beginFallback(Account &Subject, Timestamp Now);
-  void fillFallback(Account &Subject, Timestamp Now);
-  void settle(Account &Subject, CapAnswer Answer, uint64_t Ticket);
+  double fallbackRate(const Account &Subject, Timestamp Now) const;
+  CapAnswer decideByFallback(Account &Subject, double Units, Timestamp Now);
+  void decideWaitingByFallback(Account &Subject, Timestamp Now);
   void serveWaiting(Account &Subject, Timestamp Now);
-  void timeOut(Account &Subject, Timestamp Now);
-  CapQuestion ask(Account &Subject, double Needed, Timestamp Now);
+  CapQuestion ask(const WorkspaceId &Workspace, Account &Subject, double Needed,
+                  double Wanted);
   void applyGrant(Account &Subject, const CapReply &Reply, Timestamp AskedAt,
                   Timestamp Now);
-  void applyRejection(Account &Subject, const CapReply &Reply, Timestamp Now);
   void updateOwner(const WorkspaceId &Workspace, Account &Subject,
                    Timestamp Now);
-  bool takeBudget(Timestamp Now);
+  void changeCap(Account &Subject, const config::WorkspaceCap &Cap,
+                 Timestamp Now);
+  bool repeatQuestion(Account &Subject, Timestamp Now);
+  bool beginQuestion(const WorkspaceId &Workspace, Account &Subject,
+                     Timestamp Now);
+  bool mayAsk(const Account &Subject) const;
+  bool takeBudget(Timestamp Now, double Reserve);
 
   CapTolerance Tolerance;
   CapOwner *LocalOwner = nullptr;
-  HostId Self;
-  std::vector<HostId> Serving;
-  std::map<WorkspaceId, Account> Accounts;
+  ServingRouters Routers;
+  AccountMap Accounts;
   std::vector<Settled> SettledTickets;
   uint64_t LastTicket = 0;
+  /// The upper half of this router's question numbers.
   uint64_t NumberBase = 0;
   uint32_t LastNumber = 0;
-  std::optional<HostId> LastReplyFrom;
-  Timestamp LastReplyAt;
+  /// When any router replied last.
+  std::optional<Timestamp> RepliedAt;
   double Budget = QuestionBurst;
   Timestamp BudgetAt;
   uint64_t Invalid = 0;
--- a/Libraries/LibAdmission/CapOwner.cpp
+++ b/Libraries/LibAdmission/CapOwner.cpp
@@ -1,12 +1,11 @@
 #include "LibAdmission/CapOwner.h"
-#include "LibRouting/Rendezvous.h"
 #include <algorithm>
 #include <cmath>
 
 namespace ferry::admission {
 
-/// Upper bound of the retry times, which also keeps them within the range of the
-/// wire format.
+/// Upper bound of the retry times, which also keeps them within the range of
+/// the wire format.
 static constexpr Duration MaxRetry = std::chrono::minutes(10);
 /// How long after an answer its question may be repeated.
 static constexpr Duration AnswerLifetime = std::chrono::seconds(10);
@@ -19,27 +18,12 @@
       static_cast<int64_t>(std::min(Micros, double(MaxRetry.count()))));
 }
 
-static bool isAmount(double Units) { return std::isfinite(Units) && Units >= 0; }
-
-std::optional<HostId> capOwnerOf(const WorkspaceId &Workspace,
-                                 const std::vector<HostId> &Serving) {
-  uint64_t Key = routing::hashIdentifier(Workspace.Value);
-  const HostId *Best = nullptr;
-  uint64_t BestWeight = 0;
-  for (const HostId &Router : Serving) {
-    uint64_t Weight = routing::rendezvousWeight(
-        routing::hashIdentifier(Router.Value), Key);
-    if (Best && (Weight < BestWeight ||
-                 (Weight == BestWeight && Router >= *Best)))
-      continue;
-    Best = &Router;
-    BestWeight = Weight;
-  }
-  return Best ? std::optional(*Best) : std::nullopt;
+static bool isAmount(double Units) {
+  return std::isfinite(Units) && Units >= 0;
 }
 
-bool CapOwner::owns(const WorkspaceId &Workspace) const {
-  return !Self || capOwnerOf(Workspace, Serving) == Self;
+bool CapOwner::owns(const WorkspaceId &Workspace, Timestamp Now) const {
+  return !Routers.isSet() || Routers.ownerOf(Workspace, Now) == Routers.self();
 }
 
 void CapOwner::setCaps(const CapsByWorkspace &NewCaps, Timestamp Now) {
@@ -49,19 +33,15 @@
   updateBuckets(Now);
 }
 
-void CapOwner::setRouters(const HostId &NewSelf,
-                          const std::vector<HostId> &NewServing,
-                          Timestamp Now) {
-  if (Self == NewSelf && Serving == NewServing)
-    return;
-  Self = NewSelf;
-  Serving = NewServing;
-  updateBuckets(Now);
+void CapOwner::setRouters(const HostId &Self,
+                          const std::vector<HostId> &Serving, Timestamp Now) {
+  if (Routers.set(Self, Serving, Now))
+    updateBuckets(Now);
 }
 
 void CapOwner::updateBuckets(Timestamp Now) {
-  std::erase_if(Buckets, [this](const auto &Entry) {
-    return !Caps.contains(Entry.first) || !owns(Entry.first);
+  std::erase_if(Buckets, [this, Now](const auto &Entry) {
+    return !Caps.contains(Entry.first) || !owns(Entry.first, Now);
   });
   for (const auto &[Workspace, Cap] : Caps) {
     if (!std::isfinite(Cap.PerSecond) || Cap.PerSecond <= 0 ||
@@ -71,7 +51,7 @@
     }
     auto Entry = Buckets.find(Workspace);
     if (Entry == Buckets.end()) {
-      if (!owns(Workspace))
+      if (!owns(Workspace, Now))
         continue;
       Bucket New{Cap, 0, Now, Now, {}};
       New.Level = std::min(ownerDepth(Cap, Tolerance),
@@ -170,14 +150,14 @@
       return Each.second.At + AnswerLifetime < Now;
     });
     if (Subject.Answers.size() >= MaxRememberedAnswers)
-      Subject.Answers.erase(std::min_element(
-          Subject.Answers.begin(), Subject.Answers.end(),
-          [](const auto &Left, const auto &Right) {
-            return Left.second.At < Right.second.At;
-          }));
+      Subject.Answers.erase(
+          std::min_element(Subject.Answers.begin(), Subject.Answers.end(),
+                           [](const auto &Left, const auto &Right) {
+                             return Left.second.At < Right.second.At;
+                           }));
   }
-  Subject.Answers[uint32_t(Reply.Number >> 32)] = {uint32_t(Reply.Number), Reply,
-                                                   Now};
+  Subject.Answers[uint32_t(Reply.Number >> 32)] = {uint32_t(Reply.Number),
+                                                   Reply, Now};
 }
 
 } // namespace ferry::admission
--- a/Libraries/LibAdmission/CapOwner.h
+++ b/Libraries/LibAdmission/CapOwner.h
@@ -4,6 +4,7 @@
 #define FERRY_LIBADMISSION_CAPOWNER_H
 
 #include "LibAdmission/CapMessages.h"
+#include "LibAdmission/ServingRouters.h"
 #include <cstddef>
 #include <map>
 #include <optional>
@@ -11,23 +12,18 @@
 
 namespace ferry::admission {
 
-/// \returns the router that owns the workspace: the one with the greatest
-/// rendezvous weight. Nothing if \p Serving is empty.
-std::optional<HostId> capOwnerOf(const WorkspaceId &Workspace,
-                                 const std::vector<HostId> &Serving);
-
 /// The token buckets of the workspaces that this router owns. Owns no clock;
 /// callers serialise all calls.
 ///
-/// Answers the load of one workspace whose requests reach any number of routers,
-/// a few or all of them, and change between these within seconds: one bucket
-/// for all routers admits the rate whatever the distribution, where a share for
-/// each router admits a part of it.
+/// Answers the load of one workspace whose requests reach any number of
+/// routers, a few or all of them, and change between these within seconds: one
+/// bucket for all routers admits the rate whatever the distribution, where a
+/// share for each router admits a part of it.
 class CapOwner {
 public:
   static constexpr Duration GrantLifetime = std::chrono::seconds(1);
-  /// What the bucket of a new owner holds, in time at the rate: the former owner
-  /// may just have granted a whole burst.
+  /// What the bucket of a new owner holds, in time at the rate: the former
+  /// owner may just have granted a whole burst.
   static constexpr Duration FirstFill = std::chrono::milliseconds(250);
   /// Answers that are remembered, so that a repeated question gets the same one
   /// and is not counted twice; the oldest are dropped first.
@@ -39,9 +35,9 @@
   /// is none. A lowered cap takes effect at once.
   void setCaps(const CapsByWorkspace &Caps, Timestamp Now);
 
-  /// Sets the routers that serve. Questions about workspaces that another router
-  /// owns are answered as CapReply says. Without this call, this router owns all
-  /// workspaces.
+  /// Sets the routers that serve. Questions about workspaces that another
+  /// router owns are answered as CapReply says. Without this call, this router
+  /// owns all workspaces.
   void setRouters(const HostId &Self, const std::vector<HostId> &Serving,
                   Timestamp Now);
 
@@ -77,7 +73,7 @@
     std::map<uint32_t, Answer> Answers;
   };
 
-  bool owns(const WorkspaceId &Workspace) const;
+  bool owns(const WorkspaceId &Workspace, Timestamp Now) const;
   void updateBuckets(Timestamp Now);
   double levelAt(const Bucket &Subject, Timestamp Now) const;
   void fill(Bucket &Subject, Timestamp Now) const;
@@ -86,8 +82,7 @@
 
   CapTolerance Tolerance;
   CapsByWorkspace Caps;
-  std::optional<HostId> Self;
-  std::vector<HostId> Serving;
+  ServingRouters Routers;
   std::map<WorkspaceId, Bucket> Buckets;
   uint64_t Answered = 0;
   uint64_t Invalid = 0;
