platform: Read the caps of workspaces from descriptions

The entries of tenants give a rate, a burst, a unit and the tokens of a request that names none; none of it was read. Each becomes a config::WorkspaceCap. A rate of 0 or no rate means no cap; null counts as absent, and a burst that is absent as one second of the rate. A value that is negative, no number or not finite makes the description invalid, with the workspace and the member as the place.

--- a/Tests/platform/TestRouteTableCodec.cpp
+++ b/Tests/platform/TestRouteTableCodec.cpp
@@ -113,6 +113,75 @@
   BOOST_TEST((Decoded.error().Kind == Case.Kind));
 }
 
+namespace {
+
+/// The members that an entry of a workspace has, and the cap they mean.
+struct CapCase {
+  std::string Members;
+  std::optional<config::WorkspaceCap> Cap;
+};
+
+std::ostream &operator<<(std::ostream &Out, const CapCase &Case) {
+  return Out << Case.Members;
+}
+
+} // namespace
+
+static std::string withMembers(const std::string &Members) {
+  return Poco::replace(ValidText, std::string(R"("api_keys":["k3"])"),
+                       R"("api_keys":["k3"])" + Members);
+}
+
+using config::CapUnit;
+
+static const std::vector<CapCase> Caps = {
+    {"", {}},
+    {R"(,"unit":"token_stream","uncached_tokens":400)", {}},
+    {R"(,"rate_per_s":0,"burst":100)", {}},
+    {R"(,"rate_per_s":0.0)", {}},
+    {R"(,"rate_per_s":null)", {}},
+    {R"(,"rate_per_s":20000,"burst":30000,"unit":"token_stream",)"
+     R"("uncached_tokens":383)",
+     {{20000, 30000, CapUnit::Tokens, 383}}},
+    {R"(,"rate_per_s":47000.5,"burst":1.25e5,"unit":"token_stream",)"
+     R"("uncached_tokens":382.5)",
+     {{47000.5, 125000, CapUnit::Tokens, 383}}},
+    {R"(,"rate_per_s":2.5,"burst":10)", {{2.5, 10, CapUnit::Requests, 0}}},
+    {R"(,"rate_per_s":2.5,"burst":10,"unit":"calls")",
+     {{2.5, 10, CapUnit::Requests, 0}}},
+    {R"(,"rate_per_s":40,"burst":0)", {{40, 0, CapUnit::Requests, 0}}},
+    {R"(,"rate_per_s":40)", {{40, 40, CapUnit::Requests, 0}}},
+    {R"(,"rate_per_s":40,"burst":4,"uncached_tokens":1e12)",
+     {{40, 4, CapUnit::Requests, UINT32_MAX}}}};
+
+// A cap that is lost lets a workspace use the share of others; one that is read
+// from an entry without a rate would refuse all its requests.
+BOOST_DATA_TEST_CASE(the_cap_of_a_workspace_is_decoded, data::make(Caps),
+                     Case) {
+  auto Decoded = tryDecodeRoutes(withMembers(Case.Members));
+  BOOST_REQUIRE(Decoded);
+  BOOST_TEST(((*Decoded)->findWorkspace("k3")->Cap == Case.Cap));
+  BOOST_TEST(!(*Decoded)->findWorkspace("k1")->Cap);
+}
+
+// A value that cannot be read must not stand for "no cap".
+BOOST_DATA_TEST_CASE(an_unreadable_cap_is_an_error_with_its_place,
+                     data::make({"rate_per_s", "burst", "uncached_tokens"}) *
+                         data::make({"-1", "-0.5", R"("20")", "true", "[]",
+                                     "{}", "1e999", "NaN", "Infinity"}),
+                     Member, Value) {
+  std::string Members = R"(,")" + std::string(Member) + R"(":)" + Value;
+  if (std::string(Member) != "rate_per_s")
+    Members += R"(,"rate_per_s":10)";
+  auto Decoded = tryDecodeRoutes(withMembers(Members));
+  BOOST_REQUIRE(!Decoded);
+  BOOST_TEST((Decoded.error().Kind == DecodeErrorKind::Malformed));
+  // Texts that are not JSON have no member to name.
+  std::string Text = Value;
+  if (Text != "NaN" && Text != "Infinity" && Text != "1e999")
+    BOOST_TEST(Decoded.error().Detail == "tenants: t2: " + std::string(Member));
+}
+
 BOOST_AUTO_TEST_CASE(a_truncated_text_is_malformed) {
   for (size_t Size = 0; Size < ValidText.size(); Size += 7)
     BOOST_TEST(!tryDecodeRoutes(ValidText.substr(0, Size)), Size);
