LibConfig: Read the tolerance of caps

cap_window_s, cap_overage and cap_slack under `routed`, which deploy/router.yaml fills in. Deployments without caps have no such bounds, and their placeholders render as empty text; a process that refused that would not start, so empty means 0 for these three keys. The other keys are as strict as before.

--- a/Libraries/LibConfig/MapReader.cpp
+++ b/Libraries/LibConfig/MapReader.cpp
@@ -164,6 +164,16 @@
          Text->Value + " is not a number from 0 to " + std::to_string(Maximum));
 }
 
+void MapReader::decimalOrEmpty(std::string_view Key, double &Output,
+                               double Maximum) {
+  const Entry *Item = readEntry(Key, Presence::Optional);
+  bool IsEmpty =
+      Item && (Item->Value.IsNull() ||
+               (Item->Value.IsScalar() && Item->Value.Scalar().empty()));
+  if (!IsEmpty)
+    decimal(Key, Output, Maximum);
+}
+
 void MapReader::span(std::string_view Key, uint32_t &Millis,
                      std::chrono::milliseconds Unit,
                      std::chrono::milliseconds Maximum) {
--- a/Libraries/LibConfig/MapReader.h
+++ b/Libraries/LibConfig/MapReader.h
@@ -75,6 +75,10 @@
   /// its value if the key is missing or its value is invalid.
   void decimal(std::string_view Key, double &Output, double Maximum);
 
+  /// The same, but an empty value is treated as a missing key: a platform that
+  /// fills in the settings renders a value that it does not have as empty text.
+  void decimalOrEmpty(std::string_view Key, double &Output, double Maximum);
+
   /// Reads a time in \p Unit, which may have a fraction, into \p Millis, which
   /// keeps its value if the key is absent. It must be from 1 ms to \p Maximum.
   void span(std::string_view Key, uint32_t &Millis,
--- a/Libraries/LibConfig/ParseSettings.cpp
+++ b/Libraries/LibConfig/ParseSettings.cpp
@@ -12,6 +12,9 @@
 static constexpr uint64_t MaxInputBytes = 1ULL << 30;
 static constexpr uint64_t MinInputBytes = 1024;
 static constexpr double MaxRetrySlack = 1e9;
+static constexpr double MaxCapWindowSeconds = 3'600;
+static constexpr double MaxCapOverage = 10;
+static constexpr double MaxCapSlack = 1e12;
 static constexpr uint64_t MaxConnectionsLimit = 1'000'000;
 static constexpr uint64_t MinEntryLifetimeMillis = 100;
 static constexpr uint64_t MaxEntryLifetimeMillis = 600'000;
@@ -172,6 +175,10 @@
   ReadMillis("directory_lifetime_ms", Result.DirectoryLifetimeMillis);
   ReadMillis("order_lease_ms", Result.OrderLeaseMillis);
   ReadMillis("weights_deadline_ms", Result.WeightsDeadlineMillis);
+  Map.decimalOrEmpty("cap_window_s", Result.CapWindowSeconds,
+                     MaxCapWindowSeconds);
+  Map.decimalOrEmpty("cap_overage", Result.CapOverage, MaxCapOverage);
+  Map.decimalOrEmpty("cap_slack", Result.CapSlack, MaxCapSlack);
   bool Checked = false;
   Map.flag("targets_check_fencing", Checked);
   Result.Fencing = Checked ? FencingCheck::Checked : FencingCheck::Unchecked;
--- a/Libraries/LibConfig/Settings.h
+++ b/Libraries/LibConfig/Settings.h
@@ -70,6 +70,12 @@
   /// Time after newer weights are named during which requests may still start
   /// on the older weights, in milliseconds.
   uint32_t WeightsDeadlineMillis = 12'000;
+  /// Over each window of CapWindowSeconds, the traffic of a workspace with a
+  /// cap may exceed what the cap allows by the share CapOverage, plus CapSlack
+  /// tokens. All are 0 on deployments without caps.
+  double CapWindowSeconds = 0;
+  double CapOverage = 0;
+  double CapSlack = 0;
 };
 
 /// A host of the system, as the settings list it.
--- a/Tests/LibConfig/TestParse.cpp
+++ b/Tests/LibConfig/TestParse.cpp
@@ -305,9 +305,29 @@
   BOOST_TEST(Parsed->Routed.GraceMillis == 8000U);
   BOOST_TEST(Parsed->Routed.OrderLeaseMillis == 2999U);
   BOOST_TEST(Parsed->Routed.WeightsDeadlineMillis == 12'000U);
+  Parsed = Parse("  cap_window_s: 8\n  cap_overage: 0.1\n"
+                 "  cap_slack: 190000.0\n");
+  requireValue(Parsed);
+  BOOST_TEST(Parsed->Routed.CapWindowSeconds == 8);
+  BOOST_TEST(Parsed->Routed.CapOverage == 0.1);
+  BOOST_TEST(Parsed->Routed.CapSlack == 190'000);
+  // A platform without caps renders their bounds as empty text; a process that
+  // refused that would not start.
+  for (const char *Absent :
+       {"  cap_window_s: \n  cap_overage: \n  cap_slack: \n",
+        "  cap_window_s: \"\"\n  cap_overage: ~\n  cap_slack: ''\n",
+        "  grace_s: 8\n"}) {
+    Parsed = Parse(Absent);
+    requireValue(Parsed);
+    BOOST_TEST(Parsed->Routed.CapWindowSeconds == 0);
+    BOOST_TEST(Parsed->Routed.CapOverage == 0);
+    BOOST_TEST(Parsed->Routed.CapSlack == 0);
+  }
   for (const char *Bad :
        {"  grace_s: 0\n", "  grace_s: -1\n", "  grace_s: 1e9\n",
         "  grace_ms: 0.5\n", "  grace_s: soon\n", "  retry_slack: -3\n",
-        "  retry_slack: 1e99\n", "  grace_s: nan\n"})
+        "  retry_slack: 1e99\n", "  grace_s: nan\n", "  grace_s: \n",
+        "  cap_window_s: -8\n", "  cap_overage: much\n", "  cap_overage: 11\n",
+        "  cap_slack: inf\n", "  cap_slack: []\n"})
     BOOST_TEST(!Parse(Bad).has_value(), Bad);
 }
