LibWire: Add questions and replies about caps

Two lists in BeliefMessage, with new field numbers: a receiver of an older version skips them, and a message without them has none.

--- a/Libraries/LibWire/Generated/Routing_types.cpp
+++ b/Libraries/LibWire/Generated/Routing_types.cpp
@@ -2647,6 +2647,384 @@
 }
 
 
+CapQuestion::~CapQuestion() noexcept {
+}
+
+
+void CapQuestion::__set_Workspace(const std::string& val) {
+  this->Workspace = val;
+}
+
+void CapQuestion::__set_Number(const int64_t val) {
+  this->Number = val;
+}
+
+void CapQuestion::__set_Needed(const double val) {
+  this->Needed = val;
+}
+
+void CapQuestion::__set_Wanted(const double val) {
+  this->Wanted = val;
+}
+
+void CapQuestion::__set_Returned(const double val) {
+  this->Returned = val;
+}
+std::ostream& operator<<(std::ostream& out, const CapQuestion& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CapQuestion::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->Workspace);
+          this->__isset.Workspace = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Number);
+          this->__isset.Number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->Needed);
+          this->__isset.Needed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->Wanted);
+          this->__isset.Wanted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->Returned);
+          this->__isset.Returned = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CapQuestion::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CapQuestion");
+
+  xfer += oprot->writeFieldBegin("Workspace", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->Workspace);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Number", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->Number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Needed", ::apache::thrift::protocol::T_DOUBLE, 3);
+  xfer += oprot->writeDouble(this->Needed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Wanted", ::apache::thrift::protocol::T_DOUBLE, 4);
+  xfer += oprot->writeDouble(this->Wanted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Returned", ::apache::thrift::protocol::T_DOUBLE, 5);
+  xfer += oprot->writeDouble(this->Returned);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CapQuestion &a, CapQuestion &b) {
+  using ::std::swap;
+  swap(a.Workspace, b.Workspace);
+  swap(a.Number, b.Number);
+  swap(a.Needed, b.Needed);
+  swap(a.Wanted, b.Wanted);
+  swap(a.Returned, b.Returned);
+  swap(a.__isset, b.__isset);
+}
+
+CapQuestion::CapQuestion(const CapQuestion& other113) {
+  Workspace = other113.Workspace;
+  Number = other113.Number;
+  Needed = other113.Needed;
+  Wanted = other113.Wanted;
+  Returned = other113.Returned;
+  __isset = other113.__isset;
+}
+CapQuestion::CapQuestion(CapQuestion&& other114) noexcept {
+  Workspace = std::move(other114.Workspace);
+  Number = other114.Number;
+  Needed = other114.Needed;
+  Wanted = other114.Wanted;
+  Returned = other114.Returned;
+  __isset = other114.__isset;
+}
+CapQuestion& CapQuestion::operator=(const CapQuestion& other115) {
+  Workspace = other115.Workspace;
+  Number = other115.Number;
+  Needed = other115.Needed;
+  Wanted = other115.Wanted;
+  Returned = other115.Returned;
+  __isset = other115.__isset;
+  return *this;
+}
+CapQuestion& CapQuestion::operator=(CapQuestion&& other116) noexcept {
+  Workspace = std::move(other116.Workspace);
+  Number = other116.Number;
+  Needed = other116.Needed;
+  Wanted = other116.Wanted;
+  Returned = other116.Returned;
+  __isset = other116.__isset;
+  return *this;
+}
+void CapQuestion::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CapQuestion(";
+  out << "Workspace=" << to_string(Workspace);
+  out << ", " << "Number=" << to_string(Number);
+  out << ", " << "Needed=" << to_string(Needed);
+  out << ", " << "Wanted=" << to_string(Wanted);
+  out << ", " << "Returned=" << to_string(Returned);
+  out << ")";
+}
+
+
+CapReply::~CapReply() noexcept {
+}
+
+
+void CapReply::__set_Workspace(const std::string& val) {
+  this->Workspace = val;
+}
+
+void CapReply::__set_Number(const int64_t val) {
+  this->Number = val;
+}
+
+void CapReply::__set_Granted(const double val) {
+  this->Granted = val;
+}
+
+void CapReply::__set_LifetimeMillis(const int32_t val) {
+  this->LifetimeMillis = val;
+}
+
+void CapReply::__set_RetryInMillis(const int32_t val) {
+  this->RetryInMillis = val;
+}
+std::ostream& operator<<(std::ostream& out, const CapReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CapReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->Workspace);
+          this->__isset.Workspace = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Number);
+          this->__isset.Number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->Granted);
+          this->__isset.Granted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->LifetimeMillis);
+          this->__isset.LifetimeMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->RetryInMillis);
+          this->__isset.RetryInMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CapReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CapReply");
+
+  xfer += oprot->writeFieldBegin("Workspace", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->Workspace);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Number", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->Number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Granted", ::apache::thrift::protocol::T_DOUBLE, 3);
+  xfer += oprot->writeDouble(this->Granted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("LifetimeMillis", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->LifetimeMillis);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("RetryInMillis", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->RetryInMillis);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CapReply &a, CapReply &b) {
+  using ::std::swap;
+  swap(a.Workspace, b.Workspace);
+  swap(a.Number, b.Number);
+  swap(a.Granted, b.Granted);
+  swap(a.LifetimeMillis, b.LifetimeMillis);
+  swap(a.RetryInMillis, b.RetryInMillis);
+  swap(a.__isset, b.__isset);
+}
+
+CapReply::CapReply(const CapReply& other117) {
+  Workspace = other117.Workspace;
+  Number = other117.Number;
+  Granted = other117.Granted;
+  LifetimeMillis = other117.LifetimeMillis;
+  RetryInMillis = other117.RetryInMillis;
+  __isset = other117.__isset;
+}
+CapReply::CapReply(CapReply&& other118) noexcept {
+  Workspace = std::move(other118.Workspace);
+  Number = other118.Number;
+  Granted = other118.Granted;
+  LifetimeMillis = other118.LifetimeMillis;
+  RetryInMillis = other118.RetryInMillis;
+  __isset = other118.__isset;
+}
+CapReply& CapReply::operator=(const CapReply& other119) {
+  Workspace = other119.Workspace;
+  Number = other119.Number;
+  Granted = other119.Granted;
+  LifetimeMillis = other119.LifetimeMillis;
+  RetryInMillis = other119.RetryInMillis;
+  __isset = other119.__isset;
+  return *this;
+}
+CapReply& CapReply::operator=(CapReply&& other120) noexcept {
+  Workspace = std::move(other120.Workspace);
+  Number = other120.Number;
+  Granted = other120.Granted;
+  LifetimeMillis = other120.LifetimeMillis;
+  RetryInMillis = other120.RetryInMillis;
+  __isset = other120.__isset;
+  return *this;
+}
+void CapReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CapReply(";
+  out << "Workspace=" << to_string(Workspace);
+  out << ", " << "Number=" << to_string(Number);
+  out << ", " << "Granted=" << to_string(Granted);
+  out << ", " << "LifetimeMillis=" << to_string(LifetimeMillis);
+  out << ", " << "RetryInMillis=" << to_string(RetryInMillis);
+  out << ")";
+}
+
+
 BeliefMessage::~BeliefMessage() noexcept {
 }
 
@@ -2679,6 +3057,14 @@
   this->Reach = val;
 __isset.Reach = true;
 }
+
+void BeliefMessage::__set_CapQuestions(const std::vector<CapQuestion> & val) {
+  this->CapQuestions = val;
+}
+
+void BeliefMessage::__set_CapReplies(const std::vector<CapReply> & val) {
+  this->CapReplies = val;
+}
 std::ostream& operator<<(std::ostream& out, const BeliefMessage& obj)
 {
   obj.printTo(out);
@@ -2711,14 +3097,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Crashes.clear();
-            uint32_t _size113;
-            ::apache::thrift::protocol::TType _etype116;
-            xfer += iprot->readListBegin(_etype116, _size113);
-            this->Crashes.resize(_size113);
-            uint32_t _i117;
-            for (_i117 = 0; _i117 < _size113; ++_i117)
+            uint32_t _size121;
+            ::apache::thrift::protocol::TType _etype124;
+            xfer += iprot->readListBegin(_etype124, _size121);
+            this->Crashes.resize(_size121);
+            uint32_t _i125;
+            for (_i125 = 0; _i125 < _size121; ++_i125)
             {
-              xfer += this->Crashes[_i117].read(iprot);
+              xfer += this->Crashes[_i125].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2731,14 +3117,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Quarantined.clear();
-            uint32_t _size118;
-            ::apache::thrift::protocol::TType _etype121;
-            xfer += iprot->readListBegin(_etype121, _size118);
-            this->Quarantined.resize(_size118);
-            uint32_t _i122;
-            for (_i122 = 0; _i122 < _size118; ++_i122)
+            uint32_t _size126;
+            ::apache::thrift::protocol::TType _etype129;
+            xfer += iprot->readListBegin(_etype129, _size126);
+            this->Quarantined.resize(_size126);
+            uint32_t _i130;
+            for (_i130 = 0; _i130 < _size126; ++_i130)
             {
-              xfer += this->Quarantined[_i122].read(iprot);
+              xfer += this->Quarantined[_i130].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2767,14 +3153,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Limits.clear();
-            uint32_t _size123;
-            ::apache::thrift::protocol::TType _etype126;
-            xfer += iprot->readListBegin(_etype126, _size123);
-            this->Limits.resize(_size123);
-            uint32_t _i127;
-            for (_i127 = 0; _i127 < _size123; ++_i127)
+            uint32_t _size131;
+            ::apache::thrift::protocol::TType _etype134;
+            xfer += iprot->readListBegin(_etype134, _size131);
+            this->Limits.resize(_size131);
+            uint32_t _i135;
+            for (_i135 = 0; _i135 < _size131; ++_i135)
             {
-              xfer += this->Limits[_i127].read(iprot);
+              xfer += this->Limits[_i135].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2799,6 +3185,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->CapQuestions.clear();
+            uint32_t _size136;
+            ::apache::thrift::protocol::TType _etype139;
+            xfer += iprot->readListBegin(_etype139, _size136);
+            this->CapQuestions.resize(_size136);
+            uint32_t _i140;
+            for (_i140 = 0; _i140 < _size136; ++_i140)
+            {
+              xfer += this->CapQuestions[_i140].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.CapQuestions = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->CapReplies.clear();
+            uint32_t _size141;
+            ::apache::thrift::protocol::TType _etype144;
+            xfer += iprot->readListBegin(_etype144, _size141);
+            this->CapReplies.resize(_size141);
+            uint32_t _i145;
+            for (_i145 = 0; _i145 < _size141; ++_i145)
+            {
+              xfer += this->CapReplies[_i145].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.CapReplies = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2819,10 +3245,10 @@
   xfer += oprot->writeFieldBegin("Crashes", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Crashes.size()));
-    std::vector<CrashReport> ::const_iterator _iter128;
-    for (_iter128 = this->Crashes.begin(); _iter128 != this->Crashes.end(); ++_iter128)
+    std::vector<CrashReport> ::const_iterator _iter146;
+    for (_iter146 = this->Crashes.begin(); _iter146 != this->Crashes.end(); ++_iter146)
     {
-      xfer += (*_iter128).write(oprot);
+      xfer += (*_iter146).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2831,10 +3257,10 @@
   xfer += oprot->writeFieldBegin("Quarantined", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Quarantined.size()));
-    std::vector<QuarantinedParts> ::const_iterator _iter129;
-    for (_iter129 = this->Quarantined.begin(); _iter129 != this->Quarantined.end(); ++_iter129)
+    std::vector<QuarantinedParts> ::const_iterator _iter147;
+    for (_iter147 = this->Quarantined.begin(); _iter147 != this->Quarantined.end(); ++_iter147)
     {
-      xfer += (*_iter129).write(oprot);
+      xfer += (*_iter147).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2851,10 +3277,10 @@
   xfer += oprot->writeFieldBegin("Limits", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Limits.size()));
-    std::vector<TargetLimit> ::const_iterator _iter130;
-    for (_iter130 = this->Limits.begin(); _iter130 != this->Limits.end(); ++_iter130)
+    std::vector<TargetLimit> ::const_iterator _iter148;
+    for (_iter148 = this->Limits.begin(); _iter148 != this->Limits.end(); ++_iter148)
     {
-      xfer += (*_iter130).write(oprot);
+      xfer += (*_iter148).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2869,6 +3295,30 @@
     xfer += this->Reach.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("CapQuestions", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->CapQuestions.size()));
+    std::vector<CapQuestion> ::const_iterator _iter149;
+    for (_iter149 = this->CapQuestions.begin(); _iter149 != this->CapQuestions.end(); ++_iter149)
+    {
+      xfer += (*_iter149).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("CapReplies", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->CapReplies.size()));
+    std::vector<CapReply> ::const_iterator _iter150;
+    for (_iter150 = this->CapReplies.begin(); _iter150 != this->CapReplies.end(); ++_iter150)
+    {
+      xfer += (*_iter150).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2883,49 +3333,59 @@
   swap(a.Limits, b.Limits);
   swap(a.AsksReach, b.AsksReach);
   swap(a.Reach, b.Reach);
+  swap(a.CapQuestions, b.CapQuestions);
+  swap(a.CapReplies, b.CapReplies);
   swap(a.__isset, b.__isset);
 }
 
-BeliefMessage::BeliefMessage(const BeliefMessage& other131) {
-  Crashes = other131.Crashes;
-  Quarantined = other131.Quarantined;
-  Asks = other131.Asks;
-  Answers = other131.Answers;
-  Limits = other131.Limits;
-  AsksReach = other131.AsksReach;
-  Reach = other131.Reach;
-  __isset = other131.__isset;
-}
-BeliefMessage::BeliefMessage(BeliefMessage&& other132) noexcept {
-  Crashes = std::move(other132.Crashes);
-  Quarantined = std::move(other132.Quarantined);
-  Asks = other132.Asks;
-  Answers = other132.Answers;
-  Limits = std::move(other132.Limits);
-  AsksReach = other132.AsksReach;
-  Reach = std::move(other132.Reach);
-  __isset = other132.__isset;
-}
-BeliefMessage& BeliefMessage::operator=(const BeliefMessage& other133) {
-  Crashes = other133.Crashes;
-  Quarantined = other133.Quarantined;
-  Asks = other133.Asks;
-  Answers = other133.Answers;
-  Limits = other133.Limits;
-  AsksReach = other133.AsksReach;
-  Reach = other133.Reach;
-  __isset = other133.__isset;
+BeliefMessage::BeliefMessage(const BeliefMessage& other151) {
+  Crashes = other151.Crashes;
+  Quarantined = other151.Quarantined;
+  Asks = other151.Asks;
+  Answers = other151.Answers;
+  Limits = other151.Limits;
+  AsksReach = other151.AsksReach;
+  Reach = other151.Reach;
+  CapQuestions = other151.CapQuestions;
+  CapReplies = other151.CapReplies;
+  __isset = other151.__isset;
+}
+BeliefMessage::BeliefMessage(BeliefMessage&& other152) noexcept {
+  Crashes = std::move(other152.Crashes);
+  Quarantined = std::move(other152.Quarantined);
+  Asks = other152.Asks;
+  Answers = other152.Answers;
+  Limits = std::move(other152.Limits);
+  AsksReach = other152.AsksReach;
+  Reach = std::move(other152.Reach);
+  CapQuestions = std::move(other152.CapQuestions);
+  CapReplies = std::move(other152.CapReplies);
+  __isset = other152.__isset;
+}
+BeliefMessage& BeliefMessage::operator=(const BeliefMessage& other153) {
+  Crashes = other153.Crashes;
+  Quarantined = other153.Quarantined;
+  Asks = other153.Asks;
+  Answers = other153.Answers;
+  Limits = other153.Limits;
+  AsksReach = other153.AsksReach;
+  Reach = other153.Reach;
+  CapQuestions = other153.CapQuestions;
+  CapReplies = other153.CapReplies;
+  __isset = other153.__isset;
   return *this;
 }
-BeliefMessage& BeliefMessage::operator=(BeliefMessage&& other134) noexcept {
-  Crashes = std::move(other134.Crashes);
-  Quarantined = std::move(other134.Quarantined);
-  Asks = other134.Asks;
-  Answers = other134.Answers;
-  Limits = std::move(other134.Limits);
-  AsksReach = other134.AsksReach;
-  Reach = std::move(other134.Reach);
-  __isset = other134.__isset;
+BeliefMessage& BeliefMessage::operator=(BeliefMessage&& other154) noexcept {
+  Crashes = std::move(other154.Crashes);
+  Quarantined = std::move(other154.Quarantined);
+  Asks = other154.Asks;
+  Answers = other154.Answers;
+  Limits = std::move(other154.Limits);
+  AsksReach = other154.AsksReach;
+  Reach = std::move(other154.Reach);
+  CapQuestions = std::move(other154.CapQuestions);
+  CapReplies = std::move(other154.CapReplies);
+  __isset = other154.__isset;
   return *this;
 }
 void BeliefMessage::printTo(std::ostream& out) const {
@@ -2938,6 +3398,8 @@
   out << ", " << "Limits=" << to_string(Limits);
   out << ", " << "AsksReach=" << to_string(AsksReach);
   out << ", " << "Reach="; (__isset.Reach ? (out << to_string(Reach)) : (out << "<null>"));
+  out << ", " << "CapQuestions=" << to_string(CapQuestions);
+  out << ", " << "CapReplies=" << to_string(CapReplies);
   out << ")";
 }
 
--- a/Libraries/LibWire/Generated/Routing_types.h
+++ b/Libraries/LibWire/Generated/Routing_types.h
@@ -67,6 +67,10 @@
 
 class RouterReach;
 
+class CapQuestion;
+
+class CapReply;
+
 class BeliefMessage;
 
 typedef struct _TargetWork__isset {
@@ -1051,8 +1055,154 @@
 
 std::ostream& operator<<(std::ostream& out, const RouterReach& obj);
 
+typedef struct _CapQuestion__isset {
+  _CapQuestion__isset() : Workspace(false), Number(false), Needed(false), Wanted(false), Returned(false) {}
+  bool Workspace :1;
+  bool Number :1;
+  bool Needed :1;
+  bool Wanted :1;
+  bool Returned :1;
+} _CapQuestion__isset;
+
+class CapQuestion : public virtual ::apache::thrift::TBase {
+ public:
+
+  CapQuestion(const CapQuestion&);
+  CapQuestion(CapQuestion&&) noexcept;
+  CapQuestion& operator=(const CapQuestion&);
+  CapQuestion& operator=(CapQuestion&&) noexcept;
+  CapQuestion() noexcept
+              : Workspace(),
+                Number(0),
+                Needed(0),
+                Wanted(0),
+                Returned(0) {
+  }
+
+  virtual ~CapQuestion() noexcept;
+  std::string Workspace;
+  int64_t Number;
+  double Needed;
+  double Wanted;
+  double Returned;
+
+  _CapQuestion__isset __isset;
+
+  void __set_Workspace(const std::string& val);
+
+  void __set_Number(const int64_t val);
+
+  void __set_Needed(const double val);
+
+  void __set_Wanted(const double val);
+
+  void __set_Returned(const double val);
+
+  bool operator == (const CapQuestion & rhs) const
+  {
+    if (!(Workspace == rhs.Workspace))
+      return false;
+    if (!(Number == rhs.Number))
+      return false;
+    if (!(Needed == rhs.Needed))
+      return false;
+    if (!(Wanted == rhs.Wanted))
+      return false;
+    if (!(Returned == rhs.Returned))
+      return false;
+    return true;
+  }
+  bool operator != (const CapQuestion &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CapQuestion & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CapQuestion &a, CapQuestion &b);
+
+std::ostream& operator<<(std::ostream& out, const CapQuestion& obj);
+
+typedef struct _CapReply__isset {
+  _CapReply__isset() : Workspace(false), Number(false), Granted(false), LifetimeMillis(false), RetryInMillis(false) {}
+  bool Workspace :1;
+  bool Number :1;
+  bool Granted :1;
+  bool LifetimeMillis :1;
+  bool RetryInMillis :1;
+} _CapReply__isset;
+
+class CapReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  CapReply(const CapReply&);
+  CapReply(CapReply&&) noexcept;
+  CapReply& operator=(const CapReply&);
+  CapReply& operator=(CapReply&&) noexcept;
+  CapReply() noexcept
+           : Workspace(),
+             Number(0),
+             Granted(0),
+             LifetimeMillis(0),
+             RetryInMillis(0) {
+  }
+
+  virtual ~CapReply() noexcept;
+  std::string Workspace;
+  int64_t Number;
+  double Granted;
+  int32_t LifetimeMillis;
+  int32_t RetryInMillis;
+
+  _CapReply__isset __isset;
+
+  void __set_Workspace(const std::string& val);
+
+  void __set_Number(const int64_t val);
+
+  void __set_Granted(const double val);
+
+  void __set_LifetimeMillis(const int32_t val);
+
+  void __set_RetryInMillis(const int32_t val);
+
+  bool operator == (const CapReply & rhs) const
+  {
+    if (!(Workspace == rhs.Workspace))
+      return false;
+    if (!(Number == rhs.Number))
+      return false;
+    if (!(Granted == rhs.Granted))
+      return false;
+    if (!(LifetimeMillis == rhs.LifetimeMillis))
+      return false;
+    if (!(RetryInMillis == rhs.RetryInMillis))
+      return false;
+    return true;
+  }
+  bool operator != (const CapReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CapReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CapReply &a, CapReply &b);
+
+std::ostream& operator<<(std::ostream& out, const CapReply& obj);
+
 typedef struct _BeliefMessage__isset {
-  _BeliefMessage__isset() : Crashes(false), Quarantined(false), Asks(true), Answers(true), Limits(false), AsksReach(true), Reach(false) {}
+  _BeliefMessage__isset() : Crashes(false), Quarantined(false), Asks(true), Answers(true), Limits(false), AsksReach(true), Reach(false), CapQuestions(false), CapReplies(false) {}
   bool Crashes :1;
   bool Quarantined :1;
   bool Asks :1;
@@ -1060,6 +1210,8 @@
   bool Limits :1;
   bool AsksReach :1;
   bool Reach :1;
+  bool CapQuestions :1;
+  bool CapReplies :1;
 } _BeliefMessage__isset;
 
 class BeliefMessage : public virtual ::apache::thrift::TBase {
@@ -1083,6 +1235,8 @@
   std::vector<TargetLimit>  Limits;
   bool AsksReach;
   RouterReach Reach;
+  std::vector<CapQuestion>  CapQuestions;
+  std::vector<CapReply>  CapReplies;
 
   _BeliefMessage__isset __isset;
 
@@ -1100,6 +1254,10 @@
 
   void __set_Reach(const RouterReach& val);
 
+  void __set_CapQuestions(const std::vector<CapQuestion> & val);
+
+  void __set_CapReplies(const std::vector<CapReply> & val);
+
   bool operator == (const BeliefMessage & rhs) const
   {
     if (!(Crashes == rhs.Crashes))
@@ -1118,6 +1276,10 @@
       return false;
     else if (__isset.Reach && !(Reach == rhs.Reach))
       return false;
+    if (!(CapQuestions == rhs.CapQuestions))
+      return false;
+    if (!(CapReplies == rhs.CapReplies))
+      return false;
     return true;
   }
   bool operator != (const BeliefMessage &rhs) const {
--- a/Libraries/LibWire/Idl/Routing.thrift
+++ b/Libraries/LibWire/Idl/Routing.thrift
@@ -140,6 +140,31 @@
   2: string PassKey
 }
 
+// Asks the owner of a workspace with a cap for units. Sent again unchanged until it
+// is answered.
+struct CapQuestion {
+  1: string Workspace
+  // Tells questions of all routers and of their runs apart.
+  2: i64 Number
+  // Units for requests that wait, and for requests that are expected.
+  3: double Needed
+  4: double Wanted
+  // Unused units of expired grants.
+  5: double Returned
+}
+
+// Sent to the router that asked.
+struct CapReply {
+  1: string Workspace
+  2: i64 Number
+  3: double Granted
+  // How long the grant may be used, from the sending of the question on.
+  4: i32 LifetimeMillis
+  // When the needed units can be granted. If nothing is granted and this is 0, the
+  // sender is not the owner.
+  5: i32 RetryInMillis
+}
+
 // What a router has learnt that the others need.
 struct BeliefMessage {
   1: list<CrashReport> Crashes
@@ -154,4 +179,7 @@
   6: bool AsksReach = false
   // Answers such a question, with nothing else.
   7: optional RouterReach Reach
+  // Sent alone, to the owner of the workspaces only, and to the router that asked.
+  8: list<CapQuestion> CapQuestions
+  9: list<CapReply> CapReplies
 }
--- a/Tests/LibWire/TestFrame.cpp
+++ b/Tests/LibWire/TestFrame.cpp
@@ -1,6 +1,7 @@
 #include "LibWire/Codec.h"
 #include "LibWire/FrameReader.h"
 #include "LibWire/Generated/Peer_types.h"
+#include "LibWire/Generated/Routing_types.h"
 #include <boost/test/unit_test.hpp>
 #include <random>
 
@@ -47,6 +48,32 @@
   BOOST_TEST((*Decoded == sampleEnvelope()));
 }
 
+// While routers are replaced one by one, older ones receive questions about
+// caps and newer ones messages without them.
+BOOST_AUTO_TEST_CASE(unknown_fields_are_skipped_and_missing_ones_are_empty) {
+  BeliefMessage Sent;
+  CapQuestion Question;
+  Question.Workspace = "w";
+  Question.Number = -7;
+  Question.Needed = 12.5;
+  Sent.CapQuestions = {Question, Question};
+  CapReply Reply;
+  Reply.Workspace = "w";
+  Reply.Granted = 1e9;
+  Reply.RetryInMillis = 12;
+  Sent.CapReplies = {Reply};
+  std::string Bytes = encode(Sent);
+  auto Received = tryDecode<BeliefMessage>(Bytes);
+  BOOST_REQUIRE(Received.has_value());
+  BOOST_TEST((*Received == Sent));
+  // A message with no field 8 or 9 stands for the older version.
+  BOOST_TEST(tryDecode<StreamMessage>(Bytes).has_value());
+  auto Older = tryDecode<BeliefMessage>(encode(StreamMessage()));
+  BOOST_REQUIRE(Older.has_value());
+  BOOST_TEST(Older->CapQuestions.empty());
+  BOOST_TEST(Older->CapReplies.empty());
+}
+
 BOOST_AUTO_TEST_CASE(truncated_messages_and_trailing_bytes_are_errors) {
   std::string Bytes = encode(sampleEnvelope());
   for (size_t Size = 0; Size < Bytes.size(); ++Size)
