LibTraffic: Reject requests beyond the cap of their workspace

Any router admitted all requests of a workspace, whatever its cap. Each caller's request is now counted once, after its body was read and before it is sent or passed on; one that another router passed in has been counted there. Beyond the cap it gets 429 cap_exceeded with Retry-After. If no target has run it at its end, its units go back; a further run after a failed one counts again. A workspace without a cap takes no lock.

--- a/Libraries/LibTraffic/ControlPort.h
+++ b/Libraries/LibTraffic/ControlPort.h
@@ -126,6 +126,8 @@
       AskStream;
   /// Tells other routers soon what this one has learnt of crashes and limits.
   std::function<void()> TellBeliefs;
+  /// Sends the questions about caps that are due to other routers.
+  std::function<void()> SendCapQuestions;
   /// Renders the state of this process as one JSON text.
   std::function<void(std::function<void(std::string)>)> Dump;
   /// Begins the graceful shutdown of this host.
--- a/Libraries/LibTraffic/ErrorAnswer.cpp
+++ b/Libraries/LibTraffic/ErrorAnswer.cpp
@@ -42,6 +42,7 @@
   case AnswerError::QueueFull:
   case AnswerError::ShareExceeded:
   case AnswerError::DeadlineTooNear:
+  case AnswerError::CapExceeded:
     return 429;
   case AnswerError::HeadersTooLarge:
     return 431;
--- a/Libraries/LibTraffic/RoutedContext.h
+++ b/Libraries/LibTraffic/RoutedContext.h
@@ -11,6 +11,7 @@
 #include "LibRouting/StreamBuilds.h"
 #include "LibTraffic/HttpExchange.h"
 #include "LibTraffic/RouteDialect.h"
+#include "LibTraffic/SharedCaps.h"
 #include "LibTraffic/SharedQuarantine.h"
 #include "LibTraffic/SharedReach.h"
 #include <atomic>
@@ -121,6 +122,8 @@
   /// Called when there is news of crashes or limits for other routers, or a
   /// question.
   std::function<void()> BeliefsChanged = [] {};
+  /// Called when there are questions about caps to be sent to other routers.
+  std::function<void()> CapQuestionsReady = [] {};
 };
 
 /// The state that all requests share. Outlives them.
@@ -144,6 +147,8 @@
   SharedStreamBuilds Streams = {};
   SharedQuarantine Quarantine = {};
   SharedReach Reach = {};
+  SharedCaps Caps{{Settings.Routed.CapWindowSeconds, Settings.Routed.CapOverage,
+                   Settings.Routed.CapSlack}};
   BodyBudget LargeAnswers{MaxLargeAnswerBytes};
   /// Whether answers tell callers to close their connections.
   std::atomic<bool> Draining{false};
--- a/Libraries/LibTraffic/RoutedFront.cpp
+++ b/Libraries/LibTraffic/RoutedFront.cpp
@@ -20,11 +20,14 @@
               std::move(Hooks)} {
   Context.Quarantine.setNewsHook(Context.Hooks.BeliefsChanged);
   Context.Reach.setAskHook(Context.Hooks.BeliefsChanged);
+  Context.Caps.setQuestionHook(Context.Hooks.CapQuestionsReady);
 }
 
 void RoutedFront::setView(const routing::RoutingViewPtr &View) {
   Context.Quarantine.setRouters(View->Self, View->servingRouters());
   Context.Reach.setView(View);
+  // Before the placements, whose view the requests read their caps from.
+  Context.Caps.setView(View);
   Context.Placements.setView(View);
 }
 
--- a/Libraries/LibTraffic/RoutedFront.h
+++ b/Libraries/LibTraffic/RoutedFront.h
@@ -47,6 +47,7 @@
 
   SharedPlacement &placements() { return Context.Placements; }
   SharedStreamBuilds &streams() { return Context.Streams; }
+  SharedCaps &caps() { return Context.Caps; }
 
   /// \returns what this router has learnt since the last call and the others
   /// need.
--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -42,8 +42,7 @@
   return std::to_string(Millis / MillisInSecond) + "." + Fraction.substr(1);
 }
 
-/// Whether callers conclude from \p Status that the request has not run.
-static bool meansNotRun(int Status) {
+bool RoutedRelay::meansNotRun(int Status) {
   return Status == 408 || Status == 421 || Status == 429 || Status == 503;
 }
 
@@ -62,6 +61,7 @@
 }
 
 RoutedRelay::~RoutedRelay() {
+  settleCap();
   --Context.ActiveRequests;
   if (PassedIn)
     --Context.PassedIn;
@@ -80,6 +80,8 @@
   if (!ReceivedBody)
     return refuse(ReceivedBody.error());
   Body = std::move(*ReceivedBody);
+  if (auto Refusal = countAgainstCap())
+    return refuse(*Refusal);
   if (passOn())
     return;
   if (auto Refusal = findBuild())
@@ -203,6 +205,8 @@
       return;
     if (!mayRetry(Step))
       return failRequest();
+    if (Step == NextStep::RetryRun)
+      countRepeat();
     Context.Metrics.Retries.add();
   }
 }
@@ -550,6 +554,7 @@
 RoutedRelay::NextStep RoutedRelay::endAttempt(const PlacedCall &Destination,
                                               CallEnd End, NextStep Step) {
   Context.Placements.ended(Destination.PlacementId, End);
+  WasServed |= End == CallEnd::Served;
   Context.Metrics.TargetCalls.with({std::string(enumName(End))}).add();
   if (Step != NextStep::Done)
     Call.Tried.push_back(Destination.Target);
--- a/Libraries/LibTraffic/RoutedRelay.h
+++ b/Libraries/LibTraffic/RoutedRelay.h
@@ -36,6 +36,15 @@
   /// \returns the refusal, or nothing if the request is valid.
   std::optional<ErrorAnswer> checkRequest();
   std::optional<ErrorAnswer> checkKey();
+  /// Counts the request against the cap of its workspace.
+  /// \returns the refusal if the workspace has reached it.
+  std::optional<ErrorAnswer> countAgainstCap();
+  /// Counts a further run of the request.
+  void countRepeat();
+  /// Gives the units back if no target has run the request.
+  void settleCap();
+  /// \returns what the request counts against \p Cap.
+  double unitsOf(const config::WorkspaceCap &Cap) const;
   /// Finds the build that began the stream which the caller takes up.
   /// \returns the refusal if it is not known.
   std::optional<ErrorAnswer> findBuild();
@@ -88,6 +97,8 @@
   /// Ends a request that is not retried any more.
   void failRequest();
   void refuse(const ErrorAnswer &Answer);
+  /// Whether callers conclude from \p Status that the request has not run.
+  static bool meansNotRun(int Status);
   void logPlaced(const routing::PlacedCall &Destination);
   void logEnd(std::string_view Event, int Status);
   /// \returns the shared parts of the prompt and the ids of the whole request.
@@ -122,6 +133,11 @@
   /// Number of attempts whose target may have run the request.
   uint32_t PossibleRuns = 0;
   uint32_t Attempts = 0;
+  /// Whether a target has run the request and answered, here or at the router
+  /// that it was passed on to.
+  bool WasServed = false;
+  /// The units counted against the cap of the workspace.
+  double ChargedUnits = 0;
   /// Whether another router passed the request on. It is not passed on again.
   bool PassedIn = false;
   /// Whether the caller has received the head of a stream.
--- a/Libraries/LibTraffic/RoutedRelayPassing.cpp
+++ b/Libraries/LibTraffic/RoutedRelayPassing.cpp
@@ -62,6 +62,7 @@
   case PassedCall::End::NotSent:
     return false;
   case PassedCall::End::Answered:
+    WasServed = !meansNotRun(Passed.status());
     logEnd("answered", Passed.status());
     return true;
   case PassedCall::End::Unknown:
@@ -70,9 +71,11 @@
     failRequest();
     return true;
   case PassedCall::End::Cut:
+    WasServed = true;
     cutStream();
     return true;
   case PassedCall::End::CallerLeft:
+    WasServed = true;
     Context.Metrics.CallersLeft.add();
     Exchange.abort();
     logEnd("caller_left", 0);
--- a/Tests/LibTraffic/RoutedBed.h
+++ b/Tests/LibTraffic/RoutedBed.h
@@ -101,11 +101,13 @@
 
   void publishView() {
     auto View = std::make_shared<routing::RoutingView>();
-    auto Routes = platform::tryDecodeRoutes(RoutedText);
+    auto Routes = platform::tryDecodeRoutes(Text);
     BOOST_REQUIRE(Routes);
     View->Routes = *Routes;
     View->Number = (*Routes)->number();
     View->Targets = Records;
+    View->Self = Self;
+    View->Hosts = Hosts;
     Front->setView(View);
   }
 
@@ -153,6 +155,11 @@
     return Count;
   }
 
+  /// What publishView() publishes beside the targets.
+  std::string Text = RoutedText;
+  HostId Self;
+  std::vector<routing::HostView> Hosts;
+
   observe::Metrics Metrics;
   std::unique_ptr<RoutedFront> Front;
   std::vector<std::unique_ptr<FakeScriptedTarget>> Targets;
