ferryd: Exchange questions about caps, and show the caps

Questions go at once to the owner of the workspace only, replies to the router that asked; a timer runs only while CapHolder has something due. Without caps, nothing is sent and no timer runs.

--- a/Services/ferryd/BeliefExchange.cpp
+++ b/Services/ferryd/BeliefExchange.cpp
@@ -2,9 +2,13 @@
 #include "LibCore/Random.h"
 #include <algorithm>
 #include <limits>
+#include <map>
 
 namespace ferry::daemon {
 
+using admission::CapHolder;
+using admission::CapQuestion;
+using admission::CapReply;
 using routing::AnswerProgress;
 using routing::Beliefs;
 using routing::BeliefSpread;
@@ -15,6 +19,10 @@
 using routing::TargetLimit;
 using wire::PayloadKind;
 
+/// Shortest time between two times at which questions about caps are sent by
+/// the timer.
+static constexpr Duration MinCapInterval = std::chrono::milliseconds(5);
+
 static int32_t wireMillis(Duration Span) {
   return static_cast<int32_t>(std::clamp<int64_t>(
       Span.count() / 1000, 0, std::numeric_limits<int32_t>::max()));
@@ -141,6 +149,44 @@
   return Told;
 }
 
+static wire::CapQuestion toWire(const CapQuestion &Question) {
+  wire::CapQuestion Fields;
+  Fields.Workspace = Question.Workspace.Value;
+  Fields.Number = static_cast<int64_t>(Question.Number);
+  Fields.Needed = Question.Needed;
+  Fields.Wanted = Question.Wanted;
+  Fields.Returned = Question.Returned;
+  return Fields;
+}
+
+static CapQuestion fromWire(const wire::CapQuestion &Fields) {
+  return {{Fields.Workspace},
+          static_cast<uint64_t>(Fields.Number),
+          Fields.Needed,
+          Fields.Wanted,
+          Fields.Returned};
+}
+
+static wire::CapReply toWire(const CapReply &Reply) {
+  wire::CapReply Fields;
+  Fields.Workspace = Reply.Workspace.Value;
+  Fields.Number = static_cast<int64_t>(Reply.Number);
+  Fields.Granted = Reply.Granted;
+  Fields.LifetimeMillis = wireMillis(Reply.Lifetime);
+  // Rounded up: 0 means that the sender is not the owner.
+  Fields.RetryInMillis =
+      wireMillis(std::chrono::ceil<std::chrono::milliseconds>(Reply.RetryIn));
+  return Fields;
+}
+
+static CapReply fromWire(const wire::CapReply &Fields) {
+  return {{Fields.Workspace},
+          static_cast<uint64_t>(Fields.Number),
+          Fields.Granted,
+          std::chrono::milliseconds(Fields.LifetimeMillis),
+          std::chrono::milliseconds(Fields.RetryInMillis)};
+}
+
 BeliefExchange::BeliefExchange(
     HostLink &Link, ControlLoop &Loop, OtherRouters Others,
     BeliefHooks Callbacks,
@@ -152,6 +198,7 @@
 void BeliefExchange::stop() {
   Loop.cancel(NewsTimer);
   Loop.cancel(TickTimer);
+  Loop.cancel(CapTimer);
 }
 
 void BeliefExchange::newsReady() {
@@ -201,6 +248,8 @@
 
 void BeliefExchange::receive(const HostId &From,
                              const wire::BeliefMessage &Message) {
+  if (!Message.CapQuestions.empty() || !Message.CapReplies.empty())
+    return receiveCaps(From, Message);
   if (Message.AsksReach) {
     routing::RouterReach Own = Callbacks.Reach();
     wire::BeliefMessage Answer;
@@ -222,4 +271,31 @@
   Callbacks.Apply(fromWire(Message), BeliefSpread::passesOn(Others().size()));
 }
 
+void BeliefExchange::receiveCaps(const HostId &From,
+                                 const wire::BeliefMessage &Message) {
+  wire::BeliefMessage Replies;
+  for (const wire::CapQuestion &Fields : Message.CapQuestions)
+    Replies.CapReplies.push_back(
+        toWire(Callbacks.Caps.Answer(fromWire(Fields))));
+  if (!Replies.CapReplies.empty())
+    Link.send(From, PayloadKind::Beliefs, Replies);
+  for (const wire::CapReply &Fields : Message.CapReplies)
+    Callbacks.Caps.Apply(From, fromWire(Fields));
+  if (!Message.CapReplies.empty())
+    sendCapQuestions();
+}
+
+void BeliefExchange::sendCapQuestions() {
+  Loop.cancel(CapTimer);
+  std::map<HostId, wire::BeliefMessage> Messages;
+  for (const CapHolder::Outgoing &Each : Callbacks.Caps.TakeQuestions())
+    Messages[Each.To].CapQuestions.push_back(toWire(Each.Question));
+  for (const auto &[To, Message] : Messages)
+    Link.send(To, PayloadKind::Beliefs, Message);
+  Timestamp Due = Callbacks.Caps.NextDue();
+  if (Due != NeverExpires)
+    CapTimer = Loop.at(std::max(Due, steadyNow() + MinCapInterval),
+                       [this] { sendCapQuestions(); });
+}
+
 } // namespace ferry::daemon
--- a/Services/ferryd/BeliefExchange.h
+++ b/Services/ferryd/BeliefExchange.h
@@ -3,6 +3,7 @@
 #ifndef FERRY_FERRYD_BELIEFEXCHANGE_H
 #define FERRY_FERRYD_BELIEFEXCHANGE_H
 
+#include "LibAdmission/CapHolder.h"
 #include "LibCore/ControlLoop.h"
 #include "LibRouting/BeliefSpread.h"
 #include "LibRouting/Beliefs.h"
@@ -13,6 +14,23 @@
 
 namespace ferry::daemon {
 
+/// The caps of workspaces at a router; the functions are thread-safe. The
+/// defaults serve a host without callers.
+struct CapHooks {
+  /// \returns the questions that are due.
+  std::function<std::vector<admission::CapHolder::Outgoing>()> TakeQuestions =
+      [] { return std::vector<admission::CapHolder::Outgoing>(); };
+  /// \returns when to take questions again; NeverExpires for none.
+  std::function<Timestamp()> NextDue = [] { return NeverExpires; };
+  std::function<admission::CapReply(const admission::CapQuestion &)> Answer =
+      [](const admission::CapQuestion &Question) {
+        return admission::CapReply{
+            Question.Workspace, Question.Number, 0, {}, {}};
+      };
+  std::function<void(const HostId &, const admission::CapReply &)> Apply =
+      [](const HostId &, const admission::CapReply &) {};
+};
+
 /// What a router believes; the functions are thread-safe.
 struct BeliefHooks {
   std::function<routing::Beliefs()> TakeNews = [] {
@@ -31,6 +49,7 @@
   std::function<bool()> NeedsHelpers = [] { return false; };
   std::function<void(const HostId &, const routing::RouterReach &)> NoteHelper =
       [](const HostId &, const routing::RouterReach &) {};
+  CapHooks Caps = {};
 };
 
 /// Sends what BeliefSpread decides. Used on the control thread.
@@ -54,7 +73,12 @@
   void newsReady();
   void receive(const HostId &From, const wire::BeliefMessage &Message);
 
+  /// Sends the questions about caps that are due, at once: requests wait for
+  /// the replies. Each goes to one router, the owner of the workspace.
+  void sendCapQuestions();
+
 private:
+  void receiveCaps(const HostId &From, const wire::BeliefMessage &Message);
   void tick();
   void sendNews();
   void askForReach();
@@ -68,6 +92,7 @@
   bool NewsPending = false;
   ControlLoop::TimerId NewsTimer;
   ControlLoop::TimerId TickTimer;
+  ControlLoop::TimerId CapTimer;
 };
 
 } // namespace ferry::daemon
--- a/Services/ferryd/ControlPlanePort.cpp
+++ b/Services/ferryd/ControlPlanePort.cpp
@@ -85,6 +85,9 @@
     });
   };
   Port.TellBeliefs = [this] { Loop.post([this] { Beliefs->newsReady(); }); };
+  Port.SendCapQuestions = [this] {
+    Loop.post([this] { Beliefs->sendCapQuestions(); });
+  };
   Port.Announce = [this](TargetRecord Record, auto Done) {
     Loop.post([this, Record = std::move(Record), Done = std::move(Done)] {
       announce(Record, Done);
--- a/Services/ferryd/Daemon.cpp
+++ b/Services/ferryd/Daemon.cpp
@@ -100,6 +100,7 @@
     if (auto *Front = Routed ? Routed->front() : nullptr)
       Front->noteHelper(Router, Reach);
   };
+  setCapHooks(Callbacks.Beliefs.Caps);
   if (Settings.Interface == config::Interface::Routed)
     Callbacks.Platform = platformBindings(Settings.Host);
   auto Started = ControlPlane::tryStart(Settings, Loop, std::move(Callbacks));
@@ -109,6 +110,25 @@
   return {};
 }
 
+void Daemon::setCapHooks(CapHooks &Hooks) {
+  auto Caps = [this]() -> traffic::SharedCaps * {
+    auto *Front = Routed ? Routed->front() : nullptr;
+    return Front ? &Front->caps() : nullptr;
+  };
+  CapHooks Defaults;
+  Hooks.TakeQuestions = [Caps, Default = Defaults.TakeQuestions] {
+    return Caps() ? Caps()->takeQuestions() : Default();
+  };
+  Hooks.NextDue = [Caps] { return Caps() ? Caps()->nextDue() : NeverExpires; };
+  Hooks.Answer = [Caps, Default = Defaults.Answer](const auto &Question) {
+    return Caps() ? Caps()->answer(Question) : Default(Question);
+  };
+  Hooks.Apply = [Caps](const HostId &From, const auto &Reply) {
+    if (Caps())
+      Caps()->apply(From, Reply);
+  };
+}
+
 Result<void, StartError> Daemon::tryStartTraffic() {
   auto Started = Settings.Interface == config::Interface::Routed
                      ? tryStartRouted()
@@ -123,6 +143,9 @@
   if (!Started)
     return makeError(Started.error());
   Routed = std::move(*Started);
+  if (auto *Front = Routed->front())
+    Control->addDumpSection("caps",
+                            [Front] { return capsSection(Front->caps()); });
   return {};
 }
 
--- a/Services/ferryd/Daemon.h
+++ b/Services/ferryd/Daemon.h
@@ -39,6 +39,7 @@
   explicit Daemon(const config::Settings &Settings);
   Result<void, StartError>
   tryStartControl(std::function<void()> DrainRequested);
+  void setCapHooks(CapHooks &Hooks);
   Result<void, StartError> tryStartTraffic();
   Result<void, StartError> tryStartNative();
   Result<void, StartError> tryStartRouted();
--- a/Services/ferryd/RoutedServers.cpp
+++ b/Services/ferryd/RoutedServers.cpp
@@ -1,6 +1,7 @@
 #include "ferryd/RoutedServers.h"
 #include "LibCore/Random.h"
 #include "LibTraffic/AwaitReply.h"
+#include "ferryd/RoutingMetrics.h"
 #include "platform/CallHeaders.h"
 #include "platform/OrderCalls.h"
 #include "platform/RouteTableCodec.h"
@@ -54,7 +55,8 @@
     auto Started = traffic::RoutedFront::tryStart(
         Settings, platform::routeDialect(), Metrics, Options,
         {Control.port().NoticeLeave, Control.port().TellStream,
-         Control.port().AskStream, Control.port().TellBeliefs});
+         Control.port().AskStream, Control.port().TellBeliefs,
+         Control.port().SendCapQuestions});
     if (!Started)
       return makeError(Started.error());
     Front = std::move(*Started);
@@ -75,6 +77,8 @@
     Api = std::move(*Started);
   }
   auto MetricsText = [this, &Control] {
+    if (Front)
+      setCapMetrics(Metrics, Front->caps());
     return Control.metricsText() + Metrics.render();
   };
   auto Dump = [Port = Control.port()] {
--- a/Services/ferryd/RoutingMetrics.cpp
+++ b/Services/ferryd/RoutingMetrics.cpp
@@ -69,4 +69,67 @@
     Refused.with({std::string(enumName(Kind))}).set(static_cast<double>(Count));
 }
 
+static Object capEntry(const admission::CapStatus &Status, Timestamp Now) {
+  Object Entry;
+  Entry.set("workspace", Status.Workspace.Value);
+  Entry.set("unit", std::string(enumName(Status.Cap.Unit)));
+  Entry.set("per_second", Status.Cap.PerSecond);
+  Entry.set("burst", Status.Cap.Burst);
+  Entry.set("owner", Status.Owner.value_or(HostId{}).Value);
+  Entry.set("balance", Status.Balance);
+  if (Status.GrantedAt)
+    Entry.set("granted_ms_ago", (Now - *Status.GrantedAt).count() / 1000);
+  Entry.set("in_fallback", Status.InFallback);
+  Entry.set("admitted", Status.Admitted);
+  Entry.set("rejected", Status.Rejected);
+  Entry.set("questions", Status.Questions);
+  Entry.set("fallbacks", Status.Fallbacks);
+  return Entry;
+}
+
+Object::Ptr capsSection(traffic::SharedCaps &Caps) {
+  Object::Ptr Section = new Object;
+  traffic::SharedCaps::OwnerStatus Owner = Caps.ownerStatus();
+  Section->set("workspaces_owned", Owner.Workspaces);
+  Section->set("questions_answered", Owner.QuestionsAnswered);
+  Section->set("invalid_messages", Owner.InvalidMessages);
+  Poco::JSON::Array Workspaces;
+  for (const admission::CapStatus &Status : Caps.status())
+    Workspaces.add(capEntry(Status, steadyNow()));
+  Section->set("workspaces", Workspaces);
+  return Section;
+}
+
+void setCapMetrics(observe::Metrics &Metrics, traffic::SharedCaps &Caps) {
+  std::vector<admission::CapStatus> All = Caps.status();
+  // Deployments without caps show no figures of them.
+  if (All.empty())
+    return;
+  auto &Requests = Metrics.gauges(
+      {"ferry_cap_requests",
+       "Requests of workspaces with a cap since its start, by decision",
+       {"workspace", "decision"}});
+  auto &Balance =
+      Metrics.gauges({"ferry_cap_balance",
+                      "Units that this router may use without asking the owner",
+                      {"workspace"}});
+  uint64_t Questions = 0;
+  uint64_t InFallback = 0;
+  for (const admission::CapStatus &Status : All) {
+    const std::string &Workspace = Status.Workspace.Value;
+    Requests.with({Workspace, "admitted"}).set(double(Status.Admitted));
+    Requests.with({Workspace, "rejected"}).set(double(Status.Rejected));
+    Requests.with({Workspace, "without_owner"}).set(double(Status.Fallbacks));
+    Balance.with({Workspace}).set(Status.Balance);
+    Questions += Status.Questions;
+    InFallback += Status.InFallback;
+  }
+  Metrics.gauge("ferry_cap_questions", "Questions sent to owners of workspaces")
+      .set(double(Questions));
+  Metrics
+      .gauge("ferry_cap_fallbacks",
+             "Workspaces whose requests are decided without the owner")
+      .set(double(InFallback));
+}
+
 } // namespace ferry::daemon
