--- a/Tests/Support/RoutedCluster.cpp
+++ b/Tests/Support/RoutedCluster.cpp
@@ -6,7 +6,8 @@
 
 static constexpr int CallTimeoutMillis = 1500;
 
-RoutedCluster::RoutedCluster(PeerLinks Links) : Links(Links) {
+RoutedCluster::RoutedCluster(PeerLinks Links, int Seeds)
+    : Links(Links), Seeds(Seeds) {
   int Process = getpid();
   Network = "127." + std::to_string(64 + (Process >> 8) % 64) + "." +
             std::to_string(Process & 255) + ".";
@@ -39,14 +40,17 @@
                      address(Host) + "\"\ndata_centre: dc-" +
                      std::to_string(Host % 2) + "\nrole: " + Role +
                      "\ninterface: routed\ndiscovery:\n  seeds: [";
-  for (int Seed = 1; Seed <= SeedCount; ++Seed)
+  for (int Seed = 1; Seed <= Seeds; ++Seed)
     Text += (Seed > 1 ? ", \"" : "\"") + control(Seed) + "\"";
   Text += "]\n  may_form_log: ";
   Text += MayForm == LogFormation::Allowed ? "true\n" : "false\n";
+  if (Seeds == 1)
+    Text += "  tolerable_losses: 0\n";
   if (Links == PeerLinks::ThroughProxies)
     Text += "  peer_port: " + std::to_string(PeerPort) + "\n";
   Text += "routed:\n  announce_interval_ms: 400\n  grace_ms: 3000\n"
-          "  directory_lifetime_ms: 200\n  targets_check_fencing: true\n";
+          "  directory_lifetime_ms: 200\n  targets_check_fencing: true\n" +
+          RoutedSettings;
   Text +=
       "listen:\n  operators: \"" + operators(Host) + "\"\n  peers: \"" +
       (Links == PeerLinks::ThroughProxies ? proxiedPeers(Host) : peers(Host)) +
@@ -76,7 +80,7 @@
 }
 
 void RoutedCluster::startAll() {
-  for (int Host = 1; Host <= SeedCount; ++Host)
+  for (int Host = 1; Host <= Seeds; ++Host)
     startControl(Host);
   startRouter(11);
   startRouter(12);
--- a/Tests/Support/RoutedCluster.h
+++ b/Tests/Support/RoutedCluster.h
@@ -39,9 +39,14 @@
   static constexpr int PeerPort = 7340;
   static constexpr int ProxiedPeerPort = 7341;
 
-  explicit RoutedCluster(PeerLinks Links = PeerLinks::Direct);
+  /// \param Seeds how many of the control hosts 1 to 3 there are. One alone
+  /// tolerates no loss.
+  explicit RoutedCluster(PeerLinks Links = PeerLinks::Direct,
+                         int Seeds = SeedCount);
   ~RoutedCluster();
 
+  /// Adds lines to the section "routed" of processes started from now on.
+  void addRoutedSettings(const std::string &Lines) { RoutedSettings += Lines; }
   void startControl(int Host, LogFormation MayForm = LogFormation::Allowed);
   void startRouter(int Host);
   /// Starts the seeds and the routers 11 and 12.
@@ -91,6 +96,8 @@
                              LogFormation MayForm) const;
 
   PeerLinks Links;
+  int Seeds;
+  std::string RoutedSettings;
   std::string Network;
   std::filesystem::path Folder;
   std::map<int, std::unique_ptr<TestProcess>> Hosts;
