Tests/System: Kill the owner of a capped workspace under load

The owner's end is noticed late, and until then the other routers decide by what they were granted before.

--- a/Tests/System/TestWorkspaceCaps.cpp
+++ b/Tests/System/TestWorkspaceCaps.cpp
@@ -1,6 +1,7 @@
 // A workspace with a cap whose callers ask three routers for a multiple of it.
 // Before caps were enforced, the routers admitted all of it: 57,000 tokens a
 // second of 20,000. Tokens are counted at the targets.
+#include "LibAdmission/CapOwner.h"
 #include "LibTraffic/RoutedBed.h"
 #include "Support/RoutedCluster.h"
 #include <algorithm>
@@ -202,10 +203,27 @@
     std::this_thread::sleep_for(1s);
   }
 
+  /// \returns the router that owns the cap of \p Workspace.
+  int ownerOf(const std::string &Workspace) const {
+    std::vector<HostId> Serving;
+    for (int Router : Routers) {
+      std::string Address = Cluster.callers(Router);
+      Serving.push_back({Address.substr(0, Address.find(':'))});
+    }
+    auto Owner = admission::capOwnerOf({Workspace}, Serving);
+    for (size_t Index = 0; Index < Routers.size(); ++Index)
+      if (Serving[Index] == Owner)
+        return Routers[Index];
+    return 0;
+  }
+
   RoutedCluster Cluster;
   std::unique_ptr<CountingTargets> Targets;
 };
 
+const double Allowed =
+    (CappedRate * double(Window.count()) / 1e6 + Burst) * (1 + Overage);
+
 /// \returns the most tokens in any Window.
 double mostTokens(const std::vector<CountingTargets::Arrival> &Arrivals) {
   size_t Most = 0;
@@ -233,8 +251,6 @@
   double Asked = double(LargeOutcomes.size()) * RequestTokens / Seconds;
   double Served = double(Arrivals.size()) * RequestTokens / Seconds;
   double Most = mostTokens(Arrivals);
-  double Allowed =
-      (CappedRate * double(Window.count()) / 1e6 + Burst) * (1 + Overage);
   BOOST_TEST_MESSAGE(Asked << " tokens a second asked, " << Served
                            << " served, " << Most << " in 8 s of " << Allowed);
   // A machine that is too slow to ask for so much proves nothing.
@@ -266,3 +282,29 @@
     for (const auto &Outcome : Outcomes)
       BOOST_TEST(Outcome.Status == 200, Outcome.Request);
 }
+
+// While the owner's end has not been noticed, the others know only what they
+// were granted before. They must neither admit all nor nothing, and the next
+// owner must not let the burst through again.
+BOOST_AUTO_TEST_CASE(a_cap_holds_while_its_owner_is_killed) {
+  Bed Subject;
+  int Owner = Subject.ownerOf("large");
+  BOOST_REQUIRE(Owner != 0);
+  PacedCallers Large(Subject.Cluster, "large", AskedRate, 4);
+  std::this_thread::sleep_for(3s);
+  Timestamp KilledAt = steadyNow();
+  Subject.Cluster.kill(Owner);
+  auto Outcomes = Large.finish();
+  auto Arrivals = Subject.Targets->arrivals("large");
+  double Most = mostTokens(Arrivals);
+  std::erase_if(Arrivals, [&](const auto &Each) { return Each.At < KilledAt; });
+  double Seconds = double((LoadTime - 3s) / 1s);
+  double Served = double(Arrivals.size()) * RequestTokens / Seconds;
+  BOOST_TEST_MESSAGE(Most << " tokens in 8 s of " << Allowed << ", " << Served
+                          << " a second after the owner's end");
+  BOOST_TEST(Most <= Allowed);
+  BOOST_TEST(Served >= 0.7 * CappedRate);
+  for (const auto &Outcome : Outcomes)
+    if (Outcome.Status == 429)
+      BOOST_TEST(Outcome.HasRetryAfter, Outcome.Request);
+}
