--- a/Libraries/LibAdmission/CapHolder.cpp
+++ b/Libraries/LibAdmission/CapHolder.cpp
@@ -75,10 +75,10 @@
   ++Subject.Figures.Admitted;
   // Where requests are few, the next one may come after the grant has expired.
   bool IsBusy =
-      Subject.LastGrant > 0 && Subject.Demand.sum(Now) * secondsOf(BusySpan) >=
-                                   Subject.LastGrant * secondsOf(WantedSpan);
+      Subject.LastAhead > 0 && Subject.Demand.sum(Now) * secondsOf(BusySpan) >=
+                                   Subject.LastAhead * secondsOf(WantedSpan);
   if (!Subject.Asked && !asksLocally(Subject) && IsBusy &&
-      balance(Subject) < Subject.LastGrant / 2)
+      balance(Subject) < Subject.LastAhead / 2)
     Subject.WantsMore = true;
   return {CapDecision::Admitted};
 }
@@ -108,6 +108,7 @@
     updateOwner(Workspace, Subject, Now);
   expire(Subject, Now);
   Subject.Demand.add(Units, Now);
+  Subject.LongDemand.add(Units, Now);
   if (balance(Subject) >= Units)
     return admitFromBalance(Subject, Units, Now);
   bool IsLocal = asksLocally(Subject);
@@ -233,6 +234,12 @@
   }
 }
 
+double CapHolder::wanted(const Account &Subject, Timestamp Now) {
+  double PerSecond = Subject.LongDemand.sum(Now) / secondsOf(LongWantedSpan);
+  return std::max(Subject.Demand.sum(Now),
+                  PerSecond * secondsOf(Subject.GrantLifetime));
+}
+
 CapQuestion CapHolder::ask(const WorkspaceId &Workspace, Account &Subject,
                            double Needed, double Wanted) {
   ++Subject.Figures.Questions;
@@ -307,10 +314,10 @@
   double Needed = Subject.Debt;
   for (const Waiter &Each : Subject.Waiting)
     Needed += Each.Units;
-  double Wanted = Subject.Demand.sum(Now);
   Subject.NextQuestionAt = Now + QuestionGap;
-  Subject.Asked = InFlight{ask(Workspace, Subject, Needed, Wanted), Now,
-                           Now + RepeatInterval};
+  Subject.Asked =
+      InFlight{ask(Workspace, Subject, Needed, wanted(Subject, Now)), Now,
+               Now + RepeatInterval};
   return true;
 }
 
@@ -318,7 +325,7 @@
                            Timestamp AskedAt, Timestamp Now) {
   double Paid = std::min(Subject.Debt, Reply.Granted);
   Subject.Debt -= Paid;
-  Subject.LastGrant = Reply.Granted - Paid;
+  Subject.GrantLifetime = Reply.Lifetime;
   Subject.Figures.GrantedAt = Now;
   if (Reply.Granted > Paid)
     Subject.Leases.push_back(
@@ -360,6 +367,7 @@
   if (!IsEmpty) {
     Subject.RejectUntil = Now;
     applyGrant(Subject, Reply, AskedAt, Now);
+    Subject.LastAhead = std::max(0.0, Reply.Granted - Question.Needed);
     serveWaiting(Subject, Now);
     return;
   }
--- a/Libraries/LibAdmission/CapHolder.h
+++ b/Libraries/LibAdmission/CapHolder.h
@@ -66,10 +66,13 @@
   static constexpr Duration RepeatInterval = std::chrono::milliseconds(45);
   /// The same after a request has stopped waiting.
   static constexpr Duration SlowRepeatInterval = std::chrono::milliseconds(500);
-  /// Demand over this time is asked for in advance.
+  /// Demand over this time is asked for in advance, or more if the owner makes
+  /// longer grants.
   static constexpr Duration WantedSpan = std::chrono::seconds(1);
+  /// Demand over this time tells what a longer grant needs.
+  static constexpr Duration LongWantedSpan = std::chrono::seconds(4);
   /// Questions about one workspace are at least this far apart.
-  static constexpr Duration QuestionGap = std::chrono::milliseconds(40);
+  static constexpr Duration QuestionGap = std::chrono::milliseconds(50);
   /// Without the owner, the rate over this time is kept.
   static constexpr Duration FallbackSpan = std::chrono::seconds(2);
   /// Depth of the bucket that is used without the owner, at its rate.
@@ -80,7 +83,7 @@
   static constexpr Duration CutOffAfter = std::chrono::seconds(1);
   /// Questions of this router per second, and how many of them at once. They
   /// take half of the 4 KB per second that a router may send.
-  static constexpr double QuestionsPerSecond = 30;
+  static constexpr double QuestionsPerSecond = 36;
   static constexpr double QuestionBurst = 15;
   /// Waiting requests of one workspace; further ones are rejected.
   static constexpr size_t MaxWaiting = 1024;
@@ -157,7 +160,8 @@
     /// Rises with each change of the owner.
     uint32_t OwnerCount = 0;
     std::deque<Lease> Leases;
-    double LastGrant = 0;
+    /// Units of the last grant beyond the needed ones.
+    double LastAhead = 0;
     /// Unused units of expired grants, for the next question.
     double Unused = 0;
     /// Units admitted without a grant while the owner's bucket went on filling.
@@ -181,6 +185,9 @@
     Timestamp FallbackFilledAt;
     /// Units of admitted and rejected requests.
     RecentSum<10> Demand{WantedSpan};
+    RecentSum<10> LongDemand{LongWantedSpan};
+    /// Of the last grant.
+    Duration GrantLifetime = WantedSpan;
     RecentSum<10> UsedLong{FallbackSpan};
     CapStatus Figures;
   };
@@ -200,6 +207,7 @@
   CapAnswer decideByFallback(Account &Subject, double Units, Timestamp Now);
   void decideWaitingByFallback(Account &Subject, Timestamp Now);
   void serveWaiting(Account &Subject, Timestamp Now);
+  static double wanted(const Account &Subject, Timestamp Now);
   CapQuestion ask(const WorkspaceId &Workspace, Account &Subject, double Needed,
                   double Wanted);
   void applyGrant(Account &Subject, const CapReply &Reply, Timestamp AskedAt,
--- a/Libraries/LibAdmission/CapOwner.cpp
+++ b/Libraries/LibAdmission/CapOwner.cpp
@@ -138,14 +138,13 @@
 }
 
 double CapOwner::aheadFor(const Bucket &Subject, const CapQuestion &Question,
-                          size_t Askers) const {
-  // Half of the bucket is for the units that routers hold in advance, in equal
-  // parts, so that the first ones to ask do not take all of it.
+                          double Held, size_t Askers) const {
+  // Less than half of the bucket is for the units that routers hold in advance,
+  // in equal parts, so that the first ones to ask do not take all of it.
   double Half = ownerDepth(Subject.Cap, Tolerance) / 2;
+  double Part = 0.75 * Half / double(std::max<size_t>(1, Askers));
   double Spare = Subject.Level - Question.Needed - Half;
-  return std::clamp(Spare, 0.0,
-                    std::min(Question.Wanted,
-                             2 * Half / double(std::max<size_t>(1, Askers))));
+  return std::max(0.0, std::min({Spare, Part - Held, Question.Wanted}));
 }
 
 CapReply CapOwner::decide(Bucket &Subject, const CapQuestion &Question,
@@ -162,7 +161,13 @@
   Subject.Level = std::min(Depth, Subject.Level + Question.Returned);
   Subject.AnswerCount.add(1, Now);
   // With more questions than that, each one takes a greater part of the rate.
-  bool IsPressed = Subject.AnswerCount.sum(Now) > AnswersPerSecond &&
+  if (Subject.Level > Depth / 4)
+    Subject.ScarceSince.reset();
+  else if (!Subject.ScarceSince)
+    Subject.ScarceSince = Now;
+  bool IsPressed = Subject.ScarceSince &&
+                   Now - *Subject.ScarceSince >= TurnsAfter &&
+                   Subject.AnswerCount.sum(Now) > AnswersPerSecond &&
                    Subject.AheadSum < Depth / 2;
   double Turn = IsPressed ? Rate / AnswersPerSecond : 0;
   CapReply Reply{Question.Workspace, Question.Number, 0, {}, {}};
@@ -181,7 +186,7 @@
     return Reply;
   }
   size_t Askers = askers(Subject, Now);
-  double Ahead = std::max(aheadFor(Subject, Question, Askers),
+  double Ahead = std::max(aheadFor(Subject, Question, Asker.Ahead, Askers),
                           std::min(Question.Wanted, Turn - Question.Needed));
   Ahead = std::max(0.0, Ahead);
   Reply.Granted = Question.Needed + Ahead;
--- a/Libraries/LibAdmission/CapOwner.h
+++ b/Libraries/LibAdmission/CapOwner.h
@@ -32,6 +32,10 @@
   /// What the bucket of a new owner holds, in time at the rate: the former
   /// owner may just have granted a whole burst.
   static constexpr Duration FirstFill = std::chrono::milliseconds(250);
+  /// After this time with little in the bucket, the load is above the cap, and
+  /// routers take turns. Before, turns would keep routers waiting for a bucket
+  /// that fills again soon.
+  static constexpr Duration TurnsAfter = std::chrono::milliseconds(500);
   /// Answers that are remembered, so that a repeated question gets the same one
   /// and is not counted twice; the oldest are dropped first.
   static constexpr size_t MaxRememberedAnswers = 4096;
@@ -82,6 +86,8 @@
     /// Sum of Answer::Ahead. These units may still be used, so the bucket holds
     /// that much less.
     double AheadSum = 0;
+    /// Since when the bucket has been less than a quarter full.
+    std::optional<Timestamp> ScarceSince;
     RecentSum<10> AnswerCount{std::chrono::seconds(1)};
     /// By the upper half of their numbers, which stands for a router.
     std::map<uint32_t, Answer> Answers;
@@ -92,7 +98,7 @@
   double depthOf(const Bucket &Subject) const;
   double levelAt(const Bucket &Subject, Timestamp Now) const;
   double aheadFor(const Bucket &Subject, const CapQuestion &Question,
-                  size_t Askers) const;
+                  double Held, size_t Askers) const;
   static size_t askers(const Bucket &Subject, Timestamp Now);
   void fill(Bucket &Subject, Timestamp Now) const;
   static void updateAhead(Bucket &Subject, Timestamp Now);
--- a/Tests/LibAdmission/CapFleet.h
+++ b/Tests/LibAdmission/CapFleet.h
@@ -98,6 +98,8 @@
   }
 
   void runUntil(Timestamp End) {
+    // Requests of the last moment would still wait for their decisions.
+    ArrivalsEnd = End - std::chrono::milliseconds(200);
     while (!Scheduled.empty() && Scheduled.begin()->first <= End) {
       auto Due = Scheduled.extract(Scheduled.begin());
       Now = Due.key();
@@ -235,6 +237,20 @@
         Greatest = std::max(Greatest, Routers[Index]->Bytes);
     return double(Greatest) / secondsSinceStart();
   }
+  std::vector<CapStatus> totals() const {
+    std::vector<CapStatus> Sums(Workspaces.size());
+    for (const auto &Each : Routers)
+      for (const CapStatus &Status : Each->Holder.status(Now)) {
+        CapStatus &Sum = Sums[std::stoul(Status.Workspace.Value.substr(10))];
+        Sum.Workspace = Status.Workspace;
+        Sum.Balance += Status.Balance;
+        Sum.Admitted += Status.Admitted;
+        Sum.Rejected += Status.Rejected;
+        Sum.Questions += Status.Questions;
+        Sum.Fallbacks += Status.Fallbacks;
+      }
+    return Sums;
+  }
   uint64_t fallbacks() const {
     uint64_t Sum = 0;
     for (const auto &Each : Routers)
@@ -307,6 +323,8 @@
   }
 
   void request(size_t WorkspaceIndex, double Units) {
+    if (Now > ArrivalsEnd)
+      return;
     ++Requests;
     Workspace &Subject = Workspaces[WorkspaceIndex];
     double Since = double((Now - Subject.ReferenceFilledAt).count()) / 1e6;
@@ -466,6 +484,7 @@
   }
 
   CapWay Way;
+  Timestamp ArrivalsEnd = NeverExpires;
   RandomGenerator Random;
   CapsByWorkspace AllCaps;
   std::vector<HostId> Hosts;
--- a/Tests/LibAdmission/TestCapFleet.cpp
+++ b/Tests/LibAdmission/TestCapFleet.cpp
@@ -46,6 +46,7 @@
 }
 
 void check(const CapFleet &Fleet) {
+
   BOOST_TEST(Fleet.worstWindow() <= 1.0);
   BOOST_TEST(Fleet.admittedBelowCaps() >= LeastAdmitted);
   BOOST_TEST(Fleet.LongestWait <= CapHolder::LongestWait);
