Tests: Check requests that wait for the owner of their cap

Eight callers at once, and an owner that answers from another thread: each request is decided by its reply, and the figures agree with the answers.

--- a/Tests/LibTraffic/TestCappedRequests.cpp
+++ b/Tests/LibTraffic/TestCappedRequests.cpp
@@ -2,6 +2,8 @@
 // those that no target has run must not use it up.
 #include "LibTraffic/RoutedBed.h"
 #include <Poco/String.h>
+#include <atomic>
+#include <thread>
 
 using namespace ferry;
 using namespace ferry::traffic;
@@ -165,3 +167,52 @@
   BOOST_TEST(Questions.front().To.Value == "10.0.0.2");
   BOOST_TEST(Questions.front().Question.Needed == 12);
 }
+
+// Requests that arrive during a question wait for its reply; each must be
+// decided by the owner, once.
+BOOST_AUTO_TEST_CASE(requests_that_wait_are_decided_by_the_owners_replies) {
+  const std::string Cap =
+      R"("rate_per_s":10,"burst":120,"unit":"token_stream")";
+  CappedBed Bed(Cap);
+  HostId OwnerId = {"10.0.0.2"};
+  Bed.Hosts.clear();
+  Bed.Hosts.push_back({OwnerId, {}, "10.0.0.2:80", HostStanding::Serving, {}});
+  Bed.add("app", answering(wholeAnswer(200, "done")));
+  SharedCaps &Caps = Bed.Front->caps();
+  std::atomic<bool> Stopping = false;
+  std::thread Owner([&] {
+    admission::CapOwner Bucket{{}};
+    config::WorkspaceCap Described{10, 120, config::CapUnit::Tokens, 0};
+    Bucket.setCaps({{{"t1"}, Described}}, steadyNow() - std::chrono::hours(1));
+    while (!Stopping) {
+      for (const auto &Each : Caps.takeQuestions())
+        Caps.apply(Each.To, Bucket.answer(Each.Question, steadyNow()));
+      std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    }
+  });
+  std::atomic<int> Served = 0;
+  std::atomic<int> Rejected = 0;
+  std::vector<std::thread> Callers;
+  for (int Caller = 0; Caller < 8; ++Caller)
+    Callers.emplace_back([&] {
+      for (int Call = 0; Call < 5; ++Call) {
+        int Status = Bed.sendTokens("9,3");
+        Served += Status == 200;
+        Rejected += Status == 429;
+      }
+    });
+  for (std::thread &Caller : Callers)
+    Caller.join();
+  Stopping = true;
+  Owner.join();
+  BOOST_TEST(Served + Rejected == 40);
+  auto Status = Caps.status();
+  BOOST_REQUIRE(Status.size() == 1U);
+  BOOST_TEST(Status.front().Admitted == uint64_t(Served));
+  // The bucket of 120 units serves ten requests, and its overdraft the requests
+  // of one question. A machine that stops for 150 ms adds decisions without the
+  // owner.
+  int Fallbacks = int(Status.front().Fallbacks);
+  BOOST_TEST(Served + Fallbacks >= 10);
+  BOOST_TEST(Served - Fallbacks <= 18);
+}
