LibTraffic: Refuse callers' bodies of malformed chunks with 400

The HTTP library's chunked stream takes a malformed chunk size for the end of the body. The body then counted as whole, a target ran the request, and the rest of the bytes was read as the next request of the connection.

Bodies in chunks are now decoded by BodyFraming from the raw bytes of the session. A malformed body is answered 400, reaches no target, and its connection is closed with nothing further read from it. Since the end of a body is now known, a caller that closes its side behind its last chunk no longer gets 408.

--- a/Libraries/LibTraffic/BodyFraming.cpp
+++ b/Libraries/LibTraffic/BodyFraming.cpp
@@ -2,6 +2,7 @@
 #include "LibCore/Visit.h"
 #include <algorithm>
 #include <charconv>
+#include <limits>
 
 namespace ferry::traffic {
 
@@ -105,6 +106,21 @@
       [](const CloseFraming &) { return false; });
 }
 
+uint64_t BodyFraming::safeReadBytes() const {
+  return match(
+      Framing,
+      [](const LengthFraming &Length) { return Length.RemainingBytes; },
+      [](const ChunkFraming &Chunks) -> uint64_t {
+        if (Chunks.Expected == Expect::Nothing)
+          return 0;
+        // Lines have no length that is known ahead.
+        return Chunks.Expected == Expect::Data ? Chunks.RemainingBytes : 1;
+      },
+      [](const CloseFraming &) {
+        return std::numeric_limits<uint64_t>::max();
+      });
+}
+
 bool BodyFraming::mayEndWithConnection() const {
   return isComplete() || std::holds_alternative<CloseFraming>(Framing);
 }
--- a/Libraries/LibTraffic/BodyFraming.h
+++ b/Libraries/LibTraffic/BodyFraming.h
@@ -50,6 +50,10 @@
 
   /// Whether the whole body was decoded.
   bool isComplete() const;
+  /// \returns how many bytes may be read next so that none behind the body is
+  /// among them; 0 once it is complete. A body that ends with its connection
+  /// has no such bound.
+  uint64_t safeReadBytes() const;
   /// Whether the body is complete if its connection ends now.
   bool mayEndWithConnection() const;
   FramingKind kind() const;
--- a/Libraries/LibTraffic/HttpConnection.cpp
+++ b/Libraries/LibTraffic/HttpConnection.cpp
@@ -87,9 +87,10 @@
   Response.setVersion(Request.getVersion());
   Response.setKeepAlive(Request.getKeepAlive());
   Context.Watch.setDeadline(WatchId, steadyNow() + Context.BodyReadLimit);
-  HttpExchange Exchange(Request, Response, Socket, Context.Budget, [this] {
-    Context.Watch.setDeadline(WatchId, NeverExpires);
-  });
+  HttpExchange Exchange(
+      Request, Response, Socket, Context.Budget,
+      [this](char *Buffer, int Size) { return Requests.readRaw(Buffer, Size); },
+      [this] { Context.Watch.setDeadline(WatchId, NeverExpires); });
   if (headerBytes(Request) > Context.MaxHeaderBytes)
     Exchange.sendError({AnswerError::HeadersTooLarge,
                         "the header may have at most " +
--- a/Libraries/LibTraffic/HttpConnection.h
+++ b/Libraries/LibTraffic/HttpConnection.h
@@ -51,6 +51,15 @@
   public:
     using Poco::Net::HTTPServerSession::HTTPServerSession;
     bool hasBufferedBytes() const { return buffered() > 0; }
+    /// Reads the next bytes; those received ahead come first.
+    int readRaw(char *Buffer, int Size) {
+      // Fills the buffer, in place of one system call for each byte of a line.
+      if (Size == 1 && buffered() == 0)
+        peek();
+      if (Size == 1 && buffered() == 0)
+        return 0;
+      return read(Buffer, Size);
+    }
   };
 
   Action serveOne();
--- a/Libraries/LibTraffic/HttpExchange.cpp
+++ b/Libraries/LibTraffic/HttpExchange.cpp
@@ -1,4 +1,5 @@
 #include "LibTraffic/HttpExchange.h"
+#include "LibTraffic/BodyFraming.h"
 #include "LibTraffic/RouteDialect.h"
 #include <Poco/Exception.h>
 #include <Poco/String.h>
@@ -39,9 +40,10 @@
 HttpExchange::HttpExchange(Poco::Net::HTTPServerRequest &Request,
                            Poco::Net::HTTPServerResponse &Response,
                            Poco::Net::StreamSocket Socket, BodyBudget &Budget,
-                           std::function<void()> BodyDone)
+                           RawReader ReadRaw, std::function<void()> BodyDone)
     : Request(Request), Response(Response), Socket(std::move(Socket)),
-      Budget(Budget), BodyDone(std::move(BodyDone)) {}
+      Budget(Budget), ReadRaw(std::move(ReadRaw)),
+      BodyDone(std::move(BodyDone)) {}
 
 HttpExchange::~HttpExchange() { Budget.release(ReservedBytes); }
 
@@ -168,37 +170,42 @@
 }
 
 AnswerResult<std::string> HttpExchange::tryReadChunks(uint64_t MaxBytes) {
+  // The library's chunked stream takes a malformed size for the end of the body
+  // and ends in the same way with the connection.
+  BodyFraming Framing{ChunkFraming{}};
   std::string Body;
+  std::string Piece(BodyChunkBytes, '\0');
   try {
     if (Request.getExpectContinue())
       Response.sendContinue();
-    std::istream &Stream = Request.stream();
-    std::string Piece(BodyChunkBytes, '\0');
-    while (Stream.good() && Body.size() <= MaxBytes) {
-      Stream.read(Piece.data(), static_cast<std::streamsize>(Piece.size()));
-      auto Count = static_cast<uint64_t>(Stream.gcount());
-      if (!Budget.tryReserve(Count))
+    while (!Framing.isComplete()) {
+      uint64_t Size = std::min(Framing.safeReadBytes(), BodyChunkBytes);
+      int Count = ReadRaw(Piece.data(), static_cast<int>(Size));
+      if (Count <= 0)
+        break;
+      uint64_t Before = Body.size();
+      std::string_view Raw(Piece.data(), static_cast<size_t>(Count));
+      if (auto Decoded = Framing.decode(Raw, Body); !Decoded)
+        return makeError(ErrorAnswer{AnswerError::BadHeader,
+                                     "the body's chunks are malformed: " +
+                                         Decoded.error().Detail});
+      if (Body.size() > MaxBytes)
+        return makeError(ErrorAnswer{AnswerError::TooLarge,
+                                     "the body may have at most " +
+                                         std::to_string(MaxBytes) + " bytes"});
+      uint64_t Added = Body.size() - Before;
+      if (!Budget.tryReserve(Added))
         return makeError(ErrorAnswer{
             AnswerError::QueueFull, "too many request bodies are in memory",
             NotRun::True, steadyNow() + BodyBudgetRetryDelay});
-      ReservedBytes += Count;
-      Body.append(Piece, 0, Count);
+      ReservedBytes += Added;
     }
   } catch (const Poco::Exception &) {
+    // Reported below as a body that ended early.
+  }
+  if (!Framing.isComplete())
     return makeError(ErrorAnswer{AnswerError::RequestTimeout,
                                  "the body ended before its last chunk"});
-  }
-  if (Body.size() > MaxBytes)
-    return makeError(ErrorAnswer{AnswerError::TooLarge,
-                                 "the body may have at most " +
-                                     std::to_string(MaxBytes) + " bytes"});
-  // The library's stream ends in the same way after the last chunk and with
-  // the connection. A caller that has closed its side may have sent a truncated
-  // body, and it expects no answer.
-  if (callerGone())
-    return makeError(ErrorAnswer{
-        AnswerError::RequestTimeout,
-        "the connection ended before the body was known to be whole"});
   BodyRead = true;
   BodyDone();
   return Body;
--- a/Libraries/LibTraffic/HttpExchange.h
+++ b/Libraries/LibTraffic/HttpExchange.h
@@ -62,13 +62,19 @@
 };
 
 /// Wraps a request and response of the HTTP library. Used by one thread.
-/// The constructor's \p BodyDone is called once the whole body was read.
 class HttpExchange {
 public:
+  /// Reads at most \p Size bytes behind the head of the request, as they came.
+  /// \returns the number of bytes; 0 at the end of the connection. Throws the
+  /// HTTP library's exceptions.
+  using RawReader = std::function<int(char *Buffer, int Size)>;
+
+  /// \param ReadRaw reads the raw bytes of a body in chunks.
+  /// \param BodyDone called once the whole body was read.
   HttpExchange(Poco::Net::HTTPServerRequest &Request,
                Poco::Net::HTTPServerResponse &Response,
                Poco::Net::StreamSocket Socket, BodyBudget &Budget,
-               std::function<void()> BodyDone);
+               RawReader ReadRaw, std::function<void()> BodyDone);
   ~HttpExchange();
   HttpExchange(const HttpExchange &) = delete;
   HttpExchange &operator=(const HttpExchange &) = delete;
@@ -91,7 +97,8 @@
   AnswerResult<std::string> tryReadBody(uint64_t MaxBytes);
 
   /// Reads the whole body, with a length or in chunks. \returns the errors of
-  /// tryReadBody(), or BadHeader if the request has both framings.
+  /// tryReadBody(), or BadHeader if the request has both framings or malformed
+  /// chunks. After an error nothing further may be read from the connection.
   AnswerResult<std::string> tryReadFramedBody(uint64_t MaxBytes);
 
   /// Whether bytes of the body are still unread.
@@ -148,6 +155,7 @@
   Poco::Net::HTTPServerResponse &Response;
   Poco::Net::StreamSocket Socket;
   BodyBudget &Budget;
+  RawReader ReadRaw;
   std::function<void()> BodyDone;
   uint64_t ReservedBytes = 0;
   bool BodyRead = false;
