LibTraffic: Close connections whose request repeats its Content-Length

A request with the lengths "0" and then another one was refused with 400, but its body counted as read because the first length is 0. The connection stayed open and the body was read as the next request, which a target ran.

TestMalformedChunks, nothing_behind_repeated_lengths_is_read_as_a_request, failed before: two answers and one request at the target in place of one and none. It passes now.

--- a/Libraries/LibTraffic/HttpExchange.cpp
+++ b/Libraries/LibTraffic/HttpExchange.cpp
@@ -213,7 +213,7 @@
 
 bool HttpExchange::bodyUnread() const {
   bool HasBody =
-      Request.has("Transfer-Encoding") ||
+      Request.has("Transfer-Encoding") || isRepeated("Content-Length") ||
       (Request.has("Content-Length") && Request.get("Content-Length") != "0");
   return HasBody && !BodyRead;
 }
--- a/Tests/LibTraffic/TestMalformedChunks.cpp
+++ b/Tests/LibTraffic/TestMalformedChunks.cpp
@@ -90,6 +90,19 @@
   BOOST_TEST(Bed.targetRequests() == 0U);
 }
 
+// The first of two lengths alone would tell that there is no body.
+BOOST_AUTO_TEST_CASE(nothing_behind_repeated_lengths_is_read_as_a_request) {
+  RoutedBed Bed;
+  addApp(Bed);
+  std::string Hidden = RoutedBed::request("/once/x");
+  std::string Received = exchangeUntilClosed(
+      Bed, HeadOfPost + "Content-Length: 0\r\nContent-Length: " +
+               std::to_string(Hidden.size()) + "\r\n\r\n" + Hidden);
+  BOOST_TEST(answersIn(Received) == 1U);
+  BOOST_TEST(Received.find("HTTP/1.1 400") == 0U);
+  BOOST_TEST(Bed.targetRequests() == 0U);
+}
+
 // Sound chunks, however they arrive, are the request's body, and the request
 // behind them is the next one.
 BOOST_AUTO_TEST_CASE(sound_chunks_end_where_the_next_request_begins) {
