LibTraffic: Answer all that has arrived when a listener stops

A stop under load dropped connections whose requests waited for a thread, those with a request that was not read yet, and reset those in the kernel's queue; a caller could not tell whether its request was run. It also closed connections with unread bytes, which resets them and drops the rest of an answer in flight.

A stop now goes on to accept and read for 100 ms, serves what waits, says "Connection: close" in each answer, and closes only once the caller's host has the whole answer (at most 2 s). Connections that a thread takes up after the stop's deadline are ended at once. A routed request is counted before its arrival is timed, so that a drain sees each request that it does not refuse. What remains: a connection that completes between the last accept and the close of the listening socket is reset unread.

--- a/Libraries/LibTraffic/ConnectionWatch.cpp
+++ b/Libraries/LibTraffic/ConnectionWatch.cpp
@@ -6,7 +6,9 @@
 ConnectionWatch::Id ConnectionWatch::add(const Poco::Net::StreamSocket &Socket,
                                          Timestamp Deadline) {
   std::lock_guard Lock(Mutex);
-  Connections.emplace(NextId, Entry{Socket, Deadline});
+  auto Added = Connections.emplace(NextId, Entry{Socket, Deadline}).first;
+  if (AllEnded)
+    end(Added->second);
   return NextId++;
 }
 
@@ -21,19 +23,26 @@
   Connections.erase(Connection);
 }
 
-void ConnectionWatch::endAll() { endOverdue(NeverExpires); }
+void ConnectionWatch::endAll() {
+  std::lock_guard Lock(Mutex);
+  AllEnded = true;
+  for (auto &[Connection, Watched] : Connections)
+    end(Watched);
+}
+
+void ConnectionWatch::end(Entry &Watched) {
+  try {
+    Watched.Socket.shutdown();
+  } catch (const Poco::Exception &) {
+    // The peer has already closed the connection.
+  }
+}
 
 void ConnectionWatch::endOverdue(Timestamp Now) {
   std::lock_guard Lock(Mutex);
-  for (auto &[Connection, Watched] : Connections) {
-    if (Watched.Deadline > Now)
-      continue;
-    try {
-      Watched.Socket.shutdown();
-    } catch (const Poco::Exception &) {
-      // The peer has already closed the connection.
-    }
-  }
+  for (auto &[Connection, Watched] : Connections)
+    if (Watched.Deadline <= Now)
+      end(Watched);
 }
 
 } // namespace ferry::traffic
--- a/Libraries/LibTraffic/ConnectionWatch.h
+++ b/Libraries/LibTraffic/ConnectionWatch.h
@@ -25,7 +25,7 @@
   void remove(Id Connection);
   /// Ends the connections whose deadline is not after \p Now.
   void endOverdue(Timestamp Now);
-  /// Ends every connection.
+  /// Ends every connection, and those that are added later.
   void endAll();
 
 private:
@@ -34,9 +34,12 @@
     Timestamp Deadline;
   };
 
+  static void end(Entry &Watched);
+
   std::mutex Mutex;
   std::map<Id, Entry> Connections;
   Id NextId = 1;
+  bool AllEnded = false;
 };
 
 } // namespace ferry::traffic
--- a/Libraries/LibTraffic/HttpConnection.cpp
+++ b/Libraries/LibTraffic/HttpConnection.cpp
@@ -3,6 +3,8 @@
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponseImpl.h>
 #include <Poco/Net/NetException.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 
 namespace ferry::traffic {
 
@@ -18,6 +20,8 @@
 static constexpr int MaxDiscardedBytes = 32 << 20;
 /// Longest time for discarding an unread request body.
 static constexpr std::chrono::seconds DiscardLimit{2};
+/// Longest wait for the next bytes to discard, in microseconds.
+static constexpr int64_t DiscardPollMicros = 10'000;
 
 static HTTPServerParams::Ptr makeParams(Duration IdleLimit) {
   HTTPServerParams::Ptr Params(new HTTPServerParams);
@@ -37,6 +41,12 @@
   Socket.setNoDelay(true);
 }
 
+/// \returns the bytes that were sent and that the peer has not acknowledged.
+static int unacknowledgedBytes(int Descriptor) {
+  int Bytes = 0;
+  return ::ioctl(Descriptor, SIOCOUTQ, &Bytes) == 0 ? Bytes : 0;
+}
+
 bool HttpConnection::serve() {
   WatchId = Context.Watch.add(Socket, steadyNow() + Context.HeaderReadLimit);
   Action NextAction = Action::Close;
@@ -47,7 +57,9 @@
       NextAction = serveOne();
     }
     if (NextAction == Action::DiscardAndClose)
-      discardUnreadBody();
+      discardUnread(Discard::CallerEnds);
+    if (NextAction == Action::AwaitTakenAndClose)
+      discardUnread(Discard::AnswerTaken);
   } catch (const std::exception &) {
     // The peer disconnected. Its request was answered or abandoned.
     NextAction = Action::Close;
@@ -91,6 +103,8 @@
       Request, Response, Socket, Context.Budget,
       [this](char *Buffer, int Size) { return Requests.readRaw(Buffer, Size); },
       [this] { Context.Watch.setDeadline(WatchId, NeverExpires); });
+  if (Context.Closing)
+    Exchange.closeAfterAnswer();
   if (headerBytes(Request) > Context.MaxHeaderBytes)
     Exchange.sendError({AnswerError::HeadersTooLarge,
                         "the header may have at most " +
@@ -102,7 +116,12 @@
   bool KeepConnection =
       Response.sent() && Response.getKeepAlive() && Request.getKeepAlive();
   Requests.setKeepAlive(KeepConnection);
-  return KeepConnection ? Action::KeepOpen : Action::Close;
+  if (KeepConnection)
+    return Action::KeepOpen;
+  // A caller that did not expect the end may have sent its next request. A
+  // close with unread bytes would reset the connection, and the caller could
+  // lose the answer.
+  return Request.getKeepAlive() ? Action::AwaitTakenAndClose : Action::Close;
 }
 
 void HttpConnection::answerMalformed(const std::string &Message) {
@@ -117,13 +136,18 @@
   Response.send() << Body << std::flush;
 }
 
-void HttpConnection::discardUnreadBody() {
+void HttpConnection::discardUnread(Discard Until) {
   Timestamp Deadline = steadyNow() + DiscardLimit;
-  Context.Watch.setDeadline(WatchId, Deadline);
   Socket.shutdownSend();
   std::string Buffer(64 << 10, '\0');
   int Discarded = 0;
   while (Discarded < MaxDiscardedBytes && steadyNow() < Deadline) {
+    bool Taken = unacknowledgedBytes(Socket.impl()->sockfd()) == 0;
+    if (Until == Discard::AnswerTaken && Taken)
+      return;
+    if (!Socket.poll(Poco::Timespan(DiscardPollMicros),
+                     Poco::Net::Socket::SELECT_READ))
+      continue;
     int Count =
         Socket.receiveBytes(Buffer.data(), static_cast<int>(Buffer.size()));
     if (Count <= 0)
--- a/Libraries/LibTraffic/HttpConnection.h
+++ b/Libraries/LibTraffic/HttpConnection.h
@@ -22,6 +22,8 @@
   Duration BodyReadLimit;
   BodyBudget Budget;
   ConnectionWatch Watch;
+  /// Whether connections are closed after their next answer.
+  std::atomic<bool> Closing = false;
 };
 
 /// A connection is used by one thread at a time: by the listener's while it is
@@ -44,9 +46,18 @@
   bool serve();
 
 private:
-  enum class Action : uint8_t { KeepOpen, Close, DiscardAndClose };
+  enum class Action : uint8_t {
+    KeepOpen,
+    Close,
+    /// Reads and discards until the caller closes.
+    DiscardAndClose,
+    /// Reads and discards until the caller's host has the whole answer.
+    AwaitTakenAndClose
+  };
+  /// When the discarding of unread bytes ends.
+  enum class Discard : uint8_t { CallerEnds, AnswerTaken };
 
-  /// Gives access to the number of bytes that were received ahead.
+  /// Gives access to the bytes that were received ahead.
   class Session : public Poco::Net::HTTPServerSession {
   public:
     using Poco::Net::HTTPServerSession::HTTPServerSession;
@@ -66,7 +77,7 @@
   Action answer(Poco::Net::HTTPServerRequest &Request,
                 Poco::Net::HTTPServerResponse &Response);
   void answerMalformed(const std::string &Message);
-  void discardUnreadBody();
+  void discardUnread(Discard Until);
 
   Poco::Net::StreamSocket Socket;
   ConnectionContext &Context;
--- a/Libraries/LibTraffic/HttpListener.cpp
+++ b/Libraries/LibTraffic/HttpListener.cpp
@@ -47,7 +47,8 @@
                              Options.HeaderReadLimit,
                              Options.BodyReadLimit,
                              BodyBudget(Options.BodyBudgetBytes),
-                             {}},
+                             {},
+                             false},
       Server(Socket), BoundAddress(Socket.address().toString()),
       Threads(MinThreads,
               static_cast<int>(std::max(Options.MaxActive, uint32_t{1})),
@@ -86,15 +87,19 @@
 
 void HttpListener::poll() {
   Timestamp CheckAt = steadyNow() + PollLimit;
-  while (!Stopping) {
-    Poco::Timespan Wait(Duration(PollLimit).count());
-    for (const auto &[Ready, Mode] : Polled.poll(Wait)) {
-      if (Ready == Server)
-        accept();
-      else
+  Timestamp Now = steadyNow();
+  while (Now < PollUntil.load()) {
+    Duration Wait = std::min<Duration>(PollLimit, PollUntil.load() - Now);
+    for (const auto &[Ready, Mode] :
+         Polled.poll(Poco::Timespan(Wait.count()))) {
+      if (Ready != Server)
         activate(Ready);
+      else if (Stopping)
+        acceptQueued();
+      else
+        accept();
     }
-    Timestamp Now = steadyNow();
+    Now = steadyNow();
     if (Now < CheckAt)
       continue;
     CheckAt = Now + PollLimit;
@@ -117,6 +122,16 @@
   }
 }
 
+void HttpListener::acceptQueued() {
+  try {
+    while (Server.poll(0, Socket::SELECT_READ))
+      addIdle(std::make_unique<HttpConnection>(Server.acceptConnection(),
+                                               Context, Opts.IdleLimit()));
+  } catch (const Poco::Exception &) {
+    // The peer has given up its connection, or no descriptor is free.
+  }
+}
+
 bool HttpListener::makeRoom() {
   IdleConnection Longest;
   std::lock_guard Lock(Mutex);
@@ -171,15 +186,23 @@
 }
 
 void HttpListener::activate(const Socket &Readable) {
-  std::unique_ptr<Worker> Next;
+  ConnectionPtr Connection;
   {
     std::lock_guard Lock(Mutex);
     auto Entry = Idle.find(Readable);
     if (Entry == Idle.end())
       return;
     Polled.remove(Readable);
-    Next = std::make_unique<Worker>(*this, std::move(Entry->second.Connection));
+    Connection = std::move(Entry->second.Connection);
     Idle.erase(Entry);
+  }
+  serveOnPool(std::move(Connection));
+}
+
+void HttpListener::serveOnPool(ConnectionPtr Connection) {
+  auto Next = std::make_unique<Worker>(*this, std::move(Connection));
+  {
+    std::lock_guard Lock(Mutex);
     if (Active >= Opts.MaxActive) {
       Waiting.push_back(Next->takeConnection());
       return;
@@ -219,7 +242,7 @@
   Served.reset();
   std::lock_guard Lock(Mutex);
   resumeAccepting();
-  if (Waiting.empty() || Stopping) {
+  if (Waiting.empty()) {
     --Active;
     return nullptr;
   }
@@ -232,27 +255,48 @@
   if (Stopped)
     return;
   Stopped = true;
+  Context.Closing = true;
   Stopping = true;
+  PollUntil = std::min<Timestamp>(Deadline, steadyNow() + StopLinger);
   Poller.join();
+  if (steadyNow() < Deadline)
+    acceptQueued();
   Server.close();
-  auto ActiveCount = [this] {
-    std::lock_guard Lock(Mutex);
-    return Active;
-  };
-  while (true) {
-    std::map<Socket, IdleConnection> Closing;
-    std::deque<ConnectionPtr> Unserved;
-    {
-      std::lock_guard Lock(Mutex);
-      Closing.swap(Idle);
-      Unserved.swap(Waiting);
-    }
-    if (ActiveCount() == 0 || steadyNow() >= Deadline)
-      break;
+  while (endIdle(Deadline) && steadyNow() < Deadline)
     std::this_thread::sleep_for(StopCheckPeriod);
+  {
+    std::deque<ConnectionPtr> Unserved;
+    std::lock_guard Lock(Mutex);
+    Unserved.swap(Waiting);
   }
   Context.Watch.endAll();
   Threads.joinAll();
 }
 
+bool HttpListener::endIdle(Timestamp Deadline) {
+  std::map<Socket, IdleConnection> Ending;
+  {
+    std::lock_guard Lock(Mutex);
+    Ending.swap(Idle);
+  }
+  bool Lingering = false;
+  for (auto &[Key, Entry] : Ending) {
+    Timestamp Now = steadyNow();
+    if (Now >= Deadline)
+      break;
+    if (Key.poll(0, Socket::SELECT_READ)) {
+      serveOnPool(std::move(Entry.Connection));
+      continue;
+    }
+    // A caller that has just connected has its request still on the way.
+    if (Now >= Entry.Since + StopLinger)
+      continue;
+    Lingering = true;
+    std::lock_guard Lock(Mutex);
+    Idle[Key] = std::move(Entry);
+  }
+  std::lock_guard Lock(Mutex);
+  return Lingering || Active > 0 || !Waiting.empty();
+}
+
 } // namespace ferry::traffic
--- a/Libraries/LibTraffic/HttpListener.h
+++ b/Libraries/LibTraffic/HttpListener.h
@@ -65,10 +65,17 @@
   /// The "IP:port" it listens on.
   const std::string &address() const { return BoundAddress; }
 
-  /// Accepts no new connections, ends idle ones, waits until \p Deadline for
-  /// requests in progress and then ends their connections too.
+  /// Serves what has been received, and what arrives within StopLinger, with
+  /// answers that close their connections. Then it accepts no new connections,
+  /// ends idle ones, waits until \p Deadline for requests in progress and ends
+  /// their connections too.
   void stop(Timestamp Deadline);
 
+  /// Longest time that a stop still accepts connections and reads requests.
+  /// Requests in the kernel's queues would be reset by a close, and a caller
+  /// could not know whether they were run.
+  static constexpr std::chrono::milliseconds StopLinger{100};
+
   /// \returns the number of open connections.
   size_t connections() const;
 
@@ -91,6 +98,8 @@
   // On the listener's thread.
   void poll();
   void accept();
+  /// Accepts all connections that the kernel holds, beyond the limit too.
+  void acceptQueued();
   /// Closes an idle connection if there are too many. \returns false if none
   /// can be closed; no connection is accepted then for a while.
   bool makeRoom();
@@ -99,6 +108,12 @@
   void closeExpired(Timestamp Now);
   /// Hands a connection with a request over to the pool.
   void activate(const Poco::Net::Socket &Readable);
+  /// Serves a connection with a request on a thread of the pool, once one is
+  /// free.
+  void serveOnPool(ConnectionPtr Connection);
+  /// Serves or closes the connections without a request in progress during a
+  /// stop. \returns whether requests are in progress, wait or may still come.
+  bool endIdle(Timestamp Deadline);
 
   // On a thread of the pool.
   void serveUntilNoneWaits(ConnectionPtr First);
@@ -118,6 +133,9 @@
   /// Connections with a request for which no thread was free.
   std::deque<ConnectionPtr> Waiting;
   size_t Active = 0;
+  /// The listener's thread ends at this time.
+  std::atomic<Timestamp> PollUntil = NeverExpires;
+  /// Open connections are not kept for further requests.
   std::atomic<bool> Stopping = false;
   Poco::ThreadPool Threads;
   std::thread Poller;
--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -57,8 +57,10 @@
 
 RoutedRelay::RoutedRelay(RoutedContext &Context, HttpExchange &Exchange)
     : Context(Context), Exchange(Exchange), View(Context.Placements.view()),
-      ArrivedAt(steadyNow()), LargeAnswer(Context.LargeAnswers) {
+      LargeAnswer(Context.LargeAnswers) {
+  // A drain must see each request that arrived before it refuses.
   ++Context.ActiveRequests;
+  ArrivedAt = steadyNow();
 }
 
 RoutedRelay::~RoutedRelay() {
--- a/Tests/LibTraffic/TestHttpListener.cpp
+++ b/Tests/LibTraffic/TestHttpListener.cpp
@@ -235,3 +235,86 @@
   Stopper.join();
   BOOST_TEST(Listener->connections() == 0U);
 }
+
+/// \returns all that comes before the connection ends.
+static std::string receiveAll(StreamSocket &Socket) {
+  return receiveUntil(Socket, "\r\nnever\r\n");
+}
+
+// During a planned shutdown under load, requests that wait for a thread, those
+// that have not been read, and those of connections in the kernel's queue must
+// be answered like those in progress, not be cut off.
+BOOST_AUTO_TEST_CASE(a_stop_under_load_answers_all_that_has_arrived) {
+  HttpListener::Options Opts = options();
+  Opts.MaxConnections = 20;
+  Opts.MaxActive = 2;
+  const std::string Body = "{\"text\":\"" + std::string(20000, 'x') + "\"}";
+  auto Listener = start(Opts, [&](HttpExchange &Exchange) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    Exchange.sendJson(200, Body);
+  });
+  std::vector<StreamSocket> Sockets;
+  for (int Index = 0; Index < 60; ++Index) {
+    Sockets.push_back(connectTo(*Listener));
+    sendText(Sockets.back(), Request);
+  }
+  std::thread Stopper(
+      [&] { Listener->stop(steadyNow() + std::chrono::seconds(10)); });
+  size_t Whole = 0;
+  size_t SaidClose = 0;
+  for (StreamSocket &Socket : Sockets) {
+    std::string Answer = receiveAll(Socket);
+    Whole += Answer.find("200 OK") == 9 && Answer.ends_with(Body) ? 1U : 0U;
+    SaidClose += countOf(Answer, "Connection: Close");
+  }
+  Stopper.join();
+  BOOST_TEST(Whole == Sockets.size());
+  // Those answered before the stop began may not have been told.
+  BOOST_TEST(SaidClose >= Sockets.size() / 2);
+}
+
+// A caller that keeps its connection has its next request on the way as the
+// stop begins.
+BOOST_AUTO_TEST_CASE(a_stop_answers_requests_on_kept_connections) {
+  for (int Round = 0; Round < 5; ++Round) {
+    auto Stopped = start(options(), [](HttpExchange &Exchange) {
+      Exchange.sendJson(200, "{}");
+    });
+    std::vector<StreamSocket> Sockets;
+    for (int Index = 0; Index < 50; ++Index) {
+      Sockets.push_back(connectTo(*Stopped));
+      sendText(Sockets.back(), Request);
+      BOOST_REQUIRE(countOf(receiveUntil(Sockets.back(), "{}"), "200 OK") ==
+                    1U);
+    }
+    for (StreamSocket &Socket : Sockets)
+      sendText(Socket, Request);
+    Stopped->stop(steadyNow() + std::chrono::seconds(10));
+    size_t Answered = 0;
+    for (StreamSocket &Socket : Sockets)
+      Answered += countOf(receiveAll(Socket), "200 OK");
+    BOOST_TEST(Answered == Sockets.size());
+  }
+}
+
+// The answer must reach a caller that has sent its next request already: a
+// close with unread bytes would reset the connection and drop the answer's
+// rest.
+BOOST_AUTO_TEST_CASE(an_answer_that_closes_is_whole_despite_a_further_request) {
+  const std::string Body(2'000'000, 'x');
+  auto Listener = start(options(), [&](HttpExchange &Exchange) {
+    Exchange.closeAfterAnswer();
+    Exchange.send(200, "text/plain", Body);
+  });
+  StreamSocket Socket = connectTo(*Listener);
+  sendText(Socket, Request);
+  BOOST_REQUIRE(
+      Socket.poll(Poco::Timespan(5, 0), Poco::Net::Socket::SELECT_READ));
+  std::string More;
+  for (int Index = 0; Index < 500; ++Index)
+    More += Request;
+  sendText(Socket, More);
+  std::string Answer = receiveAll(Socket);
+  BOOST_TEST(countOf(Answer, "HTTP/1.1") == 1U);
+  BOOST_TEST(Answer.ends_with(Body));
+}
