LibTraffic: Judge slow callers by what they take over time

The send timeout of 30 s counted from one moment at which the kernel found a third of its buffer free to the next. A caller that reads slowly but steadily takes longer for that, and was cut off. The sender now looks at the unacknowledged bytes: a caller that takes a kilobyte within the limit (SendLimit, 30 s as before) goes on; one that takes single bytes is cut off.

--- a/Libraries/LibTraffic/HttpConnection.cpp
+++ b/Libraries/LibTraffic/HttpConnection.cpp
@@ -3,15 +3,23 @@
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponseImpl.h>
 #include <Poco/Net/NetException.h>
+#include <algorithm>
+#include <cerrno>
 #include <linux/sockios.h>
+#include <poll.h>
 #include <sys/ioctl.h>
+#include <sys/socket.h>
 
 namespace ferry::traffic {
 
 using namespace Poco::Net;
 
-/// How long one send may block on a slow peer, in seconds.
-static constexpr int SendTimeoutSeconds = 30;
+/// A caller must take this many bytes within the send limit. A steady caller
+/// takes more even at 9,600 bits a second; one that takes single bytes does not
+/// occupy a thread for long.
+static constexpr int MinSendProgress = 1024;
+/// Longest time between two looks at what a slow caller has taken.
+static constexpr std::chrono::milliseconds SendCheckPeriod{100};
 /// Bytes of an answer that the kernel buffers for a slow peer.
 static constexpr int SendBufferBytes = 64 << 10;
 /// Largest number of bytes of an unread request body that are discarded before
@@ -34,8 +42,8 @@
 HttpConnection::HttpConnection(const StreamSocket &Connected,
                                ConnectionContext &Context, Duration IdleLimit)
     : Socket(Connected), Context(Context), IdleLimit(IdleLimit),
-      Params(makeParams(IdleLimit)), Requests(Connected, Params) {
-  Socket.setSendTimeout(Poco::Timespan(SendTimeoutSeconds, 0));
+      Params(makeParams(IdleLimit)),
+      Requests(Connected, Params, Context.SendLimit) {
   Socket.setReceiveTimeout(Poco::Timespan(IdleLimit.count()));
   Socket.setSendBufferSize(SendBufferBytes);
   Socket.setNoDelay(true);
@@ -47,6 +55,42 @@
   return ::ioctl(Descriptor, SIOCOUTQ, &Bytes) == 0 ? Bytes : 0;
 }
 
+int HttpConnection::Session::write(const char *Buffer, std::streamsize Length) {
+  // The kernel reports a socket as writable only once a third of its buffer is
+  // free, which a slow caller takes longer for than its bytes show.
+  int Descriptor = socket().impl()->sockfd();
+  std::streamsize Sent = 0;
+  Timestamp StallAt = steadyNow() + SendLimit;
+  int PendingBytes = unacknowledgedBytes(Descriptor);
+  while (Sent < Length) {
+    ssize_t Count =
+        ::send(Descriptor, Buffer + Sent, static_cast<size_t>(Length - Sent),
+               MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (Count > 0) {
+      Sent += Count;
+      StallAt = steadyNow() + SendLimit;
+      PendingBytes = unacknowledgedBytes(Descriptor);
+      continue;
+    }
+    if (errno == EINTR)
+      continue;
+    if (errno != EAGAIN && errno != EWOULDBLOCK)
+      throw NetException("the connection has ended", errno);
+    Timestamp Now = steadyNow();
+    int StillPending = unacknowledgedBytes(Descriptor);
+    if (StillPending + MinSendProgress <= PendingBytes) {
+      PendingBytes = StillPending;
+      StallAt = Now + SendLimit;
+    }
+    if (Now >= StallAt)
+      throw Poco::TimeoutException("the caller takes too little");
+    Duration Wait = std::min<Duration>(SendCheckPeriod, StallAt - Now);
+    pollfd Polled{Descriptor, POLLOUT, 0};
+    ::poll(&Polled, 1, static_cast<int>(Wait.count() / 1000) + 1);
+  }
+  return static_cast<int>(Sent);
+}
+
 bool HttpConnection::serve() {
   WatchId = Context.Watch.add(Socket, steadyNow() + Context.HeaderReadLimit);
   Action NextAction = Action::Close;
--- a/Libraries/LibTraffic/HttpConnection.h
+++ b/Libraries/LibTraffic/HttpConnection.h
@@ -20,6 +20,7 @@
   /// See HttpListener::Options.
   Duration HeaderReadLimit;
   Duration BodyReadLimit;
+  Duration SendLimit;
   BodyBudget Budget;
   ConnectionWatch Watch;
   /// Whether connections are closed after their next answer.
@@ -57,10 +58,18 @@
   /// When the discarding of unread bytes ends.
   enum class Discard : uint8_t { CallerEnds, AnswerTaken };
 
-  /// Gives access to the bytes that were received ahead.
+  /// Gives access to the bytes that were received ahead, and judges a slow
+  /// caller by what it takes over time.
   class Session : public Poco::Net::HTTPServerSession {
   public:
-    using Poco::Net::HTTPServerSession::HTTPServerSession;
+    Session(const Poco::Net::StreamSocket &Socket,
+            const Poco::Net::HTTPServerParams::Ptr &Params, Duration SendLimit)
+        : HTTPServerSession(Socket, Params), SendLimit(SendLimit) {}
+
+    /// Writes all of \p Buffer. Throws TimeoutException if the caller takes
+    /// less than MinSendProgress bytes within the send limit, and NetException
+    /// if the connection has ended.
+    int write(const char *Buffer, std::streamsize Length) override;
     bool hasBufferedBytes() const { return buffered() > 0; }
     /// Reads the next bytes; those received ahead come first.
     int readRaw(char *Buffer, int Size) {
@@ -71,6 +80,9 @@
         return 0;
       return read(Buffer, Size);
     }
+
+  private:
+    Duration SendLimit;
   };
 
   Action serveOne();
--- a/Libraries/LibTraffic/HttpListener.h
+++ b/Libraries/LibTraffic/HttpListener.h
@@ -52,6 +52,9 @@
     /// Largest number of connections that have a request in progress. Further
     /// ones wait, with their requests unread.
     uint32_t MaxActive = 512;
+    /// A caller that takes less than a kilobyte of its answer in this time is
+    /// cut off.
+    Duration SendLimit = std::chrono::seconds(30);
   };
 
   /// Binds and starts. \returns BadAddress or BindFailed.
--- a/Tests/LibTraffic/TestHttpListener.cpp
+++ b/Tests/LibTraffic/TestHttpListener.cpp
@@ -318,3 +318,74 @@
   BOOST_TEST(countOf(Answer, "HTTP/1.1") == 1U);
   BOOST_TEST(Answer.ends_with(Body));
 }
+
+/// Connects with a small receive buffer, so that the sender soon waits.
+static StreamSocket connectSlowlyTo(const HttpListener &Listener) {
+  StreamSocket Socket;
+  Socket.init(AF_INET);
+  Socket.setReceiveBufferSize(4096);
+  Socket.connect(Poco::Net::SocketAddress(Listener.address()));
+  Socket.setReceiveTimeout(Poco::Timespan(10, 0));
+  return Socket;
+}
+
+/// Reads \p Bytes every \p Period. \returns all that came.
+static std::string receiveSteadily(StreamSocket &Socket, size_t Bytes,
+                                   Duration Period) {
+  std::string Received;
+  std::string Buffer(Bytes, '\0');
+  Timestamp NextAt = steadyNow();
+  try {
+    while (true) {
+      int Count =
+          Socket.receiveBytes(Buffer.data(), static_cast<int>(Buffer.size()));
+      if (Count <= 0)
+        break;
+      Received.append(Buffer, 0, static_cast<size_t>(Count));
+      NextAt += Period;
+      std::this_thread::sleep_until(NextAt);
+    }
+  } catch (const Poco::Exception &) {
+    // The connection was reset.
+  }
+  return Received;
+}
+
+// A caller that reads slowly but steadily is healthy, however long its answer
+// takes; the kernel's buffers free up in steps that take it longer than the
+// limit.
+BOOST_AUTO_TEST_CASE(a_slow_but_steady_caller_gets_its_whole_answer) {
+  HttpListener::Options Opts = options();
+  Opts.SendLimit = std::chrono::milliseconds(500);
+  const std::string Body(300'000, 'x');
+  auto Listener = start(Opts, [&](HttpExchange &Exchange) {
+    Exchange.send(200, "text/plain", Body);
+  });
+  StreamSocket Socket = connectSlowlyTo(*Listener);
+  sendText(Socket, "GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+  std::string Received =
+      receiveSteadily(Socket, 1000, std::chrono::milliseconds(25));
+  BOOST_TEST(Received.ends_with(Body));
+}
+
+// One that takes a byte now and then must not occupy a thread for long.
+BOOST_AUTO_TEST_CASE(a_caller_that_reads_single_bytes_is_cut_off) {
+  HttpListener::Options Opts = options();
+  Opts.SendLimit = std::chrono::milliseconds(500);
+  std::atomic<bool> Written = true;
+  std::atomic<bool> Done = false;
+  auto Listener = start(Opts, [&](HttpExchange &Exchange) {
+    Written = Exchange.send(200, "text/plain", std::string(2'000'000, 'x'));
+    Done = true;
+  });
+  StreamSocket Socket = connectSlowlyTo(*Listener);
+  sendText(Socket, Request);
+  Timestamp Limit = steadyNow() + std::chrono::seconds(8);
+  char Byte = 0;
+  while (!Done && steadyNow() < Limit) {
+    Socket.receiveBytes(&Byte, 1);
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  }
+  BOOST_TEST(Done);
+  BOOST_TEST(!Written);
+}
