LibTraffic: End the connection of an answer that was not sent whole

An answer that a slow caller did not take within the send limit was given up, but its connection was kept: the answer to the next request followed on it, and the caller read it as the rest of the first one. A stream that was given up in the same way ended with the mark of a complete one.

A failed write now ends the connection. TestHttpListener failed before: no_answer_follows_one_that_was_cut got two heads in one answer, a_stream_that_was_cut_does_not_look_complete got the last chunk.

--- a/Libraries/LibTraffic/HttpExchange.cpp
+++ b/Libraries/LibTraffic/HttpExchange.cpp
@@ -232,6 +232,14 @@
   return Out.good();
 }
 
+bool HttpExchange::endUnlessWritten(bool Written) {
+  // The caller would read the next answer on the connection as the rest of this
+  // one.
+  if (!Written)
+    abort();
+  return Written;
+}
+
 bool HttpExchange::send(int Status, const std::string &ContentType,
                         const std::string &Body) {
   try {
@@ -240,9 +248,9 @@
     Response.setStatusAndReason(
         static_cast<Poco::Net::HTTPResponse::HTTPStatus>(Status));
     Response.setContentType(ContentType);
-    return writeWhole(Body);
+    return endUnlessWritten(writeWhole(Body));
   } catch (const Poco::Exception &) {
-    return false;
+    return endUnlessWritten(false);
   }
 }
 
@@ -270,9 +278,9 @@
                                const std::string &Body) {
   try {
     copyHead(TargetHead);
-    return writeWhole(Body);
+    return endUnlessWritten(writeWhole(Body));
   } catch (const Poco::Exception &) {
-    return false;
+    return endUnlessWritten(false);
   }
 }
 
@@ -311,13 +319,13 @@
 
 bool HttpExchange::writeEvents(const std::string &Text) {
   if (!Events)
-    return false;
+    return endUnlessWritten(false);
   try {
     Events->write(Text.data(), static_cast<std::streamsize>(Text.size()));
     Events->flush();
-    return Events->good();
+    return endUnlessWritten(Events->good());
   } catch (const Poco::Exception &) {
-    return false;
+    return endUnlessWritten(false);
   }
 }
 
--- a/Libraries/LibTraffic/HttpExchange.h
+++ b/Libraries/LibTraffic/HttpExchange.h
@@ -150,6 +150,8 @@
   /// Sends the current head and \p Body. \returns whether all of it was
   /// written. Throws the HTTP library's exceptions.
   bool writeWhole(const std::string &Body);
+  /// Ends the connection after a failed write. \returns \p Written.
+  bool endUnlessWritten(bool Written);
 
   Poco::Net::HTTPServerRequest &Request;
   Poco::Net::HTTPServerResponse &Response;
--- a/Tests/LibTraffic/TestHttpListener.cpp
+++ b/Tests/LibTraffic/TestHttpListener.cpp
@@ -329,6 +329,46 @@
   return Socket;
 }
 
+// An answer that could not be sent whole must end its connection: the caller
+// would read the next answer on it as the rest of this one.
+BOOST_AUTO_TEST_CASE(no_answer_follows_one_that_was_cut) {
+  HttpListener::Options Opts = options();
+  Opts.SendLimit = std::chrono::milliseconds(300);
+  std::atomic<int> Served = 0;
+  auto Listener = start(Opts, [&](HttpExchange &Exchange) {
+    bool First = ++Served == 1;
+    Exchange.send(200, "text/plain",
+                  First ? std::string(2'000'000, 'x') : "second");
+  });
+  StreamSocket Socket = connectSlowlyTo(*Listener);
+  sendText(Socket, Request + Request);
+  // Nothing is read until the first answer was given up.
+  std::this_thread::sleep_for(std::chrono::milliseconds(1200));
+  std::string Received = receiveAll(Socket);
+  BOOST_TEST(countOf(Received, "HTTP/1.1 200") == 1U);
+  BOOST_TEST(countOf(Received, "second") == 0U);
+  BOOST_TEST(Received.size() < 2'000'000U);
+}
+
+// The same for a stream: the mark of its end must not follow events that were
+// lost.
+BOOST_AUTO_TEST_CASE(a_stream_that_was_cut_does_not_look_complete) {
+  HttpListener::Options Opts = options();
+  Opts.SendLimit = std::chrono::milliseconds(300);
+  auto Listener = start(Opts, [&](HttpExchange &Exchange) {
+    Exchange.beginEvents();
+    std::string Event = "data: " + std::string(10000, 'x') + "\n\n";
+    for (int Index = 0; Index < 200 && Exchange.writeEvents(Event); ++Index) {
+    }
+  });
+  StreamSocket Socket = connectSlowlyTo(*Listener);
+  sendText(Socket, Request);
+  std::this_thread::sleep_for(std::chrono::milliseconds(1200));
+  std::string Received = receiveAll(Socket);
+  BOOST_TEST(countOf(Received, "\r\n0\r\n\r\n") == 0U);
+  BOOST_TEST(Received.size() < 2'000'000U);
+}
+
 /// Reads \p Bytes every \p Period. \returns all that came.
 static std::string receiveSteadily(StreamSocket &Socket, size_t Bytes,
                                    Duration Period) {
