LibTraffic: End chat streams that send bytes but no events

The stall limit of 10 s began anew with each byte, so that an engine that hung and sent single bytes or comments held its request until its deadline. It now begins anew with each whole event that is relayed; a slow caller's time does not count.

TestStreams, a_hanging_stream_ends_although_bytes_come, failed before in its three cases: the stream went on for the 5 s that the test waits, with a limit of 400 ms. It passes now; a_slow_stream_of_whole_events_goes_on (3 s with a limit of 900 ms) passes before and after.

--- a/Libraries/LibTraffic/ChatRelay.cpp
+++ b/Libraries/LibTraffic/ChatRelay.cpp
@@ -4,6 +4,7 @@
 #include "LibTraffic/EngineProtocol.h"
 #include "LibTraffic/Json.h"
 #include <Poco/JSON/Array.h>
+#include <algorithm>
 
 namespace ferry::traffic {
 
@@ -157,8 +158,12 @@
 
 ChatRelay::TryEnd ChatRelay::relayEvents(TargetConnection &Connection) {
   EventSplitter Splitter;
+  // An engine that hangs may still send single bytes or comments, so only whole
+  // events count as progress.
+  Timestamp StallAt = steadyNow() + Context.Limits.StallLimit;
   while (true) {
-    auto Piece = Connection.tryReadPiece(limits(Context.Limits.StallLimit));
+    auto Piece = Connection.tryReadPiece(
+        limits(std::max(StallAt - steadyNow(), Duration::zero())));
     if (!Piece)
       return afterLinkError(Piece.error());
     if (Piece->empty() || !Splitter.push(*Piece))
@@ -179,6 +184,8 @@
       return CallerLeft{};
     if (End)
       return *End;
+    if (!EventText.empty())
+      StallAt = steadyNow() + Context.Limits.StallLimit;
   }
 }
 
--- a/Tests/LibTraffic/TestStreams.cpp
+++ b/Tests/LibTraffic/TestStreams.cpp
@@ -1,6 +1,8 @@
 // Chat completions while engines crash, stall or answer wrongly: each caller
 // must get the whole answer to its own request, or a typed error after a
 // correct part.
+#include "Fakes/FakeScriptedTarget.h"
+#include "LibTraffic/EngineProtocol.h"
 #include "LibTraffic/EventSplitter.h"
 #include "LibTraffic/TrafficBed.h"
 #include <boost/test/data/monomorphic.hpp>
@@ -297,3 +299,78 @@
   BOOST_TEST(Pair.Bed.Front->counters().value(TrafficCount::EchoMismatches) >
              0U);
 }
+
+/// Publishes an engine whose answers \p Script writes behind their heads.
+static std::unique_ptr<FakeScriptedTarget>
+addScripted(TrafficBed &Bed, std::function<void(ScriptedConnection &)> Script) {
+  auto Engine = std::make_unique<
+      FakeScriptedTarget>([Script](const ReceivedRequest &Request,
+                                   ScriptedConnection &Link) {
+    std::string Head = "HTTP/1.1 200 OK\r\nContent-Type: "
+                       "text/event-stream\r\n";
+    for (const char *Name : {RequestHeader, IncarnationHeader, WeightsHeader})
+      Head += std::string(Name) + ": " + Request.Head.get(Name, "") + "\r\n";
+    if (Link.write(Head + "\r\n"))
+      Script(Link);
+  });
+  TargetRecord Record = fakeOptions("scripted").Record;
+  Record.Address = Engine->address();
+  Record.Phase = TargetPhase::Ready;
+  Record.UsableUntil = NeverExpires;
+  Bed.View.Targets.push_back(Record);
+  Bed.publishView();
+  return Engine;
+}
+
+static std::string tokenEvent(int Token, bool Last = false) {
+  return "id: " + std::to_string(Token) +
+         "\ndata: {\"choices\":[{\"delta\":{\"content\":\"x\"}" +
+         (Last ? R"(,"finish_reason":"stop")" : "") + "}]}\n\n";
+}
+
+// An engine that hangs may go on to send bytes. Its stream must end a stall
+// limit after its last whole event, long before the request's deadline.
+BOOST_DATA_TEST_CASE(a_hanging_stream_ends_although_bytes_come,
+                     boost::unit_test::data::make({"d", ": waiting\n",
+                                                   ": waiting\n\n"}),
+                     Piece) {
+  TrafficLimits Limits;
+  Limits.StallLimit = std::chrono::milliseconds(400);
+  LedgerStub Ledger;
+  TrafficBed Bed(Ledger, "host-1", 1, Limits);
+  std::atomic<bool> Ended = false;
+  auto Engine = addScripted(Bed, [&](ScriptedConnection &Link) {
+    Timestamp Limit = steadyNow() + std::chrono::seconds(5);
+    bool Open = Link.write(tokenEvent(0));
+    while (Open && steadyNow() < Limit)
+      Open = !Link.awaitPeerClosed(std::chrono::milliseconds(50)) &&
+             Link.write(Piece);
+    Ended = !Open;
+  });
+  Timestamp Start = steadyNow();
+  StreamRead Read = readStream(Bed.chat(prompt(true)).Body);
+  BOOST_TEST((steadyNow() - Start).count() < 3'000'000);
+  BOOST_TEST(Read.Text == "x");
+  BOOST_TEST(!Read.Done);
+  BOOST_TEST(Read.ErrorType == "stream_lost");
+  BOOST_TEST(waitFor([&] { return Ended.load(); }));
+}
+
+// A stream that takes several times the stall limit goes on as long as whole
+// events come.
+BOOST_AUTO_TEST_CASE(a_slow_stream_of_whole_events_goes_on) {
+  TrafficLimits Limits;
+  Limits.StallLimit = std::chrono::milliseconds(900);
+  LedgerStub Ledger;
+  TrafficBed Bed(Ledger, "host-1", 1, Limits);
+  auto Engine = addScripted(Bed, [&](ScriptedConnection &Link) {
+    for (int Token = 0; Token < 12; ++Token) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(250));
+      Link.write(tokenEvent(Token, Token == 11));
+    }
+    Link.write("data: [DONE]\n\n");
+  });
+  StreamRead Read = readStream(Bed.chat(prompt(true)).Body);
+  BOOST_TEST(Read.Text == std::string(12, 'x'));
+  BOOST_TEST(Read.Done);
+}
