--- a/Tests/LibTraffic/TestStreams.cpp
+++ b/Tests/LibTraffic/TestStreams.cpp
@@ -374,3 +374,41 @@
   BOOST_TEST(Read.Text == std::string(12, 'x'));
   BOOST_TEST(Read.Done);
 }
+
+// A service may send a late duplicate of an answer; the next call on the
+// caller's connection must get its own.
+BOOST_AUTO_TEST_CASE(a_late_duplicate_answers_no_other_call) {
+  FakeScriptedTarget Service(
+      [](const ReceivedRequest &Request, ScriptedConnection &Link) {
+        std::string Path = Request.Head.getURI();
+        std::string Answer = "HTTP/1.1 200 OK\r\nContent-Length: " +
+                             std::to_string(Path.size()) + "\r\n\r\n" + Path;
+        Link.write(Answer + Answer);
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        Link.write(Answer);
+      });
+  LedgerStub Ledger;
+  TrafficBed Bed(Ledger);
+  TargetRecord Record = fakeOptions("app-1").Record;
+  Record.Kind = TargetKind::PlainService;
+  Record.Address = Service.address();
+  Record.Phase = TargetPhase::Ready;
+  Record.UsableUntil = NeverExpires;
+  Bed.View.Targets.push_back(Record);
+  Bed.publishView();
+  Poco::Net::HTTPClientSession Kept{
+      Poco::Net::SocketAddress(Bed.Front->callerAddress())};
+  Kept.setKeepAlive(true);
+  for (int Number = 0; Number < 20; ++Number) {
+    std::string Path = "/item/" + std::to_string(Number);
+    Poco::Net::HTTPRequest Request("GET", "/v1/services/app" + Path,
+                                   Poco::Net::HTTPMessage::HTTP_1_1);
+    Request.set("X-Workspace", "w1");
+    Kept.sendRequest(Request);
+    Poco::Net::HTTPResponse Head;
+    std::string Body;
+    Poco::StreamCopier::copyToString(Kept.receiveResponse(Head), Body);
+    BOOST_TEST(Head.getStatus() == 200);
+    BOOST_TEST(Body == Path);
+  }
+}
--- a/Tests/ferryd/TestOrderSender.cpp
+++ b/Tests/ferryd/TestOrderSender.cpp
@@ -1,4 +1,4 @@
-// Orders to engines that ask the control host for a pause.
+// Orders to engines that ask the control host for a pause, or answer twice.
 #include "Fakes/FakeScriptedTarget.h"
 #include "ferryd/OrderSender.h"
 #include "platform/OrderCalls.h"
@@ -69,3 +69,29 @@
   BOOST_REQUIRE(Ended.await(11));
   BOOST_TEST(Engine.requestCount() == 2U);
 }
+
+// The late duplicate of one order's answer must not be taken for the answer to
+// the next order.
+BOOST_AUTO_TEST_CASE(a_late_duplicate_answers_no_other_order) {
+  std::atomic<int> Calls = 0;
+  fakes::FakeScriptedTarget Engine(
+      [&](const fakes::ReceivedRequest &, fakes::ScriptedConnection &Link) {
+        bool Accepts = ++Calls % 2 == 1;
+        std::string Answer =
+            Accepts ? "HTTP/1.1 200 OK\r\n" : "HTTP/1.1 400 No\r\n";
+        Answer += "Content-Length: 0\r\n\r\n";
+        Link.write(Answer + Answer);
+        std::this_thread::sleep_for(5ms);
+        Link.write(Answer);
+      });
+  EndedOrders Ended;
+  OrderSender Sender(
+      [&](const control::OrderEnded &Order) { Ended.add(Order); });
+  for (size_t Count = 1; Count <= 20; ++Count) {
+    Sender.send(orderFor(Engine.address(), 1, Count));
+    BOOST_REQUIRE(Ended.await(Count));
+    auto Expected = Count % 2 == 1 ? control::OrderOutcome::Accepted
+                                   : control::OrderOutcome::Refused;
+    BOOST_TEST((Ended.Outcomes.back() == Expected));
+  }
+}
