LibCore, LibObserve: Contain unexpected exceptions on every thread

An exception that left a thread's function ended the process: on the control loop outside of peers' messages, on a listener's thread, and on the threads of orders, the dispatcher, the claim settler and the prober. An order that fails so counts as lost, since the engine may have it; an unsettled claim is tried again; an exception while the log writes counts as a failed system call. A request that waits for a target was registered under an address on its stack, which an exception left behind; a guard removes it.

--- a/Libraries/LibConsensus/Storage.cpp
+++ b/Libraries/LibConsensus/Storage.cpp
@@ -30,6 +30,15 @@
   return Files.tryInitialise(Self);
 }
 
+Result<void, StorageError>
+Storage::tryWrite(const std::vector<WriteBatch> &Batches) {
+  try {
+    return Files.tryWrite(Batches);
+  } catch (const std::exception &Failure) {
+    return makeTypedError(StorageErrorKind::Io, Failure.what());
+  }
+}
+
 void Storage::runThread() {
   std::unique_lock<std::mutex> Lock(Mutex);
   bool Failed = false;
@@ -42,7 +51,7 @@
     Writing = true;
     Lock.unlock();
     if (!Failed) {
-      auto Written = Files.tryWrite(Batches);
+      auto Written = tryWrite(Batches);
       Failed = !Written;
       if (Failed)
         OnSynced(tl::unexpected(Written.error()));
--- a/Libraries/LibConsensus/Storage.h
+++ b/Libraries/LibConsensus/Storage.h
@@ -35,6 +35,8 @@
 
 private:
   void runThread();
+  /// Writes to the files; an exception counts as a failed system call.
+  Result<void, StorageError> tryWrite(const std::vector<WriteBatch> &Batches);
 
   LogFiles Files;
   SyncCallback OnSynced;
--- a/Libraries/LibCore/ControlLoop.cpp
+++ b/Libraries/LibCore/ControlLoop.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <cassert>
 #include <cerrno>
+#include <exception>
 #include <poll.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
@@ -12,8 +13,9 @@
 /// Longest wait when no timer is set.
 static constexpr int IdlePollMillis = 1000;
 
-ControlLoop::ControlLoop()
-    : WakeDescriptor(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)) {
+ControlLoop::ControlLoop(FailureHook OnTaskFailed)
+    : OnTaskFailed(std::move(OnTaskFailed)),
+      WakeDescriptor(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)) {
   assert(WakeDescriptor >= 0 && "the process must have a free descriptor");
 }
 
@@ -62,21 +64,29 @@
   }
 }
 
+void ControlLoop::runTask(const Task &Work) {
+  try {
+    Work();
+  } catch (const std::exception &Failure) {
+    OnTaskFailed(Failure.what());
+  }
+}
+
 void ControlLoop::runPosted() {
   std::vector<Task> Tasks;
   {
     std::lock_guard<std::mutex> Lock(Mutex);
     Tasks.swap(Posted);
   }
-  for (Task &Work : Tasks)
-    Work();
+  for (const Task &Work : Tasks)
+    runTask(Work);
 }
 
 void ControlLoop::runTimers() {
   Timestamp Now = steadyNow();
   while (!Timers.empty() && Timers.begin()->first.first <= Now) {
     auto Expired = Timers.extract(Timers.begin());
-    Expired.mapped()();
+    runTask(Expired.mapped());
   }
 }
 
@@ -116,7 +126,7 @@
     if (Position == Watches.end())
       continue;
     std::shared_ptr<Task> Ready = Position->second.Ready;
-    (*Ready)();
+    runTask(*Ready);
   }
 }
 
--- a/Libraries/LibCore/ControlLoop.h
+++ b/Libraries/LibCore/ControlLoop.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -23,7 +24,12 @@
   using Task = std::function<void()>;
   using TimerId = std::pair<Timestamp, uint64_t>;
 
-  ControlLoop();
+  /// Called on the loop's thread with the reason for which a task ended early.
+  using FailureHook = std::function<void(std::string_view Reason)>;
+
+  /// A task that throws ends early; the loop goes on with the next one, since
+  /// an exception that left run() would end the process.
+  explicit ControlLoop(FailureHook OnTaskFailed = [](std::string_view) {});
   ~ControlLoop();
   ControlLoop(const ControlLoop &) = delete;
   ControlLoop &operator=(const ControlLoop &) = delete;
@@ -57,11 +63,13 @@
     std::shared_ptr<Task> Ready;
   };
 
+  void runTask(const Task &Work);
   void runPosted();
   void runTimers();
   void pollDescriptors();
   int pollTimeoutMillis();
 
+  FailureHook OnTaskFailed;
   int WakeDescriptor;
   std::mutex Mutex;
   std::vector<Task> Posted;
--- a/Libraries/LibTraffic/ClaimSettler.cpp
+++ b/Libraries/LibTraffic/ClaimSettler.cpp
@@ -1,5 +1,6 @@
 #include "LibTraffic/ClaimSettler.h"
 #include "LibCore/Visit.h"
+#include "LibObserve/Guard.h"
 #include "LibTraffic/AwaitReply.h"
 
 namespace ferry::traffic {
@@ -122,7 +123,11 @@
         return;
       PendingSettlement Unsettled = *Attempts[Attempt];
       Lock.unlock();
-      SettleResult Outcome = trySettle(Unsettled.Key, Attempt, Unsettled.End);
+      // An attempt that fails unexpectedly is tried again like a lost one.
+      SettleResult Outcome = SettleResult::Pending;
+      observe::runGuarded("settler", [&] {
+        Outcome = trySettle(Unsettled.Key, Attempt, Unsettled.End);
+      });
       Lock.lock();
       if (Outcome == SettleResult::Pending)
         Attempts[Attempt] = std::move(Unsettled);
--- a/Libraries/LibTraffic/Dispatcher.cpp
+++ b/Libraries/LibTraffic/Dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "LibTraffic/Dispatcher.h"
 #include "LibCore/Visit.h"
+#include "LibObserve/Guard.h"
 
 namespace ferry::traffic {
 
@@ -87,6 +88,16 @@
   return RequestScheduler.status(steadyNow());
 }
 
+/// Removes a waiter, which lives on the stack of its request, also if the
+/// request ends with an exception. The dispatcher's mutex must be locked.
+struct Dispatcher::WaiterGuard {
+  ~WaiterGuard() { erase(); }
+  void erase() { Waiters.erase(Id); }
+
+  std::unordered_map<RequestId, Waiter *> &Waiters;
+  const RequestId &Id;
+};
+
 Placement Dispatcher::await(SchedulerEvent Event, const RequestId &Id,
                             Timestamp Deadline, const CallerGoneCheck &IsGone) {
   std::unique_lock Lock(Mutex);
@@ -94,6 +105,7 @@
   bool Inserted = Waiters.emplace(Id, &OwnWaiter).second;
   if (!Inserted)
     return makeError(Refusal{Id, RefusalKind::QueueFull, {}});
+  WaiterGuard Guard{Waiters, Id};
   step(std::move(Event));
   if (!OwnWaiter.Answer)
     TickNeeded.notify_one();
@@ -104,7 +116,7 @@
     OwnWaiter.Decided.wait_until(Lock,
                                  std::min(Deadline, Now + CallerCheckPeriod));
   }
-  Waiters.erase(Id);
+  Guard.erase();
   if (OwnWaiter.Answer)
     return std::move(*OwnWaiter.Answer);
   step(Withdraw{Id});
@@ -158,7 +170,7 @@
     }
     TickNeeded.wait_for(Lock, TickPeriod, [this] { return Stopping; });
     if (!Stopping)
-      step(SchedulerTick{});
+      observe::runGuarded("dispatcher", [this] { step(SchedulerTick{}); });
   }
 }
 
--- a/Libraries/LibTraffic/Dispatcher.h
+++ b/Libraries/LibTraffic/Dispatcher.h
@@ -80,6 +80,7 @@
 
   mutable std::mutex Mutex;
   routing::Scheduler RequestScheduler;
+  struct WaiterGuard;
   std::unordered_map<RequestId, Waiter *> Waiters;
   std::condition_variable TickNeeded;
   bool Stopping = false;
--- a/Libraries/LibTraffic/HttpListener.cpp
+++ b/Libraries/LibTraffic/HttpListener.cpp
@@ -1,4 +1,5 @@
 #include "LibTraffic/HttpListener.h"
+#include "LibObserve/Guard.h"
 #include "LibObserve/Log.h"
 #include <Poco/Exception.h>
 #include <Poco/Net/NetException.h>
@@ -91,30 +92,42 @@
   Timestamp Now = steadyNow();
   while (Now < PollUntil.load()) {
     Duration Wait = std::min<Duration>(PollLimit, PollUntil.load() - Now);
-    for (const auto &[Ready, Mode] :
-         Polled.poll(Poco::Timespan(Wait.count()))) {
-      if (Ready != Server)
-        activate(Ready);
-      else if (Stopping)
-        acceptQueued();
-      else
-        accept();
-    }
+    bool Polls = observe::runGuarded("listener", [&] {
+      for (const auto &[Ready, Mode] :
+           Polled.poll(Poco::Timespan(Wait.count())))
+        handleReady(Ready);
+    });
+    if (!Polls)
+      std::this_thread::sleep_for(StopCheckPeriod);
     Now = steadyNow();
     if (Now < CheckAt)
       continue;
     CheckAt = Now + PollLimit;
-    Context.Watch.endOverdue(Now);
-    closeExpired(Now);
+    observe::runGuarded("listener", [&] {
+      Context.Watch.endOverdue(Now);
+      closeExpired(Now);
+    });
   }
 }
 
+void HttpListener::handleReady(const Socket &Ready) {
+  observe::runGuarded("listener", [&] {
+    if (Ready != Server)
+      activate(Ready);
+    else if (Stopping)
+      acceptQueued();
+    else
+      accept();
+  });
+}
+
 void HttpListener::accept() {
   if (!makeRoom())
     return;
   try {
-    addIdle(std::make_unique<HttpConnection>(Server.acceptConnection(), Context,
-                                             Opts.IdleLimit()));
+    StreamSocket Accepted = Server.acceptConnection();
+    addIdle(
+        std::make_unique<HttpConnection>(Accepted, Context, Opts.IdleLimit()));
   } catch (const Poco::Exception &Failure) {
     // The peer has given up its connection, or no descriptor is free.
     observe::logEvent(
@@ -125,9 +138,11 @@
 
 void HttpListener::acceptQueued() {
   try {
-    while (Server.poll(0, Socket::SELECT_READ))
-      addIdle(std::make_unique<HttpConnection>(Server.acceptConnection(),
-                                               Context, Opts.IdleLimit()));
+    while (Server.poll(0, Socket::SELECT_READ)) {
+      StreamSocket Accepted = Server.acceptConnection();
+      addIdle(std::make_unique<HttpConnection>(Accepted, Context,
+                                               Opts.IdleLimit()));
+    }
   } catch (const Poco::Exception &) {
     // The peer has given up its connection, or no descriptor is free.
   }
@@ -238,11 +253,11 @@
 HttpListener::ConnectionPtr HttpListener::finish(ConnectionPtr Served,
                                                  bool KeepOpen) {
   if (KeepOpen && !Stopping)
-    addIdle(std::move(Served));
+    observe::runGuarded("listener", [&] { addIdle(std::move(Served)); });
   // The socket is closed outside of the lock.
   Served.reset();
   std::lock_guard Lock(Mutex);
-  resumeAccepting();
+  observe::runGuarded("listener", [this] { resumeAccepting(); });
   if (Waiting.empty()) {
     --Active;
     return nullptr;
--- a/Libraries/LibTraffic/HttpListener.h
+++ b/Libraries/LibTraffic/HttpListener.h
@@ -100,6 +100,7 @@
 
   // On the listener's thread.
   void poll();
+  void handleReady(const Poco::Net::Socket &Ready);
   void accept();
   /// Accepts all connections that the kernel holds, beyond the limit too.
   void acceptQueued();
--- a/Libraries/LibTraffic/SharedReach.cpp
+++ b/Libraries/LibTraffic/SharedReach.cpp
@@ -1,4 +1,5 @@
 #include "LibTraffic/SharedReach.h"
+#include "LibObserve/Guard.h"
 #include "LibObserve/Log.h"
 #include "LibTraffic/TargetExchange.h"
 #include <array>
@@ -137,9 +138,11 @@
       if (Stopping)
         return;
     }
-    std::string Target = anyTarget();
-    bool Reached = !Target.empty() && probe(Target);
-    update([&] { Reach.noteProbe(Reached, steadyNow()); });
+    observe::runGuarded("prober", [this] {
+      std::string Target = anyTarget();
+      bool Reached = !Target.empty() && probe(Target);
+      update([&] { Reach.noteProbe(Reached, steadyNow()); });
+    });
   }
 }
 
--- a/Services/ferryd/Daemon.h
+++ b/Services/ferryd/Daemon.h
@@ -4,6 +4,7 @@
 #ifndef FERRY_FERRYD_DAEMON_H
 #define FERRY_FERRYD_DAEMON_H
 
+#include "LibObserve/Guard.h"
 #include "LibTraffic/TrafficFront.h"
 #include "ferryd/ControlPlane.h"
 #include "ferryd/RoutedServers.h"
@@ -46,7 +47,9 @@
   void stopControl();
 
   config::Settings Settings;
-  ControlLoop Loop;
+  ControlLoop Loop{[](std::string_view Reason) {
+    observe::logWorkFailed("control", Reason);
+  }};
   std::unique_ptr<ControlPlane> Control;
   /// Serves the native interface; nullptr with the routed one.
   std::unique_ptr<traffic::TrafficFront> Traffic;
--- a/Services/ferryd/OrderSender.cpp
+++ b/Services/ferryd/OrderSender.cpp
@@ -1,5 +1,6 @@
 #include "ferryd/OrderSender.h"
 #include "LibCore/Visit.h"
+#include "LibObserve/Guard.h"
 #include "LibObserve/Log.h"
 #include "LibTraffic/TargetConnection.h"
 #include <Poco/JSON/Object.h>
@@ -87,8 +88,12 @@
     control::SendOrder Request = std::move(Queue.front());
     Queue.pop_front();
     Lock.unlock();
-    Done({Request.OrderId,
-          Dialect ? deliverAndWatch(Request) : deliver(Request)});
+    // An order that fails unexpectedly may have been sent.
+    OrderOutcome Outcome = OrderOutcome::Lost;
+    observe::runGuarded("orders", [&] {
+      Outcome = Dialect ? deliverAndWatch(Request) : deliver(Request);
+    });
+    observe::runGuarded("orders", [&] { Done({Request.OrderId, Outcome}); });
   }
 }
 
--- a/Tests/LibCore/TestControlLoop.cpp
+++ b/Tests/LibCore/TestControlLoop.cpp
@@ -1,6 +1,8 @@
 #include "LibCore/ControlLoop.h"
 #include <boost/test/unit_test.hpp>
+#include <stdexcept>
 #include <thread>
+#include <unistd.h>
 
 using namespace ferry;
 
@@ -33,3 +35,33 @@
   LoopThread.join();
   BOOST_TEST((TaskThread == LoopThreadId));
 }
+
+// One message or timer that fails unexpectedly must not end the process, nor
+// keep the loop from its other work.
+BOOST_AUTO_TEST_CASE(a_task_that_throws_ends_alone) {
+  std::vector<std::string> Reasons;
+  ControlLoop Loop(
+      [&](std::string_view Reason) { Reasons.emplace_back(Reason); });
+  int Pipe[2];
+  BOOST_REQUIRE(pipe(Pipe) == 0);
+  BOOST_REQUIRE(write(Pipe[1], "x", 1) == 1);
+  int Ran = 0;
+  Loop.post([] { throw std::runtime_error("posted"); });
+  Loop.post([&] { ++Ran; });
+  Loop.at(steadyNow(), [] { throw std::out_of_range("timer"); });
+  Loop.at(steadyNow(), [&] { ++Ran; });
+  Loop.watch(Pipe[0], Readiness::Read, [&] {
+    Loop.unwatch(Pipe[0]);
+    throw std::bad_alloc();
+  });
+  Loop.at(steadyNow() + std::chrono::milliseconds(50), [&] {
+    ++Ran;
+    Loop.stop();
+  });
+  Loop.run();
+  close(Pipe[0]);
+  close(Pipe[1]);
+  BOOST_TEST(Ran == 3);
+  BOOST_TEST(Reasons.size() == 3U);
+  BOOST_TEST(Reasons.front() == "posted");
+}
--- a/Tests/ferryd/TestOrderSender.cpp
+++ b/Tests/ferryd/TestOrderSender.cpp
@@ -95,3 +95,30 @@
     BOOST_TEST((Ended.Outcomes.back() == Expected));
   }
 }
+
+// An answer that fails unexpectedly ends its order only: as lost, since the
+// engine may have it.
+BOOST_AUTO_TEST_CASE(an_order_that_throws_ends_alone) {
+  fakes::FakeScriptedTarget Engine(
+      [](const fakes::ReceivedRequest &, fakes::ScriptedConnection &Link) {
+        Link.write("HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n");
+      });
+  OrderDialect Dialect = platform::orderDialect({"10.0.0.1"});
+  std::atomic<bool> Throws = true;
+  Dialect.ReadAnswer = [&](const Poco::Net::HTTPResponse &) {
+    if (Throws)
+      throw std::out_of_range("a header");
+    return traffic::AnswerDetails();
+  };
+  EndedOrders Ended;
+  OrderSender Sender(
+      [&](const control::OrderEnded &Order) { Ended.add(Order); }, Dialect, 1);
+  Sender.send(orderFor(Engine.address(), 1, 1));
+  BOOST_REQUIRE(Ended.await(1));
+  BOOST_TEST((Ended.Outcomes.back() == control::OrderOutcome::Lost));
+  Throws = false;
+  size_t Before = Engine.requestCount();
+  Sender.send(orderFor(Engine.address(), 1, 2));
+  BOOST_REQUIRE(Ended.await(2));
+  BOOST_TEST(Engine.requestCount() > Before);
+}
