LibTraffic: Answer the last request of a kept connection in a stop

A connection whose answer had said that it is kept was closed if the stop began before its thread had given it back. Its caller's next request could be on the way already. Such a connection now lingers like the idle ones, and the stop looks for them and for active ones under one lock.

--- a/Libraries/LibTraffic/HttpListener.cpp
+++ b/Libraries/LibTraffic/HttpListener.cpp
@@ -252,7 +252,9 @@
 
 HttpListener::ConnectionPtr HttpListener::finish(ConnectionPtr Served,
                                                  bool KeepOpen) {
-  if (KeepOpen && !Stopping)
+  // During a stop too: the caller was not told that the connection ends, and
+  // may have sent its next request.
+  if (KeepOpen)
     observe::runGuarded("listener", [&] { addIdle(std::move(Served)); });
   // The socket is closed outside of the lock.
   Served.reset();
@@ -287,6 +289,8 @@
   }
   Context.Watch.endAll();
   Threads.joinAll();
+  std::lock_guard Lock(Mutex);
+  Idle.clear();
 }
 
 bool HttpListener::endIdle(Timestamp Deadline) {
@@ -295,7 +299,6 @@
     std::lock_guard Lock(Mutex);
     Ending.swap(Idle);
   }
-  bool Lingering = false;
   for (auto &[Key, Entry] : Ending) {
     Timestamp Now = steadyNow();
     if (Now >= Deadline)
@@ -307,12 +310,11 @@
     // A caller that has just connected has its request still on the way.
     if (Now >= Entry.Since + StopLinger)
       continue;
-    Lingering = true;
     std::lock_guard Lock(Mutex);
     Idle[Key] = std::move(Entry);
   }
   std::lock_guard Lock(Mutex);
-  return Lingering || Active > 0 || !Waiting.empty();
+  return !Idle.empty() || Active > 0 || !Waiting.empty();
 }
 
 } // namespace ferry::traffic
