LibTraffic: Apply the description's limit for reading a head

The routed interface reads header_timeout_ms (3 s if absent) from the description, but the listener ended a caller that trickles its head only after its own 10 s. The limit is now taken from the description in force at the first byte of each request.

TestSlowStreams, a_head_that_trickles_ends_at_its_limit, failed before (with the new limit put out of use): the caller was still connected after 8 s. It is ended within 5 s now.

--- a/Libraries/LibTraffic/HttpConnection.cpp
+++ b/Libraries/LibTraffic/HttpConnection.cpp
@@ -92,12 +92,13 @@
 }
 
 bool HttpConnection::serve() {
-  WatchId = Context.Watch.add(Socket, steadyNow() + Context.HeaderReadLimit);
+  WatchId = Context.Watch.add(Socket, steadyNow() + Context.HeaderReadLimit());
   Action NextAction = Action::Close;
   try {
     NextAction = serveOne();
     while (NextAction == Action::KeepOpen && Requests.hasBufferedBytes()) {
-      Context.Watch.setDeadline(WatchId, steadyNow() + Context.HeaderReadLimit);
+      Context.Watch.setDeadline(WatchId,
+                                steadyNow() + Context.HeaderReadLimit());
       NextAction = serveOne();
     }
     if (NextAction == Action::DiscardAndClose)
--- a/Libraries/LibTraffic/HttpConnection.h
+++ b/Libraries/LibTraffic/HttpConnection.h
@@ -18,7 +18,7 @@
   std::function<void(HttpExchange &)> HandleRequest;
   uint64_t MaxHeaderBytes = 0;
   /// See HttpListener::Options.
-  Duration HeaderReadLimit;
+  std::function<Duration()> HeaderReadLimit;
   Duration BodyReadLimit;
   Duration SendLimit;
   BodyBudget Budget;
--- a/Libraries/LibTraffic/HttpListener.cpp
+++ b/Libraries/LibTraffic/HttpListener.cpp
@@ -41,11 +41,18 @@
   ConnectionPtr First;
 };
 
+static std::function<Duration()>
+headerReadLimit(const HttpListener::Options &Options) {
+  if (Options.CurrentHeaderReadLimit)
+    return Options.CurrentHeaderReadLimit;
+  return [Limit = Options.HeaderReadLimit] { return Limit; };
+}
+
 HttpListener::HttpListener(const Options &Options, Handler HandleRequest,
                            const ServerSocket &Socket)
     : Opts(Options), Context{std::move(HandleRequest),
                              Options.MaxHeaderBytes,
-                             Options.HeaderReadLimit,
+                             headerReadLimit(Options),
                              Options.BodyReadLimit,
                              Options.SendLimit,
                              BodyBudget(Options.BodyBudgetBytes),
--- a/Libraries/LibTraffic/HttpListener.h
+++ b/Libraries/LibTraffic/HttpListener.h
@@ -55,6 +55,8 @@
     /// A caller that takes less than a kilobyte of its answer in this time is
     /// cut off.
     Duration SendLimit = std::chrono::seconds(30);
+    /// Replaces HeaderReadLimit if set. Called at the first byte of a request.
+    std::function<Duration()> CurrentHeaderReadLimit = {};
   };
 
   /// Binds and starts. \returns BadAddress or BindFailed.
--- a/Libraries/LibTraffic/RoutedFront.cpp
+++ b/Libraries/LibTraffic/RoutedFront.cpp
@@ -40,12 +40,18 @@
   ListenerOptions.MaxConnections = Settings.Limits.MaxCallerConnections;
   ListenerOptions.MaxHeaderBytes = Settings.Limits.MaxHeaderBytes;
   ListenerOptions.BodyBudgetBytes = MaxBodyBytes * BodiesInMemory;
-  ListenerOptions.IdleLimit = [Raw = Front.get()] {
+  auto CurrentLimits = [Raw = Front.get()] {
     auto View = Raw->Context.Placements.view();
-    config::CallerLimits Limits;
-    if (View && View->Routes)
-      Limits = View->Routes->limits();
-    return Duration(std::chrono::milliseconds(Limits.IdleTimeoutMillis));
+    return View && View->Routes ? View->Routes->limits()
+                                : config::CallerLimits();
+  };
+  ListenerOptions.IdleLimit = [CurrentLimits] {
+    return Duration(
+        std::chrono::milliseconds(CurrentLimits().IdleTimeoutMillis));
+  };
+  ListenerOptions.CurrentHeaderReadLimit = [CurrentLimits] {
+    return Duration(
+        std::chrono::milliseconds(CurrentLimits().HeaderTimeoutMillis));
   };
   auto Listener = HttpListener::tryStart(
       ListenerOptions, [Raw = Front.get()](HttpExchange &Exchange) {
--- a/Tests/LibTraffic/TestSlowStreams.cpp
+++ b/Tests/LibTraffic/TestSlowStreams.cpp
@@ -123,3 +123,29 @@
     }
   }
 }
+
+// The description's limit for a head, 3 s, must end a caller that sends its
+// head byte by byte.
+BOOST_AUTO_TEST_CASE(a_head_that_trickles_ends_at_its_limit) {
+  RoutedBed Bed;
+  Bed.publishView();
+  Poco::Net::StreamSocket Socket{
+      Poco::Net::SocketAddress(Bed.Front->address())};
+  Timestamp Start = steadyNow();
+  Timestamp Limit = Start + std::chrono::seconds(8);
+  bool Ended = false;
+  std::string Begun = "POST /once/x HTTP/1.1\r\nX-More: ";
+  try {
+    Socket.sendBytes(Begun.data(), static_cast<int>(Begun.size()));
+    while (!Ended && steadyNow() < Limit) {
+      Ended = Socket.poll(Poco::Timespan(0, 100'000),
+                          Poco::Net::Socket::SELECT_READ);
+      Socket.sendBytes("x", 1);
+    }
+  } catch (const Poco::Exception &) {
+    Ended = true;
+  }
+  BOOST_TEST(Ended);
+  BOOST_TEST((steadyNow() - Start).count() > 2'500'000);
+  BOOST_TEST((steadyNow() - Start).count() < 5'000'000);
+}
