--- a/Libraries/LibConsensus/Replica.h
+++ b/Libraries/LibConsensus/Replica.h
@@ -198,6 +198,8 @@
   bool acceptLeader(const ReceiveEvent &Input);
   void rejectAppend(const ReceiveEvent &Input,
                     const wire::AppendRequest &Request);
+  /// Whether the request would replace committed entries, which no leader does.
+  bool contradictsCommitted(const wire::AppendRequest &Request) const;
   /// \returns the index up to which the log equals the leader's.
   uint64_t storeEntries(const wire::AppendRequest &Request);
   void installSnapshot();
--- a/Tests/LibConsensus/TestReplica.cpp
+++ b/Tests/LibConsensus/TestReplica.cpp
@@ -201,3 +201,40 @@
     BOOST_TEST(!Refusal(Largest));
   BOOST_TEST((Refusal("x") == ProposeErrorKind::Overloaded));
 }
+
+// A damaged message may carry the term that this replica leads, or entries that
+// differ from committed ones. It changes nothing and must not end the process.
+BOOST_AUTO_TEST_CASE(a_leader_ignores_another_leader_of_its_term) {
+  Fixture Test;
+  DurableState State;
+  State.LastVote = {3, {}};
+  State.Entries = {{1, 1, EntryKind::Noop, {}}};
+  Test.start(std::move(State));
+  Test.elect(3);
+  wire::AppendRequest Append;
+  Test.receive(2, 4, Append);
+  wire::SnapshotChunk Chunk;
+  Chunk.Index = 9;
+  Chunk.LastTerm = 1;
+  Test.receive(3, 4, Chunk);
+  BOOST_TEST(Test.LocalReplica->isLeader());
+  BOOST_TEST(Test.sent<wire::AppendReply>().empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_request_to_replace_committed_entries_is_ignored) {
+  Fixture Test;
+  Test.start({});
+  wire::AppendRequest Append;
+  Append.Entries = {toWire(Entry{1, 1, EntryKind::Command, "a"}),
+                    toWire(Entry{2, 1, EntryKind::Command, "b"})};
+  Append.CommitIndex = 2;
+  Test.receive(2, 1, Append);
+  Test.persistAll();
+  BOOST_REQUIRE(Test.LocalReplica->commitIndex() == 2U);
+  wire::AppendRequest Damaged;
+  Damaged.Entries = {toWire(Entry{1, 2, EntryKind::Command, "x"})};
+  Test.receive(2, 2, Damaged);
+  BOOST_TEST(Test.LocalReplica->commitIndex() == 2U);
+  BOOST_TEST(Test.LocalReplica->log().termAt(1).value() == 1U);
+  BOOST_TEST(Test.LocalReplica->log().lastIndex() == 2U);
+}
