--- a/Libraries/LibTraffic/HttpConnection.cpp
+++ b/Libraries/LibTraffic/HttpConnection.cpp
@@ -3,13 +3,23 @@
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponseImpl.h>
 #include <Poco/Net/NetException.h>
+#include <algorithm>
+#include <cerrno>
+#include <linux/sockios.h>
+#include <poll.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
 
 namespace ferry::traffic {
 
 using namespace Poco::Net;
 
-/// How long one send may block on a slow peer, in seconds.
-static constexpr int SendTimeoutSeconds = 30;
+/// A caller must take this many bytes within the send limit. A steady caller
+/// takes more even at 9,600 bits a second; one that takes single bytes does not
+/// occupy a thread for long.
+static constexpr int MinSendProgress = 1024;
+/// Longest time between two looks at what a slow caller has taken.
+static constexpr std::chrono::milliseconds SendCheckPeriod{100};
 /// Bytes of an answer that the kernel buffers for a slow peer.
 static constexpr int SendBufferBytes = 64 << 10;
 /// Largest number of bytes of an unread request body that are discarded before
@@ -18,6 +28,8 @@
 static constexpr int MaxDiscardedBytes = 32 << 20;
 /// Longest time for discarding an unread request body.
 static constexpr std::chrono::seconds DiscardLimit{2};
+/// Longest wait for the next bytes to discard, in microseconds.
+static constexpr int64_t DiscardPollMicros = 10'000;
 
 static HTTPServerParams::Ptr makeParams(Duration IdleLimit) {
   HTTPServerParams::Ptr Params(new HTTPServerParams);
@@ -30,24 +42,69 @@
 HttpConnection::HttpConnection(const StreamSocket &Connected,
                                ConnectionContext &Context, Duration IdleLimit)
     : Socket(Connected), Context(Context), IdleLimit(IdleLimit),
-      Params(makeParams(IdleLimit)), Requests(Connected, Params) {
-  Socket.setSendTimeout(Poco::Timespan(SendTimeoutSeconds, 0));
+      Params(makeParams(IdleLimit)),
+      Requests(Connected, Params, Context.SendLimit) {
   Socket.setReceiveTimeout(Poco::Timespan(IdleLimit.count()));
   Socket.setSendBufferSize(SendBufferBytes);
   Socket.setNoDelay(true);
 }
 
+/// \returns the bytes that were sent and that the peer has not acknowledged.
+static int unacknowledgedBytes(int Descriptor) {
+  int Bytes = 0;
+  return ::ioctl(Descriptor, SIOCOUTQ, &Bytes) == 0 ? Bytes : 0;
+}
+
+int HttpConnection::Session::write(const char *Buffer, std::streamsize Length) {
+  // The kernel reports a socket as writable only once a third of its buffer is
+  // free, which a slow caller takes longer for than its bytes show.
+  int Descriptor = socket().impl()->sockfd();
+  std::streamsize Sent = 0;
+  Timestamp StallAt = steadyNow() + SendLimit;
+  int PendingBytes = unacknowledgedBytes(Descriptor);
+  while (Sent < Length) {
+    ssize_t Count =
+        ::send(Descriptor, Buffer + Sent, static_cast<size_t>(Length - Sent),
+               MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (Count > 0) {
+      Sent += Count;
+      StallAt = steadyNow() + SendLimit;
+      PendingBytes = unacknowledgedBytes(Descriptor);
+      continue;
+    }
+    if (errno == EINTR)
+      continue;
+    if (errno != EAGAIN && errno != EWOULDBLOCK)
+      throw NetException("the connection has ended", errno);
+    Timestamp Now = steadyNow();
+    int StillPending = unacknowledgedBytes(Descriptor);
+    if (StillPending + MinSendProgress <= PendingBytes) {
+      PendingBytes = StillPending;
+      StallAt = Now + SendLimit;
+    }
+    if (Now >= StallAt)
+      throw Poco::TimeoutException("the caller takes too little");
+    Duration Wait = std::min<Duration>(SendCheckPeriod, StallAt - Now);
+    pollfd Polled{Descriptor, POLLOUT, 0};
+    ::poll(&Polled, 1, static_cast<int>(Wait.count() / 1000) + 1);
+  }
+  return static_cast<int>(Sent);
+}
+
 bool HttpConnection::serve() {
-  WatchId = Context.Watch.add(Socket, steadyNow() + Context.HeaderReadLimit);
+  WatchId = Context.Watch.add(Socket, steadyNow() + Context.HeaderReadLimit());
   Action NextAction = Action::Close;
   try {
     NextAction = serveOne();
     while (NextAction == Action::KeepOpen && Requests.hasBufferedBytes()) {
-      Context.Watch.setDeadline(WatchId, steadyNow() + Context.HeaderReadLimit);
+      Context.Watch.setDeadline(WatchId,
+                                steadyNow() + Context.HeaderReadLimit());
       NextAction = serveOne();
     }
     if (NextAction == Action::DiscardAndClose)
-      discardUnreadBody();
+      discardUnread(Discard::CallerEnds);
+    if (NextAction == Action::AwaitTakenAndClose)
+      discardUnread(Discard::AnswerTaken);
   } catch (const std::exception &) {
     // The peer disconnected. Its request was answered or abandoned.
     NextAction = Action::Close;
@@ -87,9 +144,12 @@
   Response.setVersion(Request.getVersion());
   Response.setKeepAlive(Request.getKeepAlive());
   Context.Watch.setDeadline(WatchId, steadyNow() + Context.BodyReadLimit);
-  HttpExchange Exchange(Request, Response, Socket, Context.Budget, [this] {
-    Context.Watch.setDeadline(WatchId, NeverExpires);
-  });
+  HttpExchange Exchange(
+      Request, Response, Socket, Context.Budget,
+      [this](char *Buffer, int Size) { return Requests.readRaw(Buffer, Size); },
+      [this] { Context.Watch.setDeadline(WatchId, NeverExpires); });
+  if (Context.Closing)
+    Exchange.closeAfterAnswer();
   if (headerBytes(Request) > Context.MaxHeaderBytes)
     Exchange.sendError({AnswerError::HeadersTooLarge,
                         "the header may have at most " +
@@ -101,7 +161,12 @@
   bool KeepConnection =
       Response.sent() && Response.getKeepAlive() && Request.getKeepAlive();
   Requests.setKeepAlive(KeepConnection);
-  return KeepConnection ? Action::KeepOpen : Action::Close;
+  if (KeepConnection)
+    return Action::KeepOpen;
+  // A caller that did not expect the end may have sent its next request. A
+  // close with unread bytes would reset the connection, and the caller could
+  // lose the answer.
+  return Request.getKeepAlive() ? Action::AwaitTakenAndClose : Action::Close;
 }
 
 void HttpConnection::answerMalformed(const std::string &Message) {
@@ -116,13 +181,18 @@
   Response.send() << Body << std::flush;
 }
 
-void HttpConnection::discardUnreadBody() {
+void HttpConnection::discardUnread(Discard Until) {
   Timestamp Deadline = steadyNow() + DiscardLimit;
-  Context.Watch.setDeadline(WatchId, Deadline);
   Socket.shutdownSend();
   std::string Buffer(64 << 10, '\0');
   int Discarded = 0;
   while (Discarded < MaxDiscardedBytes && steadyNow() < Deadline) {
+    bool Taken = unacknowledgedBytes(Socket.impl()->sockfd()) == 0;
+    if (Until == Discard::AnswerTaken && Taken)
+      return;
+    if (!Socket.poll(Poco::Timespan(DiscardPollMicros),
+                     Poco::Net::Socket::SELECT_READ))
+      continue;
     int Count =
         Socket.receiveBytes(Buffer.data(), static_cast<int>(Buffer.size()));
     if (Count <= 0)
--- a/Libraries/LibTraffic/HttpConnection.h
+++ b/Libraries/LibTraffic/HttpConnection.h
@@ -18,10 +18,13 @@
   std::function<void(HttpExchange &)> HandleRequest;
   uint64_t MaxHeaderBytes = 0;
   /// See HttpListener::Options.
-  Duration HeaderReadLimit;
+  std::function<Duration()> HeaderReadLimit;
   Duration BodyReadLimit;
+  Duration SendLimit;
   BodyBudget Budget;
   ConnectionWatch Watch;
+  /// Whether connections are closed after their next answer.
+  std::atomic<bool> Closing = false;
 };
 
 /// A connection is used by one thread at a time: by the listener's while it is
@@ -44,20 +47,49 @@
   bool serve();
 
 private:
-  enum class Action : uint8_t { KeepOpen, Close, DiscardAndClose };
+  enum class Action : uint8_t {
+    KeepOpen,
+    Close,
+    /// Reads and discards until the caller closes.
+    DiscardAndClose,
+    /// Reads and discards until the caller's host has the whole answer.
+    AwaitTakenAndClose
+  };
+  /// When the discarding of unread bytes ends.
+  enum class Discard : uint8_t { CallerEnds, AnswerTaken };
 
-  /// Gives access to the number of bytes that were received ahead.
+  /// Gives access to the bytes that were received ahead, and judges a slow
+  /// caller by what it takes over time.
   class Session : public Poco::Net::HTTPServerSession {
   public:
-    using Poco::Net::HTTPServerSession::HTTPServerSession;
+    Session(const Poco::Net::StreamSocket &Socket,
+            const Poco::Net::HTTPServerParams::Ptr &Params, Duration SendLimit)
+        : HTTPServerSession(Socket, Params), SendLimit(SendLimit) {}
+
+    /// Writes all of \p Buffer. Throws TimeoutException if the caller takes
+    /// less than MinSendProgress bytes within the send limit, and NetException
+    /// if the connection has ended.
+    int write(const char *Buffer, std::streamsize Length) override;
     bool hasBufferedBytes() const { return buffered() > 0; }
+    /// Reads the next bytes; those received ahead come first.
+    int readRaw(char *Buffer, int Size) {
+      // Fills the buffer, in place of one system call for each byte of a line.
+      if (Size == 1 && buffered() == 0)
+        peek();
+      if (Size == 1 && buffered() == 0)
+        return 0;
+      return read(Buffer, Size);
+    }
+
+  private:
+    Duration SendLimit;
   };
 
   Action serveOne();
   Action answer(Poco::Net::HTTPServerRequest &Request,
                 Poco::Net::HTTPServerResponse &Response);
   void answerMalformed(const std::string &Message);
-  void discardUnreadBody();
+  void discardUnread(Discard Until);
 
   Poco::Net::StreamSocket Socket;
   ConnectionContext &Context;
--- a/Libraries/LibTraffic/HttpListener.cpp
+++ b/Libraries/LibTraffic/HttpListener.cpp
@@ -1,4 +1,5 @@
 #include "LibTraffic/HttpListener.h"
+#include "LibObserve/Guard.h"
 #include "LibObserve/Log.h"
 #include <Poco/Exception.h>
 #include <Poco/Net/NetException.h>
@@ -40,14 +41,23 @@
   ConnectionPtr First;
 };
 
+static std::function<Duration()>
+headerReadLimit(const HttpListener::Options &Options) {
+  if (Options.CurrentHeaderReadLimit)
+    return Options.CurrentHeaderReadLimit;
+  return [Limit = Options.HeaderReadLimit] { return Limit; };
+}
+
 HttpListener::HttpListener(const Options &Options, Handler HandleRequest,
                            const ServerSocket &Socket)
     : Opts(Options), Context{std::move(HandleRequest),
                              Options.MaxHeaderBytes,
-                             Options.HeaderReadLimit,
+                             headerReadLimit(Options),
                              Options.BodyReadLimit,
+                             Options.SendLimit,
                              BodyBudget(Options.BodyBudgetBytes),
-                             {}},
+                             {},
+                             false},
       Server(Socket), BoundAddress(Socket.address().toString()),
       Threads(MinThreads,
               static_cast<int>(std::max(Options.MaxActive, uint32_t{1})),
@@ -86,29 +96,45 @@
 
 void HttpListener::poll() {
   Timestamp CheckAt = steadyNow() + PollLimit;
-  while (!Stopping) {
-    Poco::Timespan Wait(Duration(PollLimit).count());
-    for (const auto &[Ready, Mode] : Polled.poll(Wait)) {
-      if (Ready == Server)
-        accept();
-      else
-        activate(Ready);
-    }
-    Timestamp Now = steadyNow();
+  Timestamp Now = steadyNow();
+  while (Now < PollUntil.load()) {
+    Duration Wait = std::min<Duration>(PollLimit, PollUntil.load() - Now);
+    bool Polls = observe::runGuarded("listener", [&] {
+      for (const auto &[Ready, Mode] :
+           Polled.poll(Poco::Timespan(Wait.count())))
+        handleReady(Ready);
+    });
+    if (!Polls)
+      std::this_thread::sleep_for(StopCheckPeriod);
+    Now = steadyNow();
     if (Now < CheckAt)
       continue;
     CheckAt = Now + PollLimit;
-    Context.Watch.endOverdue(Now);
-    closeExpired(Now);
+    observe::runGuarded("listener", [&] {
+      Context.Watch.endOverdue(Now);
+      closeExpired(Now);
+    });
   }
 }
 
+void HttpListener::handleReady(const Socket &Ready) {
+  observe::runGuarded("listener", [&] {
+    if (Ready != Server)
+      activate(Ready);
+    else if (Stopping)
+      acceptQueued();
+    else
+      accept();
+  });
+}
+
 void HttpListener::accept() {
   if (!makeRoom())
     return;
   try {
-    addIdle(std::make_unique<HttpConnection>(Server.acceptConnection(), Context,
-                                             Opts.IdleLimit()));
+    StreamSocket Accepted = Server.acceptConnection();
+    addIdle(
+        std::make_unique<HttpConnection>(Accepted, Context, Opts.IdleLimit()));
   } catch (const Poco::Exception &Failure) {
     // The peer has given up its connection, or no descriptor is free.
     observe::logEvent(
@@ -117,6 +143,18 @@
   }
 }
 
+void HttpListener::acceptQueued() {
+  try {
+    while (Server.poll(0, Socket::SELECT_READ)) {
+      StreamSocket Accepted = Server.acceptConnection();
+      addIdle(std::make_unique<HttpConnection>(Accepted, Context,
+                                               Opts.IdleLimit()));
+    }
+  } catch (const Poco::Exception &) {
+    // The peer has given up its connection, or no descriptor is free.
+  }
+}
+
 bool HttpListener::makeRoom() {
   IdleConnection Longest;
   std::lock_guard Lock(Mutex);
@@ -171,15 +209,23 @@
 }
 
 void HttpListener::activate(const Socket &Readable) {
-  std::unique_ptr<Worker> Next;
+  ConnectionPtr Connection;
   {
     std::lock_guard Lock(Mutex);
     auto Entry = Idle.find(Readable);
     if (Entry == Idle.end())
       return;
     Polled.remove(Readable);
-    Next = std::make_unique<Worker>(*this, std::move(Entry->second.Connection));
+    Connection = std::move(Entry->second.Connection);
     Idle.erase(Entry);
+  }
+  serveOnPool(std::move(Connection));
+}
+
+void HttpListener::serveOnPool(ConnectionPtr Connection) {
+  auto Next = std::make_unique<Worker>(*this, std::move(Connection));
+  {
+    std::lock_guard Lock(Mutex);
     if (Active >= Opts.MaxActive) {
       Waiting.push_back(Next->takeConnection());
       return;
@@ -213,13 +259,15 @@
 
 HttpListener::ConnectionPtr HttpListener::finish(ConnectionPtr Served,
                                                  bool KeepOpen) {
-  if (KeepOpen && !Stopping)
-    addIdle(std::move(Served));
+  // During a stop too: the caller was not told that the connection ends, and
+  // may have sent its next request.
+  if (KeepOpen)
+    observe::runGuarded("listener", [&] { addIdle(std::move(Served)); });
   // The socket is closed outside of the lock.
   Served.reset();
   std::lock_guard Lock(Mutex);
-  resumeAccepting();
-  if (Waiting.empty() || Stopping) {
+  observe::runGuarded("listener", [this] { resumeAccepting(); });
+  if (Waiting.empty()) {
     --Active;
     return nullptr;
   }
@@ -232,27 +280,48 @@
   if (Stopped)
     return;
   Stopped = true;
+  Context.Closing = true;
   Stopping = true;
+  PollUntil = std::min<Timestamp>(Deadline, steadyNow() + StopLinger);
   Poller.join();
+  if (steadyNow() < Deadline)
+    acceptQueued();
   Server.close();
-  auto ActiveCount = [this] {
-    std::lock_guard Lock(Mutex);
-    return Active;
-  };
-  while (true) {
-    std::map<Socket, IdleConnection> Closing;
-    std::deque<ConnectionPtr> Unserved;
-    {
-      std::lock_guard Lock(Mutex);
-      Closing.swap(Idle);
-      Unserved.swap(Waiting);
-    }
-    if (ActiveCount() == 0 || steadyNow() >= Deadline)
-      break;
+  while (endIdle(Deadline) && steadyNow() < Deadline)
     std::this_thread::sleep_for(StopCheckPeriod);
+  {
+    std::deque<ConnectionPtr> Unserved;
+    std::lock_guard Lock(Mutex);
+    Unserved.swap(Waiting);
   }
   Context.Watch.endAll();
   Threads.joinAll();
+  std::lock_guard Lock(Mutex);
+  Idle.clear();
+}
+
+bool HttpListener::endIdle(Timestamp Deadline) {
+  std::map<Socket, IdleConnection> Ending;
+  {
+    std::lock_guard Lock(Mutex);
+    Ending.swap(Idle);
+  }
+  for (auto &[Key, Entry] : Ending) {
+    Timestamp Now = steadyNow();
+    if (Now >= Deadline)
+      break;
+    if (Key.poll(0, Socket::SELECT_READ)) {
+      serveOnPool(std::move(Entry.Connection));
+      continue;
+    }
+    // A caller that has just connected has its request still on the way.
+    if (Now >= Entry.Since + StopLinger)
+      continue;
+    std::lock_guard Lock(Mutex);
+    Idle[Key] = std::move(Entry);
+  }
+  std::lock_guard Lock(Mutex);
+  return !Idle.empty() || Active > 0 || !Waiting.empty();
 }
 
 } // namespace ferry::traffic
--- a/Tests/LibTraffic/TestHttpListener.cpp
+++ b/Tests/LibTraffic/TestHttpListener.cpp
@@ -235,3 +235,197 @@
   Stopper.join();
   BOOST_TEST(Listener->connections() == 0U);
 }
+
+/// \returns all that comes before the connection ends.
+static std::string receiveAll(StreamSocket &Socket) {
+  return receiveUntil(Socket, "\r\nnever\r\n");
+}
+
+// During a planned shutdown under load, requests that wait for a thread, those
+// that have not been read, and those of connections in the kernel's queue must
+// be answered like those in progress, not be cut off.
+BOOST_AUTO_TEST_CASE(a_stop_under_load_answers_all_that_has_arrived) {
+  HttpListener::Options Opts = options();
+  Opts.MaxConnections = 20;
+  Opts.MaxActive = 2;
+  const std::string Body = "{\"text\":\"" + std::string(20000, 'x') + "\"}";
+  auto Listener = start(Opts, [&](HttpExchange &Exchange) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    Exchange.sendJson(200, Body);
+  });
+  std::vector<StreamSocket> Sockets;
+  for (int Index = 0; Index < 60; ++Index) {
+    Sockets.push_back(connectTo(*Listener));
+    sendText(Sockets.back(), Request);
+  }
+  std::thread Stopper(
+      [&] { Listener->stop(steadyNow() + std::chrono::seconds(10)); });
+  size_t Whole = 0;
+  size_t SaidClose = 0;
+  for (StreamSocket &Socket : Sockets) {
+    std::string Answer = receiveAll(Socket);
+    Whole += Answer.find("200 OK") == 9 && Answer.ends_with(Body) ? 1U : 0U;
+    SaidClose += countOf(Answer, "Connection: Close");
+  }
+  Stopper.join();
+  BOOST_TEST(Whole == Sockets.size());
+  // Those answered before the stop began may not have been told.
+  BOOST_TEST(SaidClose >= Sockets.size() / 2);
+}
+
+// A caller that keeps its connection has its next request on the way as the
+// stop begins.
+BOOST_AUTO_TEST_CASE(a_stop_answers_requests_on_kept_connections) {
+  for (int Round = 0; Round < 5; ++Round) {
+    auto Stopped = start(options(), [](HttpExchange &Exchange) {
+      Exchange.sendJson(200, "{}");
+    });
+    std::vector<StreamSocket> Sockets;
+    for (int Index = 0; Index < 50; ++Index) {
+      Sockets.push_back(connectTo(*Stopped));
+      sendText(Sockets.back(), Request);
+      BOOST_REQUIRE(countOf(receiveUntil(Sockets.back(), "{}"), "200 OK") ==
+                    1U);
+    }
+    for (StreamSocket &Socket : Sockets)
+      sendText(Socket, Request);
+    Stopped->stop(steadyNow() + std::chrono::seconds(10));
+    size_t Answered = 0;
+    for (StreamSocket &Socket : Sockets)
+      Answered += countOf(receiveAll(Socket), "200 OK");
+    BOOST_TEST(Answered == Sockets.size());
+  }
+}
+
+// The answer must reach a caller that has sent its next request already: a
+// close with unread bytes would reset the connection and drop the answer's
+// rest.
+BOOST_AUTO_TEST_CASE(an_answer_that_closes_is_whole_despite_a_further_request) {
+  const std::string Body(2'000'000, 'x');
+  auto Listener = start(options(), [&](HttpExchange &Exchange) {
+    Exchange.closeAfterAnswer();
+    Exchange.send(200, "text/plain", Body);
+  });
+  StreamSocket Socket = connectTo(*Listener);
+  sendText(Socket, Request);
+  BOOST_REQUIRE(
+      Socket.poll(Poco::Timespan(5, 0), Poco::Net::Socket::SELECT_READ));
+  std::string More;
+  for (int Index = 0; Index < 500; ++Index)
+    More += Request;
+  sendText(Socket, More);
+  std::string Answer = receiveAll(Socket);
+  BOOST_TEST(countOf(Answer, "HTTP/1.1") == 1U);
+  BOOST_TEST(Answer.ends_with(Body));
+}
+
+/// Connects with a small receive buffer, so that the sender soon waits.
+static StreamSocket connectSlowlyTo(const HttpListener &Listener) {
+  StreamSocket Socket;
+  Socket.init(AF_INET);
+  Socket.setReceiveBufferSize(4096);
+  Socket.connect(Poco::Net::SocketAddress(Listener.address()));
+  Socket.setReceiveTimeout(Poco::Timespan(10, 0));
+  return Socket;
+}
+
+// An answer that could not be sent whole must end its connection: the caller
+// would read the next answer on it as the rest of this one.
+BOOST_AUTO_TEST_CASE(no_answer_follows_one_that_was_cut) {
+  HttpListener::Options Opts = options();
+  Opts.SendLimit = std::chrono::milliseconds(300);
+  std::atomic<int> Served = 0;
+  auto Listener = start(Opts, [&](HttpExchange &Exchange) {
+    bool First = ++Served == 1;
+    Exchange.send(200, "text/plain",
+                  First ? std::string(2'000'000, 'x') : "second");
+  });
+  StreamSocket Socket = connectSlowlyTo(*Listener);
+  sendText(Socket, Request + Request);
+  // Nothing is read until the first answer was given up.
+  std::this_thread::sleep_for(std::chrono::milliseconds(1200));
+  std::string Received = receiveAll(Socket);
+  BOOST_TEST(countOf(Received, "HTTP/1.1 200") == 1U);
+  BOOST_TEST(countOf(Received, "second") == 0U);
+  BOOST_TEST(Received.size() < 2'000'000U);
+}
+
+// The same for a stream: the mark of its end must not follow events that were
+// lost.
+BOOST_AUTO_TEST_CASE(a_stream_that_was_cut_does_not_look_complete) {
+  HttpListener::Options Opts = options();
+  Opts.SendLimit = std::chrono::milliseconds(300);
+  auto Listener = start(Opts, [&](HttpExchange &Exchange) {
+    Exchange.beginEvents();
+    std::string Event = "data: " + std::string(10000, 'x') + "\n\n";
+    for (int Index = 0; Index < 200 && Exchange.writeEvents(Event); ++Index) {
+    }
+  });
+  StreamSocket Socket = connectSlowlyTo(*Listener);
+  sendText(Socket, Request);
+  std::this_thread::sleep_for(std::chrono::milliseconds(1200));
+  std::string Received = receiveAll(Socket);
+  BOOST_TEST(countOf(Received, "\r\n0\r\n\r\n") == 0U);
+  BOOST_TEST(Received.size() < 2'000'000U);
+}
+
+/// Reads \p Bytes every \p Period. \returns all that came.
+static std::string receiveSteadily(StreamSocket &Socket, size_t Bytes,
+                                   Duration Period) {
+  std::string Received;
+  std::string Buffer(Bytes, '\0');
+  Timestamp NextAt = steadyNow();
+  try {
+    while (true) {
+      int Count =
+          Socket.receiveBytes(Buffer.data(), static_cast<int>(Buffer.size()));
+      if (Count <= 0)
+        break;
+      Received.append(Buffer, 0, static_cast<size_t>(Count));
+      NextAt += Period;
+      std::this_thread::sleep_until(NextAt);
+    }
+  } catch (const Poco::Exception &) {
+    // The connection was reset.
+  }
+  return Received;
+}
+
+// A caller that reads slowly but steadily is healthy, however long its answer
+// takes; the kernel's buffers free up in steps that take it longer than the
+// limit.
+BOOST_AUTO_TEST_CASE(a_slow_but_steady_caller_gets_its_whole_answer) {
+  HttpListener::Options Opts = options();
+  Opts.SendLimit = std::chrono::milliseconds(500);
+  const std::string Body(300'000, 'x');
+  auto Listener = start(Opts, [&](HttpExchange &Exchange) {
+    Exchange.send(200, "text/plain", Body);
+  });
+  StreamSocket Socket = connectSlowlyTo(*Listener);
+  sendText(Socket, "GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+  std::string Received =
+      receiveSteadily(Socket, 1000, std::chrono::milliseconds(25));
+  BOOST_TEST(Received.ends_with(Body));
+}
+
+// One that takes a byte now and then must not occupy a thread for long.
+BOOST_AUTO_TEST_CASE(a_caller_that_reads_single_bytes_is_cut_off) {
+  HttpListener::Options Opts = options();
+  Opts.SendLimit = std::chrono::milliseconds(500);
+  std::atomic<bool> Written = true;
+  std::atomic<bool> Done = false;
+  auto Listener = start(Opts, [&](HttpExchange &Exchange) {
+    Written = Exchange.send(200, "text/plain", std::string(2'000'000, 'x'));
+    Done = true;
+  });
+  StreamSocket Socket = connectSlowlyTo(*Listener);
+  sendText(Socket, Request);
+  Timestamp Limit = steadyNow() + std::chrono::seconds(8);
+  char Byte = 0;
+  while (!Done && steadyNow() < Limit) {
+    Socket.receiveBytes(&Byte, 1);
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  }
+  BOOST_TEST(Done);
+  BOOST_TEST(!Written);
+}
