LibTraffic: Look at the deadline right before each write to a target

The comment in tryConnect() promised a check before the send, which only the native service calls had. A thread that was suspended between its last look at the clock and the send wrote its order after the deadline, when the order lease could already belong to another host. trySend() now looks itself and returns NotSent; the relays treat that as not run.

TestOrderSender suspends the sending thread before it connects and before it writes; both orders arrived after their deadlines before, none does now. Of two holders with lost answers one order reaches the engine.

--- a/Libraries/LibTraffic/ChatRelay.cpp
+++ b/Libraries/LibTraffic/ChatRelay.cpp
@@ -219,6 +219,7 @@
   case LinkErrorKind::CallerGone:
     return CallerLeft{};
   case LinkErrorKind::DeadlinePassed:
+  case LinkErrorKind::NotSent:
     return DeadlinePassed{};
   case LinkErrorKind::WrongEcho:
     Context.Counters.add(TrafficCount::EchoMismatches);
--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -265,7 +265,8 @@
   if (!Body.empty() || Exchange.method() != "GET")
     Head.setContentLength64(static_cast<Poco::Int64>(Body.size()));
   if (auto Sent = Target.trySend(Head, Body, limits()); !Sent)
-    return recordFailure(Destination, Sent.error(), /*Sent=*/true);
+    return recordFailure(Destination, Sent.error(),
+                         Sent.error().Kind != LinkErrorKind::NotSent);
   if (auto Received = Target.tryReceiveHead(limits()); !Received)
     return recordFailure(Destination, Received.error(), /*Sent=*/true);
   Context.Reach.noteAnswered(ConnectedAt);
@@ -474,7 +475,8 @@
                                                  bool Sent) {
   LastFailure = {Failure.Kind, Failure.message()};
   bool CallerLeft = Failure.Kind == LinkErrorKind::CallerGone;
-  bool PastDeadline = Failure.Kind == LinkErrorKind::DeadlinePassed;
+  bool PastDeadline = Failure.Kind == LinkErrorKind::DeadlinePassed ||
+                      Failure.Kind == LinkErrorKind::NotSent;
   if (Sent)
     ++PossibleRuns;
   observe::logEvent(Severity::Info, "routed", "attempt_failed",
--- a/Libraries/LibTraffic/TargetConnection.cpp
+++ b/Libraries/LibTraffic/TargetConnection.cpp
@@ -18,7 +18,7 @@
 
 LinkResult<std::unique_ptr<TargetConnection>>
 TargetConnection::tryConnect(const std::string &Address, Timestamp Deadline) {
-  // A call that is late is told so by the check before its send, not here.
+  // A call that is late is told so by trySend(), not here.
   Timestamp Limit = std::max(Deadline, steadyNow() + MinConnectTime);
   auto Connected = TargetExchange::tryConnect(Address, {Limit});
   if (!Connected)
--- a/Libraries/LibTraffic/TargetExchange.cpp
+++ b/Libraries/LibTraffic/TargetExchange.cpp
@@ -109,6 +109,11 @@
   std::string Bytes = Text.str() + Body;
   size_t Sent = 0;
   while (Sent < Bytes.size()) {
+    // The thread may have been suspended since the caller looked at the clock.
+    if (steadyNow() >= Limits.Deadline)
+      return makeTypedError(Sent == 0 ? LinkErrorKind::NotSent
+                                      : LinkErrorKind::DeadlinePassed,
+                            "the deadline passed before the request was sent");
     ssize_t Count = ::send(Socket.impl()->sockfd(), Bytes.data() + Sent,
                            Bytes.size() - Sent, MSG_NOSIGNAL);
     if (Count > 0) {
--- a/Libraries/LibTraffic/TargetExchange.h
+++ b/Libraries/LibTraffic/TargetExchange.h
@@ -24,8 +24,9 @@
   tryConnect(const std::string &Address, const WaitLimits &Limits);
   ~TargetExchange();
 
-  /// Writes the request until it is complete or an early answer arrives. Even
-  /// if this fails, the target may have received it.
+  /// Writes the request until it is complete or an early answer arrives.
+  /// \returns NotSent if the deadline passed before the first byte was written.
+  /// After any other error the target may have received the request.
   LinkResult<void> trySend(Poco::Net::HTTPRequest &Head,
                            const std::string &Body, const WaitLimits &Limits);
 
--- a/Tests/ferryd/TestOrderSender.cpp
+++ b/Tests/ferryd/TestOrderSender.cpp
@@ -1,13 +1,18 @@
-// Orders to engines that ask the control host for a pause.
+// Orders to engines that ask the control host for a pause, and orders of a
+// holder of the lease that was suspended while another one took over.
 #include "Fakes/FakeScriptedTarget.h"
 #include "ferryd/OrderSender.h"
 #include "platform/OrderCalls.h"
+#include <atomic>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 #include <condition_variable>
 
 using namespace ferry;
 using namespace ferry::daemon;
 using namespace std::chrono_literals;
+namespace data = boost::unit_test::data;
 
 namespace {
 
@@ -69,3 +74,137 @@
   BOOST_REQUIRE(Ended.await(11));
   BOOST_TEST(Engine.requestCount() == 2U);
 }
+
+namespace {
+
+/// An engine that accepts orders whatever their fencing numbers, is busy from
+/// the first one on, and can drop its answers to orders.
+class RecordingEngine {
+public:
+  explicit RecordingEngine(bool DropsAnswers = false)
+      : DropsAnswers(DropsAnswers) {}
+
+  std::string address() const { return Target.address(); }
+
+  /// \returns the bodies of all orders that have arrived.
+  std::vector<std::string> orders() const {
+    std::lock_guard Lock(Mutex);
+    return Arrived;
+  }
+
+private:
+  void serve(const fakes::ReceivedRequest &Request,
+             fakes::ScriptedConnection &Link) {
+    std::lock_guard Lock(Mutex);
+    if (Request.Head.getMethod() == "GET") {
+      std::string Report = R"({"models":[{"name":"m0","version":1}],"busy":)" +
+                           std::string(Arrived.empty() ? "false" : "true") +
+                           R"(,"seq":)" + std::to_string(Arrived.size()) + "}";
+      Link.write("HTTP/1.1 200 OK\r\nContent-Length: " +
+                 std::to_string(Report.size()) + "\r\n\r\n" + Report);
+      return;
+    }
+    Arrived.push_back(Request.Body);
+    if (DropsAnswers)
+      Link.reset();
+    else
+      Link.write("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
+  }
+
+  bool DropsAnswers;
+  mutable std::mutex Mutex;
+  std::vector<std::string> Arrived;
+  fakes::FakeScriptedTarget Target{
+      [this](const fakes::ReceivedRequest &Request,
+             fakes::ScriptedConnection &Link) { serve(Request, Link); }};
+};
+
+/// Where the thread of an order is suspended.
+enum class SuspendedAt : uint8_t { BeforeConnecting, BeforeWriting };
+
+std::ostream &operator<<(std::ostream &Out, SuspendedAt At) {
+  return Out << (At == SuspendedAt::BeforeConnecting ? "before connecting"
+                                                     : "before writing");
+}
+
+/// The platform's calls, with a thread that is suspended for \p Length after it
+/// has read the engine's state and before it sends the order.
+OrderDialect suspendedDialect(SuspendedAt At, Duration Length) {
+  OrderDialect Dialect = platform::orderDialect({"10.0.0.1"});
+  auto IsOrder = std::make_shared<std::atomic<bool>>(false);
+  Dialect.Body = [=, Inner = Dialect.Body](const control::SendOrder &Request,
+                                           uint64_t OrdersBefore) {
+    *IsOrder = true;
+    if (At == SuspendedAt::BeforeConnecting)
+      std::this_thread::sleep_for(Length);
+    return Inner(Request, OrdersBefore);
+  };
+  Dialect.Headers = [=, Inner = Dialect.Headers](const TargetId &Target) {
+    if (At == SuspendedAt::BeforeWriting && *IsOrder)
+      std::this_thread::sleep_for(Length);
+    return Inner(Target);
+  };
+  return Dialect;
+}
+
+} // namespace
+
+// A holder of the lease that is suspended between its last look at the clock
+// and the send must not send its order after the deadline: by then the lease
+// has ended, and the next holder gives its own orders.
+BOOST_DATA_TEST_CASE(a_suspended_holder_sends_nothing_after_the_deadline,
+                     data::make({SuspendedAt::BeforeConnecting,
+                                 SuspendedAt::BeforeWriting})) {
+  RecordingEngine Engine;
+  EndedOrders Ended;
+  OrderSender Suspended(
+      [&](const control::OrderEnded &Order) { Ended.add(Order); },
+      suspendedDialect(sample, 1500ms), 1);
+  Suspended.send(orderFor(Engine.address(), 1, 1));
+  BOOST_REQUIRE(Ended.await(1));
+  BOOST_TEST(Engine.orders().empty());
+}
+
+// The same in the native interface, for an order that waited in the queue.
+BOOST_AUTO_TEST_CASE(a_native_order_is_not_sent_after_its_deadline) {
+  RecordingEngine Engine;
+  EndedOrders Ended;
+  OrderSender Sender(
+      [&](const control::OrderEnded &Order) { Ended.add(Order); });
+  control::SendOrder Late = orderFor(Engine.address(), 1, 1);
+  Late.Deadline = steadyNow() - 1ms;
+  Sender.send(Late);
+  BOOST_REQUIRE(Ended.await(1));
+  BOOST_TEST(Engine.orders().empty());
+  BOOST_TEST((Ended.Outcomes.front() == control::OrderOutcome::NotSent));
+}
+
+// Two holders act during a handover: the answer to the first one's order is
+// lost, it is suspended before it sends the order again, and the second holder
+// orders the same engine. The engine gets one order in all.
+BOOST_AUTO_TEST_CASE(two_holders_send_an_order_once_when_answers_are_lost) {
+  RecordingEngine Engine(/*DropsAnswers=*/true);
+  EndedOrders EndedFirst;
+  EndedOrders EndedSecond;
+  OrderSender FirstSender(
+      [&](const control::OrderEnded &Order) { EndedFirst.add(Order); },
+      suspendedDialect(SuspendedAt::BeforeWriting, 200ms), 1);
+  OrderSender SecondSender(
+      [&](const control::OrderEnded &Order) { EndedSecond.add(Order); },
+      platform::orderDialect({"10.0.0.2"}), 1);
+  FirstSender.send(orderFor(Engine.address(), 1, 1));
+  Timestamp Limit = steadyNow() + 5s;
+  while (Engine.orders().empty() && steadyNow() < Limit)
+    std::this_thread::sleep_for(5ms);
+  control::SendOrder Next = orderFor(Engine.address(), 1, 1);
+  Next.Fencing = {2};
+  SecondSender.send(Next);
+  BOOST_REQUIRE(EndedFirst.await(1));
+  BOOST_REQUIRE(EndedSecond.await(1));
+  BOOST_TEST(Engine.orders().size() == 1U);
+  BOOST_TEST((EndedFirst.Outcomes.front() == control::OrderOutcome::Lost));
+  // NotSent if the last read of the state came too late.
+  control::OrderOutcome Second = EndedSecond.Outcomes.front();
+  BOOST_TEST((Second == control::OrderOutcome::Busy ||
+              Second == control::OrderOutcome::NotSent));
+}
