LibTraffic: Keep requests of targets that are silent for 3 s

A target that stood still for 3 s with a request on its way that did not fit into its receive buffer lost it after 2 s: the kernel ended the connection, and the request was sent again elsewhere or failed. The time is 4 s now. A machine that is gone for good is noticed 2 s later than before.

TestTargetConnection, a_silent_target_keeps_its_running_request: "broken: error 110" before, whole answer now.

--- a/Libraries/LibTraffic/TargetExchange.cpp
+++ b/Libraries/LibTraffic/TargetExchange.cpp
@@ -17,9 +17,11 @@
 /// apart, and the kernel resends a lost first packet only after a second.
 /// Another target serves the request in less.
 static constexpr std::chrono::milliseconds ConnectLimit{300};
-/// Time after which unacknowledged bytes end the connection, because the
-/// target's host or the network has failed.
-static constexpr unsigned UserTimeoutMillis = 2000;
+/// Time after which unacknowledged bytes, or bytes that do not fit into a full
+/// receive buffer, end the connection, because the target's host or the network
+/// has failed. With 2 s, a pause of a target's machine of 3 s ended its running
+/// requests.
+static constexpr unsigned UserTimeoutMillis = 4000;
 /// Seconds without a byte after which the kernel asks the target's host whether
 /// the connection still exists. A host without power sends no reset; a target
 /// that only takes long is not affected.
--- a/Tests/LibTraffic/TestTargetConnection.cpp
+++ b/Tests/LibTraffic/TestTargetConnection.cpp
@@ -69,3 +69,30 @@
     BOOST_TEST(Body.has_value() == !Cut);
   }
 }
+
+// Load pattern: a target stands still for 3 s, as in a pause of its machine,
+// with a request on its way that is larger than its receive buffer. The
+// connection was given up after 2 s, and the request ran again elsewhere or
+// failed.
+BOOST_AUTO_TEST_CASE(a_silent_target_keeps_its_running_request) {
+  FakeScriptedTarget Target(
+      [](const ReceivedRequest &, ScriptedConnection &Link) {
+        Link.write(Head + "Content-Length: 4\r\n\r\ndone");
+      },
+      [](uint16_t) {
+        std::this_thread::sleep_for(std::chrono::seconds(3));
+        return false;
+      });
+  Timestamp Deadline = steadyNow() + std::chrono::seconds(8);
+  auto Connected = TargetConnection::tryConnect(Target.address(), Deadline);
+  BOOST_REQUIRE(Connected);
+  TargetConnection &Link = **Connected;
+  std::string Body(8 << 20, 'x');
+  auto Sent = Link.trySend("POST", "/v1", {}, Body, Deadline);
+  BOOST_REQUIRE_MESSAGE(Sent, Sent.error().message());
+  auto Received = Link.tryReceiveHead({Deadline});
+  BOOST_REQUIRE_MESSAGE(Received, Received.error().message());
+  auto Answer = Link.tryReadWhole(1 << 20, {Deadline});
+  BOOST_REQUIRE(Answer);
+  BOOST_TEST(*Answer == "done");
+}
