--- a/Libraries/LibRouting/RoutedPlacement.cpp
+++ b/Libraries/LibRouting/RoutedPlacement.cpp
@@ -12,6 +12,11 @@
 /// work of other routers: a prompt of the usual size is read in about this
 /// time.
 static constexpr double CongestionHalfLifeSeconds = 0.3;
+/// Half-life of the share of failed requests. Without it, a target that was
+/// unreachable for a second got no request while others were idle, and so never
+/// a sample that lowers the share.
+static constexpr double FailureHalfLifeSeconds = 2;
+
 RoutedPlacement::RoutedPlacement(Options Opts)
     : Opts(Opts), Random(Opts.Seed) {}
 
@@ -195,6 +200,13 @@
          std::exp2(-std::max(0.0, Age) / CongestionHalfLifeSeconds);
 }
 
+double RoutedPlacement::failureShareOf(const RoutedTarget &Target,
+                                       Timestamp Now) const {
+  double Age = secondsOf(Now - Target.FailureShareAt);
+  return Target.FailureShare *
+         std::exp2(-std::max(0.0, Age) / FailureHalfLifeSeconds);
+}
+
 RoutedPlacement::RoutedTarget *
 RoutedPlacement::findTarget(const SentCall &Sent) {
   auto Target = Targets.find(Sent.Target);
--- a/Libraries/LibRouting/RoutedPlacement.h
+++ b/Libraries/LibRouting/RoutedPlacement.h
@@ -168,8 +168,10 @@
     /// Not chosen before this, unless too few other targets are left.
     Timestamp UnusableUntil;
     uint32_t FailuresInARow = 0;
-    /// Moving average of the share of failed requests, from 0 to 1.
+    /// Moving average of the share of failed requests at FailureShareAt, from 0
+    /// to 1; it halves every FailureHalfLifeSeconds.
     double FailureShare = 0;
+    Timestamp FailureShareAt;
     CachedParts Parts;
   };
 
@@ -279,6 +281,7 @@
   bool isIdle(const RoutedTarget &Target, Timestamp Now) const;
   const PromptRate &rateOf(const ServiceId &Service) const;
   double congestionOf(const RoutedTarget &Target, Timestamp Now) const;
+  double failureShareOf(const RoutedTarget &Target, Timestamp Now) const;
   void considerHolders(const RoutedCall &Call,
                        const std::vector<const RoutedTarget *> &Holders,
                        Timestamp Now, Candidate &Result) const;
--- a/Libraries/LibRouting/RoutedPlacementChoice.cpp
+++ b/Libraries/LibRouting/RoutedPlacementChoice.cpp
@@ -148,8 +148,8 @@
   Result.FirstByteSeconds = Result.PromptSeconds + Result.WaitSeconds;
   if (!Call.Parts.empty())
     Result.FirstByteSeconds += rateOf(Call.Service).baseSeconds();
-  Result.Cost =
-      Result.FirstByteSeconds + FailureCostSeconds * Target.FailureShare;
+  Result.Cost = Result.FirstByteSeconds +
+                FailureCostSeconds * failureShareOf(Target, Now);
   if (Result.IsCopy)
     Result.Cost += CopyCostSeconds;
   if (Target.UnusableUntil > Now)
--- a/Libraries/LibRouting/RoutedPlacementOutcome.cpp
+++ b/Libraries/LibRouting/RoutedPlacementOutcome.cpp
@@ -115,9 +115,11 @@
   }
   bool CountsAsSample = End != CallEnd::NotRun && End != CallEnd::Abandoned;
   double FailureSample = End == CallEnd::Served ? 0 : 1;
-  if (CountsAsSample)
-    Target->FailureShare +=
-        FailureWeight * (FailureSample - Target->FailureShare);
+  if (CountsAsSample) {
+    double Share = failureShareOf(*Target, Now);
+    Target->FailureShare = Share + FailureWeight * (FailureSample - Share);
+    Target->FailureShareAt = Now;
+  }
   // A target that asked for a pause is left alone for exactly that time.
   if (Signals.isPaused(Sent.Target, Sent.Incarnation, Now))
     return;
