--- a/Tests/LibMembership/TestMembership.cpp
+++ b/Tests/LibMembership/TestMembership.cpp
@@ -207,6 +207,41 @@
   BOOST_TEST((State->Standing == Standing::Silent));
 }
 
+// Load pattern: a router stands still for 1 to 3 s, as in a pause of its
+// machine. The others must keep the targets that it announces, and count it as
+// serving again with its first heartbeat.
+BOOST_AUTO_TEST_CASE(a_host_that_was_silent_for_a_while_is_not_replaced) {
+  for (Duration Length : {1000ms, 2000ms, 3000ms}) {
+    Hosts World(3);
+    World.deliver("r0", LocalStanding{Standing::Serving});
+    World.deliver("r0", TargetAnnounced{engine(1, 1)});
+    World.run(700ms);
+    World.deliver("r0", TargetAnnounced{engine(1, 2)});
+    World.run(100ms);
+    auto StandingOfFirst = [&] {
+      auto States = World[1].hosts(World.Now);
+      auto State =
+          std::find_if(States.begin(), States.end(), [](const HostState &Each) {
+            return Each.Id.Value == "r0";
+          });
+      BOOST_REQUIRE((State != States.end()));
+      return State->Standing;
+    };
+    BOOST_TEST((StandingOfFirst() == Standing::Serving));
+    World.Isolated.insert("r0");
+    World.run(Length - 500ms);
+    BOOST_TEST((StandingOfFirst() == Standing::Serving));
+    // Its targets announce themselves to another host meanwhile.
+    World.deliver("r1", TargetAnnounced{engine(1, 3)});
+    World.run(500ms);
+    World.Isolated.erase("r0");
+    World.run(700ms);
+    BOOST_TEST((StandingOfFirst() == Standing::Serving));
+    for (size_t Host : {0, 1, 2})
+      BOOST_TEST(World[Host].targets(World.Now).size() == 1u);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(damaged_messages_do_not_crash_a_host) {
   Hosts World(3);
   World.deliver("r0", TargetAnnounced{engine(1, 1)});
