--- a/Libraries/LibConfig/Parse.h
+++ b/Libraries/LibConfig/Parse.h
@@ -33,6 +33,10 @@
 Result<std::string, ConfigErrors>
 tryReadText(const std::filesystem::path &Path);
 
+/// The same, up to \p MaxBytes and one more byte.
+Result<std::string, ConfigErrors> tryReadText(const std::filesystem::path &Path,
+                                              size_t MaxBytes);
+
 /// Reads, parses and checks a settings file. Relative paths in it are resolved
 /// against the file's folder.
 /// \returns the settings, or all errors found.
--- a/Libraries/LibConfig/ParseSettings.cpp
+++ b/Libraries/LibConfig/ParseSettings.cpp
@@ -257,6 +257,11 @@
 
 Result<std::string, ConfigErrors>
 tryReadText(const std::filesystem::path &Path) {
+  return tryReadText(Path, MaxTextBytes);
+}
+
+Result<std::string, ConfigErrors> tryReadText(const std::filesystem::path &Path,
+                                              size_t MaxBytes) {
   auto Fail = [&](ConfigErrorKind Kind, std::string Detail) {
     ConfigErrors Errors = {{Kind, Path.string(), 0, 0, std::move(Detail)}};
     return makeError(std::move(Errors));
@@ -268,7 +273,7 @@
   if (!File)
     return Fail(ConfigErrorKind::Unreadable, "cannot be opened");
   // One byte over the bound shows that the file is too long.
-  std::string Text(MaxTextBytes + 1, '\0');
+  std::string Text(MaxBytes + 1, '\0');
   File.read(Text.data(), static_cast<std::streamsize>(Text.size()));
   if (File.bad())
     return Fail(ConfigErrorKind::Unreadable, "cannot be read");
