ferryctl: Add check-routes

Checks a description of the routed interface without a host and lists the differences from the version in force.

--- a/Utilities/ferryctl/Commands.cpp
+++ b/Utilities/ferryctl/Commands.cpp
@@ -16,6 +16,8 @@
 
 static constexpr CommandEntry CommandTable[] = {
     {"check", "check settings and descriptions, without any host", runCheck},
+    {"check-routes", "check a description of the routed interface",
+     runCheckRoutes},
     {"apply", "propose a description and wait until it is in force", runApply},
     {"show", "show the newest accepted description", runShow},
     {"diff", "compare a file with the newest accepted description", runDiff},
@@ -33,7 +35,7 @@
                      "       ferryctl --help | --version\n\nCommands:\n";
   for (const CommandEntry &Entry : CommandTable) {
     std::string Name(Entry.Name);
-    Name.resize(10, ' ');
+    Name.resize(14, ' ');
     Text += "  " + Name + std::string(Entry.Summary) + "\n";
   }
   return Text;
--- a/Utilities/ferryctl/Commands.h
+++ b/Utilities/ferryctl/Commands.h
@@ -14,6 +14,8 @@
 
 /// Checks settings and descriptions without any host.
 ExitCode runCheck(const Arguments &Args);
+/// Checks a description of the routed interface without any host.
+ExitCode runCheckRoutes(const Arguments &Args);
 /// Proposes a description and waits until it is in force everywhere.
 ExitCode runApply(const Arguments &Args);
 /// Shows the newest accepted description.
