--- a/Libraries/LibRouting/RoutedPlacementChoice.cpp
+++ b/Libraries/LibRouting/RoutedPlacementChoice.cpp
@@ -163,8 +163,8 @@
   Result.FirstByteSeconds = Result.PromptSeconds + Result.WaitSeconds;
   if (!Call.Parts.empty())
     Result.FirstByteSeconds += rateOf(Call.Service).baseSeconds();
-  Result.Cost =
-      Result.FirstByteSeconds + FailureCostSeconds * Target.FailureShare;
+  Result.Cost = Result.FirstByteSeconds +
+                FailureCostSeconds * failureShareOf(Target, Now);
   if (Splits.count(Call.Service) != 0)
     Result.Cost += slotWaitSeconds(Target);
   if (Result.IsCopy)
