--- a/Libraries/LibAdmission/CapHolder.cpp
+++ b/Libraries/LibAdmission/CapHolder.cpp
@@ -175,7 +175,12 @@
       std::max(0.0, Subject.UsedLong.sum(Now)) / secondsOf(FallbackSpan);
   Subject.FallbackSince = Now;
   Subject.FallbackRate = std::min(Recent, Subject.Cap.PerSecond);
-  Subject.FallbackLevel = fallbackRate(Subject, Now) * secondsOf(FallbackDepth);
+  // Where this router uses more than its share, the owner may just have granted
+  // it a whole burst.
+  double Share = Subject.Cap.PerSecond / double(Routers.sharers(Now));
+  double Fill = Subject.FallbackRate > Share ? 0.5 : 1;
+  Subject.FallbackLevel =
+      fallbackRate(Subject, Now) * secondsOf(FallbackDepth) * Fill;
   Subject.FallbackFilledAt = Now;
   Subject.WantsMore = true;
 }
@@ -398,7 +403,7 @@
   if (!SettledTickets.empty())
     return Timestamp();
   Timestamp Due = NeverExpires;
-  auto askableFrom = [this](Timestamp From, double Reserve) {
+  auto AskableFrom = [this](Timestamp From, double Reserve) {
     double Missing = std::max(0.0, 1 + Reserve - Budget);
     return std::max(From, BudgetAt + timeFor(Missing, QuestionsPerSecond));
   };
@@ -406,35 +411,35 @@
     if (!Subject.Waiting.empty())
       Due = std::min(Due, Subject.Waiting.front().Deadline);
     if (Subject.Asked)
-      Due = std::min(Due, askableFrom(Subject.Asked->NextSendAt, 0));
+      Due = std::min(Due, AskableFrom(Subject.Asked->NextSendAt, 0));
     if (!mayAsk(Subject))
       continue;
     if (!Subject.Waiting.empty())
-      Due = std::min(Due, askableFrom(Subject.NextQuestionAt, 0));
+      Due = std::min(Due, AskableFrom(Subject.NextQuestionAt, 0));
     else if (Subject.WantsMore)
       Due = std::min(
           Due,
-          askableFrom(std::max(Subject.WantsMoreAt, Subject.NextQuestionAt),
+          AskableFrom(std::max(Subject.WantsMoreAt, Subject.NextQuestionAt),
                       Subject.FallbackSince ? 0 : ReservedQuestions));
   }
   return Due;
 }
 
 void CapHolder::setCaps(const CapsByWorkspace &Caps, Timestamp Now) {
-  auto isLimit = [](const config::WorkspaceCap &Cap) {
+  auto IsLimit = [](const config::WorkspaceCap &Cap) {
     return std::isfinite(Cap.PerSecond) && Cap.PerSecond > 0 &&
            isAmount(Cap.Burst);
   };
   std::erase_if(Accounts, [&](auto &Entry) {
     auto Found = Caps.find(Entry.first);
-    if (Found != Caps.end() && isLimit(Found->second))
+    if (Found != Caps.end() && IsLimit(Found->second))
       return false;
     for (const Waiter &Each : Entry.second.Waiting)
       SettledTickets.push_back({Each.Ticket, {CapDecision::Admitted}});
     return true;
   });
   for (const auto &[Workspace, Cap] : Caps) {
-    if (!isLimit(Cap))
+    if (!IsLimit(Cap))
       continue;
     auto [Entry, IsNew] = Accounts.try_emplace(Workspace);
     Account &Subject = Entry->second;
--- a/Libraries/LibAdmission/CapHolder.h
+++ b/Libraries/LibAdmission/CapHolder.h
@@ -72,7 +72,7 @@
   /// Demand over this time tells what a longer grant needs.
   static constexpr Duration LongWantedSpan = std::chrono::seconds(4);
   /// Questions about one workspace are at least this far apart.
-  static constexpr Duration QuestionGap = std::chrono::milliseconds(50);
+  static constexpr Duration QuestionGap = std::chrono::milliseconds(60);
   /// Without the owner, the rate over this time is kept.
   static constexpr Duration FallbackSpan = std::chrono::seconds(2);
   /// Depth of the bucket that is used without the owner, at its rate.
@@ -80,10 +80,10 @@
   /// If no router has replied for this time, this router may be cut off while
   /// the owner grants the whole rate to others. It then keeps to an equal
   /// share.
-  static constexpr Duration CutOffAfter = std::chrono::seconds(1);
+  static constexpr Duration CutOffAfter = std::chrono::milliseconds(500);
   /// Questions of this router per second, and how many of them at once. They
   /// take half of the 4 KB per second that a router may send.
-  static constexpr double QuestionsPerSecond = 36;
+  static constexpr double QuestionsPerSecond = 28;
   static constexpr double QuestionBurst = 15;
   /// Waiting requests of one workspace; further ones are rejected.
   static constexpr size_t MaxWaiting = 1024;
--- a/Libraries/LibAdmission/CapOwner.cpp
+++ b/Libraries/LibAdmission/CapOwner.cpp
@@ -30,16 +30,17 @@
   if (NewCaps == Caps)
     return;
   Caps = NewCaps;
-  updateBuckets(Now);
+  updateBuckets(/*IsHandover=*/false, Now);
 }
 
 void CapOwner::setRouters(const HostId &Self,
                           const std::vector<HostId> &Serving, Timestamp Now) {
+  bool IsHandover = Routers.isSet();
   if (Routers.set(Self, Serving, Now))
-    updateBuckets(Now);
+    updateBuckets(IsHandover, Now);
 }
 
-void CapOwner::updateBuckets(Timestamp Now) {
+void CapOwner::updateBuckets(bool IsHandover, Timestamp Now) {
   std::erase_if(Buckets, [this, Now](const auto &Entry) {
     return !Caps.contains(Entry.first) || !owns(Entry.first, Now);
   });
@@ -55,10 +56,7 @@
         continue;
       Bucket New;
       New.Cap = Cap;
-      New.FilledAt = Now;
-      New.ReservedUntil = Now;
-      New.Level = std::min(ownerDepth(Cap, Tolerance),
-                           ownerRate(Cap, Tolerance) * secondsOf(FirstFill));
+      begin(New, IsHandover, Now);
       Buckets.emplace(Workspace, std::move(New));
       continue;
     }
@@ -77,9 +75,24 @@
 }
 
 double CapOwner::levelAt(const Bucket &Subject, Timestamp Now) const {
-  double Since = secondsOf(std::max(Duration(), Now - Subject.FilledAt));
+  Duration Since = std::max(Duration(), Now - Subject.FilledAt);
+  Duration InHandover =
+      std::clamp(Subject.HandoverEnd - Subject.FilledAt, Duration(), Since);
+  double Filled =
+      secondsOf(Since - InHandover / 2) * ownerRate(Subject.Cap, Tolerance);
   return std::min(std::max(Subject.Level, depthOf(Subject)),
-                  Subject.Level + Since * ownerRate(Subject.Cap, Tolerance));
+                  Subject.Level + Filled);
+}
+
+void CapOwner::begin(Bucket &Subject, bool IsHandover, Timestamp Now) const {
+  Subject.Level =
+      std::min(ownerDepth(Subject.Cap, Tolerance),
+               ownerRate(Subject.Cap, Tolerance) * secondsOf(FirstFill));
+  Subject.FilledAt = Now;
+  Subject.HandoverEnd = IsHandover ? Now + HandoverSpan : Now;
+  Subject.AnsweredAt = Now;
+  Subject.ReservedUntil = Now;
+  Subject.WasBusy = false;
 }
 
 void CapOwner::fill(Bucket &Subject, Timestamp Now) const {
@@ -152,6 +165,12 @@
   double Rate = ownerRate(Subject.Cap, Tolerance);
   double Depth = ownerDepth(Subject.Cap, Tolerance);
   fill(Subject, Now);
+  if (Subject.WasBusy && Now - Subject.AnsweredAt >= SilenceLimit) {
+    double Level = Subject.Level;
+    begin(Subject, /*IsHandover=*/true, Now);
+    Subject.Level = std::min(Level, Subject.Level);
+  }
+  Subject.AnsweredAt = std::max(Subject.AnsweredAt, Now);
   // A router asks when it has less than a request needs, or less than half of
   // its last grant.
   Asker.Ahead = Asker.AheadUntil <= Now ? 0
@@ -160,6 +179,7 @@
   updateAhead(Subject, Now);
   Subject.Level = std::min(Depth, Subject.Level + Question.Returned);
   Subject.AnswerCount.add(1, Now);
+  Subject.WasBusy = Subject.AnswerCount.sum(Now) >= BusyAnswers;
   // With more questions than that, each one takes a greater part of the rate.
   if (Subject.Level > Depth / 4)
     Subject.ScarceSince.reset();
--- a/Libraries/LibAdmission/CapOwner.h
+++ b/Libraries/LibAdmission/CapOwner.h
@@ -36,6 +36,15 @@
   /// routers take turns. Before, turns would keep routers waiting for a bucket
   /// that fills again soon.
   static constexpr Duration TurnsAfter = std::chrono::milliseconds(500);
+  /// A router that becomes the owner while it serves fills the bucket at half
+  /// of the rate for this time, in which others may still ask the former one.
+  static constexpr Duration HandoverSpan = std::chrono::milliseconds(500);
+  /// If a workspace that was asked for at least BusyAnswers times in a second
+  /// is not asked for during this time, another owner may have granted the
+  /// rate, or this router was frozen. Its bucket then begins anew. Longer than
+  /// the lifetime of a grant, within which routers may have no need to ask.
+  static constexpr Duration SilenceLimit = std::chrono::milliseconds(1500);
+  static constexpr double BusyAnswers = 10;
   /// Answers that are remembered, so that a repeated question gets the same one
   /// and is not counted twice; the oldest are dropped first.
   static constexpr size_t MaxRememberedAnswers = 4096;
@@ -81,6 +90,10 @@
     config::WorkspaceCap Cap;
     double Level = 0;
     Timestamp FilledAt;
+    Timestamp HandoverEnd;
+    Timestamp AnsweredAt;
+    /// Whether BusyAnswers was reached when the last question came.
+    bool WasBusy = false;
     /// Until when the rate is spoken for by requests that were rejected.
     Timestamp ReservedUntil;
     /// Sum of Answer::Ahead. These units may still be used, so the bucket holds
@@ -94,13 +107,14 @@
   };
 
   bool owns(const WorkspaceId &Workspace, Timestamp Now) const;
-  void updateBuckets(Timestamp Now);
+  void updateBuckets(bool IsHandover, Timestamp Now);
   double depthOf(const Bucket &Subject) const;
   double levelAt(const Bucket &Subject, Timestamp Now) const;
   double aheadFor(const Bucket &Subject, const CapQuestion &Question,
                   double Held, size_t Askers) const;
   static size_t askers(const Bucket &Subject, Timestamp Now);
   void fill(Bucket &Subject, Timestamp Now) const;
+  void begin(Bucket &Subject, bool IsHandover, Timestamp Now) const;
   static void updateAhead(Bucket &Subject, Timestamp Now);
   CapReply decide(Bucket &Subject, const CapQuestion &Question, Answer &Asker,
                   Timestamp Now);
--- a/Tests/LibAdmission/CapFleet.h
+++ b/Tests/LibAdmission/CapFleet.h
@@ -23,8 +23,10 @@
   Leases,
   /// Each router has a bucket with an equal share, for comparison.
   EqualShares,
-  /// Each router admits by its own bucket of the whole cap, which all others'
-  /// use of the last digest, each 100 ms, is taken from; for comparison.
+  /// Each router has a bucket with the whole cap, from which it takes the use
+  /// of
+  /// all others as told each 100 ms; for comparison. No message is lost or
+  /// late.
   DigestedUse,
 };
 
@@ -54,6 +56,7 @@
     std::vector<std::pair<Timestamp, double>> Sent;
   };
 
+  /// All routers start together and know nothing.
   CapFleet(size_t RouterCount, size_t WorkspaceCount, uint64_t Seed,
            CapWay Way = CapWay::Leases)
       : Way(Way), Random(Seed) {
@@ -68,7 +71,8 @@
                     {Rate, Rate, config::CapUnit::Tokens, 383},
                     0,
                     {},
-                    Rate,
+                    // As much as a new owner has.
+                    Rate / 4,
                     Start,
                     0,
                     0,
@@ -152,17 +156,24 @@
     pump(Index);
   }
 
-  /// All routers but \p Gone notice within a second from \p From that it is
-  /// gone.
+  void setViewAlone(size_t Index) { setView(Index, {Hosts[Index]}); }
+  void setViewOfAll(size_t Index) { setView(Index, Hosts); }
+
+  /// All other routers notice within a second from \p From that one is gone.
   void setViewsWithout(size_t Gone, Timestamp From) {
-    std::vector<HostId> Serving = Hosts;
-    Serving.erase(Serving.begin() + static_cast<std::ptrdiff_t>(Gone));
-    setViews(Gone, Serving, From);
+    setViews(Gone, hostsWithout(Gone), From);
   }
   void setViewsWithAll(size_t Back, Timestamp From) {
     setViews(Back, Hosts, From);
   }
 
+  /// A router stops to serve and serves again; all routers, itself included,
+  /// notice each within a second.
+  void leave(size_t Index, Timestamp From, Timestamp Until) {
+    setViews(Routers.size(), hostsWithout(Index), From);
+    setViews(Routers.size(), Hosts, Until);
+  }
+
   void setCutOff(size_t Index, bool IsCutOff) {
     Routers[Index]->CutOff = IsCutOff;
   }
@@ -209,13 +220,10 @@
     return Owed > 0 ? AdmittedUnits / Owed : 1;
   }
 
-  /// \returns the smallest share of what is owed that a workspace got.
-  double worstAdmitted() const {
-    double Worst = 1;
-    for (const Workspace &Each : Workspaces)
-      if (Each.Owed > 0)
-        Worst = std::min(Worst, Each.AdmittedUnits / Each.Owed);
-    return Worst;
+  /// \returns the share of what is owed that a workspace got.
+  double admittedOf(size_t WorkspaceIndex) const {
+    const Workspace &Subject = Workspaces[WorkspaceIndex];
+    return Subject.Owed > 0 ? Subject.AdmittedUnits / Subject.Owed : 1;
   }
 
   double meanBytesPerSecond() const {
@@ -230,27 +238,6 @@
       Greatest = std::max(Greatest, Each->Bytes);
     return double(Greatest) / secondsSinceStart();
   }
-  double greatestOtherThan(const std::set<size_t> &Left) const {
-    uint64_t Greatest = 0;
-    for (size_t Index = 0; Index < Routers.size(); ++Index)
-      if (!Left.contains(Index))
-        Greatest = std::max(Greatest, Routers[Index]->Bytes);
-    return double(Greatest) / secondsSinceStart();
-  }
-  std::vector<CapStatus> totals() const {
-    std::vector<CapStatus> Sums(Workspaces.size());
-    for (const auto &Each : Routers)
-      for (const CapStatus &Status : Each->Holder.status(Now)) {
-        CapStatus &Sum = Sums[std::stoul(Status.Workspace.Value.substr(10))];
-        Sum.Workspace = Status.Workspace;
-        Sum.Balance += Status.Balance;
-        Sum.Admitted += Status.Admitted;
-        Sum.Rejected += Status.Rejected;
-        Sum.Questions += Status.Questions;
-        Sum.Fallbacks += Status.Fallbacks;
-      }
-    return Sums;
-  }
   uint64_t fallbacks() const {
     uint64_t Sum = 0;
     for (const auto &Each : Routers)
@@ -326,17 +313,7 @@
     if (Now > ArrivalsEnd)
       return;
     ++Requests;
-    Workspace &Subject = Workspaces[WorkspaceIndex];
-    double Since = double((Now - Subject.ReferenceFilledAt).count()) / 1e6;
-    Subject.ReferenceFilledAt = Now;
-    Subject.ReferenceLevel =
-        std::min(Subject.Cap.Burst,
-                 Subject.ReferenceLevel + Since * Subject.Cap.PerSecond);
-    Subject.Offered += Units;
-    if (Subject.ReferenceLevel >= Units) {
-      Subject.ReferenceLevel -= Units;
-      Subject.Owed += Units;
-    }
+    const Workspace &Subject = Workspaces[WorkspaceIndex];
     size_t Index =
         Subject.Entries.empty()
             ? servingRouter()
@@ -354,6 +331,7 @@
       });
       return;
     }
+    offerReference(Workspaces[WorkspaceIndex], Units);
     if (Way != CapWay::Leases) {
       if (admitByShare(Entry, WorkspaceIndex, Units))
         noteSent(WorkspaceIndex, Units);
@@ -368,6 +346,26 @@
     pump(Index);
   }
 
+  std::vector<HostId> hostsWithout(size_t Index) const {
+    std::vector<HostId> Others = Hosts;
+    Others.erase(Others.begin() + static_cast<std::ptrdiff_t>(Index));
+    return Others;
+  }
+
+  /// Counts what a bucket in one place would admit.
+  void offerReference(Workspace &Subject, double Units) {
+    double Since = double((Now - Subject.ReferenceFilledAt).count()) / 1e6;
+    Subject.ReferenceFilledAt = Now;
+    Subject.ReferenceLevel =
+        std::min(Subject.Cap.Burst,
+                 Subject.ReferenceLevel + Since * Subject.Cap.PerSecond);
+    Subject.Offered += Units;
+    if (Subject.ReferenceLevel >= Units) {
+      Subject.ReferenceLevel -= Units;
+      Subject.Owed += Units;
+    }
+  }
+
   bool admitByShare(Router &Entry, size_t WorkspaceIndex, double Units) {
     const config::WorkspaceCap &Cap = Workspaces[WorkspaceIndex].Cap;
     double Part = Way == CapWay::EqualShares ? 1 / double(Routers.size()) : 1;
@@ -386,9 +384,8 @@
     return true;
   }
 
-  /// Each router hears the use of all others, 100 ms late at most; a fourteenth
-  /// byte for each workspace and router that used it is counted by the messages
-  /// of a relay.
+  /// Takes the use of all other routers from the bucket of each one. A message
+  /// counts 20 bytes and 24 for each workspace that was used.
   void exchangeDigests() {
     std::map<size_t, double> Total;
     for (auto &Each : Routers)
@@ -402,7 +399,7 @@
         Used += Share.Use > 0;
         Share.Use = 0;
       }
-      // One message to a relay, which sends the sums back.
+      // To a relay, which sends the sums to all.
       Each->Bytes += 20 + Used * 24;
     }
     at(Now + std::chrono::milliseconds(100), [this] { exchangeDigests(); });
@@ -429,7 +426,9 @@
            });
     for (const auto &[Ticket, Answer] : Subject.Holder.takeSettled(Now)) {
       auto Found = Subject.Waiting.find(Ticket);
-      LongestWait = std::max(LongestWait, Now - Found->second.Since);
+      // A frozen router decides nothing.
+      if (Subject.FrozenUntil < Found->second.Since)
+        LongestWait = std::max(LongestWait, Now - Found->second.Since);
       if (Answer.Decision == CapDecision::Admitted)
         noteSent(Found->second.WorkspaceIndex, Found->second.Units);
       Subject.Waiting.erase(Found);
