--- a/Tests/LibAdmission/TestCapFleet.cpp
+++ b/Tests/LibAdmission/TestCapFleet.cpp
@@ -46,27 +46,6 @@
   });
 }
 
-// A frozen owner wakes with a bucket that has filled and with questions that
-// were decided without it.
-BOOST_DATA_TEST_CASE(an_owner_is_frozen, data::make(FleetSizes), Of) {
-  play("owner frozen", Of, [](CapFleet &Fleet) {
-    Fleet.at(Start + 5s, [&Fleet] { Fleet.freeze(Fleet.ownerOf(0), 3s); });
-  });
-}
-
-// As before, but the others choose another owner in the meantime.
-BOOST_DATA_TEST_CASE(an_owner_is_frozen_and_replaced, data::make(FleetSizes),
-                     Of) {
-  play("owner replaced", Of, [](CapFleet &Fleet) {
-    Fleet.at(Start + 5s, [&Fleet] {
-      size_t Frozen = Fleet.ownerOf(0);
-      Fleet.freeze(Frozen, 3s);
-      Fleet.setViewsWithout(Frozen, Fleet.Now + 1s);
-      Fleet.setViewsWithAll(Frozen, Fleet.Now + 3s);
-    });
-  });
-}
-
 // For a second, some routers ask one router and some another; only one of them
 // may grant the rate.
 BOOST_DATA_TEST_CASE(views_differ, data::make(FleetSizes), Of) {
