--- a/Libraries/LibAdmission/CapHolder.cpp
+++ b/Libraries/LibAdmission/CapHolder.cpp
@@ -1,4 +1,5 @@
 #include "LibAdmission/CapHolder.h"
+#include "LibAdmission/CapAmounts.h"
 #include "LibAdmission/CapOwner.h"
 #include "LibRouting/Rendezvous.h"
 #include <algorithm>
@@ -9,8 +10,6 @@
 
 /// Replies with longer times are invalid: owners name ten minutes at most.
 static constexpr Duration MaxReplyTime = std::chrono::hours(1);
-/// Upper bound of the retry times of requests.
-static constexpr Duration MaxRetry = std::chrono::minutes(10);
 /// Pause before the next question after the owner had no units to spare, or
 /// after the router that was asked said that it is not the owner.
 static constexpr Duration AskAgainPause = std::chrono::milliseconds(100);
@@ -20,18 +19,6 @@
 /// for.
 static constexpr double ReservedQuestions = CapHolder::QuestionBurst / 2;
 
-static double secondsOf(Duration Span) { return double(Span.count()) / 1e6; }
-
-static Duration timeFor(double Units, double PerSecond) {
-  double Micros = std::ceil(std::max(0.0, Units / PerSecond) * 1e6);
-  return Duration(
-      static_cast<int64_t>(std::min(Micros, double(MaxRetry.count()))));
-}
-
-static bool isAmount(double Units) {
-  return std::isfinite(Units) && Units >= 0;
-}
-
 static bool isReplyTime(Duration Span) {
   return Span >= Duration() && Span <= MaxReplyTime;
 }
--- a/Libraries/LibAdmission/CapOwner.cpp
+++ b/Libraries/LibAdmission/CapOwner.cpp
@@ -1,27 +1,13 @@
 #include "LibAdmission/CapOwner.h"
+#include "LibAdmission/CapAmounts.h"
 #include <algorithm>
 #include <cmath>
 
 namespace ferry::admission {
 
-/// Upper bound of the retry times, which also keeps them within the range of
-/// the wire format.
-static constexpr Duration MaxRetry = std::chrono::minutes(10);
 /// How long after an answer its question may be repeated.
 static constexpr Duration AnswerLifetime = std::chrono::seconds(10);
 
-static double secondsOf(Duration Span) { return double(Span.count()) / 1e6; }
-
-static Duration timeFor(double Units, double PerSecond) {
-  double Micros = std::ceil(std::max(0.0, Units / PerSecond) * 1e6);
-  return Duration(
-      static_cast<int64_t>(std::min(Micros, double(MaxRetry.count()))));
-}
-
-static bool isAmount(double Units) {
-  return std::isfinite(Units) && Units >= 0;
-}
-
 bool CapOwner::owns(const WorkspaceId &Workspace, Timestamp Now) const {
   return !Routers.isSet() || Routers.ownerOf(Workspace, Now) == Routers.self();
 }
--- a/Libraries/LibRouting/RoutedPlacementChoice.cpp
+++ b/Libraries/LibRouting/RoutedPlacementChoice.cpp
@@ -223,12 +223,12 @@
     std::erase_if(Candidates, [&](const Candidate &Each) {
       return !isPreferred(Call, *Each.Target);
     });
-  std::vector<StaleLoadSpread::Option> Options;
-  Options.reserve(Candidates.size());
+  std::vector<double> Costs;
+  Costs.reserve(Candidates.size());
   for (const Candidate &Each : Candidates)
-    Options.push_back({Each.Cost});
+    Costs.push_back(Each.Cost);
   const RoutedTarget *Drawn =
-      Candidates[StaleLoadSpread::draw(Options, Random)].Target;
+      Candidates[StaleLoadSpread::draw(Costs, Random)].Target;
   // Holders of the shared parts and their home stay, so that prompts keep
   // meeting their cached prefixes.
   bool IsShared = sharedTokens(Call) >= MinSharedTokens;
--- a/Libraries/LibRouting/StaleLoadSpread.cpp
+++ b/Libraries/LibRouting/StaleLoadSpread.cpp
@@ -6,35 +6,28 @@
 
 static constexpr uint64_t DrawSteps = 1 << 30;
 
-size_t StaleLoadSpread::draw(const std::vector<Option> &Options,
+size_t StaleLoadSpread::draw(const std::vector<double> &Seconds,
                              RandomGenerator &Random) {
-  std::vector<size_t> Order(Options.size());
+  std::vector<size_t> Order(Seconds.size());
   std::iota(Order.begin(), Order.end(), size_t{0});
   std::sort(Order.begin(), Order.end(), [&](size_t Left, size_t Right) {
-    return Options[Left].Seconds < Options[Right].Seconds;
+    return Seconds[Left] < Seconds[Right];
   });
-  double Speeds = 0;
-  for (const Option &Each : Options)
-    Speeds += Each.Speed;
-  double Work = UnseenSeconds * Speeds;
+  double Work = UnseenSeconds * double(Seconds.size());
   // Targets join in the order of their load until the level of those that have
   // joined is below the next one.
-  double JoinedSpeeds = 0;
   double JoinedWork = 0;
   double Level = 0;
   size_t Joined = 0;
   while (Joined < Order.size() &&
-         (Joined == 0 || Level > Options[Order[Joined]].Seconds)) {
-    const Option &Next = Options[Order[Joined++]];
-    JoinedSpeeds += Next.Speed;
-    JoinedWork += Next.Speed * Next.Seconds;
-    Level = (Work + JoinedWork) / JoinedSpeeds;
+         (Joined == 0 || Level > Seconds[Order[Joined]])) {
+    JoinedWork += Seconds[Order[Joined++]];
+    Level = (Work + JoinedWork) / double(Joined);
   }
   double Drawn =
       Work * double(randomBelow(Random, DrawSteps)) / double(DrawSteps);
   for (size_t Position = 0; Position < Joined; ++Position) {
-    const Option &Each = Options[Order[Position]];
-    Drawn -= Each.Speed * (Level - Each.Seconds);
+    Drawn -= Level - Seconds[Order[Position]];
     if (Drawn < 0)
       return Order[Position];
   }
--- a/Libraries/LibRouting/StaleLoadSpread.h
+++ b/Libraries/LibRouting/StaleLoadSpread.h
@@ -11,10 +11,10 @@
 
 /// Draws a target at random, the more often the less loaded it seems.
 ///
-/// Answers the load of a large fleet: digests are 150 to 500 ms old, so that
-/// all routers see the same free target at once. If each chose the least
-/// loaded one, all requests of that time would go there, and the other targets
-/// would run empty. Instead each router assumes that the fleet sends
+/// Answers the load of a large fleet: digests are some hundred milliseconds
+/// old, so that all routers see the same free target at once. If each chose the
+/// least loaded one, all requests of that time would go there, and the other
+/// targets would run empty. Instead each router assumes that the fleet sends
 /// UnseenSeconds of work for each target before it sees the effect, and that
 /// this work fills up the least loaded targets first, to a common level. The
 /// probability of a target is its share of that work. A target above the level
@@ -24,17 +24,10 @@
   /// Work that routers send to a target on average before they see its effect.
   static constexpr double UnseenSeconds = 0.15;
 
-  /// A target as the router sees it.
-  struct Option {
-    /// Expected seconds to the first byte, with penalties.
-    double Seconds = 0;
-    /// Speed of the target, relative to the others.
-    double Speed = 1;
-  };
-
-  /// \param Options the targets; at least one.
+  /// \param Seconds of each target, the expected time to the first byte with
+  /// penalties; at least one.
   /// \returns the index of the drawn target.
-  static size_t draw(const std::vector<Option> &Options,
+  static size_t draw(const std::vector<double> &Seconds,
                      RandomGenerator &Random);
 };
 
--- a/Tests/LibRouting/TestStaleLoadSpread.cpp
+++ b/Tests/LibRouting/TestStaleLoadSpread.cpp
@@ -7,33 +7,31 @@
 using namespace ferry;
 using namespace ferry::routing;
 
-using Options = std::vector<StaleLoadSpread::Option>;
-
-static std::vector<double> sharesOf(const Options &Given) {
+static std::vector<double> sharesOf(const std::vector<double> &Seconds) {
   static constexpr int Draws = 20'000;
   RandomGenerator Random(7);
-  std::vector<double> Shares(Given.size());
+  std::vector<double> Shares(Seconds.size());
   for (int Count = 0; Count < Draws; ++Count)
-    Shares[StaleLoadSpread::draw(Given, Random)] += 1.0 / Draws;
+    Shares[StaleLoadSpread::draw(Seconds, Random)] += 1.0 / Draws;
   return Shares;
 }
 
-// A draw that ignored speeds would fill the slow targets.
-BOOST_AUTO_TEST_CASE(equal_loads_are_drawn_by_speed) {
-  std::vector<double> Shares = sharesOf({{0.1, 1}, {0.1, 1}, {0.1, 2}});
-  BOOST_TEST(std::abs(Shares[0] - 0.25) < 0.02);
-  BOOST_TEST(std::abs(Shares[2] - 0.5) < 0.02);
+// A draw that favoured one of several equal targets would gather the requests
+// of all routers there.
+BOOST_AUTO_TEST_CASE(equal_loads_are_drawn_equally) {
+  for (double Share : sharesOf({0.1, 0.1, 0.1, 0.1}))
+    BOOST_TEST(std::abs(Share - 0.25) < 0.02);
 }
 
 // A target whose queue is longer than all that the routers can send meanwhile
 // must get nothing.
 BOOST_AUTO_TEST_CASE(a_target_above_the_level_is_not_drawn) {
-  std::vector<double> Shares = sharesOf({{0.05}, {9.0}, {0.55}});
+  std::vector<double> Shares = sharesOf({0.05, 9.0, 0.25});
   BOOST_TEST(Shares[1] == 0);
   BOOST_TEST(Shares[0] > Shares[2]);
-  BOOST_TEST(Shares[2] > 0.3);
+  BOOST_TEST(Shares[2] > 0.2);
 }
 
 BOOST_AUTO_TEST_CASE(a_single_target_is_drawn) {
-  BOOST_TEST(sharesOf({{99.0}})[0] > 0.9999);
+  BOOST_TEST(sharesOf({99.0})[0] > 0.9999);
 }
