--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -627,6 +627,8 @@
 }
 
 void RoutedRelay::refuse(const ErrorAnswer &Answer) {
+  // The caller may come back as soon as it has the answer.
+  settleCap();
   // Callers of this interface accept fractions of a second: a target often has
   // a free slot in less than a whole one.
   if (Answer.RetryAt)
--- a/Libraries/LibTraffic/RoutedRelayCaps.cpp
+++ b/Libraries/LibTraffic/RoutedRelayCaps.cpp
@@ -2,6 +2,7 @@
 // sent, and those that no target has run give their units back.
 #include "LibObserve/Log.h"
 #include "LibTraffic/RoutedRelay.h"
+#include <utility>
 
 namespace ferry::traffic {
 
@@ -53,7 +54,7 @@
 void RoutedRelay::settleCap() {
   bool HasRun = WasServed || StreamStarted || PossibleRuns > 0;
   if (ChargedUnits > 0 && !HasRun)
-    Context.Caps.giveBack(Workspace->Id, ChargedUnits);
+    Context.Caps.giveBack(Workspace->Id, std::exchange(ChargedUnits, 0));
 }
 
 } // namespace ferry::traffic
