LibAdmission: Count caps over the window that the settings name

With a window in the settings, the owner counts what it has granted within it instead. Without one the bucket is as before.

a_surge_within_the_window_is_granted_whole covers the surge and every window.

--- a/Libraries/LibAdmission/CapOwner.cpp
+++ b/Libraries/LibAdmission/CapOwner.cpp
@@ -60,7 +60,15 @@
   return std::max(0.0, ownerDepth(Subject.Cap, Tolerance) - Subject.AheadSum);
 }
 
+double CapOwner::windowUnits(const config::WorkspaceCap &Cap) const {
+  return ownerRate(Cap, Tolerance) * Tolerance.WindowSeconds +
+         ownerDepth(Cap, Tolerance);
+}
+
 double CapOwner::levelAt(const Bucket &Subject, Timestamp Now) const {
+  if (hasWindow())
+    return std::min(depthOf(Subject),
+                    windowUnits(Subject.Cap) - Subject.WindowGrants.sum(Now));
   Duration Since = std::max(Duration(), Now - Subject.FilledAt);
   Duration InHandover =
       std::clamp(Subject.HandoverEnd - Subject.FilledAt, Duration(), Since);
@@ -74,6 +82,8 @@
   Subject.Level =
       std::min(ownerDepth(Subject.Cap, Tolerance),
                ownerRate(Subject.Cap, Tolerance) * secondsOf(FirstFill));
+  if (hasWindow())
+    beginWindow(Subject, Subject.Level, Now);
   Subject.FilledAt = Now;
   Subject.HandoverEnd = IsHandover ? Now + HandoverSpan : Now;
   Subject.AnsweredAt = Now;
@@ -81,6 +91,18 @@
   Subject.WasBusy = false;
 }
 
+void CapOwner::beginWindow(Bucket &Subject, double Level, Timestamp Now) const {
+  // The slots of the sum cover a whole window beside the one that has just
+  // begun.
+  static constexpr auto Slots = static_cast<int64_t>(WindowSlots);
+  Duration Span(static_cast<int64_t>(Tolerance.WindowSeconds * 1e6 *
+                                     double(Slots) / double(Slots - 1)));
+  Subject.WindowGrants = RecentSum<WindowSlots>(Span);
+  double PerSlot = (windowUnits(Subject.Cap) - Level) / double(Slots);
+  for (int64_t Age = Slots - 1; Age >= 0; --Age)
+    Subject.WindowGrants.add(PerSlot, Now - Span / Slots * Age);
+}
+
 void CapOwner::fill(Bucket &Subject, Timestamp Now) const {
   Subject.Level = levelAt(Subject, Now);
   Subject.FilledAt = std::max(Subject.FilledAt, Now);
@@ -155,6 +177,8 @@
     double Level = Subject.Level;
     begin(Subject, /*IsHandover=*/true, Now);
     Subject.Level = std::min(Level, Subject.Level);
+    if (hasWindow())
+      beginWindow(Subject, Subject.Level, Now);
   }
   Subject.AnsweredAt = std::max(Subject.AnsweredAt, Now);
   // A router asks when it has less than a request needs, or less than half of
@@ -164,6 +188,8 @@
                                         : Asker.Ahead / 2;
   updateAhead(Subject, Now);
   Subject.Level = std::min(Depth, Subject.Level + Question.Returned);
+  if (hasWindow())
+    Subject.WindowGrants.add(-Question.Returned, Now);
   Subject.AnswerCount.add(1, Now);
   Subject.WasBusy = Subject.AnswerCount.sum(Now) >= BusyAnswers;
   // With more questions than that, each one takes a greater part of the rate.
@@ -205,6 +231,8 @@
     Subject.AheadSum += Ahead;
   }
   Subject.Level -= Reply.Granted;
+  if (hasWindow())
+    Subject.WindowGrants.add(Reply.Granted, Now);
   return Reply;
 }
 
--- a/Tests/LibAdmission/TestCapOwner.cpp
+++ b/Tests/LibAdmission/TestCapOwner.cpp
@@ -207,3 +207,40 @@
   BOOST_TEST(ask(1, 2, 10, Start + 5s).Granted == 0);
   BOOST_TEST(ask(1, 3, 10, Start + 10s).Granted == 0);
 }
+
+// A workspace that asks several times its rate for some seconds after a calm
+// time is below its cap over the window, and a bucket of one burst would reject
+// half of it.
+BOOST_AUTO_TEST_CASE(a_surge_within_the_window_is_granted_whole) {
+  static constexpr double PerSecond = 1000;
+  static constexpr double Burst = 1000;
+  static constexpr double WindowSeconds = 8;
+  CapOwner Owner({WindowSeconds, 0, 0});
+  CapsByWorkspace Caps;
+  Caps[{"w"}] = {PerSecond, Burst, config::CapUnit::Tokens, 0};
+  Timestamp Now{1000s};
+  Owner.setCaps(Caps, Now);
+  uint64_t Number = 1;
+  std::vector<std::pair<Timestamp, double>> Granted;
+  auto Ask = [&](double PerTick, Duration Span) {
+    double Sum = 0;
+    for (Timestamp End = Now + Span; Now < End; Now += 50ms) {
+      CapReply Reply = Owner.answer({{"w"}, Number++, PerTick, 0, 0}, Now);
+      Granted.emplace_back(Now, Reply.Granted);
+      Sum += Reply.Granted;
+    }
+    return Sum;
+  };
+  // At 300 a second for longer than a window, then 2,400 a second for 3 s.
+  Ask(15, 20s);
+  BOOST_TEST(Ask(120, 3s) == 7200, boost::test_tools::tolerance(0.001));
+  Ask(120, 20s);
+  for (const auto &[From, First] : Granted) {
+    double Sum = 0;
+    for (const auto &[At, Units] : Granted)
+      if (At >= From && At < From + 8s)
+        Sum += Units;
+    // One request may take the bucket below zero.
+    BOOST_TEST(Sum <= PerSecond * WindowSeconds + Burst + 120);
+  }
+}
