--- a/Libraries/LibAdmission/CapOwner.cpp
+++ b/Libraries/LibAdmission/CapOwner.cpp
@@ -61,8 +61,9 @@
 }
 
 double CapOwner::windowUnits(const config::WorkspaceCap &Cap) const {
-  return ownerRate(Cap, Tolerance) * Tolerance.WindowSeconds +
-         ownerDepth(Cap, Tolerance);
+  // The tolerance is left for what others grant while owners change. A burst
+  // below one request would admit none at all.
+  return Cap.PerSecond * Tolerance.WindowSeconds + std::max(Cap.Burst, 1.0);
 }
 
 double CapOwner::levelAt(const Bucket &Subject, Timestamp Now) const {
