LibAdmission: Count caps by a bucket again, not over the window

A window admits surges that the bucket rejects, but an owner that takes over does not know what the former one granted within it: TestCapOwnerFreezes had windows at 1.021 and 1.007 of what is allowed, a limit that must hold.

--- a/Libraries/LibAdmission/CapOwner.cpp
+++ b/Libraries/LibAdmission/CapOwner.cpp
@@ -60,16 +60,7 @@
   return std::max(0.0, ownerDepth(Subject.Cap, Tolerance) - Subject.AheadSum);
 }
 
-double CapOwner::windowUnits(const config::WorkspaceCap &Cap) const {
-  // The tolerance is left for what others grant while owners change. A burst
-  // below one request would admit none at all.
-  return Cap.PerSecond * Tolerance.WindowSeconds + std::max(Cap.Burst, 1.0);
-}
-
 double CapOwner::levelAt(const Bucket &Subject, Timestamp Now) const {
-  if (hasWindow())
-    return std::min(depthOf(Subject),
-                    windowUnits(Subject.Cap) - Subject.WindowGrants.sum(Now));
   Duration Since = std::max(Duration(), Now - Subject.FilledAt);
   Duration InHandover =
       std::clamp(Subject.HandoverEnd - Subject.FilledAt, Duration(), Since);
@@ -83,8 +74,6 @@
   Subject.Level =
       std::min(ownerDepth(Subject.Cap, Tolerance),
                ownerRate(Subject.Cap, Tolerance) * secondsOf(FirstFill));
-  if (hasWindow())
-    beginWindow(Subject, Subject.Level, Now);
   Subject.FilledAt = Now;
   Subject.HandoverEnd = IsHandover ? Now + HandoverSpan : Now;
   Subject.AnsweredAt = Now;
@@ -92,18 +81,6 @@
   Subject.WasBusy = false;
 }
 
-void CapOwner::beginWindow(Bucket &Subject, double Level, Timestamp Now) const {
-  // The slots of the sum cover a whole window beside the one that has just
-  // begun.
-  static constexpr auto Slots = static_cast<int64_t>(WindowSlots);
-  Duration Span(static_cast<int64_t>(Tolerance.WindowSeconds * 1e6 *
-                                     double(Slots) / double(Slots - 1)));
-  Subject.WindowGrants = RecentSum<WindowSlots>(Span);
-  double PerSlot = (windowUnits(Subject.Cap) - Level) / double(Slots);
-  for (int64_t Age = Slots - 1; Age >= 0; --Age)
-    Subject.WindowGrants.add(PerSlot, Now - Span / Slots * Age);
-}
-
 void CapOwner::fill(Bucket &Subject, Timestamp Now) const {
   Subject.Level = levelAt(Subject, Now);
   Subject.FilledAt = std::max(Subject.FilledAt, Now);
@@ -178,8 +155,6 @@
     double Level = Subject.Level;
     begin(Subject, /*IsHandover=*/true, Now);
     Subject.Level = std::min(Level, Subject.Level);
-    if (hasWindow())
-      beginWindow(Subject, Subject.Level, Now);
   }
   Subject.AnsweredAt = std::max(Subject.AnsweredAt, Now);
   // A router asks when it has less than a request needs, or less than half of
@@ -189,8 +164,6 @@
                                         : Asker.Ahead / 2;
   updateAhead(Subject, Now);
   Subject.Level = std::min(Depth, Subject.Level + Question.Returned);
-  if (hasWindow())
-    Subject.WindowGrants.add(-Question.Returned, Now);
   Subject.AnswerCount.add(1, Now);
   Subject.WasBusy = Subject.AnswerCount.sum(Now) >= BusyAnswers;
   // With more questions than that, each one takes a greater part of the rate.
@@ -232,8 +205,6 @@
     Subject.AheadSum += Ahead;
   }
   Subject.Level -= Reply.Granted;
-  if (hasWindow())
-    Subject.WindowGrants.add(Reply.Granted, Now);
   return Reply;
 }
 
--- a/Libraries/LibAdmission/CapOwner.h
+++ b/Libraries/LibAdmission/CapOwner.h
@@ -20,10 +20,6 @@
 /// routers, a few or all of them, and change between these within seconds: one
 /// bucket for all routers admits the rate whatever the distribution, where a
 /// share for each router admits a part of it.
-///
-/// Where the settings name a window, a cap is what may be used in any window of
-/// that length. A surge of a few seconds after a calm time then takes all of
-/// the window's units at once, where a bucket would reject it below the cap.
 class CapOwner {
 public:
   static constexpr Duration GrantLifetime = std::chrono::seconds(1);
@@ -49,8 +45,6 @@
   /// the lifetime of a grant, within which routers may have no need to ask.
   static constexpr Duration SilenceLimit = std::chrono::milliseconds(1500);
   static constexpr double BusyAnswers = 10;
-  /// Slots in which the units granted within the window are counted.
-  static constexpr size_t WindowSlots = 33;
   /// Answers that are remembered, so that a repeated question gets the same one
   /// and is not counted twice; the oldest are dropped first.
   static constexpr size_t MaxRememberedAnswers = 4096;
@@ -94,9 +88,7 @@
   };
   struct Bucket {
     config::WorkspaceCap Cap;
-    /// What may still be granted. With a window, it follows from WindowGrants.
     double Level = 0;
-    RecentSum<WindowSlots> WindowGrants{std::chrono::seconds(1)};
     Timestamp FilledAt;
     Timestamp HandoverEnd;
     Timestamp AnsweredAt;
@@ -122,11 +114,6 @@
                   double Held, size_t Askers) const;
   static size_t askers(const Bucket &Subject, Timestamp Now);
   void fill(Bucket &Subject, Timestamp Now) const;
-  bool hasWindow() const { return Tolerance.WindowSeconds > 0; }
-  /// \returns the units that may be granted within a window.
-  double windowUnits(const config::WorkspaceCap &Cap) const;
-  /// Counts a window in which all but what a new owner has were granted.
-  void beginWindow(Bucket &Subject, double Level, Timestamp Now) const;
   void begin(Bucket &Subject, bool IsHandover, Timestamp Now) const;
   static void updateAhead(Bucket &Subject, Timestamp Now);
   CapReply decide(Bucket &Subject, const CapQuestion &Question, Answer &Asker,
