LibRouting: Give each router a slot of a brittle target

The slots were drawn for each router by themselves, so that a router could get none and reject all its callers while targets are brittle: with 24 slots and 23 routers about a third of the routers, by arithmetic. They are dealt evenly now.

--- a/Libraries/LibRouting/TargetLimits.cpp
+++ b/Libraries/LibRouting/TargetLimits.cpp
@@ -204,11 +204,10 @@
 
 uint32_t TargetLimits::slotsOf(const TargetId &Target,
                                const TargetRoom &Room) const {
-  uint64_t Key = hashIdentifier(Target.Value);
-  uint32_t Own = 0;
-  for (uint32_t Slot = 0; Slot < Room.Slots; ++Slot)
-    Own += rankFor(rendezvousWeight(Key, Slot)) == 0;
-  return Own;
+  auto Routers = static_cast<uint32_t>(OtherHashes.size() + 1);
+  bool HasOneMore =
+      rankFor(hashIdentifier(Target.Value)) < Room.Slots % Routers;
+  return Room.Slots / Routers + (HasOneMore ? 1 : 0);
 }
 
 bool TargetLimits::hasRoom(const TargetId &Target, Incarnation Current,
--- a/Libraries/LibRouting/TargetLimits.h
+++ b/Libraries/LibRouting/TargetLimits.h
@@ -62,10 +62,11 @@
 /// Answers also the load of more callers than brittle targets have room for: a
 /// target that crashes moves its load to the next one. All routers together
 /// keep no more requests at a brittle target than it runs at a time, so that
-/// it has to reject none. Rendezvous hashing deals its slots among the routers,
-/// without messages. Where there are fewer slots than routers, each router has
-/// a share of a rate that leaves most slots free instead, as requests of
-/// routers that do not know of each other arrive at the same moment.
+/// it has to reject none. Its slots are dealt evenly among the routers, without
+/// messages; rendezvous hashing chooses those that get one more. Where there
+/// are fewer slots than routers, each router has a share of a rate that leaves
+/// most slots free instead, as requests of routers that do not know of each
+/// other arrive at the same moment.
 class TargetLimits {
 public:
   /// Number of targets that are remembered; those whose limits were seen least
--- a/Tests/LibRouting/TestTargetLimitEntries.cpp
+++ b/Tests/LibRouting/TestTargetLimitEntries.cpp
@@ -133,6 +133,8 @@
       ++Room.Running;
       BOOST_TEST(Limits.exceedsSlots(Target, {1}, Room));
       Sent += Room.Running - 1;
+      // A router without a slot would reject all its callers.
+      BOOST_TEST(Room.Running - 1 >= 1U);
     }
     BOOST_TEST(Sent == Slots);
   }
