--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -669,11 +669,15 @@
   std::string Name = Route ? Route->Name : "none";
   Context.Metrics.Answers.with({Name, std::to_string(Status)}).add();
   bool Failed = Event != "answered";
+  std::optional<int64_t> ConfirmedMillis;
+  if (Event == "refused" && View)
+    ConfirmedMillis = (View->ConfirmedUntil - steadyNow()).count() / 1000;
   observe::logEvent(
       Severity::Info, "routed", Event,
       {{"route", Name},
        {"status", Status},
        {"number", View ? View->Number.Value : 0},
+       {"confirmed_ms", ConfirmedMillis},
        {"attempts", Attempts},
        {"runs", PossibleRuns},
        {"targets_tried", Call.Tried.size()},
--- a/Services/ferryd/ControlPlane.cpp
+++ b/Services/ferryd/ControlPlane.cpp
@@ -19,6 +19,8 @@
 /// Each load occupies a sending thread until it has ended.
 static constexpr size_t RoutedSendingThreads = 32;
 
+/// Ticks of the control thread that run later than this are logged.
+static constexpr Duration LoggedTickDelay = std::chrono::milliseconds(500);
 /// Between attempts to reopen a log that stopped at a failure of its disk.
 static constexpr Duration ReopenLogInterval = std::chrono::milliseconds(500);
 /// Between proposals to renew or take the order lease. The shorter it is, the
@@ -250,6 +252,7 @@
 }
 
 void ControlPlane::tick() {
+  noteTickDelay();
   stepConfirmation(ConfirmationTick{});
   stepMembership(LocalConfirmed{Confirmed.number(), Confirmed.confirmedAsOf()});
   stepMembership(MembershipTick{});
@@ -262,8 +265,21 @@
     broadcastNamedWeights();
   }
   updateMetrics();
-  TickTimer =
-      Loop.at(steadyNow() + Membership::TickInterval, [this] { tick(); });
+  TickDueAt = steadyNow() + Membership::TickInterval;
+  TickTimer = Loop.at(TickDueAt, [this] { tick(); });
+}
+
+void ControlPlane::noteTickDelay() {
+  if (TickDueAt == Timestamp())
+    return;
+  Duration Delay = steadyNow() - TickDueAt;
+  Metrics
+      .histogram("ferry_control_delay_seconds",
+                 "How late the ticks of the control thread ran.")
+      .observe(double(Delay.count()) / 1e6);
+  if (Delay >= LoggedTickDelay)
+    observe::logEvent(Severity::Warning, "control", "control_late",
+                      {{"late_ms", Delay.count() / 1000}});
 }
 
 void ControlPlane::beginDrain() {
@@ -410,8 +426,17 @@
           {{"number", Copy.Number}, {"reason", Applied.error().message()}});
     return;
   }
+  std::optional<int64_t> HeardMillis;
+  if (NewerHeardAt)
+    HeardMillis = (steadyNow() - *NewerHeardAt).count() / 1000;
   observe::logEvent(Severity::Info, "control", "description_in_force",
-                    {{"number", Copy.Number}, {"operation", Copy.Operation}});
+                    {{"number", Copy.Number},
+                     {"operation", Copy.Operation},
+                     {"bytes", Copy.Text.size()},
+                     {"heard_ms", HeardMillis},
+                     {"fetches", FetchesOfNewer}});
+  NewerHeardAt.reset();
+  FetchesOfNewer = 0;
   stepConfirmation(ConfirmationApplied{Holder.number()});
   stepMembership(DescriptionApplied{Holder.number()});
   markViewChanged();
@@ -458,6 +483,9 @@
           Link->send(Sent.To, wire::PayloadKind::Confirmation, Message);
         },
         [this](const FetchDescription &Fetch) {
+          if (!NewerHeardAt)
+            NewerHeardAt = steadyNow();
+          ++FetchesOfNewer;
           wire::DescriptionFetch Message;
           Message.HaveNumber = static_cast<int64_t>(Holder.number().Value);
           Link->send(Fetch.From, wire::PayloadKind::DescriptionFetch, Message);
--- a/Services/ferryd/ControlPlane.h
+++ b/Services/ferryd/ControlPlane.h
@@ -22,6 +22,7 @@
 #include "ferryd/RegistryGateway.h"
 #include "ferryd/RegistryNode.h"
 #include "ferryd/StreamExchange.h"
+#include <optional>
 
 namespace ferry::daemon {
 
@@ -128,6 +129,7 @@
 
   // Description, membership, confirmation (ControlPlane.cpp).
   void tick();
+  void noteTickDelay();
   void applyDescription(const wire::DescriptionCopy &Copy);
   void applyRegistryDescription();
   void stepMembership(const membership::MembershipEvent &Event);
@@ -188,6 +190,12 @@
   membership::Standing OwnStanding = membership::Standing::Unconfirmed;
   bool Draining = false;
   bool ViewPending = false;
+  /// When a greater number than the one in force was first heard of, and how
+  /// often its description has been fetched since.
+  std::optional<Timestamp> NewerHeardAt;
+  uint64_t FetchesOfNewer = 0;
+  /// When the tick of TickTimer is due.
+  Timestamp TickDueAt;
   /// Whether the last step of an announcement refused it.
   bool AnnouncementRefused = false;
   Timestamp ViewConfirmedUntil;
--- a/Services/ferryd/ControlPlaneDump.cpp
+++ b/Services/ferryd/ControlPlaneDump.cpp
@@ -168,6 +168,17 @@
       Link->transport().droppedMessages());
   Set("ferry_peer_payloads_malformed", "Payloads that could not be decoded.",
       Link->malformedPayloads());
+  observe::Family<observe::Gauge> &KindBytes =
+      Metrics.gauges({"ferry_peer_kind_bytes",
+                      "Bytes of payloads to and from other hosts, by kind.",
+                      {"kind", "direction"}});
+  for (const auto &[Kind, Bytes] : Link->kinds()) {
+    auto Name = wire::_PayloadKind_VALUES_TO_NAMES.find(Kind);
+    if (Name == wire::_PayloadKind_VALUES_TO_NAMES.end())
+      continue;
+    KindBytes.with({Name->second, "sent"}).set(double(Bytes.BytesSent));
+    KindBytes.with({Name->second, "received"}).set(double(Bytes.BytesReceived));
+  }
   if (!Node || !Orders)
     return;
   consensus::ReplicaStatus Status = Node->log().status();
--- a/Services/ferryd/HostLink.cpp
+++ b/Services/ferryd/HostLink.cpp
@@ -53,6 +53,9 @@
   wire::PeerTransport::Hooks Hooks;
   Hooks.Received = [Raw = Link.get()](const HostId &From,
                                       wire::Envelope Message) {
+    // A newer host may send kinds that this one does not know.
+    if (wire::_PayloadKind_VALUES_TO_NAMES.count(Message.Kind) != 0)
+      Raw->Kinds[Message.Kind].BytesReceived += Message.Payload.size();
     Raw->Receive(From, Message.Kind, Message.Payload);
   };
   Hooks.Failed = [](const HostId &Host, const wire::WireError &Failure) {
@@ -73,8 +76,10 @@
 
 void HostLink::sendBytes(const HostId &To, wire::PayloadKind::type Kind,
                          std::string Payload) {
-  if (To != Self)
+  if (To != Self) {
+    Kinds[Kind].BytesSent += Payload.size();
     return Transport->send(To, DefaultGroup, Kind, std::move(Payload));
+  }
   Loop.at(steadyNow(), [this, Kind, Payload = std::move(Payload)] {
     Receive(Self, Kind, Payload);
   });
--- a/Services/ferryd/HostLink.h
+++ b/Services/ferryd/HostLink.h
@@ -8,6 +8,7 @@
 #include "LibWire/PeerTransport.h"
 #include "ferryd/StartError.h"
 #include <functional>
+#include <map>
 #include <memory>
 
 namespace ferry::daemon {
@@ -39,6 +40,14 @@
                  std::string Payload);
 
   const wire::PeerTransport &transport() const { return *Transport; }
+  /// Payloads of one kind to and from other hosts.
+  struct KindCount {
+    uint64_t BytesSent = 0;
+    uint64_t BytesReceived = 0;
+  };
+  const std::map<wire::PayloadKind::type, KindCount> &kinds() const {
+    return Kinds;
+  }
   /// \returns how many payloads could not be decoded.
   uint64_t malformedPayloads() const { return Malformed; }
   void countMalformed() { ++Malformed; }
@@ -50,6 +59,7 @@
   ControlLoop &Loop;
   Receiver Receive;
   std::unique_ptr<wire::PeerTransport> Transport;
+  std::map<wire::PayloadKind::type, KindCount> Kinds;
   uint64_t Malformed = 0;
 };
 
