--- a/Tests/Fakes/FakeProxy.cpp
+++ b/Tests/Fakes/FakeProxy.cpp
@@ -31,7 +31,7 @@
         Polled.push_back({Socket->impl()->sockfd(), POLLIN, 0});
     // Sockets whose bytes are held back stay readable; the sleep keeps the loop
     // from spinning on them.
-    if (Mode != ProxyMode::Pass)
+    if (Mode != ProxyMode::Pass || RequestRate > 0)
       std::this_thread::sleep_for(std::chrono::milliseconds(PollMillis));
     ::poll(Polled.data(), Polled.size(), PollMillis);
     acceptPending();
@@ -127,10 +127,35 @@
   }
   if (Flow.Bytes.empty() || steadyNow() < Flow.DueAt)
     return;
-  int Sent =
-      To.sendBytes(Flow.Bytes.data(), int(Flow.Bytes.size()), MSG_NOSIGNAL);
-  if (Sent > 0)
-    Flow.Bytes.erase(0, static_cast<size_t>(Sent));
+  bool IsRequest = &Flow == &Link.Requests;
+  size_t Allowed = Flow.Bytes.size();
+  if (IsRequest)
+    Allowed = allowedRequestBytes(Allowed);
+  if (Allowed == 0)
+    return;
+  int Sent = To.sendBytes(Flow.Bytes.data(), int(Allowed), MSG_NOSIGNAL);
+  if (Sent <= 0)
+    return;
+  Flow.Bytes.erase(0, static_cast<size_t>(Sent));
+  if (IsRequest) {
+    RequestBudget -= Sent;
+    RequestBytes += static_cast<uint64_t>(Sent);
+  }
+}
+
+size_t FakeProxy::allowedRequestBytes(size_t Wanted) {
+  int64_t Rate = RequestRate;
+  if (Rate == 0)
+    return Wanted;
+  // Up to a tenth of a second's bytes may be sent at once.
+  Timestamp Now = steadyNow();
+  static constexpr int64_t MicrosInSecond = 1'000'000;
+  Duration Since = std::min<Duration>(Now - BudgetAt, std::chrono::seconds(1));
+  RequestBudget = std::min(
+      RequestBudget + Since.count() * Rate / MicrosInSecond, Rate / 10);
+  BudgetAt = Now;
+  return static_cast<size_t>(
+      std::clamp<int64_t>(RequestBudget, 0, static_cast<int64_t>(Wanted)));
 }
 
 } // namespace ferry::fakes
--- a/Tests/Fakes/FakeProxy.h
+++ b/Tests/Fakes/FakeProxy.h
@@ -41,6 +41,11 @@
 
   std::string address() const { return Address; }
   void setMode(ProxyMode NewMode) { Mode = NewMode; }
+  /// Limits the bytes that the connecting sides send, all together; 0 for no
+  /// limit.
+  void setRequestBytesPerSecond(int64_t Rate) { RequestRate = Rate; }
+  /// \returns the bytes of the connecting sides that were forwarded.
+  uint64_t requestBytes() const { return RequestBytes; }
   /// Whether a new connection from a port is reset as soon as it is accepted.
   using Gate = std::function<bool(uint16_t PeerPort)>;
   void setGate(Gate NewGate) {
@@ -72,6 +77,8 @@
   void resetAll();
   bool isHeld(const Connection &Link, const Direction &Flow) const;
   void forwardBoth(Connection &Link);
+  /// \returns how many of \p Wanted bytes the limit of requests allows now.
+  size_t allowedRequestBytes(size_t Wanted);
   void forward(Connection &Link, Poco::Net::StreamSocket &From,
                Poco::Net::StreamSocket &To, Direction &Flow);
 
@@ -81,6 +88,11 @@
   Poco::Net::ServerSocket Listener;
   std::string Address;
   std::atomic<ProxyMode> Mode = ProxyMode::Pass;
+  std::atomic<int64_t> RequestRate = 0;
+  std::atomic<uint64_t> RequestBytes = 0;
+  /// Bytes that the limit still allows at BudgetAt.
+  int64_t RequestBudget = 0;
+  Timestamp BudgetAt;
   std::atomic<bool> Stopping = false;
   std::list<Connection> Links;
   std::thread Runner;
--- a/Tests/LibTraffic/RoutedBed.h
+++ b/Tests/LibTraffic/RoutedBed.h
@@ -108,6 +108,7 @@
     View->Targets = Records;
     View->Self = Self;
     View->Hosts = Hosts;
+    View->ConfirmedUntil = ConfirmedUntil;
     Front->setView(View);
   }
 
@@ -159,6 +160,7 @@
   std::string Text = RoutedText;
   HostId Self;
   std::vector<routing::HostView> Hosts;
+  Timestamp ConfirmedUntil = steadyNow() + std::chrono::hours(1);
 
   observe::Metrics Metrics;
   std::unique_ptr<RoutedFront> Front;
--- a/Tests/Support/RoutedCluster.cpp
+++ b/Tests/Support/RoutedCluster.cpp
@@ -95,7 +95,7 @@
   std::filesystem::remove_all(Folder / std::to_string(Host));
 }
 
-Answer RoutedCluster::putRoutes(int Host, int Number) {
+Answer RoutedCluster::putRoutes(int Host, int Number, int Extra) {
   std::string Routes =
       R"({"name":"many","host":"a.example","path_prefix":"/many/",)"
       R"("route_kind":"idempotent","timeout_ms":2000,"service":"app",)"
@@ -109,6 +109,14 @@
               std::to_string(Each) +
               R"(/","route_kind":"non_idempotent","timeout_ms":2000,)"
               R"("service":"app"})";
+  for (int Each = 1; Each <= Extra; ++Each)
+    Routes += R"(,{"name":"extra-)" + std::to_string(Each) +
+              R"(","host":"host-)" + std::to_string(Each % 97) +
+              R"(.example","path_prefix":"/extra/)" + std::to_string(Each) +
+              R"(/","route_kind":"idempotent","timeout_ms":2000,)"
+              R"("target_latency_ms":300,"priority":2,"max_attempts":2,)"
+              R"("public":false,"sticky":false,"resumable":false,)"
+              R"("traffic_split":[{"service":"app","weight":100}]})";
   std::string Text = R"({"version":)" + std::to_string(Number) +
                      R"(,"routes":[)" + Routes +
                      R"(],"services":[{"name":"app"},{"name":"lm","engine":)"
