--- a/Tests/Support/RoutedCluster.cpp
+++ b/Tests/Support/RoutedCluster.cpp
@@ -170,7 +170,8 @@
   return request(control(Host), "PUT", "/instances/" + Details.Id,
                  R"({"service":")" + Details.Service + R"(","addr":")" +
                      Details.Address + R"(","zone":"dc-0","version":")" +
-                     Details.Build + R"(","slots":4,"state":")" +
+                     Details.Build + R"(","slots":)" +
+                     std::to_string(Details.Slots) + R"(,"state":")" +
                      Details.State + R"(","cold_left_ms":0,)" + Models +
                      R"("born":)" + std::to_string(Details.IncarnationMillis) +
                      R"(,"seq":)" + std::to_string(Details.Sequence) + "}",
--- a/Tests/Support/RoutedCluster.h
+++ b/Tests/Support/RoutedCluster.h
@@ -23,6 +23,7 @@
   int Weights = 0;
   /// The start of its incarnation, in milliseconds since the Unix epoch.
   int64_t IncarnationMillis = 1777919335160;
+  int Slots = 4;
 };
 
 /// How the hosts reach each other.
--- a/Tests/System/TestBrittleTargets.cpp
+++ b/Tests/System/TestBrittleTargets.cpp
@@ -5,6 +5,7 @@
 #include "LibCore/Time.h"
 #include "Support/RoutedCluster.h"
 #include <algorithm>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 #include <deque>
 #include <thread>
@@ -19,18 +20,37 @@
 namespace {
 
 constexpr std::array<int, 3> Routers = {11, 12, 13};
-constexpr int TargetCount = 8;
 constexpr auto ContactTime = 3s;
 
-/// Plain targets that run four requests at a time, 50 ms each, and let none
-/// wait.
+/// Targets and the callers at the routers, more than the targets have room for.
+struct BrittleLoad {
+  const char *Name;
+  int Targets;
+  /// Requests that a target runs at a time, 50 ms each.
+  int Slots;
+  int Callers;
+  /// Whether one target after the other is replaced, two in a second.
+  bool Replaced;
+};
+
+std::ostream &operator<<(std::ostream &Out, const BrittleLoad &Load) {
+  return Out << Load.Name;
+}
+
+const BrittleLoad Loads[] = {
+    {"more_slots_than_routers", 8, 4, 60, false},
+    {"fewer_slots_than_routers", 8, 2, 30, false},
+    {"targets_are_replaced", 8, 2, 30, true},
+    {"fewer_slots_in_all_than_routers", 2, 1, 12, false}};
+
+/// Plain targets that let no request wait.
 class BrittleTargets {
 public:
-  static constexpr int Slots = 4;
   static constexpr int AllowedRefusals = 3;
 
-  explicit BrittleTargets(RoutedCluster &Cluster) : Cluster(Cluster) {
-    for (int Number = 0; Number < TargetCount; ++Number) {
+  BrittleTargets(RoutedCluster &Cluster, const BrittleLoad &Load)
+      : Cluster(Cluster), Load(Load) {
+    for (int Number = 0; Number < Load.Targets; ++Number) {
       Targets.push_back(std::make_unique<Target>());
       Target &Added = *Targets.back();
       Added.Number = Number;
@@ -85,6 +105,20 @@
     Full.DownUntil = Now + 1s;
   }
 
+  /// Replaces each target once in a while, if the load calls for it.
+  void replaceInTurn(int Sequence) {
+    // The targets are announced five times a second.
+    static constexpr int StepsOfReplacement = 3;
+    if (!Load.Replaced || !Brittle || Sequence % StepsOfReplacement != 0)
+      return;
+    std::lock_guard Lock(Mutex);
+    auto Next = static_cast<size_t>(Sequence / StepsOfReplacement);
+    Target &Replaced = *Targets[Next % Targets.size()];
+    ++Replaced.Life;
+    Replaced.Running = 0;
+    Replaced.Refusals.clear();
+  }
+
   void serve(Target &Serving, const ReceivedRequest &Read,
              ScriptedConnection &Link) {
     std::string Fields = "X-Request-Id: " + Read.Head.get("X-Request-Id", "") +
@@ -99,7 +133,7 @@
                    "Content-Length: 0\r\n\r\n");
         return;
       }
-      if (Serving.Running >= Slots) {
+      if (Serving.Running >= Load.Slots) {
         refuse(Serving);
         Link.write("HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\n" + Fields +
                    "Content-Length: 0\r\n\r\n");
@@ -121,6 +155,7 @@
 
   void announceUntilStopped() {
     for (int Sequence = 1; !Stopping; ++Sequence) {
+      replaceInTurn(Sequence);
       for (auto &Each : Targets) {
         Announcement Details;
         {
@@ -131,6 +166,7 @@
           Details.IncarnationMillis += Each->Life;
         }
         Details.Service = "app";
+        Details.Slots = Load.Slots;
         Details.Address = Each->Server->address();
         Details.Sequence = Sequence;
         Cluster.announce(
@@ -141,6 +177,7 @@
   }
 
   RoutedCluster &Cluster;
+  const BrittleLoad &Load;
   mutable std::mutex Mutex;
   std::vector<Timestamp> Falls;
   std::atomic<bool> Brittle = false;
@@ -151,11 +188,12 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_CASE(brittle_targets_under_load_do_not_fall_over) {
+BOOST_DATA_TEST_CASE(brittle_targets_under_load_do_not_fall_over,
+                     boost::unit_test::data::make(Loads), Load) {
   RoutedCluster Cluster;
   Cluster.startAll();
   Cluster.startRouter(13);
-  BrittleTargets Targets(Cluster);
+  BrittleTargets Targets(Cluster, Load);
   BOOST_REQUIRE(
       TestCluster::eventually([&] { return Cluster.putRoutesAnywhere(1); }));
   for (int Router : Routers)
@@ -163,21 +201,21 @@
         [&] { return Cluster.directoryListsRouters(Router); }));
   std::this_thread::sleep_for(1s);
 
-  // 60 callers at a time, where the targets run 32 requests.
   std::atomic<bool> Stopping = false;
   std::atomic<bool> Counting = false;
-  std::atomic<size_t> Served = 0;
+  std::array<std::atomic<size_t>, Routers.size()> ServedAt = {};
   std::vector<std::thread> Callers;
-  for (int Caller = 0; Caller < 60; ++Caller)
+  for (int Caller = 0; Caller < Load.Callers; ++Caller)
     Callers.emplace_back([&, Caller] {
-      int Router = Routers[static_cast<size_t>(Caller) % Routers.size()];
+      size_t Position = static_cast<size_t>(Caller) % Routers.size();
+      int Router = Routers[Position];
       for (int Number = 0; !Stopping; ++Number) {
         std::string Id = std::to_string(Caller) + "-" + std::to_string(Number);
         Answer Got =
             request(Cluster.callers(Router), "POST", "/1/x", "b" + Id,
                     {{"Host", "a.example"}, {"X-Request-Id", Id}}, 2000);
         if (Got.Status == 200 && Counting)
-          ++Served;
+          ++ServedAt[Position];
         if (Got.Status != 200)
           std::this_thread::sleep_for(40ms);
       }
@@ -194,9 +232,18 @@
   for (std::thread &Caller : Callers)
     Caller.join();
 
-  // The users' bound on falls, and half of what the targets can serve.
-  static constexpr size_t CanServe = TargetCount * BrittleTargets::Slots * 20;
-  BOOST_TEST_MESSAGE(Falls << " falls, " << Served << " served in 10 s");
-  BOOST_TEST(Falls <= 2U + TargetCount / 10);
-  BOOST_TEST(Served >= 10 * CanServe / 2);
+  // The users' bound on falls, half of what the targets can serve, and a
+  // quarter of its part at each router.
+  auto CanServe = static_cast<size_t>(Load.Targets * Load.Slots * 20 * 10);
+  size_t Served = 0;
+  for (const auto &Part : ServedAt) {
+    Served += Part;
+    BOOST_TEST(Part >= CanServe / Routers.size() / 4);
+  }
+  BOOST_TEST_MESSAGE(Load.Name << ": " << Falls << " falls, " << Served
+                               << " served in 10 s, " << ServedAt[0] << ", "
+                               << ServedAt[1] << " and " << ServedAt[2]
+                               << " at the routers");
+  BOOST_TEST(Falls <= 2U + static_cast<size_t>(Load.Targets) / 10);
+  BOOST_TEST(Served >= CanServe / 2);
 }
