--- a/Libraries/LibRouting/RoutingView.h
+++ b/Libraries/LibRouting/RoutingView.h
@@ -43,11 +43,21 @@
   /// New work is refused after this, because a newer description may be in
   /// force elsewhere.
   Timestamp ConfirmedUntil;
+  /// The greatest number that another host is known to have in force; 0 if none
+  /// is known.
+  DescriptionNumber NewestElsewhere;
   /// Standing of this host; Draining once its graceful shutdown has begun.
   HostStanding OwnStanding = HostStanding::Serving;
   std::vector<TargetRecord> Targets;
   std::vector<HostView> Hosts;
 
+  /// \returns whether the routes are known to be the newest ones. What they
+  /// allow is served in any case, as no control host may be left to confirm
+  /// them; what they do not allow must not be refused for good without it.
+  bool vouchesForRoutes(Timestamp Now) const {
+    return Now < ConfirmedUntil && NewestElsewhere <= Number;
+  }
+
   /// \returns the routers that serve callers, this one included if it does.
   std::vector<HostId> servingRouters() const {
     std::vector<HostId> Serving;
--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -105,8 +105,8 @@
   Route =
       Routes.findRoute(std::string_view(Host).substr(0, Host.find(':')), Path);
   if (Route == nullptr)
-    return ErrorAnswer{AnswerError::NotFound,
-                       "no route matches the host and path"};
+    return refusalByRoutes(AnswerError::NotFound,
+                           "no route matches the host and path");
   if (auto Refusal = checkKey())
     return Refusal;
   Call.Service = config::RouteTable::pickService(
@@ -133,11 +133,23 @@
     return std::nullopt;
   Workspace = Routes.findWorkspace(Caller.Key);
   if (Workspace == nullptr)
-    return ErrorAnswer{AnswerError::Unauthorized,
-                       "the key belongs to no workspace"};
+    return refusalByRoutes(AnswerError::Unauthorized,
+                           "the key belongs to no workspace");
   return std::nullopt;
 }
 
+ErrorAnswer RoutedRelay::refusalByRoutes(AnswerError Type,
+                                         std::string Reason) const {
+  if (View->vouchesForRoutes(steadyNow()))
+    return {Type, std::move(Reason)};
+  // Newer routes may allow the request, and callers do not repeat it after a
+  // refusal for good.
+  Context.Metrics.Unplaced.with({"routes_unconfirmed"}).add();
+  return {AnswerError::NoDescription,
+          "these routes may be out of date: " + Reason, NotRun::True,
+          steadyNow() + RetryDelay};
+}
+
 std::optional<ErrorAnswer> RoutedRelay::findBuild() {
   bool TakesUp = Caller.AfterEvent || !Caller.Resumes.empty();
   if (Route->Answers != config::AnswerForm::Stream || !TakesUp)
--- a/Libraries/LibTraffic/RoutedRelay.h
+++ b/Libraries/LibTraffic/RoutedRelay.h
@@ -36,6 +36,9 @@
   /// \returns the refusal, or nothing if the request is valid.
   std::optional<ErrorAnswer> checkRequest();
   std::optional<ErrorAnswer> checkKey();
+  /// \returns the refusal of a request that the routes do not allow. It is not
+  /// for good while newer routes may be in force elsewhere.
+  ErrorAnswer refusalByRoutes(AnswerError Type, std::string Reason) const;
   /// Counts the request against the cap of its workspace.
   /// \returns the refusal if the workspace has reached it.
   std::optional<ErrorAnswer> countAgainstCap();
--- a/Services/ferryd/ViewBuilder.cpp
+++ b/Services/ferryd/ViewBuilder.cpp
@@ -1,4 +1,5 @@
 #include "ferryd/ViewBuilder.h"
+#include <algorithm>
 
 namespace ferry::daemon {
 
@@ -30,8 +31,10 @@
   if (View->OwnStanding == routing::HostStanding::Unconfirmed)
     View->OwnStanding = routing::HostStanding::Serving;
   View->Targets = Inputs.Targets;
-  for (const membership::HostState &Host : Inputs.Hosts)
+  for (const membership::HostState &Host : Inputs.Hosts) {
     View->Hosts.push_back(hostView(Inputs.Settings, Host));
+    View->NewestElsewhere = std::max(View->NewestElsewhere, Host.Number);
+  }
   return View;
 }
 
--- a/Tests/LibTraffic/RoutedBed.h
+++ b/Tests/LibTraffic/RoutedBed.h
@@ -109,6 +109,7 @@
     View->Self = Self;
     View->Hosts = Hosts;
     View->ConfirmedUntil = ConfirmedUntil;
+    View->NewestElsewhere = NewestElsewhere;
     Front->setView(View);
   }
 
@@ -161,6 +162,7 @@
   HostId Self;
   std::vector<routing::HostView> Hosts;
   Timestamp ConfirmedUntil = steadyNow() + std::chrono::hours(1);
+  DescriptionNumber NewestElsewhere;
 
   observe::Metrics Metrics;
   std::unique_ptr<RoutedFront> Front;
--- a/Tests/LibTraffic/TestUnconfirmedRoutes.cpp
+++ b/Tests/LibTraffic/TestUnconfirmedRoutes.cpp
@@ -40,3 +40,12 @@
   BOOST_TEST(Bed.send("/none/x").Status == 503);
   BOOST_TEST(Bed.sendRaw(UnknownKey).Status == 503);
 }
+
+BOOST_AUTO_TEST_CASE(routes_that_are_newer_elsewhere_count) {
+  RoutedBed Bed;
+  Bed.NewestElsewhere = {4};
+  Bed.add("app", answerDone());
+  BOOST_TEST(Bed.send("/none/x").Status == 503);
+  BOOST_TEST(Bed.sendRaw(UnknownKey).Status == 503);
+  BOOST_TEST(Bed.send("/once/x").Status == 200);
+}
--- a/Tests/System/TestRoutedService.cpp
+++ b/Tests/System/TestRoutedService.cpp
@@ -29,7 +29,12 @@
   Announcers Targets(Cluster);
   BOOST_REQUIRE(eventually([&] { return Cluster.putRoutesAnywhere(1); }));
   BOOST_REQUIRE(eventually([&] { return Cluster.routersServe(1); }));
-  BOOST_TEST(Cluster.call(11, 2).Status == 404);
+  // Until its routes are confirmed, a router does not refuse for good.
+  BOOST_TEST(eventually([&] {
+    int Status = Cluster.call(11, 2).Status;
+    BOOST_TEST((Status == 404 || Status == 503));
+    return Status == 404;
+  }));
   // The directory lists both routers.
   BOOST_TEST(eventually([&] { return Cluster.directoryListsRouters(12); }));
   BOOST_TEST(request(Cluster.readiness(11), "GET", "/ready").Status == 200);
