--- a/Libraries/LibWire/Generated/Host_types.cpp
+++ b/Libraries/LibWire/Generated/Host_types.cpp
@@ -21,6 +21,16 @@
 void DescriptionFetch::__set_HaveNumber(const int64_t val) {
   this->HaveNumber = val;
 }
+
+void DescriptionFetch::__set_PieceOf(const int64_t val) {
+  this->PieceOf = val;
+__isset.PieceOf = true;
+}
+
+void DescriptionFetch::__set_Offset(const int32_t val) {
+  this->Offset = val;
+__isset.Offset = true;
+}
 std::ostream& operator<<(std::ostream& out, const DescriptionFetch& obj)
 {
   obj.printTo(out);
@@ -57,6 +67,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->PieceOf);
+          this->__isset.PieceOf = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->Offset);
+          this->__isset.Offset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -78,6 +104,16 @@
   xfer += oprot->writeI64(this->HaveNumber);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.PieceOf) {
+    xfer += oprot->writeFieldBegin("PieceOf", ::apache::thrift::protocol::T_I64, 2);
+    xfer += oprot->writeI64(this->PieceOf);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.Offset) {
+    xfer += oprot->writeFieldBegin("Offset", ::apache::thrift::protocol::T_I32, 3);
+    xfer += oprot->writeI32(this->Offset);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -86,24 +122,34 @@
 void swap(DescriptionFetch &a, DescriptionFetch &b) {
   using ::std::swap;
   swap(a.HaveNumber, b.HaveNumber);
+  swap(a.PieceOf, b.PieceOf);
+  swap(a.Offset, b.Offset);
   swap(a.__isset, b.__isset);
 }
 
 DescriptionFetch::DescriptionFetch(const DescriptionFetch& other0) noexcept {
   HaveNumber = other0.HaveNumber;
+  PieceOf = other0.PieceOf;
+  Offset = other0.Offset;
   __isset = other0.__isset;
 }
 DescriptionFetch::DescriptionFetch(DescriptionFetch&& other1) noexcept {
   HaveNumber = other1.HaveNumber;
+  PieceOf = other1.PieceOf;
+  Offset = other1.Offset;
   __isset = other1.__isset;
 }
 DescriptionFetch& DescriptionFetch::operator=(const DescriptionFetch& other2) noexcept {
   HaveNumber = other2.HaveNumber;
+  PieceOf = other2.PieceOf;
+  Offset = other2.Offset;
   __isset = other2.__isset;
   return *this;
 }
 DescriptionFetch& DescriptionFetch::operator=(DescriptionFetch&& other3) noexcept {
   HaveNumber = other3.HaveNumber;
+  PieceOf = other3.PieceOf;
+  Offset = other3.Offset;
   __isset = other3.__isset;
   return *this;
 }
@@ -111,6 +157,8 @@
   using ::apache::thrift::to_string;
   out << "DescriptionFetch(";
   out << "HaveNumber=" << to_string(HaveNumber);
+  out << ", " << "PieceOf="; (__isset.PieceOf ? (out << to_string(PieceOf)) : (out << "<null>"));
+  out << ", " << "Offset="; (__isset.Offset ? (out << to_string(Offset)) : (out << "<null>"));
   out << ")";
 }
 
@@ -130,6 +178,21 @@
 void DescriptionCopy::__set_Text(const std::string& val) {
   this->Text = val;
 }
+
+void DescriptionCopy::__set_Piece(const std::string& val) {
+  this->Piece = val;
+__isset.Piece = true;
+}
+
+void DescriptionCopy::__set_Offset(const int32_t val) {
+  this->Offset = val;
+__isset.Offset = true;
+}
+
+void DescriptionCopy::__set_PackedBytes(const int32_t val) {
+  this->PackedBytes = val;
+__isset.PackedBytes = true;
+}
 std::ostream& operator<<(std::ostream& out, const DescriptionCopy& obj)
 {
   obj.printTo(out);
@@ -182,6 +245,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->Piece);
+          this->__isset.Piece = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->Offset);
+          this->__isset.Offset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->PackedBytes);
+          this->__isset.PackedBytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -211,6 +298,21 @@
   xfer += oprot->writeString(this->Text);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.Piece) {
+    xfer += oprot->writeFieldBegin("Piece", ::apache::thrift::protocol::T_STRING, 4);
+    xfer += oprot->writeBinary(this->Piece);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.Offset) {
+    xfer += oprot->writeFieldBegin("Offset", ::apache::thrift::protocol::T_I32, 5);
+    xfer += oprot->writeI32(this->Offset);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.PackedBytes) {
+    xfer += oprot->writeFieldBegin("PackedBytes", ::apache::thrift::protocol::T_I32, 6);
+    xfer += oprot->writeI32(this->PackedBytes);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -221,6 +323,9 @@
   swap(a.Number, b.Number);
   swap(a.Operation, b.Operation);
   swap(a.Text, b.Text);
+  swap(a.Piece, b.Piece);
+  swap(a.Offset, b.Offset);
+  swap(a.PackedBytes, b.PackedBytes);
   swap(a.__isset, b.__isset);
 }
 
@@ -228,18 +333,27 @@
   Number = other4.Number;
   Operation = other4.Operation;
   Text = other4.Text;
+  Piece = other4.Piece;
+  Offset = other4.Offset;
+  PackedBytes = other4.PackedBytes;
   __isset = other4.__isset;
 }
 DescriptionCopy::DescriptionCopy(DescriptionCopy&& other5) noexcept {
   Number = other5.Number;
   Operation = std::move(other5.Operation);
   Text = std::move(other5.Text);
+  Piece = std::move(other5.Piece);
+  Offset = other5.Offset;
+  PackedBytes = other5.PackedBytes;
   __isset = other5.__isset;
 }
 DescriptionCopy& DescriptionCopy::operator=(const DescriptionCopy& other6) {
   Number = other6.Number;
   Operation = other6.Operation;
   Text = other6.Text;
+  Piece = other6.Piece;
+  Offset = other6.Offset;
+  PackedBytes = other6.PackedBytes;
   __isset = other6.__isset;
   return *this;
 }
@@ -247,6 +361,9 @@
   Number = other7.Number;
   Operation = std::move(other7.Operation);
   Text = std::move(other7.Text);
+  Piece = std::move(other7.Piece);
+  Offset = other7.Offset;
+  PackedBytes = other7.PackedBytes;
   __isset = other7.__isset;
   return *this;
 }
@@ -256,6 +373,9 @@
   out << "Number=" << to_string(Number);
   out << ", " << "Operation=" << to_string(Operation);
   out << ", " << "Text=" << to_string(Text);
+  out << ", " << "Piece="; (__isset.Piece ? (out << to_string(Piece)) : (out << "<null>"));
+  out << ", " << "Offset="; (__isset.Offset ? (out << to_string(Offset)) : (out << "<null>"));
+  out << ", " << "PackedBytes="; (__isset.PackedBytes ? (out << to_string(PackedBytes)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Libraries/LibWire/Generated/Host_types.h
+++ b/Libraries/LibWire/Generated/Host_types.h
@@ -30,8 +30,10 @@
 class CheckedRecord;
 
 typedef struct _DescriptionFetch__isset {
-  _DescriptionFetch__isset() : HaveNumber(false) {}
+  _DescriptionFetch__isset() : HaveNumber(false), PieceOf(false), Offset(false) {}
   bool HaveNumber :1;
+  bool PieceOf :1;
+  bool Offset :1;
 } _DescriptionFetch__isset;
 
 class DescriptionFetch : public virtual ::apache::thrift::TBase {
@@ -42,20 +44,36 @@
   DescriptionFetch& operator=(const DescriptionFetch&) noexcept;
   DescriptionFetch& operator=(DescriptionFetch&&) noexcept;
   DescriptionFetch() noexcept
-                   : HaveNumber(0) {
+                   : HaveNumber(0),
+                     PieceOf(0),
+                     Offset(0) {
   }
 
   virtual ~DescriptionFetch() noexcept;
   int64_t HaveNumber;
+  int64_t PieceOf;
+  int32_t Offset;
 
   _DescriptionFetch__isset __isset;
 
   void __set_HaveNumber(const int64_t val);
 
+  void __set_PieceOf(const int64_t val);
+
+  void __set_Offset(const int32_t val);
+
   bool operator == (const DescriptionFetch & rhs) const
   {
     if (!(HaveNumber == rhs.HaveNumber))
       return false;
+    if (__isset.PieceOf != rhs.__isset.PieceOf)
+      return false;
+    else if (__isset.PieceOf && !(PieceOf == rhs.PieceOf))
+      return false;
+    if (__isset.Offset != rhs.__isset.Offset)
+      return false;
+    else if (__isset.Offset && !(Offset == rhs.Offset))
+      return false;
     return true;
   }
   bool operator != (const DescriptionFetch &rhs) const {
@@ -75,10 +93,13 @@
 std::ostream& operator<<(std::ostream& out, const DescriptionFetch& obj);
 
 typedef struct _DescriptionCopy__isset {
-  _DescriptionCopy__isset() : Number(false), Operation(false), Text(false) {}
+  _DescriptionCopy__isset() : Number(false), Operation(false), Text(false), Piece(false), Offset(false), PackedBytes(false) {}
   bool Number :1;
   bool Operation :1;
   bool Text :1;
+  bool Piece :1;
+  bool Offset :1;
+  bool PackedBytes :1;
 } _DescriptionCopy__isset;
 
 class DescriptionCopy : public virtual ::apache::thrift::TBase {
@@ -91,13 +112,19 @@
   DescriptionCopy() noexcept
                   : Number(0),
                     Operation(),
-                    Text() {
+                    Text(),
+                    Piece(),
+                    Offset(0),
+                    PackedBytes(0) {
   }
 
   virtual ~DescriptionCopy() noexcept;
   int64_t Number;
   std::string Operation;
   std::string Text;
+  std::string Piece;
+  int32_t Offset;
+  int32_t PackedBytes;
 
   _DescriptionCopy__isset __isset;
 
@@ -107,6 +134,12 @@
 
   void __set_Text(const std::string& val);
 
+  void __set_Piece(const std::string& val);
+
+  void __set_Offset(const int32_t val);
+
+  void __set_PackedBytes(const int32_t val);
+
   bool operator == (const DescriptionCopy & rhs) const
   {
     if (!(Number == rhs.Number))
@@ -115,6 +148,18 @@
       return false;
     if (!(Text == rhs.Text))
       return false;
+    if (__isset.Piece != rhs.__isset.Piece)
+      return false;
+    else if (__isset.Piece && !(Piece == rhs.Piece))
+      return false;
+    if (__isset.Offset != rhs.__isset.Offset)
+      return false;
+    else if (__isset.Offset && !(Offset == rhs.Offset))
+      return false;
+    if (__isset.PackedBytes != rhs.__isset.PackedBytes)
+      return false;
+    else if (__isset.PackedBytes && !(PackedBytes == rhs.PackedBytes))
+      return false;
     return true;
   }
   bool operator != (const DescriptionCopy &rhs) const {
--- a/Services/ferryd/ControlPlane.cpp
+++ b/Services/ferryd/ControlPlane.cpp
@@ -256,6 +256,7 @@
   stepConfirmation(ConfirmationTick{});
   stepMembership(LocalConfirmed{Confirmed.number(), Confirmed.confirmedAsOf()});
   stepMembership(MembershipTick{});
+  stepTransfer(Transfer.tick(Holder.number(), steadyNow()));
   reopenLog();
   updateStanding();
   if (Confirmed.confirmedUntil() != ViewConfirmedUntil)
@@ -361,14 +362,34 @@
     Node->setDiscoveredHosts(AllHosts);
 }
 
-void ControlPlane::broadcastDescription() {
-  // The leader sends the description to all hosts at once. A host that misses
-  // it learns of the number from heartbeats and fetches it.
+void ControlPlane::announceDescription() {
+  // The leader tells all hosts the number at once, in the form of an answer to
+  // a query, and they fetch the description. A host that misses it learns of
+  // the number from heartbeats.
   if (!isRouted() || !Node || !Node->log().isLeader())
     return;
+  wire::ConfirmationMessage Message;
+  Message.__set_Answer(
+      answerQuery(wire::ConfirmationQuery(), Holder.number(), /*Voter=*/false));
   for (const HostState &Host : Members.hosts(steadyNow()))
     if (Host.Id != Settings.Host && Host.Standing != Standing::Silent)
-      Link->send(Host.Id, wire::PayloadKind::DescriptionCopy, Holder.copy());
+      Link->send(Host.Id, wire::PayloadKind::Confirmation, Message);
+}
+
+void ControlPlane::fetchFrom(const HostId &From) {
+  if (!NewerHeardAt)
+    NewerHeardAt = steadyNow();
+  stepTransfer(Transfer.noteNewer(From, Holder.number(), steadyNow()));
+}
+
+void ControlPlane::stepTransfer(DescriptionTransfer::Step Step) {
+  if (Step.Send) {
+    FetchesOfNewer += Step.Send->Fetch.Offset == 0 ? 1 : 0;
+    Link->send(Step.Send->To, wire::PayloadKind::DescriptionFetch,
+               Step.Send->Fetch);
+  }
+  if (Step.Whole)
+    applyDescription(*Step.Whole);
 }
 
 config::Description ControlPlane::wantedWeights() const {
@@ -437,10 +458,11 @@
                      {"fetches", FetchesOfNewer}});
   NewerHeardAt.reset();
   FetchesOfNewer = 0;
+  WholeCopySentAt.clear();
   stepConfirmation(ConfirmationApplied{Holder.number()});
   stepMembership(DescriptionApplied{Holder.number()});
   markViewChanged();
-  broadcastDescription();
+  announceDescription();
 }
 
 void ControlPlane::stepMembership(const MembershipEvent &Event) {
@@ -482,14 +504,7 @@
           Message.__set_Query(Sent.Query);
           Link->send(Sent.To, wire::PayloadKind::Confirmation, Message);
         },
-        [this](const FetchDescription &Fetch) {
-          if (!NewerHeardAt)
-            NewerHeardAt = steadyNow();
-          ++FetchesOfNewer;
-          wire::DescriptionFetch Message;
-          Message.HaveNumber = static_cast<int64_t>(Holder.number().Value);
-          Link->send(Fetch.From, wire::PayloadKind::DescriptionFetch, Message);
-        });
+        [this](const FetchDescription &Fetch) { fetchFrom(Fetch.From); });
 }
 
 void ControlPlane::markViewChanged() {
--- a/Services/ferryd/ControlPlane.h
+++ b/Services/ferryd/ControlPlane.h
@@ -6,6 +6,7 @@
 
 #include "LibControl/NamingTimes.h"
 #include "LibMembership/Confirmation.h"
+#include "LibMembership/DescriptionTransfer.h"
 #include "LibMembership/Membership.h"
 #include "LibObserve/Metrics.h"
 #include "LibObserve/StateDump.h"
@@ -22,6 +23,7 @@
 #include "ferryd/RegistryGateway.h"
 #include "ferryd/RegistryNode.h"
 #include "ferryd/StreamExchange.h"
+#include <map>
 #include <optional>
 
 namespace ferry::daemon {
@@ -126,6 +128,8 @@
   void receiveConfirmation(const HostId &From,
                            const wire::ConfirmationMessage &Message);
   void receiveFetch(const HostId &From, const wire::DescriptionFetch &Fetch);
+  void receiveDescription(const HostId &From,
+                          const wire::DescriptionCopy &Copy);
 
   // Description, membership, confirmation (ControlPlane.cpp).
   void tick();
@@ -140,7 +144,9 @@
     return Settings.Interface == config::Interface::Routed;
   }
   void updateControlHosts();
-  void broadcastDescription();
+  void announceDescription();
+  void fetchFrom(const HostId &From);
+  void stepTransfer(membership::DescriptionTransfer::Step Step);
   void addSeeds();
   void sendDigests();
   void receiveDigest(const HostId &From, const wire::WorkDigest &Digest);
@@ -187,6 +193,9 @@
   membership::Membership Members;
   routing::WorkExchange Work;
   membership::Confirmation Confirmed;
+  membership::DescriptionTransfer Transfer;
+  /// When hosts without pieces were sent the description in force.
+  std::map<HostId, Timestamp> WholeCopySentAt;
   membership::Standing OwnStanding = membership::Standing::Unconfirmed;
   bool Draining = false;
   bool ViewPending = false;
--- a/Services/ferryd/ControlPlaneMessages.cpp
+++ b/Services/ferryd/ControlPlaneMessages.cpp
@@ -5,6 +5,10 @@
 
 using wire::PayloadKind;
 
+/// Shortest time between two whole copies of one description to one host: a
+/// large one takes as long on a slow link.
+static constexpr Duration WholeCopyInterval = std::chrono::seconds(1);
+
 template <typename MessageType, typename HandlerType>
 void ControlPlane::receiveAs(const std::string &Payload, HandlerType Handle) {
   auto Message = wire::tryDecode<MessageType>(Payload);
@@ -41,7 +45,7 @@
         Payload, [&](auto Fetch) { receiveFetch(From, Fetch); });
   case PayloadKind::DescriptionCopy:
     return receiveAs<wire::DescriptionCopy>(
-        Payload, [&](auto Copy) { applyDescription(Copy); });
+        Payload, [&](auto Copy) { receiveDescription(From, Copy); });
   case PayloadKind::WorkDigest:
     return receiveAs<wire::WorkDigest>(
         Payload, [&](auto Digest) { receiveDigest(From, Digest); });
@@ -60,8 +64,14 @@
 
 void ControlPlane::receiveConfirmation(
     const HostId &From, const wire::ConfirmationMessage &Message) {
-  if (Message.__isset.Answer)
+  if (Message.__isset.Answer) {
     stepConfirmation(membership::ConfirmationAnswered{From, Message.Answer});
+    // The leader announces a number that it has in force, so that it can be
+    // fetched there at once.
+    bool IsAnnouncement = Message.Answer.QueryNumber == 0;
+    if (IsAnnouncement && Message.Answer.GreatestNumber > Holder.copy().Number)
+      fetchFrom(From);
+  }
   if (!Message.__isset.Query || !Node)
     return;
   wire::ConfirmationMessage Reply;
@@ -75,8 +85,24 @@
 void ControlPlane::receiveFetch(const HostId &From,
                                 const wire::DescriptionFetch &Fetch) {
   // Only the description in force is sent, because it is committed.
-  if (Holder.copy().Number > Fetch.HaveNumber)
-    Link->send(From, PayloadKind::DescriptionCopy, Holder.copy());
+  if (Fetch.__isset.PieceOf)
+    return Link->send(
+        From, PayloadKind::DescriptionCopy,
+        membership::pieceFor(Fetch, Holder.copy(), Holder.packedText()));
+  if (Holder.copy().Number <= Fetch.HaveNumber)
+    return;
+  // Older hosts ask again while the copy is under way.
+  Timestamp Now = steadyNow();
+  auto [Sent, IsFirst] = WholeCopySentAt.try_emplace(From, Now);
+  if (!IsFirst && Now < Sent->second + WholeCopyInterval)
+    return;
+  Sent->second = Now;
+  Link->send(From, PayloadKind::DescriptionCopy, Holder.copy());
+}
+
+void ControlPlane::receiveDescription(const HostId &From,
+                                      const wire::DescriptionCopy &Copy) {
+  stepTransfer(Transfer.receive(From, Copy, Holder.number(), steadyNow()));
 }
 
 } // namespace ferry::daemon
--- a/Services/ferryd/DescriptionHolder.cpp
+++ b/Services/ferryd/DescriptionHolder.cpp
@@ -1,4 +1,5 @@
 #include "ferryd/DescriptionHolder.h"
+#include "LibWire/Packing.h"
 
 namespace ferry::daemon {
 
@@ -28,6 +29,12 @@
   return {static_cast<uint64_t>(InForce.Number)};
 }
 
+const std::string &DescriptionHolder::packedText() {
+  if (PackedText.empty())
+    PackedText = wire::packText(InForce.Text);
+  return PackedText;
+}
+
 Result<void, ApplyError>
 DescriptionHolder::tryApply(const wire::DescriptionCopy &Copy) {
   if (Copy.Number <= InForce.Number)
@@ -47,6 +54,7 @@
     return makeError(Parsed.error());
   Content = std::move(*Parsed);
   InForce = Copy;
+  PackedText.clear();
   History.push_back(Copy);
   History.back().Text.clear();
   if (History.size() > MaxHistory)
--- a/Services/ferryd/DescriptionHolder.h
+++ b/Services/ferryd/DescriptionHolder.h
@@ -55,6 +55,8 @@
   DescriptionNumber number() const;
   /// \returns the copy in force; number 0 before the first.
   const wire::DescriptionCopy &copy() const { return InForce; }
+  /// \returns the text in force, packed for other hosts.
+  const std::string &packedText();
   /// nullptr before the first description, and for the routed interface.
   std::shared_ptr<const config::Description> description() const {
     return Content.Description;
@@ -73,6 +75,8 @@
 
   HostStore &Store;
   wire::DescriptionCopy InForce;
+  /// Made when another host first asks for it; empty before.
+  std::string PackedText;
   DescriptionReader Read;
   DescriptionContent Content;
   std::deque<wire::DescriptionCopy> History;
