--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -47,8 +47,12 @@
 }
 
 /// Whether the answer with \p Head is a stream of events. On a route that
-/// expects one, an answer without a type is.
+/// expects one, an answer without a type is. Other successes than 200, such as
+/// 204, have no events: taken for a resumed stream, they would end it as
+/// complete.
 static bool carriesEvents(const Poco::Net::HTTPResponse &Head) {
+  if (Head.getStatus() != Poco::Net::HTTPResponse::HTTP_OK)
+    return false;
   return !Head.has("Content-Type") ||
          Poco::icompare(Head.getContentType().substr(0, EventStreamType.size()),
                         std::string(EventStreamType)) == 0;
