--- a/Tests/platform/TestTargetCodec.cpp
+++ b/Tests/platform/TestTargetCodec.cpp
@@ -15,8 +15,10 @@
     R"("models":[{"name":"m0","version":3,"adapters":[]}],"seq":4,)"
     R"("born":1777919335160})";
 
+static constexpr UnixMillis Now{1777919400000};
+
 static std::optional<TargetRecord> decode(const std::string &Body) {
-  return decodeTarget("i-1", Body, FencingCheck::Checked);
+  return decodeTarget("i-1", Body, FencingCheck::Checked, Now);
 }
 
 BOOST_AUTO_TEST_CASE(a_heartbeat_is_decoded) {
@@ -58,6 +60,9 @@
     {R"("10.128.0.9:8080")", R"("host:80")"},
     {R"("ready")", R"("odd")"},
     {R"("seq":4)", R"("seq":"4")"},
+    {R"("seq":4)", R"("seq":9007199254740992)"},
+    {"1777919335160", "1778006000000"},
+    {"1777919335160", "18446744073709551615"},
     {R"("seq":4)", R"("seq":-4)"},
     {R"("born":1777919335160)", R"("born":null)"},
     {R"(,"born":1777919335160)", ""},
@@ -75,8 +80,11 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_target_may_leave_without_a_start_time) {
-  BOOST_TEST(decodeLeave("i-1", "").Incarnation.Value == 0U);
-  BOOST_TEST(decodeLeave("i-1", "{\"born\":5}").Incarnation.Value == 5U);
+  BOOST_TEST(decodeLeave("i-1", "", Now)->Incarnation.Value == 0U);
+  BOOST_TEST(decodeLeave("i-1", "{\"born\":5}", Now)->Incarnation.Value == 5U);
+  BOOST_TEST(!decodeLeave("i-1", "{\"born\":1778006000000}", Now));
+  BOOST_TEST(!decodeLeave("i-1", "{\"born\":99999999999999999999}", Now));
+  BOOST_TEST(!decodeLeave("i-1", "{\"born\":\"x\"}", Now));
 }
 
 BOOST_AUTO_TEST_CASE(a_report_is_decoded) {
