--- a/Libraries/LibRegistry/RegistryClient.cpp
+++ b/Libraries/LibRegistry/RegistryClient.cpp
@@ -7,6 +7,9 @@
 /// A request without a reply is resent to the next control host after this
 /// time.
 static constexpr Duration ResendAfter = std::chrono::milliseconds(250);
+/// Added for each byte of a command: a description of a megabyte takes as long
+/// on its way and through the log, and each copy of it delays the first one.
+static constexpr int64_t CommandBytesPerMicrosecond = 2;
 /// A refused request is resent after this time, so that requests don't flood
 /// the control hosts during an election.
 static constexpr Duration RefusedResendAfter = std::chrono::milliseconds(30);
@@ -76,7 +79,9 @@
 void RegistryClient::send(Request &PendingRequest, size_t Host, Timestamp Now,
                           Effects &Out) {
   PendingRequest.Host = Host;
-  PendingRequest.ResendAt = Now + ResendAfter;
+  auto Bytes = static_cast<int64_t>(PendingRequest.Message.Command.size());
+  PendingRequest.ResendAt =
+      Now + ResendAfter + Duration(Bytes / CommandBytesPerMicrosecond);
   ++PendingRequest.Sends;
   Out.emplace_back(
       ClientSend{Settings.ControlHosts[Host], PendingRequest.Message});
--- a/Tests/LibRegistry/TestRegistryClient.cpp
+++ b/Tests/LibRegistry/TestRegistryClient.cpp
@@ -56,6 +56,29 @@
   BOOST_TEST((Ends.front().Answer.error().Kind == RegistryErrorKind::Timeout));
 }
 
+// Copies of a large description fill the links of the control hosts and delay
+// the first one.
+BOOST_AUTO_TEST_CASE(a_large_change_is_not_resent_while_it_is_under_way) {
+  for (auto [Bytes, MaxSends] : {std::pair(size_t{4}, size_t{4}),
+                                 std::pair(size_t{1} << 20, size_t{2})}) {
+    RegistryClient Client({Controls, 1});
+    ClientSubmit Change{
+        42, Command(ChangeDescription{{0}, "op", std::string(Bytes, 'x')}),
+        at(850ms)};
+    size_t Sends = 0;
+    auto Count = [&](const std::vector<ClientEffect> &Effects) {
+      for (const ClientEffect &Effect : Effects)
+        Sends += std::holds_alternative<ClientSend>(Effect);
+    };
+    Count(Client.step(Change, at(0s)));
+    for (Duration Now = 0s; Now < 850ms; Now += 10ms)
+      Count(Client.step(ClientTick{}, at(Now)));
+    // A lost request is still sent again in time.
+    BOOST_TEST(Sends >= 2U);
+    BOOST_TEST(Sends <= MaxSends);
+  }
+}
+
 struct EndCase {
   const char *Name;
   std::vector<HostId> Hosts;
