--- a/Libraries/LibRouting/TargetLimits.h
+++ b/Libraries/LibRouting/TargetLimits.h
@@ -113,8 +113,8 @@
 
   bool isBrittle(const TargetId &Target, Incarnation Current) const;
 
-  /// \returns how many of a brittle target's slots are this router's and free;
-  /// no number of slots is known for some, which have no bound then.
+  /// \returns how many of this router's slots of a brittle target are free; no
+  /// bound if the target does not say how many it has.
   uint32_t freeSlots(const TargetId &Target, const TargetRoom &Room) const;
 
   /// \returns whether the requests on this router's slots of a brittle target
--- a/Libraries/LibTraffic/RoutedRelay.h
+++ b/Libraries/LibTraffic/RoutedRelay.h
@@ -63,9 +63,10 @@
   bool passOn();
   bool passOnTo(const SharedReach::Address &To);
   void relay();
-  /// Asks other routers for a slot of a brittle target.
+  /// Asks other routers for a slot of a brittle target, for 150 ms at most.
   /// \returns whether Call has one now.
   bool borrowSlot();
+  /// Ends the loan of Call's slot, if it has one.
   void giveBackSlot();
   /// Sends the request to one target and relays its answer.
   NextStep attempt(const routing::PlacedCall &Destination);
--- a/Services/ferryd/ControlPlane.h
+++ b/Services/ferryd/ControlPlane.h
@@ -146,7 +146,9 @@
     return Settings.Interface == config::Interface::Routed;
   }
   void updateControlHosts();
+  /// Tells all hosts the number in force, if this host leads the log.
   void announceDescription();
+  /// Takes the description over from a host that may have a newer one.
   void fetchFrom(const HostId &From);
   void stepTransfer(membership::DescriptionTransfer::Step Step);
   void addSeeds();
--- a/Tests/System/TestLargeDescriptions.cpp
+++ b/Tests/System/TestLargeDescriptions.cpp
@@ -59,10 +59,13 @@
   std::map<int, std::unique_ptr<FakeProxy>> Proxies;
 };
 
+/// \returns the first digit of the number in force at the router; "" if it does
+/// not answer.
 std::string numberAt(RoutedCluster &Cluster, int Router) {
+  static const std::string Name = "\nferry_description_number ";
   std::string Text = request(Cluster.operators(Router), "GET", "/metrics").Body;
-  size_t At = Text.find("\nferry_description_number ");
-  return At == std::string::npos ? "" : Text.substr(At + 26, 1);
+  size_t At = Text.find(Name);
+  return At == std::string::npos ? "" : Text.substr(At + Name.size(), 1);
 }
 
 } // namespace
