--- a/Libraries/LibRouting/RoutedPlacement.cpp
+++ b/Libraries/LibRouting/RoutedPlacement.cpp
@@ -302,7 +302,7 @@
   TargetRoom Room = roomOf(Target, Now);
   if (!isBrittle(Target) || Room.Slots == 0 || Target.UnusableUntil > Now)
     return false;
-  // Of the free slots, none is lent.
+  // freeSlots() leaves out the slots that are lent already.
   uint32_t Lent = Loans.lent(Question.Target, Question.Incarnation, Now);
   return Loans.tryLend(Question, Lent + Limits.freeSlots(Question.Target, Room),
                        Now);
--- a/Libraries/LibRouting/TargetLimits.h
+++ b/Libraries/LibRouting/TargetLimits.h
@@ -169,7 +169,7 @@
   std::map<Key, Entry> Entries;
   uint64_t SelfHash = 0;
   std::vector<uint64_t> OtherHashes;
-  /// In the order of their hashes.
+  /// The other routers, in the order of OtherHashes.
   std::vector<HostId> Others;
   uint64_t Revision = 0;
   std::set<Key> Changed;
