--- a/review/StreamTakeUp.cpp
+++ b/review/StreamTakeUp.cpp
@@ -16,8 +16,9 @@
 /// The rule speaks of this many streams or more.
 static constexpr int LeastStreams = 12;
 
-static std::string config() {
-  return R"({"version":1,"routes":[{"name":"summary","host":"a.example",)"
+static std::string config(int Version) {
+  return "{\"version\":" + std::to_string(Version) +
+         R"(,"routes":[{"name":"summary","host":"a.example",)"
          R"("path_prefix":"/summary/","route_kind":"stream",)"
          R"("timeout_ms":12000,"target_latency_ms":800,"priority":1,)"
          R"("service":"lm","max_attempts":2,"public":true,"sticky":true,)"
@@ -101,18 +102,21 @@
         Site, 50 + Index, "i-lm" + std::to_string(Index), "lm",
         R"(,"phase":"colocated","models":[{"name":"m0","version":1,"adapters":[]}])",
         /*Slots=*/64, stream));
-  if (Site.putConfig(config()) != 200 || !Site.awaitReady(0) ||
+  if (Site.putConfig(config(1)) != 200 || !Site.awaitReady(0) ||
       !Site.awaitReady(1))
     return Exit::CouldNotRun;
   pause(3000);
   // Without the kill the consumers break their connections off themselves.
   std::vector<Attempt> First(Streams);
   auto StartedAt = Clock::now();
+  int Acked = 0;
   std::thread Killer([&] {
     pause(1200);
+    // The final fault comes right after an ack. Version 2 changes nothing else.
+    Acked = Site.putConfig(config(2));
     if (Trouble) {
-      Log.write("all daemons are killed at the same moment");
       Site.killAll();
+      Log.write("all daemons are killed right after the ack of version 2");
     }
   });
   forAll([&](int Index) {
@@ -137,6 +141,8 @@
     Log.write(describe(Name, First[Index]));
   });
   Killer.join();
+  if (Acked != 200)
+    return Exit::CouldNotRun;
   auto StartedAgainAt = Clock::now();
   if (Trouble) {
     Site.startAll(Routers);
