--- a/Libraries/LibTraffic/HttpConnection.cpp
+++ b/Libraries/LibTraffic/HttpConnection.cpp
@@ -1,6 +1,7 @@
 #include "LibTraffic/HttpConnection.h"
+#include "LibObserve/Log.h"
+#include "LibTraffic/MessageHead.h"
 #include <Poco/Exception.h>
-#include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponseImpl.h>
 #include <Poco/Net/NetException.h>
 #include <algorithm>
@@ -20,6 +21,12 @@
 static constexpr int MinSendProgress = 1024;
 /// Longest time between two looks at what a slow caller has taken.
 static constexpr std::chrono::milliseconds SendCheckPeriod{100};
+/// Most raw bytes of a head: those of its target, names and values, which have
+/// a limit, and separators and line ends, which each field adds. The constant
+/// part lets the parser tell which single line is too long.
+static constexpr uint64_t rawHeadLimit(uint64_t MaxHeaderBytes) {
+  return 4 * MaxHeaderBytes + (64ULL << 10);
+}
 /// Bytes of an answer that the kernel buffers for a slow peer.
 static constexpr int SendBufferBytes = 64 << 10;
 /// Largest number of bytes of an unread request body that are discarded before
@@ -113,33 +120,56 @@
   return NextAction == Action::KeepOpen;
 }
 
-/// \returns the bytes of all header fields of \p Request.
-static uint64_t headerBytes(const HTTPServerRequest &Request) {
+HttpConnection::Session::HeadEnd
+HttpConnection::Session::readHead(std::string &Head, uint64_t MaxBytes) {
+  size_t LineStart = 0;
+  char Byte = 0;
+  while (Head.size() < MaxBytes) {
+    if (readRaw(&Byte, 1) <= 0)
+      return HeadEnd::ConnectionEnded;
+    Head += Byte;
+    if (Byte != '\n')
+      continue;
+    std::string_view Line = std::string_view(Head).substr(LineStart);
+    bool IsEmpty = Line == "\n" || Line == "\r\n";
+    if (IsEmpty && LineStart > 0)
+      return HeadEnd::EmptyLine;
+    if (IsEmpty)
+      Head.clear();
+    LineStart = Head.size();
+  }
+  return HeadEnd::TooLong;
+}
+
+/// \returns the bytes of the target and all fields of \p Request.
+static uint64_t headerBytes(const HTTPRequest &Request) {
   uint64_t Bytes = Request.getURI().size();
   for (const auto &[Name, Value] : Request)
     Bytes += Name.size() + Value.size();
   return Bytes;
 }
 
+static ErrorAnswer headersTooLarge(uint64_t MaxBytes) {
+  return {AnswerError::HeadersTooLarge,
+          "the header may have at most " + std::to_string(MaxBytes) + " bytes"};
+}
+
 HttpConnection::Action HttpConnection::serveOne() {
-  HTTPServerResponseImpl Response(Requests);
-  std::unique_ptr<HTTPServerRequestImpl> Request;
-  try {
-    Request = std::make_unique<HTTPServerRequestImpl>(Response, Requests,
-                                                      Params.get());
-  } catch (const NoMessageException &) {
+  using HeadEnd = Session::HeadEnd;
+  std::string Text;
+  HeadEnd End = Requests.readHead(Text, rawHeadLimit(Context.MaxHeaderBytes));
+  if (End == HeadEnd::TooLong)
+    return rejectHead(headersTooLarge(Context.MaxHeaderBytes));
+  if (End == HeadEnd::ConnectionEnded && Text.empty())
     return Action::Close;
-  } catch (const MessageException &Failure) {
-    answerMalformed(Failure.message());
-    return Action::DiscardAndClose;
-  } catch (const Poco::SyntaxException &) {
-    answerMalformed("a length is not a number");
-    return Action::DiscardAndClose;
-  }
-  return answer(*Request, Response);
+  HTTPRequest Request;
+  if (auto Parsed = tryParseRequestHead(Text, Request); !Parsed)
+    return rejectHead({AnswerError::BadHeader, Parsed.error().Reason});
+  HTTPServerResponseImpl Response(Requests);
+  return answer(Request, Response);
 }
 
-HttpConnection::Action HttpConnection::answer(HTTPServerRequest &Request,
+HttpConnection::Action HttpConnection::answer(HTTPRequest &Request,
                                               HTTPServerResponse &Response) {
   Response.setVersion(Request.getVersion());
   Response.setKeepAlive(Request.getKeepAlive());
@@ -151,9 +181,7 @@
   if (Context.Closing)
     Exchange.closeAfterAnswer();
   if (headerBytes(Request) > Context.MaxHeaderBytes)
-    Exchange.sendError({AnswerError::HeadersTooLarge,
-                        "the header may have at most " +
-                            std::to_string(Context.MaxHeaderBytes) + " bytes"});
+    Exchange.sendError(headersTooLarge(Context.MaxHeaderBytes));
   else
     Context.HandleRequest(Exchange);
   if (Exchange.bodyUnread())
@@ -169,16 +197,20 @@
   return Request.getKeepAlive() ? Action::AwaitTakenAndClose : Action::Close;
 }
 
-void HttpConnection::answerMalformed(const std::string &Message) {
+HttpConnection::Action HttpConnection::rejectHead(const ErrorAnswer &Error) {
+  observe::logEvent(
+      observe::Severity::Info, "http", "head_rejected",
+      {{"error", enumName(Error.Type)}, {"reason", Error.Message}});
   HTTPServerResponseImpl Response(Requests);
   Response.setVersion(HTTPMessage::HTTP_1_1);
-  Response.setStatusAndReason(static_cast<HTTPResponse::HTTPStatus>(
-      httpStatus(AnswerError::BadHeader)));
+  Response.setStatusAndReason(
+      static_cast<HTTPResponse::HTTPStatus>(httpStatus(Error.Type)));
   Response.setKeepAlive(false);
-  std::string Body = errorBody({AnswerError::BadHeader, Message}, steadyNow());
+  std::string Body = errorBody(Error, steadyNow());
   Response.setContentType("application/json");
   Response.setContentLength64(static_cast<Poco::Int64>(Body.size()));
   Response.send() << Body << std::flush;
+  return Action::DiscardAndClose;
 }
 
 void HttpConnection::discardUnread(Discard Until) {
--- a/Libraries/LibTraffic/HttpConnection.h
+++ b/Libraries/LibTraffic/HttpConnection.h
@@ -71,6 +71,11 @@
     /// if the connection has ended.
     int write(const char *Buffer, std::streamsize Length) override;
     bool hasBufferedBytes() const { return buffered() > 0; }
+    /// How the reading of a head ended.
+    enum class HeadEnd : uint8_t { EmptyLine, TooLong, ConnectionEnded };
+    /// Reads the next head into \p Head, up to and including the empty line,
+    /// but at most \p MaxBytes. Skips empty lines before it.
+    HeadEnd readHead(std::string &Head, uint64_t MaxBytes);
     /// Reads the next bytes; those received ahead come first.
     int readRaw(char *Buffer, int Size) {
       // Fills the buffer, in place of one system call for each byte of a line.
@@ -86,9 +91,11 @@
   };
 
   Action serveOne();
-  Action answer(Poco::Net::HTTPServerRequest &Request,
+  Action answer(Poco::Net::HTTPRequest &Request,
                 Poco::Net::HTTPServerResponse &Response);
-  void answerMalformed(const std::string &Message);
+  /// Answers a request whose head could not be used, and whose end is thus
+  /// unknown.
+  Action rejectHead(const ErrorAnswer &Error);
   void discardUnread(Discard Until);
 
   Poco::Net::StreamSocket Socket;
--- a/Libraries/LibTraffic/HttpExchange.cpp
+++ b/Libraries/LibTraffic/HttpExchange.cpp
@@ -37,7 +37,7 @@
   return true;
 }
 
-HttpExchange::HttpExchange(Poco::Net::HTTPServerRequest &Request,
+HttpExchange::HttpExchange(Poco::Net::HTTPRequest &Request,
                            Poco::Net::HTTPServerResponse &Response,
                            Poco::Net::StreamSocket Socket, BodyBudget &Budget,
                            RawReader ReadRaw, std::function<void()> BodyDone)
@@ -136,13 +136,14 @@
   try {
     if (*Length > 0 && Request.getExpectContinue())
       Response.sendContinue();
-    std::istream &Stream = Request.stream();
-    while (Body.size() < *Length && Stream.good()) {
+    while (Body.size() < *Length) {
       uint64_t Start = Body.size();
       uint64_t Piece = std::min(BodyChunkBytes, *Length - Start);
       Body.resize(Start + Piece);
-      Stream.read(Body.data() + Start, static_cast<std::streamsize>(Piece));
-      Body.resize(Start + static_cast<uint64_t>(Stream.gcount()));
+      int Count = ReadRaw(Body.data() + Start, static_cast<int>(Piece));
+      Body.resize(Start + static_cast<uint64_t>(std::max(Count, 0)));
+      if (Count <= 0)
+        break;
     }
   } catch (const Poco::Exception &) {
     // Reported below as a body that ended early.
@@ -288,7 +289,8 @@
     const Poco::Net::HTTPResponse &TargetHead) {
   try {
     copyHead(TargetHead);
-    Response.setChunkedTransferEncoding(true);
+    // An answer to HEAD has no body whose end chunks would have to tell.
+    Response.setChunkedTransferEncoding(method() != "HEAD");
     Events = &Response.send();
   } catch (const Poco::Exception &) {
     Events = nullptr;
@@ -320,6 +322,8 @@
 bool HttpExchange::writeEvents(const std::string &Text) {
   if (!Events)
     return endUnlessWritten(false);
+  if (method() == "HEAD")
+    return true;
   try {
     Events->write(Text.data(), static_cast<std::streamsize>(Text.size()));
     Events->flush();
@@ -330,7 +334,12 @@
 }
 
 uint64_t HttpExchange::callerAddressHash() const {
-  return std::hash<std::string>()(Request.clientAddress().host().toString());
+  try {
+    return std::hash<std::string>()(Socket.peerAddress().host().toString());
+  } catch (const Poco::Exception &) {
+    // The caller has gone.
+    return 0;
+  }
 }
 
 bool HttpExchange::callerGone() const {
--- a/Libraries/LibTraffic/HttpExchange.h
+++ b/Libraries/LibTraffic/HttpExchange.h
@@ -6,7 +6,7 @@
 #include "LibConfig/Settings.h"
 #include "LibCore/Result.h"
 #include "LibTraffic/ErrorAnswer.h"
-#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
 #include <Poco/Net/StreamSocket.h>
 #include <atomic>
@@ -69,9 +69,9 @@
   /// HTTP library's exceptions.
   using RawReader = std::function<int(char *Buffer, int Size)>;
 
-  /// \param ReadRaw reads the raw bytes of a body in chunks.
+  /// \param ReadRaw reads the raw bytes of the body.
   /// \param BodyDone called once the whole body was read.
-  HttpExchange(Poco::Net::HTTPServerRequest &Request,
+  HttpExchange(Poco::Net::HTTPRequest &Request,
                Poco::Net::HTTPServerResponse &Response,
                Poco::Net::StreamSocket Socket, BodyBudget &Budget,
                RawReader ReadRaw, std::function<void()> BodyDone);
@@ -132,7 +132,7 @@
   void closeAfterAnswer() { Response.setKeepAlive(false); }
 
   /// The head of the request.
-  const Poco::Net::HTTPServerRequest &head() const { return Request; }
+  const Poco::Net::HTTPRequest &head() const { return Request; }
 
   /// Whether an answer has been started.
   bool answerStarted() const { return Response.sent(); }
@@ -153,7 +153,7 @@
   /// Ends the connection after a failed write. \returns \p Written.
   bool endUnlessWritten(bool Written);
 
-  Poco::Net::HTTPServerRequest &Request;
+  Poco::Net::HTTPRequest &Request;
   Poco::Net::HTTPServerResponse &Response;
   Poco::Net::StreamSocket Socket;
   BodyBudget &Budget;
--- /dev/null
+++ b/Libraries/LibTraffic/MessageHead.h
@@ -0,0 +1,34 @@
+/// \file
+/// Parses the heads of HTTP/1.1 messages by the grammar of RFC 9112. The HTTP
+/// library's parser is more lenient: it drops lines without a colon, keeps
+/// whitespace before a colon as part of the name, decodes the encoded words of
+/// RFC 2047 and takes the end of the connection for the end of the head. A
+/// recipient that reads such a head differently finds another body or other
+/// fields in it.
+#ifndef FERRY_LIBTRAFFIC_MESSAGEHEAD_H
+#define FERRY_LIBTRAFFIC_MESSAGEHEAD_H
+
+#include "LibCore/Result.h"
+#include <Poco/Net/HTTPRequest.h>
+#include <string>
+#include <string_view>
+
+namespace ferry::traffic {
+
+/// Why a head could not be parsed.
+struct MalformedHead {
+  std::string Reason;
+};
+
+/// Parses the head of a request. A line ends with a line feed, and a carriage
+/// return before it belongs to the end.
+/// \param Text the request line and the fields, up to and including the empty
+/// line.
+/// \param Head receives the request line and the fields; unspecified after an
+/// error.
+Result<void, MalformedHead> tryParseRequestHead(std::string_view Text,
+                                                Poco::Net::HTTPRequest &Head);
+
+} // namespace ferry::traffic
+
+#endif
--- a/Tests/LibTraffic/RoutedBed.h
+++ b/Tests/LibTraffic/RoutedBed.h
@@ -137,6 +137,30 @@
     return Answer;
   }
 
+  /// Writes \p Raw to the router in pieces of \p Step bytes. \returns all that
+  /// comes before the connection ends, or for a second if it stays open.
+  std::string exchangeUntilClosed(const std::string &Raw,
+                                  size_t Step = std::string::npos) const {
+    Poco::Net::StreamSocket Socket{Poco::Net::SocketAddress(Front->address())};
+    Socket.setReceiveTimeout(Poco::Timespan(1, 0));
+    Socket.setNoDelay(true);
+    std::string Received;
+    try {
+      for (size_t Start = 0; Start < Raw.size();
+           Start += std::min(Step, Raw.size())) {
+        std::string Piece = Raw.substr(Start, Step);
+        Socket.sendBytes(Piece.data(), static_cast<int>(Piece.size()));
+      }
+      char Buffer[4096];
+      for (int Count = 0;
+           (Count = Socket.receiveBytes(Buffer, sizeof Buffer)) > 0;)
+        Received.append(Buffer, static_cast<size_t>(Count));
+    } catch (const Poco::Exception &) {
+      // The connection stays open, or it was reset.
+    }
+    return Received;
+  }
+
   static std::string request(const std::string &Path,
                              const std::string &Body = "b",
                              const std::string &Fields = "") {
@@ -188,6 +212,15 @@
   }
 };
 
+/// \returns how many answers begin in \p Received.
+inline size_t answersIn(const std::string &Received) {
+  size_t Count = 0;
+  for (size_t At = Received.find("HTTP/1.1 "); At != std::string::npos;
+       At = Received.find("HTTP/1.1 ", At + 1))
+    ++Count;
+  return Count;
+}
+
 /// \returns a whole answer of a target.
 inline std::string wholeAnswer(int Status, const std::string &Body,
                                const std::string &Fields = "") {
--- a/Tests/LibTraffic/TestMalformedChunks.cpp
+++ b/Tests/LibTraffic/TestMalformedChunks.cpp
@@ -34,39 +34,6 @@
   });
 }
 
-/// Writes \p Raw to the router. \returns all that comes before the connection
-/// ends, or for a second if it stays open.
-static std::string exchangeUntilClosed(RoutedBed &Bed, const std::string &Raw,
-                                       size_t Step = std::string::npos) {
-  Poco::Net::StreamSocket Socket{
-      Poco::Net::SocketAddress(Bed.Front->address())};
-  Socket.setReceiveTimeout(Poco::Timespan(1, 0));
-  Socket.setNoDelay(true);
-  std::string Received;
-  try {
-    for (size_t Start = 0; Start < Raw.size();
-         Start += std::min(Step, Raw.size())) {
-      std::string Piece = Raw.substr(Start, Step);
-      Socket.sendBytes(Piece.data(), static_cast<int>(Piece.size()));
-    }
-    char Buffer[4096];
-    for (int Count = 0;
-         (Count = Socket.receiveBytes(Buffer, sizeof Buffer)) > 0;)
-      Received.append(Buffer, static_cast<size_t>(Count));
-  } catch (const Poco::Exception &) {
-    // The connection stays open, or it was reset.
-  }
-  return Received;
-}
-
-static size_t answersIn(const std::string &Received) {
-  size_t Count = 0;
-  for (size_t At = Received.find("HTTP/1.1 "); At != std::string::npos;
-       At = Received.find("HTTP/1.1 ", At + 1))
-    ++Count;
-  return Count;
-}
-
 BOOST_DATA_TEST_CASE(a_body_of_malformed_chunks_reaches_no_target,
                      data::make(MalformedChunks), Chunks) {
   RoutedBed Bed;
@@ -83,8 +50,8 @@
                      data::make(MalformedChunks), Chunks) {
   RoutedBed Bed;
   addApp(Bed);
-  std::string Received = exchangeUntilClosed(
-      Bed, ChunkedHead + Chunks + RoutedBed::request("/once/x"));
+  std::string Received = Bed.exchangeUntilClosed(ChunkedHead + Chunks +
+                                                 RoutedBed::request("/once/x"));
   BOOST_TEST(answersIn(Received) == 1U);
   BOOST_TEST(Received.find("HTTP/1.1 400") == 0U);
   BOOST_TEST(Bed.targetRequests() == 0U);
@@ -95,9 +62,9 @@
   RoutedBed Bed;
   addApp(Bed);
   std::string Hidden = RoutedBed::request("/once/x");
-  std::string Received = exchangeUntilClosed(
-      Bed, HeadOfPost + "Content-Length: 0\r\nContent-Length: " +
-               std::to_string(Hidden.size()) + "\r\n\r\n" + Hidden);
+  std::string Received = Bed.exchangeUntilClosed(
+      HeadOfPost + "Content-Length: 0\r\nContent-Length: " +
+      std::to_string(Hidden.size()) + "\r\n\r\n" + Hidden);
   BOOST_TEST(answersIn(Received) == 1U);
   BOOST_TEST(Received.find("HTTP/1.1 400") == 0U);
   BOOST_TEST(Bed.targetRequests() == 0U);
@@ -111,9 +78,8 @@
   for (size_t Step : {std::string::npos, size_t{1}, size_t{7}}) {
     RoutedBed Bed;
     addApp(Bed);
-    std::string Received = exchangeUntilClosed(
-        Bed, ChunkedHead + Chunks + RoutedBed::request("/once/x", "second"),
-        Step);
+    std::string Received = Bed.exchangeUntilClosed(
+        ChunkedHead + Chunks + RoutedBed::request("/once/x", "second"), Step);
     BOOST_TEST(answersIn(Received) == 2U);
     auto Requests = Bed.Targets.front()->requests();
     BOOST_REQUIRE(Requests.size() == 2U);
