--- a/Libraries/LibConfig/RouteTable.cpp
+++ b/Libraries/LibConfig/RouteTable.cpp
@@ -18,9 +18,10 @@
                 return Content.Routes[Left].PathPrefix.size() >
                        Content.Routes[Right].PathPrefix.size();
               });
-  for (size_t Index = 0; Index < Content.Workspaces.size(); ++Index)
-    for (const std::string &Key : Content.Workspaces[Index].Keys)
-      WorkspaceByKey.emplace(Key, Index);
+  for (size_t Index = 0; Index < workspaces().size(); ++Index)
+    for (const std::string &Key : workspaces()[Index].Keys)
+      if (!Key.empty())
+        WorkspaceByKey.emplace(Key, Index);
 }
 
 const Route *RouteTable::findRoute(std::string_view Host,
@@ -36,7 +37,7 @@
 
 const RoutedWorkspace *RouteTable::findWorkspace(const std::string &Key) const {
   auto It = WorkspaceByKey.find(Key);
-  return It == WorkspaceByKey.end() ? nullptr : &Content.Workspaces[It->second];
+  return It == WorkspaceByKey.end() ? nullptr : &workspaces()[It->second];
 }
 
 const RoutedService *RouteTable::findService(const ServiceId &Id) const {
--- a/Libraries/LibConfig/RouteTable.h
+++ b/Libraries/LibConfig/RouteTable.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -130,7 +131,9 @@
     DescriptionNumber Number;
     std::vector<Route> Routes;
     std::vector<RoutedService> Services;
-    std::vector<RoutedWorkspace> Workspaces;
+    /// Nothing if the description has no list of workspaces: its routes need no
+    /// keys then. With an empty list, no key is valid.
+    std::optional<std::vector<RoutedWorkspace>> Workspaces;
     CallerLimits Limits;
   };
 
@@ -142,20 +145,24 @@
   const std::vector<RoutedService> &services() const {
     return Content.Services;
   }
-  const std::vector<RoutedWorkspace> &workspaces() const {
-    return Content.Workspaces;
+  /// \returns the listed workspaces; none if there is no list.
+  std::span<const RoutedWorkspace> workspaces() const {
+    return Content.Workspaces
+               ? std::span<const RoutedWorkspace>(*Content.Workspaces)
+               : std::span<const RoutedWorkspace>();
   }
   const CallerLimits &limits() const { return Content.Limits; }
 
   /// \returns the route of \p Host with the longest prefix that matches
   /// \p Path, or nullptr.
   const Route *findRoute(std::string_view Host, std::string_view Path) const;
-  /// \returns the workspace with the key \p Key, or nullptr.
+  /// \returns the workspace with the key \p Key, or nullptr. No workspace has
+  /// the empty key, which a request without a key has.
   const RoutedWorkspace *findWorkspace(const std::string &Key) const;
   /// \returns the service named \p Id, or nullptr.
   const RoutedService *findService(const ServiceId &Id) const;
   /// \returns whether requests to routes that are not public need a key.
-  bool needsKeys() const { return !Content.Workspaces.empty(); }
+  bool needsKeys() const { return Content.Workspaces.has_value(); }
 
   /// \returns a service of \p SelectedRoute in proportion to the weights.
   /// \p RandomNumber may have any value.
--- a/Libraries/LibConfig/RouteTableCheck.cpp
+++ b/Libraries/LibConfig/RouteTableCheck.cpp
@@ -123,6 +123,13 @@
     CheckName(Workspace.Id.Value, RoutePart::Workspaces, Index);
     checkWorkspace(Workspace, Index, Out);
   }
+  bool AllPublic = std::all_of(Table.routes().begin(), Table.routes().end(),
+                               [](const Route &Item) { return Item.Public; });
+  if (Table.needsKeys() && Table.workspaces().empty() && !AllPublic)
+    Out.push_back({Kind::NoWorkspace,
+                   {RoutePart::Whole, 0, RouteMember::Workspaces},
+                   "the list is empty, so that only public routes can be "
+                   "used"});
   return Out;
 }
 
@@ -296,6 +303,10 @@
          std::to_string(Limits.IdleTimeoutMillis) + " ms";
 }
 
+static std::string workspacesText(const RouteTable &Table) {
+  return Table.needsKeys() ? "listed" : "not listed";
+}
+
 std::vector<RouteChange> diffRouteTables(const RouteTable &InForce,
                                          const RouteTable &Next) {
   std::vector<RouteChange> Out;
@@ -326,6 +337,11 @@
   for (const std::string &Key : KeysAfter)
     if (KeysBefore.count(Key) == 0)
       Out.push_back({RouteChangeKind::KeyAdded, Key, {}});
+  if (InForce.needsKeys() != Next.needsKeys())
+    Out.push_back({RouteChangeKind::KeyNeedChanged,
+                   "",
+                   {{RouteMember::Workspaces, workspacesText(InForce),
+                     workspacesText(Next)}}});
   std::string LimitsBefore = limitsText(InForce.limits());
   std::string LimitsAfter = limitsText(Next.limits());
   if (LimitsBefore != LimitsAfter)
--- a/Libraries/LibConfig/RouteTableCheck.h
+++ b/Libraries/LibConfig/RouteTableCheck.h
@@ -43,6 +43,8 @@
   /// No route sends requests to the service.
   ServiceUnused,
   WorkspaceWithoutKeys,
+  /// Routes need a key, and there is no workspace that could have one.
+  NoWorkspace,
   /// Two routes, services or workspaces have the same name.
   SameName,
   /// The burst of a cap is smaller than one request.
@@ -92,6 +94,7 @@
   MaxConnections,
   Engine,
   Store,
+  Workspaces,
   Keys,
   Isolated,
   Cap,
@@ -129,6 +132,8 @@
   WorkspaceChanged,
   KeyAdded,
   KeyRemoved,
+  /// Routes that are not public need a key now, or need none any longer.
+  KeyNeedChanged,
   LimitsChanged,
   NumberChanged
 };
@@ -181,6 +186,7 @@
       {Kind::WeightZero, "weight_zero"},
       {Kind::ServiceUnused, "service_unused"},
       {Kind::WorkspaceWithoutKeys, "workspace_without_keys"},
+      {Kind::NoWorkspace, "no_workspace"},
       {Kind::SameName, "same_name"},
       {Kind::CapBelowRequest, "cap_below_request"},
       {Kind::BurstBelowSecond, "burst_below_second"},
@@ -210,6 +216,7 @@
       {Kind::WorkspaceChanged, "workspace_changed"},
       {Kind::KeyAdded, "key_added"},
       {Kind::KeyRemoved, "key_removed"},
+      {Kind::KeyNeedChanged, "key_need_changed"},
       {Kind::LimitsChanged, "limits_changed"},
       {Kind::NumberChanged, "number_changed"}};
 };
--- a/Tests/platform/TestRouteTextCheck.cpp
+++ b/Tests/platform/TestRouteTextCheck.cpp
@@ -353,7 +353,7 @@
   Workspace.Id = {"t1"};
   Workspace.Keys = {"secret-1"};
   Workspace.Cap = Case.Cap;
-  Parts.Workspaces.push_back(Workspace);
+  Parts.Workspaces = {Workspace};
   auto Findings =
       config::checkRouteTable(*config::RouteTable::create(std::move(Parts)));
   BOOST_REQUIRE(Findings.size() == (Case.Found ? 1U : 0U));
@@ -362,3 +362,25 @@
     BOOST_TEST((Findings.front().Place.Member == RouteMember::Burst));
   }
 }
+
+// An empty list and none admit different callers.
+BOOST_AUTO_TEST_CASE(an_empty_list_of_workspaces_is_told_apart_from_none) {
+  size_t Start = SoundText.find(R"("tenants")");
+  size_t End = SoundText.find(']', SoundText.rfind("api_keys"));
+  End = SoundText.find(']', End + 1) + 1;
+  std::string Empty = SoundText;
+  Empty.replace(Start, End - Start, R"("tenants":[])");
+  std::string Absent = Empty;
+  Absent = Poco::replace(Absent, R"("tenants":[])", R"("other":[])");
+  RouteTextReview Closed = reviewRoutes(Empty);
+  RouteTextReview Open = reviewRoutes(Absent);
+  BOOST_REQUIRE(Closed.Table);
+  BOOST_REQUIRE(Open.Table);
+  BOOST_REQUIRE(Closed.Findings.size() == 1U);
+  BOOST_TEST(enumName(Closed.Findings.front().Kind) == "no_workspace");
+  BOOST_TEST(Closed.Findings.front().Place == "tenants");
+  BOOST_TEST(Open.Findings.empty());
+  auto Changes = config::diffRouteTables(*Closed.Table, *Open.Table);
+  BOOST_REQUIRE(Changes.size() == 1U);
+  BOOST_TEST(enumName(Changes.front().Kind) == "key_need_changed");
+}
