--- a/Libraries/LibTraffic/MessageHead.h
+++ b/Libraries/LibTraffic/MessageHead.h
@@ -9,7 +9,9 @@
 #define FERRY_LIBTRAFFIC_MESSAGEHEAD_H
 
 #include "LibCore/Result.h"
+#include "LibTraffic/BodyFraming.h"
 #include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
 #include <string>
 #include <string_view>
 
@@ -29,6 +31,21 @@
 Result<void, MalformedHead> tryParseRequestHead(std::string_view Text,
                                                 Poco::Net::HTTPRequest &Head);
 
+/// Parses the head of an answer. As RFC 9112 asks of a gateway, whitespace
+/// before a colon is removed, and a folded line becomes part of the value
+/// before it.
+/// \param Text the status line and the fields, up to and including the empty
+/// line.
+/// \param Head receives the status line and the fields; unspecified after an
+/// error.
+Result<void, MalformedHead> tryParseAnswerHead(std::string_view Text,
+                                               Poco::Net::HTTPResponse &Head);
+
+/// \returns how the body of the answer with the head \p Head is framed, or an
+/// error if its length or its coding is ambiguous or unknown.
+Result<BodyFraming, MalformedHead>
+tryReadFraming(const Poco::Net::HTTPResponse &Head);
+
 } // namespace ferry::traffic
 
 #endif
--- a/Libraries/LibTraffic/TargetExchange.cpp
+++ b/Libraries/LibTraffic/TargetExchange.cpp
@@ -1,5 +1,6 @@
 #include "LibTraffic/TargetExchange.h"
 #include "LibTraffic/Json.h"
+#include "LibTraffic/MessageHead.h"
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/String.h>
@@ -184,34 +185,17 @@
   }
 }
 
-/// \returns how the body of an answer is framed, or Broken.
-static LinkResult<BodyFraming> framingOf(const Poco::Net::HTTPResponse &Head) {
-  int Status = Head.getStatus();
-  if (Status == Poco::Net::HTTPResponse::HTTP_NO_CONTENT ||
-      Status == Poco::Net::HTTPResponse::HTTP_NOT_MODIFIED)
-    return BodyFraming(LengthFraming{0});
-  if (Head.getChunkedTransferEncoding())
-    return BodyFraming(ChunkFraming{});
-  if (!Head.hasContentLength())
-    return BodyFraming(CloseFraming{});
-  return BodyFraming(
-      LengthFraming{static_cast<uint64_t>(Head.getContentLength64())});
-}
-
 LinkResult<void> TargetExchange::tryParseHead(size_t HeadBytes) {
-  try {
-    std::istringstream Text(Received.substr(0, HeadBytes));
-    Response.clear();
-    Response.read(Text);
-    Received.erase(0, HeadBytes);
-    auto ParsedFraming = framingOf(Response);
-    if (!ParsedFraming)
-      return makeError(ParsedFraming.error());
-    Framing.emplace(std::move(*ParsedFraming));
-    return {};
-  } catch (const Poco::Exception &Failure) {
-    return makeTypedError(LinkErrorKind::Broken, Failure.displayText());
-  }
+  auto Parsed = tryParseAnswerHead(
+      std::string_view(Received).substr(0, HeadBytes), Response);
+  if (!Parsed)
+    return makeTypedError(LinkErrorKind::Broken, Parsed.error().Reason);
+  Received.erase(0, HeadBytes);
+  auto ParsedFraming = tryReadFraming(Response);
+  if (!ParsedFraming)
+    return makeTypedError(LinkErrorKind::Broken, ParsedFraming.error().Reason);
+  Framing.emplace(std::move(*ParsedFraming));
+  return {};
 }
 
 LinkResult<std::string> TargetExchange::tryReadPiece(const WaitLimits &Limits) {
