--- a/Libraries/LibTraffic/ConnectionWatch.h
+++ b/Libraries/LibTraffic/ConnectionWatch.h
@@ -10,9 +10,9 @@
 
 namespace ferry::traffic {
 
-/// Tracks the connections of one listener that threads are working on. The
-/// deadlines bound how long a peer that trickles single bytes can occupy a
-/// thread.
+/// Tracks connections that threads are working on: those of one listener, where
+/// the deadlines bound how long a peer that trickles single bytes can occupy a
+/// thread, or those to targets, which end before the process exits.
 class ConnectionWatch {
 public:
   using Id = uint64_t;
@@ -42,6 +42,21 @@
   bool AllEnded = false;
 };
 
+/// Keeps a connection without a deadline in a watch while it is in use.
+class WatchedConnection {
+public:
+  WatchedConnection(ConnectionWatch &Watch,
+                    const Poco::Net::StreamSocket &Socket)
+      : Watch(Watch), Connection(Watch.add(Socket, NeverExpires)) {}
+  ~WatchedConnection() { Watch.remove(Connection); }
+  WatchedConnection(const WatchedConnection &) = delete;
+  WatchedConnection &operator=(const WatchedConnection &) = delete;
+
+private:
+  ConnectionWatch &Watch;
+  ConnectionWatch::Id Connection;
+};
+
 } // namespace ferry::traffic
 
 #endif
--- a/Libraries/LibTraffic/PassedCall.cpp
+++ b/Libraries/LibTraffic/PassedCall.cpp
@@ -1,9 +1,11 @@
 #include "LibTraffic/PassedCall.h"
+#include <algorithm>
 
 namespace ferry::traffic {
 
 WaitLimits PassedCall::limits() const {
-  return {Deadline, Duration::max(), Exchange.socket().impl()->sockfd()};
+  return {std::min(Deadline, Context.AnswerBy.load()), Duration::max(),
+          Exchange.socket().impl()->sockfd()};
 }
 
 PassedCall::End PassedCall::fail(const LinkError &Error, End Otherwise) {
@@ -17,6 +19,7 @@
   if (!Connected)
     return fail(Connected.error(), End::NotSent);
   TargetExchange &Router = **Connected;
+  WatchedConnection Watched(Context.CallsInProgress, Router.socket());
   auto WaitMillis = static_cast<uint64_t>(millisUntil(Deadline, steadyNow()));
   Poco::Net::HTTPRequest Head = Context.Dialect.WritePassed(
       Exchange.head(), {To.Router.PassKey, WaitMillis});
--- a/Libraries/LibTraffic/RoutedContext.h
+++ b/Libraries/LibTraffic/RoutedContext.h
@@ -9,6 +9,7 @@
 #include "LibRouting/RetryShare.h"
 #include "LibRouting/RoutedPlacement.h"
 #include "LibRouting/StreamBuilds.h"
+#include "LibTraffic/ConnectionWatch.h"
 #include "LibTraffic/HttpExchange.h"
 #include "LibTraffic/RouteDialect.h"
 #include "LibTraffic/SharedCaps.h"
@@ -164,9 +165,13 @@
   BodyBudget LargeAnswers{MaxLargeAnswerBytes};
   /// Whether answers tell callers to close their connections.
   std::atomic<bool> Draining{false};
-  /// Requests that arrive from then on are refused, because the process may
-  /// exit before they end.
+  /// Requests of which nothing was sent to a target by then are refused,
+  /// because the process may exit before they end.
   std::atomic<Timestamp> RefuseFrom{NeverExpires};
+  /// The waits for targets end then, because the process exits.
+  std::atomic<Timestamp> AnswerBy{NeverExpires};
+  /// The connections to targets and other routers that requests use.
+  ConnectionWatch CallsInProgress = {};
   std::atomic<int64_t> ActiveRequests{0};
   /// Those of them that other routers passed on.
   std::atomic<int64_t> PassedIn{0};
--- a/Libraries/LibTraffic/RoutedFront.h
+++ b/Libraries/LibTraffic/RoutedFront.h
@@ -30,13 +30,21 @@
   bool isReady() const;
 
   /// Starts the drain. Callers may still have this host's address from a
-  /// directory, so requests are served until \p RefuseFrom and refused from
-  /// then on. Connections are closed after each answer.
-  void beginDrain(Timestamp RefuseFrom) {
+  /// directory, so requests are served until \p RefuseFrom. From then on those
+  /// that were not sent to a target yet are refused as not run. Connections are
+  /// closed after each answer.
+  /// \param AnswerBy when the last answers are due; see endTargetCalls().
+  void beginDrain(Timestamp RefuseFrom, Timestamp AnswerBy) {
     Context.Draining = true;
+    Context.AnswerBy = AnswerBy;
     Context.RefuseFrom = RefuseFrom;
   }
 
+  /// Ends the waits for targets that began before the drain. To be called once
+  /// \c AnswerBy has passed: the callers get an error that leaves open whether
+  /// the request ran, in place of a connection that ends without an answer.
+  void endTargetCalls() { Context.CallsInProgress.endAll(); }
+
   /// \returns the number of requests in progress.
   int64_t activeRequests() const { return Context.ActiveRequests; }
   /// The "IP:port" for callers.
--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -89,6 +89,8 @@
   Body = std::move(*ReceivedBody);
   if (auto Refusal = countAgainstCap())
     return refuse(*Refusal);
+  if (auto Refusal = checkDrain())
+    return refuse(*Refusal);
   if (passOn())
     return;
   if (auto Refusal = findBuild())
@@ -96,10 +98,17 @@
   relay();
 }
 
+std::optional<ErrorAnswer> RoutedRelay::checkDrain() const {
+  Timestamp Now = steadyNow();
+  if (Now < Context.RefuseFrom.load())
+    return std::nullopt;
+  return ErrorAnswer{AnswerError::Draining, "this host is stopping",
+                     NotRun::True, Now + OtherRouterRetryDelay};
+}
+
 std::optional<ErrorAnswer> RoutedRelay::checkRequest() {
-  if (ArrivedAt >= Context.RefuseFrom.load())
-    return ErrorAnswer{AnswerError::Draining, "this host is stopping",
-                       NotRun::True, ArrivedAt + OtherRouterRetryDelay};
+  if (auto Refusal = checkDrain())
+    return Refusal;
   if (!View || !View->Routes)
     return ErrorAnswer{AnswerError::NoDescription, "no routes are known yet",
                        NotRun::True, ArrivedAt + RetryDelay};
@@ -204,7 +213,10 @@
 void RoutedRelay::relay() {
   Context.Placements.countRequest(Call.Service);
   while (true) {
-    if (steadyNow() + MinTimeForTarget >= Call.Deadline)
+    bool MayHaveRun = StreamStarted || PossibleRuns > 0;
+    if (auto Refusal = checkDrain(); Refusal && !MayHaveRun)
+      return refuse(*Refusal);
+    if (steadyNow() + MinTimeForTarget >= answerDeadline())
       return failRequest();
     // A resumed stream is late already, so its due time no longer applies.
     if (StreamStarted)
@@ -222,8 +234,8 @@
     NextStep Step = attempt(std::get<PlacedCall>(Decision));
     if (Step == NextStep::Done)
       return;
-    bool MayHaveRun = StreamStarted || PossibleRuns > 0;
-    if (!MayHaveRun && passOn())
+    MayHaveRun = StreamStarted || PossibleRuns > 0;
+    if (!MayHaveRun && !checkDrain() && passOn())
       return;
     if (!mayRetry(Step))
       return failRequest();
@@ -233,15 +245,20 @@
   }
 }
 
+Timestamp RoutedRelay::answerDeadline() const {
+  return std::min(Call.Deadline, Context.AnswerBy.load());
+}
+
 WaitLimits RoutedRelay::limits() const {
-  return {Call.Deadline, Duration::max(), Exchange.socket().impl()->sockfd()};
+  return {answerDeadline(), Duration::max(),
+          Exchange.socket().impl()->sockfd()};
 }
 
 TargetDetails RoutedRelay::detailsFor(const PlacedCall &Destination) const {
   TargetDetails Details;
   Details.ExpectedTarget = Destination.Target;
   Details.WaitMillis =
-      static_cast<uint64_t>(millisUntil(Call.Deadline, steadyNow()));
+      static_cast<uint64_t>(millisUntil(answerDeadline(), steadyNow()));
   uint32_t RequestPriority = Route->Priority;
   if (Workspace) {
     Details.Workspace = Workspace->Id;
@@ -276,8 +293,12 @@
   Timestamp ConnectedAt = steadyNow();
   Context.Reach.noteConnected(ConnectedAt);
   TargetExchange &Target = **Connected;
-  // Other answers and routers may have told more since the placement.
-  if (!Context.Placements.maySend(Destination) ||
+  WatchedConnection Watched(Context.CallsInProgress, Target.socket());
+  bool MayHaveRun = StreamStarted || PossibleRuns > 0;
+  // Other answers and routers may have told more since the placement, and the
+  // drain may have gone on.
+  if ((!MayHaveRun && checkDrain()) ||
+      !Context.Placements.maySend(Destination) ||
       !Context.Quarantine.admit(judgedParts())) {
     LastFailure = {LinkErrorKind::ConnectFailed,
                    "news after the placement forbids it"};
@@ -502,8 +523,12 @@
                                                  bool Sent) {
   LastFailure = {Failure.Kind, Failure.message()};
   bool CallerLeft = Failure.Kind == LinkErrorKind::CallerGone;
+  // This router has ended the connection itself then.
+  bool EndedByStop = steadyNow() >= Context.AnswerBy.load();
   bool PastDeadline = Failure.Kind == LinkErrorKind::DeadlinePassed ||
-                      Failure.Kind == LinkErrorKind::NotSent;
+                      Failure.Kind == LinkErrorKind::NotSent || EndedByStop;
+  if (EndedByStop && !CallerLeft)
+    LastFailure = {LinkErrorKind::DeadlinePassed, "this host is stopping"};
   if (Sent)
     ++PossibleRuns;
   observe::logEvent(Severity::Info, "routed", "attempt_failed",
@@ -521,8 +546,9 @@
     Context.Metrics.BrokenAnswers
         .with({std::string(enumName(answerProgress()))})
         .add();
-  bool TargetEnded = Failure.Kind == LinkErrorKind::Broken ||
-                     Failure.Kind == LinkErrorKind::Incomplete;
+  bool TargetEnded = (Failure.Kind == LinkErrorKind::Broken ||
+                      Failure.Kind == LinkErrorKind::Incomplete) &&
+                     !EndedByStop;
   if (Failure.Kind == LinkErrorKind::ConnectFailed)
     Context.Reach.noteUnreachable(Destination.Target);
   if (Sent && TargetEnded && !Framing)
@@ -598,7 +624,7 @@
 }
 
 bool RoutedRelay::mayRetry(NextStep Retry) {
-  if (Attempts >= MaxAttempts || steadyNow() >= Call.Deadline)
+  if (Attempts >= MaxAttempts || steadyNow() >= answerDeadline())
     return false;
   if (Retry == NextStep::RetryRun) {
     bool MayRepeat = Route->Repeats == config::RepeatPolicy::Idempotent;
@@ -641,7 +667,7 @@
   if (PossibleRuns == 0)
     return refuse({AnswerError::NoTarget, LastFailure.Detail, NotRun::True,
                    steadyNow() + RetryDelay});
-  bool PastDeadline = steadyNow() >= Call.Deadline;
+  bool PastDeadline = steadyNow() >= answerDeadline();
   refuse(
       {PastDeadline ? AnswerError::DeadlinePassed : AnswerError::TargetFailed,
        LastFailure.Detail, NotRun::Unknown});
--- a/Libraries/LibTraffic/RoutedRelay.h
+++ b/Libraries/LibTraffic/RoutedRelay.h
@@ -120,6 +120,11 @@
   std::string_view framingName() const;
   /// \returns how far the target has come with the newest answer.
   routing::AnswerProgress answerProgress() const;
+  /// \returns the refusal once the drain takes no new work; nothing before.
+  /// Holds for requests that no target can have run.
+  std::optional<ErrorAnswer> checkDrain() const;
+  /// \returns when the caller needs its answer at the latest.
+  Timestamp answerDeadline() const;
   WaitLimits limits() const;
   TargetDetails detailsFor(const routing::PlacedCall &Destination) const;
 
--- a/Libraries/LibTraffic/TargetExchange.h
+++ b/Libraries/LibTraffic/TargetExchange.h
@@ -50,6 +50,8 @@
   /// \returns how the body is framed; only once the head was received.
   FramingKind framing() const { return Framing->kind(); }
 
+  const Poco::Net::StreamSocket &socket() const { return Socket; }
+
   /// Limits the bytes that the kernel receives ahead.
   void limitReceiveBuffer(int Bytes);
 
--- a/Services/ferryd/RoutedServers.cpp
+++ b/Services/ferryd/RoutedServers.cpp
@@ -6,6 +6,7 @@
 #include "platform/OrderCalls.h"
 #include "platform/RouteTableCodec.h"
 #include <thread>
+#include <vector>
 
 namespace ferry::daemon {
 
@@ -14,8 +15,12 @@
 /// Callers may keep an answer of the directory for three times the lifetime it
 /// names; after that no caller uses this host's address.
 static constexpr uint32_t DirectoryLifetimesToDrain = 3;
-/// The part of the grace that is reserved for the exit itself.
-static constexpr Duration ShutdownReserve = std::chrono::milliseconds(500);
+/// The part of the grace that is reserved for the last answers and the exit, at
+/// most: targets may work until the last sixth of the grace.
+static constexpr Duration MaxShutdownReserve = std::chrono::milliseconds(700);
+static constexpr int64_t GracePerReserve = 6;
+/// Time for requests to answer once their waits for targets have ended.
+static constexpr Duration LastAnswersLimit = std::chrono::milliseconds(100);
 static constexpr Duration DrainCheckPeriod = std::chrono::milliseconds(20);
 /// Longest wait for the control thread's dump.
 static constexpr Duration DumpTimeout = std::chrono::seconds(2);
@@ -119,8 +124,9 @@
 
 void RoutedServers::beginDrain() {
   Timestamp Now = steadyNow();
-  DrainLimit = Now + std::chrono::milliseconds(Settings.Routed.GraceMillis) -
-               ShutdownReserve;
+  Duration Grace = std::chrono::milliseconds(Settings.Routed.GraceMillis);
+  DrainLimit =
+      Now + Grace - std::min(MaxShutdownReserve, Grace / GracePerReserve);
   RefuseFrom = Now;
   if (!Front)
     return;
@@ -128,23 +134,36 @@
       DirectoryLifetimesToDrain *
       std::chrono::milliseconds(Settings.Routed.DirectoryLifetimeMillis);
   RefuseFrom = std::min(DrainLimit, Now + DirectoryExpiry);
-  Front->beginDrain(RefuseFrom);
+  Front->beginDrain(RefuseFrom, DrainLimit);
 }
 
 void RoutedServers::awaitDrained() {
   while (steadyNow() < RefuseFrom)
     std::this_thread::sleep_for(DrainCheckPeriod);
-  while (Front && Front->activeRequests() > 0 && steadyNow() < DrainLimit)
+  if (!Front)
+    return;
+  while (Front->activeRequests() > 0 && steadyNow() < DrainLimit)
+    std::this_thread::sleep_for(DrainCheckPeriod);
+  if (Front->activeRequests() == 0)
+    return;
+  Front->endTargetCalls();
+  while (Front->activeRequests() > 0 &&
+         steadyNow() < DrainLimit + LastAnswersLimit)
     std::this_thread::sleep_for(DrainCheckPeriod);
 }
 
 void RoutedServers::stop(Timestamp Deadline) {
+  // Each listener notices its stop after some time only. One after the other,
+  // they would take longer than the grace leaves.
+  std::vector<std::thread> Stops;
   if (Front)
-    Front->stop(std::max(Deadline, std::min(DrainLimit, Deadline)));
-  Directory->stop(Deadline);
+    Stops.emplace_back([&] { Front->stop(Deadline); });
+  Stops.emplace_back([&] { Directory->stop(Deadline); });
   if (Api)
-    Api->stop(Deadline);
-  MetricsEndpoint->stop(Deadline);
+    Stops.emplace_back([&] { Api->stop(Deadline); });
+  Stops.emplace_back([&] { MetricsEndpoint->stop(Deadline); });
+  for (std::thread &Stop : Stops)
+    Stop.join();
 }
 
 } // namespace ferry::daemon
--- a/Tests/LibTraffic/TestRoutedRelay.cpp
+++ b/Tests/LibTraffic/TestRoutedRelay.cpp
@@ -381,12 +381,12 @@
 BOOST_AUTO_TEST_CASE(a_draining_router_serves_until_its_refusals_start) {
   RoutedBed Bed;
   Bed.add("app", answering(wholeAnswer(200, "done")));
-  Bed.Front->beginDrain(NeverExpires);
+  Bed.Front->beginDrain(NeverExpires, NeverExpires);
   BOOST_TEST(!Bed.Front->isReady());
   CallerAnswer Served = Bed.send("/once/x");
   BOOST_TEST(Served.Status == 200);
   BOOST_TEST(Served.Head.get("Connection", "") == "Close");
-  Bed.Front->beginDrain(steadyNow());
+  Bed.Front->beginDrain(steadyNow(), NeverExpires);
   CallerAnswer Refused = Bed.send("/once/x");
   BOOST_TEST(Refused.Status == 503);
   BOOST_TEST(Refused.Head.has("Retry-After"));
