--- a/Utilities/ferryctl/HttpClient.cpp
+++ b/Utilities/ferryctl/HttpClient.cpp
@@ -61,6 +61,12 @@
                                              const BodySink &OnBody) {
   Poco::Net::HTTPResponse Response;
   std::istream &Stream = Session.receiveResponse(Response);
+  // Hosts frame each answer. The HTTP library takes the end of the connection
+  // for the end of the head.
+  bool HasLength = !Response.get(HTTPMessage::CONTENT_LENGTH, "").empty();
+  if (!HasLength && !Response.getChunkedTransferEncoding())
+    return makeTypedError(HttpErrorKind::NoAnswer,
+                          "the connection ended inside the answer's head");
   HttpAnswer Answer;
   Answer.Status = Response.getStatus();
   Answer.EntityTag = Response.get("ETag", "");
