--- a/Libraries/LibControl/ReconcilerEvents.h
+++ b/Libraries/LibControl/ReconcilerEvents.h
@@ -75,11 +75,25 @@
 /// This host no longer holds the order lease.
 struct LeaseLost {};
 
+/// What a sender has seen of an order on its way. Times that it has not seen
+/// are absent.
+struct OrderProgress {
+  /// When a sending thread took the order on.
+  std::optional<Timestamp> TakenAt;
+  /// Requests that ran on the engine when its state was read first.
+  std::optional<uint64_t> Running;
+  std::optional<Timestamp> AcceptedAt;
+  /// When the engine first reported, after it had accepted the order, that no
+  /// request runs on it.
+  std::optional<Timestamp> RunsEndedAt;
+};
+
 /// An order has ended.
 struct OrderEnded {
   /// The id in the SendOrder.
   uint64_t OrderId = 0;
   OrderOutcome Outcome = OrderOutcome::Lost;
+  OrderProgress Progress = {};
 };
 
 /// The log's answer to BeginLoad.
--- a/Services/ferryd/OrderDialect.h
+++ b/Services/ferryd/OrderDialect.h
@@ -21,6 +21,8 @@
   bool Busy = false;
   /// Orders accepted in this incarnation.
   uint64_t AcceptedOrders = 0;
+  /// Requests that run on the engine; nothing if it doesn't say.
+  std::optional<uint64_t> Running;
 };
 
 /// The HTTP calls of an interface whose engines report their state on request.
--- a/Services/ferryd/OrderDispatcher.cpp
+++ b/Services/ferryd/OrderDispatcher.cpp
@@ -156,7 +156,7 @@
           observe::logEvent(
               Severity::Info, "orders", "order_sent",
               {{"target", Request.Target}, {"order", orderBody(Request)}});
-          OrdersUnderWay[Request.OrderId] = Request.Target;
+          OrdersUnderWay[Request.OrderId] = {Request.Target, steadyNow()};
           recordLoadStart(Request);
           Sender.send(std::move(Request));
         },
@@ -175,13 +175,35 @@
   LoadsUnderWay[Request.OrderId] = std::move(Change);
 }
 
+/// \returns the milliseconds from \p Begin to \p End, if both are known.
+static std::optional<int64_t> millisBetween(std::optional<Timestamp> Begin,
+                                            std::optional<Timestamp> End) {
+  if (!Begin || !End)
+    return std::nullopt;
+  return millisUntil(*End, *Begin);
+}
+
+void OrderDispatcher::logEnd(const control::OrderEnded &Ended,
+                             const OrderUnderWay &Sent) {
+  const control::OrderProgress &Seen = Ended.Progress;
+  std::optional<int64_t> Running;
+  if (Seen.Running)
+    Running = static_cast<int64_t>(*Seen.Running);
+  observe::logEvent(
+      Severity::Info, "orders", "order_ended",
+      {{"target", Sent.Target},
+       {"order_id", Ended.OrderId},
+       {"outcome", Ended.Outcome},
+       {"queued_ms", millisBetween(Sent.SentAt, Seen.TakenAt)},
+       {"running", Running},
+       {"runs_ms", millisBetween(Seen.AcceptedAt, Seen.RunsEndedAt)},
+       {"millis", millisUntil(steadyNow(), Sent.SentAt)}});
+}
+
 void OrderDispatcher::orderEnded(const control::OrderEnded &Ended) {
   auto Sent = OrdersUnderWay.extract(Ended.OrderId);
   if (!Sent.empty())
-    observe::logEvent(Severity::Info, "orders", "order_ended",
-                      {{"target", Sent.mapped()},
-                       {"order_id", Ended.OrderId},
-                       {"outcome", Ended.Outcome}});
+    logEnd(Ended, Sent.mapped());
   auto Load = LoadsUnderWay.extract(Ended.OrderId);
   if (!Load.empty()) {
     routing::EngineChange &Change = Load.mapped();
--- a/Services/ferryd/OrderDispatcher.h
+++ b/Services/ferryd/OrderDispatcher.h
@@ -54,7 +54,14 @@
   void tick();
   void stepLease(const registry::LeaseEvent &Event);
   void stepOrders(const control::ReconcilerEvent &Event);
+  struct OrderUnderWay {
+    TargetId Target;
+    Timestamp SentAt;
+  };
+
   void orderEnded(const control::OrderEnded &Ended);
+  static void logEnd(const control::OrderEnded &Ended,
+                     const OrderUnderWay &Sent);
   void recordLoadStart(const control::SendOrder &Request);
   void proposeLease(registry::LeasePropose Proposal);
   void beginLoad(const control::BeginLoad &Request);
@@ -77,7 +84,7 @@
   Duration LeaseLength;
   FencingCheck Fencing;
   EngineChangeCallback EngineChanged;
-  std::map<uint64_t, TargetId> OrdersUnderWay;
+  std::map<uint64_t, OrderUnderWay> OrdersUnderWay;
   /// Loads of weights under way, by the id of the order.
   std::map<uint64_t, routing::EngineChange> LoadsUnderWay;
   std::vector<control::Reconciler::SlotStatus> LoggedSlots;
--- a/Services/ferryd/OrderSender.cpp
+++ b/Services/ferryd/OrderSender.cpp
@@ -90,10 +90,14 @@
     Lock.unlock();
     // An order that fails unexpectedly may have been sent.
     OrderOutcome Outcome = OrderOutcome::Lost;
+    control::OrderProgress Progress;
+    Progress.TakenAt = steadyNow();
     observe::runGuarded("orders", [&] {
-      Outcome = Dialect ? deliverAndWatch(Request) : deliver(Request);
+      Outcome = Dialect ? deliverAndWatch(Request, Progress) : deliver(Request);
+    });
+    observe::runGuarded("orders", [&] {
+      Done({Request.OrderId, Outcome, Progress});
     });
-    observe::runGuarded("orders", [&] { Done({Request.OrderId, Outcome}); });
   }
 }
 
@@ -194,11 +198,14 @@
   return !Wakeup.wait_for(Lock, Pause, [this] { return Stopping; });
 }
 
-bool OrderSender::watch(const control::SendOrder &Request) {
+bool OrderSender::watch(const control::SendOrder &Request,
+                        control::OrderProgress &Progress) {
   Timestamp Until = steadyNow() + OrderWatchLimit;
   bool Continue = pause(ShortestLoad);
   while (Continue && steadyNow() < Until) {
     auto State = fetchState(Request, Until);
+    if (State && State->Running == 0U && !Progress.RunsEndedAt)
+      Progress.RunsEndedAt = steadyNow();
     if (State && hasWeights(*State, Request))
       return true;
     Continue = pause(WatchPeriod);
@@ -206,7 +213,8 @@
   return false;
 }
 
-OrderOutcome OrderSender::deliverAndWatch(const control::SendOrder &Request) {
+OrderOutcome OrderSender::deliverAndWatch(const control::SendOrder &Request,
+                                          control::OrderProgress &Progress) {
   bool OnlyReads =
       std::holds_alternative<control::ConfirmWeights>(Request.Order);
   bool MayHaveArrived = false;
@@ -217,6 +225,8 @@
       Busy = false;
       break;
     }
+    if (!Progress.Running)
+      Progress.Running = State->Running;
     if (hasWeights(*State, Request))
       return OrderOutcome::CarriedOut;
     if (OnlyReads)
@@ -225,8 +235,11 @@
     // delayed copy once another one was accepted.
     int Status =
         State->Busy ? StatusConflict : sendOnce(Request, State->AcceptedOrders);
-    if (Status == StatusAccepted || Status == FirstSuccessStatus)
-      return watch(Request) ? OrderOutcome::CarriedOut : OrderOutcome::Accepted;
+    if (Status == StatusAccepted || Status == FirstSuccessStatus) {
+      Progress.AcceptedAt = steadyNow();
+      return watch(Request, Progress) ? OrderOutcome::CarriedOut
+                                      : OrderOutcome::Accepted;
+    }
     if (Status == StatusPreconditionFailed || Status == StatusBadRequest)
       return OrderOutcome::Refused;
     Busy = Status == StatusConflict;
--- a/Services/ferryd/OrderSender.h
+++ b/Services/ferryd/OrderSender.h
@@ -43,7 +43,9 @@
 private:
   void work();
   static control::OrderOutcome deliver(const control::SendOrder &Request);
-  control::OrderOutcome deliverAndWatch(const control::SendOrder &Request);
+  /// \param Progress what is seen of the order on its way.
+  control::OrderOutcome deliverAndWatch(const control::SendOrder &Request,
+                                        control::OrderProgress &Progress);
 
   /// A call of the dialect.
   struct EngineCall {
@@ -66,7 +68,8 @@
   int sendOnce(const control::SendOrder &Request, uint64_t OrdersBefore);
   /// Watches the engine for up to OrderWatchLimit. \returns whether it has
   /// shown the effect of the order.
-  bool watch(const control::SendOrder &Request);
+  bool watch(const control::SendOrder &Request,
+             control::OrderProgress &Progress);
   /// Waits for \p Pause. \returns false if this object is being destroyed.
   bool pause(Duration Pause);
 
--- a/Tests/platform/TestTargetCodec.cpp
+++ b/Tests/platform/TestTargetCodec.cpp
@@ -94,6 +94,7 @@
   BOOST_REQUIRE(Report);
   BOOST_TEST(Report->Busy);
   BOOST_TEST(Report->Orders == 2U);
+  BOOST_TEST((Report->Running == 12U));
   BOOST_TEST(!decodeReport(R"({"models":[],"busy":true,"seq":2})"));
   BOOST_TEST(!decodeReport("busy"));
 }
