--- a/Tests/LibControl/RolloutWorld.h
+++ b/Tests/LibControl/RolloutWorld.h
@@ -123,12 +123,18 @@
     Engines[Index].setLoadTime(std::chrono::hours(1));
   }
 
-  /// Loads take this long, as those of engines that end their requests first.
+  /// Loads take this long.
   void setLoadTime(Duration Length) {
     for (WatchedEngine &Item : Engines)
       Item.setLoadTime(Length);
   }
 
+  /// Requests run on all engines, and end within \p Length.
+  void setRunTime(Duration Length) {
+    for (WatchedEngine &Item : Engines)
+      Item.setRunTime(Length);
+  }
+
   void runUntil(Duration End) {
     for (; Now < Start + End; Now += Step)
       advance();
--- /dev/null
+++ b/Tests/LibControl/TestRolloutRuns.cpp
@@ -0,0 +1,34 @@
+/// \file
+/// Guards against rollouts of weights that miss their deadline because each
+/// engine first ends the requests that run on it.
+#include "LibControl/RolloutWorld.h"
+#include <boost/test/unit_test.hpp>
+
+using namespace ferry;
+using namespace ferry::control;
+using namespace std::chrono_literals;
+
+/// The strictest bound of the users' deployments: the time from the naming of
+/// weights from which requests may not begin on older ones.
+static constexpr Duration WeightsDeadline = 10s;
+static constexpr Duration NamedAt = 3s;
+
+// Engines that only ended their running requests held all slots, so that the
+// last of twelve engines got its weights 28 s after the naming.
+BOOST_AUTO_TEST_CASE(a_rollout_is_in_time_while_requests_run_long) {
+  RolloutWorld World(NamedAt);
+  World.setRunTime(6s);
+  World.runUntil(NamedAt + WeightsDeadline);
+  BOOST_TEST(World.outdatedEngines() == 0);
+  BOOST_TEST(World.counts().MostLoads <= 3);
+}
+
+// The same with a holder that is killed, whose slots the next one takes over.
+BOOST_AUTO_TEST_CASE(a_rollout_is_in_time_after_its_holder_restarts) {
+  RolloutWorld World(NamedAt);
+  World.setRunTime(6s);
+  World.killHolder(4s, 5400ms);
+  World.runUntil(NamedAt + WeightsDeadline + 1400ms);
+  BOOST_TEST(World.outdatedEngines() == 0);
+  BOOST_TEST(World.counts().MostLoads <= 3);
+}
--- a/Tests/LibControl/WatchedEngine.h
+++ b/Tests/LibControl/WatchedEngine.h
@@ -28,6 +28,7 @@
   uint64_t Weights = 1;
   bool Busy = false;
   uint64_t AcceptedOrders = 0;
+  uint64_t Running = 0;
   bool operator==(const EngineReport &) const = default;
 };
 
@@ -49,12 +50,17 @@
   /// Loads take \p Length from now on.
   void setLoadTime(Duration Length) { LoadTime = Length; }
 
+  /// Requests run on the engine at all times, and end within \p Length once it
+  /// gets no new ones. A load waits for them.
+  void setRunTime(Duration Length) { RunTime = Length; }
+
   void fallSilent(Silence Kind, Timestamp Now, Timestamp Until) {
     Spans.push_back({Kind, Now, Until});
     if (Kind != Silence::Down)
       return;
     ++CurrentIncarnation.Value;
     Current.Busy = false;
+    RunsEndAt = Now;
     Current.AcceptedOrders = 0;
     GreatestFencing = {};
     StartedAt = Until;
@@ -65,12 +71,16 @@
   void advance(Timestamp Now, Duration Step) {
     if (silence(Now) == Silence::Frozen) {
       LoadedAt += Step;
+      RunsEndAt += Step;
       return;
     }
     if (Current.Busy && Now >= LoadedAt) {
       Current.Busy = false;
       Current.Weights = Load.Weights;
     }
+    if (!Current.Busy)
+      RunsEndAt = Now + RunTime;
+    Current.Running = RunsEndAt > Now;
     if (History.empty() || History.back().Report != Current)
       History.push_back({Now, Current});
   }
@@ -87,7 +97,7 @@
     Current.Busy = true;
     ++Current.AcceptedOrders;
     Load = Copy;
-    LoadedAt = Now + LoadTime;
+    LoadedAt = std::max(RunsEndAt, Now) + LoadTime;
     return EngineAnswer::Accepted;
   }
 
@@ -132,6 +142,8 @@
   };
 
   Duration LoadTime = std::chrono::milliseconds(1100);
+  Duration RunTime = Duration::zero();
+  Timestamp RunsEndAt;
   ferry::Incarnation CurrentIncarnation{1};
   Timestamp StartedAt;
   EngineReport Current;
