--- a/Libraries/LibControl/Reconciler.cpp
+++ b/Libraries/LibControl/Reconciler.cpp
@@ -13,6 +13,7 @@
   Effects Out;
   match(
       Event, [&](const ViewChanged &Changed) { View = Changed.View; },
+      [&](const NamingsChanged &Changed) { Named = Changed.Named; },
       [&](const LeaseHeld &Lease) { updateLease(Lease); },
       [&](const LeaseLost &) { HeldUntil = {}; },
       [&](const OrderEnded &Ended) {
@@ -69,6 +70,12 @@
   }
   if (Ended.Outcome == OrderOutcome::Busy)
     return recordBusy(Work, Now);
+  if (Ended.Outcome == OrderOutcome::Serving) {
+    Work.CurrentStage = Stage::Ready;
+    Work.SendNotBefore =
+        std::min(Now + DrainReadInterval, Work.DrainUntil.value_or(Now));
+    return;
+  }
   if (!Failed) {
     // Reading the state again shows what became of an accepted order.
     if (readsState())
@@ -239,9 +246,11 @@
   bool SameIncarnation = Target.Incarnation == Work.Incarnation;
   if (SameIncarnation && Wanted == Work.Order)
     return NextAction::Keep;
-  if (Work.PossiblyReceived == OrderCount::None)
-    return NextAction::Finish;
   bool NeedsLoad = Wanted && std::holds_alternative<LoadWeights>(*Wanted);
+  // A target that is drained for older weights is drained for newer ones too.
+  bool KeepsDrain = NeedsLoad && SameIncarnation && Work.DrainUntil;
+  if (Work.PossiblyReceived == OrderCount::None && !KeepsDrain)
+    return NextAction::Finish;
   bool RequestsSlot = Work.CurrentStage == Stage::RequestingSlot;
   return NeedsLoad && !RequestsSlot ? NextAction::Replan : NextAction::Keep;
 }
@@ -417,7 +426,8 @@
     OrdersEndBy = std::max(OrdersEndBy, Deadline);
     ++OrdersSent;
     Out.push_back(SendOrder{Work.OrderId, Target, Work.Incarnation,
-                            Record->Address, *Next, Fencing, Deadline});
+                            Record->Address, *Next, Fencing, Deadline,
+                            runningRequests(*Record, Work, Now)});
   }
 }
 
--- a/Libraries/LibControl/Reconciler.h
+++ b/Libraries/LibControl/Reconciler.h
@@ -46,7 +46,12 @@
 /// LoadTimeout, or SettleTime where the sender reads the target's state; a new
 /// load of the same target replaces it. Where the state is read, a holder asks
 /// the targets of the slots of earlier terms at once: the slot of one that has
-/// the weights and is not busy is free. If a service has several engines, at
+/// the weights and is not busy is free.
+///
+/// An engine is drained before its load: routers send it nothing, and the order
+/// waits until no request runs on it, or until the time is over that the
+/// deadline of the named weights leaves for one engine. Requests that still run
+/// then go on with the new weights. If a service has several engines, at
 /// least one of them is not being changed by this term's orders at any time.
 class Reconciler {
 public:
@@ -80,6 +85,15 @@
   static constexpr Duration MaxRefusalBackoff = std::chrono::seconds(4);
   /// Delay after a load whose slot ended without a sign of the target.
   static constexpr Duration LostLoadBackoff = std::chrono::seconds(10);
+  /// Time that one load is planned to take, with the messages around it.
+  static constexpr Duration PlannedLoadTime = std::chrono::milliseconds(1500);
+  /// Longest time for which an engine is drained.
+  static constexpr Duration MaxDrainTime = std::chrono::seconds(3);
+  /// Delay between two looks at the requests of an engine that is drained.
+  static constexpr Duration DrainReadInterval = std::chrono::milliseconds(200);
+  /// All engines should have named weights so long before their deadline,
+  /// because routers send few requests to older ones from then on.
+  static constexpr Duration RolloutReserve = std::chrono::seconds(2);
   /// Delay before EndLoad is repeated.
   static constexpr Duration EndLoadResendDelay = std::chrono::seconds(1);
 
@@ -92,6 +106,9 @@
     Duration MinUsableTime = Duration::zero();
     /// Least time between two renewals of the order lease; 0 if unknown.
     Duration RenewInterval = Duration::zero();
+    /// Time from the naming of weights from which no request may begin on older
+    /// ones; 0 if engines are not drained.
+    Duration WeightsDeadline = Duration::zero();
   };
 
   Reconciler() = default;
@@ -138,7 +155,8 @@
   enum class Stage : uint8_t {
     /// A slot was requested from the log.
     RequestingSlot,
-    /// The order is sent as soon as the lease lasts long enough.
+    /// The order is sent as soon as the target is drained and the lease lasts
+    /// long enough.
     Ready,
     /// The order is under way.
     Ordered,
@@ -163,6 +181,8 @@
     Timestamp GiveUpAt;
     /// A busy target does not keep its slot for longer than this.
     Timestamp BusyUntil;
+    /// Until then the order waits for requests that run on the target.
+    std::optional<Timestamp> DrainUntil;
     uint32_t Resends = 0;
     /// The sender saw that the target has carried the order out.
     bool CarriedOut = false;
@@ -253,6 +273,10 @@
   void startTasks(Timestamp Now, Effects &Out);
   void startTask(const TargetRecord &Target, const Order &Wanted, Timestamp Now,
                  Effects &Out);
+  RunningRequests runningRequests(const TargetRecord &Target, Task &Work,
+                                  Timestamp Now) const;
+  Timestamp drainUntil(const TargetRecord &Target, Timestamp Now) const;
+  Timestamp supersededSince(const TargetRecord &Target) const;
   std::optional<Order> nextOrderFor(const TargetRecord &Target,
                                     const Task &Work) const;
   void sendOrders(Timestamp Now, Effects &Out);
@@ -287,6 +311,7 @@
   Options Opts;
   std::map<TargetId, ObservedWeights> Observed;
   routing::RoutingViewPtr View;
+  std::vector<routing::NamedWeights> Named;
   FencingNumber Fencing;
   /// Orders may be sent before this time; the clock's epoch if the lease is not
   /// held.
--- a/Libraries/LibControl/ReconcilerEvents.h
+++ b/Libraries/LibControl/ReconcilerEvents.h
@@ -7,6 +7,7 @@
 #include "LibCore/Ids.h"
 #include "LibCore/Time.h"
 #include "LibRegistry/Outcomes.h"
+#include "LibRouting/RoutedCall.h"
 #include "LibRouting/RoutingView.h"
 #include <string>
 #include <variant>
@@ -51,6 +52,9 @@
   Busy,
   /// No part of the order was sent.
   NotSent,
+  /// The target runs requests that the order has to wait for; no part of it was
+  /// sent.
+  Serving,
   /// No answer arrived before the deadline; the target may have received the
   /// order.
   Lost,
@@ -63,6 +67,12 @@
   routing::RoutingViewPtr View;
 };
 
+/// All named weights, those of each model in rising order. Sent before the
+/// snapshot that wants the newest of them.
+struct NamingsChanged {
+  std::vector<routing::NamedWeights> Named;
+};
+
 /// This host acquired or renewed the order lease. The lease of every earlier
 /// holder has ended before this event.
 struct LeaseHeld {
@@ -121,9 +131,20 @@
 struct Tick {};
 
 using ReconcilerEvent =
-    std::variant<ViewChanged, LeaseHeld, LeaseLost, OrderEnded,
+    std::variant<ViewChanged, NamingsChanged, LeaseHeld, LeaseLost, OrderEnded,
                  LoadSlotAnswered, ActiveLoadsUpdated, Tick>;
 
+/// What becomes of the requests that run on an engine that gets an order to
+/// load weights.
+enum class RunningRequests : uint8_t {
+  /// The engine loads once they have ended.
+  Finish,
+  /// The order is not sent while there are any.
+  Await,
+  /// The engine loads at once, and they go on with the new weights.
+  GoOn
+};
+
 /// Send an order and report OrderEnded once. No part of it may be sent at or
 /// after Deadline, so the clock must be checked directly before each write.
 struct SendOrder {
@@ -135,6 +156,7 @@
   control::Order Order;
   FencingNumber Fencing;
   Timestamp Deadline;
+  RunningRequests Running = RunningRequests::Finish;
 };
 
 /// Propose registry::BeginWeightsLoad and report LoadSlotAnswered once.
@@ -158,9 +180,20 @@
 template <> struct EnumNames<control::OrderOutcome> {
   using Outcome = control::OrderOutcome;
   static constexpr EnumName<Outcome> Table[] = {
-      {Outcome::Accepted, "accepted"}, {Outcome::Refused, "refused"},
-      {Outcome::Busy, "busy"},         {Outcome::NotSent, "not_sent"},
-      {Outcome::Lost, "lost"},         {Outcome::CarriedOut, "carried_out"}};
+      {Outcome::Accepted, "accepted"},
+      {Outcome::Refused, "refused"},
+      {Outcome::Busy, "busy"},
+      {Outcome::NotSent, "not_sent"},
+      {Outcome::Serving, "serving"},
+      {Outcome::Lost, "lost"},
+      {Outcome::CarriedOut, "carried_out"}};
+};
+
+template <> struct EnumNames<control::RunningRequests> {
+  using Running = control::RunningRequests;
+  static constexpr EnumName<Running> Table[] = {{Running::Finish, "finish"},
+                                                {Running::Await, "await"},
+                                                {Running::GoOn, "go_on"}};
 };
 
 } // namespace ferry
--- a/Libraries/LibControl/ReconcilerSlots.cpp
+++ b/Libraries/LibControl/ReconcilerSlots.cpp
@@ -89,6 +89,7 @@
     break;
   case OrderOutcome::Accepted:
   case OrderOutcome::NotSent:
+  case OrderOutcome::Serving:
   case OrderOutcome::Lost:
     SlotIt->LastContact = Contact::None;
     break;
--- a/Services/ferryd/ControlPlane.cpp
+++ b/Services/ferryd/ControlPlane.cpp
@@ -207,6 +207,8 @@
   };
   Options.MinUsableTime =
       RoutedTrustDuration - maxAnnouncementAge(Settings.Routed);
+  Options.WeightsDeadline =
+      std::chrono::milliseconds(Settings.Routed.WeightsDeadlineMillis);
   Options.SendingThreads = RoutedSendingThreads;
   Options.Fencing = Settings.Routed.Fencing;
   return Options;
@@ -428,6 +430,8 @@
       Namings.update(Model, Node->state().namedVersions(Model), unixNow(),
                      steadyNow());
   }
+  if (Orders)
+    Orders->namingsChanged(Namings.all());
 }
 
 void ControlPlane::applyRegistryDescription() {
--- a/Services/ferryd/OrderDispatcher.cpp
+++ b/Services/ferryd/OrderDispatcher.cpp
@@ -13,6 +13,9 @@
 /// A rollout that waits is logged after this, and again in each such interval.
 /// A load that is watched to its end takes less.
 static constexpr Duration WaitLogInterval = std::chrono::seconds(5);
+/// Routers take a load to be over some seconds after they last heard of it.
+static constexpr Duration LoadAnnouncementInterval =
+    std::chrono::milliseconds(1500);
 
 OrderDispatcher::OrderDispatcher(OrderDispatcherOptions Options,
                                  ControlLoop &Loop, RegistryGateway &Gateway,
@@ -20,7 +23,8 @@
     : Loop(Loop), Gateway(Gateway), State(State), Lease(Options.Lease),
       Orders(control::Reconciler::Options{
           Options.Dialect ? OrderWatchLimit : Duration::zero(),
-          Options.MinUsableTime, Options.Lease.RenewInterval}),
+          Options.MinUsableTime, Options.Lease.RenewInterval,
+          Options.WeightsDeadline}),
       LeaseLength(Options.Lease.Length), Fencing(Options.Fencing),
       EngineChanged(std::move(Options.EngineChanged)),
       Sender(
@@ -41,6 +45,10 @@
   stepOrders(control::ViewChanged{std::move(View)});
 }
 
+void OrderDispatcher::namingsChanged(std::vector<routing::NamedWeights> Named) {
+  stepOrders(control::NamingsChanged{std::move(Named)});
+}
+
 void OrderDispatcher::beginDrain() {
   Draining = true;
   stepOrders(control::LeaseLost{});
@@ -153,9 +161,10 @@
     match(
         std::move(Effect),
         [this](control::SendOrder &&Request) {
-          observe::logEvent(
-              Severity::Info, "orders", "order_sent",
-              {{"target", Request.Target}, {"order", orderBody(Request)}});
+          observe::logEvent(Severity::Info, "orders", "order_sent",
+                            {{"target", Request.Target},
+                             {"order", orderBody(Request)},
+                             {"running_requests", Request.Running}});
           OrdersUnderWay[Request.OrderId] = {Request.Target, steadyNow()};
           recordLoadStart(Request);
           Sender.send(std::move(Request));
@@ -171,7 +180,13 @@
   routing::EngineChange Change{Request.Target, Request.Incarnation,
                                Load->Weights,
                                /*Loading=*/true};
-  EngineChanged(Change);
+  // A target that is drained gets its order in several tries.
+  Timestamp Now = steadyNow();
+  Timestamp &AnnounceAt = NextLoadAnnouncement[Request.Target];
+  if (Now >= AnnounceAt) {
+    AnnounceAt = Now + LoadAnnouncementInterval;
+    EngineChanged(Change);
+  }
   LoadsUnderWay[Request.OrderId] = std::move(Change);
 }
 
@@ -205,7 +220,8 @@
   if (!Sent.empty())
     logEnd(Ended, Sent.mapped());
   auto Load = LoadsUnderWay.extract(Ended.OrderId);
-  if (!Load.empty()) {
+  if (!Load.empty() && Ended.Outcome != control::OrderOutcome::Serving) {
+    NextLoadAnnouncement.erase(Load.mapped().Target);
     routing::EngineChange &Change = Load.mapped();
     Change.Loading = false;
     if (Ended.Outcome != control::OrderOutcome::CarriedOut)
--- a/Services/ferryd/OrderDispatcher.h
+++ b/Services/ferryd/OrderDispatcher.h
@@ -24,6 +24,7 @@
   EngineChangeCallback EngineChanged = [](const routing::EngineChange &) {};
   /// See control::Reconciler::Options.
   Duration MinUsableTime = Duration::zero();
+  Duration WeightsDeadline = Duration::zero();
   size_t SendingThreads = 4;
   /// Whether all targets refuse orders with old fencing numbers. If not, a new
   /// holder waits for the length of a lease before its first order.
@@ -44,6 +45,9 @@
   /// Passes on the newest snapshot of targets and description.
   void viewChanged(routing::RoutingViewPtr View);
 
+  /// Passes on all named weights; see control::NamingsChanged.
+  void namingsChanged(std::vector<routing::NamedWeights> Named);
+
   /// Sends no further orders, and releases the lease once none is under way.
   void beginDrain();
 
@@ -87,6 +91,8 @@
   std::map<uint64_t, OrderUnderWay> OrdersUnderWay;
   /// Loads of weights under way, by the id of the order.
   std::map<uint64_t, routing::EngineChange> LoadsUnderWay;
+  /// When the routers are told again of a target's load that is about to begin.
+  std::map<TargetId, Timestamp> NextLoadAnnouncement;
   std::vector<control::Reconciler::SlotStatus> LoggedSlots;
   /// Engines that lacked their weights at the last tick.
   uint32_t LastOutdated = 0;
--- a/Services/ferryd/OrderSender.cpp
+++ b/Services/ferryd/OrderSender.cpp
@@ -231,6 +231,9 @@
       return OrderOutcome::CarriedOut;
     if (OnlyReads)
       return State->Busy ? OrderOutcome::Busy : OrderOutcome::Refused;
+    if (Request.Running == control::RunningRequests::Await && !State->Busy &&
+        State->Running.value_or(0) > 0)
+      return MayHaveArrived ? OrderOutcome::Lost : OrderOutcome::Serving;
     // Each copy names the count of accepted orders, so the engine refuses a
     // delayed copy once another one was accepted.
     int Status =
--- a/Tests/LibControl/RolloutWorld.h
+++ b/Tests/LibControl/RolloutWorld.h
@@ -29,6 +29,8 @@
   double AnswerLost = 0;
   /// Probability per request for a slot that the request or its answer is lost.
   double SlotAnswerLost = 0;
+  /// Time that requests on the engines take.
+  Duration RunTime = Duration::zero();
 };
 
 inline std::ostream &operator<<(std::ostream &Out, const RolloutFaults &Case) {
@@ -43,6 +45,9 @@
   static constexpr uint32_t EnginesPerLoad = 4;
   static constexpr uint32_t MaxLoads = EngineCount / EnginesPerLoad;
   static constexpr Duration Step = std::chrono::milliseconds(20);
+  /// Time from the naming of weights from which no request may begin on older
+  /// ones: the strictest of the users' deployments.
+  static constexpr Duration WeightsDeadline = std::chrono::seconds(10);
   /// Time with a working holder after which engines must have named weights.
   static constexpr Duration RolloutDeadline = std::chrono::seconds(17);
 
@@ -60,6 +65,7 @@
       startHost(Index);
     for (Timestamp &AnnounceAt : AnnounceTimes)
       AnnounceAt = Now + millis(0, 1200);
+    setRunTime(FaultRates.RunTime);
     planNaming();
     takeLease(0);
   }
@@ -184,6 +190,14 @@
   };
   const Counts &counts() const { return Seen; }
 
+  /// \returns the number of loads that did not wait for running requests.
+  uint32_t overtakingLoads() const {
+    uint32_t Sum = 0;
+    for (const WatchedEngine &Item : Engines)
+      Sum += Item.overtaken();
+    return Sum;
+  }
+
 private:
   static constexpr Duration AnnounceInterval = std::chrono::milliseconds(1200);
   static constexpr Duration RecordLifetime = std::chrono::seconds(30);
@@ -194,6 +208,7 @@
   static constexpr Duration FirstWatch = std::chrono::seconds(1);
   static constexpr Duration WatchLimit = std::chrono::seconds(4);
   static constexpr Duration SlotTimeout = std::chrono::seconds(3);
+  static constexpr Duration DrainLifetime = std::chrono::seconds(4);
   static constexpr Duration LeaseLength = std::chrono::seconds(3);
   static constexpr Duration RenewInterval = std::chrono::milliseconds(400);
   /// A shorter term does not count as one with a working holder, and a longer
@@ -314,6 +329,7 @@
     Options.WatchLimit = WatchLimit;
     Options.MinUsableTime = RecordLifetime - MaxAnnouncementAge;
     Options.RenewInterval = RenewInterval;
+    Options.WeightsDeadline = WeightsDeadline;
     auto Process = std::make_shared<HostProcess>();
     Process->Index = Index;
     Process->Orders = Reconciler(Options);
@@ -394,9 +410,8 @@
     if (Now < AnnounceTimes[Index] || Target.silence(Now))
       return;
     AnnounceTimes[Index] = Now + AnnounceInterval;
-    TargetRecord Record =
-        engineRecord("engine-" + std::to_string(10 + Index), Index,
-                     Target.incarnation(), Target.state().Weights);
+    TargetRecord Record = engineRecord(
+        engineId(Index), Index, Target.incarnation(), Target.state().Weights);
     Record.UsableUntil = Now + RecordLifetime;
     for (const auto &Process : Hosts)
       if (Process)
@@ -421,6 +436,10 @@
     // The limit follows the engines that are known, as the control host's does.
     Limits.MaxWeightsLoads = std::max(
         2U, static_cast<uint32_t>(Process.Announced.size()) / EnginesPerLoad);
+    std::vector<routing::NamedWeights> Named;
+    for (const Naming &Item : Namings)
+      Named.push_back({{"m"}, {Item.Weights}, Item.At});
+    decide(Process, NamingsChanged{std::move(Named)});
     decide(Process, ViewChanged{buildView(Namings.back().Weights, "",
                                           Process.Announced, Limits)});
     if (Process.Index == Holder)
@@ -458,6 +477,17 @@
           });
   }
 
+  static std::string engineId(int Index) {
+    return "engine-" + std::to_string(10 + Index);
+  }
+
+  /// The routers hear of a load that is about to begin, and send the engine no
+  /// requests for a while.
+  void drain(int Index) {
+    schedule(millis(5, 100),
+             [this, Index] { Engines[Index].drain(Now + DrainLifetime); });
+  }
+
   /// Runs \p Work at the log, after the earlier proposals of \p Process.
   void propose(HostProcess &Process, std::function<void()> Work) {
     Process.ProposalsEndBy =
@@ -501,6 +531,7 @@
       Item->OnlyReads = true;
     } else {
       Item->Weights = std::get<LoadWeights>(Sent.Order).Weights.Value;
+      drain(Item->Engine);
     }
     Item->Sent = std::move(Sent);
     continueDelivery(Item, Duration::zero());
@@ -564,11 +595,15 @@
                                            : OrderOutcome::Refused);
     if (Report.Busy)
       return continueDelivery(Item, WatchPeriod);
+    if (Item->Sent.Running == RunningRequests::Await && Report.Running > 0)
+      return endDelivery(Item, Item->MayHaveArrived ? OrderOutcome::Lost
+                                                    : OrderOutcome::Serving);
     sendOnce(Item, Report.AcceptedOrders);
   }
 
   void sendOnce(const DeliveryPtr &Item, uint64_t OrdersBefore) {
-    OrderCopy Copy{Item->Weights, Item->Sent.Fencing, OrdersBefore, Now};
+    OrderCopy Copy{Item->Weights, Item->Sent.Fencing, OrdersBefore, Now,
+                   Item->Sent.Running};
     int Index = Item->Engine;
     auto Time = std::min(CallTimeout, Item->Sent.Deadline - Now);
     double Fate = chance();
--- a/Tests/LibControl/TestRolloutRuns.cpp
+++ b/Tests/LibControl/TestRolloutRuns.cpp
@@ -8,9 +8,7 @@
 using namespace ferry::control;
 using namespace std::chrono_literals;
 
-/// The strictest bound of the users' deployments: the time from the naming of
-/// weights from which requests may not begin on older ones.
-static constexpr Duration WeightsDeadline = 10s;
+static constexpr Duration WeightsDeadline = RolloutWorld::WeightsDeadline;
 static constexpr Duration NamedAt = 3s;
 
 // Engines that only ended their running requests held all slots, so that the
@@ -32,3 +30,12 @@
   BOOST_TEST(World.outdatedEngines() == 0);
   BOOST_TEST(World.counts().MostLoads <= 3);
 }
+
+// Requests that end soon lose nothing: no load overtakes them.
+BOOST_AUTO_TEST_CASE(a_rollout_waits_for_requests_that_end_soon) {
+  RolloutWorld World(NamedAt);
+  World.setRunTime(100ms);
+  World.runUntil(NamedAt + WeightsDeadline);
+  BOOST_TEST(World.outdatedEngines() == 0);
+  BOOST_TEST(World.overtakingLoads() == 0U);
+}
--- a/Tests/LibControl/WatchedEngine.h
+++ b/Tests/LibControl/WatchedEngine.h
@@ -18,6 +18,7 @@
   /// The engine refuses the copy if it has accepted another number of orders.
   uint64_t OrdersBefore = 0;
   Timestamp SentAt;
+  RunningRequests Running = RunningRequests::Finish;
 };
 
 /// An engine's answer to an order.
@@ -54,6 +55,12 @@
   /// gets no new ones. A load waits for them.
   void setRunTime(Duration Length) { RunTime = Length; }
 
+  /// The engine gets no new requests until \p Until.
+  void drain(Timestamp Until) { DrainedUntil = Until; }
+
+  /// \returns the number of loads that did not wait for running requests.
+  uint32_t overtaken() const { return Overtaken; }
+
   void fallSilent(Silence Kind, Timestamp Now, Timestamp Until) {
     Spans.push_back({Kind, Now, Until});
     if (Kind != Silence::Down)
@@ -78,7 +85,7 @@
       Current.Busy = false;
       Current.Weights = Load.Weights;
     }
-    if (!Current.Busy)
+    if (!Current.Busy && Now >= DrainedUntil)
       RunsEndAt = Now + RunTime;
     Current.Running = RunsEndAt > Now;
     if (History.empty() || History.back().Report != Current)
@@ -97,7 +104,11 @@
     Current.Busy = true;
     ++Current.AcceptedOrders;
     Load = Copy;
-    LoadedAt = std::max(RunsEndAt, Now) + LoadTime;
+    LoadedAt = Now + LoadTime;
+    if (RunsEndAt > Now && Copy.Running == RunningRequests::GoOn)
+      ++Overtaken;
+    else
+      LoadedAt = std::max(RunsEndAt, Now) + LoadTime;
     return EngineAnswer::Accepted;
   }
 
@@ -144,6 +155,8 @@
   Duration LoadTime = std::chrono::milliseconds(1100);
   Duration RunTime = Duration::zero();
   Timestamp RunsEndAt;
+  Timestamp DrainedUntil;
+  uint32_t Overtaken = 0;
   ferry::Incarnation CurrentIncarnation{1};
   Timestamp StartedAt;
   EngineReport Current;
