--- a/Services/ferryd/ControlPlane.cpp
+++ b/Services/ferryd/ControlPlane.cpp
@@ -247,6 +247,7 @@
 void ControlPlane::startOrders() {
   Orders = std::make_unique<OrderDispatcher>(orderOptions(), Loop, *Gateway,
                                              Node->state());
+  Orders->namingsChanged(Namings.all());
 }
 
 void ControlPlane::addDumpSection(std::string Name,
--- a/Services/ferryd/OrderDispatcher.cpp
+++ b/Services/ferryd/OrderDispatcher.cpp
@@ -68,6 +68,10 @@
   stepOrders(control::ActiveLoadsUpdated{State.loads(),
                                          State.lease(DeploymentLease).Fencing});
   stepOrders(control::Tick{});
+  // A target that left while it was drained gets no further order.
+  std::erase_if(LoadAnnouncements, [Now](const auto &Item) {
+    return Now >= Item.second + LoadAnnouncementInterval;
+  });
   logSlots(Now);
   logWait(Now);
   Timer = Loop.at(Now + LeaseHolder::TickInterval, [this] { tick(); });
@@ -173,21 +177,21 @@
         [this](control::EndLoad &&Request) { endLoad(Request); });
 }
 
-void OrderDispatcher::recordLoadStart(const control::SendOrder &Request) {
+bool OrderDispatcher::recordLoadStart(const control::SendOrder &Request) {
   const auto *Load = std::get_if<control::LoadWeights>(&Request.Order);
   if (Load == nullptr)
-    return;
+    return true;
   routing::EngineChange Change{Request.Target, Request.Incarnation,
                                Load->Weights,
                                /*Loading=*/true};
-  // A target that is drained gets its order in several tries.
   Timestamp Now = steadyNow();
-  Timestamp &AnnounceAt = NextLoadAnnouncement[Request.Target];
-  if (Now >= AnnounceAt) {
-    AnnounceAt = Now + LoadAnnouncementInterval;
+  auto [AnnounceAt, FirstTry] = LoadAnnouncements.try_emplace(Request.Target);
+  if (Now >= AnnounceAt->second) {
+    AnnounceAt->second = Now + LoadAnnouncementInterval;
     EngineChanged(Change);
   }
   LoadsUnderWay[Request.OrderId] = std::move(Change);
+  return FirstTry || Request.Running != control::RunningRequests::Await;
 }
 
 /// \returns the milliseconds from \p Begin to \p End, if both are known.
@@ -217,11 +221,12 @@
 
 void OrderDispatcher::orderEnded(const control::OrderEnded &Ended) {
   auto Sent = OrdersUnderWay.extract(Ended.OrderId);
-  if (!Sent.empty())
+  bool WaitsOn = Ended.Outcome == control::OrderOutcome::Serving;
+  if (!Sent.empty() && (Sent.mapped().FirstTry || !WaitsOn))
     logEnd(Ended, Sent.mapped());
   auto Load = LoadsUnderWay.extract(Ended.OrderId);
-  if (!Load.empty() && Ended.Outcome != control::OrderOutcome::Serving) {
-    NextLoadAnnouncement.erase(Load.mapped().Target);
+  if (!Load.empty() && !WaitsOn) {
+    LoadAnnouncements.erase(Load.mapped().Target);
     routing::EngineChange &Change = Load.mapped();
     Change.Loading = false;
     if (Ended.Outcome != control::OrderOutcome::CarriedOut)
--- a/Services/ferryd/OrderDispatcher.h
+++ b/Services/ferryd/OrderDispatcher.h
@@ -61,12 +61,17 @@
   struct OrderUnderWay {
     TargetId Target;
     Timestamp SentAt;
+    /// Whether it was logged; a target that is drained gets its order in
+    /// several tries.
+    bool FirstTry = true;
   };
 
   void orderEnded(const control::OrderEnded &Ended);
   static void logEnd(const control::OrderEnded &Ended,
                      const OrderUnderWay &Sent);
-  void recordLoadStart(const control::SendOrder &Request);
+  /// Tells the routers of a load that begins or is about to. \returns whether
+  /// this is no repeated try of an order that waits.
+  bool recordLoadStart(const control::SendOrder &Request);
   void proposeLease(registry::LeasePropose Proposal);
   void beginLoad(const control::BeginLoad &Request);
   void endLoad(const control::EndLoad &Request);
@@ -91,8 +96,9 @@
   std::map<uint64_t, OrderUnderWay> OrdersUnderWay;
   /// Loads of weights under way, by the id of the order.
   std::map<uint64_t, routing::EngineChange> LoadsUnderWay;
-  /// When the routers are told again of a target's load that is about to begin.
-  std::map<TargetId, Timestamp> NextLoadAnnouncement;
+  /// The targets that load weights or are drained, with the time at which the
+  /// routers are told of that again.
+  std::map<TargetId, Timestamp> LoadAnnouncements;
   std::vector<control::Reconciler::SlotStatus> LoggedSlots;
   /// Engines that lacked their weights at the last tick.
   uint32_t LastOutdated = 0;
