--- a/Tests/ferryd/TestOrderSender.cpp
+++ b/Tests/ferryd/TestOrderSender.cpp
@@ -262,3 +262,48 @@
   BOOST_TEST((Second == control::OrderOutcome::Busy ||
               Second == control::OrderOutcome::NotSent));
 }
+
+// An engine that got its order beside running requests ended them under its
+// slot, for seconds in which no other engine could load.
+BOOST_AUTO_TEST_CASE(an_order_waits_for_running_requests) {
+  std::atomic<int> Running = 3;
+  std::mutex Mutex;
+  std::vector<std::string> Orders;
+  fakes::FakeScriptedTarget Engine([&](const fakes::ReceivedRequest &Request,
+                                       fakes::ScriptedConnection &Link) {
+    std::lock_guard Lock(Mutex);
+    if (Request.Head.getMethod() != "GET") {
+      Orders.push_back(Request.Body);
+      Link.write("HTTP/1.1 400 No\r\nContent-Length: 0\r\n\r\n");
+      return;
+    }
+    std::string Report =
+        R"({"models":[{"name":"m0","version":1}],"busy":false,"seq":0,)"
+        R"("active":)" +
+        std::to_string(Running) + "}";
+    Link.write("HTTP/1.1 200 OK\r\nContent-Length: " +
+               std::to_string(Report.size()) + "\r\n\r\n" + Report);
+  });
+  EndedOrders Ended;
+  OrderSender Sender(
+      [&](const control::OrderEnded &Order) { Ended.add(Order); },
+      platform::orderDialect({"10.0.0.1"}), 1);
+  auto SendWith = [&](control::RunningRequests Fate) {
+    size_t Before = Ended.Outcomes.size();
+    control::SendOrder Request = orderFor(Engine.address(), 1, Before + 1);
+    Request.Running = Fate;
+    Sender.send(Request);
+    BOOST_REQUIRE(Ended.await(Before + 1));
+    return Ended.Outcomes.back();
+  };
+  BOOST_TEST((SendWith(control::RunningRequests::Await) ==
+              control::OrderOutcome::Serving));
+  BOOST_TEST(Orders.empty());
+  SendWith(control::RunningRequests::GoOn);
+  Running = 0;
+  SendWith(control::RunningRequests::Await);
+  std::lock_guard Lock(Mutex);
+  BOOST_REQUIRE(Orders.size() == 2U);
+  BOOST_TEST(Orders[0].find(R"("mode":"retain")") != std::string::npos);
+  BOOST_TEST(Orders[1].find(R"("mode":"block")") != std::string::npos);
+}
