--- a/Services/ferryd/ControlPlane.cpp
+++ b/Services/ferryd/ControlPlane.cpp
@@ -16,7 +16,7 @@
 /// for its running requests.
 static constexpr uint32_t EnginesPerWeightsLoad = 4;
 static constexpr uint32_t MinWeightsLoads = 2;
-/// Each load occupies a sending thread until it has ended.
+/// An engine that does not answer occupies a sending thread for up to a second.
 static constexpr size_t RoutedSendingThreads = 32;
 
 /// Ticks of the control thread that run later than this are logged.
--- a/Services/ferryd/OrderSender.cpp
+++ b/Services/ferryd/OrderSender.cpp
@@ -20,6 +20,8 @@
 static constexpr uint64_t MaxStateBytes = 1 << 20;
 /// Longest wait for the answer to one HTTP call.
 static constexpr std::chrono::milliseconds SendTimeout{400};
+/// Longest time that one look at a watched engine takes a thread.
+static constexpr std::chrono::milliseconds WatchCallTimeout{1000};
 /// No load of weights ends sooner than this.
 static constexpr std::chrono::milliseconds ShortestLoad{1000};
 /// Between two requests for an engine's state: about half the age that the
@@ -61,44 +63,39 @@
 }
 
 OrderSender::~OrderSender() {
-  {
-    std::lock_guard<std::mutex> Lock(Mutex);
-    Stopping = true;
-  }
-  Wakeup.notify_all();
+  Queue.stop();
   for (std::thread &Thread : Threads)
     Thread.join();
 }
 
 void OrderSender::send(control::SendOrder Request) {
-  {
-    std::lock_guard<std::mutex> Lock(Mutex);
-    Queue.push_back(std::move(Request));
-  }
-  // notify_one() could wake a thread in pause() instead of an idle one.
-  Wakeup.notify_all();
+  Queue.add(steadyNow(), {std::move(Request)});
 }
 
 void OrderSender::work() {
-  while (true) {
-    std::unique_lock<std::mutex> Lock(Mutex);
-    Wakeup.wait(Lock, [this] { return Stopping || !Queue.empty(); });
-    if (Stopping)
-      return;
-    control::SendOrder Request = std::move(Queue.front());
-    Queue.pop_front();
-    Lock.unlock();
-    // An order that fails unexpectedly may have been sent.
-    OrderOutcome Outcome = OrderOutcome::Lost;
-    control::OrderProgress Progress;
-    Progress.TakenAt = steadyNow();
-    observe::runGuarded("orders", [&] {
-      Outcome = Dialect ? deliverAndWatch(Request, Progress) : deliver(Request);
-    });
-    observe::runGuarded("orders", [&] {
-      Done({Request.OrderId, Outcome, Progress});
-    });
-  }
+  while (std::optional<Delivery> Item = Queue.take())
+    runStep(std::move(*Item));
+}
+
+void OrderSender::runStep(Delivery Item) {
+  // An order that fails unexpectedly may have been sent.
+  StepResult Result = OrderOutcome::Lost;
+  if (!Item.Progress.TakenAt)
+    Item.Progress.TakenAt = steadyNow();
+  observe::runGuarded("orders", [&] {
+    if (!Dialect)
+      Result = deliver(Item.Request);
+    else
+      Result = Item.WatchUntil ? watch(Item) : tryOrder(Item);
+  });
+  match(
+      Result,
+      [&](OrderOutcome Outcome) {
+        observe::runGuarded("orders", [&] {
+          Done({Item.Request.OrderId, Outcome, Item.Progress});
+        });
+      },
+      [&](Timestamp DueAt) { Queue.add(DueAt, std::move(Item)); });
 }
 
 OrderOutcome OrderSender::deliver(const control::SendOrder &Request) {
@@ -193,66 +190,53 @@
       [](const control::LoadAdapter &) { return false; });
 }
 
-bool OrderSender::pause(Duration Pause) {
-  std::unique_lock<std::mutex> Lock(Mutex);
-  return !Wakeup.wait_for(Lock, Pause, [this] { return Stopping; });
+OrderSender::StepResult OrderSender::watch(Delivery &Item) {
+  Timestamp Now = steadyNow();
+  if (Now >= *Item.WatchUntil)
+    return OrderOutcome::Accepted;
+  auto State = fetchState(Item.Request,
+                          std::min(*Item.WatchUntil, Now + WatchCallTimeout));
+  if (State && State->Running == 0U && !Item.Progress.RunsEndedAt)
+    Item.Progress.RunsEndedAt = steadyNow();
+  if (State && hasWeights(*State, Item.Request))
+    return OrderOutcome::CarriedOut;
+  return steadyNow() + WatchPeriod;
 }
 
-bool OrderSender::watch(const control::SendOrder &Request,
-                        control::OrderProgress &Progress) {
-  Timestamp Until = steadyNow() + OrderWatchLimit;
-  bool Continue = pause(ShortestLoad);
-  while (Continue && steadyNow() < Until) {
-    auto State = fetchState(Request, Until);
-    if (State && State->Running == 0U && !Progress.RunsEndedAt)
-      Progress.RunsEndedAt = steadyNow();
-    if (State && hasWeights(*State, Request))
-      return true;
-    Continue = pause(WatchPeriod);
+OrderSender::StepResult OrderSender::tryOrder(Delivery &Item) {
+  const control::SendOrder &Request = Item.Request;
+  if (steadyNow() >= Request.Deadline) {
+    if (Item.MayHaveArrived)
+      return OrderOutcome::Lost;
+    return Item.Busy ? OrderOutcome::Busy : OrderOutcome::NotSent;
   }
-  return false;
-}
-
-OrderOutcome OrderSender::deliverAndWatch(const control::SendOrder &Request,
-                                          control::OrderProgress &Progress) {
-  bool OnlyReads =
-      std::holds_alternative<control::ConfirmWeights>(Request.Order);
-  bool MayHaveArrived = false;
-  bool Busy = false;
-  while (steadyNow() < Request.Deadline) {
-    auto State = fetchState(Request, Request.Deadline);
-    if (!State) {
-      Busy = false;
-      break;
-    }
-    if (!Progress.Running)
-      Progress.Running = State->Running;
-    if (hasWeights(*State, Request))
-      return OrderOutcome::CarriedOut;
-    if (OnlyReads)
-      return State->Busy ? OrderOutcome::Busy : OrderOutcome::Refused;
-    if (Request.Running == control::RunningRequests::Await && !State->Busy &&
-        State->Running.value_or(0) > 0)
-      return MayHaveArrived ? OrderOutcome::Lost : OrderOutcome::Serving;
-    // Each copy names the count of accepted orders, so the engine refuses a
-    // delayed copy once another one was accepted.
-    int Status =
-        State->Busy ? StatusConflict : sendOnce(Request, State->AcceptedOrders);
-    if (Status == StatusAccepted || Status == FirstSuccessStatus) {
-      Progress.AcceptedAt = steadyNow();
-      return watch(Request, Progress) ? OrderOutcome::CarriedOut
-                                      : OrderOutcome::Accepted;
-    }
-    if (Status == StatusPreconditionFailed || Status == StatusBadRequest)
-      return OrderOutcome::Refused;
-    Busy = Status == StatusConflict;
-    MayHaveArrived |= Status == 0;
-    if (!pause(WatchPeriod))
-      break;
+  auto State = fetchState(Request, Request.Deadline);
+  if (!State)
+    return Item.MayHaveArrived ? OrderOutcome::Lost : OrderOutcome::NotSent;
+  if (!Item.Progress.Running)
+    Item.Progress.Running = State->Running;
+  if (hasWeights(*State, Request))
+    return OrderOutcome::CarriedOut;
+  if (std::holds_alternative<control::ConfirmWeights>(Request.Order))
+    return State->Busy ? OrderOutcome::Busy : OrderOutcome::Refused;
+  if (Request.Running == control::RunningRequests::Await && !State->Busy &&
+      State->Running.value_or(0) > 0)
+    return Item.MayHaveArrived ? OrderOutcome::Lost : OrderOutcome::Serving;
+  // Each copy names the count of accepted orders, so the engine refuses a
+  // delayed copy once another one was accepted.
+  int Status =
+      State->Busy ? StatusConflict : sendOnce(Request, State->AcceptedOrders);
+  if (Status == StatusAccepted || Status == FirstSuccessStatus) {
+    Timestamp Now = steadyNow();
+    Item.Progress.AcceptedAt = Now;
+    Item.WatchUntil = Now + OrderWatchLimit;
+    return Now + ShortestLoad;
   }
-  if (MayHaveArrived)
-    return OrderOutcome::Lost;
-  return Busy ? OrderOutcome::Busy : OrderOutcome::NotSent;
+  if (Status == StatusPreconditionFailed || Status == StatusBadRequest)
+    return OrderOutcome::Refused;
+  Item.Busy = Status == StatusConflict;
+  Item.MayHaveArrived |= Status == 0;
+  return steadyNow() + WatchPeriod;
 }
 
 } // namespace ferry::daemon
--- a/Services/ferryd/OrderSender.h
+++ b/Services/ferryd/OrderSender.h
@@ -5,9 +5,8 @@
 
 #include "LibControl/ReconcilerEvents.h"
 #include "LibRouting/TargetSignals.h"
+#include "ferryd/DueQueue.h"
 #include "ferryd/OrderDialect.h"
-#include <condition_variable>
-#include <deque>
 #include <functional>
 #include <mutex>
 #include <thread>
@@ -15,14 +14,16 @@
 
 namespace ferry::daemon {
 
-/// How long a thread watches an engine for the effect of an accepted order.
+/// How long an engine is watched for the effect of an accepted order.
 inline constexpr Duration OrderWatchLimit = std::chrono::seconds(4);
 
 /// \returns the native interface's JSON body of \p Request.
 std::string orderBody(const control::SendOrder &Request);
 
-/// A pool of threads, each of which sends one order at a time. Safe to call
-/// from any thread.
+/// Sends orders on a pool of threads. A thread makes one call to an engine at a
+/// time; between two calls an order waits in a queue, so that the number of
+/// threads doesn't limit the number of orders under way. Safe to call from any
+/// thread.
 class OrderSender {
 public:
   /// Called on a sending thread once the order has ended.
@@ -41,11 +42,26 @@
   void send(control::SendOrder Request);
 
 private:
+  /// An order on its way.
+  struct Delivery {
+    control::SendOrder Request;
+    control::OrderProgress Progress = {};
+    bool MayHaveArrived = false;
+    /// The engine carried out an order when its state was read last.
+    bool Busy = false;
+    /// Until when the engine is watched; nothing before it has accepted.
+    std::optional<Timestamp> WatchUntil = std::nullopt;
+  };
+  /// How an order has ended, or when its next step is due.
+  using StepResult = std::variant<control::OrderOutcome, Timestamp>;
+
   void work();
+  void runStep(Delivery Item);
   static control::OrderOutcome deliver(const control::SendOrder &Request);
-  /// \param Progress what is seen of the order on its way.
-  control::OrderOutcome deliverAndWatch(const control::SendOrder &Request,
-                                        control::OrderProgress &Progress);
+  /// Reads the engine's state and sends the order once if it needs it.
+  StepResult tryOrder(Delivery &Item);
+  /// Looks once whether the engine shows the effect of the accepted order.
+  StepResult watch(Delivery &Item);
 
   /// A call of the dialect.
   struct EngineCall {
@@ -66,20 +82,13 @@
   /// Sends the order once.
   /// \returns the HTTP status of the answer, 0 if there was none.
   int sendOnce(const control::SendOrder &Request, uint64_t OrdersBefore);
-  /// Watches the engine for up to OrderWatchLimit. \returns whether it has
-  /// shown the effect of the order.
-  bool watch(const control::SendOrder &Request,
-             control::OrderProgress &Progress);
-  /// Waits for \p Pause. \returns false if this object is being destroyed.
-  bool pause(Duration Pause);
 
   Callback Done;
   std::optional<OrderDialect> Dialect;
   std::mutex Mutex;
+  /// Guarded by Mutex.
   routing::TargetSignals Signals;
-  std::condition_variable Wakeup;
-  std::deque<control::SendOrder> Queue;
-  bool Stopping = false;
+  DueQueue<Delivery> Queue;
   std::vector<std::thread> Threads;
 };
 
--- a/Tests/ferryd/TestOrderSender.cpp
+++ b/Tests/ferryd/TestOrderSender.cpp
@@ -1,6 +1,6 @@
 // Orders to engines that ask the control host for a pause or answer twice, and
 // orders of a holder of the lease that was suspended while another one took
-// over.
+// over, and orders to more engines than there are sending threads.
 #include "Fakes/FakeScriptedTarget.h"
 #include "ferryd/OrderSender.h"
 #include "platform/OrderCalls.h"
@@ -263,6 +263,61 @@
               Second == control::OrderOutcome::NotSent));
 }
 
+// A thread was taken for the whole watch of a load, so that the orders to
+// further engines waited until their deadlines and were not sent.
+BOOST_AUTO_TEST_CASE(watched_engines_take_no_thread) {
+  std::vector<std::unique_ptr<RecordingEngine>> Engines;
+  for (int Count = 0; Count < 8; ++Count)
+    Engines.push_back(std::make_unique<RecordingEngine>());
+  EndedOrders Ended;
+  OrderSender Sender(
+      [&](const control::OrderEnded &Order) { Ended.add(Order); },
+      platform::orderDialect({"10.0.0.1"}), 1);
+  for (size_t Index = 0; Index < Engines.size(); ++Index)
+    Sender.send(orderFor(Engines[Index]->address(), 1, Index + 1));
+  BOOST_REQUIRE(Ended.await(Engines.size()));
+  for (const auto &Engine : Engines)
+    BOOST_TEST(Engine->orders().size() == 1U);
+  for (control::OrderOutcome Outcome : Ended.Outcomes)
+    BOOST_TEST((Outcome == control::OrderOutcome::Accepted));
+}
+
+// The same for an engine that accepts an order and then connections, and
+// answers none of its reads.
+BOOST_AUTO_TEST_CASE(an_engine_without_answers_leaves_its_thread_to_others) {
+  std::atomic<bool> HasOrder = false;
+  fakes::FakeScriptedTarget Frozen([&](const fakes::ReceivedRequest &Request,
+                                       fakes::ScriptedConnection &Link) {
+    if (Request.Head.getMethod() == "POST") {
+      HasOrder = true;
+      Link.write("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
+      return;
+    }
+    if (HasOrder) {
+      std::this_thread::sleep_for(5s);
+      return;
+    }
+    std::string Report =
+        R"({"models":[{"name":"m0","version":1}],"busy":false,"seq":0})";
+    Link.write("HTTP/1.1 200 OK\r\nContent-Length: " +
+               std::to_string(Report.size()) + "\r\n\r\n" + Report);
+  });
+  RecordingEngine Other;
+  EndedOrders Ended;
+  OrderSender Sender(
+      [&](const control::OrderEnded &Order) { Ended.add(Order); },
+      platform::orderDialect({"10.0.0.1"}), 1);
+  Sender.send(orderFor(Frozen.address(), 1, 1));
+  // The thread reads the state of the engine from then on.
+  std::this_thread::sleep_for(1200ms);
+  control::SendOrder Next = orderFor(Other.address(), 1, 2);
+  Next.Target = {"i-2"};
+  Next.Deadline = steadyNow() + 2s;
+  Sender.send(Next);
+  BOOST_REQUIRE(Ended.await(2));
+  BOOST_TEST(Other.orders().size() == 1U);
+}
+
 // An engine that got its order beside running requests ended them under its
 // slot, for seconds in which no other engine could load.
 BOOST_AUTO_TEST_CASE(an_order_waits_for_running_requests) {
