--- a/Libraries/LibControl/Reconciler.cpp
+++ b/Libraries/LibControl/Reconciler.cpp
@@ -70,6 +70,10 @@
   }
   if (Ended.Outcome == OrderOutcome::Busy)
     return recordBusy(Work, Now);
+  if (Ended.Outcome == OrderOutcome::NotTaken) {
+    Work.CurrentStage = Stage::Ready;
+    return;
+  }
   if (Ended.Outcome == OrderOutcome::Serving) {
     Work.CurrentStage = Stage::Ready;
     Work.SendNotBefore =
--- a/Libraries/LibControl/ReconcilerEvents.h
+++ b/Libraries/LibControl/ReconcilerEvents.h
@@ -52,6 +52,9 @@
   Busy,
   /// No part of the order was sent.
   NotSent,
+  /// No sending thread took the order on before its deadline; nothing was
+  /// learnt of the target.
+  NotTaken,
   /// The target runs requests that the order has to wait for; no part of it was
   /// sent.
   Serving,
@@ -184,6 +187,7 @@
       {Outcome::Refused, "refused"},
       {Outcome::Busy, "busy"},
       {Outcome::NotSent, "not_sent"},
+      {Outcome::NotTaken, "not_taken"},
       {Outcome::Serving, "serving"},
       {Outcome::Lost, "lost"},
       {Outcome::CarriedOut, "carried_out"}};
--- a/Libraries/LibControl/ReconcilerSlots.cpp
+++ b/Libraries/LibControl/ReconcilerSlots.cpp
@@ -87,6 +87,9 @@
   case OrderOutcome::Refused:
     SlotIt->LastContact = Contact::Idle;
     break;
+  case OrderOutcome::NotTaken:
+    SlotIt->ConfirmAt = Now;
+    break;
   case OrderOutcome::Accepted:
   case OrderOutcome::NotSent:
   case OrderOutcome::Serving:
--- a/Services/ferryd/OrderDispatcher.cpp
+++ b/Services/ferryd/OrderDispatcher.cpp
@@ -225,7 +225,10 @@
   if (!Sent.empty() && (Sent.mapped().FirstTry || !WaitsOn))
     logEnd(Ended, Sent.mapped());
   auto Load = LoadsUnderWay.extract(Ended.OrderId);
-  if (!Load.empty() && !WaitsOn) {
+  // After these, the order is sent again under the same slot.
+  bool StillDrained =
+      WaitsOn || Ended.Outcome == control::OrderOutcome::NotTaken;
+  if (!Load.empty() && !StillDrained) {
     LoadAnnouncements.erase(Load.mapped().Target);
     routing::EngineChange &Change = Load.mapped();
     Change.Loading = false;
--- a/Services/ferryd/OrderSender.cpp
+++ b/Services/ferryd/OrderSender.cpp
@@ -78,24 +78,27 @@
 }
 
 void OrderSender::runStep(Delivery Item) {
+  auto End = [&](OrderOutcome Outcome) {
+    observe::runGuarded("orders", [&] {
+      Done({Item.Request.OrderId, Outcome, Item.Progress});
+    });
+  };
+  if (!Item.Progress.TakenAt) {
+    Timestamp Now = steadyNow();
+    if (Dialect && Now >= Item.Request.Deadline)
+      return End(OrderOutcome::NotTaken);
+    Item.Progress.TakenAt = Now;
+  }
   // An order that fails unexpectedly may have been sent.
   StepResult Result = OrderOutcome::Lost;
-  if (!Item.Progress.TakenAt)
-    Item.Progress.TakenAt = steadyNow();
   observe::runGuarded("orders", [&] {
     if (!Dialect)
       Result = deliver(Item.Request);
     else
       Result = Item.WatchUntil ? watch(Item) : tryOrder(Item);
   });
-  match(
-      Result,
-      [&](OrderOutcome Outcome) {
-        observe::runGuarded("orders", [&] {
-          Done({Item.Request.OrderId, Outcome, Item.Progress});
-        });
-      },
-      [&](Timestamp DueAt) { Queue.add(DueAt, std::move(Item)); });
+  match(Result, End,
+        [&](Timestamp DueAt) { Queue.add(DueAt, std::move(Item)); });
 }
 
 OrderOutcome OrderSender::deliver(const control::SendOrder &Request) {
--- a/Tests/LibControl/TestReconciler.cpp
+++ b/Tests/LibControl/TestReconciler.cpp
@@ -146,6 +146,56 @@
                                           Now)) == 1);
 }
 
+static SendOrder orderOf(const std::vector<ReconcilerEffect> &Effects) {
+  for (const ReconcilerEffect &Effect : Effects)
+    if (const auto *Sent = std::get_if<SendOrder>(&Effect))
+      return *Sent;
+  BOOST_FAIL("no order");
+  return {};
+}
+
+// An order that had waited for a sending thread until its deadline counted as
+// one to an unreachable target: its slot was given back, and the target had to
+// wait for its next order.
+BOOST_AUTO_TEST_CASE(an_order_that_no_thread_took_is_sent_again_at_once) {
+  Timestamp Now{std::chrono::seconds(100)};
+  Reconciler HostReconciler;
+  HostReconciler.step(viewOf(Now, FencingCheck::Checked, {1, 1, 1, 1}), Now);
+  HostReconciler.step(LeaseHeld{{1}, Now + std::chrono::seconds(5)}, Now);
+  auto Effects = HostReconciler.step(ActiveLoadsUpdated{{}, {1}}, Now);
+  registry::LoadSlot Slot = std::get<BeginLoad>(Effects.at(0)).Slot;
+  using Verdict = LoadSlotAnswered::Verdict;
+  SendOrder Sent = orderOf(
+      HostReconciler.step(LoadSlotAnswered{Slot, Verdict::Granted}, Now));
+  Now = Sent.Deadline;
+  Effects = HostReconciler.step(
+      OrderEnded{Sent.OrderId, OrderOutcome::NotTaken}, Now);
+  BOOST_TEST(Effects.size() == 1u);
+  BOOST_TEST(orderOf(Effects).Target == Slot.Target);
+  BOOST_TEST((orderOf(Effects).Deadline == Now + Reconciler::OrderTimeout));
+  BOOST_TEST(HostReconciler.counts(Now).OrdersFailed == 0u);
+}
+
+// The same for the question about a slot of an earlier term, whose target
+// counted as unreachable.
+BOOST_AUTO_TEST_CASE(a_question_that_no_thread_took_is_asked_again_at_once) {
+  Timestamp Now{std::chrono::seconds(100)};
+  Reconciler::Options Options;
+  Options.WatchLimit = std::chrono::seconds(4);
+  Reconciler HostReconciler(Options);
+  HostReconciler.step(viewOf(Now, FencingCheck::Checked, {1, 1, 1, 1}), Now);
+  HostReconciler.step(LeaseHeld{{2}, Now + std::chrono::seconds(5)}, Now);
+  registry::LoadSlot Slot{{"engine-0"}, {}, {2}, {1}, 1};
+  SendOrder Asked =
+      orderOf(HostReconciler.step(ActiveLoadsUpdated{{{Slot}}, {2}}, Now));
+  BOOST_TEST(std::holds_alternative<ConfirmWeights>(Asked.Order));
+  Now = Asked.Deadline;
+  SendOrder Again = orderOf(HostReconciler.step(
+      OrderEnded{Asked.OrderId, OrderOutcome::NotTaken}, Now));
+  BOOST_TEST(std::holds_alternative<ConfirmWeights>(Again.Order));
+  BOOST_TEST(Again.Target == Slot.Target);
+}
+
 // A holder whose copy of the log was older than its lease took the slots of the
 // earlier term for free.
 BOOST_AUTO_TEST_CASE(no_load_begins_before_the_slots_are_known) {
--- a/Tests/ferryd/TestOrderSender.cpp
+++ b/Tests/ferryd/TestOrderSender.cpp
@@ -282,8 +282,30 @@
     BOOST_TEST((Outcome == control::OrderOutcome::Accepted));
 }
 
-// The same for an engine that accepts an order and then connections, and
-// answers none of its reads.
+// An order that waits for a thread until its deadline says nothing of its
+// engine, which counted as unreachable.
+BOOST_AUTO_TEST_CASE(an_order_that_no_thread_takes_is_not_the_engines_failure) {
+  fakes::FakeScriptedTarget Frozen(
+      [](const fakes::ReceivedRequest &, fakes::ScriptedConnection &) {
+        std::this_thread::sleep_for(1500ms);
+      });
+  RecordingEngine Other;
+  EndedOrders Ended;
+  OrderSender Sender(
+      [&](const control::OrderEnded &Order) { Ended.add(Order); },
+      platform::orderDialect({"10.0.0.1"}), 1);
+  Sender.send(orderFor(Frozen.address(), 1, 1));
+  control::SendOrder Next = orderFor(Other.address(), 1, 2);
+  Next.Deadline = steadyNow() + 500ms;
+  Sender.send(Next);
+  BOOST_REQUIRE(Ended.await(2));
+  BOOST_TEST(Other.orders().empty());
+  BOOST_TEST((Ended.Outcomes[0] == control::OrderOutcome::NotSent));
+  BOOST_TEST((Ended.Outcomes[1] == control::OrderOutcome::NotTaken));
+}
+
+// An engine that accepts an order and then connections, and answers none of its
+// reads, held its thread for the whole watch too.
 BOOST_AUTO_TEST_CASE(an_engine_without_answers_leaves_its_thread_to_others) {
   std::atomic<bool> HasOrder = false;
   fakes::FakeScriptedTarget Frozen([&](const fakes::ReceivedRequest &Request,
