--- a/Tests/LibControl/RolloutWorld.h
+++ b/Tests/LibControl/RolloutWorld.h
@@ -37,6 +37,14 @@
   return Out << Case.Name;
 }
 
+/// \returns where the schedule of \p Seed is traced to; FERRY_TRACE_SEED names
+/// the seed.
+inline std::ostream *traceOf(uint64_t Seed) {
+  const char *TracedText = std::getenv("FERRY_TRACE_SEED");
+  bool Traced = TracedText && TracedText == std::to_string(Seed);
+  return Traced ? &std::cerr : nullptr;
+}
+
 /// The simulation. Times of calls are counted from its start.
 class RolloutWorld : private VirtualWorld {
 public:
@@ -696,10 +704,22 @@
     Seen.MostLoads = std::max(Seen.MostLoads, Loads);
     bool Excess = Loads - LoadsAfterSilence > int(MaxLoads);
     if (Excess && Seen.ExcessLoads == 0)
-      trace("FAULT: ", Loads, " loads at once");
+      traceLoads();
     Seen.ExcessLoads += Excess;
   }
 
+  void traceLoads() {
+    for (int Index = 0; Index < EngineCount; ++Index) {
+      const WatchedEngine &Item = Engines[Index];
+      if (!Item.state().Busy)
+        continue;
+      auto Kind = Item.silence(Now);
+      trace("FAULT: too many loads: engine ", Index, ", order sent at ",
+            atMillis(Item.loadSentAt()), " ms, ",
+            Kind ? enumName(*Kind) : "loading");
+    }
+  }
+
   /// \returns the time since \p Since in which a holder worked: terms of
   /// ShortestTerm or more count from TermStart after their start.
   Duration holderTimeSince(Timestamp Since) const {
--- a/Tests/LibControl/TestRollout.cpp
+++ b/Tests/LibControl/TestRollout.cpp
@@ -125,14 +125,6 @@
 
 } // namespace
 
-/// \returns where the schedule of \p Seed is traced to; FERRY_TRACE_SEED names
-/// the seed.
-static std::ostream *traceOf(uint64_t Seed) {
-  const char *TracedText = std::getenv("FERRY_TRACE_SEED");
-  bool Traced = TracedText && TracedText == std::to_string(Seed);
-  return Traced ? &std::cerr : nullptr;
-}
-
 // Announcements alone don't show that a load has ended to a holder that reads
 // the engines' state, and an engine can carry an order out long after it.
 BOOST_DATA_TEST_CASE(named_weights_reach_engines_in_time_under_faults,
--- a/Tests/LibControl/TestRolloutLimit.cpp
+++ b/Tests/LibControl/TestRolloutLimit.cpp
@@ -8,9 +8,10 @@
 using namespace std::chrono_literals;
 
 BOOST_AUTO_TEST_CASE(frozen_engines_come_back_beside_a_load) {
-  for (uint64_t Seed = 1; Seed <= seedCount(); ++Seed) {
+  for (uint64_t Seed = 1; Seed <= seedCount(150); ++Seed) {
     BOOST_TEST_CONTEXT("seed " << Seed) {
-      RolloutWorld World(Seed, {.FrequentNamings = true, .EngineFreeze = 0.01});
+      RolloutWorld World(Seed, {.FrequentNamings = true, .EngineFreeze = 0.01},
+                         traceOf(Seed));
       World.runUntil(120s);
       World.endFaults();
       World.runUntil(180s);
--- a/Tests/LibControl/VirtualWorld.h
+++ b/Tests/LibControl/VirtualWorld.h
@@ -19,9 +19,9 @@
 
 /// \returns the number of seeds for each row of a fault table; FERRY_LONG_SEEDS
 /// sets it for longer runs.
-inline uint64_t seedCount() {
+inline uint64_t seedCount(uint64_t Default = 25) {
   const char *SeedsText = std::getenv("FERRY_LONG_SEEDS");
-  return SeedsText ? std::strtoull(SeedsText, nullptr, 10) : 25;
+  return SeedsText ? std::strtoull(SeedsText, nullptr, 10) : Default;
 }
 
 /// Virtual time, a queue of events, the log, and the service that all engines
--- a/Tests/LibControl/WatchedEngine.h
+++ b/Tests/LibControl/WatchedEngine.h
@@ -124,6 +124,8 @@
   bool isGone() const { return silentUntil() == NeverExpires; }
 
   const EngineReport &state() const { return Current; }
+  /// \returns when the order of the latest load was sent.
+  Timestamp loadSentAt() const { return Load.SentAt; }
   Timestamp startedAt() const { return StartedAt; }
   ferry::Incarnation incarnation() const { return CurrentIncarnation; }
 
