--- a/Libraries/LibControl/Reconciler.cpp
+++ b/Libraries/LibControl/Reconciler.cpp
@@ -96,7 +96,8 @@
   }
   Work.Unreachable = Ended.Outcome == OrderOutcome::NotSent;
   Work.CurrentStage = Stage::Ready;
-  Work.SendNotBefore = Now + RefusalBackoff;
+  bool WasRead = Work.OnlyReads && Ended.Outcome == OrderOutcome::Refused;
+  Work.SendNotBefore = Now + (WasRead ? DrainReadInterval : RefusalBackoff);
 }
 
 void Reconciler::recordCarriedOut(const TargetId &Target, Task &Work,
@@ -403,9 +404,16 @@
     return Work.Order;
   bool MayConfirm = readsState() && !Wanted && Work.Slot &&
                     Work.PossiblyReceived != Task::OrderCount::None;
+  return MayConfirm ? confirmationFor(Target) : std::nullopt;
+}
+
+/// \returns the order that reads whether \p Target has the weights that the
+/// description wants.
+std::optional<Order>
+Reconciler::confirmationFor(const TargetRecord &Target) const {
   const config::Service *Service =
       View->Description->findService(Target.Service);
-  if (!MayConfirm || !Service)
+  if (!Service)
     return std::nullopt;
   return ConfirmWeights{Service->Model, Service->Weights};
 }
@@ -417,7 +425,9 @@
         !Record || Record->Incarnation != Work.Incarnation ||
         Now >= Record->UsableUntil)
       continue;
-    std::optional<Order> Next = nextOrderFor(*Record, Work);
+    Work.AwaitsTurn = awaitsTurn(Target, Work, Now);
+    std::optional<Order> Next = Work.AwaitsTurn ? confirmationFor(*Record)
+                                                : nextOrderFor(*Record, Work);
     if (!Next)
       continue;
     Timestamp Deadline = Now + OrderTimeout;
@@ -426,6 +436,7 @@
       continue;
     Work.CurrentStage = Stage::Ordered;
     Work.OrderId = NextOrderId++;
+    Work.OnlyReads = std::holds_alternative<ConfirmWeights>(*Next);
     Work.OrderDeadline = Deadline;
     OrdersEndBy = std::max(OrdersEndBy, Deadline);
     ++OrdersSent;
--- a/Libraries/LibControl/Reconciler.h
+++ b/Libraries/LibControl/Reconciler.h
@@ -46,7 +46,9 @@
 /// LoadTimeout, or SettleTime where the sender reads the target's state; a new
 /// load of the same target replaces it. Where the state is read, a holder asks
 /// the targets of the slots of earlier terms at once: the slot of one that has
-/// the weights and is not busy is free.
+/// the weights and is not busy is free. A target that could not be reached and
+/// comes back beside the loads of others gets its order again once the limit
+/// has room for it.
 ///
 /// An engine is drained before its load: routers send it nothing, and the order
 /// waits until no request runs on it, or until the time is over that the
@@ -188,6 +190,11 @@
     bool CarriedOut = false;
     /// The target may have received an order, and could not be reached since.
     bool Unreachable = false;
+    /// The order that is under way or ended last is a ConfirmWeights.
+    bool OnlyReads = false;
+    /// The target lacks its weights and carries out no order, and loads of
+    /// others take up the limit.
+    bool AwaitsTurn = false;
     /// Number of different orders that the target may have received in this
     /// task.
     enum class OrderCount : uint8_t {
@@ -279,6 +286,7 @@
   Timestamp supersededSince(const TargetRecord &Target) const;
   std::optional<Order> nextOrderFor(const TargetRecord &Target,
                                     const Task &Work) const;
+  std::optional<Order> confirmationFor(const TargetRecord &Target) const;
   void sendOrders(Timestamp Now, Effects &Out);
   void requestSlot(const TargetRecord &Target, Task &Work, Timestamp Now,
                    Effects &Out);
@@ -297,12 +305,16 @@
   struct OtherSlots {
     uint32_t Count = 0;
     uint32_t Unreachable = 0;
+    /// Targets that can be reached and wait for the loads of others.
+    uint32_t AwaitTurn = 0;
   };
   OtherSlots slotsOfOthers(const TargetId &Target, Timestamp Now) const;
   bool isAnnounced(const TargetId &Target, Timestamp Now) const;
   bool holdsUnreachableTarget(const ForeignSlot &Item, Timestamp Now) const;
   uint32_t maxLoadsFor(const TargetId &Target, Timestamp Now) const;
   bool isSlotFree(const TargetId &Target, Timestamp Now) const;
+  bool awaitsTurn(const TargetId &Target, const Task &Work,
+                  Timestamp Now) const;
   bool hasForeignSlot(const TargetId &Target) const;
   const ForeignSlot *inheritedSlot(const TargetId &Target) const;
   bool awaitsConfirmation(const TargetId &Target) const;
--- a/Libraries/LibControl/ReconcilerSlots.cpp
+++ b/Libraries/LibControl/ReconcilerSlots.cpp
@@ -186,7 +186,9 @@
     if (!Work.Slot || Id == Target)
       continue;
     ++Others.Count;
-    Others.Unreachable += Work.Unreachable || !isAnnounced(Id, Now);
+    bool Unreachable = Work.Unreachable || !isAnnounced(Id, Now);
+    Others.Unreachable += Unreachable;
+    Others.AwaitTurn += !Unreachable && Work.AwaitsTurn;
   }
   for (const ForeignSlot &Item : ForeignSlots) {
     if (Item.Free || Item.Slot.Target == Target ||
@@ -221,6 +223,21 @@
   return slotsOfOthers(Target, Now).Count < maxLoadsFor(Target, Now);
 }
 
+/// \returns whether \p Target, which has a slot, must leave the limit to the
+/// loads of others. One that can't be reached may come back at any time, and
+/// must wait if any load may have begun beside its slot.
+bool Reconciler::awaitsTurn(const TargetId &Target, const Task &Work,
+                            Timestamp Now) const {
+  if (!readsState() || !Work.Slot ||
+      Work.PossiblyReceived == Task::OrderCount::None)
+    return false;
+  OtherSlots Others = slotsOfOthers(Target, Now);
+  uint32_t Ahead = Work.Unreachable
+                       ? Others.Count
+                       : Others.Count - Others.Unreachable - Others.AwaitTurn;
+  return Ahead >= View->Description->Limits.MaxWeightsLoads;
+}
+
 std::vector<Reconciler::SlotStatus> Reconciler::slots() const {
   std::vector<SlotStatus> Result;
   for (const auto &[Target, Work] : Tasks)
--- a/Tests/LibControl/TestRolloutSlots.cpp
+++ b/Tests/LibControl/TestRolloutSlots.cpp
@@ -81,3 +81,18 @@
   BOOST_TEST(World.outdatedEngines() == 0);
   BOOST_TEST(World.counts().MostLoads <= 3);
 }
+
+// Engines that could not be reached came back beside a load that had begun
+// meanwhile, and all of them got their orders at once.
+BOOST_AUTO_TEST_CASE(
+    engines_that_come_back_wait_for_a_load_beside_their_slots) {
+  RolloutWorld World(NamedAt);
+  World.setLoadTime(3s);
+  for (int Index = 0; Index < 3; ++Index) {
+    World.loseOrders(Index, 4200ms);
+    World.freezeEngine(Index, 4200ms, 7s);
+  }
+  World.runUntil(30s);
+  BOOST_TEST(World.outdatedEngines() == 0);
+  BOOST_TEST(World.counts().MostLoads <= 3);
+}
