--- a/Libraries/LibRouting/RoutedPlacement.cpp
+++ b/Libraries/LibRouting/RoutedPlacement.cpp
@@ -21,6 +21,8 @@
     : Opts(Opts), Random(Opts.Seed) {}
 
 void RoutedPlacement::applyView(RoutingViewPtr Newer, Timestamp Now) {
+  if (!View)
+    NamesAwaitedUntil = Now + Opts.WeightsDeadline;
   View = std::move(Newer);
   std::vector<HostId> Serving = View->servingRouters();
   Routers = std::max<size_t>(1, Serving.size());
--- a/Libraries/LibRouting/RoutedPlacement.h
+++ b/Libraries/LibRouting/RoutedPlacement.h
@@ -249,6 +249,11 @@
 
   std::vector<RoutedTarget *> candidatesOf(const RoutedCall &Call,
                                            Timestamp Now);
+  /// Removes the targets whose weights are older than those of another one of
+  /// \p Candidates, as long as a naming of their model may be awaited: it may
+  /// turn out to be older than the deadline.
+  void eraseOlderUntilNamed(std::vector<RoutedTarget *> &Candidates,
+                            Timestamp Now) const;
   Candidate estimate(const RoutedCall &Call, RoutedTarget &Target,
                      const std::vector<const RoutedTarget *> &Holders,
                      const HomesByWeights &AllHomes, StoreState *Store,
@@ -378,6 +383,9 @@
   /// The last MaxNamedWeights named weights of each model, oldest first. The
   /// time without a working control host is added to Since.
   std::map<ModelId, std::vector<NamedWeights>> NamedVersions;
+  /// A router that has started waits until then for names of weights. If none
+  /// arrive in the time of a deadline, no control host is working.
+  Timestamp NamesAwaitedUntil = NeverExpires;
   /// When names of weights last arrived.
   std::optional<Timestamp> LastNamesAt;
   std::unordered_map<uint64_t, SentCall> SentCalls;
--- a/Libraries/LibRouting/RoutedPlacementChoice.cpp
+++ b/Libraries/LibRouting/RoutedPlacementChoice.cpp
@@ -134,9 +134,26 @@
     std::erase_if(Candidates, [&](const RoutedTarget *Target) {
       return MayBeginLate(Target, ExtraBeginMargin);
     });
+  eraseOlderUntilNamed(Candidates, Now);
   return std::move(Candidates);
 }
 
+void RoutedPlacement::eraseOlderUntilNamed(
+    std::vector<RoutedTarget *> &Candidates, Timestamp Now) const {
+  if (Now >= NamesAwaitedUntil)
+    return;
+  std::map<ModelId, WeightsVersion> NewestByModel;
+  for (const RoutedTarget *Target : Candidates) {
+    WeightsVersion &Newest = NewestByModel[Target->Record.Model];
+    Newest = std::max(Newest, weightsOf(*Target, Now));
+  }
+  std::erase_if(Candidates, [&](const RoutedTarget *Target) {
+    const ModelId &Model = Target->Record.Model;
+    return NamedVersions.count(Model) == 0 &&
+           weightsOf(*Target, Now) < NewestByModel[Model];
+  });
+}
+
 double RoutedPlacement::readSeconds(const RoutedCall &Call,
                                     uint32_t Cached) const {
   double Missing = std::max(0.0, double(Call.PromptTokens) - Cached);
--- a/Tests/LibRouting/TestRoutedPlacement.cpp
+++ b/Tests/LibRouting/TestRoutedPlacement.cpp
@@ -515,6 +515,57 @@
   BOOST_TEST(!MayPlace());
 }
 
+// Incident inc1-version: a router restarts with all others, 31 s after weights
+// were named, and gets requests before the control hosts have told it of the
+// naming.
+BOOST_AUTO_TEST_CASE(a_router_that_knows_no_naming_avoids_older_weights) {
+  TestDeployment Deployment(4);
+  Deployment.View.Targets[3].Weights = {2};
+  RoutedPlacement Router = Deployment.router();
+  auto IsPlacedAtNewest = [&] {
+    Deployment.announceTo(Router);
+    PlacedCall Placed =
+        expectPlaced(Router.place(Deployment.call(1), Deployment.Now));
+    serve(Router, Placed, Deployment.Now);
+    return Placed.Target.Value == "e3";
+  };
+  for (int Count = 0; Count < 20; ++Count, Deployment.Now += 500ms)
+    BOOST_TEST(IsPlacedAtNewest());
+  // Older weights serve if nothing newer can.
+  Router.noteLeaving({"e3"}, {1});
+  BOOST_TEST(!IsPlacedAtNewest());
+}
+
+// The engines with the newest weights are few. A router that restarts while no
+// control host works uses the others too once no naming can be awaited.
+BOOST_AUTO_TEST_CASE(older_weights_serve_where_no_naming_is_ever_heard_of) {
+  TestDeployment Deployment(4);
+  Deployment.View.Targets[3].Weights = {2};
+  RoutedPlacement Router = Deployment.router();
+  Deployment.Now += RoutedPlacement::Options().WeightsDeadline;
+  Deployment.announceTo(Router);
+  std::set<std::string> Used;
+  for (uint64_t Part = 1; Part <= 30; ++Part)
+    Used.insert(expectPlaced(Router.place(Deployment.call(Part, 500, 1000),
+                                          Deployment.Now))
+                    .Target.Value);
+  BOOST_TEST(Used.size() == 4U);
+}
+
+// A naming that is heard of and not due yet lets older weights serve again.
+BOOST_AUTO_TEST_CASE(older_weights_serve_once_the_naming_is_known_as_recent) {
+  TestDeployment Deployment(4);
+  Deployment.View.Targets[3].Weights = {2};
+  RoutedPlacement Router = Deployment.router();
+  Router.applyNamedWeights({Model, {2}, Deployment.Now - 1s}, Deployment.Now);
+  std::set<std::string> Used;
+  for (uint64_t Part = 1; Part <= 30; ++Part)
+    Used.insert(expectPlaced(Router.place(Deployment.call(Part, 500, 1000),
+                                          Deployment.Now))
+                    .Target.Value);
+  BOOST_TEST(Used.size() == 4U);
+}
+
 BOOST_AUTO_TEST_CASE(an_unreachable_engine_is_avoided_and_tried_again) {
   TestDeployment Deployment(4);
   RoutedPlacement Router = Deployment.router();
