--- a/Libraries/LibControl/Reconciler.cpp
+++ b/Libraries/LibControl/Reconciler.cpp
@@ -168,7 +168,16 @@
     return;
   }
   // If the slot was taken nevertheless, ActiveLoadsUpdated shows it.
-  FailureHistories[Answer.Slot.Target].NotBefore = Now + RefusalBackoff;
+  FailureHistory &TargetHistory = FailureHistories[Answer.Slot.Target];
+  // A request that a later one has overtaken is made again at once, but not
+  // twice in a row, as it may be stale for another reason.
+  bool LaterRequested = Answer.Slot.Sequence + 1 < NextLoadSequence;
+  TargetHistory.Overtaken = Answer.Answer == LoadSlotAnswered::Verdict::Stale &&
+                            LaterRequested &&
+                            Work.PossiblyReceived == Task::OrderCount::None &&
+                            !TargetHistory.Overtaken;
+  if (!TargetHistory.Overtaken)
+    TargetHistory.NotBefore = Now + RefusalBackoff;
   Tasks.erase(TaskIt);
 }
 
--- a/Libraries/LibControl/Reconciler.h
+++ b/Libraries/LibControl/Reconciler.h
@@ -216,6 +216,8 @@
   struct FailureHistory {
     uint32_t Failures = 0;
     Timestamp NotBefore;
+    /// The last request for a slot came too late at the log.
+    bool Overtaken = false;
   };
 
   /// What the target of an inherited slot answered when its state was read
--- a/Libraries/LibControl/ReconcilerEvents.h
+++ b/Libraries/LibControl/ReconcilerEvents.h
@@ -113,8 +113,11 @@
 struct LoadSlotAnswered {
   enum class Verdict : uint8_t {
     Granted,
-    /// The limit of loads is reached, or the request was out of date.
+    /// The limit of loads is reached.
     Refused,
+    /// The log has handled a later request before this one, or the request is
+    /// out of date. It is never granted.
+    Stale,
     /// No answer arrived; the slot may have been taken.
     Unknown
   };
--- a/Services/ferryd/OrderDispatcher.cpp
+++ b/Services/ferryd/OrderDispatcher.cpp
@@ -247,13 +247,16 @@
       steadyNow() + SlotTimeout, [this, Slot](auto Outcome) {
         if (!Outcome)
           return stepOrders(control::LoadSlotAnswered{Slot, Verdict::Unknown});
+        bool Stale = std::holds_alternative<LoadStale>(*Outcome);
         bool Granted = std::holds_alternative<LoadGranted>(*Outcome);
         if (!Granted)
-          observe::logEvent(
-              Severity::Info, "orders", "load_slot_refused",
-              {{"target", Slot.Target}, {"weights", Slot.Weights}});
+          observe::logEvent(Severity::Info, "orders", "load_slot_refused",
+                            {{"target", Slot.Target},
+                             {"weights", Slot.Weights},
+                             {"reason", Stale ? "stale" : "limit"}});
+        Verdict Refusal = Stale ? Verdict::Stale : Verdict::Refused;
         stepOrders(control::LoadSlotAnswered{Slot, Granted ? Verdict::Granted
-                                                           : Verdict::Refused});
+                                                           : Refusal});
       });
 }
 
--- a/Tests/LibControl/TestReconciler.cpp
+++ b/Tests/LibControl/TestReconciler.cpp
@@ -133,6 +133,71 @@
                  LoadSlotAnswered{Slot, Verdict::Granted}, Now)) == 1);
 }
 
+/// The same as viewOf(), and engines with the wanted weights need no order.
+static ViewChanged viewBesideCurrent(Timestamp Now,
+                                     const std::vector<uint64_t> &Weights) {
+  auto View = std::make_shared<routing::RoutingView>(
+      *viewOf(Now, FencingCheck::Checked, Weights).View);
+  for (TargetRecord &Target : View->Targets)
+    Target.Adapter = {};
+  return {View};
+}
+
+// Requests of one holder can overtake each other on their way to the log, which
+// refuses those that come late. Their engines then had to wait as if the limit
+// of loads was reached.
+BOOST_AUTO_TEST_CASE(an_overtaken_request_for_a_slot_is_made_again_at_once) {
+  Timestamp Now{std::chrono::seconds(100)};
+  registry::OrderLeases Log;
+  Log.apply(registry::AcquireOrderLease{
+      std::string(registry::DeploymentLease), {"a"}, {1}, {}, 0});
+  Reconciler HostReconciler;
+  HostReconciler.step(viewBesideCurrent(Now, {1, 1, 2}), Now);
+  HostReconciler.step(LeaseHeld{{1}, Now + std::chrono::seconds(5)}, Now);
+  auto Effects = HostReconciler.step(ActiveLoadsUpdated{{}, {1}}, Now);
+  BOOST_REQUIRE(Effects.size() == 2u);
+  auto First = std::get<BeginLoad>(Effects[0]);
+  auto Second = std::get<BeginLoad>(Effects[1]);
+  auto Ask = [&](const BeginLoad &Asked) {
+    return Log.apply(registry::BeginWeightsLoad{Asked.Slot, Asked.MaxLoads});
+  };
+  BOOST_TEST(std::holds_alternative<registry::LoadGranted>(Ask(Second)));
+  BOOST_TEST(std::holds_alternative<registry::LoadStale>(Ask(First)));
+  using Verdict = LoadSlotAnswered::Verdict;
+  HostReconciler.step(LoadSlotAnswered{Second.Slot, Verdict::Granted}, Now);
+  Effects =
+      HostReconciler.step(LoadSlotAnswered{First.Slot, Verdict::Stale}, Now);
+  BOOST_REQUIRE(Effects.size() == 1u);
+  auto Again = std::get<BeginLoad>(Effects[0]);
+  BOOST_TEST(std::holds_alternative<registry::LoadGranted>(Ask(Again)));
+  BOOST_TEST(Log.loads().size() == 2u);
+}
+
+// A target whose requests are stale for another reason is not asked for without
+// end.
+BOOST_AUTO_TEST_CASE(a_slot_is_requested_again_at_once_only_once) {
+  Timestamp Now{std::chrono::seconds(100)};
+  Reconciler HostReconciler;
+  HostReconciler.step(viewBesideCurrent(Now, {1, 2}), Now);
+  HostReconciler.step(LeaseHeld{{1}, Now + std::chrono::seconds(5)}, Now);
+  auto Effects = HostReconciler.step(ActiveLoadsUpdated{{}, {1}}, Now);
+  using Verdict = LoadSlotAnswered::Verdict;
+  size_t Requests = 0;
+  for (; Requests < 5; ++Requests) {
+    auto Begin = std::find_if(Effects.begin(), Effects.end(), [](auto &Item) {
+      return std::holds_alternative<BeginLoad>(Item);
+    });
+    if (Begin == Effects.end())
+      break;
+    Effects = HostReconciler.step(
+        LoadSlotAnswered{std::get<BeginLoad>(*Begin).Slot, Verdict::Stale},
+        Now);
+  }
+  BOOST_TEST(Requests <= 2u);
+  BOOST_TEST(
+      !HostReconciler.step(Tick{}, Now + Reconciler::RefusalBackoff).empty());
+}
+
 // A lost answer to the request for a slot left the slot unused for as long as
 // the request may take.
 BOOST_AUTO_TEST_CASE(a_load_begins_once_the_log_shows_its_slot) {
--- a/Tests/LibControl/VirtualWorld.h
+++ b/Tests/LibControl/VirtualWorld.h
@@ -56,9 +56,12 @@
   LoadSlotAnswered::Verdict applyToLog(const BeginLoad &Begin) {
     auto Outcome =
         Log.apply(registry::BeginWeightsLoad{Begin.Slot, Begin.MaxLoads});
+    using Verdict = LoadSlotAnswered::Verdict;
+    if (std::holds_alternative<registry::LoadStale>(Outcome))
+      return Verdict::Stale;
     return std::holds_alternative<registry::LoadGranted>(Outcome)
-               ? LoadSlotAnswered::Verdict::Granted
-               : LoadSlotAnswered::Verdict::Refused;
+               ? Verdict::Granted
+               : Verdict::Refused;
   }
 
   static TargetRecord engineRecord(const std::string &Id, int Index,
