--- a/Libraries/LibTraffic/EventSplitter.cpp
+++ b/Libraries/LibTraffic/EventSplitter.cpp
@@ -1,8 +1,19 @@
 #include "LibTraffic/EventSplitter.h"
 #include "LibCore/ParseNumber.h"
+#include <algorithm>
 
 namespace ferry::traffic {
 
+static constexpr size_t LargeEventBytes = 32 << 10;
+
+uint64_t EventSplitter::takenWith(uint64_t Added) const {
+  uint64_t Needed = Pending.size() + Added;
+  if (Needed <= Pending.capacity())
+    return Pending.capacity();
+  // The string's old and new copy.
+  return Pending.capacity() + std::max(Needed, 2 * Pending.capacity());
+}
+
 bool EventSplitter::push(std::string_view Piece) {
   Pending.append(Piece);
   return Pending.size() <= MaxEventBytes;
@@ -35,6 +46,9 @@
   ServerEvent Event;
   Event.Raw = Pending.substr(0, Scanned + *End);
   Pending.erase(0, Scanned + *End);
+  // The memory of a large event is not kept for the rest of the stream.
+  if (Event.Raw.size() > LargeEventBytes)
+    Pending.shrink_to_fit();
   Scanned = 0;
   std::string_view Unparsed(Event.Raw);
   while (!Unparsed.empty()) {
--- a/Libraries/LibTraffic/EventSplitter.h
+++ b/Libraries/LibTraffic/EventSplitter.h
@@ -27,6 +27,10 @@
   /// Largest event, in bytes.
   static constexpr size_t MaxEventBytes = 256 << 10;
 
+  /// \returns the bytes of memory that push() takes at most while it adds a
+  /// piece of \p Added bytes.
+  uint64_t takenWith(uint64_t Added) const;
+
   /// Adds the next piece. \returns false if an event grows too large.
   bool push(std::string_view Piece);
 
--- a/Libraries/LibTraffic/HttpExchange.cpp
+++ b/Libraries/LibTraffic/HttpExchange.cpp
@@ -224,11 +224,15 @@
   Response.set(Name, Value);
 }
 
-bool HttpExchange::writeWhole(const std::string &Body) {
-  Response.setContentLength64(static_cast<Poco::Int64>(Body.size()));
+bool HttpExchange::writeWhole(std::span<const std::string> Body) {
+  size_t Size = 0;
+  for (const std::string &Block : Body)
+    Size += Block.size();
+  Response.setContentLength64(static_cast<Poco::Int64>(Size));
   std::ostream &Out = Response.send();
   if (method() != "HEAD")
-    Out << Body;
+    for (const std::string &Block : Body)
+      Out << Block;
   Out.flush();
   return Out.good();
 }
@@ -249,7 +253,7 @@
     Response.setStatusAndReason(
         static_cast<Poco::Net::HTTPResponse::HTTPStatus>(Status));
     Response.setContentType(ContentType);
-    return endUnlessWritten(writeWhole(Body));
+    return endUnlessWritten(writeWhole({&Body, 1}));
   } catch (const Poco::Exception &) {
     return endUnlessWritten(false);
   }
@@ -276,10 +280,10 @@
 }
 
 bool HttpExchange::sendRelayed(const Poco::Net::HTTPResponse &TargetHead,
-                               const std::string &Body) {
+                               const HeldBody &Body) {
   try {
     copyHead(TargetHead);
-    return endUnlessWritten(writeWhole(Body));
+    return endUnlessWritten(writeWhole(Body.blocks()));
   } catch (const Poco::Exception &) {
     return endUnlessWritten(false);
   }
--- a/Libraries/LibTraffic/HttpExchange.h
+++ b/Libraries/LibTraffic/HttpExchange.h
@@ -6,6 +6,7 @@
 #include "LibConfig/Settings.h"
 #include "LibCore/Result.h"
 #include "LibTraffic/ErrorAnswer.h"
+#include "LibTraffic/HeldBody.h"
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
 #include <Poco/Net/StreamSocket.h>
@@ -14,6 +15,7 @@
 #include <map>
 #include <optional>
 #include <ostream>
+#include <span>
 #include <string>
 
 namespace ferry::traffic {
@@ -122,7 +124,7 @@
   /// Sends a target's whole answer with its status and headers, except for
   /// headers that concern one connection.
   bool sendRelayed(const Poco::Net::HTTPResponse &TargetHead,
-                   const std::string &Body);
+                   const HeldBody &Body);
   /// Starts to relay a target's stream; writeEvents() sends its pieces.
   void beginRelayedStream(const Poco::Net::HTTPResponse &TargetHead);
   /// Ends the connection at once, so that a partial answer does not look
@@ -147,9 +149,9 @@
   AnswerResult<uint64_t> tryContentLength(uint64_t MaxBytes) const;
   AnswerResult<std::string> tryReadChunks(uint64_t MaxBytes);
   void copyHead(const Poco::Net::HTTPResponse &TargetHead);
-  /// Sends the current head and \p Body. \returns whether all of it was
-  /// written. Throws the HTTP library's exceptions.
-  bool writeWhole(const std::string &Body);
+  /// Sends the current head and the blocks of \p Body. \returns whether all of
+  /// it was written. Throws the HTTP library's exceptions.
+  bool writeWhole(std::span<const std::string> Body);
   /// Ends the connection after a failed write. \returns \p Written.
   bool endUnlessWritten(bool Written);
 
--- a/Libraries/LibTraffic/Json.cpp
+++ b/Libraries/LibTraffic/Json.cpp
@@ -1,5 +1,7 @@
 #include "LibTraffic/Json.h"
 #include <Poco/JSON/Parser.h>
+#include <istream>
+#include <streambuf>
 
 namespace ferry::traffic {
 
@@ -25,17 +27,55 @@
   }
 }
 
-bool isWholeJson(const std::string &Text) {
+namespace {
+
+/// Reads the blocks of a body in their order.
+class BlockReader : public std::streambuf {
+public:
+  explicit BlockReader(const HeldBody &Body) : Blocks(Body.blocks()) {}
+
+protected:
+  int_type underflow() override {
+    while (Next < Blocks.size()) {
+      const std::string &Block = Blocks[Next++];
+      // The base class wants bytes that it could change, and changes none.
+      char *Start = const_cast<char *>(Block.data());
+      setg(Start, Start, Start + Block.size());
+      if (!Block.empty())
+        return traits_type::to_int_type(*Start);
+    }
+    return traits_type::eof();
+  }
+
+private:
+  const std::vector<std::string> &Blocks;
+  size_t Next = 0;
+};
+
+} // namespace
+
+/// Whether \p Text is well-formed and at most \p Depth levels deep.
+static bool isWellFormed(const HeldBody &Text, size_t Depth) {
   try {
+    BlockReader Reader(Text);
+    std::istream Stream(&Reader);
     Poco::JSON::Parser Parser;
-    Parser.setDepth(MaxForeignDepth);
-    Parser.parse(Text);
+    Parser.setDepth(Depth);
+    Parser.parse(Stream);
     return true;
   } catch (const std::exception &) {
     return false;
   }
 }
 
+bool isWholeJson(const HeldBody &Text) {
+  return isWellFormed(Text, MaxForeignDepth);
+}
+
+bool isWholeObject(const HeldBody &Text) {
+  return Text.firstVisible() == '{' && isWellFormed(Text, MaxDepth);
+}
+
 std::optional<std::string> stringMember(const Poco::JSON::Object &Object,
                                         const std::string &Name) {
   Poco::Dynamic::Var Value = Object.get(Name);
--- a/Libraries/LibTraffic/Json.h
+++ b/Libraries/LibTraffic/Json.h
@@ -15,7 +15,11 @@
 AnswerResult<Poco::JSON::Object::Ptr> tryParseObject(const std::string &Text);
 
 /// Whether \p Text is one whole JSON object or array.
-bool isWholeJson(const std::string &Text);
+bool isWholeJson(const HeldBody &Text);
+
+/// Whether \p Text is one whole JSON object as tryParseObject() reads it.
+/// Builds no values either.
+bool isWholeObject(const HeldBody &Text);
 
 /// \returns the member \p Name if it is a string.
 std::optional<std::string> stringMember(const Poco::JSON::Object &Object,
--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -287,6 +287,8 @@
   Framing.reset();
   FirstEventAt.reset();
   UnfinishedBytes = 0;
+  // What was read of the answer before is gone, except for a whole failure.
+  mayHold(0);
   auto Connected = TargetExchange::tryConnect(Destination.Address, limits());
   if (!Connected)
     return recordFailure(Destination, Connected.error(), /*Sent=*/false);
@@ -390,7 +392,7 @@
 
 bool RoutedRelay::mayHold(uint64_t Bytes) {
   if (LastFailureAnswer)
-    Bytes += LastFailureAnswer->Body.size();
+    Bytes += LastFailureAnswer->Body.taken();
   return LargeAnswer.tryHold(Bytes -
                              std::min(Bytes, RoutedContext::FreeAnswerBytes));
 }
@@ -473,7 +475,7 @@
     Ready = std::move(Piece);
     return true;
   }
-  if (!Events.push(Piece))
+  if (!mayHold(Events.takenWith(Piece.size())) || !Events.push(Piece))
     return false;
   while (auto Event = Events.next()) {
     bool AlreadySent = Event->Token && LastEvent && *Event->Token <= *LastEvent;
@@ -484,7 +486,7 @@
     Ready += Event->Raw;
   }
   UnfinishedBytes = Events.boundary().unfinishedBytes();
-  return mayHold(UnfinishedBytes);
+  return mayHold(Events.takenWith(0));
 }
 
 void RoutedRelay::beginStream(const PlacedCall &Destination,
--- a/Libraries/LibTraffic/RoutedRelay.h
+++ b/Libraries/LibTraffic/RoutedRelay.h
@@ -171,7 +171,7 @@
   /// request.
   struct TargetAnswer {
     Poco::Net::HTTPResponse Head;
-    std::string Body;
+    HeldBody Body;
   };
   std::optional<TargetAnswer> LastFailureAnswer;
   LinkError LastFailure{LinkErrorKind::NotSent, ""};
--- a/Libraries/LibTraffic/TargetConnection.cpp
+++ b/Libraries/LibTraffic/TargetConnection.cpp
@@ -54,11 +54,11 @@
 TargetConnection::tryReadWhole(uint64_t MaxBytes, const WaitLimits &Limits) {
   auto Whole =
       Exchange->tryReadWhole(MaxBytes, Limits, [](uint64_t) { return true; });
-  bool IsCut = Whole && Exchange->framing() == FramingKind::Connection &&
-               !tryParseObject(*Whole);
-  if (IsCut)
+  if (!Whole)
+    return makeError(Whole.error());
+  if (Exchange->framing() == FramingKind::Connection && !isWholeObject(*Whole))
     return makeTypedError(LinkErrorKind::Incomplete);
-  return Whole;
+  return Whole->text();
 }
 
 std::string TargetConnection::header(const std::string &Name) const {
--- a/Libraries/LibTraffic/TargetExchange.cpp
+++ b/Libraries/LibTraffic/TargetExchange.cpp
@@ -221,37 +221,36 @@
 /// Whether \p Body is whole if it ends with its connection. A JSON object or
 /// array shows its own end; other content has none but the orderly close.
 static bool endsWithConnection(const Poco::Net::HTTPResponse &Head,
-                               const std::string &Body) {
+                               const HeldBody &Body) {
   std::string Type = Poco::toLower(Head.getContentType());
   Type.resize(std::min(Type.find(';'), Type.size()));
   Poco::trimRightInPlace(Type);
   bool IsJson = Type == "application/json" || Type.ends_with("+json");
-  size_t Start = Body.find_first_not_of(" \t\r\n");
-  bool ShowsEnd = IsJson && Start != std::string::npos &&
-                  (Body[Start] == '{' || Body[Start] == '[');
+  char Start = Body.firstVisible();
+  bool ShowsEnd = IsJson && (Start == '{' || Start == '[');
   return !ShowsEnd || isWholeJson(Body);
 }
 
-LinkResult<std::string>
+LinkResult<HeldBody>
 TargetExchange::tryReadWhole(uint64_t MaxBytes, const WaitLimits &Limits,
                              const std::function<bool(uint64_t)> &MayHold) {
-  std::string Whole;
+  HeldBody Whole;
   while (true) {
     auto Piece = tryReadPiece(Limits);
     if (!Piece)
-      return Piece;
+      return makeError(Piece.error());
     if (Piece->empty()) {
       if (framing() == FramingKind::Connection &&
           !endsWithConnection(Response, Whole))
         return makeTypedError(LinkErrorKind::Incomplete);
       return Whole;
     }
-    Whole += *Piece;
-    if (Whole.size() > MaxBytes)
+    if (Whole.size() + Piece->size() > MaxBytes)
       return makeTypedError(LinkErrorKind::TooLarge);
-    if (!MayHold(Whole.size()))
+    if (!MayHold(Whole.takenWith(Piece->size())))
       return makeTypedError(LinkErrorKind::TooLarge,
                             "too many answers are in memory");
+    Whole.append(*Piece);
   }
 }
 
--- a/Libraries/LibTraffic/TargetExchange.h
+++ b/Libraries/LibTraffic/TargetExchange.h
@@ -4,6 +4,7 @@
 #define FERRY_LIBTRAFFIC_TARGETEXCHANGE_H
 
 #include "LibTraffic/BodyFraming.h"
+#include "LibTraffic/HeldBody.h"
 #include "LibTraffic/TargetLink.h"
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
@@ -40,9 +41,9 @@
   /// \returns the whole body; TooLarge beyond \p MaxBytes; Incomplete if its
   /// framing or, where that ends with the connection, its content shows that it
   /// was cut off.
-  /// \param MayHold asked with the size of the body each time it grows;
-  /// TooLarge once it denies.
-  LinkResult<std::string>
+  /// \param MayHold asked before the body takes more memory, with the bytes
+  /// that it then takes in all; TooLarge once it denies.
+  LinkResult<HeldBody>
   tryReadWhole(uint64_t MaxBytes, const WaitLimits &Limits,
                const std::function<bool(uint64_t)> &MayHold);
 
--- a/Services/ferryd/main.cpp
+++ b/Services/ferryd/main.cpp
@@ -9,10 +9,29 @@
 #include <iostream>
 #include <tclap/CmdLine.h>
 #include <unistd.h>
+#ifdef __GLIBC__
+#include <malloc.h>
+#endif
 
 using namespace ferry;
 using daemon::ExitCode;
 
+/// Most heaps of the allocator. Each keeps what was freed in it.
+static constexpr int MaxHeaps = 2;
+/// Blocks from this size on return to the system as soon as they are freed.
+static constexpr int LargeBlockBytes = 128 << 10;
+
+/// Keeps the memory of the process near what is in use. By default there are
+/// up to eight heaps a core, and the bound of large blocks rises to the largest
+/// one that was freed.
+static void limitAllocator() {
+#ifdef __GLIBC__
+  mallopt(M_ARENA_MAX, MaxHeaps);
+  mallopt(M_MMAP_THRESHOLD, LargeBlockBytes);
+  mallopt(M_TRIM_THRESHOLD, LargeBlockBytes);
+#endif
+}
+
 static int toInt(ExitCode Code) { return static_cast<int>(Code); }
 
 static ExitCode exitCodeOf(daemon::StartErrorKind Kind) {
@@ -108,6 +127,7 @@
 int main(int Count, char **Arguments) {
   // Comes first: until the signals are blocked, each of them kills the process.
   sigset_t StopSignals = blockStopSignals();
+  limitAllocator();
   try {
     TCLAP::CmdLine Line(
         "ferryd: routes language-model traffic. SIGTERM drains and "
