--- a/Libraries/LibTraffic/Json.cpp
+++ b/Libraries/LibTraffic/Json.cpp
@@ -59,7 +59,7 @@
   try {
     BlockReader Reader(Text);
     std::istream Stream(&Reader);
-    Poco::JSON::Parser Parser;
+    Poco::JSON::Parser Parser{Poco::JSON::Handler::Ptr()};
     Parser.setDepth(Depth);
     Parser.parse(Stream);
     return true;
--- a/Libraries/LibTraffic/Json.h
+++ b/Libraries/LibTraffic/Json.h
@@ -14,7 +14,8 @@
 /// Parses \p Text as one JSON object. \returns BadJson if it is not one.
 AnswerResult<Poco::JSON::Object::Ptr> tryParseObject(const std::string &Text);
 
-/// Whether \p Text is one whole JSON object or array.
+/// Whether \p Text is one whole JSON object or array. Builds no values: those
+/// of a body can take more than a hundred times its size.
 bool isWholeJson(const HeldBody &Text);
 
 /// Whether \p Text is one whole JSON object as tryParseObject() reads it.
--- a/Tests/System/TestEndlessBytes.cpp
+++ b/Tests/System/TestEndlessBytes.cpp
@@ -40,6 +40,8 @@
     {"interim heads", "/whole/x", "", "HTTP/1.1 100 Continue\r\n\r\n"},
     {"JSON without a length", "/whole/x",
      Head + "Content-Type: application/json\r\n\r\n[1", ",1"},
+    {"JSON of small values", "/whole/x",
+     Head + "Content-Type: application/json\r\n\r\n[1", ",1", 4 << 20, "]"},
     {"a body in chunks", "/whole/x", ChunkedHead,
      "8000\r\n" + repeated("m", 0x8000) + "\r\n"},
     {"failures in chunks", "/whole/x",
