--- a/Libraries/LibControl/Reconciler.cpp
+++ b/Libraries/LibControl/Reconciler.cpp
@@ -431,7 +431,7 @@
   for (auto &[Target, Work] : Tasks) {
     const TargetRecord *Record = findTarget(Target);
     if (Work.CurrentStage != Stage::Ready || Now < Work.SendNotBefore ||
-        !Record || Record->Incarnation != Work.Incarnation ||
+        !Record || Record->Incarnation < Work.Incarnation ||
         Now >= Record->UsableUntil)
       continue;
     Work.AwaitsTurn = awaitsTurn(Target, Work, Now);
@@ -439,13 +439,18 @@
                                                 : nextOrderFor(*Record, Work);
     if (!Next)
       continue;
+    // A later incarnation with the weights is read; orders were for the other.
+    bool OnlyReads = std::holds_alternative<ConfirmWeights>(*Next);
+    if (!OnlyReads && Record->Incarnation != Work.Incarnation)
+      continue;
     Timestamp Deadline = Now + OrderTimeout;
     bool ChecksFencing = Record->Fencing == FencingCheck::Checked;
     if (!ChecksFencing && Deadline > HeldUntil)
       continue;
     Work.CurrentStage = Stage::Ordered;
     Work.OrderId = NextOrderId++;
-    Work.OnlyReads = std::holds_alternative<ConfirmWeights>(*Next);
+    Work.OnlyReads = OnlyReads;
+    Work.Incarnation = Record->Incarnation;
     Work.OrderDeadline = Deadline;
     OrdersEndBy = std::max(OrdersEndBy, Deadline);
     ++OrdersSent;
--- a/Tests/LibControl/RolloutWorld.h
+++ b/Tests/LibControl/RolloutWorld.h
@@ -106,6 +106,13 @@
     });
   }
 
+  /// The engine is down from \p At to \p Until and starts anew.
+  void restartEngine(int Index, Duration At, Duration Until) {
+    schedule(At, [this, Index, Until] {
+      Engines[Index].fallSilent(Silence::Down, Now, Start + Until);
+    });
+  }
+
   /// The engine answers nothing from \p At on, and never again.
   void removeEngine(int Index, Duration At) {
     schedule(At, [this, Index] {
--- a/Tests/LibControl/TestRolloutSlots.cpp
+++ b/Tests/LibControl/TestRolloutSlots.cpp
@@ -9,6 +9,7 @@
 using namespace std::chrono_literals;
 
 static constexpr Duration NamedAt = 3s;
+static constexpr Duration WeightsDeadline = RolloutWorld::WeightsDeadline;
 
 // A new holder counts the time of an inherited slot anew. If the engine is
 // gone, terms shorter than that time never end the slot.
@@ -96,3 +97,20 @@
   BOOST_TEST(World.outdatedEngines() == 0);
   BOOST_TEST(World.counts().MostLoads <= 3);
 }
+
+// A new holder got no answer to its orders under inherited slots. Engines that
+// had carried them out and started again were not read any more, and kept their
+// slots until the settle time had passed.
+BOOST_AUTO_TEST_CASE(
+    engines_that_start_again_with_the_weights_free_their_slots) {
+  RolloutWorld World(NamedAt);
+  for (int Index = 0; Index < 3; ++Index) {
+    World.loseOrders(Index, 4500ms);
+    World.loseAnswers(Index, 20s);
+    World.restartEngine(Index, 6200ms, 7400ms);
+  }
+  World.killHolder(4s, 4600ms);
+  World.runUntil(NamedAt + WeightsDeadline + 600ms);
+  BOOST_TEST(World.outdatedEngines() == 0);
+  BOOST_TEST(World.counts().MostLoads <= 3);
+}
