--- a/Libraries/LibControl/Reconciler.cpp
+++ b/Libraries/LibControl/Reconciler.cpp
@@ -41,6 +41,7 @@
   }
   Fencing = Lease.Fencing;
   HeldUntil = Lease.Until;
+  UncheckedOrdersFrom = Lease.UncheckedOrdersFrom;
 }
 
 bool Reconciler::maySendOrders(Timestamp Now) const {
@@ -427,6 +428,16 @@
   return ConfirmWeights{Service->Model, Service->Weights};
 }
 
+/// \returns whether no order of another holder can be under way to \p Target
+/// together with \p Next. A target that checks fencing numbers sees to that
+/// itself, and reading its state changes nothing.
+bool Reconciler::maySendNow(const TargetRecord &Target, const Order &Next,
+                            Timestamp Now) const {
+  return Target.Fencing == FencingCheck::Checked ||
+         std::holds_alternative<ConfirmWeights>(Next) ||
+         (Now >= UncheckedOrdersFrom && Now + OrderTimeout <= HeldUntil);
+}
+
 void Reconciler::sendOrders(Timestamp Now, Effects &Out) {
   for (auto &[Target, Work] : Tasks) {
     const TargetRecord *Record = findTarget(Target);
@@ -443,10 +454,9 @@
     bool OnlyReads = std::holds_alternative<ConfirmWeights>(*Next);
     if (!OnlyReads && Record->Incarnation != Work.Incarnation)
       continue;
-    Timestamp Deadline = Now + OrderTimeout;
-    bool ChecksFencing = Record->Fencing == FencingCheck::Checked;
-    if (!ChecksFencing && Deadline > HeldUntil)
+    if (!maySendNow(*Record, *Next, Now))
       continue;
+    Timestamp Deadline = Now + OrderTimeout;
     Work.CurrentStage = Stage::Ordered;
     Work.OrderId = NextOrderId++;
     Work.OnlyReads = OnlyReads;
--- a/Libraries/LibControl/Reconciler.h
+++ b/Libraries/LibControl/Reconciler.h
@@ -297,6 +297,8 @@
   bool readsState() const { return Opts.WatchLimit > Duration::zero(); }
   Duration loadTimeout() const;
   bool maySendOrders(Timestamp Now) const;
+  bool maySendNow(const TargetRecord &Target, const Order &Next,
+                  Timestamp Now) const;
   RolloutWait rolloutWait(const Counts &Current, Timestamp Now) const;
   const TargetRecord *findTarget(const TargetId &Id) const;
   bool isUsableEngine(const TargetRecord &Target, Timestamp Now) const;
@@ -330,6 +332,8 @@
   /// Orders may be sent before this time; the clock's epoch if the lease is not
   /// held.
   Timestamp HeldUntil;
+  /// Orders to targets that check no fencing numbers are sent from then on.
+  Timestamp UncheckedOrdersFrom;
   /// The log's copy of the slots is at least as new as this host's lease.
   bool SlotsKnown = false;
   std::map<TargetId, Task> Tasks;
--- a/Libraries/LibControl/ReconcilerEvents.h
+++ b/Libraries/LibControl/ReconcilerEvents.h
@@ -83,6 +83,9 @@
   /// End of the lease. Orders to targets that don't check fencing numbers must
   /// end before it.
   Timestamp Until;
+  /// No order may be sent to such a target before this; orders of the previous
+  /// holder have ended by then. Reading a target's state is no order.
+  Timestamp UncheckedOrdersFrom = {};
 };
 
 /// This host no longer holds the order lease.
--- a/Services/ferryd/OrderDispatcher.cpp
+++ b/Services/ferryd/OrderDispatcher.cpp
@@ -63,8 +63,9 @@
   if (Draining && Now >= Orders.ordersEndBy())
     stepLease(LeaseIntentChanged{LeaseIntent::Release});
   stepLease(LeaseTick{});
-  if (Lease.isHeld(Now) && !Draining && Now >= FirstOrderAt)
-    stepOrders(control::LeaseHeld{Lease.fencing(), Lease.heldUntil()});
+  if (Lease.isHeld(Now) && !Draining)
+    stepOrders(control::LeaseHeld{Lease.fencing(), Lease.heldUntil(),
+                                  UncheckedOrdersFrom});
   stepOrders(control::ActiveLoadsUpdated{State.loads(),
                                          State.lease(DeploymentLease).Fencing});
   stepOrders(control::Tick{});
@@ -141,7 +142,7 @@
           // holders within the length of a lease. The first holder has no
           // predecessor to wait for.
           if (Gained.Fencing.Value > 1 && Fencing == FencingCheck::Unchecked)
-            FirstOrderAt = steadyNow() + LeaseLength;
+            UncheckedOrdersFrom = steadyNow() + LeaseLength;
           observe::logEvent(Severity::Info, "orders", "lease_gained",
                             {{"fencing", Gained.Fencing}});
         },
--- a/Services/ferryd/OrderDispatcher.h
+++ b/Services/ferryd/OrderDispatcher.h
@@ -27,7 +27,8 @@
   Duration WeightsDeadline = Duration::zero();
   size_t SendingThreads = 4;
   /// Whether all targets refuse orders with old fencing numbers. If not, a new
-  /// holder waits for the length of a lease before its first order.
+  /// holder waits for the length of a lease before its first order; it reads
+  /// the targets' states at once.
   FencingCheck Fencing = FencingCheck::Checked;
 };
 
@@ -87,9 +88,8 @@
   registry::LeaseHolder Lease;
   control::Reconciler Orders;
   bool Draining = false;
-  /// No order is sent before this; orders of the previous holder have ended by
-  /// then.
-  Timestamp FirstOrderAt;
+  /// See control::LeaseHeld.
+  Timestamp UncheckedOrdersFrom;
   Duration LeaseLength;
   FencingCheck Fencing;
   EngineChangeCallback EngineChanged;
--- a/Tests/LibControl/RolloutWorld.h
+++ b/Tests/LibControl/RolloutWorld.h
@@ -53,6 +53,7 @@
   static constexpr uint32_t EnginesPerLoad = 4;
   static constexpr uint32_t MaxLoads = EngineCount / EnginesPerLoad;
   static constexpr Duration Step = std::chrono::milliseconds(20);
+  static constexpr Duration LeaseLength = std::chrono::seconds(3);
   /// Time from the naming of weights from which no request may begin on older
   /// ones: the strictest of the users' deployments.
   static constexpr Duration WeightsDeadline = std::chrono::seconds(10);
@@ -139,6 +140,14 @@
     });
   }
 
+  /// No engine checks fencing numbers, and later holders of the lease wait for
+  /// its length before their first order.
+  void checkNoFencing() {
+    Fenced = FencingCheck::Unchecked;
+    for (WatchedEngine &Item : Engines)
+      Item.checkNoFencing();
+  }
+
   /// Loads of the engine don't end.
   void hangEngine(int Index) {
     Engines[Index].setLoadTime(std::chrono::hours(1));
@@ -224,7 +233,6 @@
   static constexpr Duration WatchLimit = std::chrono::seconds(4);
   static constexpr Duration SlotTimeout = std::chrono::seconds(3);
   static constexpr Duration DrainLifetime = std::chrono::seconds(4);
-  static constexpr Duration LeaseLength = std::chrono::seconds(3);
   static constexpr Duration RenewInterval = std::chrono::milliseconds(400);
   /// A shorter term does not count as one with a working holder, and a longer
   /// one counts after TermStart.
@@ -428,6 +436,7 @@
     TargetRecord Record = engineRecord(
         engineId(Index), Index, Target.incarnation(), Target.state().Weights);
     Record.UsableUntil = Now + RecordLifetime;
+    Record.Fencing = Fenced;
     for (const auto &Process : Hosts)
       if (Process)
         schedule(millis(20, 600), [To = ProcessRef(Process), Index, Record] {
@@ -473,7 +482,11 @@
           std::string(registry::DeploymentLease), HolderId, HolderIncarnation,
           Fencing, ++Renewals});
     }
-    decide(Process, LeaseHeld{Fencing, RenewAt - RenewInterval + LeaseLength});
+    bool FirstHolder = Terms.size() == 1;
+    bool Waits = Fenced == FencingCheck::Unchecked && !FirstHolder;
+    decide(Process,
+           LeaseHeld{Fencing, RenewAt - RenewInterval + LeaseLength,
+                     Waits ? Terms.back().From + LeaseLength : Timestamp()});
   }
 
   void decide(HostProcess &Process, const ReconcilerEvent &Event) {
@@ -773,6 +786,7 @@
   HostId HolderId;
   Incarnation HolderIncarnation;
   FencingNumber Fencing;
+  FencingCheck Fenced = FencingCheck::Checked;
   uint64_t Renewals = 0;
   Timestamp RenewAt;
   Timestamp TermEndsAt = NeverExpires;
--- a/Tests/LibControl/TestRolloutSlots.cpp
+++ b/Tests/LibControl/TestRolloutSlots.cpp
@@ -114,3 +114,22 @@
   BOOST_TEST(World.outdatedEngines() == 0);
   BOOST_TEST(World.counts().MostLoads <= 3);
 }
+
+// A new holder read no state for the length of a lease either, so that the
+// slots of loads that had ended were freed only after that wait.
+BOOST_AUTO_TEST_CASE(a_new_holder_reads_states_while_its_orders_wait) {
+  static constexpr uint32_t AtOnce = RolloutWorld::MaxLoads;
+  RolloutWorld World(NamedAt);
+  World.checkNoFencing();
+  World.killHolder(4s, 4600ms);
+  Duration OrdersFrom = 4600ms + RolloutWorld::LeaseLength;
+  World.runUntil(OrdersFrom);
+  BOOST_TEST(World.counts().Accepted == AtOnce);
+  World.runUntil(OrdersFrom + Reconciler::TickInterval +
+                 3 * RolloutWorld::Step);
+  BOOST_TEST(World.counts().Accepted == 2 * AtOnce);
+  World.runUntil(OrdersFrom + 14s);
+  BOOST_TEST(World.outdatedEngines() == 0);
+  BOOST_TEST(World.counts().MostLoads <= 3);
+  BOOST_TEST(World.counts().StaleOrders == 0U);
+}
--- a/Tests/LibControl/WatchedEngine.h
+++ b/Tests/LibControl/WatchedEngine.h
@@ -55,6 +55,8 @@
   /// gets no new ones. A load waits for them.
   void setRunTime(Duration Length) { RunTime = Length; }
 
+  void checkNoFencing() { ChecksFencing = false; }
+
   /// The engine gets no new requests until \p Until.
   void drain(Timestamp Until) { DrainedUntil = Until; }
 
@@ -94,7 +96,7 @@
 
   /// Handles a copy of an order that has reached the engine.
   EngineAnswer receive(const OrderCopy &Copy, Timestamp Now) {
-    if (Copy.Fencing < GreatestFencing)
+    if (ChecksFencing && Copy.Fencing < GreatestFencing)
       return EngineAnswer::Fenced;
     GreatestFencing = Copy.Fencing;
     if (Current.Busy || Copy.OrdersBefore != Current.AcceptedOrders)
@@ -163,6 +165,7 @@
   Timestamp StartedAt;
   EngineReport Current;
   std::vector<PastReport> History;
+  bool ChecksFencing = true;
   FencingNumber GreatestFencing;
   /// The order of the load that is under way.
   OrderCopy Load;
