--- a/Libraries/LibTraffic/Json.h
+++ b/Libraries/LibTraffic/Json.h
@@ -15,7 +15,7 @@
 AnswerResult<Poco::JSON::Object::Ptr> tryParseObject(const std::string &Text);
 
 /// Whether \p Text is one whole JSON object or array. Builds no values: those
-/// of a body can take more than a hundred times its size.
+/// of a body can take many times its size.
 bool isWholeJson(const HeldBody &Text);
 
 /// Whether \p Text is one whole JSON object as tryParseObject() reads it.
