--- a/Libraries/LibRouting/RoutedPlacement.cpp
+++ b/Libraries/LibRouting/RoutedPlacement.cpp
@@ -129,9 +129,9 @@
   if (Versions == NamedVersions.end())
     return NeverExpires;
   WeightsVersion Weights = weightsOf(Target, Now);
-  for (const NamedWeights &Version : Versions->second)
+  for (const Naming &Version : Versions->second)
     if (Version.Weights > Weights)
-      return Version.Since;
+      return Version.NamedAt + Version.Suspended;
   return NeverExpires;
 }
 
--- a/Libraries/LibRouting/RoutedPlacement.h
+++ b/Libraries/LibRouting/RoutedPlacement.h
@@ -80,10 +80,17 @@
   /// has running, and the large parts used since the last call.
   WorkDigest makeDigest();
 
-  /// Applies weights that an operator has named. The control hosts repeat each
-  /// name. While the repeats are missing, no control host can order engines to
-  /// load newer weights, so the deadline of superseded weights does not run.
-  /// \returns whether the weights are newer than all that were known.
+  /// Applies one message of the control hosts: all weights that operators have
+  /// named, those of each model in rising order. The control hosts repeat it.
+  /// While the repeats are missing, no control host can order engines to load
+  /// newer weights, so the deadline of superseded weights does not run.
+  /// \returns those that are newer than all that were known, or older by a
+  /// second and more than was known.
+  std::vector<NamedWeights> applyNamings(const std::vector<NamedWeights> &Named,
+                                         Timestamp Now);
+
+  /// Applies a message with only \p Version. \returns whether applyNamings()
+  /// returns it.
   bool applyNamedWeights(const NamedWeights &Version, Timestamp Now);
 
   /// Applies a load of weights reported by the holder of the order lease.
@@ -247,6 +254,17 @@
   };
   using HomesByWeights = std::map<WeightsVersion, Homes>;
 
+  /// Weights that were named.
+  struct Naming {
+    WeightsVersion Weights;
+    /// When they were named: the oldest time that a control host has told, but
+    /// not before an earlier message that should have had them.
+    Timestamp NamedAt;
+    Timestamp NotBefore = Timestamp::min();
+    /// The time since then without a working control host.
+    Duration Suspended = Duration::zero();
+  };
+
   std::vector<RoutedTarget *> candidatesOf(const RoutedCall &Call,
                                            Timestamp Now);
   /// Removes the targets whose weights are older than those of another one of
@@ -297,6 +315,10 @@
   Timestamp weightsDeadline(const RoutedTarget &Target, Timestamp Now) const;
   /// \returns the time without names if it is longer than MaxNamesGap; else 0.
   Duration namesGap(Timestamp Now) const;
+  bool applyNaming(const NamedWeights &Named, Timestamp NotBefore);
+  /// \returns the time before which no weights were named that are new in a
+  /// message received now.
+  Timestamp namedNotBefore() const;
   void addPeerWork(const std::vector<TargetWork> &Work, double Sign);
   void expirePeerDigests(Timestamp Now);
   void recordParts(const RoutedCall &Call, RoutedTarget &Target,
@@ -380,14 +402,14 @@
   /// the first description.
   uint64_t BytesPerToken = 0;
   double EngineLinkBits = 0;
-  /// The last MaxNamedWeights named weights of each model, oldest first. The
-  /// time without a working control host is added to Since.
-  std::map<ModelId, std::vector<NamedWeights>> NamedVersions;
+  /// The last MaxNamedWeights named weights of each model, oldest first.
+  std::map<ModelId, std::vector<Naming>> NamedVersions;
   /// A router that has started waits until then for names of weights. If none
   /// arrive in the time of a deadline, no control host is working.
   Timestamp NamesAwaitedUntil = NeverExpires;
-  /// When names of weights last arrived.
+  /// When names of weights last arrived, and since when without a gap.
   std::optional<Timestamp> LastNamesAt;
+  Timestamp NamesSince;
   std::unordered_map<uint64_t, SentCall> SentCalls;
   uint64_t NextPlacementId = 1;
 };
--- a/Libraries/LibRouting/RoutedPlacementUpdates.cpp
+++ b/Libraries/LibRouting/RoutedPlacementUpdates.cpp
@@ -14,6 +14,12 @@
 /// A load of weights is taken to be over after this, if the report of its end
 /// was lost.
 static constexpr Duration MaxLoadingTime = std::chrono::seconds(4);
+/// A router that has had names for this long has those of all weights that were
+/// named: a control host that has just begun to lead may still be reading its
+/// log.
+static constexpr Duration CompleteNamesAfter = std::chrono::seconds(3);
+/// Corrections of a naming's age that are worth a line in the log.
+static constexpr Duration LoggedCorrection = std::chrono::seconds(1);
 
 void RoutedPlacement::addPeerWork(const std::vector<TargetWork> &Work,
                                   double Sign) {
@@ -85,22 +91,59 @@
   Target.Parts.clear();
 }
 
-bool RoutedPlacement::applyNamedWeights(const NamedWeights &Version,
-                                        Timestamp Now) {
+Timestamp RoutedPlacement::namedNotBefore() const {
+  if (!LastNamesAt || *LastNamesAt - NamesSince < CompleteNamesAfter)
+    return Timestamp::min();
+  // That message may have waited on its way, too.
+  return *LastNamesAt - MaxNamesGap;
+}
+
+std::vector<NamedWeights>
+RoutedPlacement::applyNamings(const std::vector<NamedWeights> &Named,
+                              Timestamp Now) {
   // A gap suspends the deadlines. The first names after the start end none: the
   // deadline ran while this router was down, so their age counts in full.
-  if (Duration Gap = namesGap(Now); Gap > Duration::zero())
-    for (auto &[Model, Versions] : NamedVersions)
-      for (NamedWeights &Known : Versions)
-        Known.Since += Gap;
+  Duration Gap = namesGap(Now);
+  for (auto &[Model, Versions] : NamedVersions)
+    for (Naming &Known : Versions)
+      Known.Suspended += Gap;
+  Timestamp NotBefore = namedNotBefore();
+  if (!LastNamesAt || Gap > Duration::zero())
+    NamesSince = Now;
   LastNamesAt = Now;
-  std::vector<NamedWeights> &Versions = NamedVersions[Version.Model];
-  if (!Versions.empty() && Version.Weights <= Versions.back().Weights)
-    return false;
-  Versions.push_back(Version);
-  if (Versions.size() > MaxNamedWeights)
-    Versions.erase(Versions.begin());
-  return true;
+  std::vector<NamedWeights> News;
+  for (const NamedWeights &Each : Named)
+    if (applyNaming(Each, NotBefore))
+      News.push_back(Each);
+  return News;
+}
+
+bool RoutedPlacement::applyNaming(const NamedWeights &Named,
+                                  Timestamp NotBefore) {
+  std::vector<Naming> &Versions = NamedVersions[Named.Model];
+  if (Versions.empty() || Named.Weights > Versions.back().Weights) {
+    Versions.push_back(
+        {Named.Weights, std::max(Named.Since, NotBefore), NotBefore});
+    if (Versions.size() > MaxNamedWeights)
+      Versions.erase(Versions.begin());
+    return true;
+  }
+  // The first message may have waited on its way, and the clock of the control
+  // host that sent it may have been behind.
+  for (Naming &Known : Versions) {
+    Timestamp NamedAt = std::max(Named.Since, Known.NotBefore);
+    if (Known.Weights != Named.Weights || NamedAt >= Known.NamedAt)
+      continue;
+    bool IsNews = Known.NamedAt - NamedAt >= LoggedCorrection;
+    Known.NamedAt = NamedAt;
+    return IsNews;
+  }
+  return false;
+}
+
+bool RoutedPlacement::applyNamedWeights(const NamedWeights &Version,
+                                        Timestamp Now) {
+  return !applyNamings({Version}, Now).empty();
 }
 
 } // namespace ferry::routing
--- a/Libraries/LibTraffic/RoutedContext.cpp
+++ b/Libraries/LibTraffic/RoutedContext.cpp
@@ -140,9 +140,10 @@
   return Placement.makeDigest();
 }
 
-bool SharedPlacement::weightsNamed(const NamedWeights &Named) {
+std::vector<NamedWeights>
+SharedPlacement::weightsNamed(const std::vector<NamedWeights> &Named) {
   std::lock_guard Lock(Mutex);
-  return Placement.applyNamedWeights(Named, steadyNow());
+  return Placement.applyNamings(Named, steadyNow());
 }
 
 void SharedPlacement::engineChanged(const EngineChange &Change) {
--- a/Libraries/LibTraffic/RoutedContext.h
+++ b/Libraries/LibTraffic/RoutedContext.h
@@ -62,8 +62,9 @@
   /// \returns this router's digest for the other routers.
   routing::WorkDigest buildDigest();
   void engineChanged(const routing::EngineChange &Change);
-  /// \returns whether the weights are newer than all that were known.
-  bool weightsNamed(const routing::NamedWeights &Named);
+  /// See RoutedPlacement::applyNamings().
+  std::vector<routing::NamedWeights>
+  weightsNamed(const std::vector<routing::NamedWeights> &Named);
 
   routing::RoutedPlacement::Status status() const;
 
--- a/Services/ferryd/ControlPlane.cpp
+++ b/Services/ferryd/ControlPlane.cpp
@@ -177,7 +177,8 @@
     if (!isRouted())
       return;
     recordNamedWeights();
-    broadcastNamedWeights();
+    if (!Namings.all().empty())
+      broadcastNamedWeights();
     markViewChanged();
   };
   NodeHooks.StandingChanged = [this] {
--- a/Services/ferryd/ControlPlane.h
+++ b/Services/ferryd/ControlPlane.h
@@ -59,8 +59,9 @@
         ApplyDigest;
     /// Called for each engine that begins or ends a load of weights by order.
     std::function<void(const routing::EngineChange &)> EngineChanged;
-    /// Called for the weights that were named for a model.
-    std::function<void(const routing::NamedWeights &)> WeightsNamed;
+    /// Called for each message with the weights that were named, of all models.
+    std::function<void(const std::vector<routing::NamedWeights> &)>
+        WeightsNamed;
     /// Remembers a stream that another router has begun.
     std::function<void(const routing::BegunStream &)> NoteStream =
         [](const routing::BegunStream &) {};
--- a/Services/ferryd/ControlPlaneRouting.cpp
+++ b/Services/ferryd/ControlPlaneRouting.cpp
@@ -130,8 +130,8 @@
     Fields.AgeMillis = control::ageMillis(Named, Now);
     Message.Named.push_back(std::move(Fields));
   }
-  if (Message.Named.empty())
-    return;
+  // Sent also while no weights are named: routers then know how old the first
+  // ones are at most, whatever the clock of a later leader says.
   sendToRouters(std::move(Message));
 }
 
@@ -144,11 +144,14 @@
   }
   if (!Callbacks.EngineChanged)
     return;
+  Timestamp Now = steadyNow();
+  std::vector<routing::NamedWeights> Named;
   for (const wire::NamedWeights &Fields : Message.Named)
-    Callbacks.WeightsNamed(
-        {{Fields.Model},
-         {static_cast<uint64_t>(Fields.Weights)},
-         steadyNow() - std::chrono::milliseconds(Fields.AgeMillis)});
+    Named.push_back({{Fields.Model},
+                     {static_cast<uint64_t>(Fields.Weights)},
+                     Now - std::chrono::milliseconds(Fields.AgeMillis)});
+  if (Message.Changes.empty())
+    Callbacks.WeightsNamed(Named);
   for (const wire::EngineChange &Fields : Message.Changes)
     Callbacks.EngineChanged({{Fields.Target},
                              {static_cast<uint64_t>(Fields.Incarnation)},
--- a/Services/ferryd/Daemon.cpp
+++ b/Services/ferryd/Daemon.cpp
@@ -53,14 +53,17 @@
     if (auto *Front = Routed ? Routed->front() : nullptr)
       Front->placements().applyDigest(From, Digest);
   };
-  Callbacks.WeightsNamed = [this](const routing::NamedWeights &Named) {
+  Callbacks.WeightsNamed = [this](const auto &Named) {
     auto *Front = Routed ? Routed->front() : nullptr;
-    if (Front && Front->placements().weightsNamed(Named))
+    if (!Front)
+      return;
+    for (const routing::NamedWeights &Each :
+         Front->placements().weightsNamed(Named))
       observe::logEvent(
           Severity::Info, "routed", "weights_known",
-          {{"model", Named.Model},
-           {"weights", Named.Weights},
-           {"age_ms", (steadyNow() - Named.Since).count() / 1000}});
+          {{"model", Each.Model},
+           {"weights", Each.Weights},
+           {"age_ms", (steadyNow() - Each.Since).count() / 1000}});
   };
   Callbacks.EngineChanged = [this](const routing::EngineChange &Change) {
     if (auto *Front = Routed ? Routed->front() : nullptr)
--- a/Tests/LibRouting/TestRoutedPlacement.cpp
+++ b/Tests/LibRouting/TestRoutedPlacement.cpp
@@ -515,6 +515,57 @@
   BOOST_TEST(!MayPlace());
 }
 
+// A router was frozen or cut off while weights were named, and reads a message
+// that has waited since then. The next ones have the true age.
+BOOST_AUTO_TEST_CASE(a_naming_that_is_older_than_first_heard_is_corrected) {
+  TestDeployment Deployment(3);
+  RoutedPlacement Router = Deployment.router();
+  Timestamp NamedAt = Deployment.Now - 8s;
+  Router.applyNamedWeights({Model, {2}, Deployment.Now}, Deployment.Now);
+  for (int Count = 0; Count < 6; ++Count, Deployment.Now += 500ms)
+    Router.applyNamedWeights({Model, {2}, NamedAt}, Deployment.Now);
+  Deployment.announceTo(Router);
+  BOOST_TEST(std::holds_alternative<RefusedCall>(
+      Router.place(Deployment.call(1), Deployment.Now)));
+}
+
+// The clock of the next leader is ahead by 8 s. A router that has heard of all
+// namings from the start takes the naming for older by 2.5 s at most.
+BOOST_AUTO_TEST_CASE(a_clock_that_is_ahead_does_not_make_a_naming_old) {
+  TestDeployment Deployment(3);
+  RoutedPlacement Router = Deployment.router();
+  for (int Count = 0; Count < 10; ++Count, Deployment.Now += 500ms)
+    Router.applyNamings({}, Deployment.Now);
+  Timestamp NamedAt = Deployment.Now;
+  auto IsPlaced = [&] {
+    Deployment.announceTo(Router);
+    auto Outcome = Router.place(Deployment.call(1), Deployment.Now);
+    if (auto *Placed = std::get_if<PlacedCall>(&Outcome))
+      serve(Router, *Placed, Deployment.Now);
+    return std::holds_alternative<PlacedCall>(Outcome);
+  };
+  BOOST_TEST(Router.applyNamedWeights({Model, {2}, NamedAt}, Deployment.Now));
+  for (; Deployment.Now < NamedAt + 7s; Deployment.Now += 500ms) {
+    Router.applyNamedWeights({Model, {2}, NamedAt - 8s}, Deployment.Now);
+    BOOST_TEST(IsPlaced());
+  }
+  for (; Deployment.Now < NamedAt + 11s; Deployment.Now += 500ms)
+    Router.applyNamedWeights({Model, {2}, NamedAt - 8s}, Deployment.Now);
+  BOOST_TEST(!IsPlaced());
+}
+
+// A leader that has just begun may not have read its whole log. Its first
+// messages do not date a naming that a later one has.
+BOOST_AUTO_TEST_CASE(an_incomplete_history_dates_no_naming) {
+  TestDeployment Deployment(3);
+  RoutedPlacement Router = Deployment.router();
+  for (int Count = 0; Count < 4; ++Count, Deployment.Now += 500ms)
+    Router.applyNamings({}, Deployment.Now);
+  Router.applyNamedWeights({Model, {2}, Deployment.Now - 31s}, Deployment.Now);
+  BOOST_TEST(std::holds_alternative<RefusedCall>(
+      Router.place(Deployment.call(1), Deployment.Now)));
+}
+
 // Incident inc1-version: a router restarts with all others, 31 s after weights
 // were named, and gets requests before the control hosts have told it of the
 // naming.
