--- a/Libraries/LibRouting/RoutedPlacement.cpp
+++ b/Libraries/LibRouting/RoutedPlacement.cpp
@@ -144,9 +144,16 @@
 }
 
 Duration RoutedPlacement::namesGap(Timestamp Now) const {
-  if (!LastNamesAt || Now <= *LastNamesAt + MaxNamesGap)
+  if (!LastNamesAt)
     return Duration::zero();
-  return Now - *LastNamesAt;
+  Duration Gap = Now - *LastNamesAt - StalledSinceNames - stallUntil(Now);
+  return Gap > MaxNamesGap ? Gap : Duration::zero();
+}
+
+Duration RoutedPlacement::stallUntil(Timestamp Now) const {
+  if (!LastRunningAt || Now <= *LastRunningAt + MaxRunningGap)
+    return Duration::zero();
+  return Now - *LastRunningAt;
 }
 
 bool RoutedPlacement::noteLeaving(const TargetId &Target, Incarnation Leaving) {
--- a/Libraries/LibRouting/RoutedPlacement.h
+++ b/Libraries/LibRouting/RoutedPlacement.h
@@ -89,6 +89,11 @@
   std::vector<NamedWeights> applyNamings(const std::vector<NamedWeights> &Named,
                                          Timestamp Now);
 
+  /// Called by a timer of this process each tenth of a second or so. While the
+  /// process does not run, names that do not arrive are no sign that no control
+  /// host works.
+  void noteRunning(Timestamp Now);
+
   /// Applies a message with only \p Version. \returns whether applyNamings()
   /// returns it.
   bool applyNamedWeights(const NamedWeights &Version, Timestamp Now);
@@ -313,7 +318,11 @@
   Timestamp supersededSince(const RoutedTarget &Target, Timestamp Now) const;
   /// When the last request may begin on the target's weights.
   Timestamp weightsDeadline(const RoutedTarget &Target, Timestamp Now) const;
+  /// \returns the time up to \p Now since this process last ran, if it did not
+  /// run for long; else 0.
+  Duration stallUntil(Timestamp Now) const;
   /// \returns the time without names if it is longer than MaxNamesGap; else 0.
+  /// The time for which this process did not run is left out.
   Duration namesGap(Timestamp Now) const;
   bool applyNaming(const NamedWeights &Named, Timestamp NotBefore);
   /// \returns the time before which no weights were named that are new in a
@@ -410,6 +419,10 @@
   /// When names of weights last arrived, and since when without a gap.
   std::optional<Timestamp> LastNamesAt;
   Timestamp NamesSince;
+  /// The last call of noteRunning(), and the time since LastNamesAt for which
+  /// this process did not run.
+  std::optional<Timestamp> LastRunningAt;
+  Duration StalledSinceNames = Duration::zero();
   std::unordered_map<uint64_t, SentCall> SentCalls;
   uint64_t NextPlacementId = 1;
 };
--- a/Libraries/LibRouting/RoutedPlacementConstants.h
+++ b/Libraries/LibRouting/RoutedPlacementConstants.h
@@ -11,6 +11,9 @@
 /// The control hosts repeat the named weights twice a second. A longer gap
 /// means that no control host is working, so none can order newer weights.
 inline constexpr Duration MaxNamesGap = std::chrono::seconds(2);
+/// A process that does not note for longer than this that it runs is frozen or
+/// lacks the processor.
+inline constexpr Duration MaxRunningGap = std::chrono::seconds(1);
 /// Parts of at least this size are fetched: reading them again takes longer
 /// than a fetch.
 inline constexpr uint32_t MinSharedTokens = 64;
--- a/Libraries/LibRouting/RoutedPlacementUpdates.cpp
+++ b/Libraries/LibRouting/RoutedPlacementUpdates.cpp
@@ -91,6 +91,11 @@
   Target.Parts.clear();
 }
 
+void RoutedPlacement::noteRunning(Timestamp Now) {
+  StalledSinceNames += stallUntil(Now);
+  LastRunningAt = Now;
+}
+
 Timestamp RoutedPlacement::namedNotBefore() const {
   if (!LastNamesAt || *LastNamesAt - NamesSince < CompleteNamesAfter)
     return Timestamp::min();
@@ -111,6 +116,9 @@
   if (!LastNamesAt || Gap > Duration::zero())
     NamesSince = Now;
   LastNamesAt = Now;
+  StalledSinceNames = Duration::zero();
+  if (LastRunningAt)
+    LastRunningAt = Now;
   std::vector<NamedWeights> News;
   for (const NamedWeights &Each : Named)
     if (applyNaming(Each, NotBefore))
--- a/Libraries/LibTraffic/RoutedContext.cpp
+++ b/Libraries/LibTraffic/RoutedContext.cpp
@@ -146,6 +146,11 @@
   return Placement.applyNamings(Named, steadyNow());
 }
 
+void SharedPlacement::noteRunning() {
+  std::lock_guard Lock(Mutex);
+  Placement.noteRunning(steadyNow());
+}
+
 void SharedPlacement::engineChanged(const EngineChange &Change) {
   std::lock_guard Lock(Mutex);
   Placement.applyEngineChange(Change, steadyNow());
--- a/Libraries/LibTraffic/RoutedContext.h
+++ b/Libraries/LibTraffic/RoutedContext.h
@@ -62,6 +62,7 @@
   /// \returns this router's digest for the other routers.
   routing::WorkDigest buildDigest();
   void engineChanged(const routing::EngineChange &Change);
+  void noteRunning();
   /// See RoutedPlacement::applyNamings().
   std::vector<routing::NamedWeights>
   weightsNamed(const std::vector<routing::NamedWeights> &Named);
--- a/Services/ferryd/ControlPlane.cpp
+++ b/Services/ferryd/ControlPlane.cpp
@@ -258,6 +258,7 @@
 
 void ControlPlane::tick() {
   noteTickDelay();
+  Callbacks.Running();
   stepConfirmation(ConfirmationTick{});
   stepMembership(LocalConfirmed{Confirmed.number(), Confirmed.confirmedAsOf()});
   stepMembership(MembershipTick{});
--- a/Services/ferryd/ControlPlane.h
+++ b/Services/ferryd/ControlPlane.h
@@ -59,6 +59,8 @@
         ApplyDigest;
     /// Called for each engine that begins or ends a load of weights by order.
     std::function<void(const routing::EngineChange &)> EngineChanged;
+    /// Called with each tick.
+    std::function<void()> Running = [] {};
     /// Called for each message with the weights that were named, of all models.
     std::function<void(const std::vector<routing::NamedWeights> &)>
         WeightsNamed;
--- a/Services/ferryd/Daemon.cpp
+++ b/Services/ferryd/Daemon.cpp
@@ -53,6 +53,10 @@
     if (auto *Front = Routed ? Routed->front() : nullptr)
       Front->placements().applyDigest(From, Digest);
   };
+  Callbacks.Running = [this] {
+    if (auto *Front = Routed ? Routed->front() : nullptr)
+      Front->placements().noteRunning();
+  };
   Callbacks.WeightsNamed = [this](const auto &Named) {
     auto *Front = Routed ? Routed->front() : nullptr;
     if (!Front)
--- a/Tests/LibRouting/TestRoutedPlacement.cpp
+++ b/Tests/LibRouting/TestRoutedPlacement.cpp
@@ -566,6 +566,49 @@
       Router.place(Deployment.call(1), Deployment.Now)));
 }
 
+// A router is frozen for 8 s while the control hosts go on. The deadline of
+// weights runs on meanwhile.
+BOOST_AUTO_TEST_CASE(a_frozen_router_does_not_suspend_the_deadline_of_weights) {
+  TestDeployment Deployment(3);
+  RoutedPlacement Router = Deployment.router();
+  Timestamp NamedAt = Deployment.Now;
+  auto RunUntil = [&](Timestamp End) {
+    for (; Deployment.Now < End; Deployment.Now += 100ms) {
+      Router.noteRunning(Deployment.Now);
+      if ((Deployment.Now - NamedAt) % 500ms == Duration::zero())
+        Router.applyNamedWeights({Model, {2}, NamedAt}, Deployment.Now);
+    }
+  };
+  auto IsPlaced = [&] {
+    Deployment.announceTo(Router);
+    auto Outcome = Router.place(Deployment.call(1), Deployment.Now);
+    if (auto *Placed = std::get_if<PlacedCall>(&Outcome))
+      serve(Router, *Placed, Deployment.Now);
+    return std::holds_alternative<PlacedCall>(Outcome);
+  };
+  RunUntil(NamedAt + 5s);
+  BOOST_TEST(IsPlaced());
+  Deployment.Now += 8s;
+  // Neither before nor after the first message that it reads.
+  BOOST_TEST(!IsPlaced());
+  Router.noteRunning(Deployment.Now);
+  BOOST_TEST(!IsPlaced());
+  RunUntil(NamedAt + 14s);
+  BOOST_TEST(!IsPlaced());
+}
+
+// The same router runs on while no control host works: the gap counts.
+BOOST_AUTO_TEST_CASE(a_running_router_suspends_the_deadline_in_gaps) {
+  TestDeployment Deployment(3);
+  RoutedPlacement Router = Deployment.router();
+  Timestamp NamedAt = Deployment.Now;
+  Router.applyNamedWeights({Model, {2}, NamedAt}, Deployment.Now);
+  for (; Deployment.Now < NamedAt + 20s; Deployment.Now += 100ms)
+    Router.noteRunning(Deployment.Now);
+  Deployment.announceTo(Router);
+  expectPlaced(Router.place(Deployment.call(1), Deployment.Now));
+}
+
 // Incident inc1-version: a router restarts with all others, 31 s after weights
 // were named, and gets requests before the control hosts have told it of the
 // naming.
