--- a/Services/ferryd/ControlPlane.cpp
+++ b/Services/ferryd/ControlPlane.cpp
@@ -1,4 +1,5 @@
 #include "ferryd/ControlPlane.h"
+#include "LibControl/LoadLimit.h"
 #include "LibCore/Random.h"
 #include "LibCore/Visit.h"
 #include "LibObserve/Log.h"
@@ -11,11 +12,6 @@
 
 /// Changes within this time are published as one snapshot.
 static constexpr Duration ViewDelay = std::chrono::milliseconds(10);
-/// One engine in this many may load weights at a time; the others serve its
-/// requests meanwhile. Fewer engines load than that, because each first waits
-/// for its running requests.
-static constexpr uint32_t EnginesPerWeightsLoad = 4;
-static constexpr uint32_t MinWeightsLoads = 2;
 /// An engine that does not answer occupies a sending thread for up to a second.
 static constexpr size_t RoutedSendingThreads = 32;
 
@@ -403,8 +399,7 @@
   uint32_t Engines = 0;
   for (const TargetRecord &Target : Members.targets(steadyNow()))
     Engines += Target.Kind == TargetKind::Engine;
-  Description.Limits.MaxWeightsLoads =
-      std::max(MinWeightsLoads, Engines / EnginesPerWeightsLoad);
+  Description.Limits.MaxWeightsLoads = control::weightsLoadLimit(Engines);
   if (!Node || !Holder.routes())
     return Description;
   for (const config::RoutedService &RoutedService :
--- a/Tests/LibControl/RolloutWorld.h
+++ b/Tests/LibControl/RolloutWorld.h
@@ -5,9 +5,11 @@
 #ifndef FERRY_TESTS_ROLLOUTWORLD_H
 #define FERRY_TESTS_ROLLOUTWORLD_H
 
+#include "LibControl/LoadLimit.h"
 #include "LibControl/VirtualWorld.h"
 #include "LibControl/WatchedEngine.h"
 #include <iostream>
+#include <limits>
 
 namespace ferry::control {
 
@@ -50,8 +52,6 @@
 public:
   static constexpr int HostCount = 2;
   static constexpr int EngineCount = 12;
-  static constexpr uint32_t EnginesPerLoad = 4;
-  static constexpr uint32_t MaxLoads = EngineCount / EnginesPerLoad;
   static constexpr Duration Step = std::chrono::milliseconds(20);
   static constexpr Duration LeaseLength = std::chrono::seconds(3);
   /// Time from the naming of weights from which no request may begin on older
@@ -60,8 +60,19 @@
   /// Time with a working holder after which engines must have named weights.
   static constexpr Duration RolloutDeadline = std::chrono::seconds(17);
 
+  struct Fleet {
+    int Engines = EngineCount;
+    Duration WeightsDeadline = RolloutWorld::WeightsDeadline;
+    /// Loads take longer while more engines than these load at once.
+    int FastLoads = std::numeric_limits<int>::max();
+  };
+
   /// A schedule without random faults: new weights are named at \p NamedAt.
-  explicit RolloutWorld(Duration NamedAt) : RolloutWorld(1, RolloutFaults()) {
+  explicit RolloutWorld(Duration NamedAt) : RolloutWorld(NamedAt, 1, Fleet()) {}
+
+  /// The same for another fleet; \p Seed varies the times of messages.
+  RolloutWorld(Duration NamedAt, uint64_t Seed, Fleet Simulated)
+      : RolloutWorld(Seed, RolloutFaults(), nullptr, Simulated) {
     NameAt = NeverExpires;
     nameNextAt(NamedAt);
   }
@@ -69,7 +80,14 @@
   /// A random schedule. The simulation is traced to \p Trace if that is given.
   RolloutWorld(uint64_t Seed, RolloutFaults FaultRates,
                std::ostream *Trace = nullptr)
-      : VirtualWorld(Seed), FaultRates(FaultRates), Trace(Trace) {
+      : RolloutWorld(Seed, FaultRates, Trace, Fleet()) {}
+
+  RolloutWorld(uint64_t Seed, RolloutFaults FaultRates, std::ostream *Trace,
+               Fleet Simulated)
+      : VirtualWorld(Seed), FaultRates(FaultRates), Trace(Trace),
+        Simulated(Simulated), Engines(Simulated.Engines),
+        AnnounceTimes(Simulated.Engines), OrdersFrom(Simulated.Engines),
+        AnswersFrom(Simulated.Engines), AcceptedFencing(Simulated.Engines) {
     for (int Index = 0; Index < HostCount; ++Index)
       startHost(Index);
     for (Timestamp &AnnounceAt : AnnounceTimes)
@@ -179,11 +197,14 @@
 
   /// \returns the number of engines that are not gone and lack the newest
   /// weights.
-  int outdatedEngines() const {
+  int outdatedEngines() const { return enginesBefore(Namings.back().Weights); }
+
+  /// \returns the number of engines that are not gone and have older weights
+  /// than \p Weights.
+  int enginesBefore(uint64_t Weights) const {
     return static_cast<int>(std::count_if(
-        std::begin(Engines), std::end(Engines), [&](const WatchedEngine &Item) {
-          return !Item.isGone() &&
-                 Item.state().Weights != Namings.back().Weights;
+        Engines.begin(), Engines.end(), [&](const WatchedEngine &Item) {
+          return !Item.isGone() && Item.state().Weights < Weights;
         }));
   }
 
@@ -191,6 +212,8 @@
   struct Counts {
     /// Greatest number of engines that loaded weights at once.
     int MostLoads = 0;
+    /// Steps in which so many engines loaded that loads took longer.
+    uint32_t SlowedSteps = 0;
     /// Steps in which more engines loaded weights than the limit. An engine
     /// that could not be reached for longer than the settle time since its
     /// order does not count: its slot may have been given to another, and it
@@ -296,8 +319,9 @@
   void advance() {
     injectFaults();
     deliver();
-    for (int Index = 0; Index < EngineCount; ++Index)
+    for (int Index = 0; Index < Simulated.Engines; ++Index)
       stepEngine(Index);
+    slowLoads();
     for (auto &Process : Hosts)
       if (Process && Now >= Process->TickAt)
         stepHost(*Process);
@@ -313,7 +337,7 @@
     }
     if (Now >= TermEndsAt)
       endTerm();
-    for (int Index = 0; Index < EngineCount; ++Index) {
+    for (int Index = 0; Index < Simulated.Engines; ++Index) {
       if (Engines[Index].silence(Now))
         continue;
       if (perSecond(FaultRates.EngineCutOff))
@@ -352,7 +376,7 @@
     Options.WatchLimit = WatchLimit;
     Options.MinUsableTime = RecordLifetime - MaxAnnouncementAge;
     Options.RenewInterval = RenewInterval;
-    Options.WeightsDeadline = WeightsDeadline;
+    Options.WeightsDeadline = Simulated.WeightsDeadline;
     auto Process = std::make_shared<HostProcess>();
     Process->Index = Index;
     Process->Orders = Reconciler(Options);
@@ -427,6 +451,19 @@
              [this, Other] { takeLease(Other); });
   }
 
+  /// Loads that share what they read from go on at the share that is left.
+  void slowLoads() {
+    auto Loads = static_cast<int>(std::count_if(
+        Engines.begin(), Engines.end(),
+        [&](const WatchedEngine &Item) { return Item.isLoading(Now); }));
+    if (Loads <= Simulated.FastLoads)
+      return;
+    ++Seen.SlowedSteps;
+    for (WatchedEngine &Item : Engines)
+      if (Item.isLoading(Now))
+        Item.prolongLoad(Step * (Loads - Simulated.FastLoads) / Loads);
+  }
+
   void stepEngine(int Index) {
     WatchedEngine &Target = Engines[Index];
     Target.advance(Now, Step);
@@ -458,8 +495,8 @@
     });
     config::Limits Limits;
     // The limit follows the engines that are known, as the control host's does.
-    Limits.MaxWeightsLoads = std::max(
-        2U, static_cast<uint32_t>(Process.Announced.size()) / EnginesPerLoad);
+    Limits.MaxWeightsLoads =
+        weightsLoadLimit(static_cast<uint32_t>(Process.Announced.size()));
     std::vector<routing::NamedWeights> Named;
     for (const Naming &Item : Namings)
       Named.push_back({{"m"}, {Item.Weights}, Item.At});
@@ -722,7 +759,8 @@
             Item.loadsAfterSilence(Now, Reconciler::SettleTime);
       }
     Seen.MostLoads = std::max(Seen.MostLoads, Loads);
-    bool Excess = Loads - LoadsAfterSilence > int(MaxLoads);
+    auto MaxLoads = static_cast<int>(weightsLoadLimit(Simulated.Engines));
+    bool Excess = Loads - LoadsAfterSilence > MaxLoads;
     if (Excess && Seen.ExcessLoads == 0)
       traceLoads();
     Seen.ExcessLoads += Excess;
@@ -770,7 +808,7 @@
     for (const WatchedEngine &Item : Engines)
       Overdue += !Item.isGone() && isOverdue(Item);
     if (Overdue > Seen.MostOverdue)
-      for (int Index = 0; Index < EngineCount; ++Index)
+      for (int Index = 0; Index < Simulated.Engines; ++Index)
         if (isOverdue(Engines[Index]))
           trace("FAULT: engine ", Index, " overdue, weights ",
                 Engines[Index].state().Weights);
@@ -794,11 +832,12 @@
   Timestamp CheckAt;
   std::vector<Term> Terms;
   std::vector<Naming> Namings{{Start, 1}};
-  WatchedEngine Engines[EngineCount];
-  Timestamp AnnounceTimes[EngineCount];
-  Timestamp OrdersFrom[EngineCount];
-  Timestamp AnswersFrom[EngineCount];
-  FencingNumber AcceptedFencing[EngineCount];
+  Fleet Simulated;
+  std::vector<WatchedEngine> Engines;
+  std::vector<Timestamp> AnnounceTimes;
+  std::vector<Timestamp> OrdersFrom;
+  std::vector<Timestamp> AnswersFrom;
+  std::vector<FencingNumber> AcceptedFencing;
   int GoneEngines = 0;
   Counts Seen;
 };
--- a/Tests/LibControl/WatchedEngine.h
+++ b/Tests/LibControl/WatchedEngine.h
@@ -57,6 +57,14 @@
 
   void checkNoFencing() { ChecksFencing = false; }
 
+  /// \returns whether the engine loads weights and waits for no requests.
+  bool isLoading(Timestamp Now) const {
+    return Current.Busy && Now >= LoadsFrom;
+  }
+
+  /// Prolongs the current load.
+  void prolongLoad(Duration Length) { LoadedAt += Length; }
+
   /// The engine gets no new requests until \p Until.
   void drain(Timestamp Until) { DrainedUntil = Until; }
 
@@ -79,6 +87,7 @@
   /// Advances the engine by \p Step.
   void advance(Timestamp Now, Duration Step) {
     if (silence(Now) == Silence::Frozen) {
+      LoadsFrom += Step;
       LoadedAt += Step;
       RunsEndAt += Step;
       return;
@@ -106,11 +115,12 @@
     Current.Busy = true;
     ++Current.AcceptedOrders;
     Load = Copy;
-    LoadedAt = Now + LoadTime;
+    LoadsFrom = Now;
     if (RunsEndAt > Now && Copy.Running == RunningRequests::GoOn)
       ++Overtaken;
     else
-      LoadedAt = std::max(RunsEndAt, Now) + LoadTime;
+      LoadsFrom = std::max(RunsEndAt, Now);
+    LoadedAt = LoadsFrom + LoadTime;
     return EngineAnswer::Accepted;
   }
 
@@ -169,6 +179,7 @@
   FencingNumber GreatestFencing;
   /// The order of the load that is under way.
   OrderCopy Load;
+  Timestamp LoadsFrom;
   Timestamp LoadedAt;
   std::vector<SilentSpan> Spans;
 };
