--- a/Services/ferryd/OrderSender.cpp
+++ b/Services/ferryd/OrderSender.cpp
@@ -17,7 +17,9 @@
 static constexpr int StatusBadRequest = 400;
 static constexpr int StatusConflict = 409;
 static constexpr int StatusPreconditionFailed = 412;
-static constexpr uint64_t MaxStateBytes = 1 << 20;
+/// Largest state of an engine. It names models as an announcement does, which
+/// may have a quarter of this, and one line for each run that the engine has.
+static constexpr uint64_t MaxStateBytes = 64 << 10;
 /// Longest wait for the answer to one HTTP call.
 static constexpr std::chrono::milliseconds SendTimeout{400};
 /// Longest time that one look at a watched engine takes a thread.
@@ -166,7 +168,12 @@
   if (!Link || Link->status() != FirstSuccessStatus)
     return std::nullopt;
   auto Body = Link->tryReadWhole(MaxStateBytes, {Deadline});
-  return Body ? Dialect->ReadState(*Body) : std::nullopt;
+  if (!Body)
+    return std::nullopt;
+  // The values of a text can take many times its size, so one thread at a
+  // time has them in memory.
+  std::lock_guard<std::mutex> Lock(ReadingMutex);
+  return Dialect->ReadState(*Body);
 }
 
 int OrderSender::sendOnce(const control::SendOrder &Request,
--- a/Services/ferryd/OrderSender.h
+++ b/Services/ferryd/OrderSender.h
@@ -85,6 +85,8 @@
 
   Callback Done;
   std::optional<OrderDialect> Dialect;
+  /// Held while an engine's state is parsed.
+  std::mutex ReadingMutex;
   std::mutex Mutex;
   /// Guarded by Mutex.
   routing::TargetSignals Signals;
--- a/Tests/System/TestEndlessBytes.cpp
+++ b/Tests/System/TestEndlessBytes.cpp
@@ -9,6 +9,7 @@
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <list>
 
 using namespace ferry;
 using namespace ferry::test;
@@ -19,6 +20,8 @@
 
 /// Memory of a router's machine on the smallest of the users' sites.
 static constexpr uint64_t RouterMemory = 110'000'000;
+/// Memory of a control host's machine there.
+static constexpr uint64_t ControlMemory = 256'000'000;
 static constexpr int Callers = 120;
 static constexpr int SoundTimeoutMillis = 1000;
 
@@ -181,3 +184,59 @@
   BOOST_TEST(Peak > 0);
   BOOST_TEST(Peak < RouterMemory);
 }
+
+static const std::string StateHead = "HTTP/1.1 200 OK\r\n";
+
+static const std::vector<EndlessAnswer> EndlessStates = {
+    {"a state without a length", "",
+     StateHead + "\r\n{\"busy\":false,\"seq\":0,\"models\":[1", ",1"},
+    {"a state in chunks", "", StateHead + "Transfer-Encoding: chunked\r\n\r\n",
+     "8000\r\n" + repeated("1,", 0x4000) + "\r\n"},
+    {"a long state", "",
+     StateHead + "\r\n{\"busy\":false,\"seq\":0,\"models\":[1", ",1", 900 << 10,
+     "]}"},
+    {"a state of small values", "",
+     StateHead + "\r\n{\"busy\":false,\"seq\":0,\"models\":[1" +
+         repeated(",1", 30'000),
+     " ", 0, "]}"},
+    {"the head of a state", "", StateHead, "X-More: 1\r\n"}};
+
+BOOST_DATA_TEST_CASE(a_control_host_stays_within_its_memory,
+                     data::make(EndlessStates), Case) {
+  // A quarter of the engines load at a time, which keeps all threads busy.
+  static constexpr int Engines = 132;
+  static constexpr int SendingThreads = 32;
+  RoutedCluster Cluster(PeerLinks::Direct, 1);
+  Cluster.startControl(1);
+  BOOST_REQUIRE(TestCluster::eventually(
+      [&] { return Cluster.putRoutes(1, 1).Status == 200; }));
+  EndlessTarget Target(Case);
+  std::list<FakeScriptedTarget> Servers;
+  std::vector<Announcement> Targets;
+  for (int Number = 0; Number < Engines; ++Number) {
+    Servers.emplace_back([&](const ReceivedRequest &,
+                             ScriptedConnection &Link) { Target.serve(Link); });
+    Targets.push_back({.Id = "i-" + std::to_string(Number),
+                       .Service = "lm",
+                       .Address = Servers.back().address(),
+                       .Weights = 1});
+  }
+  AnnouncedTargets Announced(Cluster, Targets);
+  std::this_thread::sleep_for(std::chrono::seconds(2));
+  BOOST_REQUIRE(TestCluster::eventually(
+      [&] { return Cluster.nameWeights(1, 2).Status == 200; }));
+  BOOST_TEST(TestCluster::eventually(
+      [&] { return Target.Started >= 2 * SendingThreads; }));
+  int Failed = 0;
+  for (int Count = 0; Count < 20; ++Count) {
+    Failed += Cluster.routesVersionAt(1) != 1;
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  }
+  BOOST_TEST(Failed == 0);
+  BOOST_REQUIRE(Cluster.host(1).isRunning());
+  uint64_t Peak = memoryOf(Cluster.host(1).id(), "VmHWM");
+  BOOST_TEST_MESSAGE(Case.Name << ": peak " << (Peak >> 10) << " KiB, "
+                               << Target.Started << " answers");
+  BOOST_TEST(Peak > 0);
+  BOOST_TEST(Peak < ControlMemory);
+}
