--- a/Tests/LibControl/TestRolloutSlots.cpp
+++ b/Tests/LibControl/TestRolloutSlots.cpp
@@ -118,7 +118,7 @@
 // A new holder read no state for the length of a lease either, so that the
 // slots of loads that had ended were freed only after that wait.
 BOOST_AUTO_TEST_CASE(a_new_holder_reads_states_while_its_orders_wait) {
-  static constexpr uint32_t AtOnce = RolloutWorld::MaxLoads;
+  constexpr uint32_t AtOnce = weightsLoadLimit(RolloutWorld::EngineCount);
   RolloutWorld World(NamedAt);
   World.checkNoFencing();
   World.killHolder(4s, 4600ms);
