--- a/Libraries/LibControl/Reconciler.cpp
+++ b/Libraries/LibControl/Reconciler.cpp
@@ -63,7 +63,8 @@
   if (Ended.Outcome == OrderOutcome::CarriedOut)
     return recordCarriedOut(TaskIt->first, Work, Now);
   bool Failed = Ended.Outcome == OrderOutcome::Refused ||
-                Ended.Outcome == OrderOutcome::NotSent;
+                Ended.Outcome == OrderOutcome::NotSent ||
+                Ended.Outcome == OrderOutcome::Paused;
   OrdersFailed += Failed;
   if (Ended.Outcome == OrderOutcome::Lost) {
     recordLost(Work);
--- a/Libraries/LibControl/Reconciler.h
+++ b/Libraries/LibControl/Reconciler.h
@@ -223,7 +223,7 @@
   /// What the target of an inherited slot answered when its state was read
   /// last.
   enum class Contact : uint8_t {
-    /// It was not asked yet, or carries out an order.
+    /// It was not asked yet, carries out an order, or asked for a pause.
     Open,
     /// It lacks the weights and carries out no order.
     Idle,
--- a/Libraries/LibControl/ReconcilerEvents.h
+++ b/Libraries/LibControl/ReconcilerEvents.h
@@ -55,6 +55,9 @@
   /// No sending thread took the order on before its deadline; nothing was
   /// learnt of the target.
   NotTaken,
+  /// The target has asked for a pause that has not ended; no part of the order
+  /// was sent.
+  Paused,
   /// The target runs requests that the order has to wait for; no part of it was
   /// sent.
   Serving,
@@ -194,6 +197,7 @@
       {Outcome::Busy, "busy"},
       {Outcome::NotSent, "not_sent"},
       {Outcome::NotTaken, "not_taken"},
+      {Outcome::Paused, "paused"},
       {Outcome::Serving, "serving"},
       {Outcome::Lost, "lost"},
       {Outcome::CarriedOut, "carried_out"}};
--- a/Libraries/LibControl/ReconcilerSlots.cpp
+++ b/Libraries/LibControl/ReconcilerSlots.cpp
@@ -90,6 +90,10 @@
   case OrderOutcome::NotTaken:
     SlotIt->ConfirmAt = Now;
     break;
+  case OrderOutcome::Paused:
+    // It may carry out an order.
+    SlotIt->LastContact = Contact::Open;
+    break;
   case OrderOutcome::Accepted:
   case OrderOutcome::NotSent:
   case OrderOutcome::Serving:
--- a/Services/ferryd/OrderSender.cpp
+++ b/Services/ferryd/OrderSender.cpp
@@ -218,11 +218,15 @@
   if (steadyNow() >= Request.Deadline) {
     if (Item.MayHaveArrived)
       return OrderOutcome::Lost;
-    return Item.Busy ? OrderOutcome::Busy : OrderOutcome::NotSent;
+    if (Item.Busy)
+      return OrderOutcome::Busy;
+    return isPaused(Request) ? OrderOutcome::Paused : OrderOutcome::NotSent;
   }
   auto State = fetchState(Request, Request.Deadline);
+  if (!State && Item.MayHaveArrived)
+    return OrderOutcome::Lost;
   if (!State)
-    return Item.MayHaveArrived ? OrderOutcome::Lost : OrderOutcome::NotSent;
+    return isPaused(Request) ? OrderOutcome::Paused : OrderOutcome::NotSent;
   if (!Item.Progress.Running)
     Item.Progress.Running = State->Running;
   if (hasWeights(*State, Request))
--- a/Tests/LibControl/RolloutWorld.h
+++ b/Tests/LibControl/RolloutWorld.h
@@ -87,7 +87,8 @@
       : VirtualWorld(Seed), FaultRates(FaultRates), Trace(Trace),
         Simulated(Simulated), Engines(Simulated.Engines),
         AnnounceTimes(Simulated.Engines), OrdersFrom(Simulated.Engines),
-        AnswersFrom(Simulated.Engines), AcceptedFencing(Simulated.Engines) {
+        AnswersFrom(Simulated.Engines), PausedUntil(Simulated.Engines),
+        AcceptedFencing(Simulated.Engines) {
     for (int Index = 0; Index < HostCount; ++Index)
       startHost(Index);
     for (Timestamp &AnnounceAt : AnnounceTimes)
@@ -125,6 +126,12 @@
     });
   }
 
+  /// The engine asks for a pause from \p At to \p Until, and goes on with its
+  /// load.
+  void pauseEngine(int Index, Duration At, Duration Until) {
+    schedule(At, [this, Index, Until] { PausedUntil[Index] = Start + Until; });
+  }
+
   /// The engine is down from \p At to \p Until and starts anew.
   void restartEngine(int Index, Duration At, Duration Until) {
     schedule(At, [this, Index, Until] {
@@ -651,6 +658,9 @@
     if (Target.silence(Now))
       return later(Item, waitForSilent(Item->Engine, Deadline),
                    &RolloutWorld::endUnanswered);
+    if (Now < PausedUntil[Item->Engine])
+      return endDelivery(Item, Item->MayHaveArrived ? OrderOutcome::Lost
+                                                    : OrderOutcome::Paused);
     EngineReport Report = Target.report(Now);
     if (showsWeights(*Item))
       return endDelivery(Item, OrderOutcome::CarriedOut);
@@ -742,7 +752,8 @@
     if (Now >= Item->WatchUntil)
       return endDelivery(Item, OrderOutcome::Accepted);
     bool Silent = Engines[Item->Engine].silence(Now).has_value();
-    if (!Silent && showsWeights(*Item))
+    bool Paused = Now < PausedUntil[Item->Engine];
+    if (!Silent && !Paused && showsWeights(*Item))
       return endDelivery(Item, OrderOutcome::CarriedOut);
     Duration Wait =
         Silent ? waitForSilent(Item->Engine, Item->WatchUntil) : Duration(0);
@@ -837,6 +848,7 @@
   std::vector<Timestamp> AnnounceTimes;
   std::vector<Timestamp> OrdersFrom;
   std::vector<Timestamp> AnswersFrom;
+  std::vector<Timestamp> PausedUntil;
   std::vector<FencingNumber> AcceptedFencing;
   int GoneEngines = 0;
   Counts Seen;
--- a/Tests/LibControl/TestRolloutSlots.cpp
+++ b/Tests/LibControl/TestRolloutSlots.cpp
@@ -133,3 +133,16 @@
   BOOST_TEST(World.counts().MostLoads <= 3);
   BOOST_TEST(World.counts().StaleOrders == 0U);
 }
+
+// Engines of inherited slots that asked for a pause while they loaded counted
+// as unreachable, and another one loaded beside them.
+BOOST_AUTO_TEST_CASE(engines_that_ask_for_a_pause_count_against_the_limit) {
+  RolloutWorld World(NamedAt);
+  World.setLoadTime(4s);
+  for (int Index = 0; Index < 3; ++Index)
+    World.pauseEngine(Index, 4500ms, 7500ms);
+  World.killHolder(4s, 4600ms);
+  World.runUntil(30s);
+  BOOST_TEST(World.outdatedEngines() == 0);
+  BOOST_TEST(World.counts().MostLoads <= 3);
+}
--- a/Tests/ferryd/TestOrderSender.cpp
+++ b/Tests/ferryd/TestOrderSender.cpp
@@ -69,7 +69,7 @@
   BOOST_REQUIRE(Ended.await(10));
   BOOST_TEST(Engine.requestCount() == 1U);
   for (control::OrderOutcome Outcome : Ended.Outcomes)
-    BOOST_TEST((Outcome == control::OrderOutcome::NotSent));
+    BOOST_TEST((Outcome == control::OrderOutcome::Paused));
   // The pause was asked for by one incarnation.
   Sender.send(orderFor(Engine.address(), 2, 11));
   BOOST_REQUIRE(Ended.await(11));
