--- a/Libraries/LibControl/Reconciler.cpp
+++ b/Libraries/LibControl/Reconciler.cpp
@@ -310,17 +310,19 @@
   ForeignSlots.back().Free = Work.CarriedOut;
 }
 
-/// \returns whether another engine of \p Service may be changed while at least
-/// one stays unchanged. The only engine of a service may always be changed.
-bool Reconciler::mayChangeAnotherEngine(const ServiceId &Service,
-                                        Timestamp Now) const {
+/// \returns whether \p Engine may be changed while at least one of its service
+/// stays unchanged. The only engine of a service may always be changed, and one
+/// that an earlier term's order may be changing already counts as changed.
+bool Reconciler::mayChange(const TargetRecord &Engine, Timestamp Now) const {
+  bool AlreadyChanging = isChangedByEarlierTerm(Engine.Id);
   uint32_t Engines = 0;
   uint32_t Changing = 0;
   for (const TargetRecord &Target : View->Targets) {
-    if (Target.Service != Service || !isUsableEngine(Target, Now))
+    if (Target.Service != Engine.Service || !isUsableEngine(Target, Now))
       continue;
     ++Engines;
-    Changing += Tasks.contains(Target.Id);
+    Changing += Tasks.contains(Target.Id) ||
+                (!AlreadyChanging && isChangedByEarlierTerm(Target.Id));
   }
   return Changing == 0 || Changing + 1 < Engines;
 }
@@ -366,7 +368,7 @@
     bool NeedsSlot = std::holds_alternative<LoadWeights>(Wanted);
     if (NeedsSlot && !isSlotFree(Target->Id, Now))
       continue;
-    if (mayChangeAnotherEngine(Target->Service, Now))
+    if (mayChange(*Target, Now))
       startTask(*Target, Wanted, Now, Out);
   }
 }
--- a/Libraries/LibControl/Reconciler.h
+++ b/Libraries/LibControl/Reconciler.h
@@ -54,7 +54,8 @@
 /// waits until no request runs on it, or until the time is over that the
 /// deadline of the named weights leaves for one engine. Requests that still run
 /// then go on with the new weights. If a service has several engines, at
-/// least one of them is not being changed by this term's orders at any time.
+/// least one of them is not being changed at any time, by orders of this term
+/// or under the slots of earlier ones.
 class Reconciler {
 public:
   static constexpr Duration TickInterval = std::chrono::milliseconds(100);
@@ -322,7 +323,8 @@
   bool hasForeignSlot(const TargetId &Target) const;
   const ForeignSlot *inheritedSlot(const TargetId &Target) const;
   bool awaitsConfirmation(const TargetId &Target) const;
-  bool mayChangeAnotherEngine(const ServiceId &Service, Timestamp Now) const;
+  bool isChangedByEarlierTerm(const TargetId &Target) const;
+  bool mayChange(const TargetRecord &Engine, Timestamp Now) const;
 
   Options Opts;
   std::map<TargetId, ObservedWeights> Observed;
--- a/Libraries/LibControl/ReconcilerSlots.cpp
+++ b/Libraries/LibControl/ReconcilerSlots.cpp
@@ -117,8 +117,13 @@
 /// target gets an order. A new load takes the slot's place in the log and with
 /// it the slot's age, which would hold the slot of an unreachable target anew.
 bool Reconciler::awaitsConfirmation(const TargetId &Target) const {
+  return readsState() && isChangedByEarlierTerm(Target);
+}
+
+/// \returns whether an order of an earlier term may be changing \p Target.
+bool Reconciler::isChangedByEarlierTerm(const TargetId &Target) const {
   const ForeignSlot *Inherited = inheritedSlot(Target);
-  return readsState() && Inherited && Inherited->LastContact != Contact::Idle;
+  return Inherited && Inherited->LastContact != Contact::Idle;
 }
 
 bool Reconciler::hasForeignSlot(const TargetId &Target) const {
--- a/Tests/LibControl/TestReconciler.cpp
+++ b/Tests/LibControl/TestReconciler.cpp
@@ -9,6 +9,7 @@
 
 using namespace ferry;
 using namespace ferry::control;
+using namespace std::chrono_literals;
 namespace data = boost::unit_test::data;
 
 namespace {
@@ -63,6 +64,16 @@
   return {View};
 }
 
+/// \returns the number of slots that are requested for \p Target.
+static int loadsIn(const std::vector<ReconcilerEffect> &Effects,
+                   const std::string &Target) {
+  return static_cast<int>(std::count_if(
+      Effects.begin(), Effects.end(), [&](const ReconcilerEffect &Effect) {
+        const auto *Begin = std::get_if<BeginLoad>(&Effect);
+        return Begin && Begin->Slot.Target.Value == Target;
+      }));
+}
+
 static int ordersIn(const std::vector<ReconcilerEffect> &Effects) {
   return static_cast<int>(std::count_if(
       Effects.begin(), Effects.end(), [](const ReconcilerEffect &Effect) {
@@ -275,6 +286,41 @@
              2u);
 }
 
+// A new holder ordered the second engine of a service of two while the first
+// one still loaded under the earlier holder's order, so that none was left to
+// serve.
+BOOST_AUTO_TEST_CASE(
+    a_load_of_an_earlier_term_keeps_the_other_engine_unchanged) {
+  Timestamp Now{std::chrono::seconds(100)};
+  Reconciler HostReconciler({.WatchLimit = 4s});
+  auto View = viewOf(Now, FencingCheck::Checked, {1, 1});
+  HostReconciler.step(View, Now);
+  HostReconciler.step(LeaseHeld{{2}, Now + 5s}, Now);
+  registry::LoadSlot Slot{{"engine-0"}, {}, {2}, {1}, 1};
+  BOOST_TEST(
+      loadsIn(HostReconciler.step(ActiveLoadsUpdated{{{Slot}}, {2}}, Now),
+              "engine-1") == 0);
+  // The earlier term's load has ended.
+  auto Ended = std::make_shared<routing::RoutingView>(*View.View);
+  Ended->Targets[0].Weights = {2};
+  HostReconciler.step(ViewChanged{Ended}, Now);
+  BOOST_TEST(loadsIn(HostReconciler.step(ActiveLoadsUpdated{{}, {2}}, Now),
+                     "engine-1") == 1);
+}
+
+// Two engines with slots of an earlier term must not wait for each other.
+BOOST_AUTO_TEST_CASE(engines_that_both_have_slots_do_not_wait_for_each_other) {
+  Timestamp Now{std::chrono::seconds(100)};
+  Reconciler HostReconciler;
+  HostReconciler.step(viewOf(Now, FencingCheck::Checked, {1, 1}), Now);
+  HostReconciler.step(LeaseHeld{{2}, Now + 5s}, Now);
+  std::vector<registry::ActiveLoad> Active{
+      {registry::LoadSlot{{"engine-0"}, {}, {2}, {1}, 1}},
+      {registry::LoadSlot{{"engine-1"}, {}, {2}, {1}, 2}}};
+  auto Effects = HostReconciler.step(ActiveLoadsUpdated{Active, {2}}, Now);
+  BOOST_TEST(loadsIn(Effects, "engine-0") == 1);
+}
+
 BOOST_DATA_TEST_CASE(orders_never_overlap_and_engines_reach_the_description,
                      data::make(FaultTable)) {
   uint32_t Takeovers = 0;
