--- a/Tests/System/TestNamingRestart.cpp
+++ b/Tests/System/TestNamingRestart.cpp
@@ -124,3 +124,44 @@
   Stopping = true;
   Announcer.join();
 }
+
+// A router is frozen for longer than the deadline while the control hosts work.
+BOOST_AUTO_TEST_CASE(a_router_that_was_frozen_leaves_overdue_weights) {
+  RoutedCluster Cluster;
+  Cluster.addRoutedSettings("  weights_deadline_ms: 5000\n");
+  Cluster.startAll();
+  StuckEngine Older(Cluster, "i-older", 1);
+  std::atomic<bool> Stopping = false;
+  std::thread Announcer([&] {
+    for (int Sequence = 1; !Stopping; ++Sequence) {
+      Older.announce(Sequence);
+      std::this_thread::sleep_for(100ms);
+    }
+  });
+  int Calls = 0;
+  auto Call = [&] {
+    request(Cluster.callers(11), "POST", "/stream/x", "b",
+            {{"Host", "a.example"},
+             {"X-Request-Id", "q" + std::to_string(++Calls)}},
+            1000);
+    return Older.arrivals();
+  };
+  BOOST_TEST(
+      TestCluster::eventually([&] { return Cluster.putRoutesAnywhere(1); }));
+  BOOST_TEST(TestCluster::eventually([&] { return Call() > 0; }));
+  BOOST_TEST(TestCluster::eventually(
+      [&] { return Cluster.nameWeights(2, 2).Status == 200; }));
+  Timestamp Overdue = steadyNow() + 5s;
+  std::this_thread::sleep_for(1s);
+  Cluster.host(11).signal(SIGSTOP);
+  std::this_thread::sleep_until(Overdue + 500ms);
+  int Before = Older.arrivals();
+  Cluster.host(11).signal(SIGCONT);
+  for (Timestamp End = steadyNow() + 2s; steadyNow() < End;) {
+    Call();
+    std::this_thread::sleep_for(5ms);
+  }
+  BOOST_TEST(Older.arrivals() == Before);
+  Stopping = true;
+  Announcer.join();
+}
