--- a/Tests/LibRouting/TestRoutedPlacement.cpp
+++ b/Tests/LibRouting/TestRoutedPlacement.cpp
@@ -609,6 +609,49 @@
   expectPlaced(Router.place(Deployment.call(1), Deployment.Now));
 }
 
+// The holder of the order lease has reported a load of newer weights. That
+// opens an engine past the deadline neither after a restart with older weights
+// nor for good.
+BOOST_AUTO_TEST_CASE(reported_weights_end_with_the_incarnation_and_in_time) {
+  for (bool Restarts : {true, false}) {
+    TestDeployment Deployment(3);
+    RoutedPlacement Router = Deployment.router();
+    Router.applyNamedWeights({Model, {2}, Deployment.Now - 20s},
+                             Deployment.Now);
+    Router.applyEngineChange({{"e0"}, {1}, {2}, false}, Deployment.Now);
+    PlacedCall Placed =
+        expectPlaced(Router.place(Deployment.call(1), Deployment.Now));
+    BOOST_TEST(Placed.Target.Value == "e0");
+    serve(Router, Placed, Deployment.Now);
+    if (Restarts)
+      Deployment.View.Targets[0].Incarnation = {2};
+    Deployment.Now += Restarts ? 1s : 5s;
+    for (int Count = 0; Count < 2; ++Count)
+      Router.applyNamedWeights({Model, {2}, Deployment.Now - 25s},
+                               Deployment.Now);
+    Deployment.announceTo(Router);
+    BOOST_TEST(std::holds_alternative<RefusedCall>(
+        Router.place(Deployment.call(1), Deployment.Now)));
+  }
+}
+
+// All offered engines are used where few seem usable, but none past the
+// deadline of its weights.
+BOOST_AUTO_TEST_CASE(engines_past_the_deadline_are_no_fallback) {
+  TestDeployment Deployment(4);
+  RoutedPlacement Router = Deployment.router();
+  for (int Index = 0; Index < 3; ++Index) {
+    PlacedCall Placed =
+        expectPlaced(Router.place(Deployment.call(1), Deployment.Now));
+    Router.endCall(Placed.PlacementId, CallEnd::Unreachable, Deployment.Now);
+  }
+  BOOST_TEST(Router.status(Deployment.Now).Usable == 1U);
+  expectPlaced(Router.place(Deployment.call(1), Deployment.Now));
+  Router.applyNamedWeights({Model, {2}, Deployment.Now - 20s}, Deployment.Now);
+  BOOST_TEST(std::holds_alternative<RefusedCall>(
+      Router.place(Deployment.call(1), Deployment.Now)));
+}
+
 // Incident inc1-version: a router restarts with all others, 31 s after weights
 // were named, and gets requests before the control hosts have told it of the
 // naming.
