--- a/Libraries/LibTraffic/ChatRelay.cpp
+++ b/Libraries/LibTraffic/ChatRelay.cpp
@@ -145,18 +145,21 @@
 }
 
 ChatRelay::TryEnd ChatRelay::relayWhole(TargetConnection &Connection) {
-  auto Whole = Connection.tryReadWhole(MaxAnswerBytes,
-                                       limits(Context.Limits.StallLimit));
+  BudgetShare Share(Context.LargeAnswers);
+  auto Whole = Connection.tryReadWhole(
+      MaxAnswerBytes, limits(Context.Limits.StallLimit),
+      [&](uint64_t Bytes) { return Share.tryHoldAnswer(Bytes); });
   if (!Whole)
     return afterLinkError(Whole.error());
-  if (!tryParseObject(*Whole))
+  if (!isWholeObject(*Whole))
     return TryFailed{TryOutcome::Failed};
-  if (!Exchange.sendJson(200, *Whole))
+  if (!Exchange.send(200, "application/json", *Whole))
     return CallerLeft{};
   return Answered{};
 }
 
 ChatRelay::TryEnd ChatRelay::relayEvents(TargetConnection &Connection) {
+  BudgetShare Share(Context.LargeAnswers);
   EventSplitter Splitter;
   // An engine that hangs may still send single bytes or comments, so only whole
   // events count as progress.
@@ -166,7 +169,9 @@
         limits(std::max(StallAt - steadyNow(), Duration::zero())));
     if (!Piece)
       return afterLinkError(Piece.error());
-    if (Piece->empty() || !Splitter.push(*Piece))
+    if (Piece->empty() ||
+        !Share.tryHoldAnswer(Splitter.takenWith(Piece->size())) ||
+        !Splitter.push(*Piece))
       return TryFailed{TryOutcome::Failed};
     std::string EventText;
     std::optional<TryEnd> End;
--- a/Libraries/LibTraffic/ClaimedCall.cpp
+++ b/Libraries/LibTraffic/ClaimedCall.cpp
@@ -211,7 +211,7 @@
     return;
   }
   ClaimCompleted Completed{static_cast<uint32_t>(Answer->Status),
-                           Answer->ContentType, Answer->Body};
+                           Answer->ContentType, Answer->Body.text()};
   SettleResult Outcome = Settler.settle(Key, Attempt, std::move(Completed));
   // The answer is valid even if the ledger did not commit it in time. A resend
   // then waits for the commit or gets "unknown", and never runs the call again.
--- a/Libraries/LibTraffic/HttpExchange.cpp
+++ b/Libraries/LibTraffic/HttpExchange.cpp
@@ -247,13 +247,23 @@
 
 bool HttpExchange::send(int Status, const std::string &ContentType,
                         const std::string &Body) {
+  return sendBlocks(Status, ContentType, {&Body, 1});
+}
+
+bool HttpExchange::send(int Status, const std::string &ContentType,
+                        const HeldBody &Body) {
+  return sendBlocks(Status, ContentType, Body.blocks());
+}
+
+bool HttpExchange::sendBlocks(int Status, const std::string &ContentType,
+                              std::span<const std::string> Body) {
   try {
     if (bodyUnread())
       Response.setKeepAlive(false);
     Response.setStatusAndReason(
         static_cast<Poco::Net::HTTPResponse::HTTPStatus>(Status));
     Response.setContentType(ContentType);
-    return endUnlessWritten(writeWhole({&Body, 1}));
+    return endUnlessWritten(writeWhole(Body));
   } catch (const Poco::Exception &) {
     return endUnlessWritten(false);
   }
--- a/Libraries/LibTraffic/HttpExchange.h
+++ b/Libraries/LibTraffic/HttpExchange.h
@@ -10,6 +10,7 @@
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
 #include <Poco/Net/StreamSocket.h>
+#include <algorithm>
 #include <atomic>
 #include <functional>
 #include <map>
@@ -50,6 +51,14 @@
   /// too few are free; nothing changes then.
   bool tryHold(uint64_t Bytes);
 
+  /// The part of an answer that needs no reservation. The number of requests
+  /// bounds the sum of these parts.
+  static constexpr uint64_t FreeBytes = 64ULL << 10;
+  /// Holds an answer that takes \p Bytes. \returns the same as tryHold().
+  bool tryHoldAnswer(uint64_t Bytes) {
+    return tryHold(Bytes - std::min(Bytes, FreeBytes));
+  }
+
 private:
   BodyBudget &Budget;
   uint64_t Reserved = 0;
@@ -112,6 +121,7 @@
   /// Sends a whole answer. \returns whether all of it was written.
   bool send(int Status, const std::string &ContentType,
             const std::string &Body);
+  bool send(int Status, const std::string &ContentType, const HeldBody &Body);
   bool sendJson(int Status, const std::string &Body);
   bool sendError(const ErrorAnswer &Error);
 
@@ -151,6 +161,8 @@
   void copyHead(const Poco::Net::HTTPResponse &TargetHead);
   /// Sends the current head and the blocks of \p Body. \returns whether all of
   /// it was written. Throws the HTTP library's exceptions.
+  bool sendBlocks(int Status, const std::string &ContentType,
+                  std::span<const std::string> Body);
   bool writeWhole(std::span<const std::string> Body);
   /// Ends the connection after a failed write. \returns \p Written.
   bool endUnlessWritten(bool Written);
--- a/Libraries/LibTraffic/PassedCall.cpp
+++ b/Libraries/LibTraffic/PassedCall.cpp
@@ -38,10 +38,8 @@
   if (Router.framing() == FramingKind::Chunks)
     return relayStream(Router);
   auto Answer = Router.tryReadWhole(
-      RoutedContext::MaxWholeAnswerBytes, limits(), [this](uint64_t Bytes) {
-        return LargeAnswer.tryHold(
-            Bytes - std::min(Bytes, RoutedContext::FreeAnswerBytes));
-      });
+      RoutedContext::MaxWholeAnswerBytes, limits(),
+      [this](uint64_t Bytes) { return LargeAnswer.tryHoldAnswer(Bytes); });
   if (!Answer)
     return fail(Answer.error(), End::Unknown);
   Exchange.sendRelayed(Router.head(), *Answer);
--- a/Libraries/LibTraffic/RoutedContext.h
+++ b/Libraries/LibTraffic/RoutedContext.h
@@ -148,10 +148,7 @@
   /// Requests of other routers that are served at a time; this one has callers
   /// of its own.
   static constexpr int64_t MaxPassedIn = 128;
-  /// Largest part of an answer that is in memory without a reservation. The
-  /// number of requests bounds the sum of these parts.
-  static constexpr uint64_t FreeAnswerBytes = 64ULL << 10;
-  /// Limit of the bytes of all answers above that.
+  /// Limit of the bytes of all answers above BudgetShare::FreeBytes.
   static constexpr uint64_t MaxLargeAnswerBytes = 16ULL << 20;
 
   config::Settings Settings;
--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -393,8 +393,7 @@
 bool RoutedRelay::mayHold(uint64_t Bytes) {
   if (LastFailureAnswer)
     Bytes += LastFailureAnswer->Body.taken();
-  return LargeAnswer.tryHold(Bytes -
-                             std::min(Bytes, RoutedContext::FreeAnswerBytes));
+  return LargeAnswer.tryHoldAnswer(Bytes);
 }
 
 RoutedRelay::NextStep RoutedRelay::relayWhole(const PlacedCall &Destination,
--- a/Libraries/LibTraffic/ServiceCall.cpp
+++ b/Libraries/LibTraffic/ServiceCall.cpp
@@ -86,11 +86,17 @@
     Context.Counters.add(TrafficCount::EchoMismatches);
     return makeTypedError(LinkErrorKind::WrongEcho);
   }
-  ServiceAnswer Answer{
-      (*Connection)->status(), (*Connection)->header("Content-Type"), {}};
+  ServiceAnswer Answer{(*Connection)->status(),
+                       (*Connection)->header("Content-Type"),
+                       {},
+                       nullptr};
   if (Call.Method == "HEAD")
     return Answer;
-  auto Body = (*Connection)->tryReadWhole(MaxAnswerBytes, Limits);
+  Answer.Share = std::make_unique<BudgetShare>(Context.LargeAnswers);
+  auto Body =
+      (*Connection)->tryReadWhole(MaxAnswerBytes, Limits, [&](uint64_t Bytes) {
+        return Answer.Share->tryHoldAnswer(Bytes);
+      });
   if (!Body)
     return makeError(Body.error());
   Answer.Body = std::move(*Body);
--- a/Libraries/LibTraffic/ServiceCall.h
+++ b/Libraries/LibTraffic/ServiceCall.h
@@ -40,7 +40,9 @@
 struct ServiceAnswer {
   int Status = 0;
   std::string ContentType;
-  std::string Body;
+  HeldBody Body;
+  /// What the body takes of the budget.
+  std::unique_ptr<BudgetShare> Share;
 };
 
 /// \returns the rule for \p Method on \p Path by the description.
--- a/Libraries/LibTraffic/TargetConnection.cpp
+++ b/Libraries/LibTraffic/TargetConnection.cpp
@@ -50,15 +50,15 @@
   return Exchange->tryReadPiece(Limits);
 }
 
-LinkResult<std::string>
-TargetConnection::tryReadWhole(uint64_t MaxBytes, const WaitLimits &Limits) {
-  auto Whole =
-      Exchange->tryReadWhole(MaxBytes, Limits, [](uint64_t) { return true; });
+LinkResult<HeldBody>
+TargetConnection::tryReadWhole(uint64_t MaxBytes, const WaitLimits &Limits,
+                               const std::function<bool(uint64_t)> &MayHold) {
+  auto Whole = Exchange->tryReadWhole(MaxBytes, Limits, MayHold);
   if (!Whole)
-    return makeError(Whole.error());
+    return Whole;
   if (Exchange->framing() == FramingKind::Connection && !isWholeObject(*Whole))
     return makeTypedError(LinkErrorKind::Incomplete);
-  return Whole->text();
+  return Whole;
 }
 
 std::string TargetConnection::header(const std::string &Name) const {
--- a/Libraries/LibTraffic/TargetConnection.h
+++ b/Libraries/LibTraffic/TargetConnection.h
@@ -30,8 +30,10 @@
   /// Reads the whole body. \returns TooLarge beyond \p MaxBytes; Incomplete if
   /// its framing is, or if it ends with its connection and is no whole JSON
   /// object.
-  LinkResult<std::string> tryReadWhole(uint64_t MaxBytes,
-                                       const WaitLimits &Limits);
+  /// \param MayHold see TargetExchange::tryReadWhole().
+  LinkResult<HeldBody>
+  tryReadWhole(uint64_t MaxBytes, const WaitLimits &Limits,
+               const std::function<bool(uint64_t)> &MayHold);
 
   int status() const { return head().getStatus(); }
   const Poco::Net::HTTPResponse &head() const { return Exchange->head(); }
--- a/Libraries/LibTraffic/TrafficContext.h
+++ b/Libraries/LibTraffic/TrafficContext.h
@@ -6,6 +6,7 @@
 #include "LibConfig/Settings.h"
 #include "LibTraffic/ControlPort.h"
 #include "LibTraffic/Dispatcher.h"
+#include "LibTraffic/HttpExchange.h"
 #include "LibTraffic/TokenStore.h"
 #include "LibTraffic/TrafficCounters.h"
 #include <atomic>
@@ -39,6 +40,9 @@
   std::atomic<Timestamp> RefuseFrom{NeverExpires};
   /// Number of callers' requests in progress, without those for entries.
   std::atomic<int64_t> ActiveRequests{0};
+  /// Limit of the bytes of all answers above BudgetShare::FreeBytes.
+  static constexpr uint64_t MaxLargeAnswerBytes = 32ULL << 20;
+  BodyBudget LargeAnswers{MaxLargeAnswerBytes};
 };
 
 } // namespace ferry::traffic
--- a/Services/ferryd/OrderSender.cpp
+++ b/Services/ferryd/OrderSender.cpp
@@ -167,13 +167,14 @@
   auto Link = call(Request, {"GET", Dialect->StatePath, ""}, Deadline);
   if (!Link || Link->status() != FirstSuccessStatus)
     return std::nullopt;
-  auto Body = Link->tryReadWhole(MaxStateBytes, {Deadline});
+  auto Body = Link->tryReadWhole(MaxStateBytes, {Deadline},
+                                 [](uint64_t) { return true; });
   if (!Body)
     return std::nullopt;
   // The values of a text can take many times its size, so one thread at a
   // time has them in memory.
   std::lock_guard<std::mutex> Lock(ReadingMutex);
-  return Dialect->ReadState(*Body);
+  return Dialect->ReadState(Body->text());
 }
 
 int OrderSender::sendOnce(const control::SendOrder &Request,
--- a/Tests/LibTraffic/TestTargetConnection.cpp
+++ b/Tests/LibTraffic/TestTargetConnection.cpp
@@ -31,15 +31,15 @@
 }
 
 /// Sends a request with \p Deadline and reads the answer.
-static LinkResult<std::string> call(const FakeScriptedTarget &Target,
-                                    Timestamp Deadline) {
+static LinkResult<HeldBody> call(const FakeScriptedTarget &Target,
+                                 Timestamp Deadline) {
   auto Connected = TargetConnection::tryConnect(Target.address(), Deadline);
   BOOST_REQUIRE(Connected);
   TargetConnection &Link = **Connected;
   BOOST_REQUIRE(Link.trySend("GET", "/report", {}, "", Deadline));
   if (auto Received = Link.tryReceiveHead({Deadline}); !Received)
     return makeError(Received.error());
-  return Link.tryReadWhole(1 << 20, {Deadline});
+  return Link.tryReadWhole(1 << 20, {Deadline}, [](uint64_t) { return true; });
 }
 
 static const std::vector<std::pair<std::string, std::string>> EndlessBytes = {
@@ -92,7 +92,8 @@
   BOOST_REQUIRE_MESSAGE(Sent, Sent.error().message());
   auto Received = Link.tryReceiveHead({Deadline});
   BOOST_REQUIRE_MESSAGE(Received, Received.error().message());
-  auto Answer = Link.tryReadWhole(1 << 20, {Deadline});
+  auto Answer =
+      Link.tryReadWhole(1 << 20, {Deadline}, [](uint64_t) { return true; });
   BOOST_REQUIRE(Answer);
-  BOOST_TEST(*Answer == "done");
+  BOOST_TEST(Answer->text() == "done");
 }
