--- a/Libraries/LibTraffic/HttpExchange.h
+++ b/Libraries/LibTraffic/HttpExchange.h
@@ -159,10 +159,10 @@
   AnswerResult<uint64_t> tryContentLength(uint64_t MaxBytes) const;
   AnswerResult<std::string> tryReadChunks(uint64_t MaxBytes);
   void copyHead(const Poco::Net::HTTPResponse &TargetHead);
-  /// Sends the current head and the blocks of \p Body. \returns whether all of
-  /// it was written. Throws the HTTP library's exceptions.
   bool sendBlocks(int Status, const std::string &ContentType,
                   std::span<const std::string> Body);
+  /// Sends the current head and the blocks of \p Body. \returns whether all of
+  /// it was written. Throws the HTTP library's exceptions.
   bool writeWhole(std::span<const std::string> Body);
   /// Ends the connection after a failed write. \returns \p Written.
   bool endUnlessWritten(bool Written);
--- a/Tests/LibControl/RolloutWorld.h
+++ b/Tests/LibControl/RolloutWorld.h
@@ -204,7 +204,13 @@
 
   /// \returns the number of engines that are not gone and lack the newest
   /// weights.
-  int outdatedEngines() const { return enginesBefore(Namings.back().Weights); }
+  int outdatedEngines() const {
+    return static_cast<int>(std::count_if(
+        Engines.begin(), Engines.end(), [&](const WatchedEngine &Item) {
+          return !Item.isGone() &&
+                 Item.state().Weights != Namings.back().Weights;
+        }));
+  }
 
   /// \returns the number of engines that are not gone and have older weights
   /// than \p Weights.
