--- a/Libraries/LibRouting/RoutedPlacementChoice.cpp
+++ b/Libraries/LibRouting/RoutedPlacementChoice.cpp
@@ -91,6 +91,7 @@
 RoutedPlacement::candidatesOf(const RoutedCall &Call, Timestamp Now) {
   std::vector<RoutedTarget *> Offered;
   std::vector<RoutedTarget *> Usable;
+  size_t Loading = 0;
   for (auto &[Id, Target] : Targets) {
     bool IsOtherBuild =
         !Call.Build.empty() && Target.Record.Build != Call.Build;
@@ -103,10 +104,13 @@
         Limits.openFrom(Id, Target.Record.Incarnation, Now) > Now || HasNoSlot)
       continue;
     Offered.push_back(&Target);
+    // A load by order is no sign that this router is cut off.
+    Loading += Target.LoadingUntil > Now;
     if (isUsable(Target, Now))
       Usable.push_back(&Target);
   }
-  bool UseAll = seemsCutOff(Usable.size(), Offered.size());
+  bool UseAll = Usable.empty() ||
+                seemsCutOff(Usable.size(), Offered.size() - Loading);
   std::vector<RoutedTarget *> &Candidates = UseAll ? Offered : Usable;
   if (UseAll && !Usable.empty())
     std::stable_partition(
--- a/Tests/LibRouting/TestRoutedPlacement.cpp
+++ b/Tests/LibRouting/TestRoutedPlacement.cpp
@@ -703,6 +703,29 @@
   BOOST_TEST(Used.size() == 4U);
 }
 
+// A router took engines that are drained for a sign that it is cut off, and
+// used them like all others where they were more than half.
+BOOST_AUTO_TEST_CASE(drained_engines_get_nothing_while_another_is_left) {
+  for (size_t Engines : {3, 4, 5}) {
+    TestDeployment Deployment(Engines);
+    RoutedPlacement Router = Deployment.router();
+    size_t Drained = Engines / 2 + 1;
+    for (size_t Index = 0; Index < Drained; ++Index)
+      Router.applyEngineChange(
+          {{"e" + std::to_string(Index)}, {1}, {2}, /*Loading=*/true},
+          Deployment.Now);
+    std::set<std::string> Used;
+    for (uint64_t Part = 1; Part <= 100; ++Part) {
+      PlacedCall Placed =
+          expectPlaced(Router.place(Deployment.call(Part), Deployment.Now));
+      Used.insert(Placed.Target.Value);
+      serve(Router, Placed, Deployment.Now);
+    }
+    for (size_t Index = 0; Index < Drained; ++Index)
+      BOOST_TEST(Used.count("e" + std::to_string(Index)) == 0U);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(an_unreachable_engine_is_avoided_and_tried_again) {
   TestDeployment Deployment(4);
   RoutedPlacement Router = Deployment.router();
