--- a/Services/ferryd/OrderDispatcher.cpp
+++ b/Services/ferryd/OrderDispatcher.cpp
@@ -166,12 +166,14 @@
     match(
         std::move(Effect),
         [this](control::SendOrder &&Request) {
-          observe::logEvent(Severity::Info, "orders", "order_sent",
-                            {{"target", Request.Target},
-                             {"order", orderBody(Request)},
-                             {"running_requests", Request.Running}});
-          OrdersUnderWay[Request.OrderId] = {Request.Target, steadyNow()};
-          recordLoadStart(Request);
+          bool FirstTry = recordLoadStart(Request);
+          if (FirstTry)
+            observe::logEvent(Severity::Info, "orders", "order_sent",
+                              {{"target", Request.Target},
+                               {"order", orderBody(Request)},
+                               {"running_requests", Request.Running}});
+          OrdersUnderWay[Request.OrderId] = {Request.Target, steadyNow(),
+                                             FirstTry};
           Sender.send(std::move(Request));
         },
         [this](control::BeginLoad &&Request) { beginLoad(Request); },
