--- a/Libraries/LibControl/Reconciler.cpp
+++ b/Libraries/LibControl/Reconciler.cpp
@@ -90,6 +90,7 @@
     return;
   }
   if (Ended.Outcome == OrderOutcome::Serving) {
+    Work.Unreachable = false;
     Work.CurrentStage = Stage::Ready;
     Work.SendNotBefore =
         std::min(Now + DrainReadInterval, Work.DrainUntil.value_or(Now));
@@ -492,7 +493,8 @@
     ++OrdersSent;
     Out.push_back(SendOrder{Work.OrderId, Target, Work.Incarnation,
                             Record->Address, *Next, Fencing, Deadline,
-                            runningRequests(*Record, Work, Now)});
+                            OnlyReads ? RunningRequests::Finish
+                                      : runningRequests(*Record, Work, Now)});
   }
 }
 
--- a/Libraries/LibControl/ReconcilerSlots.cpp
+++ b/Libraries/LibControl/ReconcilerSlots.cpp
@@ -195,7 +195,10 @@
     if (!Work.Slot || Id == Target)
       continue;
     ++Others.Count;
-    bool Unreachable = Work.Unreachable || !isAnnounced(Id, Now);
+    // An order that is under way may have reached the target.
+    bool MayReach = Work.CurrentStage == Stage::Ordered && !Work.OnlyReads;
+    bool Unreachable =
+        (Work.Unreachable && !MayReach) || !isAnnounced(Id, Now);
     Others.Unreachable += Unreachable;
     Others.AwaitTurn += !Unreachable && Work.AwaitsTurn;
   }
