--- a/Libraries/LibControl/ReconcilerSlots.cpp
+++ b/Libraries/LibControl/ReconcilerSlots.cpp
@@ -197,8 +197,7 @@
     ++Others.Count;
     // An order that is under way may have reached the target.
     bool MayReach = Work.CurrentStage == Stage::Ordered && !Work.OnlyReads;
-    bool Unreachable =
-        (Work.Unreachable && !MayReach) || !isAnnounced(Id, Now);
+    bool Unreachable = (Work.Unreachable && !MayReach) || !isAnnounced(Id, Now);
     Others.Unreachable += Unreachable;
     Others.AwaitTurn += !Unreachable && Work.AwaitsTurn;
   }
--- a/Libraries/LibRouting/RoutedPlacementChoice.cpp
+++ b/Libraries/LibRouting/RoutedPlacementChoice.cpp
@@ -109,8 +109,8 @@
     if (isUsable(Target, Now))
       Usable.push_back(&Target);
   }
-  bool UseAll = Usable.empty() ||
-                seemsCutOff(Usable.size(), Offered.size() - Loading);
+  bool UseAll =
+      Usable.empty() || seemsCutOff(Usable.size(), Offered.size() - Loading);
   std::vector<RoutedTarget *> &Candidates = UseAll ? Offered : Usable;
   if (UseAll && !Usable.empty())
     std::stable_partition(
