--- a/Libraries/LibRouting/PartQuarantine.cpp
+++ b/Libraries/LibRouting/PartQuarantine.cpp
@@ -97,7 +97,7 @@
     ChangedCrashes.insert(Changed);
   for (auto &[Subset, Set] : Quarantined)
     if (!Set.Ended && includesAll(Parts, Subset)) {
-      end(Set);
+      end(Set, QuarantineChange::Kind::Served);
       ChangedSets.insert(Subset);
     }
 }
@@ -157,21 +157,21 @@
   // The smaller set refuses all that larger ones with the same parts did.
   for (auto &[Other, Larger] : Quarantined)
     if (!Larger.Ended && Other != Parts && includesAll(Other, Parts)) {
-      end(Larger);
+      end(Larger, QuarantineChange::Kind::Covered);
       ChangedSets.insert(Other);
     }
   expire(Now);
 }
 
-void PartQuarantine::end(QuarantinedParts &Set) {
+void PartQuarantine::end(QuarantinedParts &Set, QuarantineChange::Kind Reason) {
   Set.Ended = true;
-  recordChange(QuarantineChange::Kind::Ended, Set);
+  recordChange(Reason, Set);
 }
 
 void PartQuarantine::expire(Timestamp Now) {
   for (auto &[Parts, Set] : Quarantined)
     if (!Set.Ended && Set.WantedAt + IdleLimit <= Now)
-      recordChange(QuarantineChange::Kind::Ended, Set);
+      recordChange(QuarantineChange::Kind::Unwanted, Set);
   std::erase_if(Quarantined, [Now](const auto &Entry) {
     return Entry.second.WantedAt + IdleLimit <= Now;
   });
@@ -198,7 +198,7 @@
     Known = Told;
   Known.WantedAt = std::min(WantedAt, Now);
   if (WasInForce && Known.Ended)
-    recordChange(QuarantineChange::Kind::Ended, Known);
+    recordChange(QuarantineChange::Kind::ToldEnded, Known);
   if (!WasInForce && !Known.Ended)
     recordChange(QuarantineChange::Kind::Told, Known);
   return IsNews;
--- a/Libraries/LibRouting/PartQuarantine.h
+++ b/Libraries/LibRouting/PartQuarantine.h
@@ -42,7 +42,21 @@
 
 /// A change of what a router believes of parts, for its log.
 struct QuarantineChange {
-  enum class Kind : uint8_t { Begun, Told, Trial, Ended };
+  enum class Kind : uint8_t {
+    /// Decided by this router.
+    Begun,
+    /// Begun, by what another router tells.
+    Told,
+    Trial,
+    /// Ended by a whole answer to a request with the parts.
+    Served,
+    /// Ended, as a smaller set refuses all that this one did.
+    Covered,
+    /// Ended, as no request has had the parts for long.
+    Unwanted,
+    /// Ended, by what another router tells.
+    ToldEnded
+  };
   Kind What = Kind::Begun;
   PartSet Parts;
   uint32_t Trials = 0;
@@ -121,7 +135,7 @@
   void decideSoon(Timestamp Now);
   void decide(Timestamp Now);
   void quarantine(const PartSet &Parts, Timestamp Now);
-  void end(QuarantinedParts &Set);
+  void end(QuarantinedParts &Set, QuarantineChange::Kind Reason);
   bool merge(const QuarantinedParts &Told, Timestamp Now);
   void expire(Timestamp Now);
   std::vector<PartSet> setsInForce() const;
@@ -156,10 +170,11 @@
 
 template <> struct EnumNames<routing::QuarantineChange::Kind> {
   using Kind = routing::QuarantineChange::Kind;
-  static constexpr EnumName<Kind> Table[] = {{Kind::Begun, "begun"},
-                                             {Kind::Told, "told"},
-                                             {Kind::Trial, "trial"},
-                                             {Kind::Ended, "ended"}};
+  static constexpr EnumName<Kind> Table[] = {
+      {Kind::Begun, "begun"},         {Kind::Told, "told"},
+      {Kind::Trial, "trial"},         {Kind::Served, "served"},
+      {Kind::Covered, "covered"},     {Kind::Unwanted, "unwanted"},
+      {Kind::ToldEnded, "told_ended"}};
 };
 
 } // namespace ferry
--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -532,17 +532,19 @@
     LastFailure = {LinkErrorKind::DeadlinePassed, "this host is stopping"};
   if (Sent)
     ++PossibleRuns;
-  observe::logEvent(Severity::Info, "routed", "attempt_failed",
-                    {{"target", Destination.Target},
-                     {"service", Call.Service},
-                     {"reason", Failure.message()},
-                     {"may_have_run", Sent},
-                     {"framing", framingName()},
-                     {"progress", answerProgress()},
-                     {"unfinished_bytes", UnfinishedBytes},
-                     {"digest", Sent ? digestText() : std::string()},
-                     {"attempt", Attempts}},
-                    Caller.Id);
+  observe::logEvent(
+      Severity::Info, "routed", "attempt_failed",
+      {{"target", Destination.Target},
+       {"service", Call.Service},
+       {"reason", Failure.message()},
+       {"may_have_run", Sent},
+       {"framing", framingName()},
+       {"progress", answerProgress()},
+       {"unfinished_bytes", UnfinishedBytes},
+       {"digest", Sent ? digestText() : std::string()},
+       {"shared_parts", Sent ? partsText(SharedParts) : std::string()},
+       {"attempt", Attempts}},
+      Caller.Id);
   if (Sent && !CallerLeft && !PastDeadline)
     Context.Metrics.BrokenAnswers
         .with({std::string(enumName(answerProgress()))})
@@ -718,7 +720,8 @@
   Context.Metrics.Answers.with({Name, std::to_string(Status)}).add();
   bool Failed = Event != "answered";
   std::optional<int64_t> ConfirmedMillis;
-  if (Event == "refused" && View)
+  bool WasConfirmed = View && View->ConfirmedUntil != Timestamp();
+  if (Event == "refused" && WasConfirmed)
     ConfirmedMillis = (View->ConfirmedUntil - steadyNow()).count() / 1000;
   observe::logEvent(
       Severity::Info, "routed", Event,
--- a/Services/ferryd/BeliefExchange.cpp
+++ b/Services/ferryd/BeliefExchange.cpp
@@ -1,5 +1,6 @@
 #include "ferryd/BeliefExchange.h"
 #include "LibCore/Random.h"
+#include "LibObserve/Log.h"
 #include <algorithm>
 #include <limits>
 #include <map>
@@ -271,8 +272,14 @@
   if (Message.__isset.Reach)
     return Callbacks.NoteHelper(
         From, {Message.Reach.ReachesTargets, Message.Reach.PassKey});
-  if (Message.Answers)
+  if (Message.Answers) {
     Spread.noteAnswer();
+    observe::logEvent(observe::Severity::Info, "routed", "beliefs_answered",
+                      {{"from", From},
+                       {"crashes", Message.Crashes.size()},
+                       {"quarantined", Message.Quarantined.size()},
+                       {"limits", Message.Limits.size()}});
+  }
   if (Message.Asks) {
     wire::BeliefMessage Answer = toWire(Callbacks.Everything());
     Answer.Answers = true;
