--- a/Libraries/LibRouting/CrashEvidence.cpp
+++ b/Libraries/LibRouting/CrashEvidence.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <tuple>
 #include <utility>
 
 namespace ferry::routing {
@@ -55,21 +56,41 @@
   return std::binary_search(Parts.begin(), Parts.end(), Part);
 }
 
-/// \returns the suspects with \p Id that count. For a part these are those
-/// whose answer had begun, or all if no answer had.
-static std::vector<const CrashSuspect *>
-countedSuspects(const CrashReport &Report, uint64_t Id) {
-  auto HadBegun = [](const CrashSuspect &Suspect) {
-    return Suspect.Progress == AnswerProgress::Begun;
-  };
-  bool AnyBegun =
-      std::any_of(Report.Suspects.begin(), Report.Suspects.end(), HadBegun);
-  std::vector<const CrashSuspect *> Counted;
+static bool hasBegun(const CrashSuspect &Suspect) {
+  return Suspect.Progress == AnswerProgress::Begun;
+}
+
+/// \returns the suspects with \p Id, whether their answers had begun or not: a
+/// reset may have discarded the head of the one that ended the target.
+static std::vector<const CrashSuspect *> suspectsWith(const CrashReport &Report,
+                                                      uint64_t Id) {
+  std::vector<const CrashSuspect *> Found;
   for (const CrashSuspect &Suspect : Report.Suspects)
-    if (contains(Suspect.Parts, Id) &&
-        (isRequestId(Id) || !AnyBegun || HadBegun(Suspect)))
-      Counted.push_back(&Suspect);
-  return Counted;
+    if (contains(Suspect.Parts, Id))
+      Found.push_back(&Suspect);
+  return Found;
+}
+
+/// Whether a suspect with \p Id is among those that most likely ended the
+/// target: one whose answer had begun, or any if no answer had. A request may
+/// end its target before its answer begins.
+static bool isLikelyCause(const CrashReport &Report, uint64_t Id) {
+  auto HasId = [Id](const CrashSuspect &Suspect) {
+    return contains(Suspect.Parts, Id);
+  };
+  const auto &Suspects = Report.Suspects;
+  bool AnyBegun = std::any_of(Suspects.begin(), Suspects.end(), hasBegun);
+  return std::any_of(
+      Suspects.begin(), Suspects.end(), [&](const CrashSuspect &Each) {
+        return HasId(Each) && (isRequestId(Id) || !AnyBegun || hasBegun(Each));
+      });
+}
+
+static bool includesAny(const PartSet &Whole,
+                        const std::vector<PartSet> &Sets) {
+  return std::any_of(Sets.begin(), Sets.end(), [&](const PartSet &Each) {
+    return includesAll(Whole, Each);
+  });
 }
 
 void ServedHistory::note(uint64_t Id, Timestamp Now) {
@@ -121,16 +142,25 @@
     return Entry.first != Ended &&
            std::any_of(Suspect.Parts.begin(), Suspect.Parts.end(),
                        [&Marks](uint64_t Id) {
-                         return isRequestId(Id) && Marks.contains(Id);
+                         auto Found = Marks.find(Id);
+                         return Found != Marks.end() &&
+                                (isRequestId(Id) || Found->second.never());
                        });
   });
 }
 
-bool CrashEvidence::makeRoom(CrashReport &Report,
-                             const CrashSuspect &Suspect) const {
+bool CrashEvidence::hasUnservedPart(const CrashSuspect &Suspect,
+                                    Timestamp Now) const {
+  return std::any_of(
+      Suspect.Parts.begin(), Suspect.Parts.end(),
+      [&](uint64_t Id) { return !isRequestId(Id) && !wasServed(Id, Now); });
+}
+
+bool CrashEvidence::makeRoom(CrashReport &Report, const CrashSuspect &Suspect,
+                             Timestamp Now) const {
   auto Rank = [&](const CrashSuspect &Each) {
-    return std::pair(isInOtherCrash(Each, Report.Id),
-                     Each.Progress == AnswerProgress::Begun);
+    return std::tuple(isInOtherCrash(Each, Report.Id),
+                      hasUnservedPart(Each, Now), hasBegun(Each));
   };
   auto Least = std::min_element(Report.Suspects.begin(), Report.Suspects.end(),
                                 [&](const auto &Left, const auto &Right) {
@@ -169,7 +199,7 @@
       });
   if (IsKnown)
     return false;
-  if (Suspects.size() >= MaxSuspects && !makeRoom(Report, Suspect))
+  if (Suspects.size() >= MaxSuspects && !makeRoom(Report, Suspect, Now))
     return false;
   Suspects.push_back({Suspect.Parts, Suspect.Progress, SeenAt});
   for (uint64_t Part : Suspect.Parts) {
@@ -253,7 +283,7 @@
   Incidences Result;
   for (const Crash *Ended : Recent)
     for (const auto &[Id, IdMarks] : Ended->Report.Marks) {
-      if (IdMarks.ServedAfter || countedSuspects(Ended->Report, Id).empty())
+      if (IdMarks.ServedAfter || suspectsWith(Ended->Report, Id).empty())
         continue;
       Incidence &Found = Result[Id];
       ++Found.Crashes;
@@ -262,27 +292,42 @@
   return Result;
 }
 
-/// Whether another request that was broken off in the crash is in more crashes
-/// than the one with \p Id.
+/// Whether another request that was broken off in the crash has an id of the
+/// same kind that is in more crashes than \p Id.
 template <typename IncidenceMap>
 static bool explainedByAnother(const CrashReport &Report, uint64_t Id,
                                const IncidenceMap &Known) {
   auto Own = Known.find(Id);
+  if (Own == Known.end())
+    return false;
+  auto IsInMore = [&](uint64_t OtherId) {
+    auto Found = Known.find(OtherId);
+    if (isRequestId(OtherId) != isRequestId(Id) || Found == Known.end())
+      return false;
+    // New parts stand beside a crash more often than new requests, so that one
+    // that was never served explains nothing by that alone.
+    return isRequestId(Id)
+               ? Found->second > Own->second
+               : Found->second.Crashes > Own->second.Crashes &&
+                     Found->second.NeverServed >= Own->second.NeverServed;
+  };
   return std::any_of(Report.Suspects.begin(), Report.Suspects.end(),
                      [&](const CrashSuspect &Other) {
                        return !contains(Other.Parts, Id) &&
                               std::any_of(Other.Parts.begin(),
-                                          Other.Parts.end(),
-                                          [&](uint64_t OtherId) {
-                                            auto Found = Known.find(OtherId);
-                                            return isRequestId(OtherId) &&
-                                                   Found != Known.end() &&
-                                                   Own != Known.end() &&
-                                                   Found->second > Own->second;
-                                          });
+                                          Other.Parts.end(), IsInMore);
                      });
 }
 
+/// \returns the parts of the crash's suspects that were never served, sorted.
+static PartSet unservedParts(const CrashReport &Report) {
+  PartSet Unserved;
+  for (const auto &[Id, IdMarks] : Report.Marks)
+    if (!isRequestId(Id) && IdMarks.never())
+      Unserved.push_back(Id);
+  return Unserved;
+}
+
 CrashEvidence::Tally
 CrashEvidence::tallyOf(uint64_t Part, const std::vector<const Crash *> &Recent,
                        const Incidences &Known,
@@ -297,19 +342,18 @@
     if (PartMarks == Report.Marks.end() || PartMarks->second.ServedAfter)
       continue;
     bool IsSuspect = false;
-    bool HadBegun = false;
-    bool Explained =
-        isRequestId(Part) && explainedByAnother(Report, Part, Known);
-    for (const CrashSuspect *Suspect : countedSuspects(Report, Part)) {
-      IsSuspect = true;
-      HadBegun =
-          isRequestId(Part) || Suspect->Progress == AnswerProgress::Begun;
-      Explained =
-          Explained || std::any_of(Quarantined.begin(), Quarantined.end(),
-                                   [&](const PartSet &Each) {
-                                     return includesAll(Suspect->Parts, Each);
-                                   });
-      if (std::exchange(IsFirst, false))
+    bool HadBegun = isRequestId(Part);
+    // A crash that a quarantined set explains counts for no other part.
+    bool Explained = explainedByAnother(Report, Part, Known) ||
+                     std::any_of(Report.Suspects.begin(), Report.Suspects.end(),
+                                 [&](const CrashSuspect &Each) {
+                                   return (!isRequestId(Part) ||
+                                           contains(Each.Parts, Part)) &&
+                                          includesAny(Each.Parts, Quarantined);
+                                 });
+    for (const CrashSuspect *Suspect : suspectsWith(Report, Part)) {
+      HadBegun = HadBegun || hasBegun(*Suspect);
+      if (!std::exchange(IsSuspect, true) && IsFirst)
         Result.Common = Suspect->Parts;
       else
         std::erase_if(Result.Common, [&](uint64_t Other) {
@@ -318,6 +362,12 @@
     }
     if (!IsSuspect)
       continue;
+    PartSet Unserved = unservedParts(Report);
+    if (std::exchange(IsFirst, false))
+      Result.Rivals = std::move(Unserved);
+    else
+      std::erase_if(Result.Rivals,
+                    [&](uint64_t Other) { return !contains(Unserved, Other); });
     Result.UnexplainedBegun =
         Result.UnexplainedBegun || (!Explained && HadBegun);
     Result.Served = Result.Served || PartMarks->second.ServedBefore;
@@ -334,6 +384,9 @@
     if (HadBegun)
       Result.LearntBegun.push_back(Ended->LearntAt);
   }
+  std::erase_if(Result.Rivals, [&](uint64_t Other) {
+    return Other == Part || contains(Result.Common, Other);
+  });
   return Result;
 }
 
@@ -342,7 +395,10 @@
     const Incidences &Known, const std::vector<PartSet> &Quarantined,
     Timestamp Now) const {
   Tally Counted = tallyOf(Part, Recent, Known, Quarantined);
+  // Where another part stood beside each time, the answers that had begun do
+  // not tell which of the two it was.
   bool IsClear = !Counted.Served && Counted.UnexplainedBegun &&
+                 (isRequestId(Part) || Counted.Rivals.empty()) &&
                  Counted.LearntBegun.size() >= MinCrashes;
   // Requests that only waited do not tell parts apart that were quarantined
   // together.
@@ -397,18 +453,19 @@
   std::vector<const Crash *> Recent = recentCrashes(Now);
   for (uint64_t Part : Parts) {
     size_t Count = 0;
+    size_t LikelyCount = 0;
     bool Served = false;
     for (const Crash *Ended : Recent) {
       auto PartMarks = Ended->Report.Marks.find(Part);
       if (PartMarks == Ended->Report.Marks.end() ||
           PartMarks->second.ServedAfter)
         continue;
-      if (countedSuspects(Ended->Report, Part).empty())
-        continue;
       ++Count;
+      LikelyCount += isLikelyCause(Ended->Report, Part);
       Served = Served || PartMarks->second.ServedBefore;
     }
-    if (Count >= (Served ? MinCrashesOfServed : MinCrashes) - 1)
+    bool Likely = LikelyCount + 1 >= MinCrashes && !Served;
+    if (Likely || Count + 1 >= MinCrashesOfServed)
       return false;
   }
   return true;
--- a/Libraries/LibRouting/CrashEvidence.h
+++ b/Libraries/LibRouting/CrashEvidence.h
@@ -66,6 +66,7 @@
     bool ServedBefore = false;
     /// After the crash.
     bool ServedAfter = false;
+    bool never() const { return !ServedBefore && !ServedAfter; }
   };
 
   CrashId Id;
@@ -100,12 +101,14 @@
 /// Answers the load of a part that crashes each target which begins an answer
 /// on it, among sound requests that share the caller, the route and all other
 /// parts, and that run at the same targets when these end. Requests whose
-/// answer had just begun are suspects; those that waited are only where no
-/// answer had. A part is the cause if it is in MinCrashes crashes at
-/// different times and no answer to a prompt with it has been served since. If
-/// others are in all of these crashes too, they are the cause together:
-/// requests with all of them are refused, those with some are not, and the next
-/// crash tells them apart.
+/// answer had just begun or had not are suspects: a reset may have discarded
+/// the head. A part is the cause if it is in MinCrashes crashes at different
+/// times, its answers had begun, no other part that was never served is in all
+/// of these too, and no answer to a prompt with it has been served since;
+/// without begun answers it needs MinCrashesOfServed crashes that no other part
+/// explains. If others are in all of these crashes too, they are the cause
+/// together: requests with all of them are refused, those with some are not,
+/// and the next crash tells them apart.
 ///
 /// A request that crashes targets as a whole does so before its answer begins,
 /// while others at the target stream already. So all requests that were broken
@@ -176,6 +179,9 @@
   /// How many crashes a part is in, and with which others.
   struct Tally {
     PartSet Common;
+    /// Parts that were never served and are in each of these crashes too, with
+    /// or without the part.
+    PartSet Rivals;
     std::vector<Timestamp> LearntBegun;
     std::vector<Timestamp> LearntAll;
     /// Those that no quarantined set explains.
@@ -203,7 +209,9 @@
 
   Crash *touch(CrashId Ended, Timestamp SeenAt, Timestamp Now);
   bool addSuspect(Crash &Ended, const CrashSuspect &Suspect, Timestamp Now);
-  bool makeRoom(CrashReport &Report, const CrashSuspect &Suspect) const;
+  bool makeRoom(CrashReport &Report, const CrashSuspect &Suspect,
+                Timestamp Now) const;
+  bool hasUnservedPart(const CrashSuspect &Suspect, Timestamp Now) const;
   bool isInOtherCrash(const CrashSuspect &Suspect, CrashId Ended) const;
   bool wasServed(uint64_t Part, Timestamp Now) const;
   /// \returns the crashes that are not too old, oldest first.
--- a/Tests/LibRouting/TestPartQuarantine.cpp
+++ b/Tests/LibRouting/TestPartQuarantine.cpp
@@ -220,6 +220,80 @@
   BOOST_TEST(Subject.admits({Lead, 44}));
 }
 
+// A reset discards the head of the answer that crashes the target, while sound
+// answers there have begun.
+BOOST_AUTO_TEST_CASE(a_part_whose_crashes_discard_the_head_is_refused) {
+  Router Subject;
+  Subject.serve({Lead, Sound});
+  for (uint64_t Crash = 0; Crash < 5; ++Crash) {
+    BOOST_TEST(Subject.admits({Lead, Crashing}));
+    Subject.crash({{Lead, Sound}, {Lead, 100 + Crash}},
+                  {{Lead, Crashing}, {Lead, 200 + Crash}});
+    Subject.Now += 200ms;
+    Subject.serve({Lead, Sound});
+    Subject.Now += 200ms;
+  }
+  Subject.Now += Later;
+  BOOST_TEST(!Subject.admits({Lead, Crashing}));
+  BOOST_TEST(!Subject.admits({Crashing, 77}));
+  BOOST_TEST(Subject.admits({Lead, Sound}));
+  for (uint64_t Crash = 0; Crash < 5; ++Crash) {
+    BOOST_TEST(Subject.admits({Lead, 100 + Crash}));
+    BOOST_TEST(Subject.admits({Lead, 200 + Crash}));
+  }
+}
+
+// A new sound part had begun at three crashes in a row and was not served yet.
+BOOST_AUTO_TEST_CASE(a_begun_part_beside_one_without_head_is_not_blamed) {
+  Router Subject;
+  Subject.serve({Lead});
+  for (int Crash = 0; Crash < 3; ++Crash) {
+    Subject.crash({{Lead, Sound}}, {{Lead, Crashing}});
+    Subject.Now += 400ms;
+    BOOST_TEST(Subject.admits({Lead, Sound}));
+  }
+  Subject.Now += Later;
+  BOOST_TEST(Subject.admits({Lead, Sound}));
+  for (uint64_t Crash = 0; Crash < 3; ++Crash) {
+    Subject.crash({{Lead, 100 + Crash}}, {{Lead, Crashing}});
+    Subject.Now += 400ms;
+  }
+  Subject.Now += Later;
+  BOOST_TEST(!Subject.admits({Lead, Crashing}));
+  BOOST_TEST(Subject.admits({Lead, Sound}));
+}
+
+// More answers have begun at the target than a report of its end holds.
+BOOST_AUTO_TEST_CASE(a_busy_target_hides_no_request_without_head) {
+  for (bool First : {true, false}) {
+    Router Subject;
+    Subject.serve({Lead, Sound});
+    for (uint64_t Crash = 0; Crash < 6; ++Crash) {
+      std::vector<PartSet> Begun;
+      for (uint64_t Id = 0; Id < 3 * CrashEvidence::MaxSuspects; ++Id)
+        Begun.push_back({Lead, Sound, requestIdOf(1000 * Crash + Id)});
+      PartSet Bad{Lead, Crashing, requestIdOf(9'000 + Crash)};
+      TargetId Target{"i-busy" + std::to_string(Crash)};
+      auto Note = [&](const PartSet &Parts, AnswerProgress Progress) {
+        Subject.Quarantine.noteBroken(
+            Target, {1}, {sorted(Parts), Progress, Subject.Now}, Subject.Now);
+      };
+      if (First)
+        Note(Bad, AnswerProgress::Waiting);
+      for (const PartSet &Parts : Begun)
+        Note(Parts, AnswerProgress::Begun);
+      if (!First)
+        Note(Bad, AnswerProgress::Waiting);
+      Subject.Now += 200ms;
+      Subject.serve({Lead, Sound});
+      Subject.Now += 200ms;
+    }
+    Subject.Now += Later;
+    BOOST_TEST(!Subject.admits({Lead, Crashing}));
+    BOOST_TEST(Subject.admits({Lead, Sound}));
+  }
+}
+
 // The second crash under a part is no accident any more.
 BOOST_AUTO_TEST_CASE(a_request_is_not_repeated_after_the_second_crash) {
   Router Subject;
