--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -459,9 +459,9 @@
   }
   // So does one that crashes with a head and no event behind it.
   if (!StreamStarted && Target.framing() == FramingKind::Connection)
-    return handleStreamFailure(
-        Destination, {LinkErrorKind::Incomplete,
-                      "the connection ended before the first event"});
+    return handleStreamFailure(Destination,
+                               {LinkErrorKind::Incomplete,
+                                "the connection ended before the first event"});
   if (!StreamStarted)
     beginStream(Destination, Target);
   endAttempt(Destination, CallEnd::Served, NextStep::Done);
