--- a/Libraries/LibRouting/BeliefSpread.cpp
+++ b/Libraries/LibRouting/BeliefSpread.cpp
@@ -24,7 +24,9 @@
 BeliefSpread::Due BeliefSpread::tick(std::vector<HostId> Others,
                                      bool HasBeliefs, Timestamp Now) {
   Due Result;
-  if (!Answered)
+  if (SettledFrom == NeverExpires)
+    SettledFrom = Now + SettleSpan;
+  if (!isSettled(Now))
     Result.Question = choose(Others, AskFanout);
   bool IsFresh = Now < FreshUntil;
   if (!HasBeliefs || (!IsFresh && Now < SummaryAt))
--- a/Libraries/LibRouting/BeliefSpread.h
+++ b/Libraries/LibRouting/BeliefSpread.h
@@ -20,7 +20,8 @@
 /// messages that does not grow with the fleet. Those that were missed hear it
 /// with the summaries that routers send to others while news are fresh, and at
 /// longer intervals as long as there is something to tell. A router that has
-/// started asks until one has answered.
+/// started asks until one has answered that is settled: one that started a
+/// moment before knows as little.
 class BeliefSpread {
 public:
   static constexpr size_t MaxDirectRouters = 16;
@@ -34,6 +35,9 @@
   static constexpr size_t FreshFanout = 2;
   static constexpr Duration SummaryInterval = std::chrono::seconds(10);
   static constexpr size_t AskFanout = 3;
+  /// A router that no settled one has answered for this long counts as settled
+  /// itself: all may have started together.
+  static constexpr Duration SettleSpan = std::chrono::seconds(5);
   /// Routers that one which reaches no target asks whether they do.
   static constexpr size_t ReachFanout = 8;
 
@@ -63,14 +67,19 @@
   /// \param HasBeliefs whether there is something to tell.
   Due tick(std::vector<HostId> Others, bool HasBeliefs, Timestamp Now);
 
-  /// Notes that another router has answered the question of this one.
+  /// Notes that a settled router has answered the question of this one.
   void noteAnswer() { Answered = true; }
 
+  /// Whether this router knows what the others know, as far as it can tell.
+  bool isSettled(Timestamp Now) const { return Answered || Now >= SettledFrom; }
+
 private:
   std::vector<HostId> choose(std::vector<HostId> Others, size_t Count);
 
   RandomGenerator Random;
   bool Answered = false;
+  /// Set by the first tick.
+  Timestamp SettledFrom = NeverExpires;
   Timestamp FreshUntil;
   Timestamp SummaryAt;
 };
--- a/Services/ferryd/BeliefExchange.cpp
+++ b/Services/ferryd/BeliefExchange.cpp
@@ -282,7 +282,8 @@
   }
   if (Message.Asks) {
     wire::BeliefMessage Answer = toWire(Callbacks.Everything());
-    Answer.Answers = true;
+    // Otherwise the other one asks on.
+    Answer.Answers = Spread.isSettled(steadyNow());
     Link.send(From, PayloadKind::Beliefs, Answer);
   }
   Callbacks.Apply(fromWire(Message), BeliefSpread::passesOn(Others().size()));
--- a/Tests/LibRouting/BeliefFleet.h
+++ b/Tests/LibRouting/BeliefFleet.h
@@ -192,7 +192,8 @@
     for (const HostId &Asked : Due.Question)
       at(Now + std::chrono::milliseconds(2),
          [this, Index, Other = Numbers.at(Asked)] {
-           send(Hosts[Index], beliefsOf(Other), /*Answers=*/true);
+           send(Hosts[Index], beliefsOf(Other),
+                /*Answers=*/Routers[Other]->Spread.isSettled(Now));
          });
   }
 
--- a/Tests/LibRouting/TestBeliefSpread.cpp
+++ b/Tests/LibRouting/TestBeliefSpread.cpp
@@ -91,6 +91,25 @@
   BOOST_TEST(Subject.refusing({Lead, Crashing}) == Size);
 }
 
+// Most answers to their questions come from routers that know as little.
+BOOST_DATA_TEST_CASE(routers_that_restart_together_learn_from_one_that_stayed,
+                     data::make({3, 9, 80}), Size) {
+  for (uint64_t Seed = 1; Seed <= 5; ++Seed) {
+    BeliefFleet Subject(Size, Seed);
+    Subject.serveAt(0, {Lead, 10});
+    while (Subject.Now < Start + 4s) {
+      Subject.runUntil(Subject.Now + 200ms);
+      Subject.crashAt(Subject.randomRouter(), {Lead, Crashing});
+    }
+    Subject.runUntil(Start + 20s);
+    BOOST_REQUIRE(Subject.refusing({Lead, Crashing}) == size_t(Size));
+    for (size_t Index = 1; Index < size_t(Size); ++Index)
+      Subject.restart(Index);
+    Subject.runUntil(Subject.Now + ContactTime);
+    BOOST_TEST(Subject.refusing({Lead, Crashing}) == size_t(Size));
+  }
+}
+
 BOOST_DATA_TEST_CASE(a_wrong_quarantine_ends_at_every_router, data::make(Sizes),
                      Size) {
   BeliefFleet Subject(Size, 4);
@@ -116,6 +135,19 @@
   BOOST_TEST(Spread.tick({}, true, Start + 2s).Summary.empty());
 }
 
+// All routers of a fleet start at one moment.
+BOOST_AUTO_TEST_CASE(routers_that_know_nothing_stop_asking_each_other) {
+  BeliefSpread Spread(1);
+  std::vector<HostId> Others = {{"a"}, {"b"}};
+  for (auto Passed = 0s; Passed < BeliefSpread::SettleSpan; Passed += 1s) {
+    BOOST_TEST(!Spread.tick(Others, false, Start + Passed).Question.empty());
+    BOOST_TEST(!Spread.isSettled(Start + Passed));
+  }
+  Timestamp Settled = Start + BeliefSpread::SettleSpan;
+  BOOST_TEST(Spread.tick(Others, false, Settled).Question.empty());
+  BOOST_TEST(Spread.isSettled(Settled));
+}
+
 /// \returns the most requests that reached a target in four seconds.
 static size_t mostInWindow(const std::vector<Timestamp> &Arrivals) {
   size_t Most = 0;
