--- a/Libraries/LibWire/FrameReader.h
+++ b/Libraries/LibWire/FrameReader.h
@@ -25,6 +25,9 @@
   /// length has arrived.
   explicit FrameReader(uint64_t MaxFrameBytes);
 
+  /// Replaces the limit for the frames that follow.
+  void setMaxFrameBytes(uint64_t Bytes) { MaxFrameBytes = Bytes; }
+
   /// Appends bytes as received from the connection.
   void append(std::string_view Bytes);
 
--- a/Libraries/LibWire/PeerConnection.cpp
+++ b/Libraries/LibWire/PeerConnection.cpp
@@ -1,6 +1,7 @@
 #include "LibWire/PeerConnection.h"
 #include "LibCore/ConstantTime.h"
 #include "LibWire/Codec.h"
+#include <algorithm>
 #include <array>
 #include <netinet/tcp.h>
 
@@ -11,7 +12,8 @@
 /// Most bytes queued for one peer.
 static constexpr size_t MaxQueuedBytes = 96ULL << 20;
 static constexpr size_t ReceiveBufferBytes = 64 * 1024;
-static constexpr size_t MaxHandshakeFrameBytes = 4 * 1024;
+/// Of a peer that has not proved to be one.
+static constexpr uint64_t MaxHandshakeFrameBytes = 4 * 1024;
 
 PeerConnection::PeerConnection(ControlLoop &Loop, const PeerIdentity &Identity,
                                Poco::Net::StreamSocket Socket,
@@ -20,7 +22,8 @@
                                Hooks Callbacks)
     : Loop(Loop), Identity(Identity), Socket(std::move(Socket)),
       Descriptor(this->Socket.impl()->sockfd()), Side(Side),
-      Peer(std::move(Expected)), Reader(MaxFrameBytes), Count(Count),
+      Peer(std::move(Expected)), MaxFrameBytes(MaxFrameBytes),
+      Reader(std::min(MaxFrameBytes, MaxHandshakeFrameBytes)), Count(Count),
       Callbacks(std::move(Callbacks)), OwnNonce(makeNonce()),
       ProgressDeadline(steadyNow() + ProgressTimeout) {
   start();
@@ -135,8 +138,6 @@
 PeerConnection::tryHandleFrame(const std::string &Body) {
   if (State == Phase::Authenticated)
     return tryHandleEnvelope(Body);
-  if (Body.size() > MaxHandshakeFrameBytes)
-    return makeTypedError(WireErrorKind::TooLarge, "handshake");
   if (State == Phase::AwaitingHello)
     return tryHandleHello(Body);
   return tryHandleProof(Body);
@@ -209,6 +210,7 @@
 
 void PeerConnection::finishHandshake() {
   State = Phase::Authenticated;
+  Reader.setMaxFrameBytes(MaxFrameBytes);
   Outbound += PendingFrames;
   PendingFrames.clear();
   updateWatch();
--- a/Libraries/LibWire/PeerConnection.h
+++ b/Libraries/LibWire/PeerConnection.h
@@ -83,6 +83,8 @@
   int Descriptor;
   ConnectionSide Side;
   HostId Peer;
+  /// Of an authenticated peer.
+  uint64_t MaxFrameBytes;
   FrameReader Reader;
   TrafficCount &Count;
   Hooks Callbacks;
