--- a/Libraries/LibConfig/ParseSettings.cpp
+++ b/Libraries/LibConfig/ParseSettings.cpp
@@ -75,6 +75,7 @@
   };
   ReadBytes("max_body_bytes", Limits.MaxBodyBytes);
   ReadBytes("max_header_bytes", Limits.MaxHeaderBytes);
+  ReadBytes("max_head_memory_bytes", Limits.MaxHeadMemoryBytes);
   ReadBytes("max_prompt_bytes", Limits.MaxPromptBytes);
   Map.number("max_description_bytes", Limits.MaxDescriptionBytes, MinInputBytes,
              MaxTextBytes);
--- a/Libraries/LibConfig/Settings.h
+++ b/Libraries/LibConfig/Settings.h
@@ -97,6 +97,9 @@
 struct InputLimits {
   uint64_t MaxBodyBytes = 16ULL << 20;
   uint64_t MaxHeaderBytes = 64ULL << 10;
+  /// Of the heads of requests that are read at a time, beyond the first 8 KiB
+  /// of each.
+  uint64_t MaxHeadMemoryBytes = 8ULL << 20;
   uint64_t MaxPromptBytes = 8ULL << 20;
   uint64_t MaxDescriptionBytes = 1ULL << 20;
   uint64_t MaxEventBatchBytes = 4ULL << 20;
--- a/Libraries/LibTraffic/CallerServer.cpp
+++ b/Libraries/LibTraffic/CallerServer.cpp
@@ -43,9 +43,12 @@
 CallerServer::tryStart(TrafficContext &Context) {
   std::unique_ptr<CallerServer> Server(new CallerServer(Context));
   const config::InputLimits &Limits = Context.Settings.Limits;
+  HttpListener::Options Options{
+      Context.Settings.CallerAddress, Limits.MaxCallerConnections,
+      Limits.MaxHeaderBytes, Limits.MaxBodyBytes * BodiesInMemory};
+  Options.HeadBudgetBytes = Limits.MaxHeadMemoryBytes;
   auto Listener = HttpListener::tryStart(
-      {Context.Settings.CallerAddress, Limits.MaxCallerConnections,
-       Limits.MaxHeaderBytes, Limits.MaxBodyBytes * BodiesInMemory},
+      Options,
       [Raw = Server.get()](HttpExchange &Exchange) { Raw->handle(Exchange); });
   if (!Listener)
     return makeError(Listener.error());
--- a/Libraries/LibTraffic/HttpConnection.cpp
+++ b/Libraries/LibTraffic/HttpConnection.cpp
@@ -5,6 +5,7 @@
 #include <Poco/Net/HTTPServerResponseImpl.h>
 #include <Poco/Net/NetException.h>
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <linux/sockios.h>
 #include <poll.h>
@@ -21,12 +22,14 @@
 static constexpr int MinSendProgress = 1024;
 /// Longest time between two looks at what a slow caller has taken.
 static constexpr std::chrono::milliseconds SendCheckPeriod{100};
-/// Most raw bytes of a head: those of its target, names and values, which have
-/// a limit, and separators and line ends, which each field adds. The constant
-/// part lets the parser tell which single line is too long.
-static constexpr uint64_t rawHeadLimit(uint64_t MaxHeaderBytes) {
-  return 4 * MaxHeaderBytes + (64ULL << 10);
-}
+/// Bytes of a head that need no reservation: the number of connections with a
+/// request bounds the sum of these parts.
+static constexpr uint64_t FreeHeadBytes = 8ULL << 10;
+/// A longer head reserves this much, and then as much as a head may take. Grown
+/// in few steps, as what a smaller block took is not free for other heads.
+static constexpr uint64_t LongHeadBytes = 24ULL << 10;
+/// After which a caller may send a head again for which no memory was left.
+static constexpr std::chrono::seconds HeadBudgetRetryDelay{1};
 /// Bytes of an answer that the kernel buffers for a slow peer.
 static constexpr int SendBufferBytes = 64 << 10;
 /// Largest number of bytes of an unread request body that are discarded before
@@ -37,6 +40,14 @@
 static constexpr std::chrono::seconds DiscardLimit{2};
 /// Longest wait for the next bytes to discard, in microseconds.
 static constexpr int64_t DiscardPollMicros = 10'000;
+static constexpr size_t DiscardBufferBytes = 4 << 10;
+
+uint64_t HttpConnection::maxHeadBytes(uint64_t MaxHeaderBytes) {
+  // Beside the target, names and values, which have the limit, a head has
+  // separators and line ends, which each field adds. The constant part lets the
+  // parser tell which single line is too long.
+  return 4 * MaxHeaderBytes + (64ULL << 10);
+}
 
 static HTTPServerParams::Ptr makeParams(Duration IdleLimit) {
   HTTPServerParams::Ptr Params(new HTTPServerParams);
@@ -121,12 +132,21 @@
 }
 
 HttpConnection::Session::HeadEnd
-HttpConnection::Session::readHead(std::string &Head, uint64_t MaxBytes) {
+HttpConnection::Session::readHead(std::string &Head, uint64_t MaxBytes,
+                                  BudgetShare &Share) {
   size_t LineStart = 0;
   char Byte = 0;
+  Head.reserve(std::min(MaxBytes, FreeHeadBytes));
   while (Head.size() < MaxBytes) {
     if (readRaw(&Byte, 1) <= 0)
       return HeadEnd::ConnectionEnded;
+    if (Head.size() == Head.capacity()) {
+      uint64_t Capacity =
+          Head.size() < LongHeadBytes ? LongHeadBytes : MaxBytes;
+      if (!Share.tryHold(Capacity - FreeHeadBytes))
+        return HeadEnd::NoRoom;
+      Head.reserve(Capacity);
+    }
     Head += Byte;
     if (Byte != '\n')
       continue;
@@ -155,18 +175,31 @@
 }
 
 HttpConnection::Action HttpConnection::serveOne() {
+  HTTPRequest Request;
+  if (auto Ended = readRequest(Request))
+    return *Ended;
+  HTTPServerResponseImpl Response(Requests);
+  return answer(Request, Response);
+}
+
+std::optional<HttpConnection::Action>
+HttpConnection::readRequest(HTTPRequest &Request) {
   using HeadEnd = Session::HeadEnd;
+  BudgetShare Share(Context.HeadBudget);
   std::string Text;
-  HeadEnd End = Requests.readHead(Text, rawHeadLimit(Context.MaxHeaderBytes));
+  HeadEnd End =
+      Requests.readHead(Text, maxHeadBytes(Context.MaxHeaderBytes), Share);
   if (End == HeadEnd::TooLong)
     return rejectHead(headersTooLarge(Context.MaxHeaderBytes));
+  if (End == HeadEnd::NoRoom)
+    return rejectHead({AnswerError::QueueFull,
+                       "too many heads of requests are in memory", NotRun::True,
+                       steadyNow() + HeadBudgetRetryDelay});
   if (End == HeadEnd::ConnectionEnded && Text.empty())
     return Action::Close;
-  HTTPRequest Request;
   if (auto Parsed = tryParseRequestHead(Text, Request); !Parsed)
     return rejectHead({AnswerError::BadHeader, Parsed.error().Reason});
-  HTTPServerResponseImpl Response(Requests);
-  return answer(Request, Response);
+  return std::nullopt;
 }
 
 HttpConnection::Action HttpConnection::answer(HTTPRequest &Request,
@@ -208,6 +241,8 @@
   Response.setKeepAlive(false);
   std::string Body = errorBody(Error, steadyNow());
   Response.setContentType("application/json");
+  if (auto Seconds = retryAfterSeconds(Error, steadyNow()))
+    Response.set("Retry-After", std::to_string(*Seconds));
   Response.setContentLength64(static_cast<Poco::Int64>(Body.size()));
   Response.send() << Body << std::flush;
   return Action::DiscardAndClose;
@@ -216,7 +251,7 @@
 void HttpConnection::discardUnread(Discard Until) {
   Timestamp Deadline = steadyNow() + DiscardLimit;
   Socket.shutdownSend();
-  std::string Buffer(64 << 10, '\0');
+  std::array<char, DiscardBufferBytes> Buffer;
   int Discarded = 0;
   while (Discarded < MaxDiscardedBytes && steadyNow() < Deadline) {
     bool Taken = unacknowledgedBytes(Socket.impl()->sockfd()) == 0;
--- a/Libraries/LibTraffic/HttpConnection.h
+++ b/Libraries/LibTraffic/HttpConnection.h
@@ -9,6 +9,7 @@
 #include <Poco/Net/HTTPServerSession.h>
 #include <Poco/Net/StreamSocket.h>
 #include <functional>
+#include <optional>
 
 namespace ferry::traffic {
 
@@ -21,7 +22,9 @@
   std::function<Duration()> HeaderReadLimit;
   Duration BodyReadLimit;
   Duration SendLimit;
-  BodyBudget Budget;
+  /// Bytes of request bodies, and of heads that are being read.
+  ByteBudget Budget;
+  ByteBudget HeadBudget;
   ConnectionWatch Watch;
   /// Whether connections are closed after their next answer.
   std::atomic<bool> Closing = false;
@@ -38,6 +41,9 @@
   HttpConnection(const HttpConnection &) = delete;
   HttpConnection &operator=(const HttpConnection &) = delete;
 
+  /// \returns the most raw bytes of a head with the limit \p MaxHeaderBytes.
+  static uint64_t maxHeadBytes(uint64_t MaxHeaderBytes);
+
   const Poco::Net::StreamSocket &socket() const { return Socket; }
   /// \returns when the connection is closed if it stays idle from \p Now on.
   Timestamp idleUntil(Timestamp Now) const { return Now + IdleLimit; }
@@ -72,10 +78,16 @@
     int write(const char *Buffer, std::streamsize Length) override;
     bool hasBufferedBytes() const { return buffered() > 0; }
     /// How the reading of a head ended.
-    enum class HeadEnd : uint8_t { EmptyLine, TooLong, ConnectionEnded };
+    enum class HeadEnd : uint8_t {
+      EmptyLine,
+      TooLong,
+      ConnectionEnded,
+      /// The budget has no room for more of it.
+      NoRoom
+    };
     /// Reads the next head into \p Head, up to and including the empty line,
-    /// but at most \p MaxBytes. Skips empty lines before it.
-    HeadEnd readHead(std::string &Head, uint64_t MaxBytes);
+    /// but at most \p MaxBytes. Skips empty lines before it, which count.
+    HeadEnd readHead(std::string &Head, uint64_t MaxBytes, BudgetShare &Share);
     /// Reads the next bytes; those received ahead come first.
     int readRaw(char *Buffer, int Size) {
       // Fills the buffer, in place of one system call for each byte of a line.
@@ -91,6 +103,9 @@
   };
 
   Action serveOne();
+  /// Reads and parses the next head into \p Request. \returns what to do if
+  /// there is none that can be used, after it has been answered.
+  std::optional<Action> readRequest(Poco::Net::HTTPRequest &Request);
   Action answer(Poco::Net::HTTPRequest &Request,
                 Poco::Net::HTTPServerResponse &Response);
   /// Answers a request whose head could not be used, and whose end is thus
--- a/Libraries/LibTraffic/HttpExchange.cpp
+++ b/Libraries/LibTraffic/HttpExchange.cpp
@@ -16,7 +16,7 @@
 /// sent again.
 static constexpr std::chrono::seconds BodyBudgetRetryDelay{1};
 
-bool BodyBudget::tryReserve(uint64_t Bytes) {
+bool ByteBudget::tryReserve(uint64_t Bytes) {
   auto ByteCount = static_cast<int64_t>(Bytes);
   if (FreeBytes.fetch_sub(ByteCount) >= ByteCount)
     return true;
@@ -24,7 +24,7 @@
   return false;
 }
 
-void BodyBudget::release(uint64_t Bytes) {
+void ByteBudget::release(uint64_t Bytes) {
   FreeBytes.fetch_add(static_cast<int64_t>(Bytes));
 }
 
@@ -39,7 +39,7 @@
 
 HttpExchange::HttpExchange(Poco::Net::HTTPRequest &Request,
                            Poco::Net::HTTPServerResponse &Response,
-                           Poco::Net::StreamSocket Socket, BodyBudget &Budget,
+                           Poco::Net::StreamSocket Socket, ByteBudget &Budget,
                            RawReader ReadRaw, std::function<void()> BodyDone)
     : Request(Request), Response(Response), Socket(std::move(Socket)),
       Budget(Budget), ReadRaw(std::move(ReadRaw)),
--- a/Libraries/LibTraffic/HttpExchange.h
+++ b/Libraries/LibTraffic/HttpExchange.h
@@ -25,9 +25,9 @@
 using AnswerResult = Result<ValueType, ErrorAnswer>;
 
 /// Limits the bytes of bodies in memory, over all requests.
-class BodyBudget {
+class ByteBudget {
 public:
-  explicit BodyBudget(uint64_t Limit)
+  explicit ByteBudget(uint64_t Limit)
       : FreeBytes(static_cast<int64_t>(Limit)) {}
   /// Reserves \p Bytes. \returns false if fewer are free.
   bool tryReserve(uint64_t Bytes);
@@ -42,7 +42,7 @@
 /// end.
 class BudgetShare {
 public:
-  explicit BudgetShare(BodyBudget &Budget) : Budget(Budget) {}
+  explicit BudgetShare(ByteBudget &Budget) : Budget(Budget) {}
   ~BudgetShare() { Budget.release(Reserved); }
   BudgetShare(const BudgetShare &) = delete;
   BudgetShare &operator=(const BudgetShare &) = delete;
@@ -60,7 +60,7 @@
   }
 
 private:
-  BodyBudget &Budget;
+  ByteBudget &Budget;
   uint64_t Reserved = 0;
 };
 
@@ -84,7 +84,7 @@
   /// \param BodyDone called once the whole body was read.
   HttpExchange(Poco::Net::HTTPRequest &Request,
                Poco::Net::HTTPServerResponse &Response,
-               Poco::Net::StreamSocket Socket, BodyBudget &Budget,
+               Poco::Net::StreamSocket Socket, ByteBudget &Budget,
                RawReader ReadRaw, std::function<void()> BodyDone);
   ~HttpExchange();
   HttpExchange(const HttpExchange &) = delete;
@@ -170,7 +170,7 @@
   Poco::Net::HTTPRequest &Request;
   Poco::Net::HTTPServerResponse &Response;
   Poco::Net::StreamSocket Socket;
-  BodyBudget &Budget;
+  ByteBudget &Budget;
   RawReader ReadRaw;
   std::function<void()> BodyDone;
   uint64_t ReservedBytes = 0;
--- a/Libraries/LibTraffic/HttpListener.cpp
+++ b/Libraries/LibTraffic/HttpListener.cpp
@@ -48,6 +48,13 @@
   return [Limit = Options.HeaderReadLimit] { return Limit; };
 }
 
+/// \returns a budget that one head of the largest size fits into.
+static ByteBudget headBudget(const HttpListener::Options &Options) {
+  return ByteBudget(
+      std::max(Options.HeadBudgetBytes,
+               HttpConnection::maxHeadBytes(Options.MaxHeaderBytes)));
+}
+
 HttpListener::HttpListener(const Options &Options, Handler HandleRequest,
                            const ServerSocket &Socket)
     : Opts(Options), Context{std::move(HandleRequest),
@@ -55,7 +62,8 @@
                              headerReadLimit(Options),
                              Options.BodyReadLimit,
                              Options.SendLimit,
-                             BodyBudget(Options.BodyBudgetBytes),
+                             ByteBudget(Options.BodyBudgetBytes),
+                             headBudget(Options),
                              {},
                              false},
       Server(Socket), BoundAddress(Socket.address().toString()),
--- a/Libraries/LibTraffic/HttpListener.h
+++ b/Libraries/LibTraffic/HttpListener.h
@@ -55,6 +55,9 @@
     /// A caller that takes less than a kilobyte of its answer in this time is
     /// cut off.
     Duration SendLimit = std::chrono::seconds(30);
+    /// Limit of the bytes of heads in memory, over all connections, beyond the
+    /// first bytes of each that need no reservation.
+    uint64_t HeadBudgetBytes = config::InputLimits().MaxHeadMemoryBytes;
     /// Replaces HeaderReadLimit if set. Called at the first byte of a request.
     std::function<Duration()> CurrentHeaderReadLimit = {};
   };
--- a/Libraries/LibTraffic/RoutedContext.h
+++ b/Libraries/LibTraffic/RoutedContext.h
@@ -161,7 +161,7 @@
   SharedReach Reach = {};
   SharedCaps Caps{{Settings.Routed.CapWindowSeconds, Settings.Routed.CapOverage,
                    Settings.Routed.CapSlack}};
-  BodyBudget LargeAnswers{MaxLargeAnswerBytes};
+  ByteBudget LargeAnswers{MaxLargeAnswerBytes};
   /// Whether answers tell callers to close their connections.
   std::atomic<bool> Draining{false};
   /// Requests of which nothing was sent to a target by then are refused,
--- a/Libraries/LibTraffic/RoutedFront.cpp
+++ b/Libraries/LibTraffic/RoutedFront.cpp
@@ -42,6 +42,7 @@
   ListenerOptions.Address = Settings.CallerAddress;
   ListenerOptions.MaxConnections = Settings.Limits.MaxCallerConnections;
   ListenerOptions.MaxHeaderBytes = Settings.Limits.MaxHeaderBytes;
+  ListenerOptions.HeadBudgetBytes = Settings.Limits.MaxHeadMemoryBytes;
   ListenerOptions.BodyBudgetBytes = MaxBodyBytes * BodiesInMemory;
   auto CurrentLimits = [Raw = Front.get()] {
     auto View = Raw->Context.Placements.view();
--- a/Libraries/LibTraffic/TrafficContext.h
+++ b/Libraries/LibTraffic/TrafficContext.h
@@ -42,7 +42,7 @@
   std::atomic<int64_t> ActiveRequests{0};
   /// Limit of the bytes of all answers above BudgetShare::FreeBytes.
   static constexpr uint64_t MaxLargeAnswerBytes = 32ULL << 20;
-  BodyBudget LargeAnswers{MaxLargeAnswerBytes};
+  ByteBudget LargeAnswers{MaxLargeAnswerBytes};
 };
 
 } // namespace ferry::traffic
--- a/Tests/LibTraffic/TestHttpListener.cpp
+++ b/Tests/LibTraffic/TestHttpListener.cpp
@@ -429,3 +429,46 @@
   BOOST_TEST(Done);
   BOOST_TEST(!Written);
 }
+
+// Half heads of other callers take all memory for heads. A short head needs
+// none of it; a long one is refused as not run.
+BOOST_AUTO_TEST_CASE(half_heads_leave_room_for_short_ones) {
+  HttpListener::Options Opts = options();
+  Opts.MaxHeaderBytes = 64 << 10;
+  Opts.HeadBudgetBytes = 64 << 10;
+  Opts.HeaderReadLimit = std::chrono::seconds(60);
+  auto Listener =
+      start(Opts, [](HttpExchange &Exchange) { Exchange.sendJson(200, "{}"); });
+  auto Long = [](size_t Bytes) {
+    std::string Text = "GET /x HTTP/1.1\r\n";
+    while (Text.size() < Bytes)
+      Text += "X-More: " + std::string(4000, 'm') + "\r\n";
+    return Text;
+  };
+  std::vector<StreamSocket> Holding;
+  for (int Count = 0; Count < 4; ++Count) {
+    Holding.push_back(connectTo(*Listener));
+    sendText(Holding.back(), Long(40 << 10));
+  }
+  // Those for which nothing was left have their answers by now.
+  BOOST_TEST(Holding.back().poll(Poco::Timespan(10, 0),
+                                 Poco::Net::Socket::SELECT_READ));
+  StreamSocket Short = connectTo(*Listener);
+  sendText(Short, Request);
+  BOOST_TEST(receiveUntil(Short, "{}").starts_with("HTTP/1.1 200 "));
+  StreamSocket Refused = connectTo(*Listener);
+  sendText(Refused, Long(60 << 10) + "\r\n");
+  std::string Answer = receiveUntil(Refused, "not_run");
+  BOOST_TEST(Answer.starts_with("HTTP/1.1 429 "));
+  BOOST_TEST(Answer.find("Retry-After: 1") != std::string::npos);
+  Holding.clear();
+  // One inside the limits is served in calm.
+  std::string Served;
+  for (int Try = 0; Try < 100 && !Served.starts_with("HTTP/1.1 200 "); ++Try) {
+    StreamSocket Alone = connectTo(*Listener);
+    sendText(Alone, Long(60 << 10) + "\r\n");
+    Served = receiveUntil(Alone, "}");
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  }
+  BOOST_TEST(Served.starts_with("HTTP/1.1 200 "));
+}
