--- a/Libraries/LibTraffic/HttpConnection.cpp
+++ b/Libraries/LibTraffic/HttpConnection.cpp
@@ -38,8 +38,8 @@
 static constexpr int MaxDiscardedBytes = 32 << 20;
 /// Longest time for discarding an unread request body.
 static constexpr std::chrono::seconds DiscardLimit{2};
-/// Longest wait for the next bytes to discard, in microseconds.
-static constexpr int64_t DiscardPollMicros = 10'000;
+/// Longest wait for the next bytes to discard, in milliseconds.
+static constexpr int DiscardPollMillis = 10;
 static constexpr size_t DiscardBufferBytes = 4 << 10;
 
 uint64_t HttpConnection::maxHeadBytes(uint64_t MaxHeaderBytes) {
@@ -257,8 +257,9 @@
     bool Taken = unacknowledgedBytes(Socket.impl()->sockfd()) == 0;
     if (Until == Discard::AnswerTaken && Taken)
       return;
-    if (!Socket.poll(Poco::Timespan(DiscardPollMicros),
-                     Poco::Net::Socket::SELECT_READ))
+    // The library's poll takes a descriptor more.
+    pollfd Polled{Socket.impl()->sockfd(), POLLIN, 0};
+    if (::poll(&Polled, 1, DiscardPollMillis) <= 0)
       continue;
     int Count =
         Socket.receiveBytes(Buffer.data(), static_cast<int>(Buffer.size()));
