--- a/Libraries/LibTraffic/HttpConnection.cpp
+++ b/Libraries/LibTraffic/HttpConnection.cpp
@@ -135,9 +135,10 @@
 HttpConnection::Session::readHead(std::string &Head, uint64_t MaxBytes,
                                   BudgetShare &Share) {
   size_t LineStart = 0;
+  uint64_t SkippedBytes = 0;
   char Byte = 0;
   Head.reserve(std::min(MaxBytes, FreeHeadBytes));
-  while (Head.size() < MaxBytes) {
+  while (SkippedBytes + Head.size() < MaxBytes) {
     if (readRaw(&Byte, 1) <= 0)
       return HeadEnd::ConnectionEnded;
     if (Head.size() == Head.capacity()) {
@@ -154,8 +155,10 @@
     bool IsEmpty = Line == "\n" || Line == "\r\n";
     if (IsEmpty && LineStart > 0)
       return HeadEnd::EmptyLine;
-    if (IsEmpty)
+    if (IsEmpty) {
+      SkippedBytes += Head.size();
       Head.clear();
+    }
     LineStart = Head.size();
   }
   return HeadEnd::TooLong;
--- a/Tests/LibTraffic/TestHttpListener.cpp
+++ b/Tests/LibTraffic/TestHttpListener.cpp
@@ -430,6 +430,19 @@
   BOOST_TEST(!Written);
 }
 
+// A caller sends empty lines without end in place of a request.
+BOOST_AUTO_TEST_CASE(empty_lines_without_end_are_refused) {
+  HttpListener::Options Opts = options();
+  Opts.HeaderReadLimit = std::chrono::seconds(60);
+  auto Listener = start(Opts, [](HttpExchange &) {});
+  StreamSocket Caller = connectTo(*Listener);
+  std::string Lines;
+  for (size_t Count = 0; Count < (64 << 10); ++Count)
+    Lines += "\r\n";
+  sendText(Caller, Lines);
+  BOOST_TEST(receiveUntil(Caller, " 431 ").starts_with("HTTP/1.1 431 "));
+}
+
 // Half heads of other callers take all memory for heads. A short head needs
 // none of it; a long one is refused as not run.
 BOOST_AUTO_TEST_CASE(half_heads_leave_room_for_short_ones) {
