--- a/Tests/Support/HostileCrowd.cpp
+++ b/Tests/Support/HostileCrowd.cpp
@@ -15,7 +15,6 @@
 using namespace std::chrono_literals;
 using Poco::Net::IPAddress;
 using Poco::Net::SocketAddress;
-using Poco::Net::StreamSocket;
 
 static constexpr auto SamplePause = 50ms;
 static constexpr auto RoundPause = 1ms;
