--- a/Libraries/LibTraffic/HttpExchange.h
+++ b/Libraries/LibTraffic/HttpExchange.h
@@ -24,7 +24,7 @@
 template <typename ValueType>
 using AnswerResult = Result<ValueType, ErrorAnswer>;
 
-/// Limits the bytes of bodies in memory, over all requests.
+/// Limits the bytes of bodies, or of heads, in memory, over all requests.
 class ByteBudget {
 public:
   explicit ByteBudget(uint64_t Limit)
--- a/Libraries/LibTraffic/HttpListener.h
+++ b/Libraries/LibTraffic/HttpListener.h
@@ -56,7 +56,8 @@
     /// cut off.
     Duration SendLimit = std::chrono::seconds(30);
     /// Limit of the bytes of heads in memory, over all connections, beyond the
-    /// first bytes of each that need no reservation.
+    /// first bytes of each that need no reservation. Raised to what one head of
+    /// the largest size takes.
     uint64_t HeadBudgetBytes = config::InputLimits().MaxHeadMemoryBytes;
     /// Replaces HeaderReadLimit if set. Called at the first byte of a request.
     std::function<Duration()> CurrentHeaderReadLimit = {};
