--- a/Libraries/LibRouting/BeliefSpread.cpp
+++ b/Libraries/LibRouting/BeliefSpread.cpp
@@ -1,5 +1,6 @@
 #include "LibRouting/BeliefSpread.h"
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace ferry::routing {
@@ -22,8 +23,17 @@
 }
 
 BeliefSpread::Due BeliefSpread::tick(std::vector<HostId> Others,
-                                     bool HasBeliefs, Timestamp Now) {
+                                     bool HasBeliefs, Timestamp Now,
+                                     const std::vector<HostId> &Keepers) {
   Due Result;
+  std::erase_if(AnsweredKeepers, [&Keepers](const HostId &Keeper) {
+    return std::find(Keepers.begin(), Keepers.end(), Keeper) == Keepers.end();
+  });
+  std::copy_if(Keepers.begin(), Keepers.end(),
+               std::back_inserter(Result.KeeperQuestion),
+               [this](const HostId &Keeper) {
+                 return !AnsweredKeepers.contains(Keeper);
+               });
   if (SettledFrom == NeverExpires)
     SettledFrom = Now + SettleSpan;
   if (!isSettled(Now))
@@ -33,6 +43,7 @@
     return Result;
   SummaryAt = Now + SummaryInterval;
   Result.Summary = choose(std::move(Others), IsFresh ? FreshFanout : 1);
+  Result.KeeperSummary = choose(Keepers, 1);
   return Result;
 }
 
--- a/Libraries/LibRouting/BeliefSpread.h
+++ b/Libraries/LibRouting/BeliefSpread.h
@@ -6,6 +6,7 @@
 #include "LibCore/Ids.h"
 #include "LibCore/Random.h"
 #include "LibCore/Time.h"
+#include <set>
 #include <vector>
 
 namespace ferry::routing {
@@ -22,6 +23,10 @@
 /// longer intervals as long as there is something to tell. A router that has
 /// started asks until one has answered that is settled: one that started a
 /// moment before knows as little.
+///
+/// Control hosts keep the quarantined sets on their disks, as all routers may
+/// end at one moment. Routers tell KeeperFanout of them, which pass on what is
+/// new to them. A router that has started asks each of them once.
 class BeliefSpread {
 public:
   static constexpr size_t MaxDirectRouters = 16;
@@ -38,6 +43,8 @@
   /// A router that no settled one has answered for this long counts as settled
   /// itself: all may have started together.
   static constexpr Duration SettleSpan = std::chrono::seconds(5);
+  /// Control hosts that are told of changed sets; one more with each summary.
+  static constexpr size_t KeeperFanout = 2;
   /// Routers that one which reaches no target asks whether they do.
   static constexpr size_t ReachFanout = 8;
 
@@ -53,6 +60,11 @@
   std::vector<HostId> receiversOfNews(std::vector<HostId> Others,
                                       Timestamp Now);
 
+  /// \returns the control hosts to tell of sets that have changed.
+  std::vector<HostId> keepersOfNews(std::vector<HostId> Keepers) {
+    return choose(std::move(Keepers), KeeperFanout);
+  }
+
   /// \returns whom a router that reaches no target asks for their reach, at
   /// once and at each tick.
   std::vector<HostId> askedForReach(std::vector<HostId> Others) {
@@ -63,13 +75,23 @@
   struct Due {
     std::vector<HostId> Summary;
     std::vector<HostId> Question;
+    /// Control hosts.
+    std::vector<HostId> KeeperSummary;
+    std::vector<HostId> KeeperQuestion;
   };
   /// \param HasBeliefs whether there is something to tell.
-  Due tick(std::vector<HostId> Others, bool HasBeliefs, Timestamp Now);
+  /// \param Keepers the control hosts.
+  Due tick(std::vector<HostId> Others, bool HasBeliefs, Timestamp Now,
+           const std::vector<HostId> &Keepers = {});
 
   /// Notes that a settled router has answered the question of this one.
   void noteAnswer() { Answered = true; }
 
+  /// Notes that a control host has told all it keeps.
+  void noteKeeperAnswer(const HostId &Keeper) {
+    AnsweredKeepers.insert(Keeper);
+  }
+
   /// Whether this router knows what the others know, as far as it can tell.
   bool isSettled(Timestamp Now) const { return Answered || Now >= SettledFrom; }
 
@@ -78,6 +100,7 @@
 
   RandomGenerator Random;
   bool Answered = false;
+  std::set<HostId> AnsweredKeepers;
   /// Set by the first tick.
   Timestamp SettledFrom = NeverExpires;
   Timestamp FreshUntil;
--- a/Libraries/LibWire/Generated/Routing_types.cpp
+++ b/Libraries/LibWire/Generated/Routing_types.cpp
@@ -2355,6 +2355,149 @@
 }
 
 
+KeptQuarantines::~KeptQuarantines() noexcept {
+}
+
+
+void KeptQuarantines::__set_WrittenAt(const int64_t val) {
+  this->WrittenAt = val;
+}
+
+void KeptQuarantines::__set_Quarantined(const std::vector<QuarantinedParts> & val) {
+  this->Quarantined = val;
+}
+std::ostream& operator<<(std::ostream& out, const KeptQuarantines& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t KeptQuarantines::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->WrittenAt);
+          this->__isset.WrittenAt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Quarantined.clear();
+            uint32_t _size105;
+            ::apache::thrift::protocol::TType _etype108;
+            xfer += iprot->readListBegin(_etype108, _size105);
+            this->Quarantined.resize(_size105);
+            uint32_t _i109;
+            for (_i109 = 0; _i109 < _size105; ++_i109)
+            {
+              xfer += this->Quarantined[_i109].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Quarantined = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t KeptQuarantines::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("KeptQuarantines");
+
+  xfer += oprot->writeFieldBegin("WrittenAt", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->WrittenAt);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Quarantined", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Quarantined.size()));
+    std::vector<QuarantinedParts> ::const_iterator _iter110;
+    for (_iter110 = this->Quarantined.begin(); _iter110 != this->Quarantined.end(); ++_iter110)
+    {
+      xfer += (*_iter110).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(KeptQuarantines &a, KeptQuarantines &b) {
+  using ::std::swap;
+  swap(a.WrittenAt, b.WrittenAt);
+  swap(a.Quarantined, b.Quarantined);
+  swap(a.__isset, b.__isset);
+}
+
+KeptQuarantines::KeptQuarantines(const KeptQuarantines& other111) {
+  WrittenAt = other111.WrittenAt;
+  Quarantined = other111.Quarantined;
+  __isset = other111.__isset;
+}
+KeptQuarantines::KeptQuarantines(KeptQuarantines&& other112) noexcept {
+  WrittenAt = other112.WrittenAt;
+  Quarantined = std::move(other112.Quarantined);
+  __isset = other112.__isset;
+}
+KeptQuarantines& KeptQuarantines::operator=(const KeptQuarantines& other113) {
+  WrittenAt = other113.WrittenAt;
+  Quarantined = other113.Quarantined;
+  __isset = other113.__isset;
+  return *this;
+}
+KeptQuarantines& KeptQuarantines::operator=(KeptQuarantines&& other114) noexcept {
+  WrittenAt = other114.WrittenAt;
+  Quarantined = std::move(other114.Quarantined);
+  __isset = other114.__isset;
+  return *this;
+}
+void KeptQuarantines::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "KeptQuarantines(";
+  out << "WrittenAt=" << to_string(WrittenAt);
+  out << ", " << "Quarantined=" << to_string(Quarantined);
+  out << ")";
+}
+
+
 TargetLimit::~TargetLimit() noexcept {
 }
 
@@ -2502,38 +2645,38 @@
   swap(a.__isset, b.__isset);
 }
 
-TargetLimit::TargetLimit(const TargetLimit& other105) {
-  Target = other105.Target;
-  Incarnation = other105.Incarnation;
-  PerSecond = other105.PerSecond;
-  AgeMillis = other105.AgeMillis;
-  RejectionsPerSecond = other105.RejectionsPerSecond;
-  __isset = other105.__isset;
-}
-TargetLimit::TargetLimit(TargetLimit&& other106) noexcept {
-  Target = std::move(other106.Target);
-  Incarnation = other106.Incarnation;
-  PerSecond = other106.PerSecond;
-  AgeMillis = other106.AgeMillis;
-  RejectionsPerSecond = other106.RejectionsPerSecond;
-  __isset = other106.__isset;
-}
-TargetLimit& TargetLimit::operator=(const TargetLimit& other107) {
-  Target = other107.Target;
-  Incarnation = other107.Incarnation;
-  PerSecond = other107.PerSecond;
-  AgeMillis = other107.AgeMillis;
-  RejectionsPerSecond = other107.RejectionsPerSecond;
-  __isset = other107.__isset;
+TargetLimit::TargetLimit(const TargetLimit& other115) {
+  Target = other115.Target;
+  Incarnation = other115.Incarnation;
+  PerSecond = other115.PerSecond;
+  AgeMillis = other115.AgeMillis;
+  RejectionsPerSecond = other115.RejectionsPerSecond;
+  __isset = other115.__isset;
+}
+TargetLimit::TargetLimit(TargetLimit&& other116) noexcept {
+  Target = std::move(other116.Target);
+  Incarnation = other116.Incarnation;
+  PerSecond = other116.PerSecond;
+  AgeMillis = other116.AgeMillis;
+  RejectionsPerSecond = other116.RejectionsPerSecond;
+  __isset = other116.__isset;
+}
+TargetLimit& TargetLimit::operator=(const TargetLimit& other117) {
+  Target = other117.Target;
+  Incarnation = other117.Incarnation;
+  PerSecond = other117.PerSecond;
+  AgeMillis = other117.AgeMillis;
+  RejectionsPerSecond = other117.RejectionsPerSecond;
+  __isset = other117.__isset;
   return *this;
 }
-TargetLimit& TargetLimit::operator=(TargetLimit&& other108) noexcept {
-  Target = std::move(other108.Target);
-  Incarnation = other108.Incarnation;
-  PerSecond = other108.PerSecond;
-  AgeMillis = other108.AgeMillis;
-  RejectionsPerSecond = other108.RejectionsPerSecond;
-  __isset = other108.__isset;
+TargetLimit& TargetLimit::operator=(TargetLimit&& other118) noexcept {
+  Target = std::move(other118.Target);
+  Incarnation = other118.Incarnation;
+  PerSecond = other118.PerSecond;
+  AgeMillis = other118.AgeMillis;
+  RejectionsPerSecond = other118.RejectionsPerSecond;
+  __isset = other118.__isset;
   return *this;
 }
 void TargetLimit::printTo(std::ostream& out) const {
@@ -2640,26 +2783,26 @@
   swap(a.__isset, b.__isset);
 }
 
-RouterReach::RouterReach(const RouterReach& other109) {
-  ReachesTargets = other109.ReachesTargets;
-  PassKey = other109.PassKey;
-  __isset = other109.__isset;
+RouterReach::RouterReach(const RouterReach& other119) {
+  ReachesTargets = other119.ReachesTargets;
+  PassKey = other119.PassKey;
+  __isset = other119.__isset;
 }
-RouterReach::RouterReach(RouterReach&& other110) noexcept {
-  ReachesTargets = other110.ReachesTargets;
-  PassKey = std::move(other110.PassKey);
-  __isset = other110.__isset;
+RouterReach::RouterReach(RouterReach&& other120) noexcept {
+  ReachesTargets = other120.ReachesTargets;
+  PassKey = std::move(other120.PassKey);
+  __isset = other120.__isset;
 }
-RouterReach& RouterReach::operator=(const RouterReach& other111) {
-  ReachesTargets = other111.ReachesTargets;
-  PassKey = other111.PassKey;
-  __isset = other111.__isset;
+RouterReach& RouterReach::operator=(const RouterReach& other121) {
+  ReachesTargets = other121.ReachesTargets;
+  PassKey = other121.PassKey;
+  __isset = other121.__isset;
   return *this;
 }
-RouterReach& RouterReach::operator=(RouterReach&& other112) noexcept {
-  ReachesTargets = other112.ReachesTargets;
-  PassKey = std::move(other112.PassKey);
-  __isset = other112.__isset;
+RouterReach& RouterReach::operator=(RouterReach&& other122) noexcept {
+  ReachesTargets = other122.ReachesTargets;
+  PassKey = std::move(other122.PassKey);
+  __isset = other122.__isset;
   return *this;
 }
 void RouterReach::printTo(std::ostream& out) const {
@@ -2820,38 +2963,38 @@
   swap(a.__isset, b.__isset);
 }
 
-CapQuestion::CapQuestion(const CapQuestion& other113) {
-  Workspace = other113.Workspace;
-  Number = other113.Number;
-  Needed = other113.Needed;
-  Wanted = other113.Wanted;
-  Returned = other113.Returned;
-  __isset = other113.__isset;
+CapQuestion::CapQuestion(const CapQuestion& other123) {
+  Workspace = other123.Workspace;
+  Number = other123.Number;
+  Needed = other123.Needed;
+  Wanted = other123.Wanted;
+  Returned = other123.Returned;
+  __isset = other123.__isset;
 }
-CapQuestion::CapQuestion(CapQuestion&& other114) noexcept {
-  Workspace = std::move(other114.Workspace);
-  Number = other114.Number;
-  Needed = other114.Needed;
-  Wanted = other114.Wanted;
-  Returned = other114.Returned;
-  __isset = other114.__isset;
+CapQuestion::CapQuestion(CapQuestion&& other124) noexcept {
+  Workspace = std::move(other124.Workspace);
+  Number = other124.Number;
+  Needed = other124.Needed;
+  Wanted = other124.Wanted;
+  Returned = other124.Returned;
+  __isset = other124.__isset;
 }
-CapQuestion& CapQuestion::operator=(const CapQuestion& other115) {
-  Workspace = other115.Workspace;
-  Number = other115.Number;
-  Needed = other115.Needed;
-  Wanted = other115.Wanted;
-  Returned = other115.Returned;
-  __isset = other115.__isset;
+CapQuestion& CapQuestion::operator=(const CapQuestion& other125) {
+  Workspace = other125.Workspace;
+  Number = other125.Number;
+  Needed = other125.Needed;
+  Wanted = other125.Wanted;
+  Returned = other125.Returned;
+  __isset = other125.__isset;
   return *this;
 }
-CapQuestion& CapQuestion::operator=(CapQuestion&& other116) noexcept {
-  Workspace = std::move(other116.Workspace);
-  Number = other116.Number;
-  Needed = other116.Needed;
-  Wanted = other116.Wanted;
-  Returned = other116.Returned;
-  __isset = other116.__isset;
+CapQuestion& CapQuestion::operator=(CapQuestion&& other126) noexcept {
+  Workspace = std::move(other126.Workspace);
+  Number = other126.Number;
+  Needed = other126.Needed;
+  Wanted = other126.Wanted;
+  Returned = other126.Returned;
+  __isset = other126.__isset;
   return *this;
 }
 void CapQuestion::printTo(std::ostream& out) const {
@@ -3015,38 +3158,38 @@
   swap(a.__isset, b.__isset);
 }
 
-CapReply::CapReply(const CapReply& other117) {
-  Workspace = other117.Workspace;
-  Number = other117.Number;
-  Granted = other117.Granted;
-  LifetimeMillis = other117.LifetimeMillis;
-  RetryInMillis = other117.RetryInMillis;
-  __isset = other117.__isset;
+CapReply::CapReply(const CapReply& other127) {
+  Workspace = other127.Workspace;
+  Number = other127.Number;
+  Granted = other127.Granted;
+  LifetimeMillis = other127.LifetimeMillis;
+  RetryInMillis = other127.RetryInMillis;
+  __isset = other127.__isset;
 }
-CapReply::CapReply(CapReply&& other118) noexcept {
-  Workspace = std::move(other118.Workspace);
-  Number = other118.Number;
-  Granted = other118.Granted;
-  LifetimeMillis = other118.LifetimeMillis;
-  RetryInMillis = other118.RetryInMillis;
-  __isset = other118.__isset;
+CapReply::CapReply(CapReply&& other128) noexcept {
+  Workspace = std::move(other128.Workspace);
+  Number = other128.Number;
+  Granted = other128.Granted;
+  LifetimeMillis = other128.LifetimeMillis;
+  RetryInMillis = other128.RetryInMillis;
+  __isset = other128.__isset;
 }
-CapReply& CapReply::operator=(const CapReply& other119) {
-  Workspace = other119.Workspace;
-  Number = other119.Number;
-  Granted = other119.Granted;
-  LifetimeMillis = other119.LifetimeMillis;
-  RetryInMillis = other119.RetryInMillis;
-  __isset = other119.__isset;
+CapReply& CapReply::operator=(const CapReply& other129) {
+  Workspace = other129.Workspace;
+  Number = other129.Number;
+  Granted = other129.Granted;
+  LifetimeMillis = other129.LifetimeMillis;
+  RetryInMillis = other129.RetryInMillis;
+  __isset = other129.__isset;
   return *this;
 }
-CapReply& CapReply::operator=(CapReply&& other120) noexcept {
-  Workspace = std::move(other120.Workspace);
-  Number = other120.Number;
-  Granted = other120.Granted;
-  LifetimeMillis = other120.LifetimeMillis;
-  RetryInMillis = other120.RetryInMillis;
-  __isset = other120.__isset;
+CapReply& CapReply::operator=(CapReply&& other130) noexcept {
+  Workspace = std::move(other130.Workspace);
+  Number = other130.Number;
+  Granted = other130.Granted;
+  LifetimeMillis = other130.LifetimeMillis;
+  RetryInMillis = other130.RetryInMillis;
+  __isset = other130.__isset;
   return *this;
 }
 void CapReply::printTo(std::ostream& out) const {
@@ -3187,34 +3330,34 @@
   swap(a.__isset, b.__isset);
 }
 
-SlotQuestion::SlotQuestion(const SlotQuestion& other121) {
-  Number = other121.Number;
-  Target = other121.Target;
-  Incarnation = other121.Incarnation;
-  LifetimeMillis = other121.LifetimeMillis;
-  __isset = other121.__isset;
-}
-SlotQuestion::SlotQuestion(SlotQuestion&& other122) noexcept {
-  Number = other122.Number;
-  Target = std::move(other122.Target);
-  Incarnation = other122.Incarnation;
-  LifetimeMillis = other122.LifetimeMillis;
-  __isset = other122.__isset;
-}
-SlotQuestion& SlotQuestion::operator=(const SlotQuestion& other123) {
-  Number = other123.Number;
-  Target = other123.Target;
-  Incarnation = other123.Incarnation;
-  LifetimeMillis = other123.LifetimeMillis;
-  __isset = other123.__isset;
+SlotQuestion::SlotQuestion(const SlotQuestion& other131) {
+  Number = other131.Number;
+  Target = other131.Target;
+  Incarnation = other131.Incarnation;
+  LifetimeMillis = other131.LifetimeMillis;
+  __isset = other131.__isset;
+}
+SlotQuestion::SlotQuestion(SlotQuestion&& other132) noexcept {
+  Number = other132.Number;
+  Target = std::move(other132.Target);
+  Incarnation = other132.Incarnation;
+  LifetimeMillis = other132.LifetimeMillis;
+  __isset = other132.__isset;
+}
+SlotQuestion& SlotQuestion::operator=(const SlotQuestion& other133) {
+  Number = other133.Number;
+  Target = other133.Target;
+  Incarnation = other133.Incarnation;
+  LifetimeMillis = other133.LifetimeMillis;
+  __isset = other133.__isset;
   return *this;
 }
-SlotQuestion& SlotQuestion::operator=(SlotQuestion&& other124) noexcept {
-  Number = other124.Number;
-  Target = std::move(other124.Target);
-  Incarnation = other124.Incarnation;
-  LifetimeMillis = other124.LifetimeMillis;
-  __isset = other124.__isset;
+SlotQuestion& SlotQuestion::operator=(SlotQuestion&& other134) noexcept {
+  Number = other134.Number;
+  Target = std::move(other134.Target);
+  Incarnation = other134.Incarnation;
+  LifetimeMillis = other134.LifetimeMillis;
+  __isset = other134.__isset;
   return *this;
 }
 void SlotQuestion::printTo(std::ostream& out) const {
@@ -3320,26 +3463,26 @@
   swap(a.__isset, b.__isset);
 }
 
-SlotReply::SlotReply(const SlotReply& other125) noexcept {
-  Number = other125.Number;
-  Lent = other125.Lent;
-  __isset = other125.__isset;
+SlotReply::SlotReply(const SlotReply& other135) noexcept {
+  Number = other135.Number;
+  Lent = other135.Lent;
+  __isset = other135.__isset;
 }
-SlotReply::SlotReply(SlotReply&& other126) noexcept {
-  Number = other126.Number;
-  Lent = other126.Lent;
-  __isset = other126.__isset;
+SlotReply::SlotReply(SlotReply&& other136) noexcept {
+  Number = other136.Number;
+  Lent = other136.Lent;
+  __isset = other136.__isset;
 }
-SlotReply& SlotReply::operator=(const SlotReply& other127) noexcept {
-  Number = other127.Number;
-  Lent = other127.Lent;
-  __isset = other127.__isset;
+SlotReply& SlotReply::operator=(const SlotReply& other137) noexcept {
+  Number = other137.Number;
+  Lent = other137.Lent;
+  __isset = other137.__isset;
   return *this;
 }
-SlotReply& SlotReply::operator=(SlotReply&& other128) noexcept {
-  Number = other128.Number;
-  Lent = other128.Lent;
-  __isset = other128.__isset;
+SlotReply& SlotReply::operator=(SlotReply&& other138) noexcept {
+  Number = other138.Number;
+  Lent = other138.Lent;
+  __isset = other138.__isset;
   return *this;
 }
 void SlotReply::printTo(std::ostream& out) const {
@@ -3440,14 +3583,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Crashes.clear();
-            uint32_t _size129;
-            ::apache::thrift::protocol::TType _etype132;
-            xfer += iprot->readListBegin(_etype132, _size129);
-            this->Crashes.resize(_size129);
-            uint32_t _i133;
-            for (_i133 = 0; _i133 < _size129; ++_i133)
+            uint32_t _size139;
+            ::apache::thrift::protocol::TType _etype142;
+            xfer += iprot->readListBegin(_etype142, _size139);
+            this->Crashes.resize(_size139);
+            uint32_t _i143;
+            for (_i143 = 0; _i143 < _size139; ++_i143)
             {
-              xfer += this->Crashes[_i133].read(iprot);
+              xfer += this->Crashes[_i143].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3460,14 +3603,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Quarantined.clear();
-            uint32_t _size134;
-            ::apache::thrift::protocol::TType _etype137;
-            xfer += iprot->readListBegin(_etype137, _size134);
-            this->Quarantined.resize(_size134);
-            uint32_t _i138;
-            for (_i138 = 0; _i138 < _size134; ++_i138)
+            uint32_t _size144;
+            ::apache::thrift::protocol::TType _etype147;
+            xfer += iprot->readListBegin(_etype147, _size144);
+            this->Quarantined.resize(_size144);
+            uint32_t _i148;
+            for (_i148 = 0; _i148 < _size144; ++_i148)
             {
-              xfer += this->Quarantined[_i138].read(iprot);
+              xfer += this->Quarantined[_i148].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3496,14 +3639,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Limits.clear();
-            uint32_t _size139;
-            ::apache::thrift::protocol::TType _etype142;
-            xfer += iprot->readListBegin(_etype142, _size139);
-            this->Limits.resize(_size139);
-            uint32_t _i143;
-            for (_i143 = 0; _i143 < _size139; ++_i143)
+            uint32_t _size149;
+            ::apache::thrift::protocol::TType _etype152;
+            xfer += iprot->readListBegin(_etype152, _size149);
+            this->Limits.resize(_size149);
+            uint32_t _i153;
+            for (_i153 = 0; _i153 < _size149; ++_i153)
             {
-              xfer += this->Limits[_i143].read(iprot);
+              xfer += this->Limits[_i153].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3532,14 +3675,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->CapQuestions.clear();
-            uint32_t _size144;
-            ::apache::thrift::protocol::TType _etype147;
-            xfer += iprot->readListBegin(_etype147, _size144);
-            this->CapQuestions.resize(_size144);
-            uint32_t _i148;
-            for (_i148 = 0; _i148 < _size144; ++_i148)
+            uint32_t _size154;
+            ::apache::thrift::protocol::TType _etype157;
+            xfer += iprot->readListBegin(_etype157, _size154);
+            this->CapQuestions.resize(_size154);
+            uint32_t _i158;
+            for (_i158 = 0; _i158 < _size154; ++_i158)
             {
-              xfer += this->CapQuestions[_i148].read(iprot);
+              xfer += this->CapQuestions[_i158].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3552,14 +3695,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->CapReplies.clear();
-            uint32_t _size149;
-            ::apache::thrift::protocol::TType _etype152;
-            xfer += iprot->readListBegin(_etype152, _size149);
-            this->CapReplies.resize(_size149);
-            uint32_t _i153;
-            for (_i153 = 0; _i153 < _size149; ++_i153)
+            uint32_t _size159;
+            ::apache::thrift::protocol::TType _etype162;
+            xfer += iprot->readListBegin(_etype162, _size159);
+            this->CapReplies.resize(_size159);
+            uint32_t _i163;
+            for (_i163 = 0; _i163 < _size159; ++_i163)
             {
-              xfer += this->CapReplies[_i153].read(iprot);
+              xfer += this->CapReplies[_i163].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3612,10 +3755,10 @@
   xfer += oprot->writeFieldBegin("Crashes", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Crashes.size()));
-    std::vector<CrashReport> ::const_iterator _iter154;
-    for (_iter154 = this->Crashes.begin(); _iter154 != this->Crashes.end(); ++_iter154)
+    std::vector<CrashReport> ::const_iterator _iter164;
+    for (_iter164 = this->Crashes.begin(); _iter164 != this->Crashes.end(); ++_iter164)
     {
-      xfer += (*_iter154).write(oprot);
+      xfer += (*_iter164).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3624,10 +3767,10 @@
   xfer += oprot->writeFieldBegin("Quarantined", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Quarantined.size()));
-    std::vector<QuarantinedParts> ::const_iterator _iter155;
-    for (_iter155 = this->Quarantined.begin(); _iter155 != this->Quarantined.end(); ++_iter155)
+    std::vector<QuarantinedParts> ::const_iterator _iter165;
+    for (_iter165 = this->Quarantined.begin(); _iter165 != this->Quarantined.end(); ++_iter165)
     {
-      xfer += (*_iter155).write(oprot);
+      xfer += (*_iter165).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3644,10 +3787,10 @@
   xfer += oprot->writeFieldBegin("Limits", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Limits.size()));
-    std::vector<TargetLimit> ::const_iterator _iter156;
-    for (_iter156 = this->Limits.begin(); _iter156 != this->Limits.end(); ++_iter156)
+    std::vector<TargetLimit> ::const_iterator _iter166;
+    for (_iter166 = this->Limits.begin(); _iter166 != this->Limits.end(); ++_iter166)
     {
-      xfer += (*_iter156).write(oprot);
+      xfer += (*_iter166).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3666,10 +3809,10 @@
     xfer += oprot->writeFieldBegin("CapQuestions", ::apache::thrift::protocol::T_LIST, 8);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->CapQuestions.size()));
-      std::vector<CapQuestion> ::const_iterator _iter157;
-      for (_iter157 = this->CapQuestions.begin(); _iter157 != this->CapQuestions.end(); ++_iter157)
+      std::vector<CapQuestion> ::const_iterator _iter167;
+      for (_iter167 = this->CapQuestions.begin(); _iter167 != this->CapQuestions.end(); ++_iter167)
       {
-        xfer += (*_iter157).write(oprot);
+        xfer += (*_iter167).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3679,10 +3822,10 @@
     xfer += oprot->writeFieldBegin("CapReplies", ::apache::thrift::protocol::T_LIST, 9);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->CapReplies.size()));
-      std::vector<CapReply> ::const_iterator _iter158;
-      for (_iter158 = this->CapReplies.begin(); _iter158 != this->CapReplies.end(); ++_iter158)
+      std::vector<CapReply> ::const_iterator _iter168;
+      for (_iter168 = this->CapReplies.begin(); _iter168 != this->CapReplies.end(); ++_iter168)
       {
-        xfer += (*_iter158).write(oprot);
+        xfer += (*_iter168).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3725,66 +3868,66 @@
   swap(a.__isset, b.__isset);
 }
 
-BeliefMessage::BeliefMessage(const BeliefMessage& other159) {
-  Crashes = other159.Crashes;
-  Quarantined = other159.Quarantined;
-  Asks = other159.Asks;
-  Answers = other159.Answers;
-  Limits = other159.Limits;
-  AsksReach = other159.AsksReach;
-  Reach = other159.Reach;
-  CapQuestions = other159.CapQuestions;
-  CapReplies = other159.CapReplies;
-  SlotAsked = other159.SlotAsked;
-  SlotAnswered = other159.SlotAnswered;
-  SlotReturned = other159.SlotReturned;
-  __isset = other159.__isset;
-}
-BeliefMessage::BeliefMessage(BeliefMessage&& other160) noexcept {
-  Crashes = std::move(other160.Crashes);
-  Quarantined = std::move(other160.Quarantined);
-  Asks = other160.Asks;
-  Answers = other160.Answers;
-  Limits = std::move(other160.Limits);
-  AsksReach = other160.AsksReach;
-  Reach = std::move(other160.Reach);
-  CapQuestions = std::move(other160.CapQuestions);
-  CapReplies = std::move(other160.CapReplies);
-  SlotAsked = std::move(other160.SlotAsked);
-  SlotAnswered = std::move(other160.SlotAnswered);
-  SlotReturned = other160.SlotReturned;
-  __isset = other160.__isset;
-}
-BeliefMessage& BeliefMessage::operator=(const BeliefMessage& other161) {
-  Crashes = other161.Crashes;
-  Quarantined = other161.Quarantined;
-  Asks = other161.Asks;
-  Answers = other161.Answers;
-  Limits = other161.Limits;
-  AsksReach = other161.AsksReach;
-  Reach = other161.Reach;
-  CapQuestions = other161.CapQuestions;
-  CapReplies = other161.CapReplies;
-  SlotAsked = other161.SlotAsked;
-  SlotAnswered = other161.SlotAnswered;
-  SlotReturned = other161.SlotReturned;
-  __isset = other161.__isset;
+BeliefMessage::BeliefMessage(const BeliefMessage& other169) {
+  Crashes = other169.Crashes;
+  Quarantined = other169.Quarantined;
+  Asks = other169.Asks;
+  Answers = other169.Answers;
+  Limits = other169.Limits;
+  AsksReach = other169.AsksReach;
+  Reach = other169.Reach;
+  CapQuestions = other169.CapQuestions;
+  CapReplies = other169.CapReplies;
+  SlotAsked = other169.SlotAsked;
+  SlotAnswered = other169.SlotAnswered;
+  SlotReturned = other169.SlotReturned;
+  __isset = other169.__isset;
+}
+BeliefMessage::BeliefMessage(BeliefMessage&& other170) noexcept {
+  Crashes = std::move(other170.Crashes);
+  Quarantined = std::move(other170.Quarantined);
+  Asks = other170.Asks;
+  Answers = other170.Answers;
+  Limits = std::move(other170.Limits);
+  AsksReach = other170.AsksReach;
+  Reach = std::move(other170.Reach);
+  CapQuestions = std::move(other170.CapQuestions);
+  CapReplies = std::move(other170.CapReplies);
+  SlotAsked = std::move(other170.SlotAsked);
+  SlotAnswered = std::move(other170.SlotAnswered);
+  SlotReturned = other170.SlotReturned;
+  __isset = other170.__isset;
+}
+BeliefMessage& BeliefMessage::operator=(const BeliefMessage& other171) {
+  Crashes = other171.Crashes;
+  Quarantined = other171.Quarantined;
+  Asks = other171.Asks;
+  Answers = other171.Answers;
+  Limits = other171.Limits;
+  AsksReach = other171.AsksReach;
+  Reach = other171.Reach;
+  CapQuestions = other171.CapQuestions;
+  CapReplies = other171.CapReplies;
+  SlotAsked = other171.SlotAsked;
+  SlotAnswered = other171.SlotAnswered;
+  SlotReturned = other171.SlotReturned;
+  __isset = other171.__isset;
   return *this;
 }
-BeliefMessage& BeliefMessage::operator=(BeliefMessage&& other162) noexcept {
-  Crashes = std::move(other162.Crashes);
-  Quarantined = std::move(other162.Quarantined);
-  Asks = other162.Asks;
-  Answers = other162.Answers;
-  Limits = std::move(other162.Limits);
-  AsksReach = other162.AsksReach;
-  Reach = std::move(other162.Reach);
-  CapQuestions = std::move(other162.CapQuestions);
-  CapReplies = std::move(other162.CapReplies);
-  SlotAsked = std::move(other162.SlotAsked);
-  SlotAnswered = std::move(other162.SlotAnswered);
-  SlotReturned = other162.SlotReturned;
-  __isset = other162.__isset;
+BeliefMessage& BeliefMessage::operator=(BeliefMessage&& other172) noexcept {
+  Crashes = std::move(other172.Crashes);
+  Quarantined = std::move(other172.Quarantined);
+  Asks = other172.Asks;
+  Answers = other172.Answers;
+  Limits = std::move(other172.Limits);
+  AsksReach = other172.AsksReach;
+  Reach = std::move(other172.Reach);
+  CapQuestions = std::move(other172.CapQuestions);
+  CapReplies = std::move(other172.CapReplies);
+  SlotAsked = std::move(other172.SlotAsked);
+  SlotAnswered = std::move(other172.SlotAnswered);
+  SlotReturned = other172.SlotReturned;
+  __isset = other172.__isset;
   return *this;
 }
 void BeliefMessage::printTo(std::ostream& out) const {
--- a/Libraries/LibWire/Generated/Routing_types.h
+++ b/Libraries/LibWire/Generated/Routing_types.h
@@ -63,6 +63,8 @@
 
 class QuarantinedParts;
 
+class KeptQuarantines;
+
 class TargetLimit;
 
 class RouterReach;
@@ -939,6 +941,57 @@
 
 std::ostream& operator<<(std::ostream& out, const QuarantinedParts& obj);
 
+typedef struct _KeptQuarantines__isset {
+  _KeptQuarantines__isset() : WrittenAt(false), Quarantined(false) {}
+  bool WrittenAt :1;
+  bool Quarantined :1;
+} _KeptQuarantines__isset;
+
+class KeptQuarantines : public virtual ::apache::thrift::TBase {
+ public:
+
+  KeptQuarantines(const KeptQuarantines&);
+  KeptQuarantines(KeptQuarantines&&) noexcept;
+  KeptQuarantines& operator=(const KeptQuarantines&);
+  KeptQuarantines& operator=(KeptQuarantines&&) noexcept;
+  KeptQuarantines() noexcept
+                  : WrittenAt(0) {
+  }
+
+  virtual ~KeptQuarantines() noexcept;
+  int64_t WrittenAt;
+  std::vector<QuarantinedParts>  Quarantined;
+
+  _KeptQuarantines__isset __isset;
+
+  void __set_WrittenAt(const int64_t val);
+
+  void __set_Quarantined(const std::vector<QuarantinedParts> & val);
+
+  bool operator == (const KeptQuarantines & rhs) const
+  {
+    if (!(WrittenAt == rhs.WrittenAt))
+      return false;
+    if (!(Quarantined == rhs.Quarantined))
+      return false;
+    return true;
+  }
+  bool operator != (const KeptQuarantines &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const KeptQuarantines & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(KeptQuarantines &a, KeptQuarantines &b);
+
+std::ostream& operator<<(std::ostream& out, const KeptQuarantines& obj);
+
 typedef struct _TargetLimit__isset {
   _TargetLimit__isset() : Target(false), Incarnation(false), PerSecond(false), AgeMillis(false), RejectionsPerSecond(false) {}
   bool Target :1;
--- a/Libraries/LibWire/Idl/Routing.thrift
+++ b/Libraries/LibWire/Idl/Routing.thrift
@@ -124,6 +124,13 @@
   6: i32 WantedAgeMillis
 }
 
+// What a control host keeps on its disk for routers that all restart.
+struct KeptQuarantines {
+  // In milliseconds since the Unix epoch. The times of the sets count from then.
+  1: i64 WrittenAt
+  2: list<QuarantinedParts> Quarantined
+}
+
 // What a target's answer said of its limit.
 struct TargetLimit {
   1: string Target
--- a/Services/ferryd/BeliefExchange.cpp
+++ b/Services/ferryd/BeliefExchange.cpp
@@ -1,8 +1,8 @@
 #include "ferryd/BeliefExchange.h"
 #include "LibCore/Random.h"
 #include "LibObserve/Log.h"
+#include "ferryd/BeliefMessages.h"
 #include <algorithm>
-#include <limits>
 #include <map>
 
 namespace ferry::daemon {
@@ -10,150 +10,14 @@
 using admission::CapHolder;
 using admission::CapQuestion;
 using admission::CapReply;
-using routing::AnswerProgress;
 using routing::Beliefs;
 using routing::BeliefSpread;
-using routing::CrashReport;
-using routing::CrashSuspect;
-using routing::PartSet;
-using routing::QuarantinedParts;
-using routing::TargetLimit;
 using wire::PayloadKind;
 
 /// Shortest time between two times at which questions about caps are sent by
 /// the timer.
 static constexpr Duration MinCapInterval = std::chrono::milliseconds(5);
 
-static int32_t wireMillis(Duration Span) {
-  return static_cast<int32_t>(std::clamp<int64_t>(
-      Span.count() / 1000, 0, std::numeric_limits<int32_t>::max()));
-}
-
-static Duration fromWireMillis(int32_t Millis) {
-  return std::chrono::milliseconds(std::max(Millis, 0));
-}
-
-static std::vector<int64_t> toWire(const PartSet &Parts) {
-  return {Parts.begin(), Parts.end()};
-}
-
-/// \returns the parts in the order of a set, whatever the sender's was.
-static PartSet fromWire(const std::vector<int64_t> &Fields) {
-  PartSet Parts(Fields.begin(), Fields.end());
-  std::sort(Parts.begin(), Parts.end());
-  Parts.erase(std::unique(Parts.begin(), Parts.end()), Parts.end());
-  return Parts;
-}
-
-static wire::CrashReport toWire(const CrashReport &Report, Timestamp Now) {
-  wire::CrashReport Fields;
-  Fields.Crash = static_cast<int64_t>(Report.Id.Value);
-  Fields.AgeMillis = wireMillis(Now - Report.SeenAt);
-  for (const CrashSuspect &Suspect : Report.Suspects) {
-    Fields.Suspects.emplace_back();
-    Fields.Suspects.back().Parts = toWire(Suspect.Parts);
-    Fields.Suspects.back().Begun = Suspect.Progress == AnswerProgress::Begun;
-    Fields.Suspects.back().AgeMillis = wireMillis(Now - Suspect.SeenAt);
-  }
-  for (const auto &[Part, PartMarks] : Report.Marks) {
-    if (!PartMarks.ServedBefore && !PartMarks.ServedAfter)
-      continue;
-    wire::PartServed Known;
-    Known.Part = static_cast<int64_t>(Part);
-    Known.ServedBefore = PartMarks.ServedBefore;
-    Known.ServedAfter = PartMarks.ServedAfter;
-    Fields.Served.push_back(Known);
-  }
-  return Fields;
-}
-
-static CrashReport fromWire(const wire::CrashReport &Fields, Timestamp Now) {
-  CrashReport Report;
-  Report.Id = {static_cast<uint64_t>(Fields.Crash)};
-  Report.SeenAt = Now - fromWireMillis(Fields.AgeMillis);
-  for (const wire::CrashSuspect &Suspect : Fields.Suspects)
-    Report.Suspects.push_back(
-        {fromWire(Suspect.Parts),
-         Suspect.Begun ? AnswerProgress::Begun : AnswerProgress::Waiting,
-         Now - fromWireMillis(Suspect.AgeMillis)});
-  for (const wire::PartServed &Known : Fields.Served)
-    Report.Marks[static_cast<uint64_t>(Known.Part)] = {Known.ServedBefore,
-                                                       Known.ServedAfter};
-  return Report;
-}
-
-static wire::QuarantinedParts toWire(const QuarantinedParts &Set,
-                                     Timestamp Now) {
-  wire::QuarantinedParts Fields;
-  Fields.Parts = toWire(Set.Parts);
-  Fields.Epoch = static_cast<int32_t>(Set.Epoch);
-  Fields.Ended = Set.Ended;
-  Fields.Trials = static_cast<int32_t>(Set.Trials);
-  Fields.TrialInMillis = wireMillis(Set.TrialFrom - Now);
-  Fields.WantedAgeMillis = wireMillis(Now - Set.WantedAt);
-  return Fields;
-}
-
-static QuarantinedParts fromWire(const wire::QuarantinedParts &Fields,
-                                 Timestamp Now) {
-  QuarantinedParts Set;
-  Set.Parts = fromWire(Fields.Parts);
-  Set.Epoch = static_cast<uint32_t>(std::max(Fields.Epoch, 0));
-  Set.Ended = Fields.Ended;
-  Set.Trials = static_cast<uint32_t>(std::max(Fields.Trials, 0));
-  Set.TrialFrom = Now + fromWireMillis(Fields.TrialInMillis);
-  Set.WantedAt = Now - fromWireMillis(Fields.WantedAgeMillis);
-  return Set;
-}
-
-static wire::TargetLimit toWire(const TargetLimit &Limit, Timestamp Now) {
-  wire::TargetLimit Fields;
-  Fields.Target = Limit.Target.Value;
-  Fields.Incarnation = static_cast<int64_t>(Limit.Incarnation.Value);
-  if (Limit.PerSecond)
-    Fields.__set_PerSecond(*Limit.PerSecond);
-  if (Limit.RejectionsPerSecond)
-    Fields.__set_RejectionsPerSecond(*Limit.RejectionsPerSecond);
-  Fields.AgeMillis = wireMillis(Now - Limit.ObservedAt);
-  return Fields;
-}
-
-static TargetLimit fromWire(const wire::TargetLimit &Fields, Timestamp Now) {
-  TargetLimit Limit;
-  Limit.Target = {Fields.Target};
-  Limit.Incarnation = {static_cast<uint64_t>(Fields.Incarnation)};
-  if (Fields.__isset.PerSecond)
-    Limit.PerSecond = Fields.PerSecond;
-  if (Fields.__isset.RejectionsPerSecond)
-    Limit.RejectionsPerSecond = Fields.RejectionsPerSecond;
-  Limit.ObservedAt = Now - fromWireMillis(Fields.AgeMillis);
-  return Limit;
-}
-
-static wire::BeliefMessage toWire(const Beliefs &Known) {
-  Timestamp Now = steadyNow();
-  wire::BeliefMessage Message;
-  for (const CrashReport &Report : Known.Crashes.Crashes)
-    Message.Crashes.push_back(toWire(Report, Now));
-  for (const QuarantinedParts &Set : Known.Crashes.Quarantined)
-    Message.Quarantined.push_back(toWire(Set, Now));
-  for (const TargetLimit &Limit : Known.Limits)
-    Message.Limits.push_back(toWire(Limit, Now));
-  return Message;
-}
-
-static Beliefs fromWire(const wire::BeliefMessage &Message) {
-  Timestamp Now = steadyNow();
-  Beliefs Told;
-  for (const wire::CrashReport &Fields : Message.Crashes)
-    Told.Crashes.Crashes.push_back(fromWire(Fields, Now));
-  for (const wire::QuarantinedParts &Fields : Message.Quarantined)
-    Told.Crashes.Quarantined.push_back(fromWire(Fields, Now));
-  for (const wire::TargetLimit &Fields : Message.Limits)
-    Told.Limits.push_back(fromWire(Fields, Now));
-  return Told;
-}
-
 static wire::CapQuestion toWire(const CapQuestion &Question) {
   wire::CapQuestion Fields;
   Fields.Workspace = Question.Workspace.Value;
@@ -199,8 +63,7 @@
 }
 
 BeliefExchange::BeliefExchange(
-    HostLink &Link, ControlLoop &Loop, OtherRouters Others,
-    BeliefHooks Callbacks,
+    HostLink &Link, ControlLoop &Loop, OtherHosts Others, BeliefHooks Callbacks,
     std::function<void(const routing::Beliefs &)> Observed)
     : Link(Link), Loop(Loop), Others(std::move(Others)),
       Callbacks(std::move(Callbacks)), Observed(std::move(Observed)),
@@ -225,8 +88,19 @@
   Beliefs News = Callbacks.TakeNews();
   if (News.empty())
     return;
-  wire::BeliefMessage Message = toWire(News);
-  for (const HostId &To : Spread.receiversOfNews(Others(), steadyNow()))
+  wire::BeliefMessage Message = toWire(News, steadyNow());
+  for (const HostId &To : Spread.receiversOfNews(Others.Routers(), steadyNow()))
+    Link.send(To, PayloadKind::Beliefs, Message);
+  sendSets(Spread.keepersOfNews(Others.Keepers()), News.Crashes.Quarantined);
+}
+
+void BeliefExchange::sendSets(
+    const std::vector<HostId> &Keepers,
+    const std::vector<routing::QuarantinedParts> &Sets) {
+  if (Sets.empty())
+    return;
+  wire::BeliefMessage Message = toWire({{{}, Sets}, {}}, steadyNow());
+  for (const HostId &To : Keepers)
     Link.send(To, PayloadKind::Beliefs, Message);
 }
 
@@ -235,7 +109,7 @@
     return;
   wire::BeliefMessage Question;
   Question.AsksReach = true;
-  for (const HostId &To : Spread.askedForReach(Others()))
+  for (const HostId &To : Spread.askedForReach(Others.Routers()))
     Link.send(To, PayloadKind::Beliefs, Question);
 }
 
@@ -245,16 +119,20 @@
   askForReach();
   Beliefs All = Callbacks.Everything();
   Observed(All);
-  BeliefSpread::Due Due = Spread.tick(Others(), !All.empty(), steadyNow());
+  BeliefSpread::Due Due = Spread.tick(Others.Routers(), !All.empty(),
+                                      steadyNow(), Others.Keepers());
   if (!Due.Summary.empty()) {
-    wire::BeliefMessage Summary = toWire(All);
+    wire::BeliefMessage Summary = toWire(All, steadyNow());
     for (const HostId &To : Due.Summary)
       Link.send(To, PayloadKind::Beliefs, Summary);
   }
+  sendSets(Due.KeeperSummary, All.Crashes.Quarantined);
   wire::BeliefMessage Question;
   Question.Asks = true;
   for (const HostId &To : Due.Question)
     Link.send(To, PayloadKind::Beliefs, Question);
+  for (const HostId &To : Due.KeeperQuestion)
+    Link.send(To, PayloadKind::Beliefs, Question);
 }
 
 void BeliefExchange::receive(const HostId &From,
@@ -272,21 +150,31 @@
   if (Message.__isset.Reach)
     return Callbacks.NoteHelper(
         From, {Message.Reach.ReachesTargets, Message.Reach.PassKey});
-  if (Message.Answers) {
-    Spread.noteAnswer();
-    observe::logEvent(observe::Severity::Info, "routed", "beliefs_answered",
-                      {{"from", From},
-                       {"crashes", Message.Crashes.size()},
-                       {"quarantined", Message.Quarantined.size()},
-                       {"limits", Message.Limits.size()}});
-  }
+  if (Message.Answers)
+    receiveAnswer(From, Message);
   if (Message.Asks) {
-    wire::BeliefMessage Answer = toWire(Callbacks.Everything());
+    wire::BeliefMessage Answer = toWire(Callbacks.Everything(), steadyNow());
     // Otherwise the other one asks on.
-    Answer.Answers = Spread.isSettled(steadyNow());
+    Answer.Answers =
+        Callbacks.KeepsQuarantines || Spread.isSettled(steadyNow());
     Link.send(From, PayloadKind::Beliefs, Answer);
   }
-  Callbacks.Apply(fromWire(Message), BeliefSpread::passesOn(Others().size()));
+  Callbacks.Apply(fromWire(Message, steadyNow()),
+                  BeliefSpread::passesOn(Others.Routers().size()));
+}
+
+void BeliefExchange::receiveAnswer(const HostId &From,
+                                   const wire::BeliefMessage &Message) {
+  std::vector<HostId> Keepers = Others.Keepers();
+  if (std::find(Keepers.begin(), Keepers.end(), From) != Keepers.end())
+    Spread.noteKeeperAnswer(From);
+  else
+    Spread.noteAnswer();
+  observe::logEvent(observe::Severity::Info, "routed", "beliefs_answered",
+                    {{"from", From},
+                     {"crashes", Message.Crashes.size()},
+                     {"quarantined", Message.Quarantined.size()},
+                     {"limits", Message.Limits.size()}});
 }
 
 void BeliefExchange::receiveCaps(const HostId &From,
--- a/Services/ferryd/BeliefExchange.h
+++ b/Services/ferryd/BeliefExchange.h
@@ -50,15 +50,26 @@
   std::function<void(const HostId &, const routing::RouterReach &)> NoteHelper =
       [](const HostId &, const routing::RouterReach &) {};
   CapHooks Caps = {};
+  /// Set at control hosts that keep the quarantined sets: their answers are
+  /// whole from the start.
+  bool KeepsQuarantines = false;
 };
 
 /// Sends what BeliefSpread decides. Used on the control thread.
 class BeliefExchange {
 public:
-  using OtherRouters = std::function<std::vector<HostId>()>;
+  using HostList = std::function<std::vector<HostId>()>;
+
+  /// The other hosts that are not silent.
+  struct OtherHosts {
+    /// Those that news is sent to; none at a control host.
+    HostList Routers;
+    /// Control hosts, which keep the quarantined sets.
+    HostList Keepers;
+  };
 
   /// \param Observed called at each tick with all that the router believes.
-  BeliefExchange(HostLink &Link, ControlLoop &Loop, OtherRouters Others,
+  BeliefExchange(HostLink &Link, ControlLoop &Loop, OtherHosts Others,
                  BeliefHooks Callbacks,
                  std::function<void(const routing::Beliefs &)> Observed);
   ~BeliefExchange() { stop(); }
@@ -79,13 +90,16 @@
 
 private:
   void receiveCaps(const HostId &From, const wire::BeliefMessage &Message);
+  void receiveAnswer(const HostId &From, const wire::BeliefMessage &Message);
+  void sendSets(const std::vector<HostId> &Keepers,
+                const std::vector<routing::QuarantinedParts> &Sets);
   void tick();
   void sendNews();
   void askForReach();
 
   HostLink &Link;
   ControlLoop &Loop;
-  OtherRouters Others;
+  OtherHosts Others;
   BeliefHooks Callbacks;
   std::function<void(const routing::Beliefs &)> Observed;
   routing::BeliefSpread Spread;
--- a/Services/ferryd/ControlPlane.cpp
+++ b/Services/ferryd/ControlPlane.cpp
@@ -115,9 +115,7 @@
       *Link, Loop,
       StreamExchange::Hooks{[this] { return liveRouterIds(); },
                             Callbacks.NoteStream, Callbacks.FindStream});
-  Beliefs = std::make_unique<BeliefExchange>(
-      *Link, Loop, [this] { return liveRouterIds(); }, Callbacks.Beliefs,
-      [this](const routing::Beliefs &Known) { updateBeliefMetrics(Known); });
+  startBeliefs();
   Slots = std::make_unique<SlotExchange>(*Link, Loop, Callbacks.Slots);
   startGateway();
   if (Settings.Role == config::HostRole::Control) {
@@ -137,6 +135,30 @@
   return {};
 }
 
+void ControlPlane::startBeliefs() {
+  BeliefExchange::OtherHosts Others{[this] { return liveRouterIds(); },
+                                    [this] { return otherControlHosts(); }};
+  if (isRouted() && Settings.Role == config::HostRole::Control) {
+    Keeper = std::make_unique<QuarantineKeeper>(Settings.DataFolder);
+    Others.Routers = [] { return std::vector<HostId>(); };
+    Callbacks.Beliefs.KeepsQuarantines = true;
+    Callbacks.Beliefs.Everything = [this] {
+      return routing::Beliefs{Keeper->everything(), {}};
+    };
+    Callbacks.Beliefs.TakeNews = [this] {
+      return routing::Beliefs{Keeper->takeNews(), {}};
+    };
+    Callbacks.Beliefs.Apply = [this](const routing::Beliefs &Told, bool) {
+      Keeper->apply(Told.Crashes.Quarantined);
+      if (Keeper->hasNews())
+        Beliefs->newsReady();
+    };
+  }
+  Beliefs = std::make_unique<BeliefExchange>(
+      *Link, Loop, std::move(Others), Callbacks.Beliefs,
+      [this](const routing::Beliefs &Known) { updateBeliefMetrics(Known); });
+}
+
 void ControlPlane::startGateway() {
   registry::RegistryClient::Options Options;
   Options.ControlHosts = initialControlHosts(Settings);
--- a/Services/ferryd/ControlPlane.h
+++ b/Services/ferryd/ControlPlane.h
@@ -20,6 +20,7 @@
 #include "ferryd/HostLink.h"
 #include "ferryd/OrderDispatcher.h"
 #include "ferryd/PlatformBindings.h"
+#include "ferryd/QuarantineKeeper.h"
 #include "ferryd/RegistryGateway.h"
 #include "ferryd/RegistryNode.h"
 #include "ferryd/SlotExchange.h"
@@ -122,6 +123,7 @@
   Result<void, StartError> tryOpenRegistry();
   void startGateway();
   void startOrders();
+  void startBeliefs();
   void reopenLog();
   void addDumpSections();
 
@@ -162,6 +164,7 @@
   /// \returns the other routers that are not silent.
   std::vector<routing::WorkExchange::Router> liveRouters() const;
   std::vector<HostId> liveRouterIds() const;
+  std::vector<HostId> otherControlHosts() const;
   /// Sends to all routers, in a large fleet by way of two routers a group.
   void sendToRouters(wire::EngineChanges Message);
   config::Description wantedWeights() const;
@@ -192,6 +195,8 @@
   DescriptionHolder Holder;
   std::unique_ptr<HostLink> Link;
   std::unique_ptr<StreamExchange> Streams;
+  /// Of a control host of the routed interface.
+  std::unique_ptr<QuarantineKeeper> Keeper;
   std::unique_ptr<BeliefExchange> Beliefs;
   std::unique_ptr<SlotExchange> Slots;
   std::unique_ptr<RegistryNode> Node;
--- a/Services/ferryd/ControlPlaneRouting.cpp
+++ b/Services/ferryd/ControlPlaneRouting.cpp
@@ -27,6 +27,12 @@
   return Ids;
 }
 
+std::vector<HostId> ControlPlane::otherControlHosts() const {
+  std::vector<HostId> Others = ControlHosts;
+  std::erase(Others, Settings.Host);
+  return Others;
+}
+
 void ControlPlane::sendToRouters(wire::EngineChanges Message) {
   std::vector<routing::WorkExchange::Router> Routers = liveRouters();
   Message.__set_PassOn(Routers.size() >
--- a/Services/ferryd/HostStore.cpp
+++ b/Services/ferryd/HostStore.cpp
@@ -1,24 +1,9 @@
 #include "ferryd/HostStore.h"
-#include "LibWire/Codec.h"
+#include "ferryd/RecordFile.h"
 #include <algorithm>
-#include <xxhash.h>
 
 namespace ferry::daemon {
 
-static int64_t checksumOf(const std::string &Bytes) {
-  return static_cast<int64_t>(XXH3_64bits(Bytes.data(), Bytes.size()));
-}
-
-/// \returns the state in \p Bytes, or an empty one if they are damaged: the
-/// host then learns the lost state from its peers.
-static wire::HostState decodeState(const std::string &Bytes) {
-  auto Record = wire::tryDecode<wire::CheckedRecord>(Bytes);
-  if (!Record || Record->Checksum != checksumOf(Record->Bytes))
-    return {};
-  auto State = wire::tryDecode<wire::HostState>(Record->Bytes);
-  return State ? *State : wire::HostState();
-}
-
 HostStore::HostStore(std::filesystem::path Folder)
     : Folder(std::move(Folder)) {}
 
@@ -34,11 +19,11 @@
     std::filesystem::create_directories(Folder, Failure);
     if (Failure)
       return makeTypedError(FileErrorKind::CannotWrite, Failure.message());
-    auto Bytes = tryReadFile(Store.filePath());
-    if (!Bytes)
-      return makeError(Bytes.error());
-    if (Bytes->has_value())
-      Store.State = decodeState(**Bytes);
+    auto State = tryReadRecord<wire::HostState>(Store.filePath());
+    if (!State)
+      return makeError(State.error());
+    // The host learns from its peers what a damaged file had.
+    Store.State = State->value_or(wire::HostState());
   }
   // Incarnations rise even if the clock was set back since the last start.
   Store.State.Incarnation = std::max(Store.State.Incarnation + 1, Now.Value);
@@ -63,10 +48,7 @@
 Result<void, FileError> HostStore::trySave() const {
   if (Folder.empty())
     return {};
-  wire::CheckedRecord Record;
-  Record.Bytes = wire::encode(State);
-  Record.Checksum = checksumOf(Record.Bytes);
-  return tryReplaceFile(filePath(), wire::encode(Record));
+  return tryReplaceRecord(filePath(), State);
 }
 
 } // namespace ferry::daemon
--- a/Tests/LibRouting/BeliefFleet.h
+++ b/Tests/LibRouting/BeliefFleet.h
@@ -12,7 +12,8 @@
 
 namespace ferry::routing {
 
-/// Messages take 1 to 10 ms, and some are lost.
+/// Messages take 1 to 10 ms, and some are lost. Control hosts keep what is
+/// quarantined.
 class BeliefFleet {
 public:
   static constexpr Timestamp Start{std::chrono::seconds(10'000)};
@@ -30,6 +31,14 @@
       setRouters(Index);
   }
 
+  void addKeepers(size_t Count) {
+    for (size_t Index = 0; Index < Count; ++Index) {
+      KeeperIds.push_back({"10.0.1." + std::to_string(Index)});
+      Numbers[KeeperIds.back()] = Index;
+      Keepers.emplace_back();
+    }
+  }
+
   void at(Timestamp When, std::function<void()> Work) {
     Scheduled.emplace(When, std::move(Work));
   }
@@ -121,6 +130,15 @@
     setRouters(Index);
   }
 
+  /// A control host starts anew, with the sets that its disk has.
+  void restartKeeper(size_t Index) {
+    CrashNews OnDisk{{}, Keepers[Index].everything(Now).Quarantined};
+    Keepers[Index] = PartQuarantine();
+    Keepers[Index].apply(OnDisk, /*PassOn=*/false, Now);
+  }
+
+  void loseDisk(size_t Index) { Keepers[Index] = PartQuarantine(); }
+
   Timestamp Now = Start;
   size_t Crashes = 0;
   size_t Messages = 0;
@@ -150,12 +168,40 @@
     return Others;
   }
 
-  void send(const HostId &To, const Beliefs &News, bool Answers = false) {
+  /// Lets \p Arrive happen after the time of a message, if it isn't lost.
+  void deliver(std::function<void()> Arrive) {
     ++Messages;
     if (randomBelow(Random, 50) == 0)
       return;
     auto Delay = std::chrono::microseconds(1000 + randomBelow(Random, 9000));
-    at(Now + Delay, [this, Index = Numbers.at(To), News, Answers] {
+    at(Now + Delay, std::move(Arrive));
+  }
+
+  void sendToKeepers(const std::vector<HostId> &To, const CrashNews &News) {
+    if (News.Quarantined.empty())
+      return;
+    for (const HostId &Each : To)
+      deliver([this, Index = Numbers.at(Each), News] {
+        PartQuarantine &Keeper = Keepers[Index];
+        Keeper.apply({{}, News.Quarantined}, /*PassOn=*/true, Now);
+        if (Keeper.hasNews())
+          sendToKeepers(KeeperSpread.keepersOfNews(KeeperIds),
+                        Keeper.takeNews(Now));
+      });
+  }
+
+  void askKeeper(size_t Index, const HostId &Keeper) {
+    deliver([this, Index, Keeper] {
+      CrashNews Kept = Keepers[Numbers.at(Keeper)].everything(Now);
+      deliver([this, Index, Keeper, Kept] {
+        Routers[Index]->Spread.noteKeeperAnswer(Keeper);
+        Routers[Index]->Quarantine.apply(Kept, /*PassOn=*/false, Now);
+      });
+    });
+  }
+
+  void send(const HostId &To, const Beliefs &News, bool Answers = false) {
+    deliver([this, Index = Numbers.at(To), News, Answers] {
       if (Answers)
         Routers[Index]->Spread.noteAnswer();
       bool PassOn = BeliefSpread::passesOn(Hosts.size() - 1);
@@ -175,10 +221,12 @@
       Router &Sending = *Routers[Index];
       Sending.NewsPending = false;
       Beliefs News{Sending.Quarantine.takeNews(Now), Sending.Limits.takeNews()};
-      if (!News.empty())
-        for (const HostId &To :
-             Sending.Spread.receiversOfNews(others(Index), Now))
-          send(To, News);
+      if (News.empty())
+        return;
+      for (const HostId &To :
+           Sending.Spread.receiversOfNews(others(Index), Now))
+        send(To, News);
+      sendToKeepers(Sending.Spread.keepersOfNews(KeeperIds), News.Crashes);
     });
   }
 
@@ -186,9 +234,12 @@
     at(Now + BeliefSpread::TickInterval, [this, Index] { tick(Index); });
     Router &Ticking = *Routers[Index];
     Beliefs All = beliefsOf(Index);
-    auto Due = Ticking.Spread.tick(others(Index), !All.empty(), Now);
+    auto Due = Ticking.Spread.tick(others(Index), !All.empty(), Now, KeeperIds);
     for (const HostId &To : Due.Summary)
       send(To, All);
+    sendToKeepers(Due.KeeperSummary, All.Crashes);
+    for (const HostId &Keeper : Due.KeeperQuestion)
+      askKeeper(Index, Keeper);
     for (const HostId &Asked : Due.Question)
       at(Now + std::chrono::milliseconds(2),
          [this, Index, Other = Numbers.at(Asked)] {
@@ -201,6 +252,9 @@
   std::vector<HostId> Hosts;
   std::map<HostId, size_t> Numbers;
   std::vector<std::unique_ptr<Router>> Routers;
+  std::vector<HostId> KeeperIds;
+  std::vector<PartQuarantine> Keepers;
+  BeliefSpread KeeperSpread{0};
   std::multimap<Timestamp, std::function<void()>> Scheduled;
 };
 
--- a/Tests/LibRouting/TestBeliefSpread.cpp
+++ b/Tests/LibRouting/TestBeliefSpread.cpp
@@ -110,6 +110,66 @@
   }
 }
 
+// No router has a disk.
+BOOST_DATA_TEST_CASE(routers_that_all_restart_learn_from_control_hosts,
+                     data::make({3, 9, 80}), Size) {
+  static constexpr size_t KeeperCount = 5;
+  for (uint64_t Seed = 1; Seed <= 5; ++Seed) {
+    BeliefFleet Subject(Size, Seed);
+    Subject.addKeepers(KeeperCount);
+    Subject.serveAt(0, {Lead, 10});
+    while (Subject.Now < Start + 4s) {
+      Subject.runUntil(Subject.Now + 200ms);
+      Subject.crashAt(Subject.randomRouter(), {Lead, Crashing});
+    }
+    Subject.runUntil(Start + 20s);
+    BOOST_REQUIRE(Subject.refusing({Lead, Crashing}) == size_t(Size));
+    for (size_t Index = 0; Index < size_t(Size); ++Index)
+      Subject.restart(Index);
+    for (size_t Index = 0; Index < KeeperCount; ++Index)
+      Subject.restartKeeper(Index);
+    Subject.loseDisk(0);
+    Subject.loseDisk(1);
+    Subject.runUntil(Subject.Now + ContactTime);
+    BOOST_TEST(Subject.refusing({Lead, Crashing}) == size_t(Size));
+    BOOST_TEST(Subject.refusing({Lead, 11}) == 0U);
+  }
+}
+
+// A set that has ended stays ended when a control host still has it in force.
+BOOST_AUTO_TEST_CASE(an_ended_quarantine_does_not_come_back_with_a_restart) {
+  BeliefFleet Subject(3, 6);
+  Subject.addKeepers(3);
+  while (Subject.Now < Start + 4s) {
+    Subject.runUntil(Subject.Now + 200ms);
+    Subject.crashAt(Subject.randomRouter(), {Lead, Crashing});
+  }
+  Subject.runUntil(Start + 8s);
+  BOOST_REQUIRE(Subject.refusing({Lead, Crashing}) == 3U);
+  Subject.serveAt(Subject.randomRouter(), {Lead, Crashing});
+  Subject.runUntil(Subject.Now + ContactTime);
+  for (size_t Index = 0; Index < 3; ++Index)
+    Subject.restart(Index);
+  Subject.runUntil(Subject.Now + ContactTime);
+  BOOST_TEST(Subject.refusing({Lead, Crashing}) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_router_asks_each_control_host_until_it_answers) {
+  BeliefSpread Spread(1);
+  std::vector<HostId> Keepers = {{"k1"}, {"k2"}};
+  auto Asked = [&](Timestamp At) {
+    return Spread.tick({{"a"}}, false, At, Keepers).KeeperQuestion.size();
+  };
+  Spread.noteAnswer();
+  BOOST_TEST(Asked(Start) == 2U);
+  Spread.noteKeeperAnswer({"k1"});
+  BOOST_TEST(Asked(Start + 1s) == 1U);
+  Spread.noteKeeperAnswer({"k2"});
+  BOOST_TEST(Asked(Start + 2s) == 0U);
+  Keepers.push_back({"k3"});
+  BOOST_TEST(Asked(Start + 3s) == 1U);
+}
+
 BOOST_DATA_TEST_CASE(a_wrong_quarantine_ends_at_every_router, data::make(Sizes),
                      Size) {
   BeliefFleet Subject(Size, 4);
