--- a/Libraries/LibTraffic/HttpExchange.cpp
+++ b/Libraries/LibTraffic/HttpExchange.cpp
@@ -12,6 +12,8 @@
 /// Bytes read from a body at a time. Memory grows with the received bytes, not
 /// with the announced length.
 static constexpr uint64_t BodyChunkBytes = 64ULL << 10;
+/// The same of a body in chunks, most of which are small.
+static constexpr uint64_t ChunkedPieceBytes = 8ULL << 10;
 /// Time after which a request that was refused for lack of body memory may be
 /// sent again.
 static constexpr std::chrono::seconds BodyBudgetRetryDelay{1};
@@ -133,6 +135,8 @@
         NotRun::True, steadyNow() + BodyBudgetRetryDelay});
   ReservedBytes += *Length;
   std::string Body;
+  // Takes no memory before the bytes arrive.
+  Body.reserve(*Length);
   try {
     if (*Length > 0 && Request.getExpectContinue())
       Response.sendContinue();
@@ -175,16 +179,16 @@
   // and ends in the same way with the connection.
   BodyFraming Framing{ChunkFraming{}};
   std::string Body;
-  std::string Piece(BodyChunkBytes, '\0');
+  std::string Piece(ChunkedPieceBytes, '\0');
+  uint64_t Reserved = 0;
   try {
     if (Request.getExpectContinue())
       Response.sendContinue();
     while (!Framing.isComplete()) {
-      uint64_t Size = std::min(Framing.safeReadBytes(), BodyChunkBytes);
+      uint64_t Size = std::min(Framing.safeReadBytes(), ChunkedPieceBytes);
       int Count = ReadRaw(Piece.data(), static_cast<int>(Size));
       if (Count <= 0)
         break;
-      uint64_t Before = Body.size();
       std::string_view Raw(Piece.data(), static_cast<size_t>(Count));
       if (auto Decoded = Framing.decode(Raw, Body); !Decoded)
         return makeError(ErrorAnswer{AnswerError::BadHeader,
@@ -194,11 +198,13 @@
         return makeError(ErrorAnswer{AnswerError::TooLarge,
                                      "the body may have at most " +
                                          std::to_string(MaxBytes) + " bytes"});
-      uint64_t Added = Body.size() - Before;
+      // A string that grows takes up to twice its size.
+      uint64_t Added = Body.capacity() - Reserved;
       if (!Budget.tryReserve(Added))
         return makeError(ErrorAnswer{
             AnswerError::QueueFull, "too many request bodies are in memory",
             NotRun::True, steadyNow() + BodyBudgetRetryDelay});
+      Reserved += Added;
       ReservedBytes += Added;
     }
   } catch (const Poco::Exception &) {
--- /dev/null
+++ b/Tests/System/TestHostileRequests.cpp
@@ -0,0 +1,65 @@
+// Callers send heads that are sound and then misuse what follows: bodies and
+// trailers without end or held back, answers that they do not read. The process
+// must live and stay within its memory and descriptors, and serve an ordinary
+// request afterwards.
+#include "Support/HostileDeployment.h"
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace ferry;
+using namespace ferry::test;
+namespace data = boost::unit_test::data;
+
+static std::string head(const std::string &Method, const std::string &Path,
+                        const std::string &Fields) {
+  return Method + " " + Path +
+         " HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: r1\r\n" + Fields +
+         "\r\n";
+}
+
+static const std::string Chunked =
+    head("POST", "/sound/x", "Transfer-Encoding: chunked\r\n");
+
+/// Memory for the bodies of all requests, and for large answers.
+static constexpr uint64_t BodyMemory = 16 << 20;
+static constexpr uint64_t AnswerMemory = 32 << 20;
+
+struct Misuse {
+  HostileBytes Bytes;
+  CrowdOptions Options = {};
+};
+
+static std::ostream &operator<<(std::ostream &Out, const Misuse &Case) {
+  return Out << Case.Bytes;
+}
+
+static const std::vector<Misuse> Kinds = {
+    {{"chunks of one byte without end", Chunked,
+      repeated("1\r\nm\r\n", 0x1000)},
+     {.SharedMemory = BodyMemory}},
+    {{"a chunk extension without end", Chunked + "1;", repeated("m", 0x8000)}},
+    {{"trailers without end", Chunked + "1\r\nm\r\n0\r\n",
+      repeated("a: b\r\n", 0x1000)}},
+    {{"bodies held back before their end",
+      head("POST", "/sound/x", "Content-Length: 80000\r\n") +
+          repeated("m", 79'999),
+      ""},
+     {.SharedMemory = BodyMemory}},
+    {{"a body that was asked for and does not come",
+      head("POST", "/sound/x",
+           "Content-Length: 80000\r\nExpect: 100-continue\r\n"),
+      ""},
+     {.SharedMemory = BodyMemory}},
+    {{"requests without end and answers unread", "",
+      repeated(head("GET", "/sound/x", ""), 0x100)},
+     {.DescriptorsPerCaller = 2}},
+    {{"large answers unread", "", repeated(head("GET", "/large/x", ""), 0x100)},
+     {.SharedMemory = AnswerMemory, .DescriptorsPerCaller = 2}},
+    {{"silence", "", ""}}};
+
+BOOST_DATA_TEST_CASE(callers_of_a_router, data::make(Kinds), Case) {
+  HostileDeployment Subject;
+  Subject.bear(11, Subject.Cluster.callers(11), RouterMemory, Case.Bytes,
+               Case.Options);
+}
