--- a/Tests/System/TestHostileRequests.cpp
+++ b/Tests/System/TestHostileRequests.cpp
@@ -84,3 +84,10 @@
                 .DescriptorsPerCaller = 2,
                 .When = Served::Beside});
 }
+
+BOOST_AUTO_TEST_CASE(single_byte_chunks_of_more_callers_than_threads) {
+  HostileDeployment Subject;
+  Subject.bear(11, Subject.Cluster.callers(11), RouterMemory,
+               Kinds.front().Bytes,
+               {.Callers = MoreThanThreads, .SharedMemory = BodyMemory});
+}
