--- a/Tests/System/TestHostileRequests.cpp
+++ b/Tests/System/TestHostileRequests.cpp
@@ -91,3 +91,43 @@
                Kinds.front().Bytes,
                {.Callers = MoreThanThreads, .SharedMemory = BodyMemory});
 }
+
+static const std::vector<Misuse> ControlKinds = {
+    {{"routes held back before their end",
+      head("PUT", "/config", "Content-Length: 1000000\r\n") +
+          repeated("m", 999'999),
+      ""}},
+    {{"announcements held back before their end",
+      head("PUT", "/instances/i-9", "Content-Length: 4000\r\n") +
+          repeated("m", 3'999),
+      ""}},
+    {{"routes in chunks of one byte without end",
+      head("PUT", "/config", "Transfer-Encoding: chunked\r\n"),
+      repeated("1\r\nm\r\n", 0x1000)}},
+    {{"routes read without end and answers unread", "",
+      repeated(head("GET", "/config", ""), 0x100)}}};
+
+BOOST_DATA_TEST_CASE(callers_of_a_control_host, data::make(ControlKinds),
+                     Case) {
+  HostileDeployment Subject;
+  Subject.bear(1, Subject.Cluster.control(1), ControlMemory, Case.Bytes,
+               Case.Options);
+  BOOST_TEST(TestCluster::eventually(
+      [&] { return Subject.Cluster.routesVersionAt(1) == 1; }));
+}
+
+static const std::vector<HostileBytes> Reads = {
+    {"metrics read without end and answers unread", "",
+     repeated(head("GET", "/metrics", ""), 0x100)},
+    {"dumps read without end and answers unread", "",
+     repeated(head("GET", "/v1/dump", ""), 0x100)}};
+
+BOOST_DATA_TEST_CASE(callers_of_the_operators_listener, data::make(Reads),
+                     Bytes) {
+  HostileDeployment Subject;
+  Subject.bear(11, Subject.Cluster.operators(11), RouterMemory, Bytes);
+  BOOST_TEST(TestCluster::eventually([&] {
+    return request(Subject.Cluster.operators(11), "GET", "/metrics").Status ==
+           200;
+  }));
+}
