--- a/Libraries/LibRouting/TargetReach.cpp
+++ b/Libraries/LibRouting/TargetReach.cpp
@@ -19,7 +19,8 @@
     return Entry.second.At + FailureLifetime <= Now;
   });
   Failures[Target] = {Now, Connected};
-  if (Failures.size() < std::clamp(KnownTargets / 2, MinFailing, MaxFailing))
+  if (uncontradictedFailures(Now) <
+      std::clamp(KnownTargets / 2, MinFailing, MaxFailing))
     return;
   CutSince = Now;
   bool IsRelapse = LastCutEndedAt && Now < *LastCutEndedAt + RelapseSpan;
@@ -29,6 +30,18 @@
   Failures.clear();
 }
 
+size_t TargetReach::uncontradictedFailures(Timestamp Now) const {
+  auto IsRecent = [Now](const std::optional<Timestamp> &Sign) {
+    return Sign && Now < *Sign + QuietSpan;
+  };
+  bool Connects = IsRecent(LastConnectedAt);
+  bool Answers = IsRecent(LastAnsweredAt);
+  return static_cast<size_t>(
+      std::count_if(Failures.begin(), Failures.end(), [&](const auto &Entry) {
+        return Entry.second.Connected ? !Answers : !Connects;
+      }));
+}
+
 void TargetReach::noteUnreachable(const TargetId &Target, Timestamp Now) {
   noteFailure(Target, /*Connected=*/false, Now);
 }
@@ -38,12 +51,14 @@
 }
 
 void TargetReach::noteConnected(Timestamp Now) {
+  LastConnectedAt = Now;
   std::erase_if(Failures, [Now](const auto &Entry) {
     return !Entry.second.Connected && Entry.second.At <= Now;
   });
 }
 
-void TargetReach::noteAnswered(Timestamp ConnectedAt) {
+void TargetReach::noteAnswered(Timestamp ConnectedAt, Timestamp Now) {
+  LastAnsweredAt = Now;
   std::erase_if(Failures, [ConnectedAt](const auto &Entry) {
     return Entry.second.At <= ConnectedAt;
   });
--- a/Libraries/LibRouting/TargetReach.h
+++ b/Libraries/LibRouting/TargetReach.h
@@ -33,16 +33,19 @@
 ///
 /// Answers the load of a router whose links to all targets are cut while
 /// callers and other routers reach it. One target that fails says something of
-/// that target; several different ones, with no sign of any since, say
-/// something of this router. Its callers are then served through others: a
-/// wrong belief costs one hop. Probes that run nothing find out when the cut
-/// has ended.
+/// that target; several different ones, with no sign of any since or just
+/// before, say something of this router. Its callers are then served through
+/// others: a wrong belief costs one hop. Probes that run nothing find out when
+/// the cut has ended.
 class TargetReach {
 public:
   /// Different targets that have to fail: half of those that are known, within
   /// these bounds.
   static constexpr size_t MinFailing = 2;
   static constexpr size_t MaxFailing = 6;
+  /// While a target answered this recently, breaks say nothing of this router,
+  /// and while one was connected to, failed connections do not.
+  static constexpr Duration QuietSpan = std::chrono::milliseconds(250);
   /// A failure counts for this long.
   static constexpr Duration FailureLifetime = std::chrono::seconds(3);
   static constexpr Duration ProbeInterval = std::chrono::milliseconds(250);
@@ -73,7 +76,7 @@
   /// Notes a connection to any target. Says nothing of broken ones.
   void noteConnected(Timestamp Now);
   /// Notes an answer on a connection that was made at \p ConnectedAt.
-  void noteAnswered(Timestamp ConnectedAt);
+  void noteAnswered(Timestamp ConnectedAt, Timestamp Now);
 
   bool isCutOff() const { return CutSince.has_value(); }
   /// Notes whether a probe connected and was not reset.
@@ -101,12 +104,16 @@
   };
 
   void noteFailure(const TargetId &Target, bool Connected, Timestamp Now);
+  /// \returns how many targets have failed in a way that nothing contradicts.
+  size_t uncontradictedFailures(Timestamp Now) const;
   bool hasHelper(Timestamp Now) const;
 
   RandomGenerator Random;
   size_t KnownTargets = 0;
   /// The newest failure of each target.
   std::map<TargetId, Failure> Failures;
+  std::optional<Timestamp> LastConnectedAt;
+  std::optional<Timestamp> LastAnsweredAt;
   std::optional<Timestamp> CutSince;
   size_t ProbesNeeded = ProbesToReturn;
   size_t ProbesReached = 0;
--- a/Libraries/LibTraffic/SharedReach.cpp
+++ b/Libraries/LibTraffic/SharedReach.cpp
@@ -80,7 +80,7 @@
 
 void SharedReach::noteAnswered(Timestamp ConnectedAt) {
   std::lock_guard Lock(Mutex);
-  Reach.noteAnswered(ConnectedAt);
+  Reach.noteAnswered(ConnectedAt, steadyNow());
 }
 
 void SharedReach::noteHelper(const HostId &Router, const RouterReach &Told) {
--- a/Tests/LibRouting/TestTargetReach.cpp
+++ b/Tests/LibRouting/TestTargetReach.cpp
@@ -89,13 +89,47 @@
   for (size_t Round = 0; Round < 10; ++Round) {
     for (size_t Number = 0; Number < 2; ++Number)
       Subject.Reach.noteBroken(target(Number), Subject.Now);
-    Subject.Reach.noteAnswered(Subject.Now);
+    Subject.Reach.noteAnswered(Subject.Now, Subject.Now);
     Subject.Now += 20ms;
     Subject.Reach.noteBroken(target(5), Subject.Now);
   }
   BOOST_TEST(!Subject.Reach.isCutOff());
 }
 
+// Two of three targets break off all requests at one moment, the third one
+// answers.
+BOOST_AUTO_TEST_CASE(targets_that_break_beside_one_that_answers_are_no_cut) {
+  Router Subject(3);
+  for (size_t Round = 0; Round < 100; ++Round) {
+    Subject.Reach.noteConnected(Subject.Now);
+    Subject.Reach.noteAnswered(Subject.Now, Subject.Now);
+    Subject.Now += 5ms;
+    Subject.Reach.noteBroken(target(0), Subject.Now);
+    Subject.Reach.noteBroken(target(1), Subject.Now);
+    Subject.Now += 5ms;
+  }
+  BOOST_TEST(!Subject.Reach.isCutOff());
+  // It is cut off with them.
+  Subject.Now += TargetReach::QuietSpan;
+  Subject.Reach.noteBroken(target(0), Subject.Now);
+  Subject.Reach.noteBroken(target(2), Subject.Now);
+  BOOST_TEST(Subject.Reach.isCutOff());
+}
+
+BOOST_AUTO_TEST_CASE(
+    entries_that_lead_nowhere_beside_a_sound_target_are_no_cut) {
+  Router Subject(4);
+  for (size_t Round = 0; Round < 100; ++Round) {
+    Subject.Reach.noteConnected(Subject.Now);
+    Subject.Now += 5ms;
+    Subject.fail(0, 3, 1ms);
+  }
+  BOOST_TEST(!Subject.Reach.isCutOff());
+  Subject.Now += TargetReach::QuietSpan;
+  Subject.fail(0, 3, 1ms);
+  BOOST_TEST(Subject.Reach.isCutOff());
+}
+
 // Streams live on while new connections are refused.
 BOOST_AUTO_TEST_CASE(an_answer_on_an_older_connection_clears_nothing) {
   Router Subject(8);
@@ -103,7 +137,7 @@
   Subject.Now += 100ms;
   for (size_t Number = 0; Number < 4; ++Number) {
     Subject.fail(Number, 1, 10ms);
-    Subject.Reach.noteAnswered(ConnectedAt);
+    Subject.Reach.noteAnswered(ConnectedAt, Subject.Now);
   }
   BOOST_TEST(Subject.Reach.isCutOff());
 }
