--- a/Libraries/LibTraffic/HttpConnection.cpp
+++ b/Libraries/LibTraffic/HttpConnection.cpp
@@ -25,8 +25,8 @@
 static constexpr uint64_t MinBodyProgress = 4ULL << 10;
 /// Longest time between two looks at what a slow caller has taken.
 static constexpr std::chrono::milliseconds SendCheckPeriod{100};
-/// Bytes of a head that need no reservation: the number of connections with a
-/// request bounds the sum of these parts.
+/// Bytes of a head that need no reservation: the number of connections bounds
+/// the sum of these parts.
 static constexpr uint64_t FreeHeadBytes = 8ULL << 10;
 /// A longer head reserves this much, and then as much as a head may take. Grown
 /// in few steps, as what a smaller block took is not free for other heads.
