--- a/Tests/Support/CrashingEngine.cpp
+++ b/Tests/Support/CrashingEngine.cpp
@@ -9,7 +9,6 @@
 using fakes::ReceivedRequest;
 using fakes::ScriptedConnection;
 
-static constexpr auto DownTime = 1s;
 static constexpr auto PromptTime = 30ms;
 static constexpr auto EventPause = 10ms;
 static constexpr int EventsInStream = 3;
@@ -18,9 +17,9 @@
 
 EngineFleet::EngineFleet(RoutedCluster &Cluster, int Count,
                          std::string CrashingPart, CrashSign Sign,
-                         Duration FirstEventDelay)
+                         Duration FirstEventDelay, Duration DownTime)
     : Cluster(Cluster), CrashingPart(std::move(CrashingPart)), Sign(Sign),
-      FirstEventDelay(FirstEventDelay) {
+      FirstEventDelay(FirstEventDelay), DownTime(DownTime) {
   for (int Number = 0; Number < Count; ++Number) {
     Engines.push_back(std::make_unique<Engine>());
     Engine &Added = *Engines.back();
--- a/Tests/Support/CrashingEngine.h
+++ b/Tests/Support/CrashingEngine.h
@@ -25,15 +25,16 @@
 
 /// Engines that announce themselves to the control hosts of a cluster. An
 /// engine that begins an answer on the crashing part ends: all its connections
-/// are reset, or silent, new ones too, until it is back under another id a
-/// second later.
+/// are reset, or silent, new ones too, until it is back under another id.
 class EngineFleet {
 public:
   /// \param FirstEventDelay time from the head of a sound answer to its first
   /// event.
+  /// \param DownTime time until an engine that has ended is back.
   EngineFleet(RoutedCluster &Cluster, int Count, std::string CrashingPart,
               CrashSign Sign = CrashSign::HeadAndReset,
-              Duration FirstEventDelay = {});
+              Duration FirstEventDelay = {},
+              Duration DownTime = std::chrono::seconds(1));
   ~EngineFleet();
 
   /// \returns when engines ended, in order.
@@ -65,6 +66,7 @@
   const std::string CrashingPart;
   const CrashSign Sign;
   const Duration FirstEventDelay;
+  const Duration DownTime;
   mutable std::mutex Mutex;
   std::vector<Timestamp> Crashes;
   std::vector<Timestamp> Arrivals;
