--- a/Libraries/LibRouting/CrashEvidence.cpp
+++ b/Libraries/LibRouting/CrashEvidence.cpp
@@ -56,6 +56,15 @@
   return std::binary_search(Parts.begin(), Parts.end(), Part);
 }
 
+/// \returns when the first of the suspects, which are not none, was broken off.
+static Timestamp firstBreak(const std::vector<CrashSuspect> &Suspects) {
+  return std::min_element(Suspects.begin(), Suspects.end(),
+                          [](const auto &Left, const auto &Right) {
+                            return Left.SeenAt < Right.SeenAt;
+                          })
+      ->SeenAt;
+}
+
 static bool hasBegun(const CrashSuspect &Suspect) {
   return Suspect.Progress == AnswerProgress::Begun;
 }
@@ -172,17 +181,29 @@
   return true;
 }
 
+bool CrashEvidence::wasSentBehindEnd(const Crash &Ended,
+                                     const CrashSuspect &Suspect) {
+  const auto &Suspects = Ended.Report.Suspects;
+  if (hasBegun(Suspect) || Suspects.empty())
+    return false;
+  Timestamp EndedAt = firstBreak(Suspects);
+  return Ended.AliveAt <= EndedAt && Suspect.SentAt > EndedAt &&
+         Suspect.SentAt < EndedAt + EndedSpan;
+}
+
 bool CrashEvidence::addSuspect(Crash &Ended, const CrashSuspect &Suspect,
                                Timestamp Now) {
   CrashReport &Report = Ended.Report;
   std::vector<CrashSuspect> &Suspects = Report.Suspects;
   Timestamp SeenAt = std::min(Suspect.SeenAt, Now);
   if (Suspect.Parts.empty() || Suspect.Parts.size() > MaxIds ||
-      SeenAt + CrashSpan < Report.SeenAt)
+      SeenAt + CrashSpan < Report.SeenAt || SeenAt < Ended.AliveAt ||
+      wasSentBehindEnd(Ended, Suspect))
     return false;
-  bool AnyDropped = std::erase_if(Suspects, [SeenAt](const auto &Each) {
-                      return Each.SeenAt + CrashSpan < SeenAt;
-                    }) > 0;
+  bool AnyDropped =
+      std::erase_if(Suspects, [&](const auto &Each) {
+        return Each.SeenAt + CrashSpan < SeenAt || Each.SeenAt < Ended.AliveAt;
+      }) > 0;
   if (AnyDropped) {
     Ended.LearntAt = Now;
     std::erase_if(Report.Marks, [&Suspects](const auto &Entry) {
@@ -201,7 +222,7 @@
     return false;
   if (Suspects.size() >= MaxSuspects && !makeRoom(Report, Suspect, Now))
     return false;
-  Suspects.push_back({Suspect.Parts, Suspect.Progress, SeenAt});
+  Suspects.push_back({Suspect.Parts, Suspect.Progress, SeenAt, Suspect.SentAt});
   for (uint64_t Part : Suspect.Parts) {
     CrashReport::ServedMarks &PartMarks = Report.Marks[Part];
     PartMarks.ServedBefore = PartMarks.ServedBefore || wasServed(Part, Now);
@@ -216,6 +237,11 @@
   return addSuspect(*touch(Ended, Now, Now), Suspect, Now);
 }
 
+void CrashEvidence::noteAnswered(CrashId Incarnation, Timestamp SentAt) {
+  if (auto Found = Crashes.find(Incarnation); Found != Crashes.end())
+    Found->second.AliveAt = std::max(Found->second.AliveAt, SentAt);
+}
+
 std::vector<CrashId> CrashEvidence::noteServed(const PartSet &Parts,
                                                Timestamp Now) {
   std::vector<CrashId> Changed;
--- a/Libraries/LibRouting/CrashEvidence.h
+++ b/Libraries/LibRouting/CrashEvidence.h
@@ -55,6 +55,9 @@
   AnswerProgress Progress = AnswerProgress::Waiting;
   /// When its answer was broken off.
   Timestamp SeenAt;
+  /// When it was sent. Known to the router that sent it only; for others it
+  /// counts as sent before the target ended.
+  Timestamp SentAt = {};
 };
 
 /// The end of one incarnation of a target, as all routers together saw it.
@@ -98,6 +101,10 @@
 /// Collects crashes and finds the part of a prompt that is in all of them, or
 /// the request that is. Owns no clock; callers serialise all calls.
 ///
+/// A target that has ended resets what is sent to it until all routers know.
+/// Requests without any answer that were sent behind the first break are no
+/// suspects, unless the target has answered another one since.
+///
 /// Answers the load of a part that crashes each target which begins an answer
 /// on it, among sound requests that share the caller, the route and all other
 /// parts, and that run at the same targets when these end. Requests whose
@@ -123,6 +130,9 @@
   static constexpr size_t MaxSuspects = 16;
   /// The end of a target breaks off all its answers within this time.
   static constexpr Duration CrashSpan = std::chrono::seconds(1);
+  /// Routers send nothing more to a target that ended this long ago: its
+  /// announcements are missing.
+  static constexpr Duration EndedSpan = std::chrono::seconds(10);
   static constexpr size_t MaxParts = 32;
   /// Ids of a suspect: its parts, and two of the request.
   static constexpr size_t MaxIds = MaxParts + 2;
@@ -147,6 +157,10 @@
   /// \returns whether this is new.
   bool noteSuspect(CrashId Ended, const CrashSuspect &Suspect, Timestamp Now);
 
+  /// Notes the head of an answer to a request that was sent at \p SentAt, and
+  /// thus that the target had not ended by then.
+  void noteAnswered(CrashId Incarnation, Timestamp SentAt);
+
   /// Notes a whole answer to a prompt with \p Parts.
   /// \returns the crashes whose suspects have one of the parts, if that is new.
   std::vector<CrashId> noteServed(const PartSet &Parts, Timestamp Now);
@@ -174,6 +188,9 @@
     CrashReport Report;
     /// When this router learnt of it.
     Timestamp LearntAt;
+    /// When the newest request was sent that the target has answered since this
+    /// router knows of the crash.
+    Timestamp AliveAt;
   };
 
   /// How many crashes a part is in, and with which others.
@@ -208,6 +225,8 @@
   using Incidences = std::map<uint64_t, Incidence>;
 
   Crash *touch(CrashId Ended, Timestamp SeenAt, Timestamp Now);
+  /// Whether the target may have ended before the suspect was sent.
+  static bool wasSentBehindEnd(const Crash &Ended, const CrashSuspect &Suspect);
   bool addSuspect(Crash &Ended, const CrashSuspect &Suspect, Timestamp Now);
   bool makeRoom(CrashReport &Report, const CrashSuspect &Suspect,
                 Timestamp Now) const;
--- a/Libraries/LibRouting/PartQuarantine.cpp
+++ b/Libraries/LibRouting/PartQuarantine.cpp
@@ -92,6 +92,11 @@
   decideSoon(Now);
 }
 
+void PartQuarantine::noteAnswered(const TargetId &Target, Incarnation Answering,
+                                  Timestamp SentAt) {
+  Evidence.noteAnswered(crashIdOf(Target, Answering), SentAt);
+}
+
 void PartQuarantine::noteServed(const PartSet &Parts, Timestamp Now) {
   for (CrashId Changed : Evidence.noteServed(Parts, Now))
     ChangedCrashes.insert(Changed);
--- a/Libraries/LibRouting/PartQuarantine.h
+++ b/Libraries/LibRouting/PartQuarantine.h
@@ -101,6 +101,9 @@
   /// Notes that a request was broken off by its target.
   void noteBroken(const TargetId &Target, Incarnation Ended,
                   const CrashSuspect &Suspect, Timestamp Now);
+  /// Notes the head of an answer to a request that was sent at \p SentAt.
+  void noteAnswered(const TargetId &Target, Incarnation Answering,
+                    Timestamp SentAt);
   /// Notes a whole answer to a prompt with \p Parts.
   void noteServed(const PartSet &Parts, Timestamp Now);
   /// Whether a request that was broken off may be sent to another target.
--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -313,12 +313,15 @@
       Context.Dialect.WriteTarget(Exchange.head(), detailsFor(Destination));
   if (!Body.empty() || Exchange.method() != "GET")
     Head.setContentLength64(static_cast<Poco::Int64>(Body.size()));
+  SentAt = steadyNow();
   if (auto Sent = Target.trySend(Head, Body, limits()); !Sent)
     return recordFailure(Destination, Sent.error(),
                          Sent.error().Kind != LinkErrorKind::NotSent);
   if (auto Received = Target.tryReceiveHead(limits()); !Received)
     return recordFailure(Destination, Received.error(), /*Sent=*/true);
   Context.Reach.noteAnswered(ConnectedAt);
+  Context.Quarantine.noteAnswered(Destination.Target, Destination.Incarnation,
+                                  SentAt);
   return relayAnswer(Destination, Target);
 }
 
@@ -564,7 +567,7 @@
   if (Sent && TargetEnded && answerProgress() != AnswerProgress::Streaming)
     Context.Quarantine.noteBroken(
         Destination.Target, Destination.Incarnation,
-        {identified(), answerProgress(), steadyNow()});
+        {identified(), answerProgress(), steadyNow(), SentAt});
   if (CallerLeft) {
     endAttempt(Destination, CallEnd::Abandoned, NextStep::Done);
     Context.Metrics.CallersLeft.add();
--- a/Libraries/LibTraffic/RoutedRelay.h
+++ b/Libraries/LibTraffic/RoutedRelay.h
@@ -161,6 +161,8 @@
   BudgetShare LargeAnswer;
   /// How the newest answer of a target was framed, once its head has come.
   std::optional<FramingKind> Framing;
+  /// When the request was sent to the target of the current attempt.
+  Timestamp SentAt;
   /// When the first event of the newest answer came; nothing before that.
   std::optional<Timestamp> FirstEventAt;
   /// Identifies Call.Loan at its lender.
--- a/Libraries/LibTraffic/SharedQuarantine.cpp
+++ b/Libraries/LibTraffic/SharedQuarantine.cpp
@@ -66,6 +66,15 @@
   });
 }
 
+void SharedQuarantine::noteAnswered(const TargetId &Target,
+                                    Incarnation Answering, Timestamp SentAt) {
+  // While no crash is known, there is nothing that the answer contradicts.
+  if (!judgesRequests())
+    return;
+  std::lock_guard Lock(Mutex);
+  Quarantine.noteAnswered(Target, Answering, SentAt);
+}
+
 void SharedQuarantine::noteServed(const PartSet &Parts) {
   if (Parts.empty())
     return;
--- a/Tests/LibRouting/TestPartQuarantine.cpp
+++ b/Tests/LibRouting/TestPartQuarantine.cpp
@@ -263,6 +263,61 @@
   BOOST_TEST(Subject.admits({Lead, Sound}));
 }
 
+// Until the routers know that a target has ended, they send sound requests
+// there, which are reset one after the other.
+BOOST_AUTO_TEST_CASE(resets_by_a_target_that_has_ended_hide_no_crash) {
+  static constexpr Duration Step = 100ms;
+  static constexpr Duration Pause = 400ms;
+  static constexpr Duration DownTime = 3s;
+  static constexpr int Crashes = 5;
+  Router Subject;
+  Subject.serve({Lead, Sound});
+  const Timestamp Fifth = Subject.Now + Pause * (Crashes - 1);
+  uint64_t Sent = 0;
+  while (Subject.Now < Fifth + CrashEvidence::DecisionDelayOfServed + Step) {
+    for (int Crash = 0; Crash < Crashes; ++Crash) {
+      Timestamp EndedAt = Start + Pause * Crash;
+      PartSet Parts = Subject.Now == EndedAt ? PartSet{Lead, Crashing}
+                                             : PartSet{Lead, Sound};
+      if (EndedAt <= Subject.Now && Subject.Now < EndedAt + DownTime)
+        Subject.Quarantine.noteBroken(
+            {"i-" + std::to_string(Crash)}, {1},
+            {withRequestIds(Parts, {requestIdOf(++Sent)}),
+             AnswerProgress::Waiting, Subject.Now, Subject.Now - 5ms},
+            Subject.Now);
+    }
+    Subject.serve({Lead, Sound});
+    Subject.Now += Step;
+  }
+  BOOST_TEST(!Subject.admits({Lead, Crashing}));
+  BOOST_TEST(Subject.admits({Lead, Sound}));
+}
+
+// Each target has broken off an answer before, without a head, and answered
+// others since.
+BOOST_AUTO_TEST_CASE(a_target_that_has_answered_since_a_break_may_end) {
+  Router Subject;
+  Subject.serve({Lead, Sound});
+  for (int Crash = 0; Crash < 5; ++Crash) {
+    TargetId Target{"i-" + std::to_string(Crash)};
+    auto Break = [&](const PartSet &Parts) {
+      Subject.Quarantine.noteBroken(
+          Target, {1},
+          {Parts, AnswerProgress::Waiting, Subject.Now, Subject.Now - 5ms},
+          Subject.Now);
+    };
+    Break({Lead, Sound});
+    Subject.Now += 200ms;
+    Subject.Quarantine.noteAnswered(Target, {1}, Subject.Now - 50ms);
+    Subject.Now += 200ms;
+    Break({Lead, Crashing});
+    Subject.serve({Lead, Sound});
+  }
+  Subject.Now += Later;
+  BOOST_TEST(!Subject.admits({Lead, Crashing}));
+  BOOST_TEST(Subject.admits({Lead, Sound}));
+}
+
 // More answers have begun at the target than a report of its end holds.
 BOOST_AUTO_TEST_CASE(a_busy_target_hides_no_request_without_head) {
   for (bool First : {true, false}) {
