--- a/Tests/Support/HostileCrowd.cpp
+++ b/Tests/Support/HostileCrowd.cpp
@@ -75,8 +75,8 @@
 
 /// \returns the address as /proc/net/tcp has it.
 static std::string procHex(const std::string &Address) {
-  const auto *Octets =
-      static_cast<const unsigned char *>(IPAddress(Address).addr());
+  const IPAddress Parsed(Address);
+  const auto *Octets = static_cast<const unsigned char *>(Parsed.addr());
   std::array<char, 16> Text;
   std::snprintf(Text.data(), Text.size(), "%02X%02X%02X%02X", Octets[3],
                 Octets[2], Octets[1], Octets[0]);
--- a/Tests/Support/HostileCrowd.h
+++ b/Tests/Support/HostileCrowd.h
@@ -62,6 +62,8 @@
   /// \returns the peak of the resident memory since the start of the process,
   /// and the most bytes that its sockets held unread.
   uint64_t peakBytes() const;
+  /// \returns the second part of these.
+  uint64_t peakUnreadBytes() const { return UnreadBytes; }
   size_t peakDescriptors() const { return Descriptors; }
 
   /// \returns the resident bytes now.
--- a/Tests/Support/HostileDeployment.h
+++ b/Tests/Support/HostileDeployment.h
@@ -7,6 +7,7 @@
 #include "Support/HostileCrowd.h"
 #include "Support/RoutedCluster.h"
 #include <boost/test/unit_test.hpp>
+#include <functional>
 #include <ostream>
 
 namespace ferry::test {
@@ -35,13 +36,16 @@
   /// A request in progress has a connection to a target too.
   size_t DescriptorsPerCaller = 1;
   Served When = Served::Afterwards;
+  /// Connections that the memory of a machine has to suffice for.
+  uint64_t MachineConnections = MaxConnections;
 };
 
 /// \returns the part of a machine's memory that a crowd may lead to.
 inline uint64_t memoryBound(uint64_t Machine, uint64_t Before,
                             const CrowdOptions &Options) {
   uint64_t Fixed = Before + Options.SharedMemory;
-  return Fixed + (Machine - Fixed) * Options.Callers / MaxConnections;
+  return Fixed +
+         (Machine - Fixed) * Options.Callers / Options.MachineConnections;
 }
 
 inline std::string repeated(const std::string &Text, size_t Count) {
@@ -59,7 +63,9 @@
 class HostileDeployment {
 public:
   /// \param Limits members of the routes, each with a comma behind it.
-  explicit HostileDeployment(const std::string &Limits = "")
+  /// \param Settings lines of the processes' settings.
+  explicit HostileDeployment(const std::string &Limits = "",
+                             const std::string &Settings = "")
       : Cluster(PeerLinks::Direct, 1),
         Sound([](const fakes::ReceivedRequest &Read,
                  fakes::ScriptedConnection &Link) {
@@ -74,6 +80,7 @@
                      "\r\nX-Server-Seal: s\r\nContent-Length: " +
                      std::to_string(Body.size()) + "\r\n\r\n" + Body);
         }) {
+    Cluster.addSettings(Settings);
     Cluster.startControl(1);
     Cluster.startRouter(11);
     std::string Routes =
@@ -110,25 +117,33 @@
   /// Lets the crowd loose on \p Address of \p Host and checks what holds.
   void bear(int Host, const std::string &Address, uint64_t Machine,
             const HostileBytes &Bytes, const CrowdOptions &Options = {}) {
+    bear(Host, Address, Machine, Bytes.Name, Options, [&] {
+      HostileCrowd Callers(Address, Options.Callers, Bytes);
+      std::this_thread::sleep_for(CrowdTime);
+      if (Options.When == Served::Beside)
+        BOOST_TEST(isServed());
+    });
+  }
+
+  /// Runs \p Misuse of \p Address of \p Host and checks what holds.
+  void bear(int Host, const std::string &Address, uint64_t Machine,
+            const std::string &Name, const CrowdOptions &Options,
+            const std::function<void()> &Misuse) {
     int Process = Cluster.host(Host).id();
     uint64_t Before = ProcessUsage::residentBytes(Process);
     ProcessUsage Usage(Process, Address);
     std::this_thread::sleep_for(std::chrono::milliseconds(200));
     size_t DescriptorsBefore = Usage.peakDescriptors();
-    {
-      HostileCrowd Callers(Address, Options.Callers, Bytes);
-      std::this_thread::sleep_for(CrowdTime);
-      if (Options.When == Served::Beside)
-        BOOST_TEST(isServed());
-    }
+    Misuse();
     if (Options.When == Served::Afterwards)
       BOOST_TEST(isServed());
     Usage.stop();
     BOOST_REQUIRE(Cluster.host(Host).isRunning());
-    BOOST_TEST_MESSAGE(Bytes.Name << ": " << (Before >> 10)
-                                  << " KiB before, peak "
-                                  << (Usage.peakBytes() >> 10) << " KiB, "
-                                  << Usage.peakDescriptors() << " descriptors");
+    BOOST_TEST_MESSAGE(Name << ": " << (Before >> 10) << " KiB before, peak "
+                            << (Usage.peakBytes() >> 10) << " KiB, "
+                            << (Usage.peakUnreadBytes() >> 10)
+                            << " of them unread, " << Usage.peakDescriptors()
+                            << " descriptors");
     BOOST_TEST(Usage.peakBytes() <= memoryBound(Machine, Before, Options));
     BOOST_TEST(Usage.peakDescriptors() <=
                DescriptorsBefore +
--- a/Tests/Support/RoutedCluster.cpp
+++ b/Tests/Support/RoutedCluster.cpp
@@ -50,7 +50,7 @@
     Text += "  peer_port: " + std::to_string(PeerPort) + "\n";
   Text += "routed:\n  announce_interval_ms: 400\n  grace_ms: 3000\n"
           "  directory_lifetime_ms: 200\n  targets_check_fencing: true\n" +
-          RoutedSettings;
+          RoutedSettings + Sections;
   Text +=
       "listen:\n  operators: \"" + operators(Host) + "\"\n  peers: \"" +
       (Links == PeerLinks::ThroughProxies ? proxiedPeers(Host) : peers(Host)) +
--- a/Tests/Support/RoutedCluster.h
+++ b/Tests/Support/RoutedCluster.h
@@ -48,6 +48,8 @@
 
   /// Adds lines to the section "routed" of processes started from now on.
   void addRoutedSettings(const std::string &Lines) { RoutedSettings += Lines; }
+  /// Adds sections to the settings of processes started from now on.
+  void addSettings(const std::string &Lines) { Sections += Lines; }
   void startControl(int Host, LogFormation MayForm = LogFormation::Allowed);
   void startRouter(int Host);
   /// Starts the seeds and the routers 11 and 12.
@@ -101,6 +103,7 @@
   PeerLinks Links;
   int Seeds;
   std::string RoutedSettings;
+  std::string Sections;
   std::string Network;
   std::filesystem::path Folder;
   std::map<int, std::unique_ptr<TestProcess>> Hosts;
