--- a/Libraries/LibTraffic/TargetExchange.cpp
+++ b/Libraries/LibTraffic/TargetExchange.cpp
@@ -11,9 +11,14 @@
 #include <poll.h>
 #include <sstream>
 #include <sys/socket.h>
+#include <utility>
 
 namespace ferry::traffic {
 
+/// A body of this size is sent behind its head in one call. A longer one is not
+/// copied, as the memory of bodies is counted once.
+static constexpr size_t MaxJoinedBytes = 16 << 10;
+
 /// Longest wait for a connection. Hosts of a deployment are a few milliseconds
 /// apart, and the kernel resends a lost first packet only after a second.
 /// Another target serves the request in less.
@@ -109,16 +114,22 @@
                                          const WaitLimits &Limits) {
   std::ostringstream Text;
   Head.write(Text);
-  std::string Bytes = Text.str() + Body;
+  std::string First = Text.str();
+  std::string_view Rest = Body;
+  if (Body.size() <= MaxJoinedBytes)
+    First.append(std::exchange(Rest, {}));
   size_t Sent = 0;
-  while (Sent < Bytes.size()) {
+  while (Sent < First.size() + Rest.size()) {
+    std::string_view Unsent = Sent < First.size()
+                                  ? std::string_view(First).substr(Sent)
+                                  : Rest.substr(Sent - First.size());
     // The thread may have been suspended since the caller looked at the clock.
     if (steadyNow() >= Limits.Deadline)
       return makeTypedError(Sent == 0 ? LinkErrorKind::NotSent
                                       : LinkErrorKind::DeadlinePassed,
                             "the deadline passed before the request was sent");
-    ssize_t Count = ::send(Socket.impl()->sockfd(), Bytes.data() + Sent,
-                           Bytes.size() - Sent, MSG_NOSIGNAL);
+    ssize_t Count = ::send(Socket.impl()->sockfd(), Unsent.data(),
+                           Unsent.size(), MSG_NOSIGNAL);
     if (Count > 0) {
       Sent += static_cast<size_t>(Count);
       continue;
