--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -405,8 +405,7 @@
                           [this](uint64_t Bytes) { return mayHold(Bytes); });
   if (!Answer)
     return recordFailure(Destination, Answer.error(), /*Sent=*/true);
-  // The connection was ended here, which no framing shows.
-  if (AtTarget->wasEnded())
+  if (wasCutShort(Target))
     return recordFailure(Destination, targetReplaced(), /*Sent=*/true);
   Context.Placements.firstByte(Destination.PlacementId);
   int Status = Target.head().getStatus();
@@ -452,7 +451,7 @@
       return handleStreamFailure(Destination,
                                  {LinkErrorKind::CallerGone, "write"});
   }
-  if (AtTarget->wasEnded())
+  if (wasCutShort(Target))
     return handleStreamFailure(Destination, targetReplaced());
   // No framing shows this: a target may end its answer in order where its work
   // was broken off.
--- a/Libraries/LibTraffic/RoutedRelayFailures.cpp
+++ b/Libraries/LibTraffic/RoutedRelayFailures.cpp
@@ -74,6 +74,10 @@
   return {LinkErrorKind::Broken, "another incarnation replaced the target"};
 }
 
+bool RoutedRelay::wasCutShort(const TargetExchange &Target) const {
+  return Target.framing() == FramingKind::Connection && AtTarget->wasEnded();
+}
+
 void RoutedRelay::noteSuspect(const PlacedCall &Destination, TargetFate Fate) {
   if (answerProgress() == AnswerProgress::Streaming)
     return;
