--- a/Libraries/LibTraffic/HttpConnection.cpp
+++ b/Libraries/LibTraffic/HttpConnection.cpp
@@ -11,6 +11,7 @@
 #include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
+#include <utility>
 
 namespace ferry::traffic {
 
@@ -35,6 +36,10 @@
 static constexpr std::chrono::seconds HeadBudgetRetryDelay{1};
 /// Bytes of an answer that the kernel buffers for a slow peer.
 static constexpr int SendBufferBytes = 64 << 10;
+/// Bytes that the kernel receives ahead of a body with an announced length,
+/// whose memory is reserved. Without a limit the kernel's buffer grows with the
+/// speed of the caller, up to megabytes.
+static constexpr int BodyReceiveBufferBytes = 64 << 10;
 /// Largest number of bytes of an unread request body that are discarded before
 /// the close. A close with unread bytes would reset the connection, and the
 /// caller could lose the answer.
@@ -241,6 +246,7 @@
   Response.setVersion(Request.getVersion());
   Response.setKeepAlive(Request.getKeepAlive());
   Context.Watch.setDeadline(WatchId, steadyNow() + Context.BodyReadLimit);
+  BodyAnnounced = Request.hasContentLength();
   HttpExchange Exchange(
       Request, Response, Socket, Context.Budget,
       [this](char *Buffer, int Size) { return readBody(Buffer, Size); },
@@ -264,7 +270,20 @@
   return Request.getKeepAlive() ? Action::AwaitTakenAndClose : Action::Close;
 }
 
+void HttpConnection::setReceiveBuffer(int Bytes) {
+  try {
+    Socket.setReceiveBufferSize(Bytes);
+  } catch (const Poco::Exception &) {
+    // The connection has ended, which the next read tells.
+  }
+}
+
 int HttpConnection::readBody(char *Buffer, int Size) {
+  if (BodyAnnounced && BodyProgress && *BodyProgress >= MinBodyProgress &&
+      !ReceivesAhead) {
+    ReceivesAhead = true;
+    setReceiveBuffer(BodyReceiveBufferBytes);
+  }
   if (!BodyProgress || *BodyProgress >= MinBodyProgress) {
     BodyProgress = 0;
     Context.Watch.setAwaitedSince(WatchId, steadyNow());
@@ -279,6 +298,8 @@
   if (BodyProgress)
     Context.Watch.setAwaitedSince(WatchId, NeverExpires);
   BodyProgress.reset();
+  if (std::exchange(ReceivesAhead, false))
+    setReceiveBuffer(ReceiveBufferBytes);
 }
 
 HttpConnection::Action HttpConnection::rejectHead(const ErrorAnswer &Error) {
--- a/Libraries/LibTraffic/HttpConnection.h
+++ b/Libraries/LibTraffic/HttpConnection.h
@@ -42,6 +42,11 @@
   HttpConnection(const HttpConnection &) = delete;
   HttpConnection &operator=(const HttpConnection &) = delete;
 
+  /// Bytes that the kernel receives ahead on a connection, unless a body with
+  /// an announced length is being read. Connections that wait, to be accepted
+  /// or for a thread, hold about as much.
+  static constexpr int ReceiveBufferBytes = 16 << 10;
+
   /// \returns the most raw bytes of a head with the limit \p MaxHeaderBytes.
   static uint64_t maxHeadBytes(uint64_t MaxHeaderBytes);
 
@@ -144,6 +149,7 @@
   /// Reads the next bytes of a body, and notes how long the caller takes.
   int readBody(char *Buffer, int Size);
   void endBody();
+  void setReceiveBuffer(int Bytes);
   /// Answers a request whose head could not be used, and whose end is thus
   /// unknown.
   Action rejectHead(const ErrorAnswer &Error);
@@ -158,6 +164,10 @@
   /// Bytes of a body since the caller was last awaited anew; nothing before the
   /// first and after the last read.
   std::optional<uint64_t> BodyProgress;
+  /// Whether the current request has the length of its body.
+  bool BodyAnnounced = false;
+  /// Whether the kernel may receive more of the current body ahead.
+  bool ReceivesAhead = false;
   ConnectionWatch::Id WatchId = 0;
 };
 
--- a/Libraries/LibTraffic/HttpExchange.cpp
+++ b/Libraries/LibTraffic/HttpExchange.cpp
@@ -13,7 +13,7 @@
 /// with the announced length.
 static constexpr uint64_t BodyChunkBytes = 64ULL << 10;
 /// The same of a body in chunks, most of which are small.
-static constexpr uint64_t ChunkedPieceBytes = 8ULL << 10;
+static constexpr uint64_t ChunkedPieceBytes = 4ULL << 10;
 /// Time after which a request that was refused for lack of body memory may be
 /// sent again.
 static constexpr std::chrono::seconds BodyBudgetRetryDelay{1};
--- a/Libraries/LibTraffic/HttpListener.cpp
+++ b/Libraries/LibTraffic/HttpListener.cpp
@@ -89,6 +89,8 @@
   try {
     ServerSocket Socket;
     Socket.bind(Address, true, false);
+    // Connections take it over, those in the kernel's queue too.
+    Socket.setReceiveBufferSize(HttpConnection::ReceiveBufferBytes);
     Socket.listen(ListenBacklog);
     return std::unique_ptr<HttpListener>(
         new HttpListener(Options, std::move(HandleRequest), Socket));
