--- a/Tests/System/TestHostileCallers.cpp
+++ b/Tests/System/TestHostileCallers.cpp
@@ -44,6 +44,15 @@
   }));
 }
 
+BOOST_DATA_TEST_CASE(callers_of_the_readiness_listener, data::make(Kinds),
+                     Bytes) {
+  HostileDeployment Subject;
+  Subject.bear(11, Subject.Cluster.readiness(11), RouterMemory, Bytes);
+  BOOST_TEST(TestCluster::eventually([&] {
+    return request(Subject.Cluster.readiness(11), "GET", "/").Status != 0;
+  }));
+}
+
 BOOST_DATA_TEST_CASE(callers_of_a_control_host, data::make(Kinds), Bytes) {
   HostileDeployment Subject;
   Subject.bear(1, Subject.Cluster.control(1), ControlMemory, Bytes);
