--- a/Libraries/LibRouting/CrashEvidence.cpp
+++ b/Libraries/LibRouting/CrashEvidence.cpp
@@ -115,10 +115,12 @@
   return std::nullopt;
 }
 
+std::optional<Timestamp> CrashEvidence::lastServed(uint64_t Part) const {
+  return (isRequestId(Part) ? ServedRequests : ServedParts).lastServed(Part);
+}
+
 bool CrashEvidence::wasServed(uint64_t Part, Timestamp Now) const {
-  const ServedHistory &History =
-      isRequestId(Part) ? ServedRequests : ServedParts;
-  auto ServedAt = History.lastServed(Part);
+  auto ServedAt = lastServed(Part);
   return ServedAt && *ServedAt + Lifetime > Now;
 }
 
@@ -237,6 +239,19 @@
   return addSuspect(*touch(Ended, Now, Now), Suspect, Now);
 }
 
+bool CrashEvidence::noteReplaced(CrashId Ended, const CrashSuspect &Suspect,
+                                 Timestamp Now) {
+  if (!noteSuspect(Ended, Suspect, Now))
+    return false;
+  auto &Marks = Crashes.at(Ended).Report.Marks;
+  for (uint64_t Part : Suspect.Parts) {
+    auto ServedAt = lastServed(Part);
+    if (ServedAt && *ServedAt > Suspect.SentAt)
+      Marks.at(Part).ServedAfter = true;
+  }
+  return true;
+}
+
 void CrashEvidence::noteAnswered(CrashId Incarnation, Timestamp SentAt) {
   if (auto Found = Crashes.find(Incarnation); Found != Crashes.end())
     Found->second.AliveAt = std::max(Found->second.AliveAt, SentAt);
--- a/Libraries/LibRouting/CrashEvidence.h
+++ b/Libraries/LibRouting/CrashEvidence.h
@@ -157,6 +157,10 @@
   /// \returns whether this is new.
   bool noteSuspect(CrashId Ended, const CrashSuspect &Suspect, Timestamp Now);
 
+  /// The same for a request whose target had ended unnoticed, at any time since
+  /// the request was sent. What was served since then does not crash targets.
+  bool noteReplaced(CrashId Ended, const CrashSuspect &Suspect, Timestamp Now);
+
   /// Notes the head of an answer to a request that was sent at \p SentAt, and
   /// thus that the target had not ended by then.
   void noteAnswered(CrashId Incarnation, Timestamp SentAt);
@@ -232,6 +236,7 @@
                 Timestamp Now) const;
   bool hasUnservedPart(const CrashSuspect &Suspect, Timestamp Now) const;
   bool isInOtherCrash(const CrashSuspect &Suspect, CrashId Ended) const;
+  std::optional<Timestamp> lastServed(uint64_t Part) const;
   bool wasServed(uint64_t Part, Timestamp Now) const;
   /// \returns the crashes that are not too old, oldest first.
   std::vector<const Crash *> recentCrashes(Timestamp Now) const;
--- a/Libraries/LibRouting/PartQuarantine.cpp
+++ b/Libraries/LibRouting/PartQuarantine.cpp
@@ -94,10 +94,15 @@
 
 void PartQuarantine::noteReplaced(const TargetId &Target, Incarnation Ended,
                                   CrashSuspect Suspect, Timestamp Now) {
-  const CrashReport *Known = Evidence.find(crashIdOf(Target, Ended));
+  CrashId Id = crashIdOf(Target, Ended);
+  judgeRequests(Suspect.Parts, CrashEvidence::Lifetime, Now);
+  const CrashReport *Known = Evidence.find(Id);
   // Other requests may have been broken off as the target ended.
   Suspect.SeenAt = Known == nullptr ? Now : Known->SeenAt;
-  noteBroken(Target, Ended, Suspect, Now);
+  if (!Evidence.noteReplaced(Id, Suspect, Now))
+    return;
+  ChangedCrashes.insert(Id);
+  decideSoon(Now);
 }
 
 void PartQuarantine::noteAnswered(const TargetId &Target, Incarnation Answering,
--- a/Tests/LibRouting/TestUnansweredCalls.cpp
+++ b/Tests/LibRouting/TestUnansweredCalls.cpp
@@ -99,3 +99,24 @@
     BOOST_TEST((Subject.check({Lead, Sound}, Now) == PartAdmission::Admitted));
   }
 }
+
+// All targets of a service end silently and are back one after the other. Sound
+// requests were served between, and none is since.
+BOOST_AUTO_TEST_CASE(what_was_served_meanwhile_is_not_blamed) {
+  static constexpr uint64_t Request = requestIdOf(7);
+  PartQuarantine Subject;
+  Timestamp Now = Start;
+  for (Timestamp End = Now + 2s; Now < End; Now += 100ms)
+    Subject.noteServed({Lead, Sound, Request}, Now);
+  for (int Crash = 0; Crash < 8; ++Crash) {
+    Subject.noteReplaced(
+        {"i-" + std::to_string(Crash)}, {1},
+        {{Lead, Sound, Request}, AnswerProgress::Begun, Now, Start + 1s}, Now);
+    Now += 300ms;
+    BOOST_TEST((Subject.check({Lead, Sound, Request}, Now) ==
+                PartAdmission::Admitted));
+  }
+  Now += CrashEvidence::DecisionDelayOfServed;
+  BOOST_TEST(
+      (Subject.check({Lead, Sound, Request}, Now) == PartAdmission::Admitted));
+}
