--- a/Libraries/LibRouting/CrashEvidence.cpp
+++ b/Libraries/LibRouting/CrashEvidence.cpp
@@ -56,7 +56,8 @@
   return std::binary_search(Parts.begin(), Parts.end(), Part);
 }
 
-/// \returns when the first of the suspects, which are not none, was broken off.
+/// \returns when the first of \p Suspects, of which there is one at least, was
+/// broken off.
 static Timestamp firstBreak(const std::vector<CrashSuspect> &Suspects) {
   return std::min_element(Suspects.begin(), Suspects.end(),
                           [](const auto &Left, const auto &Right) {
