review: Case 8 cuts off one machine of six, a share of 0.167

One of five machines is a share of 0.2, and the site file's node_cut has 0.17. A third router makes it six.

--- a/review/LateLeave.cpp
+++ b/review/LateLeave.cpp
@@ -17,7 +17,7 @@
 
 static constexpr int Controls = 3;
 static constexpr int FirstRouter = 11;
-static constexpr int Routers = 2;
+static constexpr int Routers = 3;
 static constexpr int Engines = 10;
 static constexpr int Restarted = 2;
 /// The partition holds the calls up for this long.
