--- a/Libraries/LibMembership/Events.h
+++ b/Libraries/LibMembership/Events.h
@@ -4,9 +4,11 @@
 #define FERRY_LIBMEMBERSHIP_EVENTS_H
 
 #include "LibCore/HostStanding.h"
+#include "LibCore/LeaveLedger.h"
 #include "LibCore/TargetRecord.h"
 #include "LibWire/Generated/Membership_types.h"
 #include <variant>
+#include <vector>
 
 namespace ferry::membership {
 
@@ -42,6 +44,11 @@
   ferry::Incarnation Incarnation;
 };
 
+/// The log of this control host has recorded these leaves, the oldest first.
+struct LeavesRecorded {
+  std::vector<RecordedLeave> Leaves;
+};
+
 /// \p From sent \p Message.
 struct MembershipReceived {
   HostId From;
@@ -74,9 +81,9 @@
 };
 
 using MembershipEvent =
-    std::variant<TargetAnnounced, TargetLeaveNoticed, MembershipReceived,
-                 LocalStanding, DescriptionApplied, LocalConfirmed,
-                 MembershipTick, SeedAdded>;
+    std::variant<TargetAnnounced, TargetLeaveNoticed, LeavesRecorded,
+                 MembershipReceived, LocalStanding, DescriptionApplied,
+                 LocalConfirmed, MembershipTick, SeedAdded>;
 
 /// Send \p Message to \p To.
 struct MembershipSend {
@@ -111,6 +118,13 @@
   ferry::Incarnation Greatest;
 };
 
+/// A router has told this control host of a leave that it noticed. The log is
+/// to record it.
+struct NoticedLeaveReceived {
+  TargetId Target;
+  ferry::Incarnation Incarnation;
+};
+
 /// A peer remembered a later incarnation of this host, so this host has raised
 /// its incarnation to \p Raised.
 struct IncarnationRaised {
@@ -121,7 +135,7 @@
 using MembershipEffect =
     std::variant<MembershipSend, TargetsChanged, HostsChanged,
                  NewerDescriptionSeen, ConfirmationReceived,
-                 AnnouncementRefused, IncarnationRaised>;
+                 AnnouncementRefused, NoticedLeaveReceived, IncarnationRaised>;
 
 } // namespace ferry::membership
 
--- a/Libraries/LibMembership/Exchange.cpp
+++ b/Libraries/LibMembership/Exchange.cpp
@@ -18,6 +18,9 @@
 /// No further delta is added to a reply that has more changes than this.
 static constexpr size_t MaxChanges = 64;
 
+/// Maximum number of recorded leaves in one reply.
+static constexpr size_t MaxLeavesInReply = 256;
+
 static int32_t wholeMillis(Duration Age) {
   static constexpr int64_t MaxMillis = 1'000'000'000;
   // Rounded up, because an age must never be understated.
@@ -35,6 +38,7 @@
   wire::MembershipAsk Ask;
   Ask.AskNumber = PendingQueries.back().Number;
   Ask.Wants = std::move(Wants);
+  Ask.__set_LeavesAfter(static_cast<int64_t>(Recorded.newestNumber()));
   if (Settings.Source == HostSource::Discovered) {
     const Origin &Own = Origins.at(OwnTag);
     Ask.__set_Asker(introductionOf(Own));
@@ -96,6 +100,7 @@
     // A router tells only one control host of a leave that it noticed.
     if (!IsNew || !FromRouter || Settings.Duty != HostDuty::Control)
       continue;
+    Out.emplace_back(NoticedLeaveReceived{Target, Left});
     for (int32_t Tag : NearTags)
       if (Origins.at(Tag).Host.Id != From)
         sendLeaveMark(Target, Left, Origins.at(Tag).Host.Id, Out);
@@ -118,6 +123,7 @@
   if (Reply.__isset.Introduced)
     for (const wire::HostFields &Fields : Reply.Introduced)
       handleIntroduction(Fields, Now);
+  bool MoreLeaves = applyLeaves(Reply);
   for (const wire::OriginDelta &Delta : Reply.Deltas)
     applyDelta(Delta);
   DescriptionNumber NewestNumber = Origins.at(OwnTag).Number;
@@ -144,10 +150,36 @@
         QuerySentAt -
             std::chrono::milliseconds(std::max(Reply.ConfirmedAgeMillis, 0)),
         Received.From});
-  if (!Wants.empty() || !UnknownTags.empty())
+  if (!Wants.empty() || !UnknownTags.empty() || MoreLeaves)
     sendQuery(Received.From, std::move(Wants), Now, Out);
 }
 
+bool Membership::applyLeaves(const wire::MembershipReply &Reply) {
+  uint64_t NumberBefore = Recorded.newestNumber();
+  std::vector<RecordedLeave> Leaves;
+  for (const wire::RecordedLeaveFields &Fields : Reply.RecordedLeaves)
+    Leaves.push_back({{Fields.Target},
+                      {static_cast<uint64_t>(Fields.Incarnation)},
+                      static_cast<uint64_t>(Fields.Number)});
+  addRecordedLeaves(Leaves);
+  // A reply without new leaves ends the transfer, whatever it says of more.
+  return Recorded.newestNumber() > NumberBefore &&
+         Recorded.newestNumber() < static_cast<uint64_t>(Reply.NewestLeave);
+}
+
+void Membership::addLeaves(uint64_t After, wire::MembershipReply &Reply) const {
+  for (const RecordedLeave &Leave : Recorded.after(After, MaxLeavesInReply)) {
+    wire::RecordedLeaveFields Fields;
+    Fields.Target = Leave.Target.Value;
+    Fields.Incarnation = static_cast<int64_t>(Leave.Incarnation.Value);
+    Fields.Number = static_cast<int64_t>(Leave.Number);
+    Reply.RecordedLeaves.push_back(std::move(Fields));
+  }
+  Reply.__isset.RecordedLeaves = !Reply.RecordedLeaves.empty();
+  if (Reply.__isset.RecordedLeaves)
+    Reply.__set_NewestLeave(static_cast<int64_t>(Recorded.newestNumber()));
+}
+
 void Membership::startIncarnation(Origin &Remote, Incarnation NewIncarnation) {
   Remote.Incarnation = NewIncarnation;
   Remote.HeartbeatAt = DistantPast;
@@ -357,6 +389,8 @@
     Reply.Deltas.push_back(std::move(Delta));
     Reply.Heartbeats.push_back(heartbeatOf(Want.Tag, Requested, Now));
   }
+  if (Ask.__isset.LeavesAfter)
+    addLeaves(static_cast<uint64_t>(Ask.LeavesAfter), Reply);
   wire::MembershipMessage Message;
   Message.__set_Reply(std::move(Reply));
   Out.emplace_back(MembershipSend{Received.From, std::move(Message)});
--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -47,6 +47,7 @@
       Event,
       [&](const TargetAnnounced &E) { handleAnnouncement(E.Record, Now, Out); },
       [&](const TargetLeaveNoticed &E) { handleNoticedLeave(E, Out); },
+      [&](const LeavesRecorded &E) { addRecordedLeaves(E.Leaves); },
       [&](const MembershipReceived &E) { handleMessage(E, Now, Out); },
       [&](const LocalStanding &E) {
         if (Own.Standing == E.Standing)
@@ -82,17 +83,16 @@
 
 void Membership::handleAnnouncement(const TargetRecord &Record, Timestamp Now,
                                     Effects &Out) {
-  bool WithoutIncarnation =
-      Record.Incarnation.Value == 0 && Record.Phase == TargetPhase::Leaving;
-  if (!WithoutIncarnation && Memory.hasEnded(Record.Id, Record.Incarnation)) {
-    Out.emplace_back(
-        AnnouncementRefused{Record.Id, Memory.greatest(Record.Id)});
-    return;
-  }
   if (Record.Phase == TargetPhase::Leaving) {
     handleLeavingTarget(Record, Out);
     return;
   }
+  if (hasEnded(Record.Id, Record.Incarnation)) {
+    Out.emplace_back(
+        AnnouncementRefused{Record.Id, std::max(Memory.greatest(Record.Id),
+                                                Recorded.left(Record.Id))});
+    return;
+  }
   Memory.recordSeen(Record.Id, Record.Incarnation);
   OriginList &List = Origins.at(OwnTag).List;
   auto Listed = List.targets().find(Record.Id);
@@ -121,15 +121,27 @@
 }
 
 void Membership::handleLeavingTarget(const TargetRecord &Record, Effects &Out) {
-  ferry::Incarnation Incarnation = Record.Incarnation;
+  ferry::Incarnation Leaving = leavingIncarnation(Record);
+  if (Leaving.Value == 0)
+    return;
+  if (!recordLeave(Record.Id, Leaving))
+    return;
+  for (int32_t Tag : NearTags)
+    sendLeaveMark(Record.Id, Leaving, Origins.at(Tag).Host.Id, Out);
+}
+
+Incarnation Membership::leavingIncarnation(const TargetRecord &Record) const {
   // A target may leave without stating its incarnation; its newest known one is
   // meant.
-  if (Incarnation.Value == 0)
-    Incarnation = Memory.greatest(Record.Id);
-  recordLeave(Record.Id, Incarnation);
-  TargetsDirty = true;
-  for (int32_t Tag : NearTags)
-    sendLeaveMark(Record.Id, Incarnation, Origins.at(Tag).Host.Id, Out);
+  if (Record.Incarnation.Value != 0)
+    return Record.Incarnation;
+  return std::max(Memory.greatest(Record.Id), Recorded.left(Record.Id));
+}
+
+void Membership::addRecordedLeaves(const std::vector<RecordedLeave> &Leaves) {
+  for (const RecordedLeave &Leave : Leaves)
+    if (Recorded.add(Leave))
+      recordLeave(Leave.Target, Leave.Incarnation);
 }
 
 void Membership::handleNoticedLeave(const TargetLeaveNoticed &Noticed,
@@ -252,7 +264,7 @@
     for (const auto &[Id, Listed] : From.List.targets()) {
       Timestamp Until = trustedUntil(From, Listed);
       if (Listed.Gone || Until <= Now ||
-          Memory.hasEnded(Id, Listed.Record.Incarnation))
+          hasEnded(Id, Listed.Record.Incarnation))
         continue;
       TargetRecord &Best = Usable[Id];
       // Several hosts may list one incarnation: its newest record and its
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -3,6 +3,7 @@
 #ifndef FERRY_LIBMEMBERSHIP_MEMBERSHIP_H
 #define FERRY_LIBMEMBERSHIP_MEMBERSHIP_H
 
+#include "LibCore/LeaveLedger.h"
 #include "LibCore/Random.h"
 #include "LibMembership/Events.h"
 #include "LibMembership/OriginList.h"
@@ -41,6 +42,11 @@
 /// only if the receiver's copy has all structural changes of the list; missing
 /// changes are requested by version.
 ///
+/// A leave is announced to the near hosts at once, and recorded in the log.
+/// Each query names the newest recorded leave that its sender knows, and the
+/// reply has the next ones, so that a host that restarted or missed the
+/// announcement learns them from any other.
+///
 /// In deployments of up to MaxFullExchangeHosts hosts all hosts exchange
 /// everything. In larger ones the targets are known within their data centre
 /// only, and the hosts of other data centres are known from occasional
@@ -90,6 +96,13 @@
   /// UsableUntil again at each use.
   std::vector<TargetRecord> targets(Timestamp Now) const;
 
+  /// \returns the incarnation that leaves by \p Record: that of the record, or
+  /// the newest known one if the record has none. 0 if none is known.
+  ferry::Incarnation leavingIncarnation(const TargetRecord &Record) const;
+
+  /// \returns the recorded leaves that this host knows.
+  const LeaveLedger &recordedLeaves() const { return Recorded; }
+
   /// \returns all known hosts, this one first.
   std::vector<HostState> hosts(Timestamp Now) const;
 
@@ -130,7 +143,12 @@
                           Effects &Out);
   void handleLeavingTarget(const TargetRecord &Record, Effects &Out);
   void handleNoticedLeave(const TargetLeaveNoticed &Noticed, Effects &Out);
-  /// Records that the incarnation has left. \returns whether this is new.
+  void addRecordedLeaves(const std::vector<RecordedLeave> &Leaves);
+  bool hasEnded(const TargetId &Target, ferry::Incarnation Candidate) const {
+    return Memory.hasEnded(Target, Candidate) ||
+           Recorded.hasLeft(Target, Candidate);
+  }
+  /// Removes the incarnation, which has left. \returns whether this is new.
   bool recordLeave(const TargetId &Target, ferry::Incarnation Left);
   void sendLeaveMark(const TargetId &Target, ferry::Incarnation Left,
                      const HostId &To, Effects &Out) const;
@@ -159,6 +177,9 @@
                         Effects &Out);
   void handleReply(const MembershipReceived &Received, Timestamp Now,
                    Effects &Out);
+  /// \returns whether the sender has further recorded leaves.
+  bool applyLeaves(const wire::MembershipReply &Reply);
+  void addLeaves(uint64_t After, wire::MembershipReply &Reply) const;
   void applyDelta(const wire::OriginDelta &Delta);
   void applyHeartbeat(const wire::OriginHeartbeat &Heartbeat,
                       Timestamp QuerySentAt);
@@ -192,6 +213,7 @@
   /// Tags in replies that stand for hosts unknown to this one.
   std::vector<int32_t> UnknownTags;
   TargetMemory Memory;
+  LeaveLedger Recorded;
   std::map<TargetId, Timestamp> LoadPublishedAt;
   std::vector<PendingQuery> PendingQueries;
   int64_t NextQueryNumber;
--- a/Libraries/LibRegistry/Commands.cpp
+++ b/Libraries/LibRegistry/Commands.cpp
@@ -107,6 +107,14 @@
   return Fields;
 }
 
+static wire::RecordLeaveCommand toFields(const RecordLeave &Value) {
+  wire::RecordLeaveCommand Fields;
+  Fields.Target = Value.Target.Value;
+  Fields.Incarnation = toWire(Value.Incarnation.Value);
+  Fields.LeftAtMillis = Value.LeftAt.Value;
+  return Fields;
+}
+
 std::string encodeCommand(const Command &Value) {
   wire::RegistryCommand Fields;
   match(
@@ -129,7 +137,8 @@
       [&](const BeginWeightsLoad &C) { Fields.__set_BeginLoad(toFields(C)); },
       [&](const EndWeightsLoad &C) { Fields.__set_EndLoad(toFields(C)); },
       [&](const ReplaceDescription &C) { Fields.__set_Replace(toFields(C)); },
-      [&](const NameWeights &C) { Fields.__set_NameWeights(toFields(C)); });
+      [&](const NameWeights &C) { Fields.__set_NameWeights(toFields(C)); },
+      [&](const RecordLeave &C) { Fields.__set_RecordLeave(toFields(C)); });
   return wire::encode(Fields);
 }
 
@@ -203,6 +212,11 @@
       {Fields.Model}, {fromWire(Fields.Weights)}, {Fields.NamedAtMillis}};
 }
 
+static Command fromFields(const wire::RecordLeaveCommand &Fields) {
+  return RecordLeave{
+      {Fields.Target}, {fromWire(Fields.Incarnation)}, {Fields.LeftAtMillis}};
+}
+
 static tl::unexpected<RegistryError> invalid(std::string Detail) {
   return makeTypedError(RegistryErrorKind::Invalid, std::move(Detail));
 }
@@ -241,6 +255,8 @@
     Commands.push_back(fromFields(Fields.Replace));
   if (Fields.__isset.NameWeights)
     Commands.push_back(fromFields(Fields.NameWeights));
+  if (Fields.__isset.RecordLeave)
+    Commands.push_back(fromFields(Fields.RecordLeave));
   if (Commands.size() != 1)
     return invalid("message does not hold exactly one command");
   return std::move(Commands.front());
--- a/Libraries/LibRegistry/Commands.h
+++ b/Libraries/LibRegistry/Commands.h
@@ -3,6 +3,7 @@
 #ifndef FERRY_LIBREGISTRY_COMMANDS_H
 #define FERRY_LIBREGISTRY_COMMANDS_H
 
+#include "LibCore/LeaveLedger.h"
 #include "LibCore/Result.h"
 #include "LibRegistry/Outcomes.h"
 #include <string_view>
@@ -34,6 +35,15 @@
   UnixMillis NamedAt = {};
 };
 
+/// Records that an incarnation of a target, and all earlier ones, have left.
+struct RecordLeave {
+  TargetId Target;
+  ferry::Incarnation Incarnation;
+  /// The leader's wall clock when it proposed the command; RegistryServer sets
+  /// it.
+  UnixMillis LeftAt = {};
+};
+
 /// Claims a non-idempotent call for one attempt.
 struct Claim {
   ClaimKey Key;
@@ -114,7 +124,7 @@
     std::variant<ChangeDescription, Claim, Complete, Release, MarkUnknown,
                  AdvanceLowWater, AcquireOrderLease, RenewOrderLease,
                  ReleaseOrderLease, BeginWeightsLoad, EndWeightsLoad,
-                 ReplaceDescription, NameWeights>;
+                 ReplaceDescription, NameWeights, RecordLeave>;
 
 /// The command was malformed or too large and changed nothing.
 struct CommandInvalid {
@@ -123,7 +133,7 @@
 
 using Reply = std::variant<ChangeOutcome, ClaimOutcome, LeaseOutcome,
                            LoadOutcome, LowWaterMoved, StoredDescription,
-                           CommandInvalid, WeightsNamed>;
+                           CommandInvalid, WeightsNamed, RecordedLeave>;
 
 /// Size of the largest command that the state machine accepts, in bytes.
 inline constexpr size_t MaxCommandBytes = 2 * 1024 * 1024;
--- a/Libraries/LibRegistry/Convert.cpp
+++ b/Libraries/LibRegistry/Convert.cpp
@@ -46,6 +46,14 @@
   return Fields;
 }
 
+wire::LeaveFields toWire(const RecordedLeave &Leave) {
+  wire::LeaveFields Fields;
+  Fields.Target = Leave.Target.Value;
+  Fields.Incarnation = toWire(Leave.Incarnation.Value);
+  Fields.Number = toWire(Leave.Number);
+  return Fields;
+}
+
 wire::DescriptionFields toWire(const StoredDescription &Description) {
   wire::DescriptionFields Fields;
   Fields.Number = toWire(Description.Number.Value);
@@ -84,6 +92,11 @@
           fromWire(Fields.Sequence)};
 }
 
+RecordedLeave fromWire(const wire::LeaveFields &Fields) {
+  return {
+      {Fields.Target}, {fromWire(Fields.Incarnation)}, fromWire(Fields.Number)};
+}
+
 StoredDescription fromWire(const wire::DescriptionFields &Fields) {
   return {{fromWire(Fields.Number)}, Fields.Operation, Fields.Text};
 }
--- a/Libraries/LibRegistry/Convert.h
+++ b/Libraries/LibRegistry/Convert.h
@@ -3,6 +3,7 @@
 #ifndef FERRY_LIBREGISTRY_CONVERT_H
 #define FERRY_LIBREGISTRY_CONVERT_H
 
+#include "LibCore/LeaveLedger.h"
 #include "LibRegistry/Outcomes.h"
 #include "LibWire/Generated/Registry_types.h"
 
@@ -18,6 +19,7 @@
 wire::AnswerFields toWire(const ClaimCompleted &Answer);
 wire::LeaseFields toWire(const OrderLease &Lease);
 wire::LoadSlotFields toWire(const LoadSlot &Slot);
+wire::LeaveFields toWire(const RecordedLeave &Leave);
 wire::DescriptionFields toWire(const StoredDescription &Description);
 
 ClaimKey fromWire(const wire::ClaimKeyFields &Fields);
@@ -25,6 +27,7 @@
 ClaimCompleted fromWire(const wire::AnswerFields &Fields);
 OrderLease fromWire(const wire::LeaseFields &Fields);
 LoadSlot fromWire(const wire::LoadSlotFields &Fields);
+RecordedLeave fromWire(const wire::LeaveFields &Fields);
 StoredDescription fromWire(const wire::DescriptionFields &Fields);
 
 } // namespace ferry::registry
--- a/Libraries/LibRegistry/Registry.cpp
+++ b/Libraries/LibRegistry/Registry.cpp
@@ -29,7 +29,8 @@
       [&](const ReplaceDescription &C) -> Reply {
         return Descriptions.apply(C);
       },
-      [&](const registry::NameWeights &C) -> Reply { return apply(C); });
+      [&](const registry::NameWeights &C) -> Reply { return apply(C); },
+      [&](const RecordLeave &C) -> Reply { return apply(C); });
 }
 
 Reply Registry::apply(const registry::NameWeights &Command) {
@@ -37,6 +38,14 @@
   return WeightsNamed{Command.Model, namedWeights(Command.Model)};
 }
 
+Reply Registry::apply(const RecordLeave &Command) {
+  if (!LeaveLedger::accepts(Command.Target) || Command.Incarnation.Value == 0)
+    return CommandInvalid{};
+  Leaves.record(Command.Target, Command.Incarnation, Command.LeftAt);
+  return RecordedLeave{Command.Target, Leaves.left(Command.Target),
+                       Leaves.newestNumber()};
+}
+
 void Registry::addNamedVersion(const ModelId &Model, NamedVersion Version) {
   if (Version.Weights <= namedWeights(Model))
     return;
@@ -90,6 +99,8 @@
       Fields.NamedAtMillis = Version.NamedAt.Value;
       Snapshot.NamedWeights.push_back(std::move(Fields));
     }
+  for (const RecordedLeave &Leave : Leaves.after(0))
+    Snapshot.Leaves.push_back(toWire(Leave));
   return wire::encode(Snapshot);
 }
 
@@ -110,6 +121,8 @@
   for (const wire::NamedWeightsFields &Fields : Decoded->NamedWeights)
     Restored.addNamedVersion(
         {Fields.Model}, {{fromWire(Fields.Weights)}, {Fields.NamedAtMillis}});
+  for (const wire::LeaveFields &Fields : Decoded->Leaves)
+    Restored.Leaves.add(fromWire(Fields));
   Restored.AppliedIndex = fromWire(Decoded->AppliedIndex);
   *this = std::move(Restored);
   return {};
--- a/Libraries/LibRegistry/Registry.h
+++ b/Libraries/LibRegistry/Registry.h
@@ -1,5 +1,6 @@
 /// \file
-/// The replicated state machine: description, claim ledger, order leases.
+/// The replicated state machine: description, claim ledger, order leases,
+/// leaves of targets.
 #ifndef FERRY_LIBREGISTRY_REGISTRY_H
 #define FERRY_LIBREGISTRY_REGISTRY_H
 
@@ -59,11 +60,14 @@
   /// first.
   std::vector<NamedVersion> namedVersions(const ModelId &Model) const;
   OrderLease lease(std::string_view Name) const { return Leases.lease(Name); }
+  /// \returns the leaves of targets that were recorded.
+  const LeaveLedger &leaves() const { return Leaves; }
   const std::vector<ActiveLoad> &loads() const { return Leases.loads(); }
 
 private:
   Reply applyDecoded(const Command &Value);
   Reply apply(const registry::NameWeights &Command);
+  Reply apply(const RecordLeave &Command);
   /// Adds \p Version unless a version at least as great was named before.
   void addNamedVersion(const ModelId &Model, NamedVersion Version);
 
@@ -74,6 +78,7 @@
   OrderLeases Leases;
   /// The versions of a model rise.
   std::map<ModelId, std::vector<NamedVersion>> NamedVersions;
+  LeaveLedger Leaves;
 };
 
 /// Computes the greatest description number that a control host's log can lead
--- a/Libraries/LibRegistry/RegistryServer.cpp
+++ b/Libraries/LibRegistry/RegistryServer.cpp
@@ -63,6 +63,10 @@
     Naming->NamedAt = Received.ReceivedAt;
     Request.Command = encodeCommand(*Naming);
   }
+  if (auto *Leave = std::get_if<RecordLeave>(&*Decoded)) {
+    Leave->LeftAt = Received.ReceivedAt;
+    Request.Command = encodeCommand(*Leave);
+  }
   Pending[Token] = {Received.From, Request.RequestNumber};
   Out.emplace_back(ServerPropose{Token, std::move(Request.Command)});
 }
--- a/Libraries/LibRegistry/Replies.cpp
+++ b/Libraries/LibRegistry/Replies.cpp
@@ -102,7 +102,8 @@
         Named.Model = R.Model.Value;
         Named.Weights = toWire(R.Weights.Value);
         Fields.__set_NamedWeights(Named);
-      });
+      },
+      [&](const RecordedLeave &R) { Fields.__set_Leave(toWire(R)); });
   return wire::encode(Fields);
 }
 
@@ -206,6 +207,8 @@
   if (Fields.__isset.NamedWeights)
     return WeightsNamed{{Fields.NamedWeights.Model},
                         {fromWire(Fields.NamedWeights.Weights)}};
+  if (Fields.__isset.Leave)
+    return fromWire(Fields.Leave);
   return invalid("empty reply");
 }
 
--- a/Libraries/LibTraffic/ControlPort.h
+++ b/Libraries/LibTraffic/ControlPort.h
@@ -50,7 +50,11 @@
 struct AnnounceReply {
   enum class Verdict : uint8_t {
     Accepted,
-    StaleIncarnation
+    StaleIncarnation,
+    /// The target leaves, and the log has not recorded it: no quorum answered,
+    /// or no incarnation of the target is known here. It must tell another
+    /// host, or again.
+    LeaveNotRecorded
   } Status = Verdict::Accepted;
   /// "IP:port" addresses that the target sends its cache events to.
   std::vector<std::string> EventAddresses;
@@ -113,8 +117,10 @@
   /// Lists the newest changes that came into force on this host since its
   /// start, the oldest first. Numbers that the host never received are missing.
   std::function<void(std::function<void(std::vector<PastChange>)>)> ReadHistory;
-  /// Processes a target's announcement.
-  std::function<void(TargetRecord, std::function<void(AnnounceReply)>)>
+  /// Processes a target's announcement. If it leaves, the callback runs once
+  /// the log has recorded that, or at the deadline.
+  std::function<void(TargetRecord, Timestamp Deadline,
+                     std::function<void(AnnounceReply)>)>
       Announce;
   /// Reports that an incarnation of a target said in an answer that it leaves.
   std::function<void(TargetId, Incarnation)> NoticeLeave;
--- a/Libraries/LibTraffic/TargetServer.cpp
+++ b/Libraries/LibTraffic/TargetServer.cpp
@@ -268,8 +268,9 @@
     Exchange.sendError(Record.error());
     return;
   }
-  auto Reply = awaitReply<AnnounceReply>(Now + AnnounceLimit, [&](auto Done) {
-    Context.Control.Announce(*Record, Done);
+  Timestamp Deadline = Now + AnnounceLimit;
+  auto Reply = awaitReply<AnnounceReply>(Deadline, [&](auto Done) {
+    Context.Control.Announce(*Record, Deadline, Done);
   });
   if (!Reply) {
     Exchange.sendError({AnswerError::Internal,
@@ -282,6 +283,12 @@
                         "a greater incarnation of this target is known"});
     return;
   }
+  if (Reply->Status == AnnounceReply::Verdict::LeaveNotRecorded) {
+    Exchange.sendError({AnswerError::NoQuorum,
+                        "the leave could not be recorded", NotRun::Unknown,
+                        steadyNow() + AnnounceLimit});
+    return;
+  }
   Exchange.sendJson(200, announceJson(*Reply));
 }
 
--- a/Libraries/LibWire/Generated/Membership_types.cpp
+++ b/Libraries/LibWire/Generated/Membership_types.cpp
@@ -1475,6 +1475,151 @@
 }
 
 
+RecordedLeaveFields::~RecordedLeaveFields() noexcept {
+}
+
+
+void RecordedLeaveFields::__set_Target(const std::string& val) {
+  this->Target = val;
+}
+
+void RecordedLeaveFields::__set_Incarnation(const int64_t val) {
+  this->Incarnation = val;
+}
+
+void RecordedLeaveFields::__set_Number(const int64_t val) {
+  this->Number = val;
+}
+std::ostream& operator<<(std::ostream& out, const RecordedLeaveFields& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RecordedLeaveFields::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->Target);
+          this->__isset.Target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Incarnation);
+          this->__isset.Incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Number);
+          this->__isset.Number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RecordedLeaveFields::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RecordedLeaveFields");
+
+  xfer += oprot->writeFieldBegin("Target", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->Target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Incarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->Incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Number", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->Number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RecordedLeaveFields &a, RecordedLeaveFields &b) {
+  using ::std::swap;
+  swap(a.Target, b.Target);
+  swap(a.Incarnation, b.Incarnation);
+  swap(a.Number, b.Number);
+  swap(a.__isset, b.__isset);
+}
+
+RecordedLeaveFields::RecordedLeaveFields(const RecordedLeaveFields& other34) {
+  Target = other34.Target;
+  Incarnation = other34.Incarnation;
+  Number = other34.Number;
+  __isset = other34.__isset;
+}
+RecordedLeaveFields::RecordedLeaveFields(RecordedLeaveFields&& other35) noexcept {
+  Target = std::move(other35.Target);
+  Incarnation = other35.Incarnation;
+  Number = other35.Number;
+  __isset = other35.__isset;
+}
+RecordedLeaveFields& RecordedLeaveFields::operator=(const RecordedLeaveFields& other36) {
+  Target = other36.Target;
+  Incarnation = other36.Incarnation;
+  Number = other36.Number;
+  __isset = other36.__isset;
+  return *this;
+}
+RecordedLeaveFields& RecordedLeaveFields::operator=(RecordedLeaveFields&& other37) noexcept {
+  Target = std::move(other37.Target);
+  Incarnation = other37.Incarnation;
+  Number = other37.Number;
+  __isset = other37.__isset;
+  return *this;
+}
+void RecordedLeaveFields::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RecordedLeaveFields(";
+  out << "Target=" << to_string(Target);
+  out << ", " << "Incarnation=" << to_string(Incarnation);
+  out << ", " << "Number=" << to_string(Number);
+  out << ")";
+}
+
+
 HostFields::~HostFields() noexcept {
 }
 
@@ -1601,34 +1746,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HostFields::HostFields(const HostFields& other34) {
-  Id = other34.Id;
-  DataCentre = other34.DataCentre;
-  Role = other34.Role;
-  CallerAddress = other34.CallerAddress;
-  __isset = other34.__isset;
-}
-HostFields::HostFields(HostFields&& other35) noexcept {
-  Id = std::move(other35.Id);
-  DataCentre = std::move(other35.DataCentre);
-  Role = other35.Role;
-  CallerAddress = std::move(other35.CallerAddress);
-  __isset = other35.__isset;
-}
-HostFields& HostFields::operator=(const HostFields& other36) {
-  Id = other36.Id;
-  DataCentre = other36.DataCentre;
-  Role = other36.Role;
-  CallerAddress = other36.CallerAddress;
-  __isset = other36.__isset;
+HostFields::HostFields(const HostFields& other38) {
+  Id = other38.Id;
+  DataCentre = other38.DataCentre;
+  Role = other38.Role;
+  CallerAddress = other38.CallerAddress;
+  __isset = other38.__isset;
+}
+HostFields::HostFields(HostFields&& other39) noexcept {
+  Id = std::move(other39.Id);
+  DataCentre = std::move(other39.DataCentre);
+  Role = other39.Role;
+  CallerAddress = std::move(other39.CallerAddress);
+  __isset = other39.__isset;
+}
+HostFields& HostFields::operator=(const HostFields& other40) {
+  Id = other40.Id;
+  DataCentre = other40.DataCentre;
+  Role = other40.Role;
+  CallerAddress = other40.CallerAddress;
+  __isset = other40.__isset;
   return *this;
 }
-HostFields& HostFields::operator=(HostFields&& other37) noexcept {
-  Id = std::move(other37.Id);
-  DataCentre = std::move(other37.DataCentre);
-  Role = other37.Role;
-  CallerAddress = std::move(other37.CallerAddress);
-  __isset = other37.__isset;
+HostFields& HostFields::operator=(HostFields&& other41) noexcept {
+  Id = std::move(other41.Id);
+  DataCentre = std::move(other41.DataCentre);
+  Role = other41.Role;
+  CallerAddress = std::move(other41.CallerAddress);
+  __isset = other41.__isset;
   return *this;
 }
 void HostFields::printTo(std::ostream& out) const {
@@ -1668,6 +1813,11 @@
   this->AskerIncarnation = val;
 __isset.AskerIncarnation = true;
 }
+
+void MembershipAsk::__set_LeavesAfter(const int64_t val) {
+  this->LeavesAfter = val;
+__isset.LeavesAfter = true;
+}
 std::ostream& operator<<(std::ostream& out, const MembershipAsk& obj)
 {
   obj.printTo(out);
@@ -1708,14 +1858,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Wants.clear();
-            uint32_t _size38;
-            ::apache::thrift::protocol::TType _etype41;
-            xfer += iprot->readListBegin(_etype41, _size38);
-            this->Wants.resize(_size38);
-            uint32_t _i42;
-            for (_i42 = 0; _i42 < _size38; ++_i42)
+            uint32_t _size42;
+            ::apache::thrift::protocol::TType _etype45;
+            xfer += iprot->readListBegin(_etype45, _size42);
+            this->Wants.resize(_size42);
+            uint32_t _i46;
+            for (_i46 = 0; _i46 < _size42; ++_i46)
             {
-              xfer += this->Wants[_i42].read(iprot);
+              xfer += this->Wants[_i46].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1736,14 +1886,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->UnknownTags.clear();
-            uint32_t _size43;
-            ::apache::thrift::protocol::TType _etype46;
-            xfer += iprot->readListBegin(_etype46, _size43);
-            this->UnknownTags.resize(_size43);
-            uint32_t _i47;
-            for (_i47 = 0; _i47 < _size43; ++_i47)
+            uint32_t _size47;
+            ::apache::thrift::protocol::TType _etype50;
+            xfer += iprot->readListBegin(_etype50, _size47);
+            this->UnknownTags.resize(_size47);
+            uint32_t _i51;
+            for (_i51 = 0; _i51 < _size47; ++_i51)
             {
-              xfer += iprot->readI32(this->UnknownTags[_i47]);
+              xfer += iprot->readI32(this->UnknownTags[_i51]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1760,6 +1910,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->LeavesAfter);
+          this->__isset.LeavesAfter = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1784,10 +1942,10 @@
   xfer += oprot->writeFieldBegin("Wants", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Wants.size()));
-    std::vector<OriginWant> ::const_iterator _iter48;
-    for (_iter48 = this->Wants.begin(); _iter48 != this->Wants.end(); ++_iter48)
+    std::vector<OriginWant> ::const_iterator _iter52;
+    for (_iter52 = this->Wants.begin(); _iter52 != this->Wants.end(); ++_iter52)
     {
-      xfer += (*_iter48).write(oprot);
+      xfer += (*_iter52).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1802,10 +1960,10 @@
     xfer += oprot->writeFieldBegin("UnknownTags", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->UnknownTags.size()));
-      std::vector<int32_t> ::const_iterator _iter49;
-      for (_iter49 = this->UnknownTags.begin(); _iter49 != this->UnknownTags.end(); ++_iter49)
+      std::vector<int32_t> ::const_iterator _iter53;
+      for (_iter53 = this->UnknownTags.begin(); _iter53 != this->UnknownTags.end(); ++_iter53)
       {
-        xfer += oprot->writeI32((*_iter49));
+        xfer += oprot->writeI32((*_iter53));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1816,6 +1974,11 @@
     xfer += oprot->writeI64(this->AskerIncarnation);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.LeavesAfter) {
+    xfer += oprot->writeFieldBegin("LeavesAfter", ::apache::thrift::protocol::T_I64, 6);
+    xfer += oprot->writeI64(this->LeavesAfter);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1828,41 +1991,46 @@
   swap(a.Asker, b.Asker);
   swap(a.UnknownTags, b.UnknownTags);
   swap(a.AskerIncarnation, b.AskerIncarnation);
+  swap(a.LeavesAfter, b.LeavesAfter);
   swap(a.__isset, b.__isset);
 }
 
-MembershipAsk::MembershipAsk(const MembershipAsk& other50) {
-  AskNumber = other50.AskNumber;
-  Wants = other50.Wants;
-  Asker = other50.Asker;
-  UnknownTags = other50.UnknownTags;
-  AskerIncarnation = other50.AskerIncarnation;
-  __isset = other50.__isset;
-}
-MembershipAsk::MembershipAsk(MembershipAsk&& other51) noexcept {
-  AskNumber = other51.AskNumber;
-  Wants = std::move(other51.Wants);
-  Asker = std::move(other51.Asker);
-  UnknownTags = std::move(other51.UnknownTags);
-  AskerIncarnation = other51.AskerIncarnation;
-  __isset = other51.__isset;
-}
-MembershipAsk& MembershipAsk::operator=(const MembershipAsk& other52) {
-  AskNumber = other52.AskNumber;
-  Wants = other52.Wants;
-  Asker = other52.Asker;
-  UnknownTags = other52.UnknownTags;
-  AskerIncarnation = other52.AskerIncarnation;
-  __isset = other52.__isset;
+MembershipAsk::MembershipAsk(const MembershipAsk& other54) {
+  AskNumber = other54.AskNumber;
+  Wants = other54.Wants;
+  Asker = other54.Asker;
+  UnknownTags = other54.UnknownTags;
+  AskerIncarnation = other54.AskerIncarnation;
+  LeavesAfter = other54.LeavesAfter;
+  __isset = other54.__isset;
+}
+MembershipAsk::MembershipAsk(MembershipAsk&& other55) noexcept {
+  AskNumber = other55.AskNumber;
+  Wants = std::move(other55.Wants);
+  Asker = std::move(other55.Asker);
+  UnknownTags = std::move(other55.UnknownTags);
+  AskerIncarnation = other55.AskerIncarnation;
+  LeavesAfter = other55.LeavesAfter;
+  __isset = other55.__isset;
+}
+MembershipAsk& MembershipAsk::operator=(const MembershipAsk& other56) {
+  AskNumber = other56.AskNumber;
+  Wants = other56.Wants;
+  Asker = other56.Asker;
+  UnknownTags = other56.UnknownTags;
+  AskerIncarnation = other56.AskerIncarnation;
+  LeavesAfter = other56.LeavesAfter;
+  __isset = other56.__isset;
   return *this;
 }
-MembershipAsk& MembershipAsk::operator=(MembershipAsk&& other53) noexcept {
-  AskNumber = other53.AskNumber;
-  Wants = std::move(other53.Wants);
-  Asker = std::move(other53.Asker);
-  UnknownTags = std::move(other53.UnknownTags);
-  AskerIncarnation = other53.AskerIncarnation;
-  __isset = other53.__isset;
+MembershipAsk& MembershipAsk::operator=(MembershipAsk&& other57) noexcept {
+  AskNumber = other57.AskNumber;
+  Wants = std::move(other57.Wants);
+  Asker = std::move(other57.Asker);
+  UnknownTags = std::move(other57.UnknownTags);
+  AskerIncarnation = other57.AskerIncarnation;
+  LeavesAfter = other57.LeavesAfter;
+  __isset = other57.__isset;
   return *this;
 }
 void MembershipAsk::printTo(std::ostream& out) const {
@@ -1873,6 +2041,7 @@
   out << ", " << "Asker="; (__isset.Asker ? (out << to_string(Asker)) : (out << "<null>"));
   out << ", " << "UnknownTags="; (__isset.UnknownTags ? (out << to_string(UnknownTags)) : (out << "<null>"));
   out << ", " << "AskerIncarnation="; (__isset.AskerIncarnation ? (out << to_string(AskerIncarnation)) : (out << "<null>"));
+  out << ", " << "LeavesAfter="; (__isset.LeavesAfter ? (out << to_string(LeavesAfter)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1907,6 +2076,16 @@
   this->Introduced = val;
 __isset.Introduced = true;
 }
+
+void MembershipReply::__set_RecordedLeaves(const std::vector<RecordedLeaveFields> & val) {
+  this->RecordedLeaves = val;
+__isset.RecordedLeaves = true;
+}
+
+void MembershipReply::__set_NewestLeave(const int64_t val) {
+  this->NewestLeave = val;
+__isset.NewestLeave = true;
+}
 std::ostream& operator<<(std::ostream& out, const MembershipReply& obj)
 {
   obj.printTo(out);
@@ -1947,14 +2126,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Heartbeats.clear();
-            uint32_t _size54;
-            ::apache::thrift::protocol::TType _etype57;
-            xfer += iprot->readListBegin(_etype57, _size54);
-            this->Heartbeats.resize(_size54);
-            uint32_t _i58;
-            for (_i58 = 0; _i58 < _size54; ++_i58)
+            uint32_t _size58;
+            ::apache::thrift::protocol::TType _etype61;
+            xfer += iprot->readListBegin(_etype61, _size58);
+            this->Heartbeats.resize(_size58);
+            uint32_t _i62;
+            for (_i62 = 0; _i62 < _size58; ++_i62)
             {
-              xfer += this->Heartbeats[_i58].read(iprot);
+              xfer += this->Heartbeats[_i62].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1967,14 +2146,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Deltas.clear();
-            uint32_t _size59;
-            ::apache::thrift::protocol::TType _etype62;
-            xfer += iprot->readListBegin(_etype62, _size59);
-            this->Deltas.resize(_size59);
-            uint32_t _i63;
-            for (_i63 = 0; _i63 < _size59; ++_i63)
+            uint32_t _size63;
+            ::apache::thrift::protocol::TType _etype66;
+            xfer += iprot->readListBegin(_etype66, _size63);
+            this->Deltas.resize(_size63);
+            uint32_t _i67;
+            for (_i67 = 0; _i67 < _size63; ++_i67)
             {
-              xfer += this->Deltas[_i63].read(iprot);
+              xfer += this->Deltas[_i67].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2003,14 +2182,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Introduced.clear();
-            uint32_t _size64;
-            ::apache::thrift::protocol::TType _etype67;
-            xfer += iprot->readListBegin(_etype67, _size64);
-            this->Introduced.resize(_size64);
-            uint32_t _i68;
-            for (_i68 = 0; _i68 < _size64; ++_i68)
+            uint32_t _size68;
+            ::apache::thrift::protocol::TType _etype71;
+            xfer += iprot->readListBegin(_etype71, _size68);
+            this->Introduced.resize(_size68);
+            uint32_t _i72;
+            for (_i72 = 0; _i72 < _size68; ++_i72)
             {
-              xfer += this->Introduced[_i68].read(iprot);
+              xfer += this->Introduced[_i72].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2019,6 +2198,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->RecordedLeaves.clear();
+            uint32_t _size73;
+            ::apache::thrift::protocol::TType _etype76;
+            xfer += iprot->readListBegin(_etype76, _size73);
+            this->RecordedLeaves.resize(_size73);
+            uint32_t _i77;
+            for (_i77 = 0; _i77 < _size73; ++_i77)
+            {
+              xfer += this->RecordedLeaves[_i77].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.RecordedLeaves = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->NewestLeave);
+          this->__isset.NewestLeave = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2043,10 +2250,10 @@
   xfer += oprot->writeFieldBegin("Heartbeats", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Heartbeats.size()));
-    std::vector<OriginHeartbeat> ::const_iterator _iter69;
-    for (_iter69 = this->Heartbeats.begin(); _iter69 != this->Heartbeats.end(); ++_iter69)
+    std::vector<OriginHeartbeat> ::const_iterator _iter78;
+    for (_iter78 = this->Heartbeats.begin(); _iter78 != this->Heartbeats.end(); ++_iter78)
     {
-      xfer += (*_iter69).write(oprot);
+      xfer += (*_iter78).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2055,10 +2262,10 @@
   xfer += oprot->writeFieldBegin("Deltas", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Deltas.size()));
-    std::vector<OriginDelta> ::const_iterator _iter70;
-    for (_iter70 = this->Deltas.begin(); _iter70 != this->Deltas.end(); ++_iter70)
+    std::vector<OriginDelta> ::const_iterator _iter79;
+    for (_iter79 = this->Deltas.begin(); _iter79 != this->Deltas.end(); ++_iter79)
     {
-      xfer += (*_iter70).write(oprot);
+      xfer += (*_iter79).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2078,15 +2285,33 @@
     xfer += oprot->writeFieldBegin("Introduced", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Introduced.size()));
-      std::vector<HostFields> ::const_iterator _iter71;
-      for (_iter71 = this->Introduced.begin(); _iter71 != this->Introduced.end(); ++_iter71)
+      std::vector<HostFields> ::const_iterator _iter80;
+      for (_iter80 = this->Introduced.begin(); _iter80 != this->Introduced.end(); ++_iter80)
       {
-        xfer += (*_iter71).write(oprot);
+        xfer += (*_iter80).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.RecordedLeaves) {
+    xfer += oprot->writeFieldBegin("RecordedLeaves", ::apache::thrift::protocol::T_LIST, 7);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->RecordedLeaves.size()));
+      std::vector<RecordedLeaveFields> ::const_iterator _iter81;
+      for (_iter81 = this->RecordedLeaves.begin(); _iter81 != this->RecordedLeaves.end(); ++_iter81)
+      {
+        xfer += (*_iter81).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.NewestLeave) {
+    xfer += oprot->writeFieldBegin("NewestLeave", ::apache::thrift::protocol::T_I64, 8);
+    xfer += oprot->writeI64(this->NewestLeave);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2100,45 +2325,55 @@
   swap(a.ConfirmedNumber, b.ConfirmedNumber);
   swap(a.ConfirmedAgeMillis, b.ConfirmedAgeMillis);
   swap(a.Introduced, b.Introduced);
+  swap(a.RecordedLeaves, b.RecordedLeaves);
+  swap(a.NewestLeave, b.NewestLeave);
   swap(a.__isset, b.__isset);
 }
 
-MembershipReply::MembershipReply(const MembershipReply& other72) {
-  AskNumber = other72.AskNumber;
-  Heartbeats = other72.Heartbeats;
-  Deltas = other72.Deltas;
-  ConfirmedNumber = other72.ConfirmedNumber;
-  ConfirmedAgeMillis = other72.ConfirmedAgeMillis;
-  Introduced = other72.Introduced;
-  __isset = other72.__isset;
-}
-MembershipReply::MembershipReply(MembershipReply&& other73) noexcept {
-  AskNumber = other73.AskNumber;
-  Heartbeats = std::move(other73.Heartbeats);
-  Deltas = std::move(other73.Deltas);
-  ConfirmedNumber = other73.ConfirmedNumber;
-  ConfirmedAgeMillis = other73.ConfirmedAgeMillis;
-  Introduced = std::move(other73.Introduced);
-  __isset = other73.__isset;
-}
-MembershipReply& MembershipReply::operator=(const MembershipReply& other74) {
-  AskNumber = other74.AskNumber;
-  Heartbeats = other74.Heartbeats;
-  Deltas = other74.Deltas;
-  ConfirmedNumber = other74.ConfirmedNumber;
-  ConfirmedAgeMillis = other74.ConfirmedAgeMillis;
-  Introduced = other74.Introduced;
-  __isset = other74.__isset;
+MembershipReply::MembershipReply(const MembershipReply& other82) {
+  AskNumber = other82.AskNumber;
+  Heartbeats = other82.Heartbeats;
+  Deltas = other82.Deltas;
+  ConfirmedNumber = other82.ConfirmedNumber;
+  ConfirmedAgeMillis = other82.ConfirmedAgeMillis;
+  Introduced = other82.Introduced;
+  RecordedLeaves = other82.RecordedLeaves;
+  NewestLeave = other82.NewestLeave;
+  __isset = other82.__isset;
+}
+MembershipReply::MembershipReply(MembershipReply&& other83) noexcept {
+  AskNumber = other83.AskNumber;
+  Heartbeats = std::move(other83.Heartbeats);
+  Deltas = std::move(other83.Deltas);
+  ConfirmedNumber = other83.ConfirmedNumber;
+  ConfirmedAgeMillis = other83.ConfirmedAgeMillis;
+  Introduced = std::move(other83.Introduced);
+  RecordedLeaves = std::move(other83.RecordedLeaves);
+  NewestLeave = other83.NewestLeave;
+  __isset = other83.__isset;
+}
+MembershipReply& MembershipReply::operator=(const MembershipReply& other84) {
+  AskNumber = other84.AskNumber;
+  Heartbeats = other84.Heartbeats;
+  Deltas = other84.Deltas;
+  ConfirmedNumber = other84.ConfirmedNumber;
+  ConfirmedAgeMillis = other84.ConfirmedAgeMillis;
+  Introduced = other84.Introduced;
+  RecordedLeaves = other84.RecordedLeaves;
+  NewestLeave = other84.NewestLeave;
+  __isset = other84.__isset;
   return *this;
 }
-MembershipReply& MembershipReply::operator=(MembershipReply&& other75) noexcept {
-  AskNumber = other75.AskNumber;
-  Heartbeats = std::move(other75.Heartbeats);
-  Deltas = std::move(other75.Deltas);
-  ConfirmedNumber = other75.ConfirmedNumber;
-  ConfirmedAgeMillis = other75.ConfirmedAgeMillis;
-  Introduced = std::move(other75.Introduced);
-  __isset = other75.__isset;
+MembershipReply& MembershipReply::operator=(MembershipReply&& other85) noexcept {
+  AskNumber = other85.AskNumber;
+  Heartbeats = std::move(other85.Heartbeats);
+  Deltas = std::move(other85.Deltas);
+  ConfirmedNumber = other85.ConfirmedNumber;
+  ConfirmedAgeMillis = other85.ConfirmedAgeMillis;
+  Introduced = std::move(other85.Introduced);
+  RecordedLeaves = std::move(other85.RecordedLeaves);
+  NewestLeave = other85.NewestLeave;
+  __isset = other85.__isset;
   return *this;
 }
 void MembershipReply::printTo(std::ostream& out) const {
@@ -2150,6 +2385,8 @@
   out << ", " << "ConfirmedNumber="; (__isset.ConfirmedNumber ? (out << to_string(ConfirmedNumber)) : (out << "<null>"));
   out << ", " << "ConfirmedAgeMillis="; (__isset.ConfirmedAgeMillis ? (out << to_string(ConfirmedAgeMillis)) : (out << "<null>"));
   out << ", " << "Introduced="; (__isset.Introduced ? (out << to_string(Introduced)) : (out << "<null>"));
+  out << ", " << "RecordedLeaves="; (__isset.RecordedLeaves ? (out << to_string(RecordedLeaves)) : (out << "<null>"));
+  out << ", " << "NewestLeave="; (__isset.NewestLeave ? (out << to_string(NewestLeave)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2225,14 +2462,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Leaves.clear();
-            uint32_t _size76;
-            ::apache::thrift::protocol::TType _etype79;
-            xfer += iprot->readListBegin(_etype79, _size76);
-            this->Leaves.resize(_size76);
-            uint32_t _i80;
-            for (_i80 = 0; _i80 < _size76; ++_i80)
+            uint32_t _size86;
+            ::apache::thrift::protocol::TType _etype89;
+            xfer += iprot->readListBegin(_etype89, _size86);
+            this->Leaves.resize(_size86);
+            uint32_t _i90;
+            for (_i90 = 0; _i90 < _size86; ++_i90)
             {
-              xfer += this->Leaves[_i80].read(iprot);
+              xfer += this->Leaves[_i90].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2280,10 +2517,10 @@
     xfer += oprot->writeFieldBegin("Leaves", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Leaves.size()));
-      std::vector<LeaveMark> ::const_iterator _iter81;
-      for (_iter81 = this->Leaves.begin(); _iter81 != this->Leaves.end(); ++_iter81)
+      std::vector<LeaveMark> ::const_iterator _iter91;
+      for (_iter91 = this->Leaves.begin(); _iter91 != this->Leaves.end(); ++_iter91)
       {
-        xfer += (*_iter81).write(oprot);
+        xfer += (*_iter91).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2308,34 +2545,34 @@
   swap(a.__isset, b.__isset);
 }
 
-MembershipMessage::MembershipMessage(const MembershipMessage& other82) {
-  Ask = other82.Ask;
-  Reply = other82.Reply;
-  Leaves = other82.Leaves;
-  Number = other82.Number;
-  __isset = other82.__isset;
+MembershipMessage::MembershipMessage(const MembershipMessage& other92) {
+  Ask = other92.Ask;
+  Reply = other92.Reply;
+  Leaves = other92.Leaves;
+  Number = other92.Number;
+  __isset = other92.__isset;
 }
-MembershipMessage::MembershipMessage(MembershipMessage&& other83) noexcept {
-  Ask = std::move(other83.Ask);
-  Reply = std::move(other83.Reply);
-  Leaves = std::move(other83.Leaves);
-  Number = other83.Number;
-  __isset = other83.__isset;
+MembershipMessage::MembershipMessage(MembershipMessage&& other93) noexcept {
+  Ask = std::move(other93.Ask);
+  Reply = std::move(other93.Reply);
+  Leaves = std::move(other93.Leaves);
+  Number = other93.Number;
+  __isset = other93.__isset;
 }
-MembershipMessage& MembershipMessage::operator=(const MembershipMessage& other84) {
-  Ask = other84.Ask;
-  Reply = other84.Reply;
-  Leaves = other84.Leaves;
-  Number = other84.Number;
-  __isset = other84.__isset;
+MembershipMessage& MembershipMessage::operator=(const MembershipMessage& other94) {
+  Ask = other94.Ask;
+  Reply = other94.Reply;
+  Leaves = other94.Leaves;
+  Number = other94.Number;
+  __isset = other94.__isset;
   return *this;
 }
-MembershipMessage& MembershipMessage::operator=(MembershipMessage&& other85) noexcept {
-  Ask = std::move(other85.Ask);
-  Reply = std::move(other85.Reply);
-  Leaves = std::move(other85.Leaves);
-  Number = other85.Number;
-  __isset = other85.__isset;
+MembershipMessage& MembershipMessage::operator=(MembershipMessage&& other95) noexcept {
+  Ask = std::move(other95.Ask);
+  Reply = std::move(other95.Reply);
+  Leaves = std::move(other95.Leaves);
+  Number = other95.Number;
+  __isset = other95.__isset;
   return *this;
 }
 void MembershipMessage::printTo(std::ostream& out) const {
@@ -2424,22 +2661,22 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfirmationQuery::ConfirmationQuery(const ConfirmationQuery& other86) noexcept {
-  QueryNumber = other86.QueryNumber;
-  __isset = other86.__isset;
+ConfirmationQuery::ConfirmationQuery(const ConfirmationQuery& other96) noexcept {
+  QueryNumber = other96.QueryNumber;
+  __isset = other96.__isset;
 }
-ConfirmationQuery::ConfirmationQuery(ConfirmationQuery&& other87) noexcept {
-  QueryNumber = other87.QueryNumber;
-  __isset = other87.__isset;
+ConfirmationQuery::ConfirmationQuery(ConfirmationQuery&& other97) noexcept {
+  QueryNumber = other97.QueryNumber;
+  __isset = other97.__isset;
 }
-ConfirmationQuery& ConfirmationQuery::operator=(const ConfirmationQuery& other88) noexcept {
-  QueryNumber = other88.QueryNumber;
-  __isset = other88.__isset;
+ConfirmationQuery& ConfirmationQuery::operator=(const ConfirmationQuery& other98) noexcept {
+  QueryNumber = other98.QueryNumber;
+  __isset = other98.__isset;
   return *this;
 }
-ConfirmationQuery& ConfirmationQuery::operator=(ConfirmationQuery&& other89) noexcept {
-  QueryNumber = other89.QueryNumber;
-  __isset = other89.__isset;
+ConfirmationQuery& ConfirmationQuery::operator=(ConfirmationQuery&& other99) noexcept {
+  QueryNumber = other99.QueryNumber;
+  __isset = other99.__isset;
   return *this;
 }
 void ConfirmationQuery::printTo(std::ostream& out) const {
@@ -2578,34 +2815,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfirmationAnswer::ConfirmationAnswer(const ConfirmationAnswer& other90) noexcept {
-  QueryNumber = other90.QueryNumber;
-  GreatestNumber = other90.GreatestNumber;
-  Voter = other90.Voter;
-  VoterCount = other90.VoterCount;
-  __isset = other90.__isset;
-}
-ConfirmationAnswer::ConfirmationAnswer(ConfirmationAnswer&& other91) noexcept {
-  QueryNumber = other91.QueryNumber;
-  GreatestNumber = other91.GreatestNumber;
-  Voter = other91.Voter;
-  VoterCount = other91.VoterCount;
-  __isset = other91.__isset;
-}
-ConfirmationAnswer& ConfirmationAnswer::operator=(const ConfirmationAnswer& other92) noexcept {
-  QueryNumber = other92.QueryNumber;
-  GreatestNumber = other92.GreatestNumber;
-  Voter = other92.Voter;
-  VoterCount = other92.VoterCount;
-  __isset = other92.__isset;
+ConfirmationAnswer::ConfirmationAnswer(const ConfirmationAnswer& other100) noexcept {
+  QueryNumber = other100.QueryNumber;
+  GreatestNumber = other100.GreatestNumber;
+  Voter = other100.Voter;
+  VoterCount = other100.VoterCount;
+  __isset = other100.__isset;
+}
+ConfirmationAnswer::ConfirmationAnswer(ConfirmationAnswer&& other101) noexcept {
+  QueryNumber = other101.QueryNumber;
+  GreatestNumber = other101.GreatestNumber;
+  Voter = other101.Voter;
+  VoterCount = other101.VoterCount;
+  __isset = other101.__isset;
+}
+ConfirmationAnswer& ConfirmationAnswer::operator=(const ConfirmationAnswer& other102) noexcept {
+  QueryNumber = other102.QueryNumber;
+  GreatestNumber = other102.GreatestNumber;
+  Voter = other102.Voter;
+  VoterCount = other102.VoterCount;
+  __isset = other102.__isset;
   return *this;
 }
-ConfirmationAnswer& ConfirmationAnswer::operator=(ConfirmationAnswer&& other93) noexcept {
-  QueryNumber = other93.QueryNumber;
-  GreatestNumber = other93.GreatestNumber;
-  Voter = other93.Voter;
-  VoterCount = other93.VoterCount;
-  __isset = other93.__isset;
+ConfirmationAnswer& ConfirmationAnswer::operator=(ConfirmationAnswer&& other103) noexcept {
+  QueryNumber = other103.QueryNumber;
+  GreatestNumber = other103.GreatestNumber;
+  Voter = other103.Voter;
+  VoterCount = other103.VoterCount;
+  __isset = other103.__isset;
   return *this;
 }
 void ConfirmationAnswer::printTo(std::ostream& out) const {
@@ -2715,26 +2952,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfirmationMessage::ConfirmationMessage(const ConfirmationMessage& other94) noexcept {
-  Query = other94.Query;
-  Answer = other94.Answer;
-  __isset = other94.__isset;
+ConfirmationMessage::ConfirmationMessage(const ConfirmationMessage& other104) noexcept {
+  Query = other104.Query;
+  Answer = other104.Answer;
+  __isset = other104.__isset;
 }
-ConfirmationMessage::ConfirmationMessage(ConfirmationMessage&& other95) noexcept {
-  Query = std::move(other95.Query);
-  Answer = std::move(other95.Answer);
-  __isset = other95.__isset;
+ConfirmationMessage::ConfirmationMessage(ConfirmationMessage&& other105) noexcept {
+  Query = std::move(other105.Query);
+  Answer = std::move(other105.Answer);
+  __isset = other105.__isset;
 }
-ConfirmationMessage& ConfirmationMessage::operator=(const ConfirmationMessage& other96) noexcept {
-  Query = other96.Query;
-  Answer = other96.Answer;
-  __isset = other96.__isset;
+ConfirmationMessage& ConfirmationMessage::operator=(const ConfirmationMessage& other106) noexcept {
+  Query = other106.Query;
+  Answer = other106.Answer;
+  __isset = other106.__isset;
   return *this;
 }
-ConfirmationMessage& ConfirmationMessage::operator=(ConfirmationMessage&& other97) noexcept {
-  Query = std::move(other97.Query);
-  Answer = std::move(other97.Answer);
-  __isset = other97.__isset;
+ConfirmationMessage& ConfirmationMessage::operator=(ConfirmationMessage&& other107) noexcept {
+  Query = std::move(other107.Query);
+  Answer = std::move(other107.Answer);
+  __isset = other107.__isset;
   return *this;
 }
 void ConfirmationMessage::printTo(std::ostream& out) const {
--- a/Libraries/LibWire/Generated/Membership_types.h
+++ b/Libraries/LibWire/Generated/Membership_types.h
@@ -35,6 +35,8 @@
 
 class LeaveMark;
 
+class RecordedLeaveFields;
+
 class HostFields;
 
 class MembershipAsk;
@@ -600,6 +602,65 @@
 
 std::ostream& operator<<(std::ostream& out, const LeaveMark& obj);
 
+typedef struct _RecordedLeaveFields__isset {
+  _RecordedLeaveFields__isset() : Target(false), Incarnation(false), Number(false) {}
+  bool Target :1;
+  bool Incarnation :1;
+  bool Number :1;
+} _RecordedLeaveFields__isset;
+
+class RecordedLeaveFields : public virtual ::apache::thrift::TBase {
+ public:
+
+  RecordedLeaveFields(const RecordedLeaveFields&);
+  RecordedLeaveFields(RecordedLeaveFields&&) noexcept;
+  RecordedLeaveFields& operator=(const RecordedLeaveFields&);
+  RecordedLeaveFields& operator=(RecordedLeaveFields&&) noexcept;
+  RecordedLeaveFields() noexcept
+                      : Target(),
+                        Incarnation(0),
+                        Number(0) {
+  }
+
+  virtual ~RecordedLeaveFields() noexcept;
+  std::string Target;
+  int64_t Incarnation;
+  int64_t Number;
+
+  _RecordedLeaveFields__isset __isset;
+
+  void __set_Target(const std::string& val);
+
+  void __set_Incarnation(const int64_t val);
+
+  void __set_Number(const int64_t val);
+
+  bool operator == (const RecordedLeaveFields & rhs) const
+  {
+    if (!(Target == rhs.Target))
+      return false;
+    if (!(Incarnation == rhs.Incarnation))
+      return false;
+    if (!(Number == rhs.Number))
+      return false;
+    return true;
+  }
+  bool operator != (const RecordedLeaveFields &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RecordedLeaveFields & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RecordedLeaveFields &a, RecordedLeaveFields &b);
+
+std::ostream& operator<<(std::ostream& out, const RecordedLeaveFields& obj);
+
 typedef struct _HostFields__isset {
   _HostFields__isset() : Id(false), DataCentre(false), Role(false), CallerAddress(false) {}
   bool Id :1;
@@ -667,12 +728,13 @@
 std::ostream& operator<<(std::ostream& out, const HostFields& obj);
 
 typedef struct _MembershipAsk__isset {
-  _MembershipAsk__isset() : AskNumber(false), Wants(false), Asker(false), UnknownTags(false), AskerIncarnation(false) {}
+  _MembershipAsk__isset() : AskNumber(false), Wants(false), Asker(false), UnknownTags(false), AskerIncarnation(false), LeavesAfter(false) {}
   bool AskNumber :1;
   bool Wants :1;
   bool Asker :1;
   bool UnknownTags :1;
   bool AskerIncarnation :1;
+  bool LeavesAfter :1;
 } _MembershipAsk__isset;
 
 class MembershipAsk : public virtual ::apache::thrift::TBase {
@@ -684,7 +746,8 @@
   MembershipAsk& operator=(MembershipAsk&&) noexcept;
   MembershipAsk() noexcept
                 : AskNumber(0),
-                  AskerIncarnation(0) {
+                  AskerIncarnation(0),
+                  LeavesAfter(0) {
   }
 
   virtual ~MembershipAsk() noexcept;
@@ -693,6 +756,7 @@
   HostFields Asker;
   std::vector<int32_t>  UnknownTags;
   int64_t AskerIncarnation;
+  int64_t LeavesAfter;
 
   _MembershipAsk__isset __isset;
 
@@ -706,6 +770,8 @@
 
   void __set_AskerIncarnation(const int64_t val);
 
+  void __set_LeavesAfter(const int64_t val);
+
   bool operator == (const MembershipAsk & rhs) const
   {
     if (!(AskNumber == rhs.AskNumber))
@@ -724,6 +790,10 @@
       return false;
     else if (__isset.AskerIncarnation && !(AskerIncarnation == rhs.AskerIncarnation))
       return false;
+    if (__isset.LeavesAfter != rhs.__isset.LeavesAfter)
+      return false;
+    else if (__isset.LeavesAfter && !(LeavesAfter == rhs.LeavesAfter))
+      return false;
     return true;
   }
   bool operator != (const MembershipAsk &rhs) const {
@@ -743,13 +813,15 @@
 std::ostream& operator<<(std::ostream& out, const MembershipAsk& obj);
 
 typedef struct _MembershipReply__isset {
-  _MembershipReply__isset() : AskNumber(false), Heartbeats(false), Deltas(false), ConfirmedNumber(false), ConfirmedAgeMillis(false), Introduced(false) {}
+  _MembershipReply__isset() : AskNumber(false), Heartbeats(false), Deltas(false), ConfirmedNumber(false), ConfirmedAgeMillis(false), Introduced(false), RecordedLeaves(false), NewestLeave(false) {}
   bool AskNumber :1;
   bool Heartbeats :1;
   bool Deltas :1;
   bool ConfirmedNumber :1;
   bool ConfirmedAgeMillis :1;
   bool Introduced :1;
+  bool RecordedLeaves :1;
+  bool NewestLeave :1;
 } _MembershipReply__isset;
 
 class MembershipReply : public virtual ::apache::thrift::TBase {
@@ -762,7 +834,8 @@
   MembershipReply() noexcept
                   : AskNumber(0),
                     ConfirmedNumber(0),
-                    ConfirmedAgeMillis(0) {
+                    ConfirmedAgeMillis(0),
+                    NewestLeave(0) {
   }
 
   virtual ~MembershipReply() noexcept;
@@ -772,6 +845,8 @@
   int64_t ConfirmedNumber;
   int32_t ConfirmedAgeMillis;
   std::vector<HostFields>  Introduced;
+  std::vector<RecordedLeaveFields>  RecordedLeaves;
+  int64_t NewestLeave;
 
   _MembershipReply__isset __isset;
 
@@ -787,6 +862,10 @@
 
   void __set_Introduced(const std::vector<HostFields> & val);
 
+  void __set_RecordedLeaves(const std::vector<RecordedLeaveFields> & val);
+
+  void __set_NewestLeave(const int64_t val);
+
   bool operator == (const MembershipReply & rhs) const
   {
     if (!(AskNumber == rhs.AskNumber))
@@ -807,6 +886,14 @@
       return false;
     else if (__isset.Introduced && !(Introduced == rhs.Introduced))
       return false;
+    if (__isset.RecordedLeaves != rhs.__isset.RecordedLeaves)
+      return false;
+    else if (__isset.RecordedLeaves && !(RecordedLeaves == rhs.RecordedLeaves))
+      return false;
+    if (__isset.NewestLeave != rhs.__isset.NewestLeave)
+      return false;
+    else if (__isset.NewestLeave && !(NewestLeave == rhs.NewestLeave))
+      return false;
     return true;
   }
   bool operator != (const MembershipReply &rhs) const {
--- a/Libraries/LibWire/Generated/Registry_types.cpp
+++ b/Libraries/LibWire/Generated/Registry_types.cpp
@@ -1058,6 +1058,151 @@
 }
 
 
+RecordLeaveCommand::~RecordLeaveCommand() noexcept {
+}
+
+
+void RecordLeaveCommand::__set_Target(const std::string& val) {
+  this->Target = val;
+}
+
+void RecordLeaveCommand::__set_Incarnation(const int64_t val) {
+  this->Incarnation = val;
+}
+
+void RecordLeaveCommand::__set_LeftAtMillis(const int64_t val) {
+  this->LeftAtMillis = val;
+}
+std::ostream& operator<<(std::ostream& out, const RecordLeaveCommand& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RecordLeaveCommand::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->Target);
+          this->__isset.Target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Incarnation);
+          this->__isset.Incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->LeftAtMillis);
+          this->__isset.LeftAtMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RecordLeaveCommand::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RecordLeaveCommand");
+
+  xfer += oprot->writeFieldBegin("Target", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->Target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Incarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->Incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("LeftAtMillis", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->LeftAtMillis);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RecordLeaveCommand &a, RecordLeaveCommand &b) {
+  using ::std::swap;
+  swap(a.Target, b.Target);
+  swap(a.Incarnation, b.Incarnation);
+  swap(a.LeftAtMillis, b.LeftAtMillis);
+  swap(a.__isset, b.__isset);
+}
+
+RecordLeaveCommand::RecordLeaveCommand(const RecordLeaveCommand& other24) {
+  Target = other24.Target;
+  Incarnation = other24.Incarnation;
+  LeftAtMillis = other24.LeftAtMillis;
+  __isset = other24.__isset;
+}
+RecordLeaveCommand::RecordLeaveCommand(RecordLeaveCommand&& other25) noexcept {
+  Target = std::move(other25.Target);
+  Incarnation = other25.Incarnation;
+  LeftAtMillis = other25.LeftAtMillis;
+  __isset = other25.__isset;
+}
+RecordLeaveCommand& RecordLeaveCommand::operator=(const RecordLeaveCommand& other26) {
+  Target = other26.Target;
+  Incarnation = other26.Incarnation;
+  LeftAtMillis = other26.LeftAtMillis;
+  __isset = other26.__isset;
+  return *this;
+}
+RecordLeaveCommand& RecordLeaveCommand::operator=(RecordLeaveCommand&& other27) noexcept {
+  Target = std::move(other27.Target);
+  Incarnation = other27.Incarnation;
+  LeftAtMillis = other27.LeftAtMillis;
+  __isset = other27.__isset;
+  return *this;
+}
+void RecordLeaveCommand::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RecordLeaveCommand(";
+  out << "Target=" << to_string(Target);
+  out << ", " << "Incarnation=" << to_string(Incarnation);
+  out << ", " << "LeftAtMillis=" << to_string(LeftAtMillis);
+  out << ")";
+}
+
+
 ClaimCommand::~ClaimCommand() noexcept {
 }
 
@@ -1184,34 +1329,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimCommand::ClaimCommand(const ClaimCommand& other24) {
-  Key = other24.Key;
-  Attempt = other24.Attempt;
-  BodyDigest = other24.BodyDigest;
-  AskedAtMillis = other24.AskedAtMillis;
-  __isset = other24.__isset;
+ClaimCommand::ClaimCommand(const ClaimCommand& other28) {
+  Key = other28.Key;
+  Attempt = other28.Attempt;
+  BodyDigest = other28.BodyDigest;
+  AskedAtMillis = other28.AskedAtMillis;
+  __isset = other28.__isset;
 }
-ClaimCommand::ClaimCommand(ClaimCommand&& other25) noexcept {
-  Key = std::move(other25.Key);
-  Attempt = std::move(other25.Attempt);
-  BodyDigest = other25.BodyDigest;
-  AskedAtMillis = other25.AskedAtMillis;
-  __isset = other25.__isset;
+ClaimCommand::ClaimCommand(ClaimCommand&& other29) noexcept {
+  Key = std::move(other29.Key);
+  Attempt = std::move(other29.Attempt);
+  BodyDigest = other29.BodyDigest;
+  AskedAtMillis = other29.AskedAtMillis;
+  __isset = other29.__isset;
 }
-ClaimCommand& ClaimCommand::operator=(const ClaimCommand& other26) {
-  Key = other26.Key;
-  Attempt = other26.Attempt;
-  BodyDigest = other26.BodyDigest;
-  AskedAtMillis = other26.AskedAtMillis;
-  __isset = other26.__isset;
+ClaimCommand& ClaimCommand::operator=(const ClaimCommand& other30) {
+  Key = other30.Key;
+  Attempt = other30.Attempt;
+  BodyDigest = other30.BodyDigest;
+  AskedAtMillis = other30.AskedAtMillis;
+  __isset = other30.__isset;
   return *this;
 }
-ClaimCommand& ClaimCommand::operator=(ClaimCommand&& other27) noexcept {
-  Key = std::move(other27.Key);
-  Attempt = std::move(other27.Attempt);
-  BodyDigest = other27.BodyDigest;
-  AskedAtMillis = other27.AskedAtMillis;
-  __isset = other27.__isset;
+ClaimCommand& ClaimCommand::operator=(ClaimCommand&& other31) noexcept {
+  Key = std::move(other31.Key);
+  Attempt = std::move(other31.Attempt);
+  BodyDigest = other31.BodyDigest;
+  AskedAtMillis = other31.AskedAtMillis;
+  __isset = other31.__isset;
   return *this;
 }
 void ClaimCommand::printTo(std::ostream& out) const {
@@ -1334,30 +1479,30 @@
   swap(a.__isset, b.__isset);
 }
 
-CompleteCommand::CompleteCommand(const CompleteCommand& other28) {
-  Key = other28.Key;
-  Attempt = other28.Attempt;
-  Answer = other28.Answer;
-  __isset = other28.__isset;
+CompleteCommand::CompleteCommand(const CompleteCommand& other32) {
+  Key = other32.Key;
+  Attempt = other32.Attempt;
+  Answer = other32.Answer;
+  __isset = other32.__isset;
 }
-CompleteCommand::CompleteCommand(CompleteCommand&& other29) noexcept {
-  Key = std::move(other29.Key);
-  Attempt = std::move(other29.Attempt);
-  Answer = std::move(other29.Answer);
-  __isset = other29.__isset;
+CompleteCommand::CompleteCommand(CompleteCommand&& other33) noexcept {
+  Key = std::move(other33.Key);
+  Attempt = std::move(other33.Attempt);
+  Answer = std::move(other33.Answer);
+  __isset = other33.__isset;
 }
-CompleteCommand& CompleteCommand::operator=(const CompleteCommand& other30) {
-  Key = other30.Key;
-  Attempt = other30.Attempt;
-  Answer = other30.Answer;
-  __isset = other30.__isset;
+CompleteCommand& CompleteCommand::operator=(const CompleteCommand& other34) {
+  Key = other34.Key;
+  Attempt = other34.Attempt;
+  Answer = other34.Answer;
+  __isset = other34.__isset;
   return *this;
 }
-CompleteCommand& CompleteCommand::operator=(CompleteCommand&& other31) noexcept {
-  Key = std::move(other31.Key);
-  Attempt = std::move(other31.Attempt);
-  Answer = std::move(other31.Answer);
-  __isset = other31.__isset;
+CompleteCommand& CompleteCommand::operator=(CompleteCommand&& other35) noexcept {
+  Key = std::move(other35.Key);
+  Attempt = std::move(other35.Attempt);
+  Answer = std::move(other35.Answer);
+  __isset = other35.__isset;
   return *this;
 }
 void CompleteCommand::printTo(std::ostream& out) const {
@@ -1462,26 +1607,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ReleaseCommand::ReleaseCommand(const ReleaseCommand& other32) {
-  Key = other32.Key;
-  Attempt = other32.Attempt;
-  __isset = other32.__isset;
+ReleaseCommand::ReleaseCommand(const ReleaseCommand& other36) {
+  Key = other36.Key;
+  Attempt = other36.Attempt;
+  __isset = other36.__isset;
 }
-ReleaseCommand::ReleaseCommand(ReleaseCommand&& other33) noexcept {
-  Key = std::move(other33.Key);
-  Attempt = std::move(other33.Attempt);
-  __isset = other33.__isset;
+ReleaseCommand::ReleaseCommand(ReleaseCommand&& other37) noexcept {
+  Key = std::move(other37.Key);
+  Attempt = std::move(other37.Attempt);
+  __isset = other37.__isset;
 }
-ReleaseCommand& ReleaseCommand::operator=(const ReleaseCommand& other34) {
-  Key = other34.Key;
-  Attempt = other34.Attempt;
-  __isset = other34.__isset;
+ReleaseCommand& ReleaseCommand::operator=(const ReleaseCommand& other38) {
+  Key = other38.Key;
+  Attempt = other38.Attempt;
+  __isset = other38.__isset;
   return *this;
 }
-ReleaseCommand& ReleaseCommand::operator=(ReleaseCommand&& other35) noexcept {
-  Key = std::move(other35.Key);
-  Attempt = std::move(other35.Attempt);
-  __isset = other35.__isset;
+ReleaseCommand& ReleaseCommand::operator=(ReleaseCommand&& other39) noexcept {
+  Key = std::move(other39.Key);
+  Attempt = std::move(other39.Attempt);
+  __isset = other39.__isset;
   return *this;
 }
 void ReleaseCommand::printTo(std::ostream& out) const {
@@ -1585,26 +1730,26 @@
   swap(a.__isset, b.__isset);
 }
 
-MarkUnknownCommand::MarkUnknownCommand(const MarkUnknownCommand& other36) {
-  Key = other36.Key;
-  Holder = other36.Holder;
-  __isset = other36.__isset;
+MarkUnknownCommand::MarkUnknownCommand(const MarkUnknownCommand& other40) {
+  Key = other40.Key;
+  Holder = other40.Holder;
+  __isset = other40.__isset;
 }
-MarkUnknownCommand::MarkUnknownCommand(MarkUnknownCommand&& other37) noexcept {
-  Key = std::move(other37.Key);
-  Holder = std::move(other37.Holder);
-  __isset = other37.__isset;
+MarkUnknownCommand::MarkUnknownCommand(MarkUnknownCommand&& other41) noexcept {
+  Key = std::move(other41.Key);
+  Holder = std::move(other41.Holder);
+  __isset = other41.__isset;
 }
-MarkUnknownCommand& MarkUnknownCommand::operator=(const MarkUnknownCommand& other38) {
-  Key = other38.Key;
-  Holder = other38.Holder;
-  __isset = other38.__isset;
+MarkUnknownCommand& MarkUnknownCommand::operator=(const MarkUnknownCommand& other42) {
+  Key = other42.Key;
+  Holder = other42.Holder;
+  __isset = other42.__isset;
   return *this;
 }
-MarkUnknownCommand& MarkUnknownCommand::operator=(MarkUnknownCommand&& other39) noexcept {
-  Key = std::move(other39.Key);
-  Holder = std::move(other39.Holder);
-  __isset = other39.__isset;
+MarkUnknownCommand& MarkUnknownCommand::operator=(MarkUnknownCommand&& other43) noexcept {
+  Key = std::move(other43.Key);
+  Holder = std::move(other43.Holder);
+  __isset = other43.__isset;
   return *this;
 }
 void MarkUnknownCommand::printTo(std::ostream& out) const {
@@ -1691,22 +1836,22 @@
   swap(a.__isset, b.__isset);
 }
 
-AdvanceLowWaterCommand::AdvanceLowWaterCommand(const AdvanceLowWaterCommand& other40) noexcept {
-  MarkMillis = other40.MarkMillis;
-  __isset = other40.__isset;
+AdvanceLowWaterCommand::AdvanceLowWaterCommand(const AdvanceLowWaterCommand& other44) noexcept {
+  MarkMillis = other44.MarkMillis;
+  __isset = other44.__isset;
 }
-AdvanceLowWaterCommand::AdvanceLowWaterCommand(AdvanceLowWaterCommand&& other41) noexcept {
-  MarkMillis = other41.MarkMillis;
-  __isset = other41.__isset;
+AdvanceLowWaterCommand::AdvanceLowWaterCommand(AdvanceLowWaterCommand&& other45) noexcept {
+  MarkMillis = other45.MarkMillis;
+  __isset = other45.__isset;
 }
-AdvanceLowWaterCommand& AdvanceLowWaterCommand::operator=(const AdvanceLowWaterCommand& other42) noexcept {
-  MarkMillis = other42.MarkMillis;
-  __isset = other42.__isset;
+AdvanceLowWaterCommand& AdvanceLowWaterCommand::operator=(const AdvanceLowWaterCommand& other46) noexcept {
+  MarkMillis = other46.MarkMillis;
+  __isset = other46.__isset;
   return *this;
 }
-AdvanceLowWaterCommand& AdvanceLowWaterCommand::operator=(AdvanceLowWaterCommand&& other43) noexcept {
-  MarkMillis = other43.MarkMillis;
-  __isset = other43.__isset;
+AdvanceLowWaterCommand& AdvanceLowWaterCommand::operator=(AdvanceLowWaterCommand&& other47) noexcept {
+  MarkMillis = other47.MarkMillis;
+  __isset = other47.__isset;
   return *this;
 }
 void AdvanceLowWaterCommand::printTo(std::ostream& out) const {
@@ -1860,38 +2005,38 @@
   swap(a.__isset, b.__isset);
 }
 
-AcquireLeaseCommand::AcquireLeaseCommand(const AcquireLeaseCommand& other44) {
-  Name = other44.Name;
-  Host = other44.Host;
-  Incarnation = other44.Incarnation;
-  SeenFencing = other44.SeenFencing;
-  SeenRenewals = other44.SeenRenewals;
-  __isset = other44.__isset;
+AcquireLeaseCommand::AcquireLeaseCommand(const AcquireLeaseCommand& other48) {
+  Name = other48.Name;
+  Host = other48.Host;
+  Incarnation = other48.Incarnation;
+  SeenFencing = other48.SeenFencing;
+  SeenRenewals = other48.SeenRenewals;
+  __isset = other48.__isset;
 }
-AcquireLeaseCommand::AcquireLeaseCommand(AcquireLeaseCommand&& other45) noexcept {
-  Name = std::move(other45.Name);
-  Host = std::move(other45.Host);
-  Incarnation = other45.Incarnation;
-  SeenFencing = other45.SeenFencing;
-  SeenRenewals = other45.SeenRenewals;
-  __isset = other45.__isset;
+AcquireLeaseCommand::AcquireLeaseCommand(AcquireLeaseCommand&& other49) noexcept {
+  Name = std::move(other49.Name);
+  Host = std::move(other49.Host);
+  Incarnation = other49.Incarnation;
+  SeenFencing = other49.SeenFencing;
+  SeenRenewals = other49.SeenRenewals;
+  __isset = other49.__isset;
 }
-AcquireLeaseCommand& AcquireLeaseCommand::operator=(const AcquireLeaseCommand& other46) {
-  Name = other46.Name;
-  Host = other46.Host;
-  Incarnation = other46.Incarnation;
-  SeenFencing = other46.SeenFencing;
-  SeenRenewals = other46.SeenRenewals;
-  __isset = other46.__isset;
+AcquireLeaseCommand& AcquireLeaseCommand::operator=(const AcquireLeaseCommand& other50) {
+  Name = other50.Name;
+  Host = other50.Host;
+  Incarnation = other50.Incarnation;
+  SeenFencing = other50.SeenFencing;
+  SeenRenewals = other50.SeenRenewals;
+  __isset = other50.__isset;
   return *this;
 }
-AcquireLeaseCommand& AcquireLeaseCommand::operator=(AcquireLeaseCommand&& other47) noexcept {
-  Name = std::move(other47.Name);
-  Host = std::move(other47.Host);
-  Incarnation = other47.Incarnation;
-  SeenFencing = other47.SeenFencing;
-  SeenRenewals = other47.SeenRenewals;
-  __isset = other47.__isset;
+AcquireLeaseCommand& AcquireLeaseCommand::operator=(AcquireLeaseCommand&& other51) noexcept {
+  Name = std::move(other51.Name);
+  Host = std::move(other51.Host);
+  Incarnation = other51.Incarnation;
+  SeenFencing = other51.SeenFencing;
+  SeenRenewals = other51.SeenRenewals;
+  __isset = other51.__isset;
   return *this;
 }
 void AcquireLeaseCommand::printTo(std::ostream& out) const {
@@ -2049,38 +2194,38 @@
   swap(a.__isset, b.__isset);
 }
 
-RenewLeaseCommand::RenewLeaseCommand(const RenewLeaseCommand& other48) {
-  Name = other48.Name;
-  Host = other48.Host;
-  Incarnation = other48.Incarnation;
-  Fencing = other48.Fencing;
-  Renewals = other48.Renewals;
-  __isset = other48.__isset;
+RenewLeaseCommand::RenewLeaseCommand(const RenewLeaseCommand& other52) {
+  Name = other52.Name;
+  Host = other52.Host;
+  Incarnation = other52.Incarnation;
+  Fencing = other52.Fencing;
+  Renewals = other52.Renewals;
+  __isset = other52.__isset;
 }
-RenewLeaseCommand::RenewLeaseCommand(RenewLeaseCommand&& other49) noexcept {
-  Name = std::move(other49.Name);
-  Host = std::move(other49.Host);
-  Incarnation = other49.Incarnation;
-  Fencing = other49.Fencing;
-  Renewals = other49.Renewals;
-  __isset = other49.__isset;
+RenewLeaseCommand::RenewLeaseCommand(RenewLeaseCommand&& other53) noexcept {
+  Name = std::move(other53.Name);
+  Host = std::move(other53.Host);
+  Incarnation = other53.Incarnation;
+  Fencing = other53.Fencing;
+  Renewals = other53.Renewals;
+  __isset = other53.__isset;
 }
-RenewLeaseCommand& RenewLeaseCommand::operator=(const RenewLeaseCommand& other50) {
-  Name = other50.Name;
-  Host = other50.Host;
-  Incarnation = other50.Incarnation;
-  Fencing = other50.Fencing;
-  Renewals = other50.Renewals;
-  __isset = other50.__isset;
+RenewLeaseCommand& RenewLeaseCommand::operator=(const RenewLeaseCommand& other54) {
+  Name = other54.Name;
+  Host = other54.Host;
+  Incarnation = other54.Incarnation;
+  Fencing = other54.Fencing;
+  Renewals = other54.Renewals;
+  __isset = other54.__isset;
   return *this;
 }
-RenewLeaseCommand& RenewLeaseCommand::operator=(RenewLeaseCommand&& other51) noexcept {
-  Name = std::move(other51.Name);
-  Host = std::move(other51.Host);
-  Incarnation = other51.Incarnation;
-  Fencing = other51.Fencing;
-  Renewals = other51.Renewals;
-  __isset = other51.__isset;
+RenewLeaseCommand& RenewLeaseCommand::operator=(RenewLeaseCommand&& other55) noexcept {
+  Name = std::move(other55.Name);
+  Host = std::move(other55.Host);
+  Incarnation = other55.Incarnation;
+  Fencing = other55.Fencing;
+  Renewals = other55.Renewals;
+  __isset = other55.__isset;
   return *this;
 }
 void RenewLeaseCommand::printTo(std::ostream& out) const {
@@ -2221,34 +2366,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ReleaseLeaseCommand::ReleaseLeaseCommand(const ReleaseLeaseCommand& other52) {
-  Name = other52.Name;
-  Host = other52.Host;
-  Incarnation = other52.Incarnation;
-  Fencing = other52.Fencing;
-  __isset = other52.__isset;
+ReleaseLeaseCommand::ReleaseLeaseCommand(const ReleaseLeaseCommand& other56) {
+  Name = other56.Name;
+  Host = other56.Host;
+  Incarnation = other56.Incarnation;
+  Fencing = other56.Fencing;
+  __isset = other56.__isset;
 }
-ReleaseLeaseCommand::ReleaseLeaseCommand(ReleaseLeaseCommand&& other53) noexcept {
-  Name = std::move(other53.Name);
-  Host = std::move(other53.Host);
-  Incarnation = other53.Incarnation;
-  Fencing = other53.Fencing;
-  __isset = other53.__isset;
+ReleaseLeaseCommand::ReleaseLeaseCommand(ReleaseLeaseCommand&& other57) noexcept {
+  Name = std::move(other57.Name);
+  Host = std::move(other57.Host);
+  Incarnation = other57.Incarnation;
+  Fencing = other57.Fencing;
+  __isset = other57.__isset;
 }
-ReleaseLeaseCommand& ReleaseLeaseCommand::operator=(const ReleaseLeaseCommand& other54) {
-  Name = other54.Name;
-  Host = other54.Host;
-  Incarnation = other54.Incarnation;
-  Fencing = other54.Fencing;
-  __isset = other54.__isset;
+ReleaseLeaseCommand& ReleaseLeaseCommand::operator=(const ReleaseLeaseCommand& other58) {
+  Name = other58.Name;
+  Host = other58.Host;
+  Incarnation = other58.Incarnation;
+  Fencing = other58.Fencing;
+  __isset = other58.__isset;
   return *this;
 }
-ReleaseLeaseCommand& ReleaseLeaseCommand::operator=(ReleaseLeaseCommand&& other55) noexcept {
-  Name = std::move(other55.Name);
-  Host = std::move(other55.Host);
-  Incarnation = other55.Incarnation;
-  Fencing = other55.Fencing;
-  __isset = other55.__isset;
+ReleaseLeaseCommand& ReleaseLeaseCommand::operator=(ReleaseLeaseCommand&& other59) noexcept {
+  Name = std::move(other59.Name);
+  Host = std::move(other59.Host);
+  Incarnation = other59.Incarnation;
+  Fencing = other59.Fencing;
+  __isset = other59.__isset;
   return *this;
 }
 void ReleaseLeaseCommand::printTo(std::ostream& out) const {
@@ -2424,42 +2569,42 @@
   swap(a.__isset, b.__isset);
 }
 
-LoadSlotFields::LoadSlotFields(const LoadSlotFields& other56) {
-  Target = other56.Target;
-  Incarnation = other56.Incarnation;
-  Weights = other56.Weights;
-  Fencing = other56.Fencing;
-  Sequence = other56.Sequence;
-  LaterRenewals = other56.LaterRenewals;
-  __isset = other56.__isset;
+LoadSlotFields::LoadSlotFields(const LoadSlotFields& other60) {
+  Target = other60.Target;
+  Incarnation = other60.Incarnation;
+  Weights = other60.Weights;
+  Fencing = other60.Fencing;
+  Sequence = other60.Sequence;
+  LaterRenewals = other60.LaterRenewals;
+  __isset = other60.__isset;
 }
-LoadSlotFields::LoadSlotFields(LoadSlotFields&& other57) noexcept {
-  Target = std::move(other57.Target);
-  Incarnation = other57.Incarnation;
-  Weights = other57.Weights;
-  Fencing = other57.Fencing;
-  Sequence = other57.Sequence;
-  LaterRenewals = other57.LaterRenewals;
-  __isset = other57.__isset;
+LoadSlotFields::LoadSlotFields(LoadSlotFields&& other61) noexcept {
+  Target = std::move(other61.Target);
+  Incarnation = other61.Incarnation;
+  Weights = other61.Weights;
+  Fencing = other61.Fencing;
+  Sequence = other61.Sequence;
+  LaterRenewals = other61.LaterRenewals;
+  __isset = other61.__isset;
 }
-LoadSlotFields& LoadSlotFields::operator=(const LoadSlotFields& other58) {
-  Target = other58.Target;
-  Incarnation = other58.Incarnation;
-  Weights = other58.Weights;
-  Fencing = other58.Fencing;
-  Sequence = other58.Sequence;
-  LaterRenewals = other58.LaterRenewals;
-  __isset = other58.__isset;
+LoadSlotFields& LoadSlotFields::operator=(const LoadSlotFields& other62) {
+  Target = other62.Target;
+  Incarnation = other62.Incarnation;
+  Weights = other62.Weights;
+  Fencing = other62.Fencing;
+  Sequence = other62.Sequence;
+  LaterRenewals = other62.LaterRenewals;
+  __isset = other62.__isset;
   return *this;
 }
-LoadSlotFields& LoadSlotFields::operator=(LoadSlotFields&& other59) noexcept {
-  Target = std::move(other59.Target);
-  Incarnation = other59.Incarnation;
-  Weights = other59.Weights;
-  Fencing = other59.Fencing;
-  Sequence = other59.Sequence;
-  LaterRenewals = other59.LaterRenewals;
-  __isset = other59.__isset;
+LoadSlotFields& LoadSlotFields::operator=(LoadSlotFields&& other63) noexcept {
+  Target = std::move(other63.Target);
+  Incarnation = other63.Incarnation;
+  Weights = other63.Weights;
+  Fencing = other63.Fencing;
+  Sequence = other63.Sequence;
+  LaterRenewals = other63.LaterRenewals;
+  __isset = other63.__isset;
   return *this;
 }
 void LoadSlotFields::printTo(std::ostream& out) const {
@@ -2567,26 +2712,26 @@
   swap(a.__isset, b.__isset);
 }
 
-BeginLoadCommand::BeginLoadCommand(const BeginLoadCommand& other60) {
-  Slot = other60.Slot;
-  MaxLoads = other60.MaxLoads;
-  __isset = other60.__isset;
+BeginLoadCommand::BeginLoadCommand(const BeginLoadCommand& other64) {
+  Slot = other64.Slot;
+  MaxLoads = other64.MaxLoads;
+  __isset = other64.__isset;
 }
-BeginLoadCommand::BeginLoadCommand(BeginLoadCommand&& other61) noexcept {
-  Slot = std::move(other61.Slot);
-  MaxLoads = other61.MaxLoads;
-  __isset = other61.__isset;
+BeginLoadCommand::BeginLoadCommand(BeginLoadCommand&& other65) noexcept {
+  Slot = std::move(other65.Slot);
+  MaxLoads = other65.MaxLoads;
+  __isset = other65.__isset;
 }
-BeginLoadCommand& BeginLoadCommand::operator=(const BeginLoadCommand& other62) {
-  Slot = other62.Slot;
-  MaxLoads = other62.MaxLoads;
-  __isset = other62.__isset;
+BeginLoadCommand& BeginLoadCommand::operator=(const BeginLoadCommand& other66) {
+  Slot = other66.Slot;
+  MaxLoads = other66.MaxLoads;
+  __isset = other66.__isset;
   return *this;
 }
-BeginLoadCommand& BeginLoadCommand::operator=(BeginLoadCommand&& other63) noexcept {
-  Slot = std::move(other63.Slot);
-  MaxLoads = other63.MaxLoads;
-  __isset = other63.__isset;
+BeginLoadCommand& BeginLoadCommand::operator=(BeginLoadCommand&& other67) noexcept {
+  Slot = std::move(other67.Slot);
+  MaxLoads = other67.MaxLoads;
+  __isset = other67.__isset;
   return *this;
 }
 void BeginLoadCommand::printTo(std::ostream& out) const {
@@ -2673,22 +2818,22 @@
   swap(a.__isset, b.__isset);
 }
 
-EndLoadCommand::EndLoadCommand(const EndLoadCommand& other64) {
-  Slot = other64.Slot;
-  __isset = other64.__isset;
+EndLoadCommand::EndLoadCommand(const EndLoadCommand& other68) {
+  Slot = other68.Slot;
+  __isset = other68.__isset;
 }
-EndLoadCommand::EndLoadCommand(EndLoadCommand&& other65) noexcept {
-  Slot = std::move(other65.Slot);
-  __isset = other65.__isset;
+EndLoadCommand::EndLoadCommand(EndLoadCommand&& other69) noexcept {
+  Slot = std::move(other69.Slot);
+  __isset = other69.__isset;
 }
-EndLoadCommand& EndLoadCommand::operator=(const EndLoadCommand& other66) {
-  Slot = other66.Slot;
-  __isset = other66.__isset;
+EndLoadCommand& EndLoadCommand::operator=(const EndLoadCommand& other70) {
+  Slot = other70.Slot;
+  __isset = other70.__isset;
   return *this;
 }
-EndLoadCommand& EndLoadCommand::operator=(EndLoadCommand&& other67) noexcept {
-  Slot = std::move(other67.Slot);
-  __isset = other67.__isset;
+EndLoadCommand& EndLoadCommand::operator=(EndLoadCommand&& other71) noexcept {
+  Slot = std::move(other71.Slot);
+  __isset = other71.__isset;
   return *this;
 }
 void EndLoadCommand::printTo(std::ostream& out) const {
@@ -2767,6 +2912,11 @@
   this->NameWeights = val;
 __isset.NameWeights = true;
 }
+
+void RegistryCommand::__set_RecordLeave(const RecordLeaveCommand& val) {
+  this->RecordLeave = val;
+__isset.RecordLeave = true;
+}
 std::ostream& operator<<(std::ostream& out, const RegistryCommand& obj)
 {
   obj.printTo(out);
@@ -2899,6 +3049,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->RecordLeave.read(iprot);
+          this->__isset.RecordLeave = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2981,6 +3139,11 @@
     xfer += this->NameWeights.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.RecordLeave) {
+    xfer += oprot->writeFieldBegin("RecordLeave", ::apache::thrift::protocol::T_STRUCT, 14);
+    xfer += this->RecordLeave.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3001,73 +3164,78 @@
   swap(a.EndLoad, b.EndLoad);
   swap(a.Replace, b.Replace);
   swap(a.NameWeights, b.NameWeights);
+  swap(a.RecordLeave, b.RecordLeave);
   swap(a.__isset, b.__isset);
 }
-
-RegistryCommand::RegistryCommand(const RegistryCommand& other68) {
-  Change = other68.Change;
-  Claim = other68.Claim;
-  Complete = other68.Complete;
-  Release = other68.Release;
-  MarkUnknown = other68.MarkUnknown;
-  AdvanceLowWater = other68.AdvanceLowWater;
-  AcquireLease = other68.AcquireLease;
-  RenewLease = other68.RenewLease;
-  ReleaseLease = other68.ReleaseLease;
-  BeginLoad = other68.BeginLoad;
-  EndLoad = other68.EndLoad;
-  Replace = other68.Replace;
-  NameWeights = other68.NameWeights;
-  __isset = other68.__isset;
-}
-RegistryCommand::RegistryCommand(RegistryCommand&& other69) noexcept {
-  Change = std::move(other69.Change);
-  Claim = std::move(other69.Claim);
-  Complete = std::move(other69.Complete);
-  Release = std::move(other69.Release);
-  MarkUnknown = std::move(other69.MarkUnknown);
-  AdvanceLowWater = std::move(other69.AdvanceLowWater);
-  AcquireLease = std::move(other69.AcquireLease);
-  RenewLease = std::move(other69.RenewLease);
-  ReleaseLease = std::move(other69.ReleaseLease);
-  BeginLoad = std::move(other69.BeginLoad);
-  EndLoad = std::move(other69.EndLoad);
-  Replace = std::move(other69.Replace);
-  NameWeights = std::move(other69.NameWeights);
-  __isset = other69.__isset;
+
+RegistryCommand::RegistryCommand(const RegistryCommand& other72) {
+  Change = other72.Change;
+  Claim = other72.Claim;
+  Complete = other72.Complete;
+  Release = other72.Release;
+  MarkUnknown = other72.MarkUnknown;
+  AdvanceLowWater = other72.AdvanceLowWater;
+  AcquireLease = other72.AcquireLease;
+  RenewLease = other72.RenewLease;
+  ReleaseLease = other72.ReleaseLease;
+  BeginLoad = other72.BeginLoad;
+  EndLoad = other72.EndLoad;
+  Replace = other72.Replace;
+  NameWeights = other72.NameWeights;
+  RecordLeave = other72.RecordLeave;
+  __isset = other72.__isset;
+}
+RegistryCommand::RegistryCommand(RegistryCommand&& other73) noexcept {
+  Change = std::move(other73.Change);
+  Claim = std::move(other73.Claim);
+  Complete = std::move(other73.Complete);
+  Release = std::move(other73.Release);
+  MarkUnknown = std::move(other73.MarkUnknown);
+  AdvanceLowWater = std::move(other73.AdvanceLowWater);
+  AcquireLease = std::move(other73.AcquireLease);
+  RenewLease = std::move(other73.RenewLease);
+  ReleaseLease = std::move(other73.ReleaseLease);
+  BeginLoad = std::move(other73.BeginLoad);
+  EndLoad = std::move(other73.EndLoad);
+  Replace = std::move(other73.Replace);
+  NameWeights = std::move(other73.NameWeights);
+  RecordLeave = std::move(other73.RecordLeave);
+  __isset = other73.__isset;
 }
-RegistryCommand& RegistryCommand::operator=(const RegistryCommand& other70) {
-  Change = other70.Change;
-  Claim = other70.Claim;
-  Complete = other70.Complete;
-  Release = other70.Release;
-  MarkUnknown = other70.MarkUnknown;
-  AdvanceLowWater = other70.AdvanceLowWater;
-  AcquireLease = other70.AcquireLease;
-  RenewLease = other70.RenewLease;
-  ReleaseLease = other70.ReleaseLease;
-  BeginLoad = other70.BeginLoad;
-  EndLoad = other70.EndLoad;
-  Replace = other70.Replace;
-  NameWeights = other70.NameWeights;
-  __isset = other70.__isset;
+RegistryCommand& RegistryCommand::operator=(const RegistryCommand& other74) {
+  Change = other74.Change;
+  Claim = other74.Claim;
+  Complete = other74.Complete;
+  Release = other74.Release;
+  MarkUnknown = other74.MarkUnknown;
+  AdvanceLowWater = other74.AdvanceLowWater;
+  AcquireLease = other74.AcquireLease;
+  RenewLease = other74.RenewLease;
+  ReleaseLease = other74.ReleaseLease;
+  BeginLoad = other74.BeginLoad;
+  EndLoad = other74.EndLoad;
+  Replace = other74.Replace;
+  NameWeights = other74.NameWeights;
+  RecordLeave = other74.RecordLeave;
+  __isset = other74.__isset;
   return *this;
 }
-RegistryCommand& RegistryCommand::operator=(RegistryCommand&& other71) noexcept {
-  Change = std::move(other71.Change);
-  Claim = std::move(other71.Claim);
-  Complete = std::move(other71.Complete);
-  Release = std::move(other71.Release);
-  MarkUnknown = std::move(other71.MarkUnknown);
-  AdvanceLowWater = std::move(other71.AdvanceLowWater);
-  AcquireLease = std::move(other71.AcquireLease);
-  RenewLease = std::move(other71.RenewLease);
-  ReleaseLease = std::move(other71.ReleaseLease);
-  BeginLoad = std::move(other71.BeginLoad);
-  EndLoad = std::move(other71.EndLoad);
-  Replace = std::move(other71.Replace);
-  NameWeights = std::move(other71.NameWeights);
-  __isset = other71.__isset;
+RegistryCommand& RegistryCommand::operator=(RegistryCommand&& other75) noexcept {
+  Change = std::move(other75.Change);
+  Claim = std::move(other75.Claim);
+  Complete = std::move(other75.Complete);
+  Release = std::move(other75.Release);
+  MarkUnknown = std::move(other75.MarkUnknown);
+  AdvanceLowWater = std::move(other75.AdvanceLowWater);
+  AcquireLease = std::move(other75.AcquireLease);
+  RenewLease = std::move(other75.RenewLease);
+  ReleaseLease = std::move(other75.ReleaseLease);
+  BeginLoad = std::move(other75.BeginLoad);
+  EndLoad = std::move(other75.EndLoad);
+  Replace = std::move(other75.Replace);
+  NameWeights = std::move(other75.NameWeights);
+  RecordLeave = std::move(other75.RecordLeave);
+  __isset = other75.__isset;
   return *this;
 }
 void RegistryCommand::printTo(std::ostream& out) const {
@@ -3086,6 +3254,7 @@
   out << ", " << "EndLoad="; (__isset.EndLoad ? (out << to_string(EndLoad)) : (out << "<null>"));
   out << ", " << "Replace="; (__isset.Replace ? (out << to_string(Replace)) : (out << "<null>"));
   out << ", " << "NameWeights="; (__isset.NameWeights ? (out << to_string(NameWeights)) : (out << "<null>"));
+  out << ", " << "RecordLeave="; (__isset.RecordLeave ? (out << to_string(RecordLeave)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3137,9 +3306,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast72;
-          xfer += iprot->readI32(ecast72);
-          this->Status = static_cast<ClaimStatus::type>(ecast72);
+          int32_t ecast76;
+          xfer += iprot->readI32(ecast76);
+          this->Status = static_cast<ClaimStatus::type>(ecast76);
           this->__isset.Status = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -3205,30 +3374,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimReply::ClaimReply(const ClaimReply& other73) {
-  Status = other73.Status;
-  Holder = other73.Holder;
-  Answer = other73.Answer;
-  __isset = other73.__isset;
+ClaimReply::ClaimReply(const ClaimReply& other77) {
+  Status = other77.Status;
+  Holder = other77.Holder;
+  Answer = other77.Answer;
+  __isset = other77.__isset;
 }
-ClaimReply::ClaimReply(ClaimReply&& other74) noexcept {
-  Status = other74.Status;
-  Holder = std::move(other74.Holder);
-  Answer = std::move(other74.Answer);
-  __isset = other74.__isset;
+ClaimReply::ClaimReply(ClaimReply&& other78) noexcept {
+  Status = other78.Status;
+  Holder = std::move(other78.Holder);
+  Answer = std::move(other78.Answer);
+  __isset = other78.__isset;
 }
-ClaimReply& ClaimReply::operator=(const ClaimReply& other75) {
-  Status = other75.Status;
-  Holder = other75.Holder;
-  Answer = other75.Answer;
-  __isset = other75.__isset;
+ClaimReply& ClaimReply::operator=(const ClaimReply& other79) {
+  Status = other79.Status;
+  Holder = other79.Holder;
+  Answer = other79.Answer;
+  __isset = other79.__isset;
   return *this;
 }
-ClaimReply& ClaimReply::operator=(ClaimReply&& other76) noexcept {
-  Status = other76.Status;
-  Holder = std::move(other76.Holder);
-  Answer = std::move(other76.Answer);
-  __isset = other76.__isset;
+ClaimReply& ClaimReply::operator=(ClaimReply&& other80) noexcept {
+  Status = other80.Status;
+  Holder = std::move(other80.Holder);
+  Answer = std::move(other80.Answer);
+  __isset = other80.__isset;
   return *this;
 }
 void ClaimReply::printTo(std::ostream& out) const {
@@ -3350,30 +3519,30 @@
   swap(a.__isset, b.__isset);
 }
 
-DescriptionFields::DescriptionFields(const DescriptionFields& other77) {
-  Number = other77.Number;
-  Operation = other77.Operation;
-  Text = other77.Text;
-  __isset = other77.__isset;
+DescriptionFields::DescriptionFields(const DescriptionFields& other81) {
+  Number = other81.Number;
+  Operation = other81.Operation;
+  Text = other81.Text;
+  __isset = other81.__isset;
 }
-DescriptionFields::DescriptionFields(DescriptionFields&& other78) noexcept {
-  Number = other78.Number;
-  Operation = std::move(other78.Operation);
-  Text = std::move(other78.Text);
-  __isset = other78.__isset;
+DescriptionFields::DescriptionFields(DescriptionFields&& other82) noexcept {
+  Number = other82.Number;
+  Operation = std::move(other82.Operation);
+  Text = std::move(other82.Text);
+  __isset = other82.__isset;
 }
-DescriptionFields& DescriptionFields::operator=(const DescriptionFields& other79) {
-  Number = other79.Number;
-  Operation = other79.Operation;
-  Text = other79.Text;
-  __isset = other79.__isset;
+DescriptionFields& DescriptionFields::operator=(const DescriptionFields& other83) {
+  Number = other83.Number;
+  Operation = other83.Operation;
+  Text = other83.Text;
+  __isset = other83.__isset;
   return *this;
 }
-DescriptionFields& DescriptionFields::operator=(DescriptionFields&& other80) noexcept {
-  Number = other80.Number;
-  Operation = std::move(other80.Operation);
-  Text = std::move(other80.Text);
-  __isset = other80.__isset;
+DescriptionFields& DescriptionFields::operator=(DescriptionFields&& other84) noexcept {
+  Number = other84.Number;
+  Operation = std::move(other84.Operation);
+  Text = std::move(other84.Text);
+  __isset = other84.__isset;
   return *this;
 }
 void DescriptionFields::printTo(std::ostream& out) const {
@@ -3432,9 +3601,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast81;
-          xfer += iprot->readI32(ecast81);
-          this->Status = static_cast<ChangeStatus::type>(ecast81);
+          int32_t ecast85;
+          xfer += iprot->readI32(ecast85);
+          this->Status = static_cast<ChangeStatus::type>(ecast85);
           this->__isset.Status = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -3499,30 +3668,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ChangeReply::ChangeReply(const ChangeReply& other82) {
-  Status = other82.Status;
-  Number = other82.Number;
-  Current = other82.Current;
-  __isset = other82.__isset;
+ChangeReply::ChangeReply(const ChangeReply& other86) {
+  Status = other86.Status;
+  Number = other86.Number;
+  Current = other86.Current;
+  __isset = other86.__isset;
 }
-ChangeReply::ChangeReply(ChangeReply&& other83) noexcept {
-  Status = other83.Status;
-  Number = other83.Number;
-  Current = std::move(other83.Current);
-  __isset = other83.__isset;
+ChangeReply::ChangeReply(ChangeReply&& other87) noexcept {
+  Status = other87.Status;
+  Number = other87.Number;
+  Current = std::move(other87.Current);
+  __isset = other87.__isset;
 }
-ChangeReply& ChangeReply::operator=(const ChangeReply& other84) {
-  Status = other84.Status;
-  Number = other84.Number;
-  Current = other84.Current;
-  __isset = other84.__isset;
+ChangeReply& ChangeReply::operator=(const ChangeReply& other88) {
+  Status = other88.Status;
+  Number = other88.Number;
+  Current = other88.Current;
+  __isset = other88.__isset;
   return *this;
 }
-ChangeReply& ChangeReply::operator=(ChangeReply&& other85) noexcept {
-  Status = other85.Status;
-  Number = other85.Number;
-  Current = std::move(other85.Current);
-  __isset = other85.__isset;
+ChangeReply& ChangeReply::operator=(ChangeReply&& other89) noexcept {
+  Status = other89.Status;
+  Number = other89.Number;
+  Current = std::move(other89.Current);
+  __isset = other89.__isset;
   return *this;
 }
 void ChangeReply::printTo(std::ostream& out) const {
@@ -3678,38 +3847,38 @@
   swap(a.__isset, b.__isset);
 }
 
-LeaseFields::LeaseFields(const LeaseFields& other86) {
-  Name = other86.Name;
-  Host = other86.Host;
-  Incarnation = other86.Incarnation;
-  Fencing = other86.Fencing;
-  Renewals = other86.Renewals;
-  __isset = other86.__isset;
+LeaseFields::LeaseFields(const LeaseFields& other90) {
+  Name = other90.Name;
+  Host = other90.Host;
+  Incarnation = other90.Incarnation;
+  Fencing = other90.Fencing;
+  Renewals = other90.Renewals;
+  __isset = other90.__isset;
 }
-LeaseFields::LeaseFields(LeaseFields&& other87) noexcept {
-  Name = std::move(other87.Name);
-  Host = std::move(other87.Host);
-  Incarnation = other87.Incarnation;
-  Fencing = other87.Fencing;
-  Renewals = other87.Renewals;
-  __isset = other87.__isset;
+LeaseFields::LeaseFields(LeaseFields&& other91) noexcept {
+  Name = std::move(other91.Name);
+  Host = std::move(other91.Host);
+  Incarnation = other91.Incarnation;
+  Fencing = other91.Fencing;
+  Renewals = other91.Renewals;
+  __isset = other91.__isset;
 }
-LeaseFields& LeaseFields::operator=(const LeaseFields& other88) {
-  Name = other88.Name;
-  Host = other88.Host;
-  Incarnation = other88.Incarnation;
-  Fencing = other88.Fencing;
-  Renewals = other88.Renewals;
-  __isset = other88.__isset;
+LeaseFields& LeaseFields::operator=(const LeaseFields& other92) {
+  Name = other92.Name;
+  Host = other92.Host;
+  Incarnation = other92.Incarnation;
+  Fencing = other92.Fencing;
+  Renewals = other92.Renewals;
+  __isset = other92.__isset;
   return *this;
 }
-LeaseFields& LeaseFields::operator=(LeaseFields&& other89) noexcept {
-  Name = std::move(other89.Name);
-  Host = std::move(other89.Host);
-  Incarnation = other89.Incarnation;
-  Fencing = other89.Fencing;
-  Renewals = other89.Renewals;
-  __isset = other89.__isset;
+LeaseFields& LeaseFields::operator=(LeaseFields&& other93) noexcept {
+  Name = std::move(other93.Name);
+  Host = std::move(other93.Host);
+  Incarnation = other93.Incarnation;
+  Fencing = other93.Fencing;
+  Renewals = other93.Renewals;
+  __isset = other93.__isset;
   return *this;
 }
 void LeaseFields::printTo(std::ostream& out) const {
@@ -3816,26 +3985,26 @@
   swap(a.__isset, b.__isset);
 }
 
-LeaseReply::LeaseReply(const LeaseReply& other90) {
-  Granted = other90.Granted;
-  Lease = other90.Lease;
-  __isset = other90.__isset;
+LeaseReply::LeaseReply(const LeaseReply& other94) {
+  Granted = other94.Granted;
+  Lease = other94.Lease;
+  __isset = other94.__isset;
 }
-LeaseReply::LeaseReply(LeaseReply&& other91) noexcept {
-  Granted = other91.Granted;
-  Lease = std::move(other91.Lease);
-  __isset = other91.__isset;
+LeaseReply::LeaseReply(LeaseReply&& other95) noexcept {
+  Granted = other95.Granted;
+  Lease = std::move(other95.Lease);
+  __isset = other95.__isset;
 }
-LeaseReply& LeaseReply::operator=(const LeaseReply& other92) {
-  Granted = other92.Granted;
-  Lease = other92.Lease;
-  __isset = other92.__isset;
+LeaseReply& LeaseReply::operator=(const LeaseReply& other96) {
+  Granted = other96.Granted;
+  Lease = other96.Lease;
+  __isset = other96.__isset;
   return *this;
 }
-LeaseReply& LeaseReply::operator=(LeaseReply&& other93) noexcept {
-  Granted = other93.Granted;
-  Lease = std::move(other93.Lease);
-  __isset = other93.__isset;
+LeaseReply& LeaseReply::operator=(LeaseReply&& other97) noexcept {
+  Granted = other97.Granted;
+  Lease = std::move(other97.Lease);
+  __isset = other97.__isset;
   return *this;
 }
 void LeaseReply::printTo(std::ostream& out) const {
@@ -3888,9 +4057,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast94;
-          xfer += iprot->readI32(ecast94);
-          this->Status = static_cast<LoadStatus::type>(ecast94);
+          int32_t ecast98;
+          xfer += iprot->readI32(ecast98);
+          this->Status = static_cast<LoadStatus::type>(ecast98);
           this->__isset.Status = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -3900,14 +4069,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Active.clear();
-            uint32_t _size95;
-            ::apache::thrift::protocol::TType _etype98;
-            xfer += iprot->readListBegin(_etype98, _size95);
-            this->Active.resize(_size95);
-            uint32_t _i99;
-            for (_i99 = 0; _i99 < _size95; ++_i99)
+            uint32_t _size99;
+            ::apache::thrift::protocol::TType _etype102;
+            xfer += iprot->readListBegin(_etype102, _size99);
+            this->Active.resize(_size99);
+            uint32_t _i103;
+            for (_i103 = 0; _i103 < _size99; ++_i103)
             {
-              xfer += this->Active[_i99].read(iprot);
+              xfer += this->Active[_i103].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3940,10 +4109,10 @@
   xfer += oprot->writeFieldBegin("Active", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Active.size()));
-    std::vector<LoadSlotFields> ::const_iterator _iter100;
-    for (_iter100 = this->Active.begin(); _iter100 != this->Active.end(); ++_iter100)
+    std::vector<LoadSlotFields> ::const_iterator _iter104;
+    for (_iter104 = this->Active.begin(); _iter104 != this->Active.end(); ++_iter104)
     {
-      xfer += (*_iter100).write(oprot);
+      xfer += (*_iter104).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3961,26 +4130,26 @@
   swap(a.__isset, b.__isset);
 }
 
-LoadReply::LoadReply(const LoadReply& other101) {
-  Status = other101.Status;
-  Active = other101.Active;
-  __isset = other101.__isset;
+LoadReply::LoadReply(const LoadReply& other105) {
+  Status = other105.Status;
+  Active = other105.Active;
+  __isset = other105.__isset;
 }
-LoadReply::LoadReply(LoadReply&& other102) noexcept {
-  Status = other102.Status;
-  Active = std::move(other102.Active);
-  __isset = other102.__isset;
+LoadReply::LoadReply(LoadReply&& other106) noexcept {
+  Status = other106.Status;
+  Active = std::move(other106.Active);
+  __isset = other106.__isset;
 }
-LoadReply& LoadReply::operator=(const LoadReply& other103) {
-  Status = other103.Status;
-  Active = other103.Active;
-  __isset = other103.__isset;
+LoadReply& LoadReply::operator=(const LoadReply& other107) {
+  Status = other107.Status;
+  Active = other107.Active;
+  __isset = other107.__isset;
   return *this;
 }
-LoadReply& LoadReply::operator=(LoadReply&& other104) noexcept {
-  Status = other104.Status;
-  Active = std::move(other104.Active);
-  __isset = other104.__isset;
+LoadReply& LoadReply::operator=(LoadReply&& other108) noexcept {
+  Status = other108.Status;
+  Active = std::move(other108.Active);
+  __isset = other108.__isset;
   return *this;
 }
 void LoadReply::printTo(std::ostream& out) const {
@@ -4067,22 +4236,22 @@
   swap(a.__isset, b.__isset);
 }
 
-LowWaterReply::LowWaterReply(const LowWaterReply& other105) noexcept {
-  MarkMillis = other105.MarkMillis;
-  __isset = other105.__isset;
+LowWaterReply::LowWaterReply(const LowWaterReply& other109) noexcept {
+  MarkMillis = other109.MarkMillis;
+  __isset = other109.__isset;
 }
-LowWaterReply::LowWaterReply(LowWaterReply&& other106) noexcept {
-  MarkMillis = other106.MarkMillis;
-  __isset = other106.__isset;
+LowWaterReply::LowWaterReply(LowWaterReply&& other110) noexcept {
+  MarkMillis = other110.MarkMillis;
+  __isset = other110.__isset;
 }
-LowWaterReply& LowWaterReply::operator=(const LowWaterReply& other107) noexcept {
-  MarkMillis = other107.MarkMillis;
-  __isset = other107.__isset;
+LowWaterReply& LowWaterReply::operator=(const LowWaterReply& other111) noexcept {
+  MarkMillis = other111.MarkMillis;
+  __isset = other111.__isset;
   return *this;
 }
-LowWaterReply& LowWaterReply::operator=(LowWaterReply&& other108) noexcept {
-  MarkMillis = other108.MarkMillis;
-  __isset = other108.__isset;
+LowWaterReply& LowWaterReply::operator=(LowWaterReply&& other112) noexcept {
+  MarkMillis = other112.MarkMillis;
+  __isset = other112.__isset;
   return *this;
 }
 void LowWaterReply::printTo(std::ostream& out) const {
@@ -4202,30 +4371,30 @@
   swap(a.__isset, b.__isset);
 }
 
-NamedWeightsFields::NamedWeightsFields(const NamedWeightsFields& other109) {
-  Model = other109.Model;
-  Weights = other109.Weights;
-  NamedAtMillis = other109.NamedAtMillis;
-  __isset = other109.__isset;
+NamedWeightsFields::NamedWeightsFields(const NamedWeightsFields& other113) {
+  Model = other113.Model;
+  Weights = other113.Weights;
+  NamedAtMillis = other113.NamedAtMillis;
+  __isset = other113.__isset;
 }
-NamedWeightsFields::NamedWeightsFields(NamedWeightsFields&& other110) noexcept {
-  Model = std::move(other110.Model);
-  Weights = other110.Weights;
-  NamedAtMillis = other110.NamedAtMillis;
-  __isset = other110.__isset;
+NamedWeightsFields::NamedWeightsFields(NamedWeightsFields&& other114) noexcept {
+  Model = std::move(other114.Model);
+  Weights = other114.Weights;
+  NamedAtMillis = other114.NamedAtMillis;
+  __isset = other114.__isset;
 }
-NamedWeightsFields& NamedWeightsFields::operator=(const NamedWeightsFields& other111) {
-  Model = other111.Model;
-  Weights = other111.Weights;
-  NamedAtMillis = other111.NamedAtMillis;
-  __isset = other111.__isset;
+NamedWeightsFields& NamedWeightsFields::operator=(const NamedWeightsFields& other115) {
+  Model = other115.Model;
+  Weights = other115.Weights;
+  NamedAtMillis = other115.NamedAtMillis;
+  __isset = other115.__isset;
   return *this;
 }
-NamedWeightsFields& NamedWeightsFields::operator=(NamedWeightsFields&& other112) noexcept {
-  Model = std::move(other112.Model);
-  Weights = other112.Weights;
-  NamedAtMillis = other112.NamedAtMillis;
-  __isset = other112.__isset;
+NamedWeightsFields& NamedWeightsFields::operator=(NamedWeightsFields&& other116) noexcept {
+  Model = std::move(other116.Model);
+  Weights = other116.Weights;
+  NamedAtMillis = other116.NamedAtMillis;
+  __isset = other116.__isset;
   return *this;
 }
 void NamedWeightsFields::printTo(std::ostream& out) const {
@@ -4238,6 +4407,151 @@
 }
 
 
+LeaveFields::~LeaveFields() noexcept {
+}
+
+
+void LeaveFields::__set_Target(const std::string& val) {
+  this->Target = val;
+}
+
+void LeaveFields::__set_Incarnation(const int64_t val) {
+  this->Incarnation = val;
+}
+
+void LeaveFields::__set_Number(const int64_t val) {
+  this->Number = val;
+}
+std::ostream& operator<<(std::ostream& out, const LeaveFields& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LeaveFields::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->Target);
+          this->__isset.Target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Incarnation);
+          this->__isset.Incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Number);
+          this->__isset.Number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LeaveFields::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LeaveFields");
+
+  xfer += oprot->writeFieldBegin("Target", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->Target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Incarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->Incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Number", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->Number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LeaveFields &a, LeaveFields &b) {
+  using ::std::swap;
+  swap(a.Target, b.Target);
+  swap(a.Incarnation, b.Incarnation);
+  swap(a.Number, b.Number);
+  swap(a.__isset, b.__isset);
+}
+
+LeaveFields::LeaveFields(const LeaveFields& other117) {
+  Target = other117.Target;
+  Incarnation = other117.Incarnation;
+  Number = other117.Number;
+  __isset = other117.__isset;
+}
+LeaveFields::LeaveFields(LeaveFields&& other118) noexcept {
+  Target = std::move(other118.Target);
+  Incarnation = other118.Incarnation;
+  Number = other118.Number;
+  __isset = other118.__isset;
+}
+LeaveFields& LeaveFields::operator=(const LeaveFields& other119) {
+  Target = other119.Target;
+  Incarnation = other119.Incarnation;
+  Number = other119.Number;
+  __isset = other119.__isset;
+  return *this;
+}
+LeaveFields& LeaveFields::operator=(LeaveFields&& other120) noexcept {
+  Target = std::move(other120.Target);
+  Incarnation = other120.Incarnation;
+  Number = other120.Number;
+  __isset = other120.__isset;
+  return *this;
+}
+void LeaveFields::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LeaveFields(";
+  out << "Target=" << to_string(Target);
+  out << ", " << "Incarnation=" << to_string(Incarnation);
+  out << ", " << "Number=" << to_string(Number);
+  out << ")";
+}
+
+
 RegistryAnswer::~RegistryAnswer() noexcept {
 }
 
@@ -4281,6 +4595,11 @@
   this->NamedWeights = val;
 __isset.NamedWeights = true;
 }
+
+void RegistryAnswer::__set_Leave(const LeaveFields& val) {
+  this->Leave = val;
+__isset.Leave = true;
+}
 std::ostream& operator<<(std::ostream& out, const RegistryAnswer& obj)
 {
   obj.printTo(out);
@@ -4359,9 +4678,9 @@
         break;
       case 7:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast113;
-          xfer += iprot->readI32(ecast113);
-          this->Invalid = static_cast<InvalidReason::type>(ecast113);
+          int32_t ecast121;
+          xfer += iprot->readI32(ecast121);
+          this->Invalid = static_cast<InvalidReason::type>(ecast121);
           this->__isset.Invalid = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4375,6 +4694,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->Leave.read(iprot);
+          this->__isset.Leave = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4432,6 +4759,11 @@
     xfer += this->NamedWeights.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.Leave) {
+    xfer += oprot->writeFieldBegin("Leave", ::apache::thrift::protocol::T_STRUCT, 9);
+    xfer += this->Leave.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4447,53 +4779,58 @@
   swap(a.Description, b.Description);
   swap(a.Invalid, b.Invalid);
   swap(a.NamedWeights, b.NamedWeights);
+  swap(a.Leave, b.Leave);
   swap(a.__isset, b.__isset);
 }
 
-RegistryAnswer::RegistryAnswer(const RegistryAnswer& other114) {
-  Change = other114.Change;
-  Claim = other114.Claim;
-  Lease = other114.Lease;
-  Load = other114.Load;
-  LowWater = other114.LowWater;
-  Description = other114.Description;
-  Invalid = other114.Invalid;
-  NamedWeights = other114.NamedWeights;
-  __isset = other114.__isset;
-}
-RegistryAnswer::RegistryAnswer(RegistryAnswer&& other115) noexcept {
-  Change = std::move(other115.Change);
-  Claim = std::move(other115.Claim);
-  Lease = std::move(other115.Lease);
-  Load = std::move(other115.Load);
-  LowWater = std::move(other115.LowWater);
-  Description = std::move(other115.Description);
-  Invalid = other115.Invalid;
-  NamedWeights = std::move(other115.NamedWeights);
-  __isset = other115.__isset;
+RegistryAnswer::RegistryAnswer(const RegistryAnswer& other122) {
+  Change = other122.Change;
+  Claim = other122.Claim;
+  Lease = other122.Lease;
+  Load = other122.Load;
+  LowWater = other122.LowWater;
+  Description = other122.Description;
+  Invalid = other122.Invalid;
+  NamedWeights = other122.NamedWeights;
+  Leave = other122.Leave;
+  __isset = other122.__isset;
 }
-RegistryAnswer& RegistryAnswer::operator=(const RegistryAnswer& other116) {
-  Change = other116.Change;
-  Claim = other116.Claim;
-  Lease = other116.Lease;
-  Load = other116.Load;
-  LowWater = other116.LowWater;
-  Description = other116.Description;
-  Invalid = other116.Invalid;
-  NamedWeights = other116.NamedWeights;
-  __isset = other116.__isset;
+RegistryAnswer::RegistryAnswer(RegistryAnswer&& other123) noexcept {
+  Change = std::move(other123.Change);
+  Claim = std::move(other123.Claim);
+  Lease = std::move(other123.Lease);
+  Load = std::move(other123.Load);
+  LowWater = std::move(other123.LowWater);
+  Description = std::move(other123.Description);
+  Invalid = other123.Invalid;
+  NamedWeights = std::move(other123.NamedWeights);
+  Leave = std::move(other123.Leave);
+  __isset = other123.__isset;
+}
+RegistryAnswer& RegistryAnswer::operator=(const RegistryAnswer& other124) {
+  Change = other124.Change;
+  Claim = other124.Claim;
+  Lease = other124.Lease;
+  Load = other124.Load;
+  LowWater = other124.LowWater;
+  Description = other124.Description;
+  Invalid = other124.Invalid;
+  NamedWeights = other124.NamedWeights;
+  Leave = other124.Leave;
+  __isset = other124.__isset;
   return *this;
 }
-RegistryAnswer& RegistryAnswer::operator=(RegistryAnswer&& other117) noexcept {
-  Change = std::move(other117.Change);
-  Claim = std::move(other117.Claim);
-  Lease = std::move(other117.Lease);
-  Load = std::move(other117.Load);
-  LowWater = std::move(other117.LowWater);
-  Description = std::move(other117.Description);
-  Invalid = other117.Invalid;
-  NamedWeights = std::move(other117.NamedWeights);
-  __isset = other117.__isset;
+RegistryAnswer& RegistryAnswer::operator=(RegistryAnswer&& other125) noexcept {
+  Change = std::move(other125.Change);
+  Claim = std::move(other125.Claim);
+  Lease = std::move(other125.Lease);
+  Load = std::move(other125.Load);
+  LowWater = std::move(other125.LowWater);
+  Description = std::move(other125.Description);
+  Invalid = other125.Invalid;
+  NamedWeights = std::move(other125.NamedWeights);
+  Leave = std::move(other125.Leave);
+  __isset = other125.__isset;
   return *this;
 }
 void RegistryAnswer::printTo(std::ostream& out) const {
@@ -4507,6 +4844,7 @@
   out << ", " << "Description="; (__isset.Description ? (out << to_string(Description)) : (out << "<null>"));
   out << ", " << "Invalid="; (__isset.Invalid ? (out << to_string(Invalid)) : (out << "<null>"));
   out << ", " << "NamedWeights="; (__isset.NamedWeights ? (out << to_string(NamedWeights)) : (out << "<null>"));
+  out << ", " << "Leave="; (__isset.Leave ? (out << to_string(Leave)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4564,9 +4902,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast118;
-          xfer += iprot->readI32(ecast118);
-          this->Kind = static_cast<RequestKind::type>(ecast118);
+          int32_t ecast126;
+          xfer += iprot->readI32(ecast126);
+          this->Kind = static_cast<RequestKind::type>(ecast126);
           this->__isset.Kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4622,30 +4960,30 @@
   swap(a.__isset, b.__isset);
 }
 
-RegistryRequest::RegistryRequest(const RegistryRequest& other119) {
-  RequestNumber = other119.RequestNumber;
-  Kind = other119.Kind;
-  Command = other119.Command;
-  __isset = other119.__isset;
+RegistryRequest::RegistryRequest(const RegistryRequest& other127) {
+  RequestNumber = other127.RequestNumber;
+  Kind = other127.Kind;
+  Command = other127.Command;
+  __isset = other127.__isset;
 }
-RegistryRequest::RegistryRequest(RegistryRequest&& other120) noexcept {
-  RequestNumber = other120.RequestNumber;
-  Kind = other120.Kind;
-  Command = std::move(other120.Command);
-  __isset = other120.__isset;
+RegistryRequest::RegistryRequest(RegistryRequest&& other128) noexcept {
+  RequestNumber = other128.RequestNumber;
+  Kind = other128.Kind;
+  Command = std::move(other128.Command);
+  __isset = other128.__isset;
 }
-RegistryRequest& RegistryRequest::operator=(const RegistryRequest& other121) {
-  RequestNumber = other121.RequestNumber;
-  Kind = other121.Kind;
-  Command = other121.Command;
-  __isset = other121.__isset;
+RegistryRequest& RegistryRequest::operator=(const RegistryRequest& other129) {
+  RequestNumber = other129.RequestNumber;
+  Kind = other129.Kind;
+  Command = other129.Command;
+  __isset = other129.__isset;
   return *this;
 }
-RegistryRequest& RegistryRequest::operator=(RegistryRequest&& other122) noexcept {
-  RequestNumber = other122.RequestNumber;
-  Kind = other122.Kind;
-  Command = std::move(other122.Command);
-  __isset = other122.__isset;
+RegistryRequest& RegistryRequest::operator=(RegistryRequest&& other130) noexcept {
+  RequestNumber = other130.RequestNumber;
+  Kind = other130.Kind;
+  Command = std::move(other130.Command);
+  __isset = other130.__isset;
   return *this;
 }
 void RegistryRequest::printTo(std::ostream& out) const {
@@ -4715,9 +5053,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast123;
-          xfer += iprot->readI32(ecast123);
-          this->Status = static_cast<ReplyStatus::type>(ecast123);
+          int32_t ecast131;
+          xfer += iprot->readI32(ecast131);
+          this->Status = static_cast<ReplyStatus::type>(ecast131);
           this->__isset.Status = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4786,34 +5124,34 @@
   swap(a.__isset, b.__isset);
 }
 
-RegistryReply::RegistryReply(const RegistryReply& other124) {
-  RequestNumber = other124.RequestNumber;
-  Status = other124.Status;
-  LeaderHint = other124.LeaderHint;
-  Answer = other124.Answer;
-  __isset = other124.__isset;
-}
-RegistryReply::RegistryReply(RegistryReply&& other125) noexcept {
-  RequestNumber = other125.RequestNumber;
-  Status = other125.Status;
-  LeaderHint = std::move(other125.LeaderHint);
-  Answer = std::move(other125.Answer);
-  __isset = other125.__isset;
-}
-RegistryReply& RegistryReply::operator=(const RegistryReply& other126) {
-  RequestNumber = other126.RequestNumber;
-  Status = other126.Status;
-  LeaderHint = other126.LeaderHint;
-  Answer = other126.Answer;
-  __isset = other126.__isset;
+RegistryReply::RegistryReply(const RegistryReply& other132) {
+  RequestNumber = other132.RequestNumber;
+  Status = other132.Status;
+  LeaderHint = other132.LeaderHint;
+  Answer = other132.Answer;
+  __isset = other132.__isset;
+}
+RegistryReply::RegistryReply(RegistryReply&& other133) noexcept {
+  RequestNumber = other133.RequestNumber;
+  Status = other133.Status;
+  LeaderHint = std::move(other133.LeaderHint);
+  Answer = std::move(other133.Answer);
+  __isset = other133.__isset;
+}
+RegistryReply& RegistryReply::operator=(const RegistryReply& other134) {
+  RequestNumber = other134.RequestNumber;
+  Status = other134.Status;
+  LeaderHint = other134.LeaderHint;
+  Answer = other134.Answer;
+  __isset = other134.__isset;
   return *this;
 }
-RegistryReply& RegistryReply::operator=(RegistryReply&& other127) noexcept {
-  RequestNumber = other127.RequestNumber;
-  Status = other127.Status;
-  LeaderHint = std::move(other127.LeaderHint);
-  Answer = std::move(other127.Answer);
-  __isset = other127.__isset;
+RegistryReply& RegistryReply::operator=(RegistryReply&& other135) noexcept {
+  RequestNumber = other135.RequestNumber;
+  Status = other135.Status;
+  LeaderHint = std::move(other135.LeaderHint);
+  Answer = std::move(other135.Answer);
+  __isset = other135.__isset;
   return *this;
 }
 void RegistryReply::printTo(std::ostream& out) const {
@@ -4953,34 +5291,34 @@
   swap(a.__isset, b.__isset);
 }
 
-OperationFields::OperationFields(const OperationFields& other128) noexcept {
-  DigestHigh = other128.DigestHigh;
-  DigestLow = other128.DigestLow;
-  TextDigest = other128.TextDigest;
-  Number = other128.Number;
-  __isset = other128.__isset;
+OperationFields::OperationFields(const OperationFields& other136) noexcept {
+  DigestHigh = other136.DigestHigh;
+  DigestLow = other136.DigestLow;
+  TextDigest = other136.TextDigest;
+  Number = other136.Number;
+  __isset = other136.__isset;
 }
-OperationFields::OperationFields(OperationFields&& other129) noexcept {
-  DigestHigh = other129.DigestHigh;
-  DigestLow = other129.DigestLow;
-  TextDigest = other129.TextDigest;
-  Number = other129.Number;
-  __isset = other129.__isset;
+OperationFields::OperationFields(OperationFields&& other137) noexcept {
+  DigestHigh = other137.DigestHigh;
+  DigestLow = other137.DigestLow;
+  TextDigest = other137.TextDigest;
+  Number = other137.Number;
+  __isset = other137.__isset;
 }
-OperationFields& OperationFields::operator=(const OperationFields& other130) noexcept {
-  DigestHigh = other130.DigestHigh;
-  DigestLow = other130.DigestLow;
-  TextDigest = other130.TextDigest;
-  Number = other130.Number;
-  __isset = other130.__isset;
+OperationFields& OperationFields::operator=(const OperationFields& other138) noexcept {
+  DigestHigh = other138.DigestHigh;
+  DigestLow = other138.DigestLow;
+  TextDigest = other138.TextDigest;
+  Number = other138.Number;
+  __isset = other138.__isset;
   return *this;
 }
-OperationFields& OperationFields::operator=(OperationFields&& other131) noexcept {
-  DigestHigh = other131.DigestHigh;
-  DigestLow = other131.DigestLow;
-  TextDigest = other131.TextDigest;
-  Number = other131.Number;
-  __isset = other131.__isset;
+OperationFields& OperationFields::operator=(OperationFields&& other139) noexcept {
+  DigestHigh = other139.DigestHigh;
+  DigestLow = other139.DigestLow;
+  TextDigest = other139.TextDigest;
+  Number = other139.Number;
+  __isset = other139.__isset;
   return *this;
 }
 void OperationFields::printTo(std::ostream& out) const {
@@ -5105,14 +5443,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Ended.clear();
-            uint32_t _size132;
-            ::apache::thrift::protocol::TType _etype135;
-            xfer += iprot->readListBegin(_etype135, _size132);
-            this->Ended.resize(_size132);
-            uint32_t _i136;
-            for (_i136 = 0; _i136 < _size132; ++_i136)
+            uint32_t _size140;
+            ::apache::thrift::protocol::TType _etype143;
+            xfer += iprot->readListBegin(_etype143, _size140);
+            this->Ended.resize(_size140);
+            uint32_t _i144;
+            for (_i144 = 0; _i144 < _size140; ++_i144)
             {
-              xfer += this->Ended[_i136].read(iprot);
+              xfer += this->Ended[_i144].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5185,10 +5523,10 @@
   xfer += oprot->writeFieldBegin("Ended", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Ended.size()));
-    std::vector<ClaimAttemptFields> ::const_iterator _iter137;
-    for (_iter137 = this->Ended.begin(); _iter137 != this->Ended.end(); ++_iter137)
+    std::vector<ClaimAttemptFields> ::const_iterator _iter145;
+    for (_iter145 = this->Ended.begin(); _iter145 != this->Ended.end(); ++_iter145)
     {
-      xfer += (*_iter137).write(oprot);
+      xfer += (*_iter145).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5225,54 +5563,54 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimEntryFields::ClaimEntryFields(const ClaimEntryFields& other138) {
-  DigestHigh = other138.DigestHigh;
-  DigestLow = other138.DigestLow;
-  State = other138.State;
-  BodyDigest = other138.BodyDigest;
-  Holder = other138.Holder;
-  Ended = other138.Ended;
-  Answer = other138.Answer;
-  StampMillis = other138.StampMillis;
-  Order = other138.Order;
-  __isset = other138.__isset;
+ClaimEntryFields::ClaimEntryFields(const ClaimEntryFields& other146) {
+  DigestHigh = other146.DigestHigh;
+  DigestLow = other146.DigestLow;
+  State = other146.State;
+  BodyDigest = other146.BodyDigest;
+  Holder = other146.Holder;
+  Ended = other146.Ended;
+  Answer = other146.Answer;
+  StampMillis = other146.StampMillis;
+  Order = other146.Order;
+  __isset = other146.__isset;
 }
-ClaimEntryFields::ClaimEntryFields(ClaimEntryFields&& other139) noexcept {
-  DigestHigh = other139.DigestHigh;
-  DigestLow = other139.DigestLow;
-  State = other139.State;
-  BodyDigest = other139.BodyDigest;
-  Holder = std::move(other139.Holder);
-  Ended = std::move(other139.Ended);
-  Answer = std::move(other139.Answer);
-  StampMillis = other139.StampMillis;
-  Order = other139.Order;
-  __isset = other139.__isset;
+ClaimEntryFields::ClaimEntryFields(ClaimEntryFields&& other147) noexcept {
+  DigestHigh = other147.DigestHigh;
+  DigestLow = other147.DigestLow;
+  State = other147.State;
+  BodyDigest = other147.BodyDigest;
+  Holder = std::move(other147.Holder);
+  Ended = std::move(other147.Ended);
+  Answer = std::move(other147.Answer);
+  StampMillis = other147.StampMillis;
+  Order = other147.Order;
+  __isset = other147.__isset;
 }
-ClaimEntryFields& ClaimEntryFields::operator=(const ClaimEntryFields& other140) {
-  DigestHigh = other140.DigestHigh;
-  DigestLow = other140.DigestLow;
-  State = other140.State;
-  BodyDigest = other140.BodyDigest;
-  Holder = other140.Holder;
-  Ended = other140.Ended;
-  Answer = other140.Answer;
-  StampMillis = other140.StampMillis;
-  Order = other140.Order;
-  __isset = other140.__isset;
+ClaimEntryFields& ClaimEntryFields::operator=(const ClaimEntryFields& other148) {
+  DigestHigh = other148.DigestHigh;
+  DigestLow = other148.DigestLow;
+  State = other148.State;
+  BodyDigest = other148.BodyDigest;
+  Holder = other148.Holder;
+  Ended = other148.Ended;
+  Answer = other148.Answer;
+  StampMillis = other148.StampMillis;
+  Order = other148.Order;
+  __isset = other148.__isset;
   return *this;
 }
-ClaimEntryFields& ClaimEntryFields::operator=(ClaimEntryFields&& other141) noexcept {
-  DigestHigh = other141.DigestHigh;
-  DigestLow = other141.DigestLow;
-  State = other141.State;
-  BodyDigest = other141.BodyDigest;
-  Holder = std::move(other141.Holder);
-  Ended = std::move(other141.Ended);
-  Answer = std::move(other141.Answer);
-  StampMillis = other141.StampMillis;
-  Order = other141.Order;
-  __isset = other141.__isset;
+ClaimEntryFields& ClaimEntryFields::operator=(ClaimEntryFields&& other149) noexcept {
+  DigestHigh = other149.DigestHigh;
+  DigestLow = other149.DigestLow;
+  State = other149.State;
+  BodyDigest = other149.BodyDigest;
+  Holder = std::move(other149.Holder);
+  Ended = std::move(other149.Ended);
+  Answer = std::move(other149.Answer);
+  StampMillis = other149.StampMillis;
+  Order = other149.Order;
+  __isset = other149.__isset;
   return *this;
 }
 void ClaimEntryFields::printTo(std::ostream& out) const {
@@ -5383,26 +5721,26 @@
   swap(a.__isset, b.__isset);
 }
 
-TombstoneBucketFields::TombstoneBucketFields(const TombstoneBucketFields& other142) {
-  Bucket = other142.Bucket;
-  Digests = other142.Digests;
-  __isset = other142.__isset;
+TombstoneBucketFields::TombstoneBucketFields(const TombstoneBucketFields& other150) {
+  Bucket = other150.Bucket;
+  Digests = other150.Digests;
+  __isset = other150.__isset;
 }
-TombstoneBucketFields::TombstoneBucketFields(TombstoneBucketFields&& other143) noexcept {
-  Bucket = other143.Bucket;
-  Digests = std::move(other143.Digests);
-  __isset = other143.__isset;
+TombstoneBucketFields::TombstoneBucketFields(TombstoneBucketFields&& other151) noexcept {
+  Bucket = other151.Bucket;
+  Digests = std::move(other151.Digests);
+  __isset = other151.__isset;
 }
-TombstoneBucketFields& TombstoneBucketFields::operator=(const TombstoneBucketFields& other144) {
-  Bucket = other144.Bucket;
-  Digests = other144.Digests;
-  __isset = other144.__isset;
+TombstoneBucketFields& TombstoneBucketFields::operator=(const TombstoneBucketFields& other152) {
+  Bucket = other152.Bucket;
+  Digests = other152.Digests;
+  __isset = other152.__isset;
   return *this;
 }
-TombstoneBucketFields& TombstoneBucketFields::operator=(TombstoneBucketFields&& other145) noexcept {
-  Bucket = other145.Bucket;
-  Digests = std::move(other145.Digests);
-  __isset = other145.__isset;
+TombstoneBucketFields& TombstoneBucketFields::operator=(TombstoneBucketFields&& other153) noexcept {
+  Bucket = other153.Bucket;
+  Digests = std::move(other153.Digests);
+  __isset = other153.__isset;
   return *this;
 }
 void TombstoneBucketFields::printTo(std::ostream& out) const {
@@ -5506,26 +5844,26 @@
   swap(a.__isset, b.__isset);
 }
 
-HostIncarnationFields::HostIncarnationFields(const HostIncarnationFields& other146) {
-  Host = other146.Host;
-  Incarnation = other146.Incarnation;
-  __isset = other146.__isset;
+HostIncarnationFields::HostIncarnationFields(const HostIncarnationFields& other154) {
+  Host = other154.Host;
+  Incarnation = other154.Incarnation;
+  __isset = other154.__isset;
 }
-HostIncarnationFields::HostIncarnationFields(HostIncarnationFields&& other147) noexcept {
-  Host = std::move(other147.Host);
-  Incarnation = other147.Incarnation;
-  __isset = other147.__isset;
+HostIncarnationFields::HostIncarnationFields(HostIncarnationFields&& other155) noexcept {
+  Host = std::move(other155.Host);
+  Incarnation = other155.Incarnation;
+  __isset = other155.__isset;
 }
-HostIncarnationFields& HostIncarnationFields::operator=(const HostIncarnationFields& other148) {
-  Host = other148.Host;
-  Incarnation = other148.Incarnation;
-  __isset = other148.__isset;
+HostIncarnationFields& HostIncarnationFields::operator=(const HostIncarnationFields& other156) {
+  Host = other156.Host;
+  Incarnation = other156.Incarnation;
+  __isset = other156.__isset;
   return *this;
 }
-HostIncarnationFields& HostIncarnationFields::operator=(HostIncarnationFields&& other149) noexcept {
-  Host = std::move(other149.Host);
-  Incarnation = other149.Incarnation;
-  __isset = other149.__isset;
+HostIncarnationFields& HostIncarnationFields::operator=(HostIncarnationFields&& other157) noexcept {
+  Host = std::move(other157.Host);
+  Incarnation = other157.Incarnation;
+  __isset = other157.__isset;
   return *this;
 }
 void HostIncarnationFields::printTo(std::ostream& out) const {
@@ -5596,6 +5934,10 @@
 void RegistrySnapshot::__set_NamedWeights(const std::vector<NamedWeightsFields> & val) {
   this->NamedWeights = val;
 }
+
+void RegistrySnapshot::__set_Leaves(const std::vector<LeaveFields> & val) {
+  this->Leaves = val;
+}
 std::ostream& operator<<(std::ostream& out, const RegistrySnapshot& obj)
 {
   obj.printTo(out);
@@ -5652,14 +5994,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Operations.clear();
-            uint32_t _size150;
-            ::apache::thrift::protocol::TType _etype153;
-            xfer += iprot->readListBegin(_etype153, _size150);
-            this->Operations.resize(_size150);
-            uint32_t _i154;
-            for (_i154 = 0; _i154 < _size150; ++_i154)
+            uint32_t _size158;
+            ::apache::thrift::protocol::TType _etype161;
+            xfer += iprot->readListBegin(_etype161, _size158);
+            this->Operations.resize(_size158);
+            uint32_t _i162;
+            for (_i162 = 0; _i162 < _size158; ++_i162)
             {
-              xfer += this->Operations[_i154].read(iprot);
+              xfer += this->Operations[_i162].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5672,14 +6014,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Claims.clear();
-            uint32_t _size155;
-            ::apache::thrift::protocol::TType _etype158;
-            xfer += iprot->readListBegin(_etype158, _size155);
-            this->Claims.resize(_size155);
-            uint32_t _i159;
-            for (_i159 = 0; _i159 < _size155; ++_i159)
+            uint32_t _size163;
+            ::apache::thrift::protocol::TType _etype166;
+            xfer += iprot->readListBegin(_etype166, _size163);
+            this->Claims.resize(_size163);
+            uint32_t _i167;
+            for (_i167 = 0; _i167 < _size163; ++_i167)
             {
-              xfer += this->Claims[_i159].read(iprot);
+              xfer += this->Claims[_i167].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5692,14 +6034,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Tombstones.clear();
-            uint32_t _size160;
-            ::apache::thrift::protocol::TType _etype163;
-            xfer += iprot->readListBegin(_etype163, _size160);
-            this->Tombstones.resize(_size160);
-            uint32_t _i164;
-            for (_i164 = 0; _i164 < _size160; ++_i164)
+            uint32_t _size168;
+            ::apache::thrift::protocol::TType _etype171;
+            xfer += iprot->readListBegin(_etype171, _size168);
+            this->Tombstones.resize(_size168);
+            uint32_t _i172;
+            for (_i172 = 0; _i172 < _size168; ++_i172)
             {
-              xfer += this->Tombstones[_i164].read(iprot);
+              xfer += this->Tombstones[_i172].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5728,14 +6070,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ClaimingHosts.clear();
-            uint32_t _size165;
-            ::apache::thrift::protocol::TType _etype168;
-            xfer += iprot->readListBegin(_etype168, _size165);
-            this->ClaimingHosts.resize(_size165);
-            uint32_t _i169;
-            for (_i169 = 0; _i169 < _size165; ++_i169)
+            uint32_t _size173;
+            ::apache::thrift::protocol::TType _etype176;
+            xfer += iprot->readListBegin(_etype176, _size173);
+            this->ClaimingHosts.resize(_size173);
+            uint32_t _i177;
+            for (_i177 = 0; _i177 < _size173; ++_i177)
             {
-              xfer += this->ClaimingHosts[_i169].read(iprot);
+              xfer += this->ClaimingHosts[_i177].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5748,14 +6090,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Leases.clear();
-            uint32_t _size170;
-            ::apache::thrift::protocol::TType _etype173;
-            xfer += iprot->readListBegin(_etype173, _size170);
-            this->Leases.resize(_size170);
-            uint32_t _i174;
-            for (_i174 = 0; _i174 < _size170; ++_i174)
+            uint32_t _size178;
+            ::apache::thrift::protocol::TType _etype181;
+            xfer += iprot->readListBegin(_etype181, _size178);
+            this->Leases.resize(_size178);
+            uint32_t _i182;
+            for (_i182 = 0; _i182 < _size178; ++_i182)
             {
-              xfer += this->Leases[_i174].read(iprot);
+              xfer += this->Leases[_i182].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5768,14 +6110,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Loads.clear();
-            uint32_t _size175;
-            ::apache::thrift::protocol::TType _etype178;
-            xfer += iprot->readListBegin(_etype178, _size175);
-            this->Loads.resize(_size175);
-            uint32_t _i179;
-            for (_i179 = 0; _i179 < _size175; ++_i179)
+            uint32_t _size183;
+            ::apache::thrift::protocol::TType _etype186;
+            xfer += iprot->readListBegin(_etype186, _size183);
+            this->Loads.resize(_size183);
+            uint32_t _i187;
+            for (_i187 = 0; _i187 < _size183; ++_i187)
             {
-              xfer += this->Loads[_i179].read(iprot);
+              xfer += this->Loads[_i187].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5804,14 +6146,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->NamedWeights.clear();
-            uint32_t _size180;
-            ::apache::thrift::protocol::TType _etype183;
-            xfer += iprot->readListBegin(_etype183, _size180);
-            this->NamedWeights.resize(_size180);
-            uint32_t _i184;
-            for (_i184 = 0; _i184 < _size180; ++_i184)
+            uint32_t _size188;
+            ::apache::thrift::protocol::TType _etype191;
+            xfer += iprot->readListBegin(_etype191, _size188);
+            this->NamedWeights.resize(_size188);
+            uint32_t _i192;
+            for (_i192 = 0; _i192 < _size188; ++_i192)
             {
-              xfer += this->NamedWeights[_i184].read(iprot);
+              xfer += this->NamedWeights[_i192].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5820,6 +6162,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Leaves.clear();
+            uint32_t _size193;
+            ::apache::thrift::protocol::TType _etype196;
+            xfer += iprot->readListBegin(_etype196, _size193);
+            this->Leaves.resize(_size193);
+            uint32_t _i197;
+            for (_i197 = 0; _i197 < _size193; ++_i197)
+            {
+              xfer += this->Leaves[_i197].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Leaves = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5852,10 +6214,10 @@
   xfer += oprot->writeFieldBegin("Operations", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Operations.size()));
-    std::vector<OperationFields> ::const_iterator _iter185;
-    for (_iter185 = this->Operations.begin(); _iter185 != this->Operations.end(); ++_iter185)
+    std::vector<OperationFields> ::const_iterator _iter198;
+    for (_iter198 = this->Operations.begin(); _iter198 != this->Operations.end(); ++_iter198)
     {
-      xfer += (*_iter185).write(oprot);
+      xfer += (*_iter198).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5864,10 +6226,10 @@
   xfer += oprot->writeFieldBegin("Claims", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Claims.size()));
-    std::vector<ClaimEntryFields> ::const_iterator _iter186;
-    for (_iter186 = this->Claims.begin(); _iter186 != this->Claims.end(); ++_iter186)
+    std::vector<ClaimEntryFields> ::const_iterator _iter199;
+    for (_iter199 = this->Claims.begin(); _iter199 != this->Claims.end(); ++_iter199)
     {
-      xfer += (*_iter186).write(oprot);
+      xfer += (*_iter199).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5876,10 +6238,10 @@
   xfer += oprot->writeFieldBegin("Tombstones", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Tombstones.size()));
-    std::vector<TombstoneBucketFields> ::const_iterator _iter187;
-    for (_iter187 = this->Tombstones.begin(); _iter187 != this->Tombstones.end(); ++_iter187)
+    std::vector<TombstoneBucketFields> ::const_iterator _iter200;
+    for (_iter200 = this->Tombstones.begin(); _iter200 != this->Tombstones.end(); ++_iter200)
     {
-      xfer += (*_iter187).write(oprot);
+      xfer += (*_iter200).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5896,10 +6258,10 @@
   xfer += oprot->writeFieldBegin("ClaimingHosts", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ClaimingHosts.size()));
-    std::vector<HostIncarnationFields> ::const_iterator _iter188;
-    for (_iter188 = this->ClaimingHosts.begin(); _iter188 != this->ClaimingHosts.end(); ++_iter188)
+    std::vector<HostIncarnationFields> ::const_iterator _iter201;
+    for (_iter201 = this->ClaimingHosts.begin(); _iter201 != this->ClaimingHosts.end(); ++_iter201)
     {
-      xfer += (*_iter188).write(oprot);
+      xfer += (*_iter201).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5908,10 +6270,10 @@
   xfer += oprot->writeFieldBegin("Leases", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Leases.size()));
-    std::vector<LeaseFields> ::const_iterator _iter189;
-    for (_iter189 = this->Leases.begin(); _iter189 != this->Leases.end(); ++_iter189)
+    std::vector<LeaseFields> ::const_iterator _iter202;
+    for (_iter202 = this->Leases.begin(); _iter202 != this->Leases.end(); ++_iter202)
     {
-      xfer += (*_iter189).write(oprot);
+      xfer += (*_iter202).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5920,10 +6282,10 @@
   xfer += oprot->writeFieldBegin("Loads", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Loads.size()));
-    std::vector<LoadSlotFields> ::const_iterator _iter190;
-    for (_iter190 = this->Loads.begin(); _iter190 != this->Loads.end(); ++_iter190)
+    std::vector<LoadSlotFields> ::const_iterator _iter203;
+    for (_iter203 = this->Loads.begin(); _iter203 != this->Loads.end(); ++_iter203)
     {
-      xfer += (*_iter190).write(oprot);
+      xfer += (*_iter203).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5940,10 +6302,22 @@
   xfer += oprot->writeFieldBegin("NamedWeights", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->NamedWeights.size()));
-    std::vector<NamedWeightsFields> ::const_iterator _iter191;
-    for (_iter191 = this->NamedWeights.begin(); _iter191 != this->NamedWeights.end(); ++_iter191)
+    std::vector<NamedWeightsFields> ::const_iterator _iter204;
+    for (_iter204 = this->NamedWeights.begin(); _iter204 != this->NamedWeights.end(); ++_iter204)
+    {
+      xfer += (*_iter204).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Leaves", ::apache::thrift::protocol::T_LIST, 15);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Leaves.size()));
+    std::vector<LeaveFields> ::const_iterator _iter205;
+    for (_iter205 = this->Leaves.begin(); _iter205 != this->Leaves.end(); ++_iter205)
     {
-      xfer += (*_iter191).write(oprot);
+      xfer += (*_iter205).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5970,77 +6344,82 @@
   swap(a.LoadFencing, b.LoadFencing);
   swap(a.LoadSequence, b.LoadSequence);
   swap(a.NamedWeights, b.NamedWeights);
+  swap(a.Leaves, b.Leaves);
   swap(a.__isset, b.__isset);
 }
 
-RegistrySnapshot::RegistrySnapshot(const RegistrySnapshot& other192) {
-  FormatVersion = other192.FormatVersion;
-  AppliedIndex = other192.AppliedIndex;
-  Description = other192.Description;
-  Operations = other192.Operations;
-  Claims = other192.Claims;
-  Tombstones = other192.Tombstones;
-  LowWaterMillis = other192.LowWaterMillis;
-  NextOrder = other192.NextOrder;
-  ClaimingHosts = other192.ClaimingHosts;
-  Leases = other192.Leases;
-  Loads = other192.Loads;
-  LoadFencing = other192.LoadFencing;
-  LoadSequence = other192.LoadSequence;
-  NamedWeights = other192.NamedWeights;
-  __isset = other192.__isset;
-}
-RegistrySnapshot::RegistrySnapshot(RegistrySnapshot&& other193) noexcept {
-  FormatVersion = other193.FormatVersion;
-  AppliedIndex = other193.AppliedIndex;
-  Description = std::move(other193.Description);
-  Operations = std::move(other193.Operations);
-  Claims = std::move(other193.Claims);
-  Tombstones = std::move(other193.Tombstones);
-  LowWaterMillis = other193.LowWaterMillis;
-  NextOrder = other193.NextOrder;
-  ClaimingHosts = std::move(other193.ClaimingHosts);
-  Leases = std::move(other193.Leases);
-  Loads = std::move(other193.Loads);
-  LoadFencing = other193.LoadFencing;
-  LoadSequence = other193.LoadSequence;
-  NamedWeights = std::move(other193.NamedWeights);
-  __isset = other193.__isset;
-}
-RegistrySnapshot& RegistrySnapshot::operator=(const RegistrySnapshot& other194) {
-  FormatVersion = other194.FormatVersion;
-  AppliedIndex = other194.AppliedIndex;
-  Description = other194.Description;
-  Operations = other194.Operations;
-  Claims = other194.Claims;
-  Tombstones = other194.Tombstones;
-  LowWaterMillis = other194.LowWaterMillis;
-  NextOrder = other194.NextOrder;
-  ClaimingHosts = other194.ClaimingHosts;
-  Leases = other194.Leases;
-  Loads = other194.Loads;
-  LoadFencing = other194.LoadFencing;
-  LoadSequence = other194.LoadSequence;
-  NamedWeights = other194.NamedWeights;
-  __isset = other194.__isset;
+RegistrySnapshot::RegistrySnapshot(const RegistrySnapshot& other206) {
+  FormatVersion = other206.FormatVersion;
+  AppliedIndex = other206.AppliedIndex;
+  Description = other206.Description;
+  Operations = other206.Operations;
+  Claims = other206.Claims;
+  Tombstones = other206.Tombstones;
+  LowWaterMillis = other206.LowWaterMillis;
+  NextOrder = other206.NextOrder;
+  ClaimingHosts = other206.ClaimingHosts;
+  Leases = other206.Leases;
+  Loads = other206.Loads;
+  LoadFencing = other206.LoadFencing;
+  LoadSequence = other206.LoadSequence;
+  NamedWeights = other206.NamedWeights;
+  Leaves = other206.Leaves;
+  __isset = other206.__isset;
+}
+RegistrySnapshot::RegistrySnapshot(RegistrySnapshot&& other207) noexcept {
+  FormatVersion = other207.FormatVersion;
+  AppliedIndex = other207.AppliedIndex;
+  Description = std::move(other207.Description);
+  Operations = std::move(other207.Operations);
+  Claims = std::move(other207.Claims);
+  Tombstones = std::move(other207.Tombstones);
+  LowWaterMillis = other207.LowWaterMillis;
+  NextOrder = other207.NextOrder;
+  ClaimingHosts = std::move(other207.ClaimingHosts);
+  Leases = std::move(other207.Leases);
+  Loads = std::move(other207.Loads);
+  LoadFencing = other207.LoadFencing;
+  LoadSequence = other207.LoadSequence;
+  NamedWeights = std::move(other207.NamedWeights);
+  Leaves = std::move(other207.Leaves);
+  __isset = other207.__isset;
+}
+RegistrySnapshot& RegistrySnapshot::operator=(const RegistrySnapshot& other208) {
+  FormatVersion = other208.FormatVersion;
+  AppliedIndex = other208.AppliedIndex;
+  Description = other208.Description;
+  Operations = other208.Operations;
+  Claims = other208.Claims;
+  Tombstones = other208.Tombstones;
+  LowWaterMillis = other208.LowWaterMillis;
+  NextOrder = other208.NextOrder;
+  ClaimingHosts = other208.ClaimingHosts;
+  Leases = other208.Leases;
+  Loads = other208.Loads;
+  LoadFencing = other208.LoadFencing;
+  LoadSequence = other208.LoadSequence;
+  NamedWeights = other208.NamedWeights;
+  Leaves = other208.Leaves;
+  __isset = other208.__isset;
   return *this;
 }
-RegistrySnapshot& RegistrySnapshot::operator=(RegistrySnapshot&& other195) noexcept {
-  FormatVersion = other195.FormatVersion;
-  AppliedIndex = other195.AppliedIndex;
-  Description = std::move(other195.Description);
-  Operations = std::move(other195.Operations);
-  Claims = std::move(other195.Claims);
-  Tombstones = std::move(other195.Tombstones);
-  LowWaterMillis = other195.LowWaterMillis;
-  NextOrder = other195.NextOrder;
-  ClaimingHosts = std::move(other195.ClaimingHosts);
-  Leases = std::move(other195.Leases);
-  Loads = std::move(other195.Loads);
-  LoadFencing = other195.LoadFencing;
-  LoadSequence = other195.LoadSequence;
-  NamedWeights = std::move(other195.NamedWeights);
-  __isset = other195.__isset;
+RegistrySnapshot& RegistrySnapshot::operator=(RegistrySnapshot&& other209) noexcept {
+  FormatVersion = other209.FormatVersion;
+  AppliedIndex = other209.AppliedIndex;
+  Description = std::move(other209.Description);
+  Operations = std::move(other209.Operations);
+  Claims = std::move(other209.Claims);
+  Tombstones = std::move(other209.Tombstones);
+  LowWaterMillis = other209.LowWaterMillis;
+  NextOrder = other209.NextOrder;
+  ClaimingHosts = std::move(other209.ClaimingHosts);
+  Leases = std::move(other209.Leases);
+  Loads = std::move(other209.Loads);
+  LoadFencing = other209.LoadFencing;
+  LoadSequence = other209.LoadSequence;
+  NamedWeights = std::move(other209.NamedWeights);
+  Leaves = std::move(other209.Leaves);
+  __isset = other209.__isset;
   return *this;
 }
 void RegistrySnapshot::printTo(std::ostream& out) const {
@@ -6060,6 +6439,7 @@
   out << ", " << "LoadFencing=" << to_string(LoadFencing);
   out << ", " << "LoadSequence=" << to_string(LoadSequence);
   out << ", " << "NamedWeights=" << to_string(NamedWeights);
+  out << ", " << "Leaves=" << to_string(Leaves);
   out << ")";
 }
 
--- a/Libraries/LibWire/Generated/Registry_types.h
+++ b/Libraries/LibWire/Generated/Registry_types.h
@@ -122,6 +122,8 @@
 
 class NameWeightsCommand;
 
+class RecordLeaveCommand;
+
 class ClaimCommand;
 
 class CompleteCommand;
@@ -162,6 +164,8 @@
 
 class NamedWeightsFields;
 
+class LeaveFields;
+
 class RegistryAnswer;
 
 class RegistryRequest;
@@ -525,6 +529,65 @@
 
 std::ostream& operator<<(std::ostream& out, const NameWeightsCommand& obj);
 
+typedef struct _RecordLeaveCommand__isset {
+  _RecordLeaveCommand__isset() : Target(false), Incarnation(false), LeftAtMillis(false) {}
+  bool Target :1;
+  bool Incarnation :1;
+  bool LeftAtMillis :1;
+} _RecordLeaveCommand__isset;
+
+class RecordLeaveCommand : public virtual ::apache::thrift::TBase {
+ public:
+
+  RecordLeaveCommand(const RecordLeaveCommand&);
+  RecordLeaveCommand(RecordLeaveCommand&&) noexcept;
+  RecordLeaveCommand& operator=(const RecordLeaveCommand&);
+  RecordLeaveCommand& operator=(RecordLeaveCommand&&) noexcept;
+  RecordLeaveCommand() noexcept
+                     : Target(),
+                       Incarnation(0),
+                       LeftAtMillis(0) {
+  }
+
+  virtual ~RecordLeaveCommand() noexcept;
+  std::string Target;
+  int64_t Incarnation;
+  int64_t LeftAtMillis;
+
+  _RecordLeaveCommand__isset __isset;
+
+  void __set_Target(const std::string& val);
+
+  void __set_Incarnation(const int64_t val);
+
+  void __set_LeftAtMillis(const int64_t val);
+
+  bool operator == (const RecordLeaveCommand & rhs) const
+  {
+    if (!(Target == rhs.Target))
+      return false;
+    if (!(Incarnation == rhs.Incarnation))
+      return false;
+    if (!(LeftAtMillis == rhs.LeftAtMillis))
+      return false;
+    return true;
+  }
+  bool operator != (const RecordLeaveCommand &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RecordLeaveCommand & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RecordLeaveCommand &a, RecordLeaveCommand &b);
+
+std::ostream& operator<<(std::ostream& out, const RecordLeaveCommand& obj);
+
 typedef struct _ClaimCommand__isset {
   _ClaimCommand__isset() : Key(false), Attempt(false), BodyDigest(false), AskedAtMillis(false) {}
   bool Key :1;
@@ -1180,7 +1243,7 @@
 std::ostream& operator<<(std::ostream& out, const EndLoadCommand& obj);
 
 typedef struct _RegistryCommand__isset {
-  _RegistryCommand__isset() : Change(false), Claim(false), Complete(false), Release(false), MarkUnknown(false), AdvanceLowWater(false), AcquireLease(false), RenewLease(false), ReleaseLease(false), BeginLoad(false), EndLoad(false), Replace(false), NameWeights(false) {}
+  _RegistryCommand__isset() : Change(false), Claim(false), Complete(false), Release(false), MarkUnknown(false), AdvanceLowWater(false), AcquireLease(false), RenewLease(false), ReleaseLease(false), BeginLoad(false), EndLoad(false), Replace(false), NameWeights(false), RecordLeave(false) {}
   bool Change :1;
   bool Claim :1;
   bool Complete :1;
@@ -1194,6 +1257,7 @@
   bool EndLoad :1;
   bool Replace :1;
   bool NameWeights :1;
+  bool RecordLeave :1;
 } _RegistryCommand__isset;
 
 class RegistryCommand : public virtual ::apache::thrift::TBase {
@@ -1220,6 +1284,7 @@
   EndLoadCommand EndLoad;
   ReplaceCommand Replace;
   NameWeightsCommand NameWeights;
+  RecordLeaveCommand RecordLeave;
 
   _RegistryCommand__isset __isset;
 
@@ -1249,6 +1314,8 @@
 
   void __set_NameWeights(const NameWeightsCommand& val);
 
+  void __set_RecordLeave(const RecordLeaveCommand& val);
+
   bool operator == (const RegistryCommand & rhs) const
   {
     if (__isset.Change != rhs.__isset.Change)
@@ -1303,6 +1370,10 @@
       return false;
     else if (__isset.NameWeights && !(NameWeights == rhs.NameWeights))
       return false;
+    if (__isset.RecordLeave != rhs.__isset.RecordLeave)
+      return false;
+    else if (__isset.RecordLeave && !(RecordLeave == rhs.RecordLeave))
+      return false;
     return true;
   }
   bool operator != (const RegistryCommand &rhs) const {
@@ -1792,8 +1863,67 @@
 
 std::ostream& operator<<(std::ostream& out, const NamedWeightsFields& obj);
 
+typedef struct _LeaveFields__isset {
+  _LeaveFields__isset() : Target(false), Incarnation(false), Number(false) {}
+  bool Target :1;
+  bool Incarnation :1;
+  bool Number :1;
+} _LeaveFields__isset;
+
+class LeaveFields : public virtual ::apache::thrift::TBase {
+ public:
+
+  LeaveFields(const LeaveFields&);
+  LeaveFields(LeaveFields&&) noexcept;
+  LeaveFields& operator=(const LeaveFields&);
+  LeaveFields& operator=(LeaveFields&&) noexcept;
+  LeaveFields() noexcept
+              : Target(),
+                Incarnation(0),
+                Number(0) {
+  }
+
+  virtual ~LeaveFields() noexcept;
+  std::string Target;
+  int64_t Incarnation;
+  int64_t Number;
+
+  _LeaveFields__isset __isset;
+
+  void __set_Target(const std::string& val);
+
+  void __set_Incarnation(const int64_t val);
+
+  void __set_Number(const int64_t val);
+
+  bool operator == (const LeaveFields & rhs) const
+  {
+    if (!(Target == rhs.Target))
+      return false;
+    if (!(Incarnation == rhs.Incarnation))
+      return false;
+    if (!(Number == rhs.Number))
+      return false;
+    return true;
+  }
+  bool operator != (const LeaveFields &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LeaveFields & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LeaveFields &a, LeaveFields &b);
+
+std::ostream& operator<<(std::ostream& out, const LeaveFields& obj);
+
 typedef struct _RegistryAnswer__isset {
-  _RegistryAnswer__isset() : Change(false), Claim(false), Lease(false), Load(false), LowWater(false), Description(false), Invalid(false), NamedWeights(false) {}
+  _RegistryAnswer__isset() : Change(false), Claim(false), Lease(false), Load(false), LowWater(false), Description(false), Invalid(false), NamedWeights(false), Leave(false) {}
   bool Change :1;
   bool Claim :1;
   bool Lease :1;
@@ -1802,6 +1932,7 @@
   bool Description :1;
   bool Invalid :1;
   bool NamedWeights :1;
+  bool Leave :1;
 } _RegistryAnswer__isset;
 
 class RegistryAnswer : public virtual ::apache::thrift::TBase {
@@ -1828,6 +1959,7 @@
    */
   InvalidReason::type Invalid;
   NamedWeightsFields NamedWeights;
+  LeaveFields Leave;
 
   _RegistryAnswer__isset __isset;
 
@@ -1847,6 +1979,8 @@
 
   void __set_NamedWeights(const NamedWeightsFields& val);
 
+  void __set_Leave(const LeaveFields& val);
+
   bool operator == (const RegistryAnswer & rhs) const
   {
     if (__isset.Change != rhs.__isset.Change)
@@ -1881,6 +2015,10 @@
       return false;
     else if (__isset.NamedWeights && !(NamedWeights == rhs.NamedWeights))
       return false;
+    if (__isset.Leave != rhs.__isset.Leave)
+      return false;
+    else if (__isset.Leave && !(Leave == rhs.Leave))
+      return false;
     return true;
   }
   bool operator != (const RegistryAnswer &rhs) const {
@@ -2301,7 +2439,7 @@
 std::ostream& operator<<(std::ostream& out, const HostIncarnationFields& obj);
 
 typedef struct _RegistrySnapshot__isset {
-  _RegistrySnapshot__isset() : FormatVersion(false), AppliedIndex(false), Description(false), Operations(false), Claims(false), Tombstones(false), LowWaterMillis(false), NextOrder(false), ClaimingHosts(false), Leases(false), Loads(false), LoadFencing(false), LoadSequence(false), NamedWeights(false) {}
+  _RegistrySnapshot__isset() : FormatVersion(false), AppliedIndex(false), Description(false), Operations(false), Claims(false), Tombstones(false), LowWaterMillis(false), NextOrder(false), ClaimingHosts(false), Leases(false), Loads(false), LoadFencing(false), LoadSequence(false), NamedWeights(false), Leaves(false) {}
   bool FormatVersion :1;
   bool AppliedIndex :1;
   bool Description :1;
@@ -2316,6 +2454,7 @@
   bool LoadFencing :1;
   bool LoadSequence :1;
   bool NamedWeights :1;
+  bool Leaves :1;
 } _RegistrySnapshot__isset;
 
 class RegistrySnapshot : public virtual ::apache::thrift::TBase {
@@ -2349,6 +2488,7 @@
   int64_t LoadFencing;
   int64_t LoadSequence;
   std::vector<NamedWeightsFields>  NamedWeights;
+  std::vector<LeaveFields>  Leaves;
 
   _RegistrySnapshot__isset __isset;
 
@@ -2380,6 +2520,8 @@
 
   void __set_NamedWeights(const std::vector<NamedWeightsFields> & val);
 
+  void __set_Leaves(const std::vector<LeaveFields> & val);
+
   bool operator == (const RegistrySnapshot & rhs) const
   {
     if (!(FormatVersion == rhs.FormatVersion))
@@ -2410,6 +2552,8 @@
       return false;
     if (!(NamedWeights == rhs.NamedWeights))
       return false;
+    if (!(Leaves == rhs.Leaves))
+      return false;
     return true;
   }
   bool operator != (const RegistrySnapshot &rhs) const {
--- a/Libraries/LibWire/Idl/Membership.thrift
+++ b/Libraries/LibWire/Idl/Membership.thrift
@@ -74,6 +74,14 @@
   2: i64 Incarnation
 }
 
+// A leave that is recorded in the log.
+struct RecordedLeaveFields {
+  1: string Target
+  2: i64 Incarnation
+  // Position in the ledger of leaves.
+  3: i64 Number
+}
+
 // A host as it introduces itself, or as others pass that on.
 struct HostFields {
   1: string Id
@@ -92,6 +100,8 @@
   4: optional list<i32> UnknownTags
   // The asker's life, where hosts find each other by seeds.
   5: optional i64 AskerIncarnation
+  // Number of the newest recorded leave that the asker knows.
+  6: optional i64 LeavesAfter
 }
 
 struct MembershipReply {
@@ -103,6 +113,10 @@
   5: optional i32 ConfirmedAgeMillis
   // The hosts behind the unknown tags of the question.
   6: optional list<HostFields> Introduced
+  // The next recorded leaves, the oldest first, and the number of the newest one that
+  // the sender knows.
+  7: optional list<RecordedLeaveFields> RecordedLeaves
+  8: optional i64 NewestLeave
 }
 
 struct MembershipMessage {
--- a/Libraries/LibWire/Idl/Registry.thrift
+++ b/Libraries/LibWire/Idl/Registry.thrift
@@ -40,6 +40,14 @@
   3: i64 NamedAtMillis
 }
 
+// Records that a target and its earlier incarnations have left.
+struct RecordLeaveCommand {
+  1: string Target
+  2: i64 Incarnation
+  // The leader's wall clock in milliseconds since the Unix epoch.
+  3: i64 LeftAtMillis
+}
+
 struct ClaimCommand {
   1: ClaimKeyFields Key
   2: ClaimAttemptFields Attempt
@@ -128,6 +136,7 @@
   11: optional EndLoadCommand EndLoad
   12: optional ReplaceCommand Replace
   13: optional NameWeightsCommand NameWeights
+  14: optional RecordLeaveCommand RecordLeave
 }
 
 enum ClaimStatus {
@@ -208,6 +217,13 @@
   3: i64 NamedAtMillis
 }
 
+// A leave in the ledger of a snapshot, and the reply to RecordLeaveCommand.
+struct LeaveFields {
+  1: string Target
+  2: i64 Incarnation
+  3: i64 Number
+}
+
 // Exactly one field is set.
 struct RegistryAnswer {
   1: optional ChangeReply Change
@@ -218,6 +234,7 @@
   6: optional DescriptionFields Description
   7: optional InvalidReason Invalid
   8: optional NamedWeightsFields NamedWeights
+  9: optional LeaveFields Leave
 }
 
 enum RequestKind {
@@ -296,4 +313,6 @@
   13: i64 LoadSequence
   // The versions of a model are in rising order.
   14: list<NamedWeightsFields> NamedWeights
+  // In the order of their numbers.
+  15: list<LeaveFields> Leaves
 }
--- a/Services/ferryd/ControlPlane.cpp
+++ b/Services/ferryd/ControlPlane.cpp
@@ -19,6 +19,8 @@
 static constexpr Duration LoggedTickDelay = std::chrono::milliseconds(500);
 /// Between attempts to reopen a log that stopped at a failure of its disk.
 static constexpr Duration ReopenLogInterval = std::chrono::milliseconds(500);
+/// Time for recording a leave that a router noticed. Nobody waits for it.
+static constexpr std::chrono::seconds NoticedLeaveTimeout{5};
 /// Between proposals to renew or take the order lease. The shorter it is, the
 /// sooner another control host finds that a failed holder did not renew it.
 static constexpr Duration RoutedLeaseRenewal = std::chrono::milliseconds(400);
@@ -199,6 +201,10 @@
       broadcastNamedWeights();
     markViewChanged();
   };
+  NodeHooks.LeavesRecorded = [this] {
+    stepMembership(LeavesRecorded{
+        Node->state().leaves().after(Members.recordedLeaves().newestNumber())});
+  };
   NodeHooks.StandingChanged = [this] {
     if (auto Leader = Node->log().leader())
       Gateway->hintLeader(*Leader);
@@ -505,6 +511,10 @@
         [this](const membership::AnnouncementRefused &) {
           AnnouncementRefused = true;
         },
+        [this](const NoticedLeaveReceived &Leave) {
+          recordLeave(Leave.Target, Leave.Incarnation,
+                      steadyNow() + NoticedLeaveTimeout, [](bool) {});
+        },
         [](const membership::IncarnationRaised &Raised) {
           observe::logEvent(Severity::Warning, "control", "life_raised",
                             {{"remembered", Raised.Remembered},
--- a/Services/ferryd/ControlPlane.h
+++ b/Services/ferryd/ControlPlane.h
@@ -185,6 +185,13 @@
                       traffic::RegistryResult<traffic::CurrentDescription>)>);
   void announce(const TargetRecord &Record,
                 const std::function<void(traffic::AnnounceReply)> &Done);
+  /// Acknowledges the leave only once the log has recorded it: the hosts that
+  /// heard of it may all end.
+  void announceLeave(const TargetRecord &Record, Timestamp Deadline,
+                     std::function<void(traffic::AnnounceReply)> Done);
+  void recordLeave(const TargetId &Target, ferry::Incarnation Left,
+                   Timestamp Deadline,
+                   std::function<void(bool IsRecorded)> Done);
   std::vector<traffic::PastChange> pastChanges() const;
   traffic::SpreadStatus spreadStatus(DescriptionNumber Number) const;
 
--- a/Services/ferryd/ControlPlaneDump.cpp
+++ b/Services/ferryd/ControlPlaneDump.cpp
@@ -40,6 +40,7 @@
   Section->set("lease_holder", Lease.Host.Value);
   Section->set("lease_fencing", Lease.Fencing.Value);
   Section->set("weights_loads", State.loads().size());
+  Section->set("recorded_leaves", State.leaves().size());
   return Section;
 }
 
@@ -161,6 +162,11 @@
       Confirmed.isConfirmed(Now) ? 1 : 0);
   Set("ferry_targets_usable", "Targets that may get new work.",
       Members.targets(Now).size());
+  Set("ferry_recorded_leaves", "Leaves of targets that this host keeps.",
+      Members.recordedLeaves().size());
+  Set("ferry_recorded_leave_number",
+      "Number of the newest leave that this host knows.",
+      Members.recordedLeaves().newestNumber());
   Set("ferry_peer_bytes_sent", "Bytes sent to other hosts.", Count.BytesSent);
   Set("ferry_peer_bytes_received", "Bytes received from other hosts.",
       Count.BytesReceived);
--- a/Services/ferryd/ControlPlanePort.cpp
+++ b/Services/ferryd/ControlPlanePort.cpp
@@ -1,11 +1,13 @@
 // Requests from traffic threads to the control plane.
 #include "LibCore/Visit.h"
+#include "LibObserve/Log.h"
 #include "ferryd/ControlPlane.h"
 #include <algorithm>
 
 namespace ferry::daemon {
 
 using namespace registry;
+using observe::Severity;
 using traffic::RegistryResult;
 
 using ClaimCallback = std::function<void(RegistryResult<ClaimOutcome>)>;
@@ -97,10 +99,14 @@
   Port.SendCapQuestions = [this] {
     Loop.post([this] { Beliefs->sendCapQuestions(); });
   };
-  Port.Announce = [this](TargetRecord Record, auto Done) {
-    Loop.post([this, Record = std::move(Record), Done = std::move(Done)] {
-      announce(Record, Done);
-    });
+  Port.Announce = [this](TargetRecord Record, Timestamp Deadline, auto Done) {
+    Loop.post(
+        [this, Record = std::move(Record), Deadline, Done = std::move(Done)] {
+          if (Record.Phase == TargetPhase::Leaving)
+            announceLeave(Record, Deadline, Done);
+          else
+            announce(Record, Done);
+        });
   };
   Port.Dump = [this](auto Done) {
     Loop.post([this, Done = std::move(Done)] { Done(Dump.render()); });
@@ -147,6 +153,48 @@
   Done(std::move(Reply));
 }
 
+void ControlPlane::announceLeave(
+    const TargetRecord &Record, Timestamp Deadline,
+    std::function<void(traffic::AnnounceReply)> Done) {
+  ferry::Incarnation Leaving = Members.leavingIncarnation(Record);
+  stepMembership(membership::TargetAnnounced{Record});
+  auto Acknowledge = [Done = std::move(Done)](bool IsRecorded) {
+    traffic::AnnounceReply Reply;
+    if (!IsRecorded)
+      Reply.Status = traffic::AnnounceReply::Verdict::LeaveNotRecorded;
+    Done(std::move(Reply));
+  };
+  if (Leaving.Value == 0) {
+    observe::logEvent(Severity::Warning, "control", "leave_of_unknown_target",
+                      {{"target", Record.Id}});
+    return Acknowledge(false);
+  }
+  if (Members.recordedLeaves().hasLeft(Record.Id, Leaving))
+    return Acknowledge(true);
+  recordLeave(Record.Id, Leaving, Deadline, std::move(Acknowledge));
+}
+
+void ControlPlane::recordLeave(const TargetId &Target, ferry::Incarnation Left,
+                               Timestamp Deadline,
+                               std::function<void(bool IsRecorded)> Done) {
+  Gateway->submitFor<RecordedLeave>(
+      RecordLeave{Target, Left}, Deadline,
+      [Target, Left,
+       Done = std::move(Done)](RegistryResult<RecordedLeave> Outcome) {
+        if (Outcome)
+          observe::logEvent(Severity::Info, "control", "leave_recorded",
+                            {{"target", Target},
+                             {"incarnation", Left},
+                             {"number", Outcome->Number}});
+        else
+          observe::logEvent(Severity::Warning, "control", "leave_not_recorded",
+                            {{"target", Target},
+                             {"incarnation", Left},
+                             {"reason", Outcome.error().message()}});
+        Done(Outcome.has_value());
+      });
+}
+
 std::vector<traffic::PastChange> ControlPlane::pastChanges() const {
   std::vector<traffic::PastChange> Changes;
   for (const wire::DescriptionCopy &Copy : Holder.history())
--- a/Services/ferryd/RegistryNode.cpp
+++ b/Services/ferryd/RegistryNode.cpp
@@ -53,21 +53,27 @@
 
 void RegistryNode::apply(uint64_t Index, std::string_view Command) {
   DescriptionNumber PreviousNumber = State.greatestNumber();
+  uint64_t PreviousLeave = State.leaves().newestNumber();
   step(ServerCommandApplied{Index, State.apply(Index, Command)});
   if (State.greatestNumber() > PreviousNumber)
     Callbacks.DescriptionChanged();
+  if (State.leaves().newestNumber() > PreviousLeave)
+    Callbacks.LeavesRecorded();
   Callbacks.WeightsNamed();
 }
 
 Result<void, consensus::StorageError>
 RegistryNode::tryRestore(std::string_view Bytes) {
   DescriptionNumber PreviousNumber = State.greatestNumber();
+  uint64_t PreviousLeave = State.leaves().newestNumber();
   auto Restored = State.tryRestore(Bytes);
   if (!Restored)
     return makeTypedError(consensus::StorageErrorKind::Damaged,
                           Restored.error().message());
   if (State.greatestNumber() > PreviousNumber)
     Callbacks.DescriptionChanged();
+  if (State.leaves().newestNumber() > PreviousLeave)
+    Callbacks.LeavesRecorded();
   return {};
 }
 
--- a/Services/ferryd/RegistryNode.h
+++ b/Services/ferryd/RegistryNode.h
@@ -23,6 +23,8 @@
     /// Called after each applied command, which may have named newer weights
     /// for a model.
     std::function<void()> WeightsNamed = [] {};
+    /// Called when the registry has recorded leaves of targets.
+    std::function<void()> LeavesRecorded = [] {};
   };
 
   /// Opens the log in \p Options.Folder and replays it.
--- a/Tests/LibMembership/TestDiscovery.cpp
+++ b/Tests/LibMembership/TestDiscovery.cpp
@@ -260,3 +260,71 @@
     }
   }
 }
+
+// Finding review/7: hosts that restarted or missed the announcement of a leave
+// took a late heartbeat for a new target.
+BOOST_AUTO_TEST_CASE(a_recorded_leave_reaches_hosts_that_did_not_hear_of_it) {
+  SeededHosts Hosts(4);
+  Hosts.run(2s);
+  TargetRecord Record;
+  Record.Id = {"i-1"};
+  Record.Incarnation = {77};
+  Record.Sequence = 1;
+  Record.Address = "10.1.0.1:80";
+  Record.Service = {"lm"};
+  Record.Phase = TargetPhase::Ready;
+  Hosts.deliver("10.0.0.1", TargetAnnounced{Record});
+  Hosts.run(1s);
+  // A router that is cut off misses the leave, and so does one that restarts.
+  Hosts.Down = "10.0.0.3";
+  TargetRecord Left = Record;
+  Left.Phase = TargetPhase::Leaving;
+  Hosts.deliver("10.0.0.1", TargetAnnounced{Left});
+  Hosts.deliver("10.0.0.1", LeavesRecorded{{{{"i-1"}, {77}, 500}}});
+  Hosts.Down.clear();
+  Hosts.start("10.0.0.4", 3, 200);
+  Hosts.run(1s);
+  for (const auto &[Name, Member] : Hosts.Members) {
+    BOOST_TEST(Member.recordedLeaves().hasLeft({"i-1"}, {77}), Name);
+    BOOST_TEST(Member.targets(Hosts.Now).empty(), Name);
+  }
+  // The control host restarts, and its log has not been read yet.
+  Hosts.start("10.0.0.1", 0, 200);
+  Record.Sequence = 2;
+  Hosts.deliver("10.0.0.1", TargetAnnounced{Record});
+  Hosts.run(1s);
+  for (const auto &[Name, Member] : Hosts.Members)
+    BOOST_TEST(Member.targets(Hosts.Now).empty(), Name);
+  Record.Incarnation = {78};
+  Hosts.deliver("10.0.0.1", TargetAnnounced{Record});
+  Hosts.run(1s);
+  for (const auto &[Name, Member] : Hosts.Members)
+    BOOST_TEST(Member.targets(Hosts.Now).size() == 1U, Name);
+}
+
+BOOST_AUTO_TEST_CASE(many_recorded_leaves_reach_a_restarted_host) {
+  SeededHosts Hosts(3);
+  Hosts.run(2s);
+  std::vector<RecordedLeave> Leaves;
+  for (uint64_t Number = 1; Number <= LeaveLedger::MaxLeaves; ++Number)
+    Leaves.push_back({{"i-" + std::to_string(Number)}, {7}, Number});
+  Hosts.deliver("10.0.0.1", LeavesRecorded{Leaves});
+  Hosts.start("10.0.0.3", 2, 200);
+  Hosts.run(1s);
+  const LeaveLedger &Copy = Hosts.Members.at("10.0.0.3").recordedLeaves();
+  BOOST_TEST(Copy.size() == LeaveLedger::MaxLeaves);
+  BOOST_TEST(Copy.hasLeft({"i-1"}, {7}));
+}
+
+// A target whose incarnation no host knows cannot be recorded as left.
+BOOST_AUTO_TEST_CASE(a_leave_of_an_unknown_target_has_no_incarnation) {
+  SeededHosts Hosts(2);
+  Hosts.run(1s);
+  Membership &Control = Hosts.Members.at("10.0.0.1");
+  TargetRecord Left;
+  Left.Id = {"i-1"};
+  Left.Phase = TargetPhase::Leaving;
+  BOOST_TEST(Control.leavingIncarnation(Left).Value == 0U);
+  Hosts.deliver("10.0.0.1", LeavesRecorded{{{{"i-1"}, {77}, 500}}});
+  BOOST_TEST(Control.leavingIncarnation(Left).Value == 77U);
+}
--- a/Tests/LibTraffic/TrafficBed.h
+++ b/Tests/LibTraffic/TrafficBed.h
@@ -85,7 +85,7 @@
                               Done Reply) {
       run(LedgerCommand::MarkUnknown, MarkUnknown{Key, Holder}, Reply);
     };
-    Port.Announce = [this](TargetRecord Record, auto Reply) {
+    Port.Announce = [this](TargetRecord Record, Timestamp, auto Reply) {
       std::lock_guard Lock(Mutex);
       Announced.push_back(Record);
       Reply(AnnounceReply{});
--- a/Tests/Support/RoutedCluster.cpp
+++ b/Tests/Support/RoutedCluster.cpp
@@ -180,6 +180,11 @@
                  {}, CallTimeoutMillis);
 }
 
+Answer RoutedCluster::leave(int Host, const std::string &Id) {
+  return request(control(Host), "DELETE", "/instances/" + Id, "", {},
+                 CallTimeoutMillis);
+}
+
 Answer RoutedCluster::nameWeights(int Host, int Weights) {
   return request(control(Host), "POST", "/version-put",
                  R"({"model":"m0","version":)" + std::to_string(Weights) + "}",
--- a/Tests/Support/RoutedCluster.h
+++ b/Tests/Support/RoutedCluster.h
@@ -89,6 +89,9 @@
   /// \returns whether the directory of a router lists the routers 11 and 12.
   bool directoryListsRouters(int Host);
   Answer announce(int Host, const Announcement &Details);
+  /// Tells a control host that the target \p Id leaves, without its
+  /// incarnation.
+  Answer leave(int Host, const std::string &Id);
   /// Names the version of the weights that the engines are to load.
   Answer nameWeights(int Host, int Weights);
   /// Calls the route that was added by the routes of version \p Number.
--- a/Tests/platform/TestControlApi.cpp
+++ b/Tests/platform/TestControlApi.cpp
@@ -27,11 +27,11 @@
 struct ControlApiFixture {
   ControlApiFixture() {
     ControlPort Port;
-    Port.Announce = [this](TargetRecord Record, auto Done) {
+    Port.Announce = [this](TargetRecord Record, Timestamp, auto Done) {
       Announced.push_back(Record);
       if (Busy)
         return;
-      Done(AnnounceReply());
+      Done(Acknowledgement);
     };
     Port.Replace = [this](DescriptionNumber Number, std::string Text, Timestamp,
                           auto Done) {
@@ -61,6 +61,7 @@
     return test::request(Api->address(), Method, Path, Body);
   }
 
+  AnnounceReply Acknowledgement;
   /// Whether the control thread does not answer.
   std::atomic<bool> Busy = false;
   RegistryResult<ChangeOutcome> ReplaceReply =
@@ -130,6 +131,16 @@
   BOOST_TEST(Announced.back().Incarnation.Value == 5U);
 }
 
+// A host that acknowledged such a leave might be the only one that knows it.
+BOOST_FIXTURE_TEST_CASE(a_leave_that_is_not_recorded_is_not_acknowledged,
+                        ControlApiFixture) {
+  Acknowledgement.Status = AnnounceReply::Verdict::LeaveNotRecorded;
+  BOOST_TEST(ask("DELETE", "/instances/i-1").Status == 503);
+  std::string Draining = Heartbeat;
+  Draining.replace(Draining.find("ready"), 5, "draining");
+  BOOST_TEST(ask("PUT", "/instances/i-1", Draining).Status == 503);
+}
+
 BOOST_FIXTURE_TEST_CASE(routes_are_put_with_the_number_in_their_text,
                         ControlApiFixture) {
   BOOST_TEST(ask("PUT", "/config", Routes).Status == 200);
