--- a/Libraries/LibMembership/DescriptionTransfer.cpp
+++ b/Libraries/LibMembership/DescriptionTransfer.cpp
@@ -18,7 +18,7 @@
 
 Step DescriptionTransfer::startWith(const HostId &From, DescriptionNumber Have,
                                     Timestamp Now) {
-  Active = Transfer{From, Now + PieceTimeout, 0, {}, {}};
+  Active = Transfer{From, Now + PieceTimeout, 0, {}, 0, {}};
   return {Request{From, fetchOf(Have, 0, 0)}, std::nullopt};
 }
 
@@ -66,6 +66,7 @@
   if (Copy.Offset == 0 && Copy.Number != Active->Number) {
     Active->Number = Copy.Number;
     Active->Operation = Copy.Operation;
+    Active->SharedCacheSince = Copy.SharedCacheSince;
     Active->Packed.clear();
   }
   bool Fits = Copy.Number == Active->Number &&
@@ -92,6 +93,7 @@
   Whole.Number = Active->Number;
   Whole.Operation = std::move(Active->Operation);
   Whole.Text = std::move(*Text);
+  Whole.__set_SharedCacheSince(Active->SharedCacheSince);
   Active.reset();
   Next.reset();
   return {std::nullopt, std::move(Whole)};
@@ -108,8 +110,10 @@
                       ? static_cast<size_t>(std::max(Fetch.Offset, 0))
                       : 0;
   Offset = std::min(Offset, Packed.size());
-  if (IsNewer && Offset == 0)
+  if (IsNewer && Offset == 0) {
     Reply.Operation = InForce.Operation;
+    Reply.__set_SharedCacheSince(InForce.SharedCacheSince);
+  }
   Reply.__set_Piece(IsNewer
                         ? Packed.substr(Offset, DescriptionTransfer::PieceBytes)
                         : std::string());
--- a/Libraries/LibMembership/DescriptionTransfer.h
+++ b/Libraries/LibMembership/DescriptionTransfer.h
@@ -56,9 +56,10 @@
     HostId From;
     /// Silent from then on.
     Timestamp DeadlineAt;
-    /// Number and operation of the pieces; 0 before the first one.
+    /// Of the first piece; the number is 0 before it.
     int64_t Number = 0;
     std::string Operation;
+    int64_t SharedCacheSince = 0;
     std::string Packed;
   };
 
--- a/Libraries/LibRegistry/Commands.cpp
+++ b/Libraries/LibRegistry/Commands.cpp
@@ -96,6 +96,8 @@
   wire::ReplaceCommand Fields;
   Fields.Number = toWire(Value.Number.Value);
   Fields.Text = Value.Text;
+  if (Value.Sharing)
+    Fields.__set_Sharing(toWire(*Value.Sharing));
   return Fields;
 }
 
@@ -204,7 +206,10 @@
 }
 
 static Command fromFields(const wire::ReplaceCommand &Fields) {
-  return ReplaceDescription{{fromWire(Fields.Number)}, Fields.Text};
+  ReplaceDescription Value{{fromWire(Fields.Number)}, Fields.Text};
+  if (Fields.__isset.Sharing)
+    Value.Sharing = fromWire(Fields.Sharing);
+  return Value;
 }
 
 static Command fromFields(const wire::NameWeightsCommand &Fields) {
--- a/Libraries/LibRegistry/Commands.h
+++ b/Libraries/LibRegistry/Commands.h
@@ -6,6 +6,8 @@
 #include "LibCore/LeaveLedger.h"
 #include "LibCore/Result.h"
 #include "LibRegistry/Outcomes.h"
+#include "LibRegistry/SharedCache.h"
+#include <optional>
 #include <string_view>
 
 namespace ferry::registry {
@@ -23,6 +25,9 @@
 struct ReplaceDescription {
   DescriptionNumber Number;
   std::string Text;
+  /// Which workspaces share a cache by the text, which the state machine
+  /// doesn't read. Nothing if the proposer didn't say.
+  std::optional<CacheSharing> Sharing = {};
 };
 
 /// Names the version of weights that the engines of a model must load. A
--- a/Libraries/LibRegistry/Convert.cpp
+++ b/Libraries/LibRegistry/Convert.cpp
@@ -46,6 +46,16 @@
   return Fields;
 }
 
+wire::CacheSharingFields toWire(const CacheSharing &Sharing) {
+  wire::CacheSharingFields Fields;
+  for (WorkspaceDigest Workspace : Sharing.Sharing)
+    Fields.Sharing.push_back(toWire(Workspace));
+  for (WorkspaceDigest Workspace : Sharing.Isolated)
+    Fields.Isolated.push_back(toWire(Workspace));
+  Fields.OpenToAll = Sharing.OpenToAll;
+  return Fields;
+}
+
 wire::LeaveFields toWire(const RecordedLeave &Leave) {
   wire::LeaveFields Fields;
   Fields.Target = Leave.Target.Value;
@@ -59,6 +69,8 @@
   Fields.Number = toWire(Description.Number.Value);
   Fields.Operation = Description.Operation;
   Fields.Text = Description.Text;
+  if (Description.SharedCacheSince.Value != 0)
+    Fields.__set_SharedCacheSince(toWire(Description.SharedCacheSince.Value));
   return Fields;
 }
 
@@ -92,13 +104,26 @@
           fromWire(Fields.Sequence)};
 }
 
+CacheSharing fromWire(const wire::CacheSharingFields &Fields) {
+  CacheSharing Sharing;
+  for (int64_t Workspace : Fields.Sharing)
+    Sharing.Sharing.push_back(fromWire(Workspace));
+  for (int64_t Workspace : Fields.Isolated)
+    Sharing.Isolated.push_back(fromWire(Workspace));
+  Sharing.OpenToAll = Fields.OpenToAll;
+  return Sharing;
+}
+
 RecordedLeave fromWire(const wire::LeaveFields &Fields) {
   return {
       {Fields.Target}, {fromWire(Fields.Incarnation)}, fromWire(Fields.Number)};
 }
 
 StoredDescription fromWire(const wire::DescriptionFields &Fields) {
-  return {{fromWire(Fields.Number)}, Fields.Operation, Fields.Text};
+  return {{fromWire(Fields.Number)},
+          Fields.Operation,
+          Fields.Text,
+          {fromWire(Fields.SharedCacheSince)}};
 }
 
 } // namespace ferry::registry
--- a/Libraries/LibRegistry/Convert.h
+++ b/Libraries/LibRegistry/Convert.h
@@ -5,6 +5,7 @@
 
 #include "LibCore/LeaveLedger.h"
 #include "LibRegistry/Outcomes.h"
+#include "LibRegistry/SharedCache.h"
 #include "LibWire/Generated/Registry_types.h"
 
 namespace ferry::registry {
@@ -19,6 +20,7 @@
 wire::AnswerFields toWire(const ClaimCompleted &Answer);
 wire::LeaseFields toWire(const OrderLease &Lease);
 wire::LoadSlotFields toWire(const LoadSlot &Slot);
+wire::CacheSharingFields toWire(const CacheSharing &Sharing);
 wire::LeaveFields toWire(const RecordedLeave &Leave);
 wire::DescriptionFields toWire(const StoredDescription &Description);
 
@@ -27,6 +29,7 @@
 ClaimCompleted fromWire(const wire::AnswerFields &Fields);
 OrderLease fromWire(const wire::LeaseFields &Fields);
 LoadSlot fromWire(const wire::LoadSlotFields &Fields);
+CacheSharing fromWire(const wire::CacheSharingFields &Fields);
 RecordedLeave fromWire(const wire::LeaveFields &Fields);
 StoredDescription fromWire(const wire::DescriptionFields &Fields);
 
--- a/Libraries/LibRegistry/DescriptionHistory.cpp
+++ b/Libraries/LibRegistry/DescriptionHistory.cpp
@@ -47,13 +47,16 @@
 ChangeOutcome DescriptionHistory::apply(const ReplaceDescription &Change) {
   if (Change.Number == Current.Number && Change.Text != Current.Text)
     return conflict();
-  if (Change.Number > Current.Number)
-    Current = {Change.Number, {}, Change.Text};
+  if (Change.Number > Current.Number) {
+    Cache.apply(Change.Number, Change.Sharing);
+    Current = {Change.Number, {}, Change.Text, Cache.since()};
+  }
   return ChangeAccepted{Current.Number};
 }
 
 void DescriptionHistory::save(wire::RegistrySnapshot &Snapshot) const {
   Snapshot.Description = toWire(Current);
+  Cache.save(Snapshot);
   for (const Digest &Id : Order) {
     const Operation &Saved = Operations.at(Id);
     wire::OperationFields Fields;
@@ -67,6 +70,7 @@
 
 void DescriptionHistory::load(const wire::RegistrySnapshot &Snapshot) {
   Current = fromWire(Snapshot.Description);
+  Cache.load(Snapshot);
   Operations.clear();
   Order.clear();
   for (const wire::OperationFields &Fields : Snapshot.Operations)
--- a/Libraries/LibRegistry/DescriptionHistory.h
+++ b/Libraries/LibRegistry/DescriptionHistory.h
@@ -54,6 +54,7 @@
 
   size_t MaxOperations;
   StoredDescription Current;
+  SharedCache Cache;
   std::unordered_map<Digest, Operation, DigestHash> Operations;
   /// Keys of Operations, the oldest first.
   std::deque<Digest> Order;
--- a/Libraries/LibRegistry/Outcomes.h
+++ b/Libraries/LibRegistry/Outcomes.h
@@ -147,6 +147,9 @@
   DescriptionNumber Number;
   std::string Operation;
   std::string Text;
+  /// Number of the description with which the cache that workspaces share
+  /// began, see SharedCache::since().
+  DescriptionNumber SharedCacheSince = {};
   bool operator==(const StoredDescription &) const = default;
 };
 
--- a/Libraries/LibRouting/RoutedCall.h
+++ b/Libraries/LibRouting/RoutedCall.h
@@ -38,8 +38,8 @@
   ServiceId Service;
   /// In the order of the prompt; empty if the service reads no prompts.
   std::vector<PromptPart> Parts;
-  /// Hash of the scope within which part ids are shared, such as an isolated
-  /// workspace; 0 for the common scope.
+  /// Hash of the scope within which part ids are shared: that of an isolated
+  /// workspace, or of all others.
   uint64_t CacheScope = 0;
   uint32_t PromptTokens = 0;
   uint32_t OutputTokens = 0;
--- a/Libraries/LibRouting/RoutingView.h
+++ b/Libraries/LibRouting/RoutingView.h
@@ -40,6 +40,9 @@
   std::shared_ptr<const config::Description> Description;
   /// The routes in force, on hosts with the routed interface.
   std::shared_ptr<const config::RouteTable> Routes;
+  /// Number of the description with which the cache began that workspaces
+  /// share. What was cached before may be of one that is isolated now.
+  DescriptionNumber SharedCacheSince;
   /// New work is refused after this, because a newer description may be in
   /// force elsewhere.
   Timestamp ConfirmedUntil;
--- a/Libraries/LibTraffic/ControlPort.h
+++ b/Libraries/LibTraffic/ControlPort.h
@@ -6,6 +6,7 @@
 #include "LibCore/Result.h"
 #include "LibCore/TargetRecord.h"
 #include "LibCore/Time.h"
+#include "LibRegistry/Commands.h"
 #include "LibRegistry/Outcomes.h"
 #include "LibRouting/RoutedCall.h"
 #include "LibRouting/RoutingView.h"
@@ -99,7 +100,7 @@
   /// Puts a description into force whose number its author chose. The caller
   /// has decoded and checked the text.
   std::function<void(
-      DescriptionNumber, std::string Text, Timestamp Deadline,
+      registry::ReplaceDescription, Timestamp Deadline,
       std::function<void(RegistryResult<registry::ChangeOutcome>)>)>
       Replace;
   /// Names the weights that the engines of a model must load.
--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -133,8 +133,7 @@
   if (Route->DesiredLatencyMillis > 0 && !Call.Parts.empty())
     Call.FirstByteDueAt =
         ArrivedAt + std::chrono::milliseconds(Route->DesiredLatencyMillis);
-  if (Workspace && Workspace->Isolated)
-    Call.CacheScope = hashIdentifier(Workspace->Id.Value);
+  Call.CacheScope = hashIdentifier(cacheScope());
   return std::nullopt;
 }
 
@@ -275,12 +274,20 @@
   Details.Weights = Destination.Weights;
   Details.FetchFrom = Destination.FetchFrom;
   Details.SaveTo = Destination.SaveTo;
-  Details.CacheScope = "w" + std::to_string(Destination.Weights.Value);
-  if (Workspace && Workspace->Isolated)
-    Details.CacheScope += "." + Workspace->Id.Value;
+  Details.CacheScope =
+      "w" + std::to_string(Destination.Weights.Value) + cacheScope();
   return Details;
 }
 
+std::string RoutedRelay::cacheScope() const {
+  // On public routes a key grants nothing, but still names whose request it is.
+  const config::RoutedWorkspace *Owner =
+      Workspace ? Workspace : View->Routes->findWorkspace(Caller.Key);
+  if (Owner && Owner->Isolated)
+    return "." + Owner->Id.Value;
+  return "/" + std::to_string(View->SharedCacheSince.Value);
+}
+
 RoutedRelay::NextStep RoutedRelay::attempt(const PlacedCall &Destination) {
   Framing.reset();
   FirstEventAt.reset();
@@ -632,6 +639,7 @@
                      {"shared_parts", partsText(SharedParts)},
                      {"prompt_tokens", Call.PromptTokens},
                      {"cached_tokens", Destination.CachedTokens},
+                     {"cache_scope", cacheScope()},
                      {"fetch_from", Destination.FetchFrom},
                      {"estimate_ms", Destination.Estimate.count() / 1000},
                      {"deadline_ms", millisUntil(Call.Deadline, Now)},
--- a/Libraries/LibTraffic/RoutedRelay.h
+++ b/Libraries/LibTraffic/RoutedRelay.h
@@ -46,6 +46,9 @@
   void countRepeat();
   /// Gives the units back if no target has run the request.
   void settleCap();
+  /// \returns the scope within which engines and stores share what they cache,
+  /// besides the weights: that of an isolated workspace, or of all others.
+  std::string cacheScope() const;
   /// \returns what the request counts against \p Cap.
   double unitsOf(const config::WorkspaceCap &Cap) const;
   /// Finds the build that began the stream which the caller takes up.
--- a/Libraries/LibWire/Generated/Host_types.cpp
+++ b/Libraries/LibWire/Generated/Host_types.cpp
@@ -193,6 +193,11 @@
   this->PackedBytes = val;
 __isset.PackedBytes = true;
 }
+
+void DescriptionCopy::__set_SharedCacheSince(const int64_t val) {
+  this->SharedCacheSince = val;
+__isset.SharedCacheSince = true;
+}
 std::ostream& operator<<(std::ostream& out, const DescriptionCopy& obj)
 {
   obj.printTo(out);
@@ -269,6 +274,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->SharedCacheSince);
+          this->__isset.SharedCacheSince = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -313,6 +326,11 @@
     xfer += oprot->writeI32(this->PackedBytes);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.SharedCacheSince) {
+    xfer += oprot->writeFieldBegin("SharedCacheSince", ::apache::thrift::protocol::T_I64, 7);
+    xfer += oprot->writeI64(this->SharedCacheSince);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -326,6 +344,7 @@
   swap(a.Piece, b.Piece);
   swap(a.Offset, b.Offset);
   swap(a.PackedBytes, b.PackedBytes);
+  swap(a.SharedCacheSince, b.SharedCacheSince);
   swap(a.__isset, b.__isset);
 }
 
@@ -336,6 +355,7 @@
   Piece = other4.Piece;
   Offset = other4.Offset;
   PackedBytes = other4.PackedBytes;
+  SharedCacheSince = other4.SharedCacheSince;
   __isset = other4.__isset;
 }
 DescriptionCopy::DescriptionCopy(DescriptionCopy&& other5) noexcept {
@@ -345,6 +365,7 @@
   Piece = std::move(other5.Piece);
   Offset = other5.Offset;
   PackedBytes = other5.PackedBytes;
+  SharedCacheSince = other5.SharedCacheSince;
   __isset = other5.__isset;
 }
 DescriptionCopy& DescriptionCopy::operator=(const DescriptionCopy& other6) {
@@ -354,6 +375,7 @@
   Piece = other6.Piece;
   Offset = other6.Offset;
   PackedBytes = other6.PackedBytes;
+  SharedCacheSince = other6.SharedCacheSince;
   __isset = other6.__isset;
   return *this;
 }
@@ -364,6 +386,7 @@
   Piece = std::move(other7.Piece);
   Offset = other7.Offset;
   PackedBytes = other7.PackedBytes;
+  SharedCacheSince = other7.SharedCacheSince;
   __isset = other7.__isset;
   return *this;
 }
@@ -376,6 +399,7 @@
   out << ", " << "Piece="; (__isset.Piece ? (out << to_string(Piece)) : (out << "<null>"));
   out << ", " << "Offset="; (__isset.Offset ? (out << to_string(Offset)) : (out << "<null>"));
   out << ", " << "PackedBytes="; (__isset.PackedBytes ? (out << to_string(PackedBytes)) : (out << "<null>"));
+  out << ", " << "SharedCacheSince="; (__isset.SharedCacheSince ? (out << to_string(SharedCacheSince)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Libraries/LibWire/Generated/Host_types.h
+++ b/Libraries/LibWire/Generated/Host_types.h
@@ -93,13 +93,14 @@
 std::ostream& operator<<(std::ostream& out, const DescriptionFetch& obj);
 
 typedef struct _DescriptionCopy__isset {
-  _DescriptionCopy__isset() : Number(false), Operation(false), Text(false), Piece(false), Offset(false), PackedBytes(false) {}
+  _DescriptionCopy__isset() : Number(false), Operation(false), Text(false), Piece(false), Offset(false), PackedBytes(false), SharedCacheSince(false) {}
   bool Number :1;
   bool Operation :1;
   bool Text :1;
   bool Piece :1;
   bool Offset :1;
   bool PackedBytes :1;
+  bool SharedCacheSince :1;
 } _DescriptionCopy__isset;
 
 class DescriptionCopy : public virtual ::apache::thrift::TBase {
@@ -115,7 +116,8 @@
                     Text(),
                     Piece(),
                     Offset(0),
-                    PackedBytes(0) {
+                    PackedBytes(0),
+                    SharedCacheSince(0) {
   }
 
   virtual ~DescriptionCopy() noexcept;
@@ -125,6 +127,7 @@
   std::string Piece;
   int32_t Offset;
   int32_t PackedBytes;
+  int64_t SharedCacheSince;
 
   _DescriptionCopy__isset __isset;
 
@@ -140,6 +143,8 @@
 
   void __set_PackedBytes(const int32_t val);
 
+  void __set_SharedCacheSince(const int64_t val);
+
   bool operator == (const DescriptionCopy & rhs) const
   {
     if (!(Number == rhs.Number))
@@ -160,6 +165,10 @@
       return false;
     else if (__isset.PackedBytes && !(PackedBytes == rhs.PackedBytes))
       return false;
+    if (__isset.SharedCacheSince != rhs.__isset.SharedCacheSince)
+      return false;
+    else if (__isset.SharedCacheSince && !(SharedCacheSince == rhs.SharedCacheSince))
+      return false;
     return true;
   }
   bool operator != (const DescriptionCopy &rhs) const {
--- a/Libraries/LibWire/Generated/Registry_types.cpp
+++ b/Libraries/LibWire/Generated/Registry_types.cpp
@@ -790,6 +790,191 @@
 }
 
 
+CacheSharingFields::~CacheSharingFields() noexcept {
+}
+
+
+void CacheSharingFields::__set_Sharing(const std::vector<int64_t> & val) {
+  this->Sharing = val;
+}
+
+void CacheSharingFields::__set_Isolated(const std::vector<int64_t> & val) {
+  this->Isolated = val;
+}
+
+void CacheSharingFields::__set_OpenToAll(const bool val) {
+  this->OpenToAll = val;
+}
+std::ostream& operator<<(std::ostream& out, const CacheSharingFields& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CacheSharingFields::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Sharing.clear();
+            uint32_t _size16;
+            ::apache::thrift::protocol::TType _etype19;
+            xfer += iprot->readListBegin(_etype19, _size16);
+            this->Sharing.resize(_size16);
+            uint32_t _i20;
+            for (_i20 = 0; _i20 < _size16; ++_i20)
+            {
+              xfer += iprot->readI64(this->Sharing[_i20]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Sharing = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Isolated.clear();
+            uint32_t _size21;
+            ::apache::thrift::protocol::TType _etype24;
+            xfer += iprot->readListBegin(_etype24, _size21);
+            this->Isolated.resize(_size21);
+            uint32_t _i25;
+            for (_i25 = 0; _i25 < _size21; ++_i25)
+            {
+              xfer += iprot->readI64(this->Isolated[_i25]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Isolated = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->OpenToAll);
+          this->__isset.OpenToAll = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CacheSharingFields::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CacheSharingFields");
+
+  xfer += oprot->writeFieldBegin("Sharing", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->Sharing.size()));
+    std::vector<int64_t> ::const_iterator _iter26;
+    for (_iter26 = this->Sharing.begin(); _iter26 != this->Sharing.end(); ++_iter26)
+    {
+      xfer += oprot->writeI64((*_iter26));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Isolated", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->Isolated.size()));
+    std::vector<int64_t> ::const_iterator _iter27;
+    for (_iter27 = this->Isolated.begin(); _iter27 != this->Isolated.end(); ++_iter27)
+    {
+      xfer += oprot->writeI64((*_iter27));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("OpenToAll", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->OpenToAll);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CacheSharingFields &a, CacheSharingFields &b) {
+  using ::std::swap;
+  swap(a.Sharing, b.Sharing);
+  swap(a.Isolated, b.Isolated);
+  swap(a.OpenToAll, b.OpenToAll);
+  swap(a.__isset, b.__isset);
+}
+
+CacheSharingFields::CacheSharingFields(const CacheSharingFields& other28) {
+  Sharing = other28.Sharing;
+  Isolated = other28.Isolated;
+  OpenToAll = other28.OpenToAll;
+  __isset = other28.__isset;
+}
+CacheSharingFields::CacheSharingFields(CacheSharingFields&& other29) noexcept {
+  Sharing = std::move(other29.Sharing);
+  Isolated = std::move(other29.Isolated);
+  OpenToAll = other29.OpenToAll;
+  __isset = other29.__isset;
+}
+CacheSharingFields& CacheSharingFields::operator=(const CacheSharingFields& other30) {
+  Sharing = other30.Sharing;
+  Isolated = other30.Isolated;
+  OpenToAll = other30.OpenToAll;
+  __isset = other30.__isset;
+  return *this;
+}
+CacheSharingFields& CacheSharingFields::operator=(CacheSharingFields&& other31) noexcept {
+  Sharing = std::move(other31.Sharing);
+  Isolated = std::move(other31.Isolated);
+  OpenToAll = other31.OpenToAll;
+  __isset = other31.__isset;
+  return *this;
+}
+void CacheSharingFields::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CacheSharingFields(";
+  out << "Sharing=" << to_string(Sharing);
+  out << ", " << "Isolated=" << to_string(Isolated);
+  out << ", " << "OpenToAll=" << to_string(OpenToAll);
+  out << ")";
+}
+
+
 ReplaceCommand::~ReplaceCommand() noexcept {
 }
 
@@ -801,6 +986,11 @@
 void ReplaceCommand::__set_Text(const std::string& val) {
   this->Text = val;
 }
+
+void ReplaceCommand::__set_Sharing(const CacheSharingFields& val) {
+  this->Sharing = val;
+__isset.Sharing = true;
+}
 std::ostream& operator<<(std::ostream& out, const ReplaceCommand& obj)
 {
   obj.printTo(out);
@@ -845,6 +1035,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->Sharing.read(iprot);
+          this->__isset.Sharing = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -870,6 +1068,11 @@
   xfer += oprot->writeBinary(this->Text);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.Sharing) {
+    xfer += oprot->writeFieldBegin("Sharing", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->Sharing.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -879,29 +1082,34 @@
   using ::std::swap;
   swap(a.Number, b.Number);
   swap(a.Text, b.Text);
+  swap(a.Sharing, b.Sharing);
   swap(a.__isset, b.__isset);
 }
 
-ReplaceCommand::ReplaceCommand(const ReplaceCommand& other16) {
-  Number = other16.Number;
-  Text = other16.Text;
-  __isset = other16.__isset;
+ReplaceCommand::ReplaceCommand(const ReplaceCommand& other32) {
+  Number = other32.Number;
+  Text = other32.Text;
+  Sharing = other32.Sharing;
+  __isset = other32.__isset;
 }
-ReplaceCommand::ReplaceCommand(ReplaceCommand&& other17) noexcept {
-  Number = other17.Number;
-  Text = std::move(other17.Text);
-  __isset = other17.__isset;
+ReplaceCommand::ReplaceCommand(ReplaceCommand&& other33) noexcept {
+  Number = other33.Number;
+  Text = std::move(other33.Text);
+  Sharing = std::move(other33.Sharing);
+  __isset = other33.__isset;
 }
-ReplaceCommand& ReplaceCommand::operator=(const ReplaceCommand& other18) {
-  Number = other18.Number;
-  Text = other18.Text;
-  __isset = other18.__isset;
+ReplaceCommand& ReplaceCommand::operator=(const ReplaceCommand& other34) {
+  Number = other34.Number;
+  Text = other34.Text;
+  Sharing = other34.Sharing;
+  __isset = other34.__isset;
   return *this;
 }
-ReplaceCommand& ReplaceCommand::operator=(ReplaceCommand&& other19) noexcept {
-  Number = other19.Number;
-  Text = std::move(other19.Text);
-  __isset = other19.__isset;
+ReplaceCommand& ReplaceCommand::operator=(ReplaceCommand&& other35) noexcept {
+  Number = other35.Number;
+  Text = std::move(other35.Text);
+  Sharing = std::move(other35.Sharing);
+  __isset = other35.__isset;
   return *this;
 }
 void ReplaceCommand::printTo(std::ostream& out) const {
@@ -909,6 +1117,7 @@
   out << "ReplaceCommand(";
   out << "Number=" << to_string(Number);
   out << ", " << "Text=" << to_string(Text);
+  out << ", " << "Sharing="; (__isset.Sharing ? (out << to_string(Sharing)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1022,30 +1231,30 @@
   swap(a.__isset, b.__isset);
 }
 
-NameWeightsCommand::NameWeightsCommand(const NameWeightsCommand& other20) {
-  Model = other20.Model;
-  Weights = other20.Weights;
-  NamedAtMillis = other20.NamedAtMillis;
-  __isset = other20.__isset;
+NameWeightsCommand::NameWeightsCommand(const NameWeightsCommand& other36) {
+  Model = other36.Model;
+  Weights = other36.Weights;
+  NamedAtMillis = other36.NamedAtMillis;
+  __isset = other36.__isset;
 }
-NameWeightsCommand::NameWeightsCommand(NameWeightsCommand&& other21) noexcept {
-  Model = std::move(other21.Model);
-  Weights = other21.Weights;
-  NamedAtMillis = other21.NamedAtMillis;
-  __isset = other21.__isset;
+NameWeightsCommand::NameWeightsCommand(NameWeightsCommand&& other37) noexcept {
+  Model = std::move(other37.Model);
+  Weights = other37.Weights;
+  NamedAtMillis = other37.NamedAtMillis;
+  __isset = other37.__isset;
 }
-NameWeightsCommand& NameWeightsCommand::operator=(const NameWeightsCommand& other22) {
-  Model = other22.Model;
-  Weights = other22.Weights;
-  NamedAtMillis = other22.NamedAtMillis;
-  __isset = other22.__isset;
+NameWeightsCommand& NameWeightsCommand::operator=(const NameWeightsCommand& other38) {
+  Model = other38.Model;
+  Weights = other38.Weights;
+  NamedAtMillis = other38.NamedAtMillis;
+  __isset = other38.__isset;
   return *this;
 }
-NameWeightsCommand& NameWeightsCommand::operator=(NameWeightsCommand&& other23) noexcept {
-  Model = std::move(other23.Model);
-  Weights = other23.Weights;
-  NamedAtMillis = other23.NamedAtMillis;
-  __isset = other23.__isset;
+NameWeightsCommand& NameWeightsCommand::operator=(NameWeightsCommand&& other39) noexcept {
+  Model = std::move(other39.Model);
+  Weights = other39.Weights;
+  NamedAtMillis = other39.NamedAtMillis;
+  __isset = other39.__isset;
   return *this;
 }
 void NameWeightsCommand::printTo(std::ostream& out) const {
@@ -1167,30 +1376,30 @@
   swap(a.__isset, b.__isset);
 }
 
-RecordLeaveCommand::RecordLeaveCommand(const RecordLeaveCommand& other24) {
-  Target = other24.Target;
-  Incarnation = other24.Incarnation;
-  LeftAtMillis = other24.LeftAtMillis;
-  __isset = other24.__isset;
+RecordLeaveCommand::RecordLeaveCommand(const RecordLeaveCommand& other40) {
+  Target = other40.Target;
+  Incarnation = other40.Incarnation;
+  LeftAtMillis = other40.LeftAtMillis;
+  __isset = other40.__isset;
 }
-RecordLeaveCommand::RecordLeaveCommand(RecordLeaveCommand&& other25) noexcept {
-  Target = std::move(other25.Target);
-  Incarnation = other25.Incarnation;
-  LeftAtMillis = other25.LeftAtMillis;
-  __isset = other25.__isset;
+RecordLeaveCommand::RecordLeaveCommand(RecordLeaveCommand&& other41) noexcept {
+  Target = std::move(other41.Target);
+  Incarnation = other41.Incarnation;
+  LeftAtMillis = other41.LeftAtMillis;
+  __isset = other41.__isset;
 }
-RecordLeaveCommand& RecordLeaveCommand::operator=(const RecordLeaveCommand& other26) {
-  Target = other26.Target;
-  Incarnation = other26.Incarnation;
-  LeftAtMillis = other26.LeftAtMillis;
-  __isset = other26.__isset;
+RecordLeaveCommand& RecordLeaveCommand::operator=(const RecordLeaveCommand& other42) {
+  Target = other42.Target;
+  Incarnation = other42.Incarnation;
+  LeftAtMillis = other42.LeftAtMillis;
+  __isset = other42.__isset;
   return *this;
 }
-RecordLeaveCommand& RecordLeaveCommand::operator=(RecordLeaveCommand&& other27) noexcept {
-  Target = std::move(other27.Target);
-  Incarnation = other27.Incarnation;
-  LeftAtMillis = other27.LeftAtMillis;
-  __isset = other27.__isset;
+RecordLeaveCommand& RecordLeaveCommand::operator=(RecordLeaveCommand&& other43) noexcept {
+  Target = std::move(other43.Target);
+  Incarnation = other43.Incarnation;
+  LeftAtMillis = other43.LeftAtMillis;
+  __isset = other43.__isset;
   return *this;
 }
 void RecordLeaveCommand::printTo(std::ostream& out) const {
@@ -1329,34 +1538,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimCommand::ClaimCommand(const ClaimCommand& other28) {
-  Key = other28.Key;
-  Attempt = other28.Attempt;
-  BodyDigest = other28.BodyDigest;
-  AskedAtMillis = other28.AskedAtMillis;
-  __isset = other28.__isset;
+ClaimCommand::ClaimCommand(const ClaimCommand& other44) {
+  Key = other44.Key;
+  Attempt = other44.Attempt;
+  BodyDigest = other44.BodyDigest;
+  AskedAtMillis = other44.AskedAtMillis;
+  __isset = other44.__isset;
 }
-ClaimCommand::ClaimCommand(ClaimCommand&& other29) noexcept {
-  Key = std::move(other29.Key);
-  Attempt = std::move(other29.Attempt);
-  BodyDigest = other29.BodyDigest;
-  AskedAtMillis = other29.AskedAtMillis;
-  __isset = other29.__isset;
+ClaimCommand::ClaimCommand(ClaimCommand&& other45) noexcept {
+  Key = std::move(other45.Key);
+  Attempt = std::move(other45.Attempt);
+  BodyDigest = other45.BodyDigest;
+  AskedAtMillis = other45.AskedAtMillis;
+  __isset = other45.__isset;
 }
-ClaimCommand& ClaimCommand::operator=(const ClaimCommand& other30) {
-  Key = other30.Key;
-  Attempt = other30.Attempt;
-  BodyDigest = other30.BodyDigest;
-  AskedAtMillis = other30.AskedAtMillis;
-  __isset = other30.__isset;
+ClaimCommand& ClaimCommand::operator=(const ClaimCommand& other46) {
+  Key = other46.Key;
+  Attempt = other46.Attempt;
+  BodyDigest = other46.BodyDigest;
+  AskedAtMillis = other46.AskedAtMillis;
+  __isset = other46.__isset;
   return *this;
 }
-ClaimCommand& ClaimCommand::operator=(ClaimCommand&& other31) noexcept {
-  Key = std::move(other31.Key);
-  Attempt = std::move(other31.Attempt);
-  BodyDigest = other31.BodyDigest;
-  AskedAtMillis = other31.AskedAtMillis;
-  __isset = other31.__isset;
+ClaimCommand& ClaimCommand::operator=(ClaimCommand&& other47) noexcept {
+  Key = std::move(other47.Key);
+  Attempt = std::move(other47.Attempt);
+  BodyDigest = other47.BodyDigest;
+  AskedAtMillis = other47.AskedAtMillis;
+  __isset = other47.__isset;
   return *this;
 }
 void ClaimCommand::printTo(std::ostream& out) const {
@@ -1479,30 +1688,30 @@
   swap(a.__isset, b.__isset);
 }
 
-CompleteCommand::CompleteCommand(const CompleteCommand& other32) {
-  Key = other32.Key;
-  Attempt = other32.Attempt;
-  Answer = other32.Answer;
-  __isset = other32.__isset;
+CompleteCommand::CompleteCommand(const CompleteCommand& other48) {
+  Key = other48.Key;
+  Attempt = other48.Attempt;
+  Answer = other48.Answer;
+  __isset = other48.__isset;
 }
-CompleteCommand::CompleteCommand(CompleteCommand&& other33) noexcept {
-  Key = std::move(other33.Key);
-  Attempt = std::move(other33.Attempt);
-  Answer = std::move(other33.Answer);
-  __isset = other33.__isset;
+CompleteCommand::CompleteCommand(CompleteCommand&& other49) noexcept {
+  Key = std::move(other49.Key);
+  Attempt = std::move(other49.Attempt);
+  Answer = std::move(other49.Answer);
+  __isset = other49.__isset;
 }
-CompleteCommand& CompleteCommand::operator=(const CompleteCommand& other34) {
-  Key = other34.Key;
-  Attempt = other34.Attempt;
-  Answer = other34.Answer;
-  __isset = other34.__isset;
+CompleteCommand& CompleteCommand::operator=(const CompleteCommand& other50) {
+  Key = other50.Key;
+  Attempt = other50.Attempt;
+  Answer = other50.Answer;
+  __isset = other50.__isset;
   return *this;
 }
-CompleteCommand& CompleteCommand::operator=(CompleteCommand&& other35) noexcept {
-  Key = std::move(other35.Key);
-  Attempt = std::move(other35.Attempt);
-  Answer = std::move(other35.Answer);
-  __isset = other35.__isset;
+CompleteCommand& CompleteCommand::operator=(CompleteCommand&& other51) noexcept {
+  Key = std::move(other51.Key);
+  Attempt = std::move(other51.Attempt);
+  Answer = std::move(other51.Answer);
+  __isset = other51.__isset;
   return *this;
 }
 void CompleteCommand::printTo(std::ostream& out) const {
@@ -1607,26 +1816,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ReleaseCommand::ReleaseCommand(const ReleaseCommand& other36) {
-  Key = other36.Key;
-  Attempt = other36.Attempt;
-  __isset = other36.__isset;
+ReleaseCommand::ReleaseCommand(const ReleaseCommand& other52) {
+  Key = other52.Key;
+  Attempt = other52.Attempt;
+  __isset = other52.__isset;
 }
-ReleaseCommand::ReleaseCommand(ReleaseCommand&& other37) noexcept {
-  Key = std::move(other37.Key);
-  Attempt = std::move(other37.Attempt);
-  __isset = other37.__isset;
+ReleaseCommand::ReleaseCommand(ReleaseCommand&& other53) noexcept {
+  Key = std::move(other53.Key);
+  Attempt = std::move(other53.Attempt);
+  __isset = other53.__isset;
 }
-ReleaseCommand& ReleaseCommand::operator=(const ReleaseCommand& other38) {
-  Key = other38.Key;
-  Attempt = other38.Attempt;
-  __isset = other38.__isset;
+ReleaseCommand& ReleaseCommand::operator=(const ReleaseCommand& other54) {
+  Key = other54.Key;
+  Attempt = other54.Attempt;
+  __isset = other54.__isset;
   return *this;
 }
-ReleaseCommand& ReleaseCommand::operator=(ReleaseCommand&& other39) noexcept {
-  Key = std::move(other39.Key);
-  Attempt = std::move(other39.Attempt);
-  __isset = other39.__isset;
+ReleaseCommand& ReleaseCommand::operator=(ReleaseCommand&& other55) noexcept {
+  Key = std::move(other55.Key);
+  Attempt = std::move(other55.Attempt);
+  __isset = other55.__isset;
   return *this;
 }
 void ReleaseCommand::printTo(std::ostream& out) const {
@@ -1730,26 +1939,26 @@
   swap(a.__isset, b.__isset);
 }
 
-MarkUnknownCommand::MarkUnknownCommand(const MarkUnknownCommand& other40) {
-  Key = other40.Key;
-  Holder = other40.Holder;
-  __isset = other40.__isset;
+MarkUnknownCommand::MarkUnknownCommand(const MarkUnknownCommand& other56) {
+  Key = other56.Key;
+  Holder = other56.Holder;
+  __isset = other56.__isset;
 }
-MarkUnknownCommand::MarkUnknownCommand(MarkUnknownCommand&& other41) noexcept {
-  Key = std::move(other41.Key);
-  Holder = std::move(other41.Holder);
-  __isset = other41.__isset;
+MarkUnknownCommand::MarkUnknownCommand(MarkUnknownCommand&& other57) noexcept {
+  Key = std::move(other57.Key);
+  Holder = std::move(other57.Holder);
+  __isset = other57.__isset;
 }
-MarkUnknownCommand& MarkUnknownCommand::operator=(const MarkUnknownCommand& other42) {
-  Key = other42.Key;
-  Holder = other42.Holder;
-  __isset = other42.__isset;
+MarkUnknownCommand& MarkUnknownCommand::operator=(const MarkUnknownCommand& other58) {
+  Key = other58.Key;
+  Holder = other58.Holder;
+  __isset = other58.__isset;
   return *this;
 }
-MarkUnknownCommand& MarkUnknownCommand::operator=(MarkUnknownCommand&& other43) noexcept {
-  Key = std::move(other43.Key);
-  Holder = std::move(other43.Holder);
-  __isset = other43.__isset;
+MarkUnknownCommand& MarkUnknownCommand::operator=(MarkUnknownCommand&& other59) noexcept {
+  Key = std::move(other59.Key);
+  Holder = std::move(other59.Holder);
+  __isset = other59.__isset;
   return *this;
 }
 void MarkUnknownCommand::printTo(std::ostream& out) const {
@@ -1836,22 +2045,22 @@
   swap(a.__isset, b.__isset);
 }
 
-AdvanceLowWaterCommand::AdvanceLowWaterCommand(const AdvanceLowWaterCommand& other44) noexcept {
-  MarkMillis = other44.MarkMillis;
-  __isset = other44.__isset;
+AdvanceLowWaterCommand::AdvanceLowWaterCommand(const AdvanceLowWaterCommand& other60) noexcept {
+  MarkMillis = other60.MarkMillis;
+  __isset = other60.__isset;
 }
-AdvanceLowWaterCommand::AdvanceLowWaterCommand(AdvanceLowWaterCommand&& other45) noexcept {
-  MarkMillis = other45.MarkMillis;
-  __isset = other45.__isset;
+AdvanceLowWaterCommand::AdvanceLowWaterCommand(AdvanceLowWaterCommand&& other61) noexcept {
+  MarkMillis = other61.MarkMillis;
+  __isset = other61.__isset;
 }
-AdvanceLowWaterCommand& AdvanceLowWaterCommand::operator=(const AdvanceLowWaterCommand& other46) noexcept {
-  MarkMillis = other46.MarkMillis;
-  __isset = other46.__isset;
+AdvanceLowWaterCommand& AdvanceLowWaterCommand::operator=(const AdvanceLowWaterCommand& other62) noexcept {
+  MarkMillis = other62.MarkMillis;
+  __isset = other62.__isset;
   return *this;
 }
-AdvanceLowWaterCommand& AdvanceLowWaterCommand::operator=(AdvanceLowWaterCommand&& other47) noexcept {
-  MarkMillis = other47.MarkMillis;
-  __isset = other47.__isset;
+AdvanceLowWaterCommand& AdvanceLowWaterCommand::operator=(AdvanceLowWaterCommand&& other63) noexcept {
+  MarkMillis = other63.MarkMillis;
+  __isset = other63.__isset;
   return *this;
 }
 void AdvanceLowWaterCommand::printTo(std::ostream& out) const {
@@ -2005,38 +2214,38 @@
   swap(a.__isset, b.__isset);
 }
 
-AcquireLeaseCommand::AcquireLeaseCommand(const AcquireLeaseCommand& other48) {
-  Name = other48.Name;
-  Host = other48.Host;
-  Incarnation = other48.Incarnation;
-  SeenFencing = other48.SeenFencing;
-  SeenRenewals = other48.SeenRenewals;
-  __isset = other48.__isset;
+AcquireLeaseCommand::AcquireLeaseCommand(const AcquireLeaseCommand& other64) {
+  Name = other64.Name;
+  Host = other64.Host;
+  Incarnation = other64.Incarnation;
+  SeenFencing = other64.SeenFencing;
+  SeenRenewals = other64.SeenRenewals;
+  __isset = other64.__isset;
 }
-AcquireLeaseCommand::AcquireLeaseCommand(AcquireLeaseCommand&& other49) noexcept {
-  Name = std::move(other49.Name);
-  Host = std::move(other49.Host);
-  Incarnation = other49.Incarnation;
-  SeenFencing = other49.SeenFencing;
-  SeenRenewals = other49.SeenRenewals;
-  __isset = other49.__isset;
+AcquireLeaseCommand::AcquireLeaseCommand(AcquireLeaseCommand&& other65) noexcept {
+  Name = std::move(other65.Name);
+  Host = std::move(other65.Host);
+  Incarnation = other65.Incarnation;
+  SeenFencing = other65.SeenFencing;
+  SeenRenewals = other65.SeenRenewals;
+  __isset = other65.__isset;
 }
-AcquireLeaseCommand& AcquireLeaseCommand::operator=(const AcquireLeaseCommand& other50) {
-  Name = other50.Name;
-  Host = other50.Host;
-  Incarnation = other50.Incarnation;
-  SeenFencing = other50.SeenFencing;
-  SeenRenewals = other50.SeenRenewals;
-  __isset = other50.__isset;
+AcquireLeaseCommand& AcquireLeaseCommand::operator=(const AcquireLeaseCommand& other66) {
+  Name = other66.Name;
+  Host = other66.Host;
+  Incarnation = other66.Incarnation;
+  SeenFencing = other66.SeenFencing;
+  SeenRenewals = other66.SeenRenewals;
+  __isset = other66.__isset;
   return *this;
 }
-AcquireLeaseCommand& AcquireLeaseCommand::operator=(AcquireLeaseCommand&& other51) noexcept {
-  Name = std::move(other51.Name);
-  Host = std::move(other51.Host);
-  Incarnation = other51.Incarnation;
-  SeenFencing = other51.SeenFencing;
-  SeenRenewals = other51.SeenRenewals;
-  __isset = other51.__isset;
+AcquireLeaseCommand& AcquireLeaseCommand::operator=(AcquireLeaseCommand&& other67) noexcept {
+  Name = std::move(other67.Name);
+  Host = std::move(other67.Host);
+  Incarnation = other67.Incarnation;
+  SeenFencing = other67.SeenFencing;
+  SeenRenewals = other67.SeenRenewals;
+  __isset = other67.__isset;
   return *this;
 }
 void AcquireLeaseCommand::printTo(std::ostream& out) const {
@@ -2194,38 +2403,38 @@
   swap(a.__isset, b.__isset);
 }
 
-RenewLeaseCommand::RenewLeaseCommand(const RenewLeaseCommand& other52) {
-  Name = other52.Name;
-  Host = other52.Host;
-  Incarnation = other52.Incarnation;
-  Fencing = other52.Fencing;
-  Renewals = other52.Renewals;
-  __isset = other52.__isset;
+RenewLeaseCommand::RenewLeaseCommand(const RenewLeaseCommand& other68) {
+  Name = other68.Name;
+  Host = other68.Host;
+  Incarnation = other68.Incarnation;
+  Fencing = other68.Fencing;
+  Renewals = other68.Renewals;
+  __isset = other68.__isset;
 }
-RenewLeaseCommand::RenewLeaseCommand(RenewLeaseCommand&& other53) noexcept {
-  Name = std::move(other53.Name);
-  Host = std::move(other53.Host);
-  Incarnation = other53.Incarnation;
-  Fencing = other53.Fencing;
-  Renewals = other53.Renewals;
-  __isset = other53.__isset;
+RenewLeaseCommand::RenewLeaseCommand(RenewLeaseCommand&& other69) noexcept {
+  Name = std::move(other69.Name);
+  Host = std::move(other69.Host);
+  Incarnation = other69.Incarnation;
+  Fencing = other69.Fencing;
+  Renewals = other69.Renewals;
+  __isset = other69.__isset;
 }
-RenewLeaseCommand& RenewLeaseCommand::operator=(const RenewLeaseCommand& other54) {
-  Name = other54.Name;
-  Host = other54.Host;
-  Incarnation = other54.Incarnation;
-  Fencing = other54.Fencing;
-  Renewals = other54.Renewals;
-  __isset = other54.__isset;
+RenewLeaseCommand& RenewLeaseCommand::operator=(const RenewLeaseCommand& other70) {
+  Name = other70.Name;
+  Host = other70.Host;
+  Incarnation = other70.Incarnation;
+  Fencing = other70.Fencing;
+  Renewals = other70.Renewals;
+  __isset = other70.__isset;
   return *this;
 }
-RenewLeaseCommand& RenewLeaseCommand::operator=(RenewLeaseCommand&& other55) noexcept {
-  Name = std::move(other55.Name);
-  Host = std::move(other55.Host);
-  Incarnation = other55.Incarnation;
-  Fencing = other55.Fencing;
-  Renewals = other55.Renewals;
-  __isset = other55.__isset;
+RenewLeaseCommand& RenewLeaseCommand::operator=(RenewLeaseCommand&& other71) noexcept {
+  Name = std::move(other71.Name);
+  Host = std::move(other71.Host);
+  Incarnation = other71.Incarnation;
+  Fencing = other71.Fencing;
+  Renewals = other71.Renewals;
+  __isset = other71.__isset;
   return *this;
 }
 void RenewLeaseCommand::printTo(std::ostream& out) const {
@@ -2366,34 +2575,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ReleaseLeaseCommand::ReleaseLeaseCommand(const ReleaseLeaseCommand& other56) {
-  Name = other56.Name;
-  Host = other56.Host;
-  Incarnation = other56.Incarnation;
-  Fencing = other56.Fencing;
-  __isset = other56.__isset;
+ReleaseLeaseCommand::ReleaseLeaseCommand(const ReleaseLeaseCommand& other72) {
+  Name = other72.Name;
+  Host = other72.Host;
+  Incarnation = other72.Incarnation;
+  Fencing = other72.Fencing;
+  __isset = other72.__isset;
 }
-ReleaseLeaseCommand::ReleaseLeaseCommand(ReleaseLeaseCommand&& other57) noexcept {
-  Name = std::move(other57.Name);
-  Host = std::move(other57.Host);
-  Incarnation = other57.Incarnation;
-  Fencing = other57.Fencing;
-  __isset = other57.__isset;
+ReleaseLeaseCommand::ReleaseLeaseCommand(ReleaseLeaseCommand&& other73) noexcept {
+  Name = std::move(other73.Name);
+  Host = std::move(other73.Host);
+  Incarnation = other73.Incarnation;
+  Fencing = other73.Fencing;
+  __isset = other73.__isset;
 }
-ReleaseLeaseCommand& ReleaseLeaseCommand::operator=(const ReleaseLeaseCommand& other58) {
-  Name = other58.Name;
-  Host = other58.Host;
-  Incarnation = other58.Incarnation;
-  Fencing = other58.Fencing;
-  __isset = other58.__isset;
+ReleaseLeaseCommand& ReleaseLeaseCommand::operator=(const ReleaseLeaseCommand& other74) {
+  Name = other74.Name;
+  Host = other74.Host;
+  Incarnation = other74.Incarnation;
+  Fencing = other74.Fencing;
+  __isset = other74.__isset;
   return *this;
 }
-ReleaseLeaseCommand& ReleaseLeaseCommand::operator=(ReleaseLeaseCommand&& other59) noexcept {
-  Name = std::move(other59.Name);
-  Host = std::move(other59.Host);
-  Incarnation = other59.Incarnation;
-  Fencing = other59.Fencing;
-  __isset = other59.__isset;
+ReleaseLeaseCommand& ReleaseLeaseCommand::operator=(ReleaseLeaseCommand&& other75) noexcept {
+  Name = std::move(other75.Name);
+  Host = std::move(other75.Host);
+  Incarnation = other75.Incarnation;
+  Fencing = other75.Fencing;
+  __isset = other75.__isset;
   return *this;
 }
 void ReleaseLeaseCommand::printTo(std::ostream& out) const {
@@ -2569,42 +2778,42 @@
   swap(a.__isset, b.__isset);
 }
 
-LoadSlotFields::LoadSlotFields(const LoadSlotFields& other60) {
-  Target = other60.Target;
-  Incarnation = other60.Incarnation;
-  Weights = other60.Weights;
-  Fencing = other60.Fencing;
-  Sequence = other60.Sequence;
-  LaterRenewals = other60.LaterRenewals;
-  __isset = other60.__isset;
-}
-LoadSlotFields::LoadSlotFields(LoadSlotFields&& other61) noexcept {
-  Target = std::move(other61.Target);
-  Incarnation = other61.Incarnation;
-  Weights = other61.Weights;
-  Fencing = other61.Fencing;
-  Sequence = other61.Sequence;
-  LaterRenewals = other61.LaterRenewals;
-  __isset = other61.__isset;
+LoadSlotFields::LoadSlotFields(const LoadSlotFields& other76) {
+  Target = other76.Target;
+  Incarnation = other76.Incarnation;
+  Weights = other76.Weights;
+  Fencing = other76.Fencing;
+  Sequence = other76.Sequence;
+  LaterRenewals = other76.LaterRenewals;
+  __isset = other76.__isset;
+}
+LoadSlotFields::LoadSlotFields(LoadSlotFields&& other77) noexcept {
+  Target = std::move(other77.Target);
+  Incarnation = other77.Incarnation;
+  Weights = other77.Weights;
+  Fencing = other77.Fencing;
+  Sequence = other77.Sequence;
+  LaterRenewals = other77.LaterRenewals;
+  __isset = other77.__isset;
 }
-LoadSlotFields& LoadSlotFields::operator=(const LoadSlotFields& other62) {
-  Target = other62.Target;
-  Incarnation = other62.Incarnation;
-  Weights = other62.Weights;
-  Fencing = other62.Fencing;
-  Sequence = other62.Sequence;
-  LaterRenewals = other62.LaterRenewals;
-  __isset = other62.__isset;
+LoadSlotFields& LoadSlotFields::operator=(const LoadSlotFields& other78) {
+  Target = other78.Target;
+  Incarnation = other78.Incarnation;
+  Weights = other78.Weights;
+  Fencing = other78.Fencing;
+  Sequence = other78.Sequence;
+  LaterRenewals = other78.LaterRenewals;
+  __isset = other78.__isset;
   return *this;
 }
-LoadSlotFields& LoadSlotFields::operator=(LoadSlotFields&& other63) noexcept {
-  Target = std::move(other63.Target);
-  Incarnation = other63.Incarnation;
-  Weights = other63.Weights;
-  Fencing = other63.Fencing;
-  Sequence = other63.Sequence;
-  LaterRenewals = other63.LaterRenewals;
-  __isset = other63.__isset;
+LoadSlotFields& LoadSlotFields::operator=(LoadSlotFields&& other79) noexcept {
+  Target = std::move(other79.Target);
+  Incarnation = other79.Incarnation;
+  Weights = other79.Weights;
+  Fencing = other79.Fencing;
+  Sequence = other79.Sequence;
+  LaterRenewals = other79.LaterRenewals;
+  __isset = other79.__isset;
   return *this;
 }
 void LoadSlotFields::printTo(std::ostream& out) const {
@@ -2712,26 +2921,26 @@
   swap(a.__isset, b.__isset);
 }
 
-BeginLoadCommand::BeginLoadCommand(const BeginLoadCommand& other64) {
-  Slot = other64.Slot;
-  MaxLoads = other64.MaxLoads;
-  __isset = other64.__isset;
+BeginLoadCommand::BeginLoadCommand(const BeginLoadCommand& other80) {
+  Slot = other80.Slot;
+  MaxLoads = other80.MaxLoads;
+  __isset = other80.__isset;
 }
-BeginLoadCommand::BeginLoadCommand(BeginLoadCommand&& other65) noexcept {
-  Slot = std::move(other65.Slot);
-  MaxLoads = other65.MaxLoads;
-  __isset = other65.__isset;
+BeginLoadCommand::BeginLoadCommand(BeginLoadCommand&& other81) noexcept {
+  Slot = std::move(other81.Slot);
+  MaxLoads = other81.MaxLoads;
+  __isset = other81.__isset;
 }
-BeginLoadCommand& BeginLoadCommand::operator=(const BeginLoadCommand& other66) {
-  Slot = other66.Slot;
-  MaxLoads = other66.MaxLoads;
-  __isset = other66.__isset;
+BeginLoadCommand& BeginLoadCommand::operator=(const BeginLoadCommand& other82) {
+  Slot = other82.Slot;
+  MaxLoads = other82.MaxLoads;
+  __isset = other82.__isset;
   return *this;
 }
-BeginLoadCommand& BeginLoadCommand::operator=(BeginLoadCommand&& other67) noexcept {
-  Slot = std::move(other67.Slot);
-  MaxLoads = other67.MaxLoads;
-  __isset = other67.__isset;
+BeginLoadCommand& BeginLoadCommand::operator=(BeginLoadCommand&& other83) noexcept {
+  Slot = std::move(other83.Slot);
+  MaxLoads = other83.MaxLoads;
+  __isset = other83.__isset;
   return *this;
 }
 void BeginLoadCommand::printTo(std::ostream& out) const {
@@ -2818,22 +3027,22 @@
   swap(a.__isset, b.__isset);
 }
 
-EndLoadCommand::EndLoadCommand(const EndLoadCommand& other68) {
-  Slot = other68.Slot;
-  __isset = other68.__isset;
+EndLoadCommand::EndLoadCommand(const EndLoadCommand& other84) {
+  Slot = other84.Slot;
+  __isset = other84.__isset;
 }
-EndLoadCommand::EndLoadCommand(EndLoadCommand&& other69) noexcept {
-  Slot = std::move(other69.Slot);
-  __isset = other69.__isset;
+EndLoadCommand::EndLoadCommand(EndLoadCommand&& other85) noexcept {
+  Slot = std::move(other85.Slot);
+  __isset = other85.__isset;
 }
-EndLoadCommand& EndLoadCommand::operator=(const EndLoadCommand& other70) {
-  Slot = other70.Slot;
-  __isset = other70.__isset;
+EndLoadCommand& EndLoadCommand::operator=(const EndLoadCommand& other86) {
+  Slot = other86.Slot;
+  __isset = other86.__isset;
   return *this;
 }
-EndLoadCommand& EndLoadCommand::operator=(EndLoadCommand&& other71) noexcept {
-  Slot = std::move(other71.Slot);
-  __isset = other71.__isset;
+EndLoadCommand& EndLoadCommand::operator=(EndLoadCommand&& other87) noexcept {
+  Slot = std::move(other87.Slot);
+  __isset = other87.__isset;
   return *this;
 }
 void EndLoadCommand::printTo(std::ostream& out) const {
@@ -3168,74 +3377,74 @@
   swap(a.__isset, b.__isset);
 }
 
-RegistryCommand::RegistryCommand(const RegistryCommand& other72) {
-  Change = other72.Change;
-  Claim = other72.Claim;
-  Complete = other72.Complete;
-  Release = other72.Release;
-  MarkUnknown = other72.MarkUnknown;
-  AdvanceLowWater = other72.AdvanceLowWater;
-  AcquireLease = other72.AcquireLease;
-  RenewLease = other72.RenewLease;
-  ReleaseLease = other72.ReleaseLease;
-  BeginLoad = other72.BeginLoad;
-  EndLoad = other72.EndLoad;
-  Replace = other72.Replace;
-  NameWeights = other72.NameWeights;
-  RecordLeave = other72.RecordLeave;
-  __isset = other72.__isset;
+RegistryCommand::RegistryCommand(const RegistryCommand& other88) {
+  Change = other88.Change;
+  Claim = other88.Claim;
+  Complete = other88.Complete;
+  Release = other88.Release;
+  MarkUnknown = other88.MarkUnknown;
+  AdvanceLowWater = other88.AdvanceLowWater;
+  AcquireLease = other88.AcquireLease;
+  RenewLease = other88.RenewLease;
+  ReleaseLease = other88.ReleaseLease;
+  BeginLoad = other88.BeginLoad;
+  EndLoad = other88.EndLoad;
+  Replace = other88.Replace;
+  NameWeights = other88.NameWeights;
+  RecordLeave = other88.RecordLeave;
+  __isset = other88.__isset;
 }
-RegistryCommand::RegistryCommand(RegistryCommand&& other73) noexcept {
-  Change = std::move(other73.Change);
-  Claim = std::move(other73.Claim);
-  Complete = std::move(other73.Complete);
-  Release = std::move(other73.Release);
-  MarkUnknown = std::move(other73.MarkUnknown);
-  AdvanceLowWater = std::move(other73.AdvanceLowWater);
-  AcquireLease = std::move(other73.AcquireLease);
-  RenewLease = std::move(other73.RenewLease);
-  ReleaseLease = std::move(other73.ReleaseLease);
-  BeginLoad = std::move(other73.BeginLoad);
-  EndLoad = std::move(other73.EndLoad);
-  Replace = std::move(other73.Replace);
-  NameWeights = std::move(other73.NameWeights);
-  RecordLeave = std::move(other73.RecordLeave);
-  __isset = other73.__isset;
+RegistryCommand::RegistryCommand(RegistryCommand&& other89) noexcept {
+  Change = std::move(other89.Change);
+  Claim = std::move(other89.Claim);
+  Complete = std::move(other89.Complete);
+  Release = std::move(other89.Release);
+  MarkUnknown = std::move(other89.MarkUnknown);
+  AdvanceLowWater = std::move(other89.AdvanceLowWater);
+  AcquireLease = std::move(other89.AcquireLease);
+  RenewLease = std::move(other89.RenewLease);
+  ReleaseLease = std::move(other89.ReleaseLease);
+  BeginLoad = std::move(other89.BeginLoad);
+  EndLoad = std::move(other89.EndLoad);
+  Replace = std::move(other89.Replace);
+  NameWeights = std::move(other89.NameWeights);
+  RecordLeave = std::move(other89.RecordLeave);
+  __isset = other89.__isset;
 }
-RegistryCommand& RegistryCommand::operator=(const RegistryCommand& other74) {
-  Change = other74.Change;
-  Claim = other74.Claim;
-  Complete = other74.Complete;
-  Release = other74.Release;
-  MarkUnknown = other74.MarkUnknown;
-  AdvanceLowWater = other74.AdvanceLowWater;
-  AcquireLease = other74.AcquireLease;
-  RenewLease = other74.RenewLease;
-  ReleaseLease = other74.ReleaseLease;
-  BeginLoad = other74.BeginLoad;
-  EndLoad = other74.EndLoad;
-  Replace = other74.Replace;
-  NameWeights = other74.NameWeights;
-  RecordLeave = other74.RecordLeave;
-  __isset = other74.__isset;
+RegistryCommand& RegistryCommand::operator=(const RegistryCommand& other90) {
+  Change = other90.Change;
+  Claim = other90.Claim;
+  Complete = other90.Complete;
+  Release = other90.Release;
+  MarkUnknown = other90.MarkUnknown;
+  AdvanceLowWater = other90.AdvanceLowWater;
+  AcquireLease = other90.AcquireLease;
+  RenewLease = other90.RenewLease;
+  ReleaseLease = other90.ReleaseLease;
+  BeginLoad = other90.BeginLoad;
+  EndLoad = other90.EndLoad;
+  Replace = other90.Replace;
+  NameWeights = other90.NameWeights;
+  RecordLeave = other90.RecordLeave;
+  __isset = other90.__isset;
   return *this;
 }
-RegistryCommand& RegistryCommand::operator=(RegistryCommand&& other75) noexcept {
-  Change = std::move(other75.Change);
-  Claim = std::move(other75.Claim);
-  Complete = std::move(other75.Complete);
-  Release = std::move(other75.Release);
-  MarkUnknown = std::move(other75.MarkUnknown);
-  AdvanceLowWater = std::move(other75.AdvanceLowWater);
-  AcquireLease = std::move(other75.AcquireLease);
-  RenewLease = std::move(other75.RenewLease);
-  ReleaseLease = std::move(other75.ReleaseLease);
-  BeginLoad = std::move(other75.BeginLoad);
-  EndLoad = std::move(other75.EndLoad);
-  Replace = std::move(other75.Replace);
-  NameWeights = std::move(other75.NameWeights);
-  RecordLeave = std::move(other75.RecordLeave);
-  __isset = other75.__isset;
+RegistryCommand& RegistryCommand::operator=(RegistryCommand&& other91) noexcept {
+  Change = std::move(other91.Change);
+  Claim = std::move(other91.Claim);
+  Complete = std::move(other91.Complete);
+  Release = std::move(other91.Release);
+  MarkUnknown = std::move(other91.MarkUnknown);
+  AdvanceLowWater = std::move(other91.AdvanceLowWater);
+  AcquireLease = std::move(other91.AcquireLease);
+  RenewLease = std::move(other91.RenewLease);
+  ReleaseLease = std::move(other91.ReleaseLease);
+  BeginLoad = std::move(other91.BeginLoad);
+  EndLoad = std::move(other91.EndLoad);
+  Replace = std::move(other91.Replace);
+  NameWeights = std::move(other91.NameWeights);
+  RecordLeave = std::move(other91.RecordLeave);
+  __isset = other91.__isset;
   return *this;
 }
 void RegistryCommand::printTo(std::ostream& out) const {
@@ -3306,9 +3515,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast76;
-          xfer += iprot->readI32(ecast76);
-          this->Status = static_cast<ClaimStatus::type>(ecast76);
+          int32_t ecast92;
+          xfer += iprot->readI32(ecast92);
+          this->Status = static_cast<ClaimStatus::type>(ecast92);
           this->__isset.Status = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -3374,30 +3583,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimReply::ClaimReply(const ClaimReply& other77) {
-  Status = other77.Status;
-  Holder = other77.Holder;
-  Answer = other77.Answer;
-  __isset = other77.__isset;
+ClaimReply::ClaimReply(const ClaimReply& other93) {
+  Status = other93.Status;
+  Holder = other93.Holder;
+  Answer = other93.Answer;
+  __isset = other93.__isset;
 }
-ClaimReply::ClaimReply(ClaimReply&& other78) noexcept {
-  Status = other78.Status;
-  Holder = std::move(other78.Holder);
-  Answer = std::move(other78.Answer);
-  __isset = other78.__isset;
+ClaimReply::ClaimReply(ClaimReply&& other94) noexcept {
+  Status = other94.Status;
+  Holder = std::move(other94.Holder);
+  Answer = std::move(other94.Answer);
+  __isset = other94.__isset;
 }
-ClaimReply& ClaimReply::operator=(const ClaimReply& other79) {
-  Status = other79.Status;
-  Holder = other79.Holder;
-  Answer = other79.Answer;
-  __isset = other79.__isset;
+ClaimReply& ClaimReply::operator=(const ClaimReply& other95) {
+  Status = other95.Status;
+  Holder = other95.Holder;
+  Answer = other95.Answer;
+  __isset = other95.__isset;
   return *this;
 }
-ClaimReply& ClaimReply::operator=(ClaimReply&& other80) noexcept {
-  Status = other80.Status;
-  Holder = std::move(other80.Holder);
-  Answer = std::move(other80.Answer);
-  __isset = other80.__isset;
+ClaimReply& ClaimReply::operator=(ClaimReply&& other96) noexcept {
+  Status = other96.Status;
+  Holder = std::move(other96.Holder);
+  Answer = std::move(other96.Answer);
+  __isset = other96.__isset;
   return *this;
 }
 void ClaimReply::printTo(std::ostream& out) const {
@@ -3425,6 +3634,11 @@
 void DescriptionFields::__set_Text(const std::string& val) {
   this->Text = val;
 }
+
+void DescriptionFields::__set_SharedCacheSince(const int64_t val) {
+  this->SharedCacheSince = val;
+__isset.SharedCacheSince = true;
+}
 std::ostream& operator<<(std::ostream& out, const DescriptionFields& obj)
 {
   obj.printTo(out);
@@ -3477,6 +3691,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->SharedCacheSince);
+          this->__isset.SharedCacheSince = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3506,6 +3728,11 @@
   xfer += oprot->writeBinary(this->Text);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.SharedCacheSince) {
+    xfer += oprot->writeFieldBegin("SharedCacheSince", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->SharedCacheSince);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3516,33 +3743,38 @@
   swap(a.Number, b.Number);
   swap(a.Operation, b.Operation);
   swap(a.Text, b.Text);
+  swap(a.SharedCacheSince, b.SharedCacheSince);
   swap(a.__isset, b.__isset);
 }
 
-DescriptionFields::DescriptionFields(const DescriptionFields& other81) {
-  Number = other81.Number;
-  Operation = other81.Operation;
-  Text = other81.Text;
-  __isset = other81.__isset;
-}
-DescriptionFields::DescriptionFields(DescriptionFields&& other82) noexcept {
-  Number = other82.Number;
-  Operation = std::move(other82.Operation);
-  Text = std::move(other82.Text);
-  __isset = other82.__isset;
+DescriptionFields::DescriptionFields(const DescriptionFields& other97) {
+  Number = other97.Number;
+  Operation = other97.Operation;
+  Text = other97.Text;
+  SharedCacheSince = other97.SharedCacheSince;
+  __isset = other97.__isset;
 }
-DescriptionFields& DescriptionFields::operator=(const DescriptionFields& other83) {
-  Number = other83.Number;
-  Operation = other83.Operation;
-  Text = other83.Text;
-  __isset = other83.__isset;
+DescriptionFields::DescriptionFields(DescriptionFields&& other98) noexcept {
+  Number = other98.Number;
+  Operation = std::move(other98.Operation);
+  Text = std::move(other98.Text);
+  SharedCacheSince = other98.SharedCacheSince;
+  __isset = other98.__isset;
+}
+DescriptionFields& DescriptionFields::operator=(const DescriptionFields& other99) {
+  Number = other99.Number;
+  Operation = other99.Operation;
+  Text = other99.Text;
+  SharedCacheSince = other99.SharedCacheSince;
+  __isset = other99.__isset;
   return *this;
 }
-DescriptionFields& DescriptionFields::operator=(DescriptionFields&& other84) noexcept {
-  Number = other84.Number;
-  Operation = std::move(other84.Operation);
-  Text = std::move(other84.Text);
-  __isset = other84.__isset;
+DescriptionFields& DescriptionFields::operator=(DescriptionFields&& other100) noexcept {
+  Number = other100.Number;
+  Operation = std::move(other100.Operation);
+  Text = std::move(other100.Text);
+  SharedCacheSince = other100.SharedCacheSince;
+  __isset = other100.__isset;
   return *this;
 }
 void DescriptionFields::printTo(std::ostream& out) const {
@@ -3551,6 +3783,7 @@
   out << "Number=" << to_string(Number);
   out << ", " << "Operation=" << to_string(Operation);
   out << ", " << "Text=" << to_string(Text);
+  out << ", " << "SharedCacheSince="; (__isset.SharedCacheSince ? (out << to_string(SharedCacheSince)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3601,9 +3834,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast85;
-          xfer += iprot->readI32(ecast85);
-          this->Status = static_cast<ChangeStatus::type>(ecast85);
+          int32_t ecast101;
+          xfer += iprot->readI32(ecast101);
+          this->Status = static_cast<ChangeStatus::type>(ecast101);
           this->__isset.Status = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -3668,30 +3901,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ChangeReply::ChangeReply(const ChangeReply& other86) {
-  Status = other86.Status;
-  Number = other86.Number;
-  Current = other86.Current;
-  __isset = other86.__isset;
+ChangeReply::ChangeReply(const ChangeReply& other102) {
+  Status = other102.Status;
+  Number = other102.Number;
+  Current = other102.Current;
+  __isset = other102.__isset;
 }
-ChangeReply::ChangeReply(ChangeReply&& other87) noexcept {
-  Status = other87.Status;
-  Number = other87.Number;
-  Current = std::move(other87.Current);
-  __isset = other87.__isset;
+ChangeReply::ChangeReply(ChangeReply&& other103) noexcept {
+  Status = other103.Status;
+  Number = other103.Number;
+  Current = std::move(other103.Current);
+  __isset = other103.__isset;
 }
-ChangeReply& ChangeReply::operator=(const ChangeReply& other88) {
-  Status = other88.Status;
-  Number = other88.Number;
-  Current = other88.Current;
-  __isset = other88.__isset;
+ChangeReply& ChangeReply::operator=(const ChangeReply& other104) {
+  Status = other104.Status;
+  Number = other104.Number;
+  Current = other104.Current;
+  __isset = other104.__isset;
   return *this;
 }
-ChangeReply& ChangeReply::operator=(ChangeReply&& other89) noexcept {
-  Status = other89.Status;
-  Number = other89.Number;
-  Current = std::move(other89.Current);
-  __isset = other89.__isset;
+ChangeReply& ChangeReply::operator=(ChangeReply&& other105) noexcept {
+  Status = other105.Status;
+  Number = other105.Number;
+  Current = std::move(other105.Current);
+  __isset = other105.__isset;
   return *this;
 }
 void ChangeReply::printTo(std::ostream& out) const {
@@ -3847,38 +4080,38 @@
   swap(a.__isset, b.__isset);
 }
 
-LeaseFields::LeaseFields(const LeaseFields& other90) {
-  Name = other90.Name;
-  Host = other90.Host;
-  Incarnation = other90.Incarnation;
-  Fencing = other90.Fencing;
-  Renewals = other90.Renewals;
-  __isset = other90.__isset;
+LeaseFields::LeaseFields(const LeaseFields& other106) {
+  Name = other106.Name;
+  Host = other106.Host;
+  Incarnation = other106.Incarnation;
+  Fencing = other106.Fencing;
+  Renewals = other106.Renewals;
+  __isset = other106.__isset;
 }
-LeaseFields::LeaseFields(LeaseFields&& other91) noexcept {
-  Name = std::move(other91.Name);
-  Host = std::move(other91.Host);
-  Incarnation = other91.Incarnation;
-  Fencing = other91.Fencing;
-  Renewals = other91.Renewals;
-  __isset = other91.__isset;
+LeaseFields::LeaseFields(LeaseFields&& other107) noexcept {
+  Name = std::move(other107.Name);
+  Host = std::move(other107.Host);
+  Incarnation = other107.Incarnation;
+  Fencing = other107.Fencing;
+  Renewals = other107.Renewals;
+  __isset = other107.__isset;
 }
-LeaseFields& LeaseFields::operator=(const LeaseFields& other92) {
-  Name = other92.Name;
-  Host = other92.Host;
-  Incarnation = other92.Incarnation;
-  Fencing = other92.Fencing;
-  Renewals = other92.Renewals;
-  __isset = other92.__isset;
+LeaseFields& LeaseFields::operator=(const LeaseFields& other108) {
+  Name = other108.Name;
+  Host = other108.Host;
+  Incarnation = other108.Incarnation;
+  Fencing = other108.Fencing;
+  Renewals = other108.Renewals;
+  __isset = other108.__isset;
   return *this;
 }
-LeaseFields& LeaseFields::operator=(LeaseFields&& other93) noexcept {
-  Name = std::move(other93.Name);
-  Host = std::move(other93.Host);
-  Incarnation = other93.Incarnation;
-  Fencing = other93.Fencing;
-  Renewals = other93.Renewals;
-  __isset = other93.__isset;
+LeaseFields& LeaseFields::operator=(LeaseFields&& other109) noexcept {
+  Name = std::move(other109.Name);
+  Host = std::move(other109.Host);
+  Incarnation = other109.Incarnation;
+  Fencing = other109.Fencing;
+  Renewals = other109.Renewals;
+  __isset = other109.__isset;
   return *this;
 }
 void LeaseFields::printTo(std::ostream& out) const {
@@ -3985,26 +4218,26 @@
   swap(a.__isset, b.__isset);
 }
 
-LeaseReply::LeaseReply(const LeaseReply& other94) {
-  Granted = other94.Granted;
-  Lease = other94.Lease;
-  __isset = other94.__isset;
+LeaseReply::LeaseReply(const LeaseReply& other110) {
+  Granted = other110.Granted;
+  Lease = other110.Lease;
+  __isset = other110.__isset;
 }
-LeaseReply::LeaseReply(LeaseReply&& other95) noexcept {
-  Granted = other95.Granted;
-  Lease = std::move(other95.Lease);
-  __isset = other95.__isset;
+LeaseReply::LeaseReply(LeaseReply&& other111) noexcept {
+  Granted = other111.Granted;
+  Lease = std::move(other111.Lease);
+  __isset = other111.__isset;
 }
-LeaseReply& LeaseReply::operator=(const LeaseReply& other96) {
-  Granted = other96.Granted;
-  Lease = other96.Lease;
-  __isset = other96.__isset;
+LeaseReply& LeaseReply::operator=(const LeaseReply& other112) {
+  Granted = other112.Granted;
+  Lease = other112.Lease;
+  __isset = other112.__isset;
   return *this;
 }
-LeaseReply& LeaseReply::operator=(LeaseReply&& other97) noexcept {
-  Granted = other97.Granted;
-  Lease = std::move(other97.Lease);
-  __isset = other97.__isset;
+LeaseReply& LeaseReply::operator=(LeaseReply&& other113) noexcept {
+  Granted = other113.Granted;
+  Lease = std::move(other113.Lease);
+  __isset = other113.__isset;
   return *this;
 }
 void LeaseReply::printTo(std::ostream& out) const {
@@ -4057,9 +4290,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast98;
-          xfer += iprot->readI32(ecast98);
-          this->Status = static_cast<LoadStatus::type>(ecast98);
+          int32_t ecast114;
+          xfer += iprot->readI32(ecast114);
+          this->Status = static_cast<LoadStatus::type>(ecast114);
           this->__isset.Status = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4069,14 +4302,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Active.clear();
-            uint32_t _size99;
-            ::apache::thrift::protocol::TType _etype102;
-            xfer += iprot->readListBegin(_etype102, _size99);
-            this->Active.resize(_size99);
-            uint32_t _i103;
-            for (_i103 = 0; _i103 < _size99; ++_i103)
+            uint32_t _size115;
+            ::apache::thrift::protocol::TType _etype118;
+            xfer += iprot->readListBegin(_etype118, _size115);
+            this->Active.resize(_size115);
+            uint32_t _i119;
+            for (_i119 = 0; _i119 < _size115; ++_i119)
             {
-              xfer += this->Active[_i103].read(iprot);
+              xfer += this->Active[_i119].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4109,10 +4342,10 @@
   xfer += oprot->writeFieldBegin("Active", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Active.size()));
-    std::vector<LoadSlotFields> ::const_iterator _iter104;
-    for (_iter104 = this->Active.begin(); _iter104 != this->Active.end(); ++_iter104)
+    std::vector<LoadSlotFields> ::const_iterator _iter120;
+    for (_iter120 = this->Active.begin(); _iter120 != this->Active.end(); ++_iter120)
     {
-      xfer += (*_iter104).write(oprot);
+      xfer += (*_iter120).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4130,26 +4363,26 @@
   swap(a.__isset, b.__isset);
 }
 
-LoadReply::LoadReply(const LoadReply& other105) {
-  Status = other105.Status;
-  Active = other105.Active;
-  __isset = other105.__isset;
+LoadReply::LoadReply(const LoadReply& other121) {
+  Status = other121.Status;
+  Active = other121.Active;
+  __isset = other121.__isset;
 }
-LoadReply::LoadReply(LoadReply&& other106) noexcept {
-  Status = other106.Status;
-  Active = std::move(other106.Active);
-  __isset = other106.__isset;
+LoadReply::LoadReply(LoadReply&& other122) noexcept {
+  Status = other122.Status;
+  Active = std::move(other122.Active);
+  __isset = other122.__isset;
 }
-LoadReply& LoadReply::operator=(const LoadReply& other107) {
-  Status = other107.Status;
-  Active = other107.Active;
-  __isset = other107.__isset;
+LoadReply& LoadReply::operator=(const LoadReply& other123) {
+  Status = other123.Status;
+  Active = other123.Active;
+  __isset = other123.__isset;
   return *this;
 }
-LoadReply& LoadReply::operator=(LoadReply&& other108) noexcept {
-  Status = other108.Status;
-  Active = std::move(other108.Active);
-  __isset = other108.__isset;
+LoadReply& LoadReply::operator=(LoadReply&& other124) noexcept {
+  Status = other124.Status;
+  Active = std::move(other124.Active);
+  __isset = other124.__isset;
   return *this;
 }
 void LoadReply::printTo(std::ostream& out) const {
@@ -4236,22 +4469,22 @@
   swap(a.__isset, b.__isset);
 }
 
-LowWaterReply::LowWaterReply(const LowWaterReply& other109) noexcept {
-  MarkMillis = other109.MarkMillis;
-  __isset = other109.__isset;
+LowWaterReply::LowWaterReply(const LowWaterReply& other125) noexcept {
+  MarkMillis = other125.MarkMillis;
+  __isset = other125.__isset;
 }
-LowWaterReply::LowWaterReply(LowWaterReply&& other110) noexcept {
-  MarkMillis = other110.MarkMillis;
-  __isset = other110.__isset;
+LowWaterReply::LowWaterReply(LowWaterReply&& other126) noexcept {
+  MarkMillis = other126.MarkMillis;
+  __isset = other126.__isset;
 }
-LowWaterReply& LowWaterReply::operator=(const LowWaterReply& other111) noexcept {
-  MarkMillis = other111.MarkMillis;
-  __isset = other111.__isset;
+LowWaterReply& LowWaterReply::operator=(const LowWaterReply& other127) noexcept {
+  MarkMillis = other127.MarkMillis;
+  __isset = other127.__isset;
   return *this;
 }
-LowWaterReply& LowWaterReply::operator=(LowWaterReply&& other112) noexcept {
-  MarkMillis = other112.MarkMillis;
-  __isset = other112.__isset;
+LowWaterReply& LowWaterReply::operator=(LowWaterReply&& other128) noexcept {
+  MarkMillis = other128.MarkMillis;
+  __isset = other128.__isset;
   return *this;
 }
 void LowWaterReply::printTo(std::ostream& out) const {
@@ -4371,30 +4604,30 @@
   swap(a.__isset, b.__isset);
 }
 
-NamedWeightsFields::NamedWeightsFields(const NamedWeightsFields& other113) {
-  Model = other113.Model;
-  Weights = other113.Weights;
-  NamedAtMillis = other113.NamedAtMillis;
-  __isset = other113.__isset;
+NamedWeightsFields::NamedWeightsFields(const NamedWeightsFields& other129) {
+  Model = other129.Model;
+  Weights = other129.Weights;
+  NamedAtMillis = other129.NamedAtMillis;
+  __isset = other129.__isset;
+}
+NamedWeightsFields::NamedWeightsFields(NamedWeightsFields&& other130) noexcept {
+  Model = std::move(other130.Model);
+  Weights = other130.Weights;
+  NamedAtMillis = other130.NamedAtMillis;
+  __isset = other130.__isset;
 }
-NamedWeightsFields::NamedWeightsFields(NamedWeightsFields&& other114) noexcept {
-  Model = std::move(other114.Model);
-  Weights = other114.Weights;
-  NamedAtMillis = other114.NamedAtMillis;
-  __isset = other114.__isset;
-}
-NamedWeightsFields& NamedWeightsFields::operator=(const NamedWeightsFields& other115) {
-  Model = other115.Model;
-  Weights = other115.Weights;
-  NamedAtMillis = other115.NamedAtMillis;
-  __isset = other115.__isset;
+NamedWeightsFields& NamedWeightsFields::operator=(const NamedWeightsFields& other131) {
+  Model = other131.Model;
+  Weights = other131.Weights;
+  NamedAtMillis = other131.NamedAtMillis;
+  __isset = other131.__isset;
   return *this;
 }
-NamedWeightsFields& NamedWeightsFields::operator=(NamedWeightsFields&& other116) noexcept {
-  Model = std::move(other116.Model);
-  Weights = other116.Weights;
-  NamedAtMillis = other116.NamedAtMillis;
-  __isset = other116.__isset;
+NamedWeightsFields& NamedWeightsFields::operator=(NamedWeightsFields&& other132) noexcept {
+  Model = std::move(other132.Model);
+  Weights = other132.Weights;
+  NamedAtMillis = other132.NamedAtMillis;
+  __isset = other132.__isset;
   return *this;
 }
 void NamedWeightsFields::printTo(std::ostream& out) const {
@@ -4516,30 +4749,30 @@
   swap(a.__isset, b.__isset);
 }
 
-LeaveFields::LeaveFields(const LeaveFields& other117) {
-  Target = other117.Target;
-  Incarnation = other117.Incarnation;
-  Number = other117.Number;
-  __isset = other117.__isset;
+LeaveFields::LeaveFields(const LeaveFields& other133) {
+  Target = other133.Target;
+  Incarnation = other133.Incarnation;
+  Number = other133.Number;
+  __isset = other133.__isset;
 }
-LeaveFields::LeaveFields(LeaveFields&& other118) noexcept {
-  Target = std::move(other118.Target);
-  Incarnation = other118.Incarnation;
-  Number = other118.Number;
-  __isset = other118.__isset;
+LeaveFields::LeaveFields(LeaveFields&& other134) noexcept {
+  Target = std::move(other134.Target);
+  Incarnation = other134.Incarnation;
+  Number = other134.Number;
+  __isset = other134.__isset;
 }
-LeaveFields& LeaveFields::operator=(const LeaveFields& other119) {
-  Target = other119.Target;
-  Incarnation = other119.Incarnation;
-  Number = other119.Number;
-  __isset = other119.__isset;
+LeaveFields& LeaveFields::operator=(const LeaveFields& other135) {
+  Target = other135.Target;
+  Incarnation = other135.Incarnation;
+  Number = other135.Number;
+  __isset = other135.__isset;
   return *this;
 }
-LeaveFields& LeaveFields::operator=(LeaveFields&& other120) noexcept {
-  Target = std::move(other120.Target);
-  Incarnation = other120.Incarnation;
-  Number = other120.Number;
-  __isset = other120.__isset;
+LeaveFields& LeaveFields::operator=(LeaveFields&& other136) noexcept {
+  Target = std::move(other136.Target);
+  Incarnation = other136.Incarnation;
+  Number = other136.Number;
+  __isset = other136.__isset;
   return *this;
 }
 void LeaveFields::printTo(std::ostream& out) const {
@@ -4678,9 +4911,9 @@
         break;
       case 7:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast121;
-          xfer += iprot->readI32(ecast121);
-          this->Invalid = static_cast<InvalidReason::type>(ecast121);
+          int32_t ecast137;
+          xfer += iprot->readI32(ecast137);
+          this->Invalid = static_cast<InvalidReason::type>(ecast137);
           this->__isset.Invalid = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4783,54 +5016,54 @@
   swap(a.__isset, b.__isset);
 }
 
-RegistryAnswer::RegistryAnswer(const RegistryAnswer& other122) {
-  Change = other122.Change;
-  Claim = other122.Claim;
-  Lease = other122.Lease;
-  Load = other122.Load;
-  LowWater = other122.LowWater;
-  Description = other122.Description;
-  Invalid = other122.Invalid;
-  NamedWeights = other122.NamedWeights;
-  Leave = other122.Leave;
-  __isset = other122.__isset;
+RegistryAnswer::RegistryAnswer(const RegistryAnswer& other138) {
+  Change = other138.Change;
+  Claim = other138.Claim;
+  Lease = other138.Lease;
+  Load = other138.Load;
+  LowWater = other138.LowWater;
+  Description = other138.Description;
+  Invalid = other138.Invalid;
+  NamedWeights = other138.NamedWeights;
+  Leave = other138.Leave;
+  __isset = other138.__isset;
 }
-RegistryAnswer::RegistryAnswer(RegistryAnswer&& other123) noexcept {
-  Change = std::move(other123.Change);
-  Claim = std::move(other123.Claim);
-  Lease = std::move(other123.Lease);
-  Load = std::move(other123.Load);
-  LowWater = std::move(other123.LowWater);
-  Description = std::move(other123.Description);
-  Invalid = other123.Invalid;
-  NamedWeights = std::move(other123.NamedWeights);
-  Leave = std::move(other123.Leave);
-  __isset = other123.__isset;
+RegistryAnswer::RegistryAnswer(RegistryAnswer&& other139) noexcept {
+  Change = std::move(other139.Change);
+  Claim = std::move(other139.Claim);
+  Lease = std::move(other139.Lease);
+  Load = std::move(other139.Load);
+  LowWater = std::move(other139.LowWater);
+  Description = std::move(other139.Description);
+  Invalid = other139.Invalid;
+  NamedWeights = std::move(other139.NamedWeights);
+  Leave = std::move(other139.Leave);
+  __isset = other139.__isset;
 }
-RegistryAnswer& RegistryAnswer::operator=(const RegistryAnswer& other124) {
-  Change = other124.Change;
-  Claim = other124.Claim;
-  Lease = other124.Lease;
-  Load = other124.Load;
-  LowWater = other124.LowWater;
-  Description = other124.Description;
-  Invalid = other124.Invalid;
-  NamedWeights = other124.NamedWeights;
-  Leave = other124.Leave;
-  __isset = other124.__isset;
+RegistryAnswer& RegistryAnswer::operator=(const RegistryAnswer& other140) {
+  Change = other140.Change;
+  Claim = other140.Claim;
+  Lease = other140.Lease;
+  Load = other140.Load;
+  LowWater = other140.LowWater;
+  Description = other140.Description;
+  Invalid = other140.Invalid;
+  NamedWeights = other140.NamedWeights;
+  Leave = other140.Leave;
+  __isset = other140.__isset;
   return *this;
 }
-RegistryAnswer& RegistryAnswer::operator=(RegistryAnswer&& other125) noexcept {
-  Change = std::move(other125.Change);
-  Claim = std::move(other125.Claim);
-  Lease = std::move(other125.Lease);
-  Load = std::move(other125.Load);
-  LowWater = std::move(other125.LowWater);
-  Description = std::move(other125.Description);
-  Invalid = other125.Invalid;
-  NamedWeights = std::move(other125.NamedWeights);
-  Leave = std::move(other125.Leave);
-  __isset = other125.__isset;
+RegistryAnswer& RegistryAnswer::operator=(RegistryAnswer&& other141) noexcept {
+  Change = std::move(other141.Change);
+  Claim = std::move(other141.Claim);
+  Lease = std::move(other141.Lease);
+  Load = std::move(other141.Load);
+  LowWater = std::move(other141.LowWater);
+  Description = std::move(other141.Description);
+  Invalid = other141.Invalid;
+  NamedWeights = std::move(other141.NamedWeights);
+  Leave = std::move(other141.Leave);
+  __isset = other141.__isset;
   return *this;
 }
 void RegistryAnswer::printTo(std::ostream& out) const {
@@ -4902,9 +5135,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast126;
-          xfer += iprot->readI32(ecast126);
-          this->Kind = static_cast<RequestKind::type>(ecast126);
+          int32_t ecast142;
+          xfer += iprot->readI32(ecast142);
+          this->Kind = static_cast<RequestKind::type>(ecast142);
           this->__isset.Kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4960,30 +5193,30 @@
   swap(a.__isset, b.__isset);
 }
 
-RegistryRequest::RegistryRequest(const RegistryRequest& other127) {
-  RequestNumber = other127.RequestNumber;
-  Kind = other127.Kind;
-  Command = other127.Command;
-  __isset = other127.__isset;
+RegistryRequest::RegistryRequest(const RegistryRequest& other143) {
+  RequestNumber = other143.RequestNumber;
+  Kind = other143.Kind;
+  Command = other143.Command;
+  __isset = other143.__isset;
 }
-RegistryRequest::RegistryRequest(RegistryRequest&& other128) noexcept {
-  RequestNumber = other128.RequestNumber;
-  Kind = other128.Kind;
-  Command = std::move(other128.Command);
-  __isset = other128.__isset;
+RegistryRequest::RegistryRequest(RegistryRequest&& other144) noexcept {
+  RequestNumber = other144.RequestNumber;
+  Kind = other144.Kind;
+  Command = std::move(other144.Command);
+  __isset = other144.__isset;
 }
-RegistryRequest& RegistryRequest::operator=(const RegistryRequest& other129) {
-  RequestNumber = other129.RequestNumber;
-  Kind = other129.Kind;
-  Command = other129.Command;
-  __isset = other129.__isset;
+RegistryRequest& RegistryRequest::operator=(const RegistryRequest& other145) {
+  RequestNumber = other145.RequestNumber;
+  Kind = other145.Kind;
+  Command = other145.Command;
+  __isset = other145.__isset;
   return *this;
 }
-RegistryRequest& RegistryRequest::operator=(RegistryRequest&& other130) noexcept {
-  RequestNumber = other130.RequestNumber;
-  Kind = other130.Kind;
-  Command = std::move(other130.Command);
-  __isset = other130.__isset;
+RegistryRequest& RegistryRequest::operator=(RegistryRequest&& other146) noexcept {
+  RequestNumber = other146.RequestNumber;
+  Kind = other146.Kind;
+  Command = std::move(other146.Command);
+  __isset = other146.__isset;
   return *this;
 }
 void RegistryRequest::printTo(std::ostream& out) const {
@@ -5053,9 +5286,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast131;
-          xfer += iprot->readI32(ecast131);
-          this->Status = static_cast<ReplyStatus::type>(ecast131);
+          int32_t ecast147;
+          xfer += iprot->readI32(ecast147);
+          this->Status = static_cast<ReplyStatus::type>(ecast147);
           this->__isset.Status = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -5124,34 +5357,34 @@
   swap(a.__isset, b.__isset);
 }
 
-RegistryReply::RegistryReply(const RegistryReply& other132) {
-  RequestNumber = other132.RequestNumber;
-  Status = other132.Status;
-  LeaderHint = other132.LeaderHint;
-  Answer = other132.Answer;
-  __isset = other132.__isset;
+RegistryReply::RegistryReply(const RegistryReply& other148) {
+  RequestNumber = other148.RequestNumber;
+  Status = other148.Status;
+  LeaderHint = other148.LeaderHint;
+  Answer = other148.Answer;
+  __isset = other148.__isset;
 }
-RegistryReply::RegistryReply(RegistryReply&& other133) noexcept {
-  RequestNumber = other133.RequestNumber;
-  Status = other133.Status;
-  LeaderHint = std::move(other133.LeaderHint);
-  Answer = std::move(other133.Answer);
-  __isset = other133.__isset;
+RegistryReply::RegistryReply(RegistryReply&& other149) noexcept {
+  RequestNumber = other149.RequestNumber;
+  Status = other149.Status;
+  LeaderHint = std::move(other149.LeaderHint);
+  Answer = std::move(other149.Answer);
+  __isset = other149.__isset;
 }
-RegistryReply& RegistryReply::operator=(const RegistryReply& other134) {
-  RequestNumber = other134.RequestNumber;
-  Status = other134.Status;
-  LeaderHint = other134.LeaderHint;
-  Answer = other134.Answer;
-  __isset = other134.__isset;
+RegistryReply& RegistryReply::operator=(const RegistryReply& other150) {
+  RequestNumber = other150.RequestNumber;
+  Status = other150.Status;
+  LeaderHint = other150.LeaderHint;
+  Answer = other150.Answer;
+  __isset = other150.__isset;
   return *this;
 }
-RegistryReply& RegistryReply::operator=(RegistryReply&& other135) noexcept {
-  RequestNumber = other135.RequestNumber;
-  Status = other135.Status;
-  LeaderHint = std::move(other135.LeaderHint);
-  Answer = std::move(other135.Answer);
-  __isset = other135.__isset;
+RegistryReply& RegistryReply::operator=(RegistryReply&& other151) noexcept {
+  RequestNumber = other151.RequestNumber;
+  Status = other151.Status;
+  LeaderHint = std::move(other151.LeaderHint);
+  Answer = std::move(other151.Answer);
+  __isset = other151.__isset;
   return *this;
 }
 void RegistryReply::printTo(std::ostream& out) const {
@@ -5291,34 +5524,34 @@
   swap(a.__isset, b.__isset);
 }
 
-OperationFields::OperationFields(const OperationFields& other136) noexcept {
-  DigestHigh = other136.DigestHigh;
-  DigestLow = other136.DigestLow;
-  TextDigest = other136.TextDigest;
-  Number = other136.Number;
-  __isset = other136.__isset;
+OperationFields::OperationFields(const OperationFields& other152) noexcept {
+  DigestHigh = other152.DigestHigh;
+  DigestLow = other152.DigestLow;
+  TextDigest = other152.TextDigest;
+  Number = other152.Number;
+  __isset = other152.__isset;
 }
-OperationFields::OperationFields(OperationFields&& other137) noexcept {
-  DigestHigh = other137.DigestHigh;
-  DigestLow = other137.DigestLow;
-  TextDigest = other137.TextDigest;
-  Number = other137.Number;
-  __isset = other137.__isset;
-}
-OperationFields& OperationFields::operator=(const OperationFields& other138) noexcept {
-  DigestHigh = other138.DigestHigh;
-  DigestLow = other138.DigestLow;
-  TextDigest = other138.TextDigest;
-  Number = other138.Number;
-  __isset = other138.__isset;
+OperationFields::OperationFields(OperationFields&& other153) noexcept {
+  DigestHigh = other153.DigestHigh;
+  DigestLow = other153.DigestLow;
+  TextDigest = other153.TextDigest;
+  Number = other153.Number;
+  __isset = other153.__isset;
+}
+OperationFields& OperationFields::operator=(const OperationFields& other154) noexcept {
+  DigestHigh = other154.DigestHigh;
+  DigestLow = other154.DigestLow;
+  TextDigest = other154.TextDigest;
+  Number = other154.Number;
+  __isset = other154.__isset;
   return *this;
 }
-OperationFields& OperationFields::operator=(OperationFields&& other139) noexcept {
-  DigestHigh = other139.DigestHigh;
-  DigestLow = other139.DigestLow;
-  TextDigest = other139.TextDigest;
-  Number = other139.Number;
-  __isset = other139.__isset;
+OperationFields& OperationFields::operator=(OperationFields&& other155) noexcept {
+  DigestHigh = other155.DigestHigh;
+  DigestLow = other155.DigestLow;
+  TextDigest = other155.TextDigest;
+  Number = other155.Number;
+  __isset = other155.__isset;
   return *this;
 }
 void OperationFields::printTo(std::ostream& out) const {
@@ -5443,14 +5676,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Ended.clear();
-            uint32_t _size140;
-            ::apache::thrift::protocol::TType _etype143;
-            xfer += iprot->readListBegin(_etype143, _size140);
-            this->Ended.resize(_size140);
-            uint32_t _i144;
-            for (_i144 = 0; _i144 < _size140; ++_i144)
+            uint32_t _size156;
+            ::apache::thrift::protocol::TType _etype159;
+            xfer += iprot->readListBegin(_etype159, _size156);
+            this->Ended.resize(_size156);
+            uint32_t _i160;
+            for (_i160 = 0; _i160 < _size156; ++_i160)
             {
-              xfer += this->Ended[_i144].read(iprot);
+              xfer += this->Ended[_i160].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5523,10 +5756,10 @@
   xfer += oprot->writeFieldBegin("Ended", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Ended.size()));
-    std::vector<ClaimAttemptFields> ::const_iterator _iter145;
-    for (_iter145 = this->Ended.begin(); _iter145 != this->Ended.end(); ++_iter145)
+    std::vector<ClaimAttemptFields> ::const_iterator _iter161;
+    for (_iter161 = this->Ended.begin(); _iter161 != this->Ended.end(); ++_iter161)
     {
-      xfer += (*_iter145).write(oprot);
+      xfer += (*_iter161).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5563,54 +5796,54 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimEntryFields::ClaimEntryFields(const ClaimEntryFields& other146) {
-  DigestHigh = other146.DigestHigh;
-  DigestLow = other146.DigestLow;
-  State = other146.State;
-  BodyDigest = other146.BodyDigest;
-  Holder = other146.Holder;
-  Ended = other146.Ended;
-  Answer = other146.Answer;
-  StampMillis = other146.StampMillis;
-  Order = other146.Order;
-  __isset = other146.__isset;
-}
-ClaimEntryFields::ClaimEntryFields(ClaimEntryFields&& other147) noexcept {
-  DigestHigh = other147.DigestHigh;
-  DigestLow = other147.DigestLow;
-  State = other147.State;
-  BodyDigest = other147.BodyDigest;
-  Holder = std::move(other147.Holder);
-  Ended = std::move(other147.Ended);
-  Answer = std::move(other147.Answer);
-  StampMillis = other147.StampMillis;
-  Order = other147.Order;
-  __isset = other147.__isset;
-}
-ClaimEntryFields& ClaimEntryFields::operator=(const ClaimEntryFields& other148) {
-  DigestHigh = other148.DigestHigh;
-  DigestLow = other148.DigestLow;
-  State = other148.State;
-  BodyDigest = other148.BodyDigest;
-  Holder = other148.Holder;
-  Ended = other148.Ended;
-  Answer = other148.Answer;
-  StampMillis = other148.StampMillis;
-  Order = other148.Order;
-  __isset = other148.__isset;
+ClaimEntryFields::ClaimEntryFields(const ClaimEntryFields& other162) {
+  DigestHigh = other162.DigestHigh;
+  DigestLow = other162.DigestLow;
+  State = other162.State;
+  BodyDigest = other162.BodyDigest;
+  Holder = other162.Holder;
+  Ended = other162.Ended;
+  Answer = other162.Answer;
+  StampMillis = other162.StampMillis;
+  Order = other162.Order;
+  __isset = other162.__isset;
+}
+ClaimEntryFields::ClaimEntryFields(ClaimEntryFields&& other163) noexcept {
+  DigestHigh = other163.DigestHigh;
+  DigestLow = other163.DigestLow;
+  State = other163.State;
+  BodyDigest = other163.BodyDigest;
+  Holder = std::move(other163.Holder);
+  Ended = std::move(other163.Ended);
+  Answer = std::move(other163.Answer);
+  StampMillis = other163.StampMillis;
+  Order = other163.Order;
+  __isset = other163.__isset;
+}
+ClaimEntryFields& ClaimEntryFields::operator=(const ClaimEntryFields& other164) {
+  DigestHigh = other164.DigestHigh;
+  DigestLow = other164.DigestLow;
+  State = other164.State;
+  BodyDigest = other164.BodyDigest;
+  Holder = other164.Holder;
+  Ended = other164.Ended;
+  Answer = other164.Answer;
+  StampMillis = other164.StampMillis;
+  Order = other164.Order;
+  __isset = other164.__isset;
   return *this;
 }
-ClaimEntryFields& ClaimEntryFields::operator=(ClaimEntryFields&& other149) noexcept {
-  DigestHigh = other149.DigestHigh;
-  DigestLow = other149.DigestLow;
-  State = other149.State;
-  BodyDigest = other149.BodyDigest;
-  Holder = std::move(other149.Holder);
-  Ended = std::move(other149.Ended);
-  Answer = std::move(other149.Answer);
-  StampMillis = other149.StampMillis;
-  Order = other149.Order;
-  __isset = other149.__isset;
+ClaimEntryFields& ClaimEntryFields::operator=(ClaimEntryFields&& other165) noexcept {
+  DigestHigh = other165.DigestHigh;
+  DigestLow = other165.DigestLow;
+  State = other165.State;
+  BodyDigest = other165.BodyDigest;
+  Holder = std::move(other165.Holder);
+  Ended = std::move(other165.Ended);
+  Answer = std::move(other165.Answer);
+  StampMillis = other165.StampMillis;
+  Order = other165.Order;
+  __isset = other165.__isset;
   return *this;
 }
 void ClaimEntryFields::printTo(std::ostream& out) const {
@@ -5721,26 +5954,26 @@
   swap(a.__isset, b.__isset);
 }
 
-TombstoneBucketFields::TombstoneBucketFields(const TombstoneBucketFields& other150) {
-  Bucket = other150.Bucket;
-  Digests = other150.Digests;
-  __isset = other150.__isset;
+TombstoneBucketFields::TombstoneBucketFields(const TombstoneBucketFields& other166) {
+  Bucket = other166.Bucket;
+  Digests = other166.Digests;
+  __isset = other166.__isset;
 }
-TombstoneBucketFields::TombstoneBucketFields(TombstoneBucketFields&& other151) noexcept {
-  Bucket = other151.Bucket;
-  Digests = std::move(other151.Digests);
-  __isset = other151.__isset;
+TombstoneBucketFields::TombstoneBucketFields(TombstoneBucketFields&& other167) noexcept {
+  Bucket = other167.Bucket;
+  Digests = std::move(other167.Digests);
+  __isset = other167.__isset;
 }
-TombstoneBucketFields& TombstoneBucketFields::operator=(const TombstoneBucketFields& other152) {
-  Bucket = other152.Bucket;
-  Digests = other152.Digests;
-  __isset = other152.__isset;
+TombstoneBucketFields& TombstoneBucketFields::operator=(const TombstoneBucketFields& other168) {
+  Bucket = other168.Bucket;
+  Digests = other168.Digests;
+  __isset = other168.__isset;
   return *this;
 }
-TombstoneBucketFields& TombstoneBucketFields::operator=(TombstoneBucketFields&& other153) noexcept {
-  Bucket = other153.Bucket;
-  Digests = std::move(other153.Digests);
-  __isset = other153.__isset;
+TombstoneBucketFields& TombstoneBucketFields::operator=(TombstoneBucketFields&& other169) noexcept {
+  Bucket = other169.Bucket;
+  Digests = std::move(other169.Digests);
+  __isset = other169.__isset;
   return *this;
 }
 void TombstoneBucketFields::printTo(std::ostream& out) const {
@@ -5844,26 +6077,26 @@
   swap(a.__isset, b.__isset);
 }
 
-HostIncarnationFields::HostIncarnationFields(const HostIncarnationFields& other154) {
-  Host = other154.Host;
-  Incarnation = other154.Incarnation;
-  __isset = other154.__isset;
+HostIncarnationFields::HostIncarnationFields(const HostIncarnationFields& other170) {
+  Host = other170.Host;
+  Incarnation = other170.Incarnation;
+  __isset = other170.__isset;
 }
-HostIncarnationFields::HostIncarnationFields(HostIncarnationFields&& other155) noexcept {
-  Host = std::move(other155.Host);
-  Incarnation = other155.Incarnation;
-  __isset = other155.__isset;
+HostIncarnationFields::HostIncarnationFields(HostIncarnationFields&& other171) noexcept {
+  Host = std::move(other171.Host);
+  Incarnation = other171.Incarnation;
+  __isset = other171.__isset;
 }
-HostIncarnationFields& HostIncarnationFields::operator=(const HostIncarnationFields& other156) {
-  Host = other156.Host;
-  Incarnation = other156.Incarnation;
-  __isset = other156.__isset;
+HostIncarnationFields& HostIncarnationFields::operator=(const HostIncarnationFields& other172) {
+  Host = other172.Host;
+  Incarnation = other172.Incarnation;
+  __isset = other172.__isset;
   return *this;
 }
-HostIncarnationFields& HostIncarnationFields::operator=(HostIncarnationFields&& other157) noexcept {
-  Host = std::move(other157.Host);
-  Incarnation = other157.Incarnation;
-  __isset = other157.__isset;
+HostIncarnationFields& HostIncarnationFields::operator=(HostIncarnationFields&& other173) noexcept {
+  Host = std::move(other173.Host);
+  Incarnation = other173.Incarnation;
+  __isset = other173.__isset;
   return *this;
 }
 void HostIncarnationFields::printTo(std::ostream& out) const {
@@ -5875,6 +6108,171 @@
 }
 
 
+SharedCacheFields::~SharedCacheFields() noexcept {
+}
+
+
+void SharedCacheFields::__set_Since(const int64_t val) {
+  this->Since = val;
+}
+
+void SharedCacheFields::__set_Users(const std::vector<int64_t> & val) {
+  this->Users = val;
+}
+
+void SharedCacheFields::__set_UsedByAnyone(const bool val) {
+  this->UsedByAnyone = val;
+}
+std::ostream& operator<<(std::ostream& out, const SharedCacheFields& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SharedCacheFields::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Since);
+          this->__isset.Since = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Users.clear();
+            uint32_t _size174;
+            ::apache::thrift::protocol::TType _etype177;
+            xfer += iprot->readListBegin(_etype177, _size174);
+            this->Users.resize(_size174);
+            uint32_t _i178;
+            for (_i178 = 0; _i178 < _size174; ++_i178)
+            {
+              xfer += iprot->readI64(this->Users[_i178]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Users = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->UsedByAnyone);
+          this->__isset.UsedByAnyone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SharedCacheFields::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SharedCacheFields");
+
+  xfer += oprot->writeFieldBegin("Since", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->Since);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Users", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->Users.size()));
+    std::vector<int64_t> ::const_iterator _iter179;
+    for (_iter179 = this->Users.begin(); _iter179 != this->Users.end(); ++_iter179)
+    {
+      xfer += oprot->writeI64((*_iter179));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("UsedByAnyone", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->UsedByAnyone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SharedCacheFields &a, SharedCacheFields &b) {
+  using ::std::swap;
+  swap(a.Since, b.Since);
+  swap(a.Users, b.Users);
+  swap(a.UsedByAnyone, b.UsedByAnyone);
+  swap(a.__isset, b.__isset);
+}
+
+SharedCacheFields::SharedCacheFields(const SharedCacheFields& other180) {
+  Since = other180.Since;
+  Users = other180.Users;
+  UsedByAnyone = other180.UsedByAnyone;
+  __isset = other180.__isset;
+}
+SharedCacheFields::SharedCacheFields(SharedCacheFields&& other181) noexcept {
+  Since = other181.Since;
+  Users = std::move(other181.Users);
+  UsedByAnyone = other181.UsedByAnyone;
+  __isset = other181.__isset;
+}
+SharedCacheFields& SharedCacheFields::operator=(const SharedCacheFields& other182) {
+  Since = other182.Since;
+  Users = other182.Users;
+  UsedByAnyone = other182.UsedByAnyone;
+  __isset = other182.__isset;
+  return *this;
+}
+SharedCacheFields& SharedCacheFields::operator=(SharedCacheFields&& other183) noexcept {
+  Since = other183.Since;
+  Users = std::move(other183.Users);
+  UsedByAnyone = other183.UsedByAnyone;
+  __isset = other183.__isset;
+  return *this;
+}
+void SharedCacheFields::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SharedCacheFields(";
+  out << "Since=" << to_string(Since);
+  out << ", " << "Users=" << to_string(Users);
+  out << ", " << "UsedByAnyone=" << to_string(UsedByAnyone);
+  out << ")";
+}
+
+
 RegistrySnapshot::~RegistrySnapshot() noexcept {
 }
 
@@ -5938,6 +6336,11 @@
 void RegistrySnapshot::__set_Leaves(const std::vector<LeaveFields> & val) {
   this->Leaves = val;
 }
+
+void RegistrySnapshot::__set_SharedCache(const SharedCacheFields& val) {
+  this->SharedCache = val;
+__isset.SharedCache = true;
+}
 std::ostream& operator<<(std::ostream& out, const RegistrySnapshot& obj)
 {
   obj.printTo(out);
@@ -5994,14 +6397,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Operations.clear();
-            uint32_t _size158;
-            ::apache::thrift::protocol::TType _etype161;
-            xfer += iprot->readListBegin(_etype161, _size158);
-            this->Operations.resize(_size158);
-            uint32_t _i162;
-            for (_i162 = 0; _i162 < _size158; ++_i162)
+            uint32_t _size184;
+            ::apache::thrift::protocol::TType _etype187;
+            xfer += iprot->readListBegin(_etype187, _size184);
+            this->Operations.resize(_size184);
+            uint32_t _i188;
+            for (_i188 = 0; _i188 < _size184; ++_i188)
             {
-              xfer += this->Operations[_i162].read(iprot);
+              xfer += this->Operations[_i188].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6014,14 +6417,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Claims.clear();
-            uint32_t _size163;
-            ::apache::thrift::protocol::TType _etype166;
-            xfer += iprot->readListBegin(_etype166, _size163);
-            this->Claims.resize(_size163);
-            uint32_t _i167;
-            for (_i167 = 0; _i167 < _size163; ++_i167)
+            uint32_t _size189;
+            ::apache::thrift::protocol::TType _etype192;
+            xfer += iprot->readListBegin(_etype192, _size189);
+            this->Claims.resize(_size189);
+            uint32_t _i193;
+            for (_i193 = 0; _i193 < _size189; ++_i193)
             {
-              xfer += this->Claims[_i167].read(iprot);
+              xfer += this->Claims[_i193].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6034,14 +6437,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Tombstones.clear();
-            uint32_t _size168;
-            ::apache::thrift::protocol::TType _etype171;
-            xfer += iprot->readListBegin(_etype171, _size168);
-            this->Tombstones.resize(_size168);
-            uint32_t _i172;
-            for (_i172 = 0; _i172 < _size168; ++_i172)
+            uint32_t _size194;
+            ::apache::thrift::protocol::TType _etype197;
+            xfer += iprot->readListBegin(_etype197, _size194);
+            this->Tombstones.resize(_size194);
+            uint32_t _i198;
+            for (_i198 = 0; _i198 < _size194; ++_i198)
             {
-              xfer += this->Tombstones[_i172].read(iprot);
+              xfer += this->Tombstones[_i198].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6070,14 +6473,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ClaimingHosts.clear();
-            uint32_t _size173;
-            ::apache::thrift::protocol::TType _etype176;
-            xfer += iprot->readListBegin(_etype176, _size173);
-            this->ClaimingHosts.resize(_size173);
-            uint32_t _i177;
-            for (_i177 = 0; _i177 < _size173; ++_i177)
+            uint32_t _size199;
+            ::apache::thrift::protocol::TType _etype202;
+            xfer += iprot->readListBegin(_etype202, _size199);
+            this->ClaimingHosts.resize(_size199);
+            uint32_t _i203;
+            for (_i203 = 0; _i203 < _size199; ++_i203)
             {
-              xfer += this->ClaimingHosts[_i177].read(iprot);
+              xfer += this->ClaimingHosts[_i203].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6090,14 +6493,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Leases.clear();
-            uint32_t _size178;
-            ::apache::thrift::protocol::TType _etype181;
-            xfer += iprot->readListBegin(_etype181, _size178);
-            this->Leases.resize(_size178);
-            uint32_t _i182;
-            for (_i182 = 0; _i182 < _size178; ++_i182)
+            uint32_t _size204;
+            ::apache::thrift::protocol::TType _etype207;
+            xfer += iprot->readListBegin(_etype207, _size204);
+            this->Leases.resize(_size204);
+            uint32_t _i208;
+            for (_i208 = 0; _i208 < _size204; ++_i208)
             {
-              xfer += this->Leases[_i182].read(iprot);
+              xfer += this->Leases[_i208].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6110,14 +6513,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Loads.clear();
-            uint32_t _size183;
-            ::apache::thrift::protocol::TType _etype186;
-            xfer += iprot->readListBegin(_etype186, _size183);
-            this->Loads.resize(_size183);
-            uint32_t _i187;
-            for (_i187 = 0; _i187 < _size183; ++_i187)
+            uint32_t _size209;
+            ::apache::thrift::protocol::TType _etype212;
+            xfer += iprot->readListBegin(_etype212, _size209);
+            this->Loads.resize(_size209);
+            uint32_t _i213;
+            for (_i213 = 0; _i213 < _size209; ++_i213)
             {
-              xfer += this->Loads[_i187].read(iprot);
+              xfer += this->Loads[_i213].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6146,14 +6549,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->NamedWeights.clear();
-            uint32_t _size188;
-            ::apache::thrift::protocol::TType _etype191;
-            xfer += iprot->readListBegin(_etype191, _size188);
-            this->NamedWeights.resize(_size188);
-            uint32_t _i192;
-            for (_i192 = 0; _i192 < _size188; ++_i192)
+            uint32_t _size214;
+            ::apache::thrift::protocol::TType _etype217;
+            xfer += iprot->readListBegin(_etype217, _size214);
+            this->NamedWeights.resize(_size214);
+            uint32_t _i218;
+            for (_i218 = 0; _i218 < _size214; ++_i218)
             {
-              xfer += this->NamedWeights[_i192].read(iprot);
+              xfer += this->NamedWeights[_i218].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6166,14 +6569,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Leaves.clear();
-            uint32_t _size193;
-            ::apache::thrift::protocol::TType _etype196;
-            xfer += iprot->readListBegin(_etype196, _size193);
-            this->Leaves.resize(_size193);
-            uint32_t _i197;
-            for (_i197 = 0; _i197 < _size193; ++_i197)
+            uint32_t _size219;
+            ::apache::thrift::protocol::TType _etype222;
+            xfer += iprot->readListBegin(_etype222, _size219);
+            this->Leaves.resize(_size219);
+            uint32_t _i223;
+            for (_i223 = 0; _i223 < _size219; ++_i223)
             {
-              xfer += this->Leaves[_i197].read(iprot);
+              xfer += this->Leaves[_i223].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6182,6 +6585,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->SharedCache.read(iprot);
+          this->__isset.SharedCache = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6214,10 +6625,10 @@
   xfer += oprot->writeFieldBegin("Operations", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Operations.size()));
-    std::vector<OperationFields> ::const_iterator _iter198;
-    for (_iter198 = this->Operations.begin(); _iter198 != this->Operations.end(); ++_iter198)
+    std::vector<OperationFields> ::const_iterator _iter224;
+    for (_iter224 = this->Operations.begin(); _iter224 != this->Operations.end(); ++_iter224)
     {
-      xfer += (*_iter198).write(oprot);
+      xfer += (*_iter224).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6226,10 +6637,10 @@
   xfer += oprot->writeFieldBegin("Claims", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Claims.size()));
-    std::vector<ClaimEntryFields> ::const_iterator _iter199;
-    for (_iter199 = this->Claims.begin(); _iter199 != this->Claims.end(); ++_iter199)
+    std::vector<ClaimEntryFields> ::const_iterator _iter225;
+    for (_iter225 = this->Claims.begin(); _iter225 != this->Claims.end(); ++_iter225)
     {
-      xfer += (*_iter199).write(oprot);
+      xfer += (*_iter225).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6238,10 +6649,10 @@
   xfer += oprot->writeFieldBegin("Tombstones", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Tombstones.size()));
-    std::vector<TombstoneBucketFields> ::const_iterator _iter200;
-    for (_iter200 = this->Tombstones.begin(); _iter200 != this->Tombstones.end(); ++_iter200)
+    std::vector<TombstoneBucketFields> ::const_iterator _iter226;
+    for (_iter226 = this->Tombstones.begin(); _iter226 != this->Tombstones.end(); ++_iter226)
     {
-      xfer += (*_iter200).write(oprot);
+      xfer += (*_iter226).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6258,10 +6669,10 @@
   xfer += oprot->writeFieldBegin("ClaimingHosts", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ClaimingHosts.size()));
-    std::vector<HostIncarnationFields> ::const_iterator _iter201;
-    for (_iter201 = this->ClaimingHosts.begin(); _iter201 != this->ClaimingHosts.end(); ++_iter201)
+    std::vector<HostIncarnationFields> ::const_iterator _iter227;
+    for (_iter227 = this->ClaimingHosts.begin(); _iter227 != this->ClaimingHosts.end(); ++_iter227)
     {
-      xfer += (*_iter201).write(oprot);
+      xfer += (*_iter227).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6270,10 +6681,10 @@
   xfer += oprot->writeFieldBegin("Leases", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Leases.size()));
-    std::vector<LeaseFields> ::const_iterator _iter202;
-    for (_iter202 = this->Leases.begin(); _iter202 != this->Leases.end(); ++_iter202)
+    std::vector<LeaseFields> ::const_iterator _iter228;
+    for (_iter228 = this->Leases.begin(); _iter228 != this->Leases.end(); ++_iter228)
     {
-      xfer += (*_iter202).write(oprot);
+      xfer += (*_iter228).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6282,10 +6693,10 @@
   xfer += oprot->writeFieldBegin("Loads", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Loads.size()));
-    std::vector<LoadSlotFields> ::const_iterator _iter203;
-    for (_iter203 = this->Loads.begin(); _iter203 != this->Loads.end(); ++_iter203)
+    std::vector<LoadSlotFields> ::const_iterator _iter229;
+    for (_iter229 = this->Loads.begin(); _iter229 != this->Loads.end(); ++_iter229)
     {
-      xfer += (*_iter203).write(oprot);
+      xfer += (*_iter229).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6302,10 +6713,10 @@
   xfer += oprot->writeFieldBegin("NamedWeights", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->NamedWeights.size()));
-    std::vector<NamedWeightsFields> ::const_iterator _iter204;
-    for (_iter204 = this->NamedWeights.begin(); _iter204 != this->NamedWeights.end(); ++_iter204)
+    std::vector<NamedWeightsFields> ::const_iterator _iter230;
+    for (_iter230 = this->NamedWeights.begin(); _iter230 != this->NamedWeights.end(); ++_iter230)
     {
-      xfer += (*_iter204).write(oprot);
+      xfer += (*_iter230).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6314,15 +6725,20 @@
   xfer += oprot->writeFieldBegin("Leaves", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Leaves.size()));
-    std::vector<LeaveFields> ::const_iterator _iter205;
-    for (_iter205 = this->Leaves.begin(); _iter205 != this->Leaves.end(); ++_iter205)
+    std::vector<LeaveFields> ::const_iterator _iter231;
+    for (_iter231 = this->Leaves.begin(); _iter231 != this->Leaves.end(); ++_iter231)
     {
-      xfer += (*_iter205).write(oprot);
+      xfer += (*_iter231).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.SharedCache) {
+    xfer += oprot->writeFieldBegin("SharedCache", ::apache::thrift::protocol::T_STRUCT, 16);
+    xfer += this->SharedCache.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6345,81 +6761,86 @@
   swap(a.LoadSequence, b.LoadSequence);
   swap(a.NamedWeights, b.NamedWeights);
   swap(a.Leaves, b.Leaves);
+  swap(a.SharedCache, b.SharedCache);
   swap(a.__isset, b.__isset);
 }
 
-RegistrySnapshot::RegistrySnapshot(const RegistrySnapshot& other206) {
-  FormatVersion = other206.FormatVersion;
-  AppliedIndex = other206.AppliedIndex;
-  Description = other206.Description;
-  Operations = other206.Operations;
-  Claims = other206.Claims;
-  Tombstones = other206.Tombstones;
-  LowWaterMillis = other206.LowWaterMillis;
-  NextOrder = other206.NextOrder;
-  ClaimingHosts = other206.ClaimingHosts;
-  Leases = other206.Leases;
-  Loads = other206.Loads;
-  LoadFencing = other206.LoadFencing;
-  LoadSequence = other206.LoadSequence;
-  NamedWeights = other206.NamedWeights;
-  Leaves = other206.Leaves;
-  __isset = other206.__isset;
-}
-RegistrySnapshot::RegistrySnapshot(RegistrySnapshot&& other207) noexcept {
-  FormatVersion = other207.FormatVersion;
-  AppliedIndex = other207.AppliedIndex;
-  Description = std::move(other207.Description);
-  Operations = std::move(other207.Operations);
-  Claims = std::move(other207.Claims);
-  Tombstones = std::move(other207.Tombstones);
-  LowWaterMillis = other207.LowWaterMillis;
-  NextOrder = other207.NextOrder;
-  ClaimingHosts = std::move(other207.ClaimingHosts);
-  Leases = std::move(other207.Leases);
-  Loads = std::move(other207.Loads);
-  LoadFencing = other207.LoadFencing;
-  LoadSequence = other207.LoadSequence;
-  NamedWeights = std::move(other207.NamedWeights);
-  Leaves = std::move(other207.Leaves);
-  __isset = other207.__isset;
-}
-RegistrySnapshot& RegistrySnapshot::operator=(const RegistrySnapshot& other208) {
-  FormatVersion = other208.FormatVersion;
-  AppliedIndex = other208.AppliedIndex;
-  Description = other208.Description;
-  Operations = other208.Operations;
-  Claims = other208.Claims;
-  Tombstones = other208.Tombstones;
-  LowWaterMillis = other208.LowWaterMillis;
-  NextOrder = other208.NextOrder;
-  ClaimingHosts = other208.ClaimingHosts;
-  Leases = other208.Leases;
-  Loads = other208.Loads;
-  LoadFencing = other208.LoadFencing;
-  LoadSequence = other208.LoadSequence;
-  NamedWeights = other208.NamedWeights;
-  Leaves = other208.Leaves;
-  __isset = other208.__isset;
+RegistrySnapshot::RegistrySnapshot(const RegistrySnapshot& other232) {
+  FormatVersion = other232.FormatVersion;
+  AppliedIndex = other232.AppliedIndex;
+  Description = other232.Description;
+  Operations = other232.Operations;
+  Claims = other232.Claims;
+  Tombstones = other232.Tombstones;
+  LowWaterMillis = other232.LowWaterMillis;
+  NextOrder = other232.NextOrder;
+  ClaimingHosts = other232.ClaimingHosts;
+  Leases = other232.Leases;
+  Loads = other232.Loads;
+  LoadFencing = other232.LoadFencing;
+  LoadSequence = other232.LoadSequence;
+  NamedWeights = other232.NamedWeights;
+  Leaves = other232.Leaves;
+  SharedCache = other232.SharedCache;
+  __isset = other232.__isset;
+}
+RegistrySnapshot::RegistrySnapshot(RegistrySnapshot&& other233) noexcept {
+  FormatVersion = other233.FormatVersion;
+  AppliedIndex = other233.AppliedIndex;
+  Description = std::move(other233.Description);
+  Operations = std::move(other233.Operations);
+  Claims = std::move(other233.Claims);
+  Tombstones = std::move(other233.Tombstones);
+  LowWaterMillis = other233.LowWaterMillis;
+  NextOrder = other233.NextOrder;
+  ClaimingHosts = std::move(other233.ClaimingHosts);
+  Leases = std::move(other233.Leases);
+  Loads = std::move(other233.Loads);
+  LoadFencing = other233.LoadFencing;
+  LoadSequence = other233.LoadSequence;
+  NamedWeights = std::move(other233.NamedWeights);
+  Leaves = std::move(other233.Leaves);
+  SharedCache = std::move(other233.SharedCache);
+  __isset = other233.__isset;
+}
+RegistrySnapshot& RegistrySnapshot::operator=(const RegistrySnapshot& other234) {
+  FormatVersion = other234.FormatVersion;
+  AppliedIndex = other234.AppliedIndex;
+  Description = other234.Description;
+  Operations = other234.Operations;
+  Claims = other234.Claims;
+  Tombstones = other234.Tombstones;
+  LowWaterMillis = other234.LowWaterMillis;
+  NextOrder = other234.NextOrder;
+  ClaimingHosts = other234.ClaimingHosts;
+  Leases = other234.Leases;
+  Loads = other234.Loads;
+  LoadFencing = other234.LoadFencing;
+  LoadSequence = other234.LoadSequence;
+  NamedWeights = other234.NamedWeights;
+  Leaves = other234.Leaves;
+  SharedCache = other234.SharedCache;
+  __isset = other234.__isset;
   return *this;
 }
-RegistrySnapshot& RegistrySnapshot::operator=(RegistrySnapshot&& other209) noexcept {
-  FormatVersion = other209.FormatVersion;
-  AppliedIndex = other209.AppliedIndex;
-  Description = std::move(other209.Description);
-  Operations = std::move(other209.Operations);
-  Claims = std::move(other209.Claims);
-  Tombstones = std::move(other209.Tombstones);
-  LowWaterMillis = other209.LowWaterMillis;
-  NextOrder = other209.NextOrder;
-  ClaimingHosts = std::move(other209.ClaimingHosts);
-  Leases = std::move(other209.Leases);
-  Loads = std::move(other209.Loads);
-  LoadFencing = other209.LoadFencing;
-  LoadSequence = other209.LoadSequence;
-  NamedWeights = std::move(other209.NamedWeights);
-  Leaves = std::move(other209.Leaves);
-  __isset = other209.__isset;
+RegistrySnapshot& RegistrySnapshot::operator=(RegistrySnapshot&& other235) noexcept {
+  FormatVersion = other235.FormatVersion;
+  AppliedIndex = other235.AppliedIndex;
+  Description = std::move(other235.Description);
+  Operations = std::move(other235.Operations);
+  Claims = std::move(other235.Claims);
+  Tombstones = std::move(other235.Tombstones);
+  LowWaterMillis = other235.LowWaterMillis;
+  NextOrder = other235.NextOrder;
+  ClaimingHosts = std::move(other235.ClaimingHosts);
+  Leases = std::move(other235.Leases);
+  Loads = std::move(other235.Loads);
+  LoadFencing = other235.LoadFencing;
+  LoadSequence = other235.LoadSequence;
+  NamedWeights = std::move(other235.NamedWeights);
+  Leaves = std::move(other235.Leaves);
+  SharedCache = std::move(other235.SharedCache);
+  __isset = other235.__isset;
   return *this;
 }
 void RegistrySnapshot::printTo(std::ostream& out) const {
@@ -6440,6 +6861,7 @@
   out << ", " << "LoadSequence=" << to_string(LoadSequence);
   out << ", " << "NamedWeights=" << to_string(NamedWeights);
   out << ", " << "Leaves=" << to_string(Leaves);
+  out << ", " << "SharedCache="; (__isset.SharedCache ? (out << to_string(SharedCache)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Libraries/LibWire/Generated/Registry_types.h
+++ b/Libraries/LibWire/Generated/Registry_types.h
@@ -118,6 +118,8 @@
 
 class ChangeCommand;
 
+class CacheSharingFields;
+
 class ReplaceCommand;
 
 class NameWeightsCommand;
@@ -180,6 +182,8 @@
 
 class HostIncarnationFields;
 
+class SharedCacheFields;
+
 class RegistrySnapshot;
 
 typedef struct _ClaimKeyFields__isset {
@@ -418,10 +422,68 @@
 
 std::ostream& operator<<(std::ostream& out, const ChangeCommand& obj);
 
+typedef struct _CacheSharingFields__isset {
+  _CacheSharingFields__isset() : Sharing(false), Isolated(false), OpenToAll(false) {}
+  bool Sharing :1;
+  bool Isolated :1;
+  bool OpenToAll :1;
+} _CacheSharingFields__isset;
+
+class CacheSharingFields : public virtual ::apache::thrift::TBase {
+ public:
+
+  CacheSharingFields(const CacheSharingFields&);
+  CacheSharingFields(CacheSharingFields&&) noexcept;
+  CacheSharingFields& operator=(const CacheSharingFields&);
+  CacheSharingFields& operator=(CacheSharingFields&&) noexcept;
+  CacheSharingFields() noexcept
+                     : OpenToAll(0) {
+  }
+
+  virtual ~CacheSharingFields() noexcept;
+  std::vector<int64_t>  Sharing;
+  std::vector<int64_t>  Isolated;
+  bool OpenToAll;
+
+  _CacheSharingFields__isset __isset;
+
+  void __set_Sharing(const std::vector<int64_t> & val);
+
+  void __set_Isolated(const std::vector<int64_t> & val);
+
+  void __set_OpenToAll(const bool val);
+
+  bool operator == (const CacheSharingFields & rhs) const
+  {
+    if (!(Sharing == rhs.Sharing))
+      return false;
+    if (!(Isolated == rhs.Isolated))
+      return false;
+    if (!(OpenToAll == rhs.OpenToAll))
+      return false;
+    return true;
+  }
+  bool operator != (const CacheSharingFields &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CacheSharingFields & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CacheSharingFields &a, CacheSharingFields &b);
+
+std::ostream& operator<<(std::ostream& out, const CacheSharingFields& obj);
+
 typedef struct _ReplaceCommand__isset {
-  _ReplaceCommand__isset() : Number(false), Text(false) {}
+  _ReplaceCommand__isset() : Number(false), Text(false), Sharing(false) {}
   bool Number :1;
   bool Text :1;
+  bool Sharing :1;
 } _ReplaceCommand__isset;
 
 class ReplaceCommand : public virtual ::apache::thrift::TBase {
@@ -439,6 +501,7 @@
   virtual ~ReplaceCommand() noexcept;
   int64_t Number;
   std::string Text;
+  CacheSharingFields Sharing;
 
   _ReplaceCommand__isset __isset;
 
@@ -446,12 +509,18 @@
 
   void __set_Text(const std::string& val);
 
+  void __set_Sharing(const CacheSharingFields& val);
+
   bool operator == (const ReplaceCommand & rhs) const
   {
     if (!(Number == rhs.Number))
       return false;
     if (!(Text == rhs.Text))
       return false;
+    if (__isset.Sharing != rhs.__isset.Sharing)
+      return false;
+    else if (__isset.Sharing && !(Sharing == rhs.Sharing))
+      return false;
     return true;
   }
   bool operator != (const ReplaceCommand &rhs) const {
@@ -1458,10 +1527,11 @@
 std::ostream& operator<<(std::ostream& out, const ClaimReply& obj);
 
 typedef struct _DescriptionFields__isset {
-  _DescriptionFields__isset() : Number(false), Operation(false), Text(false) {}
+  _DescriptionFields__isset() : Number(false), Operation(false), Text(false), SharedCacheSince(false) {}
   bool Number :1;
   bool Operation :1;
   bool Text :1;
+  bool SharedCacheSince :1;
 } _DescriptionFields__isset;
 
 class DescriptionFields : public virtual ::apache::thrift::TBase {
@@ -1474,13 +1544,15 @@
   DescriptionFields() noexcept
                     : Number(0),
                       Operation(),
-                      Text() {
+                      Text(),
+                      SharedCacheSince(0) {
   }
 
   virtual ~DescriptionFields() noexcept;
   int64_t Number;
   std::string Operation;
   std::string Text;
+  int64_t SharedCacheSince;
 
   _DescriptionFields__isset __isset;
 
@@ -1490,6 +1562,8 @@
 
   void __set_Text(const std::string& val);
 
+  void __set_SharedCacheSince(const int64_t val);
+
   bool operator == (const DescriptionFields & rhs) const
   {
     if (!(Number == rhs.Number))
@@ -1498,6 +1572,10 @@
       return false;
     if (!(Text == rhs.Text))
       return false;
+    if (__isset.SharedCacheSince != rhs.__isset.SharedCacheSince)
+      return false;
+    else if (__isset.SharedCacheSince && !(SharedCacheSince == rhs.SharedCacheSince))
+      return false;
     return true;
   }
   bool operator != (const DescriptionFields &rhs) const {
@@ -2438,8 +2516,66 @@
 
 std::ostream& operator<<(std::ostream& out, const HostIncarnationFields& obj);
 
+typedef struct _SharedCacheFields__isset {
+  _SharedCacheFields__isset() : Since(false), Users(false), UsedByAnyone(false) {}
+  bool Since :1;
+  bool Users :1;
+  bool UsedByAnyone :1;
+} _SharedCacheFields__isset;
+
+class SharedCacheFields : public virtual ::apache::thrift::TBase {
+ public:
+
+  SharedCacheFields(const SharedCacheFields&);
+  SharedCacheFields(SharedCacheFields&&) noexcept;
+  SharedCacheFields& operator=(const SharedCacheFields&);
+  SharedCacheFields& operator=(SharedCacheFields&&) noexcept;
+  SharedCacheFields() noexcept
+                    : Since(0),
+                      UsedByAnyone(0) {
+  }
+
+  virtual ~SharedCacheFields() noexcept;
+  int64_t Since;
+  std::vector<int64_t>  Users;
+  bool UsedByAnyone;
+
+  _SharedCacheFields__isset __isset;
+
+  void __set_Since(const int64_t val);
+
+  void __set_Users(const std::vector<int64_t> & val);
+
+  void __set_UsedByAnyone(const bool val);
+
+  bool operator == (const SharedCacheFields & rhs) const
+  {
+    if (!(Since == rhs.Since))
+      return false;
+    if (!(Users == rhs.Users))
+      return false;
+    if (!(UsedByAnyone == rhs.UsedByAnyone))
+      return false;
+    return true;
+  }
+  bool operator != (const SharedCacheFields &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SharedCacheFields & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SharedCacheFields &a, SharedCacheFields &b);
+
+std::ostream& operator<<(std::ostream& out, const SharedCacheFields& obj);
+
 typedef struct _RegistrySnapshot__isset {
-  _RegistrySnapshot__isset() : FormatVersion(false), AppliedIndex(false), Description(false), Operations(false), Claims(false), Tombstones(false), LowWaterMillis(false), NextOrder(false), ClaimingHosts(false), Leases(false), Loads(false), LoadFencing(false), LoadSequence(false), NamedWeights(false), Leaves(false) {}
+  _RegistrySnapshot__isset() : FormatVersion(false), AppliedIndex(false), Description(false), Operations(false), Claims(false), Tombstones(false), LowWaterMillis(false), NextOrder(false), ClaimingHosts(false), Leases(false), Loads(false), LoadFencing(false), LoadSequence(false), NamedWeights(false), Leaves(false), SharedCache(false) {}
   bool FormatVersion :1;
   bool AppliedIndex :1;
   bool Description :1;
@@ -2455,6 +2591,7 @@
   bool LoadSequence :1;
   bool NamedWeights :1;
   bool Leaves :1;
+  bool SharedCache :1;
 } _RegistrySnapshot__isset;
 
 class RegistrySnapshot : public virtual ::apache::thrift::TBase {
@@ -2489,6 +2626,7 @@
   int64_t LoadSequence;
   std::vector<NamedWeightsFields>  NamedWeights;
   std::vector<LeaveFields>  Leaves;
+  SharedCacheFields SharedCache;
 
   _RegistrySnapshot__isset __isset;
 
@@ -2522,6 +2660,8 @@
 
   void __set_Leaves(const std::vector<LeaveFields> & val);
 
+  void __set_SharedCache(const SharedCacheFields& val);
+
   bool operator == (const RegistrySnapshot & rhs) const
   {
     if (!(FormatVersion == rhs.FormatVersion))
@@ -2554,6 +2694,10 @@
       return false;
     if (!(Leaves == rhs.Leaves))
       return false;
+    if (__isset.SharedCache != rhs.__isset.SharedCache)
+      return false;
+    else if (__isset.SharedCache && !(SharedCache == rhs.SharedCache))
+      return false;
     return true;
   }
   bool operator != (const RegistrySnapshot &rhs) const {
--- a/Libraries/LibWire/Idl/Host.thrift
+++ b/Libraries/LibWire/Idl/Host.thrift
@@ -23,6 +23,9 @@
   4: optional binary Piece
   5: optional i32 Offset
   6: optional i32 PackedBytes
+  // Number of the description with which the cache that workspaces share began. In a
+  // message of pieces it comes with the first one.
+  7: optional i64 SharedCacheSince
 }
 
 // What a host with a disk remembers across restarts.
--- a/Libraries/LibWire/Idl/Registry.thrift
+++ b/Libraries/LibWire/Idl/Registry.thrift
@@ -26,10 +26,19 @@
   3: binary Text
 }
 
+// Which workspaces of a description share a cache, as digests of their ids.
+struct CacheSharingFields {
+  1: list<i64> Sharing
+  2: list<i64> Isolated
+  3: bool OpenToAll
+}
+
 // Puts a description in force whose number its author chose.
 struct ReplaceCommand {
   1: i64 Number
   2: binary Text
+  // Absent in commands of older hosts.
+  3: optional CacheSharingFields Sharing
 }
 
 // Names the weights that the engines of a model are to have.
@@ -167,6 +176,8 @@
   1: i64 Number
   2: string Operation
   3: binary Text
+  // Number of the description with which the cache that workspaces share began.
+  4: optional i64 SharedCacheSince
 }
 
 struct ChangeReply {
@@ -297,6 +308,13 @@
   2: i64 Incarnation
 }
 
+// The cache that workspaces share, and the digests of those that may have used it.
+struct SharedCacheFields {
+  1: i64 Since
+  2: list<i64> Users
+  3: bool UsedByAnyone
+}
+
 struct RegistrySnapshot {
   1: i32 FormatVersion
   2: i64 AppliedIndex
@@ -315,4 +333,6 @@
   14: list<NamedWeightsFields> NamedWeights
   // In the order of their numbers.
   15: list<LeaveFields> Leaves
+  // Absent if it is not recorded.
+  16: optional SharedCacheFields SharedCache
 }
--- a/Services/ferryd/ControlPlane.cpp
+++ b/Services/ferryd/ControlPlane.cpp
@@ -459,6 +459,8 @@
   Copy.Number = static_cast<int64_t>(Accepted.Number.Value);
   Copy.Operation = Accepted.Operation;
   Copy.Text = Accepted.Text;
+  Copy.__set_SharedCacheSince(
+      static_cast<int64_t>(Accepted.SharedCacheSince.Value));
   applyDescription(Copy);
 }
 
@@ -478,6 +480,7 @@
                     {{"number", Copy.Number},
                      {"operation", Copy.Operation},
                      {"bytes", Copy.Text.size()},
+                     {"shared_cache_since", Copy.SharedCacheSince},
                      {"heard_ms", HeardMillis},
                      {"fetches", FetchesOfNewer}});
   NewerHeardAt.reset();
--- a/Services/ferryd/ControlPlanePort.cpp
+++ b/Services/ferryd/ControlPlanePort.cpp
@@ -44,12 +44,11 @@
       change(Request, Done);
     });
   };
-  Port.Replace = [this](DescriptionNumber Number, std::string Text,
-                        Timestamp Deadline, auto Done) {
-    Loop.post([this, Number, Text = std::move(Text), Deadline,
+  Port.Replace = [this](ReplaceDescription Replacement, Timestamp Deadline,
+                        auto Done) {
+    Loop.post([this, Replacement = std::move(Replacement), Deadline,
                Done = std::move(Done)] {
-      Gateway->submitFor<ChangeOutcome>(ReplaceDescription{Number, Text},
-                                        Deadline, Done);
+      Gateway->submitFor<ChangeOutcome>(Replacement, Deadline, Done);
     });
   };
   Port.NameWeights = [this](ModelId Model, WeightsVersion Weights,
--- a/Services/ferryd/DescriptionHolder.cpp
+++ b/Services/ferryd/DescriptionHolder.cpp
@@ -29,6 +29,10 @@
   return {static_cast<uint64_t>(InForce.Number)};
 }
 
+DescriptionNumber DescriptionHolder::sharedCacheSince() const {
+  return {static_cast<uint64_t>(InForce.SharedCacheSince)};
+}
+
 const std::string &DescriptionHolder::packedText() {
   if (PackedText.empty())
     PackedText = wire::packText(InForce.Text);
--- a/Services/ferryd/DescriptionHolder.h
+++ b/Services/ferryd/DescriptionHolder.h
@@ -55,6 +55,9 @@
   DescriptionNumber number() const;
   /// \returns the copy in force; number 0 before the first.
   const wire::DescriptionCopy &copy() const { return InForce; }
+  /// \returns the number of the description with which the cache that
+  /// workspaces share began; 0 if it is not known.
+  DescriptionNumber sharedCacheSince() const;
   /// \returns the text in force, packed for other hosts.
   const std::string &packedText();
   /// nullptr before the first description, and for the routed interface.
--- a/Services/ferryd/ViewBuilder.cpp
+++ b/Services/ferryd/ViewBuilder.cpp
@@ -25,6 +25,7 @@
   View->Description =
       Inputs.WantedWeights ? Inputs.WantedWeights : Inputs.Holder.description();
   View->Routes = Inputs.Holder.routes();
+  View->SharedCacheSince = Inputs.Holder.sharedCacheSince();
   View->ConfirmedUntil = Inputs.ConfirmedUntil;
   View->OwnStanding = Inputs.OwnStanding;
   // Readers check ConfirmedUntil at each use instead.
--- a/Tests/Support/RoutedCluster.cpp
+++ b/Tests/Support/RoutedCluster.cpp
@@ -124,6 +124,10 @@
                      R"(],"services":[{"name":"app"},{"name":"lm","engine":)"
                      R"({"slots":4,"kv_capacity":1000,"kv_token_bytes":1,)"
                      R"("link_mbps":1,"models":[{"name":"m0"}]}}]})";
+  return putDescription(Host, Text);
+}
+
+Answer RoutedCluster::putDescription(int Host, const std::string &Text) {
   return request(control(Host), "PUT", "/config", Text, {}, CallTimeoutMillis);
 }
 
--- a/Tests/Support/RoutedCluster.h
+++ b/Tests/Support/RoutedCluster.h
@@ -74,6 +74,8 @@
   /// not.
   /// \param Extra how many further routes there are.
   Answer putRoutes(int Host, int Number, int Extra = 0);
+  /// Sends a whole description.
+  Answer putDescription(int Host, const std::string &Text);
   /// Sends routes to control hosts 1 to 4 until one accepts them.
   /// \returns whether one did.
   bool putRoutesAnywhere(int Number);
--- a/Tests/platform/TestControlApi.cpp
+++ b/Tests/platform/TestControlApi.cpp
@@ -33,10 +33,11 @@
         return;
       Done(Acknowledgement);
     };
-    Port.Replace = [this](DescriptionNumber Number, std::string Text, Timestamp,
+    Port.Replace = [this](ReplaceDescription Replacement, Timestamp,
                           auto Done) {
-      Numbers.push_back(Number.Value);
-      Texts.push_back(Text);
+      Numbers.push_back(Replacement.Number.Value);
+      Texts.push_back(Replacement.Text);
+      Sharings.push_back(Replacement.Sharing);
       if (!Busy)
         Done(ReplaceReply);
     };
@@ -72,6 +73,7 @@
   std::vector<TargetRecord> Announced;
   std::vector<uint64_t> Numbers;
   std::vector<std::string> Texts;
+  std::vector<std::optional<CacheSharing>> Sharings;
   std::vector<WeightsNamed> NamedWeights;
   std::unique_ptr<ControlApi> Api;
 };
@@ -147,6 +149,22 @@
   BOOST_REQUIRE(Numbers.size() == 1U);
   BOOST_TEST(Numbers.front() == 7U);
   BOOST_TEST(Texts.front() == Routes);
+  // Without a list of workspaces, anyone shares the cache.
+  BOOST_TEST((Sharings.front() == CacheSharing{{}, {}, true}));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_description_says_which_workspaces_share_a_cache,
+                        ControlApiFixture) {
+  std::string Text = Routes;
+  Text.insert(Text.size() - 1,
+              R"(,"tenants":[{"name":"t1","api_keys":["k1"]},)"
+              R"({"name":"t2","api_keys":["k2"],"isolated":true}]})");
+  Text.pop_back();
+  BOOST_TEST(ask("PUT", "/config", Text).Status == 200);
+  BOOST_REQUIRE(Sharings.size() == 1U);
+  BOOST_TEST((Sharings.front() == CacheSharing{{digestOf(WorkspaceId{"t1"})},
+                                               {digestOf(WorkspaceId{"t2"})},
+                                               false}));
 }
 
 // A number that is not greater than the one in force is always acknowledged.
