LibTraffic: Log what is known of the end of a connection that ends an answer

Behind the end of an answer with neither a length nor chunks the router now waits 10 ms, looks whether the request was sent whole, whether a reset came behind the end, and whether the target still accepts connections. `answered` and `attempt_failed` have the result as connection_end, and ferry_connection_ends_total counts it. Nothing is decided by it yet.

--- a/Libraries/LibTraffic/ConnectionWatch.cpp
+++ b/Libraries/LibTraffic/ConnectionWatch.cpp
@@ -48,6 +48,12 @@
   return Awaited.size();
 }
 
+bool ConnectionWatch::wasEnded(Id Connection) {
+  std::lock_guard Lock(Mutex);
+  auto Watched = Connections.find(Connection);
+  return Watched != Connections.end() && Watched->second.Ended;
+}
+
 void ConnectionWatch::remove(Id Connection) {
   std::lock_guard Lock(Mutex);
   Connections.erase(Connection);
@@ -61,6 +67,7 @@
 }
 
 void ConnectionWatch::end(Entry &Watched) {
+  Watched.Ended = true;
   try {
     Watched.Socket.shutdown();
   } catch (const Poco::Exception &) {
--- a/Libraries/LibTraffic/ConnectionWatch.h
+++ b/Libraries/LibTraffic/ConnectionWatch.h
@@ -28,6 +28,8 @@
   /// \p Before or longer, the longest first.
   /// \returns their number, at most \p Count.
   size_t endAwaited(size_t Count, Timestamp Before);
+  /// \returns whether the connection was ended by its deadline or by endAll().
+  bool wasEnded(Id Connection);
   /// Removes a connection that its thread has finished with.
   void remove(Id Connection);
   /// Ends the connections whose deadline is not after \p Now.
@@ -40,6 +42,7 @@
     Poco::Net::StreamSocket Socket;
     Timestamp Deadline;
     Timestamp AwaitedSince = NeverExpires;
+    bool Ended = false;
   };
 
   static void end(Entry &Watched);
@@ -57,6 +60,7 @@
                     const Poco::Net::StreamSocket &Socket)
       : Watch(Watch), Connection(Watch.add(Socket, NeverExpires)) {}
   ~WatchedConnection() { Watch.remove(Connection); }
+  bool wasEnded() const { return Watch.wasEnded(Connection); }
   WatchedConnection(const WatchedConnection &) = delete;
   WatchedConnection &operator=(const WatchedConnection &) = delete;
 
--- a/Libraries/LibTraffic/RoutedContext.cpp
+++ b/Libraries/LibTraffic/RoutedContext.cpp
@@ -200,6 +200,11 @@
                             "Answers that targets broke off, by how far they "
                             "had come",
                             {"progress"}})),
+      ConnectionEnds(
+          Metrics.counters({"ferry_connection_ends_total",
+                            "Ends of connections that ended an answer, by what "
+                            "is known of them",
+                            {"end"}})),
       CallersLeft(Metrics.counter("ferry_callers_left_total",
                                   "Callers that left before their answer")),
       TargetsLeaving(
--- a/Libraries/LibTraffic/RoutedContext.h
+++ b/Libraries/LibTraffic/RoutedContext.h
@@ -95,6 +95,7 @@
   observe::Counter &StreamsCut;
   observe::Family<observe::Counter> &EndsInsideEvent;
   observe::Family<observe::Counter> &BrokenAnswers;
+  observe::Family<observe::Counter> &ConnectionEnds;
   observe::Counter &CallersLeft;
   observe::Counter &TargetsLeaving;
   observe::Counter &TargetPauses;
--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -229,6 +229,7 @@
     logPlaced(std::get<PlacedCall>(Decision));
     NextStep Step = attempt(std::get<PlacedCall>(Decision));
     AtTarget.reset();
+    Watched.reset();
     if (Step == NextStep::Done)
       return;
     MayHaveRun = StreamStarted || PossibleRuns > 0;
@@ -290,6 +291,7 @@
 
 RoutedRelay::NextStep RoutedRelay::attempt(const PlacedCall &Destination) {
   Framing.reset();
+  EndOfConnection.reset();
   FirstEventAt.reset();
   UnfinishedBytes = 0;
   // What was read of the answer before is gone, except for a whole failure.
@@ -300,7 +302,7 @@
   Timestamp ConnectedAt = steadyNow();
   Context.Reach.noteConnected(ConnectedAt);
   TargetExchange &Target = **Connected;
-  WatchedConnection Watched(Context.CallsInProgress, Target.socket());
+  Watched.emplace(Context.CallsInProgress, Target.socket());
   AtTarget.emplace(Context.AtTargets, Destination, Target.socket());
   bool MayHaveRun = StreamStarted || PossibleRuns > 0;
   // Other answers and routers may have told more since the placement, and the
@@ -410,6 +412,7 @@
   auto Answer =
       Target.tryReadWhole(RoutedContext::MaxWholeAnswerBytes, limits(),
                           [this](uint64_t Bytes) { return mayHold(Bytes); });
+  noteEnd(Target);
   if (!Answer)
     return recordFailure(Destination, Answer.error(), /*Sent=*/true);
   if (wasCutShort(Target))
@@ -458,6 +461,9 @@
       return handleStreamFailure(Destination,
                                  {LinkErrorKind::CallerGone, "write"});
   }
+  if (Target.framing() == FramingKind::Connection)
+    (void)Target.tryExamineEnd(limits());
+  noteEnd(Target);
   if (wasCutShort(Target))
     return handleStreamFailure(Destination, targetReplaced());
   // No framing shows this: a target may end its answer in order where its work
@@ -667,6 +673,7 @@
        {"targets_tried", Call.Tried.size()},
        {"reason", Failed ? LastFailure.Detail : std::string()},
        {"framing", framingName()},
+       {"connection_end", endName()},
        {"unfinished_bytes", UnfinishedBytes},
        {"prompt_tokens", Call.PromptTokens},
        {"shared_parts", Attempts == 0 ? partsText(SharedParts) : std::string()},
--- a/Libraries/LibTraffic/RoutedRelay.h
+++ b/Libraries/LibTraffic/RoutedRelay.h
@@ -136,6 +136,10 @@
   /// \returns the request's id for log lines.
   std::string digestText();
   /// \returns the framing of the newest answer for log lines.
+  /// Notes how the connection ended, if that ended the answer.
+  void noteEnd(const TargetExchange &Target);
+  /// \returns the name of EndOfConnection, or "".
+  std::string_view endName() const;
   std::string_view framingName() const;
   /// \returns how far the target has come with the newest answer.
   routing::AnswerProgress answerProgress() const;
@@ -182,6 +186,10 @@
   std::optional<FramingKind> Framing;
   /// The request at the target of the current attempt, once it is connected.
   std::optional<TargetCallEntry> AtTarget;
+  /// Its connection.
+  std::optional<WatchedConnection> Watched;
+  /// How the connection ended that ended the newest answer of a target.
+  std::optional<ConnectionEnd> EndOfConnection;
   /// When the request was sent to the target of the current attempt.
   Timestamp SentAt;
   /// When the first event of the newest answer came; nothing before that.
--- a/Libraries/LibTraffic/RoutedRelayFailures.cpp
+++ b/Libraries/LibTraffic/RoutedRelayFailures.cpp
@@ -35,6 +35,7 @@
        {"reason", Failure.message()},
        {"may_have_run", Sent},
        {"framing", framingName()},
+       {"connection_end", endName()},
        {"progress", answerProgress()},
        {"unfinished_bytes", UnfinishedBytes},
        {"digest", Sent ? digestText() : std::string()},
@@ -126,6 +127,20 @@
   return partsText({requestIdOf(Digest->Whole)});
 }
 
+void RoutedRelay::noteEnd(const TargetExchange &Target) {
+  EndOfConnection = Target.connectionEnd();
+  if (EndOfConnection && Watched->wasEnded())
+    EndOfConnection = ConnectionEnd::EndedHere;
+  if (EndOfConnection)
+    Context.Metrics.ConnectionEnds
+        .with({std::string(enumName(*EndOfConnection))})
+        .add();
+}
+
+std::string_view RoutedRelay::endName() const {
+  return EndOfConnection ? enumName(*EndOfConnection) : "";
+}
+
 std::string_view RoutedRelay::framingName() const {
   return Framing ? enumName(*Framing) : "none";
 }
--- a/Libraries/LibTraffic/TargetExchange.cpp
+++ b/Libraries/LibTraffic/TargetExchange.cpp
@@ -36,6 +36,9 @@
 /// Most bytes of all heads of an answer, interim ones included.
 static constexpr size_t MaxHeadBytes = 64 << 10;
 static constexpr int FirstFinalStatus = 200;
+/// Time between the end of a connection and its examination. A kernel closes
+/// the sockets of a process one after the other, and a reset follows an end.
+static constexpr std::chrono::milliseconds EndSettleTime{10};
 
 Timestamp WaitLimits::stallTime(Timestamp Now) const {
   if (StallLimit > Deadline - Now)
@@ -43,14 +46,23 @@
   return Now + StallLimit;
 }
 
-TargetExchange::TargetExchange(Poco::Net::StreamSocket Socket)
-    : Socket(std::move(Socket)) {}
+TargetExchange::TargetExchange(Poco::Net::StreamSocket Socket,
+                               std::string Address)
+    : Socket(std::move(Socket)), Address(std::move(Address)) {}
 
 TargetExchange::~TargetExchange() = default;
 
 LinkResult<std::unique_ptr<TargetExchange>>
 TargetExchange::tryConnect(const std::string &Address,
                            const WaitLimits &Limits) {
+  int SocketFailure = 0;
+  return tryOpen(Address, Limits, SocketFailure);
+}
+
+LinkResult<std::unique_ptr<TargetExchange>>
+TargetExchange::tryOpen(const std::string &Address, const WaitLimits &Limits,
+                        int &SocketFailure) {
+  SocketFailure = 0;
   try {
     Poco::Net::StreamSocket Socket;
     Socket.connectNB(Poco::Net::SocketAddress(Address));
@@ -61,17 +73,19 @@
     Socket.setKeepAlive(true);
     Socket.setOption(IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveSeconds);
     Socket.setOption(IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveSeconds);
-    std::unique_ptr<TargetExchange> Exchange(new TargetExchange(Socket));
+    std::unique_ptr<TargetExchange> Exchange(
+        new TargetExchange(Socket, Address));
     WaitLimits ConnectLimits = Limits;
     ConnectLimits.Deadline =
         std::min(Limits.Deadline, steadyNow() + ConnectLimit);
     auto Ready = Exchange->await(Wait::Writable, ConnectLimits);
     if (!Ready && Ready.error().Kind == LinkErrorKind::CallerGone)
       return makeError(Ready.error());
-    int Failure = Socket.impl()->socketError();
-    if (!Ready || Failure != 0)
+    SocketFailure = Socket.impl()->socketError();
+    if (!Ready || SocketFailure != 0)
       return makeTypedError(LinkErrorKind::ConnectFailed,
-                            Address + ": error " + std::to_string(Failure));
+                            Address + ": error " +
+                                std::to_string(SocketFailure));
     return Exchange;
   } catch (const Poco::Exception &Failure) {
     return makeTypedError(LinkErrorKind::ConnectFailed,
@@ -146,6 +160,7 @@
     if (*Ready == Wait::Readable)
       return {};
   }
+  RequestSent = true;
   return {};
 }
 
@@ -229,18 +244,62 @@
   }
 }
 
-/// Whether \p Body is whole if it ends with its connection. A JSON object or
-/// array shows its own end, and no JSON text is empty; other content has no end
-/// but the orderly close.
-static bool endsWithConnection(const Poco::Net::HTTPResponse &Head,
-                               const HeldBody &Body) {
+bool TargetExchange::wasReset() const {
+  int Descriptor = Socket.impl()->sockfd();
+  int Failure = 0;
+  socklen_t FailureBytes = sizeof Failure;
+  if (::getsockopt(Descriptor, SOL_SOCKET, SO_ERROR, &Failure, &FailureBytes) ==
+          0 &&
+      Failure != 0)
+    return true;
+  // The kernel tells an error once; the state of the connection stays.
+  tcp_info Info{};
+  socklen_t InfoBytes = sizeof Info;
+  return ::getsockopt(Descriptor, IPPROTO_TCP, TCP_INFO, &Info, &InfoBytes) ==
+             0 &&
+         Info.tcpi_state == TCP_CLOSE;
+}
+
+LinkResult<ConnectionEnd>
+TargetExchange::tryExamineEnd(const WaitLimits &Limits) {
+  auto Found = tryFindEnd(Limits);
+  if (Found)
+    End = *Found;
+  return Found;
+}
+
+LinkResult<ConnectionEnd>
+TargetExchange::tryFindEnd(const WaitLimits &Limits) const {
+  if (!RequestSent)
+    return ConnectionEnd::RequestUnsent;
+  pollfd Caller{Limits.CallerDescriptor, POLLRDHUP, 0};
+  if (::poll(&Caller, 1, static_cast<int>(EndSettleTime.count())) > 0)
+    return makeTypedError(LinkErrorKind::CallerGone);
+  if (wasReset())
+    return ConnectionEnd::ResetBehind;
+  int Failure = 0;
+  auto Connected = tryOpen(Address, Limits, Failure);
+  if (!Connected && Connected.error().Kind == LinkErrorKind::CallerGone)
+    return makeError(Connected.error());
+  // Only a process that is there resets a connection that was accepted, as one
+  // too many.
+  if (Connected || Failure == ECONNRESET)
+    return wasReset() ? ConnectionEnd::ResetBehind : ConnectionEnd::Confirmed;
+  if (steadyNow() >= Limits.Deadline)
+    return makeTypedError(LinkErrorKind::DeadlinePassed);
+  return ConnectionEnd::TargetGone;
+}
+
+/// Whether \p Body shows its own end: a JSON object or array does, and no JSON
+/// text is empty. Other content has no end but that of the connection.
+static bool showsOwnEnd(const Poco::Net::HTTPResponse &Head,
+                        const HeldBody &Body) {
   std::string Type = Poco::toLower(Head.getContentType());
   Type.resize(std::min(Type.find(';'), Type.size()));
   Poco::trimRightInPlace(Type);
   bool IsJson = Type == "application/json" || Type.ends_with("+json");
   char Start = Body.firstVisible();
-  bool ShowsEnd = IsJson && (Start == '{' || Start == '[' || Start == '\0');
-  return !ShowsEnd || isWholeJson(Body);
+  return IsJson && (Start == '{' || Start == '[' || Start == '\0');
 }
 
 LinkResult<HeldBody>
@@ -252,8 +311,11 @@
     if (!Piece)
       return makeError(Piece.error());
     if (Piece->empty()) {
-      if (framing() == FramingKind::Connection &&
-          !endsWithConnection(Response, Whole))
+      if (framing() != FramingKind::Connection)
+        return Whole;
+      if (!showsOwnEnd(Response, Whole))
+        (void)tryExamineEnd(Limits);
+      else if (!isWholeJson(Whole))
         return makeTypedError(LinkErrorKind::Incomplete);
       return Whole;
     }
--- a/Libraries/LibTraffic/TargetExchange.h
+++ b/Libraries/LibTraffic/TargetExchange.h
@@ -47,6 +47,14 @@
   tryReadWhole(uint64_t MaxBytes, const WaitLimits &Limits,
                const std::function<bool(uint64_t)> &MayHold);
 
+  /// Finds out what is known of the end of the connection, once it has ended a
+  /// body of FramingKind::Connection.
+  /// \returns CallerGone or DeadlinePassed if there is no time for that.
+  LinkResult<ConnectionEnd> tryExamineEnd(const WaitLimits &Limits);
+  /// \returns what was found out; nothing before, or if the body shows its own
+  /// end.
+  std::optional<ConnectionEnd> connectionEnd() const { return End; }
+
   const Poco::Net::HTTPResponse &head() const { return Response; }
   /// \returns how the body is framed; only once the head was received.
   FramingKind framing() const { return Framing->kind(); }
@@ -57,7 +65,15 @@
   void limitReceiveBuffer(int Bytes);
 
 private:
-  explicit TargetExchange(Poco::Net::StreamSocket Socket);
+  TargetExchange(Poco::Net::StreamSocket Socket, std::string Address);
+  /// \returns the connection, or the error of the socket as ConnectFailed.
+  /// \param SocketFailure set to the error number; 0 if there was no answer.
+  static LinkResult<std::unique_ptr<TargetExchange>>
+  tryOpen(const std::string &Address, const WaitLimits &Limits,
+          int &SocketFailure);
+  /// Whether the kernel has received a reset.
+  bool wasReset() const;
+  LinkResult<ConnectionEnd> tryFindEnd(const WaitLimits &Limits) const;
   enum class Wait : uint8_t { Readable, Writable };
   LinkResult<Wait> await(Wait Event, const WaitLimits &Limits);
   /// \returns the received bytes; "" at the end of the connection.
@@ -65,9 +81,12 @@
   LinkResult<void> tryParseHead(size_t HeadBytes);
 
   Poco::Net::StreamSocket Socket;
+  const std::string Address;
+  bool RequestSent = false;
   Poco::Net::HTTPResponse Response;
   std::string Received;
   std::optional<BodyFraming> Framing;
+  std::optional<ConnectionEnd> End;
 };
 
 } // namespace ferry::traffic
--- a/Libraries/LibTraffic/TargetLink.h
+++ b/Libraries/LibTraffic/TargetLink.h
@@ -33,6 +33,22 @@
   CallerGone
 };
 
+/// What is known of the end of a connection that ends an answer. A kernel
+/// closes the connections of a process that was killed in the same way as the
+/// process itself does behind its answer.
+enum class ConnectionEnd : uint8_t {
+  /// The target has the whole request and still accepts connections.
+  Confirmed,
+  /// This host has ended the connection.
+  EndedHere,
+  /// The target had not read the whole request.
+  RequestUnsent,
+  /// A reset came behind the end.
+  ResetBehind,
+  /// The target accepts no connections any more.
+  TargetGone
+};
+
 using LinkError = TypedError<LinkErrorKind>;
 template <typename ValueType> using LinkResult = Result<ValueType, LinkError>;
 
@@ -55,6 +71,16 @@
 
 namespace ferry {
 
+template <> struct EnumNames<traffic::ConnectionEnd> {
+  using End = traffic::ConnectionEnd;
+  static constexpr EnumName<End> Table[] = {
+      {End::Confirmed, "confirmed"},
+      {End::EndedHere, "ended_here"},
+      {End::RequestUnsent, "request_unsent"},
+      {End::ResetBehind, "reset_behind"},
+      {End::TargetGone, "target_gone"}};
+};
+
 template <> struct EnumNames<traffic::LinkErrorKind> {
   using Kind = traffic::LinkErrorKind;
   static constexpr EnumName<Kind> Table[] = {
