LibTraffic: Do not take the end of a connection that this router ended for the answer's

Cause: the router shuts its connections to targets down then. A wait that began before the signal has the request's own deadline, so that the shutdown ends it, and the end of the connection was taken for that of the answer, where this has neither a length nor chunks. Only the ends that a replaced target causes were looked at.

Fix: the connection's entry in the watch tells whether this router ended it, and the answer is then broken off.

Evidence: TestEndingTargets, the cases with a router that stops: at the commit before, both kinds of streams look whole ("connection_end" empty, answered); now they are cut with the reason ended_here.

--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -415,8 +415,8 @@
   noteEnd(Target);
   if (!Answer)
     return recordFailure(Destination, Answer.error(), /*Sent=*/true);
-  if (wasCutShort(Target))
-    return recordFailure(Destination, targetReplaced(), /*Sent=*/true);
+  if (auto Cut = findCut(Target))
+    return recordFailure(Destination, *Cut, /*Sent=*/true);
   Context.Placements.firstByte(Destination.PlacementId);
   int Status = Target.head().getStatus();
   if (Status >= FirstFailureStatus || meansNotRun(Status)) {
@@ -464,8 +464,8 @@
   if (Target.framing() == FramingKind::Connection)
     (void)Target.tryExamineEnd(limits());
   noteEnd(Target);
-  if (wasCutShort(Target))
-    return handleStreamFailure(Destination, targetReplaced());
+  if (auto Cut = findCut(Target))
+    return handleStreamFailure(Destination, *Cut);
   // No framing shows this: a target may end its answer in order where its work
   // was broken off.
   if (Events.boundary().insideEvent()) {
--- a/Libraries/LibTraffic/RoutedRelay.h
+++ b/Libraries/LibTraffic/RoutedRelay.h
@@ -112,9 +112,9 @@
   /// answer had come for long.
   void noteSuspect(const routing::PlacedCall &Destination, TargetFate Fate);
   static LinkError targetReplaced();
-  /// Whether the end of the connection, which is that of the answer, is the
-  /// work of this router.
-  bool wasCutShort(const TargetExchange &Target) const;
+  /// \returns why the end of the connection, which is that of the answer, is
+  /// the work of this router; nothing if it is not.
+  std::optional<LinkError> findCut(const TargetExchange &Target) const;
   /// Reports the end of an attempt to the placement. \returns \p Step.
   NextStep endAttempt(const routing::PlacedCall &Destination,
                       routing::CallEnd End, NextStep Step);
--- a/Libraries/LibTraffic/RoutedRelayFailures.cpp
+++ b/Libraries/LibTraffic/RoutedRelayFailures.cpp
@@ -75,8 +75,16 @@
   return {LinkErrorKind::Broken, "another incarnation replaced the target"};
 }
 
-bool RoutedRelay::wasCutShort(const TargetExchange &Target) const {
-  return Target.framing() == FramingKind::Connection && AtTarget->wasEnded();
+std::optional<LinkError>
+RoutedRelay::findCut(const TargetExchange &Target) const {
+  if (Target.framing() != FramingKind::Connection)
+    return std::nullopt;
+  if (AtTarget->wasEnded())
+    return targetReplaced();
+  if (Watched->wasEnded())
+    return LinkError{LinkErrorKind::Incomplete,
+                     std::string(enumName(ConnectionEnd::EndedHere))};
+  return std::nullopt;
 }
 
 void RoutedRelay::noteSuspect(const PlacedCall &Destination, TargetFate Fate) {
@@ -129,7 +137,7 @@
 
 void RoutedRelay::noteEnd(const TargetExchange &Target) {
   EndOfConnection = Target.connectionEnd();
-  if (EndOfConnection && Watched->wasEnded())
+  if (Target.framing() == FramingKind::Connection && Watched->wasEnded())
     EndOfConnection = ConnectionEnd::EndedHere;
   if (EndOfConnection)
     Context.Metrics.ConnectionEnds
