LibTraffic: Do not take an end before the whole request for that of the answer

Callers saw: a target answered a long upload at once with a 200 that had neither a length nor chunks, sent a part of its body and ended the connection while the upload was still being written.

Cause: the end of the connection was taken for the end of the answer, whether or not the target had received the request.

Fix: such an answer is whole only if the request was written whole and the target's kernel has acknowledged all of it; else it is incomplete: a stream is resumed or cut, another request gets 502. JSON texts show their own end, as before.

The cases in which the target has read the whole request are whole, as before.

--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -461,8 +461,9 @@
       return handleStreamFailure(Destination,
                                  {LinkErrorKind::CallerGone, "write"});
   }
+  LinkResult<ConnectionEnd> End = ConnectionEnd::Confirmed;
   if (Target.framing() == FramingKind::Connection)
-    (void)Target.tryExamineEnd(limits());
+    End = Target.tryExamineEnd(limits());
   noteEnd(Target);
   if (auto Cut = findCut(Target))
     return handleStreamFailure(Destination, *Cut);
@@ -481,6 +482,8 @@
     return handleStreamFailure(Destination,
                                {LinkErrorKind::Incomplete,
                                 "the connection ended before the first event"});
+  if (!End)
+    return handleStreamFailure(Destination, End.error());
   if (!StreamStarted)
     beginStream(Destination, Target);
   endAttempt(Destination, CallEnd::Served, NextStep::Done);
--- a/Libraries/LibTraffic/TargetExchange.cpp
+++ b/Libraries/LibTraffic/TargetExchange.cpp
@@ -7,9 +7,11 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sstream>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <utility>
 
@@ -263,11 +265,23 @@
 LinkResult<ConnectionEnd>
 TargetExchange::tryExamineEnd(const WaitLimits &Limits) {
   auto Found = tryFindEnd(Limits);
-  if (Found)
-    End = *Found;
+  if (!Found)
+    return Found;
+  End = *Found;
+  if (*Found == ConnectionEnd::RequestUnsent)
+    return makeTypedError(LinkErrorKind::Incomplete,
+                          std::string(enumName(*Found)));
   return Found;
 }
 
+bool TargetExchange::hasRequest() const {
+  if (!RequestSent)
+    return false;
+  int Unacknowledged = 0;
+  return ::ioctl(Socket.impl()->sockfd(), SIOCOUTQ, &Unacknowledged) != 0 ||
+         Unacknowledged == 0;
+}
+
 LinkResult<ConnectionEnd>
 TargetExchange::tryFindEnd(const WaitLimits &Limits) const {
   if (!RequestSent)
@@ -275,6 +289,8 @@
   pollfd Caller{Limits.CallerDescriptor, POLLRDHUP, 0};
   if (::poll(&Caller, 1, static_cast<int>(EndSettleTime.count())) > 0)
     return makeTypedError(LinkErrorKind::CallerGone);
+  if (!hasRequest())
+    return ConnectionEnd::RequestUnsent;
   if (wasReset())
     return ConnectionEnd::ResetBehind;
   int Failure = 0;
@@ -313,10 +329,12 @@
     if (Piece->empty()) {
       if (framing() != FramingKind::Connection)
         return Whole;
-      if (!showsOwnEnd(Response, Whole))
-        (void)tryExamineEnd(Limits);
-      else if (!isWholeJson(Whole))
-        return makeTypedError(LinkErrorKind::Incomplete);
+      if (showsOwnEnd(Response, Whole)) {
+        if (!isWholeJson(Whole))
+          return makeTypedError(LinkErrorKind::Incomplete);
+      } else if (auto Found = tryExamineEnd(Limits); !Found) {
+        return makeError(Found.error());
+      }
       return Whole;
     }
     if (Whole.size() + Piece->size() > MaxBytes)
--- a/Libraries/LibTraffic/TargetExchange.h
+++ b/Libraries/LibTraffic/TargetExchange.h
@@ -49,7 +49,8 @@
 
   /// Finds out what is known of the end of the connection, once it has ended a
   /// body of FramingKind::Connection.
-  /// \returns CallerGone or DeadlinePassed if there is no time for that.
+  /// \returns CallerGone or DeadlinePassed if there is no time for that, and
+  /// Incomplete if the answer may not be whole.
   LinkResult<ConnectionEnd> tryExamineEnd(const WaitLimits &Limits);
   /// \returns what was found out; nothing before, or if the body shows its own
   /// end.
@@ -73,6 +74,8 @@
           int &SocketFailure);
   /// Whether the kernel has received a reset.
   bool wasReset() const;
+  /// Whether the target's kernel has acknowledged the whole request.
+  bool hasRequest() const;
   LinkResult<ConnectionEnd> tryFindEnd(const WaitLimits &Limits) const;
   enum class Wait : uint8_t { Readable, Writable };
   LinkResult<Wait> await(Wait Event, const WaitLimits &Limits);
