LibTraffic: Do not take the end of a killed target's connections for that of answers

Cause: a kernel closes the connections of a killed process in order where it had no unread bytes, and resets the others. Where an answer has neither a length nor chunks, each end between two events was taken for that of the answer, and the router's own last chunk vouched for it to the caller. A reset behind an end is not told by a read: the next one returns the end, too.

What the router cannot vouch for is incomplete: a stream is resumed or cut, another request gets 502.

--- a/Libraries/LibTraffic/TargetExchange.cpp
+++ b/Libraries/LibTraffic/TargetExchange.cpp
@@ -268,7 +268,7 @@
   if (!Found)
     return Found;
   End = *Found;
-  if (*Found == ConnectionEnd::RequestUnsent)
+  if (*Found != ConnectionEnd::Confirmed)
     return makeTypedError(LinkErrorKind::Incomplete,
                           std::string(enumName(*Found)));
   return Found;
--- a/Tests/LibTraffic/TestUnconfirmedEnds.cpp
+++ b/Tests/LibTraffic/TestUnconfirmedEnds.cpp
@@ -149,6 +149,12 @@
   BOOST_TEST(!(Answer.Status == 200 && Answer.Whole));
 }
 
+BOOST_DATA_TEST_CASE(an_answer_with_a_reset_behind_its_end_is_not_whole,
+                     data::make(Answers), Begun) {
+  CallerAnswer Answer = answerTo(Begun, Close::UnreadThenReset, 40'000);
+  BOOST_TEST(!(Answer.Status == 200 && Answer.Whole));
+}
+
 BOOST_DATA_TEST_CASE(an_answer_behind_the_whole_request_is_whole,
                      data::make(Answers), Begun) {
   CallerAnswer Answer = answerTo(Begun, Close::BehindTheRequest, 40'000);
--- a/Tests/System/TestEndingTargets.cpp
+++ b/Tests/System/TestEndingTargets.cpp
@@ -87,7 +87,8 @@
 
 // Incident nhhpa1-order: streams ended as complete while processes ended.
 BOOST_DATA_TEST_CASE(an_answer_that_was_broken_off_does_not_look_whole,
-                     data::make({Ending::RouterStops}) * data::make(Answers),
+                     data::make({Ending::TargetIsKilled, Ending::RouterStops}) *
+                         data::make(Answers),
                      Which, Answer) {
   ForkedTarget Target(bytesOf(Answer));
   RoutedCluster Cluster;
