LibTraffic: Take an answer with a status above 599 for malformed

Cause: the head of an answer was checked for a status of three digits from 100 on, and not for one that is too large. 000 itself was malformed before; it reached no caller.

Fix: statuses above 599 are malformed, too: 502.

--- a/Libraries/LibTraffic/MessageHead.cpp
+++ b/Libraries/LibTraffic/MessageHead.cpp
@@ -20,6 +20,7 @@
 static constexpr size_t MaxFields = 100;
 static constexpr size_t StatusDigits = 3;
 static constexpr uint32_t MinStatus = 100;
+static constexpr uint32_t MaxStatus = 599;
 
 static constexpr std::string_view Whitespace = " \t";
 /// The characters of a token beside letters and digits (RFC 9110, 5.6.2).
@@ -162,7 +163,7 @@
   auto Status = parseNumber<uint32_t>(Rest.substr(0, StatusDigits));
   bool IsSeparated = Rest.size() == StatusDigits ||
                      (Rest.size() > StatusDigits && Rest[StatusDigits] == ' ');
-  if (!Status || *Status < MinStatus || !IsSeparated)
+  if (!Status || *Status < MinStatus || *Status > MaxStatus || !IsSeparated)
     return malformed("the status is malformed");
   std::string_view Reason =
       Rest.substr(std::min(StatusDigits + 1, Rest.size()));
