LibMembership: Do not end the next start of a target by a late leave

Callers saw: two targets of ten left, were acknowledged by one control host and started again under their ids.

Cause: a leave without an incarnation meant the newest one known when it arrived, whenever it was sent. Now that leaves are recorded, a restart of all hosts would not have healed it.

Fix: where the newest incarnation followed another one within the last 30 s, such a leave may mean the one before. A host that restarted knows of the one before by its recorded leave.

TestDiscovery: 5 checks of a_late_leave_does_not_end_the_next_start fail where the newest incarnation is always meant.

--- a/Libraries/LibMembership/Exchange.cpp
+++ b/Libraries/LibMembership/Exchange.cpp
@@ -125,7 +125,7 @@
       handleIntroduction(Fields, Now);
   bool MoreLeaves = applyLeaves(Reply);
   for (const wire::OriginDelta &Delta : Reply.Deltas)
-    applyDelta(Delta);
+    applyDelta(Delta, Now);
   DescriptionNumber NewestNumber = Origins.at(OwnTag).Number;
   std::vector<wire::OriginWant> Wants;
   for (const wire::OriginHeartbeat &Heartbeat : Reply.Heartbeats) {
@@ -191,7 +191,7 @@
   TargetsDirty = true;
 }
 
-void Membership::applyDelta(const wire::OriginDelta &Delta) {
+void Membership::applyDelta(const wire::OriginDelta &Delta, Timestamp Now) {
   auto It = Origins.find(Delta.Tag);
   if (It == Origins.end() || Delta.Tag == OwnTag)
     return;
@@ -209,8 +209,7 @@
   Remote.NextDeltaRequestAt = DistantPast;
   for (const wire::TargetChange &Change : Delta.Changes)
     if (!Change.Gone)
-      Memory.recordSeen({Change.Id},
-                        {static_cast<uint64_t>(Change.Incarnation)});
+      recordSeen({Change.Id}, {static_cast<uint64_t>(Change.Incarnation)}, Now);
 }
 
 void Membership::applyHeartbeat(const wire::OriginHeartbeat &Heartbeat,
--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -84,7 +84,7 @@
 void Membership::handleAnnouncement(const TargetRecord &Record, Timestamp Now,
                                     Effects &Out) {
   if (Record.Phase == TargetPhase::Leaving) {
-    handleLeavingTarget(Record, Out);
+    handleLeavingTarget(Record, Now, Out);
     return;
   }
   if (hasEnded(Record.Id, Record.Incarnation)) {
@@ -93,7 +93,7 @@
                                                 Recorded.left(Record.Id))});
     return;
   }
-  Memory.recordSeen(Record.Id, Record.Incarnation);
+  recordSeen(Record.Id, Record.Incarnation, Now);
   OriginList &List = Origins.at(OwnTag).List;
   auto Listed = List.targets().find(Record.Id);
   // Announcements of one incarnation may arrive out of order.
@@ -120,22 +120,37 @@
   TargetsDirty = true;
 }
 
-void Membership::handleLeavingTarget(const TargetRecord &Record, Effects &Out) {
-  ferry::Incarnation Leaving = leavingIncarnation(Record);
-  if (Leaving.Value == 0)
-    return;
-  if (!recordLeave(Record.Id, Leaving))
+void Membership::handleLeavingTarget(const TargetRecord &Record, Timestamp Now,
+                                     Effects &Out) {
+  auto Leaving = leavingIncarnation(Record, Now);
+  if (!Leaving || !recordLeave(Record.Id, *Leaving))
     return;
   for (int32_t Tag : NearTags)
-    sendLeaveMark(Record.Id, Leaving, Origins.at(Tag).Host.Id, Out);
+    sendLeaveMark(Record.Id, *Leaving, Origins.at(Tag).Host.Id, Out);
 }
 
-Incarnation Membership::leavingIncarnation(const TargetRecord &Record) const {
-  // A target may leave without stating its incarnation; its newest known one is
-  // meant.
+std::optional<Incarnation>
+Membership::leavingIncarnation(const TargetRecord &Record,
+                               Timestamp Now) const {
   if (Record.Incarnation.Value != 0)
     return Record.Incarnation;
-  return std::max(Memory.greatest(Record.Id), Recorded.left(Record.Id));
+  // A target may leave without stating its incarnation.
+  ferry::Incarnation Newest =
+      std::max(Memory.greatest(Record.Id), Recorded.left(Record.Id));
+  bool MayMeanEarlier = Memory.hasFollowed(Record.Id, Now - LeaveDelay) &&
+                        !Recorded.hasLeft(Record.Id, Newest);
+  if (Newest.Value == 0 || MayMeanEarlier)
+    return std::nullopt;
+  return Newest;
+}
+
+void Membership::recordSeen(const TargetId &Target, ferry::Incarnation Seen,
+                            Timestamp Now) {
+  // A host that restarted knows of the incarnation before by its leave only.
+  ferry::Incarnation Left = Recorded.left(Target);
+  if (Left.Value != 0 && Left < Seen)
+    Memory.recordSeen(Target, Left, Now);
+  Memory.recordSeen(Target, Seen, Now);
 }
 
 void Membership::addRecordedLeaves(const std::vector<RecordedLeave> &Leaves) {
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -61,6 +61,9 @@
   /// A discovered host is forgotten this long after its last heartbeat: it has
   /// been replaced, or it will introduce itself again.
   static constexpr Duration ForgetAfter = std::chrono::seconds(30);
+  /// A leave may arrive this long after the next incarnation of its target
+  /// announced itself, if a partition held it up.
+  static constexpr Duration LeaveDelay = std::chrono::seconds(30);
 
   struct Options {
     /// \returns options with the intervals that suit \p Hosts hosts.
@@ -97,8 +100,10 @@
   std::vector<TargetRecord> targets(Timestamp Now) const;
 
   /// \returns the incarnation that leaves by \p Record: that of the record, or
-  /// the newest known one if the record has none. 0 if none is known.
-  ferry::Incarnation leavingIncarnation(const TargetRecord &Record) const;
+  /// the newest known one if the record has none. Nothing if none is known, or
+  /// if the one before may be meant.
+  std::optional<ferry::Incarnation>
+  leavingIncarnation(const TargetRecord &Record, Timestamp Now) const;
 
   /// \returns the recorded leaves that this host knows.
   const LeaveLedger &recordedLeaves() const { return Recorded; }
@@ -141,8 +146,11 @@
 
   void handleAnnouncement(const TargetRecord &Record, Timestamp Now,
                           Effects &Out);
-  void handleLeavingTarget(const TargetRecord &Record, Effects &Out);
+  void handleLeavingTarget(const TargetRecord &Record, Timestamp Now,
+                           Effects &Out);
   void handleNoticedLeave(const TargetLeaveNoticed &Noticed, Effects &Out);
+  void recordSeen(const TargetId &Target, ferry::Incarnation Seen,
+                  Timestamp Now);
   void addRecordedLeaves(const std::vector<RecordedLeave> &Leaves);
   bool hasEnded(const TargetId &Target, ferry::Incarnation Candidate) const {
     return Memory.hasEnded(Target, Candidate) ||
@@ -180,7 +188,7 @@
   /// \returns whether the sender has further recorded leaves.
   bool applyLeaves(const wire::MembershipReply &Reply);
   void addLeaves(uint64_t After, wire::MembershipReply &Reply) const;
-  void applyDelta(const wire::OriginDelta &Delta);
+  void applyDelta(const wire::OriginDelta &Delta, Timestamp Now);
   void applyHeartbeat(const wire::OriginHeartbeat &Heartbeat,
                       Timestamp QuerySentAt);
   void updateStanding(Origin &Remote, const wire::OriginHeartbeat &Heartbeat);
--- a/Libraries/LibMembership/TargetMemory.cpp
+++ b/Libraries/LibMembership/TargetMemory.cpp
@@ -15,9 +15,12 @@
   return History;
 }
 
-bool TargetMemory::recordSeen(const TargetId &Target, Incarnation Seen) {
+bool TargetMemory::recordSeen(const TargetId &Target, Incarnation Seen,
+                              Timestamp Now) {
   TargetHistory &History = touch(Target);
   bool IsNew = History.Seen < Seen;
+  if (IsNew && History.Seen.Value != 0)
+    History.FollowedAt = Now;
   History.Seen = std::max(History.Seen, Seen);
   return IsNew;
 }
@@ -43,4 +46,10 @@
   return It == HistoryByTarget.end() ? Incarnation{} : It->second.Seen;
 }
 
+bool TargetMemory::hasFollowed(const TargetId &Target, Timestamp Since) const {
+  auto It = HistoryByTarget.find(Target);
+  return It != HistoryByTarget.end() && It->second.FollowedAt &&
+         *It->second.FollowedAt > Since;
+}
+
 } // namespace ferry::membership
--- a/Libraries/LibMembership/TargetMemory.h
+++ b/Libraries/LibMembership/TargetMemory.h
@@ -4,8 +4,10 @@
 #define FERRY_LIBMEMBERSHIP_TARGETMEMORY_H
 
 #include "LibCore/Ids.h"
+#include "LibCore/Time.h"
 #include <cstdint>
 #include <map>
+#include <optional>
 
 namespace ferry::membership {
 
@@ -18,9 +20,9 @@
   /// dropped first.
   static constexpr size_t MaxTargets = 20'000;
 
-  /// Records an incarnation that was seen alive. \returns whether it is greater
-  /// than all earlier ones.
-  bool recordSeen(const TargetId &Target, Incarnation Seen);
+  /// Records an incarnation that was seen alive at \p Now. \returns whether it
+  /// is greater than all earlier ones.
+  bool recordSeen(const TargetId &Target, Incarnation Seen, Timestamp Now);
 
   /// Records an incarnation that has left. \returns whether this was not known
   /// yet.
@@ -33,12 +35,18 @@
   /// \returns the greatest incarnation seen, or 0.
   Incarnation greatest(const TargetId &Target) const;
 
+  /// \returns whether the greatest incarnation followed another one and was
+  /// first seen after \p Since.
+  bool hasFollowed(const TargetId &Target, Timestamp Since) const;
+
   size_t size() const { return HistoryByTarget.size(); }
 
 private:
   struct TargetHistory {
     Incarnation Seen;
     Incarnation Left;
+    /// When Seen was first seen, if it followed another incarnation.
+    std::optional<Timestamp> FollowedAt;
     uint64_t UpdateNumber = 0;
   };
 
--- a/Libraries/LibTraffic/ControlPort.h
+++ b/Libraries/LibTraffic/ControlPort.h
@@ -53,7 +53,7 @@
     Accepted,
     StaleIncarnation,
     /// The target leaves, and the log has not recorded it: no quorum answered,
-    /// or no incarnation of the target is known here. It must tell another
+    /// or it is not known which incarnation is meant. It must tell another
     /// host, or again.
     LeaveNotRecorded
   } Status = Verdict::Accepted;
--- a/Services/ferryd/ControlPlanePort.cpp
+++ b/Services/ferryd/ControlPlanePort.cpp
@@ -155,7 +155,7 @@
 void ControlPlane::announceLeave(
     const TargetRecord &Record, Timestamp Deadline,
     std::function<void(traffic::AnnounceReply)> Done) {
-  ferry::Incarnation Leaving = Members.leavingIncarnation(Record);
+  auto Leaving = Members.leavingIncarnation(Record, steadyNow());
   stepMembership(membership::TargetAnnounced{Record});
   auto Acknowledge = [Done = std::move(Done)](bool IsRecorded) {
     traffic::AnnounceReply Reply;
@@ -163,14 +163,14 @@
       Reply.Status = traffic::AnnounceReply::Verdict::LeaveNotRecorded;
     Done(std::move(Reply));
   };
-  if (Leaving.Value == 0) {
-    observe::logEvent(Severity::Warning, "control", "leave_of_unknown_target",
+  if (!Leaving) {
+    observe::logEvent(Severity::Warning, "control", "leave_not_attributed",
                       {{"target", Record.Id}});
     return Acknowledge(false);
   }
-  if (Members.recordedLeaves().hasLeft(Record.Id, Leaving))
+  if (Members.recordedLeaves().hasLeft(Record.Id, *Leaving))
     return Acknowledge(true);
-  recordLeave(Record.Id, Leaving, Deadline, std::move(Acknowledge));
+  recordLeave(Record.Id, *Leaving, Deadline, std::move(Acknowledge));
 }
 
 void ControlPlane::recordLeave(const TargetId &Target, ferry::Incarnation Left,
--- a/Tests/LibMembership/TestDiscovery.cpp
+++ b/Tests/LibMembership/TestDiscovery.cpp
@@ -324,7 +324,56 @@
   TargetRecord Left;
   Left.Id = {"i-1"};
   Left.Phase = TargetPhase::Leaving;
-  BOOST_TEST(Control.leavingIncarnation(Left).Value == 0U);
+  BOOST_TEST(!Control.leavingIncarnation(Left, Hosts.Now));
   Hosts.deliver("10.0.0.1", LeavesRecorded{{{{"i-1"}, {77}, 500}}});
-  BOOST_TEST(Control.leavingIncarnation(Left).Value == 77U);
+  BOOST_TEST((Control.leavingIncarnation(Left, Hosts.Now) == Incarnation{77}));
+}
+
+// Finding review/8: a partition held the call of a target up by which it left,
+// and the call ended the target's next start for good.
+BOOST_AUTO_TEST_CASE(a_late_leave_does_not_end_the_next_start) {
+  SeededHosts Hosts(3);
+  Hosts.run(2s);
+  TargetRecord Record;
+  Record.Id = {"i-1"};
+  Record.Incarnation = {77};
+  Record.Sequence = 1;
+  Record.Address = "10.1.0.1:80";
+  Record.Service = {"lm"};
+  Record.Phase = TargetPhase::Ready;
+  TargetRecord Left;
+  Left.Id = {"i-1"};
+  Left.Phase = TargetPhase::Leaving;
+  auto Announce = [&](uint64_t Incarnation) {
+    Record.Incarnation = {Incarnation};
+    ++Record.Sequence;
+    Hosts.deliver("10.0.0.1", TargetAnnounced{Record});
+    Hosts.run(1s);
+  };
+  auto IsUsed = [&] {
+    return Hosts.Members.at("10.0.0.3").targets(Hosts.Now).size() == 1U;
+  };
+  Announce(77);
+  Hosts.deliver("10.0.0.1", TargetAnnounced{Left});
+  Hosts.deliver("10.0.0.1", LeavesRecorded{{{{"i-1"}, {77}, 500}}});
+  Hosts.run(1s);
+  BOOST_TEST(!IsUsed());
+  // Also at a control host that restarted meanwhile.
+  for (uint64_t Life : {200, 300}) {
+    Hosts.start("10.0.0.1", 0, Life);
+    Hosts.run(1s);
+    Announce(78);
+    BOOST_TEST(IsUsed());
+    Hosts.deliver("10.0.0.1", TargetAnnounced{Left});
+    Hosts.run(100ms);
+    BOOST_TEST(IsUsed());
+    Announce(78);
+    BOOST_TEST(IsUsed());
+  }
+  // A leave of its own.
+  for (Timestamp End = Hosts.Now + Membership::LeaveDelay; Hosts.Now < End;)
+    Announce(78);
+  Hosts.deliver("10.0.0.1", TargetAnnounced{Left});
+  Hosts.run(100ms);
+  BOOST_TEST(!IsUsed());
 }
