--- a/Libraries/LibTraffic/RoutedRelay.cpp
+++ b/Libraries/LibTraffic/RoutedRelay.cpp
@@ -462,7 +462,8 @@
                                  {LinkErrorKind::CallerGone, "write"});
   }
   LinkResult<ConnectionEnd> End = ConnectionEnd::Confirmed;
-  if (Target.framing() == FramingKind::Connection)
+  if (Target.framing() == FramingKind::Connection &&
+      !Events.boundary().insideEvent())
     End = Target.tryExamineEnd(limits());
   noteEnd(Target);
   if (auto Cut = findCut(Target))
