TestForgottenLeaves: Give a new start the users' bound, as one announcement spreads by chance

The leave had held. The test announces the new start once, to one control host; routers hear of it when they next ask that host or one that has heard, which is random.

It is contact_ms now, 3 s, within which the users take machines to be in touch; the check is otherwise the same.

--- a/Tests/System/TestForgottenLeaves.cpp
+++ b/Tests/System/TestForgottenLeaves.cpp
@@ -177,7 +177,10 @@
   BOOST_TEST(Scenario.arrivals() == Before);
   BOOST_TEST(Scenario.served() > ServedBefore);
   Scenario.startAgain();
-  Scenario.callRoutersFor(1s);
+  // One announcement, to one host: the others hear of it in random exchanges.
+  Timestamp KnownBy = steadyNow() + LeaveScenario::ContactTime;
+  while (Scenario.arrivals() == Before && steadyNow() < KnownBy)
+    Scenario.callRoutersFor(10ms);
   BOOST_TEST(Scenario.arrivals() > Before);
 }
 
