LibTraffic: End a stop whose deadline has passed

poll() read PollUntil twice, once to decide whether to go on and once for the wait. A stop between the two sets a time that has passed, and a negative wait has no end. The time is read once now.

--- a/Libraries/LibTraffic/HttpListener.cpp
+++ b/Libraries/LibTraffic/HttpListener.cpp
@@ -110,8 +110,12 @@
 void HttpListener::poll() {
   Timestamp CheckAt = steadyNow() + PollLimit;
   Timestamp Now = steadyNow();
-  while (Now < PollUntil.load()) {
-    Duration Wait = std::min<Duration>(PollLimit, PollUntil.load() - Now);
+  while (true) {
+    // A stop may change it at any time, and a negative wait has no end.
+    Timestamp Until = PollUntil.load();
+    if (Now >= Until)
+      return;
+    Duration Wait = std::min<Duration>(PollLimit, Until - Now);
     bool Polls = observe::runGuarded("listener", [&] {
       for (const auto &[Ready, Mode] :
            Polled.poll(Poco::Timespan(Wait.count())))
--- a/Tests/LibTraffic/TestHttpListener.cpp
+++ b/Tests/LibTraffic/TestHttpListener.cpp
@@ -6,6 +6,7 @@
 #include <boost/test/unit_test.hpp>
 #include <condition_variable>
 #include <filesystem>
+#include <future>
 
 using namespace ferry;
 using namespace ferry::traffic;
@@ -236,6 +237,37 @@
   BOOST_TEST(Listener->connections() == 0U);
 }
 
+// A listener that is stopped while it computes its next wait must not wait
+// without end: the deadline of the stop may have passed before.
+BOOST_AUTO_TEST_CASE(a_stop_at_a_passed_deadline_ends) {
+  constexpr int Rounds = 10;
+  constexpr int ListenerCount = 400;
+  // The first waits of the listeners' threads end at this time.
+  static constexpr std::chrono::microseconds FirstWake{249'800};
+  constexpr std::chrono::seconds StopLimit{5};
+  for (int Round = 0; Round < Rounds; ++Round) {
+    std::vector<std::unique_ptr<HttpListener>> Listeners;
+    std::vector<std::future<void>> Stops;
+    for (int Index = 0; Index < ListenerCount; ++Index) {
+      Listeners.push_back(start(options(), [](HttpExchange &) {}));
+      Stops.push_back(std::async(
+          std::launch::async, [Listener = Listeners.back().get(), Index] {
+            std::this_thread::sleep_for(FirstWake +
+                                        std::chrono::microseconds(Index));
+            Listener->stop(steadyNow() - std::chrono::seconds(1));
+          }));
+    }
+    for (size_t Index = 0; Index < ListenerCount; ++Index) {
+      bool InTime =
+          Stops[Index].wait_for(StopLimit) == std::future_status::ready;
+      BOOST_TEST(InTime);
+      // A connection ends the wait of a listener that has not stopped.
+      if (!InTime)
+        connectTo(*Listeners[Index]);
+    }
+  }
+}
+
 /// \returns all that comes before the connection ends.
 static std::string receiveAll(StreamSocket &Socket) {
   return receiveUntil(Socket, "\r\nnever\r\n");
