ferryd: Keep no texts of past descriptions

The list of past changes had a copy of each description, whose text was cleared; a cleared string keeps its memory. The list has the number and the operation now, all that is read of it.

--- a/Services/ferryd/ControlPlanePort.cpp
+++ b/Services/ferryd/ControlPlanePort.cpp
@@ -195,10 +195,7 @@
 }
 
 std::vector<traffic::PastChange> ControlPlane::pastChanges() const {
-  std::vector<traffic::PastChange> Changes;
-  for (const wire::DescriptionCopy &Copy : Holder.history())
-    Changes.push_back({{static_cast<uint64_t>(Copy.Number)}, Copy.Operation});
-  return Changes;
+  return {Holder.history().begin(), Holder.history().end()};
 }
 
 traffic::SpreadStatus
--- a/Services/ferryd/DescriptionHolder.cpp
+++ b/Services/ferryd/DescriptionHolder.cpp
@@ -59,8 +59,7 @@
   Content = std::move(*Parsed);
   InForce = Copy;
   PackedText.clear();
-  History.push_back(Copy);
-  History.back().Text.clear();
+  History.push_back({number(), Copy.Operation});
   if (History.size() > MaxHistory)
     History.pop_front();
   return {};
--- a/Services/ferryd/DescriptionHolder.h
+++ b/Services/ferryd/DescriptionHolder.h
@@ -5,6 +5,7 @@
 
 #include "LibConfig/Parse.h"
 #include "LibConfig/RouteTable.h"
+#include "LibTraffic/ControlPort.h"
 #include "ferryd/HostStore.h"
 #include <deque>
 #include <functional>
@@ -69,9 +70,9 @@
     return Content.Routes;
   }
 
-  /// \returns the newest copies put in force since the start, without their
-  /// texts, the oldest first.
-  const std::deque<wire::DescriptionCopy> &history() const { return History; }
+  /// \returns the newest changes put in force since the start, the oldest
+  /// first.
+  const std::deque<traffic::PastChange> &history() const { return History; }
 
 private:
   Result<void, ApplyError> tryParse(const wire::DescriptionCopy &Copy);
@@ -82,7 +83,7 @@
   std::string PackedText;
   DescriptionReader Read;
   DescriptionContent Content;
-  std::deque<wire::DescriptionCopy> History;
+  std::deque<traffic::PastChange> History;
 };
 
 } // namespace ferry::daemon
