--- a/Libraries/LibConsensus/EntryLog.cpp
+++ b/Libraries/LibConsensus/EntryLog.cpp
@@ -1,5 +1,6 @@
 #include "LibConsensus/EntryLog.h"
 #include "LibConsensus/Message.h"
+#include <algorithm>
 #include <cassert>
 
 namespace ferry::consensus {
@@ -44,6 +45,13 @@
   Configurations.erase(Configurations.lower_bound(Index), Configurations.end());
 }
 
+uint64_t EntryLog::bytesIn(uint64_t First, uint64_t Last) const {
+  uint64_t Size = 0;
+  for (uint64_t Index = std::max(First, BaseIndex) + 1; Index <= Last; ++Index)
+    Size += at(Index).Payload.size();
+  return Size;
+}
+
 void EntryLog::compactTo(uint64_t Index) {
   assert(Index >= BaseIndex && Index <= lastIndex());
   Configuration Members = membersAt(Index);
--- a/Libraries/LibConsensus/EntryLog.h
+++ b/Libraries/LibConsensus/EntryLog.h
@@ -24,6 +24,9 @@
   uint64_t lastTerm() const { return *termAt(lastIndex()); }
   /// \returns the total size of the payloads in bytes.
   uint64_t bytes() const { return Bytes; }
+  /// \returns the size of the payloads after \p First up to \p Last, without
+  /// those up to the base.
+  uint64_t bytesIn(uint64_t First, uint64_t Last) const;
 
   /// \returns the term at \p Index, or nothing if it is before the base
   /// or after the end.
--- a/Libraries/LibConsensus/Replica.cpp
+++ b/Libraries/LibConsensus/Replica.cpp
@@ -200,12 +200,23 @@
   NewSnapshot->Members = Log.membersAt(Input.Index);
   NewSnapshot->State = std::move(Input.State);
   LastSnapshot = std::move(NewSnapshot);
-  uint64_t Trailing = Options.Limits.TrailingEntries;
-  if (Input.Index > Log.baseIndex() + Trailing)
-    Log.compactTo(Input.Index - Trailing);
+  Log.compactTo(trailingBase(Input.Index));
   recordCheckpoint();
 }
 
+uint64_t Replica::trailingBase(uint64_t SnapshotIndex) const {
+  uint64_t Base = SnapshotIndex;
+  uint64_t Bytes = 0;
+  while (Base > Log.baseIndex() &&
+         SnapshotIndex - Base < Options.Limits.TrailingEntries) {
+    Bytes += Log.at(Base).Payload.size();
+    if (Bytes > Options.Limits.maxTrailingBytes())
+      break;
+    --Base;
+  }
+  return Base;
+}
+
 Message Replica::message(ReplicaId Receiver, MessageBody Body) const {
   return {Self.Replica, Receiver, LastVote.Term, std::move(Body)};
 }
@@ -291,9 +302,10 @@
   uint64_t SnapshotIndex = LastSnapshot ? LastSnapshot->Index : 0;
   bool TooManyEntries =
       CommitIndex - SnapshotIndex >= Options.Limits.SnapshotEntries;
-  bool TooManyBytes =
-      Log.bytes() >= Options.Limits.SnapshotBytes &&
-      CommitIndex > SnapshotIndex + Options.Limits.TrailingEntries;
+  // Entries that are not committed yet would still be there after a snapshot.
+  bool TooManyBytes = Log.bytes() >= Options.Limits.SnapshotBytes &&
+                      Log.bytesIn(SnapshotIndex, CommitIndex) >=
+                          Options.Limits.maxTrailingBytes();
   if (SnapshotRequested || !(TooManyEntries || TooManyBytes))
     return;
   SnapshotRequested = true;
--- a/Libraries/LibConsensus/Replica.h
+++ b/Libraries/LibConsensus/Replica.h
@@ -173,6 +173,9 @@
   void truncateFrom(uint64_t Index);
   void commitTo(uint64_t Index);
   void maybeSnapshot();
+  /// \returns the index up to which the log is dropped once there is a snapshot
+  /// at \p SnapshotIndex.
+  uint64_t trailingBase(uint64_t SnapshotIndex) const;
   void becomeFollower(uint64_t NewTerm, std::optional<HostId> Leader);
   void adoptTerm(uint64_t NewTerm);
   bool mayVote() const;
--- a/Libraries/LibConsensus/ReplicaOptions.h
+++ b/Libraries/LibConsensus/ReplicaOptions.h
@@ -30,8 +30,10 @@
   uint64_t SnapshotEntries = 1000;
   /// Bytes in the log that cause the next snapshot.
   uint64_t SnapshotBytes = uint64_t{16} << 20;
-  /// Entries up to a snapshot that are kept, for peers that lag slightly.
+  /// Entries up to a snapshot that are kept, for peers that lag slightly;
+  /// fewer if they take more than maxTrailingBytes().
   uint64_t TrailingEntries = 200;
+  uint64_t maxTrailingBytes() const { return SnapshotBytes / 2; }
   uint64_t MaxCommandBytes = uint64_t{1} << 20;
   uint64_t MaxAppendBytes = uint64_t{256} << 10;
   uint64_t SnapshotChunkBytes = uint64_t{256} << 10;
--- a/Tests/LibConsensus/TestLogDriver.cpp
+++ b/Tests/LibConsensus/TestLogDriver.cpp
@@ -80,6 +80,34 @@
   BOOST_TEST(allHave(Cluster, Expected));
 }
 
+// Hundreds of changes near the largest size filled the memory of the control
+// hosts: the log kept a number of entries, whatever their size.
+BOOST_AUTO_TEST_CASE(large_commands_do_not_accumulate_in_the_log) {
+  constexpr uint64_t CommandBytes = 64 << 10;
+  constexpr uint64_t Commands = 100;
+  LogCluster Cluster(3);
+  Cluster.Limits.SnapshotBytes = 1 << 20;
+  startAll(Cluster);
+  std::string Expected;
+  for (uint64_t Number = 0; Number < Commands; ++Number) {
+    std::string Command(CommandBytes, static_cast<char>('a' + Number % 26));
+    BOOST_REQUIRE(replicate(Cluster, Command));
+    Expected += Command + ";";
+  }
+  BOOST_TEST(allHave(Cluster, Expected));
+  // A snapshot may be under way meanwhile.
+  constexpr uint64_t MostEntries = 2 * (1 << 20) / CommandBytes;
+  BOOST_TEST(Cluster.waitFor([&] {
+    return std::all_of(
+        Cluster.Drivers.begin(), Cluster.Drivers.end(), [&](const auto &Host) {
+          ReplicaStatus Status = Host.second->status();
+          return Status.LastIndex - Status.FirstIndex < MostEntries;
+        });
+  }));
+  restartAll(Cluster);
+  BOOST_TEST(allHave(Cluster, Expected));
+}
+
 BOOST_AUTO_TEST_CASE(a_wiped_host_rejoins_under_a_new_identity) {
   LogCluster Cluster(3);
   startAll(Cluster);
