--- a/Libraries/LibControl/NamingTimes.cpp
+++ b/Libraries/LibControl/NamingTimes.cpp
@@ -25,13 +25,16 @@
     return;
   std::vector<routing::NamedWeights> Updated;
   for (const registry::NamedVersion &Version : Versions) {
-    auto Same = std::find_if(Known.begin(), Known.end(),
-                             [&](const routing::NamedWeights &Named) {
-                               return Named.Weights == Version.Weights;
-                             });
-    Timestamp Since = Same != Known.end()
-                          ? Same->Since
-                          : namedSince(Version.NamedAt, WallNow, Now);
+    // The log may have dropped versions before this one since, which then has
+    // the time of the first of them.
+    auto Same = std::find_if(
+        Known.begin(), Known.end(), [&](const routing::NamedWeights &Named) {
+          return Updated.empty() ? Named.Weights == Version.Weights
+                                 : Named.Weights > Updated.back().Weights;
+        });
+    bool IsKnown = Same != Known.end() && Same->Weights <= Version.Weights;
+    Timestamp Since =
+        IsKnown ? Same->Since : namedSince(Version.NamedAt, WallNow, Now);
     Updated.push_back({Model, Version.Weights, Since});
   }
   // A version was named no later than the next one. This dates one whose time
--- a/Libraries/LibRegistry/Registry.cpp
+++ b/Libraries/LibRegistry/Registry.cpp
@@ -1,7 +1,9 @@
 #include "LibRegistry/Registry.h"
+#include "LibCore/NamingHistory.h"
 #include "LibCore/Visit.h"
 #include "LibRegistry/Convert.h"
 #include "LibWire/Codec.h"
+#include <algorithm>
 
 namespace ferry::registry {
 
@@ -46,13 +48,20 @@
                        Leaves.newestNumber()};
 }
 
+/// \returns the time of the naming; 0 if it is unknown.
+static int64_t knownMillis(const NamedVersion &Version) {
+  return std::max<int64_t>(Version.NamedAt.Value, 0);
+}
+
 void Registry::addNamedVersion(const ModelId &Model, NamedVersion Version) {
   if (Version.Weights <= namedWeights(Model))
     return;
   std::vector<NamedVersion> &Versions = NamedVersions[Model];
   Versions.push_back(Version);
-  if (Versions.size() > MaxNamedVersions)
-    Versions.erase(Versions.begin());
+  limitNamings(Versions, [](const NamedVersion &Earlier,
+                            const NamedVersion &Later) {
+    return std::chrono::milliseconds(knownMillis(Later) - knownMillis(Earlier));
+  });
 }
 
 WeightsVersion Registry::namedWeights(const ModelId &Model) const {
--- a/Libraries/LibRegistry/Registry.h
+++ b/Libraries/LibRegistry/Registry.h
@@ -14,7 +14,8 @@
 /// A version of weights that was named for a model.
 struct NamedVersion {
   WeightsVersion Weights;
-  /// See NameWeights::NamedAt.
+  /// See NameWeights::NamedAt. That of an earlier version which is not kept, if
+  /// there is one.
   UnixMillis NamedAt;
   bool operator==(const NamedVersion &) const = default;
 };
@@ -23,9 +24,6 @@
 /// reads no clock: equal logs give equal states, replies and snapshots.
 class Registry {
 public:
-  /// Named versions that are kept for each model; equal on all replicas.
-  static constexpr size_t MaxNamedVersions = 16;
-
   /// \param Limits limits of the claim ledger; equal on all replicas of one
   /// log.
   explicit Registry(LedgerLimits Limits = {});
@@ -56,8 +54,8 @@
   WeightsVersion namedWeights(const ModelId &Model) const;
   /// \returns the models for which versions were named.
   std::vector<ModelId> namedModels() const;
-  /// \returns the last MaxNamedVersions versions named for \p Model, oldest
-  /// first.
+  /// \returns the versions named for \p Model that are kept, oldest first; see
+  /// limitNamings().
   std::vector<NamedVersion> namedVersions(const ModelId &Model) const;
   OrderLease lease(std::string_view Name) const { return Leases.lease(Name); }
   /// \returns the leaves of targets that were recorded.
--- a/Libraries/LibRouting/RoutedCall.h
+++ b/Libraries/LibRouting/RoutedCall.h
@@ -167,10 +167,6 @@
   bool Loading = false;
 };
 
-/// Named weights that are kept for one model. All engines finish a load before
-/// an operator has named this many newer weights.
-inline constexpr size_t MaxNamedWeights = 16;
-
 /// Weights that an operator has named as the current ones of a model.
 struct NamedWeights {
   ModelId Model;
--- a/Libraries/LibRouting/RoutedPlacement.h
+++ b/Libraries/LibRouting/RoutedPlacement.h
@@ -411,7 +411,7 @@
   /// the first description.
   uint64_t BytesPerToken = 0;
   double EngineLinkBits = 0;
-  /// The last MaxNamedWeights named weights of each model, oldest first.
+  /// The named weights of each model that are kept, oldest first.
   std::map<ModelId, std::vector<Naming>> NamedVersions;
   /// A router that has started waits until then for names of weights. If none
   /// arrive in the time of a deadline, no control host is working.
--- a/Libraries/LibRouting/RoutedPlacementUpdates.cpp
+++ b/Libraries/LibRouting/RoutedPlacementUpdates.cpp
@@ -1,5 +1,6 @@
 // Updates from other hosts: digests of the other routers, loads of weights
 // reported by the holder of the order lease, and weights named by operators.
+#include "LibCore/NamingHistory.h"
 #include "LibRouting/RoutedPlacement.h"
 #include "LibRouting/RoutedPlacementConstants.h"
 #include "LibRouting/WorkExchange.h"
@@ -132,8 +133,10 @@
   if (Versions.empty() || Named.Weights > Versions.back().Weights) {
     Versions.push_back(
         {Named.Weights, std::max(Named.Since, NotBefore), NotBefore});
-    if (Versions.size() > MaxNamedWeights)
-      Versions.erase(Versions.begin());
+    limitNamings(Versions, [](const Naming &Earlier, const Naming &Later) {
+      return Later.NamedAt + Later.Suspended - Earlier.NamedAt -
+             Earlier.Suspended;
+    });
     return true;
   }
   // The first message may have waited on its way, and the clock of the control
--- a/Tests/LibControl/TestNamingTimes.cpp
+++ b/Tests/LibControl/TestNamingTimes.cpp
@@ -60,6 +60,23 @@
 }
 
 // Namings in logs from before times were kept.
+// Versions that the log dropped since must not make the next one younger than a
+// host that starts would take it for.
+BOOST_AUTO_TEST_CASE(a_restart_amid_many_namings_changes_no_age) {
+  constexpr int64_t Millis = 500;
+  ControlHost Running;
+  int64_t Wall = 1'000'000;
+  for (uint64_t Weights = 1; Weights <= 100; ++Weights) {
+    Running.name(Weights, Wall);
+    std::vector<int32_t> Ages = Running.ages(Wall);
+    ControlHost Restarted;
+    BOOST_REQUIRE(Restarted.Log.tryRestore(Running.Log.snapshot()).has_value());
+    BOOST_TEST(isSame(Restarted.ages(Wall), Ages));
+    Wall += Millis;
+    Running.Now += std::chrono::milliseconds(Millis);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(an_unknown_time_counts_from_when_the_host_learned_of_it) {
   ControlHost Host;
   Host.name(2, 0);
--- a/Tests/LibRouting/TestRoutedPlacement.cpp
+++ b/Tests/LibRouting/TestRoutedPlacement.cpp
@@ -253,6 +253,29 @@
       Router.place(Deployment.call(99), Deployment.Now)));
 }
 
+// Load pattern: weights are named each 0.5 s while an engine is dark
+// (review/10: the engine was used for good once it was back).
+BOOST_AUTO_TEST_CASE(namings_in_quick_succession_keep_no_engine_in_use) {
+  TestDeployment Deployment(1);
+  RoutedPlacement Router = Deployment.router();
+  Timestamp FirstNamedAt = Deployment.Now;
+  RoutedPlacement::Options Defaults;
+  size_t Placed = 0;
+  for (uint64_t Weights = 2; Weights < 200; ++Weights) {
+    Router.applyNamedWeights({Model, {Weights}, Deployment.Now},
+                             Deployment.Now);
+    auto Outcome = Router.place(Deployment.call(7), Deployment.Now);
+    bool InTime = Deployment.Now < FirstNamedAt + Defaults.WeightsDeadline;
+    if (const auto *Call = std::get_if<PlacedCall>(&Outcome)) {
+      ++Placed;
+      BOOST_TEST(InTime);
+      Router.endCall(Call->PlacementId, CallEnd::Abandoned, Deployment.Now);
+    }
+    Deployment.Now += 500ms;
+  }
+  BOOST_TEST(Placed > 0U);
+}
+
 // Load pattern: a burst before engines whose weights were superseded. A request
 // that waits for seconds must not be placed where it would begin past the
 // deadline.
