ferryd: Log who leads the log, slow syncs, and requests that it does not answer

New are the lines leader_changed, log_opened, log_sync_slow, log_answer_slow, log_answer_missing, leave_learned and announcement_refused, the gauges ferry_log_elections_begun and ferry_log_unsynced_seconds, and the histograms ferry_log_sync_seconds and ferry_log_commit_seconds. No logic changes.

--- a/Libraries/LibConsensus/LogDriver.cpp
+++ b/Libraries/LibConsensus/LogDriver.cpp
@@ -95,6 +95,13 @@
 void LogDriver::onPersisted(const Result<uint64_t, StorageError> &SyncedToken) {
   if (!SyncedToken)
     return fail(SyncedToken.error());
+  auto Covers = [&](const UnsyncedWrite &Write) {
+    return Write.Token <= *SyncedToken;
+  };
+  if (!UnsyncedWrites.empty() && Covers(UnsyncedWrites.front()) && Hooks.Synced)
+    Hooks.Synced(steadyNow() - UnsyncedWrites.front().QueuedAt);
+  while (!UnsyncedWrites.empty() && Covers(UnsyncedWrites.front()))
+    UnsyncedWrites.pop_front();
   // Tokens of an earlier replica are ignored.
   if (*SyncedToken > TokenBase)
     processEvent(PersistedEvent{*SyncedToken - TokenBase});
@@ -156,6 +163,12 @@
 
 ReplicaStatus LogDriver::status() const { return LocalReplica->status(); }
 
+std::optional<Timestamp> LogDriver::oldestUnsyncedWrite() const {
+  if (UnsyncedWrites.empty())
+    return std::nullopt;
+  return UnsyncedWrites.front().QueuedAt;
+}
+
 void LogDriver::processEvent(Event Input) {
   PendingEvents.push_back(std::move(Input));
   if (!Draining)
@@ -188,6 +201,7 @@
       Output, [&](SendEffect &Send) { send(Send.To, Send.Sent); },
       [&](PersistEffect &Write) {
         LastToken = TokenBase + Write.Token;
+        UnsyncedWrites.push_back({LastToken, steadyNow()});
         Disk->write(LastToken, std::move(Write.Batch));
       },
       [&](ApplyEffect &Committed) {
--- a/Libraries/LibConsensus/LogDriver.h
+++ b/Libraries/LibConsensus/LogDriver.h
@@ -37,6 +37,9 @@
       RestoreSnapshot;
   /// The standing, leader or term has changed.
   std::function<void()> StandingChanged;
+  /// A sync has ended, \p Elapsed after the oldest write that it covers was
+  /// queued.
+  std::function<void(Duration Elapsed)> Synced;
 };
 
 /// The identity, members, folder and limits of a log.
@@ -108,6 +111,8 @@
   const std::optional<StorageError> &failure() const { return Failure; }
   /// \returns the state of the replica, for dumps.
   ReplicaStatus status() const;
+  /// \returns when the oldest write that is not synced was queued.
+  std::optional<Timestamp> oldestUnsyncedWrite() const;
   /// Calls \p Visit for each command in the log that is not applied yet,
   /// committed or not, in the order of the log.
   void visitUnapplied(
@@ -155,6 +160,12 @@
   /// tokens of the present one, so that the tokens of Disk always rise.
   uint64_t TokenBase = 0;
   uint64_t LastToken = 0;
+  /// A write that is not synced.
+  struct UnsyncedWrite {
+    uint64_t Token;
+    Timestamp QueuedAt;
+  };
+  std::deque<UnsyncedWrite> UnsyncedWrites;
   /// The application's state before anything is applied.
   std::string InitialState;
   std::map<uint64_t, ProposeCallback> Proposals;
--- a/Libraries/LibConsensus/Replica.cpp
+++ b/Libraries/LibConsensus/Replica.cpp
@@ -72,6 +72,7 @@
   Status.IsLeader = isLeader();
   Status.Leader = leader();
   Status.Term = LastVote.Term;
+  Status.ElectionsBegun = ElectionsBegun;
   Status.CommitIndex = CommitIndex;
   Status.AppliedIndex = CommitIndex;
   Status.FirstIndex = Log.baseIndex() + 1;
--- a/Libraries/LibConsensus/Replica.h
+++ b/Libraries/LibConsensus/Replica.h
@@ -25,6 +25,9 @@
   /// The leader of the term, where it is known.
   std::optional<HostId> Leader;
   uint64_t Term = 0;
+  /// Elections that this replica has begun since it started, pre-votes
+  /// included.
+  uint64_t ElectionsBegun = 0;
   uint64_t CommitIndex = 0;
   uint64_t AppliedIndex = 0;
   uint64_t FirstIndex = 0;
@@ -270,6 +273,7 @@
   uint64_t CommitIndex = 0;
   std::variant<FollowerState, CandidateState, LeaderState> Role;
   Timestamp ElectionAt;
+  uint64_t ElectionsBegun = 0;
   /// Until then the leader is presumed to be alive, and no vote is granted.
   Timestamp LeaderActiveUntil = Timestamp::min();
 
--- a/Libraries/LibConsensus/ReplicaElection.cpp
+++ b/Libraries/LibConsensus/ReplicaElection.cpp
@@ -4,6 +4,7 @@
 namespace ferry::consensus {
 
 void Replica::campaign(bool PreVote) {
+  ++ElectionsBegun;
   ElectionAt = electionDeadline();
   if (!PreVote) {
     LastVote = {LastVote.Term + 1, Self.Replica};
--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -89,8 +89,7 @@
   }
   if (hasEnded(Record.Id, Record.Incarnation)) {
     Out.emplace_back(
-        AnnouncementRefused{Record.Id, std::max(Memory.greatest(Record.Id),
-                                                Recorded.left(Record.Id))});
+        AnnouncementRefused{Record.Id, newestIncarnation(Record.Id)});
     return;
   }
   recordSeen(Record.Id, Record.Incarnation, Now);
@@ -135,8 +134,7 @@
   if (Record.Incarnation.Value != 0)
     return Record.Incarnation;
   // A target may leave without stating its incarnation.
-  ferry::Incarnation Newest =
-      std::max(Memory.greatest(Record.Id), Recorded.left(Record.Id));
+  ferry::Incarnation Newest = newestIncarnation(Record.Id);
   bool MayMeanEarlier = Memory.hasFollowed(Record.Id, Now - LeaveDelay) &&
                         !Recorded.hasLeft(Record.Id, Newest);
   if (Newest.Value == 0 || MayMeanEarlier)
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -105,6 +105,10 @@
   std::optional<ferry::Incarnation>
   leavingIncarnation(const TargetRecord &Record, Timestamp Now) const;
 
+  /// \returns the newest incarnation of \p Target that is known, or 0.
+  ferry::Incarnation newestIncarnation(const TargetId &Target) const {
+    return std::max(Memory.greatest(Target), Recorded.left(Target));
+  }
   /// \returns the recorded leaves that this host knows.
   const LeaveLedger &recordedLeaves() const { return Recorded; }
 
--- a/Libraries/LibRegistry/RegistryClient.cpp
+++ b/Libraries/LibRegistry/RegistryClient.cpp
@@ -95,8 +95,9 @@
   Request &PendingRequest = RequestIt->second;
   if (Received.Reply.Status == wire::ReplyStatus::Answered) {
     preferLeader(Received.From);
-    Out.emplace_back(
-        ClientFinished{PendingRequest.CallerId, Received.Reply.Answer});
+    Out.emplace_back(ClientFinished{PendingRequest.CallerId,
+                                    Received.Reply.Answer, PendingRequest.Sends,
+                                    Received.From});
     Pending.erase(RequestIt);
     return;
   }
@@ -144,9 +145,10 @@
   }
   for (int64_t Number : Expired) {
     auto RequestIt = Pending.find(Number);
-    Out.emplace_back(
-        ClientFinished{RequestIt->second.CallerId,
-                       makeTypedError(RegistryErrorKind::Timeout)});
+    const Request &Ended = RequestIt->second;
+    Out.emplace_back(ClientFinished{
+        Ended.CallerId, makeTypedError(RegistryErrorKind::Timeout), Ended.Sends,
+        Settings.ControlHosts[Ended.Host]});
     Pending.erase(RequestIt);
   }
 }
--- a/Libraries/LibRegistry/RegistryClient.h
+++ b/Libraries/LibRegistry/RegistryClient.h
@@ -59,6 +59,10 @@
   uint64_t Id = 0;
   /// The encoded reply, for tryOutcome().
   Result<std::string, RegistryError> Answer;
+  /// How often it was sent, and the control host that was asked last or that
+  /// answered.
+  uint32_t Sends = 0;
+  HostId LastHost = {};
 };
 
 using ClientEffect = std::variant<ClientSend, ClientFinished>;
--- a/Services/ferryd/ControlPlane.cpp
+++ b/Services/ferryd/ControlPlane.cpp
@@ -17,6 +17,8 @@
 
 /// Ticks of the control thread that run later than this are logged.
 static constexpr Duration LoggedTickDelay = std::chrono::milliseconds(500);
+/// Leaves of one message that are logged; a host that starts learns them all.
+static constexpr size_t MaxLoggedLeaves = 16;
 /// Between attempts to reopen a log that stopped at a failure of its disk.
 static constexpr Duration ReopenLogInterval = std::chrono::milliseconds(500);
 /// Time for recording a leave that a router noticed. Nobody waits for it.
@@ -205,6 +207,19 @@
     stepMembership(LeavesRecorded{
         Node->state().leaves().after(Members.recordedLeaves().newestNumber())});
   };
+  NodeHooks.Synced = [this](Duration Elapsed) {
+    Metrics
+        .histogram(
+            "ferry_log_sync_seconds",
+            "From the oldest write that a sync of the log covers to its end.")
+        .observe(double(Elapsed.count()) / 1e6);
+  };
+  NodeHooks.Committed = [this](Duration Elapsed) {
+    Metrics
+        .histogram("ferry_log_commit_seconds",
+                   "From a proposal to this leader until it is committed.")
+        .observe(double(Elapsed.count()) / 1e6);
+  };
   NodeHooks.StandingChanged = [this] {
     if (auto Leader = Node->log().leader())
       Gateway->hintLeader(*Leader);
@@ -493,6 +508,26 @@
 }
 
 void ControlPlane::stepMembership(const MembershipEvent &Event) {
+  uint64_t PreviousLeave = Members.recordedLeaves().newestNumber();
+  runMembershipStep(Event);
+  if (Members.recordedLeaves().newestNumber() > PreviousLeave)
+    logLearnedLeaves(PreviousLeave, Event);
+}
+
+void ControlPlane::logLearnedLeaves(uint64_t After,
+                                    const MembershipEvent &Event) const {
+  const auto *Message = std::get_if<MembershipReceived>(&Event);
+  for (const RecordedLeave &Leave :
+       Members.recordedLeaves().after(After, MaxLoggedLeaves))
+    observe::logEvent(
+        Severity::Info, "control", "leave_learned",
+        {{"target", Leave.Target},
+         {"incarnation", Leave.Incarnation},
+         {"number", Leave.Number},
+         {"from", Message != nullptr ? Message->From.Value : "log"}});
+}
+
+void ControlPlane::runMembershipStep(const MembershipEvent &Event) {
   for (const MembershipEffect &Effect : Members.step(Event, steadyNow()))
     match(
         Effect,
@@ -511,8 +546,11 @@
           stepConfirmation(ConfirmationRelayed{Received.Number, Received.AsOf,
                                                Received.From});
         },
-        [this](const membership::AnnouncementRefused &) {
+        [this](const membership::AnnouncementRefused &Refused) {
           AnnouncementRefused = true;
+          observe::logEvent(
+              Severity::Info, "control", "announcement_refused",
+              {{"target", Refused.Target}, {"known", Refused.Greatest}});
         },
         [this](const NoticedLeaveReceived &Leave) {
           recordLeave(Leave.Target, Leave.Incarnation,
--- a/Services/ferryd/ControlPlane.h
+++ b/Services/ferryd/ControlPlane.h
@@ -144,6 +144,11 @@
   void applyDescription(const wire::DescriptionCopy &Copy);
   void applyRegistryDescription();
   void stepMembership(const membership::MembershipEvent &Event);
+  void runMembershipStep(const membership::MembershipEvent &Event);
+  /// Logs the recorded leaves above the number \p After, which this host
+  /// learned by \p Event.
+  void logLearnedLeaves(uint64_t After,
+                        const membership::MembershipEvent &Event) const;
   void stepConfirmation(const membership::ConfirmationEvent &Event);
   void updateStanding();
   membership::Standing chooseStanding() const;
--- a/Services/ferryd/ControlPlaneDump.cpp
+++ b/Services/ferryd/ControlPlaneDump.cpp
@@ -6,13 +6,17 @@
 
 using Poco::JSON::Object;
 
-static Object::Ptr logSection(const consensus::LogDriver &Log) {
+static Object::Ptr logSection(const RegistryNode &Node) {
+  const consensus::LogDriver &Log = Node.log();
   consensus::ReplicaStatus Status = Log.status();
   Object::Ptr Section = new Object;
   Section->set("replica", Status.Replica.Value);
   Section->set("standing", std::string(enumName(Status.CurrentStanding)));
   Section->set("leads", Status.IsLeader);
   Section->set("leader", Status.Leader.value_or(HostId{}).Value);
+  Section->set("leader_for_ms",
+               millisUntil(steadyNow(), Node.leadership().Since));
+  Section->set("elections_begun", Status.ElectionsBegun);
   Section->set("term", Status.Term);
   Section->set("commit_index", Status.CommitIndex);
   Section->set("first_index", Status.FirstIndex);
@@ -194,6 +198,14 @@
       Node->log().isVoter() ? 1 : 0);
   Set("ferry_log_commit_index", "Last committed index.", Status.CommitIndex);
   Set("ferry_log_term", "Term of the log.", Status.Term);
+  Set("ferry_log_elections_begun",
+      "Elections that this host has begun since its log was opened.",
+      Status.ElectionsBegun);
+  auto UnsyncedSince = Node->log().oldestUnsyncedWrite();
+  Metrics
+      .gauge("ferry_log_unsynced_seconds",
+             "Age of the oldest write to the log that is not synced.")
+      .set(UnsyncedSince ? double((Now - *UnsyncedSince).count()) / 1e6 : 0);
   control::Reconciler::Counts Counts = Orders->counts();
   Set("ferry_order_lease_held", "1 while this host holds the order lease.",
       Orders->holdsLease() ? 1 : 0);
@@ -237,7 +249,7 @@
   auto OrEmpty = [this](auto Make) {
     return [this, Make] { return Node ? Make() : Object::Ptr(new Object); };
   };
-  Dump.add("log", OrEmpty([this] { return logSection(Node->log()); }));
+  Dump.add("log", OrEmpty([this] { return logSection(*Node); }));
   Dump.add("orders", OrEmpty([this] { return ordersSection(*Orders); }));
   Dump.add("registry",
            OrEmpty([this] { return registrySection(Node->state()); }));
--- a/Services/ferryd/ControlPlanePort.cpp
+++ b/Services/ferryd/ControlPlanePort.cpp
@@ -165,7 +165,8 @@
   };
   if (!Leaving) {
     observe::logEvent(Severity::Warning, "control", "leave_not_attributed",
-                      {{"target", Record.Id}});
+                      {{"target", Record.Id},
+                       {"newest", Members.newestIncarnation(Record.Id)}});
     return Acknowledge(false);
   }
   if (Members.recordedLeaves().hasLeft(Record.Id, *Leaving))
@@ -178,17 +179,20 @@
                                std::function<void(bool IsRecorded)> Done) {
   Gateway->submitFor<RecordedLeave>(
       RecordLeave{Target, Left}, Deadline,
-      [Target, Left,
+      [Target, Left, SubmittedAt = steadyNow(),
        Done = std::move(Done)](RegistryResult<RecordedLeave> Outcome) {
+        int64_t ElapsedMillis = (steadyNow() - SubmittedAt).count() / 1000;
         if (Outcome)
           observe::logEvent(Severity::Info, "control", "leave_recorded",
                             {{"target", Target},
                              {"incarnation", Left},
-                             {"number", Outcome->Number}});
+                             {"number", Outcome->Number},
+                             {"ms", ElapsedMillis}});
         else
           observe::logEvent(Severity::Warning, "control", "leave_not_recorded",
                             {{"target", Target},
                              {"incarnation", Left},
+                             {"ms", ElapsedMillis},
                              {"reason", Outcome.error().message()}});
         Done(Outcome.has_value());
       });
--- a/Services/ferryd/RegistryGateway.cpp
+++ b/Services/ferryd/RegistryGateway.cpp
@@ -1,9 +1,14 @@
 #include "ferryd/RegistryGateway.h"
 #include "LibCore/Visit.h"
+#include "LibObserve/Log.h"
 
 namespace ferry::daemon {
 
 using namespace registry;
+using observe::Severity;
+
+/// Answers that took longer are logged.
+static constexpr Duration LoggedAnswerTime = std::chrono::milliseconds(500);
 
 RegistryGateway::RegistryGateway(RegistryClient::Options Options,
                                  ControlLoop &Loop, Sender Send)
@@ -16,7 +21,7 @@
 void RegistryGateway::submit(ClientRequest Request, Timestamp Deadline,
                              Callback Done) {
   uint64_t Id = NextId++;
-  Callbacks[Id] = std::move(Done);
+  Requests[Id] = {std::move(Done), steadyNow()};
   step(ClientSubmit{Id, std::move(Request), Deadline});
 }
 
@@ -48,11 +53,24 @@
   match(
       std::move(Effect),
       [this](ClientSend &&Sent) { Send(Sent.To, Sent.Request); },
-      [this](ClientFinished &&Finished) {
-        auto Callback = Callbacks.extract(Finished.Id);
-        if (!Callback.empty())
-          Callback.mapped()(std::move(Finished.Answer));
-      });
+      [this](ClientFinished &&Finished) { finish(std::move(Finished)); });
+}
+
+void RegistryGateway::finish(ClientFinished Finished) {
+  auto Request = Requests.extract(Finished.Id);
+  if (Request.empty())
+    return;
+  Duration Elapsed = steadyNow() - Request.mapped().At;
+  if (!Finished.Answer || Elapsed >= LoggedAnswerTime)
+    observe::logEvent(
+        Severity::Warning, "control",
+        Finished.Answer ? "log_answer_slow" : "log_answer_missing",
+        {{"ms", Elapsed.count() / 1000},
+         {"sends", Finished.Sends},
+         {"last_host", Finished.LastHost},
+         {"reason", Finished.Answer ? std::string()
+                                    : Finished.Answer.error().message()}});
+  Request.mapped().Done(std::move(Finished.Answer));
 }
 
 } // namespace ferry::daemon
--- a/Services/ferryd/RegistryGateway.h
+++ b/Services/ferryd/RegistryGateway.h
@@ -67,11 +67,16 @@
   void step(registry::ClientEvent Event);
   void run(registry::ClientEffect Effect);
   void tick();
+  void finish(registry::ClientFinished Finished);
 
   registry::RegistryClient Client;
   ControlLoop &Loop;
   Sender Send;
-  std::map<uint64_t, Callback> Callbacks;
+  struct Submitted {
+    Callback Done;
+    Timestamp At;
+  };
+  std::map<uint64_t, Submitted> Requests;
   uint64_t NextId = 1;
   ControlLoop::TimerId Timer;
 };
--- a/Services/ferryd/RegistryNode.cpp
+++ b/Services/ferryd/RegistryNode.cpp
@@ -1,9 +1,14 @@
 #include "ferryd/RegistryNode.h"
 #include "LibCore/Visit.h"
+#include "LibObserve/Log.h"
 
 namespace ferry::daemon {
 
 using namespace registry;
+using observe::Severity;
+
+/// Writes that took longer are logged.
+static constexpr Duration LoggedSyncTime = std::chrono::milliseconds(500);
 
 Result<std::unique_ptr<RegistryNode>, consensus::StorageError>
 RegistryNode::tryOpen(consensus::LogOptions Options, ControlLoop &Loop,
@@ -14,6 +19,14 @@
   if (!Log)
     return makeError(Log.error());
   Node->Log = std::move(*Log);
+  Node->Known.Since = steadyNow();
+  consensus::ReplicaStatus Status = Node->Log->status();
+  observe::logEvent(Severity::Info, "control", "log_opened",
+                    {{"replica", Status.Replica.Value},
+                     {"standing", Status.CurrentStanding},
+                     {"term", Status.Term},
+                     {"last_index", Status.LastIndex},
+                     {"snapshot_index", Status.SnapshotIndex}});
   return Node;
 }
 
@@ -30,6 +43,12 @@
     return tryRestore(Bytes);
   };
   Hooks.StandingChanged = [this] { onStandingChanged(); };
+  Hooks.Synced = [this](Duration Elapsed) {
+    Callbacks.Synced(Elapsed);
+    if (Elapsed >= LoggedSyncTime)
+      observe::logEvent(Severity::Warning, "control", "log_sync_slow",
+                        {{"ms", Elapsed.count() / 1000}});
+  };
   return Hooks;
 }
 
@@ -84,9 +103,23 @@
   // addressed by a leader again.
   if (!Log->isVoter())
     LeaderSeen = false;
+  logLeadership();
   Callbacks.StandingChanged();
 }
 
+void RegistryNode::logLeadership() {
+  Leadership Next{Log->leader(), Log->status().Term, steadyNow()};
+  if (Next.Leader == Known.Leader && Next.Term == Known.Term)
+    return;
+  observe::logEvent(Severity::Info, "control", "leader_changed",
+                    {{"leader", leaderOrEmpty(Next.Leader)},
+                     {"term", Next.Term},
+                     {"before", leaderOrEmpty(Known.Leader)},
+                     {"before_ms", (Next.Since - Known.Since).count() / 1000},
+                     {"elections_begun", Log->status().ElectionsBegun}});
+  Known = std::move(Next);
+}
+
 void RegistryNode::step(ServerEvent Event) {
   for (ServerEffect &Effect : Server.step(std::move(Event)))
     match(
@@ -100,9 +133,13 @@
 
 void RegistryNode::propose(ServerPropose Proposal) {
   uint64_t Token = Proposal.Token;
-  Log->propose(std::move(Proposal.Command), [this, Token](auto Proposed) {
-    if (Proposed)
+  Timestamp ProposedAt = steadyNow();
+  Log->propose(std::move(Proposal.Command), [this, Token,
+                                             ProposedAt](auto Proposed) {
+    if (Proposed) {
+      Callbacks.Committed(steadyNow() - ProposedAt);
       return step(ServerProposalCommitted{Token, *Proposed});
+    }
     step(ServerProposalFailed{Token, leaderOrEmpty(Proposed.error().Leader)});
   });
 }
--- a/Services/ferryd/RegistryNode.h
+++ b/Services/ferryd/RegistryNode.h
@@ -25,6 +25,20 @@
     std::function<void()> WeightsNamed = [] {};
     /// Called when the registry has recorded leaves of targets.
     std::function<void()> LeavesRecorded = [] {};
+    /// Called for each sync of the log with the time since the oldest write
+    /// that it covers was queued.
+    std::function<void(Duration)> Synced = [](Duration) {};
+    /// Called for each command that this host proposed as the leader, with the
+    /// time until it was committed.
+    std::function<void(Duration)> Committed = [](Duration) {};
+  };
+
+  /// The leader of the log, as far as this host knows.
+  struct Leadership {
+    std::optional<HostId> Leader;
+    uint64_t Term = 0;
+    /// When this host learned of it.
+    Timestamp Since;
   };
 
   /// Opens the log in \p Options.Folder and replays it.
@@ -52,6 +66,7 @@
 
   const registry::Registry &state() const { return State; }
   const consensus::LogDriver &log() const { return *Log; }
+  const Leadership &leadership() const { return Known; }
 
   /// Closes the log after the writes under way.
   void close();
@@ -67,9 +82,11 @@
   HostId leaderOrEmpty(const std::optional<HostId> &Leader) const;
 
   void onStandingChanged();
+  void logLeadership();
 
   Hooks Callbacks;
   bool LeaderSeen = false;
+  Leadership Known;
   registry::Registry State;
   registry::RegistryServer Server{State};
   std::unique_ptr<consensus::LogDriver> Log;
