LibConsensus: Elect a leader on disks whose syncs take longer than 300 ms

Cause: a vote counts once it is synced at the candidate and at the voter, one after the other, and the election timer ran meanwhile. After 300 to 600 ms the candidate began the next pre-vote and dropped the votes of its term; the others, whose timers ran out while it synced its vote, campaigned for the same term and split the votes.

Fix: the votes of a term count until the next one begins, also during the pre-vote for it. The timer of a replica stops while its own vote or term is being synced, and is longer by twice the time that the shorter one of the last two syncs took, a second at most. Who grants a pre-vote leaves its candidate the time to sync, once for each term. On a disk that syncs in a millisecond the timers are as before.

--- a/Libraries/LibConsensus/Replica.cpp
+++ b/Libraries/LibConsensus/Replica.cpp
@@ -5,6 +5,10 @@
 
 namespace ferry::consensus {
 
+/// Longer syncs count as this, so that a disk that hung does not hold up the
+/// next election.
+static constexpr Duration MaxCountedSyncTime = std::chrono::seconds(1);
+
 Replica::Replica(ReplicaOptions Options, DurableState Recovered, Timestamp Now)
     : Options(std::move(Options)), Random(this->Options.Seed), Now(Now),
       Self(std::move(Recovered.Self)), LastVote(Recovered.LastVote),
@@ -24,6 +28,7 @@
   auto Jitter =
       randomBelow(Random, this->Options.Timing.ElectionTimeout.count());
   ElectionAt = Now + Duration(Jitter);
+  ElectionTimerStartedAt = Now;
 }
 
 std::vector<Effect> Replica::step(Event Input, Timestamp StepTime) {
@@ -45,8 +50,8 @@
 Timestamp Replica::nextDeadline() const {
   if (const auto *Lead = std::get_if<LeaderState>(&Role))
     return std::min(Lead->HeartbeatAt, Lead->QuorumCheckAt);
-  bool IsVoter = standing() == Standing::Voter;
-  return IsVoter ? std::min(ElectionAt, ProbeAt) : ProbeAt;
+  bool MayCampaign = standing() == Standing::Voter && electionTimerRuns();
+  return MayCampaign ? std::min(ElectionAt, ProbeAt) : ProbeAt;
 }
 
 Standing Replica::standing() const {
@@ -90,8 +95,8 @@
       heartbeat();
     return;
   }
-  if (standing() == Standing::Voter && Now >= ElectionAt)
-    campaign(/*PreVote=*/true);
+  if (standing() == Standing::Voter && electionTimerRuns() && Now >= ElectionAt)
+    beginPreVote();
   if (Now >= ProbeAt)
     probe();
 }
@@ -170,12 +175,7 @@
 }
 
 void Replica::handle(PersistedEvent &Input) {
-  PersistedToken = std::max(PersistedToken, Input.Token);
-  while (!PendingWrites.empty() &&
-         PendingWrites.front().first <= PersistedToken) {
-    DurableIndex = PendingWrites.front().second;
-    PendingWrites.pop_front();
-  }
+  recordSync(Input.Token);
   while (!DelayedMessages.empty() &&
          DelayedMessages.front().Token <= PersistedToken) {
     emit(SendEffect{DelayedMessages.front().To,
@@ -188,6 +188,22 @@
     advanceCommit();
 }
 
+void Replica::recordSync(uint64_t Token) {
+  bool TimerStopped = !electionTimerRuns();
+  PersistedToken = std::max(PersistedToken, Token);
+  if (TimerStopped && electionTimerRuns())
+    ElectionAt += Now - std::max(HardStateChangedAt, ElectionTimerStartedAt);
+  if (PendingWrites.empty() || PendingWrites.front().Token > PersistedToken)
+    return;
+  SyncTimeBefore =
+      std::exchange(LastSyncTime, Now - PendingWrites.front().EmittedAt);
+  while (!PendingWrites.empty() &&
+         PendingWrites.front().Token <= PersistedToken) {
+    DurableIndex = PendingWrites.front().LastIndex;
+    PendingWrites.pop_front();
+  }
+}
+
 void Replica::handle(HostsEvent &Input) { Discovered = std::move(Input.Hosts); }
 
 void Replica::handle(SnapshotTakenEvent &Input) {
@@ -244,7 +260,7 @@
   if (PendingBatch.empty())
     return;
   ++LastToken;
-  PendingWrites.emplace_back(LastToken, Log.lastIndex());
+  PendingWrites.push_back({LastToken, Log.lastIndex(), Now});
   emit(PersistEffect{LastToken, std::exchange(PendingBatch, {})});
 }
 
@@ -256,11 +272,17 @@
 
 void Replica::recordVote() {
   PendingBatch.NewVote = LastVote;
-  HardStateToken = LastToken + 1;
+  noteHardStateChange();
 }
 
 void Replica::recordIdentity() {
   PendingBatch.NewIdentity = Self;
+  noteHardStateChange();
+}
+
+void Replica::noteHardStateChange() {
+  if (hardStateToken() <= PersistedToken)
+    HardStateChangedAt = Now;
   HardStateToken = LastToken + 1;
 }
 
@@ -284,8 +306,8 @@
   Log.truncateFrom(Index);
   PendingBatch.TruncateFrom = Index;
   DurableIndex = std::min(DurableIndex, Index - 1);
-  for (auto &[Token, LastIndex] : PendingWrites)
-    LastIndex = std::min(LastIndex, Index - 1);
+  for (PendingWrite &Write : PendingWrites)
+    Write.LastIndex = std::min(Write.LastIndex, Index - 1);
 }
 
 void Replica::commitTo(uint64_t Index) {
@@ -317,7 +339,7 @@
   assert(NewTerm >= LastVote.Term && "terms never go back");
   if (isLeader()) {
     abandonRequests();
-    ElectionAt = electionDeadline();
+    restartElectionTimer();
   }
   Role = FollowerState{std::move(Leader)};
   if (NewTerm == LastVote.Term)
@@ -333,9 +355,13 @@
          Self.StoredStanding != Standing::Refusing;
 }
 
-Timestamp Replica::electionDeadline() {
-  Duration Timeout = Options.Timing.ElectionTimeout;
-  return Now + Timeout + Duration(randomBelow(Random, Timeout.count()));
+void Replica::restartElectionTimer() {
+  // A single slow sync does not count.
+  Duration SyncTime =
+      std::min({LastSyncTime, SyncTimeBefore, MaxCountedSyncTime});
+  Duration Timeout = Options.Timing.ElectionTimeout + 2 * SyncTime;
+  ElectionTimerStartedAt = Now;
+  ElectionAt = Now + Timeout + Duration(randomBelow(Random, Timeout.count()));
 }
 
 } // namespace ferry::consensus
--- a/Libraries/LibConsensus/Replica.h
+++ b/Libraries/LibConsensus/Replica.h
@@ -11,6 +11,7 @@
 #include "LibCore/Time.h"
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <variant>
 #include <vector>
@@ -108,9 +109,13 @@
     std::optional<HostId> Leader;
   };
   struct CandidateState {
-    /// Whether this is the pre-vote, which changes no term.
-    bool PreVote;
-    std::set<ReplicaId> GrantedBy;
+    /// Who granted the pre-vote for the next term, while one is under way. It
+    /// changes no term.
+    std::optional<std::set<ReplicaId>> PreVotes;
+    /// Who granted the vote of the present term, if this replica asked for it.
+    /// Votes that arrive during the next pre-vote still count: a peer sends its
+    /// vote once it is synced.
+    std::optional<std::set<ReplicaId>> Votes;
   };
   struct LeaderState {
     /// Index of the first entry of this leader's term; reads wait until it is
@@ -170,6 +175,7 @@
   /// vote. Messages that depend on them wait until it is synced.
   uint64_t hardStateToken() const;
   void recordVote();
+  void noteHardStateChange();
   void recordIdentity();
   void recordCheckpoint();
   void appendEntry(Entry NewEntry);
@@ -182,11 +188,22 @@
   void becomeFollower(uint64_t NewTerm, std::optional<HostId> Leader);
   void adoptTerm(uint64_t NewTerm);
   bool mayVote() const;
-  Timestamp electionDeadline();
+  /// Restarts the election timer. It is longer on a slow disk: an election
+  /// takes a sync of the candidate and one of its voters, in which another
+  /// campaign would split the votes.
+  void restartElectionTimer();
+  /// The timer does not run while a vote or term of this replica is synced.
+  bool electionTimerRuns() const { return hardStateToken() <= PersistedToken; }
+  /// Notes that the write of \p Token is synced, and the time that it took.
+  void recordSync(uint64_t Token);
 
   // ReplicaElection.cpp
-  void campaign(bool PreVote);
+  void beginPreVote();
+  /// Begins the next term and asks the other voters for their votes.
+  void beginElection();
+  void sendVoteRequests(bool PreVote);
   void countVotes();
+  bool isQuorum(const std::set<ReplicaId> &Replicas) const;
   /// \returns whether the candidate's log is at least as up to date as this
   /// replica's.
   bool upToDate(const wire::VoteRequest &Request) const;
@@ -273,7 +290,10 @@
   uint64_t CommitIndex = 0;
   std::variant<FollowerState, CandidateState, LeaderState> Role;
   Timestamp ElectionAt;
+  Timestamp ElectionTimerStartedAt;
   uint64_t ElectionsBegun = 0;
+  /// The greatest term for which a pre-vote was granted.
+  uint64_t PreVoteGrantedTerm = 0;
   /// Until then the leader is presumed to be alive, and no vote is granted.
   Timestamp LeaderActiveUntil = Timestamp::min();
 
@@ -283,10 +303,20 @@
   uint64_t PersistedToken = 0;
   /// Token of the last write that changes the identity, term or vote.
   uint64_t HardStateToken = 0;
+  /// When the first of those that are not synced was made.
+  Timestamp HardStateChangedAt;
   uint64_t DurableIndex = 0;
-  /// Token of each write that is not synced, and the last index that is
-  /// durable after it.
-  std::deque<std::pair<uint64_t, uint64_t>> PendingWrites;
+  /// A write that is not synced.
+  struct PendingWrite {
+    uint64_t Token;
+    /// The last index that is durable after it.
+    uint64_t LastIndex;
+    Timestamp EmittedAt;
+  };
+  std::deque<PendingWrite> PendingWrites;
+  /// Times of the last two syncs.
+  Duration LastSyncTime{};
+  Duration SyncTimeBefore{};
   /// In the order of their tokens.
   std::deque<DelayedMessage> DelayedMessages;
 
--- a/Libraries/LibConsensus/ReplicaElection.cpp
+++ b/Libraries/LibConsensus/ReplicaElection.cpp
@@ -1,16 +1,30 @@
 #include "LibConsensus/Replica.h"
+#include <algorithm>
 #include <cassert>
 
 namespace ferry::consensus {
 
-void Replica::campaign(bool PreVote) {
+void Replica::beginPreVote() {
+  CandidateState Next;
+  if (auto *Current = std::get_if<CandidateState>(&Role))
+    Next.Votes = std::move(Current->Votes);
+  Next.PreVotes.emplace();
+  Role = std::move(Next);
+  sendVoteRequests(/*PreVote=*/true);
+}
+
+void Replica::beginElection() {
+  LastVote = {LastVote.Term + 1, Self.Replica};
+  recordVote();
+  CandidateState Next;
+  Next.Votes.emplace();
+  Role = std::move(Next);
+  sendVoteRequests(/*PreVote=*/false);
+}
+
+void Replica::sendVoteRequests(bool PreVote) {
   ++ElectionsBegun;
-  ElectionAt = electionDeadline();
-  if (!PreVote) {
-    LastVote = {LastVote.Term + 1, Self.Replica};
-    recordVote();
-  }
-  Role = CandidateState{PreVote, {}};
+  restartElectionTimer();
   wire::VoteRequest Request;
   Request.Preliminary = PreVote;
   Request.LastIndex = static_cast<int64_t>(Log.lastIndex());
@@ -30,16 +44,20 @@
   auto &Campaign = std::get<CandidateState>(Role);
   // The replica's own vote counts once it is synced, as the peers' votes do.
   if (hardStateToken() <= PersistedToken)
-    Campaign.GrantedBy.insert(Self.Replica);
+    for (auto *Granted : {&Campaign.PreVotes, &Campaign.Votes})
+      if (*Granted)
+        (*Granted)->insert(Self.Replica);
+  if (Campaign.Votes && isQuorum(*Campaign.Votes))
+    becomeLeader();
+  else if (Campaign.PreVotes && isQuorum(*Campaign.PreVotes))
+    beginElection();
+}
+
+bool Replica::isQuorum(const std::set<ReplicaId> &Replicas) const {
   size_t Count = 0;
   for (const Member &Voter : Log.members().Voters)
-    Count += Campaign.GrantedBy.count(Voter.Replica);
-  if (Count < Log.members().quorum())
-    return;
-  if (Campaign.PreVote)
-    campaign(/*PreVote=*/false);
-  else
-    becomeLeader();
+    Count += Replicas.count(Voter.Replica);
+  return Count >= Log.members().quorum();
 }
 
 bool Replica::upToDate(const wire::VoteRequest &Request) const {
@@ -60,8 +78,14 @@
   Reply.Granted = mayVote() && !hasActiveLeader() && upToDate(Request) &&
                   Input.Received.Term > LastVote.Term;
   Message Content = message(Input.Received.Sender, Reply);
-  if (Reply.Granted)
+  if (Reply.Granted) {
     Content.Term = Input.Received.Term;
+    // Leaves the candidate the time to sync its vote. A candidate that nobody
+    // answers must not hold the others up again and again.
+    if (Input.Received.Term > PreVoteGrantedTerm)
+      restartElectionTimer();
+    PreVoteGrantedTerm = std::max(PreVoteGrantedTerm, Input.Received.Term);
+  }
   sendAfter(hardStateToken(), Input.From, std::move(Content));
 }
 
@@ -85,18 +109,19 @@
     recordVote();
   }
   if (Reply.Granted)
-    ElectionAt = electionDeadline();
+    restartElectionTimer();
   sendAfter(hardStateToken(), Input.From, message(Candidate, Reply));
 }
 
 void Replica::receive(const ReceiveEvent &Input, const wire::VoteReply &Reply) {
   auto *Campaign = std::get_if<CandidateState>(&Role);
-  if (Campaign == nullptr || Campaign->PreVote != Reply.Preliminary)
+  if (Campaign == nullptr || !Reply.Granted)
     return;
+  auto &Granted = Reply.Preliminary ? Campaign->PreVotes : Campaign->Votes;
   uint64_t Expected = LastVote.Term + (Reply.Preliminary ? 1 : 0);
-  if (!Reply.Granted || Input.Received.Term != Expected)
+  if (!Granted || Input.Received.Term != Expected)
     return;
-  Campaign->GrantedBy.insert(Input.Received.Sender);
+  Granted->insert(Input.Received.Sender);
   countVotes();
 }
 
--- a/Libraries/LibConsensus/ReplicaFollower.cpp
+++ b/Libraries/LibConsensus/ReplicaFollower.cpp
@@ -19,7 +19,7 @@
   if (isLeader())
     return false;
   becomeFollower(LastVote.Term, Input.From);
-  ElectionAt = electionDeadline();
+  restartElectionTimer();
   LeaderActiveUntil = Now + Options.Timing.ElectionTimeout;
   if (!mayVote()) {
     Self.StoredStanding = Standing::Learner;
@@ -153,8 +153,8 @@
   // Entries up to the commit index stay equal; later ones are discarded and no
   // longer count as durable.
   DurableIndex = std::min(DurableIndex, CommitIndex);
-  for (auto &[Token, LastIndex] : PendingWrites)
-    LastIndex = std::min(LastIndex, CommitIndex);
+  for (PendingWrite &Write : PendingWrites)
+    Write.LastIndex = std::min(Write.LastIndex, CommitIndex);
   LastSnapshot = std::make_shared<Snapshot>(std::move(*IncomingSnapshot));
   IncomingSnapshot.reset();
   SnapshotRequested = false;
--- a/Libraries/LibConsensus/ReplicaMembership.cpp
+++ b/Libraries/LibConsensus/ReplicaMembership.cpp
@@ -95,6 +95,7 @@
   Self.Formation = std::move(Members);
   Self.StoredStanding = Standing::Learner;
   recordIdentity();
+  ElectionTimerStartedAt = Now;
   ElectionAt =
       Now +
       Duration(randomBelow(Random, Options.Timing.ElectionTimeout.count()));
--- a/Tests/LibConsensus/SimulatedCluster.h
+++ b/Tests/LibConsensus/SimulatedCluster.h
@@ -262,6 +262,7 @@
   Timestamp Now{};
   std::vector<SimulatedHost> Hosts;
   NetworkFaults Network;
+  Duration MinSyncTime = 1us;
   Duration MaxSyncTime = 3ms;
   ReplicaTiming Timing;
   ReplicaLimits Limits;
@@ -428,7 +429,9 @@
     uint64_t Token = Write.Token;
     Host.Writes.push_back(std::move(Write));
     // Only the host can freeze, not its disk: syncs finish meanwhile.
-    Duration SyncTime(randomBelow(Random, MaxSyncTime.count()) + 1);
+    Duration SyncTime =
+        MinSyncTime +
+        Duration(randomBelow(Random, (MaxSyncTime - MinSyncTime).count() + 1));
     after(SyncTime, [this, &Host, Token, Incarnation = Host.Incarnation] {
       synced(Host, Token, Incarnation);
     });
--- a/Tests/LibConsensus/TestReplicaFaults.cpp
+++ b/Tests/LibConsensus/TestReplicaFaults.cpp
@@ -31,7 +31,8 @@
   Damage,
   LossyNetwork,
   SlowNetwork,
-  SlowDisk
+  SlowDisk,
+  VerySlowDisk
 };
 
 /// A run draws from Faults; a fault that is listed twice is twice as likely.
@@ -48,6 +49,11 @@
                                 {Fault::Crash, Fault::Crash, Fault::PowerLoss,
                                  Fault::Freeze, Fault::CutHost, Fault::Heal,
                                  Fault::SlowDisk, Fault::LossyNetwork}};
+static const FaultTable SlowDisks{
+    "slow disks",
+    {Fault::VerySlowDisk, Fault::VerySlowDisk, Fault::SlowDisk, Fault::Crash,
+     Fault::PowerLoss, Fault::CutHost, Fault::CutReceiving, Fault::Freeze,
+     Fault::Heal}};
 static const FaultTable Disks{"disks",
                               {Fault::Wipe, Fault::ReturnDisk, Fault::Damage,
                                Fault::Crash, Fault::CutHost, Fault::Heal}};
@@ -170,6 +176,9 @@
     case Fault::SlowDisk:
       Cluster.MaxSyncTime = 60ms;
       return;
+    case Fault::VerySlowDisk:
+      Cluster.MaxSyncTime = 900ms;
+      return;
     }
   }
 
@@ -277,6 +286,11 @@
   requireSafe(5, Crashes, seedCount(20));
 }
 
+BOOST_AUTO_TEST_CASE(slow_disks_break_no_invariant) {
+  requireSafe(3, SlowDisks, seedCount(60));
+  requireSafe(5, SlowDisks, seedCount(20));
+}
+
 BOOST_AUTO_TEST_CASE(lost_and_returning_disks_break_no_invariant) {
   requireSafe(3, Disks, seedCount(80));
   requireSafe(5, Disks, seedCount(30));
@@ -414,6 +428,33 @@
   }
 }
 
+// Finding review/7: on disks whose syncs took 300 ms no host was ever elected.
+BOOST_DATA_TEST_CASE(hosts_with_slow_disks_elect_a_leader,
+                     boost::unit_test::data::make({100, 300, 500, 900}),
+                     SyncMillis) {
+  for (uint64_t Seed = 1; Seed <= 40; ++Seed) {
+    BOOST_TEST_CONTEXT("seed " << Seed) {
+      SimulatedCluster Cluster(Seed % 2 == 0 ? 3 : 5, Seed);
+      Cluster.MinSyncTime = std::chrono::milliseconds(SyncMillis);
+      Cluster.MaxSyncTime = Cluster.MinSyncTime * 6 / 5;
+      Cluster.startAll();
+      BOOST_TEST(Cluster.runUntil([&] { return Cluster.settled(); }, 12s));
+      for (int Death = 0; Death < 3 && Cluster.leader(); ++Death) {
+        SimulatedHost &Leader = *Cluster.leader();
+        Cluster.crash(Leader);
+        BOOST_TEST(
+            Cluster.runUntil([&] { return Cluster.leader() != nullptr; }, 12s));
+        Cluster.start(Leader);
+        BOOST_TEST(Cluster.runUntil([&] { return Cluster.settled(); }, 12s));
+        uint64_t Term = Cluster.Checks.highestTerm();
+        Cluster.runFor(10s);
+        BOOST_TEST(Cluster.Checks.highestTerm() == Term);
+      }
+      BOOST_TEST(Cluster.Checks.violation() == "");
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_leader_that_hears_no_quorum_steps_down) {
   SettledCluster Cluster(1);
   SimulatedHost &Leader = *Cluster.leader();
