LibConsensus: Let writes to the log go beside a sync that is slow

Cause: the storage thread wrote what had been queued only after the sync under way had ended, so that a leave waited for two syncs, one after the other, at a quorum of hosts; renewals of the order lease keep the disks busy. One sync of a second and a half held up everything behind it.

Fix: writes that come while a sync has run for 50 ms are written and synced beside it, up to four at a time. A sync covers all that was written before it, so one that hangs holds nothing up once a later one has ended. Each has a descriptor of its own, opened before anything is written, as the kernel reports a failed write once to each. On a disk that syncs in less nothing changes: what is queued meanwhile shares the next sync.

--- a/Libraries/LibConsensus/LogFiles.cpp
+++ b/Libraries/LibConsensus/LogFiles.cpp
@@ -143,9 +143,20 @@
 
 Result<void, StorageError> LogFiles::tryOpenLog() {
   fs::path Path = logPath(Number);
-  Log = Descriptor(open(Path.c_str(), O_WRONLY | O_APPEND | O_CLOEXEC));
-  if (!Log.valid() || fdatasync(Log.number()) != 0)
+  auto Open = [&Path] {
+    return Descriptor(open(Path.c_str(), O_WRONLY | O_APPEND | O_CLOEXEC));
+  };
+  auto Opened = std::make_shared<OpenLog>();
+  Opened->Path = Path;
+  Opened->Appending = Open();
+  for (Descriptor &Each : Opened->Syncing) {
+    Each = Open();
+    if (!Each.valid())
+      return systemError(Path);
+  }
+  if (!Opened->Appending.valid() || fdatasync(Opened->Appending.number()) != 0)
     return systemError(Path);
+  Log = std::move(Opened);
   WrittenBytes = fs::file_size(Path);
   SyncedBytes = WrittenBytes;
   return {};
@@ -172,6 +183,15 @@
 
 Result<void, StorageError>
 LogFiles::tryWrite(std::span<const WriteBatch> Batches) {
+  auto Written = tryAppend(Batches);
+  if (!Written)
+    return tl::unexpected(Written.error());
+  auto Synced = trySync(*Written, 0);
+  return Synced ? tryMarkSynced(*Written) : Synced;
+}
+
+Result<WrittenLog, StorageError>
+LogFiles::tryAppend(std::span<const WriteBatch> Batches) {
   std::string Records;
   for (const WriteBatch &Batch : Batches) {
     if (!Batch.NewSnapshot) {
@@ -181,22 +201,35 @@
     // The checkpoint includes all batches before it.
     Records.clear();
     if (auto Done = tryCheckpoint(Batch); !Done)
-      return Done;
+      return tl::unexpected(Done.error());
   }
-  return Records.empty() ? Result<void, StorageError>() : tryAppend(Records);
+  auto Appended = tryAppendBytes(Records);
+  if (!Appended)
+    return tl::unexpected(Appended.error());
+  return WrittenLog{Log, WrittenBytes};
 }
 
-Result<void, StorageError> LogFiles::tryAppend(std::string_view Records) {
-  if (!writeAll(Log.number(), Records) || fdatasync(Log.number()) != 0)
-    return systemError(logPath(Number));
-  WrittenBytes += Records.size();
-  SyncedBytes = WrittenBytes;
+Result<void, StorageError> LogFiles::trySync(const WrittenLog &Written,
+                                             size_t Slot) {
+  if (fdatasync(Written.Log->Syncing[Slot].number()) != 0)
+    return systemError(Written.Log->Path);
+  return {};
+}
+
+Result<void, StorageError> LogFiles::tryMarkSynced(const WrittenLog &Written) {
+  // The log may have been replaced meanwhile, or a later sync have ended first.
+  if (Written.Log != Log || Written.Bytes <= SyncedBytes)
+    return {};
+  SyncedBytes = Written.Bytes;
   // An empty record with the new SyncedBytes: it lets a later scan tell damage
   // from a torn tail. It needs no sync itself.
-  std::string SyncMark = encodeRecord(Name, SyncedBytes, {});
-  if (!writeAll(Log.number(), SyncMark))
+  return tryAppendBytes(encodeRecord(Name, SyncedBytes, {}));
+}
+
+Result<void, StorageError> LogFiles::tryAppendBytes(std::string_view Records) {
+  if (!writeAll(Log->Appending.number(), Records))
     return systemError(logPath(Number));
-  WrittenBytes += SyncMark.size();
+  WrittenBytes += Records.size();
   return {};
 }
 
--- a/Libraries/LibConsensus/LogFiles.h
+++ b/Libraries/LibConsensus/LogFiles.h
@@ -4,7 +4,9 @@
 #define FERRY_LIBCONSENSUS_LOGFILES_H
 
 #include "LibConsensus/LogFormat.h"
+#include <array>
 #include <filesystem>
+#include <memory>
 #include <optional>
 #include <span>
 #include <utility>
@@ -28,6 +30,23 @@
   int Number = -1;
 };
 
+/// Syncs of one log file that may run at the same time.
+static constexpr size_t MaxConcurrentSyncs = 4;
+
+/// A log file. Each sync has a descriptor of its own, opened before anything is
+/// written: the kernel reports a failed write once to each.
+struct OpenLog {
+  std::filesystem::path Path;
+  Descriptor Appending;
+  std::array<Descriptor, MaxConcurrentSyncs> Syncing;
+};
+
+/// The part of a log file that has been written, not always synced.
+struct WrittenLog {
+  std::shared_ptr<const OpenLog> Log;
+  uint64_t Bytes = 0;
+};
+
 /// Owns the folder of a log. It holds one log file, whose first record is a
 /// checkpoint, and the snapshot of that checkpoint, if it has one.
 class LogFiles {
@@ -50,10 +69,23 @@
   /// replaces the files and syncs them by itself.
   Result<void, StorageError> tryWrite(std::span<const WriteBatch> Batches);
 
+  // The steps of tryWrite().
+
+  /// Writes \p Batches without a sync, except for a checkpoint.
+  /// \returns the part of the log that has been written.
+  Result<WrittenLog, StorageError>
+  tryAppend(std::span<const WriteBatch> Batches);
+  /// Syncs \p Written and what was written before. May run beside any other
+  /// call but a sync with the same \p Slot, which is below MaxConcurrentSyncs.
+  static Result<void, StorageError> trySync(const WrittenLog &Written,
+                                            size_t Slot);
+  /// Notes in the log that \p Written has been synced.
+  Result<void, StorageError> tryMarkSynced(const WrittenLog &Written);
+
 private:
   LogFiles(std::filesystem::path Folder, LogName Name)
       : Folder(std::move(Folder)), Name(std::move(Name)) {}
-  Result<void, StorageError> tryAppend(std::string_view Records);
+  Result<void, StorageError> tryAppendBytes(std::string_view Records);
   Result<void, StorageError> tryCheckpoint(const WriteBatch &Batch);
   Result<void, StorageError> tryReplaceFile(const std::filesystem::path &Path,
                                             std::string_view Bytes);
@@ -66,7 +98,7 @@
   std::filesystem::path Folder;
   LogName Name;
   Descriptor Lock;
-  Descriptor Log;
+  std::shared_ptr<const OpenLog> Log;
   /// Number of the log file; rises with each checkpoint.
   uint64_t Number = 0;
   uint64_t SyncedBytes = 0;
--- a/Libraries/LibConsensus/Storage.cpp
+++ b/Libraries/LibConsensus/Storage.cpp
@@ -2,9 +2,12 @@
 
 namespace ferry::consensus {
 
-Storage::Storage(LogFiles Files, SyncCallback OnSynced)
+Storage::Storage(LogFiles Files, SyncCallback OnSynced, SyncFunction Sync)
     : Files(std::move(Files)), OnSynced(std::move(OnSynced)),
-      Thread([this] { runThread(); }) {}
+      Sync(std::move(Sync)) {
+  Threads.reserve(MaxConcurrentSyncs);
+  Threads.emplace_back([this] { runThread(0); });
+}
 
 Storage::~Storage() {
   {
@@ -12,7 +15,8 @@
     Stopping = true;
   }
   StateChanged.notify_all();
-  Thread.join();
+  for (std::thread &Each : Threads)
+    Each.join();
 }
 
 void Storage::write(uint64_t Token, WriteBatch Batch) {
@@ -20,48 +24,92 @@
     std::lock_guard<std::mutex> Lock(Mutex);
     Queue.push_back(std::move(Batch));
     LastToken = Token;
+    size_t Slot = Threads.size();
+    if (IdleThreads == 0 && RunningSyncs > 0 && Slot < MaxConcurrentSyncs)
+      Threads.emplace_back([this, Slot] { runThread(Slot); });
   }
   StateChanged.notify_all();
 }
 
 Result<void, StorageError> Storage::tryInitialise(const Identity &Self) {
   std::unique_lock<std::mutex> Lock(Mutex);
-  StateChanged.wait(Lock, [this] { return Queue.empty() && !Writing; });
+  StateChanged.wait(
+      Lock, [this] { return Queue.empty() && !Writing && RunningSyncs == 0; });
   return Files.tryInitialise(Self);
 }
 
-Result<void, StorageError>
-Storage::tryWrite(const std::vector<WriteBatch> &Batches) {
-  try {
-    return Files.tryWrite(Batches);
-  } catch (const std::exception &Failure) {
-    return makeTypedError(StorageErrorKind::Io, Failure.what());
-  }
+void Storage::runThread(size_t Slot) {
+  std::unique_lock<std::mutex> Lock(Mutex);
+  while (awaitBatches(Lock))
+    writeBatches(Lock, Slot);
 }
 
-void Storage::runThread() {
-  std::unique_lock<std::mutex> Lock(Mutex);
-  bool Failed = false;
+bool Storage::awaitBatches(std::unique_lock<std::mutex> &Lock) {
+  ++IdleThreads;
   while (true) {
-    StateChanged.wait(Lock, [this] { return Stopping || !Queue.empty(); });
-    if (Queue.empty())
-      return;
-    std::vector<WriteBatch> Batches = std::exchange(Queue, {});
-    uint64_t Token = LastToken;
-    Writing = true;
-    Lock.unlock();
-    if (!Failed) {
-      auto Written = tryWrite(Batches);
-      Failed = !Written;
-      if (Failed)
-        OnSynced(tl::unexpected(Written.error()));
-      else
-        OnSynced(Token);
-    }
-    Lock.lock();
-    Writing = false;
-    StateChanged.notify_all();
+    StateChanged.wait(
+        Lock, [this] { return !Writing && (Stopping || !Queue.empty()); });
+    Timestamp OverlapAt = LastSyncAt + SyncOverlapDelay;
+    if (Queue.empty() || Stopping || RunningSyncs == 0 ||
+        steadyNow() >= OverlapAt)
+      break;
+    StateChanged.wait_for(Lock, OverlapAt - steadyNow());
   }
+  --IdleThreads;
+  return !Queue.empty();
+}
+
+void Storage::writeBatches(std::unique_lock<std::mutex> &Lock, size_t Slot) {
+  std::vector<WriteBatch> Batches = std::exchange(Queue, {});
+  uint64_t Token = LastToken;
+  if (Failed)
+    return StateChanged.notify_all();
+  auto Written = runExclusively(Lock, [&] { return Files.tryAppend(Batches); });
+  if (!Written)
+    return fail(Lock, Written.error());
+  ++RunningSyncs;
+  LastSyncAt = steadyNow();
+  Lock.unlock();
+  auto Synced = Sync(*Written, Slot);
+  if (Synced)
+    OnSynced(Token);
+  Lock.lock();
+  --RunningSyncs;
+  StateChanged.notify_all();
+  if (!Synced)
+    return fail(Lock, Synced.error());
+  StateChanged.wait(Lock, [this] { return !Writing; });
+  auto Marked =
+      runExclusively(Lock, [&] { return Files.tryMarkSynced(*Written); });
+  if (!Marked)
+    fail(Lock, Marked.error());
+}
+
+template <typename WriteType>
+auto Storage::runExclusively(std::unique_lock<std::mutex> &Lock,
+                             WriteType Write) -> decltype(Write()) {
+  Writing = true;
+  Lock.unlock();
+  auto Outcome = [&]() -> decltype(Write()) {
+    try {
+      return Write();
+    } catch (const std::exception &Failure) {
+      return makeTypedError(StorageErrorKind::Io, Failure.what());
+    }
+  }();
+  Lock.lock();
+  Writing = false;
+  StateChanged.notify_all();
+  return Outcome;
+}
+
+void Storage::fail(std::unique_lock<std::mutex> &Lock,
+                   const StorageError &Reason) {
+  if (std::exchange(Failed, true))
+    return;
+  Lock.unlock();
+  OnSynced(tl::unexpected(Reason));
+  Lock.lock();
 }
 
 } // namespace ferry::consensus
--- a/Libraries/LibConsensus/Storage.h
+++ b/Libraries/LibConsensus/Storage.h
@@ -1,9 +1,10 @@
 /// \file
-/// The storage thread of one log.
+/// The storage threads of one log.
 #ifndef FERRY_LIBCONSENSUS_STORAGE_H
 #define FERRY_LIBCONSENSUS_STORAGE_H
 
 #include "LibConsensus/LogFiles.h"
+#include "LibCore/Time.h"
 #include <condition_variable>
 #include <functional>
 #include <mutex>
@@ -13,15 +14,22 @@
 namespace ferry::consensus {
 
 /// Writes batches in the background, in order. Batches that are queued at the
-/// same time share one sync.
+/// same time share one sync. A sync that is slow holds the next ones up for
+/// SyncOverlapDelay only: they go beside it, on further threads.
 class Storage {
 public:
-  /// Called on the storage thread with the token up to which all batches are
-  /// synced, or with an error, after which nothing more is written.
+  /// Called on a storage thread with the token up to which all batches are
+  /// synced, or with an error, after which nothing more is written. Tokens that
+  /// are not above an earlier one add nothing.
   using SyncCallback = std::function<void(Result<uint64_t, StorageError>)>;
+  static constexpr Duration SyncOverlapDelay = std::chrono::milliseconds(50);
+  /// As LogFiles::trySync(); replaced by tests.
+  using SyncFunction = std::function<Result<void, StorageError>(
+      const WrittenLog &Written, size_t Slot)>;
 
-  Storage(LogFiles Files, SyncCallback OnSynced);
-  /// Writes what is queued, then ends the thread.
+  Storage(LogFiles Files, SyncCallback OnSynced,
+          SyncFunction Sync = LogFiles::trySync);
+  /// Writes what is queued, then ends the threads.
   ~Storage();
   Storage(const Storage &) = delete;
   Storage &operator=(const Storage &) = delete;
@@ -34,19 +42,35 @@
   Result<void, StorageError> tryInitialise(const Identity &Self);
 
 private:
-  void runThread();
-  /// Writes to the files; an exception counts as a failed system call.
-  Result<void, StorageError> tryWrite(const std::vector<WriteBatch> &Batches);
+  /// \param Slot the number of the thread, and of its descriptors.
+  void runThread(size_t Slot);
+  /// Waits until the queue may be written. \returns whether there is anything
+  /// to write; otherwise the thread is to end.
+  bool awaitBatches(std::unique_lock<std::mutex> &Lock);
+  void writeBatches(std::unique_lock<std::mutex> &Lock, size_t Slot);
+  /// Runs \p Write, which changes the files, without the lock and beside no
+  /// other such call. An exception counts as a failed system call.
+  template <typename WriteType>
+  auto runExclusively(std::unique_lock<std::mutex> &Lock, WriteType Write)
+      -> decltype(Write());
+  void fail(std::unique_lock<std::mutex> &Lock, const StorageError &Reason);
 
   LogFiles Files;
   SyncCallback OnSynced;
+  SyncFunction Sync;
   std::mutex Mutex;
   std::condition_variable StateChanged;
   std::vector<WriteBatch> Queue;
   uint64_t LastToken = 0;
+  /// Whether a thread is changing the files.
   bool Writing = false;
+  size_t RunningSyncs = 0;
+  /// When the newest of them began.
+  Timestamp LastSyncAt;
+  size_t IdleThreads = 0;
+  bool Failed = false;
   bool Stopping = false;
-  std::thread Thread;
+  std::vector<std::thread> Threads;
 };
 
 } // namespace ferry::consensus
