LibRegistry: Propose a request that waits for the disk once

Cause: a host sends a request again after 250 ms. The leader wrote each copy to the log, so that a slow disk got two to four times the writes, at all control hosts, and the leave waited behind them. For a description of a megabyte each copy is as large.

Fix: a copy of a request that is pending is ignored; the answer to the first one ends it. A request whose answer was lost or whose proposal failed is proposed again.

TestRegistryClient filled the queue of pending requests with copies of one request; it does so with 4,096 different ones now, and checks the same bound.

--- a/Libraries/LibRegistry/RegistryServer.cpp
+++ b/Libraries/LibRegistry/RegistryServer.cpp
@@ -36,16 +36,19 @@
 
 void RegistryServer::receive(ServerRequestReceived Received, Effects &Out) {
   wire::RegistryRequest &Request = Received.Request;
+  // A client resends sooner than a slow disk syncs. The answer to the first
+  // copy ends the request.
+  if (PendingRequests.contains({Received.From, Request.RequestNumber}))
+    return;
   if (Pending.size() >= MaxPending) {
     Out.emplace_back(
         ServerReply{Received.From,
                     replyOf(Request.RequestNumber, wire::ReplyStatus::Busy)});
     return;
   }
-  uint64_t Token = NextToken++;
   if (Request.Kind == wire::RequestKind::ReadDescription) {
-    Pending[Token] = {Received.From, Request.RequestNumber};
-    Out.emplace_back(ServerConfirmRead{Token});
+    Out.emplace_back(
+        ServerConfirmRead{addPending(Received.From, Request.RequestNumber)});
     return;
   }
   // Malformed commands and requests of unknown kinds never reach the log.
@@ -67,8 +70,21 @@
     Leave->LeftAt = Received.ReceivedAt;
     Request.Command = encodeCommand(*Leave);
   }
-  Pending[Token] = {Received.From, Request.RequestNumber};
-  Out.emplace_back(ServerPropose{Token, std::move(Request.Command)});
+  Out.emplace_back(
+      ServerPropose{addPending(Received.From, Request.RequestNumber),
+                    std::move(Request.Command)});
+}
+
+uint64_t RegistryServer::addPending(const HostId &From, int64_t Number) {
+  uint64_t Token = NextToken++;
+  Pending[Token] = {From, Number};
+  PendingRequests.insert({From, Number});
+  return Token;
+}
+
+void RegistryServer::removePending(std::map<uint64_t, Request>::iterator It) {
+  PendingRequests.erase({It->second.From, It->second.Number});
+  Pending.erase(It);
 }
 
 void RegistryServer::keepAnswer(ServerCommandApplied Applied) {
@@ -90,7 +106,7 @@
       replyOf(RequestIt->second.Number, wire::ReplyStatus::Answered);
   Reply.Answer = std::move(Answer);
   Out.emplace_back(ServerReply{RequestIt->second.From, std::move(Reply)});
-  Pending.erase(RequestIt);
+  removePending(RequestIt);
 }
 
 void RegistryServer::answerCommitted(const ServerProposalCommitted &Committed,
@@ -119,7 +135,7 @@
       replyOf(RequestIt->second.Number, wire::ReplyStatus::NotLeader);
   Reply.LeaderHint = Leader.Value;
   Out.emplace_back(ServerReply{RequestIt->second.From, std::move(Reply)});
-  Pending.erase(RequestIt);
+  removePending(RequestIt);
 }
 
 } // namespace ferry::registry
--- a/Libraries/LibRegistry/RegistryServer.h
+++ b/Libraries/LibRegistry/RegistryServer.h
@@ -7,6 +7,8 @@
 #include "LibWire/Generated/Registry_types.h"
 #include <deque>
 #include <map>
+#include <set>
+#include <utility>
 
 namespace ferry::registry {
 
@@ -101,6 +103,9 @@
   using Effects = std::vector<ServerEffect>;
 
   void receive(ServerRequestReceived Received, Effects &Out);
+  /// \returns the token of the new request.
+  uint64_t addPending(const HostId &From, int64_t Number);
+  void removePending(std::map<uint64_t, Request>::iterator It);
   void keepAnswer(ServerCommandApplied Applied);
   void answer(uint64_t Token, std::string Answer, Effects &Out);
   void answerCommitted(const ServerProposalCommitted &Committed, Effects &Out);
@@ -109,6 +114,8 @@
   const Registry &State;
   uint64_t NextToken = 1;
   std::map<uint64_t, Request> Pending;
+  /// Sender and number of the requests in Pending.
+  std::set<std::pair<HostId, int64_t>> PendingRequests;
   /// Answers of the newest applied commands, by index.
   std::deque<ServerCommandApplied> Answers;
 };
--- a/Tests/LibRegistry/TestRegistryClient.cpp
+++ b/Tests/LibRegistry/TestRegistryClient.cpp
@@ -228,11 +228,13 @@
       *tryDecodeReply(UnknownKindReply.Answer)));
   // Requests above MaxPending are refused as Busy.
   auto EncodedCommand = encodeCommand(ChangeDescription{{0}, "op", "text"});
-  for (size_t Count = 0; Count < RegistryServer::MaxPending; ++Count)
+  int64_t MaxPending = RegistryServer::MaxPending;
+  for (int64_t Number = 1; Number <= MaxPending; ++Number)
     Server.step(ServerRequestReceived{
-        {"r1"}, request(3, wire::RequestKind::Propose, EncodedCommand)});
+        {"r1"}, request(Number, wire::RequestKind::Propose, EncodedCommand)});
   auto Busy = Server.step(ServerRequestReceived{
-      {"r1"}, request(4, wire::RequestKind::Propose, EncodedCommand)});
+      {"r1"},
+      request(MaxPending + 1, wire::RequestKind::Propose, EncodedCommand)});
   BOOST_TEST((std::get<ServerReply>(Busy.front()).Reply.Status ==
               wire::ReplyStatus::Busy));
 }
