ferryd: Write descriptions of control hosts on a thread of their own

Callers saw: on control hosts with slow disks a change of the description made the leader lose its lead, and changes and leaves of targets got 503 meanwhile.

Cause: each control host wrote the description that came into force to a file, with two syncs, on the control thread. With syncs of 600 ms that thread stood still for 1.2 s on all hosts at once, the heartbeats between replicas stopped, and each change was followed by an election. The answer to the operator waited for these syncs, too.

Fix: control hosts of the routed interface write that file in the background, by RecordWriter, which was a part of QuarantineKeeper. They place no requests by it, and the log keeps the description; a restart begins with an older one at worst, until the log or another host has told it the newest. Hosts of the native interface, which serve callers by it, store it first as before. A full disk no longer keeps a description from coming into force on a control host.

TestHostStore, a_disk_that_hangs_does_not_hold_up_a_description, fails where the file is written first.

--- a/Services/ferryd/ControlPlane.cpp
+++ b/Services/ferryd/ControlPlane.cpp
@@ -100,7 +100,11 @@
       Holder(Store, this->Callbacks.Platform.ReadDescription),
       Members(membershipOptions(Settings, Store.incarnation())),
       Work({Settings.Host, Settings.DataCentre}),
-      Confirmed(confirmationOptions(Settings, Holder.number())) {}
+      Confirmed(confirmationOptions(Settings, Holder.number())) {
+  // Control hosts of this interface place no requests by the description.
+  if (isRouted() && Settings.Role == config::HostRole::Control)
+    Store.writeInBackground();
+}
 
 ControlPlane::~ControlPlane() {
   Loop.cancel(TickTimer);
--- a/Services/ferryd/HostStore.cpp
+++ b/Services/ferryd/HostStore.cpp
@@ -1,4 +1,5 @@
 #include "ferryd/HostStore.h"
+#include "LibObserve/Log.h"
 #include "ferryd/RecordFile.h"
 #include <algorithm>
 
@@ -37,12 +38,26 @@
   return {static_cast<uint64_t>(State.Incarnation)};
 }
 
+void HostStore::writeInBackground() {
+  if (Folder.empty())
+    return;
+  Writer =
+      std::make_unique<RecordWriter>(filePath(), [](const FileError &Reason) {
+        observe::logEvent(observe::Severity::Warning, "control",
+                          "description_not_stored",
+                          {{"reason", Reason.message()}});
+      });
+}
+
 Result<void, FileError>
 HostStore::tryStoreDescription(const wire::DescriptionCopy &Copy) {
   if (Copy.Number <= State.Description.Number)
     return {};
   State.Description = Copy;
-  return trySave();
+  if (!Writer)
+    return trySave();
+  Writer->write(sealRecord(wire::encode(State)));
+  return {};
 }
 
 Result<void, FileError> HostStore::trySave() const {
--- a/Services/ferryd/HostStore.h
+++ b/Services/ferryd/HostStore.h
@@ -7,6 +7,8 @@
 #include "LibCore/Ids.h"
 #include "LibCore/Time.h"
 #include "LibWire/Generated/Host_types.h"
+#include "ferryd/RecordWriter.h"
+#include <memory>
 
 namespace ferry::daemon {
 
@@ -25,6 +27,9 @@
   /// \returns the stored description; number 0 and no text before the first.
   const wire::DescriptionCopy &description() const { return State.Description; }
 
+  /// From now on another thread writes the descriptions. For hosts that do not
+  /// go back without the file: the log keeps the description, too.
+  void writeInBackground();
   /// Stores \p Copy if its number is greater than the stored one; ignores it
   /// otherwise.
   Result<void, FileError>
@@ -37,6 +42,7 @@
 
   std::filesystem::path Folder;
   wire::HostState State;
+  std::unique_ptr<RecordWriter> Writer;
 };
 
 } // namespace ferry::daemon
--- a/Services/ferryd/QuarantineKeeper.cpp
+++ b/Services/ferryd/QuarantineKeeper.cpp
@@ -3,7 +3,6 @@
 #include "ferryd/BeliefMessages.h"
 #include "ferryd/RecordFile.h"
 #include <algorithm>
-#include <utility>
 
 namespace ferry::daemon {
 
@@ -11,25 +10,15 @@
 using routing::PartQuarantine;
 using routing::QuarantinedParts;
 
-/// Time after which a write that failed is repeated.
-static constexpr std::chrono::seconds RetryPause{1};
-
 QuarantineKeeper::QuarantineKeeper(const std::filesystem::path &Folder)
-    : Path(Folder / "quarantines") {
-  load();
-  Writer = std::thread([this] { writeUntilStopped(); });
-}
-
-QuarantineKeeper::~QuarantineKeeper() {
-  {
-    std::lock_guard Lock(Mutex);
-    Stopping = true;
-  }
-  Changed.notify_one();
-  Writer.join();
+    : Writer(Folder / "quarantines", [](const FileError &Reason) {
+        observe::logEvent(Severity::Warning, "control", "quarantines_not_kept",
+                          {{"reason", Reason.message()}});
+      }) {
+  load(Folder / "quarantines");
 }
 
-void QuarantineKeeper::load() {
+void QuarantineKeeper::load(const std::filesystem::path &Path) {
   auto Kept = tryReadRecord<wire::KeptQuarantines>(Path);
   if (!Kept)
     return observe::logEvent(Severity::Warning, "control",
@@ -81,37 +70,7 @@
   Kept.WrittenAt = unixNow().Value;
   for (const QuarantinedParts &Set : Quarantine.everything(Now).Quarantined)
     Kept.Quarantined.push_back(toWire(Set, Now));
-  {
-    std::lock_guard Lock(Mutex);
-    Pending = std::move(Kept);
-  }
-  Changed.notify_one();
-}
-
-void QuarantineKeeper::writeUntilStopped() {
-  bool Failing = false;
-  std::unique_lock Lock(Mutex);
-  while (true) {
-    Changed.wait(Lock, [this] { return Stopping || Pending; });
-    if (!Pending)
-      return;
-    wire::KeptQuarantines Next = *std::exchange(Pending, std::nullopt);
-    Lock.unlock();
-    auto Written = tryReplaceRecord(Path, Next);
-    Lock.lock();
-    if (Written) {
-      Failing = false;
-      continue;
-    }
-    if (!std::exchange(Failing, true))
-      observe::logEvent(Severity::Warning, "control", "quarantines_not_kept",
-                        {{"reason", Written.error().message()}});
-    if (Stopping)
-      return;
-    if (!Pending)
-      Pending = std::move(Next);
-    Changed.wait_for(Lock, RetryPause, [this] { return Stopping; });
-  }
+  Writer.write(sealRecord(wire::encode(Kept)));
 }
 
 } // namespace ferry::daemon
--- a/Services/ferryd/QuarantineKeeper.h
+++ b/Services/ferryd/QuarantineKeeper.h
@@ -5,10 +5,7 @@
 
 #include "LibRouting/PartQuarantine.h"
 #include "LibWire/Generated/Routing_types.h"
-#include <condition_variable>
-#include <filesystem>
-#include <mutex>
-#include <thread>
+#include "ferryd/RecordWriter.h"
 
 namespace ferry::daemon {
 
@@ -24,10 +21,6 @@
   /// Begins with the sets in the file in \p Folder, or with none if it is
   /// missing, damaged or cannot be read.
   explicit QuarantineKeeper(const std::filesystem::path &Folder);
-  /// Waits for the last write.
-  ~QuarantineKeeper();
-  QuarantineKeeper(const QuarantineKeeper &) = delete;
-  QuarantineKeeper &operator=(const QuarantineKeeper &) = delete;
 
   /// Applies what a host tells, and writes what is new of it.
   void apply(const std::vector<routing::QuarantinedParts> &Told);
@@ -37,20 +30,12 @@
   routing::CrashNews everything();
 
 private:
-  void load();
+  void load(const std::filesystem::path &Path);
   void save();
-  void writeUntilStopped();
 
-  const std::filesystem::path Path;
   routing::PartQuarantine Quarantine;
   Timestamp RewriteAt;
-
-  std::mutex Mutex;
-  std::condition_variable Changed;
-  /// Not written yet.
-  std::optional<wire::KeptQuarantines> Pending;
-  bool Stopping = false;
-  std::thread Writer;
+  RecordWriter Writer;
 };
 
 } // namespace ferry::daemon
--- a/Tests/Support/RoutedCluster.cpp
+++ b/Tests/Support/RoutedCluster.cpp
@@ -62,8 +62,8 @@
   std::filesystem::path File = Folder / (std::to_string(Host) + ".yaml");
   std::ofstream(File) << Settings;
   Hosts[Host] = std::make_unique<TestProcess>(
-      FERRY_BINARY_DIR "/ferryd",
-      std::vector<std::string>{"--settings", File.string()});
+      FERRY_BINARY_DIR "/" + Program,
+      std::vector<std::string>{"--settings", File.string()}, Environment);
 }
 
 void RoutedCluster::startControl(int Host, LogFormation MayForm) {
--- a/Tests/Support/RoutedCluster.h
+++ b/Tests/Support/RoutedCluster.h
@@ -50,6 +50,11 @@
   void addRoutedSettings(const std::string &Lines) { RoutedSettings += Lines; }
   /// Adds sections to the settings of processes started from now on.
   void addSettings(const std::string &Lines) { Sections += Lines; }
+  /// Sets the program of processes started from now on, and their variables.
+  void setProgram(std::string Name, TestProcess::Environment Variables) {
+    Program = std::move(Name);
+    Environment = std::move(Variables);
+  }
   void startControl(int Host, LogFormation MayForm = LogFormation::Allowed);
   void startRouter(int Host);
   /// Starts the seeds and the routers 11 and 12.
@@ -109,6 +114,8 @@
   int Seeds;
   std::string RoutedSettings;
   std::string Sections;
+  std::string Program = "ferryd";
+  TestProcess::Environment Environment;
   std::string Network;
   std::filesystem::path Folder;
   std::map<int, std::unique_ptr<TestProcess>> Hosts;
--- a/Tests/Support/TestProcess.cpp
+++ b/Tests/Support/TestProcess.cpp
@@ -15,9 +15,10 @@
 namespace ferry::test {
 
 TestProcess::TestProcess(const std::string &Program,
-                         const std::vector<std::string> &Arguments)
-    : Handle(std::make_unique<Poco::ProcessHandle>(
-          Poco::Process::launch(Program, Arguments))) {}
+                         const std::vector<std::string> &Arguments,
+                         const Environment &Extra)
+    : Handle(std::make_unique<Poco::ProcessHandle>(Poco::Process::launch(
+          Program, Arguments, nullptr, nullptr, nullptr, Extra))) {}
 
 TestProcess::~TestProcess() { kill(); }
 
--- a/Tests/Support/TestProcess.h
+++ b/Tests/Support/TestProcess.h
@@ -6,6 +6,7 @@
 #include <Poco/Process.h>
 #include <csignal>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -16,8 +17,12 @@
 /// to this process only.
 class TestProcess {
 public:
+  using Environment = std::map<std::string, std::string>;
+
+  /// \param Extra variables beside those of this process.
   TestProcess(const std::string &Program,
-              const std::vector<std::string> &Arguments);
+              const std::vector<std::string> &Arguments,
+              const Environment &Extra = {});
   ~TestProcess();
   TestProcess(const TestProcess &) = delete;
   TestProcess &operator=(const TestProcess &) = delete;
--- a/Tests/ferryd/TestHostStore.cpp
+++ b/Tests/ferryd/TestHostStore.cpp
@@ -1,5 +1,8 @@
 #include "ferryd/HostStore.h"
 #include <boost/test/unit_test.hpp>
+#include <fcntl.h>
+#include <future>
+#include <sys/stat.h>
 #include <unistd.h>
 
 using namespace ferry;
@@ -64,3 +67,29 @@
   BOOST_TEST(Store->description().Number == 3);
   BOOST_TEST(Store->incarnation().Value == 42u);
 }
+
+// Finding review/7: on a slow disk the control thread stood still as it stored
+// a description, and the log lost its leader.
+BOOST_AUTO_TEST_CASE(a_disk_that_hangs_does_not_hold_up_a_description) {
+  TemporaryFolder Folder;
+  std::filesystem::path NewFile = Folder.Path / "host-state.new";
+  {
+    auto Store = HostStore::tryOpen(Folder.Path, {1});
+    BOOST_REQUIRE(Store.has_value());
+    Store->writeInBackground();
+    // To open a pipe for writing waits for a reader.
+    BOOST_REQUIRE(mkfifo(NewFile.c_str(), 0600) == 0);
+    auto Stored = std::async(std::launch::async, [&] {
+      return Store->tryStoreDescription(copyNumbered(7)).has_value();
+    });
+    BOOST_TEST((Stored.wait_for(std::chrono::seconds(2)) ==
+                std::future_status::ready));
+    int Reader = open(NewFile.c_str(), O_RDONLY | O_NONBLOCK);
+    BOOST_TEST(Stored.get());
+    BOOST_TEST(Store->description().Number == 7);
+    std::filesystem::remove(NewFile);
+    close(Reader);
+    BOOST_TEST(Store->tryStoreDescription(copyNumbered(8)).has_value());
+  }
+  BOOST_TEST(HostStore::tryOpen(Folder.Path, {1})->description().Number == 8);
+}
