LibRegistry, ferryd: Acknowledge again what is committed without a further entry

Cause: a change that is repeated was proposed again, and its acknowledgement waited for a new entry to be synced, though the first one had been committed meanwhile.

Fix: a control host that has applied what a change, a naming or a leave asks for answers at once, as the entry would. Only committed entries are applied, and these are on the disks of a quorum. What is new still waits for its sync.

--- a/Libraries/LibRegistry/DescriptionHistory.cpp
+++ b/Libraries/LibRegistry/DescriptionHistory.cpp
@@ -19,18 +19,33 @@
   Order.pop_front();
 }
 
+std::optional<ChangeOutcome>
+DescriptionHistory::settled(const ChangeDescription &Change) const {
+  auto OperationIt = Operations.find(digestOf(Change.Operation));
+  if (OperationIt == Operations.end())
+    return std::nullopt;
+  const Operation &Earlier = OperationIt->second;
+  if (Earlier.Number.Value == 0)
+    return conflict();
+  if (Earlier.TextDigest != shortDigestOf(Change.Text))
+    return ChangeOperationReused{Earlier.Number};
+  return ChangeAccepted{Earlier.Number};
+}
+
+std::optional<ChangeOutcome>
+DescriptionHistory::settled(const ReplaceDescription &Change) const {
+  if (Change.Number > Current.Number)
+    return std::nullopt;
+  if (Change.Number == Current.Number && Change.Text != Current.Text)
+    return conflict();
+  return ChangeAccepted{Current.Number};
+}
+
 ChangeOutcome DescriptionHistory::apply(const ChangeDescription &Change) {
+  if (auto Settled = settled(Change))
+    return *Settled;
   Digest Id = digestOf(Change.Operation);
   uint64_t TextDigest = shortDigestOf(Change.Text);
-  auto OperationIt = Operations.find(Id);
-  if (OperationIt != Operations.end()) {
-    const Operation &Earlier = OperationIt->second;
-    if (Earlier.Number.Value == 0)
-      return conflict();
-    if (Earlier.TextDigest != TextDigest)
-      return ChangeOperationReused{Earlier.Number};
-    return ChangeAccepted{Earlier.Number};
-  }
   if (Change.Base != Current.Number) {
     // A base below the current number is refused for ever. A base above it is
     // remembered: otherwise a late duplicate would be accepted once the number
@@ -45,12 +60,10 @@
 }
 
 ChangeOutcome DescriptionHistory::apply(const ReplaceDescription &Change) {
-  if (Change.Number == Current.Number && Change.Text != Current.Text)
-    return conflict();
-  if (Change.Number > Current.Number) {
-    Cache.apply(Change.Number, Change.Sharing);
-    Current = {Change.Number, {}, Change.Text, Cache.since()};
-  }
+  if (auto Settled = settled(Change))
+    return *Settled;
+  Cache.apply(Change.Number, Change.Sharing);
+  Current = {Change.Number, {}, Change.Text, Cache.since()};
   return ChangeAccepted{Current.Number};
 }
 
--- a/Libraries/LibRegistry/DescriptionHistory.h
+++ b/Libraries/LibRegistry/DescriptionHistory.h
@@ -30,6 +30,10 @@
 
   /// Accepts the change if it is based on the current number.
   ChangeOutcome apply(const ChangeDescription &Change);
+  /// \returns the outcome of a change that is applied already or was refused
+  /// for ever; nothing for a new one.
+  std::optional<ChangeOutcome> settled(const ChangeDescription &Change) const;
+  std::optional<ChangeOutcome> settled(const ReplaceDescription &Change) const;
 
   /// Puts the description in force if its number is greater than the current
   /// one. An equal number with another text is a conflict. A lower number
--- a/Libraries/LibRegistry/Registry.cpp
+++ b/Libraries/LibRegistry/Registry.cpp
@@ -83,6 +83,32 @@
                                         : ModelIt->second;
 }
 
+std::optional<std::string>
+Registry::settledReply(const Command &Request) const {
+  auto OfDescription = [this](const auto &Change) -> std::optional<Reply> {
+    if (auto Settled = Descriptions.settled(Change))
+      return *Settled;
+    return std::nullopt;
+  };
+  std::optional<Reply> Settled;
+  match(
+      Request, [&](const ChangeDescription &C) { Settled = OfDescription(C); },
+      [&](const ReplaceDescription &C) { Settled = OfDescription(C); },
+      [&](const registry::NameWeights &C) {
+        if (namedWeights(C.Model) >= C.Weights)
+          Settled = WeightsNamed{C.Model, namedWeights(C.Model)};
+      },
+      [&](const RecordLeave &C) {
+        if (Leaves.hasLeft(C.Target, C.Incarnation))
+          Settled = RecordedLeave{C.Target, Leaves.left(C.Target),
+                                  Leaves.newestNumber()};
+      },
+      [](const auto &) {});
+  if (!Settled)
+    return std::nullopt;
+  return encodeReply(*Settled);
+}
+
 std::string Registry::apply(uint64_t Index, std::string_view Command) {
   AppliedIndex = Index;
   if (Command.size() > MaxCommandBytes)
--- a/Libraries/LibRegistry/Registry.h
+++ b/Libraries/LibRegistry/Registry.h
@@ -58,6 +58,9 @@
   /// limitNamings().
   std::vector<NamedVersion> namedVersions(const ModelId &Model) const;
   OrderLease lease(std::string_view Name) const { return Leases.lease(Name); }
+  /// \returns the encoded reply to \p Request if what it asks for is committed
+  /// and applied, so that it can be acknowledged without a further entry.
+  std::optional<std::string> settledReply(const Command &Request) const;
   /// \returns the leaves of targets that were recorded.
   const LeaveLedger &leaves() const { return Leaves; }
   const std::vector<ActiveLoad> &loads() const { return Leases.loads(); }
--- a/Services/ferryd/ControlPlane.h
+++ b/Services/ferryd/ControlPlane.h
@@ -184,6 +184,13 @@
   void
   change(traffic::ChangeRequest Request,
          std::function<void(traffic::RegistryResult<registry::ChangeOutcome>)>);
+  /// Proposes \p Request, unless this control host has applied what it asks
+  /// for: a caller repeats what was not acknowledged in time, and a slow disk
+  /// would not acknowledge the repetition in time either.
+  template <typename OutcomeType>
+  void submitUnlessSettled(
+      registry::Command Request, Timestamp Deadline,
+      std::function<void(traffic::RegistryResult<OutcomeType>)> Done);
   void
   readDescription(Timestamp Deadline,
                   std::function<void(
--- a/Services/ferryd/ControlPlanePort.cpp
+++ b/Services/ferryd/ControlPlanePort.cpp
@@ -48,15 +48,15 @@
                         auto Done) {
     Loop.post([this, Replacement = std::move(Replacement), Deadline,
                Done = std::move(Done)] {
-      Gateway->submitFor<ChangeOutcome>(Replacement, Deadline, Done);
+      submitUnlessSettled<ChangeOutcome>(Replacement, Deadline, Done);
     });
   };
   Port.NameWeights = [this](ModelId Model, WeightsVersion Weights,
                             Timestamp Deadline, auto Done) {
     Loop.post([this, Model = std::move(Model), Weights, Deadline,
                Done = std::move(Done)] {
-      Gateway->submitFor<WeightsNamed>(registry::NameWeights{Model, Weights},
-                                       Deadline, Done);
+      submitUnlessSettled<WeightsNamed>(registry::NameWeights{Model, Weights},
+                                        Deadline, Done);
     });
   };
   Port.ReadDescription = [this](Timestamp Deadline, auto Done) {
@@ -119,8 +119,19 @@
     std::function<void(RegistryResult<ChangeOutcome>)> Done) {
   ChangeDescription Change{Request.Base, std::move(Request.Operation),
                            std::move(Request.Text)};
-  Gateway->submitFor<ChangeOutcome>(std::move(Change), Request.Deadline,
-                                    std::move(Done));
+  submitUnlessSettled<ChangeOutcome>(std::move(Change), Request.Deadline,
+                                     std::move(Done));
+}
+
+template <typename OutcomeType>
+void ControlPlane::submitUnlessSettled(
+    Command Request, Timestamp Deadline,
+    std::function<void(RegistryResult<OutcomeType>)> Done) {
+  auto Settled = Node ? Node->state().settledReply(Request) : std::nullopt;
+  if (Settled)
+    return Done(tryOutcome<OutcomeType>(*Settled));
+  Gateway->submitFor<OutcomeType>(std::move(Request), Deadline,
+                                  std::move(Done));
 }
 
 void ControlPlane::readDescription(
@@ -177,7 +188,7 @@
 void ControlPlane::recordLeave(const TargetId &Target, ferry::Incarnation Left,
                                Timestamp Deadline,
                                std::function<void(bool IsRecorded)> Done) {
-  Gateway->submitFor<RecordedLeave>(
+  submitUnlessSettled<RecordedLeave>(
       RecordLeave{Target, Left}, Deadline,
       [Target, Left, SubmittedAt = steadyNow(),
        Done = std::move(Done)](RegistryResult<RecordedLeave> Outcome) {
--- a/Tests/LibRegistry/TestRegistryServer.cpp
+++ b/Tests/LibRegistry/TestRegistryServer.cpp
@@ -45,3 +45,29 @@
   BOOST_TEST(proposedBy(Server.step(leaveRequest({"a"}, 1))).size() == 1U);
   BOOST_TEST(Server.pendingCount() == 3U);
 }
+
+// Finding review/7: where a sync takes about a second, a repeated change was
+// written to the log again, and never acknowledged in time.
+BOOST_AUTO_TEST_CASE(what_is_committed_is_settled_without_a_further_entry) {
+  Registry State;
+  const std::vector<Command> Requests = {
+      ChangeDescription{{0}, "operation", "text"},
+      ReplaceDescription{{7}, "text of 7"}, NameWeights{{"model"}, {3}},
+      RecordLeave{{"target"}, {5}, {1000}}};
+  uint64_t Index = 0;
+  for (const Command &Request : Requests) {
+    BOOST_TEST(!State.settledReply(Request).has_value());
+    State.apply(++Index, encodeCommand(Request));
+    auto Settled = State.settledReply(Request);
+    BOOST_REQUIRE(Settled.has_value());
+    // As if it were proposed once more.
+    BOOST_TEST(*Settled == State.apply(++Index, encodeCommand(Request)));
+  }
+  BOOST_TEST(State.settledReply(ReplaceDescription{{6}, "other"}).has_value());
+  BOOST_TEST(!State.settledReply(ReplaceDescription{{8}, "other"}));
+  BOOST_TEST(State.settledReply(NameWeights{{"model"}, {2}}).has_value());
+  BOOST_TEST(!State.settledReply(NameWeights{{"model"}, {4}}));
+  BOOST_TEST(!State.settledReply(NameWeights{{"other"}, {3}}));
+  BOOST_TEST(!State.settledReply(RecordLeave{{"target"}, {6}, {1000}}));
+  BOOST_TEST(!State.settledReply(ChangeDescription{{7}, "another", "text"}));
+}
--- a/Tests/System/TestSlowDisks.cpp
+++ b/Tests/System/TestSlowDisks.cpp
@@ -105,3 +105,13 @@
   std::this_thread::sleep_for(2s);
   BOOST_TEST(Deployment.term() == Term);
 }
+
+// Finding review/7: each repetition waited for a sync of its own.
+BOOST_AUTO_TEST_CASE(a_repeated_change_is_acknowledged_once_it_is_committed) {
+  SlowDeployment Deployment({"1200 ms", 1200ms, 0, 0ms});
+  RoutedCluster &Cluster = Deployment.Cluster;
+  BOOST_TEST(!acknowledgedInTime([&] { return Cluster.putRoutes(2, 2); }));
+  std::this_thread::sleep_for(3s);
+  BOOST_TEST(acknowledgedInTime([&] { return Cluster.putRoutes(2, 2); }));
+  BOOST_TEST(acknowledgedInTime([&] { return Cluster.putRoutes(3, 2); }));
+}
