LibConsensus: Go on with the threads there are if a storage thread cannot be added

std::thread throws if the process may have no further thread, which would have ended the control thread. A thread that has been added counts as idle at once, so that a burst of writes adds one and not three. Found by reading; no run has shown it.

--- a/Libraries/LibConsensus/Storage.cpp
+++ b/Libraries/LibConsensus/Storage.cpp
@@ -1,4 +1,5 @@
 #include "LibConsensus/Storage.h"
+#include <system_error>
 
 namespace ferry::consensus {
 
@@ -6,6 +7,7 @@
     : Files(std::move(Files)), OnSynced(std::move(OnSynced)),
       Sync(std::move(Sync)) {
   Threads.reserve(MaxConcurrentSyncs);
+  IdleThreads = 1;
   Threads.emplace_back([this] { runThread(0); });
 }
 
@@ -24,13 +26,24 @@
     std::lock_guard<std::mutex> Lock(Mutex);
     Queue.push_back(std::move(Batch));
     LastToken = Token;
-    size_t Slot = Threads.size();
-    if (IdleThreads == 0 && RunningSyncs > 0 && Slot < MaxConcurrentSyncs)
-      Threads.emplace_back([this, Slot] { runThread(Slot); });
+    if (IdleThreads == 0 && RunningSyncs > 0)
+      tryAddThread();
   }
   StateChanged.notify_all();
 }
 
+void Storage::tryAddThread() {
+  size_t Slot = Threads.size();
+  if (Slot == MaxConcurrentSyncs)
+    return;
+  try {
+    Threads.emplace_back([this, Slot] { runThread(Slot); });
+    ++IdleThreads;
+  } catch (const std::system_error &) {
+    // The process has no thread left; the running ones write what is queued.
+  }
+}
+
 Result<void, StorageError> Storage::tryInitialise(const Identity &Self) {
   std::unique_lock<std::mutex> Lock(Mutex);
   StateChanged.wait(
@@ -40,12 +53,14 @@
 
 void Storage::runThread(size_t Slot) {
   std::unique_lock<std::mutex> Lock(Mutex);
-  while (awaitBatches(Lock))
+  while (awaitBatches(Lock)) {
+    --IdleThreads;
     writeBatches(Lock, Slot);
+    ++IdleThreads;
+  }
 }
 
 bool Storage::awaitBatches(std::unique_lock<std::mutex> &Lock) {
-  ++IdleThreads;
   while (true) {
     StateChanged.wait(
         Lock, [this] { return !Writing && (Stopping || !Queue.empty()); });
@@ -55,7 +70,6 @@
       break;
     StateChanged.wait_for(Lock, OverlapAt - steadyNow());
   }
-  --IdleThreads;
   return !Queue.empty();
 }
 
--- a/Libraries/LibConsensus/Storage.h
+++ b/Libraries/LibConsensus/Storage.h
@@ -44,6 +44,8 @@
 private:
   /// \param Slot the number of the thread, and of its descriptors.
   void runThread(size_t Slot);
+  /// Adds a thread, if there may be one more.
+  void tryAddThread();
   /// Waits until the queue may be written. \returns whether there is anything
   /// to write; otherwise the thread is to end.
   bool awaitBatches(std::unique_lock<std::mutex> &Lock);
@@ -67,6 +69,7 @@
   size_t RunningSyncs = 0;
   /// When the newest of them began.
   Timestamp LastSyncAt;
+  /// Threads that wait for the queue, or are about to.
   size_t IdleThreads = 0;
   bool Failed = false;
   bool Stopping = false;
