LibConsensus: Do not sync a log again that a checkpoint has just synced

The sync of a write is a step of its own since syncs may overlap, and followed a checkpoint, too, which has synced its files by itself. Found by reading the change.

--- a/Libraries/LibConsensus/LogFiles.cpp
+++ b/Libraries/LibConsensus/LogFiles.cpp
@@ -206,12 +206,12 @@
   auto Appended = tryAppendBytes(Records);
   if (!Appended)
     return tl::unexpected(Appended.error());
-  return WrittenLog{Log, WrittenBytes};
+  return WrittenLog{Log, WrittenBytes, WrittenBytes == SyncedBytes};
 }
 
 Result<void, StorageError> LogFiles::trySync(const WrittenLog &Written,
                                              size_t Slot) {
-  if (fdatasync(Written.Log->Syncing[Slot].number()) != 0)
+  if (!Written.IsSynced && fdatasync(Written.Log->Syncing[Slot].number()) != 0)
     return systemError(Written.Log->Path);
   return {};
 }
--- a/Libraries/LibConsensus/LogFiles.h
+++ b/Libraries/LibConsensus/LogFiles.h
@@ -45,6 +45,8 @@
 struct WrittenLog {
   std::shared_ptr<const OpenLog> Log;
   uint64_t Bytes = 0;
+  /// A checkpoint has synced it all.
+  bool IsSynced = false;
 };
 
 /// Owns the folder of a log. It holds one log file, whose first record is a
