ferryd: Log when a router moves the deadlines of weights, and whom it heard of namings

Nothing showed whether a router that sends to engines with overdue weights had moved their deadline, by how much, or whether it had heard of the control hosts in another way meanwhile. No decision changes.

--- a/Libraries/LibMembership/Confirmation.cpp
+++ b/Libraries/LibMembership/Confirmation.cpp
@@ -99,6 +99,8 @@
   // of the other.
   size_t Voters = Query.Voters ? Query.Voters : Settings.ControlHosts.size();
   size_t Quorum = Voters / 2 + 1;
+  if (Query.Answers.size() >= Quorum)
+    AnsweredAsOf = std::max(AnsweredAsOf, Query.SentAt);
   if (static_cast<size_t>(Agreeing) >= Quorum)
     ConfirmedUntil = std::max(ConfirmedUntil, Query.SentAt + Validity);
 }
@@ -106,7 +108,10 @@
 void Confirmation::handleRelayed(const ConfirmationRelayed &Event,
                                  Timestamp Now, Effects &Out) {
   fetchIfNewer(Event.Number, Event.From, Now, Out);
-  if (Event.Number <= Number && Event.AsOf <= Now)
+  if (Event.AsOf > Now)
+    return;
+  AnsweredAsOf = std::max(AnsweredAsOf, Event.AsOf);
+  if (Event.Number <= Number)
     ConfirmedUntil = std::max(ConfirmedUntil, Event.AsOf + Validity);
 }
 
--- a/Libraries/LibMembership/Confirmation.h
+++ b/Libraries/LibMembership/Confirmation.h
@@ -130,6 +130,10 @@
 
   bool isConfirmed(Timestamp Now) const { return Now < ConfirmedUntil; }
 
+  /// \returns the newest time at which a quorum of control hosts is known to
+  /// have worked, whatever numbers it had.
+  Timestamp answeredAsOf() const { return AnsweredAsOf; }
+
 private:
   struct PendingQuery {
     int64_t QueryNumber = 0;
@@ -155,6 +159,7 @@
   Options Settings;
   DescriptionNumber Number;
   Timestamp ConfirmedUntil;
+  Timestamp AnsweredAsOf;
   Timestamp NextQueryAt;
   Timestamp NextFetchAt;
   int64_t NextQueryNumber;
--- a/Libraries/LibRouting/RoutedCall.h
+++ b/Libraries/LibRouting/RoutedCall.h
@@ -174,6 +174,18 @@
   Timestamp Since;
 };
 
+/// What a message with all named weights has changed.
+struct NamingsOutcome {
+  /// Those that are newer than all that were known, or older by a second and
+  /// more than was known.
+  std::vector<NamedWeights> News;
+  /// Time by which the deadlines of superseded weights were moved; 0 if not.
+  Duration Suspended = Duration::zero();
+  /// How long before the message a quorum of the control hosts is known to have
+  /// worked.
+  Duration ControlHostsAge = Duration::zero();
+};
+
 /// How a request ended at its target.
 enum class CallEnd : uint8_t {
   /// A whole answer that reports no failure.
--- a/Libraries/LibRouting/RoutedPlacement.h
+++ b/Libraries/LibRouting/RoutedPlacement.h
@@ -84,18 +84,17 @@
   /// named, those of each model in rising order. The control hosts repeat it.
   /// While the repeats are missing, no control host can order engines to load
   /// newer weights, so the deadline of superseded weights does not run.
-  /// \returns those that are newer than all that were known, or older by a
-  /// second and more than was known.
-  std::vector<NamedWeights> applyNamings(const std::vector<NamedWeights> &Named,
-                                         Timestamp Now);
+  NamingsOutcome applyNamings(const std::vector<NamedWeights> &Named,
+                              Timestamp Now);
 
   /// Called by a timer of this process each tenth of a second or so. While the
   /// process does not run, names that do not arrive are no sign that no control
   /// host works.
-  void noteRunning(Timestamp Now);
+  /// \param ControlHostsAsOf the newest time at which a quorum of the control
+  /// hosts is known to have worked.
+  void noteRunning(Timestamp Now, Timestamp ControlHostsAsOf = {});
 
-  /// Applies a message with only \p Version. \returns whether applyNamings()
-  /// returns it.
+  /// Applies a message with only \p Version. \returns whether it is news.
   bool applyNamedWeights(const NamedWeights &Version, Timestamp Now);
 
   /// Applies a load of weights reported by the holder of the order lease.
@@ -422,6 +421,7 @@
   /// The last call of noteRunning(), and the time since LastNamesAt for which
   /// this process did not run.
   std::optional<Timestamp> LastRunningAt;
+  Timestamp ControlHostsAsOf;
   Duration StalledSinceNames = Duration::zero();
   std::unordered_map<uint64_t, SentCall> SentCalls;
   uint64_t NextPlacementId = 1;
--- a/Libraries/LibRouting/RoutedPlacementUpdates.cpp
+++ b/Libraries/LibRouting/RoutedPlacementUpdates.cpp
@@ -92,9 +92,10 @@
   Target.Parts.clear();
 }
 
-void RoutedPlacement::noteRunning(Timestamp Now) {
+void RoutedPlacement::noteRunning(Timestamp Now, Timestamp ControlAsOf) {
   StalledSinceNames += stallUntil(Now);
   LastRunningAt = Now;
+  ControlHostsAsOf = std::max(ControlHostsAsOf, ControlAsOf);
 }
 
 Timestamp RoutedPlacement::namedNotBefore() const {
@@ -104,12 +105,15 @@
   return *LastNamesAt - MaxNamesGap;
 }
 
-std::vector<NamedWeights>
+NamingsOutcome
 RoutedPlacement::applyNamings(const std::vector<NamedWeights> &Named,
                               Timestamp Now) {
   // A gap suspends the deadlines. The first names after the start end none: the
   // deadline ran while this router was down, so their age counts in full.
   Duration Gap = namesGap(Now);
+  NamingsOutcome Outcome;
+  Outcome.Suspended = Gap;
+  Outcome.ControlHostsAge = Now - ControlHostsAsOf;
   for (auto &[Model, Versions] : NamedVersions)
     for (Naming &Known : Versions)
       Known.Suspended += Gap;
@@ -120,11 +124,10 @@
   StalledSinceNames = Duration::zero();
   if (LastRunningAt)
     LastRunningAt = Now;
-  std::vector<NamedWeights> News;
   for (const NamedWeights &Each : Named)
     if (applyNaming(Each, NotBefore))
-      News.push_back(Each);
-  return News;
+      Outcome.News.push_back(Each);
+  return Outcome;
 }
 
 bool RoutedPlacement::applyNaming(const NamedWeights &Named,
@@ -154,7 +157,7 @@
 
 bool RoutedPlacement::applyNamedWeights(const NamedWeights &Version,
                                         Timestamp Now) {
-  return !applyNamings({Version}, Now).empty();
+  return !applyNamings({Version}, Now).News.empty();
 }
 
 } // namespace ferry::routing
--- a/Libraries/LibTraffic/RoutedContext.cpp
+++ b/Libraries/LibTraffic/RoutedContext.cpp
@@ -140,15 +140,15 @@
   return Placement.makeDigest();
 }
 
-std::vector<NamedWeights>
+NamingsOutcome
 SharedPlacement::weightsNamed(const std::vector<NamedWeights> &Named) {
   std::lock_guard Lock(Mutex);
   return Placement.applyNamings(Named, steadyNow());
 }
 
-void SharedPlacement::noteRunning() {
+void SharedPlacement::noteRunning(Timestamp ControlHostsAsOf) {
   std::lock_guard Lock(Mutex);
-  Placement.noteRunning(steadyNow());
+  Placement.noteRunning(steadyNow(), ControlHostsAsOf);
 }
 
 void SharedPlacement::engineChanged(const EngineChange &Change) {
--- a/Libraries/LibTraffic/RoutedContext.h
+++ b/Libraries/LibTraffic/RoutedContext.h
@@ -63,9 +63,10 @@
   /// \returns this router's digest for the other routers.
   routing::WorkDigest buildDigest();
   void engineChanged(const routing::EngineChange &Change);
-  void noteRunning();
+  /// See RoutedPlacement::noteRunning().
+  void noteRunning(Timestamp ControlHostsAsOf);
   /// See RoutedPlacement::applyNamings().
-  std::vector<routing::NamedWeights>
+  routing::NamingsOutcome
   weightsNamed(const std::vector<routing::NamedWeights> &Named);
 
   routing::RoutedPlacement::Status status() const;
--- a/Services/ferryd/ControlPlane.cpp
+++ b/Services/ferryd/ControlPlane.cpp
@@ -301,8 +301,8 @@
 
 void ControlPlane::tick() {
   noteTickDelay();
-  Callbacks.Running();
   stepConfirmation(ConfirmationTick{});
+  Callbacks.Running(Confirmed.answeredAsOf());
   stepMembership(LocalConfirmed{Confirmed.number(), Confirmed.confirmedAsOf()});
   stepMembership(MembershipTick{});
   stepTransfer(Transfer.tick(Holder.number(), steadyNow()));
--- a/Services/ferryd/ControlPlane.h
+++ b/Services/ferryd/ControlPlane.h
@@ -60,10 +60,13 @@
         ApplyDigest;
     /// Called for each engine that begins or ends a load of weights by order.
     std::function<void(const routing::EngineChange &)> EngineChanged;
-    /// Called with each tick.
-    std::function<void()> Running = [] {};
-    /// Called for each message with the weights that were named, of all models.
-    std::function<void(const std::vector<routing::NamedWeights> &)>
+    /// Called with each tick, with the newest time at which a quorum of the
+    /// control hosts is known to have worked.
+    std::function<void(Timestamp)> Running = [](Timestamp) {};
+    /// Called for each message with the weights that were named, of all models,
+    /// and the host that it came from.
+    std::function<void(const HostId &,
+                       const std::vector<routing::NamedWeights> &)>
         WeightsNamed;
     /// Remembers a stream that another router has begun.
     std::function<void(const routing::BegunStream &)> NoteStream =
@@ -165,7 +168,8 @@
   void sendDigests();
   void receiveDigest(const HostId &From, const wire::WorkDigest &Digest);
   void broadcastEngineChange(const routing::EngineChange &Change);
-  void receiveEngineChanges(const wire::EngineChanges &Changes);
+  void receiveEngineChanges(const HostId &From,
+                            const wire::EngineChanges &Changes);
   /// \returns the other routers that are not silent.
   std::vector<routing::WorkExchange::Router> liveRouters() const;
   std::vector<HostId> liveRouterIds() const;
--- a/Services/ferryd/ControlPlaneMessages.cpp
+++ b/Services/ferryd/ControlPlaneMessages.cpp
@@ -51,7 +51,7 @@
         Payload, [&](auto Digest) { receiveDigest(From, Digest); });
   case PayloadKind::EngineChanges:
     return receiveAs<wire::EngineChanges>(
-        Payload, [&](auto Changes) { receiveEngineChanges(Changes); });
+        Payload, [&](auto Changes) { receiveEngineChanges(From, Changes); });
   case PayloadKind::Streams:
     return receiveAs<wire::StreamMessage>(
         Payload, [&](auto Message) { Streams->receive(From, Message); });
--- a/Services/ferryd/ControlPlaneRouting.cpp
+++ b/Services/ferryd/ControlPlaneRouting.cpp
@@ -141,7 +141,8 @@
   sendToRouters(std::move(Message));
 }
 
-void ControlPlane::receiveEngineChanges(const wire::EngineChanges &Message) {
+void ControlPlane::receiveEngineChanges(const HostId &From,
+                                        const wire::EngineChanges &Message) {
   if (Message.PassOn) {
     wire::EngineChanges Copy = Message;
     Copy.__set_PassOn(false);
@@ -157,7 +158,7 @@
                      {static_cast<uint64_t>(Fields.Weights)},
                      Now - std::chrono::milliseconds(Fields.AgeMillis)});
   if (Message.Changes.empty())
-    Callbacks.WeightsNamed(Named);
+    Callbacks.WeightsNamed(From, Named);
   for (const wire::EngineChange &Fields : Message.Changes)
     Callbacks.EngineChanged({{Fields.Target},
                              {static_cast<uint64_t>(Fields.Incarnation)},
--- a/Services/ferryd/Daemon.cpp
+++ b/Services/ferryd/Daemon.cpp
@@ -53,21 +53,27 @@
     if (auto *Front = Routed ? Routed->front() : nullptr)
       Front->placements().applyDigest(From, Digest);
   };
-  Callbacks.Running = [this] {
+  Callbacks.Running = [this](Timestamp ControlHostsAsOf) {
     if (auto *Front = Routed ? Routed->front() : nullptr)
-      Front->placements().noteRunning();
+      Front->placements().noteRunning(ControlHostsAsOf);
   };
-  Callbacks.WeightsNamed = [this](const auto &Named) {
+  Callbacks.WeightsNamed = [this](const HostId &From, const auto &Named) {
     auto *Front = Routed ? Routed->front() : nullptr;
     if (!Front)
       return;
-    for (const routing::NamedWeights &Each :
-         Front->placements().weightsNamed(Named))
+    routing::NamingsOutcome Outcome = Front->placements().weightsNamed(Named);
+    if (Outcome.Suspended > Duration::zero())
       observe::logEvent(
-          Severity::Info, "routed", "weights_known",
-          {{"model", Each.Model},
-           {"weights", Each.Weights},
-           {"age_ms", (steadyNow() - Each.Since).count() / 1000}});
+          Severity::Info, "routed", "weights_deadline_suspended",
+          {{"gap_ms", Outcome.Suspended.count() / 1000},
+           {"control_hosts_ms", Outcome.ControlHostsAge.count() / 1000},
+           {"from", From}});
+    for (const routing::NamedWeights &Each : Outcome.News)
+      observe::logEvent(Severity::Info, "routed", "weights_known",
+                        {{"model", Each.Model},
+                         {"weights", Each.Weights},
+                         {"age_ms", (steadyNow() - Each.Since).count() / 1000},
+                         {"from", From}});
   };
   Callbacks.EngineChanged = [this](const routing::EngineChange &Change) {
     if (auto *Front = Routed ? Routed->front() : nullptr)
