Tests: Show that routers in touch use overdue weights where views of silent hosts differ

TestNamingFleet plays one leader and 7 or 300 routers in virtual time; each host calls 5% of the others silent by mistake, and others each second.

--- /dev/null
+++ b/Tests/LibRouting/TestNamingFleet.cpp
@@ -0,0 +1,68 @@
+/// \file
+/// Guards against work on overdue weights in fleets whose hosts disagree on
+/// which others are silent, and against refusals where no control host works.
+#include "LibRouting/NamingFleet.h"
+#include <boost/test/data/test_case.hpp>
+
+using namespace ferry;
+using namespace ferry::routing;
+using namespace std::chrono_literals;
+namespace data = boost::unit_test::data;
+
+namespace {
+
+/// In a fleet of 300 hosts, a host calls this share of the others silent by
+/// mistake, and more of the control hosts.
+constexpr uint64_t SilentPercent = 5;
+constexpr uint64_t SeedCount = 3;
+const std::vector<size_t> FleetSizes = {7, 300};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(no_router_in_touch_uses_overdue_weights,
+                     data::make(FleetSizes), Count) {
+  for (uint64_t Seed = 1; Seed <= SeedCount; ++Seed) {
+    BOOST_TEST_CONTEXT("seed " << Seed) {
+      NamingFleet Fleet(Count, SilentPercent, Seed);
+      Fleet.runFor(10s);
+      Fleet.name();
+      // A request may be placed up to a second before the deadline.
+      Fleet.runFor(NamingFleet::WeightsDeadline - 3s);
+      BOOST_TEST(Fleet.routersThatPlace().size() == Count);
+      Fleet.runFor(3s);
+      std::set<HostId> Late;
+      for (int Round = 0; Round < 20; ++Round, Fleet.runFor(500ms))
+        Late.merge(Fleet.routersThatPlace());
+      BOOST_TEST(Late.size() == 0U);
+    }
+  }
+}
+
+BOOST_DATA_TEST_CASE(old_weights_serve_where_no_control_host_works,
+                     data::make(FleetSizes), Count) {
+  NamingFleet Fleet(Count, SilentPercent, 1);
+  Fleet.runFor(10s);
+  Fleet.name();
+  Fleet.runFor(5s);
+  Fleet.ControlHostsWork = false;
+  Fleet.runFor(20s);
+  BOOST_TEST(Fleet.routersThatPlace().size() == Count);
+  // The time with control hosts counts on.
+  Fleet.ControlHostsWork = true;
+  Fleet.runFor(6s);
+  BOOST_TEST(Fleet.routersThatPlace().size() == Count);
+  Fleet.runFor(8s);
+  BOOST_TEST(Fleet.routersThatPlace().size() == 0U);
+}
+
+BOOST_DATA_TEST_CASE(a_router_that_is_cut_off_goes_on_with_old_weights,
+                     data::make(FleetSizes), Count) {
+  NamingFleet Fleet(Count, SilentPercent, 1);
+  Fleet.runFor(10s);
+  Fleet.name();
+  Fleet.runFor(5s);
+  HostId Alone = Fleet.ids()[Count / 2];
+  Fleet.CutOff = {Alone};
+  Fleet.runFor(15s);
+  BOOST_TEST((Fleet.routersThatPlace() == std::set<HostId>{Alone}));
+}
