LibRouting: Suspend the deadline of weights only if no control host is heard of at all

The deadline stands still while no control host works, as none can order engines then. A router took it as the sign of that if the namings, which the leader alone repeats through two routers of each group, did not arrive for 2 s. In a fleet of 300 hosts they often do not: groups are cut from the list of hosts that are not silent, hosts disagree on these, and a router next to the border of a group is in nobody's list.

TestNamingFleet failed before (17, 34 and 39 of 300 routers used overdue weights) and passes, as do its cases in which no control host works or a router is cut off. late_answers_of_control_hosts_move_no_deadline failed before as well: the names that came first after a freeze were the only sign.

--- a/Libraries/LibRouting/RoutedCall.h
+++ b/Libraries/LibRouting/RoutedCall.h
@@ -181,9 +181,6 @@
   std::vector<NamedWeights> News;
   /// Time by which the deadlines of superseded weights were moved; 0 if not.
   Duration Suspended = Duration::zero();
-  /// How long before the message a quorum of the control hosts is known to have
-  /// worked.
-  Duration ControlHostsAge = Duration::zero();
 };
 
 /// How a request ended at its target.
--- a/Libraries/LibRouting/RoutedPlacement.cpp
+++ b/Libraries/LibRouting/RoutedPlacement.cpp
@@ -140,14 +140,14 @@
   Timestamp Since = supersededSince(Target, Now);
   if (Since == NeverExpires)
     return NeverExpires;
-  return Since + Opts.WeightsDeadline + namesGap(Now);
+  return Since + Opts.WeightsDeadline + controlGap(Now);
 }
 
-Duration RoutedPlacement::namesGap(Timestamp Now) const {
-  if (!LastNamesAt)
+Duration RoutedPlacement::controlGap(Timestamp Now) const {
+  if (!ControlHostsAsOf)
     return Duration::zero();
-  Duration Gap = Now - *LastNamesAt - StalledSinceNames - stallUntil(Now);
-  return Gap > MaxNamesGap ? Gap : Duration::zero();
+  Duration Gap = Now - *ControlHostsAsOf - StalledSinceSign - stallUntil(Now);
+  return Gap > MaxControlGap ? Gap : Duration::zero();
 }
 
 Duration RoutedPlacement::stallUntil(Timestamp Now) const {
--- a/Libraries/LibRouting/RoutedPlacement.h
+++ b/Libraries/LibRouting/RoutedPlacement.h
@@ -82,17 +82,18 @@
 
   /// Applies one message of the control hosts: all weights that operators have
   /// named, those of each model in rising order. The control hosts repeat it.
-  /// While the repeats are missing, no control host can order engines to load
-  /// newer weights, so the deadline of superseded weights does not run.
   NamingsOutcome applyNamings(const std::vector<NamedWeights> &Named,
                               Timestamp Now);
 
-  /// Called by a timer of this process each tenth of a second or so. While the
-  /// process does not run, names that do not arrive are no sign that no control
-  /// host works.
-  /// \param ControlHostsAsOf the newest time at which a quorum of the control
-  /// hosts is known to have worked.
-  void noteRunning(Timestamp Now, Timestamp ControlHostsAsOf = {});
+  /// Called by a timer of this process each tenth of a second or so. While no
+  /// control host works, none can order engines to load newer weights, so the
+  /// deadline of superseded weights does not run. A repeat of the names that is
+  /// missing shows that only if this process runs and no quorum of the control
+  /// hosts is heard of in another way.
+  /// \param AsOf the newest time at which a quorum of the control hosts is
+  /// known to have worked. \returns the time by which deadlines were moved; 0
+  /// if they were not.
+  Duration noteRunning(Timestamp Now, Timestamp AsOf = {});
 
   /// Applies a message with only \p Version. \returns whether it is news.
   bool applyNamedWeights(const NamedWeights &Version, Timestamp Now);
@@ -320,9 +321,15 @@
   /// \returns the time up to \p Now since this process last ran, if it did not
   /// run for long; else 0.
   Duration stallUntil(Timestamp Now) const;
-  /// \returns the time without names if it is longer than MaxNamesGap; else 0.
-  /// The time for which this process did not run is left out.
-  Duration namesGap(Timestamp Now) const;
+  void endStall(Timestamp Now);
+  /// \returns the time without a sign of the control hosts if it is longer than
+  /// MaxNamesGap; else 0. The time for which this process did not run is left
+  /// out.
+  Duration controlGap(Timestamp Now) const;
+  /// Notes that control hosts worked at \p AsOf, and moves the deadlines of
+  /// superseded weights by the gap before it.
+  /// \returns the gap.
+  Duration noteControlHosts(Timestamp AsOf);
   bool applyNaming(const NamedWeights &Named, Timestamp NotBefore);
   /// \returns the time before which no weights were named that are new in a
   /// message received now.
@@ -418,11 +425,14 @@
   /// When names of weights last arrived, and since when without a gap.
   std::optional<Timestamp> LastNamesAt;
   Timestamp NamesSince;
-  /// The last call of noteRunning(), and the time since LastNamesAt for which
-  /// this process did not run.
+  /// When control hosts are last known to have worked, by the names or in
+  /// another way.
+  std::optional<Timestamp> ControlHostsAsOf;
+  /// The last call of noteRunning(), and the time since ControlHostsAsOf for
+  /// which this process did not run.
   std::optional<Timestamp> LastRunningAt;
-  Timestamp ControlHostsAsOf;
-  Duration StalledSinceNames = Duration::zero();
+  Duration StalledSinceSign = Duration::zero();
+  Timestamp StallEndedAt;
   std::unordered_map<uint64_t, SentCall> SentCalls;
   uint64_t NextPlacementId = 1;
 };
--- a/Libraries/LibRouting/RoutedPlacementConstants.h
+++ b/Libraries/LibRouting/RoutedPlacementConstants.h
@@ -8,9 +8,10 @@
 
 namespace ferry::routing {
 
-/// The control hosts repeat the named weights twice a second. A longer gap
-/// means that no control host is working, so none can order newer weights.
-inline constexpr Duration MaxNamesGap = std::chrono::seconds(2);
+/// A control host repeats the named weights twice a second, and the hosts tell
+/// each other when a quorum of the control hosts last answered. A longer gap in
+/// both means that none can order newer weights.
+inline constexpr Duration MaxControlGap = std::chrono::seconds(2);
 /// A process that does not note for longer than this that it runs is frozen or
 /// lacks the processor.
 inline constexpr Duration MaxRunningGap = std::chrono::seconds(1);
--- a/Libraries/LibRouting/RoutedPlacementUpdates.cpp
+++ b/Libraries/LibRouting/RoutedPlacementUpdates.cpp
@@ -92,38 +92,54 @@
   Target.Parts.clear();
 }
 
-void RoutedPlacement::noteRunning(Timestamp Now, Timestamp ControlAsOf) {
-  StalledSinceNames += stallUntil(Now);
+void RoutedPlacement::endStall(Timestamp Now) {
+  Duration Stall = stallUntil(Now);
+  if (Stall == Duration::zero())
+    return;
+  StalledSinceSign += Stall;
+  StallEndedAt = Now;
+}
+
+Duration RoutedPlacement::noteRunning(Timestamp Now, Timestamp AsOf) {
+  endStall(Now);
   LastRunningAt = Now;
-  ControlHostsAsOf = std::max(ControlHostsAsOf, ControlAsOf);
+  return noteControlHosts(AsOf);
+}
+
+Duration RoutedPlacement::noteControlHosts(Timestamp AsOf) {
+  if (AsOf <= ControlHostsAsOf.value_or(Timestamp()))
+    return Duration::zero();
+  Duration Gap = controlGap(AsOf);
+  ControlHostsAsOf = AsOf;
+  if (AsOf >= StallEndedAt)
+    StalledSinceSign = Duration::zero();
+  for (auto &[Model, Versions] : NamedVersions)
+    for (Naming &Known : Versions)
+      Known.Suspended += Gap;
+  return Gap;
 }
 
 Timestamp RoutedPlacement::namedNotBefore() const {
   if (!LastNamesAt || *LastNamesAt - NamesSince < CompleteNamesAfter)
     return Timestamp::min();
   // That message may have waited on its way, too.
-  return *LastNamesAt - MaxNamesGap;
+  return *LastNamesAt - MaxControlGap;
 }
 
 NamingsOutcome
 RoutedPlacement::applyNamings(const std::vector<NamedWeights> &Named,
                               Timestamp Now) {
-  // A gap suspends the deadlines. The first names after the start end none: the
-  // deadline ran while this router was down, so their age counts in full.
-  Duration Gap = namesGap(Now);
+  endStall(Now);
+  if (LastRunningAt)
+    LastRunningAt = Now;
+  // The first names after the start move no deadline: it ran while this router
+  // was down, so their age counts in full.
   NamingsOutcome Outcome;
-  Outcome.Suspended = Gap;
-  Outcome.ControlHostsAge = Now - ControlHostsAsOf;
-  for (auto &[Model, Versions] : NamedVersions)
-    for (Naming &Known : Versions)
-      Known.Suspended += Gap;
+  Outcome.Suspended = noteControlHosts(Now);
   Timestamp NotBefore = namedNotBefore();
-  if (!LastNamesAt || Gap > Duration::zero())
+  if (!LastNamesAt || Outcome.Suspended > Duration::zero())
     NamesSince = Now;
   LastNamesAt = Now;
-  StalledSinceNames = Duration::zero();
-  if (LastRunningAt)
-    LastRunningAt = Now;
   for (const NamedWeights &Each : Named)
     if (applyNaming(Each, NotBefore))
       Outcome.News.push_back(Each);
--- a/Libraries/LibTraffic/RoutedContext.cpp
+++ b/Libraries/LibTraffic/RoutedContext.cpp
@@ -146,9 +146,9 @@
   return Placement.applyNamings(Named, steadyNow());
 }
 
-void SharedPlacement::noteRunning(Timestamp ControlHostsAsOf) {
+Duration SharedPlacement::noteRunning(Timestamp ControlHostsAsOf) {
   std::lock_guard Lock(Mutex);
-  Placement.noteRunning(steadyNow(), ControlHostsAsOf);
+  return Placement.noteRunning(steadyNow(), ControlHostsAsOf);
 }
 
 void SharedPlacement::engineChanged(const EngineChange &Change) {
--- a/Libraries/LibTraffic/RoutedContext.h
+++ b/Libraries/LibTraffic/RoutedContext.h
@@ -64,7 +64,7 @@
   routing::WorkDigest buildDigest();
   void engineChanged(const routing::EngineChange &Change);
   /// See RoutedPlacement::noteRunning().
-  void noteRunning(Timestamp ControlHostsAsOf);
+  Duration noteRunning(Timestamp ControlHostsAsOf);
   /// See RoutedPlacement::applyNamings().
   routing::NamingsOutcome
   weightsNamed(const std::vector<routing::NamedWeights> &Named);
--- a/Services/ferryd/Daemon.cpp
+++ b/Services/ferryd/Daemon.cpp
@@ -29,6 +29,13 @@
   return Started;
 }
 
+/// Logs that a router has moved the deadlines of superseded weights by \p Gap.
+static void logSuspension(Duration Gap) {
+  if (Gap > Duration::zero())
+    observe::logEvent(Severity::Info, "routed", "weights_deadline_suspended",
+                      {{"gap_ms", Gap.count() / 1000}});
+}
+
 Daemon::Daemon(const config::Settings &Settings) : Settings(Settings) {}
 
 Daemon::~Daemon() { stop(); }
@@ -55,19 +62,14 @@
   };
   Callbacks.Running = [this](Timestamp ControlHostsAsOf) {
     if (auto *Front = Routed ? Routed->front() : nullptr)
-      Front->placements().noteRunning(ControlHostsAsOf);
+      logSuspension(Front->placements().noteRunning(ControlHostsAsOf));
   };
   Callbacks.WeightsNamed = [this](const HostId &From, const auto &Named) {
     auto *Front = Routed ? Routed->front() : nullptr;
     if (!Front)
       return;
     routing::NamingsOutcome Outcome = Front->placements().weightsNamed(Named);
-    if (Outcome.Suspended > Duration::zero())
-      observe::logEvent(
-          Severity::Info, "routed", "weights_deadline_suspended",
-          {{"gap_ms", Outcome.Suspended.count() / 1000},
-           {"control_hosts_ms", Outcome.ControlHostsAge.count() / 1000},
-           {"from", From}});
+    logSuspension(Outcome.Suspended);
     for (const routing::NamedWeights &Each : Outcome.News)
       observe::logEvent(Severity::Info, "routed", "weights_known",
                         {{"model", Each.Model},
--- a/Tests/LibRouting/TestRoutedPlacement.cpp
+++ b/Tests/LibRouting/TestRoutedPlacement.cpp
@@ -632,6 +632,28 @@
   expectPlaced(Router.place(Deployment.call(1), Deployment.Now));
 }
 
+// After a freeze the first answers of control hosts are to queries from before
+// it. The deadline of weights ran on during the freeze.
+BOOST_AUTO_TEST_CASE(late_answers_of_control_hosts_move_no_deadline) {
+  TestDeployment Deployment(3);
+  RoutedPlacement Router = Deployment.router();
+  Timestamp NamedAt = Deployment.Now;
+  Router.applyNamedWeights({Model, {2}, NamedAt}, Deployment.Now);
+  for (; Deployment.Now < NamedAt + 5s; Deployment.Now += 100ms)
+    Router.noteRunning(Deployment.Now, Deployment.Now - 1s);
+  Timestamp FrozenAt = Deployment.Now;
+  Deployment.Now += 8s;
+  for (Duration Before : {900ms, 400ms, 100ms})
+    Router.noteRunning(Deployment.Now, FrozenAt - Before);
+  Deployment.announceTo(Router);
+  BOOST_TEST(std::holds_alternative<RefusedCall>(
+      Router.place(Deployment.call(1), Deployment.Now)));
+  Router.noteRunning(Deployment.Now + 1s, Deployment.Now + 100ms);
+  Deployment.Now += 1s;
+  BOOST_TEST(std::holds_alternative<RefusedCall>(
+      Router.place(Deployment.call(2), Deployment.Now)));
+}
+
 // The holder of the order lease has reported a load of newer weights. That
 // opens an engine past the deadline neither after a restart with older weights
 // nor for good.
