LibRouting: Date no naming by messages that were read late

A router dates a naming no earlier than 2 s before its last message without it, as the clock of a new leader may be ahead. A process that was frozen reads all messages of that time at once: the first ones lack the naming and count as new, so that the naming is dated at the end of the freeze, and later messages with the true age do not correct it. Engines were used past the deadline by the length of the freeze less 2 s. Namings are not bounded in this way until names have arrived for 3 s again after any gap.

messages_read_after_a_freeze_date_no_naming_late failed before: the router still sent requests 12 s after the naming, the deadline there.

--- a/Libraries/LibRouting/RoutedPlacementUpdates.cpp
+++ b/Libraries/LibRouting/RoutedPlacementUpdates.cpp
@@ -137,7 +137,8 @@
   NamingsOutcome Outcome;
   Outcome.Suspended = noteControlHosts(Now);
   Timestamp NotBefore = namedNotBefore();
-  if (!LastNamesAt || Outcome.Suspended > Duration::zero())
+  // Messages that this process or another one read late date no later naming.
+  if (!LastNamesAt || Now - *LastNamesAt > MaxControlGap)
     NamesSince = Now;
   LastNamesAt = Now;
   for (const NamedWeights &Each : Named)
--- a/Tests/LibRouting/TestRoutedPlacement.cpp
+++ b/Tests/LibRouting/TestRoutedPlacement.cpp
@@ -632,6 +632,37 @@
   expectPlaced(Router.place(Deployment.call(1), Deployment.Now));
 }
 
+// A router is frozen while weights are named, and reads all messages of that
+// time at once. The first ones lack the naming, though they arrive after it.
+BOOST_AUTO_TEST_CASE(messages_read_after_a_freeze_date_no_naming_late) {
+  TestDeployment Deployment(3);
+  RoutedPlacement Router = Deployment.router();
+  auto Hear = [&](std::optional<Duration> Age) {
+    std::vector<NamedWeights> Named;
+    if (Age)
+      Named.push_back({Model, {2}, Deployment.Now - *Age});
+    Router.applyNamings(Named, Deployment.Now);
+  };
+  for (int Count = 0; Count < 50; ++Count, Deployment.Now += 100ms) {
+    Router.noteRunning(Deployment.Now);
+    if (Count % 5 == 0)
+      Hear(std::nullopt);
+  }
+  Timestamp NamedAt = Deployment.Now + 1s;
+  Deployment.Now += 9s;
+  for (int Count = 0; Count < 2; ++Count)
+    Hear(std::nullopt);
+  for (Duration Age = 0s; Age < 8s; Age += 500ms)
+    Hear(Age);
+  for (; Deployment.Now < NamedAt + 12s; Deployment.Now += 100ms) {
+    Router.noteRunning(Deployment.Now);
+    Hear(Deployment.Now - NamedAt);
+  }
+  Deployment.announceTo(Router);
+  BOOST_TEST(std::holds_alternative<RefusedCall>(
+      Router.place(Deployment.call(1), Deployment.Now)));
+}
+
 // After a freeze the first answers of control hosts are to queries from before
 // it. The deadline of weights ran on during the freeze.
 BOOST_AUTO_TEST_CASE(late_answers_of_control_hosts_move_no_deadline) {
