--- a/Libraries/LibWire/Generated/Routing_types.cpp
+++ b/Libraries/LibWire/Generated/Routing_types.cpp
@@ -893,6 +893,11 @@
 void EngineChanges::__set_PassOn(const bool val) {
   this->PassOn = val;
 }
+
+void EngineChanges::__set_PassOnTo(const std::vector<std::string> & val) {
+  this->PassOnTo = val;
+__isset.PassOnTo = true;
+}
 std::ostream& operator<<(std::ostream& out, const EngineChanges& obj)
 {
   obj.printTo(out);
@@ -969,6 +974,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->PassOnTo.clear();
+            uint32_t _size43;
+            ::apache::thrift::protocol::TType _etype46;
+            xfer += iprot->readListBegin(_etype46, _size43);
+            this->PassOnTo.resize(_size43);
+            uint32_t _i47;
+            for (_i47 = 0; _i47 < _size43; ++_i47)
+            {
+              xfer += iprot->readString(this->PassOnTo[_i47]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.PassOnTo = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -989,10 +1014,10 @@
   xfer += oprot->writeFieldBegin("Changes", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Changes.size()));
-    std::vector<EngineChange> ::const_iterator _iter43;
-    for (_iter43 = this->Changes.begin(); _iter43 != this->Changes.end(); ++_iter43)
+    std::vector<EngineChange> ::const_iterator _iter48;
+    for (_iter48 = this->Changes.begin(); _iter48 != this->Changes.end(); ++_iter48)
     {
-      xfer += (*_iter43).write(oprot);
+      xfer += (*_iter48).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1001,10 +1026,10 @@
   xfer += oprot->writeFieldBegin("Named", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Named.size()));
-    std::vector<NamedWeights> ::const_iterator _iter44;
-    for (_iter44 = this->Named.begin(); _iter44 != this->Named.end(); ++_iter44)
+    std::vector<NamedWeights> ::const_iterator _iter49;
+    for (_iter49 = this->Named.begin(); _iter49 != this->Named.end(); ++_iter49)
     {
-      xfer += (*_iter44).write(oprot);
+      xfer += (*_iter49).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1014,6 +1039,19 @@
   xfer += oprot->writeBool(this->PassOn);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.PassOnTo) {
+    xfer += oprot->writeFieldBegin("PassOnTo", ::apache::thrift::protocol::T_LIST, 4);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->PassOnTo.size()));
+      std::vector<std::string> ::const_iterator _iter50;
+      for (_iter50 = this->PassOnTo.begin(); _iter50 != this->PassOnTo.end(); ++_iter50)
+      {
+        xfer += oprot->writeString((*_iter50));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1024,33 +1062,38 @@
   swap(a.Changes, b.Changes);
   swap(a.Named, b.Named);
   swap(a.PassOn, b.PassOn);
+  swap(a.PassOnTo, b.PassOnTo);
   swap(a.__isset, b.__isset);
 }
 
-EngineChanges::EngineChanges(const EngineChanges& other45) {
-  Changes = other45.Changes;
-  Named = other45.Named;
-  PassOn = other45.PassOn;
-  __isset = other45.__isset;
+EngineChanges::EngineChanges(const EngineChanges& other51) {
+  Changes = other51.Changes;
+  Named = other51.Named;
+  PassOn = other51.PassOn;
+  PassOnTo = other51.PassOnTo;
+  __isset = other51.__isset;
 }
-EngineChanges::EngineChanges(EngineChanges&& other46) noexcept {
-  Changes = std::move(other46.Changes);
-  Named = std::move(other46.Named);
-  PassOn = other46.PassOn;
-  __isset = other46.__isset;
+EngineChanges::EngineChanges(EngineChanges&& other52) noexcept {
+  Changes = std::move(other52.Changes);
+  Named = std::move(other52.Named);
+  PassOn = other52.PassOn;
+  PassOnTo = std::move(other52.PassOnTo);
+  __isset = other52.__isset;
 }
-EngineChanges& EngineChanges::operator=(const EngineChanges& other47) {
-  Changes = other47.Changes;
-  Named = other47.Named;
-  PassOn = other47.PassOn;
-  __isset = other47.__isset;
+EngineChanges& EngineChanges::operator=(const EngineChanges& other53) {
+  Changes = other53.Changes;
+  Named = other53.Named;
+  PassOn = other53.PassOn;
+  PassOnTo = other53.PassOnTo;
+  __isset = other53.__isset;
   return *this;
 }
-EngineChanges& EngineChanges::operator=(EngineChanges&& other48) noexcept {
-  Changes = std::move(other48.Changes);
-  Named = std::move(other48.Named);
-  PassOn = other48.PassOn;
-  __isset = other48.__isset;
+EngineChanges& EngineChanges::operator=(EngineChanges&& other54) noexcept {
+  Changes = std::move(other54.Changes);
+  Named = std::move(other54.Named);
+  PassOn = other54.PassOn;
+  PassOnTo = std::move(other54.PassOnTo);
+  __isset = other54.__isset;
   return *this;
 }
 void EngineChanges::printTo(std::ostream& out) const {
@@ -1059,6 +1102,7 @@
   out << "Changes=" << to_string(Changes);
   out << ", " << "Named=" << to_string(Named);
   out << ", " << "PassOn=" << to_string(PassOn);
+  out << ", " << "PassOnTo="; (__isset.PassOnTo ? (out << to_string(PassOnTo)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1172,30 +1216,30 @@
   swap(a.__isset, b.__isset);
 }
 
-StreamBuild::StreamBuild(const StreamBuild& other49) {
-  Key = other49.Key;
-  Build = other49.Build;
-  LifetimeMillis = other49.LifetimeMillis;
-  __isset = other49.__isset;
+StreamBuild::StreamBuild(const StreamBuild& other55) {
+  Key = other55.Key;
+  Build = other55.Build;
+  LifetimeMillis = other55.LifetimeMillis;
+  __isset = other55.__isset;
 }
-StreamBuild::StreamBuild(StreamBuild&& other50) noexcept {
-  Key = other50.Key;
-  Build = std::move(other50.Build);
-  LifetimeMillis = other50.LifetimeMillis;
-  __isset = other50.__isset;
+StreamBuild::StreamBuild(StreamBuild&& other56) noexcept {
+  Key = other56.Key;
+  Build = std::move(other56.Build);
+  LifetimeMillis = other56.LifetimeMillis;
+  __isset = other56.__isset;
 }
-StreamBuild& StreamBuild::operator=(const StreamBuild& other51) {
-  Key = other51.Key;
-  Build = other51.Build;
-  LifetimeMillis = other51.LifetimeMillis;
-  __isset = other51.__isset;
+StreamBuild& StreamBuild::operator=(const StreamBuild& other57) {
+  Key = other57.Key;
+  Build = other57.Build;
+  LifetimeMillis = other57.LifetimeMillis;
+  __isset = other57.__isset;
   return *this;
 }
-StreamBuild& StreamBuild::operator=(StreamBuild&& other52) noexcept {
-  Key = other52.Key;
-  Build = std::move(other52.Build);
-  LifetimeMillis = other52.LifetimeMillis;
-  __isset = other52.__isset;
+StreamBuild& StreamBuild::operator=(StreamBuild&& other58) noexcept {
+  Key = other58.Key;
+  Build = std::move(other58.Build);
+  LifetimeMillis = other58.LifetimeMillis;
+  __isset = other58.__isset;
   return *this;
 }
 void StreamBuild::printTo(std::ostream& out) const {
@@ -1300,26 +1344,26 @@
   swap(a.__isset, b.__isset);
 }
 
-StreamQuestion::StreamQuestion(const StreamQuestion& other53) noexcept {
-  Number = other53.Number;
-  Key = other53.Key;
-  __isset = other53.__isset;
+StreamQuestion::StreamQuestion(const StreamQuestion& other59) noexcept {
+  Number = other59.Number;
+  Key = other59.Key;
+  __isset = other59.__isset;
 }
-StreamQuestion::StreamQuestion(StreamQuestion&& other54) noexcept {
-  Number = other54.Number;
-  Key = other54.Key;
-  __isset = other54.__isset;
+StreamQuestion::StreamQuestion(StreamQuestion&& other60) noexcept {
+  Number = other60.Number;
+  Key = other60.Key;
+  __isset = other60.__isset;
 }
-StreamQuestion& StreamQuestion::operator=(const StreamQuestion& other55) noexcept {
-  Number = other55.Number;
-  Key = other55.Key;
-  __isset = other55.__isset;
+StreamQuestion& StreamQuestion::operator=(const StreamQuestion& other61) noexcept {
+  Number = other61.Number;
+  Key = other61.Key;
+  __isset = other61.__isset;
   return *this;
 }
-StreamQuestion& StreamQuestion::operator=(StreamQuestion&& other56) noexcept {
-  Number = other56.Number;
-  Key = other56.Key;
-  __isset = other56.__isset;
+StreamQuestion& StreamQuestion::operator=(StreamQuestion&& other62) noexcept {
+  Number = other62.Number;
+  Key = other62.Key;
+  __isset = other62.__isset;
   return *this;
 }
 void StreamQuestion::printTo(std::ostream& out) const {
@@ -1425,26 +1469,26 @@
   swap(a.__isset, b.__isset);
 }
 
-StreamReply::StreamReply(const StreamReply& other57) {
-  Number = other57.Number;
-  Build = other57.Build;
-  __isset = other57.__isset;
+StreamReply::StreamReply(const StreamReply& other63) {
+  Number = other63.Number;
+  Build = other63.Build;
+  __isset = other63.__isset;
 }
-StreamReply::StreamReply(StreamReply&& other58) noexcept {
-  Number = other58.Number;
-  Build = std::move(other58.Build);
-  __isset = other58.__isset;
+StreamReply::StreamReply(StreamReply&& other64) noexcept {
+  Number = other64.Number;
+  Build = std::move(other64.Build);
+  __isset = other64.__isset;
 }
-StreamReply& StreamReply::operator=(const StreamReply& other59) {
-  Number = other59.Number;
-  Build = other59.Build;
-  __isset = other59.__isset;
+StreamReply& StreamReply::operator=(const StreamReply& other65) {
+  Number = other65.Number;
+  Build = other65.Build;
+  __isset = other65.__isset;
   return *this;
 }
-StreamReply& StreamReply::operator=(StreamReply&& other60) noexcept {
-  Number = other60.Number;
-  Build = std::move(other60.Build);
-  __isset = other60.__isset;
+StreamReply& StreamReply::operator=(StreamReply&& other66) noexcept {
+  Number = other66.Number;
+  Build = std::move(other66.Build);
+  __isset = other66.__isset;
   return *this;
 }
 void StreamReply::printTo(std::ostream& out) const {
@@ -1571,30 +1615,30 @@
   swap(a.__isset, b.__isset);
 }
 
-StreamMessage::StreamMessage(const StreamMessage& other61) {
-  Begun = other61.Begun;
-  Question = other61.Question;
-  Reply = other61.Reply;
-  __isset = other61.__isset;
+StreamMessage::StreamMessage(const StreamMessage& other67) {
+  Begun = other67.Begun;
+  Question = other67.Question;
+  Reply = other67.Reply;
+  __isset = other67.__isset;
 }
-StreamMessage::StreamMessage(StreamMessage&& other62) noexcept {
-  Begun = std::move(other62.Begun);
-  Question = std::move(other62.Question);
-  Reply = std::move(other62.Reply);
-  __isset = other62.__isset;
+StreamMessage::StreamMessage(StreamMessage&& other68) noexcept {
+  Begun = std::move(other68.Begun);
+  Question = std::move(other68.Question);
+  Reply = std::move(other68.Reply);
+  __isset = other68.__isset;
 }
-StreamMessage& StreamMessage::operator=(const StreamMessage& other63) {
-  Begun = other63.Begun;
-  Question = other63.Question;
-  Reply = other63.Reply;
-  __isset = other63.__isset;
+StreamMessage& StreamMessage::operator=(const StreamMessage& other69) {
+  Begun = other69.Begun;
+  Question = other69.Question;
+  Reply = other69.Reply;
+  __isset = other69.__isset;
   return *this;
 }
-StreamMessage& StreamMessage::operator=(StreamMessage&& other64) noexcept {
-  Begun = std::move(other64.Begun);
-  Question = std::move(other64.Question);
-  Reply = std::move(other64.Reply);
-  __isset = other64.__isset;
+StreamMessage& StreamMessage::operator=(StreamMessage&& other70) noexcept {
+  Begun = std::move(other70.Begun);
+  Question = std::move(other70.Question);
+  Reply = std::move(other70.Reply);
+  __isset = other70.__isset;
   return *this;
 }
 void StreamMessage::printTo(std::ostream& out) const {
@@ -1654,14 +1698,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Parts.clear();
-            uint32_t _size65;
-            ::apache::thrift::protocol::TType _etype68;
-            xfer += iprot->readListBegin(_etype68, _size65);
-            this->Parts.resize(_size65);
-            uint32_t _i69;
-            for (_i69 = 0; _i69 < _size65; ++_i69)
+            uint32_t _size71;
+            ::apache::thrift::protocol::TType _etype74;
+            xfer += iprot->readListBegin(_etype74, _size71);
+            this->Parts.resize(_size71);
+            uint32_t _i75;
+            for (_i75 = 0; _i75 < _size71; ++_i75)
             {
-              xfer += iprot->readI64(this->Parts[_i69]);
+              xfer += iprot->readI64(this->Parts[_i75]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1706,10 +1750,10 @@
   xfer += oprot->writeFieldBegin("Parts", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->Parts.size()));
-    std::vector<int64_t> ::const_iterator _iter70;
-    for (_iter70 = this->Parts.begin(); _iter70 != this->Parts.end(); ++_iter70)
+    std::vector<int64_t> ::const_iterator _iter76;
+    for (_iter76 = this->Parts.begin(); _iter76 != this->Parts.end(); ++_iter76)
     {
-      xfer += oprot->writeI64((*_iter70));
+      xfer += oprot->writeI64((*_iter76));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1736,30 +1780,30 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashSuspect::CrashSuspect(const CrashSuspect& other71) {
-  Parts = other71.Parts;
-  Begun = other71.Begun;
-  AgeMillis = other71.AgeMillis;
-  __isset = other71.__isset;
+CrashSuspect::CrashSuspect(const CrashSuspect& other77) {
+  Parts = other77.Parts;
+  Begun = other77.Begun;
+  AgeMillis = other77.AgeMillis;
+  __isset = other77.__isset;
 }
-CrashSuspect::CrashSuspect(CrashSuspect&& other72) noexcept {
-  Parts = std::move(other72.Parts);
-  Begun = other72.Begun;
-  AgeMillis = other72.AgeMillis;
-  __isset = other72.__isset;
+CrashSuspect::CrashSuspect(CrashSuspect&& other78) noexcept {
+  Parts = std::move(other78.Parts);
+  Begun = other78.Begun;
+  AgeMillis = other78.AgeMillis;
+  __isset = other78.__isset;
 }
-CrashSuspect& CrashSuspect::operator=(const CrashSuspect& other73) {
-  Parts = other73.Parts;
-  Begun = other73.Begun;
-  AgeMillis = other73.AgeMillis;
-  __isset = other73.__isset;
+CrashSuspect& CrashSuspect::operator=(const CrashSuspect& other79) {
+  Parts = other79.Parts;
+  Begun = other79.Begun;
+  AgeMillis = other79.AgeMillis;
+  __isset = other79.__isset;
   return *this;
 }
-CrashSuspect& CrashSuspect::operator=(CrashSuspect&& other74) noexcept {
-  Parts = std::move(other74.Parts);
-  Begun = other74.Begun;
-  AgeMillis = other74.AgeMillis;
-  __isset = other74.__isset;
+CrashSuspect& CrashSuspect::operator=(CrashSuspect&& other80) noexcept {
+  Parts = std::move(other80.Parts);
+  Begun = other80.Begun;
+  AgeMillis = other80.AgeMillis;
+  __isset = other80.__isset;
   return *this;
 }
 void CrashSuspect::printTo(std::ostream& out) const {
@@ -1881,30 +1925,30 @@
   swap(a.__isset, b.__isset);
 }
 
-PartServed::PartServed(const PartServed& other75) noexcept {
-  Part = other75.Part;
-  ServedBefore = other75.ServedBefore;
-  ServedAfter = other75.ServedAfter;
-  __isset = other75.__isset;
+PartServed::PartServed(const PartServed& other81) noexcept {
+  Part = other81.Part;
+  ServedBefore = other81.ServedBefore;
+  ServedAfter = other81.ServedAfter;
+  __isset = other81.__isset;
 }
-PartServed::PartServed(PartServed&& other76) noexcept {
-  Part = other76.Part;
-  ServedBefore = other76.ServedBefore;
-  ServedAfter = other76.ServedAfter;
-  __isset = other76.__isset;
+PartServed::PartServed(PartServed&& other82) noexcept {
+  Part = other82.Part;
+  ServedBefore = other82.ServedBefore;
+  ServedAfter = other82.ServedAfter;
+  __isset = other82.__isset;
 }
-PartServed& PartServed::operator=(const PartServed& other77) noexcept {
-  Part = other77.Part;
-  ServedBefore = other77.ServedBefore;
-  ServedAfter = other77.ServedAfter;
-  __isset = other77.__isset;
+PartServed& PartServed::operator=(const PartServed& other83) noexcept {
+  Part = other83.Part;
+  ServedBefore = other83.ServedBefore;
+  ServedAfter = other83.ServedAfter;
+  __isset = other83.__isset;
   return *this;
 }
-PartServed& PartServed::operator=(PartServed&& other78) noexcept {
-  Part = other78.Part;
-  ServedBefore = other78.ServedBefore;
-  ServedAfter = other78.ServedAfter;
-  __isset = other78.__isset;
+PartServed& PartServed::operator=(PartServed&& other84) noexcept {
+  Part = other84.Part;
+  ServedBefore = other84.ServedBefore;
+  ServedAfter = other84.ServedAfter;
+  __isset = other84.__isset;
   return *this;
 }
 void PartServed::printTo(std::ostream& out) const {
@@ -1984,14 +2028,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Suspects.clear();
-            uint32_t _size79;
-            ::apache::thrift::protocol::TType _etype82;
-            xfer += iprot->readListBegin(_etype82, _size79);
-            this->Suspects.resize(_size79);
-            uint32_t _i83;
-            for (_i83 = 0; _i83 < _size79; ++_i83)
+            uint32_t _size85;
+            ::apache::thrift::protocol::TType _etype88;
+            xfer += iprot->readListBegin(_etype88, _size85);
+            this->Suspects.resize(_size85);
+            uint32_t _i89;
+            for (_i89 = 0; _i89 < _size85; ++_i89)
             {
-              xfer += this->Suspects[_i83].read(iprot);
+              xfer += this->Suspects[_i89].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2004,14 +2048,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Served.clear();
-            uint32_t _size84;
-            ::apache::thrift::protocol::TType _etype87;
-            xfer += iprot->readListBegin(_etype87, _size84);
-            this->Served.resize(_size84);
-            uint32_t _i88;
-            for (_i88 = 0; _i88 < _size84; ++_i88)
+            uint32_t _size90;
+            ::apache::thrift::protocol::TType _etype93;
+            xfer += iprot->readListBegin(_etype93, _size90);
+            this->Served.resize(_size90);
+            uint32_t _i94;
+            for (_i94 = 0; _i94 < _size90; ++_i94)
             {
-              xfer += this->Served[_i88].read(iprot);
+              xfer += this->Served[_i94].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2048,10 +2092,10 @@
   xfer += oprot->writeFieldBegin("Suspects", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Suspects.size()));
-    std::vector<CrashSuspect> ::const_iterator _iter89;
-    for (_iter89 = this->Suspects.begin(); _iter89 != this->Suspects.end(); ++_iter89)
+    std::vector<CrashSuspect> ::const_iterator _iter95;
+    for (_iter95 = this->Suspects.begin(); _iter95 != this->Suspects.end(); ++_iter95)
     {
-      xfer += (*_iter89).write(oprot);
+      xfer += (*_iter95).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2060,10 +2104,10 @@
   xfer += oprot->writeFieldBegin("Served", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Served.size()));
-    std::vector<PartServed> ::const_iterator _iter90;
-    for (_iter90 = this->Served.begin(); _iter90 != this->Served.end(); ++_iter90)
+    std::vector<PartServed> ::const_iterator _iter96;
+    for (_iter96 = this->Served.begin(); _iter96 != this->Served.end(); ++_iter96)
     {
-      xfer += (*_iter90).write(oprot);
+      xfer += (*_iter96).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2083,34 +2127,34 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashReport::CrashReport(const CrashReport& other91) {
-  Crash = other91.Crash;
-  AgeMillis = other91.AgeMillis;
-  Suspects = other91.Suspects;
-  Served = other91.Served;
-  __isset = other91.__isset;
-}
-CrashReport::CrashReport(CrashReport&& other92) noexcept {
-  Crash = other92.Crash;
-  AgeMillis = other92.AgeMillis;
-  Suspects = std::move(other92.Suspects);
-  Served = std::move(other92.Served);
-  __isset = other92.__isset;
-}
-CrashReport& CrashReport::operator=(const CrashReport& other93) {
-  Crash = other93.Crash;
-  AgeMillis = other93.AgeMillis;
-  Suspects = other93.Suspects;
-  Served = other93.Served;
-  __isset = other93.__isset;
+CrashReport::CrashReport(const CrashReport& other97) {
+  Crash = other97.Crash;
+  AgeMillis = other97.AgeMillis;
+  Suspects = other97.Suspects;
+  Served = other97.Served;
+  __isset = other97.__isset;
+}
+CrashReport::CrashReport(CrashReport&& other98) noexcept {
+  Crash = other98.Crash;
+  AgeMillis = other98.AgeMillis;
+  Suspects = std::move(other98.Suspects);
+  Served = std::move(other98.Served);
+  __isset = other98.__isset;
+}
+CrashReport& CrashReport::operator=(const CrashReport& other99) {
+  Crash = other99.Crash;
+  AgeMillis = other99.AgeMillis;
+  Suspects = other99.Suspects;
+  Served = other99.Served;
+  __isset = other99.__isset;
   return *this;
 }
-CrashReport& CrashReport::operator=(CrashReport&& other94) noexcept {
-  Crash = other94.Crash;
-  AgeMillis = other94.AgeMillis;
-  Suspects = std::move(other94.Suspects);
-  Served = std::move(other94.Served);
-  __isset = other94.__isset;
+CrashReport& CrashReport::operator=(CrashReport&& other100) noexcept {
+  Crash = other100.Crash;
+  AgeMillis = other100.AgeMillis;
+  Suspects = std::move(other100.Suspects);
+  Served = std::move(other100.Served);
+  __isset = other100.__isset;
   return *this;
 }
 void CrashReport::printTo(std::ostream& out) const {
@@ -2183,14 +2227,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Parts.clear();
-            uint32_t _size95;
-            ::apache::thrift::protocol::TType _etype98;
-            xfer += iprot->readListBegin(_etype98, _size95);
-            this->Parts.resize(_size95);
-            uint32_t _i99;
-            for (_i99 = 0; _i99 < _size95; ++_i99)
+            uint32_t _size101;
+            ::apache::thrift::protocol::TType _etype104;
+            xfer += iprot->readListBegin(_etype104, _size101);
+            this->Parts.resize(_size101);
+            uint32_t _i105;
+            for (_i105 = 0; _i105 < _size101; ++_i105)
             {
-              xfer += iprot->readI64(this->Parts[_i99]);
+              xfer += iprot->readI64(this->Parts[_i105]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2259,10 +2303,10 @@
   xfer += oprot->writeFieldBegin("Parts", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->Parts.size()));
-    std::vector<int64_t> ::const_iterator _iter100;
-    for (_iter100 = this->Parts.begin(); _iter100 != this->Parts.end(); ++_iter100)
+    std::vector<int64_t> ::const_iterator _iter106;
+    for (_iter106 = this->Parts.begin(); _iter106 != this->Parts.end(); ++_iter106)
     {
-      xfer += oprot->writeI64((*_iter100));
+      xfer += oprot->writeI64((*_iter106));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2304,42 +2348,42 @@
   swap(a.__isset, b.__isset);
 }
 
-QuarantinedParts::QuarantinedParts(const QuarantinedParts& other101) {
-  Parts = other101.Parts;
-  Epoch = other101.Epoch;
-  Ended = other101.Ended;
-  Trials = other101.Trials;
-  TrialInMillis = other101.TrialInMillis;
-  WantedAgeMillis = other101.WantedAgeMillis;
-  __isset = other101.__isset;
-}
-QuarantinedParts::QuarantinedParts(QuarantinedParts&& other102) noexcept {
-  Parts = std::move(other102.Parts);
-  Epoch = other102.Epoch;
-  Ended = other102.Ended;
-  Trials = other102.Trials;
-  TrialInMillis = other102.TrialInMillis;
-  WantedAgeMillis = other102.WantedAgeMillis;
-  __isset = other102.__isset;
-}
-QuarantinedParts& QuarantinedParts::operator=(const QuarantinedParts& other103) {
-  Parts = other103.Parts;
-  Epoch = other103.Epoch;
-  Ended = other103.Ended;
-  Trials = other103.Trials;
-  TrialInMillis = other103.TrialInMillis;
-  WantedAgeMillis = other103.WantedAgeMillis;
-  __isset = other103.__isset;
+QuarantinedParts::QuarantinedParts(const QuarantinedParts& other107) {
+  Parts = other107.Parts;
+  Epoch = other107.Epoch;
+  Ended = other107.Ended;
+  Trials = other107.Trials;
+  TrialInMillis = other107.TrialInMillis;
+  WantedAgeMillis = other107.WantedAgeMillis;
+  __isset = other107.__isset;
+}
+QuarantinedParts::QuarantinedParts(QuarantinedParts&& other108) noexcept {
+  Parts = std::move(other108.Parts);
+  Epoch = other108.Epoch;
+  Ended = other108.Ended;
+  Trials = other108.Trials;
+  TrialInMillis = other108.TrialInMillis;
+  WantedAgeMillis = other108.WantedAgeMillis;
+  __isset = other108.__isset;
+}
+QuarantinedParts& QuarantinedParts::operator=(const QuarantinedParts& other109) {
+  Parts = other109.Parts;
+  Epoch = other109.Epoch;
+  Ended = other109.Ended;
+  Trials = other109.Trials;
+  TrialInMillis = other109.TrialInMillis;
+  WantedAgeMillis = other109.WantedAgeMillis;
+  __isset = other109.__isset;
   return *this;
 }
-QuarantinedParts& QuarantinedParts::operator=(QuarantinedParts&& other104) noexcept {
-  Parts = std::move(other104.Parts);
-  Epoch = other104.Epoch;
-  Ended = other104.Ended;
-  Trials = other104.Trials;
-  TrialInMillis = other104.TrialInMillis;
-  WantedAgeMillis = other104.WantedAgeMillis;
-  __isset = other104.__isset;
+QuarantinedParts& QuarantinedParts::operator=(QuarantinedParts&& other110) noexcept {
+  Parts = std::move(other110.Parts);
+  Epoch = other110.Epoch;
+  Ended = other110.Ended;
+  Trials = other110.Trials;
+  TrialInMillis = other110.TrialInMillis;
+  WantedAgeMillis = other110.WantedAgeMillis;
+  __isset = other110.__isset;
   return *this;
 }
 void QuarantinedParts::printTo(std::ostream& out) const {
@@ -2406,14 +2450,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Quarantined.clear();
-            uint32_t _size105;
-            ::apache::thrift::protocol::TType _etype108;
-            xfer += iprot->readListBegin(_etype108, _size105);
-            this->Quarantined.resize(_size105);
-            uint32_t _i109;
-            for (_i109 = 0; _i109 < _size105; ++_i109)
+            uint32_t _size111;
+            ::apache::thrift::protocol::TType _etype114;
+            xfer += iprot->readListBegin(_etype114, _size111);
+            this->Quarantined.resize(_size111);
+            uint32_t _i115;
+            for (_i115 = 0; _i115 < _size111; ++_i115)
             {
-              xfer += this->Quarantined[_i109].read(iprot);
+              xfer += this->Quarantined[_i115].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2446,10 +2490,10 @@
   xfer += oprot->writeFieldBegin("Quarantined", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Quarantined.size()));
-    std::vector<QuarantinedParts> ::const_iterator _iter110;
-    for (_iter110 = this->Quarantined.begin(); _iter110 != this->Quarantined.end(); ++_iter110)
+    std::vector<QuarantinedParts> ::const_iterator _iter116;
+    for (_iter116 = this->Quarantined.begin(); _iter116 != this->Quarantined.end(); ++_iter116)
     {
-      xfer += (*_iter110).write(oprot);
+      xfer += (*_iter116).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2467,26 +2511,26 @@
   swap(a.__isset, b.__isset);
 }
 
-KeptQuarantines::KeptQuarantines(const KeptQuarantines& other111) {
-  WrittenAt = other111.WrittenAt;
-  Quarantined = other111.Quarantined;
-  __isset = other111.__isset;
+KeptQuarantines::KeptQuarantines(const KeptQuarantines& other117) {
+  WrittenAt = other117.WrittenAt;
+  Quarantined = other117.Quarantined;
+  __isset = other117.__isset;
 }
-KeptQuarantines::KeptQuarantines(KeptQuarantines&& other112) noexcept {
-  WrittenAt = other112.WrittenAt;
-  Quarantined = std::move(other112.Quarantined);
-  __isset = other112.__isset;
+KeptQuarantines::KeptQuarantines(KeptQuarantines&& other118) noexcept {
+  WrittenAt = other118.WrittenAt;
+  Quarantined = std::move(other118.Quarantined);
+  __isset = other118.__isset;
 }
-KeptQuarantines& KeptQuarantines::operator=(const KeptQuarantines& other113) {
-  WrittenAt = other113.WrittenAt;
-  Quarantined = other113.Quarantined;
-  __isset = other113.__isset;
+KeptQuarantines& KeptQuarantines::operator=(const KeptQuarantines& other119) {
+  WrittenAt = other119.WrittenAt;
+  Quarantined = other119.Quarantined;
+  __isset = other119.__isset;
   return *this;
 }
-KeptQuarantines& KeptQuarantines::operator=(KeptQuarantines&& other114) noexcept {
-  WrittenAt = other114.WrittenAt;
-  Quarantined = std::move(other114.Quarantined);
-  __isset = other114.__isset;
+KeptQuarantines& KeptQuarantines::operator=(KeptQuarantines&& other120) noexcept {
+  WrittenAt = other120.WrittenAt;
+  Quarantined = std::move(other120.Quarantined);
+  __isset = other120.__isset;
   return *this;
 }
 void KeptQuarantines::printTo(std::ostream& out) const {
@@ -2645,38 +2689,38 @@
   swap(a.__isset, b.__isset);
 }
 
-TargetLimit::TargetLimit(const TargetLimit& other115) {
-  Target = other115.Target;
-  Incarnation = other115.Incarnation;
-  PerSecond = other115.PerSecond;
-  AgeMillis = other115.AgeMillis;
-  RejectionsPerSecond = other115.RejectionsPerSecond;
-  __isset = other115.__isset;
-}
-TargetLimit::TargetLimit(TargetLimit&& other116) noexcept {
-  Target = std::move(other116.Target);
-  Incarnation = other116.Incarnation;
-  PerSecond = other116.PerSecond;
-  AgeMillis = other116.AgeMillis;
-  RejectionsPerSecond = other116.RejectionsPerSecond;
-  __isset = other116.__isset;
-}
-TargetLimit& TargetLimit::operator=(const TargetLimit& other117) {
-  Target = other117.Target;
-  Incarnation = other117.Incarnation;
-  PerSecond = other117.PerSecond;
-  AgeMillis = other117.AgeMillis;
-  RejectionsPerSecond = other117.RejectionsPerSecond;
-  __isset = other117.__isset;
+TargetLimit::TargetLimit(const TargetLimit& other121) {
+  Target = other121.Target;
+  Incarnation = other121.Incarnation;
+  PerSecond = other121.PerSecond;
+  AgeMillis = other121.AgeMillis;
+  RejectionsPerSecond = other121.RejectionsPerSecond;
+  __isset = other121.__isset;
+}
+TargetLimit::TargetLimit(TargetLimit&& other122) noexcept {
+  Target = std::move(other122.Target);
+  Incarnation = other122.Incarnation;
+  PerSecond = other122.PerSecond;
+  AgeMillis = other122.AgeMillis;
+  RejectionsPerSecond = other122.RejectionsPerSecond;
+  __isset = other122.__isset;
+}
+TargetLimit& TargetLimit::operator=(const TargetLimit& other123) {
+  Target = other123.Target;
+  Incarnation = other123.Incarnation;
+  PerSecond = other123.PerSecond;
+  AgeMillis = other123.AgeMillis;
+  RejectionsPerSecond = other123.RejectionsPerSecond;
+  __isset = other123.__isset;
   return *this;
 }
-TargetLimit& TargetLimit::operator=(TargetLimit&& other118) noexcept {
-  Target = std::move(other118.Target);
-  Incarnation = other118.Incarnation;
-  PerSecond = other118.PerSecond;
-  AgeMillis = other118.AgeMillis;
-  RejectionsPerSecond = other118.RejectionsPerSecond;
-  __isset = other118.__isset;
+TargetLimit& TargetLimit::operator=(TargetLimit&& other124) noexcept {
+  Target = std::move(other124.Target);
+  Incarnation = other124.Incarnation;
+  PerSecond = other124.PerSecond;
+  AgeMillis = other124.AgeMillis;
+  RejectionsPerSecond = other124.RejectionsPerSecond;
+  __isset = other124.__isset;
   return *this;
 }
 void TargetLimit::printTo(std::ostream& out) const {
@@ -2783,26 +2827,26 @@
   swap(a.__isset, b.__isset);
 }
 
-RouterReach::RouterReach(const RouterReach& other119) {
-  ReachesTargets = other119.ReachesTargets;
-  PassKey = other119.PassKey;
-  __isset = other119.__isset;
+RouterReach::RouterReach(const RouterReach& other125) {
+  ReachesTargets = other125.ReachesTargets;
+  PassKey = other125.PassKey;
+  __isset = other125.__isset;
 }
-RouterReach::RouterReach(RouterReach&& other120) noexcept {
-  ReachesTargets = other120.ReachesTargets;
-  PassKey = std::move(other120.PassKey);
-  __isset = other120.__isset;
+RouterReach::RouterReach(RouterReach&& other126) noexcept {
+  ReachesTargets = other126.ReachesTargets;
+  PassKey = std::move(other126.PassKey);
+  __isset = other126.__isset;
 }
-RouterReach& RouterReach::operator=(const RouterReach& other121) {
-  ReachesTargets = other121.ReachesTargets;
-  PassKey = other121.PassKey;
-  __isset = other121.__isset;
+RouterReach& RouterReach::operator=(const RouterReach& other127) {
+  ReachesTargets = other127.ReachesTargets;
+  PassKey = other127.PassKey;
+  __isset = other127.__isset;
   return *this;
 }
-RouterReach& RouterReach::operator=(RouterReach&& other122) noexcept {
-  ReachesTargets = other122.ReachesTargets;
-  PassKey = std::move(other122.PassKey);
-  __isset = other122.__isset;
+RouterReach& RouterReach::operator=(RouterReach&& other128) noexcept {
+  ReachesTargets = other128.ReachesTargets;
+  PassKey = std::move(other128.PassKey);
+  __isset = other128.__isset;
   return *this;
 }
 void RouterReach::printTo(std::ostream& out) const {
@@ -2963,38 +3007,38 @@
   swap(a.__isset, b.__isset);
 }
 
-CapQuestion::CapQuestion(const CapQuestion& other123) {
-  Workspace = other123.Workspace;
-  Number = other123.Number;
-  Needed = other123.Needed;
-  Wanted = other123.Wanted;
-  Returned = other123.Returned;
-  __isset = other123.__isset;
+CapQuestion::CapQuestion(const CapQuestion& other129) {
+  Workspace = other129.Workspace;
+  Number = other129.Number;
+  Needed = other129.Needed;
+  Wanted = other129.Wanted;
+  Returned = other129.Returned;
+  __isset = other129.__isset;
 }
-CapQuestion::CapQuestion(CapQuestion&& other124) noexcept {
-  Workspace = std::move(other124.Workspace);
-  Number = other124.Number;
-  Needed = other124.Needed;
-  Wanted = other124.Wanted;
-  Returned = other124.Returned;
-  __isset = other124.__isset;
+CapQuestion::CapQuestion(CapQuestion&& other130) noexcept {
+  Workspace = std::move(other130.Workspace);
+  Number = other130.Number;
+  Needed = other130.Needed;
+  Wanted = other130.Wanted;
+  Returned = other130.Returned;
+  __isset = other130.__isset;
 }
-CapQuestion& CapQuestion::operator=(const CapQuestion& other125) {
-  Workspace = other125.Workspace;
-  Number = other125.Number;
-  Needed = other125.Needed;
-  Wanted = other125.Wanted;
-  Returned = other125.Returned;
-  __isset = other125.__isset;
+CapQuestion& CapQuestion::operator=(const CapQuestion& other131) {
+  Workspace = other131.Workspace;
+  Number = other131.Number;
+  Needed = other131.Needed;
+  Wanted = other131.Wanted;
+  Returned = other131.Returned;
+  __isset = other131.__isset;
   return *this;
 }
-CapQuestion& CapQuestion::operator=(CapQuestion&& other126) noexcept {
-  Workspace = std::move(other126.Workspace);
-  Number = other126.Number;
-  Needed = other126.Needed;
-  Wanted = other126.Wanted;
-  Returned = other126.Returned;
-  __isset = other126.__isset;
+CapQuestion& CapQuestion::operator=(CapQuestion&& other132) noexcept {
+  Workspace = std::move(other132.Workspace);
+  Number = other132.Number;
+  Needed = other132.Needed;
+  Wanted = other132.Wanted;
+  Returned = other132.Returned;
+  __isset = other132.__isset;
   return *this;
 }
 void CapQuestion::printTo(std::ostream& out) const {
@@ -3158,38 +3202,38 @@
   swap(a.__isset, b.__isset);
 }
 
-CapReply::CapReply(const CapReply& other127) {
-  Workspace = other127.Workspace;
-  Number = other127.Number;
-  Granted = other127.Granted;
-  LifetimeMillis = other127.LifetimeMillis;
-  RetryInMillis = other127.RetryInMillis;
-  __isset = other127.__isset;
+CapReply::CapReply(const CapReply& other133) {
+  Workspace = other133.Workspace;
+  Number = other133.Number;
+  Granted = other133.Granted;
+  LifetimeMillis = other133.LifetimeMillis;
+  RetryInMillis = other133.RetryInMillis;
+  __isset = other133.__isset;
 }
-CapReply::CapReply(CapReply&& other128) noexcept {
-  Workspace = std::move(other128.Workspace);
-  Number = other128.Number;
-  Granted = other128.Granted;
-  LifetimeMillis = other128.LifetimeMillis;
-  RetryInMillis = other128.RetryInMillis;
-  __isset = other128.__isset;
+CapReply::CapReply(CapReply&& other134) noexcept {
+  Workspace = std::move(other134.Workspace);
+  Number = other134.Number;
+  Granted = other134.Granted;
+  LifetimeMillis = other134.LifetimeMillis;
+  RetryInMillis = other134.RetryInMillis;
+  __isset = other134.__isset;
 }
-CapReply& CapReply::operator=(const CapReply& other129) {
-  Workspace = other129.Workspace;
-  Number = other129.Number;
-  Granted = other129.Granted;
-  LifetimeMillis = other129.LifetimeMillis;
-  RetryInMillis = other129.RetryInMillis;
-  __isset = other129.__isset;
+CapReply& CapReply::operator=(const CapReply& other135) {
+  Workspace = other135.Workspace;
+  Number = other135.Number;
+  Granted = other135.Granted;
+  LifetimeMillis = other135.LifetimeMillis;
+  RetryInMillis = other135.RetryInMillis;
+  __isset = other135.__isset;
   return *this;
 }
-CapReply& CapReply::operator=(CapReply&& other130) noexcept {
-  Workspace = std::move(other130.Workspace);
-  Number = other130.Number;
-  Granted = other130.Granted;
-  LifetimeMillis = other130.LifetimeMillis;
-  RetryInMillis = other130.RetryInMillis;
-  __isset = other130.__isset;
+CapReply& CapReply::operator=(CapReply&& other136) noexcept {
+  Workspace = std::move(other136.Workspace);
+  Number = other136.Number;
+  Granted = other136.Granted;
+  LifetimeMillis = other136.LifetimeMillis;
+  RetryInMillis = other136.RetryInMillis;
+  __isset = other136.__isset;
   return *this;
 }
 void CapReply::printTo(std::ostream& out) const {
@@ -3330,34 +3374,34 @@
   swap(a.__isset, b.__isset);
 }
 
-SlotQuestion::SlotQuestion(const SlotQuestion& other131) {
-  Number = other131.Number;
-  Target = other131.Target;
-  Incarnation = other131.Incarnation;
-  LifetimeMillis = other131.LifetimeMillis;
-  __isset = other131.__isset;
+SlotQuestion::SlotQuestion(const SlotQuestion& other137) {
+  Number = other137.Number;
+  Target = other137.Target;
+  Incarnation = other137.Incarnation;
+  LifetimeMillis = other137.LifetimeMillis;
+  __isset = other137.__isset;
 }
-SlotQuestion::SlotQuestion(SlotQuestion&& other132) noexcept {
-  Number = other132.Number;
-  Target = std::move(other132.Target);
-  Incarnation = other132.Incarnation;
-  LifetimeMillis = other132.LifetimeMillis;
-  __isset = other132.__isset;
+SlotQuestion::SlotQuestion(SlotQuestion&& other138) noexcept {
+  Number = other138.Number;
+  Target = std::move(other138.Target);
+  Incarnation = other138.Incarnation;
+  LifetimeMillis = other138.LifetimeMillis;
+  __isset = other138.__isset;
 }
-SlotQuestion& SlotQuestion::operator=(const SlotQuestion& other133) {
-  Number = other133.Number;
-  Target = other133.Target;
-  Incarnation = other133.Incarnation;
-  LifetimeMillis = other133.LifetimeMillis;
-  __isset = other133.__isset;
+SlotQuestion& SlotQuestion::operator=(const SlotQuestion& other139) {
+  Number = other139.Number;
+  Target = other139.Target;
+  Incarnation = other139.Incarnation;
+  LifetimeMillis = other139.LifetimeMillis;
+  __isset = other139.__isset;
   return *this;
 }
-SlotQuestion& SlotQuestion::operator=(SlotQuestion&& other134) noexcept {
-  Number = other134.Number;
-  Target = std::move(other134.Target);
-  Incarnation = other134.Incarnation;
-  LifetimeMillis = other134.LifetimeMillis;
-  __isset = other134.__isset;
+SlotQuestion& SlotQuestion::operator=(SlotQuestion&& other140) noexcept {
+  Number = other140.Number;
+  Target = std::move(other140.Target);
+  Incarnation = other140.Incarnation;
+  LifetimeMillis = other140.LifetimeMillis;
+  __isset = other140.__isset;
   return *this;
 }
 void SlotQuestion::printTo(std::ostream& out) const {
@@ -3463,26 +3507,26 @@
   swap(a.__isset, b.__isset);
 }
 
-SlotReply::SlotReply(const SlotReply& other135) noexcept {
-  Number = other135.Number;
-  Lent = other135.Lent;
-  __isset = other135.__isset;
+SlotReply::SlotReply(const SlotReply& other141) noexcept {
+  Number = other141.Number;
+  Lent = other141.Lent;
+  __isset = other141.__isset;
 }
-SlotReply::SlotReply(SlotReply&& other136) noexcept {
-  Number = other136.Number;
-  Lent = other136.Lent;
-  __isset = other136.__isset;
+SlotReply::SlotReply(SlotReply&& other142) noexcept {
+  Number = other142.Number;
+  Lent = other142.Lent;
+  __isset = other142.__isset;
 }
-SlotReply& SlotReply::operator=(const SlotReply& other137) noexcept {
-  Number = other137.Number;
-  Lent = other137.Lent;
-  __isset = other137.__isset;
+SlotReply& SlotReply::operator=(const SlotReply& other143) noexcept {
+  Number = other143.Number;
+  Lent = other143.Lent;
+  __isset = other143.__isset;
   return *this;
 }
-SlotReply& SlotReply::operator=(SlotReply&& other138) noexcept {
-  Number = other138.Number;
-  Lent = other138.Lent;
-  __isset = other138.__isset;
+SlotReply& SlotReply::operator=(SlotReply&& other144) noexcept {
+  Number = other144.Number;
+  Lent = other144.Lent;
+  __isset = other144.__isset;
   return *this;
 }
 void SlotReply::printTo(std::ostream& out) const {
@@ -3583,14 +3627,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Crashes.clear();
-            uint32_t _size139;
-            ::apache::thrift::protocol::TType _etype142;
-            xfer += iprot->readListBegin(_etype142, _size139);
-            this->Crashes.resize(_size139);
-            uint32_t _i143;
-            for (_i143 = 0; _i143 < _size139; ++_i143)
+            uint32_t _size145;
+            ::apache::thrift::protocol::TType _etype148;
+            xfer += iprot->readListBegin(_etype148, _size145);
+            this->Crashes.resize(_size145);
+            uint32_t _i149;
+            for (_i149 = 0; _i149 < _size145; ++_i149)
             {
-              xfer += this->Crashes[_i143].read(iprot);
+              xfer += this->Crashes[_i149].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3603,14 +3647,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Quarantined.clear();
-            uint32_t _size144;
-            ::apache::thrift::protocol::TType _etype147;
-            xfer += iprot->readListBegin(_etype147, _size144);
-            this->Quarantined.resize(_size144);
-            uint32_t _i148;
-            for (_i148 = 0; _i148 < _size144; ++_i148)
+            uint32_t _size150;
+            ::apache::thrift::protocol::TType _etype153;
+            xfer += iprot->readListBegin(_etype153, _size150);
+            this->Quarantined.resize(_size150);
+            uint32_t _i154;
+            for (_i154 = 0; _i154 < _size150; ++_i154)
             {
-              xfer += this->Quarantined[_i148].read(iprot);
+              xfer += this->Quarantined[_i154].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3639,14 +3683,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Limits.clear();
-            uint32_t _size149;
-            ::apache::thrift::protocol::TType _etype152;
-            xfer += iprot->readListBegin(_etype152, _size149);
-            this->Limits.resize(_size149);
-            uint32_t _i153;
-            for (_i153 = 0; _i153 < _size149; ++_i153)
+            uint32_t _size155;
+            ::apache::thrift::protocol::TType _etype158;
+            xfer += iprot->readListBegin(_etype158, _size155);
+            this->Limits.resize(_size155);
+            uint32_t _i159;
+            for (_i159 = 0; _i159 < _size155; ++_i159)
             {
-              xfer += this->Limits[_i153].read(iprot);
+              xfer += this->Limits[_i159].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3675,14 +3719,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->CapQuestions.clear();
-            uint32_t _size154;
-            ::apache::thrift::protocol::TType _etype157;
-            xfer += iprot->readListBegin(_etype157, _size154);
-            this->CapQuestions.resize(_size154);
-            uint32_t _i158;
-            for (_i158 = 0; _i158 < _size154; ++_i158)
+            uint32_t _size160;
+            ::apache::thrift::protocol::TType _etype163;
+            xfer += iprot->readListBegin(_etype163, _size160);
+            this->CapQuestions.resize(_size160);
+            uint32_t _i164;
+            for (_i164 = 0; _i164 < _size160; ++_i164)
             {
-              xfer += this->CapQuestions[_i158].read(iprot);
+              xfer += this->CapQuestions[_i164].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3695,14 +3739,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->CapReplies.clear();
-            uint32_t _size159;
-            ::apache::thrift::protocol::TType _etype162;
-            xfer += iprot->readListBegin(_etype162, _size159);
-            this->CapReplies.resize(_size159);
-            uint32_t _i163;
-            for (_i163 = 0; _i163 < _size159; ++_i163)
+            uint32_t _size165;
+            ::apache::thrift::protocol::TType _etype168;
+            xfer += iprot->readListBegin(_etype168, _size165);
+            this->CapReplies.resize(_size165);
+            uint32_t _i169;
+            for (_i169 = 0; _i169 < _size165; ++_i169)
             {
-              xfer += this->CapReplies[_i163].read(iprot);
+              xfer += this->CapReplies[_i169].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3755,10 +3799,10 @@
   xfer += oprot->writeFieldBegin("Crashes", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Crashes.size()));
-    std::vector<CrashReport> ::const_iterator _iter164;
-    for (_iter164 = this->Crashes.begin(); _iter164 != this->Crashes.end(); ++_iter164)
+    std::vector<CrashReport> ::const_iterator _iter170;
+    for (_iter170 = this->Crashes.begin(); _iter170 != this->Crashes.end(); ++_iter170)
     {
-      xfer += (*_iter164).write(oprot);
+      xfer += (*_iter170).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3767,10 +3811,10 @@
   xfer += oprot->writeFieldBegin("Quarantined", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Quarantined.size()));
-    std::vector<QuarantinedParts> ::const_iterator _iter165;
-    for (_iter165 = this->Quarantined.begin(); _iter165 != this->Quarantined.end(); ++_iter165)
+    std::vector<QuarantinedParts> ::const_iterator _iter171;
+    for (_iter171 = this->Quarantined.begin(); _iter171 != this->Quarantined.end(); ++_iter171)
     {
-      xfer += (*_iter165).write(oprot);
+      xfer += (*_iter171).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3787,10 +3831,10 @@
   xfer += oprot->writeFieldBegin("Limits", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Limits.size()));
-    std::vector<TargetLimit> ::const_iterator _iter166;
-    for (_iter166 = this->Limits.begin(); _iter166 != this->Limits.end(); ++_iter166)
+    std::vector<TargetLimit> ::const_iterator _iter172;
+    for (_iter172 = this->Limits.begin(); _iter172 != this->Limits.end(); ++_iter172)
     {
-      xfer += (*_iter166).write(oprot);
+      xfer += (*_iter172).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3809,10 +3853,10 @@
     xfer += oprot->writeFieldBegin("CapQuestions", ::apache::thrift::protocol::T_LIST, 8);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->CapQuestions.size()));
-      std::vector<CapQuestion> ::const_iterator _iter167;
-      for (_iter167 = this->CapQuestions.begin(); _iter167 != this->CapQuestions.end(); ++_iter167)
+      std::vector<CapQuestion> ::const_iterator _iter173;
+      for (_iter173 = this->CapQuestions.begin(); _iter173 != this->CapQuestions.end(); ++_iter173)
       {
-        xfer += (*_iter167).write(oprot);
+        xfer += (*_iter173).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3822,10 +3866,10 @@
     xfer += oprot->writeFieldBegin("CapReplies", ::apache::thrift::protocol::T_LIST, 9);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->CapReplies.size()));
-      std::vector<CapReply> ::const_iterator _iter168;
-      for (_iter168 = this->CapReplies.begin(); _iter168 != this->CapReplies.end(); ++_iter168)
+      std::vector<CapReply> ::const_iterator _iter174;
+      for (_iter174 = this->CapReplies.begin(); _iter174 != this->CapReplies.end(); ++_iter174)
       {
-        xfer += (*_iter168).write(oprot);
+        xfer += (*_iter174).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3868,66 +3912,66 @@
   swap(a.__isset, b.__isset);
 }
 
-BeliefMessage::BeliefMessage(const BeliefMessage& other169) {
-  Crashes = other169.Crashes;
-  Quarantined = other169.Quarantined;
-  Asks = other169.Asks;
-  Answers = other169.Answers;
-  Limits = other169.Limits;
-  AsksReach = other169.AsksReach;
-  Reach = other169.Reach;
-  CapQuestions = other169.CapQuestions;
-  CapReplies = other169.CapReplies;
-  SlotAsked = other169.SlotAsked;
-  SlotAnswered = other169.SlotAnswered;
-  SlotReturned = other169.SlotReturned;
-  __isset = other169.__isset;
-}
-BeliefMessage::BeliefMessage(BeliefMessage&& other170) noexcept {
-  Crashes = std::move(other170.Crashes);
-  Quarantined = std::move(other170.Quarantined);
-  Asks = other170.Asks;
-  Answers = other170.Answers;
-  Limits = std::move(other170.Limits);
-  AsksReach = other170.AsksReach;
-  Reach = std::move(other170.Reach);
-  CapQuestions = std::move(other170.CapQuestions);
-  CapReplies = std::move(other170.CapReplies);
-  SlotAsked = std::move(other170.SlotAsked);
-  SlotAnswered = std::move(other170.SlotAnswered);
-  SlotReturned = other170.SlotReturned;
-  __isset = other170.__isset;
-}
-BeliefMessage& BeliefMessage::operator=(const BeliefMessage& other171) {
-  Crashes = other171.Crashes;
-  Quarantined = other171.Quarantined;
-  Asks = other171.Asks;
-  Answers = other171.Answers;
-  Limits = other171.Limits;
-  AsksReach = other171.AsksReach;
-  Reach = other171.Reach;
-  CapQuestions = other171.CapQuestions;
-  CapReplies = other171.CapReplies;
-  SlotAsked = other171.SlotAsked;
-  SlotAnswered = other171.SlotAnswered;
-  SlotReturned = other171.SlotReturned;
-  __isset = other171.__isset;
+BeliefMessage::BeliefMessage(const BeliefMessage& other175) {
+  Crashes = other175.Crashes;
+  Quarantined = other175.Quarantined;
+  Asks = other175.Asks;
+  Answers = other175.Answers;
+  Limits = other175.Limits;
+  AsksReach = other175.AsksReach;
+  Reach = other175.Reach;
+  CapQuestions = other175.CapQuestions;
+  CapReplies = other175.CapReplies;
+  SlotAsked = other175.SlotAsked;
+  SlotAnswered = other175.SlotAnswered;
+  SlotReturned = other175.SlotReturned;
+  __isset = other175.__isset;
+}
+BeliefMessage::BeliefMessage(BeliefMessage&& other176) noexcept {
+  Crashes = std::move(other176.Crashes);
+  Quarantined = std::move(other176.Quarantined);
+  Asks = other176.Asks;
+  Answers = other176.Answers;
+  Limits = std::move(other176.Limits);
+  AsksReach = other176.AsksReach;
+  Reach = std::move(other176.Reach);
+  CapQuestions = std::move(other176.CapQuestions);
+  CapReplies = std::move(other176.CapReplies);
+  SlotAsked = std::move(other176.SlotAsked);
+  SlotAnswered = std::move(other176.SlotAnswered);
+  SlotReturned = other176.SlotReturned;
+  __isset = other176.__isset;
+}
+BeliefMessage& BeliefMessage::operator=(const BeliefMessage& other177) {
+  Crashes = other177.Crashes;
+  Quarantined = other177.Quarantined;
+  Asks = other177.Asks;
+  Answers = other177.Answers;
+  Limits = other177.Limits;
+  AsksReach = other177.AsksReach;
+  Reach = other177.Reach;
+  CapQuestions = other177.CapQuestions;
+  CapReplies = other177.CapReplies;
+  SlotAsked = other177.SlotAsked;
+  SlotAnswered = other177.SlotAnswered;
+  SlotReturned = other177.SlotReturned;
+  __isset = other177.__isset;
   return *this;
 }
-BeliefMessage& BeliefMessage::operator=(BeliefMessage&& other172) noexcept {
-  Crashes = std::move(other172.Crashes);
-  Quarantined = std::move(other172.Quarantined);
-  Asks = other172.Asks;
-  Answers = other172.Answers;
-  Limits = std::move(other172.Limits);
-  AsksReach = other172.AsksReach;
-  Reach = std::move(other172.Reach);
-  CapQuestions = std::move(other172.CapQuestions);
-  CapReplies = std::move(other172.CapReplies);
-  SlotAsked = std::move(other172.SlotAsked);
-  SlotAnswered = std::move(other172.SlotAnswered);
-  SlotReturned = other172.SlotReturned;
-  __isset = other172.__isset;
+BeliefMessage& BeliefMessage::operator=(BeliefMessage&& other178) noexcept {
+  Crashes = std::move(other178.Crashes);
+  Quarantined = std::move(other178.Quarantined);
+  Asks = other178.Asks;
+  Answers = other178.Answers;
+  Limits = std::move(other178.Limits);
+  AsksReach = other178.AsksReach;
+  Reach = std::move(other178.Reach);
+  CapQuestions = std::move(other178.CapQuestions);
+  CapReplies = std::move(other178.CapReplies);
+  SlotAsked = std::move(other178.SlotAsked);
+  SlotAnswered = std::move(other178.SlotAnswered);
+  SlotReturned = other178.SlotReturned;
+  __isset = other178.__isset;
   return *this;
 }
 void BeliefMessage::printTo(std::ostream& out) const {
--- a/Libraries/LibWire/Generated/Routing_types.h
+++ b/Libraries/LibWire/Generated/Routing_types.h
@@ -398,10 +398,11 @@
 std::ostream& operator<<(std::ostream& out, const NamedWeights& obj);
 
 typedef struct _EngineChanges__isset {
-  _EngineChanges__isset() : Changes(false), Named(false), PassOn(true) {}
+  _EngineChanges__isset() : Changes(false), Named(false), PassOn(true), PassOnTo(false) {}
   bool Changes :1;
   bool Named :1;
   bool PassOn :1;
+  bool PassOnTo :1;
 } _EngineChanges__isset;
 
 class EngineChanges : public virtual ::apache::thrift::TBase {
@@ -419,6 +420,7 @@
   std::vector<EngineChange>  Changes;
   std::vector<NamedWeights>  Named;
   bool PassOn;
+  std::vector<std::string>  PassOnTo;
 
   _EngineChanges__isset __isset;
 
@@ -428,6 +430,8 @@
 
   void __set_PassOn(const bool val);
 
+  void __set_PassOnTo(const std::vector<std::string> & val);
+
   bool operator == (const EngineChanges & rhs) const
   {
     if (!(Changes == rhs.Changes))
@@ -436,6 +440,10 @@
       return false;
     if (!(PassOn == rhs.PassOn))
       return false;
+    if (__isset.PassOnTo != rhs.__isset.PassOnTo)
+      return false;
+    else if (__isset.PassOnTo && !(PassOnTo == rhs.PassOnTo))
+      return false;
     return true;
   }
   bool operator != (const EngineChanges &rhs) const {
--- a/Libraries/LibWire/Idl/Routing.thrift
+++ b/Libraries/LibWire/Idl/Routing.thrift
@@ -56,8 +56,11 @@
 struct EngineChanges {
   1: list<EngineChange> Changes
   2: list<NamedWeights> Named
-  // The receiver passes the message on to the other routers of its group.
+  // The receiver passes the message on to PassOnTo or, if that is absent, to
+  // the other routers of its group.
   3: bool PassOn = false
+  // Ids of routers.
+  4: optional list<string> PassOnTo
 }
 
 // A stream that a target of that build began.
--- a/Services/ferryd/ControlPlane.h
+++ b/Services/ferryd/ControlPlane.h
@@ -11,6 +11,7 @@
 #include "LibObserve/Metrics.h"
 #include "LibObserve/StateDump.h"
 #include "LibRouting/RoutedCall.h"
+#include "LibRouting/RouterBroadcast.h"
 #include "LibRouting/RoutingView.h"
 #include "LibRouting/WorkExchange.h"
 #include "LibTraffic/ControlPort.h"
@@ -175,7 +176,9 @@
   std::vector<HostId> liveRouterIds() const;
   std::vector<HostId> otherControlHosts() const;
   /// Sends to all routers, in a large fleet by way of two routers a group.
-  void sendToRouters(wire::EngineChanges Message);
+  void sendToRouters(routing::RouterBroadcast &Broadcast,
+                     wire::EngineChanges Message);
+  void passOn(wire::EngineChanges Message);
   config::Description wantedWeights() const;
   OrderDispatcherOptions orderOptions();
   void recordNamedWeights();
@@ -228,6 +231,8 @@
   std::vector<HostId> ControlHosts;
   membership::Membership Members;
   routing::WorkExchange Work;
+  routing::RouterBroadcast ChangesBroadcast;
+  routing::RouterBroadcast NamingsBroadcast;
   membership::Confirmation Confirmed;
   membership::DescriptionTransfer Transfer;
   /// When hosts without pieces were sent the description in force.
--- a/Services/ferryd/ControlPlaneRouting.cpp
+++ b/Services/ferryd/ControlPlaneRouting.cpp
@@ -33,19 +33,22 @@
   return Others;
 }
 
-void ControlPlane::sendToRouters(wire::EngineChanges Message) {
-  std::vector<routing::WorkExchange::Router> Routers = liveRouters();
-  Message.__set_PassOn(Routers.size() >
-                       routing::WorkExchange::MaxDirectRouters);
-  if (!Message.PassOn) {
-    for (const auto &Router : Routers)
-      Link->send(Router.Id, wire::PayloadKind::EngineChanges, Message);
-    return;
+void ControlPlane::sendToRouters(routing::RouterBroadcast &Broadcast,
+                                 wire::EngineChanges Message) {
+  std::vector<routing::RouterBroadcast::KnownRouter> Known;
+  for (const membership::HostState &Host : Members.hosts(steadyNow()))
+    if (Host.Duty == membership::HostDuty::Router && Host.Id != Settings.Host)
+      Known.push_back({{Host.Id, Host.DataCentre},
+                       Host.Standing == membership::Standing::Silent});
+  for (const auto &Receiver : Broadcast.receivers(Known)) {
+    Message.PassOn = !Receiver.PassOnTo.empty();
+    Message.PassOnTo.clear();
+    for (const HostId &Id : Receiver.PassOnTo)
+      Message.PassOnTo.push_back(Id.Value);
+    Message.__isset.PassOn = Message.PassOn;
+    Message.__isset.PassOnTo = Message.PassOn;
+    Link->send(Receiver.To, wire::PayloadKind::EngineChanges, Message);
   }
-  // Two routers of each group pass it on, as one may have ended just now.
-  for (const auto &Group : routing::WorkExchange::groupsOf(std::move(Routers)))
-    for (size_t Index = 0; Index < std::min<size_t>(Group.size(), 2); ++Index)
-      Link->send(Group[Index], wire::PayloadKind::EngineChanges, Message);
 }
 
 static wire::WorkDigest toWire(const routing::WorkDigest &Digest) {
@@ -117,7 +120,7 @@
   Fields.Loading = Change.Loading;
   wire::EngineChanges Message;
   Message.Changes.push_back(std::move(Fields));
-  sendToRouters(std::move(Message));
+  sendToRouters(ChangesBroadcast, std::move(Message));
 }
 
 void ControlPlane::broadcastNamedWeights() {
@@ -138,17 +141,30 @@
   }
   // Sent also while no weights are named: routers then know how old the first
   // ones are at most, whatever the clock of a later leader says.
-  sendToRouters(std::move(Message));
+  sendToRouters(NamingsBroadcast, std::move(Message));
+}
+
+void ControlPlane::passOn(wire::EngineChanges Message) {
+  std::vector<HostId> Receivers;
+  for (std::string &Id : Message.PassOnTo)
+    if (Receivers.size() < routing::WorkExchange::MaxGroupRouters)
+      Receivers.push_back({std::move(Id)});
+  // A control host of an earlier build leaves the receivers to its relays.
+  if (!Message.__isset.PassOnTo)
+    Receivers.assign(Work.groupPeers().begin(), Work.groupPeers().end());
+  Message.PassOn = false;
+  Message.__isset.PassOn = false;
+  Message.PassOnTo.clear();
+  Message.__isset.PassOnTo = false;
+  for (const HostId &To : Receivers)
+    if (To != Settings.Host)
+      Link->send(To, wire::PayloadKind::EngineChanges, Message);
 }
 
 void ControlPlane::receiveEngineChanges(const HostId &From,
                                         const wire::EngineChanges &Message) {
-  if (Message.PassOn) {
-    wire::EngineChanges Copy = Message;
-    Copy.__set_PassOn(false);
-    for (const HostId &Peer : Work.groupPeers())
-      Link->send(Peer, wire::PayloadKind::EngineChanges, Copy);
-  }
+  if (Message.PassOn)
+    passOn(Message);
   if (!Callbacks.EngineChanged)
     return;
   Timestamp Now = steadyNow();
--- a/Tests/LibRouting/NamingFleet.h
+++ b/Tests/LibRouting/NamingFleet.h
@@ -5,26 +5,28 @@
 
 #include "LibCore/Random.h"
 #include "LibRouting/RoutedDeployment.h"
-#include "LibRouting/WorkExchange.h"
+#include "LibRouting/RouterBroadcast.h"
 #include <map>
 #include <set>
 
 namespace ferry::routing {
 
 /// One leader that repeats the named weights, and routers with one engine that
-/// keeps its old weights. Messages arrive at once. Each host calls others
-/// silent by mistake, and others each second.
+/// keeps its old weights. Messages arrive at once. The leader calls some
+/// routers silent by mistake, and others each second.
 class NamingFleet {
 public:
   static constexpr Duration Step = std::chrono::milliseconds(100);
   static constexpr Duration RepeatInterval = std::chrono::milliseconds(500);
   static constexpr Duration ViewInterval = std::chrono::seconds(1);
+  static constexpr Duration MissedSpan = std::chrono::seconds(3);
   /// A router hears of a quorum of control hosts this late.
   static constexpr Duration ConfirmationAge = std::chrono::seconds(1);
   static constexpr Duration WeightsDeadline = std::chrono::seconds(15);
   static constexpr size_t DataCentres = 6;
 
-  /// \param SilentPercent the share of the others that a host calls silent.
+  /// \param SilentPercent the share of the routers that the leader calls
+  /// silent.
   NamingFleet(size_t Count, uint64_t SilentPercent, uint64_t Seed)
       : Random(Seed), SilentPercent(SilentPercent) {
     RoutedPlacement::Options Options;
@@ -36,13 +38,13 @@
       WorkExchange::Router Each{{"r" + std::to_string(1000 + Index)},
                                 {"dc" + std::to_string(Index % DataCentres)}};
       Options.Seed = Seed + Index;
-      Router &Added = Routers
-                          .emplace(Each.Id, Router{WorkExchange(Each),
-                                                   RoutedPlacement(Options)})
-                          .first->second;
+      Router &Added =
+          Routers
+              .emplace(Each.Id, Router{.Placement = RoutedPlacement(Options)})
+              .first->second;
       Added.Placement.applyView(
           std::make_shared<const RoutingView>(Engine.View), now());
-      Live.push_back(std::move(Each));
+      Known.push_back({std::move(Each)});
     }
   }
 
@@ -78,23 +80,42 @@
     return Result;
   }
 
-  /// Routers that no message reaches.
+  /// \returns the longest time for which a router that is not cut off has had
+  /// no message since \p From.
+  Duration longestSilence(Timestamp From) const {
+    Duration Longest = Duration::zero();
+    for (const auto &[Id, Each] : Routers)
+      if (CutOff.count(Id) == 0)
+        Longest = std::max(
+            {Longest, Each.LongestGap, now() - std::max(From, Each.HeardAt)});
+    return Longest;
+  }
+
+  /// Routers that no message reaches, and that pass none on. Nobody knows.
   std::set<HostId> CutOff;
   bool ControlHostsWork = true;
+  /// The share of the routers that names miss at a time.
+  uint64_t MissedPercent = 0;
 
 private:
   struct Router {
-    WorkExchange Exchange;
     RoutedPlacement Placement;
     Timestamp ControlHostsAsOf = {};
+    Timestamp HeardAt = {};
+    Duration LongestGap = Duration::zero();
+    bool MissesNames = false;
   };
 
   void step() {
     if (now() >= NextViewAt) {
       NextViewAt = now() + ViewInterval;
+      for (RouterBroadcast::KnownRouter &Each : Known)
+        Each.IsSilent = randomBelow(Random, 100) < SilentPercent;
+    }
+    if (now() >= NextMissedAt) {
+      NextMissedAt = now() + MissedSpan;
       for (auto &[Id, Each] : Routers)
-        Each.Exchange.setRouters(drawView());
-      LeaderView = drawView();
+        Each.MissesNames = randomBelow(Random, 100) < MissedPercent;
     }
     for (auto &[Id, Each] : Routers) {
       if (ControlHostsWork && CutOff.count(Id) == 0)
@@ -107,49 +128,39 @@
     }
   }
 
-  std::vector<WorkExchange::Router> drawView() {
-    std::vector<WorkExchange::Router> View;
-    for (const WorkExchange::Router &Each : Live)
-      if (randomBelow(Random, 100) >= SilentPercent)
-        View.push_back(Each);
-    return View;
-  }
-
   void repeatNames() {
-    if (LeaderView.size() <= WorkExchange::MaxDirectRouters) {
-      for (const WorkExchange::Router &To : LeaderView)
-        deliver(To.Id);
-      return;
+    for (const RouterBroadcast::Receiver &Each : Leader.receivers(Known)) {
+      if (!deliver(Each.To))
+        continue;
+      for (const HostId &Other : Each.PassOnTo)
+        deliver(Other);
     }
-    for (const auto &Group : WorkExchange::groupsOf(LeaderView))
-      for (size_t Index = 0; Index < std::min<size_t>(Group.size(), 2);
-           ++Index) {
-        if (!deliver(Group[Index]))
-          continue;
-        for (const HostId &Peer :
-             Routers.at(Group[Index]).Exchange.groupPeers())
-          deliver(Peer);
-      }
   }
 
   bool deliver(const HostId &To) {
-    if (CutOff.count(To) != 0)
+    Router &Receiver = Routers.at(To);
+    if (CutOff.count(To) != 0 || Receiver.MissesNames)
       return false;
+    if (Receiver.HeardAt != Timestamp())
+      Receiver.LongestGap =
+          std::max(Receiver.LongestGap, now() - Receiver.HeardAt);
+    Receiver.HeardAt = now();
     std::vector<NamedWeights> Named;
     if (NamedAt)
       Named.push_back({Model, {2}, *NamedAt});
-    Routers.at(To).Placement.applyNamings(Named, now());
+    Receiver.Placement.applyNamings(Named, now());
     return true;
   }
 
   TestDeployment Engine{1};
   RandomGenerator Random;
   uint64_t SilentPercent;
-  std::vector<WorkExchange::Router> Live;
-  std::vector<WorkExchange::Router> LeaderView;
+  RouterBroadcast Leader;
+  std::vector<RouterBroadcast::KnownRouter> Known;
   std::map<HostId, Router> Routers;
   std::optional<Timestamp> NamedAt;
   Timestamp NextViewAt;
+  Timestamp NextMissedAt;
   Timestamp NextRepeatAt;
 };
 
--- a/Tests/LibRouting/TestNamingFleet.cpp
+++ b/Tests/LibRouting/TestNamingFleet.cpp
@@ -14,6 +14,7 @@
 /// In a fleet of 300 hosts, a host calls this share of the others silent by
 /// mistake, and more of the control hosts.
 constexpr uint64_t SilentPercent = 5;
+constexpr uint64_t MissedPercent = 5;
 constexpr uint64_t SeedCount = 3;
 const std::vector<size_t> FleetSizes = {7, 300};
 
@@ -24,6 +25,7 @@
   for (uint64_t Seed = 1; Seed <= SeedCount; ++Seed) {
     BOOST_TEST_CONTEXT("seed " << Seed) {
       NamingFleet Fleet(Count, SilentPercent, Seed);
+      Fleet.MissedPercent = MissedPercent;
       Fleet.runFor(10s);
       Fleet.name();
       // A request may be placed up to a second before the deadline.
@@ -41,6 +43,7 @@
 BOOST_DATA_TEST_CASE(old_weights_serve_where_no_control_host_works,
                      data::make(FleetSizes), Count) {
   NamingFleet Fleet(Count, SilentPercent, 1);
+  Fleet.MissedPercent = MissedPercent;
   Fleet.runFor(10s);
   Fleet.name();
   Fleet.runFor(5s);
@@ -58,6 +61,7 @@
 BOOST_DATA_TEST_CASE(a_router_that_is_cut_off_goes_on_with_old_weights,
                      data::make(FleetSizes), Count) {
   NamingFleet Fleet(Count, SilentPercent, 1);
+  Fleet.MissedPercent = MissedPercent;
   Fleet.runFor(10s);
   Fleet.name();
   Fleet.runFor(5s);
@@ -66,3 +70,23 @@
   Fleet.runFor(15s);
   BOOST_TEST((Fleet.routersThatPlace() == std::set<HostId>{Alone}));
 }
+
+// Of the leader's groups, those whose relays had no power heard nothing until
+// membership called these silent, which takes a minute across data centres.
+BOOST_DATA_TEST_CASE(relays_without_power_keep_no_names_from_others,
+                     data::make(FleetSizes), Count) {
+  for (uint64_t Seed = 1; Seed <= SeedCount; ++Seed) {
+    BOOST_TEST_CONTEXT("seed " << Seed) {
+      NamingFleet Fleet(Count, SilentPercent, Seed);
+      Fleet.runFor(2s);
+      std::vector<HostId> Ids = Fleet.ids();
+      RandomGenerator Random(Seed);
+      std::shuffle(Ids.begin(), Ids.end(), Random);
+      Fleet.CutOff.insert(Ids.begin(), Ids.begin() + std::ptrdiff_t(Count / 3));
+      Timestamp From = Fleet.now();
+      Fleet.runFor(5s);
+      // Longer than this counts as a sign that no control host works.
+      BOOST_TEST((Fleet.longestSilence(From) <= 2s));
+    }
+  }
+}
