LibMembership: Divide the hosts of a large fleet into near and far ones anew as it grows

Engines out of view get no order, and the limit of loads falls with those in view.

All hosts are near as long as there are at most 32, so the first 32 that a host heard of stayed in the list of near hosts, whatever their data centre. Half of the queries that should go to near hosts and half of the heartbeats that a reply has room for went to them. The hosts are divided anew once there are more, or fewer again, and as an introduction tells the data centre of a seed.

control_hosts_are_not_called_silent_in_calm, 297 hosts in virtual time, failed before: at 20 readings 23 hosts called a control host silent, and one trusted 27 of the 162 targets. Now none does, and all trust 162.

--- a/Libraries/LibMembership/Discovery.cpp
+++ b/Libraries/LibMembership/Discovery.cpp
@@ -1,6 +1,8 @@
 // Discovery of hosts from seeds, and removal of hosts that are gone.
 #include "LibMembership/Membership.h"
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace ferry::membership {
 
@@ -11,10 +13,22 @@
   if (Settings.Source == HostSource::Discovered)
     NewOrigin.ForgetAt = Now + ForgetAfter;
   (isNear(Other) ? NearTags : FarTags).push_back(Tag);
+  // All hosts are near until there are too many.
+  if (Origins.size() == Settings.MaxFullExchangeHosts + 1)
+    divideHosts();
   HostsDirty = true;
   return NewOrigin;
 }
 
+void Membership::divideHosts() {
+  auto IsNear = [&](int32_t Tag) { return isNear(Origins.at(Tag).Host); };
+  std::vector<int32_t> Tags = std::exchange(NearTags, {});
+  Tags.insert(Tags.end(), FarTags.begin(), FarTags.end());
+  FarTags.clear();
+  std::partition_copy(Tags.begin(), Tags.end(), std::back_inserter(NearTags),
+                      std::back_inserter(FarTags), IsNear);
+}
+
 wire::HostFields Membership::introductionOf(const Origin &Subject) const {
   wire::HostFields Fields;
   Fields.Id = Subject.Host.Id.Value;
@@ -46,9 +60,13 @@
   Origin &Remote = It->second;
   if (Remote.Host.Id != Introduced.Id)
     return;
-  HostsDirty |= Remote.Host.DataCentre != Introduced.DataCentre ||
-                Remote.Host.CallerAddress != Introduced.CallerAddress;
+  bool HasMoved = Remote.Host.DataCentre != Introduced.DataCentre ||
+                  Remote.Host.Duty != Introduced.Duty;
+  HostsDirty |=
+      HasMoved || Remote.Host.CallerAddress != Introduced.CallerAddress;
   Remote.Host = std::move(Introduced);
+  if (HasMoved)
+    divideHosts();
 }
 
 void Membership::raiseIncarnation(Incarnation Remembered, Effects &Out) {
@@ -63,6 +81,7 @@
 }
 
 void Membership::forgetHosts(Timestamp Now) {
+  size_t Before = Origins.size();
   for (auto It = Origins.begin(); It != Origins.end();) {
     auto &[Tag, Each] = *It;
     if (Tag == OwnTag || Each.ForgetAt > Now) {
@@ -75,6 +94,9 @@
     TargetsDirty = true;
     It = Origins.erase(It);
   }
+  if (Before > Settings.MaxFullExchangeHosts &&
+      Origins.size() <= Settings.MaxFullExchangeHosts)
+    divideHosts();
 }
 
 } // namespace ferry::membership
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -175,6 +175,8 @@
   void queryPeers(Timestamp Now, Effects &Out);
   std::optional<HostId> choosePeer();
   Origin &addPeer(const Peer &Other, Timestamp Now);
+  /// Divides the known hosts into near and far ones.
+  void divideHosts();
   void handleIntroduction(const wire::HostFields &Fields, Timestamp Now);
   wire::HostFields introductionOf(const Origin &Subject) const;
   /// Raises this host's incarnation above the one that a peer remembers. A host
