LibMembership: Count a quorum as working only while it knows of a leader

Answers say now whether the host knows of a leader, and relayed confirmations, which do not, are no sign any more: routers query the control hosts themselves. Hosts of an earlier build count as before.

--- a/Libraries/LibMembership/Confirmation.cpp
+++ b/Libraries/LibMembership/Confirmation.cpp
@@ -52,7 +52,7 @@
 
 void Confirmation::sendQueries(Timestamp Now, Effects &Out) {
   NextQueryAt = Now + QueryInterval;
-  PendingQueries.push_back({NextQueryNumber++, Now, {}});
+  PendingQueries.push_back({NextQueryNumber++, Now, {}, {}});
   if (PendingQueries.size() > MaxPendingQueries)
     PendingQueries.pop_front();
   wire::ConfirmationQuery Message;
@@ -83,6 +83,8 @@
   // counts once, with the greater number.
   DescriptionNumber &AnsweredNumber = Query->Answers[Event.From];
   AnsweredNumber = std::max(AnsweredNumber, Greatest);
+  if (!Answer.__isset.KnowsLeader || Answer.KnowsLeader)
+    Query->Led.insert(Event.From);
   if (Answer.__isset.VoterCount && Answer.VoterCount > 0)
     Query->Voters =
         std::max(Query->Voters, static_cast<size_t>(Answer.VoterCount));
@@ -99,7 +101,7 @@
   // of the other.
   size_t Voters = Query.Voters ? Query.Voters : Settings.ControlHosts.size();
   size_t Quorum = Voters / 2 + 1;
-  if (Query.Answers.size() >= Quorum)
+  if (Query.Led.size() >= Quorum)
     AnsweredAsOf = std::max(AnsweredAsOf, Query.SentAt);
   if (static_cast<size_t>(Agreeing) >= Quorum)
     ConfirmedUntil = std::max(ConfirmedUntil, Query.SentAt + Validity);
@@ -108,10 +110,7 @@
 void Confirmation::handleRelayed(const ConfirmationRelayed &Event,
                                  Timestamp Now, Effects &Out) {
   fetchIfNewer(Event.Number, Event.From, Now, Out);
-  if (Event.AsOf > Now)
-    return;
-  AnsweredAsOf = std::max(AnsweredAsOf, Event.AsOf);
-  if (Event.Number <= Number)
+  if (Event.Number <= Number && Event.AsOf <= Now)
     ConfirmedUntil = std::max(ConfirmedUntil, Event.AsOf + Validity);
 }
 
@@ -125,13 +124,14 @@
 
 wire::ConfirmationAnswer answerQuery(const wire::ConfirmationQuery &Query,
                                      DescriptionNumber Greatest, bool Voter,
-                                     size_t VoterCount) {
+                                     size_t VoterCount, bool KnowsLeader) {
   wire::ConfirmationAnswer Answer;
   Answer.QueryNumber = Query.QueryNumber;
   Answer.GreatestNumber = static_cast<int64_t>(Greatest.Value);
   Answer.Voter = Voter;
   if (VoterCount > 0)
     Answer.__set_VoterCount(static_cast<int32_t>(VoterCount));
+  Answer.__set_KnowsLeader(KnowsLeader);
   return Answer;
 }
 
--- a/Libraries/LibMembership/Confirmation.h
+++ b/Libraries/LibMembership/Confirmation.h
@@ -9,6 +9,7 @@
 #include "LibWire/Generated/Membership_types.h"
 #include <deque>
 #include <map>
+#include <set>
 #include <variant>
 #include <vector>
 
@@ -130,8 +131,9 @@
 
   bool isConfirmed(Timestamp Now) const { return Now < ConfirmedUntil; }
 
-  /// \returns the newest time at which a quorum of control hosts is known to
-  /// have worked, whatever numbers it had.
+  /// \returns the newest time at which a quorum of control hosts that know of a
+  /// leader is known to have worked, whatever numbers it had. Without a leader
+  /// none can change anything.
   Timestamp answeredAsOf() const { return AnsweredAsOf; }
 
 private:
@@ -140,6 +142,8 @@
     Timestamp SentAt;
     /// The greatest number of each voter that answered.
     std::map<HostId, DescriptionNumber> Answers;
+    /// The voters among them that know of a leader.
+    std::set<HostId> Led;
     /// The greatest number of voters that an answer reported; 0 if none did.
     size_t Voters = 0;
   };
@@ -170,10 +174,12 @@
 /// \returns the answer of a control host to \p Query. \p Greatest is the
 /// greatest number that its log may commit, committed or not. \p Voter states
 /// whether its log counts towards a quorum, and \p VoterCount is the number of
-/// voters, or 0 if all hosts of the settings vote.
+/// voters, or 0 if all hosts of the settings vote. \p KnowsLeader states
+/// whether the host knows of a leader of its log.
 wire::ConfirmationAnswer answerQuery(const wire::ConfirmationQuery &Query,
                                      DescriptionNumber Greatest, bool Voter,
-                                     size_t VoterCount = 0);
+                                     size_t VoterCount = 0,
+                                     bool KnowsLeader = true);
 
 } // namespace ferry::membership
 
--- a/Libraries/LibWire/Generated/Membership_types.cpp
+++ b/Libraries/LibWire/Generated/Membership_types.cpp
@@ -2707,6 +2707,11 @@
   this->VoterCount = val;
 __isset.VoterCount = true;
 }
+
+void ConfirmationAnswer::__set_KnowsLeader(const bool val) {
+  this->KnowsLeader = val;
+__isset.KnowsLeader = true;
+}
 std::ostream& operator<<(std::ostream& out, const ConfirmationAnswer& obj)
 {
   obj.printTo(out);
@@ -2767,6 +2772,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->KnowsLeader);
+          this->__isset.KnowsLeader = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2801,6 +2814,11 @@
     xfer += oprot->writeI32(this->VoterCount);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.KnowsLeader) {
+    xfer += oprot->writeFieldBegin("KnowsLeader", ::apache::thrift::protocol::T_BOOL, 5);
+    xfer += oprot->writeBool(this->KnowsLeader);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2812,6 +2830,7 @@
   swap(a.GreatestNumber, b.GreatestNumber);
   swap(a.Voter, b.Voter);
   swap(a.VoterCount, b.VoterCount);
+  swap(a.KnowsLeader, b.KnowsLeader);
   swap(a.__isset, b.__isset);
 }
 
@@ -2820,6 +2839,7 @@
   GreatestNumber = other100.GreatestNumber;
   Voter = other100.Voter;
   VoterCount = other100.VoterCount;
+  KnowsLeader = other100.KnowsLeader;
   __isset = other100.__isset;
 }
 ConfirmationAnswer::ConfirmationAnswer(ConfirmationAnswer&& other101) noexcept {
@@ -2827,6 +2847,7 @@
   GreatestNumber = other101.GreatestNumber;
   Voter = other101.Voter;
   VoterCount = other101.VoterCount;
+  KnowsLeader = other101.KnowsLeader;
   __isset = other101.__isset;
 }
 ConfirmationAnswer& ConfirmationAnswer::operator=(const ConfirmationAnswer& other102) noexcept {
@@ -2834,6 +2855,7 @@
   GreatestNumber = other102.GreatestNumber;
   Voter = other102.Voter;
   VoterCount = other102.VoterCount;
+  KnowsLeader = other102.KnowsLeader;
   __isset = other102.__isset;
   return *this;
 }
@@ -2842,6 +2864,7 @@
   GreatestNumber = other103.GreatestNumber;
   Voter = other103.Voter;
   VoterCount = other103.VoterCount;
+  KnowsLeader = other103.KnowsLeader;
   __isset = other103.__isset;
   return *this;
 }
@@ -2852,6 +2875,7 @@
   out << ", " << "GreatestNumber=" << to_string(GreatestNumber);
   out << ", " << "Voter=" << to_string(Voter);
   out << ", " << "VoterCount="; (__isset.VoterCount ? (out << to_string(VoterCount)) : (out << "<null>"));
+  out << ", " << "KnowsLeader="; (__isset.KnowsLeader ? (out << to_string(KnowsLeader)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Libraries/LibWire/Generated/Membership_types.h
+++ b/Libraries/LibWire/Generated/Membership_types.h
@@ -1029,11 +1029,12 @@
 std::ostream& operator<<(std::ostream& out, const ConfirmationQuery& obj);
 
 typedef struct _ConfirmationAnswer__isset {
-  _ConfirmationAnswer__isset() : QueryNumber(false), GreatestNumber(false), Voter(false), VoterCount(false) {}
+  _ConfirmationAnswer__isset() : QueryNumber(false), GreatestNumber(false), Voter(false), VoterCount(false), KnowsLeader(false) {}
   bool QueryNumber :1;
   bool GreatestNumber :1;
   bool Voter :1;
   bool VoterCount :1;
+  bool KnowsLeader :1;
 } _ConfirmationAnswer__isset;
 
 class ConfirmationAnswer : public virtual ::apache::thrift::TBase {
@@ -1047,7 +1048,8 @@
                      : QueryNumber(0),
                        GreatestNumber(0),
                        Voter(0),
-                       VoterCount(0) {
+                       VoterCount(0),
+                       KnowsLeader(0) {
   }
 
   virtual ~ConfirmationAnswer() noexcept;
@@ -1055,6 +1057,7 @@
   int64_t GreatestNumber;
   bool Voter;
   int32_t VoterCount;
+  bool KnowsLeader;
 
   _ConfirmationAnswer__isset __isset;
 
@@ -1066,6 +1069,8 @@
 
   void __set_VoterCount(const int32_t val);
 
+  void __set_KnowsLeader(const bool val);
+
   bool operator == (const ConfirmationAnswer & rhs) const
   {
     if (!(QueryNumber == rhs.QueryNumber))
@@ -1078,6 +1083,10 @@
       return false;
     else if (__isset.VoterCount && !(VoterCount == rhs.VoterCount))
       return false;
+    if (__isset.KnowsLeader != rhs.__isset.KnowsLeader)
+      return false;
+    else if (__isset.KnowsLeader && !(KnowsLeader == rhs.KnowsLeader))
+      return false;
     return true;
   }
   bool operator != (const ConfirmationAnswer &rhs) const {
--- a/Libraries/LibWire/Idl/Membership.thrift
+++ b/Libraries/LibWire/Idl/Membership.thrift
@@ -138,6 +138,8 @@
   3: bool Voter
   // Voters of the log's newest configuration; absent from older hosts.
   4: optional i32 VoterCount
+  // Whether the host knows of a leader of the log; absent from older hosts.
+  5: optional bool KnowsLeader
 }
 
 // Exactly one field is set.
--- a/Services/ferryd/ControlPlaneMessages.cpp
+++ b/Services/ferryd/ControlPlaneMessages.cpp
@@ -79,8 +79,8 @@
   wire::ConfirmationMessage Reply;
   Reply.__set_Answer(membership::answerQuery(
       Message.Query, Node->greatestNumber(), Node->isCurrentVoter(),
-      Settings.Interface == config::Interface::Routed ? Node->voterCount()
-                                                      : 0));
+      Settings.Interface == config::Interface::Routed ? Node->voterCount() : 0,
+      Node->log().leader().has_value()));
   Link->send(From, PayloadKind::Confirmation, Reply);
 }
 
--- a/Tests/LibMembership/TestConfirmation.cpp
+++ b/Tests/LibMembership/TestConfirmation.cpp
@@ -170,3 +170,35 @@
                    .size();
   BOOST_TEST(Fetches == 4u);
 }
+
+// Voters answer from memory also while they have no leader, and nothing can be
+// ordered then.
+BOOST_AUTO_TEST_CASE(a_quorum_without_a_leader_is_no_sign_of_work) {
+  Confirmation Router = makeRouter(5);
+  auto Answer = [&](bool KnowsLeader, Timestamp Now) {
+    auto Query = sendQuery(Router, Now);
+    for (const char *Id : {"c1", "c2"})
+      Router.step(
+          ConfirmationAnswered{{Id},
+                               answerQuery(Query, {5}, /*Voter=*/true,
+                                           /*VoterCount=*/3, KnowsLeader)},
+          Now + 10ms);
+  };
+  Answer(true, at(0s));
+  BOOST_TEST((Router.answeredAsOf() == at(0s)));
+  Answer(false, at(1s));
+  BOOST_TEST((Router.answeredAsOf() == at(0s)));
+  BOOST_TEST(Router.isConfirmed(at(2s)));
+  Answer(true, at(2s));
+  BOOST_TEST((Router.answeredAsOf() == at(2s)));
+}
+
+// The number in force lags: a newer one is in all logs and not fetched yet.
+BOOST_AUTO_TEST_CASE(a_quorum_with_a_greater_number_is_a_sign_of_work) {
+  Confirmation Router = makeRouter(5);
+  auto Query = sendQuery(Router, at(0s));
+  for (const char *Id : {"c1", "c2"})
+    answer(Router, Id, Query, 6, at(10ms));
+  BOOST_TEST(!Router.isConfirmed(at(20ms)));
+  BOOST_TEST((Router.answeredAsOf() == at(0s)));
+}
