--- a/Libraries/LibRouting/RouterBroadcast.cpp
+++ b/Libraries/LibRouting/RouterBroadcast.cpp
@@ -33,7 +33,8 @@
     for (size_t Index = 0; Index < Relays; ++Index)
       Result.push_back({Group[Index], Others});
   }
-  NextRelay += RelayCount;
+  if (Choice == RelayChoice::InTurn)
+    NextRelay += RelayCount;
   return Result;
 }
 
--- a/Libraries/LibRouting/RouterBroadcast.h
+++ b/Libraries/LibRouting/RouterBroadcast.h
@@ -4,10 +4,20 @@
 #define FERRY_LIBROUTING_ROUTERBROADCAST_H
 
 #include "LibRouting/WorkExchange.h"
+#include <cstdint>
 #include <vector>
 
 namespace ferry::routing {
 
+/// Which routers of a group are its relays.
+enum class RelayChoice : uint8_t {
+  /// The first ones, so that messages keep their order.
+  Fixed,
+  /// All take turns. Suits messages that are repeated: it takes long until a
+  /// relay that has ended is called silent.
+  InTurn
+};
+
 /// The spread of one kind of message from a control host to all routers. Owns
 /// no clock, thread or socket; callers serialise all calls.
 ///
@@ -15,10 +25,11 @@
 /// host can't send to each router. Of more than WorkExchange::MaxDirectRouters,
 /// RelayCount of each group get the message with the list of the others, and
 /// pass it on to these. Relays know the routers from the list alone, as hosts
-/// disagree on which others are silent. All of a group take turns as relays, as
-/// it takes seconds until one that has ended is called silent.
+/// disagree on which others are silent.
 class RouterBroadcast {
 public:
+  explicit RouterBroadcast(RelayChoice Choice) : Choice(Choice) {}
+
   static constexpr size_t RelayCount = 2;
 
   struct KnownRouter {
@@ -38,6 +49,7 @@
   std::vector<Receiver> receivers(const std::vector<KnownRouter> &Known);
 
 private:
+  RelayChoice Choice;
   size_t NextRelay = 0;
 };
 
--- a/Services/ferryd/ControlPlane.h
+++ b/Services/ferryd/ControlPlane.h
@@ -228,11 +228,13 @@
   std::unique_ptr<RegistryNode> Node;
   std::unique_ptr<RegistryGateway> Gateway;
   std::unique_ptr<OrderDispatcher> Orders;
+  /// The control hosts that are not silent, or all if there are none.
   std::vector<HostId> ControlHosts;
+  std::vector<HostId> KnownControlHosts;
   membership::Membership Members;
   routing::WorkExchange Work;
-  routing::RouterBroadcast ChangesBroadcast;
-  routing::RouterBroadcast NamingsBroadcast;
+  routing::RouterBroadcast ChangesBroadcast{routing::RelayChoice::Fixed};
+  routing::RouterBroadcast NamingsBroadcast{routing::RelayChoice::InTurn};
   membership::Confirmation Confirmed;
   membership::DescriptionTransfer Transfer;
   /// When hosts without pieces were sent the description in force.
--- a/Tests/LibRouting/NamingFleet.h
+++ b/Tests/LibRouting/NamingFleet.h
@@ -155,7 +155,7 @@
   TestDeployment Engine{1};
   RandomGenerator Random;
   uint64_t SilentPercent;
-  RouterBroadcast Leader;
+  RouterBroadcast Leader{RelayChoice::InTurn};
   std::vector<RouterBroadcast::KnownRouter> Known;
   std::map<HostId, Router> Routers;
   std::optional<Timestamp> NamedAt;
--- a/Tests/LibRouting/TestNamingFleet.cpp
+++ b/Tests/LibRouting/TestNamingFleet.cpp
@@ -72,7 +72,7 @@
 }
 
 // Of the leader's groups, those whose relays had no power heard nothing until
-// membership called these silent, which takes a minute across data centres.
+// these were forgotten.
 BOOST_DATA_TEST_CASE(relays_without_power_keep_no_names_from_others,
                      data::make(FleetSizes), Count) {
   for (uint64_t Seed = 1; Seed <= SeedCount; ++Seed) {
@@ -90,3 +90,21 @@
     }
   }
 }
+
+// The begin of a load that a relay passes on late must be followed by the end
+// that the same relay passes on: a router takes the newest message as true.
+BOOST_AUTO_TEST_CASE(loads_keep_their_relays) {
+  std::vector<RouterBroadcast::KnownRouter> Known;
+  for (int Index = 0; Index < 300; ++Index)
+    Known.push_back({{{"r" + std::to_string(1000 + Index)},
+                      {"dc" + std::to_string(Index % 6)}}});
+  RouterBroadcast Loads(RelayChoice::Fixed);
+  auto RelaysOf = [](const std::vector<RouterBroadcast::Receiver> &Receivers) {
+    std::set<HostId> Relays;
+    for (const RouterBroadcast::Receiver &Each : Receivers)
+      Relays.insert(Each.To);
+    return Relays;
+  };
+  std::set<HostId> Begin = RelaysOf(Loads.receivers(Known));
+  BOOST_TEST((RelaysOf(Loads.receivers(Known)) == Begin));
+}
