--- a/Services/ferryd/ControlPlane.cpp
+++ b/Services/ferryd/ControlPlane.cpp
@@ -399,6 +399,9 @@
     if (Host.Standing != Standing::Silent || Host.Id == Settings.Host)
       AliveHosts.push_back(Host.Id);
   }
+  // One that is called silent by mistake may be needed for a quorum.
+  if (std::exchange(KnownControlHosts, AllHosts) != AllHosts)
+    stepConfirmation(ControlHostsChanged{AllHosts});
   std::vector<HostId> &Usable = AliveHosts.empty() ? AllHosts : AliveHosts;
   if (Usable == ControlHosts)
     return;
@@ -406,7 +409,6 @@
   observe::logEvent(Severity::Info, "control", "control_hosts_changed",
                     {{"alive", AliveHosts.size()}, {"known", AllHosts.size()}});
   Gateway->setControlHosts(ControlHosts);
-  stepConfirmation(ControlHostsChanged{ControlHosts});
   if (Node)
     Node->setDiscoveredHosts(AllHosts);
 }
