--- a/Libraries/LibRouting/RoutedPlacement.h
+++ b/Libraries/LibRouting/RoutedPlacement.h
@@ -91,8 +91,8 @@
   /// missing shows that only if this process runs and no quorum of the control
   /// hosts is heard of in another way.
   /// \param AsOf the newest time at which a quorum of the control hosts is
-  /// known to have worked. \returns the time by which deadlines were moved; 0
-  /// if they were not.
+  /// known to have worked.
+  /// \returns the time by which deadlines were moved; 0 if they were not.
   Duration noteRunning(Timestamp Now, Timestamp AsOf = {});
 
   /// Applies a message with only \p Version. \returns whether it is news.
@@ -321,9 +321,10 @@
   /// \returns the time up to \p Now since this process last ran, if it did not
   /// run for long; else 0.
   Duration stallUntil(Timestamp Now) const;
+  /// Adds the time for which this process did not run to StalledSinceSign.
   void endStall(Timestamp Now);
   /// \returns the time without a sign of the control hosts if it is longer than
-  /// MaxNamesGap; else 0. The time for which this process did not run is left
+  /// MaxControlGap; else 0. The time for which this process did not run is left
   /// out.
   Duration controlGap(Timestamp Now) const;
   /// Notes that control hosts worked at \p AsOf, and moves the deadlines of
@@ -432,6 +433,7 @@
   /// which this process did not run.
   std::optional<Timestamp> LastRunningAt;
   Duration StalledSinceSign = Duration::zero();
+  /// When this process last ran again.
   Timestamp StallEndedAt;
   std::unordered_map<uint64_t, SentCall> SentCalls;
   uint64_t NextPlacementId = 1;
--- a/Libraries/LibRouting/RoutedPlacementConstants.h
+++ b/Libraries/LibRouting/RoutedPlacementConstants.h
@@ -8,9 +8,9 @@
 
 namespace ferry::routing {
 
-/// A control host repeats the named weights twice a second, and the hosts tell
-/// each other when a quorum of the control hosts last answered. A longer gap in
-/// both means that none can order newer weights.
+/// A control host repeats the named weights twice a second, and all of them
+/// answer the queries of routers. A longer time without the names and without
+/// the answers of a quorum means that none can order newer weights.
 inline constexpr Duration MaxControlGap = std::chrono::seconds(2);
 /// A process that does not note for longer than this that it runs is frozen or
 /// lacks the processor.
--- a/Libraries/LibRouting/RoutedPlacementUpdates.cpp
+++ b/Libraries/LibRouting/RoutedPlacementUpdates.cpp
@@ -137,7 +137,8 @@
   NamingsOutcome Outcome;
   Outcome.Suspended = noteControlHosts(Now);
   Timestamp NotBefore = namedNotBefore();
-  // Messages that this process or another one read late date no later naming.
+  // After a gap, messages may have waited in this process or in a relay. They
+  // don't show that a naming is newer than they are.
   if (!LastNamesAt || Now - *LastNamesAt > MaxControlGap)
     NamesSince = Now;
   LastNamesAt = Now;
--- a/Services/ferryd/ControlPlane.h
+++ b/Services/ferryd/ControlPlane.h
@@ -178,6 +178,7 @@
   /// Sends to all routers, in a large fleet by way of two routers a group.
   void sendToRouters(routing::RouterBroadcast &Broadcast,
                      wire::EngineChanges Message);
+  /// Passes on a message of a control host to the routers that it names.
   void passOn(wire::EngineChanges Message);
   config::Description wantedWeights() const;
   OrderDispatcherOptions orderOptions();
