--- a/Libraries/LibRouting/RoutedPlacement.h
+++ b/Libraries/LibRouting/RoutedPlacement.h
@@ -433,7 +433,8 @@
   /// which this process did not run.
   std::optional<Timestamp> LastRunningAt;
   Duration StalledSinceSign = Duration::zero();
-  /// When this process last ran again.
+  /// The last time for which this process did not run.
+  Timestamp StallBeganAt;
   Timestamp StallEndedAt;
   std::unordered_map<uint64_t, SentCall> SentCalls;
   uint64_t NextPlacementId = 1;
--- a/Libraries/LibRouting/RoutedPlacementUpdates.cpp
+++ b/Libraries/LibRouting/RoutedPlacementUpdates.cpp
@@ -97,6 +97,7 @@
   if (Stall == Duration::zero())
     return;
   StalledSinceSign += Stall;
+  StallBeganAt = Now - Stall;
   StallEndedAt = Now;
 }
 
@@ -109,10 +110,14 @@
 Duration RoutedPlacement::noteControlHosts(Timestamp AsOf) {
   if (AsOf <= ControlHostsAsOf.value_or(Timestamp()))
     return Duration::zero();
+  // A sign from before the last stall does not end it.
+  Duration StalledAfter =
+      AsOf <= StallBeganAt ? StallEndedAt - StallBeganAt : Duration::zero();
+  StalledSinceSign -= StalledAfter;
   Duration Gap = controlGap(AsOf);
   ControlHostsAsOf = AsOf;
-  if (AsOf >= StallEndedAt)
-    StalledSinceSign = Duration::zero();
+  if (AsOf >= StallEndedAt || AsOf <= StallBeganAt)
+    StalledSinceSign = StalledAfter;
   for (auto &[Model, Versions] : NamedVersions)
     for (Naming &Known : Versions)
       Known.Suspended += Gap;
--- a/Tests/LibRouting/TestRoutedPlacement.cpp
+++ b/Tests/LibRouting/TestRoutedPlacement.cpp
@@ -685,6 +685,35 @@
       Router.place(Deployment.call(2), Deployment.Now)));
 }
 
+// No control host works for 5 s, then the router is frozen for 8 s, and reads
+// an answer to a query from between the two. The 5 s don't count.
+BOOST_AUTO_TEST_CASE(an_outage_before_a_freeze_moves_the_deadline) {
+  for (bool AnswersLate : {false, true}) {
+    BOOST_TEST_CONTEXT("late answer " << AnswersLate) {
+      TestDeployment Deployment(3);
+      RoutedPlacement Router = Deployment.router();
+      Timestamp NamedAt = Deployment.Now;
+      Router.applyNamedWeights({Model, {2}, NamedAt}, Deployment.Now);
+      for (; Deployment.Now < NamedAt + 5s; Deployment.Now += 100ms)
+        Router.noteRunning(Deployment.Now);
+      Timestamp FrozenAt = Deployment.Now;
+      Deployment.Now += 8s;
+      Router.noteRunning(Deployment.Now,
+                         AnswersLate ? FrozenAt - 100ms : Timestamp());
+      Router.applyNamedWeights({Model, {2}, NamedAt}, Deployment.Now);
+      Deployment.announceTo(Router);
+      expectPlaced(Router.place(Deployment.call(1), Deployment.Now));
+      // The freeze counts: 13 s after the naming, 8 of the 12 s have passed.
+      for (Timestamp End = Deployment.Now + 4s; Deployment.Now < End;
+           Deployment.Now += 100ms)
+        Router.noteRunning(Deployment.Now, Deployment.Now);
+      Deployment.announceTo(Router);
+      BOOST_TEST(std::holds_alternative<RefusedCall>(
+          Router.place(Deployment.call(2), Deployment.Now)));
+    }
+  }
+}
+
 // The holder of the order lease has reported a load of newer weights. That
 // opens an engine past the deadline neither after a restart with older weights
 // nor for good.
