--- a/Tests/LibMembership/TestLargeFleet.cpp
+++ b/Tests/LibMembership/TestLargeFleet.cpp
@@ -127,7 +127,7 @@
 } // namespace
 
 // The first hosts that a host heard of were near, of whichever data centre, and
-// took up half of the heartbeats that it told others.
+// took the place of near ones in the heartbeats that it told others.
 BOOST_AUTO_TEST_CASE(control_hosts_are_not_called_silent_in_calm) {
   LargeFleet Fleet(297);
   Fleet.run(10s);
